--- /dev/null
+++ b/model/src/main/java/org/geraniumreach/model/InstanceId.java
@@ -0,0 +1,37 @@
+package org.geraniumreach.model;
+
+/**
+ * The name of one running process's place in the fleet, as the instance list gives it.
+ *
+ * <p>Invariant: the value has 1 to {@value Names#MAXIMUM_LENGTH} characters out of letters, digits, dot, underscore and
+ * hyphen, and starts with a letter or digit. Immutable and safe for use by several threads.
+ *
+ * @param value the text of the name
+ */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+
+    public InstanceId {
+        Names.requireName("instance", value);
+    }
+
+    /**
+     * Obtains a name from its text.
+     *
+     * @param value the text, not null
+     * @return the name, not null
+     * @throws IllegalArgumentException if the text is not a valid name
+     */
+    public static InstanceId of(String value) {
+        return new InstanceId(value);
+    }
+
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/geraniumreach/model/package-info.java
@@ -0,0 +1,2 @@
+/** Names and values that every part of the system shares. */
+package org.geraniumreach.model;
--- /dev/null
+++ b/model/src/main/java/org/geraniumreach/model/table/package-info.java
@@ -0,0 +1,2 @@
+/** Rows and transactions of the platform's table service, as values. */
+package org.geraniumreach.model.table;
--- /dev/null
+++ b/tools/generate-messages.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Writes the Java code of messages/src/main/proto anew. The build does not need this: the generated code is committed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+version=$(sed -n 's:.*<protobuf.version>\(.*\)</protobuf.version>.*:\1:p' pom.xml)
+mvn -B -q dependency:copy -Dartifact="com.google.protobuf:protoc:${version}:exe:linux-x86_64" -DoutputDirectory="$PWD/messages/target"
+compiler="messages/target/protoc-${version}-linux-x86_64.exe"
+chmod +x "$compiler"
+rm -rf messages/src/main/java/org/geraniumreach/messages
+mkdir -p messages/src/main/java
+"$compiler" --java_out=messages/src/main/java --proto_path=messages/src/main/proto link.proto
