--- /dev/null
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -0,0 +1,83 @@
+package org.geraniumreach.model;
+
+/**
+ * The numbered events of the logs; docs/EVENTS.md holds the catalogue.
+ *
+ * <p>Invariant: a number is never used again for something else. 1xxx: process; 2xxx: configuration and membership; 3xxx:
+ * budget; 4xxx: requests; 5xxx: targets and adapters; 6xxx: links; 7xxx: platform; 9xxx: faults of the system.
+ */
+public enum EventCode {
+    STARTING(1001, Level.INFO, "The process starts."),
+    READY(1002, Level.INFO, "The process is ready for work."),
+    NOT_READY(1003, Level.WARN, "The process is not ready for work."),
+    DRAINING(1004, Level.INFO, "The process leaves: it takes no new work and finishes what runs."),
+    DRAINED(1005, Level.INFO, "The last work is finished; the process ends."),
+    DRAIN_CUT(1006, Level.WARN, "The drain ended by its deadline or a second signal, and work was cut off."),
+    SETTINGS_INVALID(1007, Level.ERROR, "The settings are wrong."),
+    CONFIGURATION_ADVANCED(2001, Level.INFO, "A newer configuration is in force."),
+    RECORD_UNREADABLE(2002, Level.WARN, "A record cannot be read, and is as if withdrawn."),
+    SUBMISSION_ACCEPTED(2003, Level.INFO, "An operator's submission was accepted."),
+    SUBMISSION_REFUSED(2004, Level.INFO, "An operator's submission was refused."),
+    NOT_FRESH(2005, Level.WARN, "The configuration cannot be confirmed as current, and requests are refused."),
+    FRESH_AGAIN(2006, Level.INFO, "The configuration is confirmed as current again."),
+    INSTANCE_JOINED(2007, Level.INFO, "An instance was listed or connected."),
+    INSTANCE_LEFT(2008, Level.INFO, "An instance left or is leaving."),
+    SNAPSHOT_FROM_PEER(2009, Level.INFO, "The configuration was taken from a peer."),
+    SHARE_CHANGED(3001, Level.INFO, "The share of a client account's budget held here has changed."),
+    SHARE_LAPSED(3002, Level.WARN, "The shares held here are no longer proved; nothing is admitted from them."),
+    LOAN_GIVEN(3003, Level.DEBUG, "Budget was lent to another entry."),
+    LOAN_TAKEN(3004, Level.DEBUG, "Budget was borrowed from another entry."),
+    REQUEST_REFUSED(4001, Level.DEBUG, "A request was refused."),
+    REQUEST_FAILED(4002, Level.WARN, "A request failed after it was sent."),
+    OUTCOME_UNKNOWN(4003, Level.WARN, "A request that may run once only has an unknown outcome."),
+    WRONG_ADAPTER_SERVED(4004, Level.ERROR, "A target ran another adapter or version; its answer was withheld."),
+    ATTEMPT_RETRIED(4005, Level.DEBUG, "A request is tried again elsewhere."),
+    ATTEMPT_RESUMED(4006, Level.INFO, "An answer goes on over a new connection."),
+    STREAMS_CANCELLED(4007, Level.INFO, "Running requests of a withdrawn key were cancelled."),
+    ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
+    ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
+    ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
+    ENGINE_RESTARTED(5004, Level.WARN, "The engine has restarted; nothing is resident."),
+    ENGINE_UNREACHABLE(5005, Level.WARN, "The target does not answer."),
+    FENCE_TAKEN(5006, Level.INFO, "This companion has taken its fence."),
+    FENCED_OUT(5007, Level.ERROR, "A newer companion has taken over the target."),
+    TARGET_EJECTED(5008, Level.WARN, "A target is left out for a while after failures."),
+    TARGET_RESTORED(5009, Level.INFO, "A target is used again."),
+    LINK_OPENED(6001, Level.DEBUG, "A link to a peer is open."),
+    LINK_LOST(6002, Level.WARN, "A link to a peer was lost or went silent."),
+    FRAME_REFUSED(6003, Level.WARN, "A peer sent what is not a frame; the link was closed."),
+    PLATFORM_UNREACHABLE(7001, Level.WARN, "The table service, object store or instance list does not answer."),
+    PLATFORM_REACHABLE(7002, Level.INFO, "The table service, object store or instance list answers again."),
+    WRITE_SETTLED(7003, Level.INFO, "A write whose answer was lost was settled by reading."),
+    UNEXPECTED_FAILURE(9001, Level.ERROR, "A fault of the system.");
+
+    private final int number;
+    private final Level level;
+    private final String meaning;
+
+    EventCode(int number, Level level, String meaning) {
+        this.number = number;
+        this.level = level;
+        this.meaning = meaning;
+    }
+
+    /** How much an event matters. */
+    public enum Level {
+        DEBUG,
+        INFO,
+        WARN,
+        ERROR
+    }
+
+    public int number() {
+        return number;
+    }
+
+    public Level level() {
+        return level;
+    }
+
+    public String meaning() {
+        return meaning;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/geraniumreach/model/KeyDigest.java
@@ -0,0 +1,95 @@
+package org.geraniumreach.model;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.Objects;
+import java.util.regex.Pattern;
+
+import org.apache.commons.codec.binary.Hex;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/**
+ * The SHA-256 digest of a caller's key or of an operator's credential.
+ *
+ * <p>Keys are made by the command line from 256 random bits, so an unkeyed digest cannot be reversed by trying likely
+ * keys. Invariant: 32 bytes; equality takes the same time wherever two digests differ; {@code toString} shows nothing of
+ * the digest, so one that gets into a log line by mistake tells nothing. Immutable and safe for use by several threads.
+ */
+public final class KeyDigest {
+
+    private static final Pattern HEXADECIMAL = Pattern.compile("[0-9a-f]{64}");
+    private static final int BYTES = 32;
+
+    private final byte[] bytes;
+
+    private KeyDigest(byte[] bytes) {
+        this.bytes = bytes;
+    }
+
+    /**
+     * Digests a secret.
+     *
+     * @param secret the secret, not null
+     * @return its digest, not null
+     */
+    public static KeyDigest ofSecret(String secret) {
+        return new KeyDigest(DigestUtils.sha256(secret.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /**
+     * Obtains a digest from its hexadecimal text.
+     *
+     * @param text 64 lower-case hexadecimal digits, not null
+     * @return the digest, not null
+     * @throws IllegalArgumentException if the text is of another form; the message does not repeat it
+     */
+    public static KeyDigest ofHexadecimal(String text) {
+        Objects.requireNonNull(text, "text");
+        if (!HEXADECIMAL.matcher(text).matches()) {
+            throw new IllegalArgumentException("a key digest is 64 lower-case hexadecimal digits");
+        }
+        byte[] bytes = new byte[BYTES];
+        for (int index = 0; index < BYTES; index++) {
+            bytes[index] = (byte) Integer.parseInt(text.substring(2 * index, 2 * index + 2), 16);
+        }
+        return new KeyDigest(bytes);
+    }
+
+    /**
+     * Obtains a digest from its bytes.
+     *
+     * @param bytes 32 bytes, not null
+     * @return the digest, not null
+     * @throws IllegalArgumentException if there are not 32 bytes
+     */
+    public static KeyDigest ofBytes(byte[] bytes) {
+        if (bytes.length != BYTES) {
+            throw new IllegalArgumentException("a key digest has 32 bytes, not " + bytes.length);
+        }
+        return new KeyDigest(bytes.clone());
+    }
+
+    public byte[] toBytes() {
+        return bytes.clone();
+    }
+
+    public String toHexadecimal() {
+        return Hex.encodeHexString(bytes);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof KeyDigest that && MessageDigest.isEqual(bytes, that.bytes);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(bytes);
+    }
+
+    @Override
+    public String toString() {
+        return "KeyDigest[hidden]";
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/geraniumreach/model/record/RecordReader.java
@@ -0,0 +1,304 @@
+package org.geraniumreach.model.record;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.KeyDigest;
+import org.geraniumreach.model.Names;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServiceName;
+import org.geraniumreach.model.TargetId;
+
+/**
+ * Reads the JSON of records, in every schema version that this program knows, into their values.
+ *
+ * <p>Contract: a reader of stored records passes over fields that it does not know, since a newer program may have written
+ * them; {@link #requireNoUnknownFields} is for submissions, where an unknown field is a mistake. Every fault is named with
+ * its path. Stateless and safe for use by several threads.
+ */
+public final class RecordReader {
+
+    /** The field of each record that carries its schema version. */
+    public static final String SCHEMA_VERSION = "schemaVersion";
+
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+    private static final Map<String, Set<String>> FIELDS = Map.of(
+            "account1", Set.of("rate", "burst"),
+            "account2", Set.of("tokensPerSecond", "burstTokens", "priority"),
+            "key1", Set.of("account", "digest"),
+            "adapter1", Set.of("baseModel", "versions"),
+            "assignment1", Set.of("account", "adapter"),
+            "assignment2", Set.of("account", "adapters"),
+            "target1", Set.of("failureDomain", "baseModel", "service", "slots", "checksFence"),
+            "service1", Set.of("operations"));
+
+    private RecordReader() {}
+
+    /**
+     * Reads a record's JSON.
+     *
+     * @param text the JSON, not null
+     * @return the object, not null
+     * @throws RecordException if the text is not a JSON object with a schema version
+     */
+    public static JsonNode parse(String text) throws RecordException {
+        JsonNode node;
+        try {
+            node = MAPPER.readTree(text);
+        } catch (JsonProcessingException malformed) {
+            throw RecordException.invalid("", "not JSON: " + malformed.getOriginalMessage());
+        }
+        if (!node.isObject()) {
+            throw RecordException.invalid("", "a record is an object");
+        }
+        schemaVersion(node);
+        return node;
+    }
+
+    /**
+     * Refuses fields that the record's schema version does not have.
+     *
+     * @param kind the record's kind, not null
+     * @param record the record, not null
+     * @throws RecordException naming the first such field
+     */
+    public static void requireNoUnknownFields(RecordKind kind, JsonNode record) throws RecordException {
+        Set<String> known = FIELDS.get(kind.label() + requireKnownVersion(kind, record));
+        for (String field : iterable(record)) {
+            if (!field.equals(SCHEMA_VERSION) && !known.contains(field)) {
+                throw RecordException.invalid(
+                        field,
+                        "unknown field; known are " + known.stream().sorted().toList());
+            }
+        }
+    }
+
+    /**
+     * Reads a client account.
+     *
+     * @param name the record's name, not null
+     * @param record the record, not null
+     * @return the account, not null
+     * @throws RecordException if the record is wrong
+     */
+    public static ClientAccount account(String name, JsonNode record) throws RecordException {
+        boolean first = requireKnownVersion(RecordKind.ACCOUNT, record) == 1;
+        long rate = positive(record, first ? "rate" : "tokensPerSecond");
+        long burst = positive(record, first ? "burst" : "burstTokens");
+        int priority = first || !record.has("priority")
+                ? ClientAccount.DEFAULT_PRIORITY
+                : (int) within(record, "priority", 0, ClientAccount.HIGHEST_PRIORITY);
+        return new ClientAccount(AccountId.of(name), rate, burst, priority);
+    }
+
+    /**
+     * Reads a key.
+     *
+     * @param name the record's name, not null
+     * @param record the record, not null
+     * @return the key, not null
+     * @throws RecordException if the record is wrong
+     */
+    public static AccessKey key(String name, JsonNode record) throws RecordException {
+        requireKnownVersion(RecordKind.KEY, record);
+        AccountId account = named(record, "account", AccountId::of);
+        return new AccessKey(name, account, named(record, "digest", KeyDigest::ofHexadecimal));
+    }
+
+    /**
+     * Reads an adapter.
+     *
+     * @param name the record's name, not null
+     * @param record the record, not null
+     * @return the adapter, not null
+     * @throws RecordException if the record is wrong
+     */
+    public static Adapter adapter(String name, JsonNode record) throws RecordException {
+        requireKnownVersion(RecordKind.ADAPTER, record);
+        return new Adapter(name, name(record, "baseModel"), names(record, "versions"));
+    }
+
+    /**
+     * Reads an assignment.
+     *
+     * @param name the record's name, not null
+     * @param record the record, not null
+     * @return the assignment, not null
+     * @throws RecordException if the record is wrong
+     */
+    public static Assignment assignment(String name, JsonNode record) throws RecordException {
+        boolean first = requireKnownVersion(RecordKind.ASSIGNMENT, record) == 1;
+        AccountId account = named(record, "account", AccountId::of);
+        Set<String> adapters = first ? Set.of(name(record, "adapter")) : names(record, "adapters");
+        return new Assignment(name, account, adapters);
+    }
+
+    /**
+     * Reads a target.
+     *
+     * @param name the record's name, not null
+     * @param record the record, not null
+     * @return the target, not null
+     * @throws RecordException if the record is wrong
+     */
+    public static Target target(String name, JsonNode record) throws RecordException {
+        requireKnownVersion(RecordKind.TARGET, record);
+        Optional<String> baseModel =
+                record.has("baseModel") ? Optional.of(name(record, "baseModel")) : Optional.empty();
+        Optional<ServiceName> service =
+                record.has("service") ? Optional.of(named(record, "service", ServiceName::of)) : Optional.empty();
+        if (baseModel.isPresent() == service.isPresent()) {
+            throw RecordException.invalid("baseModel", "a target has either a baseModel or a service");
+        }
+        int slots = baseModel.isPresent() ? (int) within(record, "slots", 1, 100_000) : 0;
+        FailureDomain domain = named(record, "failureDomain", FailureDomain::of);
+        return new Target(TargetId.of(name), domain, baseModel, service, slots, truth(record, "checksFence"));
+    }
+
+    /**
+     * Reads a plain service.
+     *
+     * @param name the record's name, not null
+     * @param record the record, not null
+     * @return the service, not null
+     * @throws RecordException if the record is wrong
+     */
+    public static Service service(String name, JsonNode record) throws RecordException {
+        requireKnownVersion(RecordKind.SERVICE, record);
+        JsonNode operations = record.path("operations");
+        if (!operations.isObject() || operations.isEmpty()) {
+            throw RecordException.invalid("operations", "must be an object with at least one operation");
+        }
+        Map<String, Service.Operation> read = new LinkedHashMap<>();
+        for (String operation : iterable(operations)) {
+            JsonNode node = operations.get(operation);
+            requireName("operations." + operation, operation);
+            if (!node.isObject()) {
+                throw RecordException.invalid("operations." + operation, "must be an object");
+            }
+            read.put(operation, new Service.Operation(truth(node, "repeatable"), positive(node, "tokens")));
+        }
+        return new Service(ServiceName.of(name), read);
+    }
+
+    /**
+     * Reads a record for its faults only.
+     *
+     * @param key the record's key, not null
+     * @param record the record, not null
+     * @throws RecordException if the record is wrong
+     */
+    public static void check(RecordKey key, JsonNode record) throws RecordException {
+        String name = key.name();
+        switch (key.kind()) {
+            case ACCOUNT -> account(name, record);
+            case KEY -> key(name, record);
+            case ADAPTER -> adapter(name, record);
+            case ASSIGNMENT -> assignment(name, record);
+            case TARGET -> target(name, record);
+            case SERVICE -> service(name, record);
+            default -> throw new IllegalStateException("unhandled kind " + key.kind());
+        }
+    }
+
+    private static int requireKnownVersion(RecordKind kind, JsonNode record) throws RecordException {
+        int version = schemaVersion(record);
+        if (version > kind.newestSchemaVersion()) {
+            throw new RecordException(
+                    ResultCode.SCHEMA_VERSION_UNKNOWN,
+                    SCHEMA_VERSION + ": " + version + " of " + kind.label() + " is newer than "
+                            + kind.newestSchemaVersion());
+        }
+        return version;
+    }
+
+    private static int schemaVersion(JsonNode record) throws RecordException {
+        return (int) within(record, SCHEMA_VERSION, 1, Integer.MAX_VALUE);
+    }
+
+    private static long positive(JsonNode record, String field) throws RecordException {
+        return within(record, field, 1, 1_000_000_000_000L);
+    }
+
+    private static long within(JsonNode record, String field, long least, long greatest) throws RecordException {
+        JsonNode node = record.path(field);
+        if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+            throw RecordException.invalid(field, "must be a whole number from " + least + " to " + greatest);
+        }
+        long value = node.longValue();
+        if (value < least || value > greatest) {
+            throw RecordException.invalid(field, value + " is not from " + least + " to " + greatest);
+        }
+        return value;
+    }
+
+    private static boolean truth(JsonNode record, String field) throws RecordException {
+        JsonNode node = record.path(field);
+        if (!node.isBoolean()) {
+            throw RecordException.invalid(field, "must be true or false");
+        }
+        return node.booleanValue();
+    }
+
+    private static String text(JsonNode record, String field) throws RecordException {
+        JsonNode node = record.path(field);
+        if (!node.isTextual()) {
+            throw RecordException.invalid(field, "must be text");
+        }
+        return node.textValue();
+    }
+
+    private static <T> T named(JsonNode record, String field, Function<String, T> factory) throws RecordException {
+        String text = text(record, field);
+        try {
+            return factory.apply(text);
+        } catch (IllegalArgumentException invalid) {
+            throw RecordException.invalid(field, invalid.getMessage());
+        }
+    }
+
+    private static String name(JsonNode record, String field) throws RecordException {
+        String text = text(record, field);
+        requireName(field, text);
+        return text;
+    }
+
+    private static Set<String> names(JsonNode record, String field) throws RecordException {
+        JsonNode node = record.path(field);
+        if (!node.isArray() || node.isEmpty()) {
+            throw RecordException.invalid(field, "must be a list with at least one name");
+        }
+        Set<String> names = new HashSet<>();
+        for (JsonNode element : node) {
+            requireName(field, element.isTextual() ? element.textValue() : null);
+            names.add(element.textValue());
+        }
+        return names;
+    }
+
+    private static void requireName(String path, String name) throws RecordException {
+        if (!Names.isName(name)) {
+            throw RecordException.invalid(path, "not a valid name: '" + name + "'");
+        }
+    }
+
+    private static List<String> iterable(JsonNode node) {
+        List<String> names = new ArrayList<>();
+        node.fieldNames().forEachRemaining(names::add);
+        return names;
+    }
+}
