--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/event/package-info.java
@@ -0,0 +1,2 @@
+/** The numbered events of the logs. */
+package org.geraniumreach.daemon.event;
