--- a/daemon/src/main/java/org/geraniumreach/daemon/settings/Setting.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/settings/Setting.java
@@ -18,18 +18,38 @@
 @Target(ElementType.RECORD_COMPONENT)
 public @interface Setting {
 
-    /** The default, written as in YAML; empty if the setting must be given. */
+    /**
+     * The default, written as in YAML; empty if the setting must be given.
+     *
+     * @return the default, or empty
+     */
     String value() default "";
 
-    /** The least value allowed, written as in YAML; empty for no bound. */
+    /**
+     * The least value allowed, written as in YAML; empty for no bound.
+     *
+     * @return the bound, or empty
+     */
     String least() default "";
 
-    /** The greatest value allowed, written as in YAML; empty for no bound. */
+    /**
+     * The greatest value allowed, written as in YAML; empty for no bound.
+     *
+     * @return the bound, or empty
+     */
     String greatest() default "";
 
-    /** What the setting is for, in one sentence. */
+    /**
+     * What the setting is for, in one sentence.
+     *
+     * @return the sentence
+     */
     String about();
 
-    /** Whether the value is a secret, which is never printed. */
+    /**
+     * Whether the value is a secret, which is never printed.
+     *
+     * @return true if it is
+     */
     boolean secret() default false;
 }
