--- /dev/null
+++ b/link/src/main/java/org/geraniumreach/link/LinkChannel.java
@@ -0,0 +1,271 @@
+package org.geraniumreach.link;
+
+import java.io.IOException;
+import java.util.LinkedHashSet;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.messages.Ping;
+import org.geraniumreach.messages.Pong;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.InstanceId;
+
+/**
+ * One connection: Hello, heartbeats, and the passing on of frames.
+ *
+ * <p>Invariants: handlers are told of nothing before both Hellos, of {@link FrameHandler#opened} first and of {@link
+ * FrameHandler#closed} last. A frame that cannot be read closes this connection and touches nothing else. What is not
+ * final is confined to the channel's event loop, but for the fields marked volatile; {@link Peer}'s methods are safe for
+ * use by several threads.
+ */
+final class LinkChannel extends SimpleChannelInboundHandler<Frame> implements Peer, LinkTable.Member {
+
+    private static final int OLDEST_PROTOCOL = 1;
+
+    private final LinkSettings settings;
+    private final HandlerRegistry handlers;
+    private final Owner owner;
+    private final boolean inbound;
+    private final LinkHealth health;
+    private final Set<FrameHandler> announced = new LinkedHashSet<>();
+    private volatile Channel channel;
+    private volatile Hello hello;
+    private volatile InstanceId instance;
+    private volatile String closeReason;
+
+    LinkChannel(LinkSettings settings, HandlerRegistry handlers, Owner owner, boolean inbound) {
+        this.settings = settings;
+        this.handlers = handlers;
+        this.owner = owner;
+        this.inbound = inbound;
+        this.health = new LinkHealth(settings.unansweredPings());
+    }
+
+    /** What a connection asks of the node that it belongs to. */
+    interface Owner {
+
+        Hello localHello();
+
+        /**
+         * Decides on a connection that has said Hello.
+         *
+         * @param link the connection, not null
+         * @return why it is refused, empty if it stays, not null
+         */
+        String admit(LinkChannel link);
+
+        void closed(LinkChannel link, String reason);
+
+        void happened(EventCode event, String detail);
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        channel.writeAndFlush(Frame.newBuilder().setHello(owner.localHello()).build());
+        context.executor().schedule(this::checkHello, settings.helloLimit().toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * A peer that connects and says nothing would hold a connection, and its memory, for good; it gets no more than the
+     * limit.
+     */
+    private void checkHello() {
+        if (hello == null) {
+            close("no Hello within " + settings.helloLimit());
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (closeReason != null) {
+            return;
+        }
+        if (hello == null) {
+            readHello(frame);
+            return;
+        }
+        switch (frame.getBodyCase()) {
+            case PING -> send(Frame.newBuilder()
+                    .setPong(Pong.newBuilder().setNumber(frame.getPing().getNumber()))
+                    .build());
+            case PONG -> health.pong(frame.getPong().getNumber());
+            case HELLO -> refuse("a second Hello");
+            case BODY_NOT_SET -> refuse("a frame of unknown type");
+            default -> handlers.of(frame.getBodyCase()).forEach(handler -> {
+                announce(handler);
+                guard(() -> handler.received(this, frame));
+            });
+        }
+    }
+
+    private void readHello(Frame frame) {
+        if (frame.getBodyCase() != Frame.BodyCase.HELLO) {
+            refuse("the first frame is not a Hello");
+            return;
+        }
+        Hello said = frame.getHello();
+        if (said.getProtocolVersion() < OLDEST_PROTOCOL) {
+            refuse("protocol version " + said.getProtocolVersion());
+            return;
+        }
+        try {
+            instance = InstanceId.of(said.getInstance());
+        } catch (IllegalArgumentException invalid) {
+            refuse(invalid.getMessage());
+            return;
+        }
+        hello = said;
+        String refusal = owner.admit(this);
+        if (!refusal.isEmpty()) {
+            close(refusal);
+            return;
+        }
+        owner.happened(EventCode.LINK_OPENED, description());
+        handlers.all().forEach(this::announce);
+        tick();
+    }
+
+    private void tick() {
+        if (!channel.isActive()) {
+            return;
+        }
+        if (health.tick() == LinkHealth.Verdict.SILENT) {
+            close(settings.unansweredPings() + " pings without an answer");
+            return;
+        }
+        send(Frame.newBuilder()
+                .setPing(Ping.newBuilder().setNumber(health.pingNumber()))
+                .build());
+        channel.eventLoop().schedule(this::tick, settings.pingInterval().toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Tells a handler that was registered late of this link.
+     *
+     * @param handler the handler, not null
+     */
+    void announceLater(FrameHandler handler) {
+        channel.eventLoop().execute(() -> announce(handler));
+    }
+
+    private void announce(FrameHandler handler) {
+        if (closeReason == null && channel.isActive() && announced.add(handler)) {
+            guard(() -> handler.opened(this));
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (context.channel().isWritable()) {
+            tellAll(handler -> handler.writable(this));
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        String reason = closeReason != null ? closeReason : "closed by the other end";
+        closeReason = reason;
+        owner.closed(this, reason);
+        tellAll(handler -> handler.closed(this, reason));
+        announced.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof DecoderException) {
+            refuse(cause.getMessage());
+        } else if (cause instanceof IOException) {
+            close(String.valueOf(cause.getMessage()));
+        } else {
+            owner.happened(EventCode.UNEXPECTED_FAILURE, description() + ": " + cause);
+            close("failure of this end");
+        }
+    }
+
+    private void refuse(String what) {
+        owner.happened(EventCode.FRAME_REFUSED, description() + ": " + what);
+        close("refused " + what);
+    }
+
+    private void tellAll(Consumer<FrameHandler> news) {
+        announced.forEach(handler -> guard(() -> news.accept(handler)));
+    }
+
+    /**
+     * Runs a handler's code. A fault in one handler must not end the link, which carries the work of all others.
+     *
+     * @param call the handler's code, not null
+     */
+    private void guard(Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException failure) {
+            owner.happened(EventCode.UNEXPECTED_FAILURE, description() + ": " + failure);
+        }
+    }
+
+    @Override
+    public Hello hello() {
+        return hello;
+    }
+
+    @Override
+    public InstanceId instance() {
+        return instance;
+    }
+
+    @Override
+    public long incarnation() {
+        return hello.getIncarnation();
+    }
+
+    @Override
+    public boolean isInbound() {
+        return inbound;
+    }
+
+    @Override
+    public boolean send(Frame frame) {
+        if (closeReason != null || !channel.isActive()) {
+            return false;
+        }
+        // The other end would close the link over a frame above its limit, and with it the streams of everyone else.
+        if (frame.getSerializedSize() > settings.maximumFrameBytes()) {
+            owner.happened(
+                    EventCode.FRAME_REFUSED,
+                    description() + ": not sent, " + frame.getSerializedSize() + " bytes of " + frame.getBodyCase());
+            return false;
+        }
+        channel.writeAndFlush(frame, channel.voidPromise());
+        return true;
+    }
+
+    @Override
+    public boolean isWritable() {
+        return channel.isWritable();
+    }
+
+    @Override
+    public void close(String reason) {
+        Objects.requireNonNull(reason, "reason");
+        if (closeReason == null) {
+            closeReason = reason;
+        }
+        channel.close();
+    }
+
+    String description() {
+        Channel open = channel;
+        String address = open == null ? "?" : String.valueOf(open.remoteAddress());
+        return (instance == null ? "unknown" : instance) + " at " + address;
+    }
+}
--- /dev/null
+++ b/link/src/main/java/org/geraniumreach/link/LinkNode.java
@@ -0,0 +1,265 @@
+package org.geraniumreach.link;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.InstanceId;
+
+/**
+ * The links of one process: it accepts connections, and opens and keeps those that it is asked to.
+ *
+ * <p>Invariants: a link is used in both directions, whoever opened it; of two incarnations of an instance only the newer
+ * has links. No input from a peer ends the process or another peer's link. Safe for use by several threads.
+ */
+public final class LinkNode implements Links, AutoCloseable {
+
+    private static final int LENGTH_BYTES = 4;
+    private static final int FLUSH_AFTER_FRAMES = 64;
+    private static final int BACKLOG = 1024;
+    private static final long CLOSE_SECONDS = 2;
+
+    private final LinkSettings settings;
+    private final Supplier<Hello> localHello;
+    private final LinkEventListener events;
+    private final EventLoopGroup loops;
+    private final HandlerRegistry handlers = new HandlerRegistry();
+    private final LinkTable<LinkChannel> table = new LinkTable<>();
+    private final Map<InstanceId, KeptLink> kept = new ConcurrentHashMap<>();
+    private volatile Channel server;
+
+    private LinkNode(LinkSettings settings, Supplier<Hello> localHello, LinkEventListener events) {
+        this.settings = settings;
+        this.localHello = localHello;
+        this.events = events;
+        this.loops = new NioEventLoopGroup(settings.threads(), new DefaultThreadFactory("link", true));
+    }
+
+    /**
+     * Makes a node that neither listens nor connects yet, so that handlers can be registered before the first frame.
+     *
+     * @param settings how links behave, not null
+     * @param localHello gives what this process says of itself on each new connection, not null
+     * @param events told of what an operator should see, not null
+     * @return the node, not null
+     */
+    public static LinkNode create(LinkSettings settings, Supplier<Hello> localHello, LinkEventListener events) {
+        Objects.requireNonNull(settings, "settings");
+        Objects.requireNonNull(localHello, "localHello");
+        Objects.requireNonNull(events, "events");
+        return new LinkNode(settings, localHello, events);
+    }
+
+    /**
+     * Starts to accept connections.
+     *
+     * @param address where to listen; port 0 takes any free one, not null
+     * @return where it listens, not null
+     * @throws IOException if the address cannot be had
+     */
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .childHandler(new Pipeline(Optional.empty()));
+        ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address, bound.cause());
+        }
+        server = bound.channel();
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    private WriteBufferWaterMark waterMark() {
+        return new WriteBufferWaterMark(settings.writeBufferLow(), settings.writeBufferHigh());
+    }
+
+    /** Sets up a new connection. */
+    private final class Pipeline extends ChannelInitializer<Channel> {
+        private final Optional<InstanceId> expected;
+
+        private Pipeline(Optional<InstanceId> expected) {
+            this.expected = expected;
+        }
+
+        @Override
+        protected void initChannel(Channel channel) {
+            ChannelPipeline pipeline = channel.pipeline();
+            pipeline.addLast(new FlushConsolidationHandler(FLUSH_AFTER_FRAMES, true));
+            pipeline.addLast(
+                    new LengthFieldBasedFrameDecoder(settings.maximumFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+            pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
+            pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+            pipeline.addLast(new ProtobufEncoder());
+            pipeline.addLast(new LinkChannel(settings, handlers, new Ownership(expected), expected.isEmpty()));
+        }
+    }
+
+    /** What this node decides about one connection. */
+    private final class Ownership implements LinkChannel.Owner {
+        private final Optional<InstanceId> expected;
+
+        private Ownership(Optional<InstanceId> expected) {
+            this.expected = expected;
+        }
+
+        @Override
+        public Hello localHello() {
+            return localHello.get();
+        }
+
+        @Override
+        public String admit(LinkChannel link) {
+            if (expected.isPresent() && !expected.get().equals(link.instance())) {
+                return "another instance than " + expected.get();
+            }
+            LinkTable.Admission<LinkChannel> admission = table.add(link);
+            if (!admission.admitted()) {
+                return "a newer incarnation is connected";
+            }
+            admission.superseded().forEach(old -> old.close("superseded by a new connection"));
+            Optional.ofNullable(kept.get(link.instance())).ifPresent(KeptLink::opened);
+            return "";
+        }
+
+        @Override
+        public void closed(LinkChannel link, String reason) {
+            if (link.instance() != null) {
+                table.remove(link);
+                Optional.ofNullable(kept.get(link.instance())).ifPresent(KeptLink::closed);
+            }
+            happened(EventCode.LINK_LOST, link.description() + ": " + reason);
+        }
+
+        @Override
+        public void happened(EventCode event, String detail) {
+            events.happened(event, detail);
+        }
+    }
+
+    /** Opens the connections of kept links. */
+    private final class Connector implements KeptLink.Opener {
+
+        @Override
+        public boolean isOpen(InstanceId instance) {
+            return table.find(instance).isPresent();
+        }
+
+        @Override
+        public Bootstrap bootstrap(InstanceId instance) {
+            return new Bootstrap()
+                    .group(loops)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                            settings.connectLimit().toMillis())
+                    .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                    .handler(new Pipeline(Optional.of(instance)));
+        }
+    }
+
+    @Override
+    public void keep(InstanceId instance, InetSocketAddress address) {
+        Objects.requireNonNull(instance, "instance");
+        Objects.requireNonNull(address, "address");
+        kept.compute(instance, (name, present) -> {
+            if (present != null && present.address().equals(address)) {
+                return present;
+            }
+            if (present != null) {
+                present.release();
+                table.find(instance).ifPresent(open -> open.close("its address has changed"));
+            }
+            KeptLink link = new KeptLink(
+                    instance,
+                    address,
+                    loops.next(),
+                    settings,
+                    new Connector(),
+                    new SplittableRandom(ThreadLocalRandom.current().nextLong()));
+            link.open();
+            return link;
+        });
+    }
+
+    @Override
+    public void release(InstanceId instance) {
+        KeptLink link = kept.remove(Objects.requireNonNull(instance, "instance"));
+        if (link != null) {
+            link.release();
+        }
+        table.find(instance).ifPresent(open -> open.close("released"));
+    }
+
+    @Override
+    public Optional<Peer> find(InstanceId instance) {
+        return table.find(instance).map(Peer.class::cast);
+    }
+
+    @Override
+    public List<Peer> peers() {
+        return List.copyOf(table.newest());
+    }
+
+    @Override
+    public void handle(Set<Frame.BodyCase> kinds, FrameHandler handler) {
+        handlers.add(kinds, Objects.requireNonNull(handler, "handler"));
+        table.all().forEach(link -> link.announceLater(handler));
+    }
+
+    /**
+     * Gets a timer that runs tasks on the event loops; they must not block.
+     *
+     * @return the timer, not null
+     */
+    public ScheduledExecutorService timer() {
+        return loops;
+    }
+
+    @Override
+    public void close() {
+        kept.values().forEach(KeptLink::release);
+        kept.clear();
+        Channel listening = server;
+        if (listening != null) {
+            listening.close();
+        }
+        table.all().forEach(link -> link.close("this end stops"));
+        loops.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS);
+    }
+}
--- a/messages/src/main/java/org/geraniumreach/messages/Cancel.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Cancel.java
@@ -122,6 +122,17 @@
     }
   }
 
+  public static final int AGE_MILLIS_FIELD_NUMBER = 3;
+  private long ageMillis_ = 0L;
+  /**
+   * <code>int64 age_millis = 3;</code>
+   * @return The ageMillis.
+   */
+  @java.lang.Override
+  public long getAgeMillis() {
+    return ageMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -142,6 +153,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, reason_);
     }
+    if (ageMillis_ != 0L) {
+      output.writeInt64(3, ageMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -157,6 +171,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, reason_);
     }
+    if (ageMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, ageMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -176,6 +194,8 @@
         .equals(other.getAttempt())) return false;
     if (!getReason()
         .equals(other.getReason())) return false;
+    if (getAgeMillis()
+        != other.getAgeMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -191,6 +211,9 @@
     hash = (53 * hash) + getAttempt().hashCode();
     hash = (37 * hash) + REASON_FIELD_NUMBER;
     hash = (53 * hash) + getReason().hashCode();
+    hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAgeMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -324,6 +347,7 @@
       bitField0_ = 0;
       attempt_ = "";
       reason_ = "";
+      ageMillis_ = 0L;
       return this;
     }
 
@@ -363,6 +387,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.reason_ = reason_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.ageMillis_ = ageMillis_;
+      }
     }
 
     @java.lang.Override
@@ -387,6 +414,9 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (other.getAgeMillis() != 0L) {
+        setAgeMillis(other.getAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -423,6 +453,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              ageMillis_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -584,6 +619,38 @@
       return this;
     }
 
+    private long ageMillis_ ;
+    /**
+     * <code>int64 age_millis = 3;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+    /**
+     * <code>int64 age_millis = 3;</code>
+     * @param value The ageMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMillis(long value) {
+
+      ageMillis_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 age_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      ageMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Cancel)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/CancelOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/CancelOrBuilder.java
@@ -32,4 +32,10 @@
    */
   com.google.protobuf.ByteString
       getReasonBytes();
+
+  /**
+   * <code>int64 age_millis = 3;</code>
+   * @return The ageMillis.
+   */
+  long getAgeMillis();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/Resume.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Resume.java
@@ -6,6 +6,12 @@
 package org.geraniumreach.messages;
 
 /**
+ * <pre>
+ * Goes on with an attempt over this link. An attempt that the companion has
+ * not seen is sealed by it: "not run" is then true, also for a Run that
+ * arrives later.
+ * </pre>
+ *
  * Protobuf type {@code geraniumreach.link.Resume}
  */
 public final class Resume extends
@@ -28,6 +34,10 @@
   }
   private Resume() {
     attempt_ = "";
+    account_ = "";
+    keyDigest_ = com.google.protobuf.ByteString.EMPTY;
+    adapter_ = "";
+    version_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -104,6 +114,198 @@
     return credit_;
   }
 
+  public static final int AGE_MILLIS_FIELD_NUMBER = 4;
+  private long ageMillis_ = 0L;
+  /**
+   * <pre>
+   * since the Run was sent, or more
+   * </pre>
+   *
+   * <code>int64 age_millis = 4;</code>
+   * @return The ageMillis.
+   */
+  @java.lang.Override
+  public long getAgeMillis() {
+    return ageMillis_;
+  }
+
+  public static final int COMPANION_INCARNATION_FIELD_NUMBER = 5;
+  private long companionIncarnation_ = 0L;
+  /**
+   * <pre>
+   * that the Run was sent to
+   * </pre>
+   *
+   * <code>int64 companion_incarnation = 5;</code>
+   * @return The companionIncarnation.
+   */
+  @java.lang.Override
+  public long getCompanionIncarnation() {
+    return companionIncarnation_;
+  }
+
+  public static final int ACCOUNT_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object account_ = "";
+  /**
+   * <pre>
+   * what the Run named, for a companion that has
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The account.
+   */
+  @java.lang.Override
+  public java.lang.String getAccount() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      account_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * what the Run named, for a companion that has
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The bytes for account.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAccountBytes() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      account_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int KEY_DIGEST_FIELD_NUMBER = 7;
+  private com.google.protobuf.ByteString keyDigest_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * started since and asks its target
+   * </pre>
+   *
+   * <code>bytes key_digest = 7;</code>
+   * @return The keyDigest.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getKeyDigest() {
+    return keyDigest_;
+  }
+
+  public static final int ADAPTER_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object adapter_ = "";
+  /**
+   * <code>string adapter = 8;</code>
+   * @return The adapter.
+   */
+  @java.lang.Override
+  public java.lang.String getAdapter() {
+    java.lang.Object ref = adapter_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      adapter_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string adapter = 8;</code>
+   * @return The bytes for adapter.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAdapterBytes() {
+    java.lang.Object ref = adapter_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      adapter_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int VERSION_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object version_ = "";
+  /**
+   * <code>string version = 9;</code>
+   * @return The version.
+   */
+  @java.lang.Override
+  public java.lang.String getVersion() {
+    java.lang.Object ref = version_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      version_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string version = 9;</code>
+   * @return The bytes for version.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getVersionBytes() {
+    java.lang.Object ref = version_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      version_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int REPEATABLE_FIELD_NUMBER = 10;
+  private boolean repeatable_ = false;
+  /**
+   * <code>bool repeatable = 10;</code>
+   * @return The repeatable.
+   */
+  @java.lang.Override
+  public boolean getRepeatable() {
+    return repeatable_;
+  }
+
+  public static final int DEADLINE_LEFT_MILLIS_FIELD_NUMBER = 11;
+  private long deadlineLeftMillis_ = 0L;
+  /**
+   * <code>int64 deadline_left_millis = 11;</code>
+   * @return The deadlineLeftMillis.
+   */
+  @java.lang.Override
+  public long getDeadlineLeftMillis() {
+    return deadlineLeftMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -127,6 +329,30 @@
     if (credit_ != 0) {
       output.writeInt32(3, credit_);
     }
+    if (ageMillis_ != 0L) {
+      output.writeInt64(4, ageMillis_);
+    }
+    if (companionIncarnation_ != 0L) {
+      output.writeInt64(5, companionIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, account_);
+    }
+    if (!keyDigest_.isEmpty()) {
+      output.writeBytes(7, keyDigest_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, adapter_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 9, version_);
+    }
+    if (repeatable_ != false) {
+      output.writeBool(10, repeatable_);
+    }
+    if (deadlineLeftMillis_ != 0L) {
+      output.writeInt64(11, deadlineLeftMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -147,6 +373,35 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(3, credit_);
     }
+    if (ageMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, ageMillis_);
+    }
+    if (companionIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, companionIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, account_);
+    }
+    if (!keyDigest_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(7, keyDigest_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, adapter_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(9, version_);
+    }
+    if (repeatable_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, repeatable_);
+    }
+    if (deadlineLeftMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, deadlineLeftMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -168,6 +423,22 @@
         != other.getNextSequence()) return false;
     if (getCredit()
         != other.getCredit()) return false;
+    if (getAgeMillis()
+        != other.getAgeMillis()) return false;
+    if (getCompanionIncarnation()
+        != other.getCompanionIncarnation()) return false;
+    if (!getAccount()
+        .equals(other.getAccount())) return false;
+    if (!getKeyDigest()
+        .equals(other.getKeyDigest())) return false;
+    if (!getAdapter()
+        .equals(other.getAdapter())) return false;
+    if (!getVersion()
+        .equals(other.getVersion())) return false;
+    if (getRepeatable()
+        != other.getRepeatable()) return false;
+    if (getDeadlineLeftMillis()
+        != other.getDeadlineLeftMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -186,6 +457,26 @@
         getNextSequence());
     hash = (37 * hash) + CREDIT_FIELD_NUMBER;
     hash = (53 * hash) + getCredit();
+    hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAgeMillis());
+    hash = (37 * hash) + COMPANION_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getCompanionIncarnation());
+    hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+    hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + KEY_DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getKeyDigest().hashCode();
+    hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
+    hash = (53 * hash) + getAdapter().hashCode();
+    hash = (37 * hash) + VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getVersion().hashCode();
+    hash = (37 * hash) + REPEATABLE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRepeatable());
+    hash = (37 * hash) + DEADLINE_LEFT_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDeadlineLeftMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -284,6 +575,12 @@
     return builder;
   }
   /**
+   * <pre>
+   * Goes on with an attempt over this link. An attempt that the companion has
+   * not seen is sealed by it: "not run" is then true, also for a Run that
+   * arrives later.
+   * </pre>
+   *
    * Protobuf type {@code geraniumreach.link.Resume}
    */
   public static final class Builder extends
@@ -320,6 +617,14 @@
       attempt_ = "";
       nextSequence_ = 0L;
       credit_ = 0;
+      ageMillis_ = 0L;
+      companionIncarnation_ = 0L;
+      account_ = "";
+      keyDigest_ = com.google.protobuf.ByteString.EMPTY;
+      adapter_ = "";
+      version_ = "";
+      repeatable_ = false;
+      deadlineLeftMillis_ = 0L;
       return this;
     }
 
@@ -362,6 +667,30 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.credit_ = credit_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.ageMillis_ = ageMillis_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.companionIncarnation_ = companionIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.account_ = account_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.keyDigest_ = keyDigest_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.adapter_ = adapter_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.version_ = version_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.repeatable_ = repeatable_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.deadlineLeftMillis_ = deadlineLeftMillis_;
+      }
     }
 
     @java.lang.Override
@@ -387,6 +716,36 @@
       if (other.getCredit() != 0) {
         setCredit(other.getCredit());
       }
+      if (other.getAgeMillis() != 0L) {
+        setAgeMillis(other.getAgeMillis());
+      }
+      if (other.getCompanionIncarnation() != 0L) {
+        setCompanionIncarnation(other.getCompanionIncarnation());
+      }
+      if (!other.getAccount().isEmpty()) {
+        account_ = other.account_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (other.getKeyDigest() != com.google.protobuf.ByteString.EMPTY) {
+        setKeyDigest(other.getKeyDigest());
+      }
+      if (!other.getAdapter().isEmpty()) {
+        adapter_ = other.adapter_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      if (!other.getVersion().isEmpty()) {
+        version_ = other.version_;
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
+      if (other.getRepeatable() != false) {
+        setRepeatable(other.getRepeatable());
+      }
+      if (other.getDeadlineLeftMillis() != 0L) {
+        setDeadlineLeftMillis(other.getDeadlineLeftMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -428,6 +787,46 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              ageMillis_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              companionIncarnation_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 50: {
+              account_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 58: {
+              keyDigest_ = input.readBytes();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 66: {
+              adapter_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
+            case 74: {
+              version_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
+            case 80: {
+              repeatable_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              deadlineLeftMillis_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -581,6 +980,438 @@
       return this;
     }
 
+    private long ageMillis_ ;
+    /**
+     * <pre>
+     * since the Run was sent, or more
+     * </pre>
+     *
+     * <code>int64 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+    /**
+     * <pre>
+     * since the Run was sent, or more
+     * </pre>
+     *
+     * <code>int64 age_millis = 4;</code>
+     * @param value The ageMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMillis(long value) {
+
+      ageMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * since the Run was sent, or more
+     * </pre>
+     *
+     * <code>int64 age_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      ageMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long companionIncarnation_ ;
+    /**
+     * <pre>
+     * that the Run was sent to
+     * </pre>
+     *
+     * <code>int64 companion_incarnation = 5;</code>
+     * @return The companionIncarnation.
+     */
+    @java.lang.Override
+    public long getCompanionIncarnation() {
+      return companionIncarnation_;
+    }
+    /**
+     * <pre>
+     * that the Run was sent to
+     * </pre>
+     *
+     * <code>int64 companion_incarnation = 5;</code>
+     * @param value The companionIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompanionIncarnation(long value) {
+
+      companionIncarnation_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * that the Run was sent to
+     * </pre>
+     *
+     * <code>int64 companion_incarnation = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompanionIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      companionIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object account_ = "";
+    /**
+     * <pre>
+     * what the Run named, for a companion that has
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @return The account.
+     */
+    public java.lang.String getAccount() {
+      java.lang.Object ref = account_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        account_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * what the Run named, for a companion that has
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @return The bytes for account.
+     */
+    public com.google.protobuf.ByteString
+        getAccountBytes() {
+      java.lang.Object ref = account_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        account_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * what the Run named, for a companion that has
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @param value The account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccount(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      account_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * what the Run named, for a companion that has
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccount() {
+      account_ = getDefaultInstance().getAccount();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * what the Run named, for a companion that has
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @param value The bytes for account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      account_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString keyDigest_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * started since and asks its target
+     * </pre>
+     *
+     * <code>bytes key_digest = 7;</code>
+     * @return The keyDigest.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getKeyDigest() {
+      return keyDigest_;
+    }
+    /**
+     * <pre>
+     * started since and asks its target
+     * </pre>
+     *
+     * <code>bytes key_digest = 7;</code>
+     * @param value The keyDigest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeyDigest(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      keyDigest_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * started since and asks its target
+     * </pre>
+     *
+     * <code>bytes key_digest = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeyDigest() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      keyDigest_ = getDefaultInstance().getKeyDigest();
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object adapter_ = "";
+    /**
+     * <code>string adapter = 8;</code>
+     * @return The adapter.
+     */
+    public java.lang.String getAdapter() {
+      java.lang.Object ref = adapter_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        adapter_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string adapter = 8;</code>
+     * @return The bytes for adapter.
+     */
+    public com.google.protobuf.ByteString
+        getAdapterBytes() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        adapter_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string adapter = 8;</code>
+     * @param value The adapter to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAdapter(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      adapter_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string adapter = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAdapter() {
+      adapter_ = getDefaultInstance().getAdapter();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string adapter = 8;</code>
+     * @param value The bytes for adapter to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAdapterBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      adapter_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object version_ = "";
+    /**
+     * <code>string version = 9;</code>
+     * @return The version.
+     */
+    public java.lang.String getVersion() {
+      java.lang.Object ref = version_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        version_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string version = 9;</code>
+     * @return The bytes for version.
+     */
+    public com.google.protobuf.ByteString
+        getVersionBytes() {
+      java.lang.Object ref = version_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        version_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string version = 9;</code>
+     * @param value The version to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersion(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      version_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string version = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVersion() {
+      version_ = getDefaultInstance().getVersion();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string version = 9;</code>
+     * @param value The bytes for version to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersionBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      version_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
+    private boolean repeatable_ ;
+    /**
+     * <code>bool repeatable = 10;</code>
+     * @return The repeatable.
+     */
+    @java.lang.Override
+    public boolean getRepeatable() {
+      return repeatable_;
+    }
+    /**
+     * <code>bool repeatable = 10;</code>
+     * @param value The repeatable to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRepeatable(boolean value) {
+
+      repeatable_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool repeatable = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRepeatable() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      repeatable_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long deadlineLeftMillis_ ;
+    /**
+     * <code>int64 deadline_left_millis = 11;</code>
+     * @return The deadlineLeftMillis.
+     */
+    @java.lang.Override
+    public long getDeadlineLeftMillis() {
+      return deadlineLeftMillis_;
+    }
+    /**
+     * <code>int64 deadline_left_millis = 11;</code>
+     * @param value The deadlineLeftMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDeadlineLeftMillis(long value) {
+
+      deadlineLeftMillis_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 deadline_left_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDeadlineLeftMillis() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      deadlineLeftMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Resume)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/ResumeOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/ResumeOrBuilder.java
@@ -32,4 +32,90 @@
    * @return The credit.
    */
   int getCredit();
+
+  /**
+   * <pre>
+   * since the Run was sent, or more
+   * </pre>
+   *
+   * <code>int64 age_millis = 4;</code>
+   * @return The ageMillis.
+   */
+  long getAgeMillis();
+
+  /**
+   * <pre>
+   * that the Run was sent to
+   * </pre>
+   *
+   * <code>int64 companion_incarnation = 5;</code>
+   * @return The companionIncarnation.
+   */
+  long getCompanionIncarnation();
+
+  /**
+   * <pre>
+   * what the Run named, for a companion that has
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The account.
+   */
+  java.lang.String getAccount();
+  /**
+   * <pre>
+   * what the Run named, for a companion that has
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The bytes for account.
+   */
+  com.google.protobuf.ByteString
+      getAccountBytes();
+
+  /**
+   * <pre>
+   * started since and asks its target
+   * </pre>
+   *
+   * <code>bytes key_digest = 7;</code>
+   * @return The keyDigest.
+   */
+  com.google.protobuf.ByteString getKeyDigest();
+
+  /**
+   * <code>string adapter = 8;</code>
+   * @return The adapter.
+   */
+  java.lang.String getAdapter();
+  /**
+   * <code>string adapter = 8;</code>
+   * @return The bytes for adapter.
+   */
+  com.google.protobuf.ByteString
+      getAdapterBytes();
+
+  /**
+   * <code>string version = 9;</code>
+   * @return The version.
+   */
+  java.lang.String getVersion();
+  /**
+   * <code>string version = 9;</code>
+   * @return The bytes for version.
+   */
+  com.google.protobuf.ByteString
+      getVersionBytes();
+
+  /**
+   * <code>bool repeatable = 10;</code>
+   * @return The repeatable.
+   */
+  boolean getRepeatable();
+
+  /**
+   * <code>int64 deadline_left_millis = 11;</code>
+   * @return The deadlineLeftMillis.
+   */
+  long getDeadlineLeftMillis();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/Seal.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Seal.java
@@ -97,6 +97,17 @@
     return companionIncarnation_;
   }
 
+  public static final int AGE_MILLIS_FIELD_NUMBER = 3;
+  private long ageMillis_ = 0L;
+  /**
+   * <code>int64 age_millis = 3;</code>
+   * @return The ageMillis.
+   */
+  @java.lang.Override
+  public long getAgeMillis() {
+    return ageMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -117,6 +128,9 @@
     if (companionIncarnation_ != 0L) {
       output.writeInt64(2, companionIncarnation_);
     }
+    if (ageMillis_ != 0L) {
+      output.writeInt64(3, ageMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -133,6 +147,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(2, companionIncarnation_);
     }
+    if (ageMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, ageMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -152,6 +170,8 @@
         .equals(other.getAttempt())) return false;
     if (getCompanionIncarnation()
         != other.getCompanionIncarnation()) return false;
+    if (getAgeMillis()
+        != other.getAgeMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -168,6 +188,9 @@
     hash = (37 * hash) + COMPANION_INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getCompanionIncarnation());
+    hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAgeMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -305,6 +328,7 @@
       bitField0_ = 0;
       attempt_ = "";
       companionIncarnation_ = 0L;
+      ageMillis_ = 0L;
       return this;
     }
 
@@ -344,6 +368,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.companionIncarnation_ = companionIncarnation_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.ageMillis_ = ageMillis_;
+      }
     }
 
     @java.lang.Override
@@ -366,6 +393,9 @@
       if (other.getCompanionIncarnation() != 0L) {
         setCompanionIncarnation(other.getCompanionIncarnation());
       }
+      if (other.getAgeMillis() != 0L) {
+        setAgeMillis(other.getAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -402,6 +432,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              ageMillis_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -523,6 +558,38 @@
       return this;
     }
 
+    private long ageMillis_ ;
+    /**
+     * <code>int64 age_millis = 3;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+    /**
+     * <code>int64 age_millis = 3;</code>
+     * @param value The ageMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMillis(long value) {
+
+      ageMillis_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 age_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      ageMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Seal)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/SealOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/SealOrBuilder.java
@@ -26,4 +26,10 @@
    * @return The companionIncarnation.
    */
   long getCompanionIncarnation();
+
+  /**
+   * <code>int64 age_millis = 3;</code>
+   * @return The ageMillis.
+   */
+  long getAgeMillis();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/Sealed.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Sealed.java
@@ -86,7 +86,7 @@
   private int state_ = 0;
   /**
    * <pre>
-   * 0 never started and never will, 1 started, 2 ended, 3 another incarnation
+   * 0 never started and never will, 1 started, 2 ended, 3 another incarnation, 4 too old to tell
    * </pre>
    *
    * <code>int32 state = 2;</code>
@@ -524,7 +524,7 @@
     private int state_ ;
     /**
      * <pre>
-     * 0 never started and never will, 1 started, 2 ended, 3 another incarnation
+     * 0 never started and never will, 1 started, 2 ended, 3 another incarnation, 4 too old to tell
      * </pre>
      *
      * <code>int32 state = 2;</code>
@@ -536,7 +536,7 @@
     }
     /**
      * <pre>
-     * 0 never started and never will, 1 started, 2 ended, 3 another incarnation
+     * 0 never started and never will, 1 started, 2 ended, 3 another incarnation, 4 too old to tell
      * </pre>
      *
      * <code>int32 state = 2;</code>
@@ -552,7 +552,7 @@
     }
     /**
      * <pre>
-     * 0 never started and never will, 1 started, 2 ended, 3 another incarnation
+     * 0 never started and never will, 1 started, 2 ended, 3 another incarnation, 4 too old to tell
      * </pre>
      *
      * <code>int32 state = 2;</code>
--- a/messages/src/main/java/org/geraniumreach/messages/SealedOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/SealedOrBuilder.java
@@ -23,7 +23,7 @@
 
   /**
    * <pre>
-   * 0 never started and never will, 1 started, 2 ended, 3 another incarnation
+   * 0 never started and never will, 1 started, 2 ended, 3 another incarnation, 4 too old to tell
    * </pre>
    *
    * <code>int32 state = 2;</code>
