Add the sending of attempts: matching, credit, resume, cancel and seal

What a frame or a lost link means is decided by AttemptTracker and SealTracker, which have neither threads nor a clock of their own. "Not run" is passed on only where the Run was never handed to a link, or where the companion said so in time to still know.

--- /dev/null
+++ b/link/src/main/java/org/geraniumreach/link/AttemptAction.java
@@ -0,0 +1,56 @@
+package org.geraniumreach.link;
+
+import com.google.protobuf.ByteString;
+import org.geraniumreach.messages.End;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Refused;
+import org.geraniumreach.model.Ran;
+
+/**
+ * What an {@link AttemptTracker} asks its caller to do.
+ *
+ * <p>Implementations are immutable and safe for use by several threads.
+ */
+sealed interface AttemptAction {
+
+    /**
+     * Send a frame over the link in use.
+     *
+     * @param frame the frame
+     */
+    record Send(Frame frame) implements AttemptAction {}
+
+    /** Tell the listener that the attempt is queued. */
+    record TellAccepted() implements AttemptAction {}
+
+    /**
+     * Tell the listener of a chunk.
+     *
+     * @param sequence its number
+     * @param payload its content
+     * @param tokens its tokens
+     */
+    record TellChunk(long sequence, ByteString payload, int tokens) implements AttemptAction {}
+
+    /**
+     * Tell the listener of the end.
+     *
+     * @param end the end
+     */
+    record TellEnded(End end) implements AttemptAction {}
+
+    /**
+     * Tell the listener of a refusal.
+     *
+     * @param refused the refusal
+     */
+    record TellRefused(Refused refused) implements AttemptAction {}
+
+    /**
+     * Tell the listener that the companion is lost.
+     *
+     * @param ran whether the attempt ran
+     * @param reason what happened
+     */
+    record TellLost(Ran ran, String reason) implements AttemptAction {}
+}
--- a/link/src/main/java/org/geraniumreach/link/Attempts.java
+++ b/link/src/main/java/org/geraniumreach/link/Attempts.java
@@ -1,5 +1,7 @@
 package org.geraniumreach.link;
 
+import java.time.Duration;
+
 import org.geraniumreach.messages.Run;
 import org.geraniumreach.model.InstanceId;
 
@@ -10,6 +12,9 @@
  */
 public interface Attempts {
 
+    /** The age of an attempt that another process has sent. */
+    Duration AGE_UNKNOWN = Duration.ofMillis(-1);
+
     /**
      * Sends an attempt.
      *
@@ -26,7 +31,7 @@
      * @param companion the companion's instance, not null
      * @param attempt the attempt's id, not null
      * @param companionIncarnation the incarnation that it was sent to
-     * @param nextSequence the first chunk wanted
+     * @param nextSequence the first chunk wanted; none comes before {@link AttemptHandle#request}
      * @param listener told of its progress, not null
      * @return the handle, not null
      */
@@ -40,12 +45,26 @@
     /**
      * Asks that an attempt never start if it has not started.
      *
-     * @param companion the companion's instance, not null
+     * @param companion the companion's instance, to which a link is kept, not null
      * @param attempt the attempt's id, not null
      * @param companionIncarnation the incarnation that it was sent to
+     * @param age the time since it may have been sent, at least; negative if unknown, when a companion that has begun to
+     *     forget attempts answers OTHER_INCARNATION, not null
      * @param listener told of the answer once, not null
      */
-    void seal(InstanceId companion, String attempt, long companionIncarnation, SealListener listener);
+    void seal(InstanceId companion, String attempt, long companionIncarnation, Duration age, SealListener listener);
+
+    /**
+     * Asks that an attempt of unknown age never start if it has not started.
+     *
+     * @param companion the companion's instance, to which a link is kept, not null
+     * @param attempt the attempt's id, not null
+     * @param companionIncarnation the incarnation that it was sent to
+     * @param listener told of the answer once, not null
+     */
+    default void seal(InstanceId companion, String attempt, long companionIncarnation, SealListener listener) {
+        seal(companion, attempt, companionIncarnation, AGE_UNKNOWN, listener);
+    }
 
     /** Is told of the answer to a seal. */
     @FunctionalInterface
@@ -67,7 +86,7 @@
         STARTED,
         /** It has ended; resume it to get its answer. */
         ENDED,
-        /** The companion is another incarnation; nothing is known. */
+        /** The companion is another incarnation, or has forgotten attempts that are as old; nothing is known. */
         OTHER_INCARNATION,
         /** The companion cannot be reached. */
         UNREACHABLE
--- /dev/null
+++ b/link/src/main/java/org/geraniumreach/link/LinkAttempts.java
@@ -0,0 +1,143 @@
+package org.geraniumreach.link;
+
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * The attempts of this process, sent over {@link Links}.
+ *
+ * <p>Invariant: a frame is given only to the attempt that it names, and only if it comes from the companion that the
+ * attempt was sent to; what matches none is dropped. State is kept by companion, and each attempt's under its own lock.
+ * Safe for use by several threads.
+ */
+public final class LinkAttempts implements Attempts, AutoCloseable {
+
+    private static final Set<Frame.BodyCase> KINDS = EnumSet.of(
+            Frame.BodyCase.ACCEPTED,
+            Frame.BodyCase.CHUNK,
+            Frame.BodyCase.END,
+            Frame.BodyCase.REFUSED,
+            Frame.BodyCase.SEALED);
+    private static final Duration TICK = Duration.ofMillis(250);
+
+    private final Links links;
+    private final AttemptTracker.Limits limits;
+    private final MonotonicClock clock;
+    private final LinkEventListener events;
+    private final Map<InstanceId, CompanionAttempts> companions = new ConcurrentHashMap<>();
+    private final Future<?> ticking;
+
+    private LinkAttempts(Links links, LinkSettings settings, MonotonicClock clock, ScheduledExecutorService timer) {
+        this.links = links;
+        this.limits =
+                new AttemptTracker.Limits(settings.resumeLimit(), settings.answerLimit(), settings.deadlineGrace());
+        this.clock = clock;
+        links.handle(KINDS, new Handler());
+        this.ticking = timer.scheduleWithFixedDelay(this::tick, TICK.toNanos(), TICK.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Starts to serve attempts over links.
+     *
+     * @param links the links, which the caller keeps to each companion used, not null
+     * @param settings the limits, not null
+     * @param clock the clock, not null
+     * @param timer runs short tasks, not null
+     * @param events told of what an operator should see, not null
+     * @return the attempts, not null
+     */
+    public static LinkAttempts start(
+            Links links,
+            LinkSettings settings,
+            MonotonicClock clock,
+            ScheduledExecutorService timer,
+            LinkEventListener events) {
+        return new LinkAttempts(
+                Objects.requireNonNull(links, "links"),
+                Objects.requireNonNull(settings, "settings"),
+                Objects.requireNonNull(clock, "clock"),
+                Objects.requireNonNull(timer, "timer"),
+                Objects.requireNonNull(events, "events"));
+    }
+
+    private CompanionAttempts of(InstanceId companion) {
+        return companions.computeIfAbsent(companion, name -> new CompanionAttempts(limits, clock, events));
+    }
+
+    @Override
+    public AttemptHandle run(InstanceId companion, Run run, AttemptListener listener) {
+        return of(companion).run(links.find(companion), run, listener);
+    }
+
+    @Override
+    public AttemptHandle resume(
+            InstanceId companion,
+            String attempt,
+            long companionIncarnation,
+            long nextSequence,
+            AttemptListener listener) {
+        Run named = Run.newBuilder().setAttempt(attempt).build();
+        return of(companion).resume(links.find(companion), named, companionIncarnation, nextSequence, listener);
+    }
+
+    @Override
+    public void seal(
+            InstanceId companion, String attempt, long companionIncarnation, Duration age, SealListener listener) {
+        of(companion).seal(links.find(companion), attempt, companionIncarnation, age, listener);
+    }
+
+    private void tick() {
+        try {
+            companions.values().forEach(CompanionAttempts::tick);
+        } catch (RuntimeException failure) {
+            // A task that throws is never run again: attempts would then wait for good for what has been lost.
+            events.happened(EventCode.UNEXPECTED_FAILURE, "the timer of attempts: " + failure);
+        }
+    }
+
+    /** Passes what links bring to the attempts of the companion at the other end. */
+    private final class Handler implements FrameHandler {
+
+        private InstanceId instanceOf(Peer peer) {
+            return InstanceId.of(peer.hello().getInstance());
+        }
+
+        private Optional<CompanionAttempts> from(Peer peer) {
+            return Optional.ofNullable(companions.get(instanceOf(peer)));
+        }
+
+        @Override
+        public void opened(Peer peer) {
+            from(peer).ifPresent(attempts -> attempts.opened(peer));
+        }
+
+        @Override
+        public void received(Peer peer, Frame frame) {
+            from(peer).ifPresent(attempts -> attempts.received(peer, frame));
+        }
+
+        @Override
+        public void closed(Peer peer, String reason) {
+            from(peer).ifPresent(attempts -> attempts.closed(peer, links.find(instanceOf(peer))));
+        }
+    }
+
+    @Override
+    public void close() {
+        ticking.cancel(false);
+    }
+}
