Read settings from YAML with every mistake named by its path

Any record whose components carry the setting annotation can be read; an unknown or doubled name, a missing unit and a value out of bounds are mistakes, all found in one reading.

--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/settings/SettingsReader.java
@@ -0,0 +1,205 @@
+package org.geraniumreach.daemon.settings;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import org.geraniumreach.daemon.settings.SettingsException.Mistake;
+
+/**
+ * Reads a settings record from YAML and checks it whole.
+ *
+ * <p>Contract: all mistakes are found in one reading; an unknown name, a name given twice and a number without its unit
+ * are mistakes, because each of them otherwise leaves a default silently in force. Confined to one reading.
+ */
+public final class SettingsReader {
+
+    private static final JsonMapper YAML = JsonMapper.builder(new YAMLFactory())
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+
+    private final List<Mistake> mistakes = new ArrayList<>();
+
+    private SettingsReader() {}
+
+    /**
+     * Reads settings.
+     *
+     * @param type the settings record, not null
+     * @param yaml the text, not null
+     * @param <T> the settings record
+     * @return the settings, not null
+     * @throws SettingsException with every mistake found
+     */
+    public static <T extends Record> T read(Class<T> type, String yaml) throws SettingsException {
+        SettingsReader reader = new SettingsReader();
+        Optional<T> settings = reader.readRecord(type, "", reader.parse(yaml));
+        if (!reader.mistakes.isEmpty()) {
+            throw new SettingsException(reader.mistakes);
+        }
+        return settings.orElseThrow();
+    }
+
+    private JsonNode parse(String yaml) {
+        try {
+            JsonNode node = YAML.readTree(yaml);
+            return node == null || node.isNull() ? MissingNode.getInstance() : node;
+        } catch (JsonProcessingException malformed) {
+            mistake("", "not YAML: " + malformed.getOriginalMessage());
+            return MissingNode.getInstance();
+        }
+    }
+
+    private <T extends Record> Optional<T> readRecord(Class<T> type, String path, JsonNode node) {
+        if (!node.isMissingNode() && !node.isObject()) {
+            mistake(path, "must hold names and values");
+            return Optional.empty();
+        }
+        RecordComponent[] components = type.getRecordComponents();
+        findUnknown(path, node, components);
+        Object[] values = new Object[components.length];
+        int before = mistakes.size();
+        for (int index = 0; index < components.length; index++) {
+            values[index] = readComponent(components[index], path, node);
+        }
+        return mistakes.size() > before ? Optional.empty() : construct(type, path, values);
+    }
+
+    private void findUnknown(String path, JsonNode node, RecordComponent[] components) {
+        Set<String> known =
+                Arrays.stream(components).map(RecordComponent::getName).collect(Collectors.toSet());
+        for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!known.contains(name)) {
+                mistake(
+                        join(path, name),
+                        "unknown; known are " + known.stream().sorted().toList());
+            }
+        }
+    }
+
+    private Object readComponent(RecordComponent component, String path, JsonNode parent) {
+        String here = join(path, component.getName());
+        JsonNode node = parent.path(component.getName());
+        Class<?> type = component.getType();
+        if (type.isRecord() && ValueFormat.of(type).isEmpty()) {
+            return readRecord(type.asSubclass(Record.class), here, node).orElse(null);
+        }
+        Setting setting = component.getAnnotation(Setting.class);
+        if (type == List.class) {
+            return readList(component, setting, here, node);
+        }
+        if (type == Optional.class) {
+            return node.isMissingNode() ? Optional.empty() : readText(elementType(component), setting, here, node);
+        }
+        if (node.isMissingNode() && setting.value().isEmpty()) {
+            mistake(here, "must be given: " + format(type).description());
+            return null;
+        }
+        return node.isMissingNode()
+                ? format(type).reader().apply(setting.value())
+                : readText(type, setting, here, node).orElse(null);
+    }
+
+    private List<Object> readList(RecordComponent component, Setting setting, String path, JsonNode node) {
+        List<Object> values = new ArrayList<>();
+        if (!node.isMissingNode() && !node.isArray()) {
+            mistake(path, "must be a list");
+            return values;
+        }
+        for (int index = 0; index < node.size(); index++) {
+            readText(elementType(component), setting, path + "[" + index + "]", node.get(index))
+                    .ifPresent(values::add);
+        }
+        return List.copyOf(values);
+    }
+
+    private Optional<Object> readText(Class<?> type, Setting setting, String path, JsonNode node) {
+        String description = format(type).description();
+        String shown = setting.secret() || !node.isValueNode() ? "the value" : "'" + node.asText() + "'";
+        if (!node.isValueNode() || node.isNull()) {
+            mistake(path, "must be " + description);
+            return Optional.empty();
+        }
+        try {
+            Object value = format(type).reader().apply(node.asText());
+            if (isWithin(type, setting, value)) {
+                return Optional.of(value);
+            }
+            mistake(path, shown + " is not " + bounds(setting));
+        } catch (IllegalArgumentException | ArithmeticException invalid) {
+            mistake(path, shown + " is not " + description);
+        }
+        return Optional.empty();
+    }
+
+    @SuppressWarnings("unchecked")
+    private static boolean isWithin(Class<?> type, Setting setting, Object value) {
+        if (!(value instanceof Comparable)) {
+            return true;
+        }
+        Comparable<Object> comparable = (Comparable<Object>) value;
+        ValueFormat format = format(type);
+        boolean aboveLeast = setting.least().isEmpty()
+                || comparable.compareTo(format.reader().apply(setting.least())) >= 0;
+        return aboveLeast
+                && (setting.greatest().isEmpty()
+                        || comparable.compareTo(format.reader().apply(setting.greatest())) <= 0);
+    }
+
+    private static String bounds(Setting setting) {
+        if (setting.greatest().isEmpty()) {
+            return "at least " + setting.least();
+        }
+        return setting.least().isEmpty()
+                ? "at most " + setting.greatest()
+                : "from " + setting.least() + " to " + setting.greatest();
+    }
+
+    private <T extends Record> Optional<T> construct(Class<T> type, String path, Object[] values) {
+        Class<?>[] types = Arrays.stream(type.getRecordComponents())
+                .map(RecordComponent::getType)
+                .toArray(Class<?>[]::new);
+        try {
+            var constructor = type.getDeclaredConstructor(types);
+            constructor.setAccessible(true);
+            return Optional.of(constructor.newInstance(values));
+        } catch (InvocationTargetException refused) {
+            mistake(path, refused.getCause().getMessage());
+            return Optional.empty();
+        } catch (ReflectiveOperationException impossible) {
+            throw new IllegalStateException("settings record without its canonical constructor: " + type, impossible);
+        }
+    }
+
+    private static ValueFormat format(Class<?> type) {
+        return ValueFormat.of(type).orElseThrow(() -> new IllegalStateException("no format for settings of " + type));
+    }
+
+    static Class<?> elementType(RecordComponent component) {
+        return (Class<?>) ((ParameterizedType) component.getGenericType()).getActualTypeArguments()[0];
+    }
+
+    private void mistake(String path, String fault) {
+        mistakes.add(new Mistake(path, fault));
+    }
+
+    private static String join(String path, String name) {
+        return path.isEmpty() ? name : path + "." + name;
+    }
+}
