--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/Call.java
@@ -0,0 +1,211 @@
+package org.geraniumreach.daemon.http;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+
+/**
+ * One call of a caller or an operator, with its body read whole.
+ *
+ * <p>Invariant: it is answered at most once; a second answer is passed over. Safe for use by several threads.
+ */
+public final class Call {
+
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    private static final String BEARER = "Bearer ";
+
+    private final Request request;
+    private final Response response;
+    private final byte[] body;
+    private final List<String> parameters;
+    private final Runnable finished;
+    private final AtomicBoolean answered = new AtomicBoolean();
+    private final List<CallerWatch> watches = new CopyOnWriteArrayList<>();
+
+    Call(Request request, Response response, byte[] body, List<String> parameters, Runnable finished) {
+        this.request = request;
+        this.response = response;
+        this.body = body;
+        this.parameters = List.copyOf(parameters);
+        this.finished = finished;
+    }
+
+    /**
+     * Gets a parameter of the path.
+     *
+     * @param index its place among the parameters of the route, from 0
+     * @return the segment, not null
+     */
+    public String parameter(int index) {
+        return parameters.get(index);
+    }
+
+    /**
+     * Finds a parameter of the query.
+     *
+     * @param name its name, not null
+     * @return its value, or empty if it was not given
+     */
+    public Optional<String> query(String name) {
+        return Optional.ofNullable(request.getParameter(name));
+    }
+
+    /**
+     * Finds a header.
+     *
+     * @param name its name, not null
+     * @return its value, or empty if it was not given
+     */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(request.getHeader(name));
+    }
+
+    /**
+     * Finds the secret that the caller presents as a bearer token.
+     *
+     * @return the secret, or empty if there is none
+     */
+    public Optional<String> bearer() {
+        return header("Authorization")
+                .filter(value -> value.regionMatches(true, 0, BEARER, 0, BEARER.length()))
+                .map(value -> value.substring(BEARER.length()).trim())
+                .filter(secret -> !secret.isEmpty());
+    }
+
+    /**
+     * Gets the body.
+     *
+     * @return the bytes, not to be changed
+     */
+    public byte[] body() {
+        return body;
+    }
+
+    /**
+     * Reads the body as a JSON object.
+     *
+     * @return the object, not null
+     * @throws ServingException if it is not one
+     */
+    public JsonNode json() throws ServingException {
+        JsonNode node;
+        try {
+            node = MAPPER.readTree(body);
+        } catch (JsonProcessingException malformed) {
+            throw ServingException.notRun(
+                    ResultCode.MALFORMED_REQUEST, "the body is not JSON: " + malformed.getOriginalMessage());
+        } catch (IOException impossible) {
+            throw new IllegalStateException("reading from memory failed", impossible);
+        }
+        if (node == null || !node.isObject()) {
+            throw ServingException.notRun(ResultCode.MALFORMED_REQUEST, "the body must be a JSON object");
+        }
+        return node;
+    }
+
+    /**
+     * Answers with JSON.
+     *
+     * @param status the HTTP status
+     * @param json the JSON, not null
+     */
+    public void reply(int status, JsonNode json) {
+        reply(status, "application/json", json.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Answers with bytes.
+     *
+     * @param status the HTTP status
+     * @param contentType their type, not null
+     * @param content the bytes, not null
+     */
+    public void reply(int status, String contentType, byte[] content) {
+        if (!answered.compareAndSet(false, true)) {
+            return;
+        }
+        response.setStatus(status);
+        response.setContentType(contentType);
+        response.setContentLength(content.length);
+        try {
+            response.getNIOOutputStream().write(content);
+        } catch (IOException callerWentAway) {
+            // Nobody is left to answer; finishing the response below frees what it holds.
+            EventLog.write(EventCode.REQUEST_REFUSED, "the caller went away before its answer: {}", callerWentAway);
+        }
+        finish();
+    }
+
+    /**
+     * Answers with an error.
+     *
+     * @param failure the error, not null
+     */
+    public void fail(ServingException failure) {
+        failure.retryAfter()
+                .ifPresent(
+                        delay -> response.setHeader("Retry-After", Long.toString(ErrorBody.retryAfterSeconds(delay))));
+        reply(failure.code().httpStatus(), ErrorBody.of(failure));
+    }
+
+    /**
+     * Sets a header of the answer, before it is given.
+     *
+     * @param name the header, not null
+     * @param value its value, not null
+     */
+    public void setHeader(String name, String value) {
+        response.setHeader(name, value);
+    }
+
+    /**
+     * Answers with a stream of server-sent events.
+     *
+     * @return the stream, or empty if the call was answered already
+     */
+    public Optional<EventStream> stream() {
+        if (!answered.compareAndSet(false, true)) {
+            return Optional.empty();
+        }
+        response.setStatus(ResultCode.OK.httpStatus());
+        response.setContentType("text/event-stream");
+        response.setHeader("Cache-Control", "no-cache");
+        return Optional.of(new EventStream(response, this::finish));
+    }
+
+    /**
+     * Registers what is done if the caller goes away before the answer is finished.
+     *
+     * @param action the action, run once at most, not null
+     */
+    public void onCallerGone(Runnable action) {
+        Connection<?> connection = request.getRequest().getConnection();
+        CallerWatch watch = new CallerWatch(connection, action);
+        connection.addCloseListener(watch);
+        watches.add(watch);
+    }
+
+    private void finish() {
+        watches.forEach(CallerWatch::stop);
+        if (response.isSuspended()) {
+            response.resume();
+        }
+        finished.run();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/EventStream.java
@@ -0,0 +1,112 @@
+package org.geraniumreach.daemon.http;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+import org.glassfish.grizzly.WriteHandler;
+import org.glassfish.grizzly.http.io.NIOOutputStream;
+import org.glassfish.grizzly.http.server.Response;
+
+/**
+ * A reply of server-sent events that is being written.
+ *
+ * <p>Invariant: what is written after the end is passed over, and the end is reached once. Contract: a writer that respects
+ * {@link #whenWritable} keeps the memory of a slow caller bounded. Safe for use by several threads: a write and the end
+ * exclude one another under the stream's lock.
+ */
+public final class EventStream {
+
+    private static final byte[] PREFIX = "data: ".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] SUFFIX = "\n\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] COMMENT = ": keep-alive\n\n".getBytes(StandardCharsets.US_ASCII);
+
+    private final Response response;
+    private final NIOOutputStream output;
+    private final Runnable finished;
+    private boolean ended;
+
+    EventStream(Response response, Runnable finished) {
+        this.response = response;
+        this.output = response.getNIOOutputStream();
+        this.finished = finished;
+    }
+
+    /**
+     * Writes an event.
+     *
+     * @param data its data, one line of text, not null
+     * @return false if the caller is gone or the stream has ended
+     */
+    public synchronized boolean event(byte[] data) {
+        return write(PREFIX, data, SUFFIX);
+    }
+
+    /**
+     * Writes a comment, which callers pass over, so that whatever stands between keeps the connection.
+     *
+     * @return false if the caller is gone or the stream has ended
+     */
+    public synchronized boolean keepAlive() {
+        return write(COMMENT);
+    }
+
+    private boolean write(byte[]... parts) {
+        if (ended) {
+            return false;
+        }
+        try {
+            for (byte[] part : parts) {
+                output.write(part);
+            }
+            output.flush();
+            return true;
+        } catch (IOException callerWentAway) {
+            return false;
+        }
+    }
+
+    /**
+     * Registers what is done once the caller has taken enough of what was written.
+     *
+     * @param action run at once if there is room, not null
+     * @param gone run if the caller goes away first, not null
+     */
+    public void whenWritable(Runnable action, Runnable gone) {
+        if (output.canWrite()) {
+            action.run();
+            return;
+        }
+        output.notifyCanWrite(new WriteHandler() {
+            @Override
+            public void onWritePossible() {
+                action.run();
+            }
+
+            @Override
+            public void onError(Throwable failure) {
+                gone.run();
+            }
+        });
+    }
+
+    /** Ends the stream; harmless if it has ended. */
+    public void end() {
+        if (markEnded()) {
+            finished.run();
+        }
+    }
+
+    /** Breaks the stream off, so that the caller sees that its answer is not whole; harmless if it has ended. */
+    public void abort() {
+        if (markEnded()) {
+            response.getRequest().getRequest().getConnection().closeSilently();
+            finished.run();
+        }
+    }
+
+    private synchronized boolean markEnded() {
+        boolean first = !ended;
+        ended = true;
+        return first;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/HttpFront.java
@@ -0,0 +1,173 @@
+package org.geraniumreach.daemon.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * One HTTP face: a listening address and its routes.
+ *
+ * <p>Invariants: every call is answered, with a numbered error if an endpoint throws; a body above the limit is refused
+ * before it is held. Safe for use by several threads.
+ */
+public final class HttpFront implements AutoCloseable {
+
+    private final String name;
+    private final HttpLimits limits;
+    private final HttpServer server;
+    private final NetworkListener listener;
+    private final Executor executor;
+    private final AtomicInteger open = new AtomicInteger();
+    private volatile boolean draining;
+
+    private HttpFront(String name, HttpLimits limits, InetSocketAddress address, Executor executor) {
+        this.name = name;
+        this.limits = limits;
+        this.executor = executor;
+        this.listener = new NetworkListener(name, address.getAddress().getHostAddress(), address.getPort());
+        this.server = new HttpServer();
+    }
+
+    /**
+     * Opens an HTTP face.
+     *
+     * @param name its name, for threads and logs, not null
+     * @param limits what it takes from a caller, not null
+     * @param address where it listens, not null
+     * @param routes its endpoints, not null
+     * @param executor runs the endpoints, not null
+     * @return the face, listening, not null
+     * @throws IOException if the address cannot be had
+     */
+    public static HttpFront start(
+            String name, HttpLimits limits, InetSocketAddress address, Routes routes, Executor executor)
+            throws IOException {
+        HttpFront front = new HttpFront(name, limits, address, executor);
+        front.configure(routes);
+        front.server.start();
+        return front;
+    }
+
+    private void configure(Routes routes) {
+        listener.setMaxHttpHeaderSize((int) limits.headers().bytes());
+        listener.setMaxRequestHeaders(limits.headerCount());
+        listener.getKeepAlive().setIdleTimeoutInSeconds((int) limits.idle().toSeconds());
+        listener.getKeepAlive().setMaxRequestsCount(-1);
+        listener.getTransport().setTcpNoDelay(true);
+        listener.getTransport().setReuseAddress(true);
+        listener.getTransport().setSelectorRunnersCount(Math.max(1, limits.workers() / 4));
+        listener.getTransport()
+                .setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                        .setPoolName(name)
+                        .setCorePoolSize(limits.workers())
+                        .setMaxPoolSize(limits.workers()));
+        server.addListener(listener);
+        server.getServerConfiguration().setName(name);
+        server.getServerConfiguration().setHttpServerName("geraniumreach");
+        server.getServerConfiguration().setJmxEnabled(false);
+        server.getServerConfiguration().setDefaultErrorPageGenerator(new PlainErrorPage());
+        server.getServerConfiguration().addHttpHandler(new Handler(routes), "/");
+    }
+
+    private final class Handler extends HttpHandler {
+
+        private final Routes routes;
+
+        Handler(Routes routes) {
+            this.routes = routes;
+        }
+
+        @Override
+        public void service(Request request, Response response) {
+            Optional<Routes.Match> match = routes.find(request.getMethod().getMethodString(), request.getRequestURI());
+            List<String> parameters = match.map(Routes.Match::parameters).orElse(List.of());
+            Endpoint endpoint = match.map(Routes.Match::endpoint).orElse(HttpFront::refuseUnknownPath);
+            open.incrementAndGet();
+            response.suspend();
+            if (draining) {
+                response.setHeader("Connection", "close");
+            }
+            BodyReader.read(
+                    request,
+                    limits,
+                    body -> dispatch(endpoint, new Call(request, response, body, parameters, open::decrementAndGet)),
+                    failure -> refuse(
+                            new Call(request, response, new byte[0], parameters, open::decrementAndGet), failure));
+        }
+
+        private void refuse(Call call, ServingException failure) {
+            call.setHeader("Connection", "close");
+            call.fail(failure);
+        }
+    }
+
+    private static void refuseUnknownPath(Call call) throws ServingException {
+        throw ServingException.notRun(ResultCode.UNKNOWN_PATH, "no such path or method");
+    }
+
+    private void dispatch(Endpoint endpoint, Call call) {
+        try {
+            executor.execute(() -> handle(endpoint, call));
+        } catch (RejectedExecutionException full) {
+            call.fail(ServingException.notRun(ResultCode.OVERLOADED, "too many calls are being read")
+                    .withRetryAfter(Duration.ofSeconds(1)));
+        }
+    }
+
+    private void handle(Endpoint endpoint, Call call) {
+        try {
+            endpoint.handle(call);
+        } catch (ServingException refused) {
+            call.fail(refused);
+        } catch (RuntimeException fault) {
+            EventLog.write(EventCode.UNEXPECTED_FAILURE, fault, "{} endpoint", name);
+            call.fail(ServingException.of(ResultCode.INTERNAL_ERROR, Ran.UNKNOWN, "a fault of the system"));
+        }
+    }
+
+    /**
+     * Gets the address that the face listens on.
+     *
+     * @return the address, with the port given by the machine if the settings named port 0
+     */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(listener.getHost(), listener.getPort());
+    }
+
+    /**
+     * Gets the number of calls that are not answered yet.
+     *
+     * @return the number
+     */
+    public int openCalls() {
+        return open.get();
+    }
+
+    /** Makes every further answer ask its caller to close the connection. */
+    public void drain() {
+        draining = true;
+    }
+
+    @Override
+    public void close() {
+        server.shutdown(1, TimeUnit.SECONDS);
+    }
+}
