--- /dev/null
+++ b/coordination/src/main/java/org/geraniumreach/coordination/membership/MemberRole.java
@@ -0,0 +1,7 @@
+package org.geraniumreach.coordination.membership;
+
+/** What an instance does. */
+public enum MemberRole {
+    ENTRY,
+    COMPANION
+}
--- /dev/null
+++ b/coordination/src/main/java/org/geraniumreach/coordination/membership/MembershipView.java
@@ -0,0 +1,92 @@
+package org.geraniumreach.coordination.membership;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.TargetId;
+
+/**
+ * The instances known at one moment, in the order of their names.
+ *
+ * <p>Immutable and safe for use by several threads.
+ */
+public final class MembershipView {
+
+    private static final MembershipView EMPTY = new MembershipView(new TreeMap<>());
+
+    private final TreeMap<InstanceId, Member> members;
+
+    private MembershipView(TreeMap<InstanceId, Member> members) {
+        this.members = members;
+    }
+
+    /**
+     * Obtains the view before anything is known.
+     *
+     * @return the view, not null
+     */
+    public static MembershipView empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Obtains a view of members.
+     *
+     * @param members the members by instance, not null
+     * @return the view, not null
+     */
+    public static MembershipView of(Map<InstanceId, Member> members) {
+        return new MembershipView(new TreeMap<>(members));
+    }
+
+    /**
+     * Gets all members.
+     *
+     * @return the members in the order of their names, not null
+     */
+    public Collection<Member> members() {
+        return List.copyOf(members.values());
+    }
+
+    public Optional<Member> member(InstanceId instance) {
+        return Optional.ofNullable(members.get(instance));
+    }
+
+    /**
+     * Gets the entries that are listed or connected.
+     *
+     * @return the entries in the order of their names, not null
+     */
+    public List<Member> entries() {
+        return members.values().stream()
+                .filter(member -> member.role() == MemberRole.ENTRY)
+                .toList();
+    }
+
+    /**
+     * Gets the companions that new work may be sent to.
+     *
+     * @return the companions in the order of their names, not null
+     */
+    public List<Member> companionsForWork() {
+        return members.values().stream()
+                .filter(member -> member.role() == MemberRole.COMPANION && member.takesWork())
+                .toList();
+    }
+
+    /**
+     * Finds the companion that new work for a target may be sent to.
+     *
+     * @param target the target, not null
+     * @return the companion, or empty if none takes work
+     */
+    public Optional<Member> companionFor(TargetId target) {
+        return companionsForWork().stream()
+                .filter(member -> member.target().filter(target::equals).isPresent())
+                .findFirst();
+    }
+}
