--- a/daemon/src/main/java/org/geraniumreach/daemon/http/CallerWatch.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/CallerWatch.java
@@ -2,10 +2,10 @@
 
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.GenericCloseListener;
 
 /**
  * Runs an action when the caller's connection closes, until stopped.
@@ -13,7 +13,8 @@
  * <p>A connection carries many calls one after another, so a watch that outlived its call would both leak and cancel
  * nothing that matters; stopping removes it. Safe for use by several threads.
  */
-final class CallerWatch implements GenericCloseListener {
+@SuppressWarnings("deprecation") // Grizzly bounds the listener's type by an interface that it deprecates itself.
+final class CallerWatch implements CloseListener<Closeable, CloseType> {
 
     private final Connection<?> connection;
     private final Runnable action;
