--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/metrics/RequestMeters.java
@@ -0,0 +1,105 @@
+package org.geraniumreach.daemon.metrics;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.Timer;
+import org.geraniumreach.model.ResultCode;
+
+/**
+ * The meters of one client account's requests of one class.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class RequestMeters {
+
+    private static final Duration[] WAITS = millis(1, 5, 20, 50, 100, 250, 500, 1_400, 3_000, 10_000);
+    private static final Duration[] GAPS = millis(1, 5, 10, 20, 40, 74, 150, 500, 2_000);
+
+    private final MeterRegistry registry;
+    private final Tags tags;
+    private final Timer firstToken;
+    private final Timer betweenTokens;
+    private final Timer queueWait;
+    private final Timer loadWait;
+    private final Counter promptTokens;
+    private final Counter generatedTokens;
+    private final Map<ResultCode, Counter> results = new ConcurrentHashMap<>();
+
+    RequestMeters(MeterRegistry registry, String account, RequestClass kind) {
+        this.registry = registry;
+        this.tags = Tags.of("account", account, "class", kind.label());
+        this.firstToken = timer("geraniumreach.first.token", "Time from the request to its first token.", WAITS);
+        this.betweenTokens = timer("geraniumreach.between.tokens", "Time between two tokens of an answer.", GAPS);
+        this.queueWait = timer("geraniumreach.queue.wait", "Time that a request waited at its companion.", WAITS);
+        this.loadWait = timer("geraniumreach.load.wait", "Time that a request waited for its adapter's load.", WAITS);
+        this.promptTokens = counter("geraniumreach.tokens.prompt");
+        this.generatedTokens = counter("geraniumreach.tokens.generated");
+    }
+
+    private Timer timer(String name, String about, Duration[] buckets) {
+        return Timer.builder(name)
+                .description(about)
+                .tags(tags)
+                .serviceLevelObjectives(buckets)
+                .register(registry);
+    }
+
+    private Counter counter(String name) {
+        return Counter.builder(name).tags(tags).register(registry);
+    }
+
+    private static Duration[] millis(long... values) {
+        return Arrays.stream(values).mapToObj(Duration::ofMillis).toArray(Duration[]::new);
+    }
+
+    public void firstToken(long nanos) {
+        firstToken.record(Duration.ofNanos(nanos));
+    }
+
+    public void betweenTokens(long nanos) {
+        betweenTokens.record(Duration.ofNanos(nanos));
+    }
+
+    /**
+     * Records how long a request waited at its companion.
+     *
+     * @param queueMicros in its queue, in microseconds
+     * @param loadMicros for its adapter, in microseconds
+     */
+    public void waits(long queueMicros, long loadMicros) {
+        queueWait.record(Duration.ofNanos(queueMicros * 1_000));
+        loadWait.record(Duration.ofNanos(loadMicros * 1_000));
+    }
+
+    /**
+     * Counts the tokens of a request that has ended.
+     *
+     * @param prompt the prompt's tokens
+     * @param generated the tokens generated
+     */
+    public void tokens(long prompt, long generated) {
+        promptTokens.increment(prompt);
+        generatedTokens.increment(generated);
+    }
+
+    /**
+     * Counts a request's result.
+     *
+     * @param code the result, not null
+     */
+    public void result(ResultCode code) {
+        results.computeIfAbsent(code, this::resultCounter).increment();
+    }
+
+    private Counter resultCounter(ResultCode code) {
+        return Counter.builder("geraniumreach.results")
+                .tags(tags.and("result", code.name()))
+                .register(registry);
+    }
+}
