Add the view of the fleet and the routers

An entry has to choose a target from reports that lag. The view counts each own send once: until the companion accepts it as a send, then until the next Status, which follows the Accepted frame on the same link. Residency is made whole from deltas; another engine incarnation clears it.

Not measured yet.

--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/prefix/NoPrefixDirectory.java
@@ -0,0 +1,21 @@
+package org.geraniumreach.serving.prefix;
+
+import java.util.Optional;
+
+import org.geraniumreach.model.TargetId;
+
+/** The baseline that believes nothing; stateless and safe for use by several threads. */
+enum NoPrefixDirectory implements PrefixDirectory {
+    INSTANCE;
+
+    @Override
+    public Optional<PrefixBelief> find(PrefixDigest prefix) {
+        return Optional.empty();
+    }
+
+    @Override
+    public void ended(PrefixDigest prefix, TargetId target, boolean hit) {}
+
+    @Override
+    public void forget(TargetId target) {}
+}
--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/prefix/PrefixBelief.java
@@ -0,0 +1,23 @@
+package org.geraniumreach.serving.prefix;
+
+import java.util.Objects;
+
+import org.geraniumreach.model.TargetId;
+
+/**
+ * Where a prefix is believed to be cached.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param target the target
+ * @param confidence how sure that is, 0 to 1
+ */
+public record PrefixBelief(TargetId target, double confidence) {
+
+    public PrefixBelief {
+        Objects.requireNonNull(target, "target");
+        if (!(confidence >= 0 && confidence <= 1)) {
+            throw new IllegalArgumentException("confidence outside 0 to 1: " + confidence);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/FleetView.java
@@ -0,0 +1,224 @@
+package org.geraniumreach.serving.routing;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.model.record.Target;
+
+/**
+ * The targets as one entry sees them, made from what companions report and from what the entry itself sends.
+ *
+ * <p>Invariants: a target is a member of its offering from {@link #join} until {@link #leave}, while it does not drain; an
+ * adapter's holders are exactly the members whose last report has it. Safe for use by several threads: each target is a
+ * shard under its own lock, and members are swapped as a whole.
+ */
+public final class FleetView {
+
+    private static final Members NO_MEMBERS = new Members(0, new TrackedTarget[0]);
+    private static final TrackedTarget[] NO_TARGETS = {};
+
+    private final MonotonicClock clock;
+    private final Map<TargetId, TrackedTarget> targets = new ConcurrentHashMap<>();
+    private final Map<Offering, Members> members = new ConcurrentHashMap<>();
+    private final Map<AdapterReference, TrackedTarget[]> holders = new ConcurrentHashMap<>();
+    private final AtomicInteger loadsInTransit = new AtomicInteger();
+    private final Object membership = new Object();
+    private long generation;
+
+    private FleetView(MonotonicClock clock) {
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /** The targets of an offering that take work; the generation changes with them. */
+    record Members(long generation, TrackedTarget[] targets) {}
+
+    /**
+     * Makes a view without targets.
+     *
+     * @param clock the clock, not null
+     * @return the view, not null
+     */
+    public static FleetView create(MonotonicClock clock) {
+        return new FleetView(clock);
+    }
+
+    /**
+     * Adds a target when the link to its companion opens; one known under another instance is replaced.
+     *
+     * @param record the target's record, not null
+     * @param instance its companion's instance, not null
+     */
+    public void join(Target record, InstanceId instance) {
+        TrackedTarget tracked =
+                new TrackedTarget(record.id(), instance, record.failureDomain(), Offering.of(record), record.slots());
+        synchronized (membership) {
+            leave(record.id());
+            targets.put(record.id(), tracked);
+            refreshMembers(tracked.offering());
+        }
+    }
+
+    /**
+     * Takes a target away, when it leaves or its companion cannot be reached.
+     *
+     * @param target the target, not null
+     */
+    public void leave(TargetId target) {
+        synchronized (membership) {
+            TrackedTarget gone = targets.remove(target);
+            if (gone == null) {
+                return;
+            }
+            synchronized (gone) {
+                forget(gone, gone.report());
+            }
+            refreshMembers(gone.offering());
+        }
+    }
+
+    /**
+     * Takes a companion's news in; news of an unknown target, or older than what is known, changes nothing.
+     *
+     * @param status the news, not null
+     * @return true if the view changed
+     */
+    public boolean apply(TargetStatus status) {
+        TrackedTarget tracked = targets.get(status.target());
+        if (tracked == null) {
+            return false;
+        }
+        synchronized (tracked) {
+            TrackedTarget.Change change = tracked.apply(status, clock.nanos());
+            if (change == null || targets.get(status.target()) != tracked) {
+                return false;
+            }
+            updateHolders(tracked, change);
+            if (change.before().draining() == change.after().draining()) {
+                return true;
+            }
+        }
+        synchronized (membership) {
+            refreshMembers(tracked.offering());
+        }
+        return true;
+    }
+
+    private void updateHolders(TrackedTarget tracked, TrackedTarget.Change change) {
+        loadsInTransit.addAndGet(
+                change.after().loading().size() - change.before().loading().size());
+        if (change.before().resident() == change.after().resident()) {
+            return;
+        }
+        for (AdapterReference adapter : change.before().resident()) {
+            if (!change.after().resident().contains(adapter)) {
+                removeHolder(adapter, tracked);
+            }
+        }
+        for (AdapterReference adapter : change.after().resident()) {
+            if (!change.before().resident().contains(adapter)) {
+                addHolder(adapter, tracked);
+            }
+        }
+    }
+
+    private void forget(TrackedTarget gone, TrackedTarget.Report last) {
+        last.resident().forEach(adapter -> removeHolder(adapter, gone));
+        loadsInTransit.addAndGet(-last.loading().size());
+    }
+
+    private void addHolder(AdapterReference adapter, TrackedTarget tracked) {
+        holders.compute(adapter, (key, old) -> {
+            TrackedTarget[] next = old == null ? new TrackedTarget[1] : Arrays.copyOf(old, old.length + 1);
+            next[next.length - 1] = tracked;
+            return next;
+        });
+    }
+
+    private void removeHolder(AdapterReference adapter, TrackedTarget tracked) {
+        holders.computeIfPresent(adapter, (key, old) -> {
+            List<TrackedTarget> next = new ArrayList<>(List.of(old));
+            next.remove(tracked);
+            return next.isEmpty() ? null : next.toArray(new TrackedTarget[0]);
+        });
+    }
+
+    private void refreshMembers(Offering offering) {
+        TrackedTarget[] live = targets.values().stream()
+                .filter(target -> target.offering().equals(offering) && !target.isDraining())
+                .sorted(Comparator.comparing(TrackedTarget::target))
+                .toArray(TrackedTarget[]::new);
+        members.put(offering, new Members(++generation, live));
+    }
+
+    /**
+     * Notes that this entry sends a request, so that its next choices know of it before the target reports it.
+     *
+     * @param target the target, not null
+     * @return the sending, to be told of its progress, not null
+     */
+    public Sending sent(TargetId target) {
+        TrackedTarget tracked = targets.get(target);
+        return tracked == null ? Sending.toNobody() : Sending.to(tracked);
+    }
+
+    /**
+     * Finds a target.
+     *
+     * @param target the target, not null
+     * @return how it looks now, or empty if it is not known
+     */
+    public Optional<TargetView> find(TargetId target) {
+        return Optional.ofNullable(targets.get(target)).map(tracked -> tracked.view(clock.nanos()));
+    }
+
+    /**
+     * Gets the targets of an offering that take work.
+     *
+     * @param offering the offering, not null
+     * @return how they look now, ordered by name, not null
+     */
+    public List<TargetView> views(Offering offering) {
+        long now = clock.nanos();
+        List<TargetView> views = new ArrayList<>();
+        for (TrackedTarget tracked : members(offering).targets()) {
+            views.add(tracked.view(now));
+        }
+        return views;
+    }
+
+    /**
+     * Gets the loads that all targets together have in transit or waiting, as far as reported.
+     *
+     * @return the number, not negative
+     */
+    public int loadsInTransit() {
+        return Math.max(0, loadsInTransit.get());
+    }
+
+    Members members(Offering offering) {
+        return members.getOrDefault(offering, NO_MEMBERS);
+    }
+
+    TrackedTarget[] holders(AdapterReference adapter) {
+        return holders.getOrDefault(adapter, NO_TARGETS);
+    }
+
+    TrackedTarget tracked(TargetId target) {
+        return targets.get(target);
+    }
+
+    long nowNanos() {
+        return clock.nanos();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/HomeOrders.java
@@ -0,0 +1,68 @@
+package org.geraniumreach.serving.routing;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.geraniumreach.model.AdapterReference;
+
+/**
+ * The first targets of each adapter's rendezvous order, remembered for the adapters lately asked for.
+ *
+ * <p>Invariants: an order that is handed out was worked out from the members given; at most {@code capacity} orders are
+ * kept, the longest unused go first. Safe for use by several threads: adapters are spread over shards, each under its own
+ * lock.
+ */
+final class HomeOrders {
+
+    private static final int SHARDS = 16;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final int length;
+    private final Shard[] shards = new Shard[SHARDS];
+
+    HomeOrders(int length, int capacity) {
+        this.length = length;
+        for (int index = 0; index < SHARDS; index++) {
+            shards[index] = new Shard(Math.max(1, capacity / SHARDS));
+        }
+    }
+
+    private record Order(long generation, TrackedTarget[] targets) {}
+
+    private static final class Shard extends LinkedHashMap<AdapterReference, Order> {
+        private static final long serialVersionUID = 1L;
+        private static final int INITIAL_CAPACITY = 16;
+        private final int capacity;
+
+        private Shard(int capacity) {
+            super(INITIAL_CAPACITY, LOAD_FACTOR, true);
+            this.capacity = capacity;
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<AdapterReference, Order> eldest) {
+            return size() > capacity;
+        }
+    }
+
+    /**
+     * Gets the first targets of an adapter's order; the array is shared and must not be changed.
+     *
+     * @param adapter the adapter
+     * @param members the members
+     * @return the first targets, best first
+     */
+    TrackedTarget[] of(AdapterReference adapter, FleetView.Members members) {
+        Shard shard = shards[Math.floorMod(adapter.hashCode(), SHARDS)];
+        synchronized (shard) {
+            Order known = shard.get(adapter);
+            if (known != null && known.generation == members.generation()) {
+                return known.targets;
+            }
+            int key = 31 * Rendezvous.hash(adapter.adapter()) + Rendezvous.hash(adapter.version());
+            Order order = new Order(members.generation(), Rendezvous.first(key, members.targets(), length));
+            shard.put(adapter, order);
+            return order.targets;
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/RouteCost.java
@@ -0,0 +1,95 @@
+package org.geraniumreach.serving.routing;
+
+import java.util.Optional;
+
+import org.geraniumreach.model.AdapterReference;
+
+/**
+ * What it costs to send a request to a target, in nanoseconds of somebody's waiting.
+ *
+ * <p>Immutable and safe for use by several threads.
+ */
+final class RouteCost {
+
+    private final RouterSettings settings;
+    private final RoutingWeights weights;
+    private final double loadTime;
+    private final double serviceTime;
+
+    RouteCost(RouterSettings settings) {
+        this.settings = settings;
+        this.weights = settings.weights();
+        this.loadTime = weights.loadTime().toNanos();
+        this.serviceTime = weights.serviceTime().toNanos();
+    }
+
+    /** The loads that matter to a request. */
+    record Loads(Optional<AdapterReference> adapter, int inTransit, int holders) {}
+
+    /**
+     * Works out the cost, to the request and to others.
+     *
+     * @param target the target
+     * @param loads the loads that matter
+     * @param nowNanos the time
+     * @return the cost in nanoseconds
+     */
+    double of(TrackedTarget target, Loads loads, long nowNanos) {
+        return waitNanos(target, loads)
+                + crowdingNanos(target, nowNanos)
+                + displacementNanos(target, loads)
+                + distanceNanos(target);
+    }
+
+    /**
+     * Estimates how long a request waits at a target before it runs.
+     *
+     * @param target the target
+     * @param loads the loads that matter
+     * @return the wait in nanoseconds
+     */
+    double waitNanos(TrackedTarget target, Loads loads) {
+        return Math.max(queueNanos(target), loadNanos(target, loads));
+    }
+
+    boolean isCrowded(TrackedTarget target) {
+        return target.relativeLoad() >= weights.loadBound();
+    }
+
+    private double queueNanos(TrackedTarget target) {
+        return serviceTime * Math.max(0, target.relativeLoad() - 1);
+    }
+
+    private double loadNanos(TrackedTarget target, Loads loads) {
+        if (loads.adapter().isEmpty()) {
+            return 0;
+        }
+        TrackedTarget.Report report = target.report();
+        if (report.resident().contains(loads.adapter().get())) {
+            return 0;
+        }
+        double load = Math.max(
+                loadTime * Math.max(1, (loads.inTransit() + 1.0) / weights.loadsAtFullSpeed()),
+                1e9 * (loads.inTransit() + 1) / weights.storeLoadsPerSecond());
+        return report.loading().contains(loads.adapter().get()) ? load / 2 : load;
+    }
+
+    private double displacementNanos(TrackedTarget target, Loads loads) {
+        if (loads.adapter().isEmpty() || loads.holders() == 0) {
+            return 0;
+        }
+        boolean there = target.report().resident().contains(loads.adapter().get());
+        return there ? 0 : weights.replicaCost() * loadTime;
+    }
+
+    private double crowdingNanos(TrackedTarget target, long nowNanos) {
+        return weights.crowding() * serviceTime * target.relativeLoad();
+    }
+
+    private double distanceNanos(TrackedTarget target) {
+        boolean near = settings.failureDomain()
+                .map(domain -> domain.equals(target.failureDomain()))
+                .orElse(true);
+        return near ? 0 : weights.domainCost().toNanos();
+    }
+}
