--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerSettings.java
@@ -0,0 +1,40 @@
+package org.geraniumreach.daemon.ledger;
+
+import java.time.Duration;
+
+import org.geraniumreach.daemon.settings.DataSize;
+import org.geraniumreach.daemon.settings.Setting;
+
+/**
+ * Settings of the once-only ledger.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param retention how long a row is kept
+ * @param patience how long a second call waits for the first
+ * @param pollInterval how often a waiting call reads the row
+ * @param takeoverAge when the row of a sender that is still listed is taken over nevertheless
+ * @param groupSize how many rows go into one transaction
+ * @param groupWait how long a row waits for others
+ * @param largestInline the largest answer kept in the row
+ * @param sweepInterval how often the sweep reads rows
+ * @param sweepRows how many rows it reads
+ */
+public record LedgerSettings(
+        @Setting(value = "24h", least = "1m", about = "How long a row is kept, and a key is recognised.")
+                Duration retention,
+        @Setting(value = "2s", least = "0ms", about = "How long a second call waits for the first one's answer.")
+                Duration patience,
+        @Setting(value = "100ms", least = "10ms", about = "How often a waiting call reads the row.")
+                Duration pollInterval,
+        @Setting(value = "60s", least = "1s", about = "How long a row may be running before others ask its companion.")
+                Duration takeoverAge,
+        @Setting(value = "64", least = "1", greatest = "500", about = "How many rows go into one transaction.")
+                int groupSize,
+        @Setting(value = "4ms", least = "0ms", about = "How long a row waits for others to share its transaction.")
+                Duration groupWait,
+        @Setting(value = "16KiB", about = "The largest answer kept in its row; larger ones go to the object store.")
+                DataSize largestInline,
+        @Setting(value = "1s", least = "10ms", about = "How often the sweep reads rows.") Duration sweepInterval,
+        @Setting(value = "200", least = "1", greatest = "1000", about = "How many rows the sweep reads at a time.")
+                int sweepRows) {}
