--- a/link/src/main/java/org/geraniumreach/link/LinkAttempts.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkAttempts.java
@@ -41,8 +41,14 @@
     private final Map<InstanceId, CompanionAttempts> companions = new ConcurrentHashMap<>();
     private final Future<?> ticking;
 
-    private LinkAttempts(Links links, LinkSettings settings, MonotonicClock clock, ScheduledExecutorService timer) {
+    private LinkAttempts(
+            Links links,
+            LinkSettings settings,
+            MonotonicClock clock,
+            ScheduledExecutorService timer,
+            LinkEventListener events) {
         this.links = links;
+        this.events = events;
         this.limits =
                 new AttemptTracker.Limits(settings.resumeLimit(), settings.answerLimit(), settings.deadlineGrace());
         this.clock = clock;
