--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/queue/Batch.java
@@ -0,0 +1,28 @@
+package org.geraniumreach.serving.queue;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.geraniumreach.model.AdapterReference;
+
+/** The adapters of the requests that a target is running; confined to the lock of the queue that owns it. */
+final class Batch {
+
+    private final Map<AdapterReference, Integer> running = new HashMap<>();
+
+    void add(AdapterReference adapter) {
+        running.merge(adapter, 1, Integer::sum);
+    }
+
+    void remove(AdapterReference adapter) {
+        running.computeIfPresent(adapter, (key, count) -> count == 1 ? null : count - 1);
+    }
+
+    int count(AdapterReference adapter) {
+        return running.getOrDefault(adapter, 0);
+    }
+
+    int adapters() {
+        return running.size();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/queue/FirstComeOrder.java
@@ -0,0 +1,55 @@
+package org.geraniumreach.serving.queue;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.geraniumreach.model.AttemptId;
+
+/**
+ * The baseline: of the requests that are ready, the one that came first.
+ *
+ * <p>Confined to the lock of the queue that uses it.
+ *
+ * @param <T> the payload's type
+ */
+final class FirstComeOrder<T> implements RequestOrder<T> {
+
+    private final Map<AttemptId, QueuedRequest<T>> waiting = new LinkedHashMap<>();
+    private long waitingTokens;
+
+    @Override
+    public void add(QueuedRequest<T> request) {
+        waiting.put(request.attempt(), request);
+        waitingTokens += request.tokens();
+    }
+
+    @Override
+    public Optional<QueuedRequest<T>> next(Readiness ready, Batch batch) {
+        for (Iterator<QueuedRequest<T>> each = waiting.values().iterator(); each.hasNext(); ) {
+            QueuedRequest<T> request = each.next();
+            if (request.adapter().map(ready::isReady).orElse(true)) {
+                each.remove();
+                waitingTokens -= request.tokens();
+                return Optional.of(request);
+            }
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<QueuedRequest<T>> remove(AttemptId attempt) {
+        Optional<QueuedRequest<T>> removed = Optional.ofNullable(waiting.remove(attempt));
+        removed.ifPresent(request -> waitingTokens -= request.tokens());
+        return removed;
+    }
+
+    @Override
+    public void finished(QueuedRequest<T> request, long tokensUsed) {}
+
+    @Override
+    public long tokensAhead(QueuedRequest<T> request) {
+        return waitingTokens;
+    }
+}
