Add the residency of adapters at a companion and its load scheduling

One load for an adapter, shared by all who wait; eviction takes unpinned adapters only. When every slot stays in use, a cold adapter that has waited long lets the slot worth least run out. Loads stop at the fleet's limit, except after that patience, so lost news stops nothing for good.

--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/Residency.java
@@ -0,0 +1,374 @@
+package org.geraniumreach.serving.residency;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * Which adapters a target holds, what to evict and what to load next.
+ *
+ * <p>Invariants: resident and loading adapters together never exceed the slots; an adapter with a pin is never evicted; an
+ * adapter has at most one load in transit, shared by all who wait for it; each request that was taken in gets exactly one
+ * of a pin, a failure and its own withdrawal. After the engine's restart nothing is resident, pins and orders from before
+ * count for nothing, and waiting requests wait on. Safe for use by several threads, under its own lock.
+ */
+public final class Residency {
+
+    private static final int REMEMBERED_PER_SLOT = 64;
+    private static final double SMOOTHING = 0.2;
+
+    private final ResidencySettings settings;
+    private final FleetLoads fleet;
+    private final MonotonicClock clock;
+    private final Map<AdapterReference, Slot> slots = new HashMap<>();
+    private final Map<AdapterReference, Transit> transits = new HashMap<>();
+    private final Waiters waiters = new Waiters();
+    private final UseCounts uses;
+    private final LoadFailures failures;
+    private double loadNanos;
+    private long engineIncarnation;
+    private long epoch;
+    private long orders;
+
+    private Residency(ResidencySettings settings, FleetLoads fleet, MonotonicClock clock) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.fleet = Objects.requireNonNull(fleet, "fleet");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.uses = new UseCounts(settings.usesHalfLife().toNanos(), REMEMBERED_PER_SLOT * settings.slots());
+        this.failures = new LoadFailures(settings.firstBackoff(), settings.longestBackoff());
+        this.loadNanos = settings.expectedLoad().toNanos();
+    }
+
+    /**
+     * Makes one for a target of which nothing is known yet; call {@link #synchronise} with its state.
+     *
+     * @param settings how to manage it, not null
+     * @param fleet the other companions' loads, not null
+     * @param clock the clock, not null
+     * @return the residency, not null
+     */
+    public static Residency create(ResidencySettings settings, FleetLoads fleet, MonotonicClock clock) {
+        return new Residency(settings, fleet, clock);
+    }
+
+    private record Transit(LoadOrder order, long startedAt) {}
+
+    /**
+     * Takes a request in, unless its adapter's load failed a moment ago.
+     *
+     * @param attempt the request, not null
+     * @param adapter its adapter, not null
+     * @param work the tokens that it needs
+     * @return whether its adapter is there, not null
+     * @throws IllegalArgumentException if the attempt was taken in already
+     */
+    public synchronized Answer request(AttemptId attempt, AdapterReference adapter, long work) {
+        long now = clock.nanos();
+        boolean ready = isReady(adapter);
+        Optional<Duration> backoff = failures.backoffLeft(adapter, now);
+        if (!ready && backoff.isPresent()) {
+            return new Answer(Answer.State.REFUSED, backoff.get());
+        }
+        if (!waiters.add(attempt, adapter, work, now)) {
+            throw new IllegalArgumentException("attempt taken in already: " + attempt);
+        }
+        uses.used(adapter, now);
+        if (ready) {
+            return new Answer(Answer.State.READY, Duration.ZERO);
+        }
+        return new Answer(Answer.State.WAITING, expectedWait(adapter, now));
+    }
+
+    private Duration expectedWait(AdapterReference adapter, long now) {
+        Transit transit = transits.get(adapter);
+        if (transit != null) {
+            return Duration.ofNanos((long) Math.max(0, loadNanos - (now - transit.startedAt)));
+        }
+        int ahead = 0;
+        for (AdapterReference other : waiters.adapters()) {
+            ahead += isReady(other) || other.equals(adapter) ? 0 : 1;
+        }
+        double rounds = 1 + (double) ahead / settings.loadsAtOnce();
+        return Duration.ofNanos((long) (rounds * loadNanos));
+    }
+
+    /**
+     * Queries whether requests on an adapter can run at once.
+     *
+     * @param adapter the adapter, not null
+     * @return true if it is resident and not running out
+     */
+    public synchronized boolean isReady(AdapterReference adapter) {
+        Slot slot = slots.get(adapter);
+        return slot != null && !slot.isRetiring();
+    }
+
+    /**
+     * Gives a request that was taken in its hold on the adapter, just before it runs.
+     *
+     * @param attempt the request, not null
+     * @param adapter its adapter, not null
+     * @return the pin, or empty if the adapter is not ready any more; the request then waits on
+     */
+    public synchronized Optional<Pin> pin(AttemptId attempt, AdapterReference adapter) {
+        if (!isReady(adapter)) {
+            return Optional.empty();
+        }
+        waiters.remove(attempt);
+        slots.get(adapter).pin(clock.nanos());
+        return Optional.of(new Pin(this, adapter, epoch));
+    }
+
+    synchronized void unpin(AdapterReference adapter, long pinEpoch) {
+        if (pinEpoch == epoch) {
+            slots.get(adapter).unpin(clock.nanos());
+        }
+    }
+
+    /**
+     * Takes a waiting request out, since it was cancelled or its deadline passed.
+     *
+     * @param attempt the request, not null
+     * @return false if it is not waiting
+     */
+    public synchronized boolean withdraw(AttemptId attempt) {
+        return waiters.remove(attempt);
+    }
+
+    /**
+     * Decides which loads to start now; each must be carried out.
+     *
+     * @return the orders, not null
+     */
+    public synchronized List<LoadOrder> orders() {
+        long now = clock.nanos();
+        List<LoadOrder> started = new ArrayList<>();
+        List<WaitingAdapter> wanted = wanted(now);
+        if (wanted.isEmpty()) {
+            slots.values().forEach(Slot::keep);
+            return started;
+        }
+        wanted.sort((one, other) -> Double.compare(
+                settings.loading().urgency(other), settings.loading().urgency(one)));
+        for (WaitingAdapter next : wanted) {
+            if (!mayLoad(next)) {
+                break;
+            }
+            Optional<LoadOrder> order = order(next, now);
+            if (order.isEmpty()) {
+                break;
+            }
+            started.add(order.get());
+        }
+        return started;
+    }
+
+    private List<WaitingAdapter> wanted(long now) {
+        List<WaitingAdapter> wanted = new ArrayList<>();
+        for (AdapterReference adapter : waiters.adapters()) {
+            if (!slots.containsKey(adapter) && !transits.containsKey(adapter)) {
+                wanted.add(waiters.view(adapter, now));
+            }
+        }
+        return wanted;
+    }
+
+    /*
+     * Beyond the fleet's limit each load slows all others. The companions with the most urgent loads go first; one that has
+     * waited out its patience goes in any case, since news may be lost and a limit that nobody frees would stop all loads.
+     */
+    private boolean mayLoad(WaitingAdapter next) {
+        if (transits.size() >= settings.loadsAtOnce()) {
+            return false;
+        }
+        if (next.oldestNanos() >= settings.patience().toNanos() && transits.isEmpty()) {
+            return true;
+        }
+        int others = fleet.inTransit() + fleet.moreUrgent(next.totalNanos());
+        return transits.size() + others < settings.loadsFleetWide();
+    }
+
+    private Optional<LoadOrder> order(WaitingAdapter next, long now) {
+        Optional<AdapterReference> victim = Optional.empty();
+        if (slots.size() + transits.size() >= settings.slots()) {
+            victim = victim(now);
+            if (victim.isEmpty()) {
+                retireOneFor(next, now);
+                return Optional.empty();
+            }
+            slots.remove(victim.get());
+        }
+        LoadOrder order = new LoadOrder(++orders, next.adapter(), victim);
+        transits.put(next.adapter(), new Transit(order, now));
+        return Optional.of(order);
+    }
+
+    private Optional<AdapterReference> victim(long now) {
+        Slot worst = null;
+        double worstWorth = 0;
+        for (Slot slot : slots.values()) {
+            if (slot.isPinned() || !slot.isRetiring() && waiters.has(slot.adapter())) {
+                continue;
+            }
+            double worth = slot.isRetiring() ? Double.NEGATIVE_INFINITY : worth(slot, now);
+            if (worst == null || worth < worstWorth) {
+                worst = slot;
+                worstWorth = worth;
+            }
+        }
+        return Optional.ofNullable(worst).map(Slot::adapter);
+    }
+
+    private double worth(Slot slot, long now) {
+        return settings.eviction()
+                .worth(new SlotView(
+                        slot.adapter(), uses.uses(slot.adapter(), now), now - slot.usedAt(), (long) loadNanos));
+    }
+
+    /*
+     * When every slot is in use throughout, requests on other adapters would wait for ever. The slot worth least then takes
+     * no new requests, and is evicted when the last that runs there has ended; none is cut off.
+     */
+    private void retireOneFor(WaitingAdapter next, long now) {
+        if (next.oldestNanos() < settings.patience().toNanos()) {
+            return;
+        }
+        Slot worst = null;
+        for (Slot slot : slots.values()) {
+            if (slot.isRetiring()) {
+                return;
+            }
+            if (worst == null || worth(slot, now) < worth(worst, now)) {
+                worst = slot;
+            }
+        }
+        if (worst != null) {
+            worst.retire();
+        }
+    }
+
+    /**
+     * Tells that an order was carried out.
+     *
+     * @param order the order, not null
+     * @return false if it is from before the engine's restart, and nothing changed
+     */
+    public synchronized boolean loaded(LoadOrder order) {
+        Transit transit = takeTransit(order);
+        if (transit == null) {
+            return false;
+        }
+        long now = clock.nanos();
+        loadNanos += SMOOTHING * (now - transit.startedAt - loadNanos);
+        failures.succeeded(order.adapter());
+        slots.put(order.adapter(), new Slot(order.adapter(), now));
+        return true;
+    }
+
+    /**
+     * Tells that an order failed; the adapter is absent, and its requests are refused for a while.
+     *
+     * @param order the order, not null
+     * @return the requests that waited for it, which are taken out and must be told, not null
+     */
+    public synchronized List<AttemptId> failed(LoadOrder order) {
+        if (takeTransit(order) == null) {
+            return List.of();
+        }
+        failures.failed(order.adapter(), clock.nanos());
+        return waiters.removeAll(order.adapter());
+    }
+
+    private Transit takeTransit(LoadOrder order) {
+        Transit transit = transits.get(order.adapter());
+        if (transit == null || transit.order.number() != order.number()) {
+            return null;
+        }
+        return transits.remove(order.adapter());
+    }
+
+    /**
+     * Takes the engine's own state in, so that what is believed here does not drift from what is.
+     *
+     * @param incarnation the engine's incarnation
+     * @param held the adapters that it holds, not null
+     * @param askedAtNanos when it was asked, by the clock; what was loaded later is left alone
+     * @return true if the engine has restarted since it was last asked
+     */
+    public synchronized boolean synchronise(long incarnation, Set<AdapterReference> held, long askedAtNanos) {
+        boolean restarted = incarnation != engineIncarnation;
+        if (restarted) {
+            engineIncarnation = incarnation;
+            epoch++;
+            slots.clear();
+            transits.clear();
+        }
+        long now = clock.nanos();
+        slots.values()
+                .removeIf(slot ->
+                        !held.contains(slot.adapter()) && !slot.isPinned() && slot.loadedAt() - askedAtNanos < 0);
+        if (transits.isEmpty()) {
+            for (AdapterReference adapter : held) {
+                if (slots.size() < settings.slots()) {
+                    slots.computeIfAbsent(adapter, key -> new Slot(key, now));
+                }
+            }
+        }
+        return restarted;
+    }
+
+    public synchronized Set<AdapterReference> resident() {
+        return new HashSet<>(slots.keySet());
+    }
+
+    /**
+     * Gets the adapters that are loading or waited for.
+     *
+     * @return the adapters, not null
+     */
+    public synchronized Set<AdapterReference> loading() {
+        Set<AdapterReference> loading = new HashSet<>(transits.keySet());
+        for (AdapterReference adapter : waiters.adapters()) {
+            if (!slots.containsKey(adapter)) {
+                loading.add(adapter);
+            }
+        }
+        return loading;
+    }
+
+    public synchronized int inTransit() {
+        return transits.size();
+    }
+
+    /**
+     * Gets how urgent the loads are that wait here, to be told to the other companions.
+     *
+     * @return the nanoseconds that the most urgent one's requests have waited together, 0 if none waits
+     */
+    public synchronized long waitingWork() {
+        long most = 0;
+        for (WaitingAdapter adapter : wanted(clock.nanos())) {
+            most = Math.max(most, adapter.totalNanos());
+        }
+        return most;
+    }
+
+    /**
+     * Gets the number of adapters that wait to be loaded.
+     *
+     * @return the number
+     */
+    public synchronized int waiting() {
+        return wanted(clock.nanos()).size();
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/UseCounts.java
@@ -0,0 +1,43 @@
+package org.geraniumreach.serving.residency;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.geraniumreach.model.AdapterReference;
+
+/**
+ * How often adapters were used, where a use counts half after each half-life; absent adapters are remembered too.
+ *
+ * <p>Invariant: at most {@code capacity} adapters, the longest unused go first. Confined to the lock of its owner.
+ */
+final class UseCounts {
+
+    private static final int INITIAL_CAPACITY = 16;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final double halfLifeNanos;
+    private final Map<AdapterReference, Count> counts;
+
+    UseCounts(long halfLifeNanos, int capacity) {
+        this.halfLifeNanos = halfLifeNanos;
+        this.counts = new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<AdapterReference, Count> eldest) {
+                return size() > capacity;
+            }
+        };
+    }
+
+    private record Count(double uses, long atNanos) {}
+
+    void used(AdapterReference adapter, long now) {
+        counts.put(adapter, new Count(1 + uses(adapter, now), now));
+    }
+
+    double uses(AdapterReference adapter, long now) {
+        Count count = counts.get(adapter);
+        return count == null ? 0 : count.uses * Math.pow(0.5, (now - count.atNanos) / halfLifeNanos);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/WaitingAdapter.java
@@ -0,0 +1,23 @@
+package org.geraniumreach.serving.residency;
+
+import java.util.Objects;
+
+import org.geraniumreach.model.AdapterReference;
+
+/**
+ * An adapter that is absent and waited for, as the choice of what to load next sees it.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param adapter the adapter
+ * @param waiters the requests that wait for it
+ * @param work the tokens that these need
+ * @param oldestNanos how long the first of them has waited
+ * @param totalNanos how long all of them together have waited
+ */
+public record WaitingAdapter(AdapterReference adapter, int waiters, long work, long oldestNanos, long totalNanos) {
+
+    public WaitingAdapter {
+        Objects.requireNonNull(adapter, "adapter");
+    }
+}
