Update the configuration's index change by change

Cause: each change parsed all records again.

Ruled out: a persistent map library; copying the maps of the kinds that change is enough and needs no library.

The change: ConfigurationIndex parses an entry once, copies only the maps of the kinds that change and shares the rest. Assignments are counted by adapter, so records in version 1, one for each adapter, are not searched one by one. Duplicate digests resolve by the key's name whatever the order of changes.

What is left is the copying of the maps of entries and adapters.

--- a/model/src/main/java/org/geraniumreach/model/record/Configuration.java
+++ b/model/src/main/java/org/geraniumreach/model/record/Configuration.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,7 +11,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.AdapterReference;
 import org.geraniumreach.model.KeyDigest;
@@ -27,55 +27,16 @@
  */
 public final class Configuration {
 
-    private static final Configuration EMPTY = new Configuration(0, Map.of(), new View());
+    private static final Configuration EMPTY = new Configuration(0, Map.of(), new ConfigurationIndex());
 
     private final long revision;
     private final Map<RecordKey, LogEntry> entries;
-    private final View view;
+    private final ConfigurationIndex index;
 
-    private Configuration(long revision, Map<RecordKey, LogEntry> entries, View view) {
+    private Configuration(long revision, Map<RecordKey, LogEntry> entries, ConfigurationIndex index) {
         this.revision = revision;
         this.entries = entries;
-        this.view = view;
-    }
-
-    /** What the records say, by what is asked for; filled while a configuration is made and never changed afterwards. */
-    private static final class View {
-        private final Map<AccountId, ClientAccount> accounts = new HashMap<>();
-        private final Map<KeyDigest, AccessKey> keys = new HashMap<>();
-        private final Map<String, Adapter> adapters = new HashMap<>();
-        private final Map<AccountId, Set<String>> assigned = new HashMap<>();
-        private final Map<TargetId, Target> targets = new HashMap<>();
-        private final Map<ServiceName, Service> services = new HashMap<>();
-        private final Map<RecordKey, String> unreadable = new HashMap<>();
-
-        private void add(LogEntry entry) {
-            String name = entry.key().name();
-            try {
-                JsonNode record = RecordReader.parse(entry.body().orElseThrow());
-                switch (entry.key().kind()) {
-                    case ACCOUNT -> accounts.put(AccountId.of(name), RecordReader.account(name, record));
-                    case KEY -> addKey(RecordReader.key(name, record));
-                    case ADAPTER -> adapters.put(name, RecordReader.adapter(name, record));
-                    case ASSIGNMENT -> addAssignment(RecordReader.assignment(name, record));
-                    case TARGET -> targets.put(TargetId.of(name), RecordReader.target(name, record));
-                    case SERVICE -> services.put(ServiceName.of(name), RecordReader.service(name, record));
-                    default -> throw new IllegalStateException(
-                            "unhandled kind " + entry.key().kind());
-                }
-            } catch (RecordException invalid) {
-                unreadable.put(entry.key(), invalid.getMessage());
-            }
-        }
-
-        private void addKey(AccessKey key) {
-            keys.put(key.digest(), key);
-        }
-
-        private void addAssignment(Assignment assignment) {
-            assigned.computeIfAbsent(assignment.account(), account -> new HashSet<>())
-                    .addAll(assignment.adapters());
-        }
+        this.index = index;
     }
 
     /**
@@ -102,7 +63,9 @@
                 throw new IllegalArgumentException("not an entry of a snapshot at " + revision + ": " + entry.key());
             }
         }
-        return new Configuration(revision, entries, viewOf(entries));
+        ConfigurationIndex index = new ConfigurationIndex();
+        entries.values().forEach(index::put);
+        return new Configuration(revision, entries, index);
     }
 
     /**
@@ -113,26 +76,40 @@
      * @throws IllegalArgumentException if an entry does not follow the one before it
      */
     public Configuration plus(List<LogEntry> changes) {
+        if (changes.isEmpty()) {
+            return this;
+        }
         Map<RecordKey, LogEntry> changed = new HashMap<>(entries);
+        Set<RecordKey> touched = new HashSet<>();
         long last = revision;
         for (LogEntry entry : changes) {
             if (entry.revision() != last + 1) {
                 throw new IllegalArgumentException("revision " + entry.revision() + " does not follow " + last);
             }
             last = entry.revision();
+            touched.add(entry.key());
             if (entry.body().isPresent()) {
                 changed.put(entry.key(), entry);
             } else {
                 changed.remove(entry.key());
             }
         }
-        return new Configuration(last, changed, viewOf(changed));
+        return new Configuration(last, changed, indexAfter(touched, changed));
     }
 
-    private static View viewOf(Map<RecordKey, LogEntry> entries) {
-        View view = new View();
-        entries.values().forEach(view::add);
-        return view;
+    private ConfigurationIndex indexAfter(Set<RecordKey> touched, Map<RecordKey, LogEntry> changed) {
+        Set<RecordKind> kinds = EnumSet.noneOf(RecordKind.class);
+        touched.forEach(key -> kinds.add(key.kind()));
+        ConfigurationIndex after = index.copyFor(kinds);
+        for (RecordKey key : touched) {
+            LogEntry entry = changed.get(key);
+            if (entry == null) {
+                after.remove(key);
+            } else {
+                after.put(entry);
+            }
+        }
+        return after;
     }
 
     public long revision() {
@@ -159,11 +136,11 @@
     }
 
     public Optional<ClientAccount> account(AccountId id) {
-        return Optional.ofNullable(view.accounts.get(id));
+        return Optional.ofNullable(index.accounts.get(id));
     }
 
     public Collection<ClientAccount> accounts() {
-        return Collections.unmodifiableCollection(view.accounts.values());
+        return Collections.unmodifiableCollection(index.accounts.values());
     }
 
     /**
@@ -173,11 +150,24 @@
      * @return the key, or empty if it is unknown, withdrawn, or its account is
      */
     public Optional<AccessKey> key(KeyDigest digest) {
-        return Optional.ofNullable(view.keys.get(digest)).filter(key -> view.accounts.containsKey(key.account()));
+        return index.keys.getOrDefault(digest, List.of()).stream()
+                .findFirst()
+                .filter(key -> index.accounts.containsKey(key.account()));
+    }
+
+    /**
+     * Gets the digests of all keys that are good.
+     *
+     * @return the digests, not null
+     */
+    public Set<KeyDigest> keyDigests() {
+        Set<KeyDigest> digests = new HashSet<>(index.keys.keySet());
+        digests.removeIf(digest -> key(digest).isEmpty());
+        return digests;
     }
 
     public Optional<Adapter> adapter(String name) {
-        return Optional.ofNullable(view.adapters.get(name));
+        return Optional.ofNullable(index.adapters.get(name));
     }
 
     /**
@@ -200,7 +190,7 @@
      * @return true if it may
      */
     public boolean isAssigned(AccountId account, String adapter) {
-        return view.assigned.getOrDefault(account, Set.of()).contains(adapter);
+        return index.assignedTo(account).contains(adapter);
     }
 
     /**
@@ -211,7 +201,7 @@
      */
     public Set<AdapterReference> adaptersOf(AccountId account) {
         Set<AdapterReference> references = new TreeSet<>();
-        for (String name : view.assigned.getOrDefault(account, Set.of())) {
+        for (String name : index.assignedTo(account)) {
             adapter(name).ifPresent(found -> found.versions()
                     .forEach(version -> references.add(AdapterReference.of(name, version))));
         }
@@ -219,15 +209,15 @@
     }
 
     public Optional<Target> target(TargetId id) {
-        return Optional.ofNullable(view.targets.get(id));
+        return Optional.ofNullable(index.targets.get(id));
     }
 
     public Collection<Target> targets() {
-        return Collections.unmodifiableCollection(view.targets.values());
+        return Collections.unmodifiableCollection(index.targets.values());
     }
 
     public Optional<Service> service(ServiceName name) {
-        return Optional.ofNullable(view.services.get(name));
+        return Optional.ofNullable(index.services.get(name));
     }
 
     /**
@@ -236,6 +226,6 @@
      * @return the records and reasons, unmodifiable, not null
      */
     public Map<RecordKey, String> unreadable() {
-        return Collections.unmodifiableMap(view.unreadable);
+        return Collections.unmodifiableMap(index.unreadable);
     }
 }
--- a/model/src/main/java/org/geraniumreach/model/record/RecordReader.java
+++ b/model/src/main/java/org/geraniumreach/model/record/RecordReader.java
@@ -77,16 +77,30 @@
      * @throws RecordException naming the first such field
      */
     public static void requireNoUnknownFields(RecordKind kind, JsonNode record) throws RecordException {
-        Set<String> known = FIELDS.get(kind.label() + requireKnownVersion(kind, record));
-        for (String field : iterable(record)) {
-            if (!field.equals(SCHEMA_VERSION) && !known.contains(field)) {
-                throw RecordException.invalid(
-                        field,
-                        "unknown field; known are " + known.stream().sorted().toList());
-            }
+        List<String> unknown = unknownFields(kind, record);
+        if (!unknown.isEmpty()) {
+            Set<String> known = FIELDS.get(kind.label() + schemaVersion(record));
+            throw RecordException.invalid(
+                    unknown.get(0),
+                    "unknown field; known are " + known.stream().sorted().toList());
         }
     }
 
+    /**
+     * Gets the fields that the record's schema version does not have, as far as this program knows.
+     *
+     * @param kind the record's kind, not null
+     * @param record the record, not null
+     * @return the fields in their order, not null
+     * @throws RecordException if the schema version is not known
+     */
+    public static List<String> unknownFields(RecordKind kind, JsonNode record) throws RecordException {
+        Set<String> known = FIELDS.get(kind.label() + requireKnownVersion(kind, record));
+        List<String> unknown = iterable(record);
+        unknown.removeIf(field -> field.equals(SCHEMA_VERSION) || known.contains(field));
+        return unknown;
+    }
+
     /**
      * Reads a client account.
      *
