--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/Fleet.java
@@ -0,0 +1,177 @@
+package org.geraniumreach.daemon.entry;
+
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.geraniumreach.coordination.membership.Member;
+import org.geraniumreach.coordination.membership.MemberRole;
+import org.geraniumreach.coordination.membership.MembershipView;
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.link.FrameHandler;
+import org.geraniumreach.link.Links;
+import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Status;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.model.record.Configuration;
+import org.geraniumreach.model.record.Target;
+import org.geraniumreach.serving.prefix.PrefixDigest;
+import org.geraniumreach.serving.prefix.PrefixDirectory;
+import org.geraniumreach.serving.retry.TargetHealth;
+import org.geraniumreach.serving.routing.FleetView;
+import org.geraniumreach.serving.routing.Route;
+import org.geraniumreach.serving.routing.RouteRequest;
+import org.geraniumreach.serving.routing.Router;
+import org.geraniumreach.serving.routing.Sending;
+import org.geraniumreach.serving.routing.TargetStatus;
+
+/**
+ * The targets that this entry can send to, kept in step with membership, records and the companions' news.
+ *
+ * <p>Invariant: a target is routed to only while its record exists and a link to its companion is open and not leaving.
+ * Safe for use by several threads.
+ */
+final class Fleet implements FrameHandler {
+
+    private final FleetView view;
+    private final Router router;
+    private final TargetHealth health;
+    private final PrefixDirectory prefixes;
+    private final Set<TargetId> known = new HashSet<>();
+
+    Fleet(FleetView view, Router router, TargetHealth health, PrefixDirectory prefixes) {
+        this.view = view;
+        this.router = router;
+        this.health = health;
+        this.prefixes = prefixes;
+    }
+
+    void register(Links links) {
+        links.handle(EnumSet.of(Frame.BodyCase.STATUS), this);
+    }
+
+    /**
+     * Brings the targets in step with who is there and what the records say.
+     *
+     * @param membership who is there, not null
+     * @param configuration the records, not null
+     */
+    synchronized void refresh(MembershipView membership, Configuration configuration) {
+        Set<TargetId> present = membership.companionsForWork().stream()
+                .flatMap(member -> member.target().stream())
+                .filter(target -> configuration.target(target).isPresent())
+                .collect(Collectors.toSet());
+        for (Member member : membership.companionsForWork()) {
+            member.target().flatMap(configuration::target).ifPresent(target -> join(target, member));
+        }
+        known.stream().filter(target -> !present.contains(target)).toList().forEach(this::leave);
+    }
+
+    private void join(Target target, Member member) {
+        boolean same = view.find(target.id())
+                .filter(seen -> seen.instance().equals(member.instance()))
+                .isPresent();
+        if (same) {
+            return;
+        }
+        known.add(target.id());
+        view.join(target, member.instance());
+        health.add(target.id());
+    }
+
+    private void leave(TargetId target) {
+        known.remove(target);
+        view.leave(target);
+        health.forget(target);
+        prefixes.forget(target);
+    }
+
+    @Override
+    public void opened(Peer peer) {
+        // Membership tells of links that open, with the companion's record beside it.
+    }
+
+    @Override
+    public void received(Peer peer, Frame frame) {
+        TargetStatus status;
+        try {
+            status = statusOf(frame.getStatus());
+        } catch (IllegalArgumentException invalid) {
+            peer.close("invalid status: " + invalid.getMessage());
+            return;
+        }
+        view.apply(status);
+    }
+
+    @Override
+    public void closed(Peer peer, String reason) {
+        // Membership tells of links that close.
+    }
+
+    private static TargetStatus statusOf(Status status) {
+        return new TargetStatus(
+                TargetId.of(status.getTarget()),
+                status.getSequence(),
+                status.getEngineIncarnation(),
+                status.getRunning(),
+                status.getQueued(),
+                status.getQueuedTokens(),
+                status.getConcurrencyLimit(),
+                status.getSlots(),
+                status.getComplete(),
+                references(status.getResidentList()),
+                references(status.getRemovedList()),
+                references(status.getLoadingList()),
+                status.getDraining(),
+                status.getTokensPerSecond());
+    }
+
+    private static Set<AdapterReference> references(List<String> texts) {
+        return texts.stream()
+                .map(AdapterReference::parse)
+                .flatMap(Optional::stream)
+                .collect(Collectors.toSet());
+    }
+
+    Optional<Route> route(RouteRequest request) {
+        return router.route(request);
+    }
+
+    Sending sent(TargetId target) {
+        return view.sent(target);
+    }
+
+    void prefixEnded(PrefixDigest prefix, TargetId target, boolean hit) {
+        prefixes.ended(prefix, target, hit);
+    }
+
+    void succeeded(TargetId target) {
+        if (health.succeeded(target) == TargetHealth.Change.RESTORED) {
+            EventLog.write(EventCode.TARGET_RESTORED, "{}", target);
+        }
+    }
+
+    void failed(TargetId target) {
+        if (health.failed(target) == TargetHealth.Change.EJECTED) {
+            EventLog.write(EventCode.TARGET_EJECTED, "{}", target);
+        }
+    }
+
+    /**
+     * Counts the companions that take work, for readiness.
+     *
+     * @param membership who is there, not null
+     * @return the number
+     */
+    static long companions(MembershipView membership) {
+        return membership.members().stream()
+                .filter(member -> member.role() == MemberRole.COMPANION && member.takesWork())
+                .count();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/GenerationCall.java
@@ -0,0 +1,355 @@
+package org.geraniumreach.daemon.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import org.geraniumreach.daemon.budget.BudgetCallback;
+import org.geraniumreach.daemon.budget.Reservation;
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.daemon.metrics.RequestMeters;
+import org.geraniumreach.link.AttemptHandle;
+import org.geraniumreach.link.AttemptListener;
+import org.geraniumreach.messages.End;
+import org.geraniumreach.messages.Refused;
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.serving.prefix.PrefixDigest;
+import org.geraniumreach.serving.retry.RetryPolicy;
+import org.geraniumreach.serving.routing.Route;
+import org.geraniumreach.serving.routing.RouteRequest;
+import org.geraniumreach.serving.routing.Sending;
+
+/**
+ * One caller's generation, from its budget to its end.
+ *
+ * <p>Invariants: the caller gets one final answer; the budget is settled once, at the end; a try that another one has
+ * replaced is heard no more, so its late parts reach nobody; once the caller has a part, there is no other try. A request
+ * given up on is answered at once. Safe for use by several threads under the call's own lock.
+ */
+final class GenerationCall implements BudgetCallback {
+
+    private static final int CREDIT = 32;
+    private static final Duration NO_TARGET_RETRY = Duration.ofSeconds(1);
+
+    private final EntryParts parts;
+    private final Caller caller;
+    private final AdapterReference adapter;
+    private final String baseModel;
+    private final GenerationRequest request;
+    private final RequestMeters meters;
+    private final long startNanos;
+    private final long deadlineNanos;
+    private final Set<TargetId> tried = new HashSet<>();
+    private AnswerSink sink;
+    private Optional<Reservation> reservation = Optional.empty();
+    private Optional<Try> current = Optional.empty();
+    private Optional<ScheduledFuture<?>> ticks = Optional.empty();
+    private int failures;
+    private boolean ended;
+    private long lastPartNanos;
+    private long partsSeen;
+
+    GenerationCall(
+            EntryParts parts, Caller caller, AdapterReference adapter, String baseModel, GenerationRequest request) {
+        this.parts = parts;
+        this.caller = caller;
+        this.adapter = adapter;
+        this.baseModel = baseModel;
+        this.request = request;
+        this.meters = parts.metrics().requests(caller.id(), request.kind());
+        this.startNanos = parts.clock().nanos();
+        this.deadlineNanos = startNanos + parts.limits().deadline().toNanos();
+    }
+
+    /**
+     * Begins.
+     *
+     * @param answer where the answer goes, not null
+     */
+    void start(AnswerSink answer) {
+        synchronized (this) {
+            sink = answer;
+            long period = parts.limits().keepAlive().toMillis() / 2;
+            ticks = Optional.of(parts.timer().scheduleAtFixedRate(this::tick, period, period, TimeUnit.MILLISECONDS));
+        }
+        parts.active().add(caller.key(), this::keyWithdrawn, this);
+        parts.budget().reserve(caller.id(), tokensAtMost(), deadlineLeft(), this);
+    }
+
+    private long tokensAtMost() {
+        int bytes = request.prompt().getBytes(StandardCharsets.UTF_8).length;
+        int perToken = parts.limits().bytesPerToken();
+        return (bytes + perToken - 1) / perToken + (long) request.maximumTokens();
+    }
+
+    private Duration deadlineLeft() {
+        return Duration.ofNanos(Math.max(0, deadlineNanos - parts.clock().nanos()));
+    }
+
+    @Override
+    public synchronized void granted(Reservation granted) {
+        if (ended) {
+            granted.settle(0);
+            return;
+        }
+        reservation = Optional.of(granted);
+        send();
+    }
+
+    @Override
+    public synchronized void refused(ServingException refusal) {
+        fail(refusal);
+    }
+
+    private void send() {
+        Optional<Route> route = parts.fleet().route(routeRequest());
+        if (route.isEmpty()) {
+            fail(ServingException.notRun(ResultCode.NO_TARGET, "no live target can run " + adapter)
+                    .withRetryAfter(NO_TARGET_RETRY));
+            return;
+        }
+        tried.add(route.get().target());
+        Try next = new Try(route.get(), parts.fleet().sent(route.get().target()));
+        current = Optional.of(next);
+        next.begin();
+    }
+
+    private RouteRequest routeRequest() {
+        RouteRequest plain = RouteRequest.ofAdapter(baseModel, adapter).withExcluded(tried);
+        return prefix().map(plain::withPrefix).orElse(plain);
+    }
+
+    private Optional<PrefixDigest> prefix() {
+        if (request.prefixLength() == 0) {
+            return Optional.empty();
+        }
+        byte[] shared = request.prompt().substring(0, request.prefixLength()).getBytes(StandardCharsets.UTF_8);
+        return Optional.of(PrefixDigest.of(adapter, shared));
+    }
+
+    private Run runOf(AttemptId attempt) {
+        return Run.newBuilder()
+                .setAttempt(attempt.value())
+                .setDeadlineLeftMillis(deadlineLeft().toMillis())
+                .setAccount(caller.id().value())
+                .setKeyDigest(ByteString.copyFrom(caller.key().toBytes()))
+                .setAdapter(adapter.adapter())
+                .setVersion(adapter.version())
+                .setBody(ByteString.copyFromUtf8(request.prompt()))
+                .setMaximumTokens(request.maximumTokens())
+                .setPriority(caller.account().priority())
+                .setRepeatable(true)
+                .setRevision(parts.admittance().current().revision())
+                .setPromptTokens(tokensAtMost() - request.maximumTokens())
+                .setCredit(CREDIT)
+                .build();
+    }
+
+    /** One try at one target; it is heard only while it is the call's current one. */
+    private final class Try implements AttemptListener {
+
+        private final Route route;
+        private final Sending sending;
+        private Optional<AttemptHandle> handle = Optional.empty();
+        private int owed;
+
+        Try(Route route, Sending sending) {
+            this.route = route;
+            this.sending = sending;
+        }
+
+        void begin() {
+            Run run = runOf(AttemptId.random(parts.random()));
+            AttemptHandle started = parts.attempts().run(route.instance(), run, this);
+            handle = Optional.of(started);
+            if (owed > 0) {
+                started.request(owed);
+            }
+        }
+
+        private boolean isCurrent() {
+            return !ended && current.filter(this::equals).isPresent();
+        }
+
+        @Override
+        public void accepted() {
+            sending.accepted();
+        }
+
+        @Override
+        public void chunk(long sequence, ByteString payload, int tokens) {
+            synchronized (GenerationCall.this) {
+                if (isCurrent()) {
+                    measurePart(tokens);
+                    sink.part(payload.toStringUtf8(), this::more);
+                }
+            }
+        }
+
+        private void more() {
+            synchronized (GenerationCall.this) {
+                if (handle.isEmpty()) {
+                    owed++;
+                    return;
+                }
+            }
+            handle.get().request(1);
+        }
+
+        @Override
+        public void ended(End end) {
+            sending.ended();
+            parts.fleet().succeeded(route.target());
+            prefix().ifPresent(digest -> parts.fleet().prefixEnded(digest, route.target(), end.getPrefixHit()));
+            synchronized (GenerationCall.this) {
+                if (isCurrent()) {
+                    finish(end);
+                }
+            }
+        }
+
+        @Override
+        public void refused(Refused refused) {
+            sending.ended();
+            ResultCode code = ResultCode.ofNumber(refused.getCode()).orElse(ResultCode.INTERNAL_ERROR);
+            ServingException failure = ServingException.of(code, ranOf(refused.getRan()), refused.getMessage());
+            if (refused.getRetryAfterMillis() > 0) {
+                failure = failure.withRetryAfter(Duration.ofMillis(refused.getRetryAfterMillis()));
+            }
+            failed(failure, Retries.isTargetsFault(code), Retries.mayHelp(code));
+        }
+
+        @Override
+        public void lost(Ran ran, String reason) {
+            sending.ended();
+            failed(ServingException.of(ResultCode.ANSWER_INTERRUPTED, ran, reason), true, true);
+        }
+
+        private void failed(ServingException failure, boolean targetsFault, boolean mayHelp) {
+            if (targetsFault) {
+                parts.fleet().failed(route.target());
+            }
+            synchronized (GenerationCall.this) {
+                if (isCurrent()) {
+                    failures++;
+                    retryOrFail(failure, mayHelp);
+                }
+            }
+        }
+
+        void cancel(String reason) {
+            handle.ifPresent(running -> running.cancel(reason));
+        }
+    }
+
+    private static Ran ranOf(int number) {
+        return number == 0 ? Ran.NO : Ran.UNKNOWN;
+    }
+
+    private void retryOrFail(ServingException failure, boolean mayHelp) {
+        RetryPolicy.Failure facts =
+                new RetryPolicy.Failure(true, failure.ran(), sink.hasBegun(), failures, deadlineLeft());
+        Optional<Duration> delay = mayHelp ? parts.retries().decide(facts) : Optional.empty();
+        if (delay.isEmpty()) {
+            fail(failure);
+            return;
+        }
+        EventLog.write(EventCode.ATTEMPT_RETRIED, "{} {} after {}", caller.id(), adapter, failure.code());
+        current = Optional.empty();
+        sink.restart();
+        partsSeen = 0;
+        parts.timer().schedule(this::sendAgain, delay.get().toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private synchronized void sendAgain() {
+        if (!ended) {
+            send();
+        }
+    }
+
+    private void measurePart(int tokens) {
+        long now = parts.clock().nanos();
+        if (partsSeen == 0) {
+            meters.firstToken(now - startNanos);
+        } else if (tokens > 0) {
+            meters.betweenTokens((now - lastPartNanos) / tokens);
+        }
+        partsSeen++;
+        lastPartNanos = now;
+    }
+
+    private void finish(End end) {
+        close(end.getPromptTokens() + (long) end.getGeneratedTokens());
+        parts.retryBudget().succeeded();
+        meters.tokens(end.getPromptTokens(), end.getGeneratedTokens());
+        meters.waits(end.getQueueMicros(), end.getLoadMicros());
+        meters.result(ResultCode.OK);
+        sink.finish(new OpenAiAnswers.Usage(end.getPromptTokens(), end.getGeneratedTokens()), end.getFinishReason());
+    }
+
+    private void fail(ServingException failure) {
+        if (ended) {
+            return;
+        }
+        // What a try may have used is counted as used, so that a failing target never lets an account above its rate.
+        long used = failure.ran() == Ran.NO && failures <= 1
+                ? 0
+                : reservation.map(Reservation::tokens).orElse(0L);
+        close(used);
+        meters.result(failure.code());
+        EventLog.write(EventCode.REQUEST_REFUSED, "{} {} {}", caller.id(), adapter, failure.code());
+        sink.fail(failure);
+    }
+
+    private void close(long usedTokens) {
+        ended = true;
+        ticks.ifPresent(task -> task.cancel(false));
+        reservation.ifPresent(held -> held.settle(usedTokens));
+        parts.active().remove(caller.key(), this);
+    }
+
+    private synchronized void tick() {
+        if (ended) {
+            return;
+        }
+        if (parts.clock().nanos() >= deadlineNanos) {
+            giveUp(ServingException.of(ResultCode.DEADLINE_EXCEEDED, ranSoFar(), "the deadline has passed"));
+            return;
+        }
+        sink.tick();
+    }
+
+    private Ran ranSoFar() {
+        return tried.isEmpty() ? Ran.NO : Ran.UNKNOWN;
+    }
+
+    /** Gives the call up because its caller went away. */
+    synchronized void callerGone() {
+        giveUp(ServingException.of(ResultCode.CANCELLED, ranSoFar(), "the caller went away"));
+    }
+
+    private synchronized void keyWithdrawn() {
+        giveUp(ServingException.of(ResultCode.KEY_REFUSED, ranSoFar(), "the key was withdrawn"));
+    }
+
+    private void giveUp(ServingException failure) {
+        if (ended) {
+            return;
+        }
+        current.ifPresent(running -> running.cancel(failure.code().name()));
+        failures++;
+        fail(failure);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/OpenAiAnswers.java
@@ -0,0 +1,143 @@
+package org.geraniumreach.daemon.entry;
+
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.geraniumreach.daemon.metrics.RequestClass;
+
+/**
+ * Writes one answer in the OpenAI conventions, whole or in parts.
+ *
+ * <p>Immutable and safe for use by several threads.
+ */
+final class OpenAiAnswers {
+
+    /** The data of the event that ends a stream. */
+    static final byte[] DONE = "[DONE]".getBytes(StandardCharsets.US_ASCII);
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final boolean chat;
+    private final String id;
+    private final String model;
+    private final long createdSeconds;
+
+    OpenAiAnswers(RequestClass kind, String attempt, String model, long createdSeconds) {
+        this.chat = kind == RequestClass.CHAT;
+        this.id = (chat ? "chatcmpl-" : "cmpl-") + attempt;
+        this.model = model;
+        this.createdSeconds = createdSeconds;
+    }
+
+    /**
+     * Writes a whole answer.
+     *
+     * @param text the text generated, not null
+     * @param usage the tokens used, not null
+     * @param finishReason why it ended, not null
+     * @return the JSON object, not null
+     */
+    ObjectNode whole(String text, Usage usage, String finishReason) {
+        ObjectNode answer = start(chat ? "chat.completion" : "text_completion");
+        ObjectNode choice = choice(answer);
+        if (chat) {
+            choice.putObject("message").put("role", "assistant").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.put("finish_reason", finishReason);
+        putUsage(answer, usage);
+        return answer;
+    }
+
+    /**
+     * Writes a part of a streamed answer.
+     *
+     * @param text the text of the part, not null
+     * @param first whether it is the first part
+     * @return the event's data
+     */
+    byte[] part(String text, boolean first) {
+        ObjectNode answer = start(partKind());
+        ObjectNode choice = choice(answer);
+        if (chat) {
+            ObjectNode delta = choice.putObject("delta");
+            if (first) {
+                delta.put("role", "assistant");
+            }
+            delta.put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.putNull("finish_reason");
+        return bytes(answer);
+    }
+
+    /**
+     * Writes the last part of a streamed answer, which tells why it ended.
+     *
+     * @param finishReason why it ended, not null
+     * @return the event's data
+     */
+    byte[] lastPart(String finishReason) {
+        ObjectNode answer = start(partKind());
+        ObjectNode choice = choice(answer);
+        if (chat) {
+            choice.putObject("delta");
+        } else {
+            choice.put("text", "");
+        }
+        choice.put("finish_reason", finishReason);
+        return bytes(answer);
+    }
+
+    /**
+     * Writes the event that tells the tokens used, at the end of a stream whose caller asked for it.
+     *
+     * @param usage the tokens used, not null
+     * @return the event's data
+     */
+    byte[] usagePart(Usage usage) {
+        ObjectNode answer = start(partKind());
+        answer.putArray("choices");
+        putUsage(answer, usage);
+        return bytes(answer);
+    }
+
+    /**
+     * The tokens that a request used.
+     *
+     * @param promptTokens of the prompt
+     * @param generatedTokens of the answer
+     */
+    record Usage(long promptTokens, long generatedTokens) {}
+
+    private String partKind() {
+        return chat ? "chat.completion.chunk" : "text_completion";
+    }
+
+    private ObjectNode start(String kind) {
+        ObjectNode answer = MAPPER.createObjectNode();
+        answer.put("id", id);
+        answer.put("object", kind);
+        answer.put("created", createdSeconds);
+        answer.put("model", model);
+        return answer;
+    }
+
+    private static ObjectNode choice(ObjectNode answer) {
+        return answer.putArray("choices").addObject().put("index", 0);
+    }
+
+    private static void putUsage(ObjectNode answer, Usage usage) {
+        answer.putObject("usage")
+                .put("prompt_tokens", usage.promptTokens())
+                .put("completion_tokens", usage.generatedTokens())
+                .put("total_tokens", usage.promptTokens() + usage.generatedTokens());
+    }
+
+    private static byte[] bytes(ObjectNode answer) {
+        return answer.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/Retries.java
@@ -0,0 +1,51 @@
+package org.geraniumreach.daemon.entry;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+import org.geraniumreach.model.ResultCode;
+
+/**
+ * What a companion's refusal says of its target and of another try.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+final class Retries {
+
+    private static final Set<ResultCode> TARGETS_FAULT = EnumSet.of(
+            ResultCode.LOAD_FAILED,
+            ResultCode.TARGET_FAILED,
+            ResultCode.WRONG_ADAPTER_SERVED,
+            ResultCode.ANSWER_INTERRUPTED,
+            ResultCode.INTERNAL_ERROR);
+
+    private static final Set<ResultCode> FINAL = EnumSet.of(
+            ResultCode.KEY_REFUSED,
+            ResultCode.ADAPTER_NOT_ASSIGNED,
+            ResultCode.ADAPTER_UNKNOWN,
+            ResultCode.MALFORMED_REQUEST,
+            ResultCode.CANCELLED,
+            ResultCode.DEADLINE_EXCEEDED);
+
+    private Retries() {}
+
+    /**
+     * Queries whether a refusal counts against its target.
+     *
+     * @param code the refusal, not null
+     * @return true if it does; a companion that drains or is full is not at fault
+     */
+    static boolean isTargetsFault(ResultCode code) {
+        return TARGETS_FAULT.contains(code);
+    }
+
+    /**
+     * Queries whether another target might do better.
+     *
+     * @param code the refusal, not null
+     * @return true if it might
+     */
+    static boolean mayHelp(ResultCode code) {
+        return !FINAL.contains(code);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/ServiceCall.java
@@ -0,0 +1,158 @@
+package org.geraniumreach.daemon.entry;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
+
+import com.google.protobuf.ByteString;
+import org.geraniumreach.coordination.membership.Member;
+import org.geraniumreach.coordination.membership.MembershipView;
+import org.geraniumreach.daemon.budget.BudgetCallback;
+import org.geraniumreach.daemon.budget.Reservation;
+import org.geraniumreach.daemon.http.Call;
+import org.geraniumreach.daemon.ledger.Dispatch;
+import org.geraniumreach.daemon.ledger.LedgerAnswer;
+import org.geraniumreach.daemon.ledger.LedgerRequest;
+import org.geraniumreach.daemon.metrics.RequestClass;
+import org.geraniumreach.daemon.metrics.RequestMeters;
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServiceName;
+import org.geraniumreach.model.ServingException;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.serving.routing.Offering;
+import org.geraniumreach.serving.routing.RouteRequest;
+
+/**
+ * One caller's call of a plain service's operation, through the ledger.
+ *
+ * <p>Invariants: the caller gets one answer; the budget is settled once. That it runs at most once is the ledger's part.
+ * Safe for use by several threads.
+ */
+final class ServiceCall implements BudgetCallback, Dispatch {
+
+    private static final int CREDIT = 32;
+    private static final String REPLAYED = "Idempotency-Replayed";
+
+    private final EntryParts parts;
+    private final Supplier<MembershipView> membership;
+    private final Call call;
+    private final Caller caller;
+    private final ServiceName service;
+    private final String operation;
+    private final LedgerRequest request;
+    private final long tokens;
+    private final RequestMeters meters;
+    private final long deadlineNanos;
+    private final Set<TargetId> tried = new HashSet<>();
+
+    ServiceCall(
+            EntryParts parts,
+            Supplier<MembershipView> membership,
+            Call call,
+            Caller caller,
+            Operation named,
+            String idempotencyKey) {
+        this.parts = parts;
+        this.membership = membership;
+        this.call = call;
+        this.caller = caller;
+        this.service = named.service();
+        this.operation = named.name();
+        this.request = new LedgerRequest(caller.id(), idempotencyKey, service + "/" + operation, call.body());
+        this.tokens = named.tokens();
+        this.meters = parts.metrics().requests(caller.id(), RequestClass.SERVICE);
+        this.deadlineNanos = parts.clock().nanos() + parts.limits().deadline().toNanos();
+    }
+
+    /**
+     * The operation named.
+     *
+     * @param service the service
+     * @param name the operation
+     * @param tokens what it costs
+     */
+    record Operation(ServiceName service, String name, long tokens) {}
+
+    void start() {
+        parts.budget().reserve(caller.id(), tokens, deadlineLeft(), this);
+    }
+
+    private Duration deadlineLeft() {
+        return Duration.ofNanos(Math.max(0, deadlineNanos - parts.clock().nanos()));
+    }
+
+    @Override
+    public void granted(Reservation reservation) {
+        parts.ledger().perform(request, this).whenComplete((answer, failure) -> {
+            if (failure == null) {
+                finish(answer, reservation);
+            } else {
+                fail(servingException(failure), reservation);
+            }
+        });
+    }
+
+    private static ServingException servingException(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof ServingException refusal
+                ? refusal
+                : ServingException.of(ResultCode.INTERNAL_ERROR, Ran.UNKNOWN, "a fault of the system")
+                        .withCause(cause);
+    }
+
+    private void finish(LedgerAnswer answer, Reservation reservation) {
+        reservation.settle(answer.replayed() ? 0 : tokens);
+        meters.tokens(answer.replayed() ? 0 : tokens, 0);
+        meters.result(ResultCode.OK);
+        call.setHeader(REPLAYED, Boolean.toString(answer.replayed()));
+        call.reply(ResultCode.OK.httpStatus(), "application/json", answer.body());
+    }
+
+    private void fail(ServingException failure, Reservation reservation) {
+        reservation.settle(failure.ran() == Ran.NO ? 0 : tokens);
+        refused(failure);
+    }
+
+    @Override
+    public void refused(ServingException refusal) {
+        meters.result(refusal.code());
+        call.fail(refusal);
+    }
+
+    @Override
+    public synchronized Optional<Companion> choose() {
+        RouteRequest plain = RouteRequest.ofService(Offering.ofService(service)).withExcluded(tried);
+        return parts.fleet().route(plain).flatMap(route -> {
+            tried.add(route.target());
+            return membership
+                    .get()
+                    .member(route.instance())
+                    .filter(Member::isLinked)
+                    .map(member ->
+                            new Companion(route.instance(), member.incarnation().getAsLong()));
+        });
+    }
+
+    @Override
+    public Run runFor(AttemptId attempt, Companion companion) {
+        return Run.newBuilder()
+                .setAttempt(attempt.value())
+                .setDeadlineLeftMillis(deadlineLeft().toMillis())
+                .setAccount(caller.id().value())
+                .setKeyDigest(ByteString.copyFrom(caller.key().toBytes()))
+                .setService(service.value())
+                .setOperation(operation)
+                .setBody(ByteString.copyFrom(call.body()))
+                .setPriority(caller.account().priority())
+                .setCompanionIncarnation(companion.incarnation())
+                .setRevision(parts.admittance().current().revision())
+                .setCredit(CREDIT)
+                .build();
+    }
+}
