Add the companion: attempt table, output kept until acknowledged, queue, residency, fence

Runs go through the fair queue and the residency core; a stream is started after a recent look at the engine, with its adapter pinned and the fence taken, and nothing of it is passed on before the engine has named what it runs. An attempt table decides what may start; it remembers since when it has forgotten nothing, so that bounded memory never makes "not run" false.

Entries now acknowledge every 32 chunks, and ends too, so a companion can drop what it keeps.

--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptShards.java
@@ -0,0 +1,114 @@
+package org.geraniumreach.daemon.companion;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * The attempts of a companion, in shards each under its own lock.
+ *
+ * <p>Invariant: those of {@link AttemptTable}. Safe for use by several threads; nothing else is called under a shard's lock.
+ */
+final class AttemptShards {
+
+    private static final int SHARDS = 16;
+
+    private final List<AttemptTable<CompanionAttempt>> shards;
+    private final MonotonicClock clock;
+
+    AttemptShards(CompanionSettings settings, MonotonicClock clock) {
+        this.clock = clock;
+        long retention = settings.attemptRetention().toNanos();
+        int each = Math.max(1, settings.retainedAttempts() / SHARDS);
+        this.shards = IntStream.range(0, SHARDS)
+                .mapToObj(index -> new AttemptTable<CompanionAttempt>(retention, each))
+                .toList();
+    }
+
+    private AttemptTable<CompanionAttempt> shard(AttemptId id) {
+        return shards.get(Math.floorMod(id.hashCode(), SHARDS));
+    }
+
+    boolean add(CompanionAttempt attempt) {
+        AttemptTable<CompanionAttempt> shard = shard(attempt.id());
+        synchronized (shard) {
+            return shard.add(attempt.id(), attempt);
+        }
+    }
+
+    boolean start(AttemptId id) {
+        AttemptTable<CompanionAttempt> shard = shard(id);
+        synchronized (shard) {
+            return shard.start(id);
+        }
+    }
+
+    void putBack(AttemptId id) {
+        AttemptTable<CompanionAttempt> shard = shard(id);
+        synchronized (shard) {
+            shard.putBack(id);
+        }
+    }
+
+    void end(AttemptId id, boolean hasRun) {
+        AttemptTable<CompanionAttempt> shard = shard(id);
+        synchronized (shard) {
+            shard.end(id, hasRun, clock.nanos());
+        }
+    }
+
+    AttemptTable.Seen seal(AttemptId id, long ageNanos) {
+        AttemptTable<CompanionAttempt> shard = shard(id);
+        synchronized (shard) {
+            return shard.seal(id, ageNanos, clock.nanos());
+        }
+    }
+
+    Optional<AttemptTable.Seen> find(AttemptId id) {
+        AttemptTable<CompanionAttempt> shard = shard(id);
+        synchronized (shard) {
+            return shard.find(id);
+        }
+    }
+
+    Optional<CompanionAttempt> attempt(AttemptId id) {
+        AttemptTable<CompanionAttempt> shard = shard(id);
+        synchronized (shard) {
+            return shard.value(id);
+        }
+    }
+
+    void dropValue(AttemptId id) {
+        AttemptTable<CompanionAttempt> shard = shard(id);
+        synchronized (shard) {
+            shard.dropValue(id);
+        }
+    }
+
+    void expire() {
+        for (AttemptTable<CompanionAttempt> shard : shards) {
+            synchronized (shard) {
+                shard.expire(clock.nanos());
+            }
+        }
+    }
+
+    /**
+     * Gets the attempts that are not over, or whose output is kept.
+     *
+     * @return the attempts as they are now, not null
+     */
+    List<CompanionAttempt> all() {
+        List<CompanionAttempt> all = new ArrayList<>();
+        for (AttemptTable<CompanionAttempt> shard : shards) {
+            synchronized (shard) {
+                all.addAll(shard.values());
+            }
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptTable.java
@@ -0,0 +1,228 @@
+package org.geraniumreach.daemon.companion;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.geraniumreach.model.AttemptId;
+
+/**
+ * What is known of attempts: which were seen, which have started, and which never will.
+ *
+ * <p>Invariants: an attempt starts at most once, and never after it was sealed or refused; {@link Seen#NEVER_STARTED} is
+ * answered only for an attempt that has not started, and holds from then on. Attempts that are over are known for the
+ * retention time, and fewer of them if there are too many. The table remembers since when it has forgotten none: an
+ * unknown attempt that is older may have run, and is answered {@link Seen#FORGOTTEN}, so bounded memory never makes "not
+ * run" false. No I/O, threads or clock of its own. Not safe for use by several threads.
+ *
+ * @param <T> what is kept with an attempt until its output may be dropped
+ */
+final class AttemptTable<T> {
+
+    /** The age of an attempt that nobody can tell. */
+    static final long AGE_UNKNOWN = -1;
+
+    /**
+     * How long a question may travel: an entry believes no answer that comes later than its answer limit, which is below
+     * this.
+     */
+    static final long TRAVEL_NANOS = 30_000_000_000L;
+
+    private final long retentionNanos;
+    private final int retained;
+    private final Map<AttemptId, Entry<T>> entries = new HashMap<>();
+    private final LinkedHashMap<AttemptId, Long> overSince = new LinkedHashMap<>();
+    private boolean hasForgotten;
+    private long forgottenUntil;
+
+    AttemptTable(long retentionNanos, int retained) {
+        this.retentionNanos = retentionNanos;
+        this.retained = retained;
+    }
+
+    private enum State {
+        WAITING,
+        STARTED,
+        ENDED,
+        SEALED,
+        FORGOTTEN
+    }
+
+    private static final class Entry<T> {
+        private State state;
+        private T value;
+
+        private Entry(State state, T value) {
+            this.state = state;
+            this.value = value;
+        }
+    }
+
+    /** What the table knows of an attempt. */
+    enum Seen {
+        /** It waits. */
+        WAITING,
+        /** It has started. */
+        STARTED,
+        /** It has started and ended. */
+        ENDED,
+        /** It has not started and never will. */
+        NEVER_STARTED,
+        /** It may have run so long ago that it is forgotten; it will not start. */
+        FORGOTTEN
+    }
+
+    /**
+     * Takes an attempt in.
+     *
+     * @param id the attempt, not null
+     * @param value what is kept with it, not null
+     * @return true if it waits from now on, false if it was seen or sealed before
+     */
+    boolean add(AttemptId id, T value) {
+        return entries.putIfAbsent(id, new Entry<>(State.WAITING, value)) == null;
+    }
+
+    /**
+     * Starts an attempt.
+     *
+     * @param id the attempt, not null
+     * @return true if it waited, and is to be run; false if it must not be
+     */
+    boolean start(AttemptId id) {
+        Entry<T> entry = entries.get(id);
+        if (entry == null || entry.state != State.WAITING) {
+            return false;
+        }
+        entry.state = State.STARTED;
+        return true;
+    }
+
+    /**
+     * Puts an attempt back that was started and, as is shown, did not run.
+     *
+     * @param id the attempt, not null
+     */
+    void putBack(AttemptId id) {
+        Entry<T> entry = entries.get(id);
+        if (entry != null && entry.state == State.STARTED) {
+            entry.state = State.WAITING;
+        }
+    }
+
+    /**
+     * Notes that an attempt is over.
+     *
+     * @param id the attempt, not null
+     * @param hasRun false if it has not run, which must be shown
+     * @param now the time
+     */
+    void end(AttemptId id, boolean hasRun, long now) {
+        Entry<T> entry = entries.get(id);
+        if (entry == null || overSince.containsKey(id)) {
+            return;
+        }
+        entry.state = hasRun ? State.ENDED : State.SEALED;
+        overSince.put(id, now);
+    }
+
+    /**
+     * Sees to it that an attempt does not start if it has not started.
+     *
+     * @param id the attempt, not null
+     * @param ageNanos the time since it was sent, at least, or {@link #AGE_UNKNOWN}
+     * @param now the time
+     * @return what is known of it, not null; never {@link Seen#WAITING}
+     */
+    Seen seal(AttemptId id, long ageNanos, long now) {
+        Entry<T> entry = entries.get(id);
+        if (entry == null) {
+            State state = isWithinMemory(ageNanos, now) ? State.SEALED : State.FORGOTTEN;
+            entries.put(id, new Entry<>(state, null));
+            overSince.put(id, now);
+            return seen(state);
+        }
+        if (entry.state == State.WAITING) {
+            entry.state = State.SEALED;
+            overSince.put(id, now);
+        }
+        return seen(entry.state);
+    }
+
+    private boolean isWithinMemory(long ageNanos, long now) {
+        if (!hasForgotten) {
+            return true;
+        }
+        return ageNanos >= 0 && now - ageNanos - TRAVEL_NANOS - forgottenUntil > 0;
+    }
+
+    private static Seen seen(State state) {
+        return switch (state) {
+            case WAITING -> Seen.WAITING;
+            case STARTED -> Seen.STARTED;
+            case ENDED -> Seen.ENDED;
+            case SEALED -> Seen.NEVER_STARTED;
+            case FORGOTTEN -> Seen.FORGOTTEN;
+        };
+    }
+
+    /**
+     * Finds out what is known of an attempt.
+     *
+     * @param id the attempt, not null
+     * @return what is known, or empty if it was never seen or is forgotten
+     */
+    Optional<Seen> find(AttemptId id) {
+        return Optional.ofNullable(entries.get(id)).map(entry -> seen(entry.state));
+    }
+
+    Optional<T> value(AttemptId id) {
+        return Optional.ofNullable(entries.get(id)).map(entry -> entry.value);
+    }
+
+    /**
+     * Drops what is kept with an attempt that is over; that it was seen stays known.
+     *
+     * @param id the attempt, not null
+     */
+    void dropValue(AttemptId id) {
+        Entry<T> entry = entries.get(id);
+        if (entry != null && overSince.containsKey(id)) {
+            entry.value = null;
+        }
+    }
+
+    /**
+     * Forgets what is over for longer than the retention time, and the oldest of what is over if there is too much.
+     *
+     * @param now the time
+     */
+    void expire(long now) {
+        Iterator<Map.Entry<AttemptId, Long>> oldest = overSince.entrySet().iterator();
+        while (oldest.hasNext()) {
+            Map.Entry<AttemptId, Long> next = oldest.next();
+            if (now - next.getValue() <= retentionNanos && entries.size() <= retained) {
+                return;
+            }
+            hasForgotten = true;
+            forgottenUntil = next.getValue();
+            entries.remove(next.getKey());
+            oldest.remove();
+        }
+    }
+
+    Collection<T> values() {
+        List<T> values = new ArrayList<>();
+        for (Entry<T> entry : entries.values()) {
+            if (entry.value != null) {
+                values.add(entry.value);
+            }
+        }
+        return values;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionParts.java
@@ -0,0 +1,52 @@
+package org.geraniumreach.daemon.companion;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import org.geraniumreach.daemon.configuration.ConfigurationService;
+import org.geraniumreach.link.Links;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.platform.ModelEngine;
+import org.geraniumreach.platform.PlainService;
+import org.geraniumreach.platform.TableService;
+
+/**
+ * What a companion works with.
+ *
+ * <p>Invariant: exactly one of engine and service is present. Immutable and safe for use by several threads.
+ *
+ * @param instance the companion's instance
+ * @param incarnation the number of this start of the process
+ * @param target the target that it stands beside
+ * @param links the links of this process
+ * @param configuration the configuration in force
+ * @param table where the fence is taken
+ * @param engine the target, if it is a model engine
+ * @param service the target, if it is a plain service
+ * @param clock the clock
+ */
+public record CompanionParts(
+        InstanceId instance,
+        long incarnation,
+        TargetId target,
+        Links links,
+        ConfigurationService configuration,
+        TableService table,
+        Optional<ModelEngine> engine,
+        Optional<PlainService> service,
+        MonotonicClock clock) {
+
+    public CompanionParts {
+        Objects.requireNonNull(instance, "instance");
+        Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(links, "links");
+        Objects.requireNonNull(configuration, "configuration");
+        Objects.requireNonNull(table, "table");
+        Objects.requireNonNull(clock, "clock");
+        if (engine.isPresent() == service.isPresent()) {
+            throw new IllegalArgumentException("target " + target + " must be one of engine and service");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineAnswer.java
@@ -0,0 +1,269 @@
+package org.geraniumreach.daemon.companion;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.google.protobuf.ByteString;
+import org.geraniumreach.messages.End;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.platform.ModelEngine.EngineListener;
+import org.geraniumreach.platform.ModelEngine.EngineStream;
+import org.geraniumreach.platform.ModelEngine.GenerationEnd;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.serving.queue.QueuedRequest;
+import org.geraniumreach.serving.residency.Pin;
+
+/**
+ * One attempt's stream at the engine.
+ *
+ * <p>Invariants: nothing goes to the entry before the engine has named the adapter and version that it runs, and they are
+ * the ones asked for; the adapter stays pinned until the engine has ended the stream, was made to, or does not know it.
+ * Safe for use by several threads.
+ */
+final class EngineAnswer implements EngineListener {
+
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final QueuedRequest<CompanionAttempt> request;
+    private final Optional<Pin> pin;
+    private final long engineIncarnation;
+    private final long queueNanos;
+    private final long loadNanos;
+    private final Owner owner;
+    private final AtomicBoolean released = new AtomicBoolean();
+    private EngineStream stream;
+    private boolean begun;
+    private boolean resumed;
+    private boolean cancelled;
+    private boolean over;
+    private boolean isBroken;
+    private long brokenSince;
+
+    EngineAnswer(
+            QueuedRequest<CompanionAttempt> request,
+            Optional<Pin> pin,
+            long engineIncarnation,
+            long queueNanos,
+            long loadNanos,
+            Owner owner) {
+        this.request = request;
+        this.pin = pin;
+        this.engineIncarnation = engineIncarnation;
+        this.queueNanos = queueNanos;
+        this.loadNanos = loadNanos;
+        this.owner = owner;
+    }
+
+    /** What becomes of a stream. */
+    interface Owner {
+
+        void ended(EngineAnswer answer, End end);
+
+        /**
+         * Tells that the engine ran something else than was asked for.
+         *
+         * @param answer the stream, not null
+         * @param served what it ran, not null
+         */
+        void servedWrong(EngineAnswer answer, AdapterReference served);
+
+        /**
+         * Tells that the engine has not started the stream and will not.
+         *
+         * @param answer the stream, not null
+         * @param failure why, not null
+         */
+        void notStarted(EngineAnswer answer, PlatformException failure);
+
+        /**
+         * Tells that the stream broke off.
+         *
+         * @param answer the stream, not null
+         * @param failure why; its effect is NONE if the engine does not know the stream, not null
+         */
+        void broken(EngineAnswer answer, PlatformException failure);
+    }
+
+    QueuedRequest<CompanionAttempt> request() {
+        return request;
+    }
+
+    CompanionAttempt attempt() {
+        return request.payload();
+    }
+
+    long engineIncarnation() {
+        return engineIncarnation;
+    }
+
+    /**
+     * Takes the stream over which chunks are asked for.
+     *
+     * @param newStream the stream, not null
+     */
+    void attach(EngineStream newStream) {
+        boolean isCancelled;
+        synchronized (this) {
+            stream = newStream;
+            isCancelled = cancelled;
+        }
+        if (isCancelled) {
+            newStream.detach();
+            return;
+        }
+        demand();
+    }
+
+    /** Asks the engine for as many chunks as may be kept. */
+    void demand() {
+        EngineStream asked;
+        int chunks;
+        synchronized (this) {
+            asked = stream;
+            chunks = asked == null || over ? 0 : attempt().takeDemand();
+        }
+        if (chunks > 0) {
+            asked.request(chunks);
+        }
+    }
+
+    /**
+     * Takes the stream that goes on where another one broke off, and asks it for what that one still owed.
+     *
+     * @param newStream the stream, not null
+     */
+    void attachResumed(EngineStream newStream) {
+        attempt().forgetDemand();
+        attach(newStream);
+    }
+
+    /** Listens no more. */
+    void cancel() {
+        EngineStream listened;
+        synchronized (this) {
+            cancelled = true;
+            over = true;
+            listened = stream;
+        }
+        if (listened != null) {
+            listened.detach();
+        }
+    }
+
+    synchronized boolean isCancelled() {
+        return cancelled;
+    }
+
+    /** Notes that the stream is being asked for again, so that a NONE from now on says it is not known. */
+    synchronized void resuming() {
+        resumed = true;
+    }
+
+    /**
+     * Queries whether a stream has been broken for too long.
+     *
+     * @param now the time
+     * @param limit how long it may be
+     * @return true if nothing has come of it for longer
+     */
+    synchronized boolean isOverdue(long now, Duration limit) {
+        if (!isBroken) {
+            isBroken = true;
+            brokenSince = now;
+        }
+        return now - brokenSince > limit.toNanos();
+    }
+
+    synchronized boolean hasBegun() {
+        return begun;
+    }
+
+    /**
+     * Lets the adapter go, once.
+     *
+     * @return false if that was done before
+     */
+    boolean release() {
+        if (!released.compareAndSet(false, true)) {
+            return false;
+        }
+        pin.ifPresent(Pin::release);
+        return true;
+    }
+
+    @Override
+    public void started(AdapterReference served) {
+        if (!isListening()) {
+            return;
+        }
+        if (!attempt().adapter().equals(Optional.of(served))) {
+            owner.servedWrong(this, served);
+            return;
+        }
+        attempt().open();
+    }
+
+    private synchronized boolean isListening() {
+        begun = true;
+        isBroken = false;
+        return !over;
+    }
+
+    @Override
+    public void chunk(long sequence, String text, int tokens) {
+        if (!isListening()) {
+            return;
+        }
+        attempt().add(Frames.chunk(attempt().id(), sequence, ByteString.copyFromUtf8(text), tokens));
+        demand();
+    }
+
+    @Override
+    public void ended(GenerationEnd end) {
+        if (!isListening()) {
+            return;
+        }
+        if (!attempt().adapter().equals(Optional.of(end.served()))) {
+            owner.servedWrong(this, end.served());
+            return;
+        }
+        finishListening();
+        owner.ended(this, endOf(end));
+    }
+
+    private End endOf(GenerationEnd end) {
+        return End.newBuilder()
+                .setAttempt(attempt().id().value())
+                .setCount(end.chunks())
+                .setPromptTokens(end.promptTokens())
+                .setGeneratedTokens(end.generatedTokens())
+                .setAdapter(end.served().adapter())
+                .setVersion(end.served().version())
+                .setFinishReason(end.finishReason())
+                .setQueueMicros(queueNanos / NANOS_PER_MICRO)
+                .setLoadMicros(loadNanos / NANOS_PER_MICRO)
+                .setPrefixHit(end.prefixHit())
+                .build();
+    }
+
+    private synchronized void finishListening() {
+        over = true;
+    }
+
+    @Override
+    public void failed(PlatformException failure) {
+        boolean notStarted;
+        synchronized (this) {
+            if (over) {
+                return;
+            }
+            notStarted = failure.effect() == PlatformException.Effect.NONE && !begun && !resumed;
+        }
+        if (notStarted) {
+            owner.notStarted(this, failure);
+        } else {
+            owner.broken(this, failure);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineWatch.java
@@ -0,0 +1,93 @@
+package org.geraniumreach.daemon.companion;
+
+import java.time.Duration;
+
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.platform.ModelEngine;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.serving.residency.Residency;
+
+/**
+ * Keeps the view of the engine's residency true.
+ *
+ * <p>An engine that restarts holds nothing. If requests were sent on the old view, it would run them on the bare model, or
+ * on what another slot now holds. So the engine is looked at before each send, unless it was a moment ago; the moment is
+ * below what a restart takes. Callers that wait at the same time share one look. Safe for use by several threads, under its
+ * own lock.
+ */
+final class EngineWatch {
+
+    private final ModelEngine engine;
+    private final Residency residency;
+    private final MonotonicClock clock;
+    private final long ageNanos;
+    private boolean known;
+    private long confirmedAt;
+    private boolean reachable = true;
+    private long failedAt;
+    private volatile long incarnation;
+
+    EngineWatch(ModelEngine engine, Residency residency, MonotonicClock clock, Duration age) {
+        this.engine = engine;
+        this.residency = residency;
+        this.clock = clock;
+        this.ageNanos = age.toNanos();
+    }
+
+    /**
+     * Sees to it that the view is no older than the limit; blocks while the engine is asked.
+     *
+     * @return false if the engine does not answer
+     */
+    boolean confirm() {
+        long arrivedAt = clock.nanos();
+        synchronized (this) {
+            if (known && clock.nanos() - confirmedAt <= ageNanos) {
+                return true;
+            }
+            if (!reachable && failedAt - arrivedAt >= 0) {
+                return false;
+            }
+            return look();
+        }
+    }
+
+    /** Makes the next {@link #confirm} ask the engine, since it contradicted the view. */
+    synchronized void invalidate() {
+        known = false;
+    }
+
+    private boolean look() {
+        long askedAt = clock.nanos();
+        try {
+            take(engine.state(), askedAt);
+            return true;
+        } catch (PlatformException failure) {
+            if (reachable) {
+                EventLog.write(EventCode.ENGINE_UNREACHABLE, "{}", failure.getMessage());
+            }
+            reachable = false;
+            known = false;
+            failedAt = clock.nanos();
+            return false;
+        }
+    }
+
+    private void take(ModelEngine.State state, long askedAt) {
+        boolean first = incarnation == 0;
+        boolean restarted = residency.synchronise(state.incarnation(), state.resident(), askedAt);
+        incarnation = state.incarnation();
+        known = true;
+        reachable = true;
+        confirmedAt = askedAt;
+        if (restarted && !first) {
+            EventLog.write(EventCode.ENGINE_RESTARTED, "incarnation {}", state.incarnation());
+        }
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/GuardedPool.java
@@ -0,0 +1,37 @@
+package org.geraniumreach.daemon.companion;
+
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.model.EventCode;
+
+/**
+ * A fixed number of daemon threads whose tasks' faults are logged, so that none is lost in silence.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class GuardedPool extends ThreadPoolExecutor {
+
+    private static final long IDLE_SECONDS = 30;
+
+    GuardedPool(String name, int threads) {
+        super(threads, threads, IDLE_SECONDS, TimeUnit.SECONDS, new LinkedBlockingQueue<>());
+        AtomicInteger number = new AtomicInteger();
+        setThreadFactory(task -> {
+            Thread thread = new Thread(task, name + "-" + number.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        });
+        allowCoreThreadTimeOut(true);
+    }
+
+    @Override
+    protected void afterExecute(Runnable task, Throwable failure) {
+        if (failure != null) {
+            EventLog.write(EventCode.UNEXPECTED_FAILURE, failure, "a task of the companion failed");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/Outcomes.java
@@ -0,0 +1,60 @@
+package org.geraniumreach.daemon.companion;
+
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.messages.End;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ServingException;
+
+/**
+ * Lets attempts start, and ends them, in the attempt table and towards the entry.
+ *
+ * <p>Invariants: an attempt starts only if the table lets it, so at most once and never after it was sealed; the table is
+ * told of an end before the entry is. Safe for use by several threads.
+ */
+final class Outcomes {
+
+    private final AttemptShards attempts;
+
+    Outcomes(AttemptShards attempts) {
+        this.attempts = attempts;
+    }
+
+    /**
+     * Starts an attempt.
+     *
+     * @param attempt the attempt, not null
+     * @return true if it is to be sent to the target now, false if it must not be
+     */
+    boolean start(CompanionAttempt attempt) {
+        return attempts.start(attempt.id());
+    }
+
+    /**
+     * Puts an attempt back that was started, and that the target says it has not run.
+     *
+     * @param attempt the attempt, not null
+     */
+    void putBack(CompanionAttempt attempt) {
+        attempts.putBack(attempt.id());
+    }
+
+    void ended(CompanionAttempt attempt, End end) {
+        attempts.end(attempt.id(), true);
+        attempt.open();
+        attempt.finish(Frames.end(end));
+    }
+
+    /**
+     * Ends an attempt with a refusal.
+     *
+     * @param attempt the attempt, not null
+     * @param refusal why, and whether it ran, not null
+     */
+    void refused(CompanionAttempt attempt, ServingException refusal) {
+        attempts.end(attempt.id(), refusal.ran() != Ran.NO);
+        attempt.finish(Frames.refused(attempt.id(), refusal));
+        EventCode event = refusal.ran() == Ran.NO ? EventCode.REQUEST_REFUSED : EventCode.REQUEST_FAILED;
+        EventLog.write(event, "{} of {}: {}", attempt.id(), attempt.account(), refusal.code());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/QueueSettings.java
@@ -0,0 +1,66 @@
+package org.geraniumreach.daemon.companion;
+
+import org.geraniumreach.daemon.settings.Setting;
+import org.geraniumreach.serving.queue.QueuePolicy;
+import org.geraniumreach.serving.queue.QueueWeights;
+
+/**
+ * Settings of the order in which a target is given requests.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param policy the order
+ * @param passedOverAtMost how many later requests of an account may go before a ready one
+ * @param accountSlackTokens how far an account may run ahead of its turn
+ * @param priorityStep how much more a priority weighs than the one below it
+ * @param concurrency the requests that a target is given at once
+ * @param limit the requests that may wait
+ */
+public record QueueSettings(
+        @Setting(value = "fair", about = "The order: fair over client accounts, or first-come.") QueuePolicy policy,
+        @Setting(
+                        value = "16",
+                        least = "0",
+                        greatest = "100000",
+                        about =
+                                "How many later requests of an account may go before a ready one, to fill batches with few"
+                                        + " adapters.")
+                int passedOverAtMost,
+        @Setting(
+                        value = "2048",
+                        least = "0",
+                        about = "How far, in tokens, an account may run ahead of its turn for the same purpose.")
+                long accountSlackTokens,
+        @Setting(
+                        value = "1.25",
+                        least = "1",
+                        greatest = "10",
+                        about = "How many times more a priority weighs than the one below it.")
+                double priorityStep,
+        @Setting(value = "32", least = "1", greatest = "4096", about = "How many requests a target is given at once.")
+                int concurrency,
+        @Setting(value = "2000", least = "1", greatest = "1000000", about = "How many requests may wait.") int limit) {
+
+    private static final int DEFAULT_CONCURRENCY = 32;
+    private static final int DEFAULT_LIMIT = 2_000;
+
+    /**
+     * Obtains the defaults.
+     *
+     * @return the settings, not null
+     */
+    public static QueueSettings defaults() {
+        QueueWeights weights = QueueWeights.sabarmati();
+        return new QueueSettings(
+                QueuePolicy.FAIR,
+                weights.passedOverAtMost(),
+                weights.accountSlackTokens(),
+                weights.priorityStep(),
+                DEFAULT_CONCURRENCY,
+                DEFAULT_LIMIT);
+    }
+
+    QueueWeights weights() {
+        return new QueueWeights(passedOverAtMost, accountSlackTokens, priorityStep);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
@@ -0,0 +1,275 @@
+package org.geraniumreach.daemon.companion;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.Acknowledge;
+import org.geraniumreach.messages.Cancel;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Resume;
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.messages.Seal;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.geraniumreach.model.record.Target;
+
+/**
+ * Answers the frames that entries send about attempts.
+ *
+ * <p>Invariant: what is answered about an attempt that this companion does not hold comes from the attempt table, which
+ * seals it in the same step; so "not run" holds also for a Run that arrives after its answer. Safe for use by several
+ * threads.
+ */
+final class Requests {
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final Duration COME_BACK = Duration.ofMillis(500);
+
+    private final CompanionSettings settings;
+    private final CompanionParts parts;
+    private final AttemptShards attempts;
+    private final Outcomes outcomes;
+    private final RunnerSource runners;
+
+    Requests(
+            CompanionSettings settings,
+            CompanionParts parts,
+            AttemptShards attempts,
+            Outcomes outcomes,
+            RunnerSource runners) {
+        this.settings = settings;
+        this.parts = parts;
+        this.attempts = attempts;
+        this.outcomes = outcomes;
+        this.runners = runners;
+    }
+
+    /** Gives what runs attempts. */
+    interface RunnerSource {
+
+        /**
+         * Gets the runner for new work.
+         *
+         * @return the runner, not null
+         * @throws ServingException if no new work is taken
+         */
+        TargetRunner forNewWork() throws ServingException;
+
+        /**
+         * Gets the runner for work that was taken, also while no new work is.
+         *
+         * @return the runner, or empty if the target is not taken over yet
+         */
+        Optional<TargetRunner> current();
+    }
+
+    void received(Peer peer, Frame frame) {
+        try {
+            switch (frame.getBodyCase()) {
+                case RUN -> run(peer, frame.getRun());
+                case CANCEL -> cancel(peer, frame.getCancel());
+                case RESUME -> resume(peer, frame.getResume());
+                case ACKNOWLEDGE -> acknowledge(frame.getAcknowledge());
+                case SEAL -> seal(peer, frame.getSeal());
+                default -> throw new IllegalArgumentException("not a request: " + frame.getBodyCase());
+            }
+        } catch (IllegalArgumentException invalid) {
+            peer.close("refused a request: " + invalid.getMessage());
+        }
+    }
+
+    private void run(Peer peer, Run run) {
+        CompanionAttempt attempt = CompanionAttempt.ofRun(
+                run, peer, settings.bufferedChunks(), parts.clock().nanos());
+        if (!attempts.add(attempt)) {
+            seenBefore(peer, attempt.id(), 0, run.getCredit());
+            return;
+        }
+        try {
+            TargetRunner runner = admit(run);
+            peer.send(Frames.accepted(attempt.id(), parts.incarnation()));
+            runner.submit(attempt);
+        } catch (ServingException refusal) {
+            outcomes.refused(attempt, refusal);
+        }
+    }
+
+    private TargetRunner admit(Run run) throws ServingException {
+        if (run.getCompanionIncarnation() != 0 && run.getCompanionIncarnation() != parts.incarnation()) {
+            throw ServingException.notRun(ResultCode.NOT_RUN, "the request is for another start of the companion");
+        }
+        TargetRunner runner = runners.forNewWork();
+        if (runner.unfinished() >= settings.queue().limit()) {
+            throw ServingException.notRun(ResultCode.OVERLOADED, "the queue of " + parts.target() + " is full")
+                    .withRetryAfter(COME_BACK);
+        }
+        parts.configuration().requireFresh();
+        Optional<Target> target = parts.configuration().current().target(parts.target());
+        RunCheck.check(
+                run,
+                parts.configuration().current(),
+                target.orElseThrow(() -> notReady("no record of target " + parts.target())));
+        return runner;
+    }
+
+    private static ServingException notReady(String message) {
+        return ServingException.notRun(ResultCode.NO_TARGET, message).withRetryAfter(COME_BACK);
+    }
+
+    /**
+     * Answers about an attempt that was seen before: its output goes on over the new link, or its end is told.
+     *
+     * @param peer the link, not null
+     * @param id the attempt, not null
+     * @param next the first chunk wanted
+     * @param credit how many may be sent
+     */
+    private void seenBefore(Peer peer, AttemptId id, long next, int credit) {
+        Optional<CompanionAttempt> held = attempts.attempt(id);
+        if (held.isPresent()) {
+            if (!held.get().resume(peer, next, credit)) {
+                peer.send(Frames.refused(
+                        id, ServingException.of(ResultCode.ANSWER_INTERRUPTED, Ran.YES, "chunk " + next + " is gone")));
+                return;
+            }
+            runners.current().ifPresent(runner -> runner.acknowledged(held.get()));
+            return;
+        }
+        AttemptTable.Seen seen = attempts.find(id).orElse(AttemptTable.Seen.FORGOTTEN);
+        peer.send(Frames.refused(id, withoutOutput(seen)));
+    }
+
+    private static ServingException withoutOutput(AttemptTable.Seen seen) {
+        return switch (seen) {
+            case NEVER_STARTED -> ServingException.notRun(
+                    ResultCode.NOT_RUN, "the request never started and never will");
+            case ENDED -> ServingException.of(
+                    ResultCode.ANSWER_INTERRUPTED, Ran.YES, "the answer is not kept any more");
+            default -> ServingException.of(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, "nothing is known of the request");
+        };
+    }
+
+    private void resume(Peer peer, Resume resume) {
+        AttemptId id = AttemptId.of(resume.getAttempt());
+        if (resume.getCompanionIncarnation() != parts.incarnation()) {
+            peer.send(Frames.refused(
+                    id,
+                    ServingException.of(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, "the companion has been restarted")));
+            return;
+        }
+        if (attempts.find(id).isEmpty()) {
+            attempts.seal(id, ageNanos(resume.getAgeMillis()));
+        }
+        seenBefore(peer, id, resume.getNextSequence(), resume.getCredit());
+    }
+
+    private static long ageNanos(long ageMillis) {
+        return ageMillis < 0 ? AttemptTable.AGE_UNKNOWN : ageMillis * NANOS_PER_MILLI;
+    }
+
+    private void acknowledge(Acknowledge acknowledge) {
+        AttemptId id = AttemptId.of(acknowledge.getAttempt());
+        Optional<CompanionAttempt> held = attempts.attempt(id);
+        if (held.isEmpty()) {
+            return;
+        }
+        held.get().acknowledge(acknowledge.getNextSequence(), acknowledge.getCredit());
+        runners.current().ifPresent(runner -> runner.acknowledged(held.get()));
+        dropIfDelivered(held.get());
+    }
+
+    private void dropIfDelivered(CompanionAttempt attempt) {
+        if (attempt.isDelivered() && attempt.named().getRepeatable()) {
+            attempts.dropValue(attempt.id());
+        }
+    }
+
+    private void seal(Peer peer, Seal seal) {
+        AttemptId id = AttemptId.of(seal.getAttempt());
+        if (seal.getCompanionIncarnation() != parts.incarnation()) {
+            peer.send(Frames.sealedElsewhere(id, parts.incarnation()));
+            return;
+        }
+        Optional<CompanionAttempt> held = attempts.attempt(id);
+        AttemptTable.Seen seen = attempts.seal(id, ageNanos(seal.getAgeMillis()));
+        if (seen == AttemptTable.Seen.NEVER_STARTED) {
+            held.ifPresent(attempt -> {
+                runners.current().ifPresent(runner -> runner.withdraw(attempt));
+                outcomes.refused(attempt, withoutOutput(seen));
+            });
+        }
+        peer.send(Frames.sealed(id, seen, parts.incarnation()));
+    }
+
+    private void cancel(Peer peer, Cancel cancel) {
+        AttemptId id = AttemptId.of(cancel.getAttempt());
+        Optional<CompanionAttempt> held = attempts.attempt(id);
+        if (held.isEmpty()) {
+            attempts.seal(id, ageNanos(cancel.getAgeMillis()));
+            seenBefore(peer, id, 0, 0);
+            return;
+        }
+        cancel(held.get(), ResultCode.CANCELLED, cancel.getReason());
+    }
+
+    /**
+     * Ends an attempt before its time: one that waits never starts, one that runs is stopped at the target.
+     *
+     * @param attempt the attempt, not null
+     * @param code what its entry is told, not null
+     * @param reason why, not null
+     */
+    void cancel(CompanionAttempt attempt, ResultCode code, String reason) {
+        if (attempt.isFinished()) {
+            return;
+        }
+        AttemptTable.Seen seen = attempts.seal(attempt.id(), AttemptTable.AGE_UNKNOWN);
+        if (seen == AttemptTable.Seen.NEVER_STARTED) {
+            runners.current().ifPresent(runner -> runner.withdraw(attempt));
+            outcomes.refused(attempt, ServingException.notRun(code, reason));
+            return;
+        }
+        if (!attempt.named().getRepeatable()) {
+            return;
+        }
+        outcomes.refused(attempt, ServingException.of(code, Ran.YES, reason));
+        runners.current().ifPresent(runner -> runner.cancel(attempt));
+    }
+
+    /** Ends what has passed its deadline or lost its entry, and forgets what nobody will ask for. */
+    void tick() {
+        long now = parts.clock().nanos();
+        long orphanNanos = settings.orphanLimit().toNanos();
+        for (CompanionAttempt attempt : attempts.all()) {
+            if (attempt.isFinished()) {
+                dropIfDelivered(attempt);
+                if (attempt.named().getRepeatable() && attempt.isOrphan(orphanNanos, now)) {
+                    attempts.dropValue(attempt.id());
+                }
+            } else if (attempt.isExpired(now)) {
+                cancel(attempt, ResultCode.DEADLINE_EXCEEDED, "the deadline has passed");
+            } else if (attempt.isOrphan(orphanNanos, now)) {
+                cancel(attempt, ResultCode.CANCELLED, "no entry asks for it");
+            }
+        }
+        attempts.expire();
+    }
+
+    /**
+     * Queries whether a drain has to wait for an attempt.
+     *
+     * @param attempt the attempt, not null
+     * @return true if it is not over, or its end is not yet with an entry that is linked
+     */
+    boolean holdsUpDrain(CompanionAttempt attempt) {
+        if (!attempt.isFinished()) {
+            return true;
+        }
+        long orphanNanos = settings.orphanLimit().toNanos();
+        return !attempt.isDelivered()
+                && !attempt.isOrphan(orphanNanos, parts.clock().nanos());
+    }
+}
--- a/link/src/main/java/org/geraniumreach/link/AttemptTracker.java
+++ b/link/src/main/java/org/geraniumreach/link/AttemptTracker.java
@@ -28,6 +28,8 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int UNKNOWN_AGE = -1;
     private static final long NOWHERE = -1;
+    private static final long ALL = Long.MAX_VALUE;
+    private static final int ACKNOWLEDGE_EVERY = 32;
 
     private final Run run;
     private final long incarnation;
@@ -38,6 +40,7 @@
     private long nextSequence;
     private long granted;
     private long announced;
+    private long acknowledged;
     private long gapAt = NOWHERE;
     private long unlinkedSince;
     private long askedAt;
@@ -57,6 +60,7 @@
         this.window = Math.max(1, run.getCredit());
         this.granted = nextSequence + run.getCredit();
         this.announced = granted;
+        this.acknowledged = nextSequence;
     }
 
     /**
@@ -210,12 +214,22 @@
             return end(new AttemptAction.TellLost(
                     Ran.UNKNOWN, "the end counts " + end.getCount() + " chunks and " + nextSequence + " have come"));
         }
+        return acknowledgedEnd(
+                isNamed(end) ? new AttemptAction.TellEnded(end) : new AttemptAction.TellRefused(wrong(end)));
+    }
+
+    /**
+     * Ends the attempt with what its companion said, and lets the companion drop what it keeps.
+     *
+     * @param last what to tell, not null
+     * @return what to do, not null
+     */
+    private List<AttemptAction> acknowledgedEnd(AttemptAction last) {
         List<AttemptAction> actions = new ArrayList<>();
         actions.add(send(Frame.newBuilder()
                 .setAcknowledge(
-                        Acknowledge.newBuilder().setAttempt(run.getAttempt()).setNextSequence(end.getCount() + 1))));
-        actions.addAll(
-                end(isNamed(end) ? new AttemptAction.TellEnded(end) : new AttemptAction.TellRefused(wrong(end))));
+                        Acknowledge.newBuilder().setAttempt(run.getAttempt()).setNextSequence(ALL))));
+        actions.addAll(end(last));
         return actions;
     }
 
@@ -245,9 +259,9 @@
             return List.of();
         }
         if (refused.getRan() != Ran.NO.ordinal() || isBelieved(refused, now)) {
-            return end(new AttemptAction.TellRefused(refused));
+            return acknowledgedEnd(new AttemptAction.TellRefused(refused));
         }
-        return end(new AttemptAction.TellRefused(
+        return acknowledgedEnd(new AttemptAction.TellRefused(
                 refused.toBuilder().setRan(Ran.UNKNOWN.ordinal()).build()));
     }
 
@@ -282,16 +296,19 @@
     }
 
     /**
-     * Announces credit when half of the window is used up: fewer frames than one for each chunk, and never a halt while
-     * the caller reads on.
+     * Announces credit when half of the window is used up, and acknowledges now and then: fewer frames than one for each
+     * chunk, yet never a halt while the caller reads on.
      *
      * @param actions to which the frame is added
      */
     private void announceCredit(List<AttemptAction> actions) {
-        if (!linked || granted == announced || announced - nextSequence > window / 2) {
+        boolean needsCredit = granted > announced && announced - nextSequence <= window / 2;
+        boolean needsAcknowledgement = nextSequence - acknowledged >= ACKNOWLEDGE_EVERY;
+        if (!linked || !needsCredit && !needsAcknowledgement) {
             return;
         }
         announced = granted;
+        acknowledged = nextSequence;
         actions.add(send(Frame.newBuilder()
                 .setAcknowledge(Acknowledge.newBuilder()
                         .setAttempt(run.getAttempt())
@@ -361,6 +378,7 @@
     private AttemptAction resume(long now) {
         askedAt = now;
         announced = granted;
+        acknowledged = nextSequence;
         return send(Frame.newBuilder()
                 .setResume(Resume.newBuilder()
                         .setAttempt(run.getAttempt())
