Notice a caller that goes away while its call is answered later

Cause: Grizzly stops reading from a connection while a call is suspended, so a caller's close went unseen until a write failed: the test that closes the connection in the middle of a stream waited its 30 s in vain. Ruled out: the close listener itself, which fires once the connection is read. The change: reading goes on while the call is open. Requests that were sent together on one connection still get their answers in order, which a test of its own shows.

--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/EntrySettings.java
@@ -0,0 +1,47 @@
+package org.geraniumreach.daemon.entry;
+
+import java.net.InetSocketAddress;
+
+import org.geraniumreach.daemon.budget.BudgetSettings;
+import org.geraniumreach.daemon.event.LogSettings;
+import org.geraniumreach.daemon.http.HttpLimits;
+import org.geraniumreach.daemon.ledger.LedgerSettings;
+import org.geraniumreach.daemon.node.NodeRole;
+import org.geraniumreach.daemon.node.NodeSettings;
+import org.geraniumreach.daemon.node.PlatformSettings;
+import org.geraniumreach.daemon.settings.Setting;
+
+/**
+ * The settings of an entry.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param role always {@link NodeRole#ENTRY}
+ * @param node who and where it is
+ * @param log how it logs
+ * @param platform where the platform's services are
+ * @param callers the callers' address
+ * @param http what the callers' address takes
+ * @param requests what a request may ask for
+ * @param routing how targets are chosen
+ * @param budget the client accounts' budgets
+ * @param ledger the requests that may run once only
+ */
+public record EntrySettings(
+        @Setting(about = "What runs with these settings; here entry.") NodeRole role,
+        NodeSettings node,
+        LogSettings log,
+        PlatformSettings platform,
+        @Setting(about = "Where callers reach this entry.") InetSocketAddress callers,
+        HttpLimits http,
+        GenerationLimits requests,
+        RoutingSettings routing,
+        BudgetSettings budget,
+        LedgerSettings ledger) {
+
+    public EntrySettings {
+        if (role != NodeRole.ENTRY) {
+            throw new IllegalArgumentException("role must be entry");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/event/LogSettings.java
@@ -0,0 +1,47 @@
+package org.geraniumreach.daemon.event;
+
+import java.util.Locale;
+
+import org.geraniumreach.daemon.settings.Setting;
+import org.tinylog.configuration.Configuration;
+
+/**
+ * How the log is written.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param format text or JSON
+ * @param level the least level written
+ */
+public record LogSettings(
+        @Setting(value = "text", about = "How a log line is written.") Format format,
+        @Setting(value = "info", about = "The least level that is written.") Level level) {
+
+    /** The forms of a log line. */
+    public enum Format {
+        TEXT,
+        JSON
+    }
+
+    /** The levels, least first. */
+    public enum Level {
+        DEBUG,
+        INFO,
+        WARN,
+        ERROR
+    }
+
+    /** Puts these settings in force; must come before the first line is logged. */
+    public void apply() {
+        Configuration.set("level", level.name().toLowerCase(Locale.ROOT));
+        Configuration.set("writingthread", "true");
+        Configuration.set("autoshutdown", "false");
+        if (format == Format.JSON) {
+            Configuration.set("writer", "json lines");
+            return;
+        }
+        Configuration.set("writer", "console");
+        Configuration.set("writer.stream", "out");
+        Configuration.set("writer.format", "{date: yyyy-MM-dd'T'HH:mm:ss.SSSXXX} {level} {message}");
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/http/Call.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/Call.java
@@ -16,6 +16,7 @@
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 
@@ -199,6 +200,17 @@
         CallerWatch watch = new CallerWatch(connection, action);
         connection.addCloseListener(watch);
         watches.add(watch);
+        watchForClose(connection);
+    }
+
+    private static void watchForClose(Connection<?> connection) {
+        try {
+            // Grizzly stops reading from a connection while its call is answered later, so a caller's close would go
+            // unseen until a write fails, and the work would go on for nobody. Reading on shows the close at once.
+            connection.enableIOEvent(IOEvent.READ);
+        } catch (IOException closed) {
+            connection.closeSilently();
+        }
     }
 
     private void finish() {
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/node/NodeSettings.java
@@ -0,0 +1,29 @@
+package org.geraniumreach.daemon.node;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+import org.geraniumreach.daemon.settings.Setting;
+
+/**
+ * Who and where a process is.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param instance its name on the instance list
+ * @param failureDomain where it is
+ * @param link where other processes of the system reach it
+ * @param management where health, readiness and metrics are read
+ * @param drainLimit how long running work may take after the process is told to end
+ */
+public record NodeSettings(
+        @Setting(about = "The name of this instance on the platform's list.") String instance,
+        @Setting(about = "The failure domain of this instance.") String failureDomain,
+        @Setting(about = "Where other processes of the system reach this one.") InetSocketAddress link,
+        @Setting(about = "Where health, readiness and metrics are read.") InetSocketAddress management,
+        @Setting(
+                        value = "60s",
+                        least = "0s",
+                        greatest = "1h",
+                        about = "How long running work may take after the process is told to end.")
+                Duration drainLimit) {}
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/http/HttpFrontTest.java
@@ -0,0 +1,186 @@
+package org.geraniumreach.daemon.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ForkJoinPool;
+import java.util.concurrent.TimeUnit;
+
+import org.geraniumreach.daemon.settings.SettingsReader;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HttpFrontTest {
+
+    private static final int PATIENCE_MILLIS = 30_000;
+
+    private final CountDownLatch callerGone = new CountDownLatch(1);
+    private HttpFront front;
+
+    @BeforeEach
+    void start() throws Exception {
+        HttpLimits limits = SettingsReader.read(HttpLimits.class, "{body: 2KiB, headers: 4KiB, workers: 2}");
+        Routes routes = Routes.none()
+                .plus("POST", "/echo/{word}", call -> call.reply(200, "text/plain", call.body()))
+                .plus("POST", "/json", call -> call.reply(200, call.json()))
+                .plus("GET", "/fault", call -> {
+                    throw new IllegalStateException("inside");
+                })
+                .plus("GET", "/refused", call -> {
+                    throw ServingException.notRun(ResultCode.KEY_REFUSED, "no");
+                })
+                .plus("GET", "/later/{word}", call -> {
+                    call.onCallerGone(callerGone::countDown);
+                    String word = call.parameter(0);
+                    CompletableFuture.delayedExecutor(word.length() * 50L, TimeUnit.MILLISECONDS)
+                            .execute(() -> call.reply(200, "text/plain", word.getBytes(StandardCharsets.UTF_8)));
+                })
+                .plus("GET", "/forever", call -> {
+                    call.onCallerGone(callerGone::countDown);
+                    call.stream().orElseThrow().event("1".getBytes(StandardCharsets.UTF_8));
+                });
+        front = HttpFront.start(
+                "test",
+                limits,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                routes,
+                ForkJoinPool.commonPool());
+    }
+
+    @AfterEach
+    void stop() {
+        front.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[1]", "null", "{\"a\":1}x", "\u0000", "{\"a\":1,}"})
+    void aBodyThatIsNotAJsonObjectIsRefused(String body) throws IOException {
+        String answer = exchange(post("/json", body));
+        assertThat(answer).startsWith("HTTP/1.1 400").contains("\"code\":100").contains("\"ran\":\"no\"");
+    }
+
+    @Test
+    void aBodyAboveTheLimitIsRefusedByItsDeclaredLength() throws IOException {
+        String answer = exchange(post("/json", " ".repeat(3_000)));
+        assertThat(answer).startsWith("HTTP/1.1 413").contains("\"code\":101");
+    }
+
+    @Test
+    void aBodyAboveTheLimitIsRefusedWhenItsLengthIsNotDeclared() throws IOException {
+        String chunk = "400\r\n" + "a".repeat(0x400) + "\r\n";
+        String answer = exchange(
+                "POST /json HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.repeat(3) + "0\r\n\r\n");
+        assertThat(answer).startsWith("HTTP/1.1 413").contains("\"code\":101");
+    }
+
+    @Test
+    void aHeaderBlockAboveTheLimitIsRefused() throws IOException {
+        String answer = exchange("GET /refused HTTP/1.1\r\nHost: a\r\nX-Long: " + "a".repeat(9_000) + "\r\n\r\n");
+        assertThat(answer).startsWith("HTTP/1.1 4").doesNotContain("Exception");
+    }
+
+    @Test
+    void anUnknownPathIsRefused() throws IOException {
+        assertThat(exchange("GET /other HTTP/1.1\r\nHost: a\r\n\r\n"))
+                .startsWith("HTTP/1.1 404")
+                .contains("\"code\":103");
+    }
+
+    @Test
+    void aFaultOfTheSystemTellsNothingOfItsInside() throws IOException {
+        assertThat(exchange("GET /fault HTTP/1.1\r\nHost: a\r\n\r\n"))
+                .startsWith("HTTP/1.1 500")
+                .contains("\"code\":900")
+                .doesNotContain("inside");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\r\n\r\n",
+                "GET\r\n\r\n",
+                "\u0001\u0002\r\n\r\n",
+                "GET / HTTP/9.9\r\n\r\n",
+                "POST /json HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n"
+            })
+    void whatIsNotHttpStopsNothing(String bytes) throws IOException {
+        exchange(bytes);
+        assertThat(exchange(post("/echo/a", "still here"))).endsWith("still here");
+    }
+
+    @Test
+    void aCallerThatGoesAwayIsNoticed() throws Exception {
+        // The caller sees nothing more: it opens a stream, reads its first event and closes the connection. The
+        // endpoint
+        // must be told, because the work behind the stream would otherwise run to its end for nobody.
+        try (Socket socket = connect()) {
+            socket.getOutputStream()
+                    .write("GET /forever HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertThat(socket.getInputStream().read()).isPositive();
+        }
+        assertThat(callerGone.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
+    @Test
+    void requestsSentTogetherOnOneConnectionAreAnsweredInTheirOrder() throws IOException {
+        // The caller sends two requests without waiting. The first is answered later than the second would be. A caller
+        // matches answers by their order alone, so an answer that overtook another would reach the wrong request.
+        String request = "GET /later/%s HTTP/1.1\r\nHost: a\r\n%s\r\n";
+        String answers =
+                exchange(false, request.formatted("longest", "") + request.formatted("x", "Connection: close\r\n"));
+        assertThat(answers.indexOf("longest")).isPositive();
+        assertThat(answers.lastIndexOf("\r\n\r\nx")).isGreaterThan(answers.indexOf("longest"));
+    }
+
+    private static String post(String path, String body) {
+        int length = body.getBytes(StandardCharsets.UTF_8).length;
+        return "POST " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " + length + "\r\n\r\n"
+                + body;
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket();
+        socket.connect(front.address(), PATIENCE_MILLIS);
+        socket.setSoTimeout(PATIENCE_MILLIS);
+        return socket;
+    }
+
+    private String exchange(String request) throws IOException {
+        return exchange(true, request);
+    }
+
+    private String exchange(boolean endOutput, String request) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            if (endOutput) {
+                socket.shutdownOutput();
+            }
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    private static String readAll(InputStream input) throws IOException {
+        ByteArrayOutputStream content = new ByteArrayOutputStream();
+        try {
+            input.transferTo(content);
+        } catch (SocketException reset) {
+            // A server that refuses what it has not read whole may reset the connection after its answer.
+            return content.toString(StandardCharsets.UTF_8);
+        }
+        return content.toString(StandardCharsets.UTF_8);
+    }
+}
