--- /dev/null
+++ b/coordination/src/main/java/org/geraniumreach/coordination/ledger/LedgerPolicy.java
@@ -0,0 +1,23 @@
+package org.geraniumreach.coordination.ledger;
+
+import java.time.Duration;
+
+/**
+ * The times and numbers that a {@link LedgerCall} goes by.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param patience how long a call waits for another one with its key
+ * @param pollInterval how long it waits between two readings
+ * @param takeoverAge the age from which a running row's companion is asked though the sender seems live
+ * @param clockError how far the times of day of two entries may be apart
+ * @param storeTries how often a commit or reading is tried
+ * @param sendTries how many attempts one call may make, each after the one before was shown not to have run
+ */
+public record LedgerPolicy(
+        Duration patience,
+        Duration pollInterval,
+        Duration takeoverAge,
+        Duration clockError,
+        int storeTries,
+        int sendTries) {}
