Run the once-only ledger against the table service and companions

Inserts and results of different calls share transactions; a group whose conditions did not all hold is split until the one to blame is alone. Two transactions on one row never share a group, else two calls with one key would both be told to send.

--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/AnswerCollector.java
@@ -0,0 +1,133 @@
+package org.geraniumreach.daemon.ledger;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import com.google.protobuf.ByteString;
+import org.geraniumreach.coordination.ledger.LedgerAction;
+import org.geraniumreach.link.AttemptHandle;
+import org.geraniumreach.link.AttemptListener;
+import org.geraniumreach.messages.End;
+import org.geraniumreach.messages.Refused;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+
+/**
+ * Puts an attempt's chunks together.
+ *
+ * <p>Invariants: an answer is passed on only when it is whole; one end is passed on. Calls come one at a time, as of any
+ * {@link AttemptListener}.
+ */
+final class AnswerCollector implements AttemptListener {
+
+    /** How many chunks may come before more are asked for. */
+    static final int CREDIT = 64;
+
+    private final long largestAnswer;
+    private final Consumer<Ending> ending;
+    private volatile AttemptHandle handle;
+    private ByteString body = ByteString.EMPTY;
+    private long chunks;
+    private boolean ended;
+
+    /** How an attempt ended. */
+    sealed interface Ending {
+
+        /**
+         * The answer came whole.
+         *
+         * @param body the answer
+         */
+        record Whole(byte[] body) implements Ending {}
+
+        /**
+         * The companion gave it up.
+         *
+         * @param refusal why
+         */
+        record GivenUp(LedgerAction.Refuse refusal) implements Ending {}
+
+        /**
+         * The companion cannot be reached any more.
+         *
+         * @param ran what is known
+         */
+        record Lost(Ran ran) implements Ending {}
+    }
+
+    AnswerCollector(long largestAnswer, Consumer<Ending> ending) {
+        this.largestAnswer = largestAnswer;
+        this.ending = ending;
+    }
+
+    void begin(AttemptHandle sent) {
+        handle = sent;
+        sent.request(CREDIT);
+    }
+
+    @Override
+    public void accepted() {
+        // Nothing to do: that it is queued says nothing of its running.
+    }
+
+    @Override
+    public void chunk(long sequence, ByteString payload, int tokens) {
+        if (ended) {
+            return;
+        }
+        if (body.size() + (long) payload.size() > largestAnswer) {
+            finish(new Ending.GivenUp(refusal(
+                    ResultCode.TARGET_FAILED, Ran.YES, Optional.empty(), "the answer is above " + largestAnswer)));
+            return;
+        }
+        body = body.concat(payload);
+        chunks++;
+        AttemptHandle current = handle;
+        if (current != null) {
+            current.request(1);
+        }
+    }
+
+    @Override
+    public void ended(End end) {
+        if (end.getCount() != chunks) {
+            // A part of an answer must never be kept as the answer: every later call with the key would get it.
+            finish(new Ending.Lost(Ran.UNKNOWN));
+            return;
+        }
+        finish(new Ending.Whole(body.toByteArray()));
+    }
+
+    @Override
+    public void refused(Refused refused) {
+        ResultCode code = ResultCode.ofNumber(refused.getCode()).orElse(ResultCode.TARGET_FAILED);
+        Optional<Duration> retryAfter = refused.getRetryAfterMillis() > 0
+                ? Optional.of(Duration.ofMillis(refused.getRetryAfterMillis()))
+                : Optional.empty();
+        finish(new Ending.GivenUp(refusal(code, ranOf(refused.getRan()), retryAfter, refused.getMessage())));
+    }
+
+    private static LedgerAction.Refuse refusal(
+            ResultCode code, Ran ran, Optional<Duration> retryAfter, String message) {
+        return new LedgerAction.Refuse(code, ran, retryAfter, message);
+    }
+
+    private static Ran ranOf(int number) {
+        Ran[] values = Ran.values();
+        return number >= 0 && number < values.length ? values[number] : Ran.UNKNOWN;
+    }
+
+    @Override
+    public void lost(Ran ran, String reason) {
+        finish(new Ending.Lost(ran));
+    }
+
+    private void finish(Ending how) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        ending.accept(how);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/GroupCommitter.java
@@ -0,0 +1,108 @@
+package org.geraniumreach.daemon.ledger;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.geraniumreach.coordination.ledger.TransactionGroup;
+import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.TableService;
+
+/**
+ * Commits many small transactions as few large ones.
+ *
+ * <p>Invariants: each transaction is told its own result; a group whose conditions did not all hold is split until the
+ * transaction to blame is alone, so one conflict fails no other. Safe for use by several threads; the open group is under
+ * one lock, and no call of the table service is made while it is held.
+ */
+final class GroupCommitter {
+
+    private final TableService table;
+    private final ScheduledExecutorService executor;
+    private final int limit;
+    private final Duration longestWait;
+    private final Object lock = new Object();
+    private TransactionGroup<CompletableFuture<Outcome>> open = new TransactionGroup<>();
+    private ScheduledFuture<?> timer;
+
+    /** What became of a transaction. */
+    enum Outcome {
+        COMMITTED,
+        CONFLICT,
+        /** No answer; it has not taken effect and will not. */
+        FAILED,
+        /** No answer; it may have taken effect, or may yet. */
+        UNKNOWN
+    }
+
+    GroupCommitter(TableService table, ScheduledExecutorService executor, int limit, Duration longestWait) {
+        this.table = table;
+        this.executor = executor;
+        this.limit = limit;
+        this.longestWait = longestWait;
+    }
+
+    /**
+     * Commits a transaction within a group.
+     *
+     * @param transaction the transaction, not null
+     * @return what became of it, not null
+     */
+    CompletableFuture<Outcome> commit(Transaction transaction) {
+        TransactionGroup.Member<CompletableFuture<Outcome>> member =
+                new TransactionGroup.Member<>(transaction, new CompletableFuture<>());
+        synchronized (lock) {
+            if (!open.add(member)) {
+                closeGroup();
+                open.add(member);
+            }
+            if (open.size() >= limit) {
+                closeGroup();
+            } else if (timer == null) {
+                timer = executor.schedule(this::flush, longestWait.toNanos(), TimeUnit.NANOSECONDS);
+            }
+        }
+        return member.tag();
+    }
+
+    private void flush() {
+        synchronized (lock) {
+            closeGroup();
+        }
+    }
+
+    private void closeGroup() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+        if (open.size() == 0) {
+            return;
+        }
+        TransactionGroup<CompletableFuture<Outcome>> full = open;
+        open = new TransactionGroup<>();
+        executor.execute(() -> commitGroup(full));
+    }
+
+    private void commitGroup(TransactionGroup<CompletableFuture<Outcome>> group) {
+        Outcome outcome = commitOnce(group.merged());
+        if (outcome == Outcome.CONFLICT && group.size() > 1) {
+            group.halves().forEach(this::commitGroup);
+            return;
+        }
+        group.members().forEach(member -> member.tag().complete(outcome));
+    }
+
+    private Outcome commitOnce(Transaction transaction) {
+        try {
+            return table.commit(transaction) ? Outcome.COMMITTED : Outcome.CONFLICT;
+        } catch (PlatformException failure) {
+            return failure.effect() == PlatformException.Effect.NONE ? Outcome.FAILED : Outcome.UNKNOWN;
+        } catch (RuntimeException fault) {
+            return Outcome.UNKNOWN;
+        }
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerService.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerService.java
@@ -3,10 +3,19 @@
 import java.time.Clock;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
+import org.geraniumreach.coordination.ledger.Companion;
+import org.geraniumreach.coordination.ledger.LedgerCall;
+import org.geraniumreach.coordination.ledger.LedgerPolicy;
+import org.geraniumreach.coordination.ledger.LedgerRowFormat;
+import org.geraniumreach.coordination.ledger.LedgerView;
+import org.geraniumreach.coordination.ledger.Sender;
 import org.geraniumreach.link.Attempts;
+import org.geraniumreach.model.AttemptId;
 import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.platform.ObjectStore;
 import org.geraniumreach.platform.TableService;
@@ -14,7 +23,8 @@
 /**
  * Runs each request with an idempotency key at most once.
  *
- * <p>Safe for use by several threads.
+ * <p>Invariants: those of {@link LedgerCall}; nothing is sent before the row is known to hold the attempt, so without the
+ * table service every call is refused as not run. Safe for use by several threads: each call is under a lock of its own.
  */
 public final class LedgerService implements AutoCloseable {
 
@@ -29,8 +39,8 @@
      * @param liveEntry whether an entry is live as far as is known; a wrong answer costs time, never a second run
      * @param goneCompanion whether a companion's instance is known to be gone for good
      * @param clock the time of day, for the age of rows
-     * @param random the source of attempt ids
-     * @param executor runs what waits, and the blocking calls of the platform
+     * @param random the source of attempt ids, safe for use by several threads
+     * @param executor runs what waits, and the blocking calls of the platform, so it needs several threads
      */
     public record Surroundings(
             InstanceId instance,
@@ -44,8 +54,15 @@
             RandomGenerator random,
             ScheduledExecutorService executor) {}
 
+    private static final int STORE_TRIES = 3;
+    private static final int SEND_TRIES = 3;
+
     private final LedgerSettings settings;
     private final Surroundings surroundings;
+    private final Sender self;
+    private final LedgerPolicy policy;
+    private final GroupCommitter groups;
+    private ScheduledFuture<?> sweeping;
 
     /**
      * Makes a service.
@@ -56,10 +73,25 @@
     public LedgerService(LedgerSettings settings, Surroundings surroundings) {
         this.settings = settings;
         this.surroundings = surroundings;
+        this.self = new Sender(surroundings.instance(), surroundings.incarnation());
+        this.policy = new LedgerPolicy(
+                settings.patience(),
+                settings.pollInterval(),
+                settings.takeoverAge(),
+                settings.clockError(),
+                STORE_TRIES,
+                SEND_TRIES);
+        this.groups = new GroupCommitter(
+                surroundings.table(), surroundings.executor(), settings.groupSize(), settings.groupWait());
     }
 
     /** Begins the sweep of rows past their retention. */
-    public void start() {}
+    public synchronized void start() {
+        LedgerSweep sweep = new LedgerSweep(settings, surroundings, groups);
+        long interval = settings.sweepInterval().toNanos();
+        sweeping =
+                surroundings.executor().scheduleWithFixedDelay(sweep::step, interval, interval, TimeUnit.NANOSECONDS);
+    }
 
     /**
      * Runs a request, unless it ran before, and gives the answer.
@@ -70,9 +102,32 @@
      *     null
      */
     public CompletableFuture<LedgerAnswer> perform(LedgerRequest request, Dispatch dispatch) {
-        throw new UnsupportedOperationException(settings + " " + surroundings);
+        LedgerView view = new LedgerView(
+                surroundings.clock()::instant,
+                () -> AttemptId.random(surroundings.random()),
+                () -> dispatch.choose().map(chosen -> new Companion(chosen.instance(), chosen.incarnation())),
+                this::isLive,
+                companion -> surroundings.goneCompanion().test(companion.instance()));
+        LedgerCall call = new LedgerCall(
+                LedgerRowFormat.keyOf(request.account(), request.idempotencyKey()),
+                LedgerRowFormat.digestOf(request.operation(), request.body()),
+                self,
+                policy,
+                view);
+        return new CallRunner(surroundings, settings, groups, call, dispatch).run();
+    }
+
+    private boolean isLive(Sender sender) {
+        if (sender.instance().equals(self.instance())) {
+            return sender.equals(self);
+        }
+        return surroundings.liveEntry().test(sender.instance());
     }
 
     @Override
-    public void close() {}
+    public synchronized void close() {
+        if (sweeping != null) {
+            sweeping.cancel(false);
+        }
+    }
 }
--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerSettings.java
@@ -14,9 +14,11 @@
  * @param patience how long a second call waits for the first
  * @param pollInterval how often a waiting call reads the row
  * @param takeoverAge when the row of a sender that is still listed is taken over nevertheless
+ * @param clockError how far the times of day of two entries may be apart
  * @param groupSize how many rows go into one transaction
  * @param groupWait how long a row waits for others
  * @param largestInline the largest answer kept in the row
+ * @param largestAnswer the largest answer that is kept at all
  * @param sweepInterval how often the sweep reads rows
  * @param sweepRows how many rows it reads
  */
@@ -29,12 +31,15 @@
                 Duration pollInterval,
         @Setting(value = "60s", least = "1s", about = "How long a row may be running before others ask its companion.")
                 Duration takeoverAge,
+        @Setting(value = "10s", least = "0ms", about = "How far the times of day of two entries may be apart.")
+                Duration clockError,
         @Setting(value = "64", least = "1", greatest = "500", about = "How many rows go into one transaction.")
                 int groupSize,
         @Setting(value = "4ms", least = "0ms", about = "How long a row waits for others to share its transaction.")
                 Duration groupWait,
         @Setting(value = "16KiB", about = "The largest answer kept in its row; larger ones go to the object store.")
                 DataSize largestInline,
+        @Setting(value = "8MiB", about = "The largest answer that is kept at all.") DataSize largestAnswer,
         @Setting(value = "1s", least = "10ms", about = "How often the sweep reads rows.") Duration sweepInterval,
         @Setting(value = "200", least = "1", greatest = "1000", about = "How many rows the sweep reads at a time.")
                 int sweepRows) {}
