Add shares, buckets and loans of a client account's budget

The bucket keeps level and refundable amounts together within its capacity. Cutting a refund off at the capacity alone was ruled out: a bucket that is full again, is emptied by a second request and then gets the first one's refund admits two bursts at once. Not fuzzed yet.

--- /dev/null
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/AccountBudget.java
@@ -0,0 +1,387 @@
+package org.geraniumreach.coordination.budget;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.table.RowKey;
+
+/**
+ * One client account's budget at one entry.
+ *
+ * <p>Invariants: the bucket's capacity and inflow are those of the parts held now, that is, the entry's own parts while the
+ * proof holds, less those lent, and those borrowed; a part that arrives brings no tokens but those lent with it; each ticket
+ * gets one answer; requests are served in order of arrival. Safe for use by several threads: the state is under this object's
+ * lock, and the clock is read within it, so that a freeze before a spend is seen by the spend.
+ */
+public final class AccountBudget {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final long LEAST_WAKE_NANOS = 1_000_000;
+    private static final long HANDOVER_PAUSE_NANOS = 1_000_000_000;
+    private static final Duration LONGEST_RETRY = Duration.ofHours(1);
+    private static final Duration LEAST_RETRY = Duration.ofMillis(1);
+
+    private final AccountId account;
+    private final BudgetPolicy policy;
+    private final HoldingProof proof;
+    private final MonotonicClock clock;
+    private final TokenBucket bucket;
+    private final WaitingLine line = new WaitingLine();
+    private final Borrowing borrowing;
+    private final LoanBook lent = new LoanBook();
+    private final LoanBook borrowed = new LoanBook();
+    private final DemandMeter demand;
+    private long tokensPerSecond;
+    private long burstTokens;
+    private long ownParts;
+    private long nextHandoverAt = Long.MIN_VALUE;
+    private boolean released;
+    private List<InstanceId> peers = List.of();
+    private Optional<RowKey> holder = Optional.empty();
+
+    /**
+     * Makes a budget without rate and share.
+     *
+     * @param account the client account, not null
+     * @param policy times and choices, not null
+     * @param proof whether the entry's own parts may be spent, not null
+     * @param clock the source of elapsed time, not null
+     * @param random the source of random choices, not null
+     */
+    public AccountBudget(
+            AccountId account, BudgetPolicy policy, HoldingProof proof, MonotonicClock clock, RandomGenerator random) {
+        this.account = Objects.requireNonNull(account, "account");
+        this.policy = Objects.requireNonNull(policy, "policy");
+        this.proof = Objects.requireNonNull(proof, "proof");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        long now = clock.nanos();
+        this.bucket = new TokenBucket(policy.clockDriftPartsPerMillion(), now);
+        this.demand = new DemandMeter(now);
+        this.borrowing = new Borrowing(random, policy.loanAnswerLimit().toNanos());
+    }
+
+    /**
+     * Sets the account's rate and burst over all entries together.
+     *
+     * @param newTokensPerSecond the rate, 0 to stop the account
+     * @param newBurstTokens the burst
+     * @return what came of it, not null
+     */
+    public synchronized BudgetStep setRate(long newTokensPerSecond, long newBurstTokens) {
+        long now = advance();
+        tokensPerSecond = Math.min(newTokensPerSecond, ShareParts.GREATEST_TOKENS);
+        burstTokens = Math.min(newBurstTokens, ShareParts.GREATEST_TOKENS);
+        resize(now);
+        return serve(now);
+    }
+
+    /**
+     * Tells which entries may be asked for loans, and where this entry's shares are kept.
+     *
+     * @param newPeers the other entries, not null
+     * @param newHolder this entry's row, empty if there is none, not null
+     */
+    public synchronized void setSurroundings(List<InstanceId> newPeers, Optional<RowKey> newHolder) {
+        peers = List.copyOf(newPeers);
+        holder = newHolder;
+    }
+
+    /**
+     * Sets the entry's own parts; those that are new bring no tokens.
+     *
+     * @param parts the parts
+     * @param full whether the bucket is filled, which is right only for the first holder that the account ever has
+     * @return what came of it, not null
+     */
+    public synchronized BudgetStep setOwnParts(long parts, boolean full) {
+        long now = advance();
+        long before = ownParts;
+        ownParts = released ? 0 : ShareParts.require(parts);
+        resize(now);
+        if (full && ownParts > before) {
+            bucket.add((ownParts - before) * burstTokens);
+        }
+        return serve(now);
+    }
+
+    /**
+     * Takes own parts away that are to be handed over.
+     *
+     * @param parts the parts wanted
+     * @return the parts taken, fewer if more are lent
+     */
+    public synchronized long withdraw(long parts) {
+        long now = advance();
+        long taken = Math.min(parts, unlentParts());
+        ownParts -= taken;
+        resize(now);
+        return taken;
+    }
+
+    /**
+     * Takes all own parts away for good.
+     *
+     * @return the time by the clock when the last loan given has ended
+     */
+    public synchronized long release() {
+        long now = advance();
+        released = true;
+        ownParts = 0;
+        resize(now);
+        return lent.nextEnd() == Long.MAX_VALUE ? now : now + policy.lenderNanos(policy.loanDuration());
+    }
+
+    public synchronized long ownParts() {
+        return ownParts;
+    }
+
+    /**
+     * Gets the tokens in the bucket now.
+     *
+     * @return the tokens
+     */
+    public synchronized long level() {
+        advance();
+        return bucket.level() / ShareParts.WHOLE;
+    }
+
+    /**
+     * Asks for tokens for a request.
+     *
+     * @param ticket the number by which the answer tells which request it is for
+     * @param tokens the tokens
+     * @param deadlineLeft the time that the request has left, not null
+     * @return what came of it, not null
+     */
+    public synchronized BudgetStep reserve(long ticket, long tokens, Duration deadlineLeft) {
+        long now = advance();
+        if (tokens > burstTokens) {
+            boolean known = burstTokens > 0;
+            ResultCode code = known ? ResultCode.REQUEST_ABOVE_BURST : ResultCode.OUT_OF_BUDGET;
+            return new BudgetStep(List.of(new BudgetAction.Refused(ticket, code, LEAST_RETRY)), OptionalLong.empty());
+        }
+        demand.add(tokens, now);
+        long wait = Math.min(deadlineLeft.toNanos(), policy.longestWait().toNanos());
+        line.add(new WaitingLine.Waiter(ticket, tokens, now + Math.max(0, wait)));
+        return serve(now);
+    }
+
+    /**
+     * Ends a request, and gives back what it did not use.
+     *
+     * @param grant the tokens set aside, not null
+     * @param actualTokens the tokens used
+     * @return what came of it, not null
+     */
+    public synchronized BudgetStep settle(Grant grant, long actualTokens) {
+        long now = advance();
+        bucket.settle(grant, Math.max(0, actualTokens));
+        return serve(now);
+    }
+
+    /**
+     * Does what is due.
+     *
+     * @return what came of it, not null
+     */
+    public synchronized BudgetStep wake() {
+        return serve(advance());
+    }
+
+    /**
+     * Answers another entry that asks for a loan.
+     *
+     * @param peer the other entry, not null
+     * @param wish what it asks, not null
+     * @return what came of it, not null
+     */
+    public synchronized BudgetStep loanAsked(InstanceId peer, LoanWish wish) {
+        long now = advance();
+        List<BudgetAction> actions = new ArrayList<>();
+        SharingPolicy.Decision decision = decide(wish, now);
+        long parts = Math.min(decision.lentParts(), unlentParts());
+        long tokens = Math.max(0, Math.min(decision.lentTokens(), bucket.level() / ShareParts.WHOLE));
+        // More tokens than the parts lent can hold would let the borrower's bucket stand above its capacity.
+        tokens = Math.min(tokens, parts * burstTokens / ShareParts.WHOLE);
+        bucket.take(tokens * ShareParts.WHOLE);
+        Duration duration =
+                wish.duration().compareTo(policy.loanDuration()) < 0 ? wish.duration() : policy.loanDuration();
+        lent.add(parts, now + policy.lenderNanos(duration));
+        resize(now);
+        actions.add(new BudgetAction.GiveLoan(peer, new Loan(wish.number(), account, tokens, parts, duration)));
+        handOver(decision.handedOverParts(), wish, now).ifPresent(actions::add);
+        return new BudgetStep(actions, OptionalLong.empty());
+    }
+
+    private SharingPolicy.Decision decide(LoanWish wish, long now) {
+        if (!proof.holds(now) || tokensPerSecond <= 0 || released) {
+            return SharingPolicy.Decision.NOTHING;
+        }
+        SharingPolicy.Position position = new SharingPolicy.Position(
+                Math.max(0, bucket.level() / ShareParts.WHOLE),
+                unlentParts(),
+                demand.perSecond(now),
+                !line.isEmpty(),
+                tokensPerSecond,
+                burstTokens);
+        return policy.sharing().decide(position, wish);
+    }
+
+    private Optional<BudgetAction> handOver(long parts, LoanWish wish, long now) {
+        if (parts <= 0 || wish.holder().isEmpty() || now < nextHandoverAt) {
+            return Optional.empty();
+        }
+        nextHandoverAt = now + HANDOVER_PAUSE_NANOS;
+        return Optional.of(new BudgetAction.HandOver(account, wish.holder().get(), parts));
+    }
+
+    /**
+     * Takes another entry's answer to a request for a loan.
+     *
+     * @param peer the other entry, not null
+     * @param loan what it lends, not null
+     * @return what came of it, not null
+     */
+    public synchronized BudgetStep loanAnswered(InstanceId peer, Loan loan) {
+        long now = advance();
+        if (borrowing.answered(peer, loan)) {
+            // The lender counts from after it was asked, so counting from before cannot outlast it.
+            long until = borrowing.askedAt() + loan.duration().toNanos();
+            if (now < until) {
+                borrowed.add(loan.parts(), until);
+                resize(now);
+                bucket.add(loan.tokens() * ShareParts.WHOLE);
+            }
+        }
+        return serve(now);
+    }
+
+    private long unlentParts() {
+        return Math.max(0, ownParts - lent.sum());
+    }
+
+    /** Brings bucket and loans up to the present, loan by loan, and returns the present. */
+    private long advance() {
+        long now = clock.nanos();
+        long end = Math.min(lent.nextEnd(), borrowed.nextEnd());
+        while (end <= now) {
+            bucket.advance(end);
+            lent.expire(end);
+            borrowed.expire(end);
+            resize(now);
+            end = Math.min(lent.nextEnd(), borrowed.nextEnd());
+        }
+        bucket.advance(now);
+        resize(now);
+        borrowing.expire(now);
+        return now;
+    }
+
+    private void resize(long now) {
+        long parts = Math.min(ShareParts.WHOLE, certainParts(now) + borrowed.sum());
+        bucket.resize(parts * burstTokens, parts * tokensPerSecond);
+    }
+
+    /** Gets the own parts that may be spent, and that no loan's end takes away. */
+    private long certainParts(long now) {
+        return proof.holds(now) ? unlentParts() : 0;
+    }
+
+    private BudgetStep serve(long now) {
+        List<BudgetAction> actions = new ArrayList<>();
+        grantInOrder(actions);
+        if (line.isEmpty()) {
+            borrowing.satisfied();
+            return new BudgetStep(actions, OptionalLong.empty());
+        }
+        if (!borrowing.isUnderWay()) {
+            borrowing.next(peers, now).ifPresent(peer -> actions.add(new BudgetAction.AskLoan(peer, wish(now))));
+        }
+        refuseHopeless(actions, now);
+        return new BudgetStep(actions, wakeAt(now));
+    }
+
+    private void grantInOrder(List<BudgetAction> actions) {
+        while (!line.isEmpty()) {
+            WaitingLine.Waiter head = line.head().orElseThrow();
+            Optional<Grant> grant = bucket.reserve(head.tokens());
+            if (grant.isEmpty()) {
+                return;
+            }
+            line.removeHead();
+            actions.add(new BudgetAction.Granted(head.ticket(), grant.get()));
+        }
+    }
+
+    private LoanWish wish(long now) {
+        long perSecond = demand.perSecond(now);
+        long missing = line.tokens() - Math.max(0, bucket.level() / ShareParts.WHOLE);
+        long tokens = Math.min(burstTokens, Math.max(missing, perSecond / 2));
+        double room = (double) line.head().orElseThrow().tokens() * ShareParts.WHOLE - bucket.capacity();
+        double parts = Math.max(
+                Math.max(0, room) / Math.max(1, burstTokens),
+                (double) perSecond / Math.max(1, tokensPerSecond) * ShareParts.WHOLE - unlentParts());
+        return new LoanWish(
+                borrowing.number(),
+                account,
+                tokens,
+                (long) Math.min(ShareParts.WHOLE, Math.max(0, Math.ceil(parts))),
+                policy.loanDuration(),
+                perSecond,
+                ownParts,
+                holder);
+    }
+
+    private void refuseHopeless(List<BudgetAction> actions, long now) {
+        long certain = certainParts(now);
+        boolean mayBorrow = borrowing.isUnderWay();
+        for (WaitingLine.Hopeless hopeless : line.removeHopeless((waiter, needed) -> now < waiter.latest()
+                && (mayBorrow || certainDelay(waiter.tokens(), needed, certain) <= waiter.latest() - now))) {
+            Duration retry = retryAfter(hopeless.waiter().tokens(), hopeless.neededAhead(), certain);
+            actions.add(new BudgetAction.Refused(hopeless.waiter().ticket(), ResultCode.OUT_OF_BUDGET, retry));
+        }
+    }
+
+    /** Gets the nanoseconds until the entry's own parts alone have brought what is needed, or infinity. */
+    private double certainDelay(long tokens, long needed, long certain) {
+        if (certain <= 0 || tokensPerSecond <= 0 || tokens * ShareParts.WHOLE > certain * burstTokens) {
+            return Double.POSITIVE_INFINITY;
+        }
+        long missing = needed * ShareParts.WHOLE - Math.min(bucket.level(), certain * burstTokens);
+        return bucket.secondsFor(Math.max(0, missing), certain * tokensPerSecond) * NANOS_PER_SECOND;
+    }
+
+    private Duration retryAfter(long tokens, long needed, long certain) {
+        double delay = certainDelay(tokens, needed, certain);
+        if (Double.isInfinite(delay) && tokensPerSecond > 0) {
+            long missing = needed * ShareParts.WHOLE - Math.max(0, bucket.level());
+            delay = bucket.secondsFor(missing, ShareParts.WHOLE * tokensPerSecond) * NANOS_PER_SECOND;
+        }
+        Duration exact = Duration.ofNanos((long) Math.min(delay, LONGEST_RETRY.toNanos()));
+        return exact.compareTo(LEAST_RETRY) < 0 ? LEAST_RETRY : exact;
+    }
+
+    private OptionalLong wakeAt(long now) {
+        if (line.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        long at = line.earliestLimit();
+        if (borrowing.isUnderWay()) {
+            at = Math.min(at, borrowing.answerLimit());
+        }
+        at = Math.min(at, Math.min(lent.nextEnd(), borrowed.nextEnd()));
+        WaitingLine.Waiter head = line.head().orElseThrow();
+        double delay = certainDelay(head.tokens(), head.tokens(), certainParts(now));
+        at = (long) Math.min(at, now + delay);
+        return OptionalLong.of(Math.max(at, now + LEAST_WAKE_NANOS));
+    }
+}
