Add the stand-ins of table, object store, weight store, list, engine and plain service

Each shows faults on a call to its administration port: down, hang, slow, lost answers, swallowed answers, failed loads, a wrong version, a stream dropped midway, connections gone silent, a cold restart.

The clients are tested against them. A cancel that overtakes the start of its stream does nothing, so a companion has to cancel again once it has seen the stream begin.

An error answer may say that the call may have taken effect although its status is 4xx: an engine that already knows an attempt refuses it, and the attempt may be running.

--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/answer/ExpectedAnswer.java
@@ -0,0 +1,115 @@
+package org.geraniumreach.standins.answer;
+
+import org.geraniumreach.model.AdapterReference;
+
+/**
+ * The answer that an adapter's version must give to a prompt.
+ *
+ * <p>Each token is a function of adapter, version, prompt and the token's index alone, so a checker finds a token that is
+ * missing, doubled, out of order, or from another adapter, version or prompt. One answer in four ends by itself before
+ * the most tokens allowed. Immutable and safe for use by several threads.
+ */
+public final class ExpectedAnswer {
+
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+    private static final long STEP = 0x9e3779b97f4a7c15L;
+    private static final String CONSONANTS = "bdfgklmnprstvwxz";
+    private static final String VOWELS = "aeiou";
+    private static final int SYLLABLES = 3;
+    private static final int LEAST_NATURAL_LENGTH = 4;
+    private static final int NATURAL_LENGTHS = 60;
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    private final long seed;
+
+    private ExpectedAnswer(long seed) {
+        this.seed = seed;
+    }
+
+    /**
+     * Works out an answer.
+     *
+     * @param adapter the adapter and version, not null
+     * @param prompt the prompt, not null
+     * @return the answer, not null
+     */
+    public static ExpectedAnswer of(AdapterReference adapter, String prompt) {
+        long hash = hash(FNV_OFFSET, adapter.adapter());
+        hash = hash(hash, "@");
+        hash = hash(hash, adapter.version());
+        hash = hash(hash, "\n");
+        return new ExpectedAnswer(mix(hash(hash, prompt)));
+    }
+
+    /**
+     * Counts the tokens of a prompt as the stand-in engine does.
+     *
+     * @param prompt the prompt, not null
+     * @return the number, at least 1
+     */
+    public static int promptTokens(String prompt) {
+        return Math.max(1, (prompt.length() + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN);
+    }
+
+    /**
+     * Gets a token.
+     *
+     * @param index its index, from 0
+     * @return its text, one word and a space
+     */
+    public String token(long index) {
+        long bits = mix(seed + (index + 1) * STEP) >>> 1;
+        StringBuilder word = new StringBuilder(2 * SYLLABLES + 1);
+        for (int syllable = 0; syllable < SYLLABLES; syllable++) {
+            word.append(CONSONANTS.charAt((int) (bits % CONSONANTS.length())));
+            bits /= CONSONANTS.length();
+            word.append(VOWELS.charAt((int) (bits % VOWELS.length())));
+            bits /= VOWELS.length();
+        }
+        return word.append(' ').toString();
+    }
+
+    /**
+     * Gets the number of tokens generated.
+     *
+     * @param maximumTokens the most allowed
+     * @return the number
+     */
+    public int length(int maximumTokens) {
+        if ((seed & 3) != 0) {
+            return maximumTokens;
+        }
+        int natural = LEAST_NATURAL_LENGTH + (int) ((seed >>> 2) % NATURAL_LENGTHS);
+        return Math.min(maximumTokens, natural);
+    }
+
+    /**
+     * Gets the whole text.
+     *
+     * @param maximumTokens the most tokens allowed
+     * @return the text, not null
+     */
+    public String text(int maximumTokens) {
+        StringBuilder text = new StringBuilder();
+        int length = length(maximumTokens);
+        for (int index = 0; index < length; index++) {
+            text.append(token(index));
+        }
+        return text.toString();
+    }
+
+    private static long hash(long start, String text) {
+        long hash = start;
+        for (int index = 0; index < text.length(); index++) {
+            hash = (hash ^ text.charAt(index)) * FNV_PRIME;
+        }
+        return hash;
+    }
+
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+        mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+        return mixed ^ (mixed >>> 31);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/engine/EngineFigures.java
@@ -0,0 +1,26 @@
+package org.geraniumreach.standins.engine;
+
+/**
+ * Sums over an engine's steps.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param steps the steps taken
+ * @param tokens the tokens generated, which is also the sum of the batches' sizes
+ * @param adapters the sum over the steps of the distinct adapters
+ * @param busyMicros the time of all steps
+ * @param unloadedWhileServing streams that broke off because their adapter was unloaded
+ */
+public record EngineFigures(long steps, long tokens, long adapters, double busyMicros, long unloadedWhileServing) {
+
+    static final EngineFigures NONE = new EngineFigures(0, 0, 0, 0, 0);
+
+    EngineFigures withStep(int batch, int distinctAdapters, double micros) {
+        return new EngineFigures(
+                steps + 1, tokens + batch, adapters + distinctAdapters, busyMicros + micros, unloadedWhileServing);
+    }
+
+    EngineFigures withUnloadedWhileServing(int streams) {
+        return new EngineFigures(steps, tokens, adapters, busyMicros, unloadedWhileServing + streams);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/engine/EngineStream.java
@@ -0,0 +1,153 @@
+package org.geraniumreach.standins.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.standins.answer.ExpectedAnswer;
+import org.geraniumreach.standins.http.Call;
+
+/**
+ * One stream at an engine, waiting, in the batch or over.
+ *
+ * <p>Tokens are worked out when they are sent, so a stream keeps no text and can be sent again from any token. Its fields
+ * are guarded by the engine's lock, but for the number of tokens and the outcome, which readers see without it.
+ */
+final class EngineStream implements Comparable<EngineStream> {
+
+    private final GenerationOrder order;
+    private final AdapterReference served;
+    private final ExpectedAnswer answer;
+    private final long arrival;
+    private final int promptTokens;
+    private final int length;
+    private final long queuedMillis = System.currentTimeMillis();
+    private int cachedPromptTokens;
+    private long startMillis;
+    private long batchSum;
+    private long adapterSum;
+    private volatile long endMillis;
+    private volatile int generated;
+    private volatile Outcome outcome = Outcome.RUNNING;
+
+    /** How a stream stands. */
+    enum Outcome {
+        RUNNING,
+        ENDED,
+        CANCELLED,
+        UNLOADED,
+        RESTARTED
+    }
+
+    EngineStream(GenerationOrder order, AdapterReference served, long arrival) {
+        this.order = order;
+        this.served = served;
+        this.arrival = arrival;
+        this.answer = ExpectedAnswer.of(served, order.prompt());
+        this.promptTokens = ExpectedAnswer.promptTokens(order.prompt());
+        this.length = answer.length(order.maximumTokens());
+    }
+
+    GenerationOrder order() {
+        return order;
+    }
+
+    int promptTokens() {
+        return promptTokens;
+    }
+
+    int generated() {
+        return generated;
+    }
+
+    Outcome outcome() {
+        return outcome;
+    }
+
+    boolean isRunning() {
+        return outcome == Outcome.RUNNING;
+    }
+
+    long endMillis() {
+        return endMillis;
+    }
+
+    void join(int cachedTokens) {
+        cachedPromptTokens = cachedTokens;
+        startMillis = System.currentTimeMillis();
+    }
+
+    /**
+     * Takes a step.
+     *
+     * @param batch the streams in the batch
+     * @param adapters the distinct adapters in the batch
+     * @return true if the stream is over
+     */
+    boolean step(int batch, int adapters) {
+        batchSum += batch;
+        adapterSum += adapters;
+        // The single writer holds the engine's lock.
+        int now = generated + 1;
+        generated = now;
+        return now >= length;
+    }
+
+    void end(Outcome newOutcome) {
+        if (isRunning()) {
+            endMillis = System.currentTimeMillis();
+            outcome = newOutcome;
+        }
+    }
+
+    void appendLine(StringBuilder lines, int sequence) {
+        lines.append("{\"sequence\":")
+                .append(sequence)
+                .append(",\"text\":\"")
+                .append(answer.token(sequence))
+                .append("\",\"tokens\":1}\n");
+    }
+
+    byte[] lastLine() {
+        ObjectNode json = Call.JSON.createObjectNode();
+        if (outcome == Outcome.ENDED) {
+            json.putObject("end")
+                    .put("chunks", generated)
+                    .put("adapter", served.adapter())
+                    .put("version", served.version())
+                    .put("promptTokens", promptTokens)
+                    .put("generatedTokens", generated)
+                    .put("finishReason", generated < order.maximumTokens() ? "stop" : "length")
+                    .put("prefixHit", cachedPromptTokens > 0);
+        } else {
+            json.put("failed", outcome.name());
+        }
+        return (json + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    StreamRecord toRecord(long number) {
+        double steps = Math.max(1, generated);
+        return new StreamRecord(
+                number,
+                order.attempt().value(),
+                order.account().value(),
+                served.toString(),
+                order.fence(),
+                promptTokens,
+                cachedPromptTokens,
+                generated,
+                queuedMillis,
+                startMillis,
+                endMillis,
+                outcome.name().toLowerCase(Locale.ROOT),
+                batchSum / steps,
+                adapterSum / steps);
+    }
+
+    @Override
+    public int compareTo(EngineStream other) {
+        int byPriority = Integer.compare(other.order.priority(), order.priority());
+        return byPriority != 0 ? byPriority : Long.compare(arrival, other.arrival);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/engine/Refusal.java
@@ -0,0 +1,22 @@
+package org.geraniumreach.standins.engine;
+
+import org.geraniumreach.standins.http.Answer;
+
+/** An order that the engine does not carry out. */
+final class Refusal extends Exception {
+
+    private final int status;
+    private final String reason;
+    private final boolean tookEffect;
+
+    Refusal(int status, String reason, boolean tookEffect, String message) {
+        super(message);
+        this.status = status;
+        this.reason = reason;
+        this.tookEffect = tookEffect;
+    }
+
+    Answer toAnswer() {
+        return Answer.failure(status, reason, tookEffect, getMessage());
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/list/ListPart.java
@@ -0,0 +1,145 @@
+package org.geraniumreach.standins.list;
+
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.geraniumreach.standins.http.Answer;
+import org.geraniumreach.standins.http.Call;
+import org.geraniumreach.standins.http.Part;
+import org.geraniumreach.standins.http.StandInServer;
+
+/**
+ * The stand-in instance list: probes what is registered, and lists with a lag what it found.
+ *
+ * <p>An instance is listed from its first good probe until so many probes in a row have failed. Invariant: what is listed
+ * is what was known one lag ago. Safe for use by several threads.
+ */
+public final class ListPart implements Part {
+
+    private static final long PROBE_MILLIS = 250;
+    private static final Duration PROBE_LIMIT = Duration.ofSeconds(1);
+    private static final int FAILED_PROBES = 4;
+    private static final int OK = 200;
+
+    private final Map<String, Registration> registrations = new ConcurrentSkipListMap<>();
+    private final Map<String, Integer> failedProbes = new ConcurrentHashMap<>();
+    private final Set<String> leaving = ConcurrentHashMap.newKeySet();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(PROBE_LIMIT)
+            .build();
+    private final ScheduledExecutorService timer;
+    private final long lagMillis;
+    private final StandInServer server;
+    private volatile ObjectNode listed = list(Map.of(), Set.of());
+
+    /**
+     * Starts the list.
+     *
+     * @param port its port
+     * @param lagMillis how late the list is
+     * @param timer probes and delays, not null
+     * @throws IOException if the port cannot be had
+     */
+    public ListPart(int port, long lagMillis, ScheduledExecutorService timer) throws IOException {
+        this.timer = timer;
+        this.lagMillis = lagMillis;
+        this.server = StandInServer.start("list", port, (call, faults) -> handle(call), timer);
+        timer.scheduleAtFixedRate(this::probe, PROBE_MILLIS, PROBE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public StandInServer server() {
+        return server;
+    }
+
+    private CompletionStage<Answer> handle(Call call) {
+        if (!call.route().equals("GET /v1/instances")) {
+            return Answer.unknownPath(call).now();
+        }
+        return Answer.of(listed).now();
+    }
+
+    @Override
+    public CompletionStage<Answer> administer(Call call) throws IOException {
+        switch (call.route()) {
+            case "POST /admin/instances" -> register(call.json());
+            case "POST /admin/leaving" -> setLeaving(call.json());
+            default -> {
+                return Answer.unknownPath(call).now();
+            }
+        }
+        return Answer.of(Call.JSON.createObjectNode().put("registered", registrations.size()))
+                .now();
+    }
+
+    private void register(JsonNode json) throws IOException {
+        for (JsonNode instance : json) {
+            Registration registration = Call.JSON.treeToValue(instance, Registration.class);
+            registrations.put(registration.instance(), registration);
+        }
+    }
+
+    private void setLeaving(JsonNode json) {
+        String instance = json.path("instance").asText();
+        if (json.path("leaving").asBoolean(true)) {
+            leaving.add(instance);
+        } else {
+            leaving.remove(instance);
+        }
+    }
+
+    private void probe() {
+        registrations.values().forEach(this::probe);
+        ObjectNode now = list(live(), leaving);
+        timer.schedule(() -> listed = now, lagMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void probe(Registration registration) {
+        HttpRequest request = HttpRequest.newBuilder(registration.healthUrl())
+                .timeout(PROBE_LIMIT)
+                .build();
+        client.sendAsync(request, BodyHandlers.discarding()).whenComplete((response, failure) -> {
+            if (failure == null && response.statusCode() == OK) {
+                failedProbes.put(registration.instance(), 0);
+                return;
+            }
+            failedProbes.computeIfPresent(registration.instance(), (name, failed) -> failed + 1);
+        });
+    }
+
+    private Map<String, Registration> live() {
+        Map<String, Registration> live = new TreeMap<>(registrations);
+        live.keySet().removeIf(instance -> failedProbes.getOrDefault(instance, FAILED_PROBES) >= FAILED_PROBES);
+        return live;
+    }
+
+    private static ObjectNode list(Map<String, Registration> live, Set<String> leaving) {
+        ObjectNode json = Call.JSON.createObjectNode();
+        ArrayNode instances = json.putArray("instances");
+        for (Registration registration : live.values()) {
+            instances
+                    .addObject()
+                    .put("instance", registration.instance())
+                    .put("role", registration.role())
+                    .put("failureDomain", registration.failureDomain())
+                    .put("linkAddress", registration.linkAddress())
+                    .put("leaving", leaving.contains(registration.instance()));
+        }
+        return json;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and for targets, and the load tool, behind one command line. */
+package org.geraniumreach.standins;
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/service/ServicePart.java
@@ -0,0 +1,112 @@
+package org.geraniumreach.standins.service;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.geraniumreach.standins.http.Answer;
+import org.geraniumreach.standins.http.Call;
+import org.geraniumreach.standins.http.Part;
+import org.geraniumreach.standins.http.StandInServer;
+
+/**
+ * The stand-in plain service: runs any operation as often as it is asked to, and keeps a record of each run.
+ *
+ * <p>It is the target that makes a doubled call visible: it knows no idempotency keys. Invariant: a call that was answered
+ * is in the record. Safe for use by several threads.
+ */
+public final class ServicePart implements Part {
+
+    private static final String START = "/v1/operations/";
+    private static final int MOST_RUNS_IN_ANSWER = 10_000;
+
+    private final long latencyMillis;
+    private final ScheduledExecutorService timer;
+    private final StandInServer server;
+    private final List<ServiceRun> runs = new ArrayList<>();
+
+    /**
+     * Starts the service.
+     *
+     * @param port its port
+     * @param latencyMillis how long an operation takes
+     * @param timer delays answers, not null
+     * @throws IOException if the port cannot be had
+     */
+    public ServicePart(int port, long latencyMillis, ScheduledExecutorService timer) throws IOException {
+        this.latencyMillis = latencyMillis;
+        this.timer = timer;
+        this.server = StandInServer.start("service-" + port, port, (call, faults) -> handle(call), timer);
+    }
+
+    @Override
+    public StandInServer server() {
+        return server;
+    }
+
+    @Override
+    public CompletionStage<Answer> administer(Call call) {
+        return call.route().equals("GET /admin/ran")
+                ? ran(call).now()
+                : Answer.unknownPath(call).now();
+    }
+
+    private CompletionStage<Answer> handle(Call call) {
+        if (call.route().equals("GET /v1/ran")) {
+            return ran(call).now();
+        }
+        if (!call.route().startsWith("POST " + START)) {
+            return Answer.unknownPath(call).now();
+        }
+        return run(call);
+    }
+
+    private CompletionStage<Answer> run(Call call) {
+        ServiceRun run = record(call);
+        ObjectNode json = Call.JSON
+                .createObjectNode()
+                .put("ticket", run.number())
+                .put("operation", run.operation())
+                .put("account", run.account())
+                .put("request", run.body());
+        if (latencyMillis == 0) {
+            return Answer.of(json).now();
+        }
+        CompletableFuture<Answer> later = new CompletableFuture<>();
+        timer.schedule(() -> later.complete(Answer.of(json)), latencyMillis, TimeUnit.MILLISECONDS);
+        return later;
+    }
+
+    private ServiceRun record(Call call) {
+        synchronized (runs) {
+            ServiceRun run = new ServiceRun(
+                    runs.size() + 1,
+                    call.pathAfter(START),
+                    call.header("X-Account").orElse(""),
+                    call.header("X-Attempt").orElse(""),
+                    new String(call.body(), StandardCharsets.UTF_8),
+                    System.currentTimeMillis());
+            runs.add(run);
+            return run;
+        }
+    }
+
+    private Answer ran(Call call) {
+        ObjectNode json = Call.JSON.createObjectNode();
+        ArrayNode array = json.putArray("runs");
+        synchronized (runs) {
+            int from = (int) Math.min(runs.size(), call.number("after", 0));
+            int to = Math.min(runs.size(), from + MOST_RUNS_IN_ANSWER);
+            runs.subList(from, to).forEach(run -> array.add(Call.JSON.valueToTree(run)));
+            json.put("total", runs.size());
+        }
+        return Answer.of(json);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/store/ObjectPart.java
@@ -0,0 +1,64 @@
+package org.geraniumreach.standins.store;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+
+import org.geraniumreach.standins.http.Answer;
+import org.geraniumreach.standins.http.Call;
+import org.geraniumreach.standins.http.Part;
+import org.geraniumreach.standins.http.StandInServer;
+
+/**
+ * The stand-in object store over HTTP.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class ObjectPart implements Part {
+
+    private static final int NOT_FOUND = 404;
+
+    private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+    private final StandInServer server;
+
+    /**
+     * Starts the object store.
+     *
+     * @param port its port
+     * @param timer delays answers, not null
+     * @throws IOException if the port cannot be had
+     */
+    public ObjectPart(int port, ScheduledExecutorService timer) throws IOException {
+        this.server = StandInServer.start("objects", port, (call, faults) -> handle(call), timer);
+    }
+
+    @Override
+    public StandInServer server() {
+        return server;
+    }
+
+    private CompletionStage<Answer> handle(Call call) {
+        String key = call.parameter("key").orElse("");
+        if (key.isEmpty()) {
+            return Answer.malformed("no key").now();
+        }
+        return switch (call.route()) {
+            case "PUT /v1/objects" -> {
+                objects.put(key, call.body());
+                yield Answer.of(Call.JSON.createObjectNode().put("done", true)).now();
+            }
+            case "GET /v1/objects" -> get(key).now();
+            default -> Answer.unknownPath(call).now();
+        };
+    }
+
+    private Answer get(String key) {
+        byte[] content = objects.get(key);
+        if (content == null) {
+            return Answer.failure(NOT_FOUND, "not-found", false, "no such object");
+        }
+        return Answer.ofBytes(content);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/store/WeightPart.java
@@ -0,0 +1,68 @@
+package org.geraniumreach.standins.store;
+
+import java.io.IOException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.standins.http.Answer;
+import org.geraniumreach.standins.http.Call;
+import org.geraniumreach.standins.http.Faults;
+import org.geraniumreach.standins.http.Part;
+import org.geraniumreach.standins.http.StandInServer;
+
+/**
+ * The stand-in weight store over HTTP.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class WeightPart implements Part {
+
+    private static final String START = "/v1/weights/";
+    private static final int UNAVAILABLE = 503;
+
+    private final WeightStore store;
+    private final StandInServer server;
+
+    /**
+     * Starts the weight store.
+     *
+     * @param port its port
+     * @param store its transfers, not null
+     * @param timer delays answers, not null
+     * @throws IOException if the port cannot be had
+     */
+    public WeightPart(int port, WeightStore store, ScheduledExecutorService timer) throws IOException {
+        this.store = store;
+        this.server = StandInServer.start("weights", port, this::handle, timer);
+    }
+
+    @Override
+    public StandInServer server() {
+        return server;
+    }
+
+    @Override
+    public CompletionStage<Answer> administer(Call call) throws IOException {
+        if (!call.route().equals("GET /admin/counters")) {
+            return Answer.unknownPath(call).now();
+        }
+        return Answer.of(Call.JSON.valueToTree(store.figures())).now();
+    }
+
+    private CompletionStage<Answer> handle(Call call, Faults faults) {
+        if (!call.route().startsWith("GET " + START)) {
+            return Answer.unknownPath(call).now();
+        }
+        if (faults.failLoads()) {
+            return Answer.failure(UNAVAILABLE, "failed", false, "load failed").now();
+        }
+        String name = call.pathAfter(START);
+        if (AdapterReference.parse(name).isEmpty()) {
+            return Answer.malformed("not an adapter and version: '" + name + "'")
+                    .now();
+        }
+        return store.begin()
+                .thenApply(arrived -> Answer.of(Call.JSON.createObjectNode().put("adapter", name)));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/table/TablePart.java
@@ -0,0 +1,138 @@
+package org.geraniumreach.standins.table;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.standins.http.Answer;
+import org.geraniumreach.standins.http.Call;
+import org.geraniumreach.standins.http.Part;
+import org.geraniumreach.standins.http.RateLimit;
+import org.geraniumreach.standins.http.StandInServer;
+
+/**
+ * The stand-in table service over HTTP, with limits on reads and writes a second.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class TablePart implements Part {
+
+    private static final int MOST_ROWS = 1000;
+    private static final int TOO_MANY = 429;
+
+    private final Table table = new Table();
+    private final RateLimit reads;
+    private final RateLimit writes;
+    private final StandInServer server;
+
+    /**
+     * Starts the table service.
+     *
+     * @param port its port
+     * @param readsPerSecond the limit of reads, 0 for none
+     * @param writesPerSecond the limit of transactions, 0 for none
+     * @param timer delays answers, not null
+     * @throws IOException if the port cannot be had
+     */
+    public TablePart(int port, double readsPerSecond, double writesPerSecond, ScheduledExecutorService timer)
+            throws IOException {
+        this.reads = new RateLimit(readsPerSecond);
+        this.writes = new RateLimit(writesPerSecond);
+        this.server = StandInServer.start("table", port, (call, faults) -> handle(call), timer);
+    }
+
+    @Override
+    public StandInServer server() {
+        return server;
+    }
+
+    @Override
+    public CompletionStage<Answer> administer(Call call) throws IOException {
+        if (!call.route().equals("GET /admin/counters")) {
+            return Answer.unknownPath(call).now();
+        }
+        return Answer.of(Call.JSON
+                        .createObjectNode()
+                        .put("reads", reads.taken())
+                        .put("readsRefused", reads.refused())
+                        .put("writes", writes.taken())
+                        .put("writesRefused", writes.refused()))
+                .now();
+    }
+
+    private CompletionStage<Answer> handle(Call call) throws IOException {
+        return switch (call.route()) {
+            case "GET /v1/rows" -> limited(reads, () -> read(call)).now();
+            case "GET /v1/scan" -> limited(reads, () -> scan(call)).now();
+            case "POST /v1/transactions" -> limited(writes, () -> commit(call)).now();
+            default -> Answer.unknownPath(call).now();
+        };
+    }
+
+    private static Answer limited(RateLimit limit, Work work) throws IOException {
+        if (!limit.tryTake()) {
+            return Answer.failure(TOO_MANY, "throttled", false, "above the rate");
+        }
+        return work.run();
+    }
+
+    private Answer read(Call call) {
+        Optional<Row> row = table.read(RowKey.of(
+                call.parameter("table").orElse(""), call.parameter("key").orElse("")));
+        return rows(row.stream().toList());
+    }
+
+    private Answer scan(Call call) {
+        int limit = (int) Math.min(MOST_ROWS, call.number("limit", MOST_ROWS));
+        return rows(table.scan(
+                call.parameter("table").orElse(""),
+                call.parameter("prefix").orElse(""),
+                call.parameter("after").orElse(""),
+                limit));
+    }
+
+    private static Answer rows(List<Row> rows) {
+        ObjectNode json = Call.JSON.createObjectNode();
+        ArrayNode array = json.putArray("rows");
+        for (Row row : rows) {
+            array.addObject()
+                    .put("key", row.key().key())
+                    .put("version", row.version())
+                    .put("value", row.value());
+        }
+        return Answer.of(json);
+    }
+
+    private Answer commit(Call call) throws IOException {
+        Transaction transaction = Transaction.empty();
+        JsonNode json = call.json();
+        for (JsonNode condition : json.path("conditions")) {
+            transaction = transaction.withCondition(
+                    key(condition), condition.path("version").asLong());
+        }
+        for (JsonNode write : json.path("writes")) {
+            transaction = write.path("value").isTextual()
+                    ? transaction.withWrite(key(write), write.path("value").asText())
+                    : transaction.withDelete(key(write));
+        }
+        return Answer.of(Call.JSON.createObjectNode().put("committed", table.commit(transaction)));
+    }
+
+    private static RowKey key(JsonNode json) {
+        return RowKey.of(json.path("table").asText(), json.path("key").asText());
+    }
+
+    /** Work that may meet a call that cannot be read. */
+    @FunctionalInterface
+    private interface Work {
+        Answer run() throws IOException;
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/geraniumreach/standins/EnginePartTest.java
@@ -0,0 +1,199 @@
+package org.geraniumreach.standins;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.platform.ModelEngine;
+import org.geraniumreach.platform.ModelEngine.EngineStream;
+import org.geraniumreach.platform.ModelEngine.Generation;
+import org.geraniumreach.platform.ModelEngine.GenerationEnd;
+import org.geraniumreach.platform.ModelEngine.Order;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.PlatformException.Effect;
+import org.geraniumreach.platform.PlatformException.Reason;
+import org.geraniumreach.standins.answer.ExpectedAnswer;
+import org.geraniumreach.standins.engine.EnginePart;
+import org.geraniumreach.standins.http.Call;
+import org.geraniumreach.standins.http.Faults;
+import org.geraniumreach.standins.store.WeightPart;
+import org.geraniumreach.standins.store.WeightStore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+/** The engine's client against the stand-in. */
+@Timeout(60)
+class EnginePartTest {
+
+    private static final AdapterReference ADAPTER = AdapterReference.of("winding", "v1");
+    private static final String PROMPT = "Summarise the fault note of the pump motor that came in this morning.";
+    private static final int TOKENS = 100;
+    private static final Order ORDER = new Order(3, Duration.ofSeconds(5));
+
+    private final StandInsFixture fixture = new StandInsFixture();
+    private WeightPart weights;
+    private EnginePart part;
+    private ModelEngine engine;
+
+    @BeforeEach
+    void start() throws Exception {
+        int weightPort = StandInsFixture.freePort();
+        weights = new WeightPart(weightPort, new WeightStore(0, 10, 8, fixture.timer), fixture.timer);
+        int port = StandInsFixture.freePort();
+        part = new EnginePart(port, StandInsFixture.fastEngine(), StandInsFixture.url(weightPort), fixture.timer);
+        engine = fixture.clients.modelEngine(StandInsFixture.url(port), StandInsFixture.ENGINE_LIMITS);
+        engine.load(ADAPTER, ORDER);
+    }
+
+    @AfterEach
+    void stop() {
+        part.server().close();
+        weights.server().close();
+        fixture.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 1000})
+    void anAnswerIsWholeAndInOrderWhateverTheReaderAsksForAtATime(int atATime) throws Exception {
+        RecordingListener listener = new RecordingListener();
+        EngineStream stream = engine.generate(generation("one"), ORDER, listener);
+        int expected = ExpectedAnswer.of(ADAPTER, PROMPT).length(TOKENS);
+        for (int asked = atATime; asked < expected + atATime; asked += atATime) {
+            stream.request(atATime);
+            listener.awaitChunks(Math.min(asked, expected));
+        }
+        GenerationEnd end = listener.end.get(30, TimeUnit.SECONDS);
+        assertThat(end.served()).isEqualTo(ADAPTER);
+        assertThat(end.chunks()).isEqualTo(expected);
+        assertThat(listener.text.toString())
+                .isEqualTo(ExpectedAnswer.of(ADAPTER, PROMPT).text(TOKENS));
+    }
+
+    @Test
+    void aReaderThatAsksForNoMoreIsToldNoMore() throws Exception {
+        RecordingListener listener = new RecordingListener();
+        EngineStream stream = engine.generate(generation("slow"), ORDER, listener);
+        stream.request(3);
+        listener.awaitChunks(3);
+        RecordingListener second = new RecordingListener();
+        engine.resume(AttemptId.of("slow"), 0, second).request(TOKENS);
+        second.end.get(30, TimeUnit.SECONDS);
+        assertThat(listener.sequences).containsExactly(0L, 1L, 2L);
+    }
+
+    @Test
+    void aStreamWhoseConnectionBrokeGoesOnAtTheNextToken() throws Exception {
+        // The companion sees a stream fail after some tokens. The engine goes on generating without a reader.
+        // A new connection brings the rest, each token once.
+        part.server().show(faults("{\"dropAfterChunks\":5,\"path\":\"/v1/streams\",\"count\":1}"));
+        RecordingListener broken = new RecordingListener();
+        engine.generate(generation("dropped"), ORDER, broken).request(1000);
+        ExecutionException failure =
+                catchThrowableOfType(ExecutionException.class, () -> broken.end.get(30, TimeUnit.SECONDS));
+        assertThat(((PlatformException) failure.getCause()).effect()).isEqualTo(Effect.UNKNOWN);
+        RecordingListener rest = new RecordingListener();
+        engine.resume(AttemptId.of("dropped"), broken.sequences.size(), rest).request(1000);
+        rest.end.get(30, TimeUnit.SECONDS);
+        assertThat(broken.text.toString() + rest.text)
+                .isEqualTo(ExpectedAnswer.of(ADAPTER, PROMPT).text(TOKENS));
+    }
+
+    @Test
+    void aStreamThatTheEngineDoesNotKnowHasNotRun() {
+        RecordingListener listener = new RecordingListener();
+        engine.resume(AttemptId.of("never"), 0, listener).request(1);
+        assertThat(failureOf(listener).effect()).isEqualTo(Effect.NONE);
+        assertThat(failureOf(listener).reason()).isEqualTo(Reason.NOT_FOUND);
+    }
+
+    @Test
+    void aResumeAtAnEngineThatIsDownProvesNothing() throws Exception {
+        part.server().show(faults("{\"down\":true}"));
+        RecordingListener listener = new RecordingListener();
+        engine.resume(AttemptId.of("perhaps"), 0, listener).request(1);
+        assertThat(failureOf(listener).effect()).isEqualTo(Effect.UNKNOWN);
+    }
+
+    @Test
+    void anAdapterThatIsNotResidentIsRefused() {
+        RecordingListener listener = new RecordingListener();
+        Generation generation = new Generation(
+                AttemptId.of("absent"), AccountId.of("a"), AdapterReference.of("winding", "v2"), PROMPT, 10, 5);
+        engine.generate(generation, ORDER, listener).request(1);
+        assertThat(failureOf(listener).reason()).isEqualTo(Reason.NOT_RESIDENT);
+        assertThat(failureOf(listener).effect()).isEqualTo(Effect.NONE);
+    }
+
+    @Test
+    void anOrderWithAnOldFenceIsRefused() {
+        Order old = new Order(2, Duration.ofSeconds(5));
+        PlatformException failure = catchThrowableOfType(PlatformException.class, () -> engine.unload(ADAPTER, old));
+        assertThat(failure.reason()).isEqualTo(Reason.FENCED);
+    }
+
+    @Test
+    void aLoadWithoutAFreeSlotIsRefused() throws Exception {
+        engine.load(AdapterReference.of("winding", "v2"), ORDER);
+        PlatformException failure = catchThrowableOfType(
+                PlatformException.class, () -> engine.load(AdapterReference.of("winding", "v3"), ORDER));
+        assertThat(failure.reason()).isEqualTo(Reason.NO_FREE_SLOT);
+    }
+
+    @Test
+    void aRestartForgetsAdaptersAndStreams() throws Exception {
+        long before = engine.state().incarnation();
+        part.restart();
+        ModelEngine.State state = engine.state();
+        assertThat(state.incarnation()).isGreaterThan(before);
+        assertThat(state.resident()).isEmpty();
+        assertThat(state.streams()).isEmpty();
+    }
+
+    @Test
+    void aWrongVersionIsToldByTheEnd() throws Exception {
+        part.server().show(faults("{\"wrongVersion\":true,\"path\":\"/v1/streams\"}"));
+        RecordingListener listener = new RecordingListener();
+        engine.generate(generation("wrong"), ORDER, listener).request(1000);
+        GenerationEnd end = listener.end.get(30, TimeUnit.SECONDS);
+        assertThat(end.served()).isNotEqualTo(ADAPTER);
+        assertThat(listener.text.toString())
+                .isNotEqualTo(ExpectedAnswer.of(ADAPTER, PROMPT).text(TOKENS));
+    }
+
+    @Test
+    void aCancelledStreamFails() throws Exception {
+        RecordingListener listener = new RecordingListener();
+        Generation generation =
+                new Generation(AttemptId.of("long"), AccountId.of("a"), ADAPTER, PROMPT + " At length.", 1_000_000, 5);
+        engine.generate(generation, ORDER, listener).request(1_000_000);
+        listener.awaitChunks(1);
+        engine.cancel(AttemptId.of("long"));
+        listener.end.handle((end, failure) -> true).get(30, TimeUnit.SECONDS);
+        assertThat(engine.state().running()).isZero();
+    }
+
+    private static Generation generation(String attempt) {
+        return new Generation(AttemptId.of(attempt), AccountId.of("a"), ADAPTER, PROMPT, TOKENS, 5);
+    }
+
+    private static PlatformException failureOf(RecordingListener listener) {
+        ExecutionException failure =
+                catchThrowableOfType(ExecutionException.class, () -> listener.end.get(30, TimeUnit.SECONDS));
+        return (PlatformException) failure.getCause();
+    }
+
+    private static Faults faults(String json) throws IOException {
+        return Call.JSON.readValue(json, Faults.class);
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/geraniumreach/standins/RecordingListener.java
@@ -0,0 +1,40 @@
+package org.geraniumreach.standins;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.geraniumreach.platform.ModelEngine.EngineListener;
+import org.geraniumreach.platform.ModelEngine.GenerationEnd;
+import org.geraniumreach.platform.PlatformException;
+
+/** Keeps what an engine's stream told. */
+final class RecordingListener implements EngineListener {
+
+    final List<Long> sequences = new ArrayList<>();
+    final StringBuffer text = new StringBuffer();
+    final CompletableFuture<GenerationEnd> end = new CompletableFuture<>();
+
+    @Override
+    public synchronized void chunk(long sequence, String chunk, int tokens) {
+        sequences.add(sequence);
+        text.append(chunk);
+        notifyAll();
+    }
+
+    @Override
+    public void ended(GenerationEnd newEnd) {
+        end.complete(newEnd);
+    }
+
+    @Override
+    public void failed(PlatformException failure) {
+        end.completeExceptionally(failure);
+    }
+
+    synchronized void awaitChunks(int count) throws InterruptedException {
+        while (sequences.size() < count) {
+            wait();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/geraniumreach/standins/TablePartTest.java
@@ -0,0 +1,134 @@
+package org.geraniumreach.standins;
+
+import java.io.IOException;
+
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.PlatformException.Effect;
+import org.geraniumreach.platform.PlatformException.Reason;
+import org.geraniumreach.platform.TableService;
+import org.geraniumreach.standins.http.Call;
+import org.geraniumreach.standins.http.Faults;
+import org.geraniumreach.standins.table.TablePart;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+/** The table service's client against the stand-in. */
+class TablePartTest {
+
+    private static final RowKey KEY = RowKey.of("head", "a/b c&d=é");
+
+    private final StandInsFixture fixture = new StandInsFixture();
+    private TablePart part;
+    private TableService table;
+
+    @BeforeEach
+    void start() throws IOException {
+        int port = StandInsFixture.freePort();
+        part = new TablePart(port, 0, 0, fixture.timer);
+        table = fixture.clients.tableService(StandInsFixture.url(port), StandInsFixture.LIMIT);
+    }
+
+    @AfterEach
+    void stop() {
+        part.server().close();
+        fixture.close();
+    }
+
+    @Test
+    void aRowIsReadAsItWasWritten() throws Exception {
+        assertThat(table.read(KEY)).isEmpty();
+        assertThat(table.commit(insert("{\"x\":1}"))).isTrue();
+        assertThat(table.read(KEY)).get().extracting(Row::key, Row::value).containsExactly(KEY, "{\"x\":1}");
+    }
+
+    @Test
+    void aTransactionWhoseConditionFailsWritesNothing() throws Exception {
+        table.commit(insert("1"));
+        Transaction second = insert("2").withWrite(RowKey.of("other", "k"), "3");
+        assertThat(table.commit(second)).isFalse();
+        assertThat(table.read(RowKey.of("other", "k"))).isEmpty();
+        assertThat(table.read(KEY)).get().extracting(Row::value).isEqualTo("1");
+    }
+
+    @Test
+    void aVersionIsNotUsedAgainAfterADelete() throws Exception {
+        table.commit(insert("1"));
+        long first = table.read(KEY).orElseThrow().version();
+        table.commit(Transaction.empty().withDelete(KEY));
+        table.commit(insert("1"));
+        assertThat(table.read(KEY).orElseThrow().version()).isGreaterThan(first);
+    }
+
+    @Test
+    void aScanGivesRowsInOrderFromAfterAKey() throws Exception {
+        Transaction rows = Transaction.empty();
+        for (String key : new String[] {"a1", "b3", "b1", "b2", "c1"}) {
+            rows = rows.withWrite(RowKey.of("t", key), "0");
+        }
+        table.commit(rows);
+        assertThat(table.scan("t", "b", "", 10))
+                .extracting(row -> row.key().key())
+                .containsExactly("b1", "b2", "b3");
+        assertThat(table.scan("t", "b", "b1", 1))
+                .extracting(row -> row.key().key())
+                .containsExactly("b2");
+    }
+
+    @Test
+    void aServiceThatIsDownTookNoEffect() throws Exception {
+        part.server().show(faults("{\"down\":true}"));
+        PlatformException failure = catchThrowableOfType(PlatformException.class, () -> table.commit(insert("1")));
+        assertThat(failure.effect()).isEqualTo(Effect.NONE);
+        assertThat(failure.reason()).isEqualTo(Reason.UNREACHABLE);
+        part.server().show(Faults.NONE);
+        assertThat(table.read(KEY)).isEmpty();
+    }
+
+    @Test
+    void aLostAnswerIsToldAsUnknownAndFoundByReading() throws Exception {
+        // The caller sees a commit that fails. The service applied it and the connection broke before the answer.
+        // Reading on a new connection shows what took place.
+        part.server().show(faults("{\"loseAnswers\":true,\"count\":1}"));
+        PlatformException failure = catchThrowableOfType(PlatformException.class, () -> table.commit(insert("1")));
+        assertThat(failure.effect()).isEqualTo(Effect.UNKNOWN);
+        assertThat(table.read(KEY)).isPresent();
+    }
+
+    @Test
+    void aCallAfterASilentConnectionTakesANewOne() throws Exception {
+        // The caller sees one call run out of time. Its pooled connection was lost track of in between, and stays open
+        // without a byte. The next call works, since it does not use that connection or another of the same pool.
+        table.commit(insert("1"));
+        part.server().silence();
+        PlatformException failure = catchThrowableOfType(PlatformException.class, () -> table.read(KEY));
+        assertThat(failure.effect()).isEqualTo(Effect.UNKNOWN);
+        assertThat(table.read(KEY)).isPresent();
+    }
+
+    @Test
+    void aCallAboveTheRateTookNoEffect() throws Exception {
+        int port = StandInsFixture.freePort();
+        TablePart limited = new TablePart(port, 1, 1, fixture.timer);
+        TableService throttled = fixture.clients.tableService(StandInsFixture.url(port), StandInsFixture.LIMIT);
+        throttled.read(KEY);
+        PlatformException failure = catchThrowableOfType(PlatformException.class, () -> throttled.read(KEY));
+        assertThat(failure.reason()).isEqualTo(Reason.THROTTLED);
+        assertThat(failure.effect()).isEqualTo(Effect.NONE);
+        limited.server().close();
+    }
+
+    private static Transaction insert(String value) {
+        return Transaction.empty().withCondition(KEY, Transaction.ABSENT).withWrite(KEY, value);
+    }
+
+    private static Faults faults(String json) throws IOException {
+        return Call.JSON.readValue(json, Faults.class);
+    }
+}
