--- a/serving/src/main/java/org/geraniumreach/serving/queue/GradientLimit.java
+++ b/serving/src/main/java/org/geraniumreach/serving/queue/GradientLimit.java
@@ -3,21 +3,31 @@
 /**
  * A limit found from latency: it grows while the time for each token stays near the least seen, and shrinks as that rises.
  *
- * <p>Invariants: the limit stays between the bounds; it does not grow while less than half of it is used, since latency
- * then says nothing of it. The least time fades upwards slowly, so a target that became slower for good is learnt anew.
- * Safe for use by several threads, under its own lock.
+ * <p>A target that is full throughout never shows how fast it can be, and a least time that merely fades upwards follows
+ * the limit without end. So at first often, then now and then, half the limit is given for a while, and the least time is learnt from that: the
+ * limit settles where doubling the requests costs more than the tolerance. Invariants: the limit stays between the bounds;
+ * it does not grow while less than half of it is used, since latency then says nothing of it. Safe for use by several
+ * threads, under its own lock.
  */
 public final class GradientLimit implements ConcurrencyLimit {
 
-    private static final double SMOOTHING = 0.2;
+    private static final double LIMIT_SMOOTHING = 0.2;
+    private static final double LATENCY_SMOOTHING = 0.1;
     private static final double LEAST_GRADIENT = 0.5;
-    private static final double FADE = 1.0005;
+    private static final int FIRST_PROBE_AFTER = 100;
+    private static final int PROBE_AFTER_AT_MOST = 1600;
+    private static final int LEAST_PROBE = 20;
 
     private final int least;
     private final int greatest;
     private final double tolerance;
     private double limit;
-    private double leastNanosPerToken = Double.MAX_VALUE;
+    private double latency;
+    private double leastLatency = Double.MAX_VALUE;
+    private int probeAfter = FIRST_PROBE_AFTER;
+    private int untilProbe = FIRST_PROBE_AFTER;
+    private int probeLeft;
+    private int probeLength;
 
     private GradientLimit(int least, int first, int greatest, double tolerance) {
         this.least = least;
@@ -47,7 +57,7 @@
 
     @Override
     public synchronized int limit() {
-        return (int) limit;
+        return probeLeft > 0 ? Math.max(least, (int) (limit / 2)) : (int) limit;
     }
 
     @Override
@@ -55,13 +65,39 @@
         if (!(nanosPerToken > 0)) {
             return;
         }
-        leastNanosPerToken = Math.min(leastNanosPerToken * FADE, nanosPerToken);
-        double gradient = Math.max(LEAST_GRADIENT, Math.min(1, tolerance * leastNanosPerToken / nanosPerToken));
+        latency = latency == 0 ? nanosPerToken : latency + LATENCY_SMOOTHING * (nanosPerToken - latency);
+        if (probeLeft > 0) {
+            probe();
+            return;
+        }
+        leastLatency = Math.min(leastLatency, latency);
+        adjust(running);
+        if (--untilProbe == 0) {
+            probeLength = Math.max(LEAST_PROBE, 2 * (int) limit);
+            probeLeft = probeLength;
+        }
+    }
+
+    private void probe() {
+        probeLeft--;
+        if (probeLeft == probeLength / 2) {
+            latency = 0;
+        }
+        if (probeLeft == 0) {
+            leastLatency = latency;
+            latency = 0;
+            probeAfter = Math.min(PROBE_AFTER_AT_MOST, 2 * probeAfter);
+            untilProbe = probeAfter;
+        }
+    }
+
+    private void adjust(int running) {
+        double gradient = Math.max(LEAST_GRADIENT, Math.min(1, tolerance * leastLatency / latency));
         double wanted = limit * gradient + Math.sqrt(limit);
         if (wanted > limit && 2 * running < limit) {
             return;
         }
-        double next = (1 - SMOOTHING) * limit + SMOOTHING * wanted;
+        double next = limit + LIMIT_SMOOTHING * (wanted - limit);
         limit = Math.max(least, Math.min(greatest, next));
     }
 }
--- /dev/null
+++ b/serving/src/test/java/org/geraniumreach/serving/ManualClock.java
@@ -0,0 +1,20 @@
+package org.geraniumreach.serving;
+
+import java.time.Duration;
+
+import org.geraniumreach.model.MonotonicClock;
+
+/** A clock that a test sets; confined to its thread. */
+public final class ManualClock implements MonotonicClock {
+
+    private long nanos;
+
+    @Override
+    public long nanos() {
+        return nanos;
+    }
+
+    public void advance(Duration time) {
+        nanos += time.toNanos();
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/geraniumreach/serving/residency/ResidencyPropertyTest.java
@@ -0,0 +1,202 @@
+package org.geraniumreach.serving.residency;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.serving.ManualClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/*
+ * A caller whose adapter is evicted under its request gets another adapter's answer or a broken stream. Requests come and
+ * go, loads end, fail or come back after the engine has restarted, in any order. The oracle keeps the pins, what the engine
+ * would hold, and what each request was told.
+ */
+class ResidencyPropertyTest {
+
+    private static final int SLOTS = 3;
+    private static final int ADAPTERS = 6;
+    private static final int ROUNDS_TO_FINISH = 400;
+
+    private enum Kind {
+        REQUEST,
+        PIN,
+        RELEASE,
+        ORDERS,
+        LOADED,
+        FAILED,
+        WITHDRAW,
+        TICK,
+        RESTART,
+        SYNCHRONISE
+    }
+
+    private record Step(Kind kind, int choice) {}
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        Arbitrary<Kind> kinds = Arbitraries.frequencyOf(
+                Tuple.of(12, Arbitraries.just(Kind.REQUEST)),
+                Tuple.of(8, Arbitraries.just(Kind.PIN)),
+                Tuple.of(5, Arbitraries.just(Kind.RELEASE)),
+                Tuple.of(8, Arbitraries.just(Kind.ORDERS)),
+                Tuple.of(7, Arbitraries.just(Kind.LOADED)),
+                Tuple.of(1, Arbitraries.just(Kind.FAILED)),
+                Tuple.of(2, Arbitraries.just(Kind.WITHDRAW)),
+                Tuple.of(4, Arbitraries.just(Kind.TICK)),
+                Tuple.of(1, Arbitraries.just(Kind.RESTART)),
+                Tuple.of(1, Arbitraries.just(Kind.SYNCHRONISE)));
+        return Combinators.combine(kinds, Arbitraries.integers().between(0, 999))
+                .as(Step::new)
+                .list()
+                .ofMinSize(20)
+                .ofMaxSize(200);
+    }
+
+    @Property(seed = "11", tries = 400)
+    void pinsHoldAndSlotsSufficeAndEachRequestIsToldOnce(@ForAll("steps") List<Step> steps) {
+        Oracle oracle = new Oracle();
+        steps.forEach(oracle::apply);
+        oracle.finish();
+    }
+
+    /** What must be, beside what is. */
+    private static final class Oracle {
+        private final ManualClock clock = new ManualClock();
+        private final Residency residency = Residency.create(
+                ResidencySettings.standard(SLOTS), FleetLoads.create(clock, Duration.ofSeconds(1)), clock);
+        private final Set<AdapterReference> held = new HashSet<>();
+        private final Map<AttemptId, AdapterReference> waiting = new HashMap<>();
+        private final List<Pin> pins = new ArrayList<>();
+        private final List<LoadOrder> orders = new ArrayList<>();
+        private long incarnation = 1;
+        private int attempts;
+
+        private Oracle() {
+            residency.synchronise(incarnation, held, clock.nanos());
+        }
+
+        private void apply(Step step) {
+            switch (step.kind()) {
+                case REQUEST -> request(step.choice() % ADAPTERS);
+                case PIN -> pin(step.choice());
+                case RELEASE -> choose(pins, step.choice()).forEach(this::release);
+                case ORDERS -> takeOrders();
+                case LOADED -> choose(orders, step.choice()).forEach(this::loaded);
+                case FAILED -> choose(orders, step.choice()).forEach(this::failed);
+                case WITHDRAW -> choose(new ArrayList<>(waiting.keySet()), step.choice())
+                        .forEach(this::withdraw);
+                case TICK -> clock.advance(Duration.ofMillis(step.choice()));
+                case RESTART -> restart();
+                default -> residency.synchronise(incarnation, held, clock.nanos());
+            }
+            checkSlots();
+        }
+
+        private static <E> List<E> choose(List<E> from, int choice) {
+            return from.isEmpty() ? List.of() : List.of(from.get(choice % from.size()));
+        }
+
+        private void request(int adapter) {
+            AttemptId attempt = AttemptId.of("attempt-" + ++attempts);
+            AdapterReference reference = AdapterReference.of("adapter-" + adapter, "1");
+            if (residency.request(attempt, reference, 100).state() != Answer.State.REFUSED) {
+                waiting.put(attempt, reference);
+            }
+        }
+
+        private void pin(int choice) {
+            for (AttemptId attempt : choose(new ArrayList<>(waiting.keySet()), choice)) {
+                residency.pin(attempt, waiting.get(attempt)).ifPresent(pin -> {
+                    assertThat(held).as("a pinned adapter is at the engine").contains(pin.adapter());
+                    waiting.remove(attempt);
+                    pins.add(pin);
+                });
+            }
+        }
+
+        private void release(Pin pin) {
+            pin.release();
+            pin.release();
+            pins.remove(pin);
+        }
+
+        private void takeOrders() {
+            for (LoadOrder order : residency.orders()) {
+                order.evicted().ifPresent(evicted -> {
+                    assertThat(pins).as("pins of the evicted").noneMatch(pin -> pin.adapter()
+                            .equals(evicted));
+                    assertThat(held.remove(evicted)).as("evicted was held").isTrue();
+                });
+                assertThat(orders).as("loads of one adapter").noneMatch(other -> other.adapter()
+                        .equals(order.adapter()));
+                orders.add(order);
+            }
+        }
+
+        private void loaded(LoadOrder order) {
+            orders.remove(order);
+            held.add(order.adapter());
+            assertThat(residency.loaded(order)).isTrue();
+            assertThat(residency.loaded(order)).as("told twice").isFalse();
+        }
+
+        private void failed(LoadOrder order) {
+            orders.remove(order);
+            for (AttemptId attempt : residency.failed(order)) {
+                assertThat(waiting.remove(attempt)).as("told once").isEqualTo(order.adapter());
+            }
+            assertThat(waiting.values()).as("waiters not told").doesNotContain(order.adapter());
+        }
+
+        private void withdraw(AttemptId attempt) {
+            assertThat(residency.withdraw(attempt)).isTrue();
+            waiting.remove(attempt);
+        }
+
+        private void restart() {
+            List<LoadOrder> before = List.copyOf(orders);
+            orders.clear();
+            held.clear();
+            residency.synchronise(++incarnation, held, clock.nanos());
+            pins.forEach(Pin::release);
+            pins.clear();
+            before.forEach(order -> assertThat(residency.loaded(order)).isFalse());
+            assertThat(residency.resident()).isEmpty();
+        }
+
+        private void checkSlots() {
+            assertThat(residency.resident()).isEqualTo(held);
+            assertThat(held.size() + orders.size()).as("slots used").isLessThanOrEqualTo(SLOTS);
+        }
+
+        /* Whoever still waits gets its adapter in the end, if requests end and loads succeed. */
+        private void finish() {
+            for (int round = 0; round < ROUNDS_TO_FINISH && !waiting.isEmpty(); round++) {
+                clock.advance(Duration.ofMillis(500));
+                List.copyOf(pins).forEach(this::release);
+                takeOrders();
+                List.copyOf(orders).forEach(this::loaded);
+                for (int index = 0; index < attempts && !waiting.isEmpty(); index++) {
+                    pin(index);
+                }
+                checkSlots();
+            }
+            assertThat(waiting).as("requests never told").isEmpty();
+        }
+    }
+}
