--- /dev/null
+++ b/coordination/src/main/java/org/geraniumreach/coordination/configuration/SubmissionProcess.java
@@ -0,0 +1,275 @@
+package org.geraniumreach.coordination.configuration;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.record.Configuration;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.model.record.RecordException;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+
+/**
+ * Takes one submission into the log, once.
+ *
+ * <p>One transaction requires the head row's version and the absence of the operation's row, and writes the record, its row
+ * in the log, the operation's row and the head. So of two operators who race one wins, and a change is in the log at most once whatever
+ * is repeated. Invariants: OK is said only of a change that was read back or whose commit was answered; a commit whose
+ * answer was lost is settled by reading the operation's row, and nothing is written again before the head has moved on, for
+ * until then the lost write may still arrive. What cannot be settled in time is SUBMISSION_UNSETTLED, and the same operation
+ * id submitted later finds out or goes on.
+ *
+ * <p>Each call answers the next step. Not safe for use by several threads.
+ */
+public final class SubmissionProcess {
+
+    private static final long SETTLED = -1;
+    private static final Duration FIRST_WAIT = Duration.ofMillis(50);
+    private static final Duration LONGEST_WAIT = Duration.ofMillis(800);
+
+    private final Submission submission;
+    private final MonotonicClock clock;
+    private final RandomGenerator random;
+    private final long deadline;
+
+    private Configuration configuration;
+    private Duration nextWait = FIRST_WAIT;
+    private Optional<RowKey> reading = Optional.empty();
+    private Optional<LogEntry> pending = Optional.empty();
+    private long headVersion;
+    private long headRevision;
+    private long unsettledHeadVersion = SETTLED;
+
+    /**
+     * Makes the process of a submission; {@link #start} gives its first step.
+     *
+     * @param submission the submission, not null
+     * @param configuration the configuration in force here, not null
+     * @param clock the clock, not null
+     * @param random the source of the jitter of waits, not null
+     * @param patience how long to try, not null
+     */
+    public SubmissionProcess(
+            Submission submission,
+            Configuration configuration,
+            MonotonicClock clock,
+            RandomGenerator random,
+            Duration patience) {
+        this.submission = Objects.requireNonNull(submission, "submission");
+        this.configuration = Objects.requireNonNull(configuration, "configuration");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.random = Objects.requireNonNull(random, "random");
+        this.deadline = clock.nanos() + patience.toNanos();
+    }
+
+    /**
+     * Gets the first step.
+     *
+     * @return the step, not null
+     */
+    public SubmissionStep start() {
+        return readHead();
+    }
+
+    /**
+     * Reports a row that was read.
+     *
+     * @param row the row, empty if it does not exist, not null
+     * @return the next step, not null
+     */
+    public SubmissionStep read(Optional<Row> row) {
+        RowKey key = reading.orElseThrow();
+        try {
+            if (key.equals(ConfigurationRows.HEAD)) {
+                return headRead(row);
+            }
+            if (key.equals(ConfigurationRows.operation(submission.operation()))) {
+                return operationRead(row);
+            }
+            if (key.equals(ConfigurationRows.record(submission.key()))) {
+                return recordRead(row);
+            }
+            return row.isPresent()
+                    ? settled(ConfigurationRows.readEntry(row.get().value()))
+                    : trimmed();
+        } catch (RecordException malformed) {
+            return refuse(ResultCode.INTERNAL_ERROR, "row " + key.key() + " is malformed: " + malformed.getMessage());
+        }
+    }
+
+    private SubmissionStep headRead(Optional<Row> row) throws RecordException {
+        headVersion = row.map(Row::version).orElse(Transaction.ABSENT);
+        headRevision =
+                row.isPresent() ? ConfigurationRows.readRevision(row.get().value()) : 0;
+        return read(ConfigurationRows.operation(submission.operation()));
+    }
+
+    private SubmissionStep operationRead(Optional<Row> row) throws RecordException {
+        if (row.isPresent()) {
+            return read(ConfigurationRows.log(
+                    ConfigurationRows.readRevision(row.get().value())));
+        }
+        /* The lost write required this version of the head. While the head has it, the write may still arrive after the
+         * read of the operation's row, and "not accepted" would be untrue a moment later. */
+        if (headVersion == unsettledHeadVersion) {
+            return pause();
+        }
+        unsettledHeadVersion = SETTLED;
+        if (headRevision > configuration.revision()) {
+            return new SubmissionStep.CatchUp(headRevision);
+        }
+        return read(ConfigurationRows.record(submission.key()));
+    }
+
+    private SubmissionStep recordRead(Optional<Row> row) throws RecordException {
+        Optional<LogEntry> current = Optional.empty();
+        if (row.isPresent()) {
+            current = Optional.of(ConfigurationRows.readEntry(row.get().value()));
+        }
+        if (current.isPresent() && current.get().operation().equals(submission.operation())) {
+            return settled(current.get());
+        }
+        if (current.isPresent() && current.get().revision() > submission.basedOn()) {
+            String message = submission.key() + " was changed after revision " + submission.basedOn();
+            return done(new SubmissionResult(ResultCode.CONFLICT, message, current));
+        }
+        if (headRevision != configuration.revision()) {
+            return pause();
+        }
+        return commit();
+    }
+
+    /**
+     * Reports that the configuration was brought up to date.
+     *
+     * @param current the configuration, not null
+     * @return the next step, not null
+     */
+    public SubmissionStep caughtUp(Configuration current) {
+        configuration = current;
+        return readHead();
+    }
+
+    /**
+     * Reports that a read was not answered.
+     *
+     * @return the next step, not null
+     */
+    public SubmissionStep readFailed() {
+        return pause();
+    }
+
+    /**
+     * Reports that a wait is over.
+     *
+     * @return the next step, not null
+     */
+    public SubmissionStep waited() {
+        return readHead();
+    }
+
+    /**
+     * Reports the answer to a commit.
+     *
+     * @param tookEffect whether it took effect
+     * @return the next step, not null
+     */
+    public SubmissionStep committed(boolean tookEffect) {
+        return tookEffect ? done(SubmissionResult.accepted(pending.orElseThrow())) : readHead();
+    }
+
+    /**
+     * Reports that a commit was not answered.
+     *
+     * @param mayTakeEffect whether it may have taken effect, or may yet
+     * @return the next step, not null
+     */
+    public SubmissionStep commitFailed(boolean mayTakeEffect) {
+        if (mayTakeEffect) {
+            unsettledHeadVersion = headVersion;
+        }
+        return pause();
+    }
+
+    private SubmissionStep readHead() {
+        if (clock.nanos() - deadline >= 0) {
+            return outOfTime();
+        }
+        return read(ConfigurationRows.HEAD);
+    }
+
+    private SubmissionStep read(RowKey key) {
+        reading = Optional.of(key);
+        return new SubmissionStep.Read(key);
+    }
+
+    private SubmissionStep commit() {
+        Optional<String> body;
+        try {
+            body = SubmissionCheck.check(submission, configuration);
+        } catch (RecordException wrong) {
+            return refuse(wrong.code(), submission.key() + ": " + wrong.getMessage());
+        }
+        LogEntry entry = new LogEntry(headRevision + 1, submission.operation(), submission.key(), body);
+        pending = Optional.of(entry);
+        return new SubmissionStep.Commit(transaction(entry));
+    }
+
+    private Transaction transaction(LogEntry entry) {
+        String value = ConfigurationRows.writeEntry(entry);
+        RowKey operation = ConfigurationRows.operation(entry.operation());
+        return Transaction.empty()
+                .withCondition(ConfigurationRows.HEAD, headVersion)
+                .withCondition(operation, Transaction.ABSENT)
+                .withWrite(ConfigurationRows.log(entry.revision()), value)
+                .withWrite(ConfigurationRows.record(entry.key()), value)
+                .withWrite(operation, ConfigurationRows.writeRevision(entry.revision()))
+                .withWrite(ConfigurationRows.HEAD, ConfigurationRows.writeRevision(entry.revision()));
+    }
+
+    private SubmissionStep settled(LogEntry entry) throws RecordException {
+        if (!SubmissionCheck.isOutcome(submission, entry)) {
+            return refuse(
+                    ResultCode.CONFLICT,
+                    "operation " + submission.operation() + " was used for another change, of " + entry.key());
+        }
+        return done(SubmissionResult.accepted(entry));
+    }
+
+    private SubmissionStep trimmed() {
+        return refuse(
+                ResultCode.CONFLICT,
+                "operation " + submission.operation() + " was accepted so long ago that the log does not hold it");
+    }
+
+    private SubmissionStep pause() {
+        if (clock.nanos() - deadline >= 0) {
+            return outOfTime();
+        }
+        long wait = nextWait.toNanos() / 2 + random.nextLong(nextWait.toNanos() / 2 + 1);
+        nextWait = nextWait.multipliedBy(2).compareTo(LONGEST_WAIT) > 0 ? LONGEST_WAIT : nextWait.multipliedBy(2);
+        return new SubmissionStep.Wait(Duration.ofNanos(wait));
+    }
+
+    private SubmissionStep outOfTime() {
+        if (unsettledHeadVersion != SETTLED) {
+            return refuse(
+                    ResultCode.SUBMISSION_UNSETTLED,
+                    "the table's answer was lost; submit operation " + submission.operation() + " again to find out");
+        }
+        return refuse(ResultCode.STORE_UNAVAILABLE, "the table service does not answer; this try wrote nothing");
+    }
+
+    private SubmissionStep refuse(ResultCode code, String message) {
+        return done(SubmissionResult.refused(code, message));
+    }
+
+    private static SubmissionStep done(SubmissionResult result) {
+        return new SubmissionStep.Done(result);
+    }
+}
