Keep the order of frames over all threads of a link

The event loop writes at once while other threads' writes wait for it, so a Resume that the loop sent when a link opened overtook the Run of another thread: the companion sealed the attempt and refused its Run. All frames of a link now pass one queue; it also bounds what waits there.

A request that an engine had not started and that went back into the queue was never asked for chunks again; its demand is now forgotten with it.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineAnswer.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineAnswer.java
@@ -259,6 +259,7 @@
                 return;
             }
             notStarted = failure.effect() == PlatformException.Effect.NONE && !begun && !resumed;
+            over = notStarted;
         }
         if (notStarted) {
             owner.notStarted(this, failure);
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
@@ -228,6 +228,7 @@
             refuse(answer, ResultCode.TARGET_FAILED, Ran.NO, "the engine does not keep the adapter");
             return;
         }
+        attempt.forgetDemand();
         outcomes.putBack(attempt);
         if (enqueue(answer.request())) {
             dispatch();
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
@@ -0,0 +1,198 @@
+package org.geraniumreach.daemon.companion;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+
+import com.google.protobuf.ByteString;
+import org.geraniumreach.link.Attempts;
+import org.geraniumreach.link.LinkAttempts;
+import org.geraniumreach.link.LinkNode;
+import org.geraniumreach.link.LinkSettings;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.KeyDigest;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.model.record.RecordKind;
+import org.geraniumreach.platform.PlainService;
+
+/** An entry's side and a companion on loopback, with the target, the table and the configuration under the test's hand. */
+final class CompanionFixture implements AutoCloseable {
+
+    static final InstanceId COMPANION = InstanceId.of("companion-1");
+    static final String SECRET = "secret-1";
+    private static final long INCARNATION = 7;
+    private static final Duration GENEROUS = Duration.ofSeconds(30);
+
+    final FakeEngine engine;
+    final FakeTable table = new FakeTable();
+    final FakeConfiguration configuration = new FakeConfiguration();
+    final CompanionNode companion;
+    final Attempts attempts;
+    private final LinkNode companionLinks;
+    private final LinkNode entryLinks;
+    private final LinkAttempts linkAttempts;
+
+    private CompanionFixture(FakeEngine engine, PlainService service, CompanionSettings settings, boolean checksFence)
+            throws IOException {
+        this.engine = engine;
+        records(engine != null, checksFence);
+        companionLinks =
+                LinkNode.create(LinkSettings.defaults(), () -> hello("companion-1", "companion"), (e, d) -> {});
+        entryLinks = LinkNode.create(LinkSettings.defaults(), () -> hello("entry-1", "entry"), (e, d) -> {});
+        MonotonicClock clock = MonotonicClock.system();
+        companion = CompanionNode.create(
+                settings,
+                new CompanionParts(
+                        COMPANION,
+                        INCARNATION,
+                        TargetId.of("target-1"),
+                        companionLinks,
+                        configuration,
+                        table,
+                        Optional.ofNullable(engine),
+                        Optional.ofNullable(service),
+                        clock));
+        linkAttempts = LinkAttempts.start(entryLinks, LinkSettings.defaults(), clock, entryLinks.timer(), (e, d) -> {});
+        attempts = linkAttempts;
+        InetSocketAddress address = companionLinks.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        entryLinks.keep(COMPANION, address);
+        companion.start();
+        await(() -> entryLinks.find(COMPANION).isPresent());
+    }
+
+    static CompanionFixture ofEngine(FakeEngine engine) throws IOException {
+        return ofEngine(engine, CompanionSettings.defaults());
+    }
+
+    static CompanionFixture ofEngine(FakeEngine engine, CompanionSettings settings) throws IOException {
+        CompanionFixture fixture = new CompanionFixture(engine, null, settings, true);
+        await(() -> fixture.companion.reasonNotReady().isEmpty());
+        return fixture;
+    }
+
+    static CompanionFixture ofService(PlainService service) throws IOException {
+        CompanionFixture fixture = new CompanionFixture(null, service, CompanionSettings.defaults(), true);
+        await(() -> fixture.companion.reasonNotReady().isEmpty());
+        return fixture;
+    }
+
+    private void records(boolean isEngine, boolean checksFence) {
+        configuration.put(RecordKind.ACCOUNT, "winders", "{\"schemaVersion\":1,\"rate\":1000,\"burst\":1000}");
+        configuration.put(
+                RecordKind.KEY,
+                "key-1",
+                "{\"schemaVersion\":1,\"account\":\"winders\",\"digest\":\""
+                        + KeyDigest.ofSecret(SECRET).toHexadecimal() + "\"}");
+        for (String adapter : new String[] {"a", "b", "c"}) {
+            configuration.put(
+                    RecordKind.ADAPTER,
+                    adapter,
+                    "{\"schemaVersion\":1,\"baseModel\":\"m\",\"versions\":[\"1\",\"2\"]}");
+        }
+        configuration.put(
+                RecordKind.ASSIGNMENT,
+                "assignment-1",
+                "{\"schemaVersion\":2,\"account\":\"winders\",\"adapters\":[\"a\",\"b\",\"c\"]}");
+        configuration.put(
+                RecordKind.SERVICE,
+                "job-cards",
+                "{\"schemaVersion\":1,\"operations\":{\"book\":{\"repeatable\":false,\"tokens\":1}}}");
+        String what = isEngine ? "\"baseModel\":\"m\",\"slots\":2," : "\"service\":\"job-cards\",";
+        configuration.put(
+                RecordKind.TARGET,
+                "target-1",
+                "{\"schemaVersion\":1,\"failureDomain\":\"d1\"," + what + "\"checksFence\":" + checksFence + "}");
+    }
+
+    private Hello hello(String instance, String role) {
+        return Hello.newBuilder()
+                .setProtocolVersion(1)
+                .setInstance(instance)
+                .setRole(role)
+                .setIncarnation(INCARNATION)
+                .build();
+    }
+
+    Run.Builder generation(String adapter, int tokens) {
+        return Run.newBuilder()
+                .setAttempt(UUID.randomUUID().toString())
+                .setDeadlineLeftMillis(GENEROUS.toMillis())
+                .setAccount("winders")
+                .setKeyDigest(ByteString.copyFrom(KeyDigest.ofSecret(SECRET).toBytes()))
+                .setAdapter(adapter)
+                .setVersion("1")
+                .setBody(ByteString.copyFromUtf8("prompt"))
+                .setMaximumTokens(tokens)
+                .setPromptTokens(1)
+                .setRepeatable(true)
+                .setCredit(8);
+    }
+
+    Run.Builder booking() {
+        return Run.newBuilder()
+                .setAttempt(UUID.randomUUID().toString())
+                .setDeadlineLeftMillis(GENEROUS.toMillis())
+                .setAccount("winders")
+                .setKeyDigest(ByteString.copyFrom(KeyDigest.ofSecret(SECRET).toBytes()))
+                .setService("job-cards")
+                .setOperation("book")
+                .setBody(ByteString.copyFromUtf8("{}"))
+                .setCredit(8);
+    }
+
+    RecordedAnswer send(Run run) {
+        return send(run, false);
+    }
+
+    RecordedAnswer send(Run run, boolean slow) {
+        RecordedAnswer answer = new RecordedAnswer(slow);
+        answer.use(attempts.run(COMPANION, run, answer));
+        return answer;
+    }
+
+    static String expected(Run run) {
+        StringBuilder text = new StringBuilder();
+        for (int sequence = 0; sequence < run.getMaximumTokens(); sequence++) {
+            text.append(run.getAdapter())
+                    .append('@')
+                    .append(run.getVersion())
+                    .append(":prompt:")
+                    .append(sequence)
+                    .append(' ');
+        }
+        return text.toString();
+    }
+
+    void closeLink() {
+        entryLinks.find(COMPANION).ifPresent(peer -> peer.close("closed by the test"));
+    }
+
+    static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + GENEROUS.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("waited in vain for " + GENEROUS);
+            }
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException stopped) {
+                throw new AssertionError(stopped);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        companion.close();
+        linkAttempts.close();
+        entryLinks.close();
+        companionLinks.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeTable.java
@@ -0,0 +1,54 @@
+package org.geraniumreach.daemon.companion;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.PlatformException.Effect;
+import org.geraniumreach.platform.TableService;
+
+/** A table service in memory, which can lose the answer to a write that took effect. */
+final class FakeTable implements TableService {
+
+    private final Map<RowKey, Row> rows = new HashMap<>();
+    private boolean losesAnswers;
+
+    synchronized void loseNextAnswer() {
+        losesAnswers = true;
+    }
+
+    @Override
+    public synchronized Optional<Row> read(RowKey key) {
+        return Optional.ofNullable(rows.get(key));
+    }
+
+    @Override
+    public List<Row> scan(String table, String prefix, String after, int limit) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public synchronized boolean commit(Transaction transaction) throws PlatformException {
+        for (Transaction.Condition condition : transaction.conditions()) {
+            long version = read(condition.key()).map(Row::version).orElse(Transaction.ABSENT);
+            if (version != condition.version()) {
+                return false;
+            }
+        }
+        for (Transaction.Write write : transaction.writes()) {
+            long version = read(write.key()).map(Row::version).orElse(0L);
+            rows.put(
+                    write.key(), new Row(write.key(), version + 1, write.value().orElseThrow()));
+        }
+        if (losesAnswers) {
+            losesAnswers = false;
+            throw new PlatformException(Effect.UNKNOWN, "the answer was lost", null);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/RecordedAnswer.java
@@ -0,0 +1,118 @@
+package org.geraniumreach.daemon.companion;
+
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import org.geraniumreach.link.AttemptHandle;
+import org.geraniumreach.link.AttemptListener;
+import org.geraniumreach.messages.End;
+import org.geraniumreach.messages.Refused;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+
+/** What a caller at an entry receives; it asks for a chunk more with each that came, unless it is slow. */
+final class RecordedAnswer implements AttemptListener {
+
+    private final StringBuilder text = new StringBuilder();
+    private final boolean slow;
+    private AttemptHandle handle;
+    private int owed;
+    private long chunks;
+    private int ends;
+    private boolean accepted;
+    private End end;
+    private ResultCode refusal;
+    private Ran ran;
+
+    RecordedAnswer(boolean slow) {
+        this.slow = slow;
+    }
+
+    void use(AttemptHandle started) {
+        int more;
+        synchronized (this) {
+            handle = started;
+            more = owed;
+        }
+        if (more > 0) {
+            started.request(more);
+        }
+    }
+
+    AttemptHandle handle() {
+        return handle;
+    }
+
+    @Override
+    public synchronized void accepted() {
+        accepted = true;
+    }
+
+    @Override
+    public void chunk(long sequence, ByteString payload, int tokens) {
+        AttemptHandle asked;
+        synchronized (this) {
+            if (sequence != chunks) {
+                throw new IllegalStateException("chunk " + sequence + " after " + chunks);
+            }
+            chunks++;
+            text.append(payload.toStringUtf8());
+            asked = slow ? null : handle;
+            owed += asked == null ? 1 : 0;
+        }
+        if (asked != null) {
+            asked.request(1);
+        }
+    }
+
+    @Override
+    public synchronized void ended(End whole) {
+        ends++;
+        end = whole;
+    }
+
+    @Override
+    public synchronized void refused(Refused refused) {
+        ends++;
+        refusal = ResultCode.ofNumber(refused.getCode()).orElseThrow();
+        ran = Ran.values()[refused.getRan()];
+    }
+
+    @Override
+    public synchronized void lost(Ran lostRan, String reason) {
+        ends++;
+        ran = lostRan;
+    }
+
+    synchronized String text() {
+        return text.toString();
+    }
+
+    synchronized long chunks() {
+        return chunks;
+    }
+
+    synchronized boolean isAccepted() {
+        return accepted;
+    }
+
+    synchronized boolean isOver() {
+        return ends > 0;
+    }
+
+    synchronized int ends() {
+        return ends;
+    }
+
+    synchronized Optional<End> end() {
+        return Optional.ofNullable(end);
+    }
+
+    synchronized Optional<ResultCode> refusal() {
+        return Optional.ofNullable(refusal);
+    }
+
+    synchronized Optional<Ran> ran() {
+        return Optional.ofNullable(ran);
+    }
+}
--- a/link/src/main/java/org/geraniumreach/link/LinkChannel.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkChannel.java
@@ -37,6 +37,7 @@
     private final LinkHealth health;
     private final Set<FrameHandler> announced = new LinkedHashSet<>();
     private volatile Channel channel;
+    private volatile OutboundFrames outbound;
     private volatile Hello hello;
     private volatile InstanceId instance;
     private volatile String closeReason;
@@ -70,7 +71,8 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
-        channel.writeAndFlush(Frame.newBuilder().setHello(owner.localHello()).build());
+        outbound = new OutboundFrames(channel, settings.writeBufferHigh(), this::tellWritable);
+        send(Frame.newBuilder().setHello(owner.localHello()).build());
         context.executor().schedule(this::checkHello, settings.helloLimit().toNanos(), TimeUnit.NANOSECONDS);
     }
 
@@ -165,9 +167,11 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (context.channel().isWritable()) {
-            tellAll(handler -> handler.writable(this));
-        }
+        outbound.writabilityChanged();
+    }
+
+    private void tellWritable() {
+        tellAll(handler -> handler.writable(this));
     }
 
     @Override
@@ -245,13 +249,13 @@
                     description() + ": not sent, " + frame.getSerializedSize() + " bytes of " + frame.getBodyCase());
             return false;
         }
-        channel.writeAndFlush(frame, channel.voidPromise());
+        outbound.add(frame);
         return true;
     }
 
     @Override
     public boolean isWritable() {
-        return channel.isWritable();
+        return outbound.isWritable();
     }
 
     @Override
--- a/link/src/main/java/org/geraniumreach/link/LinkNode.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkNode.java
@@ -30,7 +30,6 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.messages.Hello;
@@ -46,7 +45,6 @@
 public final class LinkNode implements Links, AutoCloseable {
 
     private static final int LENGTH_BYTES = 4;
-    private static final int FLUSH_AFTER_FRAMES = 64;
     private static final int BACKLOG = 1024;
     private static final long CLOSE_SECONDS = 2;
 
@@ -120,7 +118,6 @@
         @Override
         protected void initChannel(Channel channel) {
             ChannelPipeline pipeline = channel.pipeline();
-            pipeline.addLast(new FlushConsolidationHandler(FLUSH_AFTER_FRAMES, true));
             pipeline.addLast(
                     new LengthFieldBasedFrameDecoder(settings.maximumFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES));
             pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
--- a/link/src/main/java/org/geraniumreach/link/SentAttempt.java
+++ b/link/src/main/java/org/geraniumreach/link/SentAttempt.java
@@ -54,6 +54,9 @@
 
     void opened(Peer peer) {
         perform(() -> {
+            if (link == peer) {
+                return List.of();
+            }
             link = peer;
             return started ? tracker.linkOpened(peer.hello().getIncarnation(), clock.nanos()) : List.of();
         });
