--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionNode.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionNode.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -48,11 +50,7 @@
     private final Outcomes outcomes;
     private final Requests requests;
     private final StatusReporter reporter = new StatusReporter();
-    private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, task -> {
-        Thread thread = new Thread(task, "companion-timer");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledThreadPoolExecutor timer = newTimer();
     private final TargetStart targetStart;
     private final AtomicBoolean reportDue = new AtomicBoolean();
     private volatile boolean draining;
@@ -81,6 +79,15 @@
         return node;
     }
 
+    private static ScheduledThreadPoolExecutor newTimer() {
+        ThreadFactory threads = task -> {
+            Thread thread = new Thread(task, "companion-timer");
+            thread.setDaemon(true);
+            return thread;
+        };
+        return new ScheduledThreadPoolExecutor(1, threads, new ThreadPoolExecutor.DiscardPolicy());
+    }
+
     /** Begins to take the target over; work is taken once that is done. */
     public void start() {
         targetStart.start();
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionSettings.java
@@ -24,7 +24,11 @@
 public record CompanionSettings(
         QueueSettings queue,
         LoadSettings loads,
-        @Setting(value = "64", least = "8", greatest = "65536", about = "How many chunks of one answer are kept.")
+        @Setting(
+                        value = "64",
+                        least = "64",
+                        greatest = "65536",
+                        about = "How many chunks of one answer are kept; entries acknowledge every 32.")
                 int bufferedChunks,
         @Setting(
                         value = "2m",
@@ -76,9 +80,16 @@
                                 "How long streams that a former companion left may be asked for before they are cancelled.")
                 Duration adoptionLimit) {
 
-    private static final int DEFAULT_BUFFERED_CHUNKS = 64;
+    private static final int LEAST_BUFFERED_CHUNKS = 64;
     private static final int DEFAULT_RETAINED_ATTEMPTS = 100_000;
 
+    public CompanionSettings {
+        // With fewer, the companion would wait for an acknowledgement that its entry sends only after more chunks.
+        if (bufferedChunks < LEAST_BUFFERED_CHUNKS) {
+            throw new IllegalArgumentException("bufferedChunks below " + LEAST_BUFFERED_CHUNKS + ": " + bufferedChunks);
+        }
+    }
+
     /**
      * Obtains the defaults.
      *
@@ -88,7 +99,7 @@
         return new CompanionSettings(
                 QueueSettings.defaults(),
                 LoadSettings.defaults(),
-                DEFAULT_BUFFERED_CHUNKS,
+                LEAST_BUFFERED_CHUNKS,
                 Duration.ofMinutes(2),
                 DEFAULT_RETAINED_ATTEMPTS,
                 Duration.ofSeconds(15),
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/GuardedPool.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/GuardedPool.java
@@ -11,6 +11,8 @@
 /**
  * A fixed number of daemon threads whose tasks' faults are logged, so that none is lost in silence.
  *
+ * <p>Invariant: every task is run, but for those that come after the shutdown.
+ *
  * <p>Safe for use by several threads.
  */
 final class GuardedPool extends ThreadPoolExecutor {
@@ -26,6 +28,7 @@
             return thread;
         });
         allowCoreThreadTimeOut(true);
+        setRejectedExecutionHandler(new DiscardPolicy());
     }
 
     @Override
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/OutputBuffer.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/OutputBuffer.java
@@ -21,6 +21,7 @@
     private final int limit;
     private final boolean keepsAll;
     private long firstKept;
+    private long acknowledged;
     private long nextToSend;
     private long allowed;
     private long asked;
@@ -39,6 +40,7 @@
      */
     OutputBuffer(long first, int credit, int limit, boolean keepsAll) {
         this.firstKept = first;
+        this.acknowledged = first;
         this.nextToSend = first;
         this.asked = first;
         this.allowed = first + credit;
@@ -121,6 +123,7 @@
         }
         allowed = Math.max(allowed, next + credit);
         lastAcknowledged |= last != null && next > end();
+        acknowledged = Math.max(acknowledged, Math.min(next, nextToSend));
         while (!keepsAll && firstKept < next && !kept.isEmpty() && firstKept < nextToSend) {
             kept.removeFirst();
             firstKept++;
@@ -171,7 +174,7 @@
      * @return how many, 0 for none; they count as asked for
      */
     int takeDemand() {
-        long room = (isOpen ? firstKept : end()) + limit - asked;
+        long room = (isOpen ? acknowledged : end()) + limit - asked;
         if (room < Math.max(1, limit / 4)) {
             return 0;
         }
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
@@ -85,7 +85,9 @@
         CompanionAttempt attempt = CompanionAttempt.ofRun(
                 run, peer, settings.bufferedChunks(), parts.clock().nanos());
         if (!attempts.add(attempt)) {
-            seenBefore(peer, attempt.id(), 0, run.getCredit());
+            if (attempts.attempt(attempt.id()).isEmpty()) {
+                seenBefore(peer, attempt.id(), 0, 0);
+            }
             return;
         }
         try {
@@ -155,9 +157,7 @@
     private void resume(Peer peer, Resume resume) {
         AttemptId id = AttemptId.of(resume.getAttempt());
         if (resume.getCompanionIncarnation() != parts.incarnation()) {
-            peer.send(Frames.refused(
-                    id,
-                    ServingException.of(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, "the companion has been restarted")));
+            refuseFormer(peer, id);
             return;
         }
         if (attempts.find(id).isEmpty()) {
@@ -166,6 +166,18 @@
         seenBefore(peer, id, resume.getNextSequence(), resume.getCredit());
     }
 
+    /**
+     * Answers about an attempt of a former start of this companion. Not having seen it says nothing of what that one did:
+     * "not run" would be false for an attempt that ran before the restart.
+     *
+     * @param peer the link, not null
+     * @param id the attempt, not null
+     */
+    private static void refuseFormer(Peer peer, AttemptId id) {
+        peer.send(Frames.refused(
+                id, ServingException.of(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, "the companion has been restarted")));
+    }
+
     private static long ageNanos(long ageMillis) {
         return ageMillis < 0 ? AttemptTable.AGE_UNKNOWN : ageMillis * NANOS_PER_MILLI;
     }
@@ -206,6 +218,10 @@
 
     private void cancel(Peer peer, Cancel cancel) {
         AttemptId id = AttemptId.of(cancel.getAttempt());
+        if (cancel.getCompanionIncarnation() != parts.incarnation()) {
+            refuseFormer(peer, id);
+            return;
+        }
         Optional<CompanionAttempt> held = attempts.attempt(id);
         if (held.isEmpty()) {
             attempts.seal(id, ageNanos(cancel.getAgeMillis()));
@@ -213,6 +229,12 @@
             return;
         }
         cancel(held.get(), ResultCode.CANCELLED, cancel.getReason());
+        // The attempt's own last frame may wait behind chunks without credit, or for the end of a call that cannot be
+        // taken
+        // back, and goes over the link that was resumed last. Whoever cancels waits for none of these.
+        boolean neverStarted = attempts.find(id).equals(Optional.of(AttemptTable.Seen.NEVER_STARTED));
+        Ran ran = neverStarted ? Ran.NO : Ran.YES;
+        peer.send(Frames.refused(id, ServingException.of(ResultCode.CANCELLED, ran, cancel.getReason())));
     }
 
     /**
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/ExchangeWorld.java
@@ -0,0 +1,423 @@
+package org.geraniumreach.daemon.companion;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.google.protobuf.ByteString;
+import org.geraniumreach.link.AttemptHandle;
+import org.geraniumreach.link.AttemptListener;
+import org.geraniumreach.link.Attempts.SealOutcome;
+import org.geraniumreach.link.LinkAttempts;
+import org.geraniumreach.link.LinkSettings;
+import org.geraniumreach.messages.End;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.messages.Refused;
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.messages.Status;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.KeyDigest;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.model.record.RecordKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The real code of both ends of attempts, with link, clock, target and restarts under a fuzzer's hand, and the oracle: each
+ * caller gets its own chunks, each once and in order, and one end; an attempt starts at most once; none starts that was
+ * said not to run.
+ */
+final class ExchangeWorld {
+
+    private static final InstanceId COMPANION = InstanceId.of("companion-1");
+    private static final Duration SILENCE = Duration.ofSeconds(2);
+    private static final String SECRET = "secret-1";
+
+    private final FakeConfiguration configuration = new FakeConfiguration();
+    private final Map<String, Integer> starts = new HashMap<>();
+    private final Set<String> saidNotRun = new HashSet<>();
+    private final Map<String, Caller> callers = new HashMap<>();
+    private final List<Caller> order = new ArrayList<>();
+    private final LinkSettings linkSettings = LinkSettings.defaults();
+    private final List<FakeWire.Link> companionLinks = new ArrayList<>();
+    private final FakeWire wire;
+    private final LinkAttempts attempts;
+    private Runnable entryTick = () -> {};
+    private FakeWire.Link link;
+    private long now = 1;
+    private long busySince = 1;
+    private long incarnation;
+    private AttemptShards shards;
+    private Outcomes outcomes;
+    private Requests requests;
+    private FakeRunner runner;
+
+    ExchangeWorld() {
+        configuration.put(RecordKind.ACCOUNT, "winders", "{\"schemaVersion\":1,\"rate\":1000,\"burst\":1000}");
+        configuration.put(
+                RecordKind.KEY,
+                "key-1",
+                "{\"schemaVersion\":1,\"account\":\"winders\",\"digest\":\""
+                        + KeyDigest.ofSecret(SECRET).toHexadecimal() + "\"}");
+        configuration.put(
+                RecordKind.SERVICE,
+                "job-cards",
+                "{\"schemaVersion\":1,\"operations\":{\"book\":{\"repeatable\":false,\"tokens\":1}}}");
+        configuration.put(
+                RecordKind.TARGET,
+                "target-1",
+                "{\"schemaVersion\":1,\"failureDomain\":\"d1\",\"service\":\"job-cards\",\"checksFence\":true}");
+        startCompanion();
+        wire = new FakeWire(hello("entry-1", 1), hello("companion-1", incarnation));
+        attempts = LinkAttempts.start(
+                wire, linkSettings, () -> now, new CapturedTimer(task -> entryTick = task), (event, detail) -> {
+                    throw new AssertionError(event + " " + detail);
+                });
+        reconnect();
+    }
+
+    private static Hello hello(String instance, long number) {
+        return Hello.newBuilder()
+                .setProtocolVersion(1)
+                .setInstance(instance)
+                .setIncarnation(number)
+                .build();
+    }
+
+    private void startCompanion() {
+        incarnation++;
+        CompanionSettings defaults = CompanionSettings.defaults();
+        CompanionSettings settings = new CompanionSettings(
+                defaults.queue(),
+                defaults.loads(),
+                defaults.bufferedChunks(),
+                Duration.ofSeconds(60),
+                64,
+                defaults.orphanLimit(),
+                defaults.statusInterval(),
+                defaults.engineCheckAge(),
+                defaults.orderLimit(),
+                defaults.fenceCheckInterval(),
+                defaults.adoptionLimit());
+        CompanionParts parts = new CompanionParts(
+                COMPANION,
+                incarnation,
+                TargetId.of("target-1"),
+                new FakeWire(hello("entry-1", 1), hello("companion-1", incarnation)),
+                configuration,
+                new FakeTable(),
+                Optional.empty(),
+                Optional.of((attempt, account, operation, body) -> body),
+                () -> now);
+        shards = new AttemptShards(settings, () -> now);
+        outcomes = new Outcomes(shards);
+        runner = new FakeRunner();
+        requests = new Requests(settings, parts, shards, outcomes, runner);
+    }
+
+    /** One caller at the entry, and what it has been told. */
+    private final class Caller implements AttemptListener {
+        private final String id;
+        private final int wanted;
+        private final long sentTo;
+        private AttemptHandle handle;
+        private long chunks;
+        private int ends;
+        private boolean whole;
+
+        private Caller(String id, int wanted, long sentTo) {
+            this.id = id;
+            this.sentTo = sentTo;
+            this.wanted = wanted;
+        }
+
+        private void notRun(int ran) {
+            if (ran == Ran.NO.ordinal()) {
+                saidNotRun.add(id);
+            }
+        }
+
+        @Override
+        public void accepted() {
+            assertThat(ends).isZero();
+        }
+
+        @Override
+        public void chunk(long sequence, ByteString payload, int tokens) {
+            assertThat(ends).isZero();
+            assertThat(sequence).isEqualTo(chunks);
+            assertThat(payload.toStringUtf8()).isEqualTo(id + "/" + chunks);
+            chunks++;
+        }
+
+        @Override
+        public void ended(End end) {
+            assertThat(chunks).isEqualTo(wanted);
+            whole = true;
+            ends++;
+        }
+
+        @Override
+        public void refused(Refused refused) {
+            notRun(refused.getRan());
+            ends++;
+        }
+
+        @Override
+        public void lost(Ran ran, String reason) {
+            notRun(ran.ordinal());
+            ends++;
+        }
+    }
+
+    /** A target that starts and goes on with attempts as the fuzzer says. */
+    private final class FakeRunner implements TargetRunner, Requests.RunnerSource {
+        private final List<CompanionAttempt> waiting = new ArrayList<>();
+        private final List<CompanionAttempt> running = new ArrayList<>();
+        private final Map<AttemptId, Integer> demand = new HashMap<>();
+
+        @Override
+        public TargetRunner forNewWork() {
+            return this;
+        }
+
+        @Override
+        public Optional<TargetRunner> current() {
+            return Optional.of(this);
+        }
+
+        @Override
+        public void submit(CompanionAttempt attempt) {
+            waiting.add(attempt);
+        }
+
+        @Override
+        public void withdraw(CompanionAttempt attempt) {
+            waiting.remove(attempt);
+        }
+
+        @Override
+        public void cancel(CompanionAttempt attempt) {
+            running.remove(attempt);
+        }
+
+        @Override
+        public void tick() {}
+
+        @Override
+        public void describe(Status.Builder status) {}
+
+        @Override
+        public int unfinished() {
+            return waiting.size() + running.size();
+        }
+
+        private void startNext() {
+            if (waiting.isEmpty()) {
+                return;
+            }
+            CompanionAttempt attempt = waiting.remove(0);
+            if (outcomes.start(attempt)) {
+                starts.merge(attempt.id().value(), 1, Integer::sum);
+                attempt.open();
+                running.add(attempt);
+            }
+        }
+
+        private void goOn(int index) {
+            if (running.isEmpty()) {
+                return;
+            }
+            CompanionAttempt attempt = running.get(index % running.size());
+            int owed = demand.merge(attempt.id(), attempt.takeDemand(), Integer::sum);
+            long sequence = attempt.nextFromTarget();
+            int wanted = callers.get(attempt.id().value()).wanted;
+            if (sequence < wanted && owed > 0) {
+                demand.merge(attempt.id(), -1, Integer::sum);
+                ByteString payload = ByteString.copyFromUtf8(attempt.id() + "/" + sequence);
+                attempt.add(Frames.chunk(attempt.id(), sequence, payload, 1));
+            } else if (sequence == wanted) {
+                running.remove(attempt);
+                outcomes.ended(
+                        attempt,
+                        End.newBuilder()
+                                .setAttempt(attempt.id().value())
+                                .setCount(wanted)
+                                .build());
+            }
+        }
+    }
+
+    void send(int chunks, boolean repeatable, int credit) {
+        String id = "attempt-" + (order.size() + 1);
+        Caller caller = new Caller(id, chunks, incarnation);
+        callers.put(id, caller);
+        order.add(caller);
+        Run run = Run.newBuilder()
+                .setAttempt(id)
+                .setDeadlineLeftMillis(120_000)
+                .setAccount("winders")
+                .setKeyDigest(ByteString.copyFrom(KeyDigest.ofSecret(SECRET).toBytes()))
+                .setService("job-cards")
+                .setOperation("book")
+                .setRepeatable(repeatable)
+                .setCredit(credit)
+                .build();
+        caller.handle = attempts.run(COMPANION, run, caller);
+    }
+
+    private Optional<Caller> caller(int index) {
+        return order.isEmpty() ? Optional.empty() : Optional.of(order.get(index % order.size()));
+    }
+
+    void request(int index, int chunks) {
+        caller(index).ifPresent(caller -> caller.handle.request(chunks));
+    }
+
+    void cancel(int index) {
+        caller(index).ifPresent(caller -> caller.handle.cancel("cancelled by the test"));
+    }
+
+    void seal(int index) {
+        caller(index).ifPresent(caller -> {
+            try {
+                attempts.seal(COMPANION, caller.id, caller.sentTo, Duration.ofNanos(now), outcome -> {
+                    if (outcome == SealOutcome.NEVER_STARTED) {
+                        saidNotRun.add(caller.id);
+                    }
+                });
+            } catch (IllegalArgumentException alreadyBeingSealed) {
+                return;
+            }
+        });
+    }
+
+    void deliverToCompanion(int linkIndex, int position, boolean twice) {
+        if (companionLinks.isEmpty()) {
+            return;
+        }
+        FakeWire.Link from = companionLinks.get(linkIndex % companionLinks.size());
+        from.takeForCompanion(position).ifPresent(frame -> {
+            receive(from, frame);
+            if (twice) {
+                receive(from, frame);
+            }
+        });
+        noteProgress();
+    }
+
+    private void receive(FakeWire.Link from, Frame frame) {
+        if (from.companionEnd.isOpen()) {
+            requests.received(from.companionEnd, frame);
+        }
+    }
+
+    void deliverToEntry(int position) {
+        link.deliverToEntry(position);
+        noteProgress();
+    }
+
+    void duplicateToEntry() {
+        link.duplicateToEntry();
+    }
+
+    private void noteProgress() {
+        busySince = now;
+    }
+
+    void startNext() {
+        runner.startNext();
+    }
+
+    void goOn(int index) {
+        runner.goOn(index);
+    }
+
+    /** Lets time pass; a link that stays silent for too long is given up by the entry, as heartbeats would see to. */
+    void pass(Duration time) {
+        now += time.toNanos();
+        if (!link.isIdle() && now - busySince > SILENCE.toNanos()) {
+            reconnect();
+        }
+        tick();
+    }
+
+    private void tick() {
+        entryTick.run();
+        requests.tick();
+    }
+
+    /** The entry gives its link up and opens a new one; the companion still has the old one until it sees the new one. */
+    void reconnect() {
+        if (link != null) {
+            wire.closeAtEntry(link);
+        }
+        link = wire.open();
+        companionLinks.add(link);
+        noteProgress();
+    }
+
+    /** The companion sees the end of its older links. */
+    void companionSeesNewLink() {
+        while (companionLinks.size() > 1) {
+            FakeWire.Link old = companionLinks.remove(0);
+            old.companionEnd.close("superseded");
+            shards.all().forEach(attempt -> attempt.linkClosed(old.companionEnd, now));
+        }
+    }
+
+    void restartCompanion() {
+        wire.closeAtEntry(link);
+        companionLinks.clear();
+        startCompanion();
+        wire.setCompanionHello(hello("companion-1", incarnation));
+        link = wire.open();
+        companionLinks.add(link);
+        noteProgress();
+    }
+
+    /** Lets all faults end and everything run to its end. */
+    void settle() {
+        reconnect();
+        companionSeesNewLink();
+        for (int round = 0; round < 400; round++) {
+            order.forEach(caller -> caller.handle.request(4));
+            while (!link.isIdle()) {
+                deliverToCompanion(0, 0, false);
+                deliverToEntry(0);
+            }
+            startNext();
+            for (int index = 0; index < 4 * runner.running.size(); index++) {
+                goOn(index);
+            }
+            now += 10_000_000;
+            tick();
+        }
+    }
+
+    void check() {
+        starts.forEach((id, count) -> assertThat(count).as("starts of " + id).isEqualTo(1));
+        saidNotRun.forEach(id -> assertThat(starts).as("said not run").doesNotContainKey(id));
+        order.forEach(caller -> assertThat(caller.ends).isLessThanOrEqualTo(1));
+    }
+
+    void checkSettled() {
+        check();
+        order.forEach(
+                caller -> assertThat(caller.ends).as("ends of " + caller.id).isEqualTo(1));
+        order.stream().filter(caller -> caller.whole).forEach(caller -> assertThat(caller.chunks)
+                .isEqualTo(caller.wanted));
+    }
+
+    long wholeAnswers() {
+        return order.stream().filter(caller -> caller.whole).count();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeWire.java
@@ -0,0 +1,141 @@
+package org.geraniumreach.daemon.companion;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.geraniumreach.link.FrameHandler;
+import org.geraniumreach.link.Links;
+import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.model.InstanceId;
+
+/**
+ * The links between one entry and one companion, in memory; a test decides when each frame arrives, and when each end hears
+ * that a link is closed.
+ */
+final class FakeWire implements Links {
+
+    private Hello companionHello;
+    private final Hello entryHello;
+    private final List<FrameHandler> handlers = new ArrayList<>();
+    private Optional<Link> atEntry = Optional.empty();
+
+    FakeWire(Hello entryHello, Hello companionHello) {
+        this.entryHello = entryHello;
+        this.companionHello = companionHello;
+    }
+
+    /** One connection. */
+    final class Link {
+        final End entryEnd = new End(companionHello);
+        final End companionEnd = new End(entryHello);
+
+        /** Gives the oldest frame under way to the companion, or the one after it, which it then overtakes. */
+        Optional<Frame> takeForCompanion(int position) {
+            return take(entryEnd.sent, position);
+        }
+
+        void deliverToEntry(int position) {
+            take(companionEnd.sent, position).ifPresent(this::giveToEntry);
+        }
+
+        void duplicateToEntry() {
+            companionEnd.sent.stream().findFirst().ifPresent(this::giveToEntry);
+        }
+
+        private void giveToEntry(Frame frame) {
+            if (entryEnd.open) {
+                handlers.forEach(handler -> handler.received(entryEnd, frame));
+            }
+        }
+
+        private Optional<Frame> take(List<Frame> frames, int position) {
+            return position < frames.size() ? Optional.of(frames.remove(position)) : Optional.empty();
+        }
+
+        boolean isIdle() {
+            return entryEnd.sent.isEmpty() && companionEnd.sent.isEmpty();
+        }
+    }
+
+    /** One end of a connection, as its own process sees it. */
+    static final class End implements Peer {
+        private final Hello hello;
+        private final List<Frame> sent = new ArrayList<>();
+        private boolean open = true;
+
+        private End(Hello hello) {
+            this.hello = hello;
+        }
+
+        @Override
+        public Hello hello() {
+            return hello;
+        }
+
+        @Override
+        public boolean send(Frame frame) {
+            return open && sent.add(frame);
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public void close(String reason) {
+            open = false;
+        }
+
+        boolean isOpen() {
+            return open;
+        }
+    }
+
+    void setCompanionHello(Hello hello) {
+        companionHello = hello;
+    }
+
+    Link open() {
+        Link link = new Link();
+        atEntry = Optional.of(link);
+        handlers.forEach(handler -> handler.opened(link.entryEnd));
+        return link;
+    }
+
+    /** Closes the entry's end only; what it had sent may still arrive. */
+    void closeAtEntry(Link link) {
+        if (!link.entryEnd.open) {
+            return;
+        }
+        link.entryEnd.open = false;
+        atEntry = Optional.empty();
+        handlers.forEach(handler -> handler.closed(link.entryEnd, "closed by the test"));
+    }
+
+    @Override
+    public void keep(InstanceId instance, InetSocketAddress address) {}
+
+    @Override
+    public void release(InstanceId instance) {}
+
+    @Override
+    public Optional<Peer> find(InstanceId instance) {
+        return atEntry.map(link -> link.entryEnd);
+    }
+
+    @Override
+    public List<Peer> peers() {
+        return List.of();
+    }
+
+    @Override
+    public void handle(Set<Frame.BodyCase> kinds, FrameHandler handler) {
+        handlers.add(handler);
+    }
+}
--- a/link/src/main/java/org/geraniumreach/link/AttemptTracker.java
+++ b/link/src/main/java/org/geraniumreach/link/AttemptTracker.java
@@ -46,6 +46,7 @@
     private long askedAt;
     private boolean linked = true;
     private boolean done;
+    private boolean isIncomplete;
     private String cancelReason;
 
     private AttemptTracker(
@@ -188,6 +189,7 @@
         }
         nextSequence++;
         if (cancelReason != null) {
+            isIncomplete = true;
             return List.of();
         }
         List<AttemptAction> actions = new ArrayList<>();
@@ -214,8 +216,15 @@
             return end(new AttemptAction.TellLost(
                     Ran.UNKNOWN, "the end counts " + end.getCount() + " chunks and " + nextSequence + " have come"));
         }
-        return acknowledgedEnd(
-                isNamed(end) ? new AttemptAction.TellEnded(end) : new AttemptAction.TellRefused(wrong(end)));
+        if (isIncomplete) {
+            // The end crossed with the cancel; without the chunks dropped since, the answer is not whole.
+            return acknowledgedEnd(new AttemptAction.TellRefused(refusal(ResultCode.CANCELLED, cancelReason)));
+        }
+        if (!isNamed(end)) {
+            String message = "the target ran " + end.getAdapter() + "@" + end.getVersion();
+            return acknowledgedEnd(new AttemptAction.TellRefused(refusal(ResultCode.WRONG_ADAPTER_SERVED, message)));
+        }
+        return acknowledgedEnd(new AttemptAction.TellEnded(end));
     }
 
     /**
@@ -238,11 +247,11 @@
                 || run.getAdapter().equals(end.getAdapter()) && run.getVersion().equals(end.getVersion());
     }
 
-    private Refused wrong(End end) {
+    private Refused refusal(ResultCode code, String message) {
         return Refused.newBuilder()
                 .setAttempt(run.getAttempt())
-                .setCode(ResultCode.WRONG_ADAPTER_SERVED.number())
-                .setMessage("the target ran " + end.getAdapter() + "@" + end.getVersion())
+                .setCode(code.number())
+                .setMessage(message)
                 .setRan(Ran.YES.ordinal())
                 .build();
     }
@@ -400,6 +409,7 @@
                 .setCancel(Cancel.newBuilder()
                         .setAttempt(run.getAttempt())
                         .setReason(cancelReason == null ? "" : cancelReason)
+                        .setCompanionIncarnation(incarnation)
                         .setAgeMillis(ageMillis(now))));
     }
 
--- a/messages/src/main/java/org/geraniumreach/messages/Acknowledge.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Acknowledge.java
@@ -6,6 +6,10 @@
 package org.geraniumreach.messages;
 
 /**
+ * <pre>
+ * The greatest next_sequence also acknowledges the End or the Refused.
+ * </pre>
+ *
  * Protobuf type {@code geraniumreach.link.Acknowledge}
  */
 public final class Acknowledge extends
@@ -284,6 +288,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * The greatest next_sequence also acknowledges the End or the Refused.
+   * </pre>
+   *
    * Protobuf type {@code geraniumreach.link.Acknowledge}
    */
   public static final class Builder extends
--- a/messages/src/main/java/org/geraniumreach/messages/Cancel.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Cancel.java
@@ -133,6 +133,17 @@
     return ageMillis_;
   }
 
+  public static final int COMPANION_INCARNATION_FIELD_NUMBER = 4;
+  private long companionIncarnation_ = 0L;
+  /**
+   * <code>int64 companion_incarnation = 4;</code>
+   * @return The companionIncarnation.
+   */
+  @java.lang.Override
+  public long getCompanionIncarnation() {
+    return companionIncarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -156,6 +167,9 @@
     if (ageMillis_ != 0L) {
       output.writeInt64(3, ageMillis_);
     }
+    if (companionIncarnation_ != 0L) {
+      output.writeInt64(4, companionIncarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -175,6 +189,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, ageMillis_);
     }
+    if (companionIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, companionIncarnation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -196,6 +214,8 @@
         .equals(other.getReason())) return false;
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
+    if (getCompanionIncarnation()
+        != other.getCompanionIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -214,6 +234,9 @@
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAgeMillis());
+    hash = (37 * hash) + COMPANION_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getCompanionIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -348,6 +371,7 @@
       attempt_ = "";
       reason_ = "";
       ageMillis_ = 0L;
+      companionIncarnation_ = 0L;
       return this;
     }
 
@@ -390,6 +414,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.companionIncarnation_ = companionIncarnation_;
+      }
     }
 
     @java.lang.Override
@@ -417,6 +444,9 @@
       if (other.getAgeMillis() != 0L) {
         setAgeMillis(other.getAgeMillis());
       }
+      if (other.getCompanionIncarnation() != 0L) {
+        setCompanionIncarnation(other.getCompanionIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -458,6 +488,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              companionIncarnation_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -651,6 +686,38 @@
       return this;
     }
 
+    private long companionIncarnation_ ;
+    /**
+     * <code>int64 companion_incarnation = 4;</code>
+     * @return The companionIncarnation.
+     */
+    @java.lang.Override
+    public long getCompanionIncarnation() {
+      return companionIncarnation_;
+    }
+    /**
+     * <code>int64 companion_incarnation = 4;</code>
+     * @param value The companionIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompanionIncarnation(long value) {
+
+      companionIncarnation_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 companion_incarnation = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompanionIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      companionIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Cancel)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/CancelOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/CancelOrBuilder.java
@@ -38,4 +38,10 @@
    * @return The ageMillis.
    */
   long getAgeMillis();
+
+  /**
+   * <code>int64 companion_incarnation = 4;</code>
+   * @return The companionIncarnation.
+   */
+  long getCompanionIncarnation();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -207,50 +207,51 @@
       "(\003\022\023\n\013load_micros\030\t \001(\003\022\022\n\nprefix_hit\030\n " +
       "\001(\010\"b\n\007Refused\022\017\n\007attempt\030\001 \001(\t\022\014\n\004code\030" +
       "\002 \001(\005\022\017\n\007message\030\003 \001(\t\022\013\n\003ran\030\004 \001(\005\022\032\n\022r" +
-      "etry_after_millis\030\005 \001(\003\"=\n\006Cancel\022\017\n\007att" +
+      "etry_after_millis\030\005 \001(\003\"\\\n\006Cancel\022\017\n\007att" +
       "empt\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\022\n\nage_millis" +
-      "\030\003 \001(\003\"\354\001\n\006Resume\022\017\n\007attempt\030\001 \001(\t\022\025\n\rne" +
-      "xt_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022\n\nage" +
-      "_millis\030\004 \001(\003\022\035\n\025companion_incarnation\030\005" +
-      " \001(\003\022\017\n\007account\030\006 \001(\t\022\022\n\nkey_digest\030\007 \001(" +
-      "\014\022\017\n\007adapter\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\022\n\nr" +
-      "epeatable\030\n \001(\010\022\034\n\024deadline_left_millis\030" +
-      "\013 \001(\003\"E\n\013Acknowledge\022\017\n\007attempt\030\001 \001(\t\022\025\n" +
-      "\rnext_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\"J\n\004" +
-      "Seal\022\017\n\007attempt\030\001 \001(\t\022\035\n\025companion_incar" +
-      "nation\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\"G\n\006Seal" +
-      "ed\022\017\n\007attempt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022\035\n\025co" +
-      "mpanion_incarnation\030\003 \001(\003\"\252\002\n\006Status\022\020\n\010" +
-      "sequence\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007runnin" +
-      "g\030\003 \001(\005\022\016\n\006queued\030\004 \001(\005\022\025\n\rqueued_tokens" +
-      "\030\005 \001(\003\022\031\n\021concurrency_limit\030\006 \001(\005\022\r\n\005slo" +
-      "ts\030\007 \001(\005\022\020\n\010complete\030\010 \001(\010\022\020\n\010resident\030\t" +
-      " \003(\t\022\017\n\007removed\030\n \003(\t\022\017\n\007loading\030\013 \003(\t\022\032" +
-      "\n\022engine_incarnation\030\014 \001(\003\022\020\n\010draining\030\r" +
-      " \001(\010\022\r\n\005fence\030\016 \001(\003\022\031\n\021tokens_per_second" +
-      "\030\017 \001(\001\"P\n\021ConfigurationNews\022-\n\007entries\030\001" +
-      " \003(\0132\034.geraniumreach.link.LogEntry\022\014\n\004he" +
-      "ad\030\002 \001(\003\"l\n\010LogEntry\022\020\n\010revision\030\001 \001(\003\022\021" +
-      "\n\toperation\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004name\030" +
-      "\004 \001(\t\022\021\n\twithdrawn\030\005 \001(\010\022\014\n\004body\030\006 \001(\t\"(" +
-      "\n\017SnapshotRequest\022\025\n\rhave_revision\030\001 \001(\003" +
-      "\"m\n\014SnapshotPart\022\020\n\010revision\030\001 \001(\003\022\r\n\005in" +
-      "dex\030\002 \001(\005\022\r\n\005parts\030\003 \001(\005\022-\n\007entries\030\004 \003(" +
-      "\0132\034.geraniumreach.link.LogEntry\"t\n\013LoanR" +
-      "equest\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022" +
-      "\025\n\rtokens_wanted\030\003 \001(\003\022\024\n\014share_wanted\030\004" +
-      " \001(\003\022\027\n\017duration_millis\030\005 \001(\003\"e\n\nLoanAns" +
-      "wer\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\016\n\006" +
-      "tokens\030\003 \001(\003\022\r\n\005share\030\004 \001(\003\022\027\n\017duration_" +
-      "millis\030\005 \001(\003\"\212\001\n\tFreshness\022\020\n\010instance\030\001" +
-      " \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010revision\030\003 " +
-      "\001(\003\022\034\n\024confirmed_age_millis\030\004 \001(\003\022\027\n\017sto" +
-      "re_reachable\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\"U\n\010Loa" +
-      "dNews\022\016\n\006target\030\001 \001(\t\022\022\n\nin_transit\030\002 \001(" +
-      "\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014waiting_work\030\004 \001(\003" +
-      "\"0\n\007Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarna" +
-      "tion\030\002 \001(\003B)\n\032org.geraniumreach.messages" +
-      "B\tLinkProtoP\001b\006proto3"
+      "\030\003 \001(\003\022\035\n\025companion_incarnation\030\004 \001(\003\"\354\001" +
+      "\n\006Resume\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_sequen" +
+      "ce\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022\n\nage_millis\030\004" +
+      " \001(\003\022\035\n\025companion_incarnation\030\005 \001(\003\022\017\n\007a" +
+      "ccount\030\006 \001(\t\022\022\n\nkey_digest\030\007 \001(\014\022\017\n\007adap" +
+      "ter\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\022\n\nrepeatable" +
+      "\030\n \001(\010\022\034\n\024deadline_left_millis\030\013 \001(\003\"E\n\013" +
+      "Acknowledge\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_seq" +
+      "uence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\"J\n\004Seal\022\017\n\007a" +
+      "ttempt\030\001 \001(\t\022\035\n\025companion_incarnation\030\002 " +
+      "\001(\003\022\022\n\nage_millis\030\003 \001(\003\"G\n\006Sealed\022\017\n\007att" +
+      "empt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022\035\n\025companion_i" +
+      "ncarnation\030\003 \001(\003\"\252\002\n\006Status\022\020\n\010sequence\030" +
+      "\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007running\030\003 \001(\005\022\016" +
+      "\n\006queued\030\004 \001(\005\022\025\n\rqueued_tokens\030\005 \001(\003\022\031\n" +
+      "\021concurrency_limit\030\006 \001(\005\022\r\n\005slots\030\007 \001(\005\022" +
+      "\020\n\010complete\030\010 \001(\010\022\020\n\010resident\030\t \003(\t\022\017\n\007r" +
+      "emoved\030\n \003(\t\022\017\n\007loading\030\013 \003(\t\022\032\n\022engine_" +
+      "incarnation\030\014 \001(\003\022\020\n\010draining\030\r \001(\010\022\r\n\005f" +
+      "ence\030\016 \001(\003\022\031\n\021tokens_per_second\030\017 \001(\001\"P\n" +
+      "\021ConfigurationNews\022-\n\007entries\030\001 \003(\0132\034.ge" +
+      "raniumreach.link.LogEntry\022\014\n\004head\030\002 \001(\003\"" +
+      "l\n\010LogEntry\022\020\n\010revision\030\001 \001(\003\022\021\n\toperati" +
+      "on\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004name\030\004 \001(\t\022\021\n\t" +
+      "withdrawn\030\005 \001(\010\022\014\n\004body\030\006 \001(\t\"(\n\017Snapsho" +
+      "tRequest\022\025\n\rhave_revision\030\001 \001(\003\"m\n\014Snaps" +
+      "hotPart\022\020\n\010revision\030\001 \001(\003\022\r\n\005index\030\002 \001(\005" +
+      "\022\r\n\005parts\030\003 \001(\005\022-\n\007entries\030\004 \003(\0132\034.geran" +
+      "iumreach.link.LogEntry\"t\n\013LoanRequest\022\016\n" +
+      "\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\025\n\rtokens" +
+      "_wanted\030\003 \001(\003\022\024\n\014share_wanted\030\004 \001(\003\022\027\n\017d" +
+      "uration_millis\030\005 \001(\003\"e\n\nLoanAnswer\022\016\n\006nu" +
+      "mber\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\016\n\006tokens\030\003 " +
+      "\001(\003\022\r\n\005share\030\004 \001(\003\022\027\n\017duration_millis\030\005 " +
+      "\001(\003\"\212\001\n\tFreshness\022\020\n\010instance\030\001 \001(\t\022\023\n\013i" +
+      "ncarnation\030\002 \001(\003\022\020\n\010revision\030\003 \001(\003\022\034\n\024co" +
+      "nfirmed_age_millis\030\004 \001(\003\022\027\n\017store_reacha" +
+      "ble\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\"U\n\010LoadNews\022\016\n\006" +
+      "target\030\001 \001(\t\022\022\n\nin_transit\030\002 \001(\005\022\017\n\007wait" +
+      "ing\030\003 \001(\005\022\024\n\014waiting_work\030\004 \001(\003\"0\n\007Leavi" +
+      "ng\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
+      "\003B)\n\032org.geraniumreach.messagesB\tLinkPro" +
+      "toP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -315,7 +316,7 @@
     internal_static_geraniumreach_link_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_Cancel_descriptor,
-        new java.lang.String[] { "Attempt", "Reason", "AgeMillis", });
+        new java.lang.String[] { "Attempt", "Reason", "AgeMillis", "CompanionIncarnation", });
     internal_static_geraniumreach_link_Resume_descriptor =
       getDescriptor().getMessageTypes().get(10);
     internal_static_geraniumreach_link_Resume_fieldAccessorTable = new
