Add the keeper of an entry's shares in the table service

What a commit gives away counts as given from before it is sent, and after a lost answer until the row's version has moved on: a reading that shows the old row was ruled out as proof, as the commit may yet take effect. Not fuzzed yet.

--- /dev/null
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/HolderRow.java
@@ -0,0 +1,93 @@
+package org.geraniumreach.coordination.budget;
+
+import java.util.Iterator;
+import java.util.Objects;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.table.RowKey;
+
+/**
+ * The row that holds one entry's shares; its version is the entry's lease.
+ *
+ * <p>Invariant: a key is never used again after its row was deleted, as a commit that comes late could then match the new
+ * row's version. Immutable and safe for use by several threads.
+ *
+ * @param holder whose row it is
+ * @param renewals how often the lease was renewed
+ * @param shares the shares
+ */
+public record HolderRow(HolderId holder, long renewals, ShareSet shares) {
+
+    /** The table of these rows. */
+    public static final String TABLE = "budget-holder";
+
+    private static final int SCHEMA_VERSION = 1;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    public HolderRow {
+        Objects.requireNonNull(holder, "holder");
+        Objects.requireNonNull(shares, "shares");
+    }
+
+    /**
+     * Obtains the place of a holder's row.
+     *
+     * @param holder the holder, not null
+     * @param generation how many rows it had before
+     * @return the place, not null
+     */
+    public static RowKey keyOf(HolderId holder, int generation) {
+        return RowKey.of(TABLE, holder.instance() + "/" + holder.incarnation() + "/" + generation);
+    }
+
+    /**
+     * Writes the row.
+     *
+     * @return its JSON text, not null
+     */
+    public String write() {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("schemaVersion", SCHEMA_VERSION);
+        node.put("instance", holder.instance().value());
+        node.put("address", holder.address());
+        node.put("incarnation", holder.incarnation());
+        node.put("renewals", renewals);
+        ObjectNode parts = node.putObject("shares");
+        shares.accounts().forEach(account -> parts.put(account.value(), shares.parts(account)));
+        return node.toString();
+    }
+
+    /**
+     * Reads a row.
+     *
+     * @param text its JSON text, not null
+     * @return the row, or empty if the text is not one
+     */
+    public static Optional<HolderRow> read(String text) {
+        try {
+            JsonNode node = MAPPER.readTree(text);
+            HolderId holder = new HolderId(
+                    InstanceId.of(node.path("instance").asText()),
+                    node.path("address").asText(),
+                    node.path("incarnation").asLong());
+            return Optional.of(new HolderRow(holder, node.path("renewals").asLong(), sharesIn(node.path("shares"))));
+        } catch (JsonProcessingException | IllegalArgumentException invalid) {
+            return Optional.empty();
+        }
+    }
+
+    private static ShareSet sharesIn(JsonNode parts) {
+        ShareSet shares = ShareSet.EMPTY;
+        for (Iterator<String> names = parts.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            shares = shares.with(AccountId.of(name), parts.get(name).asLong());
+        }
+        return shares;
+    }
+}
--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/ShareSet.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/ShareSet.java
@@ -76,6 +76,20 @@
         return sum;
     }
 
+    /**
+     * Gets the shares that both sets have.
+     *
+     * @param other the other set, not null
+     * @return the lesser share of each account, not null
+     */
+    public ShareSet least(ShareSet other) {
+        ShareSet least = EMPTY;
+        for (AccountId account : parts.keySet()) {
+            least = least.with(account, Math.min(parts(account), other.parts(account)));
+        }
+        return least;
+    }
+
     public boolean isEmpty() {
         return parts.isEmpty();
     }
