--- /dev/null
+++ b/serving/src/test/java/org/geraniumreach/serving/retry/RetryBudgetPropertyTest.java
@@ -0,0 +1,57 @@
+package org.geraniumreach.serving.retry;
+
+import java.time.Duration;
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.geraniumreach.serving.ManualClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RetryBudgetPropertyTest {
+
+    private static final double RATIO = 0.2;
+    private static final double FLOOR_PER_SECOND = 2;
+    private static final double SIZE = 10;
+
+    /*
+     * Callers see all targets fail when only one failure domain is lost. Every failed request is sent again at once, and the
+     * targets that are left break under twice their load. Retries stay within what successes and time have earned.
+     */
+    @Property(seed = "41", tries = 500)
+    void retriesStayWithinWhatSuccessesAndTimeEarn(@ForAll @Size(max = 400) List<@IntRange(max = 9) Integer> steps) {
+        ManualClock clock = new ManualClock();
+        RetryBudget budget = RetryBudget.create(clock, RATIO, FLOOR_PER_SECOND, SIZE);
+        int successes = 0;
+        int retries = 0;
+        for (int step : steps) {
+            if (step == 0) {
+                clock.advance(Duration.ofMillis(137));
+            } else if (step < 4) {
+                budget.succeeded();
+                successes++;
+            } else if (budget.tryRetry()) {
+                retries++;
+            }
+            double earned = RATIO * successes + FLOOR_PER_SECOND * clock.nanos() / 1e9 + SIZE;
+            assertThat((double) retries).isLessThanOrEqualTo(earned + 1e-6);
+        }
+    }
+
+    @Property(seed = "42", tries = 50)
+    void someRetriesAreGrantedWhenNothingSucceeds(@ForAll @IntRange(min = 1, max = 60) int seconds) {
+        ManualClock clock = new ManualClock();
+        RetryBudget budget = RetryBudget.create(clock, RATIO, FLOOR_PER_SECOND, SIZE);
+        int retries = 0;
+        for (int second = 0; second < seconds; second++) {
+            clock.advance(Duration.ofSeconds(1));
+            while (budget.tryRetry()) {
+                retries++;
+            }
+        }
+        assertThat(retries).isBetween((int) (FLOOR_PER_SECOND * seconds), (int) (FLOOR_PER_SECOND * seconds + SIZE));
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/geraniumreach/serving/retry/RetryPolicyTest.java
@@ -0,0 +1,54 @@
+package org.geraniumreach.serving.retry;
+
+import java.time.Duration;
+import java.util.Random;
+
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.serving.ManualClock;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RetryPolicyTest {
+
+    /*
+     * A farmer is billed twice. A booking is sent, its answer is lost, and the entry sends it again elsewhere. Only what is
+     * shown not to have run, or may run twice and whose answer has not begun, is tried again.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "true, NO, false, 1, true",
+        "true, UNKNOWN, false, 1, true",
+        "true, YES, false, 2, true",
+        "true, UNKNOWN, true, 1, false",
+        "false, NO, false, 1, true",
+        "false, UNKNOWN, false, 1, false",
+        "false, YES, false, 1, false",
+        "true, NO, false, 3, false"
+    })
+    void onlyRepeatableRequestsOrThoseNotRunAreTriedAgain(
+            boolean repeatable, Ran ran, boolean begun, int failures, boolean expected) {
+        RetryPolicy policy = RetryPolicy.budgeted(
+                RetryBudget.create(new ManualClock(), 0.1, 1, 10),
+                new Backoff(Duration.ofMillis(10), Duration.ofMillis(100)),
+                3,
+                new Random(1));
+        RetryPolicy.Failure failure = new RetryPolicy.Failure(repeatable, ran, begun, failures, Duration.ofSeconds(1));
+        assertThat(policy.decide(failure).isPresent()).isEqualTo(expected);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 10", "2, 20", "4, 80", "5, 100", "60, 100"})
+    void delaysAreSpreadUpToABoundThatDoubles(int failures, long bound) {
+        Backoff backoff = new Backoff(Duration.ofMillis(10), Duration.ofMillis(100));
+        Random random = new Random(1);
+        long longest = 0;
+        for (int draw = 0; draw < 1000; draw++) {
+            long millis = backoff.delay(failures, random).toMillis();
+            assertThat(millis).isBetween(0L, bound);
+            longest = Math.max(longest, millis);
+        }
+        assertThat(longest).isGreaterThanOrEqualTo(bound * 9 / 10);
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/geraniumreach/serving/retry/TargetHealthTest.java
@@ -0,0 +1,124 @@
+package org.geraniumreach.serving.retry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.serving.ManualClock;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TargetHealthTest {
+
+    private static final int TARGETS = 6;
+    private static final EjectionRules RULES = EjectionRules.standard();
+
+    private final ManualClock clock = new ManualClock();
+    private final TargetHealth health = health(clock);
+
+    private static TargetHealth health(ManualClock clock) {
+        TargetHealth health = TargetHealth.create(RULES, clock, new Random(1));
+        IntStream.range(0, TARGETS).forEach(number -> health.add(id(number)));
+        return health;
+    }
+
+    private static TargetId id(int number) {
+        return TargetId.of("target-" + number);
+    }
+
+    private int admitted(int number) {
+        return (int) IntStream.range(0, 1000)
+                .filter(call -> health.admits(id(number)))
+                .count();
+    }
+
+    private void eject(int number) {
+        IntStream.range(0, RULES.consecutiveFailures()).forEach(failure -> health.failed(id(number)));
+    }
+
+    @Test
+    void failuresInARowEjectAndFewerDoNot() {
+        IntStream.range(1, RULES.consecutiveFailures())
+                .forEach(failure -> assertThat(health.failed(id(0))).isEqualTo(TargetHealth.Change.NONE));
+        assertThat(health.admits(id(0))).isTrue();
+        assertThat(health.failed(id(0))).isEqualTo(TargetHealth.Change.EJECTED);
+        assertThat(health.admits(id(0))).isFalse();
+    }
+
+    @Test
+    void errorRateEjectsWithoutFailuresInARow() {
+        for (int request = 0; request < RULES.leastRequests(); request += 2) {
+            health.succeeded(id(0));
+            health.failed(id(0));
+        }
+        assertThat(health.admits(id(0))).isFalse();
+    }
+
+    @Test
+    void failuresOfLongAgoDoNotCount() {
+        for (int request = 0; request < 5 * RULES.leastRequests(); request++) {
+            health.succeeded(id(0));
+            health.succeeded(id(0));
+            health.failed(id(0));
+            clock.advance(Duration.ofSeconds(1));
+        }
+        assertThat(health.admits(id(0))).isTrue();
+    }
+
+    /*
+     * Callers see failures in waves. A target that comes back gets its full share at once, breaks down under it cold, and is
+     * ejected again. Its share rises with time instead, and a failure meanwhile ejects it for twice as long.
+     */
+    @Test
+    void targetIsLetBackByDegrees() {
+        eject(0);
+        clock.advance(RULES.firstEjection());
+        assertThat(admitted(0)).isBetween(50, 150);
+        clock.advance(RULES.letBack().dividedBy(2));
+        assertThat(admitted(0)).isBetween(500, 600);
+        clock.advance(RULES.letBack());
+        assertThat(admitted(0)).isEqualTo(1000);
+        assertThat(health.succeeded(id(0))).isEqualTo(TargetHealth.Change.RESTORED);
+    }
+
+    @Test
+    void failureWhileReturningEjectsForTwiceAsLong() {
+        eject(0);
+        clock.advance(RULES.firstEjection());
+        assertThat(health.failed(id(0))).isEqualTo(TargetHealth.Change.EJECTED);
+        clock.advance(RULES.firstEjection());
+        assertThat(admitted(0)).isZero();
+        clock.advance(RULES.firstEjection());
+        assertThat(admitted(0)).isPositive();
+    }
+
+    /*
+     * Every caller is refused although targets work. This entry's own network breaks for a moment, all targets seem to fail
+     * at once, and all are ejected. Half of them always stay in.
+     */
+    @Property(seed = "51", tries = 200)
+    void halfOfTheTargetsStayIn(@ForAll @Size(max = 300) List<@IntRange(max = 99) Integer> steps) {
+        ManualClock time = new ManualClock();
+        TargetHealth all = health(time);
+        for (int step : steps) {
+            if (step % 10 == 0) {
+                time.advance(Duration.ofMillis(700));
+            } else if (step % 10 == 1) {
+                all.succeeded(id(step / 10 % TARGETS));
+            } else {
+                all.failed(id(step / 10 % TARGETS));
+            }
+            long ejected = IntStream.range(0, TARGETS)
+                    .filter(number -> IntStream.range(0, 200).noneMatch(call -> all.admits(id(number))))
+                    .count();
+            assertThat(ejected).isLessThanOrEqualTo(TARGETS / 2);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/org/geraniumreach/serving/routing/Routers.java
@@ -0,0 +1,17 @@
+package org.geraniumreach.serving.routing;
+
+import java.util.Random;
+
+import org.geraniumreach.serving.prefix.PrefixDirectory;
+
+/** Makes routers for tests. */
+final class Routers {
+
+    private static final long SEED = 7;
+
+    private Routers() {}
+
+    static Router of(RoutingPolicy policy, FleetView fleet, TargetFilter filter, PrefixDirectory prefixes) {
+        return policy.router(fleet, filter, prefixes, RouterSettings.of(RoutingWeights.sabarmati()), new Random(SEED));
+    }
+}
