--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionDaemon.java
@@ -0,0 +1,105 @@
+package org.geraniumreach.daemon.companion;
+
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.geraniumreach.daemon.companion.CompanionProcessSettings.TargetSettings;
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.daemon.node.Daemon;
+import org.geraniumreach.daemon.node.Foundation;
+import org.geraniumreach.daemon.node.PlatformSettings;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.platform.ModelEngine;
+import org.geraniumreach.platform.PlainService;
+import org.geraniumreach.platform.http.PlatformClients;
+
+/**
+ * A companion's process: the companion and what it stands on.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class CompanionDaemon implements Daemon {
+
+    private final CompanionProcessSettings settings;
+    private final Foundation foundation;
+    private final CompanionNode node;
+
+    private CompanionDaemon(CompanionProcessSettings settings, Foundation foundation, CompanionNode node) {
+        this.settings = settings;
+        this.foundation = foundation;
+        this.node = node;
+    }
+
+    /**
+     * Starts a companion.
+     *
+     * @param settings the settings, not null
+     * @return the running companion, not null
+     * @throws IOException if an address cannot be had
+     */
+    public static CompanionDaemon start(CompanionProcessSettings settings) throws IOException {
+        AtomicReference<CompanionNode> started = new AtomicReference<>();
+        Foundation.RoleHello hello = new Foundation.RoleHello(
+                Optional.of(settings.target().name()),
+                () -> Optional.ofNullable(started.get()).map(CompanionNode::fence).orElse(0L));
+        Foundation foundation = Foundation.start(settings.foundation(), hello);
+        CompanionNode node = CompanionNode.create(settings.companion(), parts(settings.target(), foundation));
+        started.set(node);
+        node.start();
+        foundation.startManagement(node::reasonNotReady);
+        EventLog.write(EventCode.STARTING, "companion {} of {}", foundation.instance(), settings.target().name());
+        return new CompanionDaemon(settings, foundation, node);
+    }
+
+    private static CompanionParts parts(TargetSettings target, Foundation foundation) {
+        URI address = PlatformSettings.uri(target.address());
+        Optional<ModelEngine> engine = Optional.empty();
+        Optional<PlainService> service = Optional.empty();
+        if (target.kind() == TargetSettings.Kind.ENGINE) {
+            engine = Optional.of(foundation
+                    .clients()
+                    .modelEngine(
+                            address,
+                            new PlatformClients.EngineLimits(
+                                    target.callLimit(), target.loadLimit(), target.silence())));
+        } else {
+            service = Optional.of(foundation.clients().plainService(address, target.serviceLimit()));
+        }
+        return new CompanionParts(
+                foundation.instance(),
+                foundation.incarnation(),
+                TargetId.of(target.name()),
+                foundation.links(),
+                foundation.configuration(),
+                foundation.table(),
+                engine,
+                service,
+                foundation.clock());
+    }
+
+    @Override
+    public void drain() {
+        node.drain();
+        foundation.membership().announceLeaving();
+    }
+
+    @Override
+    public int running() {
+        return node.unfinished();
+    }
+
+    @Override
+    public Duration drainLimit() {
+        return settings.node().drainLimit();
+    }
+
+    @Override
+    public void close() {
+        node.close();
+        foundation.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionProcessSettings.java
@@ -0,0 +1,90 @@
+package org.geraniumreach.daemon.companion;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+import org.geraniumreach.daemon.configuration.ConfigurationSettings;
+import org.geraniumreach.daemon.event.LogSettings;
+import org.geraniumreach.daemon.membership.MembershipSettings;
+import org.geraniumreach.daemon.node.Foundation;
+import org.geraniumreach.daemon.node.LinkTuning;
+import org.geraniumreach.daemon.node.NodeRole;
+import org.geraniumreach.daemon.node.NodeSettings;
+import org.geraniumreach.daemon.node.PlatformSettings;
+import org.geraniumreach.daemon.settings.Setting;
+
+/**
+ * The settings of a companion's process.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param role always {@link NodeRole#COMPANION}
+ * @param node who and where it is
+ * @param log how it logs
+ * @param platform where the platform's services are
+ * @param target the target that it stands beside
+ * @param companion its work
+ * @param links its links
+ * @param membership its membership
+ * @param configuration its configuration
+ */
+public record CompanionProcessSettings(
+        @Setting(about = "What runs with these settings; here companion.") NodeRole role,
+        NodeSettings node,
+        LogSettings log,
+        PlatformSettings platform,
+        TargetSettings target,
+        CompanionSettings companion,
+        LinkTuning links,
+        MembershipSettings membership,
+        ConfigurationSettings configuration) {
+
+    public CompanionProcessSettings {
+        if (role != NodeRole.COMPANION) {
+            throw new IllegalArgumentException("role must be companion");
+        }
+    }
+
+    Foundation.Settings foundation() {
+        return new Foundation.Settings(role, node, platform, links, membership, configuration);
+    }
+
+    /**
+     * The target that a companion stands beside.
+     *
+     * @param name its record's name
+     * @param kind what it is
+     * @param address where it is
+     * @param callLimit how long an order may take to be answered
+     * @param loadLimit how long a load may take
+     * @param silence how long a running stream may bring nothing
+     * @param serviceLimit how long a plain service's call may take
+     */
+    public record TargetSettings(
+            @Setting(about = "The name of the target's record.") String name,
+            @Setting(about = "What the target is.") Kind kind,
+            @Setting(about = "Where the target is.") InetSocketAddress address,
+            @Setting(value = "2s", least = "10ms", greatest = "1m", about = "How long an order may take to be answered.")
+                    Duration callLimit,
+            @Setting(value = "60s", least = "100ms", greatest = "10m", about = "How long a load may take.")
+                    Duration loadLimit,
+            @Setting(
+                            value = "15s",
+                            least = "100ms",
+                            greatest = "10m",
+                            about = "How long a running stream may bring nothing.")
+                    Duration silence,
+            @Setting(
+                            value = "30s",
+                            least = "100ms",
+                            greatest = "10m",
+                            about = "How long a plain service's call may take.")
+                    Duration serviceLimit) {
+
+        /** The kinds of target. */
+        public enum Kind {
+            ENGINE,
+            SERVICE
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/node/Foundation.java
@@ -0,0 +1,274 @@
+package org.geraniumreach.daemon.node;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import org.geraniumreach.daemon.configuration.ConfigurationSettings;
+import org.geraniumreach.daemon.configuration.ReplicatedConfiguration;
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.daemon.http.HttpFront;
+import org.geraniumreach.daemon.http.HttpLimits;
+import org.geraniumreach.daemon.membership.LinkedMembership;
+import org.geraniumreach.daemon.membership.MembershipSettings;
+import org.geraniumreach.daemon.metrics.NodeMetrics;
+import org.geraniumreach.daemon.settings.SettingsException;
+import org.geraniumreach.daemon.settings.SettingsReader;
+import org.geraniumreach.link.LinkNode;
+import org.geraniumreach.link.LinkSettings;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.platform.InstanceList;
+import org.geraniumreach.platform.ObjectStore;
+import org.geraniumreach.platform.TableService;
+import org.geraniumreach.platform.http.PlatformClients;
+
+/**
+ * What every process of the system stands on: links, the platform's clients, membership and configuration.
+ *
+ * <p>Invariant: the link address is bound before the instance list is read, so that whoever hears of this instance can
+ * reach it. Safe for use by several threads.
+ */
+public final class Foundation implements AutoCloseable {
+
+    private static final int PROTOCOL_VERSION = 1;
+    private static final int PLATFORM_THREADS = 2;
+    private static final int TIMER_THREADS = 2;
+    private static final int MOST_BLOCKING_THREADS = 64;
+    private static final long IDLE_SECONDS = 10;
+    private static final long MICROS_IN_MILLI = 1_000;
+
+    private final Settings settings;
+    private final InstanceId instance;
+    private final long incarnation;
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final SecureRandom random = new SecureRandom();
+    private final NodeMetrics metrics = new NodeMetrics();
+    private final LinkSettings linkSettings;
+    private final PlatformClients clients = PlatformClients.create(PLATFORM_THREADS);
+    private final TableService table;
+    private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(TIMER_THREADS, named("timer"));
+    private final ExecutorService blocking = new ThreadPoolExecutor(
+            0, MOST_BLOCKING_THREADS, IDLE_SECONDS, TimeUnit.SECONDS, new SynchronousQueue<>(), named("blocking"));
+    private LinkNode links;
+    private LinkedMembership membership;
+    private ReplicatedConfiguration configuration;
+    private HttpFront management;
+
+    private Foundation(Settings settings) {
+        this.settings = settings;
+        this.instance = InstanceId.of(settings.node().instance());
+        this.incarnation = System.currentTimeMillis() * MICROS_IN_MILLI + random.nextInt((int) MICROS_IN_MILLI);
+        this.linkSettings = settings.links().toLinkSettings();
+        this.table = clients.tableService(
+                PlatformSettings.uri(settings.platform().table()), settings.platform().callLimit());
+        timer.setRemoveOnCancelPolicy(true);
+    }
+
+    /**
+     * The settings of what every process stands on.
+     *
+     * @param role what it does
+     * @param node who and where it is
+     * @param platform where the platform's services are
+     * @param links its links
+     * @param membership its membership
+     * @param configuration its configuration
+     */
+    public record Settings(
+            NodeRole role,
+            NodeSettings node,
+            PlatformSettings platform,
+            LinkTuning links,
+            MembershipSettings membership,
+            ConfigurationSettings configuration) {}
+
+    /**
+     * What a role adds to the Hello.
+     *
+     * @param target a companion's target
+     * @param fence a companion's fence
+     */
+    public record RoleHello(Optional<String> target, LongSupplier fence) {
+
+        /**
+         * Obtains what an entry adds: nothing.
+         *
+         * @return the addition, not null
+         */
+        public static RoleHello none() {
+            return new RoleHello(Optional.empty(), () -> 0);
+        }
+    }
+
+    /**
+     * Starts links, membership and configuration.
+     *
+     * @param settings the settings, not null
+     * @param roleHello what the role adds to the Hello, not null
+     * @return the foundation, not null
+     * @throws IOException if an address cannot be had
+     */
+    public static Foundation start(Settings settings, RoleHello roleHello) throws IOException {
+        FailureDomain.of(settings.node().failureDomain());
+        Foundation foundation = new Foundation(settings);
+        try {
+            foundation.startLinks(roleHello);
+        } catch (IOException taken) {
+            foundation.close();
+            throw taken;
+        }
+        return foundation;
+    }
+
+    private void startLinks(RoleHello roleHello) throws IOException {
+        links = LinkNode.create(
+                linkSettings, () -> hello(roleHello), (event, detail) -> EventLog.write(event, "{}", detail));
+        links.listen(settings.node().link());
+        InstanceList list = clients.instanceList(
+                PlatformSettings.uri(settings.platform().list()), settings.platform().callLimit());
+        membership = LinkedMembership.start(hello(roleHello), settings.membership(), list, links, clock);
+        configuration = ReplicatedConfiguration.start(
+                instance, settings.configuration(), table, links, membership, clock, random);
+    }
+
+    private Hello hello(RoleHello roleHello) {
+        Hello.Builder hello = Hello.newBuilder()
+                .setProtocolVersion(PROTOCOL_VERSION)
+                .setInstance(instance.value())
+                .setRole(settings.role().label())
+                .setIncarnation(incarnation)
+                .setFailureDomain(settings.node().failureDomain())
+                .setFence(roleHello.fence().getAsLong())
+                .setRevision(configuration == null ? 0 : configuration.current().revision());
+        roleHello.target().ifPresent(hello::setTarget);
+        return hello.build();
+    }
+
+    /**
+     * Opens the address where health, readiness and metrics are read.
+     *
+     * @param reasonNotReady tells why the process does not want work, empty if it does, not null
+     * @throws IOException if the address cannot be had
+     */
+    public void startManagement(Supplier<Optional<String>> reasonNotReady) throws IOException {
+        ManagementFront front = new ManagementFront(metrics, reasonNotReady);
+        management = HttpFront.start(
+                "management", managementLimits(), settings.node().management(), front.routes(), blocking);
+    }
+
+    private static HttpLimits managementLimits() {
+        try {
+            return SettingsReader.read(HttpLimits.class, "{body: 1KiB, workers: 1}");
+        } catch (SettingsException impossible) {
+            throw new IllegalStateException("the limits of the management address are wrong", impossible);
+        }
+    }
+
+    private static ThreadFactory named(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    public InstanceId instance() {
+        return instance;
+    }
+
+    public long incarnation() {
+        return incarnation;
+    }
+
+    public MonotonicClock clock() {
+        return clock;
+    }
+
+    public SecureRandom random() {
+        return random;
+    }
+
+    public NodeMetrics metrics() {
+        return metrics;
+    }
+
+    public LinkSettings linkSettings() {
+        return linkSettings;
+    }
+
+    public LinkNode links() {
+        return links;
+    }
+
+    public LinkedMembership membership() {
+        return membership;
+    }
+
+    public ReplicatedConfiguration configuration() {
+        return configuration;
+    }
+
+    public TableService table() {
+        return table;
+    }
+
+    public PlatformClients clients() {
+        return clients;
+    }
+
+    /**
+     * Gets the object store's client.
+     *
+     * @return the client, not null
+     */
+    public ObjectStore objects() {
+        return clients.objectStore(
+                PlatformSettings.uri(settings.platform().objects()), settings.platform().callLimit());
+    }
+
+    /**
+     * Gets the threads for tasks that wait; the tasks must not block.
+     *
+     * @return the timer, not null
+     */
+    public ScheduledThreadPoolExecutor timer() {
+        return timer;
+    }
+
+    /**
+     * Gets the threads for calls that block.
+     *
+     * @return the executor, which refuses tasks when all its threads are taken, not null
+     */
+    public ExecutorService blocking() {
+        return blocking;
+    }
+
+    @Override
+    public void close() {
+        if (management != null) {
+            management.close();
+        }
+        if (configuration != null) {
+            configuration.close();
+            membership.close();
+        }
+        if (links != null) {
+            links.close();
+        }
+        timer.shutdownNow();
+        blocking.shutdownNow();
+        clients.close();
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/settings/SettingsReader.java
@@ -55,6 +55,26 @@
         return settings.orElseThrow();
     }
 
+    /**
+     * Reads one setting at the top, whatever the others are.
+     *
+     * @param type its type, not null
+     * @param name its name, not null
+     * @param yaml the text, not null
+     * @param <T> its type
+     * @return the value, not null
+     * @throws SettingsException if it is missing or wrong
+     */
+    public static <T> T readOne(Class<T> type, String name, String yaml) throws SettingsException {
+        JsonNode node = new SettingsReader().parse(yaml).path(name);
+        ValueFormat format = format(type);
+        try {
+            return type.cast(format.reader().apply(node.asText()));
+        } catch (IllegalArgumentException invalid) {
+            throw new SettingsException(List.of(new Mistake(name, "must be " + format.description())));
+        }
+    }
+
     private JsonNode parse(String yaml) {
         try {
             JsonNode node = YAML.readTree(yaml);
