--- /dev/null
+++ b/coordination/src/main/java/org/geraniumreach/coordination/membership/Membership.java
@@ -0,0 +1,149 @@
+package org.geraniumreach.coordination.membership;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.geraniumreach.model.InstanceId;
+
+/**
+ * Merges the lagging instance list, open links and the instances' own words into one view.
+ *
+ * <p>Invariants: an instance takes new work only while a link with it is open, so one that is lost gets none from that
+ * moment; one that said that it leaves takes none until another incarnation says Hello, whatever the list says meanwhile; one
+ * that the list has dropped takes none, while one that the list does not show yet does. Not safe for use by several threads.
+ */
+public final class Membership {
+
+    private final Map<InstanceId, ListedMember> listed = new TreeMap<>();
+    private final Map<InstanceId, LinkedMember> linked = new TreeMap<>();
+    private final Map<InstanceId, Long> leftIncarnations = new HashMap<>();
+    private final Set<InstanceId> dropped = new TreeSet<>();
+    private final InstanceId self;
+    private MembershipView view = MembershipView.empty();
+
+    /**
+     * Makes a membership that knows nobody.
+     *
+     * @param self this instance, which is no member of its own view, not null
+     */
+    public Membership(InstanceId self) {
+        this.self = self;
+    }
+
+    public MembershipView view() {
+        return view;
+    }
+
+    /**
+     * Takes a reading of the list. An empty one is passed over: it would stop all work at once, and the reader itself is on
+     * a list that is right.
+     *
+     * @param members the instances listed, not null
+     * @return the view, not null
+     */
+    public MembershipView listed(Collection<ListedMember> members) {
+        if (members.isEmpty()) {
+            return view;
+        }
+        dropped.addAll(listed.keySet());
+        listed.clear();
+        members.stream()
+                .filter(member -> !member.instance().equals(self))
+                .forEach(member -> listed.put(member.instance(), member));
+        dropped.removeAll(listed.keySet());
+        dropped.retainAll(linked.keySet());
+        return update();
+    }
+
+    /**
+     * Tells that a link is open.
+     *
+     * @param member the other end, not null
+     * @return the view, not null
+     */
+    public MembershipView opened(LinkedMember member) {
+        Long left = leftIncarnations.get(member.instance());
+        if (left != null && left != member.incarnation()) {
+            leftIncarnations.remove(member.instance());
+        }
+        LinkedMember before = linked.put(member.instance(), member);
+        if (before == null || before.incarnation() != member.incarnation()) {
+            dropped.remove(member.instance());
+        }
+        return update();
+    }
+
+    /**
+     * Tells that the last link with an instance is closed.
+     *
+     * @param instance the instance, not null
+     * @return the view, not null
+     */
+    public MembershipView closed(InstanceId instance) {
+        linked.remove(instance);
+        dropped.remove(instance);
+        return update();
+    }
+
+    /**
+     * Tells that an instance said that it leaves.
+     *
+     * @param instance the instance, not null
+     * @param incarnation the process that said so
+     * @return the view, not null
+     */
+    public MembershipView left(InstanceId instance, long incarnation) {
+        leftIncarnations.put(instance, incarnation);
+        return update();
+    }
+
+    private MembershipView update() {
+        Map<InstanceId, Member> members = new HashMap<>();
+        listed.forEach((instance, member) -> members.put(instance, ofListed(member)));
+        linked.forEach((instance, member) -> members.putIfAbsent(instance, ofLinked(member)));
+        leftIncarnations.keySet().retainAll(members.keySet());
+        view = MembershipView.of(members);
+        return view;
+    }
+
+    private Member ofListed(ListedMember member) {
+        Optional<LinkedMember> link = Optional.ofNullable(linked.get(member.instance()));
+        return new Member(
+                member.instance(),
+                member.role(),
+                member.failureDomain(),
+                Optional.of(member.address()),
+                link.flatMap(LinkedMember::target),
+                link.map(open -> OptionalLong.of(open.incarnation())).orElse(OptionalLong.empty()),
+                member.leaving() || hasLeft(member.instance()));
+    }
+
+    private Member ofLinked(LinkedMember member) {
+        return new Member(
+                member.instance(),
+                member.role(),
+                member.failureDomain(),
+                Optional.empty(),
+                member.target(),
+                OptionalLong.of(member.incarnation()),
+                dropped.contains(member.instance()) || hasLeft(member.instance()));
+    }
+
+    /**
+     * Queries whether an instance's last known process said that it leaves; it takes no submissions then either.
+     *
+     * @param instance the instance, not null
+     * @return true if it did
+     */
+    public boolean hasLeft(InstanceId instance) {
+        Long left = leftIncarnations.get(instance);
+        LinkedMember open = linked.get(instance);
+        return left != null && (open == null || open.incarnation() == left);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ConfigurationReader.java
@@ -0,0 +1,103 @@
+package org.geraniumreach.daemon.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.geraniumreach.coordination.configuration.ConfigurationRows;
+import org.geraniumreach.coordination.configuration.PollAnswer;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.record.Configuration;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.model.record.RecordException;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.TableService;
+
+/**
+ * Reads the configuration from the table.
+ *
+ * <p>Stateless but for what it was made with, and safe for use by several threads.
+ */
+final class ConfigurationReader {
+
+    private static final int SCAN_LIMIT = 500;
+
+    private final TableService table;
+    private final MonotonicClock clock;
+
+    ConfigurationReader(TableService table, MonotonicClock clock) {
+        this.table = Objects.requireNonNull(table, "table");
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /**
+     * Reads the head and what follows a revision.
+     *
+     * @param haveRevision the revision
+     * @return what was read, not null
+     * @throws PlatformException if there was no answer
+     * @throws RecordException if a row is malformed
+     */
+    PollAnswer read(long haveRevision) throws PlatformException, RecordException {
+        long startedAt = clock.nanos();
+        Optional<Row> row = table.read(ConfigurationRows.HEAD);
+        long head = row.isPresent() ? ConfigurationRows.readRevision(row.get().value()) : 0;
+        if (head <= haveRevision) {
+            return new PollAnswer(startedAt, head, Optional.empty(), List.of());
+        }
+        List<LogEntry> entries = log(haveRevision);
+        if (!entries.isEmpty() && entries.get(0).revision() == haveRevision + 1) {
+            return new PollAnswer(startedAt, head, Optional.empty(), entries);
+        }
+        Optional<Configuration> snapshot = snapshot();
+        long after = snapshot.map(Configuration::revision).orElse(haveRevision);
+        return new PollAnswer(startedAt, head, snapshot, log(after));
+    }
+
+    /**
+     * Reads the log.
+     *
+     * @param after the revision after which to begin
+     * @return the entries in their order, not null
+     * @throws PlatformException if there was no answer
+     * @throws RecordException if a row is malformed
+     */
+    List<LogEntry> log(long after) throws PlatformException, RecordException {
+        List<LogEntry> entries = new ArrayList<>();
+        String last = ConfigurationRows.log(after).key();
+        while (true) {
+            List<Row> rows = table.scan(ConfigurationRows.TABLE, ConfigurationRows.LOG_PREFIX, last, SCAN_LIMIT);
+            for (Row row : rows) {
+                entries.add(ConfigurationRows.readEntry(row.value()));
+            }
+            if (rows.size() < SCAN_LIMIT) {
+                return entries;
+            }
+            last = rows.get(rows.size() - 1).key().key();
+        }
+    }
+
+    private Optional<Configuration> snapshot() throws PlatformException, RecordException {
+        Optional<Row> row = table.read(ConfigurationRows.SNAPSHOT);
+        if (row.isEmpty()) {
+            return Optional.empty();
+        }
+        ConfigurationRows.SnapshotPlace place =
+                ConfigurationRows.readPlace(row.get().value());
+        List<LogEntry> records = new ArrayList<>();
+        for (int index = 0; index < place.parts(); index++) {
+            Optional<Row> part = table.read(ConfigurationRows.part(place.revision(), index));
+            if (part.isEmpty()) {
+                return Optional.empty();
+            }
+            records.addAll(ConfigurationRows.readPart(part.get().value()));
+        }
+        try {
+            return Optional.of(Configuration.ofSnapshot(place.revision(), records));
+        } catch (IllegalArgumentException malformed) {
+            throw RecordException.invalid("snapshot", malformed.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/History.java
@@ -0,0 +1,55 @@
+package org.geraniumreach.daemon.configuration;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.model.record.RecordException;
+import org.geraniumreach.model.record.RecordKey;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.TableService;
+
+/**
+ * Reads the log of changes, as far back as the table holds it.
+ *
+ * <p>Safe for use by several threads; a call blocks.
+ */
+public final class History {
+
+    private final ConfigurationReader reader;
+
+    /**
+     * Makes a reader of the log.
+     *
+     * @param table the platform's table, not null
+     * @param clock the clock, not null
+     */
+    public History(TableService table, MonotonicClock clock) {
+        this.reader = new ConfigurationReader(Objects.requireNonNull(table, "table"), clock);
+    }
+
+    /**
+     * Reads the changes.
+     *
+     * @param key the record whose changes are wanted, or empty for those of all, not null
+     * @return the changes, the oldest first, not null
+     * @throws ServingException if the table does not answer
+     */
+    public List<LogEntry> read(Optional<RecordKey> key) throws ServingException {
+        try {
+            return reader.log(0).stream()
+                    .filter(entry -> key.isEmpty() || entry.key().equals(key.get()))
+                    .toList();
+        } catch (PlatformException unanswered) {
+            throw ServingException.notRun(ResultCode.STORE_UNAVAILABLE, "the table service does not answer")
+                    .withCause(unanswered);
+        } catch (RecordException malformed) {
+            throw ServingException.notRun(ResultCode.INTERNAL_ERROR, "a row of the log is malformed")
+                    .withCause(malformed);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/NodeFrames.java
@@ -0,0 +1,165 @@
+package org.geraniumreach.daemon.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.geraniumreach.coordination.configuration.NodeMessage;
+import org.geraniumreach.messages.ConfigurationNews;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Freshness;
+import org.geraniumreach.messages.SnapshotPart;
+import org.geraniumreach.messages.SnapshotRequest;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.model.record.RecordKey;
+import org.geraniumreach.model.record.RecordKind;
+
+/**
+ * Turns the messages of configuration nodes into frames and back.
+ *
+ * <p>Contract: an age grows and a holding time shrinks when it is rounded, so that nothing looks newer than it is. Stateless
+ * and safe for use by several threads.
+ */
+final class NodeFrames {
+
+    /** The kinds of frame that carry messages of configuration nodes. */
+    static final Set<Frame.BodyCase> KINDS = Set.of(
+            Frame.BodyCase.CONFIGURATION_NEWS,
+            Frame.BodyCase.SNAPSHOT_REQUEST,
+            Frame.BodyCase.SNAPSHOT_PART,
+            Frame.BodyCase.FRESHNESS);
+
+    private static final long NEVER_CONFIRMED = -1;
+
+    private NodeFrames() {}
+
+    static Frame frame(InstanceId self, NodeMessage message) {
+        if (message instanceof NodeMessage.News news) {
+            ConfigurationNews.Builder builder = ConfigurationNews.newBuilder().setHead(news.head());
+            news.entries().forEach(entry -> builder.addEntries(wire(entry)));
+            return Frame.newBuilder().setConfigurationNews(builder).build();
+        }
+        if (message instanceof NodeMessage.SnapshotRequest request) {
+            return Frame.newBuilder()
+                    .setSnapshotRequest(SnapshotRequest.newBuilder().setHaveRevision(request.haveRevision()))
+                    .build();
+        }
+        if (message instanceof NodeMessage.SnapshotPart part) {
+            SnapshotPart.Builder builder = SnapshotPart.newBuilder()
+                    .setRevision(part.revision())
+                    .setIndex(part.index())
+                    .setParts(part.parts());
+            part.entries().forEach(entry -> builder.addEntries(wire(entry)));
+            return Frame.newBuilder().setSnapshotPart(builder).build();
+        }
+        return Frame.newBuilder()
+                .setFreshness(note(self, (NodeMessage.Note) message))
+                .build();
+    }
+
+    private static Freshness note(InstanceId self, NodeMessage.Note note) {
+        Freshness.Builder builder = Freshness.newBuilder()
+                .setInstance(self.value())
+                .setRevision(note.revision())
+                .setHighestRevision(note.highestHeard())
+                .setConfirmedAgeMillis(
+                        note.confirmedAge().isPresent()
+                                ? roundUp(note.confirmedAge().getAsLong())
+                                : NEVER_CONFIRMED)
+                .setStoreReachable(!note.saysUnreachable())
+                .setStamp(note.stamp());
+        note.words().forEach(word -> builder.addHeard(word.entry().value()).addHeardAgeMillis(roundUp(word.age())));
+        note.echo().ifPresent(echo -> builder.setEchoes(true)
+                .setEcho(echo.stamp())
+                .setEchoHeldMillis(TimeUnit.NANOSECONDS.toMillis(echo.held())));
+        return builder.build();
+    }
+
+    private static long roundUp(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos) + 1;
+    }
+
+    private static org.geraniumreach.messages.LogEntry wire(LogEntry entry) {
+        return org.geraniumreach.messages.LogEntry.newBuilder()
+                .setRevision(entry.revision())
+                .setOperation(entry.operation())
+                .setKind(entry.key().kind().label())
+                .setName(entry.key().name())
+                .setWithdrawn(entry.body().isEmpty())
+                .setBody(entry.body().orElse(""))
+                .build();
+    }
+
+    /**
+     * Reads a frame.
+     *
+     * @param frame the frame, of one of {@link #KINDS}, not null
+     * @return the message, not null
+     * @throws IllegalArgumentException if a part of it is not what it must be
+     */
+    static NodeMessage message(Frame frame) {
+        switch (frame.getBodyCase()) {
+            case CONFIGURATION_NEWS:
+                ConfigurationNews news = frame.getConfigurationNews();
+                return new NodeMessage.News(news.getHead(), entries(news.getEntriesList()));
+            case SNAPSHOT_REQUEST:
+                return new NodeMessage.SnapshotRequest(
+                        frame.getSnapshotRequest().getHaveRevision());
+            case SNAPSHOT_PART:
+                SnapshotPart part = frame.getSnapshotPart();
+                return new NodeMessage.SnapshotPart(
+                        part.getRevision(), part.getIndex(), part.getParts(), entries(part.getEntriesList()));
+            case FRESHNESS:
+                return note(frame.getFreshness());
+            default:
+                throw new IllegalArgumentException("not a frame of the configuration: " + frame.getBodyCase());
+        }
+    }
+
+    private static NodeMessage.Note note(Freshness freshness) {
+        if (freshness.getHeardCount() != freshness.getHeardAgeMillisCount()) {
+            throw new IllegalArgumentException("entries heard and their ages differ in number");
+        }
+        List<NodeMessage.Word> words = new ArrayList<>();
+        for (int index = 0; index < freshness.getHeardCount(); index++) {
+            words.add(new NodeMessage.Word(
+                    InstanceId.of(freshness.getHeard(index)), nanos(freshness.getHeardAgeMillis(index))));
+        }
+        long age = freshness.getConfirmedAgeMillis();
+        return new NodeMessage.Note(
+                freshness.getRevision(),
+                freshness.getHighestRevision(),
+                age < 0 ? OptionalLong.empty() : OptionalLong.of(nanos(age)),
+                !freshness.getStoreReachable(),
+                words,
+                freshness.getStamp(),
+                freshness.getEchoes()
+                        ? Optional.of(new NodeMessage.Echo(freshness.getEcho(), nanos(freshness.getEchoHeldMillis())))
+                        : Optional.empty());
+    }
+
+    private static long nanos(long millis) {
+        if (millis < 0) {
+            throw new IllegalArgumentException("negative time: " + millis);
+        }
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private static List<LogEntry> entries(List<org.geraniumreach.messages.LogEntry> wire) {
+        return wire.stream().map(NodeFrames::entry).toList();
+    }
+
+    private static LogEntry entry(org.geraniumreach.messages.LogEntry wire) {
+        RecordKind kind = RecordKind.ofLabel(wire.getKind())
+                .orElseThrow(() -> new IllegalArgumentException("unknown kind '" + wire.getKind() + "'"));
+        return new LogEntry(
+                wire.getRevision(),
+                wire.getOperation(),
+                RecordKey.of(kind, wire.getName()),
+                wire.getWithdrawn() ? Optional.empty() : Optional.of(wire.getBody()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ReplicatedConfiguration.java
@@ -0,0 +1,382 @@
+package org.geraniumreach.daemon.configuration;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.geraniumreach.coordination.configuration.ConfigurationNode;
+import org.geraniumreach.coordination.configuration.NodeAction;
+import org.geraniumreach.coordination.configuration.PollAnswer;
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.daemon.membership.MembershipService;
+import org.geraniumreach.link.FrameHandler;
+import org.geraniumreach.link.Links;
+import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.KeyDigest;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.geraniumreach.model.record.Configuration;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.model.record.RecordException;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.TableService;
+
+/**
+ * The configuration of a process with links and a table.
+ *
+ * <p>Invariants: one thread owns the core and tells the listeners, another reads the table; what others ask for is published
+ * after each event and read without a lock. Safe for use by several threads.
+ */
+public final class ReplicatedConfiguration implements ConfigurationService, AutoCloseable {
+
+    private static final int TICKS_IN_PERIOD = 10;
+
+    private final InstanceId self;
+    private final ConfigurationSettings settings;
+    private final Links links;
+    private final MembershipService membership;
+    private final MonotonicClock clock;
+    private final ConfigurationReader reader;
+    private final ConfigurationNode node;
+    private final ScheduledExecutorService owner = Executors.newSingleThreadScheduledExecutor(named("configuration"));
+    private final ExecutorService pollers = Executors.newSingleThreadExecutor(named("configuration-poll"));
+    private final List<ConfigurationListener> listeners = new CopyOnWriteArrayList<>();
+    private final Map<InstanceId, Peer> peers = new HashMap<>();
+    private volatile ConfigurationState state;
+    private boolean storeAnswers = true;
+
+    private ReplicatedConfiguration(
+            InstanceId self,
+            ConfigurationSettings settings,
+            TableService table,
+            Links links,
+            MembershipService membership,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.links = Objects.requireNonNull(links, "links");
+        this.membership = Objects.requireNonNull(membership, "membership");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.reader = new ConfigurationReader(table, clock);
+        this.node = new ConfigurationNode(self, settings.nodeOptions(), clock, random);
+        this.state = ConfigurationState.of(node);
+    }
+
+    /**
+     * Starts the configuration of a process.
+     *
+     * @param self this instance, not null
+     * @param settings the settings, not null
+     * @param table the platform's table, not null
+     * @param links the links of this process, not null
+     * @param membership the membership of this process, not null
+     * @param clock the clock, not null
+     * @param random the source of jitter, not null
+     * @return the running configuration, not null
+     */
+    public static ReplicatedConfiguration start(
+            InstanceId self,
+            ConfigurationSettings settings,
+            TableService table,
+            Links links,
+            MembershipService membership,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        ReplicatedConfiguration started =
+                new ReplicatedConfiguration(self, settings, table, links, membership, clock, random);
+        links.handle(NodeFrames.KINDS, started.new Handler());
+        long tick = settings.period().toNanos() / TICKS_IN_PERIOD;
+        started.owner.scheduleWithFixedDelay(started::tick, 0, tick, TimeUnit.NANOSECONDS);
+        return started;
+    }
+
+    private static ThreadFactory named(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    @Override
+    public Configuration current() {
+        return state.configuration();
+    }
+
+    /**
+     * Gets what the process knows of its configuration.
+     *
+     * @return the state as of the last event, not null
+     */
+    public ConfigurationState state() {
+        return state;
+    }
+
+    @Override
+    public void requireFresh() throws ServingException {
+        ConfigurationState now = state;
+        if (!now.isFreshAt(clock.nanos())) {
+            throw ServingException.notRun(
+                            ResultCode.NOT_FRESH,
+                            "this instance cannot confirm that revision "
+                                    + now.configuration().revision() + " is current")
+                    .withRetryAfter(settings.period());
+        }
+    }
+
+    @Override
+    public Optional<String> reasonNotReady() {
+        ConfigurationState now = state;
+        if (!now.obtained()) {
+            return Optional.of("no configuration was obtained from the table or from a peer yet");
+        }
+        return now.isFreshAt(clock.nanos())
+                ? Optional.empty()
+                : Optional.of("the configuration cannot be confirmed as current");
+    }
+
+    @Override
+    public void listen(ConfigurationListener listener) {
+        listeners.add(listener);
+    }
+
+    /**
+     * Takes what a reading of the table brought, waiting until it is in force.
+     *
+     * @param answer what was read, not null
+     * @return the configuration, not null
+     * @throws InterruptedException if the process ends
+     */
+    Configuration take(PollAnswer answer) throws InterruptedException {
+        ask(() -> {
+            handle(() -> node.polled(answer));
+            return true;
+        });
+        return current();
+    }
+
+    /**
+     * Takes a change that this process brought into the log, waiting until it is in force here and was sent to the peers.
+     *
+     * @param entry the change, not null
+     * @throws InterruptedException if the process ends
+     */
+    void committed(LogEntry entry) throws InterruptedException {
+        ask(() -> {
+            handle(() -> node.committed(List.of(entry)));
+            return true;
+        });
+    }
+
+    int otherEntriesHolding(long revision) throws InterruptedException {
+        return ask(() -> node.otherEntriesHolding(revision));
+    }
+
+    boolean hasOtherEntries() {
+        return membership.submittingEntries().stream().anyMatch(entry -> !entry.equals(self));
+    }
+
+    private <T> T ask(Callable<T> question) throws InterruptedException {
+        try {
+            return owner.submit(question).get();
+        } catch (ExecutionException fault) {
+            throw new IllegalStateException("the configuration's thread failed", fault.getCause());
+        }
+    }
+
+    @Override
+    public void close() {
+        owner.shutdownNow();
+        pollers.shutdownNow();
+    }
+
+    private void tick() {
+        handle(() -> {
+            node.listed(membership.submittingEntries());
+            return node.tick();
+        });
+    }
+
+    /** Lets the owner take an event. */
+    void enqueue(Supplier<List<NodeAction>> event) {
+        try {
+            owner.execute(() -> handle(event));
+        } catch (RejectedExecutionException closed) {
+            // The process ends; nobody waits for what the event would have led to.
+            EventLog.write(EventCode.DRAINED, "an event of the configuration came after its end");
+        }
+    }
+
+    private void handle(Supplier<List<NodeAction>> event) {
+        try {
+            event.get().forEach(this::perform);
+            publish();
+        } catch (RuntimeException fault) {
+            EventLog.write(EventCode.UNEXPECTED_FAILURE, fault, "event of the configuration");
+        }
+    }
+
+    private void perform(NodeAction action) {
+        if (action instanceof NodeAction.Send send) {
+            Peer peer = peers.get(send.peer());
+            if (peer != null) {
+                peer.send(NodeFrames.frame(self, send.message()));
+            }
+        } else if (action instanceof NodeAction.Poll poll) {
+            pollers.execute(() -> poll(poll.haveRevision()));
+        }
+    }
+
+    private void poll(long haveRevision) {
+        try {
+            PollAnswer answer = reader.read(haveRevision);
+            enqueue(() -> {
+                storeAnswered(true, null);
+                return node.polled(answer);
+            });
+        } catch (PlatformException | RecordException | RuntimeException failure) {
+            enqueue(() -> {
+                storeAnswered(false, failure);
+                node.pollFailed();
+                return List.of();
+            });
+        }
+    }
+
+    private void storeAnswered(boolean answers, Throwable failure) {
+        if (answers == storeAnswers) {
+            return;
+        }
+        storeAnswers = answers;
+        if (answers) {
+            EventLog.write(EventCode.PLATFORM_REACHABLE, "table service, for the configuration");
+        } else {
+            EventLog.write(EventCode.PLATFORM_UNREACHABLE, failure, "table service, for the configuration");
+        }
+    }
+
+    private void publish() {
+        ConfigurationState before = state;
+        ConfigurationState after = ConfigurationState.of(node);
+        state = after;
+        long now = clock.nanos();
+        if (before.configuration() != after.configuration()) {
+            changed(before.configuration(), after.configuration());
+        }
+        if (before.fresh() && !after.isFreshAt(now)) {
+            EventLog.write(
+                    EventCode.NOT_FRESH, "revision {}", after.configuration().revision());
+        } else if (!before.fresh() && after.isFreshAt(now)) {
+            EventLog.write(
+                    EventCode.FRESH_AGAIN, "revision {}", after.configuration().revision());
+        }
+        state = after.withFresh(after.isFreshAt(now));
+    }
+
+    private void changed(Configuration before, Configuration after) {
+        EventLog.write(EventCode.CONFIGURATION_ADVANCED, "{} to {}", before.revision(), after.revision());
+        after.unreadable().forEach((key, reason) -> {
+            if (!reason.equals(before.unreadable().get(key))) {
+                EventLog.write(EventCode.RECORD_UNREADABLE, "{}: {}", key, reason);
+            }
+        });
+        Set<KeyDigest> withdrawn = withdrawnKeys(before, after);
+        for (ConfigurationListener listener : listeners) {
+            try {
+                listener.changed(before, after, withdrawn);
+            } catch (RuntimeException fault) {
+                EventLog.write(EventCode.UNEXPECTED_FAILURE, fault, "listener of the configuration");
+            }
+        }
+    }
+
+    private static Set<KeyDigest> withdrawnKeys(Configuration before, Configuration after) {
+        Set<KeyDigest> withdrawn = new HashSet<>();
+        for (KeyDigest digest : before.keyDigests()) {
+            boolean same = after.key(digest)
+                    .map(key -> key.account())
+                    .equals(before.key(digest).map(key -> key.account()));
+            if (!same) {
+                withdrawn.add(digest);
+            }
+        }
+        return withdrawn;
+    }
+
+    /** Takes what links bring; all of it is handed to the owner. */
+    private final class Handler implements FrameHandler {
+
+        @Override
+        public void opened(Peer peer) {
+            enqueue(() -> {
+                InstanceId instance = InstanceId.of(peer.hello().getInstance());
+                Peer known = peers.put(instance, peer);
+                if (known != null
+                        && known.hello().getIncarnation() == peer.hello().getIncarnation()) {
+                    return List.of();
+                }
+                node.closed(instance);
+                return node.opened(instance, peer.hello().getRole().equals("entry"));
+            });
+        }
+
+        @Override
+        public void received(Peer peer, Frame frame) {
+            enqueue(() -> {
+                InstanceId instance = InstanceId.of(peer.hello().getInstance());
+                Peer known = peers.get(instance);
+                if (known == null
+                        || known.hello().getIncarnation() != peer.hello().getIncarnation()) {
+                    return List.of();
+                }
+                try {
+                    return node.received(instance, NodeFrames.message(frame));
+                } catch (IllegalArgumentException malformed) {
+                    EventLog.write(EventCode.FRAME_REFUSED, malformed, "of the configuration, from {}", instance);
+                    peer.close("a malformed frame of the configuration");
+                    return List.of();
+                }
+            });
+        }
+
+        @Override
+        public void closed(Peer peer, String reason) {
+            enqueue(() -> {
+                InstanceId instance = InstanceId.of(peer.hello().getInstance());
+                if (peers.get(instance) != peer) {
+                    return List.of();
+                }
+                Optional<Peer> other = links.find(instance)
+                        .filter(open ->
+                                open.hello().getIncarnation() == peer.hello().getIncarnation());
+                if (other.isPresent()) {
+                    peers.put(instance, other.get());
+                } else {
+                    peers.remove(instance);
+                    node.closed(instance);
+                }
+                return List.of();
+            });
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/Submitter.java
@@ -0,0 +1,147 @@
+package org.geraniumreach.daemon.configuration;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+
+import org.geraniumreach.coordination.configuration.Submission;
+import org.geraniumreach.coordination.configuration.SubmissionProcess;
+import org.geraniumreach.coordination.configuration.SubmissionResult;
+import org.geraniumreach.coordination.configuration.SubmissionStep;
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.model.record.RecordException;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.TableService;
+
+/**
+ * Takes operators' submissions into the log.
+ *
+ * <p>Invariant: accepted is answered after the commit is known, the change is in force here and was sent to the peers, and
+ * another entry was given the time to say that it holds the change. Safe for use by several threads; a call blocks.
+ */
+public final class Submitter {
+
+    private static final Duration HOLDER_CHECK = Duration.ofMillis(10);
+
+    private final ReplicatedConfiguration configuration;
+    private final ConfigurationSettings settings;
+    private final TableService table;
+    private final ConfigurationReader reader;
+    private final MonotonicClock clock;
+    private final RandomGenerator random;
+    private volatile boolean closed;
+
+    /**
+     * Makes a submitter.
+     *
+     * @param configuration the configuration of this process, not null
+     * @param settings the settings, not null
+     * @param table the platform's table, not null
+     * @param clock the clock, not null
+     * @param random the source of the jitter of waits, safe for use by several threads, not null
+     */
+    public Submitter(
+            ReplicatedConfiguration configuration,
+            ConfigurationSettings settings,
+            TableService table,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        this.configuration = Objects.requireNonNull(configuration, "configuration");
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.table = Objects.requireNonNull(table, "table");
+        this.reader = new ConfigurationReader(table, clock);
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /**
+     * What a submission came to, and who holds it.
+     *
+     * @param result the result
+     * @param otherEntries how many other entries are known to hold an accepted change
+     */
+    public record Outcome(SubmissionResult result, int otherEntries) {}
+
+    /** Refuses further submissions; to be called before this process says that it leaves. */
+    public void close() {
+        closed = true;
+    }
+
+    public boolean isClosed() {
+        return closed;
+    }
+
+    /**
+     * Submits a change, waiting for its result.
+     *
+     * @param submission the change, not null
+     * @return what it came to, not null
+     * @throws InterruptedException if the process ends; the submission may have been accepted
+     */
+    public Outcome submit(Submission submission) throws InterruptedException {
+        SubmissionProcess process =
+                new SubmissionProcess(submission, configuration.current(), clock, random, settings.submissionLimit());
+        SubmissionStep step = process.start();
+        while (true) {
+            if (step instanceof SubmissionStep.Done done) {
+                return finish(submission, done.result());
+            }
+            step = perform(process, step);
+        }
+    }
+
+    private SubmissionStep perform(SubmissionProcess process, SubmissionStep step) throws InterruptedException {
+        if (step instanceof SubmissionStep.Wait wait) {
+            Thread.sleep(wait.duration().toMillis());
+            return process.waited();
+        }
+        if (step instanceof SubmissionStep.Commit commit) {
+            return commit(process, commit);
+        }
+        try {
+            if (step instanceof SubmissionStep.Read read) {
+                return process.read(table.read(read.key()));
+            }
+            return process.caughtUp(
+                    configuration.take(reader.read(configuration.current().revision())));
+        } catch (PlatformException | RecordException unanswered) {
+            return process.readFailed();
+        }
+    }
+
+    private SubmissionStep commit(SubmissionProcess process, SubmissionStep.Commit commit) {
+        try {
+            return process.committed(table.commit(commit.transaction()));
+        } catch (PlatformException unanswered) {
+            return process.commitFailed(unanswered.effect() == PlatformException.Effect.UNKNOWN);
+        }
+    }
+
+    private Outcome finish(Submission submission, SubmissionResult result) throws InterruptedException {
+        if (!result.isAccepted()) {
+            EventLog.write(
+                    EventCode.SUBMISSION_REFUSED, "{} {}: {}", submission.operation(), result.code(), result.message());
+            return new Outcome(result, 0);
+        }
+        LogEntry entry = result.entry().orElseThrow();
+        EventLog.write(EventCode.SUBMISSION_ACCEPTED, "{} revision {}", submission.operation(), entry.revision());
+        configuration.committed(entry);
+        return new Outcome(result, awaitHolder(entry.revision()));
+    }
+
+    /* Until another entry holds the change, only this process and the table know it. If the table went away now and this
+     * process with it, the others would go on without the change, as all of them say that the table is out of reach. */
+    private int awaitHolder(long revision) throws InterruptedException {
+        long deadline = clock.nanos() + settings.holderLimit().toNanos();
+        while (true) {
+            int holders = configuration.otherEntriesHolding(revision);
+            if (holders > 0 || !configuration.hasOtherEntries() || clock.nanos() - deadline >= 0) {
+                return holders;
+            }
+            Thread.sleep(HOLDER_CHECK.toMillis());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/membership/LinkedMembership.java
@@ -0,0 +1,301 @@
+package org.geraniumreach.daemon.membership;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.geraniumreach.coordination.membership.LinkChoice;
+import org.geraniumreach.coordination.membership.LinkedMember;
+import org.geraniumreach.coordination.membership.ListedMember;
+import org.geraniumreach.coordination.membership.Member;
+import org.geraniumreach.coordination.membership.MemberRole;
+import org.geraniumreach.coordination.membership.Membership;
+import org.geraniumreach.coordination.membership.MembershipView;
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.link.FrameHandler;
+import org.geraniumreach.link.Links;
+import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.messages.Leaving;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.platform.InstanceList;
+import org.geraniumreach.platform.ListedInstance;
+import org.geraniumreach.platform.PlatformException;
+
+/**
+ * The membership of a process with links: reads the list, keeps links and publishes the view.
+ *
+ * <p>Invariants: an entry keeps links as {@link LinkChoice} says, a companion keeps none and is linked by entries. A list
+ * that does not answer leaves the last view standing. The core is guarded by one lock, and listeners are told by one thread.
+ * Safe for use by several threads.
+ */
+public final class LinkedMembership implements MembershipService, AutoCloseable {
+
+    private final InstanceId self;
+    private final long incarnation;
+    private final MemberRole role;
+    private final MembershipSettings settings;
+    private final InstanceList list;
+    private final Links links;
+    private final MonotonicClock clock;
+    private final ScheduledExecutorService executor;
+    private final List<MembershipListener> listeners = new CopyOnWriteArrayList<>();
+    private final Object lock = new Object();
+    private final Membership membership;
+    private final Map<InstanceId, ListedInstance> kept = new HashMap<>();
+    private MembershipView published = MembershipView.empty();
+    private boolean listAnswers = true;
+    private volatile MembershipView view = MembershipView.empty();
+    private volatile Optional<InstanceListReading> lastReading = Optional.empty();
+    private volatile Set<InstanceId> submittingEntries = Set.of();
+    private volatile boolean leaving;
+
+    private LinkedMembership(
+            Hello hello, MembershipSettings settings, InstanceList list, Links links, MonotonicClock clock) {
+        this.self = InstanceId.of(hello.getInstance());
+        this.membership = new Membership(self);
+        this.incarnation = hello.getIncarnation();
+        this.role = roleOf(hello);
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.list = Objects.requireNonNull(list, "list");
+        this.links = Objects.requireNonNull(links, "links");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.executor = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "membership");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    /**
+     * Starts the membership of a process.
+     *
+     * @param hello what this process says of itself on its links, not null
+     * @param settings the settings, not null
+     * @param list the platform's list, not null
+     * @param links the links of this process, not null
+     * @param clock the clock, not null
+     * @return the running membership, not null
+     */
+    public static LinkedMembership start(
+            Hello hello, MembershipSettings settings, InstanceList list, Links links, MonotonicClock clock) {
+        LinkedMembership started = new LinkedMembership(hello, settings, list, links, clock);
+        links.handle(Set.of(Frame.BodyCase.LEAVING), started.new Handler());
+        long interval = settings.readInterval().toNanos();
+        started.executor.scheduleWithFixedDelay(started::readList, 0, interval, TimeUnit.NANOSECONDS);
+        return started;
+    }
+
+    private static MemberRole roleOf(Hello hello) {
+        return hello.getRole().equals("entry") ? MemberRole.ENTRY : MemberRole.COMPANION;
+    }
+
+    @Override
+    public MembershipView get() {
+        return view;
+    }
+
+    @Override
+    public void listen(MembershipListener listener) {
+        listeners.add(listener);
+    }
+
+    @Override
+    public Optional<InstanceListReading> lastReading() {
+        return lastReading;
+    }
+
+    @Override
+    public Set<InstanceId> submittingEntries() {
+        return submittingEntries;
+    }
+
+    @Override
+    public void announceLeaving() {
+        leaving = true;
+        Frame frame = leavingFrame();
+        links.peers().forEach(peer -> peer.send(frame));
+    }
+
+    private Frame leavingFrame() {
+        Leaving message = Leaving.newBuilder()
+                .setInstance(self.value())
+                .setIncarnation(incarnation)
+                .build();
+        return Frame.newBuilder().setLeaving(message).build();
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private void readList() {
+        long asked = clock.nanos();
+        try {
+            List<ListedInstance> instances = list.read();
+            if (!listAnswers) {
+                listAnswers = true;
+                EventLog.write(EventCode.PLATFORM_REACHABLE, "instance list");
+            }
+            lastReading = Optional.of(new InstanceListReading(asked, instances));
+            update(() -> membership.listed(
+                    instances.stream().map(LinkedMembership::member).toList()));
+            if (role == MemberRole.ENTRY) {
+                keepLinks(instances);
+            }
+        } catch (PlatformException unanswered) {
+            if (listAnswers) {
+                listAnswers = false;
+                EventLog.write(EventCode.PLATFORM_UNREACHABLE, unanswered, "instance list");
+            }
+        } catch (RuntimeException fault) {
+            EventLog.write(EventCode.UNEXPECTED_FAILURE, fault, "reading of the instance list");
+        }
+    }
+
+    private static ListedMember member(ListedInstance listed) {
+        return new ListedMember(
+                listed.instance(),
+                listed.role() == ListedInstance.Role.ENTRY ? MemberRole.ENTRY : MemberRole.COMPANION,
+                listed.failureDomain(),
+                listed.linkAddress(),
+                listed.leaving());
+    }
+
+    private void keepLinks(List<ListedInstance> instances) {
+        Map<InstanceId, ListedInstance> entries = new HashMap<>();
+        Map<InstanceId, ListedInstance> companions = new HashMap<>();
+        for (ListedInstance listed : instances) {
+            if (!listed.instance().equals(self)) {
+                (listed.role() == ListedInstance.Role.ENTRY ? entries : companions).put(listed.instance(), listed);
+            }
+        }
+        LinkChoice choice = settings.linkChoice();
+        Set<InstanceId> wanted = new HashSet<>(choice.entries(self, entries.keySet()));
+        wanted.addAll(choice.companions(self, entries.keySet(), companions.keySet()));
+        releaseUnwanted(wanted);
+        for (InstanceId instance : wanted) {
+            ListedInstance listed = entries.getOrDefault(instance, companions.get(instance));
+            if (kept.putIfAbsent(instance, listed) == null) {
+                links.keep(instance, listed.linkAddress());
+            }
+        }
+    }
+
+    /* The platform drops an instance from its list while the instance still finishes what runs there. Closing the link would
+     * cut those answers off, so an open link stays until its other end closes it. */
+    private void releaseUnwanted(Set<InstanceId> wanted) {
+        for (InstanceId instance : Set.copyOf(kept.keySet())) {
+            if (!wanted.contains(instance) && links.find(instance).isEmpty()) {
+                kept.remove(instance);
+                links.release(instance);
+            }
+        }
+    }
+
+    private void update(Runnable change) {
+        synchronized (lock) {
+            change.run();
+            view = membership.view();
+            submittingEntries = findSubmittingEntries();
+        }
+        executor.execute(this::publish);
+    }
+
+    private Set<InstanceId> findSubmittingEntries() {
+        Set<InstanceId> entries = new TreeSet<>();
+        lastReading.map(InstanceListReading::instances).orElse(List.of()).stream()
+                .filter(listed -> listed.role() == ListedInstance.Role.ENTRY)
+                .map(ListedInstance::instance)
+                .filter(instance -> !membership.hasLeft(instance))
+                .forEach(entries::add);
+        return Set.copyOf(entries);
+    }
+
+    private void publish() {
+        MembershipView before = published;
+        MembershipView after = view;
+        published = after;
+        logChanges(before, after);
+        for (MembershipListener listener : listeners) {
+            try {
+                listener.changed(before, after);
+            } catch (RuntimeException fault) {
+                EventLog.write(EventCode.UNEXPECTED_FAILURE, fault, "listener of the membership");
+            }
+        }
+    }
+
+    private static void logChanges(MembershipView before, MembershipView after) {
+        for (Member member : after.members()) {
+            boolean did =
+                    before.member(member.instance()).filter(Member::takesWork).isPresent();
+            if (member.takesWork() && !did) {
+                EventLog.write(EventCode.INSTANCE_JOINED, "{}", member.instance());
+            } else if (did && !member.takesWork()) {
+                EventLog.write(EventCode.INSTANCE_LEFT, "{} leaving: {}", member.instance(), member.leaving());
+            }
+        }
+        for (Member member : before.members()) {
+            if (member.takesWork() && after.member(member.instance()).isEmpty()) {
+                EventLog.write(EventCode.INSTANCE_LEFT, "{} gone", member.instance());
+            }
+        }
+    }
+
+    /** Takes what links bring. */
+    private final class Handler implements FrameHandler {
+
+        @Override
+        public void opened(Peer peer) {
+            try {
+                LinkedMember member = linkedMember(peer.hello());
+                update(() -> membership.opened(member));
+            } catch (IllegalArgumentException invalid) {
+                peer.close("its Hello is wrong: " + invalid.getMessage());
+                return;
+            }
+            if (leaving) {
+                peer.send(leavingFrame());
+            }
+        }
+
+        private LinkedMember linkedMember(Hello hello) {
+            return new LinkedMember(
+                    InstanceId.of(hello.getInstance()),
+                    roleOf(hello),
+                    FailureDomain.of(hello.getFailureDomain()),
+                    hello.getTarget().isEmpty() ? Optional.empty() : Optional.of(TargetId.of(hello.getTarget())),
+                    hello.getIncarnation());
+        }
+
+        @Override
+        public void received(Peer peer, Frame frame) {
+            InstanceId instance = InstanceId.of(peer.hello().getInstance());
+            update(() -> membership.left(instance, frame.getLeaving().getIncarnation()));
+        }
+
+        @Override
+        public void closed(Peer peer, String reason) {
+            InstanceId instance = InstanceId.of(peer.hello().getInstance());
+            if (links.find(instance).isEmpty()) {
+                update(() -> membership.closed(instance));
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/membership/MembershipService.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/membership/MembershipService.java
@@ -1,8 +1,11 @@
 package org.geraniumreach.daemon.membership;
 
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 
 import org.geraniumreach.coordination.membership.MembershipView;
+import org.geraniumreach.model.InstanceId;
 
 /**
  * The instances as this process sees them.
@@ -18,6 +21,20 @@
      */
     void listen(MembershipListener listener);
 
+    /**
+     * Gets the last reading of the instance list.
+     *
+     * @return the reading, or empty if the list has not answered yet
+     */
+    Optional<InstanceListReading> lastReading();
+
+    /**
+     * Gets the entries that may bring a change into the log: those listed, without those that said that they leave.
+     *
+     * @return the entries, not null
+     */
+    Set<InstanceId> submittingEntries();
+
     /** Tells every linked peer that this process leaves and takes no new work. */
     void announceLeaving();
 }
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/operator/OperatorSettings.java
@@ -0,0 +1,21 @@
+package org.geraniumreach.daemon.operator;
+
+import java.net.InetSocketAddress;
+
+import org.geraniumreach.daemon.http.HttpLimits;
+import org.geraniumreach.daemon.settings.Setting;
+
+/**
+ * Settings of the operators' port.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param address where it listens
+ * @param credentialDigest the SHA-256 digest of the operator credential
+ * @param http what it takes from one caller
+ */
+public record OperatorSettings(
+        @Setting(value = "127.0.0.1:8081", about = "Where the operators' port listens.") InetSocketAddress address,
+        @Setting(about = "The SHA-256 digest of the operator credential, 64 hexadecimal digits.", secret = true)
+                String credentialDigest,
+        HttpLimits http) {}
--- a/messages/src/main/java/org/geraniumreach/messages/Freshness.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Freshness.java
@@ -34,6 +34,7 @@
     instance_ = "";
     heard_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    heardAgeMillis_ = emptyLongList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -142,7 +143,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * entries heard within the limit
+   * entries that said that the store is out of their reach
    * </pre>
    *
    * <code>repeated string heard = 6;</code>
@@ -154,7 +155,7 @@
   }
   /**
    * <pre>
-   * entries heard within the limit
+   * entries that said that the store is out of their reach
    * </pre>
    *
    * <code>repeated string heard = 6;</code>
@@ -165,7 +166,7 @@
   }
   /**
    * <pre>
-   * entries heard within the limit
+   * entries that said that the store is out of their reach
    * </pre>
    *
    * <code>repeated string heard = 6;</code>
@@ -177,7 +178,7 @@
   }
   /**
    * <pre>
-   * entries heard within the limit
+   * entries that said that the store is out of their reach
    * </pre>
    *
    * <code>repeated string heard = 6;</code>
@@ -189,6 +190,123 @@
     return heard_.getByteString(index);
   }
 
+  public static final int HEARD_AGE_MILLIS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList heardAgeMillis_ =
+      emptyLongList();
+  /**
+   * <pre>
+   * for each of them the most that has gone by since
+   * </pre>
+   *
+   * <code>repeated int64 heard_age_millis = 7;</code>
+   * @return A list containing the heardAgeMillis.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getHeardAgeMillisList() {
+    return heardAgeMillis_;
+  }
+  /**
+   * <pre>
+   * for each of them the most that has gone by since
+   * </pre>
+   *
+   * <code>repeated int64 heard_age_millis = 7;</code>
+   * @return The count of heardAgeMillis.
+   */
+  public int getHeardAgeMillisCount() {
+    return heardAgeMillis_.size();
+  }
+  /**
+   * <pre>
+   * for each of them the most that has gone by since
+   * </pre>
+   *
+   * <code>repeated int64 heard_age_millis = 7;</code>
+   * @param index The index of the element to return.
+   * @return The heardAgeMillis at the given index.
+   */
+  public long getHeardAgeMillis(int index) {
+    return heardAgeMillis_.getLong(index);
+  }
+  private int heardAgeMillisMemoizedSerializedSize = -1;
+
+  public static final int HIGHEST_REVISION_FIELD_NUMBER = 8;
+  private long highestRevision_ = 0L;
+  /**
+   * <pre>
+   * the highest revision that the sender knows of
+   * </pre>
+   *
+   * <code>int64 highest_revision = 8;</code>
+   * @return The highestRevision.
+   */
+  @java.lang.Override
+  public long getHighestRevision() {
+    return highestRevision_;
+  }
+
+  public static final int STAMP_FIELD_NUMBER = 9;
+  private long stamp_ = 0L;
+  /**
+   * <pre>
+   * the sender's clock
+   * </pre>
+   *
+   * <code>int64 stamp = 9;</code>
+   * @return The stamp.
+   */
+  @java.lang.Override
+  public long getStamp() {
+    return stamp_;
+  }
+
+  public static final int ECHOES_FIELD_NUMBER = 10;
+  private boolean echoes_ = false;
+  /**
+   * <pre>
+   * whether echo is given
+   * </pre>
+   *
+   * <code>bool echoes = 10;</code>
+   * @return The echoes.
+   */
+  @java.lang.Override
+  public boolean getEchoes() {
+    return echoes_;
+  }
+
+  public static final int ECHO_FIELD_NUMBER = 11;
+  private long echo_ = 0L;
+  /**
+   * <pre>
+   * the receiver's stamp that came last
+   * </pre>
+   *
+   * <code>int64 echo = 11;</code>
+   * @return The echo.
+   */
+  @java.lang.Override
+  public long getEcho() {
+    return echo_;
+  }
+
+  public static final int ECHO_HELD_MILLIS_FIELD_NUMBER = 12;
+  private long echoHeldMillis_ = 0L;
+  /**
+   * <pre>
+   * how long ago it came
+   * </pre>
+   *
+   * <code>int64 echo_held_millis = 12;</code>
+   * @return The echoHeldMillis.
+   */
+  @java.lang.Override
+  public long getEchoHeldMillis() {
+    return echoHeldMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -203,6 +321,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, instance_);
     }
@@ -221,6 +340,28 @@
     for (int i = 0; i < heard_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, heard_.getRaw(i));
     }
+    if (getHeardAgeMillisList().size() > 0) {
+      output.writeUInt32NoTag(58);
+      output.writeUInt32NoTag(heardAgeMillisMemoizedSerializedSize);
+    }
+    for (int i = 0; i < heardAgeMillis_.size(); i++) {
+      output.writeInt64NoTag(heardAgeMillis_.getLong(i));
+    }
+    if (highestRevision_ != 0L) {
+      output.writeInt64(8, highestRevision_);
+    }
+    if (stamp_ != 0L) {
+      output.writeInt64(9, stamp_);
+    }
+    if (echoes_ != false) {
+      output.writeBool(10, echoes_);
+    }
+    if (echo_ != 0L) {
+      output.writeInt64(11, echo_);
+    }
+    if (echoHeldMillis_ != 0L) {
+      output.writeInt64(12, echoHeldMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -257,6 +398,40 @@
       size += dataSize;
       size += 1 * getHeardList().size();
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < heardAgeMillis_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeInt64SizeNoTag(heardAgeMillis_.getLong(i));
+      }
+      size += dataSize;
+      if (!getHeardAgeMillisList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      heardAgeMillisMemoizedSerializedSize = dataSize;
+    }
+    if (highestRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, highestRevision_);
+    }
+    if (stamp_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(9, stamp_);
+    }
+    if (echoes_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, echoes_);
+    }
+    if (echo_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, echo_);
+    }
+    if (echoHeldMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(12, echoHeldMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -284,6 +459,18 @@
         != other.getStoreReachable()) return false;
     if (!getHeardList()
         .equals(other.getHeardList())) return false;
+    if (!getHeardAgeMillisList()
+        .equals(other.getHeardAgeMillisList())) return false;
+    if (getHighestRevision()
+        != other.getHighestRevision()) return false;
+    if (getStamp()
+        != other.getStamp()) return false;
+    if (getEchoes()
+        != other.getEchoes()) return false;
+    if (getEcho()
+        != other.getEcho()) return false;
+    if (getEchoHeldMillis()
+        != other.getEchoHeldMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -313,6 +500,25 @@
       hash = (37 * hash) + HEARD_FIELD_NUMBER;
       hash = (53 * hash) + getHeardList().hashCode();
     }
+    if (getHeardAgeMillisCount() > 0) {
+      hash = (37 * hash) + HEARD_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getHeardAgeMillisList().hashCode();
+    }
+    hash = (37 * hash) + HIGHEST_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getHighestRevision());
+    hash = (37 * hash) + STAMP_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStamp());
+    hash = (37 * hash) + ECHOES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getEchoes());
+    hash = (37 * hash) + ECHO_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEcho());
+    hash = (37 * hash) + ECHO_HELD_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEchoHeldMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -455,6 +661,12 @@
       storeReachable_ = false;
       heard_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      heardAgeMillis_ = emptyLongList();
+      highestRevision_ = 0L;
+      stamp_ = 0L;
+      echoes_ = false;
+      echo_ = 0L;
+      echoHeldMillis_ = 0L;
       return this;
     }
 
@@ -507,6 +719,25 @@
         heard_.makeImmutable();
         result.heard_ = heard_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        heardAgeMillis_.makeImmutable();
+        result.heardAgeMillis_ = heardAgeMillis_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.highestRevision_ = highestRevision_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.stamp_ = stamp_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.echoes_ = echoes_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.echo_ = echo_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.echoHeldMillis_ = echoHeldMillis_;
+      }
     }
 
     @java.lang.Override
@@ -548,6 +779,32 @@
         }
         onChanged();
       }
+      if (!other.heardAgeMillis_.isEmpty()) {
+        if (heardAgeMillis_.isEmpty()) {
+          heardAgeMillis_ = other.heardAgeMillis_;
+          heardAgeMillis_.makeImmutable();
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureHeardAgeMillisIsMutable();
+          heardAgeMillis_.addAll(other.heardAgeMillis_);
+        }
+        onChanged();
+      }
+      if (other.getHighestRevision() != 0L) {
+        setHighestRevision(other.getHighestRevision());
+      }
+      if (other.getStamp() != 0L) {
+        setStamp(other.getStamp());
+      }
+      if (other.getEchoes() != false) {
+        setEchoes(other.getEchoes());
+      }
+      if (other.getEcho() != 0L) {
+        setEcho(other.getEcho());
+      }
+      if (other.getEchoHeldMillis() != 0L) {
+        setEchoHeldMillis(other.getEchoHeldMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -605,6 +862,47 @@
               heard_.add(s);
               break;
             } // case 50
+            case 56: {
+              long v = input.readInt64();
+              ensureHeardAgeMillisIsMutable();
+              heardAgeMillis_.addLong(v);
+              break;
+            } // case 56
+            case 58: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureHeardAgeMillisIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                heardAgeMillis_.addLong(input.readInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 58
+            case 64: {
+              highestRevision_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              stamp_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              echoes_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              echo_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              echoHeldMillis_ = input.readInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -844,7 +1142,7 @@
     }
     /**
      * <pre>
-     * entries heard within the limit
+     * entries that said that the store is out of their reach
      * </pre>
      *
      * <code>repeated string heard = 6;</code>
@@ -857,7 +1155,7 @@
     }
     /**
      * <pre>
-     * entries heard within the limit
+     * entries that said that the store is out of their reach
      * </pre>
      *
      * <code>repeated string heard = 6;</code>
@@ -868,7 +1166,7 @@
     }
     /**
      * <pre>
-     * entries heard within the limit
+     * entries that said that the store is out of their reach
      * </pre>
      *
      * <code>repeated string heard = 6;</code>
@@ -880,7 +1178,7 @@
     }
     /**
      * <pre>
-     * entries heard within the limit
+     * entries that said that the store is out of their reach
      * </pre>
      *
      * <code>repeated string heard = 6;</code>
@@ -893,7 +1191,7 @@
     }
     /**
      * <pre>
-     * entries heard within the limit
+     * entries that said that the store is out of their reach
      * </pre>
      *
      * <code>repeated string heard = 6;</code>
@@ -912,7 +1210,7 @@
     }
     /**
      * <pre>
-     * entries heard within the limit
+     * entries that said that the store is out of their reach
      * </pre>
      *
      * <code>repeated string heard = 6;</code>
@@ -930,7 +1228,7 @@
     }
     /**
      * <pre>
-     * entries heard within the limit
+     * entries that said that the store is out of their reach
      * </pre>
      *
      * <code>repeated string heard = 6;</code>
@@ -948,7 +1246,7 @@
     }
     /**
      * <pre>
-     * entries heard within the limit
+     * entries that said that the store is out of their reach
      * </pre>
      *
      * <code>repeated string heard = 6;</code>
@@ -963,7 +1261,7 @@
     }
     /**
      * <pre>
-     * entries heard within the limit
+     * entries that said that the store is out of their reach
      * </pre>
      *
      * <code>repeated string heard = 6;</code>
@@ -981,6 +1279,338 @@
       return this;
     }
 
+    private com.google.protobuf.Internal.LongList heardAgeMillis_ = emptyLongList();
+    private void ensureHeardAgeMillisIsMutable() {
+      if (!heardAgeMillis_.isModifiable()) {
+        heardAgeMillis_ = makeMutableCopy(heardAgeMillis_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <pre>
+     * for each of them the most that has gone by since
+     * </pre>
+     *
+     * <code>repeated int64 heard_age_millis = 7;</code>
+     * @return A list containing the heardAgeMillis.
+     */
+    public java.util.List<java.lang.Long>
+        getHeardAgeMillisList() {
+      heardAgeMillis_.makeImmutable();
+      return heardAgeMillis_;
+    }
+    /**
+     * <pre>
+     * for each of them the most that has gone by since
+     * </pre>
+     *
+     * <code>repeated int64 heard_age_millis = 7;</code>
+     * @return The count of heardAgeMillis.
+     */
+    public int getHeardAgeMillisCount() {
+      return heardAgeMillis_.size();
+    }
+    /**
+     * <pre>
+     * for each of them the most that has gone by since
+     * </pre>
+     *
+     * <code>repeated int64 heard_age_millis = 7;</code>
+     * @param index The index of the element to return.
+     * @return The heardAgeMillis at the given index.
+     */
+    public long getHeardAgeMillis(int index) {
+      return heardAgeMillis_.getLong(index);
+    }
+    /**
+     * <pre>
+     * for each of them the most that has gone by since
+     * </pre>
+     *
+     * <code>repeated int64 heard_age_millis = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The heardAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeardAgeMillis(
+        int index, long value) {
+
+      ensureHeardAgeMillisIsMutable();
+      heardAgeMillis_.setLong(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * for each of them the most that has gone by since
+     * </pre>
+     *
+     * <code>repeated int64 heard_age_millis = 7;</code>
+     * @param value The heardAgeMillis to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHeardAgeMillis(long value) {
+
+      ensureHeardAgeMillisIsMutable();
+      heardAgeMillis_.addLong(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * for each of them the most that has gone by since
+     * </pre>
+     *
+     * <code>repeated int64 heard_age_millis = 7;</code>
+     * @param values The heardAgeMillis to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllHeardAgeMillis(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureHeardAgeMillisIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, heardAgeMillis_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * for each of them the most that has gone by since
+     * </pre>
+     *
+     * <code>repeated int64 heard_age_millis = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeardAgeMillis() {
+      heardAgeMillis_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+
+    private long highestRevision_ ;
+    /**
+     * <pre>
+     * the highest revision that the sender knows of
+     * </pre>
+     *
+     * <code>int64 highest_revision = 8;</code>
+     * @return The highestRevision.
+     */
+    @java.lang.Override
+    public long getHighestRevision() {
+      return highestRevision_;
+    }
+    /**
+     * <pre>
+     * the highest revision that the sender knows of
+     * </pre>
+     *
+     * <code>int64 highest_revision = 8;</code>
+     * @param value The highestRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHighestRevision(long value) {
+
+      highestRevision_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the highest revision that the sender knows of
+     * </pre>
+     *
+     * <code>int64 highest_revision = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHighestRevision() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      highestRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long stamp_ ;
+    /**
+     * <pre>
+     * the sender's clock
+     * </pre>
+     *
+     * <code>int64 stamp = 9;</code>
+     * @return The stamp.
+     */
+    @java.lang.Override
+    public long getStamp() {
+      return stamp_;
+    }
+    /**
+     * <pre>
+     * the sender's clock
+     * </pre>
+     *
+     * <code>int64 stamp = 9;</code>
+     * @param value The stamp to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStamp(long value) {
+
+      stamp_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the sender's clock
+     * </pre>
+     *
+     * <code>int64 stamp = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStamp() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      stamp_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean echoes_ ;
+    /**
+     * <pre>
+     * whether echo is given
+     * </pre>
+     *
+     * <code>bool echoes = 10;</code>
+     * @return The echoes.
+     */
+    @java.lang.Override
+    public boolean getEchoes() {
+      return echoes_;
+    }
+    /**
+     * <pre>
+     * whether echo is given
+     * </pre>
+     *
+     * <code>bool echoes = 10;</code>
+     * @param value The echoes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEchoes(boolean value) {
+
+      echoes_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * whether echo is given
+     * </pre>
+     *
+     * <code>bool echoes = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEchoes() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      echoes_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long echo_ ;
+    /**
+     * <pre>
+     * the receiver's stamp that came last
+     * </pre>
+     *
+     * <code>int64 echo = 11;</code>
+     * @return The echo.
+     */
+    @java.lang.Override
+    public long getEcho() {
+      return echo_;
+    }
+    /**
+     * <pre>
+     * the receiver's stamp that came last
+     * </pre>
+     *
+     * <code>int64 echo = 11;</code>
+     * @param value The echo to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEcho(long value) {
+
+      echo_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the receiver's stamp that came last
+     * </pre>
+     *
+     * <code>int64 echo = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEcho() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      echo_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long echoHeldMillis_ ;
+    /**
+     * <pre>
+     * how long ago it came
+     * </pre>
+     *
+     * <code>int64 echo_held_millis = 12;</code>
+     * @return The echoHeldMillis.
+     */
+    @java.lang.Override
+    public long getEchoHeldMillis() {
+      return echoHeldMillis_;
+    }
+    /**
+     * <pre>
+     * how long ago it came
+     * </pre>
+     *
+     * <code>int64 echo_held_millis = 12;</code>
+     * @param value The echoHeldMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEchoHeldMillis(long value) {
+
+      echoHeldMillis_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * how long ago it came
+     * </pre>
+     *
+     * <code>int64 echo_held_millis = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEchoHeldMillis() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      echoHeldMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Freshness)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/FreshnessOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/FreshnessOrBuilder.java
@@ -51,7 +51,7 @@
 
   /**
    * <pre>
-   * entries heard within the limit
+   * entries that said that the store is out of their reach
    * </pre>
    *
    * <code>repeated string heard = 6;</code>
@@ -61,7 +61,7 @@
       getHeardList();
   /**
    * <pre>
-   * entries heard within the limit
+   * entries that said that the store is out of their reach
    * </pre>
    *
    * <code>repeated string heard = 6;</code>
@@ -70,7 +70,7 @@
   int getHeardCount();
   /**
    * <pre>
-   * entries heard within the limit
+   * entries that said that the store is out of their reach
    * </pre>
    *
    * <code>repeated string heard = 6;</code>
@@ -80,7 +80,7 @@
   java.lang.String getHeard(int index);
   /**
    * <pre>
-   * entries heard within the limit
+   * entries that said that the store is out of their reach
    * </pre>
    *
    * <code>repeated string heard = 6;</code>
@@ -89,4 +89,83 @@
    */
   com.google.protobuf.ByteString
       getHeardBytes(int index);
+
+  /**
+   * <pre>
+   * for each of them the most that has gone by since
+   * </pre>
+   *
+   * <code>repeated int64 heard_age_millis = 7;</code>
+   * @return A list containing the heardAgeMillis.
+   */
+  java.util.List<java.lang.Long> getHeardAgeMillisList();
+  /**
+   * <pre>
+   * for each of them the most that has gone by since
+   * </pre>
+   *
+   * <code>repeated int64 heard_age_millis = 7;</code>
+   * @return The count of heardAgeMillis.
+   */
+  int getHeardAgeMillisCount();
+  /**
+   * <pre>
+   * for each of them the most that has gone by since
+   * </pre>
+   *
+   * <code>repeated int64 heard_age_millis = 7;</code>
+   * @param index The index of the element to return.
+   * @return The heardAgeMillis at the given index.
+   */
+  long getHeardAgeMillis(int index);
+
+  /**
+   * <pre>
+   * the highest revision that the sender knows of
+   * </pre>
+   *
+   * <code>int64 highest_revision = 8;</code>
+   * @return The highestRevision.
+   */
+  long getHighestRevision();
+
+  /**
+   * <pre>
+   * the sender's clock
+   * </pre>
+   *
+   * <code>int64 stamp = 9;</code>
+   * @return The stamp.
+   */
+  long getStamp();
+
+  /**
+   * <pre>
+   * whether echo is given
+   * </pre>
+   *
+   * <code>bool echoes = 10;</code>
+   * @return The echoes.
+   */
+  boolean getEchoes();
+
+  /**
+   * <pre>
+   * the receiver's stamp that came last
+   * </pre>
+   *
+   * <code>int64 echo = 11;</code>
+   * @return The echo.
+   */
+  long getEcho();
+
+  /**
+   * <pre>
+   * how long ago it came
+   * </pre>
+   *
+   * <code>int64 echo_held_millis = 12;</code>
+   * @return The echoHeldMillis.
+   */
+  long getEchoHeldMillis();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -242,15 +242,18 @@
       " \001(\003\022\027\n\017duration_millis\030\005 \001(\003\"e\n\nLoanAns" +
       "wer\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\016\n\006" +
       "tokens\030\003 \001(\003\022\r\n\005share\030\004 \001(\003\022\027\n\017duration_" +
-      "millis\030\005 \001(\003\"\212\001\n\tFreshness\022\020\n\010instance\030\001" +
+      "millis\030\005 \001(\003\"\205\002\n\tFreshness\022\020\n\010instance\030\001" +
       " \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010revision\030\003 " +
       "\001(\003\022\034\n\024confirmed_age_millis\030\004 \001(\003\022\027\n\017sto" +
-      "re_reachable\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\"U\n\010Loa" +
-      "dNews\022\016\n\006target\030\001 \001(\t\022\022\n\nin_transit\030\002 \001(" +
-      "\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014waiting_work\030\004 \001(\003" +
-      "\"0\n\007Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarna" +
-      "tion\030\002 \001(\003B)\n\032org.geraniumreach.messages" +
-      "B\tLinkProtoP\001b\006proto3"
+      "re_reachable\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\022\030\n\020hea" +
+      "rd_age_millis\030\007 \003(\003\022\030\n\020highest_revision\030" +
+      "\010 \001(\003\022\r\n\005stamp\030\t \001(\003\022\016\n\006echoes\030\n \001(\010\022\014\n\004" +
+      "echo\030\013 \001(\003\022\030\n\020echo_held_millis\030\014 \001(\003\"U\n\010" +
+      "LoadNews\022\016\n\006target\030\001 \001(\t\022\022\n\nin_transit\030\002" +
+      " \001(\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014waiting_work\030\004 " +
+      "\001(\003\"0\n\007Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n\013inca" +
+      "rnation\030\002 \001(\003B)\n\032org.geraniumreach.messa" +
+      "gesB\tLinkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -387,7 +390,7 @@
     internal_static_geraniumreach_link_Freshness_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_Freshness_descriptor,
-        new java.lang.String[] { "Instance", "Incarnation", "Revision", "ConfirmedAgeMillis", "StoreReachable", "Heard", });
+        new java.lang.String[] { "Instance", "Incarnation", "Revision", "ConfirmedAgeMillis", "StoreReachable", "Heard", "HeardAgeMillis", "HighestRevision", "Stamp", "Echoes", "Echo", "EchoHeldMillis", });
     internal_static_geraniumreach_link_LoadNews_descriptor =
       getDescriptor().getMessageTypes().get(22);
     internal_static_geraniumreach_link_LoadNews_fieldAccessorTable = new
