--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/RoutingSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/RoutingSettings.java
@@ -20,6 +20,8 @@
  * @param retryFloorPerSecond the retries a second allowed without any success
  * @param firstBackoff the bound on the wait before the first retry
  * @param longestBackoff the bound on the wait before any retry
+ * @param prefixHalfLife the time in which a belief of a cached prefix halves
+ * @param rememberedPrefixes the conversations whose prefix is remembered
  */
 public record RoutingSettings(
         @Setting(value = "affinity", about = "How a target is chosen.") RoutingPolicy policy,
@@ -38,7 +40,19 @@
                         about = "The bound on the wait before the first retry.")
                 Duration firstBackoff,
         @Setting(value = "1s", least = "1ms", greatest = "1m", about = "The bound on the wait before any retry.")
-                Duration longestBackoff) {
+                Duration longestBackoff,
+        @Setting(
+                        value = "2m",
+                        least = "1s",
+                        greatest = "1h",
+                        about = "The time in which a belief of a cached prefix halves.")
+                Duration prefixHalfLife,
+        @Setting(
+                        value = "20000",
+                        least = "1",
+                        greatest = "1000000",
+                        about = "The conversations whose prefix is remembered.")
+                int rememberedPrefixes) {
 
     /** The retries that may be saved up. */
     static final double RETRY_BUDGET_SIZE = 10;
