Run the budget's shares and loans at an entry

Loans go over the links between entries; a request for a loan tells the asker's demand, its share and its row, so that the lender can hand parts over. The table service does not say which version a commit has made, so the row is read before the next commit: to assume the next number was ruled out, as its versions may rise by more than one.

--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/EntryBudget.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/EntryBudget.java
@@ -223,4 +223,13 @@
     public long ownParts(AccountId account) {
         return budget(account).ownParts();
     }
+
+    /**
+     * Queries whether the shares held may be spent now.
+     *
+     * @return true if they may
+     */
+    public boolean isProved() {
+        return proof.holds(clock.nanos());
+    }
 }
--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/HolderRow.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/HolderRow.java
@@ -46,6 +46,16 @@
         return RowKey.of(TABLE, holder.instance() + "/" + holder.incarnation() + "/" + generation);
     }
 
+    /**
+     * Gets the instance whose row is at a place.
+     *
+     * @param key the place, not null
+     * @return the instance, not null
+     */
+    public static InstanceId instanceOf(RowKey key) {
+        return InstanceId.of(key.key().substring(0, key.key().indexOf('/')));
+    }
+
     /**
      * Writes the row.
      *
--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/ShareKeeper.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/ShareKeeper.java
@@ -31,7 +31,6 @@
 
     private static final int SCAN_LIMIT = 1000;
     private static final int SCANNING_ENTRIES = 3;
-    private static final long FIRST_VERSION = 1;
     private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(500);
 
     private final HolderId self;
@@ -58,6 +57,7 @@
     private boolean scanAccountsNext;
     private Set<AccountId> accounts = Set.of();
     private Set<AccountId> firstIssued = new HashSet<>();
+    private Set<RowKey> handedOverTo = new HashSet<>();
     private boolean scanning = true;
     private long releaseAt = Long.MAX_VALUE;
 
@@ -140,6 +140,17 @@
         return taken;
     }
 
+    /**
+     * Gets the rows to which parts were handed over, once; their holders may be told to read them.
+     *
+     * @return the rows, not null
+     */
+    public synchronized Set<RowKey> takeHandedOverTo() {
+        Set<RowKey> taken = handedOverTo;
+        handedOverTo = new HashSet<>();
+        return taken;
+    }
+
     /**
      * Gets this entry's row.
      *
@@ -438,11 +449,16 @@
             return;
         }
         ShareSet after = answered.plan().map(ShareTransfer.Plan::sharesAfter).orElse(currentShares());
-        long version = known.map(before -> before.version() + 1).orElse(FIRST_VERSION);
+        // The table service does not say which version the commit has made; the next commit needs it.
+        mustRead = true;
+        long version = known.map(Known::version).orElse(Transaction.ABSENT);
         known = Optional.of(new Known(version, known.map(Known::renewals).orElse(0L) + 1, after));
         unsettled = Optional.empty();
         renewedAt = answered.sentAt();
         proof.renewed(answered.sentAt());
+        answered.transfer()
+                .filter(transfer -> transfer.kind() == ShareTransfer.Kind.HANDOVER)
+                .ifPresent(transfer -> handedOverTo.add(transfer.other()));
         if (answered.plan().filter(ShareTransfer.Plan::firstIssue).isPresent()) {
             answered.transfer().flatMap(ShareTransfer::account).ifPresent(firstIssued::add);
         }
--- a/coordination/src/main/java/org/geraniumreach/coordination/ledger/LedgerCall.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/ledger/LedgerCall.java
@@ -30,7 +30,9 @@
  */
 public final class LedgerCall {
 
-    private static final long FIRST_VERSION = 1;
+    /** The table service does not say which version a commit has made. */
+    private static final long NOT_READ = -1;
+
     private static final int SEAL_TRIES = 3;
     private static final int TRIES_AFTER_REPLY = 100;
     private static final LedgerAction.Refuse NEVER_STARTED = new LedgerAction.Refuse(
@@ -105,15 +107,13 @@
      * @return what to do, not null
      */
     public LedgerAction start() {
-        return view.chooser().get().isPresent() ? claim(Transaction.ABSENT) : look(Step.LOOKING);
+        Optional<Companion> companion = view.chooser().get();
+        // Without a target a call that has run already still gets its answer.
+        return companion.isPresent() ? claim(Transaction.ABSENT, companion.get()) : look(Step.LOOKING);
     }
 
     /** Puts a new attempt into the row, if the row has still the version given. */
-    private LedgerAction claim(long expectedVersion) {
-        Optional<Companion> companion = view.chooser().get();
-        if (companion.isEmpty()) {
-            return refuse(ResultCode.NO_TARGET, Ran.NO, "no live target offers the operation");
-        }
+    private LedgerAction claim(long expectedVersion, Companion companion) {
         storeTriesLeft = policy.storeTries();
         sendTriesLeft--;
         version = expectedVersion;
@@ -121,7 +121,7 @@
                 requestDigest,
                 self,
                 view.newAttempt().get(),
-                companion.get(),
+                companion,
                 LedgerRow.State.RUNNING,
                 view.now().get().truncatedTo(ChronoUnit.MILLIS),
                 Optional.empty());
@@ -145,7 +145,7 @@
      * @return what to do, not null
      */
     public LedgerAction committed() {
-        version = version == Transaction.ABSENT ? FIRST_VERSION : version + 1;
+        version = NOT_READ;
         return step == Step.CLAIMING ? send() : recorded();
     }
 
@@ -169,7 +169,11 @@
      * @return what to do, not null
      */
     public LedgerAction conflicted() {
-        return look(step == Step.CLAIMING ? Step.SETTLING_CLAIM : Step.SETTLING_RECORD);
+        if (step != Step.CLAIMING) {
+            return look(Step.SETTLING_RECORD);
+        }
+        otherMayHaveRun = true;
+        return look(Step.SETTLING_CLAIM);
     }
 
     /**
@@ -208,6 +212,9 @@
     }
 
     private LedgerAction storeUnavailable() {
+        if (verdict != null && !otherMayHaveRun) {
+            return finish(verdict);
+        }
         return refuse(
                 ResultCode.STORE_UNAVAILABLE,
                 otherMayHaveRun ? Ran.UNKNOWN : Ran.NO,
@@ -245,7 +252,8 @@
             // row holds this call's attempt or another call's, and never both.
             return commitClaim();
         }
-        return step == Step.SETTLING_CLAIM || sendTriesLeft <= 0 ? storeUnavailable() : claim(Transaction.ABSENT);
+        otherMayHaveRun = false;
+        return step == Step.SETTLING_CLAIM ? storeUnavailable() : claimAgain();
     }
 
     private LedgerAction decide(LedgerRow stored) {
@@ -275,8 +283,18 @@
         return open && spent.equals(Optional.of(stored.attempt()));
     }
 
+    /** Puts a new attempt where the row holds none that has run or may run. */
     private LedgerAction claimAgain() {
-        return sendTriesLeft > 0 ? claim(version) : finish(NEVER_STARTED);
+        Optional<Companion> companion = sendTriesLeft > 0 ? view.chooser().get() : Optional.empty();
+        if (companion.isPresent()) {
+            return claim(version, companion.get());
+        }
+        if (row != null && spent.equals(Optional.of(row.attempt())) && version != Transaction.ABSENT) {
+            return record(LedgerRow.State.NOT_RUN, verdict);
+        }
+        return verdict != null
+                ? finish(verdict)
+                : refuse(ResultCode.NO_TARGET, Ran.NO, "no live target offers the operation");
     }
 
     private boolean isOrphaned(LedgerRow stored) {
@@ -399,10 +417,10 @@
 
     private LedgerAction neverStarted(LedgerAction.Refuse refusal) {
         spent = Optional.of(row.attempt());
-        if (sendTriesLeft > 0 && view.chooser().get().isPresent()) {
-            return claim(version);
-        }
-        return record(LedgerRow.State.NOT_RUN, refusal);
+        verdict = refusal;
+        otherMayHaveRun = false;
+        storeTriesLeft = policy.storeTries();
+        return version == NOT_READ ? look(Step.LOOKING) : claimAgain();
     }
 
     private LedgerAction recordUnknown(String message) {
@@ -419,6 +437,9 @@
     }
 
     private LedgerAction record() {
+        if (version == NOT_READ) {
+            return look(Step.SETTLING_RECORD);
+        }
         step = Step.RECORDING;
         return commitRow();
     }
--- a/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetSettings.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import org.geraniumreach.coordination.budget.BudgetPolicy;
+import org.geraniumreach.coordination.budget.SharingPolicy;
 import org.geraniumreach.daemon.settings.Setting;
 
 /**
@@ -56,4 +58,24 @@
         /** Shares stay where they are, for comparison. */
         STATIC_SPLIT
     }
+
+    /**
+     * Gets the settings as the core takes them.
+     *
+     * @return the policy, not null
+     * @throws IllegalArgumentException if the quarantine is too short for the other settings
+     */
+    public BudgetPolicy policy() {
+        return new BudgetPolicy(
+                sharing == Sharing.BY_DEMAND ? SharingPolicy.byDemand() : SharingPolicy.staticSplit(),
+                leaseRenewal,
+                proofLimit,
+                listLag,
+                quarantine,
+                loanDuration,
+                loanAnswerLimit,
+                longestWait,
+                scanInterval,
+                clockDriftPartsPerMillion);
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/LoanFrames.java
@@ -0,0 +1,106 @@
+package org.geraniumreach.daemon.budget;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.geraniumreach.coordination.budget.HolderRow;
+import org.geraniumreach.coordination.budget.Loan;
+import org.geraniumreach.coordination.budget.LoanWish;
+import org.geraniumreach.coordination.budget.ShareParts;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.LoanAnswer;
+import org.geraniumreach.messages.LoanRequest;
+import org.geraniumreach.messages.ShareMoved;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.table.RowKey;
+
+/**
+ * The frames by which entries lend budget.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+final class LoanFrames {
+
+    private LoanFrames() {}
+
+    static Frame of(LoanWish wish) {
+        return Frame.newBuilder()
+                .setLoanRequest(LoanRequest.newBuilder()
+                        .setNumber(wish.number())
+                        .setAccount(wish.account().value())
+                        .setTokensWanted(wish.tokens())
+                        .setShareWanted(wish.parts())
+                        .setDurationMillis(wish.duration().toMillis())
+                        .setDemand(wish.demand())
+                        .setShareHeld(wish.heldParts())
+                        .setHolder(wish.holder().map(RowKey::key).orElse("")))
+                .build();
+    }
+
+    /**
+     * Reads a request for a loan.
+     *
+     * @param request the frame's content
+     * @return the request
+     * @throws IllegalArgumentException if a value is out of range
+     */
+    static LoanWish wishIn(LoanRequest request) {
+        Optional<RowKey> holder = request.getHolder().isEmpty()
+                ? Optional.empty()
+                : Optional.of(RowKey.of(HolderRow.TABLE, request.getHolder()));
+        return new LoanWish(
+                request.getNumber(),
+                AccountId.of(request.getAccount()),
+                tokens(request.getTokensWanted()),
+                ShareParts.require(request.getShareWanted()),
+                duration(request.getDurationMillis()),
+                tokens(request.getDemand()),
+                ShareParts.require(request.getShareHeld()),
+                holder);
+    }
+
+    static Frame of(Loan loan) {
+        return Frame.newBuilder()
+                .setLoanAnswer(LoanAnswer.newBuilder()
+                        .setNumber(loan.number())
+                        .setAccount(loan.account().value())
+                        .setTokens(loan.tokens())
+                        .setShare(loan.parts())
+                        .setDurationMillis(loan.duration().toMillis()))
+                .build();
+    }
+
+    /**
+     * Reads the answer to a request for a loan.
+     *
+     * @param answer the frame's content
+     * @return the loan
+     * @throws IllegalArgumentException if a value is out of range
+     */
+    static Loan loanIn(LoanAnswer answer) {
+        return new Loan(
+                answer.getNumber(),
+                AccountId.of(answer.getAccount()),
+                tokens(answer.getTokens()),
+                ShareParts.require(answer.getShare()),
+                duration(answer.getDurationMillis()));
+    }
+
+    static Frame shareMoved() {
+        return Frame.newBuilder().setShareMoved(ShareMoved.getDefaultInstance()).build();
+    }
+
+    private static long tokens(long number) {
+        if (number < 0 || number > ShareParts.GREATEST_TOKENS) {
+            throw new IllegalArgumentException("tokens out of range: " + number);
+        }
+        return number;
+    }
+
+    private static Duration duration(long millis) {
+        if (millis < 0) {
+            throw new IllegalArgumentException("negative duration: " + millis);
+        }
+        return Duration.ofMillis(millis);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/StoreDriver.java
@@ -0,0 +1,79 @@
+package org.geraniumreach.daemon.budget;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.geraniumreach.coordination.budget.ShareKeeper;
+import org.geraniumreach.coordination.budget.StoreCall;
+import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.TableService;
+
+/**
+ * Makes the calls of the table service that a keeper of shares wants.
+ *
+ * <p>Invariant: each call is answered once, whatever the table service throws. Not safe for use by several threads.
+ */
+final class StoreDriver {
+
+    private final ShareKeeper keeper;
+    private final TableService table;
+    private boolean reachable = true;
+
+    StoreDriver(ShareKeeper keeper, TableService table) {
+        this.keeper = keeper;
+        this.table = table;
+    }
+
+    /** Makes the call that is due; returns false if there was none. */
+    boolean step() {
+        Optional<StoreCall> call = keeper.next();
+        call.ifPresent(this::make);
+        return call.isPresent();
+    }
+
+    private void make(StoreCall call) {
+        Runnable event;
+        try {
+            event = eventOf(call);
+            noteReachable();
+        } catch (PlatformException failure) {
+            event = () -> keeper.failed(failure.effect() == PlatformException.Effect.UNKNOWN);
+            noteUnreachable(failure);
+        } catch (RuntimeException fault) {
+            event = () -> keeper.failed(true);
+            EventLog.write(EventCode.UNEXPECTED_FAILURE, fault, "table service, for budget shares");
+        }
+        event.run();
+    }
+
+    private Runnable eventOf(StoreCall call) throws PlatformException {
+        if (call instanceof StoreCall.Read read) {
+            Optional<Row> row = table.read(read.key());
+            return () -> keeper.read(row);
+        }
+        if (call instanceof StoreCall.Scan scan) {
+            List<Row> rows = table.scan(scan.table(), "", scan.after(), scan.limit());
+            return () -> keeper.scanned(rows);
+        }
+        boolean effective = table.commit(((StoreCall.Commit) call).transaction());
+        return () -> keeper.committed(effective);
+    }
+
+    private void noteReachable() {
+        if (!reachable) {
+            reachable = true;
+            EventLog.write(EventCode.PLATFORM_REACHABLE, "table service, for budget shares");
+        }
+    }
+
+    private void noteUnreachable(PlatformException failure) {
+        if (reachable) {
+            reachable = false;
+            EventLog.write(
+                    EventCode.PLATFORM_UNREACHABLE, "table service, for budget shares: {}", failure.getMessage());
+        }
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/CallRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/CallRunner.java
@@ -155,6 +155,7 @@
                         seal.companion().instance(),
                         seal.attempt().value(),
                         seal.companion().incarnation(),
+                        seal.age(),
                         outcome -> step(() -> call.sealed(resultOf(outcome))));
     }
 
--- a/messages/src/main/java/org/geraniumreach/messages/Frame.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Frame.java
@@ -70,6 +70,7 @@
     FRESHNESS(20),
     LOAD_NEWS(21),
     LEAVING(22),
+    SHARE_MOVED(23),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -109,6 +110,7 @@
         case 20: return FRESHNESS;
         case 21: return LOAD_NEWS;
         case 22: return LEAVING;
+        case 23: return SHARE_MOVED;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -806,6 +808,37 @@
     return org.geraniumreach.messages.Leaving.getDefaultInstance();
   }
 
+  public static final int SHARE_MOVED_FIELD_NUMBER = 23;
+  /**
+   * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+   * @return Whether the shareMoved field is set.
+   */
+  @java.lang.Override
+  public boolean hasShareMoved() {
+    return bodyCase_ == 23;
+  }
+  /**
+   * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+   * @return The shareMoved.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.ShareMoved getShareMoved() {
+    if (bodyCase_ == 23) {
+       return (org.geraniumreach.messages.ShareMoved) body_;
+    }
+    return org.geraniumreach.messages.ShareMoved.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.ShareMovedOrBuilder getShareMovedOrBuilder() {
+    if (bodyCase_ == 23) {
+       return (org.geraniumreach.messages.ShareMoved) body_;
+    }
+    return org.geraniumreach.messages.ShareMoved.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -886,6 +919,9 @@
     if (bodyCase_ == 22) {
       output.writeMessage(22, (org.geraniumreach.messages.Leaving) body_);
     }
+    if (bodyCase_ == 23) {
+      output.writeMessage(23, (org.geraniumreach.messages.ShareMoved) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -983,6 +1019,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(22, (org.geraniumreach.messages.Leaving) body_);
     }
+    if (bodyCase_ == 23) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(23, (org.geraniumreach.messages.ShareMoved) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1088,6 +1128,10 @@
         if (!getLeaving()
             .equals(other.getLeaving())) return false;
         break;
+      case 23:
+        if (!getShareMoved()
+            .equals(other.getShareMoved())) return false;
+        break;
       case 0:
       default:
     }
@@ -1191,6 +1235,10 @@
         hash = (37 * hash) + LEAVING_FIELD_NUMBER;
         hash = (53 * hash) + getLeaving().hashCode();
         break;
+      case 23:
+        hash = (37 * hash) + SHARE_MOVED_FIELD_NUMBER;
+        hash = (53 * hash) + getShareMoved().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1391,6 +1439,9 @@
       if (leavingBuilder_ != null) {
         leavingBuilder_.clear();
       }
+      if (shareMovedBuilder_ != null) {
+        shareMovedBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1520,6 +1571,10 @@
           leavingBuilder_ != null) {
         result.body_ = leavingBuilder_.build();
       }
+      if (bodyCase_ == 23 &&
+          shareMovedBuilder_ != null) {
+        result.body_ = shareMovedBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1623,6 +1678,10 @@
           mergeLeaving(other.getLeaving());
           break;
         }
+        case SHARE_MOVED: {
+          mergeShareMoved(other.getShareMoved());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1807,6 +1866,13 @@
               bodyCase_ = 22;
               break;
             } // case 178
+            case 186: {
+              input.readMessage(
+                  getShareMovedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 23;
+              break;
+            } // case 186
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4963,6 +5029,148 @@
       return leavingBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.ShareMoved, org.geraniumreach.messages.ShareMoved.Builder, org.geraniumreach.messages.ShareMovedOrBuilder> shareMovedBuilder_;
+    /**
+     * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+     * @return Whether the shareMoved field is set.
+     */
+    @java.lang.Override
+    public boolean hasShareMoved() {
+      return bodyCase_ == 23;
+    }
+    /**
+     * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+     * @return The shareMoved.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.ShareMoved getShareMoved() {
+      if (shareMovedBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          return (org.geraniumreach.messages.ShareMoved) body_;
+        }
+        return org.geraniumreach.messages.ShareMoved.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 23) {
+          return shareMovedBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.ShareMoved.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+     */
+    public Builder setShareMoved(org.geraniumreach.messages.ShareMoved value) {
+      if (shareMovedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        shareMovedBuilder_.setMessage(value);
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+     */
+    public Builder setShareMoved(
+        org.geraniumreach.messages.ShareMoved.Builder builderForValue) {
+      if (shareMovedBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        shareMovedBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+     */
+    public Builder mergeShareMoved(org.geraniumreach.messages.ShareMoved value) {
+      if (shareMovedBuilder_ == null) {
+        if (bodyCase_ == 23 &&
+            body_ != org.geraniumreach.messages.ShareMoved.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.ShareMoved.newBuilder((org.geraniumreach.messages.ShareMoved) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 23) {
+          shareMovedBuilder_.mergeFrom(value);
+        } else {
+          shareMovedBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+     */
+    public Builder clearShareMoved() {
+      if (shareMovedBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        shareMovedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+     */
+    public org.geraniumreach.messages.ShareMoved.Builder getShareMovedBuilder() {
+      return getShareMovedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.ShareMovedOrBuilder getShareMovedOrBuilder() {
+      if ((bodyCase_ == 23) && (shareMovedBuilder_ != null)) {
+        return shareMovedBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 23) {
+          return (org.geraniumreach.messages.ShareMoved) body_;
+        }
+        return org.geraniumreach.messages.ShareMoved.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.ShareMoved, org.geraniumreach.messages.ShareMoved.Builder, org.geraniumreach.messages.ShareMovedOrBuilder> 
+        getShareMovedFieldBuilder() {
+      if (shareMovedBuilder_ == null) {
+        if (!(bodyCase_ == 23)) {
+          body_ = org.geraniumreach.messages.ShareMoved.getDefaultInstance();
+        }
+        shareMovedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.ShareMoved, org.geraniumreach.messages.ShareMoved.Builder, org.geraniumreach.messages.ShareMovedOrBuilder>(
+                (org.geraniumreach.messages.ShareMoved) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 23;
+      onChanged();
+      return shareMovedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Frame)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
@@ -339,5 +339,20 @@
    */
   org.geraniumreach.messages.LeavingOrBuilder getLeavingOrBuilder();
 
+  /**
+   * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+   * @return Whether the shareMoved field is set.
+   */
+  boolean hasShareMoved();
+  /**
+   * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+   * @return The shareMoved.
+   */
+  org.geraniumreach.messages.ShareMoved getShareMoved();
+  /**
+   * <code>.geraniumreach.link.ShareMoved share_moved = 23;</code>
+   */
+  org.geraniumreach.messages.ShareMovedOrBuilder getShareMovedOrBuilder();
+
   org.geraniumreach.messages.Frame.BodyCase getBodyCase();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LoanRequest.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LoanRequest.java
@@ -28,6 +28,7 @@
   }
   private LoanRequest() {
     account_ = "";
+    holder_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -130,6 +131,83 @@
     return durationMillis_;
   }
 
+  public static final int DEMAND_FIELD_NUMBER = 6;
+  private long demand_ = 0L;
+  /**
+   * <pre>
+   * tokens a second asked for at the sender
+   * </pre>
+   *
+   * <code>int64 demand = 6;</code>
+   * @return The demand.
+   */
+  @java.lang.Override
+  public long getDemand() {
+    return demand_;
+  }
+
+  public static final int SHARE_HELD_FIELD_NUMBER = 7;
+  private long shareHeld_ = 0L;
+  /**
+   * <pre>
+   * by the sender for good
+   * </pre>
+   *
+   * <code>int64 share_held = 7;</code>
+   * @return The shareHeld.
+   */
+  @java.lang.Override
+  public long getShareHeld() {
+    return shareHeld_;
+  }
+
+  public static final int HOLDER_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object holder_ = "";
+  /**
+   * <pre>
+   * the row of the sender's shares, empty if none
+   * </pre>
+   *
+   * <code>string holder = 8;</code>
+   * @return The holder.
+   */
+  @java.lang.Override
+  public java.lang.String getHolder() {
+    java.lang.Object ref = holder_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      holder_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * the row of the sender's shares, empty if none
+   * </pre>
+   *
+   * <code>string holder = 8;</code>
+   * @return The bytes for holder.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHolderBytes() {
+    java.lang.Object ref = holder_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      holder_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -159,6 +237,15 @@
     if (durationMillis_ != 0L) {
       output.writeInt64(5, durationMillis_);
     }
+    if (demand_ != 0L) {
+      output.writeInt64(6, demand_);
+    }
+    if (shareHeld_ != 0L) {
+      output.writeInt64(7, shareHeld_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, holder_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -187,6 +274,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(5, durationMillis_);
     }
+    if (demand_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, demand_);
+    }
+    if (shareHeld_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, shareHeld_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, holder_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -212,6 +310,12 @@
         != other.getShareWanted()) return false;
     if (getDurationMillis()
         != other.getDurationMillis()) return false;
+    if (getDemand()
+        != other.getDemand()) return false;
+    if (getShareHeld()
+        != other.getShareHeld()) return false;
+    if (!getHolder()
+        .equals(other.getHolder())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -237,6 +341,14 @@
     hash = (37 * hash) + DURATION_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getDurationMillis());
+    hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDemand());
+    hash = (37 * hash) + SHARE_HELD_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getShareHeld());
+    hash = (37 * hash) + HOLDER_FIELD_NUMBER;
+    hash = (53 * hash) + getHolder().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -373,6 +485,9 @@
       tokensWanted_ = 0L;
       shareWanted_ = 0L;
       durationMillis_ = 0L;
+      demand_ = 0L;
+      shareHeld_ = 0L;
+      holder_ = "";
       return this;
     }
 
@@ -421,6 +536,15 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.durationMillis_ = durationMillis_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.demand_ = demand_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.shareHeld_ = shareHeld_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.holder_ = holder_;
+      }
     }
 
     @java.lang.Override
@@ -452,6 +576,17 @@
       if (other.getDurationMillis() != 0L) {
         setDurationMillis(other.getDurationMillis());
       }
+      if (other.getDemand() != 0L) {
+        setDemand(other.getDemand());
+      }
+      if (other.getShareHeld() != 0L) {
+        setShareHeld(other.getShareHeld());
+      }
+      if (!other.getHolder().isEmpty()) {
+        holder_ = other.holder_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -503,6 +638,21 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              demand_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              shareHeld_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 66: {
+              holder_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -732,6 +882,186 @@
       return this;
     }
 
+    private long demand_ ;
+    /**
+     * <pre>
+     * tokens a second asked for at the sender
+     * </pre>
+     *
+     * <code>int64 demand = 6;</code>
+     * @return The demand.
+     */
+    @java.lang.Override
+    public long getDemand() {
+      return demand_;
+    }
+    /**
+     * <pre>
+     * tokens a second asked for at the sender
+     * </pre>
+     *
+     * <code>int64 demand = 6;</code>
+     * @param value The demand to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDemand(long value) {
+
+      demand_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * tokens a second asked for at the sender
+     * </pre>
+     *
+     * <code>int64 demand = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDemand() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      demand_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long shareHeld_ ;
+    /**
+     * <pre>
+     * by the sender for good
+     * </pre>
+     *
+     * <code>int64 share_held = 7;</code>
+     * @return The shareHeld.
+     */
+    @java.lang.Override
+    public long getShareHeld() {
+      return shareHeld_;
+    }
+    /**
+     * <pre>
+     * by the sender for good
+     * </pre>
+     *
+     * <code>int64 share_held = 7;</code>
+     * @param value The shareHeld to set.
+     * @return This builder for chaining.
+     */
+    public Builder setShareHeld(long value) {
+
+      shareHeld_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender for good
+     * </pre>
+     *
+     * <code>int64 share_held = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearShareHeld() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      shareHeld_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object holder_ = "";
+    /**
+     * <pre>
+     * the row of the sender's shares, empty if none
+     * </pre>
+     *
+     * <code>string holder = 8;</code>
+     * @return The holder.
+     */
+    public java.lang.String getHolder() {
+      java.lang.Object ref = holder_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        holder_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the row of the sender's shares, empty if none
+     * </pre>
+     *
+     * <code>string holder = 8;</code>
+     * @return The bytes for holder.
+     */
+    public com.google.protobuf.ByteString
+        getHolderBytes() {
+      java.lang.Object ref = holder_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        holder_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the row of the sender's shares, empty if none
+     * </pre>
+     *
+     * <code>string holder = 8;</code>
+     * @param value The holder to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolder(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      holder_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the row of the sender's shares, empty if none
+     * </pre>
+     *
+     * <code>string holder = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHolder() {
+      holder_ = getDefaultInstance().getHolder();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the row of the sender's shares, empty if none
+     * </pre>
+     *
+     * <code>string holder = 8;</code>
+     * @param value The bytes for holder to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      holder_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.LoanRequest)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/LoanRequestOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LoanRequestOrBuilder.java
@@ -48,4 +48,44 @@
    * @return The durationMillis.
    */
   long getDurationMillis();
+
+  /**
+   * <pre>
+   * tokens a second asked for at the sender
+   * </pre>
+   *
+   * <code>int64 demand = 6;</code>
+   * @return The demand.
+   */
+  long getDemand();
+
+  /**
+   * <pre>
+   * by the sender for good
+   * </pre>
+   *
+   * <code>int64 share_held = 7;</code>
+   * @return The shareHeld.
+   */
+  long getShareHeld();
+
+  /**
+   * <pre>
+   * the row of the sender's shares, empty if none
+   * </pre>
+   *
+   * <code>string holder = 8;</code>
+   * @return The holder.
+   */
+  java.lang.String getHolder();
+  /**
+   * <pre>
+   * the row of the sender's shares, empty if none
+   * </pre>
+   *
+   * <code>string holder = 8;</code>
+   * @return The bytes for holder.
+   */
+  com.google.protobuf.ByteString
+      getHolderBytes();
 }
