Add the load tool: open-loop sending, checked answers, times per client account

Requests come as a Poisson process per account from a fixed seed; times count from when a request was due. An answer is served only if it is whole and equal to what the adapter's version must give. Bookings are repeated with their key, and the workers' records are compared with what callers were told: none ran twice, each answered one ran, none refused as not run did.

Found: a JDK client that offers the upgrade to HTTP/2 with a POST makes Grizzly wait for the body until its 30 s limit. The clients here speak HTTP/1.1 only.

--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/LoadCommand.java
@@ -0,0 +1,33 @@
+package org.geraniumreach.standins;
+
+import java.io.IOException;
+import java.nio.file.Path;
+
+import org.geraniumreach.standins.load.LoadFiles;
+import org.geraniumreach.standins.load.LoadResult;
+import org.geraniumreach.standins.load.LoadRun;
+import org.geraniumreach.standins.load.LoadSettings;
+import org.kohsuke.args4j.Option;
+
+/** Sends a load, checks every answer, and prints what each account got. */
+final class LoadCommand implements Command {
+
+    private static final int DID_NOT_HOLD = 1;
+
+    @Option(name = "--settings", required = true, usage = "YAML file with what to send")
+    private Path settings;
+
+    @Option(name = "--out", usage = "JSON file to write settings and results to")
+    private Path out;
+
+    @Override
+    public int run() throws IOException, InterruptedException {
+        LoadSettings read = LoadFiles.read(settings);
+        LoadResult result = LoadRun.run(read);
+        result.toTable().forEach(System.out::println);
+        if (out != null) {
+            LoadFiles.write(out, read, result);
+        }
+        return result.held() ? 0 : DID_NOT_HOLD;
+    }
+}
--- a/standins/src/main/java/org/geraniumreach/standins/Main.java
+++ b/standins/src/main/java/org/geraniumreach/standins/Main.java
@@ -3,7 +3,10 @@
 import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -16,7 +19,10 @@
     private static final Map<String, Supplier<Command>> COMMANDS = new TreeMap<>(Map.of(
             "platform", PlatformCommand::new,
             "engine", EngineCommand::new,
-            "service", ServiceCommand::new));
+            "service", ServiceCommand::new,
+            "load", LoadCommand::new));
+
+    private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
 
     private Main() {}
 
@@ -26,10 +32,20 @@
      * @param arguments the subcommand's name, then its options, not null
      */
     public static void main(String[] arguments) {
+        // Grizzly logs each listener at INFO; the stand-ins have a line of their own for that.
+        GRIZZLY.setLevel(Level.WARNING);
         int code = run(arguments);
         if (code >= 0) {
             System.exit(code);
         }
+        sleepForEver();
+    }
+
+    private static void sleepForEver() {
+        // The servers' threads are daemons, so the process would end without one that is not.
+        while (true) {
+            LockSupport.park();
+        }
     }
 
     private static int run(String[] arguments) {
--- a/standins/src/main/java/org/geraniumreach/standins/answer/ExpectedAnswer.java
+++ b/standins/src/main/java/org/geraniumreach/standins/answer/ExpectedAnswer.java
@@ -99,6 +99,15 @@
         return text.toString();
     }
 
+    /**
+     * Gets what identifies the request: adapter, version and prompt.
+     *
+     * @return a digest as text, not null
+     */
+    public String digest() {
+        return Long.toHexString(seed);
+    }
+
     private static long hash(long start, String text) {
         long hash = start;
         for (int index = 0; index < text.length(); index++) {
--- a/standins/src/main/java/org/geraniumreach/standins/engine/EngineStream.java
+++ b/standins/src/main/java/org/geraniumreach/standins/engine/EngineStream.java
@@ -131,6 +131,7 @@
         return new StreamRecord(
                 number,
                 order.attempt().value(),
+                ExpectedAnswer.of(order.adapter(), order.prompt()).digest(),
                 order.account().value(),
                 served.toString(),
                 order.fence(),
--- a/standins/src/main/java/org/geraniumreach/standins/engine/StreamRecord.java
+++ b/standins/src/main/java/org/geraniumreach/standins/engine/StreamRecord.java
@@ -7,6 +7,7 @@
  *
  * @param number its number, from 1, in the order of ending
  * @param attempt the stream
+ * @param request the digest of adapter, version and prompt as named by the order
  * @param account the client account
  * @param adapter the adapter and version that ran
  * @param fence the fence that came with the order
@@ -23,6 +24,7 @@
 public record StreamRecord(
         long number,
         String attempt,
+        String request,
         String account,
         String adapter,
         long fence,
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/load/AccountTally.java
@@ -0,0 +1,94 @@
+package org.geraniumreach.standins.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * What one account got.
+ *
+ * <p>Safe for use by several threads, under its own lock.
+ */
+final class AccountTally {
+
+    private static final int DIGITS = 3;
+    private static final int MOST_DETAILS = 10;
+    private static final String OUT_OF_BUDGET = "OUT_OF_BUDGET";
+
+    private final String account;
+    private final Histogram firstToken = new Histogram(DIGITS);
+    private final Histogram betweenTokens = new Histogram(DIGITS);
+    private final Histogram booking = new Histogram(DIGITS);
+    private final Map<String, Integer> codes = new TreeMap<>();
+    private final Map<Outcome.Verdict, Integer> verdicts = new TreeMap<>();
+    private final List<String> details = new ArrayList<>();
+    private int sent;
+    private int wrongfullyRefused;
+    private long tokens;
+
+    AccountTally(String account) {
+        this.account = account;
+    }
+
+    String account() {
+        return account;
+    }
+
+    synchronized void sent() {
+        sent++;
+    }
+
+    synchronized void firstToken(long nanos) {
+        firstToken.recordValue(Math.max(0, nanos / 1000));
+    }
+
+    synchronized void betweenTokens(long nanos) {
+        betweenTokens.recordValue(Math.max(0, nanos / 1000));
+    }
+
+    synchronized void booking(long nanos) {
+        booking.recordValue(Math.max(0, nanos / 1000));
+    }
+
+    synchronized void ended(Outcome outcome, boolean idealAdmits) {
+        verdicts.merge(outcome.verdict(), 1, Integer::sum);
+        tokens += outcome.tokens();
+        if (!outcome.code().isEmpty()) {
+            codes.merge(outcome.code(), 1, Integer::sum);
+        }
+        if (outcome.code().equals(OUT_OF_BUDGET) && idealAdmits) {
+            wrongfullyRefused++;
+        }
+        if (!outcome.detail().isEmpty() && details.size() < MOST_DETAILS) {
+            details.add(outcome.verdict() + " " + outcome.code() + ": " + outcome.detail());
+        }
+    }
+
+    synchronized AccountResult result(LoadSettings.AccountLoad load, double elapsedSeconds) {
+        double allowed = load.tokensPerSecond() > 0
+                ? load.burstTokens() + load.tokensPerSecond() * elapsedSeconds
+                : Double.MAX_VALUE;
+        return new AccountResult(
+                account,
+                sent,
+                count(Outcome.Verdict.SERVED),
+                count(Outcome.Verdict.REFUSED),
+                count(Outcome.Verdict.FAILED),
+                count(Outcome.Verdict.WRONG),
+                wrongfullyRefused,
+                tokens,
+                tokens <= allowed,
+                Map.copyOf(codes),
+                Spread.of(firstToken),
+                Spread.of(betweenTokens),
+                Spread.of(booking),
+                List.copyOf(details));
+    }
+
+    private int count(Outcome.Verdict verdict) {
+        return verdicts.getOrDefault(verdict, 0);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadResult.java
@@ -0,0 +1,80 @@
+package org.geraniumreach.standins.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * The results of a run.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param seed the run's seed
+ * @param seconds how long it took, answers included
+ * @param latestSendMillis how much later than due the latest request was sent
+ * @param accounts what each account got
+ * @param faults what did not hold
+ */
+public record LoadResult(
+        long seed, double seconds, double latestSendMillis, List<AccountResult> accounts, List<String> faults) {
+
+    /**
+     * Queries whether all held.
+     *
+     * @return true if so
+     */
+    public boolean held() {
+        return faults.isEmpty();
+    }
+
+    LoadResult withFaults(List<String> more) {
+        List<String> all = new ArrayList<>(faults);
+        all.addAll(more);
+        return new LoadResult(seed, seconds, latestSendMillis, accounts, all);
+    }
+
+    /**
+     * Gets the results as a table.
+     *
+     * @return the lines, not null
+     */
+    public List<String> toTable() {
+        List<String> lines = new ArrayList<>();
+        lines.add(String.format(
+                Locale.ROOT,
+                "%-16s %6s %6s %7s %6s %5s %8s %9s   %s",
+                "account",
+                "sent",
+                "served",
+                "refused",
+                "failed",
+                "wrong",
+                "tokens",
+                "wrongful",
+                "first token p50/p99 ms, between tokens p50/p99 ms, booking p50/p99 ms"));
+        accounts.forEach(account -> lines.add(line(account)));
+        faults.forEach(fault -> lines.add("DID NOT HOLD: " + fault));
+        return lines;
+    }
+
+    private static String line(AccountResult account) {
+        return String.format(
+                Locale.ROOT,
+                "%-16s %6d %6d %7d %6d %5d %8d %9d   %.1f/%.1f  %.1f/%.1f  %.1f/%.1f  %s",
+                account.account(),
+                account.sent(),
+                account.served(),
+                account.refused(),
+                account.failed(),
+                account.wrong(),
+                account.tokens(),
+                account.wrongfullyRefused(),
+                account.firstToken().p50(),
+                account.firstToken().p99(),
+                account.betweenTokens().p50(),
+                account.betweenTokens().p99(),
+                account.booking().p50(),
+                account.booking().p99(),
+                account.codes());
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadRun.java
@@ -0,0 +1,220 @@
+package org.geraniumreach.standins.load;
+
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+
+import org.geraniumreach.standins.Timers;
+import org.geraniumreach.standins.load.LoadSettings.AccountLoad;
+
+/**
+ * One run: sends each request when it is due, however many answers are outstanding.
+ *
+ * <p>Times are counted from when a request was due, so a tool that falls behind shows it as latency and does not hide it.
+ * Safe for use by several threads.
+ */
+public final class LoadRun {
+
+    private static final int THREADS = 4;
+    private static final int BOOKING_TRIES = 8;
+    private static final long BOOKING_PAUSE_MILLIS = 400;
+
+    private final LoadSettings settings;
+    private final Wire wire;
+    private final ExecutorService executor = Executors.newFixedThreadPool(THREADS);
+    private final ScheduledExecutorService timer = Timers.create();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .executor(executor)
+            .build();
+    private final Map<String, AccountTally> tallies = new LinkedHashMap<>();
+    private final Map<String, IdealBucket> buckets = new LinkedHashMap<>();
+    private final Map<String, Outcome> bookings = new ConcurrentHashMap<>();
+    private final Phaser outstanding = new Phaser(1);
+    private final long startNanos = System.nanoTime();
+    private long latestSendNanos;
+
+    private LoadRun(LoadSettings settings) {
+        this.settings = settings;
+        this.wire = new Wire(settings);
+        for (AccountLoad account : settings.accounts()) {
+            tallies.put(account.name(), new AccountTally(account.name()));
+            buckets.put(account.name(), new IdealBucket(account.tokensPerSecond(), account.burstTokens(), startNanos));
+        }
+    }
+
+    /**
+     * Sends all requests and waits for their answers.
+     *
+     * @param settings what to send, not null
+     * @return the results, not null
+     * @throws InterruptedException if the thread is interrupted
+     * @throws IOException if an engine called directly does not load the adapters
+     */
+    public static LoadResult run(LoadSettings settings) throws InterruptedException, IOException {
+        if (settings.mode() == LoadSettings.Mode.ENGINE) {
+            new EngineWarmup().load(settings);
+        }
+        LoadRun run = new LoadRun(settings);
+        try {
+            return run.run();
+        } finally {
+            run.executor.shutdownNow();
+            run.timer.shutdownNow();
+        }
+    }
+
+    private LoadResult run() throws InterruptedException {
+        sendAll();
+        List<String> faults = new ArrayList<>();
+        try {
+            int phase = outstanding.arrive();
+            outstanding.awaitAdvanceInterruptibly(
+                    phase, (long) (settings.drainSeconds() * 1000) + 1, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            faults.add((outstanding.getUnarrivedParties()) + " requests had no answer at the end");
+        }
+        double elapsed = (System.nanoTime() - startNanos) / (double) TimeUnit.SECONDS.toNanos(1);
+        List<AccountResult> results = settings.accounts().stream()
+                .map(account -> tallies.get(account.name()).result(account, elapsed))
+                .toList();
+        results.forEach(result -> faults.addAll(Judgement.of(result)));
+        LoadResult result = new LoadResult(settings.seed(), elapsed, latestSendNanos / 1e6, results, faults);
+        return result.withFaults(new RanCheck(settings).check(bookings));
+    }
+
+    private void sendAll() {
+        PriorityQueue<RequestSource> sources =
+                new PriorityQueue<>(Comparator.comparingLong(RequestSource::nextDueNanos));
+        String run = Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
+        for (AccountLoad account : settings.accounts()) {
+            sources.add(new RequestSource(settings, account, false, run));
+            sources.add(new RequestSource(settings, account, true, run));
+        }
+        long end = (long) (settings.seconds() * TimeUnit.SECONDS.toNanos(1));
+        for (long number = 0; ; number++) {
+            RequestSource source = sources.poll();
+            if (source == null || source.nextDueNanos() > end) {
+                return;
+            }
+            PlannedRequest request = source.next(number);
+            sources.add(source);
+            sleepUntil(startNanos + request.dueNanos());
+            latestSendNanos = Math.max(latestSendNanos, System.nanoTime() - startNanos - request.dueNanos());
+            send(request);
+        }
+    }
+
+    private static void sleepUntil(long due) {
+        long left = due - System.nanoTime();
+        while (left > 0) {
+            LockSupport.parkNanos(left);
+            left = due - System.nanoTime();
+        }
+    }
+
+    private void send(PlannedRequest request) {
+        outstanding.register();
+        if (isMeasured(request)) {
+            tallies.get(request.account().name()).sent();
+        }
+        if (request.isBooking()) {
+            book(request, BOOKING_TRIES, startNanos + request.dueNanos());
+            return;
+        }
+        IdealBucket bucket = buckets.get(request.account().name());
+        boolean admits = bucket.tryTake(request.reservedTokens(), System.nanoTime());
+        exchange(request, startNanos + request.dueNanos(), outcome -> {
+            if (admits) {
+                bucket.giveBack(request.reservedTokens() - outcome.tokens());
+            }
+            ended(request, outcome, admits);
+        });
+    }
+
+    private boolean isMeasured(PlannedRequest request) {
+        return request.dueNanos() >= settings.warmupSeconds() * TimeUnit.SECONDS.toNanos(1);
+    }
+
+    private void book(PlannedRequest request, int triesLeft, long dueNanos) {
+        exchange(request, dueNanos, outcome -> {
+            if (outcome.verdict() == Outcome.Verdict.FAILED && triesLeft > 1) {
+                timer.schedule(
+                        () -> book(request, triesLeft - 1, dueNanos), BOOKING_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            if (outcome.isServed()) {
+                tallies.get(request.account().name()).booking(System.nanoTime() - dueNanos);
+            }
+            if (outcome.isServed() && request.repeated()) {
+                bookAgain(request, outcome);
+                return;
+            }
+            bookings.put(request.idempotencyKey(), outcome);
+            ended(request, outcome, false);
+        });
+    }
+
+    /** Sends a booking again that was answered: the answer must be the same, whole. */
+    private void bookAgain(PlannedRequest request, Outcome first) {
+        exchange(request, System.nanoTime(), second -> {
+            boolean differs = second.isServed() && !second.body().equals(first.body());
+            Outcome outcome = differs
+                    ? Outcome.wrong("booking " + request.idempotencyKey() + " has two answers: " + first.body()
+                            + " and " + second.body())
+                    : first;
+            bookings.put(request.idempotencyKey(), outcome);
+            ended(request, outcome, false);
+        });
+    }
+
+    private void exchange(PlannedRequest request, long dueNanos, OutcomeListener listener) {
+        AccountTally tally = tallies.get(request.account().name());
+        boolean measured = isMeasured(request);
+        Reception reception = new Reception(
+                request,
+                settings.mode(),
+                dueNanos,
+                nanos -> {
+                    if (measured) {
+                        tally.firstToken(nanos);
+                    }
+                },
+                nanos -> {
+                    if (measured) {
+                        tally.betweenTokens(nanos);
+                    }
+                });
+        HttpResponse.BodyHandler<Void> handler = reception::body;
+        client.sendAsync(wire.write(request), handler).whenComplete((response, failure) -> {
+            Outcome outcome = failure == null ? reception.judge() : Outcome.failed(String.valueOf(failure));
+            listener.ended(outcome);
+        });
+    }
+
+    private void ended(PlannedRequest request, Outcome outcome, boolean idealAdmits) {
+        if (isMeasured(request) || outcome.verdict() == Outcome.Verdict.WRONG) {
+            tallies.get(request.account().name()).ended(outcome, idealAdmits);
+        }
+        outstanding.arriveAndDeregister();
+    }
+
+    /** Is told of a request's end. */
+    private interface OutcomeListener {
+        void ended(Outcome outcome);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/load/RequestSource.java
@@ -0,0 +1,110 @@
+package org.geraniumreach.standins.load;
+
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.commons.math3.distribution.ZipfDistribution;
+import org.apache.commons.math3.random.RandomGenerator;
+import org.apache.commons.math3.random.Well19937c;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.standins.load.LoadSettings.AccountLoad;
+import org.geraniumreach.standins.load.LoadSettings.EntryShare;
+import org.geraniumreach.standins.load.PlannedRequest.Kind;
+
+/**
+ * The requests of one account, of one sort, as a Poisson process.
+ *
+ * <p>Invariant: the sequence follows from the seed alone. Used by one thread.
+ */
+final class RequestSource {
+
+    private static final String FILLER = "the winding data of the motor as read from its plate and the report before; ";
+
+    private final AccountLoad account;
+    private final boolean bookings;
+    private final double perSecond;
+    private final List<EntryShare> entries;
+    private final RandomGenerator random;
+    private final ZipfDistribution popularity;
+    private final String run;
+    private double nextSeconds;
+    private long made;
+
+    RequestSource(LoadSettings settings, AccountLoad account, boolean bookings, String run) {
+        this.account = account;
+        this.bookings = bookings;
+        this.perSecond = bookings ? account.bookingsPerSecond() : account.requestsPerSecond();
+        this.entries = settings.entries();
+        this.run = run;
+        this.random = new Well19937c(
+                new int[] {Long.hashCode(settings.seed()), account.name().hashCode(), bookings ? 1 : 0});
+        this.popularity = account.adapters().zipfExponent() > 0
+                        && account.adapters().count() > 1
+                ? new ZipfDistribution(
+                        random, account.adapters().count(), account.adapters().zipfExponent())
+                : null;
+        advance();
+    }
+
+    long nextDueNanos() {
+        return (long) (nextSeconds * TimeUnit.SECONDS.toNanos(1));
+    }
+
+    PlannedRequest next(long number) {
+        long due = nextDueNanos();
+        advance();
+        made++;
+        return bookings ? booking(number, due) : generation(number, due);
+    }
+
+    private void advance() {
+        nextSeconds = perSecond > 0 ? nextSeconds - Math.log(1 - random.nextDouble()) / perSecond : Double.MAX_VALUE;
+    }
+
+    private PlannedRequest generation(long number, long due) {
+        int rank = popularity != null
+                ? popularity.sample()
+                : 1 + random.nextInt(account.adapters().count());
+        AdapterReference adapter = AdapterReference.of(
+                account.adapters().prefix() + (account.adapters().first() + rank - 1),
+                account.adapters().version());
+        Kind kind = random.nextDouble() < account.chatShare() ? Kind.CHAT : Kind.COMPLETION;
+        boolean streamed = random.nextDouble() < account.streamedShare();
+        return new PlannedRequest(number, due, account, kind, streamed, adapter, prompt(), false, "", entry());
+    }
+
+    private String prompt() {
+        StringBuilder prompt = new StringBuilder(FILLER.length() + account.promptCharacters());
+        while (prompt.length() < account.promptCharacters()) {
+            prompt.append(FILLER);
+        }
+        prompt.setLength(account.promptCharacters());
+        return prompt.append(' ')
+                .append(run)
+                .append('-')
+                .append(account.name())
+                .append('-')
+                .append(made)
+                .toString();
+    }
+
+    private PlannedRequest booking(long number, long due) {
+        String key = run + "-" + account.name() + "-booking-" + made;
+        String body = "{\"booking\":\"" + key + "\",\"motor\":\"pump " + random.nextInt(1000) + "\"}";
+        boolean repeated = random.nextDouble() < account.repeatShare();
+        return new PlannedRequest(number, due, account, Kind.BOOKING, false, null, body, repeated, key, entry());
+    }
+
+    private URI entry() {
+        double total = entries.stream().mapToDouble(EntryShare::weight).sum();
+        double left = random.nextDouble() * total;
+        for (EntryShare entry : entries) {
+            left -= entry.weight();
+            if (left < 0) {
+                return entry.url();
+            }
+        }
+        return entries.get(entries.size() - 1).url();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/load/Spread.java
@@ -0,0 +1,33 @@
+package org.geraniumreach.standins.load;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * How a set of times is spread, in milliseconds.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param count how many times
+ * @param mean their mean
+ * @param p50 the median
+ * @param p95 the 95th percentile
+ * @param p99 the 99th percentile
+ * @param most the longest
+ */
+public record Spread(long count, double mean, double p50, double p95, double p99, double most) {
+
+    private static final double MICROS_PER_MILLI = 1000;
+
+    static Spread of(Histogram micros) {
+        if (micros.getTotalCount() == 0) {
+            return new Spread(0, 0, 0, 0, 0, 0);
+        }
+        return new Spread(
+                micros.getTotalCount(),
+                micros.getMean() / MICROS_PER_MILLI,
+                micros.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                micros.getValueAtPercentile(95) / MICROS_PER_MILLI,
+                micros.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                micros.getMaxValue() / MICROS_PER_MILLI);
+    }
+}
