--- a/standins/src/main/java/org/geraniumreach/standins/Main.java
+++ b/standins/src/main/java/org/geraniumreach/standins/Main.java
@@ -20,7 +20,8 @@
             "platform", PlatformCommand::new,
             "engine", EngineCommand::new,
             "service", ServiceCommand::new,
-            "load", LoadCommand::new));
+            "load", LoadCommand::new,
+            "call", CallCommand::new));
 
     private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
 
