--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/CompanionModel.java
@@ -0,0 +1,155 @@
+package org.geraniumreach.benchmarks.trial;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.serving.queue.ConcurrencyLimit;
+import org.geraniumreach.serving.queue.QueuedRequest;
+import org.geraniumreach.serving.queue.RequestQueue;
+import org.geraniumreach.serving.residency.Answer;
+import org.geraniumreach.serving.residency.FleetLoads;
+import org.geraniumreach.serving.residency.LoadOrder;
+import org.geraniumreach.serving.residency.Pin;
+import org.geraniumreach.serving.residency.Residency;
+import org.geraniumreach.serving.routing.TargetStatus;
+
+/** A companion and its engine; confined to the trial's thread. */
+final class CompanionModel {
+
+    private static final int PRIORITY = 5;
+
+    private final TargetId target;
+    private final Workload workload;
+    private final EventLoop loop;
+    private final WeightStore store;
+    private final TrialMetrics metrics;
+    private final EngineModel engine;
+    private final FleetLoads fleetLoads;
+    private final Residency residency;
+    private final RequestQueue<TrialRequest> queue;
+    private final Map<AttemptId, TrialRequest> waiting = new HashMap<>();
+    private Consumer<TrialRequest> ended = request -> {};
+    private Consumer<TrialRequest> accepted = request -> {};
+    private Runnable changed = () -> {};
+    private long sequence;
+
+    CompanionModel(
+            TargetId target,
+            Workload workload,
+            Policies policies,
+            EventLoop loop,
+            WeightStore store,
+            TrialMetrics metrics) {
+        this.target = target;
+        this.workload = workload;
+        this.loop = loop;
+        this.store = store;
+        this.metrics = metrics;
+        this.engine = new EngineModel(loop, metrics);
+        this.fleetLoads = FleetLoads.create(loop, Duration.ofSeconds(2));
+        this.residency = Residency.create(policies.residency().withSlots(workload.slots()), fleetLoads, loop);
+        this.queue = RequestQueue.create(
+                policies.queue(), policies.queueWeights(), ConcurrencyLimit.fixed(workload.concurrency()), loop);
+        residency.synchronise(1, Set.of(), 0);
+    }
+
+    void listen(Consumer<TrialRequest> whenAccepted, Consumer<TrialRequest> whenEnded, Runnable whenChanged) {
+        accepted = whenAccepted;
+        ended = whenEnded;
+        changed = whenChanged;
+    }
+
+    void receive(TrialRequest request) {
+        request.queuedAt = loop.nanos();
+        Answer answer = residency.request(request.attempt, request.adapter, request.tokens());
+        request.stalled = answer.state() == Answer.State.WAITING;
+        waiting.put(request.attempt, request);
+        queue.offer(new QueuedRequest<>(
+                request.attempt,
+                request.accountId,
+                Optional.of(request.adapter),
+                request.tokens(),
+                PRIORITY,
+                request.bornAt + (long) (Workload.DEADLINE_SECONDS * 1e9),
+                request));
+        accepted.accept(request);
+        pump();
+    }
+
+    void tick() {
+        for (QueuedRequest<TrialRequest> expired : queue.removeExpired()) {
+            residency.withdraw(expired.attempt());
+            waiting.remove(expired.attempt());
+            metrics.expired(expired.payload(), loop.nanos());
+            ended.accept(expired.payload());
+        }
+        pump();
+    }
+
+    private void pump() {
+        for (Optional<QueuedRequest<TrialRequest>> next = queue.take(residency::isReady);
+                next.isPresent();
+                next = queue.take(residency::isReady)) {
+            start(next.get().payload());
+        }
+        List<LoadOrder> orders = residency.orders();
+        orders.forEach(order -> store.load(() -> loaded(order)));
+        if (orders.stream().anyMatch(order -> order.evicted().isPresent())) {
+            changed.run();
+        }
+    }
+
+    private void start(TrialRequest request) {
+        Pin pin = residency.pin(request.attempt, request.adapter).orElseThrow();
+        waiting.remove(request.attempt);
+        engine.start(request, done -> {
+            pin.release();
+            queue.finished(done.attempt, done.tokens(), done.generatedTokens);
+            metrics.ended(done, loop.nanos());
+            ended.accept(done);
+            pump();
+        });
+    }
+
+    private void loaded(LoadOrder order) {
+        residency.loaded(order);
+        metrics.loaded(loop.nanos());
+        for (TrialRequest request : new ArrayList<>(waiting.values())) {
+            if (request.adapter.equals(order.adapter()) && request.readyAt < 0) {
+                request.readyAt = loop.nanos();
+            }
+        }
+        pump();
+        changed.run();
+    }
+
+    TargetStatus status() {
+        return new TargetStatus(
+                target,
+                ++sequence,
+                1,
+                queue.running(),
+                queue.waiting(),
+                queue.waitingTokens(),
+                queue.concurrencyLimit(),
+                workload.slots(),
+                true,
+                residency.resident(),
+                Set.of(),
+                residency.loading(),
+                false,
+                0);
+    }
+
+    void tell(CompanionModel other) {
+        other.fleetLoads.news(target, residency.inTransit(), residency.waiting(), residency.waitingWork());
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/TrialMain.java
@@ -0,0 +1,70 @@
+package org.geraniumreach.benchmarks.trial;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.geraniumreach.serving.queue.QueuePolicy;
+import org.geraniumreach.serving.queue.QueueWeights;
+import org.geraniumreach.serving.residency.EvictionPolicy;
+import org.geraniumreach.serving.residency.LoadPolicy;
+import org.geraniumreach.serving.residency.ResidencySettings;
+import org.geraniumreach.serving.routing.RoutingPolicy;
+import org.geraniumreach.serving.routing.RoutingWeights;
+
+/** Runs all trials: arguments are the JSON file to write and the number of seeds. */
+public final class TrialMain {
+
+    private static final double FLOOD = 5;
+
+    private TrialMain() {}
+
+    /**
+     * Runs the trials, writes the JSON file, and prints the Markdown tables.
+     *
+     * @param arguments the file and the number of seeds, not null
+     * @throws IOException if the file cannot be written
+     */
+    public static void main(String[] arguments) throws IOException {
+        TrialReport report = new TrialReport(Integer.parseInt(arguments[1]));
+        Workload sabarmati = Workload.sabarmati();
+        Workload siam = Workload.siam();
+        RoutingWeights sabarmatiWeights = RoutingWeights.sabarmati();
+        RoutingWeights siamWeights = RoutingWeights.siam();
+        report.run(sabarmati, variants(sabarmatiWeights, QueueWeights.sabarmati()));
+        report.run(siam, variants(siamWeights, QueueWeights.siam()));
+        report.run(sabarmati.withFlood(FLOOD), ends(sabarmatiWeights, QueueWeights.sabarmati()));
+        report.run(siam.withFlood(FLOOD), ends(siamWeights, QueueWeights.siam()));
+        report.run(sabarmati.withTokensShort().withFlood(FLOOD), ends(sabarmatiWeights, QueueWeights.sabarmati()));
+        report.run(siam.withTokensShort().withFlood(FLOOD), ends(siamWeights, QueueWeights.siam()));
+        report.writeJson(Path.of(arguments[0]));
+        System.out.print(report.markdown());
+    }
+
+    private static List<Policies> variants(RoutingWeights weights, QueueWeights queueWeights) {
+        Policies hashing = Policies.plain("plain hashing", RoutingPolicy.PLAIN_HASHING, weights);
+        Policies affinity = Policies.plain("affinity", RoutingPolicy.AFFINITY, weights);
+        ResidencySettings lru = affinity.residency();
+        Policies eviction =
+                affinity.named("+ eviction by worth").withResidency(lru.withEviction(EvictionPolicy.LEAST_WORTH));
+        Policies loading = eviction.named("+ loads by waiting work")
+                .withResidency(eviction.residency().withLoading(LoadPolicy.WAITING_WORK));
+        return List.of(
+                Policies.plain("random", RoutingPolicy.RANDOM, weights),
+                Policies.plain("least loaded", RoutingPolicy.LEAST_LOADED, weights),
+                hashing,
+                affinity,
+                eviction,
+                loading,
+                Policies.full("+ fair queue (all)", weights, queueWeights),
+                Policies.full("all, but plain hashing", weights, queueWeights)
+                        .withRouting(RoutingPolicy.PLAIN_HASHING));
+    }
+
+    private static List<Policies> ends(RoutingWeights weights, QueueWeights queueWeights) {
+        return List.of(
+                Policies.plain("plain hashing", RoutingPolicy.PLAIN_HASHING, weights),
+                Policies.full("all, but first come", weights, queueWeights).withQueue(QueuePolicy.FIRST_COME),
+                Policies.full("all", weights, queueWeights));
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/TrialReport.java
@@ -0,0 +1,77 @@
+package org.geraniumreach.benchmarks.trial;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
+
+/** Runs trials over several seeds and writes them as JSON and as a Markdown table; confined to one thread. */
+final class TrialReport {
+
+    private static final String HEADER =
+            "| policies | stalled % | mean stall s | stall p95 s | stall p99 s | loads/1000 "
+                    + "| batch | adapters/batch | tokens/busy s | worst served % | its p99 s | p95 s | expired % |\n"
+                    + "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+
+    private final int seeds;
+    private final List<Row> rows = new ArrayList<>();
+    private final StringBuilder markdown = new StringBuilder();
+
+    TrialReport(int seeds) {
+        this.seeds = seeds;
+    }
+
+    /** The results of some policies on a workload, one for each seed. */
+    record Row(Workload workload, Policies policies, List<TrialResult> results) {}
+
+    void run(Workload workload, List<Policies> variants) {
+        markdown.append("\n### ").append(workload.name()).append("\n\n").append(HEADER);
+        for (Policies policies : variants) {
+            List<TrialResult> results = new ArrayList<>();
+            for (long seed = 1; seed <= seeds; seed++) {
+                results.add(Trial.run(workload, policies, seed));
+            }
+            rows.add(new Row(workload, policies, results));
+            markdown.append(line(policies.name(), results));
+        }
+    }
+
+    private static String line(String name, List<TrialResult> results) {
+        return "| " + name
+                + cell(results, result -> 100 * result.stalledShare())
+                + cell(results, TrialResult::stallMean)
+                + cell(results, TrialResult::stall95)
+                + cell(results, TrialResult::stall99)
+                + cell(results, TrialResult::loadsPerThousand)
+                + cell(results, TrialResult::batch)
+                + cell(results, TrialResult::adaptersPerBatch)
+                + cell(results, TrialResult::tokensPerBusySecond)
+                + cell(results, result -> 100 * result.worstServed())
+                + cell(results, TrialResult::worstLatency99)
+                + cell(results, TrialResult::latency95)
+                + cell(results, result -> 100 * result.expiredShare())
+                + " |\n";
+    }
+
+    private static String cell(List<TrialResult> results, ToDoubleFunction<TrialResult> figure) {
+        SummaryStatistics statistics = new SummaryStatistics();
+        results.forEach(result -> statistics.addValue(figure.applyAsDouble(result)));
+        return String.format(Locale.ROOT, " | %.2f ±%.2f", statistics.getMean(), statistics.getStandardDeviation());
+    }
+
+    String markdown() {
+        return markdown.toString();
+    }
+
+    void writeJson(Path file) throws IOException {
+        ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+        Files.writeString(file, mapper.writeValueAsString(rows));
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/TrialRequest.java
@@ -0,0 +1,42 @@
+package org.geraniumreach.benchmarks.trial;
+
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.AttemptId;
+
+/** A request on its way; confined to the trial's thread. */
+final class TrialRequest {
+
+    final AttemptId attempt;
+    final int account;
+    final AccountId accountId;
+    final AdapterReference adapter;
+    final int promptTokens;
+    final int generatedTokens;
+    final long bornAt;
+    long queuedAt;
+    long readyAt = -1;
+    boolean stalled;
+
+    TrialRequest(
+            long number, int account, AdapterReference adapter, int promptTokens, int generatedTokens, long bornAt) {
+        this.attempt = AttemptId.of("attempt-" + number);
+        this.account = account;
+        this.accountId = AccountId.of("account-" + account);
+        this.adapter = adapter;
+        this.promptTokens = promptTokens;
+        this.generatedTokens = generatedTokens;
+        this.bornAt = bornAt;
+    }
+
+    int tokens() {
+        return promptTokens + generatedTokens;
+    }
+
+    double stallSeconds(long now) {
+        if (!stalled) {
+            return 0;
+        }
+        return ((readyAt >= 0 ? readyAt : now) - queuedAt) / 1e9;
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/Workload.java
@@ -0,0 +1,110 @@
+package org.geraniumreach.benchmarks.trial;
+
+import java.util.List;
+
+/**
+ * What is asked of a fleet, and what it has; immutable.
+ *
+ * @param name its name in reports
+ * @param targets the engines
+ * @param slots the adapters that an engine holds
+ * @param concurrency the requests that an engine is given at once
+ * @param entries the entries
+ * @param adapters the adapters
+ * @param zipfExponent the skew of their popularity
+ * @param storeLoadsPerSecond the loads that the weight store begins in a second
+ * @param requestsPerSecond the requests of all accounts together, before the flood
+ * @param accountShares the accounts' parts of these
+ * @param floodAccount the account that floods
+ * @param floodFactor how many times its rate it sends; 1 for no flood
+ */
+record Workload(
+        String name,
+        int targets,
+        int slots,
+        int concurrency,
+        int entries,
+        int adapters,
+        double zipfExponent,
+        double storeLoadsPerSecond,
+        double requestsPerSecond,
+        List<Double> accountShares,
+        int floodAccount,
+        double floodFactor) {
+
+    static final double SECONDS = 600;
+    static final double WARM_UP_SECONDS = 120;
+    static final double DEADLINE_SECONDS = 30;
+    static final double MEAN_GENERATED_TOKENS = 128;
+    static final double MEAN_PROMPT_TOKENS = 200;
+
+    private static final List<Double> SHARES = List.of(0.4, 0.3, 0.15, 0.1, 0.05);
+    private static final int FLOOD_ACCOUNT = 1;
+    private static final int FEW_ADAPTERS = 120;
+
+    static Workload sabarmati() {
+        return new Workload("Sabarmati", 13, 16, 16, 3, 3000, 1.1, 4.5, 16, SHARES, FLOOD_ACCOUNT, 1);
+    }
+
+    static Workload siam() {
+        return new Workload("Siam", 6, 16, 16, 3, 3000, 1.1, 2, 6, SHARES, FLOOD_ACCOUNT, 1);
+    }
+
+    Workload withFlood(double factor) {
+        return new Workload(
+                name + ", flood",
+                targets,
+                slots,
+                concurrency,
+                entries,
+                adapters,
+                zipfExponent,
+                storeLoadsPerSecond,
+                requestsPerSecond,
+                accountShares,
+                floodAccount,
+                factor);
+    }
+
+    /**
+     * Gets a copy in which tokens and not loads are short: few adapters, and engines that are nearly full before a flood.
+     *
+     * @return the copy
+     */
+    Workload withTokensShort() {
+        return new Workload(
+                name + ", tokens short",
+                targets,
+                slots,
+                4,
+                entries,
+                FEW_ADAPTERS,
+                zipfExponent,
+                storeLoadsPerSecond,
+                2.2 * targets,
+                accountShares,
+                floodAccount,
+                floodFactor);
+    }
+
+    Workload withSlots(int count) {
+        return new Workload(
+                name + ", " + count + " slots",
+                targets,
+                count,
+                concurrency,
+                entries,
+                adapters,
+                zipfExponent,
+                storeLoadsPerSecond,
+                requestsPerSecond,
+                accountShares,
+                floodAccount,
+                floodFactor);
+    }
+
+    double rateOf(int account) {
+        double rate = requestsPerSecond * accountShares.get(account);
+        return account == floodAccount ? rate * floodFactor : rate;
+    }
+}
--- a/serving/src/main/java/org/geraniumreach/serving/residency/ResidencySettings.java
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/ResidencySettings.java
@@ -72,6 +72,20 @@
                 Duration.ofSeconds(30));
     }
 
+    public ResidencySettings withSlots(int count) {
+        return new ResidencySettings(
+                count,
+                eviction,
+                loading,
+                loadsAtOnce,
+                loadsFleetWide,
+                expectedLoad,
+                usesHalfLife,
+                patience,
+                firstBackoff,
+                longestBackoff);
+    }
+
     public ResidencySettings withEviction(EvictionPolicy policy) {
         return new ResidencySettings(
                 slots,
