Add the operators' command line

Operators need to submit, withdraw, list, show, trace and check records from a shell, with a result that a script can act on.

All documents are read before the first is submitted. Validation of several records checks each on top of those before it.

--- /dev/null
+++ b/control/src/main/java/org/geraniumreach/control/ControlException.java
@@ -0,0 +1,58 @@
+package org.geraniumreach.control;
+
+import java.util.Objects;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.geraniumreach.model.ResultCode;
+
+/**
+ * A command that does not succeed.
+ *
+ * <p>Invariant: the message names what is wrong and where, and never holds a key or a credential. Immutable.
+ */
+final class ControlException extends Exception {
+
+    private final ExitCode exitCode;
+    private final transient ResultCode code;
+    private final transient ObjectNode answer;
+
+    private ControlException(ExitCode exitCode, ResultCode code, String message, ObjectNode answer) {
+        super(message);
+        this.exitCode = Objects.requireNonNull(exitCode, "exitCode");
+        this.code = Objects.requireNonNull(code, "code");
+        this.answer = answer;
+    }
+
+    static ControlException of(ResultCode code, String message) {
+        return new ControlException(ExitCode.of(code), code, message, null);
+    }
+
+    static ControlException usage(String message) {
+        return new ControlException(ExitCode.USAGE, ResultCode.MALFORMED_REQUEST, message, null);
+    }
+
+    static ControlException unreachable(String message) {
+        return new ControlException(ExitCode.UNREACHABLE, ResultCode.STORE_UNAVAILABLE, message, null);
+    }
+
+    static ControlException answered(ResultCode code, String message, ObjectNode answer) {
+        return new ControlException(ExitCode.of(code), code, message, answer);
+    }
+
+    ExitCode exitCode() {
+        return exitCode;
+    }
+
+    ResultCode code() {
+        return code;
+    }
+
+    /**
+     * Gets the record that stands against a submission.
+     *
+     * @return the record and its revision as JSON, or null if the answer held none
+     */
+    ObjectNode current() {
+        return answer != null && answer.path("current").isObject() ? (ObjectNode) answer.get("current") : null;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/geraniumreach/control/Printer.java
@@ -0,0 +1,152 @@
+package org.geraniumreach.control;
+
+import java.io.PrintStream;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+
+/**
+ * Prints results as text or as JSON.
+ *
+ * <p>Confined to the thread of the command.
+ */
+final class Printer {
+
+    private static final ObjectMapper YAML =
+            new ObjectMapper(new YAMLFactory().enable(YAMLGenerator.Feature.MINIMIZE_QUOTES));
+
+    private final PrintStream out;
+    private final PrintStream error;
+    private final Options.Output output;
+
+    Printer(PrintStream out, PrintStream error, Options.Output output) {
+        this.out = out;
+        this.error = error;
+        this.output = output;
+    }
+
+    private boolean isJson() {
+        return output == Options.Output.JSON;
+    }
+
+    /**
+     * Prints the result of a change.
+     *
+     * @param answer the entry's answer, not null
+     */
+    void change(ObjectNode answer) {
+        if (isJson()) {
+            out.println(answer);
+            return;
+        }
+        JsonNode change = answer.path("change");
+        out.printf(
+                "%s/%s %s as revision %d, held by %d other entries (operation %s)%n",
+                change.path("kind").asText(),
+                change.path("name").asText(),
+                change.path("withdrawn").asBoolean() ? "withdrawn" : "accepted",
+                change.path("revision").asLong(),
+                answer.path("otherEntries").asInt(),
+                answer.path("operation").asText());
+    }
+
+    void list(ObjectNode answer) {
+        if (isJson()) {
+            out.println(answer);
+            return;
+        }
+        answer.path("records")
+                .forEach(record -> out.printf(
+                        "%-40s %d%n",
+                        record.path("name").asText(), record.path("revision").asLong()));
+    }
+
+    void history(ObjectNode answer) {
+        if (isJson()) {
+            out.println(answer);
+            return;
+        }
+        answer.path("changes")
+                .forEach(change -> out.printf(
+                        "%-8d %-10s %s/%s (operation %s)%n",
+                        change.path("revision").asLong(),
+                        change.path("withdrawn").asBoolean() ? "withdrawn" : "submitted",
+                        change.path("kind").asText(),
+                        change.path("name").asText(),
+                        change.path("operation").asText()));
+    }
+
+    /**
+     * Prints a record in the form in which it can be submitted.
+     *
+     * @param answer the entry's answer, not null
+     */
+    void record(ObjectNode answer) {
+        if (isJson()) {
+            out.println(answer);
+            return;
+        }
+        out.printf("# revision %d%n", answer.path("revision").asLong());
+        document(answer.path("kind").asText(), answer.path("name").asText(), answer.path("record"));
+    }
+
+    void document(String kind, String name, JsonNode record) {
+        ObjectNode document = OperatorClient.object().put("kind", kind).put("name", name);
+        record.fields().forEachRemaining(field -> document.set(field.getKey(), field.getValue()));
+        if (isJson()) {
+            out.println(document);
+        } else {
+            out.print(yaml(document));
+        }
+    }
+
+    void tree(ObjectNode answer) {
+        if (isJson()) {
+            out.println(answer);
+        } else {
+            out.print(yaml(answer));
+        }
+    }
+
+    void line(String text) {
+        if (!isJson()) {
+            out.println(text);
+        }
+    }
+
+    private static String yaml(ObjectNode node) {
+        try {
+            return YAML.writeValueAsString(node);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException("a tree that cannot be written", impossible);
+        }
+    }
+
+    void failure(ControlException failure, List<String> advice) {
+        if (isJson()) {
+            ObjectNode body = OperatorClient.object();
+            body.putObject("error")
+                    .put("code", failure.code().number())
+                    .put("name", failure.code().name())
+                    .put("message", failure.getMessage());
+            if (failure.current() != null) {
+                body.set("current", failure.current());
+            }
+            out.println(body);
+            return;
+        }
+        error.printf(
+                "error %d %s: %s%n", failure.code().number(), failure.code().name(), failure.getMessage());
+        if (failure.current() != null) {
+            error.printf(
+                    "the current record, of revision %d:%n%s",
+                    failure.current().path("revision").asLong(), yaml(failure.current()));
+        }
+        advice.forEach(error::println);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/geraniumreach/control/RecordDocument.java
@@ -0,0 +1,15 @@
+package org.geraniumreach.control;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.geraniumreach.model.record.RecordKey;
+
+/**
+ * One record of a file.
+ *
+ * <p>Invariant: the record reads without a fault. Not changed after construction.
+ *
+ * @param place the file and the number of the document in it
+ * @param key the record's key
+ * @param record the record, without kind and name
+ */
+record RecordDocument(String place, RecordKey key, ObjectNode record) {}
--- /dev/null
+++ b/control/src/main/java/org/geraniumreach/control/RecordFiles.java
@@ -0,0 +1,131 @@
+package org.geraniumreach.control;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MappingIterator;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import org.geraniumreach.model.Names;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.record.RecordException;
+import org.geraniumreach.model.record.RecordKey;
+import org.geraniumreach.model.record.RecordKind;
+import org.geraniumreach.model.record.RecordReader;
+import org.yaml.snakeyaml.LoaderOptions;
+
+/**
+ * Reads files of records in YAML.
+ *
+ * <p>Contract: each document of a file has a {@code kind}, a {@code name}, a {@code schemaVersion} and the kind's fields; all
+ * are read before anything is done with one of them, and every fault names the file, the document and the path. Stateless
+ * and safe for use by several threads.
+ */
+final class RecordFiles {
+
+    private static final int LARGEST_FILE = 64 * 1024 * 1024;
+    private static final ObjectMapper MAPPER = new ObjectMapper(
+                    YAMLFactory.builder().loaderOptions(loaderOptions()).build())
+            .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
+
+    private RecordFiles() {}
+
+    private static LoaderOptions loaderOptions() {
+        LoaderOptions options = new LoaderOptions();
+        options.setCodePointLimit(LARGEST_FILE);
+        return options;
+    }
+
+    static List<RecordDocument> read(List<String> files) throws ControlException {
+        List<RecordDocument> documents = new ArrayList<>();
+        for (String file : files) {
+            documents.addAll(parse(file, content(file)));
+        }
+        if (documents.isEmpty()) {
+            throw ControlException.usage("no records in " + files);
+        }
+        return documents;
+    }
+
+    private static String content(String file) throws ControlException {
+        Path path = Path.of(file);
+        try {
+            if (Files.size(path) > LARGEST_FILE) {
+                throw ControlException.of(ResultCode.RECORD_INVALID, file + ": larger than " + LARGEST_FILE + " bytes");
+            }
+            return Files.readString(path);
+        } catch (NoSuchFileException missing) {
+            throw ControlException.usage(file + ": no such file");
+        } catch (CharacterCodingException malformed) {
+            throw ControlException.of(ResultCode.RECORD_INVALID, file + ": not UTF-8 text");
+        } catch (IOException unreadable) {
+            throw ControlException.usage(file + ": cannot be read: " + unreadable.getMessage());
+        }
+    }
+
+    static List<RecordDocument> parse(String file, String yaml) throws ControlException {
+        List<RecordDocument> documents = new ArrayList<>();
+        int number = 0;
+        try (MappingIterator<JsonNode> nodes = MAPPER.readerFor(JsonNode.class).readValues(yaml)) {
+            while (nodes.hasNextValue()) {
+                String place = file + " document " + ++number;
+                JsonNode node = nodes.nextValue();
+                if (!node.isNull() && !node.isMissingNode()) {
+                    documents.add(document(place, node));
+                }
+            }
+        } catch (JsonProcessingException malformed) {
+            throw ControlException.of(
+                    ResultCode.RECORD_INVALID, file + ": not YAML: " + malformed.getOriginalMessage());
+        } catch (IOException impossible) {
+            throw new IllegalStateException("reading from memory failed", impossible);
+        }
+        return documents;
+    }
+
+    private static RecordDocument document(String place, JsonNode node) throws ControlException {
+        if (!node.isObject()) {
+            throw ControlException.of(ResultCode.RECORD_INVALID, place + ": a record is an object");
+        }
+        ObjectNode record = node.deepCopy();
+        RecordKind kind = RecordKind.ofLabel(text(place, record, "kind"))
+                .orElseThrow(() -> ControlException.of(
+                        ResultCode.RECORD_INVALID,
+                        place + ": kind: unknown '" + node.get("kind").asText() + "'"));
+        String name = text(place, record, "name");
+        if (!Names.isName(name)) {
+            throw ControlException.of(ResultCode.RECORD_INVALID, place + ": name: not a valid name: '" + name + "'");
+        }
+        RecordKey key = RecordKey.of(kind, name);
+        record.remove(List.of("kind", "name"));
+        check(place, key, record);
+        return new RecordDocument(place, key, record);
+    }
+
+    private static void check(String place, RecordKey key, ObjectNode record) throws ControlException {
+        try {
+            JsonNode parsed = RecordReader.parse(record.toString());
+            RecordReader.requireNoUnknownFields(key.kind(), parsed);
+            RecordReader.check(key, parsed);
+        } catch (RecordException wrong) {
+            throw ControlException.of(wrong.code(), place + ": " + key + ": " + wrong.getMessage());
+        }
+    }
+
+    private static String text(String place, ObjectNode record, String field) throws ControlException {
+        JsonNode node = record.path(field);
+        if (!node.isTextual()) {
+            throw ControlException.of(ResultCode.RECORD_INVALID, place + ": " + field + ": must be text");
+        }
+        return node.textValue();
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/operator/OperatorEndpoints.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/operator/OperatorEndpoints.java
@@ -137,17 +137,24 @@
         return json;
     }
 
+    /* Records of one request may refer to one another, so each is checked on top of those before it. */
     private void validate(Call call) throws ServingException {
-        JsonNode request = call.json();
-        RecordKey key = SubmissionRequests.key(request);
-        Optional<String> record = Optional.of(SubmissionRequests.record(request));
-        Configuration current = configuration.current();
-        try {
-            SubmissionCheck.check(new Submission("validation", current.revision(), key, record), current);
-        } catch (RecordException wrong) {
-            throw ServingException.notRun(wrong.code(), key + ": " + wrong.getMessage());
+        Configuration checked = configuration.current();
+        int count = 0;
+        for (JsonNode request : SubmissionRequests.records(call.json())) {
+            RecordKey key = SubmissionRequests.key(request);
+            Optional<String> record = Optional.of(SubmissionRequests.record(request));
+            long revision = checked.revision();
+            try {
+                Optional<String> body =
+                        SubmissionCheck.check(new Submission("validation", revision, key, record), checked);
+                checked = checked.plus(List.of(new LogEntry(revision + 1, "validation", key, body)));
+            } catch (RecordException wrong) {
+                throw ServingException.notRun(wrong.code(), key + ": " + wrong.getMessage());
+            }
+            count++;
         }
-        call.reply(OK, RecordJson.object().put("result", ResultCode.OK.name()).put("revision", current.revision()));
+        call.reply(OK, RecordJson.object().put("result", ResultCode.OK.name()).put("records", count));
     }
 
     private void list(Call call) throws ServingException {
--- a/daemon/src/main/java/org/geraniumreach/daemon/operator/SubmissionRequests.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/operator/SubmissionRequests.java
@@ -40,6 +40,14 @@
         return record.toString();
     }
 
+    static JsonNode records(JsonNode request) throws ServingException {
+        JsonNode records = request.path("records");
+        if (!records.isArray()) {
+            throw malformed("records", "must be a list");
+        }
+        return records;
+    }
+
     static RecordKey key(JsonNode request) throws ServingException {
         return key(text(request, "kind"), text(request, "name"));
     }
