Read the body of a call whose caller offers another protocol

The JDK's client offers HTTP/2 with each request, and Grizzly then takes the bytes after the head for that protocol and never hands the body over.

The HTTP faces now pass over the offer, as HTTP/1.1 allows. With the filter taken out the new test fails by the call's time limit; with it, it passes.

--- a/daemon/src/main/java/org/geraniumreach/daemon/http/HttpFront.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/HttpFront.java
@@ -79,6 +79,7 @@
                         .setPoolName(name)
                         .setCorePoolSize(limits.workers())
                         .setMaxPoolSize(limits.workers()));
+        listener.registerAddOn(new UpgradeOffers());
         server.addListener(listener);
         server.getServerConfiguration().setName(name);
         server.getServerConfiguration().setHttpServerName("geraniumreach");
--- a/daemon/src/test/java/org/geraniumreach/daemon/http/HttpFrontTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/http/HttpFrontTest.java
@@ -7,7 +7,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ForkJoinPool;
@@ -73,6 +78,23 @@
         assertThat(answer).startsWith("HTTP/1.1 400").contains("\"code\":100").contains("\"ran\":\"no\"");
     }
 
+    @Test
+    void aBodyIsReadThoughItsCallerOffersAnotherProtocol() throws Exception {
+        // The caller sees its POST hang until its time limit. The JDK's client offers HTTP/2 with each request, and the
+        // server takes the body for bytes of that protocol.
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + front.address().getPort() + "/echo/x"))
+                .timeout(Duration.ofMillis(PATIENCE_MILLIS))
+                .POST(HttpRequest.BodyPublishers.ofString("hello"))
+                .build();
+        HttpClient client =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_2).build();
+        for (int call = 0; call < 2; call++) {
+            HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+            assertThat(answer.body()).isEqualTo("hello");
+        }
+    }
+
     @Test
     void aBodyAboveTheLimitIsRefusedByItsDeclaredLength() throws IOException {
         String answer = exchange(post("/json", " ".repeat(3_000)));
