Judge refusals by a central bucket that does not depend on what was refused

The bucket was given back the tokens of requests that the system refused, so it let through each further one and counted 136 of 140 refusals of an account above its rate as wrongful. It now takes what each request that it lets through would use, and the difference of the totals is counted. Errors after which a booking is sent again are listed.

--- a/standins/src/main/java/org/geraniumreach/standins/load/AccountResult.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/AccountResult.java
@@ -14,10 +14,11 @@
  * @param refused errors that say that the request did not run
  * @param failed requests without their whole answer, but for refusals
  * @param wrong answers that are not those due
- * @param wrongfullyRefused refusals for the rate that one central bucket would not have made
+ * @param wrongfullyRefused how many generations fewer were let through than by one central bucket that starts full
  * @param tokens the tokens served, of prompts and answers
  * @param withinRate whether the tokens are within rate and burst over the whole run
  * @param codes the errors by name
+ * @param retriedCodes the errors by name after which a booking was sent again
  * @param firstToken time to the first token, or to the whole answer if it is not streamed
  * @param betweenTokens time between the parts of streamed answers
  * @param booking time of bookings
@@ -34,6 +35,7 @@
         long tokens,
         boolean withinRate,
         Map<String, Integer> codes,
+        Map<String, Integer> retriedCodes,
         Spread firstToken,
         Spread betweenTokens,
         Spread booking,
--- a/standins/src/main/java/org/geraniumreach/standins/load/AccountTally.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/AccountTally.java
@@ -25,8 +25,9 @@
     private final Map<String, Integer> codes = new TreeMap<>();
     private final Map<Outcome.Verdict, Integer> verdicts = new TreeMap<>();
     private final List<String> details = new ArrayList<>();
+    private final Map<String, Integer> retriedCodes = new TreeMap<>();
     private int sent;
-    private int wrongfullyRefused;
+    private int generations;
     private long tokens;
 
     AccountTally(String account) {
@@ -37,8 +38,9 @@
         return account;
     }
 
-    synchronized void sent() {
+    synchronized void sent(boolean isBooking) {
         sent++;
+        generations += isBooking ? 0 : 1;
     }
 
     synchronized void firstToken(long nanos) {
@@ -53,21 +55,31 @@
         booking.recordValue(Math.max(0, nanos / 1000));
     }
 
-    synchronized void ended(Outcome outcome, boolean idealAdmits) {
+    synchronized void triedAgain(Outcome outcome) {
+        retriedCodes.merge(outcome.code().isEmpty() ? outcome.detail() : outcome.code(), 1, Integer::sum);
+    }
+
+    synchronized void ended(Outcome outcome) {
         verdicts.merge(outcome.verdict(), 1, Integer::sum);
         tokens += outcome.tokens();
         if (!outcome.code().isEmpty()) {
             codes.merge(outcome.code(), 1, Integer::sum);
         }
-        if (outcome.code().equals(OUT_OF_BUDGET) && idealAdmits) {
-            wrongfullyRefused++;
-        }
-        if (!outcome.detail().isEmpty() && details.size() < MOST_DETAILS) {
-            details.add(outcome.verdict() + " " + outcome.code() + ": " + outcome.detail());
+        String detail = outcome.verdict() + " " + outcome.code() + ": " + outcome.detail();
+        if (!outcome.detail().isEmpty() && details.size() < MOST_DETAILS && !details.contains(detail)) {
+            details.add(detail);
         }
     }
 
-    synchronized AccountResult result(LoadSettings.AccountLoad load, double elapsedSeconds) {
+    /**
+     * Gets the results.
+     *
+     * @param load what the account sent
+     * @param idealAdmits how many generations one central bucket would have let through
+     * @param elapsedSeconds how long the run took
+     * @return the results
+     */
+    synchronized AccountResult result(LoadSettings.AccountLoad load, int idealAdmits, double elapsedSeconds) {
         double allowed = load.tokensPerSecond() > 0
                 ? load.burstTokens() + load.tokensPerSecond() * elapsedSeconds
                 : Double.MAX_VALUE;
@@ -78,10 +90,11 @@
                 count(Outcome.Verdict.REFUSED),
                 count(Outcome.Verdict.FAILED),
                 count(Outcome.Verdict.WRONG),
-                wrongfullyRefused,
+                Math.max(0, idealAdmits - generations + codes.getOrDefault(OUT_OF_BUDGET, 0)),
                 tokens,
                 tokens <= allowed,
                 Map.copyOf(codes),
+                Map.copyOf(retriedCodes),
                 Spread.of(firstToken),
                 Spread.of(betweenTokens),
                 Spread.of(booking),
--- a/standins/src/main/java/org/geraniumreach/standins/load/IdealBucket.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/IdealBucket.java
@@ -13,6 +13,7 @@
     private final double burst;
     private double available;
     private long lastNanos;
+    private int admitted;
 
     IdealBucket(double tokensPerSecond, double burst, long nowNanos) {
         this.tokensPerSecond = tokensPerSecond;
@@ -26,26 +27,24 @@
     }
 
     /**
-     * Takes a request's tokens if the bucket holds them.
+     * Lets a request through if the bucket holds what it may use at most, and takes what it will use.
      *
-     * @param tokens the most that the request may use
+     * @param most the most tokens that the request may use
+     * @param used the tokens that it will use
      * @param nowNanos the time
-     * @return true if the bucket lets the request through
      */
-    synchronized boolean tryTake(double tokens, long nowNanos) {
-        if (!isLimited()) {
-            return true;
-        }
+    synchronized void offer(double most, double used, long nowNanos) {
         available = Math.min(burst, available + tokensPerSecond * (nowNanos - lastNanos) / TimeUnit.SECONDS.toNanos(1));
         lastNanos = nowNanos;
-        if (available < tokens) {
-            return false;
+        if (!isLimited()) {
+            admitted++;
+        } else if (available >= most) {
+            available -= used;
+            admitted++;
         }
-        available -= tokens;
-        return true;
     }
 
-    synchronized void giveBack(double tokens) {
-        available = Math.min(burst, available + tokens);
+    synchronized int admitted() {
+        return admitted;
     }
 }
--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadResult.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadResult.java
@@ -75,6 +75,6 @@
                 account.betweenTokens().p99(),
                 account.booking().p50(),
                 account.booking().p99(),
-                account.codes());
+                account.codes() + (account.retriedCodes().isEmpty() ? "" : " retried " + account.retriedCodes()));
     }
 }
--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadRun.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadRun.java
@@ -90,7 +90,8 @@
         }
         double elapsed = (System.nanoTime() - startNanos) / (double) TimeUnit.SECONDS.toNanos(1);
         List<AccountResult> results = settings.accounts().stream()
-                .map(account -> tallies.get(account.name()).result(account, elapsed))
+                .map(account -> tallies.get(account.name())
+                        .result(account, buckets.get(account.name()).admitted(), elapsed))
                 .toList();
         results.forEach(result -> faults.addAll(Judgement.of(result)));
         LoadResult result = new LoadResult(settings.seed(), elapsed, latestSendNanos / 1e6, results, faults);
@@ -130,20 +131,17 @@
     private void send(PlannedRequest request) {
         outstanding.register();
         if (isMeasured(request)) {
-            tallies.get(request.account().name()).sent();
+            tallies.get(request.account().name()).sent(request.isBooking());
         }
         if (request.isBooking()) {
             book(request, BOOKING_TRIES, startNanos + request.dueNanos());
             return;
         }
-        IdealBucket bucket = buckets.get(request.account().name());
-        boolean admits = bucket.tryTake(request.reservedTokens(), System.nanoTime());
-        exchange(request, startNanos + request.dueNanos(), outcome -> {
-            if (admits) {
-                bucket.giveBack(request.reservedTokens() - outcome.tokens());
-            }
-            ended(request, outcome, admits);
-        });
+        if (isMeasured(request)) {
+            buckets.get(request.account().name())
+                    .offer(request.reservedTokens(), request.usedTokens(), System.nanoTime());
+        }
+        exchange(request, startNanos + request.dueNanos(), outcome -> ended(request, outcome));
     }
 
     private boolean isMeasured(PlannedRequest request) {
@@ -153,6 +151,7 @@
     private void book(PlannedRequest request, int triesLeft, long dueNanos) {
         exchange(request, dueNanos, outcome -> {
             if (outcome.verdict() == Outcome.Verdict.FAILED && triesLeft > 1) {
+                tallies.get(request.account().name()).triedAgain(outcome);
                 timer.schedule(
                         () -> book(request, triesLeft - 1, dueNanos), BOOKING_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
                 return;
@@ -165,7 +164,7 @@
                 return;
             }
             bookings.put(request.idempotencyKey(), outcome);
-            ended(request, outcome, false);
+            ended(request, outcome);
         });
     }
 
@@ -178,7 +177,7 @@
                             + " and " + second.body())
                     : first;
             bookings.put(request.idempotencyKey(), outcome);
-            ended(request, outcome, false);
+            ended(request, outcome);
         });
     }
 
@@ -206,9 +205,9 @@
         });
     }
 
-    private void ended(PlannedRequest request, Outcome outcome, boolean idealAdmits) {
+    private void ended(PlannedRequest request, Outcome outcome) {
         if (isMeasured(request) || outcome.verdict() == Outcome.Verdict.WRONG) {
-            tallies.get(request.account().name()).ended(outcome, idealAdmits);
+            tallies.get(request.account().name()).ended(outcome);
         }
         outstanding.arriveAndDeregister();
     }
--- a/standins/src/main/java/org/geraniumreach/standins/load/PlannedRequest.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/PlannedRequest.java
@@ -57,6 +57,15 @@
         return ExpectedAnswer.of(adapter, promptAtEngine());
     }
 
+    /**
+     * Gets what the request uses of its account's budget.
+     *
+     * @return the tokens of the prompt and those generated
+     */
+    double usedTokens() {
+        return ExpectedAnswer.promptTokens(promptAtEngine()) + expected().length(account.maximumTokens());
+    }
+
     /**
      * Gets what the request costs of its account's budget at most.
      *
