--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerService.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerService.java
@@ -79,6 +79,8 @@
                 settings.pollInterval(),
                 settings.takeoverAge(),
                 settings.clockError(),
+                settings.sendLimit(),
+                settings.sealLimit(),
                 STORE_TRIES,
                 SEND_TRIES);
         this.groups = new GroupCommitter(
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -250,15 +250,19 @@
       "\003\022\016\n\006holder\030\010 \001(\t\"e\n\nLoanAnswer\022\016\n\006numbe" +
       "r\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\003" +
       "\022\r\n\005share\030\004 \001(\003\022\027\n\017duration_millis\030\005 \001(\003" +
-      "\"\212\001\n\tFreshness\022\020\n\010instance\030\001 \001(\t\022\023\n\013inca" +
+      "\"\205\002\n\tFreshness\022\020\n\010instance\030\001 \001(\t\022\023\n\013inca" +
       "rnation\030\002 \001(\003\022\020\n\010revision\030\003 \001(\003\022\034\n\024confi" +
       "rmed_age_millis\030\004 \001(\003\022\027\n\017store_reachable" +
-      "\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\"U\n\010LoadNews\022\016\n\006tar" +
-      "get\030\001 \001(\t\022\022\n\nin_transit\030\002 \001(\005\022\017\n\007waiting" +
-      "\030\003 \001(\005\022\024\n\014waiting_work\030\004 \001(\003\"\035\n\nShareMov" +
-      "ed\022\017\n\007account\030\001 \001(\t\"0\n\007Leaving\022\020\n\010instan" +
-      "ce\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003B)\n\032org.ger" +
-      "aniumreach.messagesB\tLinkProtoP\001b\006proto3"
+      "\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\022\030\n\020heard_age_milli" +
+      "s\030\007 \003(\003\022\030\n\020highest_revision\030\010 \001(\003\022\r\n\005sta" +
+      "mp\030\t \001(\003\022\016\n\006echoes\030\n \001(\010\022\014\n\004echo\030\013 \001(\003\022\030" +
+      "\n\020echo_held_millis\030\014 \001(\003\"U\n\010LoadNews\022\016\n\006" +
+      "target\030\001 \001(\t\022\022\n\nin_transit\030\002 \001(\005\022\017\n\007wait" +
+      "ing\030\003 \001(\005\022\024\n\014waiting_work\030\004 \001(\003\"\035\n\nShare" +
+      "Moved\022\017\n\007account\030\001 \001(\t\"0\n\007Leaving\022\020\n\010ins" +
+      "tance\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003B)\n\032org." +
+      "geraniumreach.messagesB\tLinkProtoP\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -395,7 +399,7 @@
     internal_static_geraniumreach_link_Freshness_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_Freshness_descriptor,
-        new java.lang.String[] { "Instance", "Incarnation", "Revision", "ConfirmedAgeMillis", "StoreReachable", "Heard", });
+        new java.lang.String[] { "Instance", "Incarnation", "Revision", "ConfirmedAgeMillis", "StoreReachable", "Heard", "HeardAgeMillis", "HighestRevision", "Stamp", "Echoes", "Echo", "EchoHeldMillis", });
     internal_static_geraniumreach_link_LoadNews_descriptor =
       getDescriptor().getMessageTypes().get(22);
     internal_static_geraniumreach_link_LoadNews_fieldAccessorTable = new
