--- a/coordination/src/test/java/org/geraniumreach/coordination/ledger/LedgerWorld.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/ledger/LedgerWorld.java
@@ -10,12 +10,12 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.geraniumreach.coordination.SimulatedTable;
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.AttemptId;
 import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.Ran;
 import org.geraniumreach.model.ResultCode;
-import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
 
@@ -39,8 +39,7 @@
             3,
             2);
 
-    private final Map<RowKey, Row> rows = new HashMap<>();
-    private final List<Transaction> delayed = new ArrayList<>();
+    private final SimulatedTable table = new SimulatedTable();
     private final List<SimulatedCompanion> companions = new ArrayList<>();
     private final long[] entryIncarnations = new long[ENTRIES];
     private final List<Call> calls = new ArrayList<>();
@@ -48,7 +47,6 @@
     private final Map<AttemptId, Integer> keyOfAttempt = new HashMap<>();
     private final Map<Integer, List<AttemptId>> runs = new HashMap<>();
     private Instant now = Instant.EPOCH;
-    private long lastVersion;
     private int lastAttempt;
 
     LedgerWorld() {
@@ -180,26 +178,7 @@
     }
 
     void applyDelayed(int choice) {
-        if (!delayed.isEmpty()) {
-            commit(delayed.remove(choice % delayed.size()));
-        }
-    }
-
-    private boolean commit(Transaction transaction) {
-        boolean holds = transaction.conditions().stream()
-                .allMatch(condition -> condition.version()
-                        == Optional.ofNullable(rows.get(condition.key()))
-                                .map(Row::version)
-                                .orElse(Transaction.ABSENT));
-        if (holds) {
-            transaction.writes().forEach(write -> {
-                lastVersion++;
-                rows.put(
-                        write.key(),
-                        new Row(write.key(), lastVersion, write.value().orElseThrow()));
-            });
-        }
-        return holds;
+        table.applyDelayed(choice);
     }
 
     /** Lets an attempt arrive; it may arrive again later. */
@@ -240,13 +219,20 @@
         if (open.isEmpty()) {
             return;
         }
-        Call call = open.get(choice % open.size());
+        progress(open.get(choice % open.size()), outcome);
+    }
+
+    /** Carries out what the call that was started as the given one wants. */
+    void progressCall(int index, int outcome) {
+        progress(calls.get(index), outcome);
+    }
+
+    private void progress(Call call, int outcome) {
         LedgerAction action = call.pending;
         if (action instanceof LedgerAction.Commit commit) {
             call.pending = commitWith(call, commit.transaction(), outcome);
         } else if (action instanceof LedgerAction.Read read) {
-            call.pending =
-                    outcome == 1 ? call.core.readFailed() : call.core.read(Optional.ofNullable(rows.get(read.key())));
+            call.pending = outcome == 1 ? call.core.readFailed() : call.core.read(table.read(read.key()));
         } else if (action instanceof LedgerAction.Wait || action instanceof LedgerAction.Reply) {
             now = now.plus(POLICY.pollInterval());
             call.pending = call.core.waited();
@@ -266,13 +252,13 @@
             case 1:
                 return call.core.commitFailed(false);
             case 2:
-                commit(transaction);
+                table.commit(transaction);
                 return call.core.commitFailed(true);
             case 3:
-                delayed.add(transaction);
+                table.delay(transaction);
                 return call.core.commitFailed(true);
             default:
-                return commit(transaction) ? call.core.committed() : call.core.conflicted();
+                return table.commit(transaction) ? call.core.committed() : call.core.conflicted();
         }
     }
 
@@ -353,6 +339,15 @@
         }
     }
 
+    /** Lets one call come to its end, while the others are frozen. */
+    void settleCall(int index) {
+        for (int step = 0; step < 100 && !calls.get(index).isOver(); step++) {
+            deliver(0, false, false);
+            finish(step);
+            progressCall(index, 0);
+        }
+    }
+
     /** Ends all faults, and lets every call come to its end. */
     void settle() {
         for (int step = 0; step < 400 && calls.stream().anyMatch(call -> !call.isOver()); step++) {
