--- a/coordination/src/main/java/org/geraniumreach/coordination/ledger/LedgerCall.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/ledger/LedgerCall.java
@@ -57,6 +57,7 @@
     private int storeTriesLeft;
     private int sendTriesLeft;
     private int sealTriesLeft;
+    private Instant sealAskedAt;
     private boolean replied;
     private boolean resumed;
     /** Attempts that a commit of this call may have put into the row, and that were not sent. */
@@ -150,6 +151,12 @@
     }
 
     private LedgerAction send() {
+        if (ageOf(row).compareTo(policy.sendLimit()) > 0) {
+            // This process was frozen since the commit. Another call may have had the attempt sealed meanwhile, and the
+            // companion may have forgotten the seal: what is sent now would be a second run.
+            unsent.remove(row.attempt());
+            return neverStarted(NEVER_STARTED);
+        }
         step = Step.SENT;
         resumed = false;
         unsent.remove(row.attempt());
@@ -302,7 +309,7 @@
     }
 
     private Duration ageOf(LedgerRow stored) {
-        return Duration.between(stored.created(), view.now().get()).plus(policy.clockError());
+        return Duration.between(stored.created(), view.now().get());
     }
 
     private LedgerAction waitForSender() {
@@ -341,7 +348,9 @@
         }
         sealTriesLeft--;
         step = Step.SEALING;
-        return new LedgerAction.Seal(stored.attempt(), stored.companion(), ageOf(stored));
+        sealAskedAt = view.now().get();
+        Duration age = ageOf(stored).plus(policy.clockError()).plus(policy.sealLimit());
+        return new LedgerAction.Seal(stored.attempt(), stored.companion(), age);
     }
 
     /**
@@ -351,6 +360,12 @@
      * @return what to do, not null
      */
     public LedgerAction sealed(SealResult result) {
+        boolean late = sealAskedAt.plus(policy.sealLimit()).isBefore(view.now().get());
+        if (late && result == SealResult.NEVER_STARTED) {
+            // This process was frozen on the way. The companion may have judged by an age that was no longer true, have
+            // forgotten the attempt by then, and so taken one that has run for one that never came.
+            return seal(row);
+        }
         return switch (result) {
             case NEVER_STARTED -> neverStarted(NEVER_STARTED);
             case STARTED -> resume();
--- /dev/null
+++ b/coordination/src/test/java/org/geraniumreach/coordination/ledger/LedgerWorld.java
@@ -0,0 +1,360 @@
+package org.geraniumreach.coordination.ledger;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.geraniumreach.coordination.SimulatedTable;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Entries, companions and a table service under the fuzzer's hand, with the oracle. */
+final class LedgerWorld {
+
+    static final int ENTRIES = 3;
+    static final int COMPANIONS = 2;
+    static final int KEYS = 2;
+    private static final Duration MEMORY = Duration.ofSeconds(60);
+    private static final Duration FRAME_LIFE = Duration.ofSeconds(30);
+    private static final LedgerPolicy POLICY = new LedgerPolicy(
+            Duration.ofSeconds(2),
+            Duration.ofMillis(500),
+            Duration.ofSeconds(20),
+            Duration.ZERO,
+            Duration.ofSeconds(10),
+            Duration.ofSeconds(5),
+            3,
+            2);
+
+    private final SimulatedTable table = new SimulatedTable();
+    private final List<SimulatedCompanion> companions = new ArrayList<>();
+    private final long[] entryIncarnations = new long[ENTRIES];
+    private final List<Call> calls = new ArrayList<>();
+    private final List<Frame> frames = new ArrayList<>();
+    private final Map<AttemptId, Integer> keyOfAttempt = new HashMap<>();
+    private final Map<Integer, List<AttemptId>> runs = new HashMap<>();
+    private Instant now = Instant.EPOCH;
+    private int lastAttempt;
+
+    LedgerWorld() {
+        for (int index = 0; index < COMPANIONS; index++) {
+            companions.add(new SimulatedCompanion(index));
+        }
+    }
+
+    /** An attempt on its way to a companion. */
+    private record Frame(AttemptId attempt, Companion companion, Instant sent) {}
+
+    /** One start after another of a companion. */
+    private static final class SimulatedCompanion {
+        private final InstanceId instance;
+        private long incarnation = 1;
+        private final Map<AttemptId, Instant> started = new HashMap<>();
+        private final Set<AttemptId> ended = new HashSet<>();
+        private final Map<AttemptId, Instant> sealed = new HashMap<>();
+        private final Set<AttemptId> refused = new HashSet<>();
+
+        private SimulatedCompanion(int index) {
+            instance = InstanceId.of("companion" + index);
+        }
+
+        private void restart() {
+            incarnation++;
+            started.clear();
+            ended.clear();
+            sealed.clear();
+            refused.clear();
+        }
+
+        private void forget(Instant oldest) {
+            started.entrySet()
+                    .removeIf(entry ->
+                            ended.contains(entry.getKey()) && entry.getValue().isBefore(oldest));
+            sealed.values().removeIf(since -> since.isBefore(oldest));
+            refused.retainAll(sealed.keySet());
+        }
+    }
+
+    /** One call at one entry. */
+    private final class Call {
+        private final int entry;
+        private final int key;
+        private final int body;
+        private final LedgerCall core;
+        private final Set<AttemptId> attempts = new HashSet<>();
+        private final Set<AttemptId> sent = new HashSet<>();
+        private LedgerAction pending;
+        private boolean refusedAsNotRun;
+
+        private Call(int entry, int key, int body) {
+            this.entry = entry;
+            this.key = key;
+            this.body = body;
+            LedgerView view = new LedgerView(
+                    () -> now,
+                    this::newAttempt,
+                    () -> Optional.of(companionNow(lastAttempt % COMPANIONS)),
+                    LedgerWorld.this::isLive,
+                    companion -> false);
+            core = new LedgerCall(rowOf(key), "digest" + body, senderNow(entry), POLICY, view);
+            pending = core.start();
+        }
+
+        private AttemptId newAttempt() {
+            lastAttempt++;
+            AttemptId attempt = AttemptId.of("attempt" + lastAttempt);
+            keyOfAttempt.put(attempt, key);
+            attempts.add(attempt);
+            return attempt;
+        }
+
+        private boolean isOver() {
+            return pending instanceof LedgerAction.Done
+                    || pending instanceof LedgerAction.Refuse
+                    || pending instanceof LedgerAction.Reply reply
+                            && reply.storeAgainAfter().isEmpty();
+        }
+    }
+
+    private static RowKey rowOf(int key) {
+        return LedgerRowFormat.keyOf(AccountId.of("account"), "key" + key);
+    }
+
+    private Sender senderNow(int entry) {
+        return new Sender(InstanceId.of("entry" + entry), entryIncarnations[entry]);
+    }
+
+    private boolean isLive(Sender sender) {
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            if (senderNow(entry).equals(sender)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Companion companionNow(int index) {
+        return new Companion(companions.get(index).instance, companions.get(index).incarnation);
+    }
+
+    private Optional<SimulatedCompanion> find(Companion wanted) {
+        return companions.stream()
+                .filter(companion ->
+                        companion.instance.equals(wanted.instance()) && companion.incarnation == wanted.incarnation())
+                .findFirst();
+    }
+
+    void start(int entry, int key, int body) {
+        calls.add(new Call(entry, key, body));
+        check();
+    }
+
+    void crash(int entry) {
+        entryIncarnations[entry]++;
+        calls.removeIf(call -> call.entry == entry && !call.isOver());
+    }
+
+    void restart(int companion) {
+        companions.get(companion).restart();
+    }
+
+    void pass(int seconds) {
+        now = now.plusSeconds(seconds);
+        frames.removeIf(frame -> frame.sent().plus(FRAME_LIFE).isBefore(now));
+        companions.forEach(companion -> companion.forget(now.minus(MEMORY)));
+    }
+
+    void applyDelayed(int choice) {
+        table.applyDelayed(choice);
+    }
+
+    /** Lets an attempt arrive; it may arrive again later. */
+    void deliver(int choice, boolean refusing, boolean again) {
+        if (frames.isEmpty()) {
+            return;
+        }
+        Frame frame = frames.get(choice % frames.size());
+        if (!again) {
+            frames.remove(frame);
+        }
+        find(frame.companion()).ifPresent(companion -> arrive(companion, frame.attempt(), refusing));
+        check();
+    }
+
+    private void arrive(SimulatedCompanion companion, AttemptId attempt, boolean refusing) {
+        if (companion.sealed.containsKey(attempt) || companion.started.containsKey(attempt)) {
+            return;
+        }
+        if (refusing) {
+            companion.sealed.put(attempt, now);
+            companion.refused.add(attempt);
+            return;
+        }
+        companion.started.put(attempt, now);
+        runs.computeIfAbsent(keyOfAttempt.get(attempt), key -> new ArrayList<>())
+                .add(attempt);
+    }
+
+    void finish(int choice) {
+        SimulatedCompanion companion = companions.get(choice % COMPANIONS);
+        companion.ended.addAll(companion.started.keySet());
+    }
+
+    /** Carries out what a call wants; the outcome is the fuzzer's choice among those that may be. */
+    void progress(int choice, int outcome) {
+        List<Call> open = calls.stream().filter(call -> !call.isOver()).toList();
+        if (open.isEmpty()) {
+            return;
+        }
+        progress(open.get(choice % open.size()), outcome);
+    }
+
+    /** Carries out what the call that was started as the given one wants. */
+    void progressCall(int index, int outcome) {
+        progress(calls.get(index), outcome);
+    }
+
+    private void progress(Call call, int outcome) {
+        LedgerAction action = call.pending;
+        if (action instanceof LedgerAction.Commit commit) {
+            call.pending = commitWith(call, commit.transaction(), outcome);
+        } else if (action instanceof LedgerAction.Read read) {
+            call.pending = outcome == 1 ? call.core.readFailed() : call.core.read(table.read(read.key()));
+        } else if (action instanceof LedgerAction.Wait || action instanceof LedgerAction.Reply) {
+            now = now.plus(POLICY.pollInterval());
+            call.pending = call.core.waited();
+        } else if (action instanceof LedgerAction.Send send) {
+            sent(call, send, outcome);
+        } else if (action instanceof LedgerAction.Resume resume) {
+            follow(call, resume.attempt(), resume.companion(), outcome);
+        } else if (action instanceof LedgerAction.Seal seal) {
+            seal(call, seal, outcome);
+        }
+        note(call);
+        check();
+    }
+
+    private LedgerAction commitWith(Call call, Transaction transaction, int outcome) {
+        switch (outcome) {
+            case 1:
+                return call.core.commitFailed(false);
+            case 2:
+                table.commit(transaction);
+                return call.core.commitFailed(true);
+            case 3:
+                table.delay(transaction);
+                return call.core.commitFailed(true);
+            default:
+                return table.commit(transaction) ? call.core.committed() : call.core.conflicted();
+        }
+    }
+
+    /** Sends the attempt, or follows it once it was sent. */
+    private void sent(Call call, LedgerAction.Send send, int outcome) {
+        if (!call.sent.contains(send.attempt()) && outcome == 1) {
+            call.pending = call.core.lost(Ran.NO);
+        } else if (call.sent.add(send.attempt())) {
+            frames.add(new Frame(send.attempt(), send.companion(), now));
+        } else {
+            follow(call, send.attempt(), send.companion(), outcome);
+        }
+    }
+
+    private void follow(Call call, AttemptId attempt, Companion where, int outcome) {
+        Optional<SimulatedCompanion> companion = find(where);
+        if (outcome == 1 || companion.isEmpty()) {
+            call.pending = call.core.lost(Ran.UNKNOWN);
+        } else if (companion.get().ended.contains(attempt)) {
+            call.pending = call.core.answered(new StoredAnswer.Inline("answer of " + attempt));
+        } else if (companion.get().sealed.containsKey(attempt)) {
+            call.pending = call.core.refused(
+                    new LedgerAction.Refuse(ResultCode.DRAINING, Ran.NO, Optional.empty(), "refused"));
+        } else if (frames.stream().noneMatch(frame -> frame.attempt().equals(attempt))
+                && !companion.get().started.containsKey(attempt)) {
+            call.pending = call.core.lost(Ran.UNKNOWN);
+        }
+    }
+
+    private void seal(Call call, LedgerAction.Seal seal, int outcome) {
+        Optional<SimulatedCompanion> companion = find(seal.companion());
+        if (outcome == 1) {
+            call.pending = call.core.sealed(SealResult.UNREACHABLE);
+        } else if (companion.isEmpty()) {
+            call.pending = call.core.sealed(SealResult.NOT_KNOWN);
+        } else {
+            SealResult result = answer(companion.get(), seal);
+            call.pending = call.core.sealed(outcome == 2 ? SealResult.UNREACHABLE : result);
+        }
+    }
+
+    private SealResult answer(SimulatedCompanion companion, LedgerAction.Seal seal) {
+        if (companion.started.containsKey(seal.attempt())) {
+            return SealResult.STARTED;
+        }
+        // An attempt that had been sent before the memory began when it was sealed may have run and been forgotten.
+        Instant since = companion.sealed.computeIfAbsent(seal.attempt(), attempt -> now);
+        boolean remembered =
+                now.minus(seal.age()).isAfter(since.minus(MEMORY)) || companion.refused.contains(seal.attempt());
+        return remembered ? SealResult.NEVER_STARTED : SealResult.NOT_KNOWN;
+    }
+
+    private void note(Call call) {
+        if (call.pending instanceof LedgerAction.Refuse refuse) {
+            call.refusedAsNotRun |= refuse.ran() == Ran.NO;
+        } else if (call.pending instanceof LedgerAction.Reply reply) {
+            List<AttemptId> ran = runs.getOrDefault(call.key, List.of());
+            assertThat(reply.answer())
+                    .as("the answer is that of the run")
+                    .isEqualTo(new StoredAnswer.Inline("answer of " + ran.get(0)));
+            assertThat(calls.stream()
+                            .filter(other -> other.attempts.contains(ran.get(0)))
+                            .allMatch(other -> other.body == call.body))
+                    .as("the answer is to the same request")
+                    .isTrue();
+        }
+    }
+
+    private void check() {
+        runs.forEach(
+                (key, attempts) -> assertThat(attempts).as("runs of key " + key).hasSizeLessThanOrEqualTo(1));
+        for (Call call : calls) {
+            if (call.refusedAsNotRun) {
+                assertThat(runs.getOrDefault(call.key, List.of()))
+                        .as("runs of a call that was told it has not run")
+                        .doesNotContainAnyElementsOf(call.attempts);
+            }
+        }
+    }
+
+    /** Lets one call come to its end, while the others are frozen. */
+    void settleCall(int index) {
+        for (int step = 0; step < 100 && !calls.get(index).isOver(); step++) {
+            deliver(0, false, false);
+            finish(step);
+            progressCall(index, 0);
+        }
+    }
+
+    /** Ends all faults, and lets every call come to its end. */
+    void settle() {
+        for (int step = 0; step < 400 && calls.stream().anyMatch(call -> !call.isOver()); step++) {
+            deliver(0, false, false);
+            finish(step);
+            progress(step, 0);
+        }
+        assertThat(calls).allMatch(Call::isOver);
+    }
+}
