--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/CompanionModel.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/CompanionModel.java
@@ -70,7 +70,7 @@
 
     void receive(TrialRequest request) {
         request.queuedAt = loop.nanos();
-        Answer answer = residency.request(request.attempt, request.adapter, request.tokens());
+        Answer answer = residency.request(request.attempt, request.accountId, request.adapter, request.tokens());
         request.stalled = answer.state() == Answer.State.WAITING;
         waiting.put(request.attempt, request);
         queue.offer(new QueuedRequest<>(
--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/TrialMain.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/TrialMain.java
@@ -49,6 +49,8 @@
                 affinity.named("+ eviction by worth").withResidency(lru.withEviction(EvictionPolicy.LEAST_WORTH));
         Policies loading = eviction.named("+ loads by waiting work")
                 .withResidency(eviction.residency().withLoading(LoadPolicy.WAITING_WORK));
+        Policies fairLoads =
+                loading.named("+ loads fair over accounts, 4 in transit").withResidency(ResidencySettings.standard(1));
         return List.of(
                 Policies.plain("random", RoutingPolicy.RANDOM, weights),
                 Policies.plain("least loaded", RoutingPolicy.LEAST_LOADED, weights),
@@ -56,6 +58,7 @@
                 affinity,
                 eviction,
                 loading,
+                fairLoads,
                 Policies.full("+ fair queue (all)", weights, queueWeights),
                 Policies.full("all, but plain hashing", weights, queueWeights)
                         .withRouting(RoutingPolicy.PLAIN_HASHING));
--- a/serving/src/main/java/org/geraniumreach/serving/residency/LoadPolicy.java
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/LoadPolicy.java
@@ -1,27 +1,35 @@
 package org.geraniumreach.serving.residency;
 
+import java.util.Comparator;
+
 /** The ways of choosing what to load next, by the names that settings use. */
 public enum LoadPolicy {
     /** The one that was waited for first. */
     FIRST_COME {
         @Override
-        double urgency(WaitingAdapter adapter) {
-            return adapter.oldestNanos();
+        LoadChoice choice() {
+            return LoadChoice.by(Comparator.comparingLong(WaitingAdapter::oldestNanos));
         }
     },
     /** The one whose waiters have waited longest together: many waiters go first, and no single one waits for ever. */
     WAITING_WORK {
         @Override
-        double urgency(WaitingAdapter adapter) {
-            return adapter.totalNanos();
+        LoadChoice choice() {
+            return LoadChoice.by(Comparator.comparingLong(WaitingAdapter::totalNanos));
+        }
+    },
+    /** Fair over client accounts; for the account whose turn it is, as by waiting work. */
+    FAIR {
+        @Override
+        LoadChoice choice() {
+            return LoadChoice.fair();
         }
     };
 
     /**
-     * Works out how urgent a load is; the most urgent goes first.
+     * Makes the choice of one companion.
      *
-     * @param adapter the adapter waited for
-     * @return its urgency
+     * @return the choice
      */
-    abstract double urgency(WaitingAdapter adapter);
+    abstract LoadChoice choice();
 }
--- a/serving/src/main/java/org/geraniumreach/serving/residency/Residency.java
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/Residency.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.AdapterReference;
 import org.geraniumreach.model.AttemptId;
 import org.geraniumreach.model.MonotonicClock;
@@ -24,6 +25,7 @@
  */
 public final class Residency {
 
+    private static final AccountId ONLY_ACCOUNT = AccountId.of("only");
     private static final int REMEMBERED_PER_SLOT = 64;
     private static final double SMOOTHING = 0.2;
 
@@ -34,6 +36,7 @@
     private final Map<AdapterReference, Transit> transits = new HashMap<>();
     private final Waiters waiters = new Waiters();
     private final UseCounts uses;
+    private final LoadChoice loadChoice;
     private final LoadFailures failures;
     private double loadNanos;
     private long engineIncarnation;
@@ -45,6 +48,7 @@
         this.fleet = Objects.requireNonNull(fleet, "fleet");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.uses = new UseCounts(settings.usesHalfLife().toNanos(), REMEMBERED_PER_SLOT * settings.slots());
+        this.loadChoice = settings.loading().choice();
         this.failures = new LoadFailures(settings.firstBackoff(), settings.longestBackoff());
         this.loadNanos = settings.expectedLoad().toNanos();
     }
@@ -63,23 +67,37 @@
 
     private record Transit(LoadOrder order, long startedAt) {}
 
+    /**
+     * Takes a request in, for a fleet that serves one client account.
+     *
+     * @param attempt the request, not null
+     * @param adapter its adapter, not null
+     * @param work the tokens that it needs
+     * @return whether its adapter is there, not null
+     * @throws IllegalArgumentException if the attempt was taken in already
+     */
+    public Answer request(AttemptId attempt, AdapterReference adapter, long work) {
+        return request(attempt, ONLY_ACCOUNT, adapter, work);
+    }
+
     /**
      * Takes a request in, unless its adapter's load failed a moment ago.
      *
      * @param attempt the request, not null
+     * @param account for whom, not null
      * @param adapter its adapter, not null
      * @param work the tokens that it needs
      * @return whether its adapter is there, not null
      * @throws IllegalArgumentException if the attempt was taken in already
      */
-    public synchronized Answer request(AttemptId attempt, AdapterReference adapter, long work) {
+    public synchronized Answer request(AttemptId attempt, AccountId account, AdapterReference adapter, long work) {
         long now = clock.nanos();
         boolean ready = isReady(adapter);
         Optional<Duration> backoff = failures.backoffLeft(adapter, now);
         if (!ready && backoff.isPresent()) {
             return new Answer(Answer.State.REFUSED, backoff.get());
         }
-        if (!waiters.add(attempt, adapter, work, now)) {
+        if (!waiters.add(attempt, account, adapter, work, now)) {
             throw new IllegalArgumentException("attempt taken in already: " + attempt);
         }
         uses.used(adapter, now);
@@ -158,16 +176,14 @@
             slots.values().forEach(Slot::keep);
             return started;
         }
-        wanted.sort((one, other) -> Double.compare(
-                settings.loading().urgency(other), settings.loading().urgency(one)));
-        for (WaitingAdapter next : wanted) {
-            if (!mayLoad(next)) {
-                break;
-            }
-            Optional<LoadOrder> order = order(next, now);
+        while (transits.size() < settings.loadsAtOnce()) {
+            Optional<WaitingAdapter> next = loadChoice.next(wanted);
+            Optional<LoadOrder> order = next.filter(this::mayLoad).flatMap(adapter -> order(adapter, now));
             if (order.isEmpty()) {
                 break;
             }
+            loadChoice.started(next.get());
+            wanted.remove(next.get());
             started.add(order.get());
         }
         return started;
@@ -188,9 +204,6 @@
      * waited out its patience goes in any case, since news may be lost and a limit that nobody frees would stop all loads.
      */
     private boolean mayLoad(WaitingAdapter next) {
-        if (transits.size() >= settings.loadsAtOnce()) {
-            return false;
-        }
         if (next.oldestNanos() >= settings.patience().toNanos() && transits.isEmpty()) {
             return true;
         }
--- a/serving/src/main/java/org/geraniumreach/serving/residency/ResidencySettings.java
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/ResidencySettings.java
@@ -31,7 +31,7 @@
         Duration firstBackoff,
         Duration longestBackoff) {
 
-    private static final int LOADS_AT_FULL_SPEED = 8;
+    private static final int LOADS_FLEET_WIDE = 4;
 
     public ResidencySettings {
         Objects.requireNonNull(eviction, "eviction");
@@ -62,9 +62,9 @@
         return new ResidencySettings(
                 slots,
                 EvictionPolicy.LEAST_WORTH,
-                LoadPolicy.WAITING_WORK,
+                LoadPolicy.FAIR,
                 2,
-                LOADS_AT_FULL_SPEED,
+                LOADS_FLEET_WIDE,
                 Duration.ofMillis(250),
                 Duration.ofMinutes(5),
                 Duration.ofSeconds(2),
--- a/serving/src/main/java/org/geraniumreach/serving/residency/Waiters.java
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/Waiters.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.AdapterReference;
 import org.geraniumreach.model.AttemptId;
 
@@ -20,22 +21,25 @@
     private final Map<AdapterReference, Line> lines = new LinkedHashMap<>();
     private final Map<AttemptId, AdapterReference> adapters = new HashMap<>();
 
-    private record Waiter(long work, long since) {}
+    private record Waiter(AccountId account, long work, long since) {}
 
     /** The waiters for one adapter in order of arrival, with their sums. */
     private static final class Line {
         private final Map<AttemptId, Waiter> waiters = new LinkedHashMap<>();
+        private final Map<AccountId, Integer> accounts = new HashMap<>();
         private long work;
         private double sinceSum;
 
         private void add(AttemptId attempt, Waiter waiter) {
             waiters.put(attempt, waiter);
+            accounts.merge(waiter.account, 1, Integer::sum);
             work += waiter.work;
             sinceSum += waiter.since;
         }
 
         private void remove(AttemptId attempt) {
             Waiter gone = waiters.remove(attempt);
+            accounts.computeIfPresent(gone.account, (account, count) -> count == 1 ? null : count - 1);
             work -= gone.work;
             sinceSum -= gone.since;
         }
@@ -43,15 +47,15 @@
         private WaitingAdapter view(AdapterReference adapter, long now) {
             long oldest = now - waiters.values().iterator().next().since;
             long total = (long) ((double) waiters.size() * now - sinceSum);
-            return new WaitingAdapter(adapter, waiters.size(), work, oldest, Math.max(oldest, total));
+            return new WaitingAdapter(adapter, waiters.size(), work, oldest, Math.max(oldest, total), accounts);
         }
     }
 
-    boolean add(AttemptId attempt, AdapterReference adapter, long work, long now) {
+    boolean add(AttemptId attempt, AccountId account, AdapterReference adapter, long work, long now) {
         if (adapters.putIfAbsent(attempt, adapter) != null) {
             return false;
         }
-        lines.computeIfAbsent(adapter, key -> new Line()).add(attempt, new Waiter(work, now));
+        lines.computeIfAbsent(adapter, key -> new Line()).add(attempt, new Waiter(account, work, now));
         return true;
     }
 
--- a/serving/src/main/java/org/geraniumreach/serving/residency/WaitingAdapter.java
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/WaitingAdapter.java
@@ -1,7 +1,9 @@
 package org.geraniumreach.serving.residency;
 
+import java.util.Map;
 import java.util.Objects;
 
+import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.AdapterReference;
 
 /**
@@ -14,10 +16,18 @@
  * @param work the tokens that these need
  * @param oldestNanos how long the first of them has waited
  * @param totalNanos how long all of them together have waited
+ * @param accounts how many of them are each client account's
  */
-public record WaitingAdapter(AdapterReference adapter, int waiters, long work, long oldestNanos, long totalNanos) {
+public record WaitingAdapter(
+        AdapterReference adapter,
+        int waiters,
+        long work,
+        long oldestNanos,
+        long totalNanos,
+        Map<AccountId, Integer> accounts) {
 
     public WaitingAdapter {
         Objects.requireNonNull(adapter, "adapter");
+        accounts = Map.copyOf(accounts);
     }
 }
