Prove the settlement of submissions case by case

The stateful test does not look at which answer an operator gets in a race, nor at resurrected records. SubmissionProcessTest does: conflict with the current record, withdrawn records, lost and late writes, reused operation ids, fields that are not known here, dangling references both ways.

An operation id used for another change and an entry that cannot be reached now have result codes of their own (506, 507) in place of CONFLICT and STORE_UNAVAILABLE.

--- a/control/src/main/java/org/geraniumreach/control/ControlException.java
+++ b/control/src/main/java/org/geraniumreach/control/ControlException.java
@@ -32,7 +32,7 @@
     }
 
     static ControlException unreachable(String message) {
-        return new ControlException(ExitCode.UNREACHABLE, ResultCode.STORE_UNAVAILABLE, message, null);
+        return new ControlException(ExitCode.UNREACHABLE, ResultCode.ENTRY_UNREACHABLE, message, null);
     }
 
     static ControlException answered(ResultCode code, String message, ObjectNode answer) {
--- a/control/src/main/java/org/geraniumreach/control/ExitCode.java
+++ b/control/src/main/java/org/geraniumreach/control/ExitCode.java
@@ -37,11 +37,11 @@
     static ExitCode of(ResultCode code) {
         return switch (code) {
             case OK -> OK;
-            case CONFLICT -> CONFLICT;
+            case CONFLICT, OPERATION_REUSED -> CONFLICT;
             case OPERATOR_REFUSED -> REFUSED;
             case RECORD_UNKNOWN -> UNKNOWN_RECORD;
             case SUBMISSION_UNSETTLED -> UNSETTLED;
-            case STORE_UNAVAILABLE, DRAINING, OVERLOADED -> UNREACHABLE;
+            case ENTRY_UNREACHABLE, STORE_UNAVAILABLE, DRAINING, OVERLOADED -> UNREACHABLE;
             case RECORD_INVALID,
                     REFERENCE_DANGLING,
                     SCHEMA_VERSION_UNKNOWN,
--- a/control/src/main/java/org/geraniumreach/control/OperatorClient.java
+++ b/control/src/main/java/org/geraniumreach/control/OperatorClient.java
@@ -106,7 +106,7 @@
             try {
                 return call(entry, method, path, body);
             } catch (ControlException failure) {
-                if (failure.exitCode() != ExitCode.UNREACHABLE && !TRY_NEXT.contains(failure.code())) {
+                if (!TRY_NEXT.contains(failure.code())) {
                     throw failure;
                 }
                 unsettled |= failure.exitCode() == ExitCode.UNSETTLED;
--- a/coordination/src/main/java/org/geraniumreach/coordination/configuration/SubmissionProcess.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/configuration/SubmissionProcess.java
@@ -235,7 +235,7 @@
     private SubmissionStep settled(LogEntry entry) throws RecordException {
         if (!SubmissionCheck.isOutcome(submission, entry)) {
             return refuse(
-                    ResultCode.CONFLICT,
+                    ResultCode.OPERATION_REUSED,
                     "operation " + submission.operation() + " was used for another change, of " + entry.key());
         }
         return done(SubmissionResult.accepted(entry));
@@ -243,7 +243,7 @@
 
     private SubmissionStep trimmed() {
         return refuse(
-                ResultCode.CONFLICT,
+                ResultCode.OPERATION_REUSED,
                 "operation " + submission.operation() + " was accepted so long ago that the log does not hold it");
     }
 
--- /dev/null
+++ b/coordination/src/test/java/org/geraniumreach/coordination/configuration/SubmissionProcessTest.java
@@ -0,0 +1,238 @@
+package org.geraniumreach.coordination.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.record.Configuration;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.model.record.RecordKey;
+import org.geraniumreach.model.record.RecordKind;
+import org.geraniumreach.model.table.Transaction;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SubmissionProcessTest {
+
+    private static final String ACCOUNT = "{'schemaVersion':1,'rate':1,'burst':1}";
+    private static final String ADAPTER = "{'schemaVersion':1,'baseModel':'base','versions':['v1']}";
+    private static final String ASSIGNMENT = "{'schemaVersion':1,'account':'acme','adapter':'welder'}";
+    private static final String KEY = "{'schemaVersion':1,'account':'acme','digest':'" + "0".repeat(64) + "'}";
+
+    /** What becomes of a commit. */
+    private enum Commit {
+        ANSWERED,
+        EFFECT_WITHOUT_ANSWER,
+        EFFECT_AFTER_THE_DEADLINE,
+        NO_EFFECT
+    }
+
+    private final FakeTable table = new FakeTable();
+    private Commit commit = Commit.ANSWERED;
+    private Optional<Transaction> late = Optional.empty();
+    private int commits;
+    private long now;
+
+    private SubmissionResult submit(String operation, long basedOn, RecordKind kind, String name, String body) {
+        Optional<String> json = Optional.ofNullable(body).map(text -> text.replace('\'', '"'));
+        Submission submission = new Submission(operation, basedOn, RecordKey.of(kind, name), json);
+        SubmissionProcess process =
+                new SubmissionProcess(submission, configuration(), () -> now, new Random(1), Duration.ofSeconds(3));
+        SubmissionStep step = process.start();
+        while (true) {
+            now += 1_000_000;
+            if (step instanceof SubmissionStep.Done done) {
+                return done.result();
+            } else if (step instanceof SubmissionStep.Read read) {
+                step = process.read(table.read(read.key()));
+            } else if (step instanceof SubmissionStep.CatchUp) {
+                step = process.caughtUp(configuration());
+            } else if (step instanceof SubmissionStep.Wait wait) {
+                now += wait.duration().toNanos();
+                step = process.waited();
+            } else if (step instanceof SubmissionStep.Commit asked) {
+                step = commit(process, asked.transaction());
+            }
+        }
+    }
+
+    private SubmissionStep commit(SubmissionProcess process, Transaction transaction) {
+        commits++;
+        switch (commit) {
+            case ANSWERED:
+                return process.committed(table.commit(transaction));
+            case EFFECT_WITHOUT_ANSWER:
+                table.commit(transaction);
+                return process.commitFailed(true);
+            case EFFECT_AFTER_THE_DEADLINE:
+                late = Optional.of(transaction);
+                return process.commitFailed(true);
+            default:
+                return process.commitFailed(false);
+        }
+    }
+
+    private Configuration configuration() {
+        return Configuration.empty().plus(table.log());
+    }
+
+    private void prepare() {
+        assertThat(submit("one", 0, RecordKind.ACCOUNT, "acme", ACCOUNT).isAccepted())
+                .isTrue();
+        assertThat(submit("two", 0, RecordKind.ADAPTER, "welder", ADAPTER).isAccepted())
+                .isTrue();
+        assertThat(submit("three", 0, RecordKind.KEY, "key", KEY).isAccepted()).isTrue();
+        assertThat(submit("four", 0, RecordKind.ASSIGNMENT, "work", ASSIGNMENT).isAccepted())
+                .isTrue();
+    }
+
+    /*
+     * Failure: two operators change one record at the same time, and the change of the first is lost without a word. Both
+     * saw revision 4. The second must hear of the conflict and of the record as it is now.
+     */
+    @Test
+    void ofTwoOperatorsWhoRaceTheSecondGetsAConflictWithTheCurrentRecord() {
+        prepare();
+        SubmissionResult first =
+                submit("first", 4, RecordKind.ACCOUNT, "acme", "{'schemaVersion':1,'rate':2,'burst':2}");
+        SubmissionResult second =
+                submit("second", 4, RecordKind.ACCOUNT, "acme", "{'schemaVersion':1,'rate':3,'burst':3}");
+        assertThat(second.code()).isEqualTo(ResultCode.CONFLICT);
+        assertThat(second.entry()).isEqualTo(first.entry());
+        assertThat(table.head()).isEqualTo(5);
+    }
+
+    /*
+     * Failure: a withdrawn key works again. One operator withdraws it while another, who still sees it, changes it; the
+     * change would bring it back.
+     */
+    @Test
+    void aChangeBasedOnAWithdrawnRecordDoesNotBringItBack() {
+        prepare();
+        assertThat(submit("withdrawal", 4, RecordKind.KEY, "key", null).isAccepted())
+                .isTrue();
+        assertThat(submit("change", 4, RecordKind.KEY, "key", KEY).code()).isEqualTo(ResultCode.CONFLICT);
+        assertThat(submit("again", 5, RecordKind.KEY, "key", KEY).isAccepted()).isTrue();
+    }
+
+    /*
+     * Failure: an operator is told that a change failed although it is in force, or it is made twice. The table applies the
+     * transaction and its answer is lost.
+     */
+    @Test
+    void aLostAnswerIsSettledByReading() {
+        commit = Commit.EFFECT_WITHOUT_ANSWER;
+        SubmissionResult result = submit("one", 0, RecordKind.ACCOUNT, "acme", ACCOUNT);
+        assertThat(result.isAccepted()).isTrue();
+        assertThat(commits).isEqualTo(1);
+        assertThat(table.log()).containsExactly(result.entry().orElseThrow());
+    }
+
+    /*
+     * Failure: an operator is told that nothing was changed, and a moment later the change is in force. The write is on its
+     * way for longer than the submission is tried. Submitted again under its operation id it is found, and made once.
+     */
+    @Test
+    void aWriteThatMayStillArriveIsUnsettledAndFoundByItsOperationIdLater() {
+        commit = Commit.EFFECT_AFTER_THE_DEADLINE;
+        assertThat(submit("one", 0, RecordKind.ACCOUNT, "acme", ACCOUNT).code())
+                .isEqualTo(ResultCode.SUBMISSION_UNSETTLED);
+        assertThat(commits).isEqualTo(1);
+        assertThat(table.commit(late.orElseThrow())).isTrue();
+        commit = Commit.ANSWERED;
+        SubmissionResult again = submit("one", 0, RecordKind.ACCOUNT, "acme", ACCOUNT);
+        assertThat(again.isAccepted()).isTrue();
+        assertThat(table.log()).containsExactly(again.entry().orElseThrow());
+    }
+
+    /*
+     * Failure: a change is made twice. The first write is still on its way while the operator submits the same operation
+     * again and succeeds; then the first write arrives.
+     */
+    @Test
+    void ofTwoWritesOfOneOperationOneTakesEffect() {
+        commit = Commit.EFFECT_AFTER_THE_DEADLINE;
+        submit("one", 0, RecordKind.ACCOUNT, "acme", ACCOUNT);
+        commit = Commit.ANSWERED;
+        assertThat(submit("one", 0, RecordKind.ACCOUNT, "acme", ACCOUNT).isAccepted())
+                .isTrue();
+        assertThat(table.commit(late.orElseThrow())).isFalse();
+        assertThat(table.log()).hasSize(1);
+    }
+
+    @Test
+    void aTableThatDoesNotAnswerIsNamedAndNothingIsWritten() {
+        commit = Commit.NO_EFFECT;
+        assertThat(submit("one", 0, RecordKind.ACCOUNT, "acme", ACCOUNT).code())
+                .isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        assertThat(table.head()).isZero();
+    }
+
+    @Test
+    void anOperationIdThatWasUsedForAnotherChangeIsRefused() {
+        prepare();
+        assertThat(submit("one", 4, RecordKind.ACCOUNT, "acme", "{'schemaVersion':1,'rate':9,'burst':9}")
+                        .code())
+                .isEqualTo(ResultCode.OPERATION_REUSED);
+        assertThat(submit("one", 4, RecordKind.ACCOUNT, "acme", ACCOUNT).isAccepted())
+                .isTrue();
+        assertThat(table.head()).isEqualTo(4);
+    }
+
+    /*
+     * Failure: a newer program stored a field that this one does not know, and an operator's change through this one loses
+     * it without a word.
+     */
+    @Test
+    void storedFieldsThatAreNotKnownHereAreKept() {
+        String newer = "{\"schemaVersion\":1,\"rate\":1,\"burst\":1,\"region\":\"west\"}";
+        RecordKey key = RecordKey.of(RecordKind.ACCOUNT, "acme");
+        store(new LogEntry(1, "newer", key, Optional.of(newer)));
+        SubmissionResult result = submit("change", 1, RecordKind.ACCOUNT, "acme", ACCOUNT.replace("1,'b", "2,'b"));
+        assertThat(result.entry().orElseThrow().body().orElseThrow()).contains("\"region\":\"west\"", "\"rate\":2");
+    }
+
+    @Test
+    void aStoredRecordOfANewerSchemaVersionIsNotOverwritten() {
+        RecordKey key = RecordKey.of(RecordKind.ACCOUNT, "acme");
+        store(new LogEntry(1, "newer", key, Optional.of("{\"schemaVersion\":99}")));
+        assertThat(submit("change", 1, RecordKind.ACCOUNT, "acme", ACCOUNT).code())
+                .isEqualTo(ResultCode.SCHEMA_VERSION_UNKNOWN);
+    }
+
+    private void store(LogEntry entry) {
+        table.commit(Transaction.empty()
+                .withWrite(ConfigurationRows.HEAD, ConfigurationRows.writeRevision(entry.revision()))
+                .withWrite(ConfigurationRows.record(entry.key()), ConfigurationRows.writeEntry(entry))
+                .withWrite(ConfigurationRows.log(entry.revision()), ConfigurationRows.writeEntry(entry)));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
+                    KEY        | other   | {'schemaVersion':1,'account':'nobody','digest':'%s'} | REFERENCE_DANGLING
+                    KEY        | other   | {'schemaVersion':1,'account':'acme','digest':'%s'}   | RECORD_INVALID
+                    ASSIGNMENT | other   | {'schemaVersion':1,'account':'acme','adapter':'no'}  | REFERENCE_DANGLING
+                    TARGET     | t       | {'schemaVersion':1,'failureDomain':'d','service':'no','checksFence':true} \
+                    | REFERENCE_DANGLING
+                    ACCOUNT    | acme    |                                                      | REFERENCE_DANGLING
+                    ADAPTER    | welder  |                                                      | REFERENCE_DANGLING
+                    ADAPTER    | unknown |                                                      | RECORD_UNKNOWN
+                    ACCOUNT    | other   | {'schemaVersion':1,'rate':1,'burst':1,'x':1}         | RECORD_INVALID
+                    ACCOUNT    | other   | {'schemaVersion':7}                                  | SCHEMA_VERSION_UNKNOWN
+                    ACCOUNT    | other   | [                                                    | RECORD_INVALID
+                    """)
+    void whatIsWrongIsRefusedAndChangesNothing(RecordKind kind, String name, String body, ResultCode code) {
+        prepare();
+        String filled = body == null ? null : body.replace("%s", "0".repeat(64));
+        assertThat(submit("five", 4, kind, name, filled).code()).isEqualTo(code);
+        assertThat(table.log()).extracting(LogEntry::operation).isEqualTo(List.of("one", "two", "three", "four"));
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionDaemon.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionDaemon.java
@@ -43,15 +43,20 @@
      */
     public static CompanionDaemon start(CompanionProcessSettings settings) throws IOException {
         AtomicReference<CompanionNode> started = new AtomicReference<>();
-        Foundation.RoleHello hello = new Foundation.RoleHello(
-                Optional.of(settings.target().name()),
-                () -> Optional.ofNullable(started.get()).map(CompanionNode::fence).orElse(0L));
+        Foundation.RoleHello hello =
+                new Foundation.RoleHello(Optional.of(settings.target().name()), () -> Optional.ofNullable(started.get())
+                        .map(CompanionNode::fence)
+                        .orElse(0L));
         Foundation foundation = Foundation.start(settings.foundation(), hello);
         CompanionNode node = CompanionNode.create(settings.companion(), parts(settings.target(), foundation));
         started.set(node);
         node.start();
         foundation.startManagement(node::reasonNotReady);
-        EventLog.write(EventCode.STARTING, "companion {} of {}", foundation.instance(), settings.target().name());
+        EventLog.write(
+                EventCode.STARTING,
+                "companion {} of {}",
+                foundation.instance(),
+                settings.target().name());
         return new CompanionDaemon(settings, foundation, node);
     }
 
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionProcessSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionProcessSettings.java
@@ -64,7 +64,11 @@
             @Setting(about = "The name of the target's record.") String name,
             @Setting(about = "What the target is.") Kind kind,
             @Setting(about = "Where the target is.") InetSocketAddress address,
-            @Setting(value = "2s", least = "10ms", greatest = "1m", about = "How long an order may take to be answered.")
+            @Setting(
+                            value = "2s",
+                            least = "10ms",
+                            greatest = "1m",
+                            about = "How long an order may take to be answered.")
                     Duration callLimit,
             @Setting(value = "60s", least = "100ms", greatest = "10m", about = "How long a load may take.")
                     Duration loadLimit,
--- a/daemon/src/main/java/org/geraniumreach/daemon/node/Foundation.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/node/Foundation.java
@@ -71,7 +71,8 @@
         this.incarnation = System.currentTimeMillis() * MICROS_IN_MILLI + random.nextInt((int) MICROS_IN_MILLI);
         this.linkSettings = settings.links().toLinkSettings();
         this.table = clients.tableService(
-                PlatformSettings.uri(settings.platform().table()), settings.platform().callLimit());
+                PlatformSettings.uri(settings.platform().table()),
+                settings.platform().callLimit());
         timer.setRemoveOnCancelPolicy(true);
     }
 
@@ -136,7 +137,8 @@
                 linkSettings, () -> hello(roleHello), (event, detail) -> EventLog.write(event, "{}", detail));
         links.listen(settings.node().link());
         InstanceList list = clients.instanceList(
-                PlatformSettings.uri(settings.platform().list()), settings.platform().callLimit());
+                PlatformSettings.uri(settings.platform().list()),
+                settings.platform().callLimit());
         membership = LinkedMembership.start(hello(roleHello), settings.membership(), list, links, clock);
         configuration = ReplicatedConfiguration.start(
                 instance, settings.configuration(), table, links, membership, clock, random);
@@ -234,7 +236,8 @@
      */
     public ObjectStore objects() {
         return clients.objectStore(
-                PlatformSettings.uri(settings.platform().objects()), settings.platform().callLimit());
+                PlatformSettings.uri(settings.platform().objects()),
+                settings.platform().callLimit());
     }
 
     /**
--- a/daemon/src/main/java/org/geraniumreach/daemon/node/LinkTuning.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/node/LinkTuning.java
@@ -32,7 +32,8 @@
                         greatest = "5m",
                         about = "How long an attempt waits for a new link to its companion.")
                 Duration resumeLimit,
-        @Setting(value = "4MiB", least = "64KiB", greatest = "64MiB", about = "The largest frame.") DataSize maximumFrame,
+        @Setting(value = "4MiB", least = "64KiB", greatest = "64MiB", about = "The largest frame.")
+                DataSize maximumFrame,
         @Setting(value = "2", least = "1", greatest = "64", about = "The event loops of links.") int threads) {
 
     LinkSettings toLinkSettings() {
--- a/model/src/main/java/org/geraniumreach/model/ResultCode.java
+++ b/model/src/main/java/org/geraniumreach/model/ResultCode.java
@@ -48,6 +48,8 @@
     REFERENCE_DANGLING(503, 422, "The record refers to, or is referred to by, another one that would be missing."),
     SCHEMA_VERSION_UNKNOWN(504, 422, "The record's schema version is newer than this instance knows."),
     SUBMISSION_UNSETTLED(505, 503, "Whether the submission took effect could not be found out yet."),
+    OPERATION_REUSED(506, 422, "The operation id was used for another change."),
+    ENTRY_UNREACHABLE(507, 503, "No entry could be reached by the command line; nothing was changed."),
     INTERNAL_ERROR(900, 500, "A fault of the system.");
 
     private final int number;
