--- a/demo.sh
+++ b/demo.sh
@@ -194,10 +194,10 @@
 }
 
 start_standins() {
-  start platform standins platform --port "$(port 0)"
-  start engines standins engine --ports "$(port 10),$(port 11)" --admin-port "$(port 18)" --weights "$(url 2)"
-  start engine-without-fence standins engine --ports "$(port 12)" --admin-port "$(port 19)" --weights "$(url 2)" --ignore-fence
-  start service standins service --ports "$(port 20)" --admin-port "$(port 29)"
+  start platform tools/standins.sh platform --port "$(port 0)"
+  start engines tools/standins.sh engine --ports "$(port 10),$(port 11)" --admin-port "$(port 18)" --weights "$(url 2)"
+  start engine-without-fence tools/standins.sh engine --ports "$(port 12)" --admin-port "$(port 19)" --weights "$(url 2)" --ignore-fence
+  start service tools/standins.sh service --ports "$(port 20)" --admin-port "$(port 29)"
   standins call --quiet --wait-seconds 30 "$(url 4)/admin/parts" "$(url 18)/admin/parts" "$(url 19)/admin/parts" "$(url 29)/admin/parts"
   standins call --quiet --post "$RUN/list.json" "$(url 4)/admin/instances?part=list"
 }
