Hold a given-up stream's pin until the engine can be told to stop it

The engine passes over a cancel that overtakes the start of its stream. The pin was then released and the stream ran on an adapter that could be evicted. A stream not yet heard of is now listened to until it is, or its order is no longer valid, before it is stopped.

A link on which nobody answers requests is closed, so that a request is not waited for in vain.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineAnswer.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineAnswer.java
@@ -83,6 +83,13 @@
          * @param failure why; its effect is NONE if the engine does not know the stream, not null
          */
         void broken(EngineAnswer answer, PlatformException failure);
+
+        /**
+         * Tells that a stream that was given up can be stopped at the engine now.
+         *
+         * @param answer the stream, not null
+         */
+        void stoppable(EngineAnswer answer);
     }
 
     QueuedRequest<CompanionAttempt> request() {
@@ -103,12 +110,12 @@
      * @param newStream the stream, not null
      */
     void attach(EngineStream newStream) {
-        boolean isCancelled;
+        boolean isOver;
         synchronized (this) {
             stream = newStream;
-            isCancelled = cancelled;
+            isOver = over;
         }
-        if (isCancelled) {
+        if (isOver) {
             newStream.detach();
             return;
         }
@@ -139,10 +146,9 @@
     }
 
     /** Listens no more. */
-    void cancel() {
+    void stopListening() {
         EngineStream listened;
         synchronized (this) {
-            cancelled = true;
             over = true;
             listened = stream;
         }
@@ -151,6 +157,23 @@
         }
     }
 
+    /**
+     * Gives the stream up. A cancel that overtakes the stream's start at the engine does nothing, and the stream would run
+     * on without a pin; so one that the engine has not been heard of yet is listened to until it is.
+     *
+     * @return true if the engine may be told to stop now, false if {@link Owner#stoppable} will tell when
+     */
+    boolean cancel() {
+        synchronized (this) {
+            cancelled = true;
+            if (!begun) {
+                return false;
+            }
+        }
+        stopListening();
+        return true;
+    }
+
     synchronized boolean isCancelled() {
         return cancelled;
     }
@@ -204,10 +227,17 @@
         attempt().open();
     }
 
-    private synchronized boolean isListening() {
-        begun = true;
-        isBroken = false;
-        return !over;
+    private boolean isListening() {
+        synchronized (this) {
+            begun = true;
+            isBroken = false;
+            if (over || !cancelled) {
+                return !over;
+            }
+        }
+        stopListening();
+        owner.stoppable(this);
+        return false;
     }
 
     @Override
@@ -254,14 +284,18 @@
     @Override
     public void failed(PlatformException failure) {
         boolean notStarted;
+        boolean isCancelled;
         synchronized (this) {
             if (over) {
                 return;
             }
             notStarted = failure.effect() == PlatformException.Effect.NONE && !begun && !resumed;
-            over = notStarted;
+            isCancelled = cancelled;
+            over = notStarted || isCancelled;
         }
-        if (notStarted) {
+        if (isCancelled && !notStarted) {
+            owner.stoppable(this);
+        } else if (notStarted) {
             owner.notStarted(this, failure);
         } else {
             owner.broken(this, failure);
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
@@ -51,6 +51,7 @@
     private final Outcomes outcomes;
     private final MonotonicClock clock;
     private final Duration resumeLimit;
+    private final Duration orderLimit;
     private final ExecutorService sends;
     private final ExecutorService loads;
     private final ScheduledExecutorService timer;
@@ -70,6 +71,7 @@
      * @param outcomes starts and ends attempts
      * @param clock the clock
      * @param resumeLimit how long a broken stream is asked for
+     * @param orderLimit how long an order may be carried out
      * @param sends runs short calls of the engine
      * @param loads runs loads
      * @param timer runs what is due later
@@ -84,6 +86,7 @@
             Outcomes outcomes,
             MonotonicClock clock,
             Duration resumeLimit,
+            Duration orderLimit,
             ExecutorService sends,
             ExecutorService loads,
             ScheduledExecutorService timer,
@@ -98,6 +101,7 @@
         this.outcomes = with.outcomes();
         this.clock = with.clock();
         this.resumeLimit = with.resumeLimit();
+        this.orderLimit = with.orderLimit();
         this.sends = with.sends();
         this.loads = with.loads();
         this.timer = with.timer();
@@ -271,7 +275,7 @@
                 answer.attempt().id(),
                 named,
                 served);
-        answer.cancel();
+        answer.stopListening();
         outcomes.refused(
                 answer.attempt(),
                 ServingException.of(
@@ -313,16 +317,11 @@
     @Override
     public void broken(EngineAnswer answer, PlatformException failure) {
         watch.invalidate();
-        if (failure.effect() == PlatformException.Effect.NONE) {
-            answer.cancel();
-            end(answer, 0, 0);
-            refuse(answer, ResultCode.ANSWER_INTERRUPTED, ranSoFar(answer), failure.getMessage());
-            return;
-        }
-        if (answer.isOverdue(clock.nanos(), resumeLimit)) {
-            answer.cancel();
+        boolean unknown = failure.effect() == PlatformException.Effect.NONE;
+        if (unknown || answer.isOverdue(clock.nanos(), resumeLimit)) {
+            answer.stopListening();
             refuse(answer, ResultCode.ANSWER_INTERRUPTED, ranSoFar(answer), failure.getMessage());
-            stop(answer);
+            stoppable(answer);
             return;
         }
         timer.schedule(() -> sends.execute(() -> resume(answer)), RETRY_MILLIS, TimeUnit.MILLISECONDS);
@@ -344,11 +343,22 @@
     @Override
     public void cancel(CompanionAttempt attempt) {
         EngineAnswer answer = running.get(attempt.id());
-        if (answer == null) {
-            return;
+        if (answer != null && answer.cancel()) {
+            stop(answer);
+        }
+    }
+
+    /**
+     * Stops a stream. One that was never heard of may still be on its way to the engine, and starts there as long as its
+     * order is valid; it is stopped after that, and holds its pin until then.
+     */
+    @Override
+    public void stoppable(EngineAnswer answer) {
+        if (answer.hasBegun()) {
+            stop(answer);
+        } else {
+            timer.schedule(() -> stop(answer), orderLimit.toNanos(), TimeUnit.NANOSECONDS);
         }
-        answer.cancel();
-        stop(answer);
     }
 
     /**
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/TargetStart.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/TargetStart.java
@@ -150,6 +150,7 @@
                 outcomes,
                 clock,
                 settings.orphanLimit(),
+                settings.orderLimit(),
                 sends,
                 work,
                 timer,
--- a/link/src/main/java/org/geraniumreach/link/LinkChannel.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkChannel.java
@@ -1,7 +1,9 @@
 package org.geraniumreach.link;
 
 import java.io.IOException;
+import java.util.EnumSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +31,8 @@
 final class LinkChannel extends SimpleChannelInboundHandler<Frame> implements Peer, LinkTable.Member {
 
     private static final int OLDEST_PROTOCOL = 1;
+    private static final Set<Frame.BodyCase> REQUESTS =
+            EnumSet.of(Frame.BodyCase.RUN, Frame.BodyCase.RESUME, Frame.BodyCase.CANCEL, Frame.BodyCase.SEAL);
 
     private final LinkSettings settings;
     private final HandlerRegistry handlers;
@@ -102,10 +106,20 @@
             case PONG -> health.pong(frame.getPong().getNumber());
             case HELLO -> refuse("a second Hello");
             case BODY_NOT_SET -> refuse("a frame of unknown type");
-            default -> handlers.of(frame.getBodyCase()).forEach(handler -> {
-                announce(handler);
-                guard(() -> handler.received(this, frame));
-            });
+            default -> handle(frame);
+        }
+    }
+
+    private void handle(Frame frame) {
+        List<FrameHandler> interested = handlers.of(frame.getBodyCase());
+        if (interested.isEmpty() && REQUESTS.contains(frame.getBodyCase())) {
+            // A request passed over in silence would be waited for until its deadline; a lost link is noticed.
+            close("nobody here answers a " + frame.getBodyCase());
+            return;
+        }
+        for (FrameHandler handler : interested) {
+            announce(handler);
+            guard(() -> handler.received(this, frame));
         }
     }
 
