--- a/link/src/main/java/org/geraniumreach/link/LinkNode.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkNode.java
@@ -20,16 +20,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.messages.Hello;
@@ -44,7 +39,6 @@
  */
 public final class LinkNode implements Links, AutoCloseable {
 
-    private static final int LENGTH_BYTES = 4;
     private static final int BACKLOG = 1024;
     private static final long CLOSE_SECONDS = 2;
 
@@ -117,13 +111,10 @@
 
         @Override
         protected void initChannel(Channel channel) {
-            ChannelPipeline pipeline = channel.pipeline();
-            pipeline.addLast(
-                    new LengthFieldBasedFrameDecoder(settings.maximumFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-            pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
-            pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
-            pipeline.addLast(new ProtobufEncoder());
-            pipeline.addLast(new LinkChannel(settings, handlers, new Ownership(expected), expected.isEmpty()));
+            LinkPipeline.set(
+                    channel.pipeline(),
+                    settings,
+                    new LinkChannel(settings, handlers, new Ownership(expected), expected.isEmpty()));
         }
     }
 
--- /dev/null
+++ b/link/src/main/java/org/geraniumreach/link/LinkPipeline.java
@@ -0,0 +1,30 @@
+package org.geraniumreach.link;
+
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import org.geraniumreach.messages.Frame;
+
+/**
+ * Sets up what a connection's bytes pass through.
+ *
+ * <p>A frame's length is checked before anything of the frame is kept, so a peer cannot make the process hold more than
+ * the greatest frame. Stateless and safe for use by several threads.
+ */
+final class LinkPipeline {
+
+    private static final int LENGTH_BYTES = 4;
+
+    private LinkPipeline() {}
+
+    static void set(ChannelPipeline pipeline, LinkSettings settings, LinkChannel link) {
+        pipeline.addLast(
+                new LengthFieldBasedFrameDecoder(settings.maximumFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
+        pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+        pipeline.addLast(new ProtobufEncoder());
+        pipeline.addLast(link);
+    }
+}
--- /dev/null
+++ b/link/src/test/java/org/geraniumreach/link/AttemptTrackerTest.java
@@ -0,0 +1,97 @@
+package org.geraniumreach.link;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.geraniumreach.messages.Refused;
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AttemptTrackerTest {
+
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+    private static final AttemptTracker.Limits LIMITS = new AttemptTracker.Limits(LIMIT, LIMIT, LIMIT);
+
+    private static AttemptTracker tracker(boolean repeatable) {
+        Run run = Run.newBuilder()
+                .setAttempt("attempt-1")
+                .setRepeatable(repeatable)
+                .setCredit(4)
+                .build();
+        return AttemptTracker.ofRun(run, 1, LIMITS, 0);
+    }
+
+    private static Refused refused(ResultCode code, Ran ran) {
+        return Refused.newBuilder().setCode(code.number()).setRan(ran.ordinal()).build();
+    }
+
+    private static Optional<Ran> told(List<AttemptAction> actions) {
+        for (AttemptAction action : actions) {
+            if (action instanceof AttemptAction.TellLost lost) {
+                return Optional.of(lost.ran());
+            }
+            if (action instanceof AttemptAction.TellRefused refused) {
+                return Optional.of(Ran.values()[refused.refused().getRan()]);
+            }
+        }
+        return Optional.empty();
+    }
+
+    @Test
+    void runThatNoLinkTookHasNotRun() {
+        assertThat(told(tracker(false).neverSent("no link"))).contains(Ran.NO);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void lossOfTheCompanionAfterSendingIsUnknown(boolean repeatable) {
+        // The link breaks after the Run was handed over and no new one opens. The Run may have arrived; "not run" could
+        // be false, and a booking would be sent again.
+        AttemptTracker tracker = tracker(repeatable);
+        tracker.start(0);
+        tracker.linkLost(1);
+        assertThat(told(tracker.tick(LIMIT.toNanos()))).isEmpty();
+        assertThat(told(tracker.tick(LIMIT.toNanos() + 2))).contains(Ran.UNKNOWN);
+    }
+
+    @Test
+    void restartOfTheCompanionIsUnknownForWhatMayNotBeRepeated() {
+        // The companion comes back as another process, which knows nothing of what the former one started.
+        AttemptTracker tracker = tracker(false);
+        tracker.start(0);
+        tracker.linkLost(1);
+        assertThat(told(tracker.linkOpened(2, 2))).contains(Ran.UNKNOWN);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, NO", "10000, NO", "10001, UNKNOWN"})
+    void notRunIsBelievedOnlyWhileTheCompanionStillKnows(long millis, Ran expected) {
+        // The companion answers a Resume that it does not know the attempt. It forgets after a time; an answer that
+        // took
+        // long may come from a companion that ran the attempt and forgot it.
+        AttemptTracker tracker = tracker(false);
+        tracker.start(0);
+        tracker.linkLost(1);
+        tracker.linkOpened(1, 1);
+        long now = Duration.ofMillis(millis).toNanos() + 1;
+        assertThat(told(tracker.refused(refused(ResultCode.NOT_RUN, Ran.NO), now)))
+                .contains(expected);
+    }
+
+    @Test
+    void longWaitInTheQueueIsNotTakenForForgetting() {
+        AttemptTracker tracker = tracker(false);
+        tracker.start(0);
+        long now = Duration.ofMinutes(5).toNanos();
+        assertThat(told(tracker.refused(refused(ResultCode.LOAD_FAILED, Ran.NO), now)))
+                .contains(Ran.NO);
+    }
+}
--- /dev/null
+++ b/link/src/test/java/org/geraniumreach/link/TestNode.java
@@ -0,0 +1,101 @@
+package org.geraniumreach.link;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.InstanceId;
+
+/** A link node with what it has seen. */
+final class TestNode implements FrameHandler, AutoCloseable {
+
+    private static final Duration GENEROUS = Duration.ofSeconds(30);
+
+    final InstanceId instance;
+    final LinkNode node;
+    final InetSocketAddress address;
+    final List<EventCode> events = new CopyOnWriteArrayList<>();
+    final List<Frame> received = new CopyOnWriteArrayList<>();
+    final List<Peer> opened = new CopyOnWriteArrayList<>();
+    final List<String> closed = new CopyOnWriteArrayList<>();
+
+    private TestNode(String name, long incarnation, LinkSettings settings) throws IOException {
+        instance = InstanceId.of(name);
+        Hello hello = Hello.newBuilder()
+                .setProtocolVersion(1)
+                .setInstance(name)
+                .setIncarnation(incarnation)
+                .build();
+        node = LinkNode.create(settings, () -> hello, (event, detail) -> events.add(event));
+        node.handle(EnumSet.allOf(Frame.BodyCase.class), this);
+        address = node.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    static TestNode start(String name, long incarnation) throws IOException {
+        return new TestNode(name, incarnation, quick());
+    }
+
+    static LinkSettings quick() {
+        LinkSettings defaults = LinkSettings.defaults();
+        return new LinkSettings(
+                defaults.connectLimit(),
+                Duration.ofMillis(200),
+                Duration.ofMillis(50),
+                defaults.unansweredPings(),
+                Duration.ofMillis(5),
+                Duration.ofMillis(50),
+                64 * 1024,
+                defaults.writeBufferLow(),
+                defaults.writeBufferHigh(),
+                1,
+                defaults.resumeLimit(),
+                defaults.answerLimit(),
+                defaults.deadlineGrace());
+    }
+
+    boolean isLinkedWith(TestNode other) {
+        return node.find(other.instance).isPresent();
+    }
+
+    @Override
+    public void opened(Peer peer) {
+        opened.add(peer);
+    }
+
+    @Override
+    public void received(Peer peer, Frame frame) {
+        received.add(frame);
+    }
+
+    @Override
+    public void closed(Peer peer, String reason) {
+        closed.add(reason);
+    }
+
+    static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + GENEROUS.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("waited in vain for " + GENEROUS);
+            }
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException stopped) {
+                throw new AssertionError(stopped);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        node.close();
+    }
+}
