Name what a stream runs on in its first line at the stand-in engine

Ruled out: the engine's client (directly, a token came each 8 ms) and the entry's writing (each part is flushed). A companion passes nothing on before the engine has said what it runs, and the stand-in said it only at the end.

A stream that fails is also told of without a demand for chunks.

--- a/standins/src/main/java/org/geraniumreach/standins/engine/EngineStream.java
+++ b/standins/src/main/java/org/geraniumreach/standins/engine/EngineStream.java
@@ -109,6 +109,12 @@
                 .append("\",\"tokens\":1}\n");
     }
 
+    byte[] firstLine() {
+        ObjectNode json = Call.JSON.createObjectNode();
+        json.putObject("start").put("adapter", served.adapter()).put("version", served.version());
+        return (json + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+
     byte[] lastLine() {
         ObjectNode json = Call.JSON.createObjectNode();
         if (outcome == Outcome.ENDED) {
--- a/standins/src/main/java/org/geraniumreach/standins/engine/StreamReader.java
+++ b/standins/src/main/java/org/geraniumreach/standins/engine/StreamReader.java
@@ -36,9 +36,9 @@
         return sink.isOpen();
     }
 
-    /** Sends a first empty line, so that the caller knows that its stream is taken. */
+    /** Sends the first line, so that the caller knows that its stream is taken, and what it runs on. */
     synchronized void begin() {
-        sink.write(HEARTBEAT);
+        sink.write(stream.firstLine());
     }
 
     /** Sends what is there and can be sent. */
--- a/standins/src/test/java/org/geraniumreach/standins/EnginePartTest.java
+++ b/standins/src/test/java/org/geraniumreach/standins/EnginePartTest.java
@@ -161,10 +161,13 @@
     }
 
     @Test
-    void aWrongVersionIsToldByTheEnd() throws Exception {
+    void aWrongVersionIsToldBeforeTheFirstChunkAndByTheEnd() throws Exception {
         part.server().show(faults("{\"wrongVersion\":true,\"path\":\"/v1/streams\"}"));
         RecordingListener listener = new RecordingListener();
-        engine.generate(generation("wrong"), ORDER, listener).request(1000);
+        EngineStream stream = engine.generate(generation("wrong"), ORDER, listener);
+        assertThat(listener.served.get(30, TimeUnit.SECONDS)).isNotEqualTo(ADAPTER);
+        assertThat(listener.sequences).isEmpty();
+        stream.request(1000);
         GenerationEnd end = listener.end.get(30, TimeUnit.SECONDS);
         assertThat(end.served()).isNotEqualTo(ADAPTER);
         assertThat(listener.text.toString())
--- a/standins/src/test/java/org/geraniumreach/standins/RecordingListener.java
+++ b/standins/src/test/java/org/geraniumreach/standins/RecordingListener.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
+import org.geraniumreach.model.AdapterReference;
 import org.geraniumreach.platform.ModelEngine.EngineListener;
 import org.geraniumreach.platform.ModelEngine.GenerationEnd;
 import org.geraniumreach.platform.PlatformException;
@@ -13,8 +14,14 @@
 
     final List<Long> sequences = new ArrayList<>();
     final StringBuffer text = new StringBuffer();
+    final CompletableFuture<AdapterReference> served = new CompletableFuture<>();
     final CompletableFuture<GenerationEnd> end = new CompletableFuture<>();
 
+    @Override
+    public void started(AdapterReference newServed) {
+        served.complete(newServed);
+    }
+
     @Override
     public synchronized void chunk(long sequence, String chunk, int tokens) {
         sequences.add(sequence);
