--- a/demo.sh
+++ b/demo.sh
@@ -28,6 +28,7 @@
 digest() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
 say() { printf '%s\n' "== $*"; }
 
+# The command replaces the shell that runs it, so that the id kept is that of the process to end.
 start() { # log name, command
   local log=$RUN/$1.log
   shift
@@ -35,6 +36,16 @@
   STARTED+=($!)
 }
 
+require_running() {
+  local id
+  for id in "${STARTED[@]}"; do
+    if ! kill -0 "$id" 2>/dev/null; then
+      echo "a process ended early; its log is in $RUN (is a port from $PORT on taken?)" >&2
+      exit 1
+    fi
+  done
+}
+
 # Ends what was started, the processes of the system first, and waits for each.
 finish() {
   local code=$? index
@@ -199,6 +210,7 @@
   start engine-without-fence tools/standins.sh engine --ports "$(port 12)" --admin-port "$(port 19)" --weights "$(url 2)" --ignore-fence
   start service tools/standins.sh service --ports "$(port 20)" --admin-port "$(port 29)"
   standins call --quiet --wait-seconds 30 "$(url 4)/admin/parts" "$(url 18)/admin/parts" "$(url 19)/admin/parts" "$(url 29)/admin/parts"
+  require_running
   standins call --quiet --post "$RUN/list.json" "$(url 4)/admin/instances?part=list"
 }
 
@@ -258,8 +270,10 @@
 control submit "$RUN/records.yaml" >"$RUN/submit.log"
 standins call --quiet --wait-seconds 60 "$(url 51)/readyz" "$(url 52)/readyz" \
   "$(url 81)/readyz" "$(url 82)/readyz" "$(url 83)/readyz" "$(url 84)/readyz"
+require_running
 say "sending a mix for $SECONDS_OF_LOAD s; sabarmati-reports sends several times its rate"
 standins load --settings "$RUN/load.yaml" --out "$RUN/result.json"
+require_running
 say "every answer was whole and from the adapter and version named, and each booking ran once"
 if $KEEP; then
   try_by_hand
