--- /dev/null
+++ b/integration/src/test/java/org/geraniumreach/integration/Caller.java
@@ -0,0 +1,181 @@
+package org.geraniumreach.integration;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.standins.answer.ExpectedAnswer;
+
+/** A caller that knows nothing of the system but the OpenAI conventions. Immutable and safe for use by several threads. */
+final class Caller {
+
+    private static final Duration LIMIT = Duration.ofSeconds(60);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String DATA = "data: ";
+
+    private final int port;
+    private final String key;
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    Caller(int port, String key) {
+        this.port = port;
+        this.key = key;
+    }
+
+    /**
+     * What a caller got.
+     *
+     * @param status the HTTP status, 0 if the connection broke off
+     * @param body the body of a whole answer or refusal
+     * @param text the text of a generation as far as it came
+     * @param whole whether the answer came to its end
+     * @param error the error's code, 0 if there was none
+     * @param ran what the error says of whether it ran
+     */
+    record Reply(int status, String body, String text, boolean whole, int error, String ran) {}
+
+    /** A stream that is being read. */
+    record Streaming(CompletableFuture<Reply> reply, CountDownLatch begun) {}
+
+    Reply book(String idempotencyKey, String body) throws InterruptedException {
+        HttpRequest request = request("/v1/services/cards/book", body)
+                .header("Idempotency-Key", idempotencyKey)
+                .build();
+        try {
+            HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+            return replyOf(response.statusCode(), response.body());
+        } catch (IOException brokeOff) {
+            return new Reply(0, "", "", false, 0, "unknown");
+        }
+    }
+
+    Reply complete(String model, String prompt, int tokens) throws InterruptedException {
+        try {
+            HttpResponse<String> response = client.send(
+                    request("/v1/completions", completion(model, prompt, tokens, false))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            Reply reply = replyOf(response.statusCode(), response.body());
+            String text =
+                    read(response.body()).path("choices").path(0).path("text").asText();
+            return new Reply(reply.status(), reply.body(), text, reply.status() == 200, reply.error(), reply.ran());
+        } catch (IOException brokeOff) {
+            return new Reply(0, "", "", false, 0, "unknown");
+        }
+    }
+
+    Streaming stream(String model, String prompt, int tokens) {
+        CountDownLatch begun = new CountDownLatch(1);
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        Thread reader = new Thread(() -> reply.complete(readStream(model, prompt, tokens, begun)), "caller");
+        reader.setDaemon(true);
+        reader.start();
+        return new Streaming(reply, begun);
+    }
+
+    private Reply readStream(String model, String prompt, int tokens, CountDownLatch begun) {
+        StringBuilder text = new StringBuilder();
+        try {
+            HttpResponse<InputStream> response = client.send(
+                    request("/v1/completions", completion(model, prompt, tokens, true))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofInputStream());
+            if (response.statusCode() != 200) {
+                return replyOf(
+                        response.statusCode(), new String(response.body().readAllBytes(), StandardCharsets.UTF_8));
+            }
+            return readEvents(response.body(), text, begun);
+        } catch (IOException brokeOff) {
+            return new Reply(0, "", text.toString(), false, 0, "unknown");
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return new Reply(0, "", text.toString(), false, 0, "unknown");
+        }
+    }
+
+    private static Reply readEvents(InputStream input, StringBuilder text, CountDownLatch begun) throws IOException {
+        BufferedReader lines = new BufferedReader(new InputStreamReader(input, StandardCharsets.UTF_8));
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            if (!line.startsWith(DATA)) {
+                continue;
+            }
+            String data = line.substring(DATA.length());
+            if (data.equals("[DONE]")) {
+                return new Reply(200, "", text.toString(), true, 0, "yes");
+            }
+            JsonNode event = read(data);
+            if (event.has("error")) {
+                Reply error = replyOf(200, data);
+                return new Reply(200, data, text.toString(), false, error.error(), error.ran());
+            }
+            text.append(event.path("choices").path(0).path("text").asText());
+            begun.countDown();
+        }
+        return new Reply(200, "", text.toString(), false, 0, "unknown");
+    }
+
+    /** Gets the text that an adapter and version must give. */
+    static String expected(String model, String prompt, int tokens) {
+        return answer(model, prompt).text(tokens);
+    }
+
+    /** Finds a prompt whose answer does not end before its limit. */
+    static String promptFor(String model, int tokens) {
+        for (int number = 0; ; number++) {
+            String prompt = "Summarise fault note " + number;
+            if (answer(model, prompt).length(tokens) == tokens) {
+                return prompt;
+            }
+        }
+    }
+
+    private static ExpectedAnswer answer(String model, String prompt) {
+        return ExpectedAnswer.of(AdapterReference.parse(model).orElseThrow(), prompt);
+    }
+
+    private static String completion(String model, String prompt, int tokens, boolean streamed) {
+        return MAPPER.createObjectNode()
+                .put("model", model)
+                .put("prompt", prompt)
+                .put("max_tokens", tokens)
+                .put("stream", streamed)
+                .toString();
+    }
+
+    private HttpRequest.Builder request(String path, String body) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(LIMIT)
+                .header("Authorization", "Bearer " + key)
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    private static Reply replyOf(int status, String body) throws IOException {
+        JsonNode error = read(body).path("error");
+        return new Reply(
+                status,
+                body,
+                "",
+                status == 200,
+                error.path("code").asInt(),
+                error.path("ran").asText("yes"));
+    }
+
+    private static JsonNode read(String body) throws IOException {
+        JsonNode node = MAPPER.readTree(body);
+        return node == null ? MAPPER.missingNode() : node;
+    }
+}
--- a/standins/src/main/java/org/geraniumreach/standins/engine/StreamReader.java
+++ b/standins/src/main/java/org/geraniumreach/standins/engine/StreamReader.java
@@ -36,7 +36,7 @@
         return sink.isOpen();
     }
 
-    /** Sends a first line, so that the caller knows that its stream is taken, and on which adapter it runs. */
+    /** Sends the first line, so that the caller knows that its stream is taken, and what it runs on. */
     synchronized void begin() {
         sink.write(stream.firstLine());
     }
