--- a/coordination/src/test/java/org/geraniumreach/coordination/SimulatedTable.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/SimulatedTable.java
@@ -14,7 +14,6 @@
 
     private final TreeMap<String, Row> rows = new TreeMap<>();
     private final List<Transaction> delayed = new ArrayList<>();
-    private long lastVersion;
 
     private static String textOf(RowKey key) {
         return key.table() + " " + key.key();
@@ -43,14 +42,14 @@
     }
 
     private void apply(Transaction.Write write) {
-        lastVersion++;
         if (write.value().isEmpty()) {
             rows.remove(textOf(write.key()));
             return;
         }
+        // A row that was deleted and written again begins anew, as a table service may do it.
+        long version = read(write.key()).map(Row::version).orElse(0L) + 1;
         rows.put(
-                textOf(write.key()),
-                new Row(write.key(), lastVersion, write.value().get()));
+                textOf(write.key()), new Row(write.key(), version, write.value().get()));
     }
 
     /** Keeps a commit back until it is let through. */
--- a/coordination/src/test/java/org/geraniumreach/coordination/budget/BudgetWorld.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/budget/BudgetWorld.java
@@ -156,7 +156,7 @@
 
     void readList(int choice, int lagMillis) {
         if (entry(choice).acts()) {
-            entry(choice).readList(listAt(now - lagMillis * MILLI), 0);
+            entry(choice).readList(listAt(now - lagMillis * MILLI));
         }
     }
 
@@ -239,7 +239,8 @@
     void settleDown() {
         for (SimulatedEntry entry : List.copyOf(entries)) {
             if (entry.acts()) {
-                entry.readList(listAt(now - LIST_LAG_MILLIS * MILLI / 2), 0);
+                entry.readList(listAt(now - LIST_LAG_MILLIS * MILLI / 2));
+                entry.readList(listAt(now - LIST_LAG_MILLIS * MILLI / 2));
                 entry.storeLoop(storeReachable);
                 entry.wake();
             }
--- a/coordination/src/test/java/org/geraniumreach/coordination/budget/SimulatedEntry.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/budget/SimulatedEntry.java
@@ -29,6 +29,7 @@
     private Optional<StoreCall> call = Optional.empty();
 
     private Optional<Runnable> answer = Optional.empty();
+    private Optional<Runnable> reading = Optional.empty();
     private long lastTicket;
 
     SimulatedEntry(BudgetWorld world, HolderId id, BudgetPolicy policy, int driftPartsPerMillion) {
@@ -71,8 +72,11 @@
         carryOut(core.wake(ACCOUNT));
     }
 
-    void readList(Set<HolderId.ListedHolder> listed, long askedAgo) {
-        core.listed(listed, clock() - askedAgo);
+    /** Asks for the list, and takes the answer to the asking before. */
+    void readList(Set<HolderId.ListedHolder> listed) {
+        reading.ifPresent(Runnable::run);
+        long askedAt = clock();
+        reading = Optional.of(() -> core.listed(listed, askedAt));
     }
 
     void receive(InstanceId peer, Object message) {
