Give an attempt a time after which its companion must not start it

A sender that is frozen after it decided to send can write the frame when the companion has forgotten that the attempt was sealed and another one ran in its place; a check at the sender cannot see that. Ruled out: to have the companion say that a late attempt has not run, as the frame may be the second copy of one that has run and is forgotten (the fuzzer found this). The companion's check is still to be added to the daemon.

--- a/coordination/src/main/java/org/geraniumreach/coordination/ledger/LedgerAction.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/ledger/LedgerAction.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.coordination.ledger;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 
 import org.geraniumreach.model.AttemptId;
@@ -42,8 +43,10 @@
      *
      * @param attempt the attempt
      * @param companion the only start of a companion that may run it
+     * @param notAfter the time of day after which the companion must refuse it as not run: the sender may be frozen on the
+     *     way for so long that the companion has forgotten that the attempt was sealed
      */
-    record Send(AttemptId attempt, Companion companion) implements LedgerAction {}
+    record Send(AttemptId attempt, Companion companion, Instant notAfter) implements LedgerAction {}
 
     /**
      * Ask that the attempt never start if it has not; answered by {@code sealed}.
--- a/coordination/src/main/java/org/geraniumreach/coordination/ledger/LedgerCall.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/ledger/LedgerCall.java
@@ -160,7 +160,8 @@
         step = Step.SENT;
         resumed = false;
         unsent.remove(row.attempt());
-        return new LedgerAction.Send(row.attempt(), row.companion());
+        return new LedgerAction.Send(
+                row.attempt(), row.companion(), row.created().plus(policy.sendLimit()));
     }
 
     private LedgerAction recorded() {
--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/CallRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/CallRunner.java
@@ -129,6 +129,7 @@
                 .setAttempt(send.attempt().value())
                 .setCompanionIncarnation(companion.incarnation())
                 .setRepeatable(false)
+                .setNotAfterMillis(send.notAfter().toEpochMilli())
                 .setCredit(AnswerCollector.CREDIT)
                 .build();
         AnswerCollector collector = new AnswerCollector(settings.largestAnswer().bytes(), this::ended);
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -194,7 +194,7 @@
       "(\003\022\026\n\016failure_domain\030\005 \001(\t\022\016\n\006target\030\006 \001" +
       "(\t\022\r\n\005fence\030\007 \001(\003\022\020\n\010revision\030\010 \001(\003\"\026\n\004P" +
       "ing\022\016\n\006number\030\001 \001(\003\"\026\n\004Pong\022\016\n\006number\030\001 " +
-      "\001(\003\"\332\002\n\003Run\022\017\n\007attempt\030\001 \001(\t\022\034\n\024deadline" +
+      "\001(\003\"\364\002\n\003Run\022\017\n\007attempt\030\001 \001(\t\022\034\n\024deadline" +
       "_left_millis\030\002 \001(\003\022\017\n\007account\030\003 \001(\t\022\022\n\nk" +
       "ey_digest\030\004 \001(\014\022\017\n\007adapter\030\005 \001(\t\022\017\n\007vers" +
       "ion\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\021\n\toperation\030" +
@@ -202,67 +202,67 @@
       "\001(\005\022\020\n\010priority\030\013 \001(\005\022\022\n\nrepeatable\030\014 \001(" +
       "\010\022\035\n\025companion_incarnation\030\r \001(\003\022\020\n\010revi" +
       "sion\030\016 \001(\003\022\025\n\rprompt_tokens\030\017 \001(\003\022\025\n\rpre" +
-      "fix_digest\030\020 \001(\014\022\016\n\006credit\030\021 \001(\005\":\n\010Acce" +
-      "pted\022\017\n\007attempt\030\001 \001(\t\022\035\n\025companion_incar" +
-      "nation\030\002 \001(\003\"K\n\005Chunk\022\017\n\007attempt\030\001 \001(\t\022\020" +
-      "\n\010sequence\030\002 \001(\003\022\017\n\007payload\030\003 \001(\014\022\016\n\006tok" +
-      "ens\030\004 \001(\005\"\316\001\n\003End\022\017\n\007attempt\030\001 \001(\t\022\r\n\005co" +
-      "unt\030\002 \001(\003\022\025\n\rprompt_tokens\030\003 \001(\005\022\030\n\020gene" +
-      "rated_tokens\030\004 \001(\005\022\017\n\007adapter\030\005 \001(\t\022\017\n\007v" +
-      "ersion\030\006 \001(\t\022\025\n\rfinish_reason\030\007 \001(\t\022\024\n\014q" +
-      "ueue_micros\030\010 \001(\003\022\023\n\013load_micros\030\t \001(\003\022\022" +
-      "\n\nprefix_hit\030\n \001(\010\"b\n\007Refused\022\017\n\007attempt" +
-      "\030\001 \001(\t\022\014\n\004code\030\002 \001(\005\022\017\n\007message\030\003 \001(\t\022\013\n" +
-      "\003ran\030\004 \001(\005\022\032\n\022retry_after_millis\030\005 \001(\003\"=" +
-      "\n\006Cancel\022\017\n\007attempt\030\001 \001(\t\022\016\n\006reason\030\002 \001(" +
-      "\t\022\022\n\nage_millis\030\003 \001(\003\"\354\001\n\006Resume\022\017\n\007atte" +
-      "mpt\030\001 \001(\t\022\025\n\rnext_sequence\030\002 \001(\003\022\016\n\006cred" +
-      "it\030\003 \001(\005\022\022\n\nage_millis\030\004 \001(\003\022\035\n\025companio" +
-      "n_incarnation\030\005 \001(\003\022\017\n\007account\030\006 \001(\t\022\022\n\n" +
-      "key_digest\030\007 \001(\014\022\017\n\007adapter\030\010 \001(\t\022\017\n\007ver" +
-      "sion\030\t \001(\t\022\022\n\nrepeatable\030\n \001(\010\022\034\n\024deadli" +
-      "ne_left_millis\030\013 \001(\003\"E\n\013Acknowledge\022\017\n\007a" +
-      "ttempt\030\001 \001(\t\022\025\n\rnext_sequence\030\002 \001(\003\022\016\n\006c" +
-      "redit\030\003 \001(\005\"J\n\004Seal\022\017\n\007attempt\030\001 \001(\t\022\035\n\025" +
-      "companion_incarnation\030\002 \001(\003\022\022\n\nage_milli" +
-      "s\030\003 \001(\003\"G\n\006Sealed\022\017\n\007attempt\030\001 \001(\t\022\r\n\005st" +
-      "ate\030\002 \001(\005\022\035\n\025companion_incarnation\030\003 \001(\003" +
-      "\"\252\002\n\006Status\022\020\n\010sequence\030\001 \001(\003\022\016\n\006target\030" +
-      "\002 \001(\t\022\017\n\007running\030\003 \001(\005\022\016\n\006queued\030\004 \001(\005\022\025" +
-      "\n\rqueued_tokens\030\005 \001(\003\022\031\n\021concurrency_lim" +
-      "it\030\006 \001(\005\022\r\n\005slots\030\007 \001(\005\022\020\n\010complete\030\010 \001(" +
-      "\010\022\020\n\010resident\030\t \003(\t\022\017\n\007removed\030\n \003(\t\022\017\n\007" +
-      "loading\030\013 \003(\t\022\032\n\022engine_incarnation\030\014 \001(" +
-      "\003\022\020\n\010draining\030\r \001(\010\022\r\n\005fence\030\016 \001(\003\022\031\n\021to" +
-      "kens_per_second\030\017 \001(\001\"P\n\021ConfigurationNe" +
-      "ws\022-\n\007entries\030\001 \003(\0132\034.geraniumreach.link" +
-      ".LogEntry\022\014\n\004head\030\002 \001(\003\"l\n\010LogEntry\022\020\n\010r" +
-      "evision\030\001 \001(\003\022\021\n\toperation\030\002 \001(\t\022\014\n\004kind" +
-      "\030\003 \001(\t\022\014\n\004name\030\004 \001(\t\022\021\n\twithdrawn\030\005 \001(\010\022" +
-      "\014\n\004body\030\006 \001(\t\"(\n\017SnapshotRequest\022\025\n\rhave" +
-      "_revision\030\001 \001(\003\"m\n\014SnapshotPart\022\020\n\010revis" +
-      "ion\030\001 \001(\003\022\r\n\005index\030\002 \001(\005\022\r\n\005parts\030\003 \001(\005\022" +
-      "-\n\007entries\030\004 \003(\0132\034.geraniumreach.link.Lo" +
-      "gEntry\"\250\001\n\013LoanRequest\022\016\n\006number\030\001 \001(\003\022\017" +
-      "\n\007account\030\002 \001(\t\022\025\n\rtokens_wanted\030\003 \001(\003\022\024" +
-      "\n\014share_wanted\030\004 \001(\003\022\027\n\017duration_millis\030" +
-      "\005 \001(\003\022\016\n\006demand\030\006 \001(\003\022\022\n\nshare_held\030\007 \001(" +
-      "\003\022\016\n\006holder\030\010 \001(\t\"e\n\nLoanAnswer\022\016\n\006numbe" +
-      "r\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\003" +
-      "\022\r\n\005share\030\004 \001(\003\022\027\n\017duration_millis\030\005 \001(\003" +
-      "\"\205\002\n\tFreshness\022\020\n\010instance\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\003\022\020\n\010revision\030\003 \001(\003\022\034\n\024confi" +
-      "rmed_age_millis\030\004 \001(\003\022\027\n\017store_reachable" +
-      "\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\022\030\n\020heard_age_milli" +
-      "s\030\007 \003(\003\022\030\n\020highest_revision\030\010 \001(\003\022\r\n\005sta" +
-      "mp\030\t \001(\003\022\016\n\006echoes\030\n \001(\010\022\014\n\004echo\030\013 \001(\003\022\030" +
-      "\n\020echo_held_millis\030\014 \001(\003\"U\n\010LoadNews\022\016\n\006" +
-      "target\030\001 \001(\t\022\022\n\nin_transit\030\002 \001(\005\022\017\n\007wait" +
-      "ing\030\003 \001(\005\022\024\n\014waiting_work\030\004 \001(\003\"\035\n\nShare" +
-      "Moved\022\017\n\007account\030\001 \001(\t\"0\n\007Leaving\022\020\n\010ins" +
-      "tance\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003B)\n\032org." +
-      "geraniumreach.messagesB\tLinkProtoP\001b\006pro" +
-      "to3"
+      "fix_digest\030\020 \001(\014\022\016\n\006credit\030\021 \001(\005\022\030\n\020not_" +
+      "after_millis\030\022 \001(\003\":\n\010Accepted\022\017\n\007attemp" +
+      "t\030\001 \001(\t\022\035\n\025companion_incarnation\030\002 \001(\003\"K" +
+      "\n\005Chunk\022\017\n\007attempt\030\001 \001(\t\022\020\n\010sequence\030\002 \001" +
+      "(\003\022\017\n\007payload\030\003 \001(\014\022\016\n\006tokens\030\004 \001(\005\"\316\001\n\003" +
+      "End\022\017\n\007attempt\030\001 \001(\t\022\r\n\005count\030\002 \001(\003\022\025\n\rp" +
+      "rompt_tokens\030\003 \001(\005\022\030\n\020generated_tokens\030\004" +
+      " \001(\005\022\017\n\007adapter\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\025" +
+      "\n\rfinish_reason\030\007 \001(\t\022\024\n\014queue_micros\030\010 " +
+      "\001(\003\022\023\n\013load_micros\030\t \001(\003\022\022\n\nprefix_hit\030\n" +
+      " \001(\010\"b\n\007Refused\022\017\n\007attempt\030\001 \001(\t\022\014\n\004code" +
+      "\030\002 \001(\005\022\017\n\007message\030\003 \001(\t\022\013\n\003ran\030\004 \001(\005\022\032\n\022" +
+      "retry_after_millis\030\005 \001(\003\"=\n\006Cancel\022\017\n\007at" +
+      "tempt\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\022\n\nage_milli" +
+      "s\030\003 \001(\003\"\354\001\n\006Resume\022\017\n\007attempt\030\001 \001(\t\022\025\n\rn" +
+      "ext_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022\n\nag" +
+      "e_millis\030\004 \001(\003\022\035\n\025companion_incarnation\030" +
+      "\005 \001(\003\022\017\n\007account\030\006 \001(\t\022\022\n\nkey_digest\030\007 \001" +
+      "(\014\022\017\n\007adapter\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\022\n\n" +
+      "repeatable\030\n \001(\010\022\034\n\024deadline_left_millis" +
+      "\030\013 \001(\003\"E\n\013Acknowledge\022\017\n\007attempt\030\001 \001(\t\022\025" +
+      "\n\rnext_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\"J\n" +
+      "\004Seal\022\017\n\007attempt\030\001 \001(\t\022\035\n\025companion_inca" +
+      "rnation\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\"G\n\006Sea" +
+      "led\022\017\n\007attempt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022\035\n\025c" +
+      "ompanion_incarnation\030\003 \001(\003\"\252\002\n\006Status\022\020\n" +
+      "\010sequence\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007runni" +
+      "ng\030\003 \001(\005\022\016\n\006queued\030\004 \001(\005\022\025\n\rqueued_token" +
+      "s\030\005 \001(\003\022\031\n\021concurrency_limit\030\006 \001(\005\022\r\n\005sl" +
+      "ots\030\007 \001(\005\022\020\n\010complete\030\010 \001(\010\022\020\n\010resident\030" +
+      "\t \003(\t\022\017\n\007removed\030\n \003(\t\022\017\n\007loading\030\013 \003(\t\022" +
+      "\032\n\022engine_incarnation\030\014 \001(\003\022\020\n\010draining\030" +
+      "\r \001(\010\022\r\n\005fence\030\016 \001(\003\022\031\n\021tokens_per_secon" +
+      "d\030\017 \001(\001\"P\n\021ConfigurationNews\022-\n\007entries\030" +
+      "\001 \003(\0132\034.geraniumreach.link.LogEntry\022\014\n\004h" +
+      "ead\030\002 \001(\003\"l\n\010LogEntry\022\020\n\010revision\030\001 \001(\003\022" +
+      "\021\n\toperation\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004name" +
+      "\030\004 \001(\t\022\021\n\twithdrawn\030\005 \001(\010\022\014\n\004body\030\006 \001(\t\"" +
+      "(\n\017SnapshotRequest\022\025\n\rhave_revision\030\001 \001(" +
+      "\003\"m\n\014SnapshotPart\022\020\n\010revision\030\001 \001(\003\022\r\n\005i" +
+      "ndex\030\002 \001(\005\022\r\n\005parts\030\003 \001(\005\022-\n\007entries\030\004 \003" +
+      "(\0132\034.geraniumreach.link.LogEntry\"\250\001\n\013Loa" +
+      "nRequest\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(" +
+      "\t\022\025\n\rtokens_wanted\030\003 \001(\003\022\024\n\014share_wanted" +
+      "\030\004 \001(\003\022\027\n\017duration_millis\030\005 \001(\003\022\016\n\006deman" +
+      "d\030\006 \001(\003\022\022\n\nshare_held\030\007 \001(\003\022\016\n\006holder\030\010 " +
+      "\001(\t\"e\n\nLoanAnswer\022\016\n\006number\030\001 \001(\003\022\017\n\007acc" +
+      "ount\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\003\022\r\n\005share\030\004 \001(" +
+      "\003\022\027\n\017duration_millis\030\005 \001(\003\"\205\002\n\tFreshness" +
+      "\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022" +
+      "\020\n\010revision\030\003 \001(\003\022\034\n\024confirmed_age_milli" +
+      "s\030\004 \001(\003\022\027\n\017store_reachable\030\005 \001(\010\022\r\n\005hear" +
+      "d\030\006 \003(\t\022\030\n\020heard_age_millis\030\007 \003(\003\022\030\n\020hig" +
+      "hest_revision\030\010 \001(\003\022\r\n\005stamp\030\t \001(\003\022\016\n\006ec" +
+      "hoes\030\n \001(\010\022\014\n\004echo\030\013 \001(\003\022\030\n\020echo_held_mi" +
+      "llis\030\014 \001(\003\"U\n\010LoadNews\022\016\n\006target\030\001 \001(\t\022\022" +
+      "\n\nin_transit\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014w" +
+      "aiting_work\030\004 \001(\003\"\035\n\nShareMoved\022\017\n\007accou" +
+      "nt\030\001 \001(\t\"0\n\007Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n" +
+      "\013incarnation\030\002 \001(\003B)\n\032org.geraniumreach." +
+      "messagesB\tLinkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -297,7 +297,7 @@
     internal_static_geraniumreach_link_Run_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_Run_descriptor,
-        new java.lang.String[] { "Attempt", "DeadlineLeftMillis", "Account", "KeyDigest", "Adapter", "Version", "Service", "Operation", "Body", "MaximumTokens", "Priority", "Repeatable", "CompanionIncarnation", "Revision", "PromptTokens", "PrefixDigest", "Credit", });
+        new java.lang.String[] { "Attempt", "DeadlineLeftMillis", "Account", "KeyDigest", "Adapter", "Version", "Service", "Operation", "Body", "MaximumTokens", "Priority", "Repeatable", "CompanionIncarnation", "Revision", "PromptTokens", "PrefixDigest", "Credit", "NotAfterMillis", });
     internal_static_geraniumreach_link_Accepted_descriptor =
       getDescriptor().getMessageTypes().get(5);
     internal_static_geraniumreach_link_Accepted_fieldAccessorTable = new
--- a/messages/src/main/java/org/geraniumreach/messages/Run.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Run.java
@@ -450,6 +450,21 @@
     return credit_;
   }
 
+  public static final int NOT_AFTER_MILLIS_FIELD_NUMBER = 18;
+  private long notAfterMillis_ = 0L;
+  /**
+   * <pre>
+   * time of day after which a companion must not start it, 0: none; it may then not say
+   * </pre>
+   *
+   * <code>int64 not_after_millis = 18;</code>
+   * @return The notAfterMillis.
+   */
+  @java.lang.Override
+  public long getNotAfterMillis() {
+    return notAfterMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -515,6 +530,9 @@
     if (credit_ != 0) {
       output.writeInt32(17, credit_);
     }
+    if (notAfterMillis_ != 0L) {
+      output.writeInt64(18, notAfterMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -586,6 +604,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(17, credit_);
     }
+    if (notAfterMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(18, notAfterMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -635,6 +657,8 @@
         .equals(other.getPrefixDigest())) return false;
     if (getCredit()
         != other.getCredit()) return false;
+    if (getNotAfterMillis()
+        != other.getNotAfterMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -685,6 +709,9 @@
     hash = (53 * hash) + getPrefixDigest().hashCode();
     hash = (37 * hash) + CREDIT_FIELD_NUMBER;
     hash = (53 * hash) + getCredit();
+    hash = (37 * hash) + NOT_AFTER_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getNotAfterMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -837,6 +864,7 @@
       promptTokens_ = 0L;
       prefixDigest_ = com.google.protobuf.ByteString.EMPTY;
       credit_ = 0;
+      notAfterMillis_ = 0L;
       return this;
     }
 
@@ -921,6 +949,9 @@
       if (((from_bitField0_ & 0x00010000) != 0)) {
         result.credit_ = credit_;
       }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.notAfterMillis_ = notAfterMillis_;
+      }
     }
 
     @java.lang.Override
@@ -998,6 +1029,9 @@
       if (other.getCredit() != 0) {
         setCredit(other.getCredit());
       }
+      if (other.getNotAfterMillis() != 0L) {
+        setNotAfterMillis(other.getNotAfterMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1109,6 +1143,11 @@
               bitField0_ |= 0x00010000;
               break;
             } // case 136
+            case 144: {
+              notAfterMillis_ = input.readInt64();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 144
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2022,6 +2061,50 @@
       return this;
     }
 
+    private long notAfterMillis_ ;
+    /**
+     * <pre>
+     * time of day after which a companion must not start it, 0: none; it may then not say
+     * </pre>
+     *
+     * <code>int64 not_after_millis = 18;</code>
+     * @return The notAfterMillis.
+     */
+    @java.lang.Override
+    public long getNotAfterMillis() {
+      return notAfterMillis_;
+    }
+    /**
+     * <pre>
+     * time of day after which a companion must not start it, 0: none; it may then not say
+     * </pre>
+     *
+     * <code>int64 not_after_millis = 18;</code>
+     * @param value The notAfterMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNotAfterMillis(long value) {
+
+      notAfterMillis_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * time of day after which a companion must not start it, 0: none; it may then not say
+     * </pre>
+     *
+     * <code>int64 not_after_millis = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNotAfterMillis() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      notAfterMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Run)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/RunOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/RunOrBuilder.java
@@ -186,4 +186,14 @@
    * @return The credit.
    */
   int getCredit();
+
+  /**
+   * <pre>
+   * time of day after which a companion must not start it, 0: none; it may then not say
+   * </pre>
+   *
+   * <code>int64 not_after_millis = 18;</code>
+   * @return The notAfterMillis.
+   */
+  long getNotAfterMillis();
 }
