Let an adapter's measured demand decide how many targets may hold it

With few adapters, short tokens and a flood, the weight store was what all waited for, although all adapters fit: 71 loads for each thousand requests with 120 adapters and 208 slots. Every target was overfull, so any difference between two of them outweighed a load, and each replica pushed another adapter out. Ruled out: the fairness of loads, which took the worst-served account from 70 to 84 % only, with as many loads. The part of an entry's requests that an adapter has, times what the fleet runs, now gives the targets that may hold it; a target is left only when its load is above the bound in parts of the fleet's mean. A cold adapter goes to its first home only.

--- a/serving/src/main/java/org/geraniumreach/serving/routing/AffinityRouter.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/AffinityRouter.java
@@ -10,30 +10,35 @@
 /**
  * The router that takes the target at which a request costs least: itself in waiting, and others in loads.
  *
- * <p>Candidates are the adapter's holders, the first targets of its rendezvous order, where its prefix is, and two targets
- * by chance. Entries that see the same targets agree on the order without talking. Among several holders it weighs two by
- * chance rather than all: reports lag, and many entries that take the same apparent minimum would overrun it together.
- * Safe for use by several threads if its random source is.
+ * <p>Candidates are the adapter's holders, the first targets of its rendezvous order if more may hold it, where its prefix
+ * is, and two targets by chance if all these are crowded. Entries that see the same targets agree on the order without
+ * talking. Among several holders it weighs two by chance rather than all: reports lag, and many entries that take the same
+ * apparent minimum would overrun it together. Safe for use by several threads if its random source is.
  */
 final class AffinityRouter implements Router {
 
     private static final int ORDER_LENGTH = 8;
+    private static final TrackedTarget[] NOBODY = {};
 
     private final RouteCandidates candidates;
+    private final FleetView fleet;
     private final PrefixDirectory prefixes;
     private final RandomGenerator random;
     private final RoutingWeights weights;
     private final RouteCost cost;
     private final HomeOrders orders;
+    private final ReplicaAllowance allowance;
 
     AffinityRouter(
             RouteCandidates candidates, PrefixDirectory prefixes, RouterSettings settings, RandomGenerator random) {
         this.candidates = candidates;
+        this.fleet = candidates.fleet();
         this.prefixes = prefixes;
         this.random = random;
         this.weights = settings.weights();
         this.cost = new RouteCost(settings);
         this.orders = new HomeOrders(ORDER_LENGTH, settings.rememberedAdapters());
+        this.allowance = new ReplicaAllowance(fleet, weights.replicaFill(), settings.rememberedAdapters());
     }
 
     @Override
@@ -43,7 +48,7 @@
                 return Optional.empty();
             }
             Search search = new Search(request, members);
-            request.adapter().ifPresentOrElse(search::aroundAdapter, search::amongTwo);
+            search.run();
             return search.result();
         });
     }
@@ -52,6 +57,7 @@
     private final class Search {
         private final RouteRequest request;
         private final FleetView.Members members;
+        private final TrackedTarget[] holders;
         private final RouteCost.Loads loads;
         private final Optional<PrefixBelief> belief;
         private TrackedTarget best;
@@ -62,23 +68,46 @@
             this.request = request;
             this.members = members;
             this.belief = request.prefix().flatMap(prefixes::find);
-            TrackedTarget[] holders =
-                    request.adapter().map(candidates.fleet()::holders).orElseGet(() -> new TrackedTarget[0]);
-            this.loads =
-                    new RouteCost.Loads(request.adapter(), candidates.fleet().loadsInTransit(), holders.length);
-            considerHolders(holders);
-            belief.map(found -> candidates.fleet().tracked(found.target())).ifPresent(this::considerIfMember);
+            this.holders = request.adapter().map(fleet::holders).orElse(NOBODY);
+            this.loads = new RouteCost.Loads(request.adapter(), fleet.loadsInTransit(), holders.length);
         }
 
-        private void considerHolders(TrackedTarget[] holders) {
-            if (holders.length == 0) {
+        private void run() {
+            belief.map(found -> fleet.tracked(found.target())).ifPresent(this::considerIfMember);
+            request.adapter().ifPresent(this::aroundAdapter);
+            if (best == null || request.adapter().isEmpty()) {
+                amongTwo();
+            }
+        }
+
+        private void aroundAdapter(AdapterReference adapter) {
+            ReplicaAllowance.Totals totals = allowance.totals(request.offering());
+            int allowed = allowance.count(adapter, totals);
+            considerHolders(adapter, allowed);
+            if (holders.length < allowed || isToBeLeft(totals)) {
+                considerHomes(adapter, Math.max(allowed, weights.homes()));
+            }
+            if (isToBeLeft(totals)) {
+                amongTwo();
+            }
+        }
+
+        private boolean isToBeLeft(ReplicaAllowance.Totals totals) {
+            return best == null || cost.isCrowded(best, totals.meanRelativeLoad());
+        }
+
+        /* Of more holders than are needed, those late in the order are left to run out, the same ones by every entry. */
+        private void considerHolders(AdapterReference adapter, int allowed) {
+            TrackedTarget[] used =
+                    holders.length > allowed ? Rendezvous.first(Rendezvous.hash(adapter), holders, allowed) : holders;
+            if (used.length == 0) {
                 return;
             }
-            int first = random.nextInt(holders.length);
-            consider(holders[first], Route.Reason.RESIDENT);
-            if (holders.length > 1) {
-                int step = 1 + random.nextInt(holders.length - 1);
-                consider(holders[(first + step) % holders.length], Route.Reason.RESIDENT);
+            int first = random.nextInt(used.length);
+            consider(used[first], Route.Reason.RESIDENT);
+            if (used.length > 1) {
+                int step = 1 + random.nextInt(used.length - 1);
+                consider(used[(first + step) % used.length], Route.Reason.RESIDENT);
             }
         }
 
@@ -88,17 +117,14 @@
             }
         }
 
-        private void aroundAdapter(AdapterReference adapter) {
-            int homesLeft = weights.homes();
+        private void considerHomes(AdapterReference adapter, int count) {
+            int left = count;
             for (TrackedTarget home : orders.of(adapter, members)) {
-                if (homesLeft > 0 && candidates.allows(request, home)) {
-                    homesLeft--;
+                if (left > 0 && candidates.allows(request, home)) {
+                    left--;
                     consider(home, reasonAt(home, adapter));
                 }
             }
-            if (best == null || cost.isCrowded(best)) {
-                amongTwo();
-            }
         }
 
         private Route.Reason reasonAt(TrackedTarget home, AdapterReference adapter) {
@@ -108,7 +134,7 @@
             if (home.report().loading().contains(adapter)) {
                 return Route.Reason.LOADING;
             }
-            return loads.holders() == 0 ? Route.Reason.HOME : Route.Reason.REPLICA;
+            return holders.length == 0 ? Route.Reason.HOME : Route.Reason.REPLICA;
         }
 
         private void amongTwo() {
@@ -125,7 +151,7 @@
             if (target == best || !candidates.allows(request, target)) {
                 return;
             }
-            double total = cost.of(target, loads, candidates.fleet().nowNanos()) - prefixSaving(target);
+            double total = cost.of(target, loads) - prefixSaving(target);
             if (total < bestCost) {
                 best = target;
                 bestCost = total;
--- /dev/null
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/DemandMeter.java
@@ -0,0 +1,73 @@
+package org.geraniumreach.serving.routing;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.geraniumreach.model.AdapterReference;
+
+/**
+ * Measures which part of an entry's requests each adapter has, where a request counts half after each half-life.
+ *
+ * <p>Invariant: at most {@code capacity} adapters are kept, the longest unused go first; an adapter that is not kept counts
+ * as none. Safe for use by several threads: adapters are spread over shards, each under its own lock.
+ */
+final class DemandMeter {
+
+    private static final int SHARDS = 16;
+    private static final int INITIAL_CAPACITY = 16;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final double halfLifeNanos;
+    private final Shard[] shards = new Shard[SHARDS];
+    private Count total = new Count(0, 0);
+
+    DemandMeter(long halfLifeNanos, int capacity) {
+        this.halfLifeNanos = halfLifeNanos;
+        for (int index = 0; index < SHARDS; index++) {
+            shards[index] = new Shard(Math.max(1, capacity / SHARDS));
+        }
+    }
+
+    private record Count(double requests, long atNanos) {}
+
+    private static final class Shard extends LinkedHashMap<AdapterReference, Count> {
+        private static final long serialVersionUID = 1L;
+        private final int capacity;
+
+        private Shard(int capacity) {
+            super(INITIAL_CAPACITY, LOAD_FACTOR, true);
+            this.capacity = capacity;
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<AdapterReference, Count> eldest) {
+            return size() > capacity;
+        }
+    }
+
+    /**
+     * Counts a request.
+     *
+     * @param adapter its adapter
+     * @param now the time
+     * @return the adapter's part of the requests, this one included, 0 to 1
+     */
+    double count(AdapterReference adapter, long now) {
+        Shard shard = shards[Math.floorMod(adapter.hashCode(), SHARDS)];
+        double requests;
+        synchronized (shard) {
+            requests = 1 + faded(shard.get(adapter), now);
+            shard.put(adapter, new Count(requests, now));
+        }
+        return Math.min(1, requests / countTotal(now));
+    }
+
+    private synchronized double countTotal(long now) {
+        total = new Count(1 + faded(total, now), now);
+        return total.requests;
+    }
+
+    private double faded(Count count, long now) {
+        return count == null ? 0 : count.requests * Math.pow(0.5, (now - count.atNanos) / halfLifeNanos);
+    }
+}
--- a/serving/src/main/java/org/geraniumreach/serving/routing/HomeOrders.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/HomeOrders.java
@@ -59,8 +59,8 @@
             if (known != null && known.generation == members.generation()) {
                 return known.targets;
             }
-            int key = 31 * Rendezvous.hash(adapter.adapter()) + Rendezvous.hash(adapter.version());
-            Order order = new Order(members.generation(), Rendezvous.first(key, members.targets(), length));
+            Order order = new Order(
+                    members.generation(), Rendezvous.first(Rendezvous.hash(adapter), members.targets(), length));
             shard.put(adapter, order);
             return order.targets;
         }
--- a/serving/src/main/java/org/geraniumreach/serving/routing/Rendezvous.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/Rendezvous.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 import org.apache.commons.codec.digest.MurmurHash3;
+import org.geraniumreach.model.AdapterReference;
 
 /**
  * Rendezvous hashing: each key ranks all targets by a hash of both, so that whoever knows the same targets finds the same
@@ -12,6 +13,8 @@
  */
 final class Rendezvous {
 
+    private static final int ADAPTER_FACTOR = 31;
+
     private Rendezvous() {}
 
     static int hash(String text) {
@@ -19,6 +22,10 @@
         return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
     }
 
+    static int hash(AdapterReference adapter) {
+        return ADAPTER_FACTOR * hash(adapter.adapter()) + hash(adapter.version());
+    }
+
     /**
      * Finds the first targets of a key's order.
      *
--- a/serving/src/main/java/org/geraniumreach/serving/routing/RouteCost.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/RouteCost.java
@@ -31,12 +31,11 @@
      *
      * @param target the target
      * @param loads the loads that matter
-     * @param nowNanos the time
      * @return the cost in nanoseconds
      */
-    double of(TrackedTarget target, Loads loads, long nowNanos) {
+    double of(TrackedTarget target, Loads loads) {
         return waitNanos(target, loads)
-                + crowdingNanos(target, nowNanos)
+                + crowdingNanos(target)
                 + displacementNanos(target, loads)
                 + distanceNanos(target);
     }
@@ -52,8 +51,12 @@
         return Math.max(queueNanos(target), loadNanos(target, loads));
     }
 
-    boolean isCrowded(TrackedTarget target) {
-        return target.relativeLoad() >= weights.loadBound();
+    /*
+     * A bound on the load alone would be passed by every target once the fleet is full, and requests be spread over targets
+     * that are no better.
+     */
+    boolean isCrowded(TrackedTarget target, double meanRelativeLoad) {
+        return target.relativeLoad() >= Math.max(1, weights.loadBound() * meanRelativeLoad);
     }
 
     private double queueNanos(TrackedTarget target) {
@@ -82,7 +85,7 @@
         return there ? 0 : weights.replicaCost() * loadTime;
     }
 
-    private double crowdingNanos(TrackedTarget target, long nowNanos) {
+    private double crowdingNanos(TrackedTarget target) {
         return weights.crowding() * serviceTime * target.relativeLoad();
     }
 
--- a/serving/src/main/java/org/geraniumreach/serving/routing/RoutingWeights.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/RoutingWeights.java
@@ -8,12 +8,13 @@
  *
  * <p>Invariant: all values are in range. Immutable and safe for use by several threads.
  *
- * @param loadBound the load, in parts of the mean, above which a target is passed over; at least 1
+ * @param loadBound the load, in parts of the mean, above which other targets are tried; at least 1
  * @param homes how many targets of an adapter's order may take it before any other
  * @param maximumHops the targets that a request may try
  * @param loadTime the time of a load at full speed
  * @param loadsAtFullSpeed the loads in transit fleet-wide at full speed
  * @param storeLoadsPerSecond the loads that the weight store allows
+ * @param replicaFill the part of a target's limit that one adapter may fill before another target may hold it, above 0
  * @param replicaCost what another replica costs beside the load, in load times: it takes a slot from another adapter
  * @param serviceTime how long a request runs when the target is not crowded
  * @param crowding how much a full target slows a request, in parts of the service time
@@ -28,6 +29,7 @@
         Duration loadTime,
         int loadsAtFullSpeed,
         double storeLoadsPerSecond,
+        double replicaFill,
         double replicaCost,
         Duration serviceTime,
         double crowding,
@@ -41,6 +43,7 @@
         requireAtLeast("maximumHops", maximumHops, 1);
         requireAtLeast("loadsAtFullSpeed", loadsAtFullSpeed, 1);
         requireAtLeast("storeLoadsPerSecond", storeLoadsPerSecond, Double.MIN_VALUE);
+        requireAtLeast("replicaFill", replicaFill, Double.MIN_VALUE);
         requireAtLeast("replicaCost", replicaCost, 0);
         requireAtLeast("crowding", crowding, 0);
         requireNotNegative("loadTime", loadTime);
@@ -70,11 +73,12 @@
     public static RoutingWeights sabarmati() {
         return new RoutingWeights(
                 1.5,
-                2,
+                1,
                 3,
                 Duration.ofMillis(250),
                 8,
                 4.5,
+                0.2,
                 2.0,
                 Duration.ofSeconds(2),
                 0.25,
@@ -91,11 +95,12 @@
     public static RoutingWeights siam() {
         return new RoutingWeights(
                 1.25,
-                2,
+                1,
                 3,
                 Duration.ofMillis(250),
                 8,
                 2.0,
+                0.2,
                 1.0,
                 Duration.ofSeconds(2),
                 0.5,
--- a/serving/src/main/java/org/geraniumreach/serving/routing/TrackedTarget.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/TrackedTarget.java
@@ -148,6 +148,10 @@
         return Math.max(0.0, load) / Math.max(1, now.concurrencyLimit);
     }
 
+    int limit() {
+        return Math.max(1, report.concurrencyLimit);
+    }
+
     boolean isDraining() {
         return report.draining;
     }
