Let Siam's batches keep to few adapters a little, since it costs no account

A middle setting is kept for Siam, because the bound on being passed over is what a caller can count on when the flood is not there to be seen.

--- a/serving/src/main/java/org/geraniumreach/serving/queue/QueueWeights.java
+++ b/serving/src/main/java/org/geraniumreach/serving/queue/QueueWeights.java
@@ -39,7 +39,7 @@
      * @return the weights, not null
      */
     public static QueueWeights siam() {
-        return new QueueWeights(4, 0, DEFAULT_STEP);
+        return new QueueWeights(16, 512, DEFAULT_STEP);
     }
 
     /**
