--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerService.java
@@ -0,0 +1,135 @@
+package org.geraniumreach.daemon.ledger;
+
+import java.time.Clock;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+import org.geraniumreach.coordination.ledger.Companion;
+import org.geraniumreach.coordination.ledger.LedgerCall;
+import org.geraniumreach.coordination.ledger.LedgerPolicy;
+import org.geraniumreach.coordination.ledger.LedgerRowFormat;
+import org.geraniumreach.coordination.ledger.LedgerView;
+import org.geraniumreach.coordination.ledger.Sender;
+import org.geraniumreach.link.Attempts;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.platform.ObjectStore;
+import org.geraniumreach.platform.TableService;
+
+/**
+ * Runs each request with an idempotency key at most once.
+ *
+ * <p>Invariants: those of {@link LedgerCall}; nothing is sent before the row is known to hold the attempt, so without the
+ * table service every call is refused as not run. Safe for use by several threads: each call is under a lock of its own.
+ */
+public final class LedgerService implements AutoCloseable {
+
+    /**
+     * What the service works with.
+     *
+     * @param instance this entry
+     * @param incarnation the number of this start of the process
+     * @param table the table service
+     * @param objects the object store
+     * @param attempts sends to companions
+     * @param liveEntry whether an entry is live as far as is known; a wrong answer costs time, never a second run
+     * @param goneCompanion whether a companion's instance is known to be gone for good
+     * @param clock the time of day, for the age of rows
+     * @param random the source of attempt ids, safe for use by several threads
+     * @param executor runs what waits, and the blocking calls of the platform, so it needs several threads
+     */
+    public record Surroundings(
+            InstanceId instance,
+            long incarnation,
+            TableService table,
+            ObjectStore objects,
+            Attempts attempts,
+            Predicate<InstanceId> liveEntry,
+            Predicate<InstanceId> goneCompanion,
+            Clock clock,
+            RandomGenerator random,
+            ScheduledExecutorService executor) {}
+
+    private static final int STORE_TRIES = 3;
+    private static final int SEND_TRIES = 3;
+
+    private final LedgerSettings settings;
+    private final Surroundings surroundings;
+    private final Sender self;
+    private final LedgerPolicy policy;
+    private final GroupCommitter groups;
+    private ScheduledFuture<?> sweeping;
+
+    /**
+     * Makes a service.
+     *
+     * @param settings the settings, not null
+     * @param surroundings what the service works with, not null
+     */
+    public LedgerService(LedgerSettings settings, Surroundings surroundings) {
+        this.settings = settings;
+        this.surroundings = surroundings;
+        this.self = new Sender(surroundings.instance(), surroundings.incarnation());
+        this.policy = new LedgerPolicy(
+                settings.patience(),
+                settings.pollInterval(),
+                settings.takeoverAge(),
+                settings.clockError(),
+                settings.sendLimit(),
+                settings.sealLimit(),
+                STORE_TRIES,
+                SEND_TRIES);
+        this.groups = new GroupCommitter(
+                surroundings.table(), surroundings.executor(), settings.groupSize(), settings.groupWait());
+    }
+
+    /** Begins the sweep of rows past their retention. */
+    public synchronized void start() {
+        LedgerSweep sweep = new LedgerSweep(settings, surroundings, groups);
+        long interval = settings.sweepInterval().toNanos();
+        sweeping =
+                surroundings.executor().scheduleWithFixedDelay(sweep::step, interval, interval, TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Runs a request, unless it ran before, and gives the answer.
+     *
+     * @param request the request, not null
+     * @param dispatch chooses where it goes, not null
+     * @return the answer, or a failure with a {@link org.geraniumreach.model.ServingException} that says whether it ran, not
+     *     null
+     */
+    public CompletableFuture<LedgerAnswer> perform(LedgerRequest request, Dispatch dispatch) {
+        LedgerView view = new LedgerView(
+                surroundings.clock()::instant,
+                () -> AttemptId.random(surroundings.random()),
+                () -> dispatch.choose().map(chosen -> new Companion(chosen.instance(), chosen.incarnation())),
+                this::isLive,
+                companion -> surroundings.goneCompanion().test(companion.instance()));
+        LedgerCall call = new LedgerCall(
+                LedgerRowFormat.keyOf(request.account(), request.idempotencyKey()),
+                LedgerRowFormat.digestOf(request.operation(), request.body()),
+                self,
+                policy,
+                view);
+        return new CallRunner(surroundings, settings, groups, call, dispatch).run();
+    }
+
+    private boolean isLive(Sender sender) {
+        if (sender.instance().equals(self.instance())) {
+            return sender.equals(self);
+        }
+        return surroundings.liveEntry().test(sender.instance());
+    }
+
+    @Override
+    public synchronized void close() {
+        if (sweeping != null) {
+            sweeping.cancel(false);
+        }
+    }
+}
--- a/messages/src/main/java/org/geraniumreach/messages/Cancel.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Cancel.java
@@ -122,6 +122,28 @@
     }
   }
 
+  public static final int AGE_MILLIS_FIELD_NUMBER = 3;
+  private long ageMillis_ = 0L;
+  /**
+   * <code>int64 age_millis = 3;</code>
+   * @return The ageMillis.
+   */
+  @java.lang.Override
+  public long getAgeMillis() {
+    return ageMillis_;
+  }
+
+  public static final int COMPANION_INCARNATION_FIELD_NUMBER = 4;
+  private long companionIncarnation_ = 0L;
+  /**
+   * <code>int64 companion_incarnation = 4;</code>
+   * @return The companionIncarnation.
+   */
+  @java.lang.Override
+  public long getCompanionIncarnation() {
+    return companionIncarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -142,6 +164,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, reason_);
     }
+    if (ageMillis_ != 0L) {
+      output.writeInt64(3, ageMillis_);
+    }
+    if (companionIncarnation_ != 0L) {
+      output.writeInt64(4, companionIncarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -157,6 +185,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, reason_);
     }
+    if (ageMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, ageMillis_);
+    }
+    if (companionIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, companionIncarnation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -176,6 +212,10 @@
         .equals(other.getAttempt())) return false;
     if (!getReason()
         .equals(other.getReason())) return false;
+    if (getAgeMillis()
+        != other.getAgeMillis()) return false;
+    if (getCompanionIncarnation()
+        != other.getCompanionIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -191,6 +231,12 @@
     hash = (53 * hash) + getAttempt().hashCode();
     hash = (37 * hash) + REASON_FIELD_NUMBER;
     hash = (53 * hash) + getReason().hashCode();
+    hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAgeMillis());
+    hash = (37 * hash) + COMPANION_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getCompanionIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -324,6 +370,8 @@
       bitField0_ = 0;
       attempt_ = "";
       reason_ = "";
+      ageMillis_ = 0L;
+      companionIncarnation_ = 0L;
       return this;
     }
 
@@ -363,6 +411,12 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.reason_ = reason_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.ageMillis_ = ageMillis_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.companionIncarnation_ = companionIncarnation_;
+      }
     }
 
     @java.lang.Override
@@ -387,6 +441,12 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (other.getAgeMillis() != 0L) {
+        setAgeMillis(other.getAgeMillis());
+      }
+      if (other.getCompanionIncarnation() != 0L) {
+        setCompanionIncarnation(other.getCompanionIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -423,6 +483,16 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              ageMillis_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              companionIncarnation_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -584,6 +654,70 @@
       return this;
     }
 
+    private long ageMillis_ ;
+    /**
+     * <code>int64 age_millis = 3;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+    /**
+     * <code>int64 age_millis = 3;</code>
+     * @param value The ageMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMillis(long value) {
+
+      ageMillis_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 age_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      ageMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long companionIncarnation_ ;
+    /**
+     * <code>int64 companion_incarnation = 4;</code>
+     * @return The companionIncarnation.
+     */
+    @java.lang.Override
+    public long getCompanionIncarnation() {
+      return companionIncarnation_;
+    }
+    /**
+     * <code>int64 companion_incarnation = 4;</code>
+     * @param value The companionIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompanionIncarnation(long value) {
+
+      companionIncarnation_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 companion_incarnation = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompanionIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      companionIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Cancel)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/CancelOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/CancelOrBuilder.java
@@ -32,4 +32,16 @@
    */
   com.google.protobuf.ByteString
       getReasonBytes();
+
+  /**
+   * <code>int64 age_millis = 3;</code>
+   * @return The ageMillis.
+   */
+  long getAgeMillis();
+
+  /**
+   * <code>int64 companion_incarnation = 4;</code>
+   * @return The companionIncarnation.
+   */
+  long getCompanionIncarnation();
 }
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/Main.java
@@ -0,0 +1,81 @@
+package org.geraniumreach.standins;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+/** The command line of the stand-ins and the load tool. Stateless. */
+public final class Main {
+
+    private static final int WRONG_USAGE = 2;
+    private static final int FAILED = 3;
+    private static final Map<String, Supplier<Command>> COMMANDS = new TreeMap<>(Map.of(
+            "platform", PlatformCommand::new,
+            "engine", EngineCommand::new,
+            "service", ServiceCommand::new,
+            "load", LoadCommand::new,
+            "call", CallCommand::new));
+
+    private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
+
+    private Main() {}
+
+    /**
+     * Runs a subcommand.
+     *
+     * @param arguments the subcommand's name, then its options, not null
+     */
+    public static void main(String[] arguments) {
+        // Grizzly logs each listener at INFO; the stand-ins have a line of their own for that.
+        GRIZZLY.setLevel(Level.WARNING);
+        int code = run(arguments);
+        if (code >= 0) {
+            System.exit(code);
+        }
+        sleepForEver();
+    }
+
+    private static void sleepForEver() {
+        // The servers' threads are daemons, so the process would end without one that is not.
+        while (true) {
+            LockSupport.park();
+        }
+    }
+
+    private static int run(String[] arguments) {
+        Supplier<Command> supplier = arguments.length == 0 ? null : COMMANDS.get(arguments[0]);
+        if (supplier == null) {
+            System.err.println("usage: one of " + COMMANDS.keySet() + ", then its options");
+            return WRONG_USAGE;
+        }
+        Command command = supplier.get();
+        CmdLineParser parser = new CmdLineParser(command);
+        try {
+            parser.parseArgument(Arrays.copyOfRange(arguments, 1, arguments.length));
+        } catch (CmdLineException e) {
+            System.err.println(e.getMessage());
+            parser.printUsage(System.err);
+            return WRONG_USAGE;
+        }
+        return run(command);
+    }
+
+    private static int run(Command command) {
+        try {
+            return command.run();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return FAILED;
+        } catch (Exception e) {
+            System.err.println("failed: " + e);
+            return FAILED;
+        }
+    }
+}
