--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -214,55 +214,56 @@
       "\001(\003\022\023\n\013load_micros\030\t \001(\003\022\022\n\nprefix_hit\030\n" +
       " \001(\010\"b\n\007Refused\022\017\n\007attempt\030\001 \001(\t\022\014\n\004code" +
       "\030\002 \001(\005\022\017\n\007message\030\003 \001(\t\022\013\n\003ran\030\004 \001(\005\022\032\n\022" +
-      "retry_after_millis\030\005 \001(\003\"=\n\006Cancel\022\017\n\007at" +
+      "retry_after_millis\030\005 \001(\003\"\\\n\006Cancel\022\017\n\007at" +
       "tempt\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\022\n\nage_milli" +
-      "s\030\003 \001(\003\"\354\001\n\006Resume\022\017\n\007attempt\030\001 \001(\t\022\025\n\rn" +
-      "ext_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022\n\nag" +
-      "e_millis\030\004 \001(\003\022\035\n\025companion_incarnation\030" +
-      "\005 \001(\003\022\017\n\007account\030\006 \001(\t\022\022\n\nkey_digest\030\007 \001" +
-      "(\014\022\017\n\007adapter\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\022\n\n" +
-      "repeatable\030\n \001(\010\022\034\n\024deadline_left_millis" +
-      "\030\013 \001(\003\"E\n\013Acknowledge\022\017\n\007attempt\030\001 \001(\t\022\025" +
-      "\n\rnext_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\"J\n" +
-      "\004Seal\022\017\n\007attempt\030\001 \001(\t\022\035\n\025companion_inca" +
-      "rnation\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\"G\n\006Sea" +
-      "led\022\017\n\007attempt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022\035\n\025c" +
-      "ompanion_incarnation\030\003 \001(\003\"\252\002\n\006Status\022\020\n" +
-      "\010sequence\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007runni" +
-      "ng\030\003 \001(\005\022\016\n\006queued\030\004 \001(\005\022\025\n\rqueued_token" +
-      "s\030\005 \001(\003\022\031\n\021concurrency_limit\030\006 \001(\005\022\r\n\005sl" +
-      "ots\030\007 \001(\005\022\020\n\010complete\030\010 \001(\010\022\020\n\010resident\030" +
-      "\t \003(\t\022\017\n\007removed\030\n \003(\t\022\017\n\007loading\030\013 \003(\t\022" +
-      "\032\n\022engine_incarnation\030\014 \001(\003\022\020\n\010draining\030" +
-      "\r \001(\010\022\r\n\005fence\030\016 \001(\003\022\031\n\021tokens_per_secon" +
-      "d\030\017 \001(\001\"P\n\021ConfigurationNews\022-\n\007entries\030" +
-      "\001 \003(\0132\034.geraniumreach.link.LogEntry\022\014\n\004h" +
-      "ead\030\002 \001(\003\"l\n\010LogEntry\022\020\n\010revision\030\001 \001(\003\022" +
-      "\021\n\toperation\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004name" +
-      "\030\004 \001(\t\022\021\n\twithdrawn\030\005 \001(\010\022\014\n\004body\030\006 \001(\t\"" +
-      "(\n\017SnapshotRequest\022\025\n\rhave_revision\030\001 \001(" +
-      "\003\"m\n\014SnapshotPart\022\020\n\010revision\030\001 \001(\003\022\r\n\005i" +
-      "ndex\030\002 \001(\005\022\r\n\005parts\030\003 \001(\005\022-\n\007entries\030\004 \003" +
-      "(\0132\034.geraniumreach.link.LogEntry\"\250\001\n\013Loa" +
-      "nRequest\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(" +
-      "\t\022\025\n\rtokens_wanted\030\003 \001(\003\022\024\n\014share_wanted" +
-      "\030\004 \001(\003\022\027\n\017duration_millis\030\005 \001(\003\022\016\n\006deman" +
-      "d\030\006 \001(\003\022\022\n\nshare_held\030\007 \001(\003\022\016\n\006holder\030\010 " +
-      "\001(\t\"e\n\nLoanAnswer\022\016\n\006number\030\001 \001(\003\022\017\n\007acc" +
-      "ount\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\003\022\r\n\005share\030\004 \001(" +
-      "\003\022\027\n\017duration_millis\030\005 \001(\003\"\205\002\n\tFreshness" +
-      "\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022" +
-      "\020\n\010revision\030\003 \001(\003\022\034\n\024confirmed_age_milli" +
-      "s\030\004 \001(\003\022\027\n\017store_reachable\030\005 \001(\010\022\r\n\005hear" +
-      "d\030\006 \003(\t\022\030\n\020heard_age_millis\030\007 \003(\003\022\030\n\020hig" +
-      "hest_revision\030\010 \001(\003\022\r\n\005stamp\030\t \001(\003\022\016\n\006ec" +
-      "hoes\030\n \001(\010\022\014\n\004echo\030\013 \001(\003\022\030\n\020echo_held_mi" +
-      "llis\030\014 \001(\003\"U\n\010LoadNews\022\016\n\006target\030\001 \001(\t\022\022" +
-      "\n\nin_transit\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014w" +
-      "aiting_work\030\004 \001(\003\"\035\n\nShareMoved\022\017\n\007accou" +
-      "nt\030\001 \001(\t\"0\n\007Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n" +
-      "\013incarnation\030\002 \001(\003B)\n\032org.geraniumreach." +
-      "messagesB\tLinkProtoP\001b\006proto3"
+      "s\030\003 \001(\003\022\035\n\025companion_incarnation\030\004 \001(\003\"\354" +
+      "\001\n\006Resume\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_seque" +
+      "nce\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022\n\nage_millis\030" +
+      "\004 \001(\003\022\035\n\025companion_incarnation\030\005 \001(\003\022\017\n\007" +
+      "account\030\006 \001(\t\022\022\n\nkey_digest\030\007 \001(\014\022\017\n\007ada" +
+      "pter\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\022\n\nrepeatabl" +
+      "e\030\n \001(\010\022\034\n\024deadline_left_millis\030\013 \001(\003\"E\n" +
+      "\013Acknowledge\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_se" +
+      "quence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\"J\n\004Seal\022\017\n\007" +
+      "attempt\030\001 \001(\t\022\035\n\025companion_incarnation\030\002" +
+      " \001(\003\022\022\n\nage_millis\030\003 \001(\003\"G\n\006Sealed\022\017\n\007at" +
+      "tempt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022\035\n\025companion_" +
+      "incarnation\030\003 \001(\003\"\252\002\n\006Status\022\020\n\010sequence" +
+      "\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007running\030\003 \001(\005\022" +
+      "\016\n\006queued\030\004 \001(\005\022\025\n\rqueued_tokens\030\005 \001(\003\022\031" +
+      "\n\021concurrency_limit\030\006 \001(\005\022\r\n\005slots\030\007 \001(\005" +
+      "\022\020\n\010complete\030\010 \001(\010\022\020\n\010resident\030\t \003(\t\022\017\n\007" +
+      "removed\030\n \003(\t\022\017\n\007loading\030\013 \003(\t\022\032\n\022engine" +
+      "_incarnation\030\014 \001(\003\022\020\n\010draining\030\r \001(\010\022\r\n\005" +
+      "fence\030\016 \001(\003\022\031\n\021tokens_per_second\030\017 \001(\001\"P" +
+      "\n\021ConfigurationNews\022-\n\007entries\030\001 \003(\0132\034.g" +
+      "eraniumreach.link.LogEntry\022\014\n\004head\030\002 \001(\003" +
+      "\"l\n\010LogEntry\022\020\n\010revision\030\001 \001(\003\022\021\n\toperat" +
+      "ion\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004name\030\004 \001(\t\022\021\n" +
+      "\twithdrawn\030\005 \001(\010\022\014\n\004body\030\006 \001(\t\"(\n\017Snapsh" +
+      "otRequest\022\025\n\rhave_revision\030\001 \001(\003\"m\n\014Snap" +
+      "shotPart\022\020\n\010revision\030\001 \001(\003\022\r\n\005index\030\002 \001(" +
+      "\005\022\r\n\005parts\030\003 \001(\005\022-\n\007entries\030\004 \003(\0132\034.gera" +
+      "niumreach.link.LogEntry\"\250\001\n\013LoanRequest\022" +
+      "\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\025\n\rtoke" +
+      "ns_wanted\030\003 \001(\003\022\024\n\014share_wanted\030\004 \001(\003\022\027\n" +
+      "\017duration_millis\030\005 \001(\003\022\016\n\006demand\030\006 \001(\003\022\022" +
+      "\n\nshare_held\030\007 \001(\003\022\016\n\006holder\030\010 \001(\t\"e\n\nLo" +
+      "anAnswer\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(" +
+      "\t\022\016\n\006tokens\030\003 \001(\003\022\r\n\005share\030\004 \001(\003\022\027\n\017dura" +
+      "tion_millis\030\005 \001(\003\"\205\002\n\tFreshness\022\020\n\010insta" +
+      "nce\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010revisi" +
+      "on\030\003 \001(\003\022\034\n\024confirmed_age_millis\030\004 \001(\003\022\027" +
+      "\n\017store_reachable\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\022\030" +
+      "\n\020heard_age_millis\030\007 \003(\003\022\030\n\020highest_revi" +
+      "sion\030\010 \001(\003\022\r\n\005stamp\030\t \001(\003\022\016\n\006echoes\030\n \001(" +
+      "\010\022\014\n\004echo\030\013 \001(\003\022\030\n\020echo_held_millis\030\014 \001(" +
+      "\003\"U\n\010LoadNews\022\016\n\006target\030\001 \001(\t\022\022\n\nin_tran" +
+      "sit\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014waiting_wo" +
+      "rk\030\004 \001(\003\"\035\n\nShareMoved\022\017\n\007account\030\001 \001(\t\"" +
+      "0\n\007Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnat" +
+      "ion\030\002 \001(\003B)\n\032org.geraniumreach.messagesB" +
+      "\tLinkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -327,7 +328,7 @@
     internal_static_geraniumreach_link_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_Cancel_descriptor,
-        new java.lang.String[] { "Attempt", "Reason", "AgeMillis", });
+        new java.lang.String[] { "Attempt", "Reason", "AgeMillis", "CompanionIncarnation", });
     internal_static_geraniumreach_link_Resume_descriptor =
       getDescriptor().getMessageTypes().get(10);
     internal_static_geraniumreach_link_Resume_fieldAccessorTable = new
--- a/serving/src/main/java/org/geraniumreach/serving/residency/Waiters.java
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/Waiters.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.AdapterReference;
 import org.geraniumreach.model.AttemptId;
 
@@ -17,16 +18,44 @@
  */
 final class Waiters {
 
-    private final Map<AdapterReference, Map<AttemptId, Waiter>> byAdapter = new LinkedHashMap<>();
+    private final Map<AdapterReference, Line> lines = new LinkedHashMap<>();
     private final Map<AttemptId, AdapterReference> adapters = new HashMap<>();
 
-    private record Waiter(long work, long since) {}
+    private record Waiter(AccountId account, long work, long since) {}
 
-    boolean add(AttemptId attempt, AdapterReference adapter, long work, long now) {
+    /** The waiters for one adapter in order of arrival, with their sums. */
+    private static final class Line {
+        private final Map<AttemptId, Waiter> waiters = new LinkedHashMap<>();
+        private final Map<AccountId, Integer> accounts = new HashMap<>();
+        private long work;
+        private double sinceSum;
+
+        private void add(AttemptId attempt, Waiter waiter) {
+            waiters.put(attempt, waiter);
+            accounts.merge(waiter.account, 1, Integer::sum);
+            work += waiter.work;
+            sinceSum += waiter.since;
+        }
+
+        private void remove(AttemptId attempt) {
+            Waiter gone = waiters.remove(attempt);
+            accounts.computeIfPresent(gone.account, (account, count) -> count == 1 ? null : count - 1);
+            work -= gone.work;
+            sinceSum -= gone.since;
+        }
+
+        private WaitingAdapter view(AdapterReference adapter, long now) {
+            long oldest = now - waiters.values().iterator().next().since;
+            long total = (long) ((double) waiters.size() * now - sinceSum);
+            return new WaitingAdapter(adapter, waiters.size(), work, oldest, Math.max(oldest, total), accounts);
+        }
+    }
+
+    boolean add(AttemptId attempt, AccountId account, AdapterReference adapter, long work, long now) {
         if (adapters.putIfAbsent(attempt, adapter) != null) {
             return false;
         }
-        byAdapter.computeIfAbsent(adapter, key -> new LinkedHashMap<>()).put(attempt, new Waiter(work, now));
+        lines.computeIfAbsent(adapter, key -> new Line()).add(attempt, new Waiter(account, work, now));
         return true;
     }
 
@@ -35,42 +64,33 @@
         if (adapter == null) {
             return false;
         }
-        Map<AttemptId, Waiter> waiters = byAdapter.get(adapter);
-        waiters.remove(attempt);
-        if (waiters.isEmpty()) {
-            byAdapter.remove(adapter);
+        Line line = lines.get(adapter);
+        line.remove(attempt);
+        if (line.waiters.isEmpty()) {
+            lines.remove(adapter);
         }
         return true;
     }
 
     List<AttemptId> removeAll(AdapterReference adapter) {
-        Map<AttemptId, Waiter> waiters = byAdapter.remove(adapter);
-        if (waiters == null) {
+        Line line = lines.remove(adapter);
+        if (line == null) {
             return List.of();
         }
-        List<AttemptId> attempts = new ArrayList<>(waiters.keySet());
+        List<AttemptId> attempts = new ArrayList<>(line.waiters.keySet());
         attempts.forEach(adapters::remove);
         return attempts;
     }
 
     Set<AdapterReference> adapters() {
-        return byAdapter.keySet();
+        return lines.keySet();
     }
 
     boolean has(AdapterReference adapter) {
-        return byAdapter.containsKey(adapter);
+        return lines.containsKey(adapter);
     }
 
     WaitingAdapter view(AdapterReference adapter, long now) {
-        long work = 0;
-        long total = 0;
-        long oldest = 0;
-        Map<AttemptId, Waiter> waiters = byAdapter.get(adapter);
-        for (Waiter waiter : waiters.values()) {
-            work += waiter.work;
-            total += now - waiter.since;
-            oldest = Math.max(oldest, now - waiter.since);
-        }
-        return new WaitingAdapter(adapter, waiters.size(), work, oldest, total);
+        return lines.get(adapter).view(adapter, now);
     }
 }
