--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/CompanionBenchmark.java
@@ -0,0 +1,127 @@
+package org.geraniumreach.benchmarks.jmh;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.serving.queue.ConcurrencyLimit;
+import org.geraniumreach.serving.queue.QueuePolicy;
+import org.geraniumreach.serving.queue.QueueWeights;
+import org.geraniumreach.serving.queue.QueuedRequest;
+import org.geraniumreach.serving.queue.RequestQueue;
+import org.geraniumreach.serving.residency.FleetLoads;
+import org.geraniumreach.serving.residency.LoadOrder;
+import org.geraniumreach.serving.residency.Pin;
+import org.geraniumreach.serving.residency.Residency;
+import org.geraniumreach.serving.residency.ResidencySettings;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** A request's way through a companion's queue and residency, with others waiting; one thread. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class CompanionBenchmark {
+
+    private static final int PRIORITY = 5;
+    private static final int TOKENS = 300;
+
+    /** The requests that wait. */
+    @Param({"16", "128", "1024"})
+    int waiting;
+
+    /** The client accounts among which they are spread. */
+    @Param({"5", "50"})
+    int accounts;
+
+    private final AdapterReference[] adapters = Fleets.adapters(FleetSize.SLOTS);
+    private RequestQueue<Integer> queue;
+    private Residency residency;
+    private Residency coldResidency;
+    private int next;
+
+    /** Fills the queue, and makes all adapters resident. */
+    @Setup
+    public void setUp() {
+        queue = RequestQueue.create(
+                QueuePolicy.FAIR, QueueWeights.sabarmati(), ConcurrencyLimit.fixed(4), MonotonicClock.system());
+        residency = residency();
+        residency.synchronise(1, Set.of(adapters), 0);
+        coldResidency = residency();
+        coldResidency.synchronise(1, Set.of(), 0);
+        for (int index = 0; index < waiting; index++) {
+            queue.offer(request());
+            coldResidency.request(
+                    attempt(), account(), AdapterReference.of("cold-" + index % (waiting / 2), "1"), TOKENS);
+        }
+    }
+
+    private static Residency residency() {
+        MonotonicClock clock = MonotonicClock.system();
+        FleetLoads fleet = FleetLoads.create(clock, Duration.ofDays(1));
+        fleet.news(TargetId.of("other"), Integer.MAX_VALUE / 2, 0, 0);
+        return Residency.create(ResidencySettings.standard(FleetSize.SLOTS), fleet, clock);
+    }
+
+    private AttemptId attempt() {
+        return AttemptId.of("attempt-" + next++);
+    }
+
+    private AccountId account() {
+        return AccountId.of("account-" + next % accounts);
+    }
+
+    private QueuedRequest<Integer> request() {
+        return new QueuedRequest<>(
+                attempt(),
+                account(),
+                Optional.of(adapters[next % adapters.length]),
+                TOKENS,
+                PRIORITY,
+                Long.MAX_VALUE,
+                next);
+    }
+
+    /**
+     * Takes a request in, runs the next one and ends it.
+     *
+     * @return the request that ran
+     */
+    @Benchmark
+    public QueuedRequest<Integer> throughQueueAndResidency() {
+        QueuedRequest<Integer> arriving = request();
+        residency.request(
+                arriving.attempt(), arriving.account(), arriving.adapter().orElseThrow(), TOKENS);
+        queue.offer(arriving);
+        QueuedRequest<Integer> running = queue.take(residency::isReady).orElseThrow();
+        Pin pin = residency
+                .pin(running.attempt(), running.adapter().orElseThrow())
+                .orElseThrow();
+        pin.release();
+        queue.finished(running.attempt(), TOKENS, 1);
+        return running;
+    }
+
+    /**
+     * Decides on the next load while the fleet is at its limit, with half as many cold adapters as waiting requests.
+     *
+     * @return no orders
+     */
+    @Benchmark
+    public List<LoadOrder> ordersAmongColdAdapters() {
+        return coldResidency.orders();
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/ConfigurationBenchmark.java
@@ -0,0 +1,65 @@
+package org.geraniumreach.benchmarks.jmh;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.geraniumreach.model.record.Configuration;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.model.record.RecordKey;
+import org.geraniumreach.model.record.RecordKind;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** One change of the configuration at a node that applies it; one thread. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class ConfigurationBenchmark {
+
+    /** How many adapters the configuration holds. */
+    @Param
+    FleetSize size;
+
+    private Configuration configuration;
+    private LogEntry change;
+
+    /** Makes the configuration. */
+    @Setup
+    public void setUp() {
+        List<LogEntry> records = records(size.adapters());
+        configuration = Configuration.ofSnapshot(records.size(), records);
+        change = adapter(records.size() + 1, 0);
+    }
+
+    static List<LogEntry> records(int adapters) {
+        List<LogEntry> records = new ArrayList<>();
+        for (int number = 0; number < adapters; number++) {
+            records.add(adapter(number + 1, number));
+        }
+        return records;
+    }
+
+    private static LogEntry adapter(long revision, int number) {
+        String body = "{\"schemaVersion\":1,\"baseModel\":\"" + Fleets.MODEL + "\",\"versions\":[\"1\",\"2\"]}";
+        RecordKey key = RecordKey.of(RecordKind.ADAPTER, "adapter-" + number);
+        return new LogEntry(revision, "operation-" + revision, key, Optional.of(body));
+    }
+
+    /**
+     * Applies one change.
+     *
+     * @return the configuration after it
+     */
+    @Benchmark
+    public Configuration plusOneChange() {
+        return configuration.plus(List.of(change));
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/Fleets.java
@@ -0,0 +1,97 @@
+package org.geraniumreach.benchmarks.jmh;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import org.apache.commons.math3.distribution.ZipfDistribution;
+import org.apache.commons.math3.random.Well19937c;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.model.record.Target;
+import org.geraniumreach.serving.routing.FleetView;
+import org.geraniumreach.serving.routing.TargetStatus;
+
+/** Makes fleets for benchmarks; stateless. */
+final class Fleets {
+
+    static final String MODEL = "model";
+    static final int CONCURRENCY = 16;
+
+    private static final int FAILURE_DOMAINS = 6;
+    private static final long SEED = 1;
+    private static final double ZIPF_EXPONENT = 1.1;
+
+    private Fleets() {}
+
+    static AdapterReference[] adapters(int count) {
+        AdapterReference[] adapters = new AdapterReference[count];
+        for (int number = 0; number < count; number++) {
+            adapters[number] = AdapterReference.of("adapter-" + number, "1");
+        }
+        return adapters;
+    }
+
+    static TargetId target(int number) {
+        return TargetId.of("target-" + number);
+    }
+
+    static void join(FleetView fleet, int number) {
+        fleet.join(
+                new Target(
+                        target(number),
+                        FailureDomain.of("domain-" + number % FAILURE_DOMAINS),
+                        Optional.of(MODEL),
+                        Optional.empty(),
+                        FleetSize.SLOTS,
+                        true),
+                InstanceId.of("instance-" + number));
+    }
+
+    static FleetView fleet(FleetSize size, AdapterReference[] adapters) {
+        FleetView fleet = FleetView.create(MonotonicClock.system());
+        Random random = new Random(SEED);
+        ZipfDistribution popularity = popularity(adapters.length);
+        for (int number = 0; number < size.targets(); number++) {
+            join(fleet, number);
+            Set<AdapterReference> resident = new HashSet<>();
+            while (resident.size() < FleetSize.SLOTS) {
+                resident.add(adapters[popularity.sample() - 1]);
+            }
+            fleet.apply(status(number, 1, random.nextInt(CONCURRENCY), true, resident, Set.of()));
+        }
+        return fleet;
+    }
+
+    static ZipfDistribution popularity(int adapters) {
+        return new ZipfDistribution(new Well19937c(SEED), adapters, ZIPF_EXPONENT);
+    }
+
+    static TargetStatus status(
+            int number,
+            long sequence,
+            int running,
+            boolean complete,
+            Set<AdapterReference> resident,
+            Set<AdapterReference> removed) {
+        return new TargetStatus(
+                target(number),
+                sequence,
+                1,
+                running,
+                0,
+                0,
+                CONCURRENCY,
+                FleetSize.SLOTS,
+                complete,
+                resident,
+                removed,
+                Set.of(),
+                false,
+                0);
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/MemoryMain.java
@@ -0,0 +1,121 @@
+package org.geraniumreach.benchmarks.jmh;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.record.Configuration;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.serving.prefix.DecayingPrefixDirectory;
+import org.geraniumreach.serving.prefix.PrefixDigest;
+import org.geraniumreach.serving.prefix.PrefixDirectory;
+import org.geraniumreach.serving.residency.FleetLoads;
+import org.geraniumreach.serving.residency.Residency;
+import org.geraniumreach.serving.residency.ResidencySettings;
+import org.geraniumreach.serving.routing.FleetView;
+import org.geraniumreach.serving.routing.RouteRequest;
+import org.geraniumreach.serving.routing.Router;
+import org.geraniumreach.serving.routing.RouterSettings;
+import org.geraniumreach.serving.routing.RoutingPolicy;
+import org.geraniumreach.serving.routing.RoutingWeights;
+import org.geraniumreach.serving.routing.TargetFilter;
+
+/** Measures the heap that the decisions' state holds, and prints it as JSON lines. */
+public final class MemoryMain {
+
+    private static final int COLLECTIONS = 4;
+    private static final int PREFIXES = 32_768;
+    private static final int WAITERS = 10_000;
+
+    private MemoryMain() {}
+
+    /**
+     * Measures.
+     *
+     * @param arguments none
+     */
+    public static void main(String[] arguments) {
+        for (FleetSize size : FleetSize.values()) {
+            AdapterReference[] adapters = Fleets.adapters(size.adapters());
+            print("fleet view, by target", size, size.targets(), () -> Fleets.fleet(size, adapters));
+            FleetView fleet = Fleets.fleet(size, adapters);
+            print("router after one request for each adapter, by adapter", size, size.adapters(), () -> {
+                Router router = RoutingPolicy.AFFINITY.router(
+                        fleet,
+                        TargetFilter.all(),
+                        PrefixDirectory.none(),
+                        RouterSettings.of(RoutingWeights.sabarmati()),
+                        new Random(1));
+                for (AdapterReference adapter : adapters) {
+                    router.route(RouteRequest.ofAdapter(Fleets.MODEL, adapter));
+                }
+                return router;
+            });
+            List<LogEntry> records = ConfigurationBenchmark.records(size.adapters());
+            print(
+                    "configuration beside its entries, by adapter",
+                    size,
+                    size.adapters(),
+                    () -> Configuration.ofSnapshot(records.size(), records));
+            print(
+                    "configuration with its entries, by adapter",
+                    size,
+                    size.adapters(),
+                    () -> Configuration.ofSnapshot(size.adapters(), ConfigurationBenchmark.records(size.adapters())));
+        }
+        print("prefix beliefs, by belief", FleetSize.TODAY, PREFIXES, MemoryMain::prefixes);
+        print("waiting requests in residency, by request", FleetSize.TODAY, WAITERS, MemoryMain::waiters);
+    }
+
+    private static Object prefixes() {
+        PrefixDirectory directory =
+                DecayingPrefixDirectory.create(MonotonicClock.system(), Duration.ofMinutes(1), 2 * PREFIXES);
+        for (int number = 0; number < PREFIXES; number++) {
+            directory.ended(new PrefixDigest(number * 0x9E3779B97F4A7C15L, number), Fleets.target(0), true);
+        }
+        return directory;
+    }
+
+    private static Object waiters() {
+        MonotonicClock clock = MonotonicClock.system();
+        Residency residency = Residency.create(
+                ResidencySettings.standard(FleetSize.SLOTS), FleetLoads.create(clock, Duration.ofSeconds(1)), clock);
+        residency.synchronise(1, Set.of(), 0);
+        AdapterReference[] adapters = Fleets.adapters(WAITERS / 2);
+        for (int number = 0; number < WAITERS; number++) {
+            residency.request(AttemptId.of("attempt-" + number), adapters[number / 2], 1);
+        }
+        return residency;
+    }
+
+    private static void print(String what, FleetSize size, int count, Supplier<Object> maker) {
+        long before = used();
+        Object held = maker.get();
+        long bytes = used() - before;
+        System.out.printf(
+                Locale.ROOT,
+                "{\"what\": \"%s\", \"size\": \"%s\", \"count\": %d, \"bytes\": %d, \"bytesEach\": %.0f}%n",
+                what,
+                size,
+                count,
+                bytes,
+                (double) bytes / count);
+        if (held.hashCode() == 0) {
+            System.out.println();
+        }
+    }
+
+    private static long used() {
+        for (int collection = 0; collection < COLLECTIONS; collection++) {
+            System.gc();
+        }
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/RoutingBenchmark.java
@@ -0,0 +1,148 @@
+package org.geraniumreach.benchmarks.jmh;
+
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.commons.math3.distribution.ZipfDistribution;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.serving.prefix.PrefixDirectory;
+import org.geraniumreach.serving.routing.FleetView;
+import org.geraniumreach.serving.routing.Route;
+import org.geraniumreach.serving.routing.RouteRequest;
+import org.geraniumreach.serving.routing.Router;
+import org.geraniumreach.serving.routing.RouterSettings;
+import org.geraniumreach.serving.routing.RoutingPolicy;
+import org.geraniumreach.serving.routing.RoutingWeights;
+import org.geraniumreach.serving.routing.TargetFilter;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** The choice of a target, and the taking in of a companion's news; one thread. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class RoutingBenchmark {
+
+    private static final int REQUESTS = 1 << 14;
+
+    /** How large the fleet is. */
+    @Param
+    FleetSize size;
+
+    private final RouteRequest[] requests = new RouteRequest[REQUESTS];
+    private FleetView fleet;
+    private AdapterReference[] adapters;
+    private Router affinity;
+    private Router plainHashing;
+    private Router leastLoaded;
+    private int next;
+    private long sequence = 1;
+
+    /** Makes the fleet, the routers and the requests. */
+    @Setup
+    public void setUp() {
+        adapters = Fleets.adapters(size.adapters());
+        fleet = Fleets.fleet(size, adapters);
+        affinity = router(RoutingPolicy.AFFINITY);
+        plainHashing = router(RoutingPolicy.PLAIN_HASHING);
+        leastLoaded = router(RoutingPolicy.LEAST_LOADED);
+        ZipfDistribution popularity = Fleets.popularity(adapters.length);
+        for (int index = 0; index < REQUESTS; index++) {
+            requests[index] = RouteRequest.ofAdapter(Fleets.MODEL, adapters[popularity.sample() - 1]);
+        }
+    }
+
+    private Router router(RoutingPolicy policy) {
+        return policy.router(
+                fleet,
+                TargetFilter.all(),
+                PrefixDirectory.none(),
+                RouterSettings.of(RoutingWeights.sabarmati()),
+                new Random(1));
+    }
+
+    private RouteRequest request() {
+        return requests[next++ & REQUESTS - 1];
+    }
+
+    /**
+     * Chooses by residency, load and demand.
+     *
+     * @return the choice
+     */
+    @Benchmark
+    public Optional<Route> affinity() {
+        return affinity.route(request());
+    }
+
+    /**
+     * Chooses by plain hashing.
+     *
+     * @return the choice
+     */
+    @Benchmark
+    public Optional<Route> plainHashing() {
+        return plainHashing.route(request());
+    }
+
+    /**
+     * Chooses by the least load.
+     *
+     * @return the choice
+     */
+    @Benchmark
+    public Optional<Route> leastLoaded() {
+        return leastLoaded.route(request());
+    }
+
+    /**
+     * Takes in a Status with one adapter more and one less.
+     *
+     * @return whether it was new
+     */
+    @Benchmark
+    public boolean statusWithAChange() {
+        int number = next++ % size.targets();
+        AdapterReference added = adapters[next % adapters.length];
+        AdapterReference removed = adapters[(next + 1) % adapters.length];
+        return fleet.apply(Fleets.status(number, ++sequence, 3, false, Set.of(added), Set.of(removed)));
+    }
+
+    /**
+     * Takes in a Status that holds only load.
+     *
+     * @return whether it was new
+     */
+    @Benchmark
+    public boolean statusOfLoadOnly() {
+        int number = next++ % size.targets();
+        return fleet.apply(Fleets.status(number, ++sequence, 3, false, Set.of(), Set.of()));
+    }
+
+    /** A target leaves and comes back: what the choice after it pays is in {@link #affinityAfterAChange}. */
+    @Benchmark
+    public void targetLeavesAndJoins() {
+        int number = next++ % size.targets();
+        fleet.leave(Fleets.target(number));
+        Fleets.join(fleet, number);
+    }
+
+    /**
+     * Chooses after a target has left and come back, when no order is remembered.
+     *
+     * @return the choice
+     */
+    @Benchmark
+    public Optional<Route> affinityAfterAChange() {
+        targetLeavesAndJoins();
+        return affinity.route(request());
+    }
+}
