Keep routing and load decisions short when many hold or wait for an adapter

Choosing among the holders of an adapter that nearly all 760 targets hold hashed them all for each request: 25 us, against 1 us at 16 targets. The remembered order answers it now. The decision on loads looked at all waiting adapters at each call, 240 us for 512 of them, also when no load could start; it looks at the limits first. The benchmark of a Status kept adding adapters without end, and that of memory counted classes loaded on the way; both are mended.

--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/MemoryMain.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/MemoryMain.java
@@ -96,6 +96,7 @@
     }
 
     private static void print(String what, FleetSize size, int count, Supplier<Object> maker) {
+        maker.get();
         long before = used();
         Object held = maker.get();
         long bytes = used() - before;
--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/RoutingBenchmark.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/RoutingBenchmark.java
@@ -104,16 +104,18 @@
     }
 
     /**
-     * Takes in a Status with one adapter more and one less.
+     * Takes in a Status with one adapter more or less.
      *
      * @return whether it was new
      */
     @Benchmark
     public boolean statusWithAChange() {
         int number = next++ % size.targets();
-        AdapterReference added = adapters[next % adapters.length];
-        AdapterReference removed = adapters[(next + 1) % adapters.length];
-        return fleet.apply(Fleets.status(number, ++sequence, 3, false, Set.of(added), Set.of(removed)));
+        AdapterReference coming = adapters[adapters.length - 1];
+        boolean there = next / size.targets() % 2 == 0;
+        Set<AdapterReference> added = there ? Set.of() : Set.of(coming);
+        Set<AdapterReference> removed = there ? Set.of(coming) : Set.of();
+        return fleet.apply(Fleets.status(number, ++sequence, 3, false, added, removed));
     }
 
     /**
--- a/serving/src/main/java/org/geraniumreach/serving/residency/Residency.java
+++ b/serving/src/main/java/org/geraniumreach/serving/residency/Residency.java
@@ -169,6 +169,9 @@
      * @return the orders, not null
      */
     public synchronized List<LoadOrder> orders() {
+        if (!mayLoadAny()) {
+            return List.of();
+        }
         long now = clock.nanos();
         List<LoadOrder> started = new ArrayList<>();
         List<WaitingAdapter> wanted = wanted(now);
@@ -189,6 +192,14 @@
         return started;
     }
 
+    /* Saves the look at all that wait, which grows with them, when it would end in no load. */
+    private boolean mayLoadAny() {
+        if (transits.size() >= settings.loadsAtOnce()) {
+            return false;
+        }
+        return transits.isEmpty() || transits.size() + fleet.inTransit() < settings.loadsFleetWide();
+    }
+
     private List<WaitingAdapter> wanted(long now) {
         List<WaitingAdapter> wanted = new ArrayList<>();
         for (AdapterReference adapter : waiters.adapters()) {
--- a/serving/src/main/java/org/geraniumreach/serving/routing/AffinityRouter.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/AffinityRouter.java
@@ -83,9 +83,10 @@
         private void aroundAdapter(AdapterReference adapter) {
             ReplicaAllowance.Totals totals = allowance.totals(request.offering());
             int allowed = allowance.count(adapter, totals);
-            considerHolders(adapter, allowed);
+            HomeOrders.Order order = orders.of(adapter, members);
+            considerHolders(usedHolders(adapter, order, allowed));
             if (holders.length < allowed || isToBeLeft(totals)) {
-                considerHomes(adapter, Math.max(allowed, weights.homes()));
+                considerHomes(adapter, order, Math.max(allowed, weights.homes()));
             }
             if (isToBeLeft(totals)) {
                 amongTwo();
@@ -96,10 +97,26 @@
             return best == null || cost.isCrowded(best, totals.meanRelativeLoad());
         }
 
-        /* Of more holders than are needed, those late in the order are left to run out, the same ones by every entry. */
-        private void considerHolders(AdapterReference adapter, int allowed) {
-            TrackedTarget[] used =
-                    holders.length > allowed ? Rendezvous.first(Rendezvous.hash(adapter), holders, allowed) : holders;
+        /*
+         * Of more holders than are needed, those late in the order are left to run out, the same ones by every entry. The
+         * order that is remembered mostly tells; with it, an adapter that nearly all targets hold costs no more than one
+         * that a few hold.
+         */
+        private TrackedTarget[] usedHolders(AdapterReference adapter, HomeOrders.Order order, int allowed) {
+            if (holders.length <= allowed) {
+                return holders;
+            }
+            TrackedTarget[] used = new TrackedTarget[allowed];
+            int count = 0;
+            for (TrackedTarget target : order.targets()) {
+                if (count < allowed && target.report().resident().contains(adapter)) {
+                    used[count++] = target;
+                }
+            }
+            return count == allowed ? used : Rendezvous.first(order.key(), holders, allowed);
+        }
+
+        private void considerHolders(TrackedTarget[] used) {
             if (used.length == 0) {
                 return;
             }
@@ -117,9 +134,9 @@
             }
         }
 
-        private void considerHomes(AdapterReference adapter, int count) {
+        private void considerHomes(AdapterReference adapter, HomeOrders.Order order, int count) {
             int left = count;
-            for (TrackedTarget home : orders.of(adapter, members)) {
+            for (TrackedTarget home : order.targets()) {
                 if (left > 0 && candidates.allows(request, home)) {
                     left--;
                     consider(home, reasonAt(home, adapter));
--- a/serving/src/main/java/org/geraniumreach/serving/routing/HomeOrders.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/HomeOrders.java
@@ -27,7 +27,14 @@
         }
     }
 
-    private record Order(long generation, TrackedTarget[] targets) {}
+    /**
+     * An adapter's order.
+     *
+     * @param generation the generation of the members that it was worked out from
+     * @param key the adapter's hash
+     * @param targets the first targets, best first; shared, and not to be changed
+     */
+    record Order(long generation, int key, TrackedTarget[] targets) {}
 
     private static final class Shard extends LinkedHashMap<AdapterReference, Order> {
         private static final long serialVersionUID = 1L;
@@ -46,23 +53,23 @@
     }
 
     /**
-     * Gets the first targets of an adapter's order; the array is shared and must not be changed.
+     * Gets an adapter's order.
      *
      * @param adapter the adapter
      * @param members the members
-     * @return the first targets, best first
+     * @return the order
      */
-    TrackedTarget[] of(AdapterReference adapter, FleetView.Members members) {
+    Order of(AdapterReference adapter, FleetView.Members members) {
         Shard shard = shards[Math.floorMod(adapter.hashCode(), SHARDS)];
         synchronized (shard) {
             Order known = shard.get(adapter);
             if (known != null && known.generation == members.generation()) {
-                return known.targets;
+                return known;
             }
-            Order order = new Order(
-                    members.generation(), Rendezvous.first(Rendezvous.hash(adapter), members.targets(), length));
+            int key = known != null ? known.key : Rendezvous.hash(adapter);
+            Order order = new Order(members.generation(), key, Rendezvous.first(key, members.targets(), length));
             shard.put(adapter, order);
-            return order.targets;
+            return order;
         }
     }
 }
--- a/serving/src/main/java/org/geraniumreach/serving/routing/PlainHashingRouter.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/PlainHashingRouter.java
@@ -30,7 +30,7 @@
         if (request.adapter().isEmpty() || members.targets().length == 0) {
             return Optional.empty();
         }
-        TrackedTarget home = orders.of(request.adapter().get(), members)[0];
+        TrackedTarget home = orders.of(request.adapter().get(), members).targets()[0];
         if (!candidates.allows(request, home) || home.relativeLoad() >= 1) {
             return Optional.empty();
         }
