--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerSettings.java
@@ -15,6 +15,8 @@
  * @param pollInterval how often a waiting call reads the row
  * @param takeoverAge when the row of a sender that is still listed is taken over nevertheless
  * @param clockError how far the times of day of two entries may be apart
+ * @param sendLimit how long after its row was written an attempt may be sent
+ * @param sealLimit how long after it was asked a companion is believed that an attempt never started
  * @param groupSize how many rows go into one transaction
  * @param groupWait how long a row waits for others
  * @param largestInline the largest answer kept in the row
@@ -33,6 +35,13 @@
                 Duration takeoverAge,
         @Setting(value = "10s", least = "0ms", about = "How far the times of day of two entries may be apart.")
                 Duration clockError,
+        @Setting(value = "10s", least = "1s", about = "How long after its row was written an attempt may be sent.")
+                Duration sendLimit,
+        @Setting(
+                        value = "10s",
+                        least = "1s",
+                        about = "How long after it was asked a companion is believed that an attempt never started.")
+                Duration sealLimit,
         @Setting(value = "64", least = "1", greatest = "500", about = "How many rows go into one transaction.")
                 int groupSize,
         @Setting(value = "4ms", least = "0ms", about = "How long a row waits for others to share its transaction.")
--- /dev/null
+++ b/integration/src/test/java/org/geraniumreach/integration/JavaProcess.java
@@ -0,0 +1,72 @@
+package org.geraniumreach.integration;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A Java process that a test started. Confined to the test. */
+final class JavaProcess implements AutoCloseable {
+
+    private static final long END_SECONDS = 40;
+
+    private final Process process;
+
+    private JavaProcess(Process process) {
+        this.process = process;
+    }
+
+    static JavaProcess start(String module, String mainClass, Path log, String... arguments) throws IOException {
+        Path target = Path.of("..", module, "target").toAbsolutePath().normalize();
+        String classPath = target.resolve("classes") + File.pathSeparator + target.resolve("lib") + "/*";
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xms16m",
+                "-Xmx96m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                classPath,
+                mainClass));
+        command.addAll(Arrays.asList(arguments));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        return new JavaProcess(builder.start());
+    }
+
+    /** Ends the process at once, as a crash does. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor(END_SECONDS, TimeUnit.SECONDS);
+    }
+
+    void freeze() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
+    void thaw() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    /** Asks the process to end, as the platform does. */
+    void terminate() throws IOException, InterruptedException {
+        signal("TERM");
+    }
+
+    boolean awaitEnd() throws InterruptedException {
+        return process.waitFor(END_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        kill();
+    }
+}
--- a/link/src/main/java/org/geraniumreach/link/LinkChannel.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkChannel.java
@@ -1,7 +1,9 @@
 package org.geraniumreach.link;
 
 import java.io.IOException;
+import java.util.EnumSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +31,8 @@
 final class LinkChannel extends SimpleChannelInboundHandler<Frame> implements Peer, LinkTable.Member {
 
     private static final int OLDEST_PROTOCOL = 1;
+    private static final Set<Frame.BodyCase> REQUESTS =
+            EnumSet.of(Frame.BodyCase.RUN, Frame.BodyCase.RESUME, Frame.BodyCase.CANCEL, Frame.BodyCase.SEAL);
 
     private final LinkSettings settings;
     private final HandlerRegistry handlers;
@@ -37,6 +41,7 @@
     private final LinkHealth health;
     private final Set<FrameHandler> announced = new LinkedHashSet<>();
     private volatile Channel channel;
+    private volatile OutboundFrames outbound;
     private volatile Hello hello;
     private volatile InstanceId instance;
     private volatile String closeReason;
@@ -70,7 +75,8 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
-        channel.writeAndFlush(Frame.newBuilder().setHello(owner.localHello()).build());
+        outbound = new OutboundFrames(channel, settings.writeBufferHigh(), this::tellWritable);
+        send(Frame.newBuilder().setHello(owner.localHello()).build());
         context.executor().schedule(this::checkHello, settings.helloLimit().toNanos(), TimeUnit.NANOSECONDS);
     }
 
@@ -100,10 +106,20 @@
             case PONG -> health.pong(frame.getPong().getNumber());
             case HELLO -> refuse("a second Hello");
             case BODY_NOT_SET -> refuse("a frame of unknown type");
-            default -> handlers.of(frame.getBodyCase()).forEach(handler -> {
-                announce(handler);
-                guard(() -> handler.received(this, frame));
-            });
+            default -> handle(frame);
+        }
+    }
+
+    private void handle(Frame frame) {
+        List<FrameHandler> interested = handlers.of(frame.getBodyCase());
+        if (interested.isEmpty() && REQUESTS.contains(frame.getBodyCase())) {
+            // A request passed over in silence would be waited for until its deadline; a lost link is noticed.
+            close("nobody here answers a " + frame.getBodyCase());
+            return;
+        }
+        for (FrameHandler handler : interested) {
+            announce(handler);
+            guard(() -> handler.received(this, frame));
         }
     }
 
@@ -165,9 +181,11 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (context.channel().isWritable()) {
-            tellAll(handler -> handler.writable(this));
-        }
+        outbound.writabilityChanged();
+    }
+
+    private void tellWritable() {
+        tellAll(handler -> handler.writable(this));
     }
 
     @Override
@@ -245,13 +263,13 @@
                     description() + ": not sent, " + frame.getSerializedSize() + " bytes of " + frame.getBodyCase());
             return false;
         }
-        channel.writeAndFlush(frame, channel.voidPromise());
+        outbound.add(frame);
         return true;
     }
 
     @Override
     public boolean isWritable() {
-        return channel.isWritable();
+        return outbound.isWritable();
     }
 
     @Override
