--- a/coordination/src/main/java/org/geraniumreach/coordination/configuration/ConfigurationRows.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/configuration/ConfigurationRows.java
@@ -89,7 +89,17 @@
      * @return the key, not null
      */
     public static RowKey part(long revision, int index) {
-        return RowKey.of(TABLE, String.format("part/" + REVISION_FORMAT + "/%06d", revision, index));
+        return RowKey.of(TABLE, partPrefix(revision) + String.format("%06d", index));
+    }
+
+    /**
+     * Obtains what the keys of a snapshot's parts start with.
+     *
+     * @param revision the snapshot's revision
+     * @return the prefix, not null
+     */
+    public static String partPrefix(long revision) {
+        return "part/" + String.format(REVISION_FORMAT, revision) + "/";
     }
 
     /**
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/Compactor.java
@@ -0,0 +1,87 @@
+package org.geraniumreach.daemon.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.geraniumreach.coordination.configuration.Compaction;
+import org.geraniumreach.coordination.configuration.ConfigurationRows;
+import org.geraniumreach.coordination.configuration.ConfigurationRows.SnapshotPlace;
+import org.geraniumreach.model.record.Configuration;
+import org.geraniumreach.model.record.LogEntry;
+import org.geraniumreach.model.record.RecordException;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.TableService;
+
+/**
+ * Writes snapshots of the configuration to the table and deletes what they make needless.
+ *
+ * <p>Contract: a run that breaks off leaves rows that a later run writes again or deletes, and never a place without its
+ * parts. Confined to the thread that polls.
+ */
+final class Compactor {
+
+    private static final int OLDEST_LIMIT = 500;
+
+    private final TableService table;
+    private final int changes;
+    private long notBefore;
+
+    Compactor(TableService table, int changes) {
+        this.table = Objects.requireNonNull(table, "table");
+        this.changes = changes;
+        this.notBefore = changes;
+    }
+
+    /**
+     * Writes a snapshot if one is due.
+     *
+     * @param configuration the configuration in force, not null
+     * @throws PlatformException if the table does not answer
+     * @throws RecordException if a row is malformed
+     */
+    void run(Configuration configuration) throws PlatformException, RecordException {
+        if (configuration.revision() < notBefore) {
+            return;
+        }
+        Optional<Row> row = table.read(ConfigurationRows.SNAPSHOT);
+        Optional<SnapshotPlace> newest = Optional.empty();
+        if (row.isPresent()) {
+            newest = Optional.of(ConfigurationRows.readPlace(row.get().value()));
+        }
+        if (!Compaction.isDue(configuration.revision(), newest, changes)) {
+            notBefore = newest.orElseThrow().revision() + changes;
+            return;
+        }
+        List<Transaction> parts = Compaction.writeParts(configuration);
+        commit(parts);
+        SnapshotPlace place = new SnapshotPlace(configuration.revision(), parts.size());
+        long version = row.map(Row::version).orElse(Transaction.ABSENT);
+        if (!table.commit(Compaction.writePlace(version, place))) {
+            return;
+        }
+        notBefore = configuration.revision() + changes;
+        if (newest.isPresent()) {
+            commit(Compaction.deleteParts(newest.get()));
+        }
+        commit(Compaction.deleteChanges(oldestChanges(), configuration.revision()));
+    }
+
+    private void commit(List<Transaction> transactions) throws PlatformException {
+        for (Transaction transaction : transactions) {
+            table.commit(transaction);
+        }
+    }
+
+    private List<LogEntry> oldestChanges() throws PlatformException, RecordException {
+        List<Row> rows = table.scan(ConfigurationRows.TABLE, ConfigurationRows.LOG_PREFIX, "", OLDEST_LIMIT);
+        List<LogEntry> entries = new ArrayList<>();
+        for (Row row : rows) {
+            entries.add(ConfigurationRows.readEntry(row.value()));
+        }
+        return entries;
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/ConfigurationReader.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ConfigurationReader.java
@@ -23,6 +23,7 @@
 final class ConfigurationReader {
 
     private static final int SCAN_LIMIT = 500;
+    private static final int PARTS_AT_ONCE = 20;
 
     private final TableService table;
     private final MonotonicClock clock;
@@ -87,12 +88,19 @@
         ConfigurationRows.SnapshotPlace place =
                 ConfigurationRows.readPlace(row.get().value());
         List<LogEntry> records = new ArrayList<>();
-        for (int index = 0; index < place.parts(); index++) {
-            Optional<Row> part = table.read(ConfigurationRows.part(place.revision(), index));
-            if (part.isEmpty()) {
+        String prefix = ConfigurationRows.partPrefix(place.revision());
+        String last = "";
+        for (int read = 0; read < place.parts(); ) {
+            List<Row> rows = table.scan(ConfigurationRows.TABLE, prefix, last, PARTS_AT_ONCE);
+            if (rows.isEmpty()) {
+                // A newer snapshot has taken this one's place meanwhile; the next reading finds it.
                 return Optional.empty();
             }
-            records.addAll(ConfigurationRows.readPart(part.get().value()));
+            for (Row part : rows) {
+                records.addAll(ConfigurationRows.readPart(part.value()));
+            }
+            read += rows.size();
+            last = rows.get(rows.size() - 1).key().key();
         }
         try {
             return Optional.of(Configuration.ofSnapshot(place.revision(), records));
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/ReplicatedConfiguration.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ReplicatedConfiguration.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.daemon.configuration;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -21,7 +22,9 @@
 
 import org.geraniumreach.coordination.configuration.ConfigurationNode;
 import org.geraniumreach.coordination.configuration.NodeAction;
+import org.geraniumreach.coordination.configuration.NodeMessage;
 import org.geraniumreach.coordination.configuration.PollAnswer;
+import org.geraniumreach.coordination.membership.Rendezvous;
 import org.geraniumreach.daemon.event.EventLog;
 import org.geraniumreach.daemon.membership.MembershipService;
 import org.geraniumreach.link.FrameHandler;
@@ -49,6 +52,7 @@
 public final class ReplicatedConfiguration implements ConfigurationService, AutoCloseable {
 
     private static final int TICKS_IN_PERIOD = 10;
+    private static final String COMPACTOR_SUBJECT = "configuration-compactor";
 
     private final InstanceId self;
     private final ConfigurationSettings settings;
@@ -56,11 +60,13 @@
     private final MembershipService membership;
     private final MonotonicClock clock;
     private final ConfigurationReader reader;
+    private final Compactor compactor;
     private final ConfigurationNode node;
     private final ScheduledExecutorService owner = Executors.newSingleThreadScheduledExecutor(named("configuration"));
     private final ExecutorService pollers = Executors.newSingleThreadExecutor(named("configuration-poll"));
     private final List<ConfigurationListener> listeners = new CopyOnWriteArrayList<>();
     private final Map<InstanceId, Peer> peers = new HashMap<>();
+    private final SnapshotBacklog snapshots = new SnapshotBacklog();
     private volatile ConfigurationState state;
     private boolean storeAnswers = true;
 
@@ -78,6 +84,7 @@
         this.membership = Objects.requireNonNull(membership, "membership");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.reader = new ConfigurationReader(table, clock);
+        this.compactor = new Compactor(table, settings.compactionChanges());
         this.node = new ConfigurationNode(self, settings.nodeOptions(), clock, random);
         this.state = ConfigurationState.of(node);
     }
@@ -229,7 +236,9 @@
 
     private void handle(Supplier<List<NodeAction>> event) {
         try {
-            event.get().forEach(this::perform);
+            List<NodeAction> actions = event.get();
+            actions.forEach(this::perform);
+            sendSnapshots(actions);
             publish();
         } catch (RuntimeException fault) {
             EventLog.write(EventCode.UNEXPECTED_FAILURE, fault, "event of the configuration");
@@ -239,7 +248,7 @@
     private void perform(NodeAction action) {
         if (action instanceof NodeAction.Send send) {
             Peer peer = peers.get(send.peer());
-            if (peer != null) {
+            if (peer != null && !(send.message() instanceof NodeMessage.SnapshotPart)) {
                 peer.send(NodeFrames.frame(self, send.message()));
             }
         } else if (action instanceof NodeAction.Poll poll) {
@@ -247,6 +256,19 @@
         }
     }
 
+    private void sendSnapshots(List<NodeAction> actions) {
+        Map<Peer, List<Frame>> parts = new HashMap<>();
+        for (NodeAction action : actions) {
+            if (action instanceof NodeAction.Send send && send.message() instanceof NodeMessage.SnapshotPart part) {
+                Peer peer = peers.get(send.peer());
+                if (peer != null) {
+                    parts.computeIfAbsent(peer, key -> new ArrayList<>()).add(NodeFrames.frame(self, part));
+                }
+            }
+        }
+        parts.forEach(snapshots::send);
+    }
+
     private void poll(long haveRevision) {
         try {
             PollAnswer answer = reader.read(haveRevision);
@@ -254,6 +276,7 @@
                 storeAnswered(true, null);
                 return node.polled(answer);
             });
+            compact();
         } catch (PlatformException | RecordException | RuntimeException failure) {
             enqueue(() -> {
                 storeAnswered(false, failure);
@@ -263,6 +286,21 @@
         }
     }
 
+    /* One entry is enough; two that take themselves for it write the same rows. A run that fails is made good by the next,
+     * and says nothing of whether the head could be read. */
+    private void compact() {
+        boolean chosen = Rendezvous.choose(COMPACTOR_SUBJECT, membership.submittingEntries(), 1)
+                .contains(self);
+        if (!chosen || !state.obtained()) {
+            return;
+        }
+        try {
+            compactor.run(state.configuration());
+        } catch (PlatformException | RecordException failure) {
+            EventLog.write(EventCode.PLATFORM_UNREACHABLE, failure, "table service, for a snapshot");
+        }
+    }
+
     private void storeAnswered(boolean answers, Throwable failure) {
         if (answers == storeAnswers) {
             return;
@@ -359,9 +397,18 @@
             });
         }
 
+        @Override
+        public void writable(Peer peer) {
+            enqueue(() -> {
+                snapshots.flush(peer);
+                return List.of();
+            });
+        }
+
         @Override
         public void closed(Peer peer, String reason) {
             enqueue(() -> {
+                snapshots.closed(peer);
                 InstanceId instance = InstanceId.of(peer.hello().getInstance());
                 if (peers.get(instance) != peer) {
                     return List.of();
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/configuration/MemoryLinks.java
@@ -0,0 +1,103 @@
+package org.geraniumreach.daemon.configuration;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.geraniumreach.link.FrameHandler;
+import org.geraniumreach.link.Links;
+import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.model.InstanceId;
+
+/** Links within one process: what one end sends the other receives at once. */
+final class MemoryLinks implements Links {
+
+    private final Hello hello;
+    private final Map<InstanceId, Peer> open = new ConcurrentHashMap<>();
+    private final List<Registration> handlers = new ArrayList<>();
+
+    private record Registration(Set<Frame.BodyCase> kinds, FrameHandler handler) {}
+
+    MemoryLinks(String instance, String role) {
+        hello = Hello.newBuilder()
+                .setInstance(instance)
+                .setRole(role)
+                .setIncarnation(1)
+                .setFailureDomain("west-a")
+                .build();
+    }
+
+    void connect(MemoryLinks other) {
+        End here = new End(this, other);
+        End there = new End(other, this);
+        here.back = there;
+        there.back = here;
+        open.put(InstanceId.of(other.hello.getInstance()), here);
+        other.open.put(InstanceId.of(hello.getInstance()), there);
+        handlers.forEach(registered -> registered.handler().opened(here));
+        other.handlers.forEach(registered -> registered.handler().opened(there));
+    }
+
+    private void receive(Peer peer, Frame frame) {
+        handlers.stream()
+                .filter(registered -> registered.kinds().contains(frame.getBodyCase()))
+                .forEach(registered -> registered.handler().received(peer, frame));
+    }
+
+    @Override
+    public void keep(InstanceId instance, InetSocketAddress address) {}
+
+    @Override
+    public void release(InstanceId instance) {}
+
+    @Override
+    public Optional<Peer> find(InstanceId instance) {
+        return Optional.ofNullable(open.get(instance));
+    }
+
+    @Override
+    public List<Peer> peers() {
+        return List.copyOf(open.values());
+    }
+
+    @Override
+    public void handle(Set<Frame.BodyCase> kinds, FrameHandler handler) {
+        handlers.add(new Registration(kinds, handler));
+    }
+
+    /** One end's view of the other. */
+    private static final class End implements Peer {
+
+        private final MemoryLinks to;
+        private End back;
+
+        End(MemoryLinks from, MemoryLinks to) {
+            this.to = to;
+        }
+
+        @Override
+        public Hello hello() {
+            return to.hello;
+        }
+
+        @Override
+        public boolean send(Frame frame) {
+            to.receive(back, frame);
+            return true;
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public void close(String reason) {}
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/configuration/ReplicatedConfigurationTest.java
@@ -0,0 +1,185 @@
+package org.geraniumreach.daemon.configuration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+
+import org.geraniumreach.coordination.configuration.ConfigurationRows;
+import org.geraniumreach.coordination.configuration.Submission;
+import org.geraniumreach.coordination.membership.MembershipView;
+import org.geraniumreach.daemon.membership.InstanceListReading;
+import org.geraniumreach.daemon.membership.MembershipListener;
+import org.geraniumreach.daemon.membership.MembershipService;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.KeyDigest;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.geraniumreach.model.record.RecordKey;
+import org.geraniumreach.model.record.RecordKind;
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.platform.PlatformException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+class ReplicatedConfigurationTest {
+
+    private static final ConfigurationSettings SETTINGS = new ConfigurationSettings(
+            Duration.ofMillis(50), Duration.ofMillis(500), 2, Duration.ofSeconds(2), Duration.ofSeconds(1), 10);
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final KeyDigest DIGEST = KeyDigest.ofSecret("secret");
+
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final MemoryTable table = new MemoryTable();
+    private final List<ReplicatedConfiguration> started = new ArrayList<>();
+
+    private record FixedMembership(Set<InstanceId> entries) implements MembershipService {
+
+        @Override
+        public MembershipView get() {
+            return MembershipView.empty();
+        }
+
+        @Override
+        public void listen(MembershipListener listener) {}
+
+        @Override
+        public Optional<InstanceListReading> lastReading() {
+            return Optional.empty();
+        }
+
+        @Override
+        public Set<InstanceId> submittingEntries() {
+            return entries;
+        }
+
+        @Override
+        public void announceLeaving() {}
+    }
+
+    private final Set<InstanceId> entries = Set.of(InstanceId.of("entry-1"), InstanceId.of("entry-2"));
+    private final MemoryLinks firstLinks = new MemoryLinks("entry-1", "entry");
+    private final MemoryLinks secondLinks = new MemoryLinks("entry-2", "entry");
+
+    private ReplicatedConfiguration start(String instance, MemoryLinks links) {
+        ReplicatedConfiguration configuration = ReplicatedConfiguration.start(
+                InstanceId.of(instance), SETTINGS, table, links, new FixedMembership(entries), clock, new Random(1));
+        started.add(configuration);
+        return configuration;
+    }
+
+    private Submitter submitter(ReplicatedConfiguration configuration) {
+        return new Submitter(configuration, SETTINGS, table, clock, new Random(1));
+    }
+
+    @AfterEach
+    void close() {
+        started.forEach(ReplicatedConfiguration::close);
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long deadline = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).isLessThan(deadline);
+            Thread.sleep(5);
+        }
+    }
+
+    private static Submission submission(String operation, long basedOn, RecordKind kind, String name, String body) {
+        return new Submission(
+                operation,
+                basedOn,
+                RecordKey.of(kind, name),
+                Optional.ofNullable(body).map(text -> text.replace('\'', '"')));
+    }
+
+    private static Submission account(int number, long basedOn) {
+        String body = "{'schemaVersion':1,'rate':" + (number + 1) + ",'burst':1}";
+        return submission("account-" + number, basedOn, RecordKind.ACCOUNT, "acme", body);
+    }
+
+    /*
+     * Failure: a key is withdrawn at one entry and streams that another entry serves for it go on. The other entry hears of
+     * the change from the first, and tells whoever runs streams which keys are good no more.
+     */
+    @Test
+    void aWithdrawnKeyIsToldAtTheOtherEntry() throws InterruptedException {
+        ReplicatedConfiguration first = start("entry-1", firstLinks);
+        ReplicatedConfiguration second = start("entry-2", secondLinks);
+        firstLinks.connect(secondLinks);
+        List<Set<KeyDigest>> withdrawn = new CopyOnWriteArrayList<>();
+        second.listen((before, after, keys) -> withdrawn.add(keys));
+        Submitter submitter = submitter(first);
+        String key = "{'schemaVersion':1,'account':'acme','digest':'" + DIGEST.toHexadecimal() + "'}";
+        assertThat(submitter.submit(account(0, 0)).result().isAccepted()).isTrue();
+        assertThat(submitter
+                        .submit(submission("key", 1, RecordKind.KEY, "key", key))
+                        .otherEntries())
+                .isEqualTo(1);
+        assertThat(second.current().key(DIGEST)).isPresent();
+        submitter.submit(submission("withdrawal", 2, RecordKind.KEY, "key", null));
+        await(() -> withdrawn.contains(Set.of(DIGEST)));
+        assertThat(second.current().key(DIGEST)).isEmpty();
+    }
+
+    /*
+     * Failure: the longer the system runs, the longer a new instance takes to start, since it reads every change ever made.
+     * After enough changes a snapshot stands in the table, and an instance whose revision the log no longer reaches back to
+     * starts from it.
+     */
+    @Test
+    void aFreshInstanceStartsFromTheSnapshotInTheTable() throws Exception {
+        ReplicatedConfiguration first = start("entry-1", firstLinks);
+        Submitter submitter = submitter(first);
+        for (int number = 0; number < 25; number++) {
+            assertThat(submitter.submit(account(number, number)).result().isAccepted())
+                    .isTrue();
+        }
+        start("entry-2", secondLinks);
+        await(() -> isThere(ConfigurationRows.SNAPSHOT));
+        deleteLogTo(ConfigurationRows.readPlace(
+                        table.read(ConfigurationRows.SNAPSHOT).orElseThrow().value())
+                .revision());
+        ReplicatedConfiguration fresh = start("entry-2", new MemoryLinks("entry-2", "entry"));
+        await(() -> fresh.current().revision() == 25);
+        assertThat(fresh.current().entries()).hasSize(1);
+        assertThat(fresh.reasonNotReady()).isEmpty();
+    }
+
+    private boolean isThere(RowKey key) {
+        try {
+            return table.read(key).isPresent();
+        } catch (PlatformException away) {
+            return false;
+        }
+    }
+
+    private void deleteLogTo(long revision) throws Exception {
+        for (long old = 1; old <= revision; old++) {
+            table.commit(Transaction.empty().withDelete(ConfigurationRows.log(old)));
+        }
+    }
+
+    /*
+     * Failure: an instance that has never seen a configuration answers callers that their keys are unknown. While the table
+     * is away and no peer is there it refuses as not run, with a time to come back, and is not ready.
+     */
+    @Test
+    void anInstanceWithoutConfigurationRefusesWithATimeToComeBack() {
+        table.setAway(true);
+        ReplicatedConfiguration alone = start("entry-1", firstLinks);
+        ServingException refusal = catchThrowableOfType(ServingException.class, alone::requireFresh);
+        assertThat(refusal.code()).isEqualTo(ResultCode.NOT_FRESH);
+        assertThat(refusal.retryAfter()).isPresent();
+        assertThat(alone.reasonNotReady()).isPresent();
+    }
+}
