--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/configuration/LoneEntry.java
@@ -0,0 +1,57 @@
+package org.geraniumreach.daemon.configuration;
+
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import org.geraniumreach.coordination.membership.MembershipView;
+import org.geraniumreach.daemon.membership.InstanceListReading;
+import org.geraniumreach.daemon.membership.MembershipListener;
+import org.geraniumreach.daemon.membership.MembershipService;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.MonotonicClock;
+
+/** Starts the configuration of an entry that is alone. */
+public final class LoneEntry {
+
+    private static final InstanceId SELF = InstanceId.of("entry-1");
+
+    private LoneEntry() {}
+
+    /** A membership of the same entries for ever. */
+    record FixedMembership(Set<InstanceId> entries) implements MembershipService {
+
+        @Override
+        public MembershipView get() {
+            return MembershipView.empty();
+        }
+
+        @Override
+        public void listen(MembershipListener listener) {}
+
+        @Override
+        public Optional<InstanceListReading> lastReading() {
+            return Optional.empty();
+        }
+
+        @Override
+        public Set<InstanceId> submittingEntries() {
+            return entries;
+        }
+
+        @Override
+        public void announceLeaving() {}
+    }
+
+    public static ReplicatedConfiguration start(
+            ConfigurationSettings settings, MemoryTable table, MonotonicClock clock) {
+        return ReplicatedConfiguration.start(
+                SELF,
+                settings,
+                table,
+                new MemoryLinks(SELF.value(), "entry"),
+                new FixedMembership(Set.of(SELF)),
+                clock,
+                new Random(1));
+    }
+}
--- a/daemon/src/test/java/org/geraniumreach/daemon/configuration/ReplicatedConfigurationTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/configuration/ReplicatedConfigurationTest.java
@@ -11,10 +11,6 @@
 
 import org.geraniumreach.coordination.configuration.ConfigurationRows;
 import org.geraniumreach.coordination.configuration.Submission;
-import org.geraniumreach.coordination.membership.MembershipView;
-import org.geraniumreach.daemon.membership.InstanceListReading;
-import org.geraniumreach.daemon.membership.MembershipListener;
-import org.geraniumreach.daemon.membership.MembershipService;
 import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.KeyDigest;
 import org.geraniumreach.model.MonotonicClock;
@@ -42,37 +38,19 @@
     private final MemoryTable table = new MemoryTable();
     private final List<ReplicatedConfiguration> started = new ArrayList<>();
 
-    private record FixedMembership(Set<InstanceId> entries) implements MembershipService {
-
-        @Override
-        public MembershipView get() {
-            return MembershipView.empty();
-        }
-
-        @Override
-        public void listen(MembershipListener listener) {}
-
-        @Override
-        public Optional<InstanceListReading> lastReading() {
-            return Optional.empty();
-        }
-
-        @Override
-        public Set<InstanceId> submittingEntries() {
-            return entries;
-        }
-
-        @Override
-        public void announceLeaving() {}
-    }
-
     private final Set<InstanceId> entries = Set.of(InstanceId.of("entry-1"), InstanceId.of("entry-2"));
     private final MemoryLinks firstLinks = new MemoryLinks("entry-1", "entry");
     private final MemoryLinks secondLinks = new MemoryLinks("entry-2", "entry");
 
     private ReplicatedConfiguration start(String instance, MemoryLinks links) {
         ReplicatedConfiguration configuration = ReplicatedConfiguration.start(
-                InstanceId.of(instance), SETTINGS, table, links, new FixedMembership(entries), clock, new Random(1));
+                InstanceId.of(instance),
+                SETTINGS,
+                table,
+                links,
+                new LoneEntry.FixedMembership(entries),
+                clock,
+                new Random(1));
         started.add(configuration);
         return configuration;
     }
