--- a/control/src/main/java/org/geraniumreach/control/OperatorClient.java
+++ b/control/src/main/java/org/geraniumreach/control/OperatorClient.java
@@ -33,7 +33,11 @@
     private static final Duration CONNECT_LIMIT = Duration.ofSeconds(3);
     private static final Duration ANSWER_LIMIT = Duration.ofSeconds(20);
     private static final Set<ResultCode> TRY_NEXT = Set.of(
-            ResultCode.DRAINING, ResultCode.STORE_UNAVAILABLE, ResultCode.SUBMISSION_UNSETTLED, ResultCode.OVERLOADED);
+            ResultCode.ENTRY_UNREACHABLE,
+            ResultCode.DRAINING,
+            ResultCode.STORE_UNAVAILABLE,
+            ResultCode.SUBMISSION_UNSETTLED,
+            ResultCode.OVERLOADED);
 
     private final List<String> entries;
     private final Optional<String> credential;
--- a/control/src/main/java/org/geraniumreach/control/RecordFiles.java
+++ b/control/src/main/java/org/geraniumreach/control/RecordFiles.java
@@ -79,7 +79,7 @@
             while (nodes.hasNextValue()) {
                 String place = file + " document " + ++number;
                 JsonNode node = nodes.nextValue();
-                if (!node.isNull() && !node.isMissingNode()) {
+                if (!isEmpty(node)) {
                     documents.add(document(place, node));
                 }
             }
@@ -92,6 +92,13 @@
         return documents;
     }
 
+    /** A document that holds nothing, or comments only, is read as null or as empty text. */
+    private static boolean isEmpty(JsonNode node) {
+        return node.isNull()
+                || node.isMissingNode()
+                || node.isTextual() && node.textValue().isEmpty();
+    }
+
     private static RecordDocument document(String place, JsonNode node) throws ControlException {
         if (!node.isObject()) {
             throw ControlException.of(ResultCode.RECORD_INVALID, place + ": a record is an object");
