Let a new companion take over the streams that its predecessor left

The streams found at the engine are kept until their entries ask for them, and are stopped after a limit; nothing is evicted before, since it is not known on which adapters they run. An entry resumes a repeatable attempt at a restarted companion, which goes on with the stream at the engine; for others the outcome is unknown. Tests of takeover, fences and plain services.

Loads are carried out by a class of their own.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionAttempt.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionAttempt.java
@@ -67,6 +67,21 @@
         return new CompanionAttempt(run, output, link, now);
     }
 
+    /**
+     * Makes an attempt that a former companion has begun.
+     *
+     * @param named what its entry says was asked, not null
+     * @param next the first chunk wanted
+     * @param link the link that it was asked for over, not null
+     * @param bufferedChunks how many chunks are kept
+     * @param now the time
+     * @return the attempt, not null
+     * @throws IllegalArgumentException if a name or the digest is not one
+     */
+    static CompanionAttempt ofLeftStream(Run named, long next, Peer link, int bufferedChunks, long now) {
+        return new CompanionAttempt(named, new OutputBuffer(next, named.getCredit(), bufferedChunks, false), link, now);
+    }
+
     AttemptId id() {
         return id;
     }
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
@@ -57,8 +57,9 @@
     private final ScheduledExecutorService timer;
     private final Runnable changed;
     private final Map<AttemptId, EngineAnswer> running = new ConcurrentHashMap<>();
-    private final Map<AdapterReference, Long> loadedAt = new ConcurrentHashMap<>();
+    private final AdapterLoads adapterLoads;
     private final Object dispatching = new Object();
+    private final LeftStreams left;
 
     /**
      * What the runner works with.
@@ -106,6 +107,48 @@
         this.loads = with.loads();
         this.timer = with.timer();
         this.changed = with.changed();
+        this.adapterLoads = new AdapterLoads(engine, residency, queue, watch, permit, outcomes, clock);
+        this.left = new LeftStreams(watch.streams());
+    }
+
+    /**
+     * Gives entries a time to ask for the streams that a former companion left, and then stops the others.
+     *
+     * @param limit the time, not null
+     */
+    void stopLeftStreamsAfter(Duration limit) {
+        timer.schedule(
+                () -> left.takeAll().forEach(id -> sends.execute(() -> stopLeft(id))),
+                limit.toNanos(),
+                TimeUnit.NANOSECONDS);
+    }
+
+    private void stopLeft(AttemptId id) {
+        try {
+            engine.cancel(id);
+            left.stopped(id);
+            dispatch();
+        } catch (PlatformException failure) {
+            timer.schedule(() -> sends.execute(() -> stopLeft(id)), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public boolean adopt(CompanionAttempt attempt) {
+        QueuedRequest<CompanionAttempt> request = requestOf(attempt);
+        Optional<Pin> pin;
+        synchronized (dispatching) {
+            pin = residency.pin(attempt.id(), adapterOf(request));
+            if (pin.isEmpty() || !left.take(attempt.id())) {
+                pin.ifPresent(Pin::release);
+                return false;
+            }
+        }
+        EngineAnswer answer = new EngineAnswer(request, pin, watch.incarnation(), 0, 0, this);
+        running.put(attempt.id(), answer);
+        outcomes.start(attempt);
+        sends.execute(() -> resume(answer));
+        return true;
     }
 
     @Override
@@ -158,7 +201,9 @@
         List<Runnable> started = new ArrayList<>();
         synchronized (dispatching) {
             takeRequests(started);
-            residency.orders().forEach(order -> started.add(() -> loads.execute(() -> load(order))));
+            if (left.isEmpty()) {
+                residency.orders().forEach(order -> started.add(() -> loads.execute(() -> load(order))));
+            }
         }
         started.forEach(Runnable::run);
         changed.run();
@@ -207,10 +252,9 @@
 
     private EngineAnswer answerOf(QueuedRequest<CompanionAttempt> request, Pin pin, long incarnation) {
         long arrivedAt = request.payload().arrivedAt();
-        long waited = clock.nanos() - arrivedAt;
-        long loadEnd = loadedAt.getOrDefault(adapterOf(request), arrivedAt);
-        long loading = Math.min(waited, Math.max(0, loadEnd - arrivedAt));
-        return new EngineAnswer(request, Optional.of(pin), incarnation, waited - loading, loading, this);
+        long now = clock.nanos();
+        long loading = adapterLoads.waited(adapterOf(request), arrivedAt, now);
+        return new EngineAnswer(request, Optional.of(pin), incarnation, now - arrivedAt - loading, loading, this);
     }
 
     private void generate(EngineAnswer answer, Order order) {
@@ -390,47 +434,10 @@
     }
 
     private void load(LoadOrder order) {
-        try {
-            if (order.evicted().isPresent()) {
-                engine.unload(order.evicted().get(), permitted());
-                EventLog.write(EventCode.ADAPTER_EVICTED, "{}", order.evicted().get());
-            }
-            engine.load(order.adapter(), permitted());
-            loadedAt.keySet().retainAll(residency.resident());
-            loadedAt.put(order.adapter(), clock.nanos());
-            residency.loaded(order);
-            EventLog.write(EventCode.ADAPTER_LOADED, "{}", order.adapter());
-        } catch (PlatformException failure) {
-            loadFailed(order, failure);
-        }
+        adapterLoads.carryOut(order);
         dispatch();
     }
 
-    private Order permitted() throws PlatformException {
-        return permit.order(clock.nanos())
-                .orElseThrow(() -> new PlatformException(
-                        PlatformException.Effect.NONE,
-                        PlatformException.Reason.FENCED,
-                        "this companion may not give the target orders",
-                        null));
-    }
-
-    private void loadFailed(LoadOrder order, PlatformException failure) {
-        EventLog.write(EventCode.ADAPTER_LOAD_FAILED, "{}: {}", order.adapter(), failure.getMessage());
-        if (failure.reason() == PlatformException.Reason.FENCED) {
-            permit.fencedOut();
-        }
-        watch.invalidate();
-        for (AttemptId waiter : residency.failed(order)) {
-            queue.remove(waiter)
-                    .ifPresent(request -> outcomes.refused(
-                            request.payload(),
-                            ServingException.notRun(
-                                    ResultCode.LOAD_FAILED,
-                                    "the load of " + order.adapter() + " failed: " + failure.getMessage())));
-        }
-    }
-
     @Override
     public void acknowledged(CompanionAttempt attempt) {
         Optional.ofNullable(running.get(attempt.id())).ifPresent(EngineAnswer::demand);
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineWatch.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineWatch.java
@@ -1,8 +1,10 @@
 package org.geraniumreach.daemon.companion;
 
 import java.time.Duration;
+import java.util.Set;
 
 import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.model.AttemptId;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.platform.ModelEngine;
@@ -28,6 +30,7 @@
     private boolean reachable = true;
     private long failedAt;
     private volatile long incarnation;
+    private volatile Set<AttemptId> streams = Set.of();
 
     EngineWatch(ModelEngine engine, Residency residency, MonotonicClock clock, Duration age) {
         this.engine = engine;
@@ -79,6 +82,7 @@
         boolean first = incarnation == 0;
         boolean restarted = residency.synchronise(state.incarnation(), state.resident(), askedAt);
         incarnation = state.incarnation();
+        streams = state.streams();
         known = true;
         reachable = true;
         confirmedAt = askedAt;
@@ -87,6 +91,15 @@
         }
     }
 
+    /**
+     * Gets the streams that the engine had when it was looked at last.
+     *
+     * @return the streams, not null
+     */
+    Set<AttemptId> streams() {
+        return streams;
+    }
+
     long incarnation() {
         return incarnation;
     }
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 import org.geraniumreach.link.Peer;
 import org.geraniumreach.messages.Acknowledge;
@@ -33,6 +35,7 @@
     private final AttemptShards attempts;
     private final Outcomes outcomes;
     private final RunnerSource runners;
+    private final Queue<FormerResume> waiting = new ConcurrentLinkedQueue<>();
 
     Requests(
             CompanionSettings settings,
@@ -109,14 +112,15 @@
                     .withRetryAfter(COME_BACK);
         }
         parts.configuration().requireFresh();
-        Optional<Target> target = parts.configuration().current().target(parts.target());
-        RunCheck.check(
-                run,
-                parts.configuration().current(),
-                target.orElseThrow(() -> notReady("no record of target " + parts.target())));
+        RunCheck.check(run, parts.configuration().current(), target());
         return runner;
     }
 
+    private Target target() throws ServingException {
+        Optional<Target> target = parts.configuration().current().target(parts.target());
+        return target.orElseThrow(() -> notReady("no record of target " + parts.target()));
+    }
+
     private static ServingException notReady(String message) {
         return ServingException.notRun(ResultCode.NO_TARGET, message).withRetryAfter(COME_BACK);
     }
@@ -156,8 +160,9 @@
 
     private void resume(Peer peer, Resume resume) {
         AttemptId id = AttemptId.of(resume.getAttempt());
-        if (resume.getCompanionIncarnation() != parts.incarnation()) {
-            refuseFormer(peer, id);
+        boolean isHeld = attempts.attempt(id).isPresent();
+        if (!isHeld && resume.getCompanionIncarnation() != parts.incarnation()) {
+            resumeFormer(new FormerResume(peer, resume));
             return;
         }
         if (attempts.find(id).isEmpty()) {
@@ -166,6 +171,71 @@
         seenBefore(peer, id, resume.getNextSequence(), resume.getCredit());
     }
 
+    /**
+     * A question for an attempt of a former start of this companion.
+     *
+     * @param peer the link that it came over
+     * @param resume the question
+     */
+    private record FormerResume(Peer peer, Resume resume) {}
+
+    /**
+     * Goes on with an attempt of a former start, if the target is still running it. Until the target has been looked at,
+     * the question waits.
+     *
+     * @param former the question, not null
+     */
+    private void resumeFormer(FormerResume former) {
+        AttemptId id = AttemptId.of(former.resume().getAttempt());
+        if (!former.resume().getRepeatable() || former.resume().getAdapter().isEmpty()) {
+            refuseFormer(former.peer(), id);
+            return;
+        }
+        Optional<TargetRunner> runner = runners.current();
+        if (runner.isEmpty()) {
+            waiting.add(former);
+        } else if (!adopt(runner.get(), former)) {
+            refuseFormer(former.peer(), id);
+        }
+    }
+
+    private boolean adopt(TargetRunner runner, FormerResume former) {
+        Run named = runOf(former.resume());
+        try {
+            RunCheck.check(named, parts.configuration().current(), target());
+        } catch (ServingException refused) {
+            return false;
+        }
+        CompanionAttempt attempt = CompanionAttempt.ofLeftStream(
+                named,
+                former.resume().getNextSequence(),
+                former.peer(),
+                settings.bufferedChunks(),
+                parts.clock().nanos());
+        if (!attempts.add(attempt)) {
+            return false;
+        }
+        if (runner.adopt(attempt)) {
+            return true;
+        }
+        attempts.end(attempt.id(), true);
+        attempts.dropValue(attempt.id());
+        return false;
+    }
+
+    private static Run runOf(Resume resume) {
+        return Run.newBuilder()
+                .setAttempt(resume.getAttempt())
+                .setAccount(resume.getAccount())
+                .setKeyDigest(resume.getKeyDigest())
+                .setAdapter(resume.getAdapter())
+                .setVersion(resume.getVersion())
+                .setRepeatable(true)
+                .setCredit(resume.getCredit())
+                .setDeadlineLeftMillis(resume.getDeadlineLeftMillis())
+                .build();
+    }
+
     /**
      * Answers about an attempt of a former start of this companion. Not having seen it says nothing of what that one did:
      * "not run" would be false for an attempt that ran before the restart.
@@ -218,11 +288,11 @@
 
     private void cancel(Peer peer, Cancel cancel) {
         AttemptId id = AttemptId.of(cancel.getAttempt());
-        if (cancel.getCompanionIncarnation() != parts.incarnation()) {
+        Optional<CompanionAttempt> held = attempts.attempt(id);
+        if (held.isEmpty() && cancel.getCompanionIncarnation() != parts.incarnation()) {
             refuseFormer(peer, id);
             return;
         }
-        Optional<CompanionAttempt> held = attempts.attempt(id);
         if (held.isEmpty()) {
             attempts.seal(id, ageNanos(cancel.getAgeMillis()));
             seenBefore(peer, id, 0, 0);
@@ -263,6 +333,7 @@
 
     /** Ends what has passed its deadline or lost its entry, and forgets what nobody will ask for. */
     void tick() {
+        answerFormerResumes();
         long now = parts.clock().nanos();
         long orphanNanos = settings.orphanLimit().toNanos();
         for (CompanionAttempt attempt : attempts.all()) {
@@ -280,6 +351,15 @@
         attempts.expire();
     }
 
+    private void answerFormerResumes() {
+        if (runners.current().isEmpty()) {
+            return;
+        }
+        for (FormerResume former = waiting.poll(); former != null; former = waiting.poll()) {
+            resumeFormer(former);
+        }
+    }
+
     /**
      * Queries whether a drain has to wait for an attempt.
      *
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/TargetRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/TargetRunner.java
@@ -38,6 +38,16 @@
      */
     default void acknowledged(CompanionAttempt attempt) {}
 
+    /**
+     * Goes on with a stream that a former companion has left running at the target.
+     *
+     * @param attempt the attempt, which is new in the attempt table, not null
+     * @return false if the target has no such stream, and nothing was done
+     */
+    default boolean adopt(CompanionAttempt attempt) {
+        return false;
+    }
+
     /** Does what is due. */
     void tick();
 
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/TargetStart.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/TargetStart.java
@@ -141,7 +141,7 @@
         while (!watch.confirm()) {
             Thread.sleep(RETRY_MILLIS);
         }
-        return new EngineRunner(new EngineRunner.Collaborators(
+        EngineRunner started = new EngineRunner(new EngineRunner.Collaborators(
                 engine,
                 residency,
                 queue(),
@@ -155,6 +155,8 @@
                 work,
                 timer,
                 changed));
+        started.stopLeftStreamsAfter(settings.adoptionLimit());
+        return started;
     }
 
     private ServiceRunner serviceRunner(PlainService service) {
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
@@ -27,44 +27,72 @@
 
     static final InstanceId COMPANION = InstanceId.of("companion-1");
     static final String SECRET = "secret-1";
-    private static final long INCARNATION = 7;
+    static final long FIRST_INCARNATION = 7;
     private static final Duration GENEROUS = Duration.ofSeconds(30);
 
     final FakeEngine engine;
     final FakeTable table = new FakeTable();
     final FakeConfiguration configuration = new FakeConfiguration();
-    final CompanionNode companion;
     final Attempts attempts;
-    private final LinkNode companionLinks;
+    CompanionNode companion;
+    private final PlainService service;
+    private final CompanionSettings settings;
+    private final MonotonicClock clock = MonotonicClock.system();
     private final LinkNode entryLinks;
     private final LinkAttempts linkAttempts;
+    private LinkNode companionLinks;
+    private long incarnation = FIRST_INCARNATION;
 
     private CompanionFixture(FakeEngine engine, PlainService service, CompanionSettings settings, boolean checksFence)
             throws IOException {
         this.engine = engine;
+        this.service = service;
+        this.settings = settings;
         records(engine != null, checksFence);
-        companionLinks =
-                LinkNode.create(LinkSettings.defaults(), () -> hello("companion-1", "companion"), (e, d) -> {});
         entryLinks = LinkNode.create(LinkSettings.defaults(), () -> hello("entry-1", "entry"), (e, d) -> {});
-        MonotonicClock clock = MonotonicClock.system();
-        companion = CompanionNode.create(
-                settings,
-                new CompanionParts(
-                        COMPANION,
-                        INCARNATION,
-                        TargetId.of("target-1"),
-                        companionLinks,
-                        configuration,
-                        table,
-                        Optional.ofNullable(engine),
-                        Optional.ofNullable(service),
-                        clock));
         linkAttempts = LinkAttempts.start(entryLinks, LinkSettings.defaults(), clock, entryLinks.timer(), (e, d) -> {});
         attempts = linkAttempts;
+        startCompanion();
+    }
+
+    private void startCompanion() throws IOException {
+        companionLinks =
+                LinkNode.create(LinkSettings.defaults(), () -> hello("companion-1", "companion"), (e, d) -> {});
+        companion = CompanionNode.create(settings, parts(companionLinks, incarnation));
         InetSocketAddress address = companionLinks.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         entryLinks.keep(COMPANION, address);
         companion.start();
-        await(() -> entryLinks.find(COMPANION).isPresent());
+        long expected = incarnation;
+        await(() -> entryLinks
+                .find(COMPANION)
+                .filter(peer -> peer.hello().getIncarnation() == expected)
+                .isPresent());
+    }
+
+    /** Makes the parts of a companion beside the same target. */
+    CompanionParts parts(LinkNode links, long start) {
+        return new CompanionParts(
+                COMPANION,
+                start,
+                TargetId.of("target-1"),
+                links,
+                configuration,
+                table,
+                Optional.ofNullable(engine),
+                Optional.ofNullable(service),
+                clock);
+    }
+
+    /** Ends the companion as a crash does, and starts another one in its place. */
+    void replaceCompanion() throws IOException {
+        companionLinks.close();
+        companion.close();
+        incarnation++;
+        startCompanion();
+    }
+
+    LinkNode companionLinks() {
+        return companionLinks;
     }
 
     static CompanionFixture ofEngine(FakeEngine engine) throws IOException {
@@ -77,6 +105,10 @@
         return fixture;
     }
 
+    static CompanionFixture ofEngineThatChecksNoFence(FakeEngine engine) throws IOException {
+        return new CompanionFixture(engine, null, CompanionSettings.defaults(), false);
+    }
+
     static CompanionFixture ofService(PlainService service) throws IOException {
         CompanionFixture fixture = new CompanionFixture(null, service, CompanionSettings.defaults(), true);
         await(() -> fixture.companion.reasonNotReady().isEmpty());
@@ -116,7 +148,7 @@
                 .setProtocolVersion(1)
                 .setInstance(instance)
                 .setRole(role)
-                .setIncarnation(INCARNATION)
+                .setIncarnation(incarnation)
                 .build();
     }
 
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionNodeTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionNodeTest.java
@@ -180,11 +180,12 @@
         try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
             Run run = fixture.generation("a", 10).build();
             List<SealOutcome> outcomes = new ArrayList<>();
-            fixture.attempts.seal(CompanionFixture.COMPANION, run.getAttempt(), 7, outcome -> {
-                synchronized (outcomes) {
-                    outcomes.add(outcome);
-                }
-            });
+            fixture.attempts.seal(
+                    CompanionFixture.COMPANION, run.getAttempt(), CompanionFixture.FIRST_INCARNATION, outcome -> {
+                        synchronized (outcomes) {
+                            outcomes.add(outcome);
+                        }
+                    });
             CompanionFixture.await(() -> {
                 synchronized (outcomes) {
                     return !outcomes.isEmpty();
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionTakeoverTest.java
@@ -0,0 +1,129 @@
+package org.geraniumreach.daemon.companion;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.AdapterReference;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.platform.ModelEngine.Generation;
+import org.geraniumreach.platform.PlatformException;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CompanionTakeoverTest {
+
+    @Test
+    void answerGoesOnThroughARestartedCompanion() throws IOException {
+        // The companion dies in the middle of an answer; the engine goes on. Its successor finds the stream at the
+        // engine,
+        // the entry asks it for the next chunk, and the caller gets every chunk once. The request is not run again.
+        try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
+            Run run = fixture.generation("a", 300).build();
+            RecordedAnswer answer = fixture.send(run, true);
+            CompanionFixture.await(() -> answer.chunks() == 8);
+            fixture.replaceCompanion();
+            answer.handle().request(1_000);
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.text()).isEqualTo(CompanionFixture.expected(run));
+            assertThat(fixture.engine.started()).hasSize(1);
+        }
+    }
+
+    @Test
+    void streamThatNobodyAsksForIsStoppedBeforeAnythingIsEvicted() throws IOException {
+        // A companion died, and the entry of one of its streams too. The successor does not know on which adapter that
+        // stream runs. It evicts nothing until the stream is stopped, so no answer loses its adapter.
+        FakeEngine engine = new FakeEngine(2);
+        for (String adapter : List.of("a", "c")) {
+            engine.leaveStream(new Generation(
+                    AttemptId.of("left-" + adapter),
+                    AccountId.of("winders"),
+                    AdapterReference.of(adapter, "1"),
+                    "prompt",
+                    100,
+                    5));
+        }
+        CompanionSettings settings = withAdoptionLimit();
+        try (CompanionFixture fixture = CompanionFixture.ofEngine(engine, settings)) {
+            Run run = fixture.generation("b", 10).build();
+            RecordedAnswer answer = fixture.send(run);
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.text()).isEqualTo(CompanionFixture.expected(run));
+            assertThat(engine.cancelled()).contains(AttemptId.of("left-a"), AttemptId.of("left-c"));
+            assertThat(engine.unloadedInUse()).isEmpty();
+        }
+    }
+
+    private static CompanionSettings withAdoptionLimit() {
+        CompanionSettings defaults = CompanionSettings.defaults();
+        return new CompanionSettings(
+                defaults.queue(),
+                defaults.loads(),
+                defaults.bufferedChunks(),
+                defaults.attemptRetention(),
+                defaults.retainedAttempts(),
+                defaults.orphanLimit(),
+                defaults.statusInterval(),
+                defaults.engineCheckAge(),
+                defaults.orderLimit(),
+                defaults.fenceCheckInterval(),
+                Duration.ofMillis(300));
+    }
+
+    @Test
+    void replacedCompanionTakesNoMoreWork() throws IOException {
+        // A second companion takes the target over while the first one is still running and linked. The first one sees
+        // the
+        // newer fence and refuses new work as not run, although the target does not check fences.
+        try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
+            new FenceTaker(
+                            fixture.table,
+                            TargetId.of("target-1"),
+                            CompanionFixture.COMPANION,
+                            CompanionFixture.FIRST_INCARNATION + 1)
+                    .take();
+            CompanionFixture.await(() -> fixture.companion.reasonNotReady().isPresent());
+            RecordedAnswer answer = fixture.send(fixture.generation("a", 10).build());
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.refusal()).contains(ResultCode.FENCED);
+            assertThat(answer.ran()).contains(Ran.NO);
+            assertThat(fixture.engine.started()).isEmpty();
+        } catch (PlatformException impossible) {
+            throw new AssertionError(impossible);
+        }
+    }
+
+    @Test
+    void targetThatHasSeenANewerFenceEndsItsOldCompanion() throws IOException {
+        // The target checks fences and has had an order of a newer companion. It refuses the old one's order; the
+        // caller is
+        // told that nothing ran, and the old companion stops.
+        try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
+            CompanionFixture.await(fixture.send(fixture.generation("a", 3).build())::isOver);
+            fixture.engine.seeFence(2);
+            RecordedAnswer answer = fixture.send(fixture.generation("a", 10).build());
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.refusal()).contains(ResultCode.FENCED);
+            assertThat(answer.ran()).contains(Ran.NO);
+            assertThat(fixture.companion.reasonNotReady()).isPresent();
+        }
+    }
+
+    @Test
+    void nextCompanionTakesAHigherFence() throws IOException {
+        try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
+            long first = fixture.companion.fence();
+            fixture.table.loseNextAnswer();
+            fixture.replaceCompanion();
+            CompanionFixture.await(() -> fixture.companion.reasonNotReady().isEmpty());
+            assertThat(fixture.companion.fence()).isEqualTo(first + 1);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/ServiceCompanionTest.java
@@ -0,0 +1,132 @@
+package org.geraniumreach.daemon.companion;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.platform.PlainService;
+import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.platform.PlatformException.Effect;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ServiceCompanionTest {
+
+    private final List<AttemptId> calls = new CopyOnWriteArrayList<>();
+
+    private PlainService answering(String answer) {
+        return (attempt, account, operation, body) -> {
+            calls.add(attempt);
+            return answer.getBytes(StandardCharsets.UTF_8);
+        };
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 65_536, 300_000})
+    void answerOfAnySizeArrivesWhole(int size) throws IOException {
+        String text = "x".repeat(size);
+        try (CompanionFixture fixture = CompanionFixture.ofService(answering(text))) {
+            RecordedAnswer answer = fixture.send(fixture.booking().build());
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.end()).isPresent();
+            assertThat(answer.text()).isEqualTo(text);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"NONE, TARGET_FAILED, NO", "UNKNOWN, OUTCOME_UNKNOWN, UNKNOWN"})
+    void failedCallIsNotMadeAgain(Effect effect, ResultCode code, Ran ran) throws IOException {
+        // The service's answer is lost. The booking may have been made; another call could make it twice. So there is
+        // no
+        // other call, and the caller is told what is known.
+        PlainService failing = (attempt, account, operation, body) -> {
+            calls.add(attempt);
+            throw new PlatformException(effect, "the answer was lost", null);
+        };
+        try (CompanionFixture fixture = CompanionFixture.ofService(failing)) {
+            RecordedAnswer answer = fixture.send(fixture.booking().build());
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.refusal()).contains(code);
+            assertThat(answer.ran()).contains(ran);
+            assertThat(calls).hasSize(1);
+        }
+    }
+
+    @Test
+    void bookingWhoseLinkBreaksRunsOnceAndItsAnswerArrives() throws IOException {
+        // The link breaks while the service is working on a booking. The entry asks for the answer over a new link; the
+        // booking is not made again, and its answer reaches the caller.
+        CountDownLatch go = new CountDownLatch(1);
+        PlainService slow = (attempt, account, operation, body) -> {
+            calls.add(attempt);
+            awaitQuietly(go);
+            return "booked".getBytes(StandardCharsets.UTF_8);
+        };
+        try (CompanionFixture fixture = CompanionFixture.ofService(slow)) {
+            RecordedAnswer answer = fixture.send(fixture.booking().build());
+            CompanionFixture.await(() -> !calls.isEmpty());
+            fixture.closeLink();
+            go.countDown();
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.text()).isEqualTo("booked");
+            assertThat(calls).hasSize(1);
+        }
+    }
+
+    @Test
+    void answerIsKeptForAnotherEntryThatAsksForIt() throws IOException {
+        // The entry that sent a booking has had its answer and died. Another one asks for the attempt, from the first
+        // chunk; it gets the answer that was given, and no second booking.
+        try (CompanionFixture fixture = CompanionFixture.ofService(answering("booked"))) {
+            Run run = fixture.booking().build();
+            RecordedAnswer first = fixture.send(run);
+            CompanionFixture.await(first::isOver);
+            RecordedAnswer second = new RecordedAnswer(false);
+            second.use(fixture.attempts.resume(
+                    CompanionFixture.COMPANION, run.getAttempt(), CompanionFixture.FIRST_INCARNATION, 0, second));
+            second.handle().request(8);
+            CompanionFixture.await(second::isOver);
+            assertThat(second.text()).isEqualTo("booked");
+            assertThat(calls).hasSize(1);
+        }
+    }
+
+    @Test
+    void bookingOfARestartedCompanionHasAnUnknownOutcome() throws IOException {
+        // The companion dies while the service is working on a booking. Nobody can tell whether it was made, so the
+        // caller
+        // is told that, and it is not sent again.
+        CountDownLatch never = new CountDownLatch(1);
+        PlainService stuck = (attempt, account, operation, body) -> {
+            calls.add(attempt);
+            awaitQuietly(never);
+            return new byte[0];
+        };
+        try (CompanionFixture fixture = CompanionFixture.ofService(stuck)) {
+            RecordedAnswer answer = fixture.send(fixture.booking().build());
+            CompanionFixture.await(() -> !calls.isEmpty());
+            fixture.replaceCompanion();
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.ran()).contains(Ran.UNKNOWN);
+            assertThat(calls).hasSize(1);
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) throws PlatformException {
+        try {
+            latch.await();
+        } catch (InterruptedException stopped) {
+            throw new PlatformException(Effect.UNKNOWN, "interrupted", stopped);
+        }
+    }
+}
--- a/link/src/main/java/org/geraniumreach/link/KeptLink.java
+++ b/link/src/main/java/org/geraniumreach/link/KeptLink.java
@@ -57,24 +57,30 @@
         return address;
     }
 
+    private void onLoop(Runnable task) {
+        if (!loop.isShuttingDown()) {
+            loop.execute(task);
+        }
+    }
+
     void open() {
-        loop.execute(this::connect);
+        onLoop(this::connect);
     }
 
     void release() {
-        loop.execute(() -> released = true);
+        onLoop(() -> released = true);
     }
 
     void opened() {
-        loop.execute(backoff::reset);
+        onLoop(backoff::reset);
     }
 
     void closed() {
-        loop.execute(this::connectLater);
+        onLoop(this::connectLater);
     }
 
     private void connectLater() {
-        if (released || waiting) {
+        if (released || waiting || loop.isShuttingDown()) {
             return;
         }
         waiting = true;
@@ -93,7 +99,7 @@
         }
         connecting = true;
         ChannelFuture opening = opener.bootstrap(instance).connect(address);
-        opening.addListener(done -> loop.execute(() -> connected(opening)));
+        opening.addListener(done -> onLoop(() -> connected(opening)));
     }
 
     private void connected(ChannelFuture opening) {
