Refuse an attempt that comes after the time that it carries

An entry frozen between its decision and its send may send an attempt that was sealed and forgotten, while another one has run in its place. Past the time the companion does not start it, and does not say that it has not run.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionDaemon.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionDaemon.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -83,7 +84,8 @@
                 foundation.table(),
                 engine,
                 service,
-                foundation.clock());
+                foundation.clock(),
+                InstantSource.system());
     }
 
     @Override
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionParts.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionParts.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.daemon.companion;
 
+import java.time.InstantSource;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -26,6 +27,7 @@
  * @param engine the target, if it is a model engine
  * @param service the target, if it is a plain service
  * @param clock the clock
+ * @param timeOfDay the time of day, for what another process has dated
  */
 public record CompanionParts(
         InstanceId instance,
@@ -36,7 +38,8 @@
         TableService table,
         Optional<ModelEngine> engine,
         Optional<PlainService> service,
-        MonotonicClock clock) {
+        MonotonicClock clock,
+        InstantSource timeOfDay) {
 
     public CompanionParts {
         Objects.requireNonNull(instance, "instance");
@@ -45,6 +48,7 @@
         Objects.requireNonNull(configuration, "configuration");
         Objects.requireNonNull(table, "table");
         Objects.requireNonNull(clock, "clock");
+        Objects.requireNonNull(timeOfDay, "timeOfDay");
         if (engine.isPresent() == service.isPresent()) {
             throw new IllegalArgumentException("target " + target + " must be one of engine and service");
         }
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
@@ -106,6 +106,12 @@
         if (run.getCompanionIncarnation() != 0 && run.getCompanionIncarnation() != parts.incarnation()) {
             throw ServingException.notRun(ResultCode.NOT_RUN, "the request is for another start of the companion");
         }
+        if (run.getNotAfterMillis() != 0 && parts.timeOfDay().millis() > run.getNotAfterMillis()) {
+            // A sender that was frozen sends an attempt that was sealed and forgotten, or that ran and was forgotten.
+            // It
+            // must not start, and nothing shows that it has not run.
+            throw ServingException.of(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, "the request has come too late");
+        }
         TargetRunner runner = runners.forNewWork();
         if (runner.unfinished() >= settings.queue().limit()) {
             throw ServingException.notRun(ResultCode.OVERLOADED, "the queue of " + parts.target() + " is full")
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
@@ -80,7 +81,8 @@
                 table,
                 Optional.ofNullable(engine),
                 Optional.ofNullable(service),
-                clock);
+                clock,
+                InstantSource.system());
     }
 
     /** Ends the companion as a crash does, and starts another one in its place. */
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/ExchangeWorld.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/ExchangeWorld.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.daemon.companion;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -116,7 +117,8 @@
                 new FakeTable(),
                 Optional.empty(),
                 Optional.of((attempt, account, operation, body) -> body),
-                () -> now);
+                () -> now,
+                InstantSource.system());
         shards = new AttemptShards(settings, () -> now);
         outcomes = new Outcomes(shards);
         runner = new FakeRunner();
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/ServiceCompanionTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/ServiceCompanionTest.java
@@ -101,6 +101,21 @@
         }
     }
 
+    @Test
+    void bookingThatComesTooLateIsNotMade() throws IOException {
+        // An entry is frozen after it has decided to send. Meanwhile another one has the attempt sealed and the booking
+        // made
+        // by another attempt, and the companion forgets the seal. The late frame must not make the booking a second
+        // time.
+        try (CompanionFixture fixture = CompanionFixture.ofService(answering("booked"))) {
+            RecordedAnswer answer =
+                    fixture.send(fixture.booking().setNotAfterMillis(1).build());
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.ran()).contains(Ran.UNKNOWN);
+            assertThat(calls).isEmpty();
+        }
+    }
+
     @Test
     void bookingOfARestartedCompanionHasAnUnknownOutcome() throws IOException {
         // The companion dies while the service is working on a booking. Nobody can tell whether it was made, so the
