--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptShards.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptShards.java
@@ -33,7 +33,7 @@
         return shards.get(Math.floorMod(id.hashCode(), SHARDS));
     }
 
-    boolean add(CompanionAttempt attempt) {
+    AttemptTable.Taken add(CompanionAttempt attempt) {
         AttemptTable<CompanionAttempt> shard = shard(attempt.id());
         synchronized (shard) {
             return shard.add(attempt.id(), attempt);
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptTable.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptTable.java
@@ -16,9 +16,10 @@
  *
  * <p>Invariants: an attempt starts at most once, and never after it was sealed or refused; {@link Seen#NEVER_STARTED} is
  * answered only for an attempt that has not started, and holds from then on. Attempts that are over are known for the
- * retention time, and fewer of them if there are too many. The table remembers since when it has forgotten none: an
- * unknown attempt that is older may have run, and is answered {@link Seen#FORGOTTEN}, so bounded memory never makes "not
- * run" false. No I/O, threads or clock of its own. Not safe for use by several threads.
+ * retention time; those that have run may be forgotten earlier if there are too many, those that were sealed never, since
+ * their Run may still arrive. When too many are known all the same, no new one is taken. The table remembers since when it
+ * has forgotten none: an unknown attempt that is older may have run, and is answered {@link Seen#FORGOTTEN}, so bounded
+ * memory never makes "not run" false. No I/O, threads or clock of its own. Not safe for use by several threads.
  *
  * @param <T> what is kept with an attempt until its output may be dropped
  */
@@ -36,7 +37,8 @@
     private final long retentionNanos;
     private final int retained;
     private final Map<AttemptId, Entry<T>> entries = new HashMap<>();
-    private final LinkedHashMap<AttemptId, Long> overSince = new LinkedHashMap<>();
+    private final LinkedHashMap<AttemptId, Long> endedAt = new LinkedHashMap<>();
+    private final LinkedHashMap<AttemptId, Long> sealedAt = new LinkedHashMap<>();
     private boolean hasForgotten;
     private long forgottenUntil;
 
@@ -77,15 +79,39 @@
         FORGOTTEN
     }
 
+    /** What became of an attempt that was to be taken in. */
+    enum Taken {
+        /** It waits from now on. */
+        WAITING,
+        /** It was seen or sealed before. */
+        SEEN,
+        /** It is not known, and there is no room to know it. */
+        NO_ROOM
+    }
+
     /**
      * Takes an attempt in.
      *
      * @param id the attempt, not null
      * @param value what is kept with it, not null
-     * @return true if it waits from now on, false if it was seen or sealed before
+     * @return what became of it, not null
      */
-    boolean add(AttemptId id, T value) {
-        return entries.putIfAbsent(id, new Entry<>(State.WAITING, value)) == null;
+    Taken add(AttemptId id, T value) {
+        if (entries.containsKey(id)) {
+            return Taken.SEEN;
+        }
+        if (!hasRoom()) {
+            return Taken.NO_ROOM;
+        }
+        entries.put(id, new Entry<>(State.WAITING, value));
+        return Taken.WAITING;
+    }
+
+    private boolean hasRoom() {
+        if (entries.size() >= retained) {
+            forgetOldest(endedAt);
+        }
+        return entries.size() < retained;
     }
 
     /**
@@ -124,11 +150,15 @@
      */
     void end(AttemptId id, boolean hasRun, long now) {
         Entry<T> entry = entries.get(id);
-        if (entry == null || overSince.containsKey(id)) {
+        if (entry == null || isOver(entry)) {
             return;
         }
         entry.state = hasRun ? State.ENDED : State.SEALED;
-        overSince.put(id, now);
+        (hasRun ? endedAt : sealedAt).put(id, now);
+    }
+
+    private static boolean isOver(Entry<?> entry) {
+        return entry.state != State.WAITING && entry.state != State.STARTED;
     }
 
     /**
@@ -142,18 +172,25 @@
     Seen seal(AttemptId id, long ageNanos, long now) {
         Entry<T> entry = entries.get(id);
         if (entry == null) {
-            State state = isWithinMemory(ageNanos, now) ? State.SEALED : State.FORGOTTEN;
-            entries.put(id, new Entry<>(state, null));
-            overSince.put(id, now);
-            return seen(state);
+            return sealUnknown(id, isWithinMemory(ageNanos, now), now);
         }
         if (entry.state == State.WAITING) {
             entry.state = State.SEALED;
-            overSince.put(id, now);
+            sealedAt.put(id, now);
         }
         return seen(entry.state);
     }
 
+    private Seen sealUnknown(AttemptId id, boolean isWithinMemory, long now) {
+        if (!hasRoom()) {
+            return Seen.FORGOTTEN;
+        }
+        State state = isWithinMemory ? State.SEALED : State.FORGOTTEN;
+        entries.put(id, new Entry<>(state, null));
+        sealedAt.put(id, now);
+        return seen(state);
+    }
+
     private boolean isWithinMemory(long ageNanos, long now) {
         if (!hasForgotten) {
             return true;
@@ -192,28 +229,37 @@
      */
     void dropValue(AttemptId id) {
         Entry<T> entry = entries.get(id);
-        if (entry != null && overSince.containsKey(id)) {
+        if (entry != null && isOver(entry)) {
             entry.value = null;
         }
     }
 
     /**
-     * Forgets what is over for longer than the retention time, and the oldest of what is over if there is too much.
+     * Forgets what is over for longer than the retention time.
      *
      * @param now the time
      */
     void expire(long now) {
-        Iterator<Map.Entry<AttemptId, Long>> oldest = overSince.entrySet().iterator();
-        while (oldest.hasNext()) {
-            Map.Entry<AttemptId, Long> next = oldest.next();
-            if (now - next.getValue() <= retentionNanos && entries.size() <= retained) {
-                return;
-            }
-            hasForgotten = true;
-            forgottenUntil = next.getValue();
-            entries.remove(next.getKey());
-            oldest.remove();
+        expire(endedAt, now);
+        expire(sealedAt, now);
+    }
+
+    private void expire(LinkedHashMap<AttemptId, Long> over, long now) {
+        while (!over.isEmpty() && now - over.values().iterator().next() > retentionNanos) {
+            forgetOldest(over);
+        }
+    }
+
+    private void forgetOldest(LinkedHashMap<AttemptId, Long> over) {
+        Iterator<Map.Entry<AttemptId, Long>> oldest = over.entrySet().iterator();
+        if (!oldest.hasNext()) {
+            return;
         }
+        Map.Entry<AttemptId, Long> forgotten = oldest.next();
+        forgottenUntil = hasForgotten ? Math.max(forgottenUntil, forgotten.getValue()) : forgotten.getValue();
+        hasForgotten = true;
+        entries.remove(forgotten.getKey());
+        oldest.remove();
     }
 
     Collection<T> values() {
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
@@ -87,7 +87,12 @@
     private void run(Peer peer, Run run) {
         CompanionAttempt attempt = CompanionAttempt.ofRun(
                 run, peer, settings.bufferedChunks(), parts.clock().nanos());
-        if (!attempts.add(attempt)) {
+        AttemptTable.Taken taken = attempts.add(attempt);
+        if (taken == AttemptTable.Taken.NO_ROOM) {
+            peer.send(Frames.refused(attempt.id(), overloaded("too many attempts are known")));
+            return;
+        }
+        if (taken == AttemptTable.Taken.SEEN) {
             if (attempts.attempt(attempt.id()).isEmpty()) {
                 seenBefore(peer, attempt.id(), 0, 0);
             }
@@ -114,8 +119,7 @@
         }
         TargetRunner runner = runners.forNewWork();
         if (runner.unfinished() >= settings.queue().limit()) {
-            throw ServingException.notRun(ResultCode.OVERLOADED, "the queue of " + parts.target() + " is full")
-                    .withRetryAfter(COME_BACK);
+            throw overloaded("the queue of " + parts.target() + " is full");
         }
         parts.configuration().requireFresh();
         RunCheck.check(run, parts.configuration().current(), target());
@@ -127,6 +131,10 @@
         return target.orElseThrow(() -> notReady("no record of target " + parts.target()));
     }
 
+    private static ServingException overloaded(String message) {
+        return ServingException.notRun(ResultCode.OVERLOADED, message).withRetryAfter(COME_BACK);
+    }
+
     private static ServingException notReady(String message) {
         return ServingException.notRun(ResultCode.NO_TARGET, message).withRetryAfter(COME_BACK);
     }
@@ -218,7 +226,7 @@
                 former.peer(),
                 settings.bufferedChunks(),
                 parts.clock().nanos());
-        if (!attempts.add(attempt)) {
+        if (attempts.add(attempt) != AttemptTable.Taken.WAITING) {
             return false;
         }
         if (runner.adopt(attempt)) {
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionNodeTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionNodeTest.java
@@ -138,18 +138,35 @@
         }
     }
 
-    @Test
-    void answerFromAnotherAdapterIsWithheld() throws IOException {
-        // The engine runs another adapter than the one named. Not one chunk of it reaches the caller.
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void answerFromAnotherAdapterIsWithheld(boolean namesAtTheEnd) throws IOException {
+        // The engine runs another adapter than the one named, and says so at the start or only at the end. Not one
+        // chunk of
+        // it reaches the caller.
         try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
             fixture.engine.serveWrong();
-            RecordedAnswer answer = fixture.send(fixture.generation("a", 100).build());
+            if (namesAtTheEnd) {
+                fixture.engine.nameOnlyAtTheEnd();
+            }
+            RecordedAnswer answer = fixture.send(fixture.generation("a", 300).build());
             CompanionFixture.await(answer::isOver);
             assertThat(answer.refusal()).contains(ResultCode.WRONG_ADAPTER_SERVED);
             assertThat(answer.chunks()).isZero();
         }
     }
 
+    @Test
+    void engineThatNamesItsAdapterOnlyAtTheEndIsServedWhole() throws IOException {
+        try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
+            fixture.engine.nameOnlyAtTheEnd();
+            Run run = fixture.generation("a", 300).build();
+            RecordedAnswer answer = fixture.send(run);
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.text()).isEqualTo(CompanionFixture.expected(run));
+        }
+    }
+
     @Test
     void failedLoadTellsAllItsWaitersAtOnce() throws IOException {
         // Five callers wait for one load, and it fails. All are told at once that nothing has run, and there was one
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionTakeoverTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionTakeoverTest.java
@@ -126,4 +126,21 @@
             assertThat(fixture.companion.fence()).isEqualTo(first + 1);
         }
     }
+
+    @Test
+    void companionOfATargetThatChecksNoFenceWaitsForItsPredecessorsOrders() throws IOException {
+        // The target carries out whatever it is told. A companion that starts beside it takes no work while an order of
+        // its
+        // predecessor may still be valid, says so as not run, and takes work afterwards.
+        try (CompanionFixture fixture = CompanionFixture.ofEngineThatChecksNoFence(new FakeEngine(2))) {
+            RecordedAnswer early = fixture.send(fixture.generation("a", 10).build());
+            CompanionFixture.await(early::isOver);
+            assertThat(early.refusal()).contains(ResultCode.NO_TARGET);
+            assertThat(early.ran()).contains(Ran.NO);
+            CompanionFixture.await(() -> fixture.companion.reasonNotReady().isEmpty());
+            RecordedAnswer answer = fixture.send(fixture.generation("a", 10).build());
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.end()).isPresent();
+        }
+    }
 }
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeEngine.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeEngine.java
@@ -33,6 +33,7 @@
     private final Set<AdapterReference> unloadedInUse = new HashSet<>();
     private long incarnation = 1;
     private boolean servesWrong;
+    private boolean namesAtTheEnd;
     private boolean failsLoads;
     private boolean holdsLoads;
     private long newestFence;
@@ -113,8 +114,11 @@
         Stream stream = new Stream(generation, served, listener);
         streams.put(generation.attempt(), stream);
         started.add(generation);
+        boolean namesAtOnce = !namesAtTheEnd;
         thread.execute(() -> {
-            listener.started(served);
+            if (namesAtOnce) {
+                listener.started(served);
+            }
             stream.give(listener);
         });
         return stream;
@@ -217,6 +221,10 @@
         servesWrong = true;
     }
 
+    synchronized void nameOnlyAtTheEnd() {
+        namesAtTheEnd = true;
+    }
+
     synchronized void failLoads(boolean fails) {
         failsLoads = fails;
     }
