Keep attempts that are over apart from those whose output is kept

The timer and each link's news walked over all known attempts, up to 100000 of them ten times a second. Reports to entries come at most ten times a second; a companion that stops says "not run" of what had not started.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptTable.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptTable.java
@@ -1,9 +1,7 @@
 package org.geraniumreach.daemon.companion;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,7 +34,8 @@
 
     private final long retentionNanos;
     private final int retained;
-    private final Map<AttemptId, Entry<T>> entries = new HashMap<>();
+    private final Map<AttemptId, State> states = new HashMap<>();
+    private final Map<AttemptId, T> kept = new LinkedHashMap<>();
     private final LinkedHashMap<AttemptId, Long> endedAt = new LinkedHashMap<>();
     private final LinkedHashMap<AttemptId, Long> sealedAt = new LinkedHashMap<>();
     private boolean hasForgotten;
@@ -55,16 +54,6 @@
         FORGOTTEN
     }
 
-    private static final class Entry<T> {
-        private State state;
-        private T value;
-
-        private Entry(State state, T value) {
-            this.state = state;
-            this.value = value;
-        }
-    }
-
     /** What the table knows of an attempt. */
     enum Seen {
         /** It waits. */
@@ -97,21 +86,25 @@
      * @return what became of it, not null
      */
     Taken add(AttemptId id, T value) {
-        if (entries.containsKey(id)) {
+        if (states.containsKey(id)) {
             return Taken.SEEN;
         }
         if (!hasRoom()) {
             return Taken.NO_ROOM;
         }
-        entries.put(id, new Entry<>(State.WAITING, value));
+        states.put(id, State.WAITING);
+        kept.put(id, value);
         return Taken.WAITING;
     }
 
     private boolean hasRoom() {
-        if (entries.size() >= retained) {
-            forgetOldest(endedAt);
+        if (states.size() >= retained) {
+            endedAt.keySet().stream()
+                    .filter(id -> !kept.containsKey(id))
+                    .findFirst()
+                    .ifPresent(id -> forget(id, endedAt));
         }
-        return entries.size() < retained;
+        return states.size() < retained;
     }
 
     /**
@@ -121,12 +114,7 @@
      * @return true if it waited, and is to be run; false if it must not be
      */
     boolean start(AttemptId id) {
-        Entry<T> entry = entries.get(id);
-        if (entry == null || entry.state != State.WAITING) {
-            return false;
-        }
-        entry.state = State.STARTED;
-        return true;
+        return states.replace(id, State.WAITING, State.STARTED);
     }
 
     /**
@@ -135,10 +123,7 @@
      * @param id the attempt, not null
      */
     void putBack(AttemptId id) {
-        Entry<T> entry = entries.get(id);
-        if (entry != null && entry.state == State.STARTED) {
-            entry.state = State.WAITING;
-        }
+        states.replace(id, State.STARTED, State.WAITING);
     }
 
     /**
@@ -149,16 +134,16 @@
      * @param now the time
      */
     void end(AttemptId id, boolean hasRun, long now) {
-        Entry<T> entry = entries.get(id);
-        if (entry == null || isOver(entry)) {
+        if (!isUnderWay(id)) {
             return;
         }
-        entry.state = hasRun ? State.ENDED : State.SEALED;
+        states.put(id, hasRun ? State.ENDED : State.SEALED);
         (hasRun ? endedAt : sealedAt).put(id, now);
     }
 
-    private static boolean isOver(Entry<?> entry) {
-        return entry.state != State.WAITING && entry.state != State.STARTED;
+    private boolean isUnderWay(AttemptId id) {
+        State state = states.get(id);
+        return state == State.WAITING || state == State.STARTED;
     }
 
     /**
@@ -170,15 +155,13 @@
      * @return what is known of it, not null; never {@link Seen#WAITING}
      */
     Seen seal(AttemptId id, long ageNanos, long now) {
-        Entry<T> entry = entries.get(id);
-        if (entry == null) {
+        if (!states.containsKey(id)) {
             return sealUnknown(id, isWithinMemory(ageNanos, now), now);
         }
-        if (entry.state == State.WAITING) {
-            entry.state = State.SEALED;
+        if (states.replace(id, State.WAITING, State.SEALED)) {
             sealedAt.put(id, now);
         }
-        return seen(entry.state);
+        return seen(states.get(id));
     }
 
     private Seen sealUnknown(AttemptId id, boolean isWithinMemory, long now) {
@@ -186,7 +169,7 @@
             return Seen.FORGOTTEN;
         }
         State state = isWithinMemory ? State.SEALED : State.FORGOTTEN;
-        entries.put(id, new Entry<>(state, null));
+        states.put(id, state);
         sealedAt.put(id, now);
         return seen(state);
     }
@@ -215,11 +198,11 @@
      * @return what is known, or empty if it was never seen or is forgotten
      */
     Optional<Seen> find(AttemptId id) {
-        return Optional.ofNullable(entries.get(id)).map(entry -> seen(entry.state));
+        return Optional.ofNullable(states.get(id)).map(AttemptTable::seen);
     }
 
     Optional<T> value(AttemptId id) {
-        return Optional.ofNullable(entries.get(id)).map(entry -> entry.value);
+        return Optional.ofNullable(kept.get(id));
     }
 
     /**
@@ -228,9 +211,8 @@
      * @param id the attempt, not null
      */
     void dropValue(AttemptId id) {
-        Entry<T> entry = entries.get(id);
-        if (entry != null && isOver(entry)) {
-            entry.value = null;
+        if (!isUnderWay(id)) {
+            kept.remove(id);
         }
     }
 
@@ -245,30 +227,29 @@
     }
 
     private void expire(LinkedHashMap<AttemptId, Long> over, long now) {
-        while (!over.isEmpty() && now - over.values().iterator().next() > retentionNanos) {
-            forgetOldest(over);
+        while (!over.isEmpty()) {
+            Map.Entry<AttemptId, Long> oldest = over.entrySet().iterator().next();
+            if (now - oldest.getValue() <= retentionNanos) {
+                return;
+            }
+            forget(oldest.getKey(), over);
         }
     }
 
-    private void forgetOldest(LinkedHashMap<AttemptId, Long> over) {
-        Iterator<Map.Entry<AttemptId, Long>> oldest = over.entrySet().iterator();
-        if (!oldest.hasNext()) {
-            return;
-        }
-        Map.Entry<AttemptId, Long> forgotten = oldest.next();
-        forgottenUntil = hasForgotten ? Math.max(forgottenUntil, forgotten.getValue()) : forgotten.getValue();
+    private void forget(AttemptId id, LinkedHashMap<AttemptId, Long> over) {
+        long since = over.remove(id);
+        forgottenUntil = hasForgotten ? Math.max(forgottenUntil, since) : since;
         hasForgotten = true;
-        entries.remove(forgotten.getKey());
-        oldest.remove();
+        states.remove(id);
+        kept.remove(id);
     }
 
+    /**
+     * Gets what is kept with attempts.
+     *
+     * @return the values as they are now, not null
+     */
     Collection<T> values() {
-        List<T> values = new ArrayList<>();
-        for (Entry<T> entry : entries.values()) {
-            if (entry.value != null) {
-                values.add(entry.value);
-            }
-        }
-        return values;
+        return List.copyOf(kept.values());
     }
 }
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionNode.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionNode.java
@@ -18,7 +18,6 @@
 import org.geraniumreach.messages.Status;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.KeyDigest;
-import org.geraniumreach.model.Ran;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
 import org.geraniumreach.model.record.Configuration;
@@ -42,7 +41,7 @@
     private static final String ENTRY_ROLE = "entry";
     private static final Duration STARTING = Duration.ofMillis(500);
     private static final Duration TICK = Duration.ofMillis(100);
-    private static final Duration REPORT_GAP = Duration.ofMillis(20);
+    private static final Duration REPORT_GAP = Duration.ofMillis(100);
 
     private final CompanionSettings settings;
     private final CompanionParts parts;
@@ -245,12 +244,6 @@
     public void close() {
         timer.shutdownNow();
         targetStart.close();
-        for (CompanionAttempt attempt : attempts.all()) {
-            if (!attempt.isFinished()) {
-                outcomes.refused(
-                        attempt,
-                        ServingException.of(ResultCode.ANSWER_INTERRUPTED, Ran.UNKNOWN, "the companion stops"));
-            }
-        }
+        attempts.all().forEach(requests::cutOff);
     }
 }
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionSettings.java
@@ -38,7 +38,7 @@
                                 "How long it is known that an attempt was seen; after it, 'not run' is never said of it.")
                 Duration attemptRetention,
         @Setting(
-                        value = "100000",
+                        value = "50000",
                         least = "100",
                         greatest = "10000000",
                         about =
@@ -81,7 +81,7 @@
                 Duration adoptionLimit) {
 
     private static final int LEAST_BUFFERED_CHUNKS = 64;
-    private static final int DEFAULT_RETAINED_ATTEMPTS = 100_000;
+    private static final int DEFAULT_RETAINED_ATTEMPTS = 50_000;
 
     public CompanionSettings {
         // With fewer, the companion would wait for an acknowledgement that its entry sends only after more chunks.
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
@@ -345,6 +345,23 @@
         runners.current().ifPresent(runner -> runner.cancel(attempt));
     }
 
+    /**
+     * Ends an attempt since the process ends; what runs at an engine goes on there, for the next companion.
+     *
+     * @param attempt the attempt, not null
+     */
+    void cutOff(CompanionAttempt attempt) {
+        if (attempt.isFinished()) {
+            return;
+        }
+        boolean neverStarted = attempts.seal(attempt.id(), AttemptTable.AGE_UNKNOWN) == AttemptTable.Seen.NEVER_STARTED;
+        outcomes.refused(
+                attempt,
+                neverStarted
+                        ? ServingException.notRun(ResultCode.DRAINING, "the companion stops")
+                        : ServingException.of(ResultCode.ANSWER_INTERRUPTED, Ran.UNKNOWN, "the companion stops"));
+    }
+
     /** Ends what has passed its deadline or lost its entry, and forgets what nobody will ask for. */
     void tick() {
         answerFormerResumes();
