Check what callers were told against the engines' own records

A request is found in an engine's record by the digest of adapter, version and prompt. It must have run for its sender only; an answered one ran whole on its adapter; one refused as not run did not. What ran for an account is within its rate and burst in every window: a window that holds both the sending and the engine's taking of a request holds the time at which it was let through.

--- a/demo.sh
+++ b/demo.sh
@@ -177,12 +177,14 @@
     cat <<YAML
 seed: 1
 seconds: $SECONDS_OF_LOAD
+warmupSeconds: 3
 drainSeconds: 40
 mode: ENTRY
 entries:
   - {url: "$(url 31)", weight: 2}
   - {url: "$(url 32)", weight: 1}
 service: {name: job-cards, operation: book, ran: ["$(url 20)"]}
+engines: ["$(url 10)", "$(url 11)", "$(url 12)"]
 accounts:
 YAML
     for account in $ACCOUNTS; do
@@ -274,7 +276,8 @@
 say "sending a mix for $SECONDS_OF_LOAD s; sabarmati-reports sends several times its rate"
 standins load --settings "$RUN/load.yaml" --out "$RUN/result.json"
 require_running
-say "every answer was whole and from the adapter and version named, and each booking ran once"
+say "every answer was whole, from the adapter and version named and for its own account; no refused request ran;"
+say "each booking ran once; and no account got more than its rate and burst in any window"
 if $KEEP; then
   try_by_hand
 fi
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/load/GenerationRecords.java
@@ -0,0 +1,96 @@
+package org.geraniumreach.standins.load;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.geraniumreach.standins.load.LoadSettings.AccountLoad;
+
+/**
+ * Holds what callers were told against the engines' records of what ran.
+ *
+ * <p>Used by one thread.
+ */
+final class GenerationRecords {
+
+    private final Map<String, List<EngineRun>> runs = new HashMap<>();
+
+    void add(JsonNode ran) {
+        for (JsonNode stream : ran.path("streams")) {
+            EngineRun run = EngineRun.of(stream);
+            runs.computeIfAbsent(run.request(), request -> new ArrayList<>()).add(run);
+        }
+    }
+
+    /**
+     * Checks generations: each ran for its sender only, each served one ran whole on its adapter, none that was told not to
+     * have run did, and no account got more than its rate and burst in any window.
+     *
+     * @param sent the generations by digest
+     * @param accounts the accounts
+     * @return what did not hold
+     */
+    List<String> check(Map<String, SentGeneration> sent, List<AccountLoad> accounts) {
+        List<String> faults = new ArrayList<>();
+        sent.forEach((request, generation) -> check(request, generation, faults));
+        for (AccountLoad account : accounts) {
+            if (account.tokensPerSecond() > 0) {
+                RateWindows.check(
+                                account.name(),
+                                account.tokensPerSecond(),
+                                account.burstTokens(),
+                                uses(account.name(), sent))
+                        .ifPresent(faults::add);
+            }
+        }
+        return faults;
+    }
+
+    private void check(String request, SentGeneration generation, List<String> faults) {
+        List<EngineRun> ran = runs.getOrDefault(request, List.of());
+        if (ran.stream().anyMatch(run -> !run.account().equals(generation.account()))) {
+            faults.add("a request of " + generation.account() + " ran for another account");
+        }
+        boolean whole = ran.stream()
+                .anyMatch(run -> run.isWhole()
+                        && run.adapter().equals(generation.adapter().toString()));
+        if (generation.outcome().isServed() && !whole) {
+            faults.add("a request of " + generation.account() + " was answered and never ran whole on "
+                    + generation.adapter());
+        }
+        if (generation.outcome().verdict() == Outcome.Verdict.REFUSED && !ran.isEmpty()) {
+            faults.add("a request of " + generation.account() + " ran although the refusal "
+                    + generation.outcome().code() + " says not");
+        }
+    }
+
+    private List<RateWindows.Use> uses(String account, Map<String, SentGeneration> sent) {
+        List<RateWindows.Use> uses = new ArrayList<>();
+        sent.forEach((request, generation) -> {
+            if (generation.account().equals(account)) {
+                for (EngineRun run : runs.getOrDefault(request, List.of())) {
+                    uses.add(new RateWindows.Use(generation.sentMillis(), run.queuedMillis(), run.tokens()));
+                }
+            }
+        });
+        return uses;
+    }
+
+    /**
+     * Gets how well the engines' batches were used by these generations.
+     *
+     * @param sent the generations by digest
+     * @return the figures
+     */
+    BatchFigures figures(Map<String, SentGeneration> sent) {
+        List<EngineRun> ours = sent.keySet().stream()
+                .flatMap(request -> runs.getOrDefault(request, List.of()).stream())
+                .toList();
+        return new BatchFigures(
+                ours.size(),
+                ours.stream().mapToDouble(EngineRun::batch).average().orElse(0),
+                ours.stream().mapToDouble(EngineRun::adapters).average().orElse(0));
+    }
+}
--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadResult.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadResult.java
@@ -13,10 +13,16 @@
  * @param seconds how long it took, answers included
  * @param latestSendMillis how much later than due the latest request was sent
  * @param accounts what each account got
+ * @param batches how well the engines' batches were used
  * @param faults what did not hold
  */
 public record LoadResult(
-        long seed, double seconds, double latestSendMillis, List<AccountResult> accounts, List<String> faults) {
+        long seed,
+        double seconds,
+        double latestSendMillis,
+        List<AccountResult> accounts,
+        BatchFigures batches,
+        List<String> faults) {
 
     /**
      * Queries whether all held.
@@ -30,7 +36,11 @@
     LoadResult withFaults(List<String> more) {
         List<String> all = new ArrayList<>(faults);
         all.addAll(more);
-        return new LoadResult(seed, seconds, latestSendMillis, accounts, all);
+        return new LoadResult(seed, seconds, latestSendMillis, accounts, batches, all);
+    }
+
+    LoadResult withBatches(BatchFigures newBatches) {
+        return new LoadResult(seed, seconds, latestSendMillis, accounts, newBatches, faults);
     }
 
     /**
@@ -53,6 +63,14 @@
                 "wrongful",
                 "first token p50/p99 ms, between tokens p50/p99 ms, booking p50/p99 ms"));
         accounts.forEach(account -> lines.add(line(account)));
+        if (batches.streams() > 0) {
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "engines: %d streams, mean batch %.1f, mean adapters in a batch %.1f",
+                    batches.streams(),
+                    batches.meanBatch(),
+                    batches.meanAdapters()));
+        }
         faults.forEach(fault -> lines.add("DID NOT HOLD: " + fault));
         return lines;
     }
--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadRun.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadRun.java
@@ -44,6 +44,7 @@
     private final Map<String, AccountTally> tallies = new LinkedHashMap<>();
     private final Map<String, IdealBucket> buckets = new LinkedHashMap<>();
     private final Map<String, Outcome> bookings = new ConcurrentHashMap<>();
+    private final Map<String, SentGeneration> generations = new ConcurrentHashMap<>();
     private final Phaser outstanding = new Phaser(1);
     private final long startNanos = System.nanoTime();
     private long latestSendNanos;
@@ -94,8 +95,11 @@
                         .result(account, buckets.get(account.name()).admitted(), elapsed))
                 .toList();
         results.forEach(result -> faults.addAll(Judgement.of(result)));
-        LoadResult result = new LoadResult(settings.seed(), elapsed, latestSendNanos / 1e6, results, faults);
-        return result.withFaults(new RanCheck(settings).check(bookings));
+        LoadResult result =
+                new LoadResult(settings.seed(), elapsed, latestSendNanos / 1e6, results, BatchFigures.NONE, faults);
+        RanCheck ran = new RanCheck(settings);
+        ran.check(bookings, generations);
+        return result.withFaults(ran.faults()).withBatches(ran.figures());
     }
 
     private void sendAll() {
@@ -141,7 +145,13 @@
             buckets.get(request.account().name())
                     .offer(request.reservedTokens(), request.usedTokens(), System.nanoTime());
         }
-        exchange(request, startNanos + request.dueNanos(), outcome -> ended(request, outcome));
+        long sentMillis = System.currentTimeMillis();
+        exchange(request, startNanos + request.dueNanos(), outcome -> {
+            generations.put(
+                    request.expected().digest(),
+                    new SentGeneration(request.account().name(), request.adapter(), sentMillis, outcome));
+            ended(request, outcome);
+        });
     }
 
     private boolean isMeasured(PlannedRequest request) {
--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadSettings.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadSettings.java
@@ -17,6 +17,7 @@
  * @param entries where requests go
  * @param accounts who sends
  * @param service the plain service that bookings go to, may be null if there are none
+ * @param engines the stand-in engines whose records are read after the run
  */
 public record LoadSettings(
         long seed,
@@ -26,9 +27,11 @@
         Mode mode,
         List<EntryShare> entries,
         List<AccountLoad> accounts,
-        BookedService service) {
+        BookedService service,
+        List<URI> engines) {
 
     public LoadSettings {
+        engines = engines == null ? List.of() : List.copyOf(engines);
         mode = mode == null ? Mode.ENTRY : mode;
         entries = List.copyOf(entries);
         accounts = List.copyOf(accounts);
--- a/standins/src/main/java/org/geraniumreach/standins/load/RanCheck.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/RanCheck.java
@@ -6,14 +6,16 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.geraniumreach.standins.http.Call;
 
 /**
- * Reads the plain services' records after a run and checks the bookings by them.
+ * Reads the targets' records after a run and checks by them what callers were told.
  *
  * <p>Used by one thread.
  */
@@ -24,39 +26,68 @@
     private final LoadSettings settings;
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<String> faults = new ArrayList<>();
+    private BatchFigures figures = BatchFigures.NONE;
 
     RanCheck(LoadSettings settings) {
         this.settings = settings;
     }
 
-    List<String> check(Map<String, Outcome> bookings) throws InterruptedException {
+    List<String> faults() {
+        return faults;
+    }
+
+    BatchFigures figures() {
+        return figures;
+    }
+
+    void check(Map<String, Outcome> bookings, Map<String, SentGeneration> generations) throws InterruptedException {
+        try {
+            checkBookings(bookings);
+            checkGenerations(generations);
+        } catch (IOException e) {
+            faults.add("records of what ran could not be read: " + e);
+        }
+    }
+
+    private void checkBookings(Map<String, Outcome> bookings) throws IOException, InterruptedException {
         if (settings.service() == null || settings.service().ran().isEmpty()) {
-            return List.of();
+            return;
         }
         RunRecords records = new RunRecords();
-        try {
-            for (URI worker : settings.service().ran()) {
-                readAll(worker, records);
-            }
-        } catch (IOException e) {
-            return List.of("records of what ran could not be read: " + e);
+        for (URI worker : settings.service().ran()) {
+            readAll(worker, "runs", records::add);
+        }
+        faults.addAll(records.check(bookings));
+    }
+
+    private void checkGenerations(Map<String, SentGeneration> generations) throws IOException, InterruptedException {
+        if (settings.engines().isEmpty()) {
+            return;
+        }
+        GenerationRecords records = new GenerationRecords();
+        for (URI engine : settings.engines()) {
+            readAll(engine, "streams", records::add);
         }
-        return records.check(bookings);
+        faults.addAll(records.check(generations, settings.accounts()));
+        figures = records.figures(generations);
     }
 
-    private void readAll(URI worker, RunRecords records) throws IOException, InterruptedException {
-        long read = 0;
+    private void readAll(URI target, String items, Consumer<JsonNode> consumer)
+            throws IOException, InterruptedException {
+        long last = 0;
         while (true) {
-            HttpRequest request = HttpRequest.newBuilder(worker.resolve("/v1/ran?after=" + read))
+            HttpRequest request = HttpRequest.newBuilder(target.resolve("/v1/ran?after=" + last))
                     .timeout(LIMIT)
                     .build();
             JsonNode ran = Call.JSON.readTree(
                     client.send(request, BodyHandlers.ofString()).body());
-            if (ran.path("runs").isEmpty()) {
+            JsonNode read = ran.path(items);
+            if (read.isEmpty()) {
                 return;
             }
-            records.add(ran);
-            read += ran.path("runs").size();
+            consumer.accept(ran);
+            last = read.get(read.size() - 1).path("number").asLong();
         }
     }
 }
--- /dev/null
+++ b/standins/src/test/java/org/geraniumreach/standins/LoadAtEngineTest.java
@@ -0,0 +1,89 @@
+package org.geraniumreach.standins;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+
+import org.geraniumreach.standins.engine.EnginePart;
+import org.geraniumreach.standins.http.Call;
+import org.geraniumreach.standins.http.Faults;
+import org.geraniumreach.standins.load.LoadResult;
+import org.geraniumreach.standins.load.LoadRun;
+import org.geraniumreach.standins.load.LoadSettings;
+import org.geraniumreach.standins.load.LoadSettings.AccountLoad;
+import org.geraniumreach.standins.load.LoadSettings.AdapterRange;
+import org.geraniumreach.standins.load.LoadSettings.EntryShare;
+import org.geraniumreach.standins.store.WeightPart;
+import org.geraniumreach.standins.store.WeightStore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** A run of the load tool directly at a stand-in engine. */
+class LoadAtEngineTest {
+
+    private final StandInsFixture fixture = new StandInsFixture();
+    private WeightPart weights;
+    private EnginePart engine;
+    private URI url;
+
+    @BeforeEach
+    void start() throws IOException {
+        int weightPort = StandInsFixture.freePort();
+        weights = new WeightPart(weightPort, new WeightStore(0, 10, 8, fixture.timer), fixture.timer);
+        int port = StandInsFixture.freePort();
+        url = StandInsFixture.url(port);
+        engine = new EnginePart(port, StandInsFixture.fastEngine(), StandInsFixture.url(weightPort), fixture.timer);
+    }
+
+    @AfterEach
+    void stop() {
+        engine.server().close();
+        weights.server().close();
+        fixture.close();
+    }
+
+    @Test
+    void allHoldsAtAnEngineWithoutFaults() throws Exception {
+        LoadResult result = LoadRun.run(settings(0, 0));
+        assertThat(result.faults()).isEmpty();
+        assertThat(result.accounts().get(0).served()).isPositive();
+        assertThat(result.batches().streams())
+                .isEqualTo(result.accounts().get(0).served());
+    }
+
+    @Test
+    void anEngineThatRunsAnotherVersionIsFoundOut() throws Exception {
+        engine.server().show(faults("{\"wrongVersion\":true,\"path\":\"/v1/streams\",\"count\":3}"));
+        LoadResult result = LoadRun.run(settings(0, 0));
+        assertThat(result.accounts().get(0).wrong()).isEqualTo(3);
+        assertThat(result.held()).isFalse();
+    }
+
+    @Test
+    void anAccountAboveItsRateIsFoundOut() throws Exception {
+        LoadResult result = LoadRun.run(settings(1, 50));
+        assertThat(result.faults()).anyMatch(fault -> fault.contains("rate and burst allow"));
+    }
+
+    private LoadSettings settings(double tokensPerSecond, double burst) {
+        AdapterRange adapters = new AdapterRange("rewind-", 0, 2, "v1", 1);
+        AccountLoad account = new AccountLoad("floor", "", 40, 0, 0, 1, 0.5, 80, 20, adapters, tokensPerSecond, burst);
+        return new LoadSettings(
+                1,
+                1,
+                0,
+                30,
+                LoadSettings.Mode.ENGINE,
+                List.of(new EntryShare(url, 1)),
+                List.of(account),
+                null,
+                List.of(url));
+    }
+
+    private static Faults faults(String json) throws IOException {
+        return Call.JSON.readValue(json, Faults.class);
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/geraniumreach/standins/load/RateWindowsTest.java
@@ -0,0 +1,52 @@
+package org.geraniumreach.standins.load;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.geraniumreach.standins.load.RateWindows.Use;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RateWindowsTest {
+
+    @Test
+    void aBurstAndThenTheRateIsAllowed() {
+        List<Use> uses = List.of(new Use(0, 0, 100), new Use(1000, 1000, 50), new Use(2000, 2000, 50));
+        assertThat(RateWindows.check("a", 50, 100, uses)).isEmpty();
+    }
+
+    @Test
+    void twoBurstsAtOnceAreNotAllowedAfterALongRest() {
+        List<Use> uses = List.of(new Use(0, 0, 10), new Use(60_000, 60_000, 100), new Use(60_000, 60_010, 100));
+        assertThat(RateWindows.check("a", 50, 100, uses)).isPresent();
+    }
+
+    @Test
+    void aRequestThatMayHaveBeenLetThroughOutsideAWindowIsNotCountedInIt() {
+        List<Use> uses = List.of(new Use(0, 5000, 100), new Use(5000, 5000, 100));
+        assertThat(RateWindows.check("a", 50, 100, uses)).isEmpty();
+    }
+
+    @Property(seed = "1", tries = 200)
+    void whatABucketLetsThroughIsNeverFound(
+            @ForAll @Size(max = 60) List<@IntRange(max = 400) Integer> gaps,
+            @ForAll @IntRange(min = 1, max = 80) int tokens) {
+        double available = 100;
+        long now = 0;
+        List<Use> uses = new ArrayList<>();
+        for (int gap : gaps) {
+            now += gap;
+            available = Math.min(100, available + gap * 0.05);
+            if (available >= tokens) {
+                available -= tokens;
+                uses.add(new Use(now, now, tokens));
+            }
+        }
+        assertThat(RateWindows.check("a", 50, 100, uses)).isEmpty();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/geraniumreach/standins/load/RunRecordsTest.java
@@ -0,0 +1,42 @@
+package org.geraniumreach.standins.load;
+
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.geraniumreach.standins.http.Call;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RunRecordsTest {
+
+    @ParameterizedTest
+    @CsvSource({
+        "SERVED, 1, true",
+        "SERVED, 0, false",
+        "SERVED, 2, false",
+        "REFUSED, 0, true",
+        "REFUSED, 1, false",
+        "FAILED, 0, true",
+        "FAILED, 1, true",
+        "FAILED, 2, false"
+    })
+    void aBookingHoldsIfItRanOnceWhereItWasAnsweredAndNeverWhereItWasRefused(
+            Outcome.Verdict verdict, int runs, boolean holds) {
+        RunRecords records = new RunRecords();
+        records.add(ran("b-1", runs));
+        Outcome outcome = new Outcome(verdict, "", "", "", 0, "");
+        assertThat(records.check(Map.of("b-1", outcome)).isEmpty()).isEqualTo(holds);
+    }
+
+    private static ObjectNode ran(String booking, int runs) {
+        ObjectNode json = Call.JSON.createObjectNode();
+        ArrayNode array = json.putArray("runs");
+        for (int run = 0; run < runs; run++) {
+            array.addObject().put("body", "{\"booking\":\"" + booking + "\"}");
+        }
+        return json;
+    }
+}
