--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadResult.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadResult.java
@@ -14,6 +14,7 @@
  * @param latestSendMillis how much later than due the latest request was sent
  * @param accounts what each account got
  * @param batches how well the engines' batches were used
+ * @param stalls how requests stalled on loads
  * @param faults what did not hold
  */
 public record LoadResult(
@@ -22,6 +23,7 @@
         double latestSendMillis,
         List<AccountResult> accounts,
         BatchFigures batches,
+        StallFigures stalls,
         List<String> faults) {
 
     /**
@@ -36,11 +38,15 @@
     LoadResult withFaults(List<String> more) {
         List<String> all = new ArrayList<>(faults);
         all.addAll(more);
-        return new LoadResult(seed, seconds, latestSendMillis, accounts, batches, all);
+        return new LoadResult(seed, seconds, latestSendMillis, accounts, batches, stalls, all);
     }
 
     LoadResult withBatches(BatchFigures newBatches) {
-        return new LoadResult(seed, seconds, latestSendMillis, accounts, newBatches, faults);
+        return new LoadResult(seed, seconds, latestSendMillis, accounts, newBatches, stalls, faults);
+    }
+
+    LoadResult withStalls(StallFigures newStalls) {
+        return new LoadResult(seed, seconds, latestSendMillis, accounts, batches, newStalls, faults);
     }
 
     /**
@@ -71,6 +77,15 @@
                     batches.meanBatch(),
                     batches.meanAdapters()));
         }
+        if (stalls.requests() > 0) {
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "loads: %.1f%% of requests stalled, 95 in 100 below %.0f ms, 99 in 100 below %.0f ms, %.1f loads per thousand",
+                    100 * stalls.stalledShare(),
+                    stalls.boundMillis95(),
+                    stalls.boundMillis99(),
+                    stalls.loadsPerThousand()));
+        }
         faults.forEach(fault -> lines.add("DID NOT HOLD: " + fault));
         return lines;
     }
--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadRun.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadRun.java
@@ -64,7 +64,7 @@
      * @param settings what to send, not null
      * @return the results, not null
      * @throws InterruptedException if the thread is interrupted
-     * @throws IOException if an engine called directly does not load the adapters
+     * @throws IOException if the processes observed cannot be read, or an engine called directly does not load
      */
     public static LoadResult run(LoadSettings settings) throws InterruptedException, IOException {
         if (settings.mode() == LoadSettings.Mode.ENGINE) {
@@ -79,7 +79,8 @@
         }
     }
 
-    private LoadResult run() throws InterruptedException {
+    private LoadResult run() throws InterruptedException, IOException {
+        SystemReading before = SystemReading.take(settings.observed());
         sendAll();
         List<String> faults = new ArrayList<>();
         try {
@@ -95,11 +96,13 @@
                         .result(account, buckets.get(account.name()).admitted(), elapsed))
                 .toList();
         results.forEach(result -> faults.addAll(Judgement.of(result)));
-        LoadResult result =
-                new LoadResult(settings.seed(), elapsed, latestSendNanos / 1e6, results, BatchFigures.NONE, faults);
+        LoadResult result = new LoadResult(
+                settings.seed(), elapsed, latestSendNanos / 1e6, results, BatchFigures.NONE, StallFigures.NONE, faults);
         RanCheck ran = new RanCheck(settings);
         ran.check(bookings, generations);
-        return result.withFaults(ran.faults()).withBatches(ran.figures());
+        return result.withFaults(ran.faults())
+                .withBatches(ran.figures())
+                .withStalls(SystemReading.take(settings.observed()).since(before));
     }
 
     private void sendAll() {
--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadSettings.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadSettings.java
@@ -18,6 +18,7 @@
  * @param accounts who sends
  * @param service the plain service that bookings go to, may be null if there are none
  * @param engines the stand-in engines whose records are read after the run
+ * @param observed whose counters are read before and after the run
  */
 public record LoadSettings(
         long seed,
@@ -28,10 +29,12 @@
         List<EntryShare> entries,
         List<AccountLoad> accounts,
         BookedService service,
-        List<URI> engines) {
+        List<URI> engines,
+        Observed observed) {
 
     public LoadSettings {
         engines = engines == null ? List.of() : List.copyOf(engines);
+        observed = observed == null ? new Observed(List.of(), null) : observed;
         mode = mode == null ? Mode.ENTRY : mode;
         entries = List.copyOf(entries);
         accounts = List.copyOf(accounts);
@@ -129,6 +132,19 @@
         }
     }
 
+    /**
+     * Processes whose counters show how requests stalled on loads.
+     *
+     * @param metrics the entries' management addresses
+     * @param platform the administration of the platform's stand-in, may be null
+     */
+    public record Observed(List<URI> metrics, URI platform) {
+
+        public Observed {
+            metrics = metrics == null ? List.of() : List.copyOf(metrics);
+        }
+    }
+
     /**
      * The service that bookings go to.
      *
--- a/standins/src/test/java/org/geraniumreach/standins/LoadAtEngineTest.java
+++ b/standins/src/test/java/org/geraniumreach/standins/LoadAtEngineTest.java
@@ -80,7 +80,8 @@
                 List.of(new EntryShare(url, 1)),
                 List.of(account),
                 null,
-                List.of(url));
+                List.of(url),
+                null);
     }
 
     private static Faults faults(String json) throws IOException {
--- a/standins/src/test/java/org/geraniumreach/standins/load/RequestSourceTest.java
+++ b/standins/src/test/java/org/geraniumreach/standins/load/RequestSourceTest.java
@@ -52,6 +52,7 @@
                 List.of(new EntryShare(URI.create("http://h:1"), 4), new EntryShare(URI.create("http://h:2"), 1)),
                 List.of(account),
                 null,
+                null,
                 null);
         RequestSource source = new RequestSource(settings, account, false, "run");
         List<PlannedRequest> requests = new ArrayList<>();
