Check what must hold between settings when they are read, and the failure tests' own settings

Cause: an entry whose quarantine was too short for its other limits passed the settings' check and then ended with a stack trace; all six tests of streams failed at their start with it. Limits between settings are now tried in the constructors of the settings records, so the reader names them with their path. Netty's own debug lines no longer come into the log.

--- a/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetSettings.java
@@ -51,6 +51,22 @@
                         about = "The greatest drift of a clock, in parts per million.")
                 int clockDriftPartsPerMillion) {
 
+    public BudgetSettings {
+        // The limits that hold between settings are the core's; checked here, a mistake is named with the settings'
+        // path.
+        new BudgetPolicy(
+                sharing == Sharing.BY_DEMAND ? SharingPolicy.byDemand() : SharingPolicy.staticSplit(),
+                leaseRenewal,
+                proofLimit,
+                listLag,
+                quarantine,
+                loanDuration,
+                loanAnswerLimit,
+                longestWait,
+                scanInterval,
+                clockDriftPartsPerMillion);
+    }
+
     /** How entries share a client account's budget. */
     public enum Sharing {
         /** Shares follow demand, by loans and handovers. */
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/ConfigurationSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ConfigurationSettings.java
@@ -46,6 +46,12 @@
                         about = "After how many changes a new snapshot is written to the table.")
                 int compactionChanges) {
 
+    public ConfigurationSettings {
+        // The limits that hold between settings are the core's; checked here, a mistake is named with the settings'
+        // path.
+        new NodeOptions(period, freshnessLimit, pollers, compactionChanges);
+    }
+
     NodeOptions nodeOptions() {
         return new NodeOptions(period, freshnessLimit, pollers, compactionChanges);
     }
--- a/daemon/src/main/java/org/geraniumreach/daemon/event/LogSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/event/LogSettings.java
@@ -34,6 +34,7 @@
     /** Puts these settings in force; must come before the first line is logged. */
     public void apply() {
         Configuration.set("level", level.name().toLowerCase(Locale.ROOT));
+        Configuration.set("level@io.netty", "warn");
         Configuration.set("writingthread", "true");
         Configuration.set("autoshutdown", "false");
         if (format == Format.JSON) {
--- a/daemon/src/main/java/org/geraniumreach/daemon/node/LinkTuning.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/node/LinkTuning.java
@@ -36,7 +36,16 @@
                 DataSize maximumFrame,
         @Setting(value = "2", least = "1", greatest = "64", about = "The event loops of links.") int threads) {
 
+    public LinkTuning {
+        toLinkSettings(pingInterval, unansweredPings, resumeLimit, maximumFrame, threads);
+    }
+
     LinkSettings toLinkSettings() {
+        return toLinkSettings(pingInterval, unansweredPings, resumeLimit, maximumFrame, threads);
+    }
+
+    private static LinkSettings toLinkSettings(
+            Duration pingInterval, int unansweredPings, Duration resumeLimit, DataSize maximumFrame, int threads) {
         LinkSettings defaults = LinkSettings.defaults();
         return new LinkSettings(
                 defaults.connectLimit(),
--- a/daemon/src/main/java/org/geraniumreach/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/node/NodeSettings.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 
 import org.geraniumreach.daemon.settings.Setting;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.InstanceId;
 
 /**
  * Who and where a process is.
@@ -26,4 +28,10 @@
                         least = "0s",
                         greatest = "1h",
                         about = "How long running work may take after the process is told to end.")
-                Duration drainLimit) {}
+                Duration drainLimit) {
+
+    public NodeSettings {
+        InstanceId.of(instance);
+        FailureDomain.of(failureDomain);
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/operator/OperatorSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/operator/OperatorSettings.java
@@ -4,6 +4,7 @@
 
 import org.geraniumreach.daemon.http.HttpLimits;
 import org.geraniumreach.daemon.settings.Setting;
+import org.geraniumreach.model.KeyDigest;
 
 /**
  * Settings of the operators' port.
@@ -18,4 +19,9 @@
         @Setting(value = "127.0.0.1:8081", about = "Where the operators' port listens.") InetSocketAddress address,
         @Setting(about = "The SHA-256 digest of the operator credential, 64 hexadecimal digits.", secret = true)
                 String credentialDigest,
-        HttpLimits http) {}
+        HttpLimits http) {
+
+    public OperatorSettings {
+        KeyDigest.ofHexadecimal(credentialDigest);
+    }
+}
--- a/integration/src/test/java/org/geraniumreach/integration/JavaProcess.java
+++ b/integration/src/test/java/org/geraniumreach/integration/JavaProcess.java
@@ -55,6 +55,10 @@
         signal("TERM");
     }
 
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     boolean awaitEnd() throws InterruptedException {
         return process.waitFor(END_SECONDS, TimeUnit.SECONDS);
     }
--- a/integration/src/test/java/org/geraniumreach/integration/TestSystem.java
+++ b/integration/src/test/java/org/geraniumreach/integration/TestSystem.java
@@ -75,7 +75,12 @@
         }
         startCompanion("companion-service", "service-0", "service", standIns.servicePort());
         register();
-        Eventually.until("entry-1 answers", () -> status("entry-1").contains("\"ready\":true"));
+        Eventually.until(
+                "entry-1 answers or has ended",
+                () -> !process("entry-1").isAlive() || status("entry-1").contains("\"ready\":true"));
+        if (!process("entry-1").isAlive()) {
+            throw new AssertionError("entry-1 has ended: " + log("entry-1"));
+        }
         submit(records());
         awaitReady();
     }
@@ -103,7 +108,7 @@
                 + "operator: {address: '127.0.0.1:" + operators.get(name) + "', credentialDigest: "
                 + KeyDigest.ofSecret(CREDENTIAL).toHexadecimal() + "}\n"
                 + "requests: {bytesPerToken: 4, deadline: 30s}\n"
-                + "budget: {leaseRenewal: 500ms, proofLimit: 2s, listLag: 500ms, quarantine: 5s, scanInterval: 200ms}\n"
+                + "budget: {leaseRenewal: 500ms, proofLimit: 2s, listLag: 500ms, quarantine: 8s, scanInterval: 200ms}\n"
                 + "ledger: {patience: 5s, takeoverAge: 2s, clockError: 200ms}\n";
         start(name, "entry", yaml);
         listed.add(registration(name, "entry", link));
