Pass over what links tell a process that has ended its membership

Cause: at the end of a process links close after the membership's thread, and each was logged as a fault of the system (9001), five times in a run of demo.sh. The configuration logged the same as 'the last work is finished'.

--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/ReplicatedConfiguration.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ReplicatedConfiguration.java
@@ -228,9 +228,11 @@
     void enqueue(Supplier<List<NodeAction>> event) {
         try {
             owner.execute(() -> handle(event));
-        } catch (RejectedExecutionException closed) {
-            // The process ends; nobody waits for what the event would have led to.
-            EventLog.write(EventCode.DRAINED, "an event of the configuration came after its end");
+        } catch (RejectedExecutionException rejected) {
+            // Links close after the configuration when a process ends; nobody waits for what that would have led to.
+            if (!owner.isShutdown()) {
+                throw rejected;
+            }
         }
     }
 
--- a/daemon/src/main/java/org/geraniumreach/daemon/membership/LinkedMembership.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/membership/LinkedMembership.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -214,7 +215,14 @@
             view = membership.view();
             submittingEntries = findSubmittingEntries();
         }
-        executor.execute(this::publish);
+        try {
+            executor.execute(this::publish);
+        } catch (RejectedExecutionException rejected) {
+            // Links close after the membership when a process ends; nobody listens any more.
+            if (!executor.isShutdown()) {
+                throw rejected;
+            }
+        }
     }
 
     private Set<InstanceId> findSubmittingEntries() {
