--- a/coordination/src/test/java/org/geraniumreach/coordination/budget/BudgetWorld.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/budget/BudgetWorld.java
@@ -22,7 +22,9 @@
     private static final int DRIFT = 10_000;
     private static final int EPISODE_ROUNDS = 24;
     private static final int EPISODE_ROUND_MILLIS = 400;
-    private static final long[][] RATES = {{1000, 2000}, {300, 500}, {3000, 4000}};
+    /** The bursts are small beside the rates, so that little budget held twice shows above them. */
+    private static final long[][] RATES = {{1000, 400}, {300, 100}, {3000, 800}};
+
     private static final BudgetPolicy POLICY = new BudgetPolicy(
             SharingPolicy.byDemand(),
             Duration.ofSeconds(1),
@@ -125,11 +127,11 @@
         now += millis * MILLI;
     }
 
-    void reserve(int choice, int hundreds) {
+    void reserve(int choice, int twenties) {
         SimulatedEntry entry = entry(choice);
         if (entry.acts()) {
             entry.wake();
-            entry.reserve(hundreds * 100L, Duration.ofSeconds(1));
+            entry.reserve(twenties * 20L, Duration.ofSeconds(1));
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/ledger/LedgerServiceTest.java
@@ -0,0 +1,217 @@
+package org.geraniumreach.daemon.ledger;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.google.protobuf.ByteString;
+import org.geraniumreach.daemon.ledger.FaultyTable.Fault;
+import org.geraniumreach.daemon.settings.DataSize;
+import org.geraniumreach.link.AttemptHandle;
+import org.geraniumreach.link.AttemptListener;
+import org.geraniumreach.link.Attempts;
+import org.geraniumreach.messages.End;
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.InstanceId;
+import org.geraniumreach.model.Ran;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.geraniumreach.platform.ObjectStore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LedgerServiceTest {
+
+    private static final InstanceId COMPANION = InstanceId.of("companion");
+    private static final int SMALL = 10;
+    private static final int LARGE = 100_000;
+
+    private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(4);
+    private final AtomicReference<Fault> fault = new AtomicReference<>(Fault.NONE);
+    private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+    private final AtomicInteger runs = new AtomicInteger();
+    private int answerLength = SMALL;
+
+    @AfterEach
+    void stop() {
+        executor.shutdownNow();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, SMALL, LARGE})
+    void aSecondCallGetsTheStoredAnswerWhole(int length) throws Exception {
+        answerLength = length;
+        LedgerService ledger = service();
+        byte[] first = ledger.perform(request("body"), dispatch()).get().body();
+        LedgerAnswer second = ledger.perform(request("body"), dispatch()).get();
+        assertThat(second.replayed()).isTrue();
+        assertThat(second.body()).isEqualTo(first).hasSize(length);
+        assertThat(runs).hasValue(1);
+    }
+
+    // The caller sees a refusal that says "not run", and may believe it: without the row that keeps a second call from
+    // sending,
+    // nothing is sent.
+    @Test
+    void withoutTheTableServiceNothingIsSent() throws Exception {
+        fault.set(Fault.UNREACHABLE);
+        ServingException refusal = failureOf(service().perform(request("body"), dispatch()));
+        assertThat(refusal.code()).isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        assertThat(refusal.ran()).isEqualTo(Ran.NO);
+        assertThat(runs).hasValue(0);
+    }
+
+    @Test
+    void anotherBodyUnderTheKeyIsRefused() throws Exception {
+        LedgerService ledger = service();
+        ledger.perform(request("body"), dispatch()).get();
+        ServingException refusal = failureOf(ledger.perform(request("another"), dispatch()));
+        assertThat(refusal.code()).isEqualTo(ResultCode.IDEMPOTENCY_KEY_REUSED);
+    }
+
+    // A caller that sends a booking twice at once would see it made twice. The two inserts come so close that they
+    // would share a
+    // transaction, in which both conditions hold and the later write wins; each must be told its own result.
+    @Test
+    void callsWithOneKeyAtOnceRunOnce() throws Exception {
+        LedgerService ledger = service();
+        List<CompletableFuture<LedgerAnswer>> calls = new ArrayList<>();
+        for (int call = 0; call < 20; call++) {
+            calls.add(ledger.perform(request("body"), dispatch()));
+        }
+        for (CompletableFuture<LedgerAnswer> call : calls) {
+            assertThat(call.get().body()).hasSize(SMALL);
+        }
+        assertThat(runs).hasValue(1);
+    }
+
+    private static ServingException failureOf(CompletableFuture<LedgerAnswer> call) throws InterruptedException {
+        try {
+            call.get();
+            throw new AssertionError("the call succeeded");
+        } catch (ExecutionException failure) {
+            return (ServingException) failure.getCause();
+        }
+    }
+
+    private static LedgerRequest request(String body) {
+        return new LedgerRequest(AccountId.of("account"), "key", "service/book", body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Dispatch dispatch() {
+        return new Dispatch() {
+            @Override
+            public Optional<Companion> choose() {
+                return Optional.of(new Companion(COMPANION, 1));
+            }
+
+            @Override
+            public Run runFor(AttemptId attempt, Companion companion) {
+                return Run.getDefaultInstance();
+            }
+        };
+    }
+
+    private LedgerService service() {
+        LedgerSettings settings = new LedgerSettings(
+                Duration.ofHours(24),
+                Duration.ofSeconds(20),
+                Duration.ofMillis(10),
+                Duration.ofSeconds(60),
+                Duration.ofSeconds(10),
+                Duration.ofSeconds(10),
+                Duration.ofSeconds(10),
+                64,
+                Duration.ofMillis(4),
+                new DataSize(16 * 1024),
+                new DataSize(8 * 1024 * 1024),
+                Duration.ofSeconds(1),
+                200);
+        return new LedgerService(
+                settings,
+                new LedgerService.Surroundings(
+                        InstanceId.of("entry"),
+                        1,
+                        new FaultyTable(fault::get),
+                        new MemoryObjects(),
+                        new InstantAttempts(),
+                        entry -> true,
+                        companion -> false,
+                        Clock.systemUTC(),
+                        new java.security.SecureRandom(),
+                        executor));
+    }
+
+    /** An object store in memory. */
+    private final class MemoryObjects implements ObjectStore {
+
+        @Override
+        public void put(String key, byte[] content) {
+            objects.put(key, content);
+        }
+
+        @Override
+        public Optional<byte[]> get(String key) {
+            return Optional.ofNullable(objects.get(key));
+        }
+    }
+
+    /** A companion that answers in two chunks, from a thread of its own. */
+    private final class InstantAttempts implements Attempts {
+
+        @Override
+        public AttemptHandle run(InstanceId companion, Run run, AttemptListener listener) {
+            executor.execute(() -> {
+                runs.incrementAndGet();
+                listener.accepted();
+                listener.chunk(0, ByteString.copyFrom(new byte[answerLength / 2]), 0);
+                listener.chunk(1, ByteString.copyFrom(new byte[answerLength - answerLength / 2]), 0);
+                listener.ended(End.newBuilder().setCount(2).build());
+            });
+            return new IdleHandle();
+        }
+
+        @Override
+        public AttemptHandle resume(
+                InstanceId companion, String attempt, long incarnation, long nextSequence, AttemptListener listener) {
+            listener.lost(Ran.UNKNOWN, "not kept");
+            return new IdleHandle();
+        }
+
+        @Override
+        public void seal(InstanceId companion, String attempt, long incarnation, Duration age, SealListener listener) {
+            listener.sealed(SealOutcome.STARTED);
+        }
+    }
+
+    /** A handle that does nothing. */
+    private static final class IdleHandle implements AttemptHandle {
+
+        @Override
+        public void request(int chunks) {
+            // The companion above sends without credit.
+        }
+
+        @Override
+        public void cancel(String reason) {
+            // It has ended already.
+        }
+    }
+}
