--- a/standins/src/main/java/org/geraniumreach/standins/Main.java
+++ b/standins/src/main/java/org/geraniumreach/standins/Main.java
@@ -21,7 +21,8 @@
             "engine", EngineCommand::new,
             "service", ServiceCommand::new,
             "load", LoadCommand::new,
-            "call", CallCommand::new));
+            "call", CallCommand::new,
+            "report", ReportCommand::new));
 
     private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
 
--- a/standins/src/main/java/org/geraniumreach/standins/load/StallFigures.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/StallFigures.java
@@ -7,7 +7,7 @@
  *
  * @param requests the requests that the entries measured
  * @param stalledShare the part of them that waited longer than the histogram's least bound
- * @param boundMillis95 the histogram's bound below which 95 in 100 waited, -1 if above the greatest
+ * @param boundMillis95 the histogram's bound below which 95 in 100 waited, its greatest if they waited longer
  * @param boundMillis99 the same for 99 in 100
  * @param loads the adapters that the weight store delivered
  * @param loadsPerThousand the same for each thousand requests
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/report/RunFigures.java
@@ -0,0 +1,76 @@
+package org.geraniumreach.standins.report;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * The figures of one run by which configurations are compared.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param configuration the configuration's name
+ * @param held whether all held
+ * @param values the figures
+ */
+record RunFigures(String configuration, boolean held, Map<Figure, Double> values) {
+
+    private static final String OUT_OF_BUDGET = "OUT_OF_BUDGET";
+    private static final double PERCENT = 100;
+
+    static RunFigures of(String configuration, JsonNode run) {
+        JsonNode result = run.path("result");
+        Map<Figure, Double> values = new TreeMap<>();
+        JsonNode stalls = result.path("stalls");
+        values.put(Figure.STALLED, PERCENT * stalls.path("stalledShare").asDouble());
+        values.put(Figure.STALL_95, stalls.path("boundMillis95").asDouble());
+        values.put(Figure.LOADS, stalls.path("loadsPerThousand").asDouble());
+        values.put(Figure.BATCH, result.path("batches").path("meanBatch").asDouble());
+        values.put(
+                Figure.BATCH_ADAPTERS,
+                result.path("batches").path("meanAdapters").asDouble());
+        values.put(Figure.TOKENS, sum(result, "tokens") / result.path("seconds").asDouble(1));
+        values.put(Figure.WRONGFUL, PERCENT * sum(result, "wrongfullyRefused") / Math.max(1, sum(result, "sent")));
+        values.put(Figure.WORST_SHARE, PERCENT * worstShare(result));
+        values.put(Figure.WORST_FIRST_TOKEN, worstFirstToken(result));
+        return new RunFigures(
+                configuration,
+                result.path("held").asBoolean(result.path("faults").isEmpty()),
+                values);
+    }
+
+    private static double sum(JsonNode result, String field) {
+        double sum = 0;
+        for (JsonNode account : result.path("accounts")) {
+            sum += account.path(field).asDouble();
+        }
+        return sum;
+    }
+
+    /** The least part of what was due that an account got; due is what one central bucket lets through. */
+    private static double worstShare(JsonNode result) {
+        double worst = 1;
+        for (JsonNode account : result.path("accounts")) {
+            double due = account.path("sent").asDouble()
+                    - account.path("codes").path(OUT_OF_BUDGET).asDouble()
+                    + account.path("wrongfullyRefused").asDouble();
+            if (due > 0) {
+                worst = Math.min(worst, account.path("served").asDouble() / due);
+            }
+        }
+        return worst;
+    }
+
+    private static double worstFirstToken(JsonNode result) {
+        double worst = 0;
+        for (JsonNode account : result.path("accounts")) {
+            boolean withinRate = account.path("codes").path(OUT_OF_BUDGET).asDouble()
+                    <= account.path("wrongfullyRefused").asDouble();
+            if (withinRate) {
+                worst = Math.max(worst, account.path("firstToken").path("p99").asDouble());
+            }
+        }
+        return worst;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/geraniumreach/standins/report/package-info.java
@@ -0,0 +1,2 @@
+/** Compares the results of runs of the load tool under several configurations. */
+package org.geraniumreach.standins.report;
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -35,7 +35,9 @@
 if ! declare -F rate_of >/dev/null; then
   rate_of() { echo 3000; }
 fi
-burst_of() { echo $((2 * $(rate_of "$1"))); }
+if ! declare -F burst_of >/dev/null; then
+  burst_of() { echo $((2 * $(rate_of "$1"))); }
+fi
 
 # A comma between lines for each number from 1 to the first argument; the rest is the command, given the number.
 joined() {
