Tighten two tests that a missing safeguard passed

Each safeguard of the serving decisions was taken out on a scratch copy, and its test run. Members that drain were caught only by the second check at the choice, so the test now looks at the members. A budget whose saved retries had no bound passed, since the bound was counted from the start only; a quiet hour is now followed by a burst (7210 instead of 10 without the bound). A budget without a limit made one test run for ever; bursts are cut at 10000 now, and it fails.

--- a/serving/src/test/java/org/geraniumreach/serving/retry/RetryBudgetPropertyTest.java
+++ b/serving/src/test/java/org/geraniumreach/serving/retry/RetryBudgetPropertyTest.java
@@ -8,6 +8,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.geraniumreach.serving.ManualClock;
+import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -16,6 +17,7 @@
     private static final double RATIO = 0.2;
     private static final double FLOOR_PER_SECOND = 2;
     private static final double SIZE = 10;
+    private static final int MANY = 10_000;
 
     /*
      * Callers see all targets fail when only one failure domain is lost. Every failed request is sent again at once, and the
@@ -48,10 +50,31 @@
         int retries = 0;
         for (int second = 0; second < seconds; second++) {
             clock.advance(Duration.ofSeconds(1));
-            while (budget.tryRetry()) {
-                retries++;
-            }
+            retries += burst(budget);
         }
         assertThat(retries).isBetween((int) (FLOOR_PER_SECOND * seconds), (int) (FLOOR_PER_SECOND * seconds + SIZE));
     }
+
+    /*
+     * The targets that are left break under retries. Nothing failed for an hour, and then a failure domain goes: without a
+     * bound on what is saved up, the retries of a whole hour come at once.
+     */
+    @Test
+    void retriesOfAQuietHourAreNotSavedUp() {
+        ManualClock clock = new ManualClock();
+        RetryBudget budget = RetryBudget.create(clock, RATIO, FLOOR_PER_SECOND, SIZE);
+        for (int success = 0; success < 100_000; success++) {
+            budget.succeeded();
+        }
+        clock.advance(Duration.ofHours(1));
+        assertThat(burst(budget)).isEqualTo((int) SIZE);
+    }
+
+    private static int burst(RetryBudget budget) {
+        int retries = 0;
+        while (retries < MANY && budget.tryRetry()) {
+            retries++;
+        }
+        return retries;
+    }
 }
--- a/serving/src/test/java/org/geraniumreach/serving/routing/FleetViewPropertyTest.java
+++ b/serving/src/test/java/org/geraniumreach/serving/routing/FleetViewPropertyTest.java
@@ -213,6 +213,7 @@
                 assertThat(view.load()).as("load").isEqualTo(real.unaccepted.size() + real.accepted.size());
                 assertThat(view.resident()).isEqualTo(real.reported);
             });
+            assertThat(fleet.views(MODEL)).as("members").noneMatch(TargetView::draining);
             for (int number = 0; number < ADAPTERS; number++) {
                 AdapterReference adapter = AdapterReference.of("adapter-" + number, "1");
                 Set<TargetId> holders = new HashSet<>();
