--- a/coordination/src/test/java/org/geraniumreach/coordination/budget/SimulatedEntry.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/budget/SimulatedEntry.java
@@ -29,6 +29,7 @@
     private Optional<StoreCall> call = Optional.empty();
 
     private Optional<Runnable> answer = Optional.empty();
+    private Optional<Runnable> reading = Optional.empty();
     private long lastTicket;
 
     SimulatedEntry(BudgetWorld world, HolderId id, BudgetPolicy policy, int driftPartsPerMillion) {
@@ -62,6 +63,13 @@
         carryOut(core.reserve(ACCOUNT, lastTicket, tokens, deadline));
     }
 
+    void spendAll() {
+        long level = core.level(ACCOUNT);
+        if (level > 0) {
+            reserve(level, Duration.ZERO);
+        }
+    }
+
     void settle(Grant grant, long actual) {
         carryOut(core.settle(ACCOUNT, grant, actual));
     }
@@ -71,8 +79,11 @@
         carryOut(core.wake(ACCOUNT));
     }
 
-    void readList(Set<HolderId.ListedHolder> listed, long askedAgo) {
-        core.listed(listed, clock() - askedAgo);
+    /** Asks for the list, and takes the answer to the asking before. */
+    void readList(Set<HolderId.ListedHolder> listed) {
+        reading.ifPresent(Runnable::run);
+        long askedAt = clock();
+        reading = Optional.of(() -> core.listed(listed, askedAt));
     }
 
     void receive(InstanceId peer, Object message) {
@@ -112,11 +123,11 @@
         }
     }
 
-    /** Runs the table service's calls as long as there are any, without faults. */
-    void storeLoop(boolean reachable) {
+    /** Runs the table service's calls as long as there are any, with the same outcome for all. */
+    void storeLoop(int outcome) {
         core.publish().forEach(step -> carryOut(step.step()));
         for (int step = 0; step < 40; step++) {
-            storeStep(reachable ? 0 : 1);
+            storeStep(outcome);
         }
     }
 
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptTable.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptTable.java
@@ -1,9 +1,7 @@
 package org.geraniumreach.daemon.companion;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,9 +14,10 @@
  *
  * <p>Invariants: an attempt starts at most once, and never after it was sealed or refused; {@link Seen#NEVER_STARTED} is
  * answered only for an attempt that has not started, and holds from then on. Attempts that are over are known for the
- * retention time, and fewer of them if there are too many. The table remembers since when it has forgotten none: an
- * unknown attempt that is older may have run, and is answered {@link Seen#FORGOTTEN}, so bounded memory never makes "not
- * run" false. No I/O, threads or clock of its own. Not safe for use by several threads.
+ * retention time; those that have run may be forgotten earlier if there are too many, those that were sealed never, since
+ * their Run may still arrive. When too many are known all the same, no new one is taken. The table remembers since when it
+ * has forgotten none: an unknown attempt that is older may have run, and is answered {@link Seen#FORGOTTEN}, so bounded
+ * memory never makes "not run" false. No I/O, threads or clock of its own. Not safe for use by several threads.
  *
  * @param <T> what is kept with an attempt until its output may be dropped
  */
@@ -35,8 +34,10 @@
 
     private final long retentionNanos;
     private final int retained;
-    private final Map<AttemptId, Entry<T>> entries = new HashMap<>();
-    private final LinkedHashMap<AttemptId, Long> overSince = new LinkedHashMap<>();
+    private final Map<AttemptId, State> states = new HashMap<>();
+    private final Map<AttemptId, T> kept = new LinkedHashMap<>();
+    private final LinkedHashMap<AttemptId, Long> endedAt = new LinkedHashMap<>();
+    private final LinkedHashMap<AttemptId, Long> sealedAt = new LinkedHashMap<>();
     private boolean hasForgotten;
     private long forgottenUntil;
 
@@ -53,16 +54,6 @@
         FORGOTTEN
     }
 
-    private static final class Entry<T> {
-        private State state;
-        private T value;
-
-        private Entry(State state, T value) {
-            this.state = state;
-            this.value = value;
-        }
-    }
-
     /** What the table knows of an attempt. */
     enum Seen {
         /** It waits. */
@@ -77,15 +68,43 @@
         FORGOTTEN
     }
 
+    /** What became of an attempt that was to be taken in. */
+    enum Taken {
+        /** It waits from now on. */
+        WAITING,
+        /** It was seen or sealed before. */
+        SEEN,
+        /** It is not known, and there is no room to know it. */
+        NO_ROOM
+    }
+
     /**
      * Takes an attempt in.
      *
      * @param id the attempt, not null
      * @param value what is kept with it, not null
-     * @return true if it waits from now on, false if it was seen or sealed before
+     * @return what became of it, not null
      */
-    boolean add(AttemptId id, T value) {
-        return entries.putIfAbsent(id, new Entry<>(State.WAITING, value)) == null;
+    Taken add(AttemptId id, T value) {
+        if (states.containsKey(id)) {
+            return Taken.SEEN;
+        }
+        if (!hasRoom()) {
+            return Taken.NO_ROOM;
+        }
+        states.put(id, State.WAITING);
+        kept.put(id, value);
+        return Taken.WAITING;
+    }
+
+    private boolean hasRoom() {
+        if (states.size() >= retained) {
+            endedAt.keySet().stream()
+                    .filter(id -> !kept.containsKey(id))
+                    .findFirst()
+                    .ifPresent(id -> forget(id, endedAt));
+        }
+        return states.size() < retained;
     }
 
     /**
@@ -95,12 +114,7 @@
      * @return true if it waited, and is to be run; false if it must not be
      */
     boolean start(AttemptId id) {
-        Entry<T> entry = entries.get(id);
-        if (entry == null || entry.state != State.WAITING) {
-            return false;
-        }
-        entry.state = State.STARTED;
-        return true;
+        return states.replace(id, State.WAITING, State.STARTED);
     }
 
     /**
@@ -109,10 +123,7 @@
      * @param id the attempt, not null
      */
     void putBack(AttemptId id) {
-        Entry<T> entry = entries.get(id);
-        if (entry != null && entry.state == State.STARTED) {
-            entry.state = State.WAITING;
-        }
+        states.replace(id, State.STARTED, State.WAITING);
     }
 
     /**
@@ -123,12 +134,16 @@
      * @param now the time
      */
     void end(AttemptId id, boolean hasRun, long now) {
-        Entry<T> entry = entries.get(id);
-        if (entry == null || overSince.containsKey(id)) {
+        if (!isUnderWay(id)) {
             return;
         }
-        entry.state = hasRun ? State.ENDED : State.SEALED;
-        overSince.put(id, now);
+        states.put(id, hasRun ? State.ENDED : State.SEALED);
+        (hasRun ? endedAt : sealedAt).put(id, now);
+    }
+
+    private boolean isUnderWay(AttemptId id) {
+        State state = states.get(id);
+        return state == State.WAITING || state == State.STARTED;
     }
 
     /**
@@ -140,18 +155,23 @@
      * @return what is known of it, not null; never {@link Seen#WAITING}
      */
     Seen seal(AttemptId id, long ageNanos, long now) {
-        Entry<T> entry = entries.get(id);
-        if (entry == null) {
-            State state = isWithinMemory(ageNanos, now) ? State.SEALED : State.FORGOTTEN;
-            entries.put(id, new Entry<>(state, null));
-            overSince.put(id, now);
-            return seen(state);
+        if (!states.containsKey(id)) {
+            return sealUnknown(id, isWithinMemory(ageNanos, now), now);
         }
-        if (entry.state == State.WAITING) {
-            entry.state = State.SEALED;
-            overSince.put(id, now);
+        if (states.replace(id, State.WAITING, State.SEALED)) {
+            sealedAt.put(id, now);
         }
-        return seen(entry.state);
+        return seen(states.get(id));
+    }
+
+    private Seen sealUnknown(AttemptId id, boolean isWithinMemory, long now) {
+        if (!hasRoom()) {
+            return Seen.FORGOTTEN;
+        }
+        State state = isWithinMemory ? State.SEALED : State.FORGOTTEN;
+        states.put(id, state);
+        sealedAt.put(id, now);
+        return seen(state);
     }
 
     private boolean isWithinMemory(long ageNanos, long now) {
@@ -178,11 +198,11 @@
      * @return what is known, or empty if it was never seen or is forgotten
      */
     Optional<Seen> find(AttemptId id) {
-        return Optional.ofNullable(entries.get(id)).map(entry -> seen(entry.state));
+        return Optional.ofNullable(states.get(id)).map(AttemptTable::seen);
     }
 
     Optional<T> value(AttemptId id) {
-        return Optional.ofNullable(entries.get(id)).map(entry -> entry.value);
+        return Optional.ofNullable(kept.get(id));
     }
 
     /**
@@ -191,38 +211,45 @@
      * @param id the attempt, not null
      */
     void dropValue(AttemptId id) {
-        Entry<T> entry = entries.get(id);
-        if (entry != null && overSince.containsKey(id)) {
-            entry.value = null;
+        if (!isUnderWay(id)) {
+            kept.remove(id);
         }
     }
 
     /**
-     * Forgets what is over for longer than the retention time, and the oldest of what is over if there is too much.
+     * Forgets what is over for longer than the retention time.
      *
      * @param now the time
      */
     void expire(long now) {
-        Iterator<Map.Entry<AttemptId, Long>> oldest = overSince.entrySet().iterator();
-        while (oldest.hasNext()) {
-            Map.Entry<AttemptId, Long> next = oldest.next();
-            if (now - next.getValue() <= retentionNanos && entries.size() <= retained) {
+        expire(endedAt, now);
+        expire(sealedAt, now);
+    }
+
+    private void expire(LinkedHashMap<AttemptId, Long> over, long now) {
+        while (!over.isEmpty()) {
+            Map.Entry<AttemptId, Long> oldest = over.entrySet().iterator().next();
+            if (now - oldest.getValue() <= retentionNanos) {
                 return;
             }
-            hasForgotten = true;
-            forgottenUntil = next.getValue();
-            entries.remove(next.getKey());
-            oldest.remove();
+            forget(oldest.getKey(), over);
         }
     }
 
+    private void forget(AttemptId id, LinkedHashMap<AttemptId, Long> over) {
+        long since = over.remove(id);
+        forgottenUntil = hasForgotten ? Math.max(forgottenUntil, since) : since;
+        hasForgotten = true;
+        states.remove(id);
+        kept.remove(id);
+    }
+
+    /**
+     * Gets what is kept with attempts.
+     *
+     * @return the values as they are now, not null
+     */
     Collection<T> values() {
-        List<T> values = new ArrayList<>();
-        for (Entry<T> entry : entries.values()) {
-            if (entry.value != null) {
-                values.add(entry.value);
-            }
-        }
-        return values;
+        return List.copyOf(kept.values());
     }
 }
--- /dev/null
+++ b/integration/src/test/java/org/geraniumreach/integration/FenceTest.java
@@ -0,0 +1,55 @@
+package org.geraniumreach.integration;
+
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FenceTest {
+
+    private static final String MODEL = "adapter-0@v1";
+
+    @TempDir
+    Path directory;
+
+    private TestSystem system;
+
+    @BeforeEach
+    void start() throws Exception {
+        system = TestSystem.start(directory, 1);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        system.close();
+    }
+
+    @Test
+    void aCompanionThatWasFrozenWhileAnotherTookOverGivesNoMoreOrders() throws Exception {
+        // The callers are served by the new companion only. The old one is frozen for longer than a lease and wakes up
+        // in
+        // the belief that the target is its own. Its orders carry the lower fence, which the engine refuses; it reads
+        // the
+        // higher one in the table and stops taking work.
+        assertThat(system.caller("entry-1").complete(MODEL, "first", 3).whole()).isTrue();
+        system.process("companion-0").freeze();
+        system.startCompanion(
+                "companion-new", "engine-0", "engine", system.standIns().enginePort(0));
+        system.register();
+        Eventually.until(
+                "the new companion serves",
+                () -> system.caller("entry-1").complete(MODEL, "second", 3).whole());
+        system.process("companion-0").thaw();
+        Eventually.until(
+                "the old companion stops", () -> system.log("companion-0").contains("FENCED_OUT"));
+        for (int number = 0; number < 10; number++) {
+            Caller.Reply reply = system.caller("entry-2").complete(MODEL, "third", 3);
+            assertThat(reply.whole()).as(reply.toString()).isTrue();
+            assertThat(reply.text()).isEqualTo(Caller.expected(MODEL, "third", 3));
+        }
+    }
+}
--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadResult.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadResult.java
@@ -13,10 +13,18 @@
  * @param seconds how long it took, answers included
  * @param latestSendMillis how much later than due the latest request was sent
  * @param accounts what each account got
+ * @param batches how well the engines' batches were used
+ * @param stalls how requests stalled on loads
  * @param faults what did not hold
  */
 public record LoadResult(
-        long seed, double seconds, double latestSendMillis, List<AccountResult> accounts, List<String> faults) {
+        long seed,
+        double seconds,
+        double latestSendMillis,
+        List<AccountResult> accounts,
+        BatchFigures batches,
+        StallFigures stalls,
+        List<String> faults) {
 
     /**
      * Queries whether all held.
@@ -30,7 +38,15 @@
     LoadResult withFaults(List<String> more) {
         List<String> all = new ArrayList<>(faults);
         all.addAll(more);
-        return new LoadResult(seed, seconds, latestSendMillis, accounts, all);
+        return new LoadResult(seed, seconds, latestSendMillis, accounts, batches, stalls, all);
+    }
+
+    LoadResult withBatches(BatchFigures newBatches) {
+        return new LoadResult(seed, seconds, latestSendMillis, accounts, newBatches, stalls, faults);
+    }
+
+    LoadResult withStalls(StallFigures newStalls) {
+        return new LoadResult(seed, seconds, latestSendMillis, accounts, batches, newStalls, faults);
     }
 
     /**
@@ -53,6 +69,23 @@
                 "wrongful",
                 "first token p50/p99 ms, between tokens p50/p99 ms, booking p50/p99 ms"));
         accounts.forEach(account -> lines.add(line(account)));
+        if (batches.streams() > 0) {
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "engines: %d streams, mean batch %.1f, mean adapters in a batch %.1f",
+                    batches.streams(),
+                    batches.meanBatch(),
+                    batches.meanAdapters()));
+        }
+        if (stalls.requests() > 0) {
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "loads: %.1f%% of requests stalled, 95 in 100 below %.0f ms, 99 in 100 below %.0f ms, %.1f loads per thousand",
+                    100 * stalls.stalledShare(),
+                    stalls.boundMillis95(),
+                    stalls.boundMillis99(),
+                    stalls.loadsPerThousand()));
+        }
         faults.forEach(fault -> lines.add("DID NOT HOLD: " + fault));
         return lines;
     }
--- a/standins/src/main/java/org/geraniumreach/standins/load/LoadRun.java
+++ b/standins/src/main/java/org/geraniumreach/standins/load/LoadRun.java
@@ -44,6 +44,7 @@
     private final Map<String, AccountTally> tallies = new LinkedHashMap<>();
     private final Map<String, IdealBucket> buckets = new LinkedHashMap<>();
     private final Map<String, Outcome> bookings = new ConcurrentHashMap<>();
+    private final Map<String, SentGeneration> generations = new ConcurrentHashMap<>();
     private final Phaser outstanding = new Phaser(1);
     private final long startNanos = System.nanoTime();
     private long latestSendNanos;
@@ -63,7 +64,7 @@
      * @param settings what to send, not null
      * @return the results, not null
      * @throws InterruptedException if the thread is interrupted
-     * @throws IOException if an engine called directly does not load the adapters
+     * @throws IOException if the processes observed cannot be read, or an engine called directly does not load
      */
     public static LoadResult run(LoadSettings settings) throws InterruptedException, IOException {
         if (settings.mode() == LoadSettings.Mode.ENGINE) {
@@ -78,7 +79,8 @@
         }
     }
 
-    private LoadResult run() throws InterruptedException {
+    private LoadResult run() throws InterruptedException, IOException {
+        SystemReading before = SystemReading.take(settings.observed());
         sendAll();
         List<String> faults = new ArrayList<>();
         try {
@@ -94,8 +96,13 @@
                         .result(account, buckets.get(account.name()).admitted(), elapsed))
                 .toList();
         results.forEach(result -> faults.addAll(Judgement.of(result)));
-        LoadResult result = new LoadResult(settings.seed(), elapsed, latestSendNanos / 1e6, results, faults);
-        return result.withFaults(new RanCheck(settings).check(bookings));
+        LoadResult result = new LoadResult(
+                settings.seed(), elapsed, latestSendNanos / 1e6, results, BatchFigures.NONE, StallFigures.NONE, faults);
+        RanCheck ran = new RanCheck(settings);
+        ran.check(bookings, generations);
+        return result.withFaults(ran.faults())
+                .withBatches(ran.figures())
+                .withStalls(SystemReading.take(settings.observed()).since(before));
     }
 
     private void sendAll() {
@@ -141,7 +148,13 @@
             buckets.get(request.account().name())
                     .offer(request.reservedTokens(), request.usedTokens(), System.nanoTime());
         }
-        exchange(request, startNanos + request.dueNanos(), outcome -> ended(request, outcome));
+        long sentMillis = System.currentTimeMillis();
+        exchange(request, startNanos + request.dueNanos(), outcome -> {
+            generations.put(
+                    request.expected().digest(),
+                    new SentGeneration(request.account().name(), request.adapter(), sentMillis, outcome));
+            ended(request, outcome);
+        });
     }
 
     private boolean isMeasured(PlannedRequest request) {
