--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/GenerationCall.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/GenerationCall.java
@@ -56,6 +56,8 @@
     private Optional<Reservation> reservation = Optional.empty();
     private Optional<Try> current = Optional.empty();
     private Optional<ScheduledFuture<?>> ticks = Optional.empty();
+    private Optional<ServingException> lastFailure = Optional.empty();
+    private boolean mayHaveRun;
     private int failures;
     private boolean ended;
     private long lastPartNanos;
@@ -116,8 +118,10 @@
     private void send() {
         Optional<Route> route = parts.fleet().route(routeRequest());
         if (route.isEmpty()) {
-            fail(ServingException.notRun(ResultCode.NO_TARGET, "no live target can run " + adapter)
-                    .withRetryAfter(NO_TARGET_RETRY));
+            // After a failed try the caller is told of that failure: that no other target is left says less.
+            fail(lastFailure.orElseGet(
+                    () -> ServingException.notRun(ResultCode.NO_TARGET, "no live target can run " + adapter)
+                            .withRetryAfter(NO_TARGET_RETRY)));
             return;
         }
         tried.add(route.get().target());
@@ -259,6 +263,8 @@
     }
 
     private void retryOrFail(ServingException failure, boolean mayHelp) {
+        lastFailure = Optional.of(failure);
+        mayHaveRun |= failure.ran() != Ran.NO;
         RetryPolicy.Failure facts =
                 new RetryPolicy.Failure(true, failure.ran(), sink.hasBegun(), failures, deadlineLeft());
         Optional<Duration> delay = mayHelp ? parts.retries().decide(facts) : Optional.empty();
@@ -270,13 +276,25 @@
         current = Optional.empty();
         sink.restart();
         partsSeen = 0;
+        if (failure.ran() != Ran.NO) {
+            // The failed try may have used all of its tokens. Another try on the same reservation could bring the
+            // client
+            // account above its rate, so it needs one of its own.
+            reservation.ifPresent(used -> used.settle(used.tokens()));
+            reservation = Optional.empty();
+        }
         parts.timer().schedule(this::sendAgain, delay.get().toNanos(), TimeUnit.NANOSECONDS);
     }
 
     private synchronized void sendAgain() {
-        if (!ended) {
-            send();
+        if (ended) {
+            return;
         }
+        if (reservation.isEmpty()) {
+            parts.budget().reserve(caller.id(), tokensAtMost(), deadlineLeft(), this);
+            return;
+        }
+        send();
     }
 
     private void measurePart(int tokens) {
@@ -303,14 +321,14 @@
         if (ended) {
             return;
         }
+        // One try may have run and a later one not: "not run" is true of the request only if it is true of every try.
+        mayHaveRun |= failure.ran() != Ran.NO;
+        ServingException told = mayHaveRun ? failure.withRan(Ran.UNKNOWN) : failure;
         // What a try may have used is counted as used, so that a failing target never lets an account above its rate.
-        long used = failure.ran() == Ran.NO && failures <= 1
-                ? 0
-                : reservation.map(Reservation::tokens).orElse(0L);
-        close(used);
-        meters.result(failure.code());
-        EventLog.write(EventCode.REQUEST_REFUSED, "{} {} {}", caller.id(), adapter, failure.code());
-        sink.fail(failure);
+        close(mayHaveRun ? reservation.map(Reservation::tokens).orElse(0L) : 0);
+        meters.result(told.code());
+        EventLog.write(EventCode.REQUEST_REFUSED, "{} {} {}", caller.id(), adapter, told.code());
+        sink.fail(told);
     }
 
     private void close(long usedTokens) {
@@ -349,7 +367,6 @@
             return;
         }
         current.ifPresent(running -> running.cancel(failure.code().name()));
-        failures++;
         fail(failure);
     }
 }
--- a/integration/src/test/java/org/geraniumreach/integration/StandIns.java
+++ b/integration/src/test/java/org/geraniumreach/integration/StandIns.java
@@ -128,7 +128,7 @@
     /** Counts the runs of the plain service whose request holds a text. */
     long runsHolding(String text) throws IOException, InterruptedException {
         long runs = 0;
-        for (JsonNode run : get(servicePort, "/v1/ran").path("ran")) {
+        for (JsonNode run : get(servicePort, "/v1/ran").path("runs")) {
             runs += run.toString().contains(text) ? 1 : 0;
         }
         return runs;
@@ -137,7 +137,7 @@
     List<JsonNode> ranOnEngines() throws IOException, InterruptedException {
         List<JsonNode> ran = new ArrayList<>();
         for (int port : enginePorts) {
-            get(port, "/v1/ran").path("ran").forEach(ran::add);
+            get(port, "/v1/ran").path("streams").forEach(ran::add);
         }
         return ran;
     }
--- a/integration/src/test/java/org/geraniumreach/integration/StreamFailureTest.java
+++ b/integration/src/test/java/org/geraniumreach/integration/StreamFailureTest.java
@@ -99,6 +99,17 @@
         assertThat(reply.ran()).isEqualTo("no");
     }
 
+    @Test
+    void aGenerationThatMayHaveRunIsNeverSaidNotToHaveRun() throws Exception {
+        // The caller is told of the failure, and that the request may have run. The first try breaks off in its middle,
+        // and
+        // for another try there is no target left; of the second alone "not run" would be true.
+        system.standIns().engineFault(0, "{\"dropAfterChunks\": 3}");
+        Caller.Reply reply = system.caller("entry-1").complete(MODEL, prompt, 20);
+        assertThat(reply.status()).isNotEqualTo(200);
+        assertThat(reply.ran()).as(reply.body()).isEqualTo("unknown");
+    }
+
     @Test
     void aCallerThatGoesAwayCancelsItsStreamAtTheEngine() throws Exception {
         // Nobody sees the rest: the entry dies in the middle of a stream. The companion gives the work up once its
--- a/model/src/main/java/org/geraniumreach/model/ServingException.java
+++ b/model/src/main/java/org/geraniumreach/model/ServingException.java
@@ -56,6 +56,16 @@
         return new ServingException(code, ran, getMessage(), Objects.requireNonNull(delay, "delay"), getCause());
     }
 
+    /**
+     * Gets a copy with what else is known of whether the request ran.
+     *
+     * @param known whether it ran, not null
+     * @return the copy, not null
+     */
+    public ServingException withRan(Ran known) {
+        return new ServingException(code, known, getMessage(), retryAfter, getCause());
+    }
+
     /**
      * Gets a copy with the failure that led to this one.
      *
