Check a request again when it starts

A request that waited for its adapter started although its companion had lost sight of the configuration meanwhile, so a key withdrawn by then would have been honoured. The new test failed without the second check: the answer came. A process that stops no longer reports its own links as lost.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionNode.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionNode.java
@@ -59,9 +59,10 @@
         this.settings = settings;
         this.parts = parts;
         this.attempts = new AttemptShards(settings, parts.clock());
-        this.outcomes = new Outcomes(attempts);
+        StartCheck startCheck = new StartCheck(parts);
+        this.outcomes = new Outcomes(attempts, startCheck);
         this.targetStart = new TargetStart(settings, parts, outcomes, timer, this::changed);
-        this.requests = new Requests(settings, parts, attempts, outcomes, new Runners());
+        this.requests = new Requests(settings, parts, attempts, outcomes, startCheck, new Runners());
     }
 
     /**
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/Outcomes.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/Outcomes.java
@@ -15,18 +15,26 @@
 final class Outcomes {
 
     private final AttemptShards attempts;
+    private final StartCheck startCheck;
 
-    Outcomes(AttemptShards attempts) {
+    Outcomes(AttemptShards attempts, StartCheck startCheck) {
         this.attempts = attempts;
+        this.startCheck = startCheck;
     }
 
     /**
-     * Starts an attempt.
+     * Starts an attempt, if it may still run.
      *
      * @param attempt the attempt, not null
-     * @return true if it is to be sent to the target now, false if it must not be
+     * @return true if it is to be sent to the target now, false if it must not be, and is over
      */
     boolean start(CompanionAttempt attempt) {
+        try {
+            startCheck.check(attempt.named());
+        } catch (ServingException refusal) {
+            refused(attempt, refusal);
+            return false;
+        }
         return attempts.start(attempt.id());
     }
 
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/Requests.java
@@ -16,7 +16,6 @@
 import org.geraniumreach.model.Ran;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
-import org.geraniumreach.model.record.Target;
 
 /**
  * Answers the frames that entries send about attempts.
@@ -34,6 +33,7 @@
     private final CompanionParts parts;
     private final AttemptShards attempts;
     private final Outcomes outcomes;
+    private final StartCheck startCheck;
     private final RunnerSource runners;
     private final Queue<FormerResume> waiting = new ConcurrentLinkedQueue<>();
 
@@ -42,11 +42,13 @@
             CompanionParts parts,
             AttemptShards attempts,
             Outcomes outcomes,
+            StartCheck startCheck,
             RunnerSource runners) {
         this.settings = settings;
         this.parts = parts;
         this.attempts = attempts;
         this.outcomes = outcomes;
+        this.startCheck = startCheck;
         this.runners = runners;
     }
 
@@ -121,24 +123,14 @@
         if (runner.unfinished() >= settings.queue().limit()) {
             throw overloaded("the queue of " + parts.target() + " is full");
         }
-        parts.configuration().requireFresh();
-        RunCheck.check(run, parts.configuration().current(), target());
+        startCheck.check(run);
         return runner;
     }
 
-    private Target target() throws ServingException {
-        Optional<Target> target = parts.configuration().current().target(parts.target());
-        return target.orElseThrow(() -> notReady("no record of target " + parts.target()));
-    }
-
     private static ServingException overloaded(String message) {
         return ServingException.notRun(ResultCode.OVERLOADED, message).withRetryAfter(COME_BACK);
     }
 
-    private static ServingException notReady(String message) {
-        return ServingException.notRun(ResultCode.NO_TARGET, message).withRetryAfter(COME_BACK);
-    }
-
     /**
      * Answers about an attempt that was seen before: its output goes on over the new link, or its end is told.
      *
@@ -216,7 +208,7 @@
     private boolean adopt(TargetRunner runner, FormerResume former) {
         Run named = runOf(former.resume());
         try {
-            RunCheck.check(named, parts.configuration().current(), target());
+            startCheck.check(named);
         } catch (ServingException refused) {
             return false;
         }
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/StartCheck.java
@@ -0,0 +1,42 @@
+package org.geraniumreach.daemon.companion;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.geraniumreach.messages.Run;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
+import org.geraniumreach.model.record.Target;
+
+/**
+ * Checks a request against the configuration in force, when it arrives and again when it starts.
+ *
+ * <p>A request may wait in the queue for long. Without the second check one whose key was withdrawn meanwhile, or whose
+ * withdrawal could not be heard of since this companion is cut off, would still start. Safe for use by several threads.
+ */
+final class StartCheck {
+
+    private static final Duration COME_BACK = Duration.ofMillis(500);
+
+    private final CompanionParts parts;
+
+    StartCheck(CompanionParts parts) {
+        this.parts = parts;
+    }
+
+    /**
+     * Checks a request.
+     *
+     * @param run the request, not null
+     * @throws ServingException if it may not start; it has not run
+     */
+    void check(Run run) throws ServingException {
+        parts.configuration().requireFresh();
+        Optional<Target> target = parts.configuration().current().target(parts.target());
+        if (target.isEmpty()) {
+            throw ServingException.notRun(ResultCode.NO_TARGET, "no record of target " + parts.target())
+                    .withRetryAfter(COME_BACK);
+        }
+        RunCheck.check(run, parts.configuration().current(), target.get());
+    }
+}
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionNodeTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionNodeTest.java
@@ -238,6 +238,23 @@
         }
     }
 
+    @Test
+    void requestThatWaitsWhileTheCompanionIsCutOffDoesNotStart() throws IOException {
+        // A request waits for its adapter while the companion loses sight of the configuration. Its key may have been
+        // withdrawn since; when the adapter is there, the request is refused as not run.
+        try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
+            fixture.engine.holdLoads(true);
+            RecordedAnswer answer = fixture.send(fixture.generation("a", 10).build());
+            CompanionFixture.await(answer::isAccepted);
+            fixture.configuration.makeStale();
+            fixture.engine.holdLoads(false);
+            CompanionFixture.await(answer::isOver);
+            assertThat(answer.refusal()).contains(ResultCode.NOT_FRESH);
+            assertThat(answer.ran()).contains(Ran.NO);
+            assertThat(fixture.engine.started()).isEmpty();
+        }
+    }
+
     @Test
     void drainEndsRunningWorkAndRefusesNew() throws IOException {
         // The companion leaves while an answer is coming. New work is refused as not run; the answer comes whole, and
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/ExchangeWorld.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/ExchangeWorld.java
@@ -120,9 +120,10 @@
                 () -> now,
                 InstantSource.system());
         shards = new AttemptShards(settings, () -> now);
-        outcomes = new Outcomes(shards);
+        StartCheck startCheck = new StartCheck(parts);
+        outcomes = new Outcomes(shards, startCheck);
         runner = new FakeRunner();
-        requests = new Requests(settings, parts, shards, outcomes, runner);
+        requests = new Requests(settings, parts, shards, outcomes, startCheck, runner);
     }
 
     /** One caller at the entry, and what it has been told. */
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeConfiguration.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeConfiguration.java
@@ -9,6 +9,8 @@
 import org.geraniumreach.daemon.configuration.ConfigurationListener;
 import org.geraniumreach.daemon.configuration.ConfigurationService;
 import org.geraniumreach.model.KeyDigest;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
 import org.geraniumreach.model.record.Configuration;
 import org.geraniumreach.model.record.LogEntry;
 import org.geraniumreach.model.record.RecordKey;
@@ -18,6 +20,7 @@
 final class FakeConfiguration implements ConfigurationService {
 
     private final List<ConfigurationListener> listeners = new CopyOnWriteArrayList<>();
+    private volatile boolean stale;
     private volatile Configuration current = Configuration.empty();
 
     void put(RecordKind kind, String name, String body) {
@@ -36,13 +39,21 @@
         listeners.forEach(listener -> listener.changed(before, current, withdrawn));
     }
 
+    void makeStale() {
+        stale = true;
+    }
+
     @Override
     public Configuration current() {
         return current;
     }
 
     @Override
-    public void requireFresh() {}
+    public void requireFresh() throws ServingException {
+        if (stale) {
+            throw ServingException.notRun(ResultCode.NOT_FRESH, "made stale by the test");
+        }
+    }
 
     @Override
     public Optional<String> reasonNotReady() {
--- a/link/src/main/java/org/geraniumreach/link/LinkNode.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkNode.java
@@ -50,6 +50,7 @@
     private final LinkTable<LinkChannel> table = new LinkTable<>();
     private final Map<InstanceId, KeptLink> kept = new ConcurrentHashMap<>();
     private volatile Channel server;
+    private volatile boolean closed;
 
     private LinkNode(LinkSettings settings, Supplier<Hello> localHello, LinkEventListener events) {
         this.settings = settings;
@@ -151,7 +152,9 @@
                 table.remove(link);
                 Optional.ofNullable(kept.get(link.instance())).ifPresent(KeptLink::closed);
             }
-            happened(EventCode.LINK_LOST, link.description() + ": " + reason);
+            if (!closed) {
+                happened(EventCode.LINK_LOST, link.description() + ": " + reason);
+            }
         }
 
         @Override
@@ -241,6 +244,7 @@
 
     @Override
     public void close() {
+        closed = true;
         kept.values().forEach(KeptLink::release);
         kept.clear();
         Channel listening = server;
