--- a/standins/src/test/java/org/geraniumreach/standins/EnginePartTest.java
+++ b/standins/src/test/java/org/geraniumreach/standins/EnginePartTest.java
@@ -39,6 +39,7 @@
     private static final AdapterReference ADAPTER = AdapterReference.of("winding", "v1");
     private static final String PROMPT = "Summarise the fault note of the pump motor that came in this morning.";
     private static final int TOKENS = 100;
+    private static final int LONG = 10_000;
     private static final Order ORDER = new Order(3, Duration.ofSeconds(5));
 
     private final StandInsFixture fixture = new StandInsFixture();
@@ -109,6 +110,25 @@
                 .isEqualTo(ExpectedAnswer.of(ADAPTER, PROMPT).text(TOKENS));
     }
 
+    @Test
+    void aStreamWhoseConnectionWentSilentIsGivenUpAndGoesOnOnANewOne() throws Exception {
+        // The companion sees a stream stop without an end. Its connection stays open, but something in between has lost
+        // track of it. Without a limit on silence the answer would never come; a new connection brings the rest.
+        Generation running =
+                new Generation(AttemptId.of("silent"), AccountId.of("a"), ADAPTER, PROMPT + " At length.", LONG, 5);
+        ExpectedAnswer expected = ExpectedAnswer.of(ADAPTER, running.prompt());
+        assertThat(expected.length(LONG)).isEqualTo(LONG);
+        RecordingListener silent = new RecordingListener();
+        engine.generate(running, ORDER, silent).request(LONG);
+        silent.awaitChunks(2);
+        part.server().silence();
+        assertThat(failureOf(silent).effect()).isEqualTo(Effect.UNKNOWN);
+        RecordingListener rest = new RecordingListener();
+        engine.resume(AttemptId.of("silent"), silent.sequences.size(), rest).request(LONG);
+        rest.end.get(30, TimeUnit.SECONDS);
+        assertThat(silent.text.toString() + rest.text).isEqualTo(expected.text(LONG));
+    }
+
     @Test
     void aStreamThatTheEngineDoesNotKnowHasNotRun() {
         RecordingListener listener = new RecordingListener();
--- /dev/null
+++ b/standins/src/test/java/org/geraniumreach/standins/ListPartTest.java
@@ -0,0 +1,91 @@
+package org.geraniumreach.standins;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.List;
+import java.util.function.Predicate;
+
+import org.geraniumreach.platform.InstanceList;
+import org.geraniumreach.platform.ListedInstance;
+import org.geraniumreach.standins.http.Administration;
+import org.geraniumreach.standins.http.Faults;
+import org.geraniumreach.standins.http.StandInServer;
+import org.geraniumreach.standins.list.ListPart;
+import org.geraniumreach.standins.service.ServicePart;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The instance list's client against the stand-in. */
+@Timeout(60)
+class ListPartTest {
+
+    private final StandInsFixture fixture = new StandInsFixture();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private ListPart part;
+    private ServicePart watched;
+    private StandInServer administration;
+    private URI administrationUrl;
+    private InstanceList list;
+
+    @BeforeEach
+    void start() throws Exception {
+        int port = StandInsFixture.freePort();
+        part = new ListPart(port, 1, fixture.timer);
+        list = fixture.clients.instanceList(StandInsFixture.url(port), StandInsFixture.LIMIT);
+        int administrationPort = StandInsFixture.freePort();
+        administration = Administration.start(administrationPort, List.of(part), fixture.timer);
+        administrationUrl = StandInsFixture.url(administrationPort);
+        int watchedPort = StandInsFixture.freePort();
+        watched = new ServicePart(watchedPort, 0, fixture.timer);
+        administer(
+                "/admin/instances",
+                "[{\"instance\":\"companion-1\",\"role\":\"companion\",\"failureDomain\":\"zone-1\","
+                        + "\"linkAddress\":\"127.0.0.1:9\",\"healthUrl\":\"" + StandInsFixture.url(watchedPort)
+                        + "/v1/ran\"}]");
+    }
+
+    @AfterEach
+    void stop() {
+        part.server().close();
+        administration.close();
+        watched.server().close();
+        fixture.close();
+    }
+
+    @Test
+    void anInstanceIsListedWhileItsProbesSucceed() throws Exception {
+        await(listed -> listed.size() == 1);
+        assertThat(list.read().get(0).linkAddress().getPort()).isEqualTo(9);
+        watched.server().show(new Faults(true, false, 0, false, false, false, false, 0, "", 0));
+        await(List::isEmpty);
+    }
+
+    @Test
+    void anInstanceThatLeavesIsListedAsLeaving() throws Exception {
+        await(listed -> listed.size() == 1);
+        administer("/admin/leaving", "{\"instance\":\"companion-1\"}");
+        await(listed -> listed.size() == 1 && listed.get(0).leaving());
+    }
+
+    private void await(Predicate<List<ListedInstance>> condition) throws Exception {
+        while (!condition.test(list.read())) {
+            Thread.sleep(10);
+        }
+    }
+
+    private void administer(String path, String body) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(administrationUrl.resolve(path))
+                .POST(BodyPublishers.ofString(body))
+                .build();
+        assertThat(client.send(request, BodyHandlers.ofString()).statusCode()).isEqualTo(200);
+    }
+}
--- a/standins/src/test/java/org/geraniumreach/standins/TablePartTest.java
+++ b/standins/src/test/java/org/geraniumreach/standins/TablePartTest.java
@@ -1,6 +1,8 @@
 package org.geraniumreach.standins;
 
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
@@ -103,15 +105,30 @@
 
     @Test
     void aCallAfterASilentConnectionTakesANewOne() throws Exception {
-        // The caller sees one call run out of time. Its pooled connection was lost track of in between, and stays open
-        // without a byte. The next call works, since it does not use that connection or another of the same pool.
+        // The caller sees one call run out of time. Its pooled connections were lost track of in between, and stay open
+        // without a byte. The next call works, since it uses none of that pool, not even those that nobody tried yet.
         table.commit(insert("1"));
+        openTwoConnections();
         part.server().silence();
         PlatformException failure = catchThrowableOfType(PlatformException.class, () -> table.read(KEY));
         assertThat(failure.effect()).isEqualTo(Effect.UNKNOWN);
         assertThat(table.read(KEY)).isPresent();
     }
 
+    private void openTwoConnections() throws Exception {
+        part.server().show(faults("{\"slowMillis\":200}"));
+        CompletableFuture<Void> other = CompletableFuture.runAsync(() -> {
+            try {
+                table.read(KEY);
+            } catch (PlatformException e) {
+                throw new CompletionException(e);
+            }
+        });
+        table.read(KEY);
+        other.join();
+        part.server().show(Faults.NONE);
+    }
+
     @Test
     void aCallAboveTheRateTookNoEffect() throws Exception {
         int port = StandInsFixture.freePort();
