Let requests wait for an entry's first share instead of refusing them

Ruled out: an empty bucket, since the first holder's is full. The change: until its first share, and for the longest wait at most, a request waits in order; an entry without a share names the time of its next look as the time to come back.

--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/AccountBudget.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/AccountBudget.java
@@ -43,6 +43,7 @@
     private long tokensPerSecond;
     private long burstTokens;
     private long ownParts;
+    private long joiningUntil;
     private long nextHandoverAt = Long.MIN_VALUE;
     private boolean released;
     private List<InstanceId> peers = List.of();
@@ -66,6 +67,7 @@
         long now = clock.nanos();
         this.bucket = new TokenBucket(policy.clockDriftPartsPerMillion(), now);
         this.demand = new DemandMeter(now);
+        this.joiningUntil = now + policy.longestWait().toNanos();
         this.borrowing = new Borrowing(random, policy.loanAnswerLimit().toNanos());
     }
 
@@ -106,6 +108,7 @@
         long now = advance();
         long before = ownParts;
         ownParts = released ? 0 : ShareParts.require(parts);
+        joiningUntil = ownParts > 0 ? now : joiningUntil;
         resize(now);
         if (full && ownParts > before) {
             bucket.add((ownParts - before) * burstTokens);
@@ -343,9 +346,12 @@
 
     private void refuseHopeless(List<BudgetAction> actions, long now) {
         long certain = certainParts(now);
-        boolean mayBorrow = borrowing.isUnderWay();
+        // An entry that has just begun, or a client account that has, holds no share for the moment that the claim
+        // takes.
+        // Its first requests would be refused though the account is within its rate, so they wait for the claim.
+        boolean mayCome = borrowing.isUnderWay() || now < joiningUntil;
         for (WaitingLine.Hopeless hopeless : line.removeHopeless((waiter, needed) -> now < waiter.latest()
-                && (mayBorrow || certainDelay(waiter.tokens(), needed, certain) <= waiter.latest() - now))) {
+                && (mayCome || certainDelay(waiter.tokens(), needed, certain) <= waiter.latest() - now))) {
             Duration retry = retryAfter(hopeless.waiter().tokens(), hopeless.neededAhead(), certain);
             actions.add(new BudgetAction.Refused(hopeless.waiter().ticket(), ResultCode.OUT_OF_BUDGET, retry));
         }
@@ -367,7 +373,9 @@
             delay = bucket.secondsFor(missing, ShareParts.WHOLE * tokensPerSecond) * NANOS_PER_SECOND;
         }
         Duration exact = Duration.ofNanos((long) Math.min(delay, LONGEST_RETRY.toNanos()));
-        return exact.compareTo(LEAST_RETRY) < 0 ? LEAST_RETRY : exact;
+        // Without a share of its own the entry can only do better once it has looked for one again.
+        Duration least = certain > 0 ? LEAST_RETRY : policy.scanInterval();
+        return exact.compareTo(least) < 0 ? least : exact;
     }
 
     private OptionalLong wakeAt(long now) {
@@ -380,6 +388,7 @@
         }
         at = Math.min(at, Math.min(lent.nextEnd(), borrowed.nextEnd()));
         WaitingLine.Waiter head = line.head().orElseThrow();
+        at = now < joiningUntil ? Math.min(at, joiningUntil) : at;
         double delay = certainDelay(head.tokens(), head.tokens(), certainParts(now));
         at = (long) Math.min(at, now + delay);
         return OptionalLong.of(Math.max(at, now + LEAST_WAKE_NANOS));
--- /dev/null
+++ b/coordination/src/test/java/org/geraniumreach/coordination/budget/AccountBudgetTest.java
@@ -0,0 +1,70 @@
+package org.geraniumreach.coordination.budget;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.geraniumreach.model.AccountId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AccountBudgetTest {
+
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+    private static final Duration SCAN = Duration.ofSeconds(2);
+    private static final Duration DEADLINE = Duration.ofSeconds(60);
+
+    private final AtomicLong now = new AtomicLong(1_000_000);
+    private AccountBudget budget;
+
+    @BeforeEach
+    void begin() {
+        BudgetPolicy policy = new BudgetPolicy(
+                SharingPolicy.byDemand(),
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(12),
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(24),
+                Duration.ofSeconds(2),
+                Duration.ofMillis(100),
+                LONGEST_WAIT,
+                SCAN,
+                500);
+        HoldingProof proof = new HoldingProof(Duration.ofSeconds(12).toNanos());
+        proof.listed(now.get(), now.get());
+        proof.renewed(now.get());
+        budget = new AccountBudget(AccountId.of("a"), policy, proof, now::get, new Random(1));
+        budget.setRate(1_000, 1_000);
+    }
+
+    @Test
+    void aRequestBeforeTheFirstShareWaitsForItAndIsGranted() {
+        // The caller is served after a moment. Its entry has just begun and has asked the table service for a share,
+        // which
+        // it does not hold yet; a refusal would be wrongful, since the account is within its rate.
+        assertThat(budget.reserve(1, 10, DEADLINE).actions()).isEmpty();
+        now.addAndGet(Duration.ofMillis(300).toNanos());
+        List<BudgetAction> actions = budget.setOwnParts(ShareParts.WHOLE, true).actions();
+        assertThat(actions).singleElement().isInstanceOf(BudgetAction.Granted.class);
+    }
+
+    @Test
+    void aRequestThatGetsNoShareIsRefusedWithTheTimeOfTheNextLook() {
+        assertThat(budget.reserve(1, 10, DEADLINE).actions()).isEmpty();
+        now.addAndGet(LONGEST_WAIT.toNanos());
+        List<BudgetAction> actions = budget.wake().actions();
+        assertThat(actions).singleElement().isInstanceOfSatisfying(BudgetAction.Refused.class, refused -> assertThat(
+                        refused.retryAfter())
+                .isGreaterThanOrEqualTo(SCAN));
+    }
+
+    @Test
+    void anEntryThatHasLostItsShareRefusesAtOnce() {
+        budget.setOwnParts(ShareParts.WHOLE, true);
+        budget.setOwnParts(0, false);
+        assertThat(budget.reserve(1, 10, DEADLINE).actions()).singleElement().isInstanceOf(BudgetAction.Refused.class);
+    }
+}
