--- a/serving/src/main/java/org/geraniumreach/serving/routing/RoutingWeights.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/RoutingWeights.java
@@ -20,7 +20,6 @@
  * @param crowding how much a full target slows a request, in parts of the service time
  * @param domainCost what it costs to leave the failure domain
  * @param prefixTime what a cached prefix saves
- * @param staleAfter the age at which a report counts half
  */
 public record RoutingWeights(
         double loadBound,
@@ -34,8 +33,7 @@
         Duration serviceTime,
         double crowding,
         Duration domainCost,
-        Duration prefixTime,
-        Duration staleAfter) {
+        Duration prefixTime) {
 
     public RoutingWeights {
         requireAtLeast("loadBound", loadBound, 1);
@@ -50,7 +48,6 @@
         requireNotNegative("serviceTime", serviceTime);
         requireNotNegative("domainCost", domainCost);
         requireNotNegative("prefixTime", prefixTime);
-        requireNotNegative("staleAfter", staleAfter);
     }
 
     private static void requireAtLeast(String name, double value, double least) {
@@ -83,8 +80,7 @@
                 Duration.ofSeconds(2),
                 0.25,
                 Duration.ofMillis(1),
-                Duration.ofMillis(100),
-                Duration.ofSeconds(5));
+                Duration.ofMillis(100));
     }
 
     /**
@@ -105,7 +101,6 @@
                 Duration.ofSeconds(2),
                 0.5,
                 Duration.ofMillis(2),
-                Duration.ofMillis(100),
-                Duration.ofSeconds(5));
+                Duration.ofMillis(100));
     }
 }
