Tell the residency for which client account a request is

Loads are shared fairly over accounts, but the companion named none, so all its requests were one account's and the choice was by waiting work.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
@@ -173,7 +173,7 @@
 
     private boolean enqueue(QueuedRequest<CompanionAttempt> request) {
         AdapterReference adapter = adapterOf(request);
-        Answer answer = residency.request(request.attempt(), adapter, request.tokens());
+        Answer answer = residency.request(request.attempt(), request.account(), adapter, request.tokens());
         if (answer.state() == Answer.State.REFUSED) {
             outcomes.refused(
                     request.payload(),
