Send the words of an outage to companions too, and prove confirmations

Cause: a test with 60 entries and 100 companions on the links of a large fleet showed that companions stopped serving in an outage of the table: they hear 8 of 60 entries themselves, and the words of the others were handed on to entries only. In the small fleets of the tests before, every companion hears every entry.

The condition that an entry states its reach only once it has a configuration is gone: no failure showed it to matter, since an accepted change is held by another entry whose revision counts.

A process that ends no longer logs a refused poll as a fault.

--- a/coordination/src/main/java/org/geraniumreach/coordination/configuration/ConfigurationNode.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/configuration/ConfigurationNode.java
@@ -369,8 +369,8 @@
 
     private NodeAction note(InstanceId peer, PeerState state) {
         long now = clock.nanos();
-        boolean unreachable = obtained && isStoreUnreachable();
-        List<NodeMessage.Word> words = unreachable && state.isEntry() ? freshness.words(now) : List.of();
+        boolean unreachable = isStoreUnreachable();
+        List<NodeMessage.Word> words = unreachable ? freshness.words(now) : List.of();
         state.told(freshness.confirmedAt());
         return new NodeAction.Send(
                 peer,
--- a/coordination/src/main/java/org/geraniumreach/coordination/configuration/NodeMessage.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/configuration/NodeMessage.java
@@ -29,7 +29,7 @@
      * @param revision the revision in force at the sender
      * @param highestHeard the highest revision that the sender knows of
      * @param confirmedAge nanoseconds since the sender's configuration was confirmed as current, empty if it never was
-     * @param saysUnreachable whether the sender, having a configuration, does not reach the store
+     * @param saysUnreachable whether the store is out of the sender's reach
      * @param words what the sender heard of other entries while the store is out of its reach
      * @param stamp the sender's clock, which the receiver sends back
      * @param echo the receiver's stamp that came last, with how long ago it came, if one did
--- a/coordination/src/test/java/org/geraniumreach/coordination/configuration/ConfigurationNodeTest.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/configuration/ConfigurationNodeTest.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 
@@ -15,6 +16,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.Tuple;
+import org.geraniumreach.coordination.membership.LinkChoice;
 import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.record.Configuration;
 import org.geraniumreach.model.record.LogEntry;
@@ -196,6 +198,42 @@
         assertThat(world.isFresh(THIRD)).isTrue();
     }
 
+    /*
+     * Failure: a slow table's answer says what the head was when it was asked, ten seconds ago. Taken as of its arrival it
+     * would let a key pass that was withdrawn meanwhile.
+     */
+    @Test
+    void aSlowAnswerConfirmsTheTimeWhenItWasAskedFor() {
+        long[] now = {0};
+        ConfigurationNode node = node(now);
+        now[0] = Duration.ofSeconds(10).toNanos();
+        node.polled(new PollAnswer(0, 0, Optional.empty(), List.of()));
+        assertThat(node.freshUntil()).isLessThanOrEqualTo(now[0]);
+        node.polled(new PollAnswer(now[0], 0, Optional.empty(), List.of()));
+        assertThat(node.freshUntil()).isEqualTo(now[0] + FakeWorld.LIMIT.toNanos());
+    }
+
+    /*
+     * Failure: an instance that lacks changes takes itself for current, since the head was read, or a peer is current, and
+     * serves a key that one of the changes withdrew.
+     */
+    @Test
+    void aConfirmationCountsOnlyForWhoHoldsTheChanges() {
+        long[] now = {0};
+        ConfigurationNode node = node(now);
+        node.polled(new PollAnswer(0, 3, Optional.empty(), List.of()));
+        assertThat(node.freshUntil()).isNegative();
+        NodeMessage.Echo echo = new NodeMessage.Echo(0, 0);
+        node.opened(SECOND, true);
+        node.received(SECOND, new NodeMessage.Note(3, 3, OptionalLong.of(0), false, List.of(), 0, Optional.of(echo)));
+        assertThat(node.freshUntil()).isNegative();
+    }
+
+    private static ConfigurationNode node(long[] now) {
+        NodeOptions options = new NodeOptions(FakeWorld.PERIOD, FakeWorld.LIMIT, 2, 2);
+        return new ConfigurationNode(FIRST, options, () -> now[0], new Random(1));
+    }
+
     @Test
     void aNodeWithNeitherTableNorPeerSaysThatItHasNothing() {
         FakeWorld world = new FakeWorld(1, 1, 0);
@@ -205,6 +243,30 @@
         assertThat(world.isFresh(FIRST)).isFalse();
     }
 
+    /*
+     * Failure: with hundreds of entries a change takes longer than seconds to be in force everywhere, or an outage of the
+     * table stops the service, because news and words go over too many hops. The links are those of a large fleet; no
+     * instance links with all others.
+     */
+    @Test
+    void aLargeFleetHearsOfAChangeAndServesThroughAnOutage() {
+        FakeWorld world = new FakeWorld(1, 60, 100, new LinkChoice(16, 3, 64, 8));
+        world.runFor(Duration.ofSeconds(3));
+        world.submit(FIRST, account("account-made", 0));
+        world.runFor(Duration.ofSeconds(2));
+        assertThat(world.processes.values())
+                .allMatch(process -> process.node.configuration().revision() == 1)
+                .allMatch(process -> world.isFresh(process.id));
+        long polls = world.polls;
+        world.runFor(Duration.ofSeconds(10));
+        assertThat(world.polls - polls).isLessThan(2 * 2 * 10);
+        world.tableDown = true;
+        for (int second = 0; second < 15; second++) {
+            world.runFor(Duration.ofSeconds(1));
+            assertThat(world.processes.keySet()).allMatch(world::isFresh);
+        }
+    }
+
     private static FakeWorld settledWorld() {
         FakeWorld world = new FakeWorld(1, ENTRIES, 1);
         world.runFor(Duration.ofSeconds(2));
--- a/coordination/src/test/java/org/geraniumreach/coordination/configuration/FakeWorld.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/configuration/FakeWorld.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import org.geraniumreach.coordination.membership.LinkChoice;
 import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.record.LogEntry;
@@ -43,9 +44,15 @@
     double lossOfMessages;
     long messageDelay;
     long now = 1_000 * MILLISECOND;
+    long polls;
+    long notes;
+    long words;
 
     private final Random random;
     private final Set<InstanceId> entries = new HashSet<>();
+    private final Set<InstanceId> companions = new HashSet<>();
+    private final Map<InstanceId, Set<InstanceId>> chosen = new HashMap<>();
+    private final LinkChoice links;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private final Map<Long, Set<LogEntry>> contentAt = new HashMap<>();
@@ -70,14 +77,20 @@
     }
 
     FakeWorld(long seed, int entryCount, int companionCount) {
+        this(seed, entryCount, companionCount, new LinkChoice(entryCount, 2, companionCount, entryCount));
+    }
+
+    FakeWorld(long seed, int entryCount, int companionCount, LinkChoice links) {
+        this.links = links;
         random = new Random(seed);
         for (int index = 0; index < entryCount; index++) {
             entries.add(InstanceId.of("entry-" + index));
         }
-        entries.stream().sorted().forEach(this::start);
         for (int index = 0; index < companionCount; index++) {
-            start(InstanceId.of("companion-" + index));
+            companions.add(InstanceId.of("companion-" + index));
         }
+        entries.stream().sorted().forEach(this::start);
+        companions.stream().sorted().forEach(this::start);
     }
 
     void start(InstanceId id) {
@@ -86,7 +99,7 @@
         Process process = new Process(id, node);
         node.listed(entries);
         for (Process other : List.copyOf(processes.values())) {
-            if (entries.contains(id) || entries.contains(other.id)) {
+            if (isLinked(id, other.id) || isLinked(other.id, id)) {
                 connect(process, other);
             }
         }
@@ -94,6 +107,17 @@
         tick(process);
     }
 
+    private boolean isLinked(InstanceId keeper, InstanceId other) {
+        return entries.contains(keeper)
+                && chosen.computeIfAbsent(keeper, this::choose).contains(other);
+    }
+
+    private Set<InstanceId> choose(InstanceId keeper) {
+        Set<InstanceId> choice = new HashSet<>(links.entries(keeper, entries));
+        choice.addAll(links.companions(keeper, entries, companions));
+        return choice;
+    }
+
     void restart(InstanceId id) {
         Process old = processes.remove(id);
         old.dead = true;
@@ -174,6 +198,10 @@
     }
 
     private void send(Process from, NodeAction.Send send) {
+        if (send.message() instanceof NodeMessage.Note note) {
+            notes++;
+            words += note.words().size();
+        }
         Process to = processes.get(send.peer());
         if (to == null || random.nextDouble() < lossOfMessages) {
             return;
@@ -228,6 +256,7 @@
     }
 
     private void poll(Process process, long haveRevision, Runnable then) {
+        polls++;
         long startedAt = now;
         call(
                 process,
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/ReplicatedConfiguration.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ReplicatedConfiguration.java
@@ -243,7 +243,10 @@
             sendSnapshots(actions);
             publish();
         } catch (RuntimeException fault) {
-            EventLog.write(EventCode.UNEXPECTED_FAILURE, fault, "event of the configuration");
+            // While the process ends, the thread that polls may be gone before an event that asks it for a poll.
+            if (!owner.isShutdown()) {
+                EventLog.write(EventCode.UNEXPECTED_FAILURE, fault, "event of the configuration");
+            }
         }
     }
 
