--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/ExchangeWorld.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/ExchangeWorld.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.daemon.companion;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -116,11 +117,13 @@
                 new FakeTable(),
                 Optional.empty(),
                 Optional.of((attempt, account, operation, body) -> body),
-                () -> now);
+                () -> now,
+                InstantSource.system());
         shards = new AttemptShards(settings, () -> now);
-        outcomes = new Outcomes(shards);
+        StartCheck startCheck = new StartCheck(parts);
+        outcomes = new Outcomes(shards, startCheck);
         runner = new FakeRunner();
-        requests = new Requests(settings, parts, shards, outcomes, runner);
+        requests = new Requests(settings, parts, shards, outcomes, startCheck, runner);
     }
 
     /** One caller at the entry, and what it has been told. */
