--- a/integration/src/test/java/org/geraniumreach/integration/StreamFailureTest.java
+++ b/integration/src/test/java/org/geraniumreach/integration/StreamFailureTest.java
@@ -102,7 +102,8 @@
 
     @Test
     void aGenerationThatMayHaveRunIsNeverSaidNotToHaveRun() throws Exception {
-        // The caller is told of the failure, and that the request may have run. The engine restarts while it runs, and for
+        // The caller is told of the failure, and that the request may have run. The engine restarts while it runs, and
+        // for
         // another try there is no target left; of that second try alone "not run" would be true.
         CompletableFuture<Caller.Reply> whole = CompletableFuture.supplyAsync(() -> {
             try {
@@ -111,7 +112,9 @@
                 throw new IllegalStateException(interrupted);
             }
         });
-        Eventually.until("the engine runs it", () -> system.standIns().engineState(0).path("running").asInt() > 0);
+        Eventually.until(
+                "the engine runs it",
+                () -> system.standIns().engineState(0).path("running").asInt() > 0);
         system.standIns().restartEngine(0);
         assertThat(whole.get().status()).isNotEqualTo(200);
         assertThat(whole.get().ran()).as(whole.get().body()).isEqualTo("unknown");
