--- /dev/null
+++ b/integration/src/test/java/org/geraniumreach/integration/RateFailureTest.java
@@ -0,0 +1,102 @@
+package org.geraniumreach.integration;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RateFailureTest {
+
+    private static final String MODEL = "adapter-0@v1";
+    private static final int TOKENS = 20;
+    private static final long RATE = 300;
+    private static final long BURST = 600;
+    private static final int CALLERS = 6;
+    private static final long PHASE_MILLIS = 4_000;
+
+    @TempDir
+    Path directory;
+
+    private final AtomicBoolean going = new AtomicBoolean(true);
+    private final AtomicInteger served = new AtomicInteger();
+    private TestSystem system;
+
+    @BeforeEach
+    void start() throws Exception {
+        system = TestSystem.start(directory, 1, "--step-micros", "1000");
+        system.submit("--- {kind: account, name: floor, schemaVersion: 2, tokensPerSecond: " + RATE + ", burstTokens: "
+                + BURST + ", priority: 5}\n");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        system.close();
+    }
+
+    @Test
+    void anAccountStaysWithinItsRateThoughAnEntryIsKilledAndReplacedAndTheStoreGoes() throws Exception {
+        // The account's callers send several times its rate to both entries and are refused beyond it. One entry is
+        // killed
+        // and a new one takes its place, then the table service goes away. Whatever the entries believe of their
+        // shares,
+        // what the engine has run is at most the rate over the whole time, and one burst.
+        long begin = System.nanoTime();
+        long ranBefore = tokensRan();
+        List<CompletableFuture<Void>> callers = new ArrayList<>();
+        for (int number = 0; number < CALLERS; number++) {
+            String entry = number % 2 == 0 ? "entry-1" : "entry-2";
+            callers.add(CompletableFuture.runAsync(() -> callUntilTold(entry)));
+        }
+        Thread.sleep(PHASE_MILLIS);
+        system.process("entry-1").kill();
+        system.startEntry("entry-3");
+        system.register();
+        for (int number = 0; number < CALLERS / 2; number++) {
+            callers.add(CompletableFuture.runAsync(() -> callUntilTold("entry-3")));
+        }
+        Thread.sleep(PHASE_MILLIS);
+        system.standIns().platformFault("table", "{\"down\": true}");
+        Thread.sleep(PHASE_MILLIS);
+        going.set(false);
+        for (CompletableFuture<Void> caller : callers) {
+            caller.get();
+        }
+        double seconds = (System.nanoTime() - begin) / 1e9;
+        assertThat(served.get()).isPositive();
+        assertThat(tokensRan() - ranBefore).isLessThanOrEqualTo((long) (RATE * seconds) + BURST);
+    }
+
+    private void callUntilTold(String entry) {
+        try {
+            while (going.get()) {
+                Caller.Reply reply = system.caller(entry).complete(MODEL, "note", TOKENS);
+                if (reply.whole()) {
+                    served.incrementAndGet();
+                } else {
+                    Thread.sleep(10);
+                }
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private long tokensRan() throws Exception {
+        long tokens = 0;
+        for (JsonNode stream : system.standIns().ranOnEngines()) {
+            tokens +=
+                    stream.path("promptTokens").asLong() + stream.path("tokens").asLong();
+        }
+        return tokens;
+    }
+}
