Give a draining entry's shares back before it ends, and end a request at its deadline exactly

Now it waits for the loans' end and the answer. A request's deadline was looked at every five seconds only; it has a task of its own now. What libraries log by the JDK's logging comes as event 9002.

--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/EntryDaemon.java
@@ -5,7 +5,10 @@
 import java.time.Duration;
 import java.util.EnumSet;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import org.geraniumreach.daemon.budget.BudgetService;
 import org.geraniumreach.daemon.budget.ListReading;
@@ -44,6 +47,7 @@
 
     private static final int BUDGET_THREADS = 2;
     private static final int LEDGER_THREADS = 16;
+    private static final Duration SHARES_BACK = Duration.ofSeconds(3);
 
     private final EntrySettings settings;
     private final Foundation foundation;
@@ -287,7 +291,7 @@
             operatorFront.close();
         }
         if (draining) {
-            budget.release();
+            giveSharesBack();
         }
         budget.close();
         ledger.close();
@@ -297,6 +301,18 @@
         foundation.close();
     }
 
+    /** Shares that are not given back stay with nobody until the quarantine is over, and their account is short of them. */
+    private void giveSharesBack() {
+        long patience = settings.budget().loanDuration().plus(SHARES_BACK).toMillis();
+        try {
+            budget.release().get(patience, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException unreachable) {
+            EventLog.write(EventCode.PLATFORM_UNREACHABLE, "budget shares are not given back");
+        }
+    }
+
     private static ScheduledThreadPoolExecutor threads(int count, String name) {
         ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(count, task -> {
             Thread thread = new Thread(task, name);
--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/GenerationCall.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/GenerationCall.java
@@ -58,6 +58,7 @@
     private Optional<ScheduledFuture<?>> ticks = Optional.empty();
     private Optional<ServingException> lastFailure = Optional.empty();
     private boolean mayHaveRun;
+    private Optional<ScheduledFuture<?>> deadline = Optional.empty();
     private int failures;
     private boolean ended;
     private long lastPartNanos;
@@ -85,6 +86,8 @@
             sink = answer;
             long period = parts.limits().keepAlive().toMillis() / 2;
             ticks = Optional.of(parts.timer().scheduleAtFixedRate(this::tick, period, period, TimeUnit.MILLISECONDS));
+            long left = parts.limits().deadline().toNanos();
+            deadline = Optional.of(parts.timer().schedule(this::deadlinePassed, left, TimeUnit.NANOSECONDS));
         }
         parts.active().add(caller.key(), this::keyWithdrawn, this);
         parts.budget().reserve(caller.id(), tokensAtMost(), deadlineLeft(), this);
@@ -334,19 +337,19 @@
     private void close(long usedTokens) {
         ended = true;
         ticks.ifPresent(task -> task.cancel(false));
+        deadline.ifPresent(task -> task.cancel(false));
         reservation.ifPresent(held -> held.settle(usedTokens));
         parts.active().remove(caller.key(), this);
     }
 
     private synchronized void tick() {
-        if (ended) {
-            return;
-        }
-        if (parts.clock().nanos() >= deadlineNanos) {
-            giveUp(ServingException.of(ResultCode.DEADLINE_EXCEEDED, ranSoFar(), "the deadline has passed"));
-            return;
+        if (!ended) {
+            sink.tick();
         }
-        sink.tick();
+    }
+
+    private synchronized void deadlinePassed() {
+        giveUp(ServingException.of(ResultCode.DEADLINE_EXCEEDED, ranSoFar(), "the deadline has passed"));
     }
 
     private Ran ranSoFar() {
--- a/daemon/src/main/java/org/geraniumreach/daemon/event/LogSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/event/LogSettings.java
@@ -33,6 +33,7 @@
 
     /** Puts these settings in force; must come before the first line is logged. */
     public void apply() {
+        LibraryMessages.install();
         Configuration.set("level", level.name().toLowerCase(Locale.ROOT));
         Configuration.set("level@io.netty", "warn");
         Configuration.set("writingthread", "true");
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -49,7 +49,8 @@
     PLATFORM_UNREACHABLE(7001, Level.WARN, "The table service, object store or instance list does not answer."),
     PLATFORM_REACHABLE(7002, Level.INFO, "The table service, object store or instance list answers again."),
     WRITE_SETTLED(7003, Level.INFO, "A write whose answer was lost was settled by reading."),
-    UNEXPECTED_FAILURE(9001, Level.ERROR, "A fault of the system.");
+    UNEXPECTED_FAILURE(9001, Level.ERROR, "A fault of the system."),
+    LIBRARY_MESSAGE(9002, Level.WARN, "A library reports something out of the ordinary.");
 
     private final int number;
     private final Level level;
