--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/AccountBudget.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/AccountBudget.java
@@ -121,7 +121,7 @@
      */
     public synchronized long withdraw(long parts) {
         long now = advance();
-        long taken = Math.min(parts, unlentParts());
+        long taken = Math.min(parts, idleParts());
         ownParts -= taken;
         resize(now);
         return taken;
@@ -208,11 +208,12 @@
         long now = advance();
         List<BudgetAction> actions = new ArrayList<>();
         SharingPolicy.Decision decision = decide(wish, now);
-        long parts = Math.min(decision.lentParts(), unlentParts());
+        long wanted = Math.min(decision.lentParts(), unlentParts());
         long tokens = Math.max(0, Math.min(decision.lentTokens(), bucket.level() / ShareParts.WHOLE));
         // More tokens than the parts lent can hold would let the borrower's bucket stand above its capacity.
-        tokens = Math.min(tokens, parts * burstTokens / ShareParts.WHOLE);
+        tokens = Math.min(tokens, wanted * burstTokens / ShareParts.WHOLE);
         bucket.take(tokens * ShareParts.WHOLE);
+        long parts = Math.min(wanted, Math.max(partsFor(tokens * ShareParts.WHOLE), idleParts()));
         Duration duration =
                 wish.duration().compareTo(policy.loanDuration()) < 0 ? wish.duration() : policy.loanDuration();
         lent.add(parts, now + policy.lenderNanos(duration));
@@ -265,6 +266,15 @@
         return serve(now);
     }
 
+    /** Gets the parts that are not needed to hold the tokens in the bucket; with more taken, the tokens would be lost. */
+    private long idleParts() {
+        return Math.max(0, unlentParts() - partsFor(Math.max(0, bucket.level())));
+    }
+
+    private long partsFor(long amount) {
+        return burstTokens <= 0 ? 0 : Math.min(ShareParts.WHOLE, (amount + burstTokens - 1) / burstTokens);
+    }
+
     private long unlentParts() {
         return Math.max(0, ownParts - lent.sum());
     }
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/budget/LocalLinks.java
@@ -0,0 +1,93 @@
+package org.geraniumreach.daemon.budget;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.geraniumreach.link.FrameHandler;
+import org.geraniumreach.link.Links;
+import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.model.InstanceId;
+
+/** Links between entries of one process; a frame arrives before {@code send} returns. */
+final class LocalLinks implements Links {
+
+    private final InstanceId self;
+    private final Map<InstanceId, LocalLinks> all;
+    private volatile FrameHandler handler;
+
+    LocalLinks(InstanceId self, Map<InstanceId, LocalLinks> all) {
+        this.self = self;
+        this.all = all;
+        all.put(self, this);
+    }
+
+    static Map<InstanceId, LocalLinks> network() {
+        return new ConcurrentHashMap<>();
+    }
+
+    @Override
+    public void keep(InstanceId instance, InetSocketAddress address) {
+        throw new UnsupportedOperationException("all are linked");
+    }
+
+    @Override
+    public void release(InstanceId instance) {
+        throw new UnsupportedOperationException("all are linked");
+    }
+
+    @Override
+    public Optional<Peer> find(InstanceId instance) {
+        return Optional.ofNullable(all.get(instance)).map(other -> new LocalPeer(other, this));
+    }
+
+    @Override
+    public List<Peer> peers() {
+        return all.values().stream()
+                .filter(other -> other != this)
+                .<Peer>map(other -> new LocalPeer(other, this))
+                .toList();
+    }
+
+    @Override
+    public void handle(Set<Frame.BodyCase> kinds, FrameHandler newHandler) {
+        handler = newHandler;
+    }
+
+    /** One end of a link. */
+    private record LocalPeer(LocalLinks other, LocalLinks sender) implements Peer {
+
+        @Override
+        public Hello hello() {
+            return Hello.newBuilder()
+                    .setInstance(other.self.value())
+                    .setRole("entry")
+                    .build();
+        }
+
+        @Override
+        public boolean send(Frame frame) {
+            FrameHandler receiver = other.handler;
+            if (receiver == null) {
+                return false;
+            }
+            receiver.received(new LocalPeer(sender, other), frame);
+            return true;
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public void close(String reason) {
+            throw new UnsupportedOperationException("closing is not simulated");
+        }
+    }
+}
--- a/daemon/src/test/java/org/geraniumreach/daemon/ledger/LedgerServiceTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/ledger/LedgerServiceTest.java
@@ -16,7 +16,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.google.protobuf.ByteString;
-import org.geraniumreach.daemon.ledger.FaultyTable.Fault;
+import org.geraniumreach.daemon.FaultyTable;
+import org.geraniumreach.daemon.FaultyTable.Fault;
 import org.geraniumreach.daemon.settings.DataSize;
 import org.geraniumreach.link.AttemptHandle;
 import org.geraniumreach.link.AttemptListener;
