--- a/coordination/src/test/java/org/geraniumreach/coordination/configuration/ConfigurationNodeTest.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/configuration/ConfigurationNodeTest.java
@@ -198,6 +198,24 @@
         assertThat(world.isFresh(THIRD)).isTrue();
     }
 
+    /*
+     * Failure: a withdrawal was called accepted, and the others serve the key for the whole outage that follows. Only the
+     * entry that took it knew of it, and it restarted. So accepted is said when another entry holds the change.
+     */
+    @Test
+    void aChangeThatOnlyItsEntryHoldsIsNotCalledAcceptedYet() {
+        FakeWorld world = settledWorld();
+        world.lossOfMessages = 1;
+        world.submit(FIRST, account("account-changed", 1));
+        world.runFor(Duration.ofMillis(500));
+        assertThat(world.result("account-changed")).isPresent();
+        world.tableDown = true;
+        world.restart(FIRST);
+        world.lossOfMessages = 0;
+        world.runFor(Duration.ofSeconds(10));
+        assertThat(world.isFresh(SECOND)).isTrue();
+    }
+
     /*
      * Failure: a slow table's answer says what the head was when it was asked, ten seconds ago. Taken as of its arrival it
      * would let a key pass that was withdrawn meanwhile.
