Test both ways in which a cold restart of the engine is noticed

The look before each send is now tested with an engine that would run its bare model, and the putting back with one that refuses and a view that is old.

--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
@@ -107,6 +107,22 @@
         return fixture;
     }
 
+    static CompanionSettings settings(Duration engineCheckAge, Duration adoptionLimit) {
+        CompanionSettings defaults = CompanionSettings.defaults();
+        return new CompanionSettings(
+                defaults.queue(),
+                defaults.loads(),
+                defaults.bufferedChunks(),
+                defaults.attemptRetention(),
+                defaults.retainedAttempts(),
+                defaults.orphanLimit(),
+                defaults.statusInterval(),
+                engineCheckAge,
+                defaults.orderLimit(),
+                defaults.fenceCheckInterval(),
+                adoptionLimit);
+    }
+
     static CompanionFixture ofEngineThatChecksNoFence(FakeEngine engine) throws IOException {
         return new CompanionFixture(engine, null, CompanionSettings.defaults(), false);
     }
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionNodeTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionNodeTest.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.daemon.companion;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -107,11 +108,20 @@
         }
     }
 
-    @Test
-    void engineRestartLosesResidencyBeforeNextRequest() throws IOException {
-        // The engine restarts cold between two requests on one adapter. The second is not sent on the old view: the
-        // adapter is loaded again first, and the caller gets its answer.
-        try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void engineRestartLosesResidencyBeforeNextRequest(boolean runsBareModel) throws IOException {
+        // The engine restarts cold between two requests on one adapter. An engine that then runs on its bare model has
+        // to be
+        // looked at before the second is sent; one that refuses it may be asked on an old view. In both cases the
+        // adapter
+        // is loaded again first, and the caller gets its answer.
+        Duration checkAge = runsBareModel ? Duration.ZERO : Duration.ofHours(1);
+        CompanionSettings settings = CompanionFixture.settings(checkAge, Duration.ZERO);
+        try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2), settings)) {
+            if (runsBareModel) {
+                fixture.engine.runBareModel();
+            }
             CompanionFixture.await(fixture.send(fixture.generation("a", 3).build())::isOver);
             fixture.engine.restart();
             Run run = fixture.generation("a", 3).build();
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionTakeoverTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionTakeoverTest.java
@@ -50,7 +50,7 @@
                     100,
                     5));
         }
-        CompanionSettings settings = withAdoptionLimit();
+        CompanionSettings settings = CompanionFixture.settings(Duration.ofMillis(100), Duration.ofMillis(300));
         try (CompanionFixture fixture = CompanionFixture.ofEngine(engine, settings)) {
             Run run = fixture.generation("b", 10).build();
             RecordedAnswer answer = fixture.send(run);
@@ -61,22 +61,6 @@
         }
     }
 
-    private static CompanionSettings withAdoptionLimit() {
-        CompanionSettings defaults = CompanionSettings.defaults();
-        return new CompanionSettings(
-                defaults.queue(),
-                defaults.loads(),
-                defaults.bufferedChunks(),
-                defaults.attemptRetention(),
-                defaults.retainedAttempts(),
-                defaults.orphanLimit(),
-                defaults.statusInterval(),
-                defaults.engineCheckAge(),
-                defaults.orderLimit(),
-                defaults.fenceCheckInterval(),
-                Duration.ofMillis(300));
-    }
-
     @Test
     void replacedCompanionTakesNoMoreWork() throws IOException {
         // A second companion takes the target over while the first one is still running and linked. The first one sees
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeEngine.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeEngine.java
@@ -34,6 +34,7 @@
     private long incarnation = 1;
     private boolean servesWrong;
     private boolean namesAtTheEnd;
+    private boolean runsBareModel;
     private boolean failsLoads;
     private boolean holdsLoads;
     private long newestFence;
@@ -107,10 +108,11 @@
         if (order.fence() < newestFence) {
             return refused(listener, Reason.FENCED);
         }
-        if (!resident.contains(generation.adapter())) {
+        boolean isResident = resident.contains(generation.adapter());
+        if (!isResident && !runsBareModel) {
             return refused(listener, Reason.NOT_RESIDENT);
         }
-        AdapterReference served = servesWrong ? AdapterReference.of("other", "1") : generation.adapter();
+        AdapterReference served = servesWrong || !isResident ? AdapterReference.of("other", "1") : generation.adapter();
         Stream stream = new Stream(generation, served, listener);
         streams.put(generation.attempt(), stream);
         started.add(generation);
@@ -221,6 +223,11 @@
         servesWrong = true;
     }
 
+    /** Runs what names an adapter that is not resident without it, instead of refusing it. */
+    synchronized void runBareModel() {
+        runsBareModel = true;
+    }
+
     synchronized void nameOnlyAtTheEnd() {
         namesAtTheEnd = true;
     }
