--- a/integration/src/test/java/org/geraniumreach/integration/StreamFailureTest.java
+++ b/integration/src/test/java/org/geraniumreach/integration/StreamFailureTest.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.integration;
 
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 
 import org.geraniumreach.model.ResultCode;
 import org.junit.jupiter.api.AfterEach;
@@ -99,6 +100,26 @@
         assertThat(reply.ran()).isEqualTo("no");
     }
 
+    @Test
+    void aGenerationThatMayHaveRunIsNeverSaidNotToHaveRun() throws Exception {
+        // The caller is told of the failure, and that the request may have run. The engine restarts while it runs, and
+        // for
+        // another try there is no target left; of that second try alone "not run" would be true.
+        CompletableFuture<Caller.Reply> whole = CompletableFuture.supplyAsync(() -> {
+            try {
+                return system.caller("entry-1").complete(MODEL, prompt, TOKENS);
+            } catch (InterruptedException interrupted) {
+                throw new IllegalStateException(interrupted);
+            }
+        });
+        Eventually.until(
+                "the engine runs it",
+                () -> system.standIns().engineState(0).path("running").asInt() > 0);
+        system.standIns().restartEngine(0);
+        assertThat(whole.get().status()).isNotEqualTo(200);
+        assertThat(whole.get().ran()).as(whole.get().body()).isEqualTo("unknown");
+    }
+
     @Test
     void aCallerThatGoesAwayCancelsItsStreamAtTheEngine() throws Exception {
         // Nobody sees the rest: the entry dies in the middle of a stream. The companion gives the work up once its
