--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/ExchangeWorld.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/ExchangeWorld.java
@@ -40,6 +40,10 @@
 
     private static final InstanceId COMPANION = InstanceId.of("companion-1");
     private static final Duration SILENCE = Duration.ofSeconds(2);
+
+    /** How long frames of an old link may still be read after some of a newer one; the link itself closes it at once. */
+    private static final Duration OVERLAP = Duration.ofSeconds(10);
+
     private static final String SECRET = "secret-1";
 
     private final FakeConfiguration configuration = new FakeConfiguration();
@@ -55,6 +59,7 @@
     private FakeWire.Link link;
     private long now = 1;
     private long busySince = 1;
+    private long newLinkReadAt;
     private long incarnation;
     private AttemptShards shards;
     private Outcomes outcomes;
@@ -308,6 +313,9 @@
             return;
         }
         FakeWire.Link from = companionLinks.get(linkIndex % companionLinks.size());
+        if (companionLinks.indexOf(from) > 0 && newLinkReadAt == 0) {
+            newLinkReadAt = now;
+        }
         from.takeForCompanion(position).ifPresent(frame -> {
             receive(from, frame);
             if (twice) {
@@ -350,6 +358,9 @@
         if (!link.isIdle() && now - busySince > SILENCE.toNanos()) {
             reconnect();
         }
+        if (newLinkReadAt != 0 && now - newLinkReadAt > OVERLAP.toNanos()) {
+            companionSeesNewLink();
+        }
         tick();
     }
 
@@ -370,6 +381,7 @@
 
     /** The companion sees the end of its older links. */
     void companionSeesNewLink() {
+        newLinkReadAt = 0;
         while (companionLinks.size() > 1) {
             FakeWire.Link old = companionLinks.remove(0);
             old.companionEnd.close("superseded");
