Leave a transfer undone that a thawed entry's outdated shares no longer fit

Nothing was admitted twice, as the commit would have failed, but the keeper's turn was lost and an error logged.

--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/ShareTransfer.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/ShareTransfer.java
@@ -111,6 +111,10 @@
             return Optional.empty();
         }
         HolderRow before = recipient.get();
+        if (before.shares().parts(given) + parts > ShareParts.WHOLE) {
+            // This entry was frozen, and the other one has taken over what is thought to be held here.
+            return Optional.empty();
+        }
         ShareSet theirs = before.shares().with(given, before.shares().parts(given) + parts);
         String after = new HolderRow(before.holder(), before.renewals(), theirs).write();
         Transaction change = condition(found).withWrite(other, after);
@@ -119,7 +123,12 @@
 
     private Optional<Plan> planTakeover(ShareSet own, Optional<Row> found) {
         Optional<HolderRow> gone = found.flatMap(row -> HolderRow.read(row.value()));
-        return gone.map(row -> new Plan(condition(found).withDelete(other), own.plus(row.shares()), false));
+        return gone.filter(row -> fits(own, row.shares()))
+                .map(row -> new Plan(condition(found).withDelete(other), own.plus(row.shares()), false));
+    }
+
+    private static boolean fits(ShareSet own, ShareSet more) {
+        return more.accounts().stream().allMatch(each -> own.parts(each) + more.parts(each) <= ShareParts.WHOLE);
     }
 
     private Transaction condition(Optional<Row> found) {
