--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptTable.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/AttemptTable.java
@@ -38,6 +38,10 @@
     private final Map<AttemptId, T> kept = new LinkedHashMap<>();
     private final LinkedHashMap<AttemptId, Long> endedAt = new LinkedHashMap<>();
     private final LinkedHashMap<AttemptId, Long> sealedAt = new LinkedHashMap<>();
+
+    /** Of attempts that were sealed without having been seen, up to when others had been forgotten by then. */
+    private final Map<AttemptId, Long> forgottenBeforeSeal = new HashMap<>();
+
     private boolean hasForgotten;
     private long forgottenUntil;
 
@@ -161,9 +165,24 @@
         if (states.replace(id, State.WAITING, State.SEALED)) {
             sealedAt.put(id, now);
         }
+        doubtEarlierSeal(id, ageNanos, now);
         return seen(states.get(id));
     }
 
+    /**
+     * Takes back that an attempt never started, if it was sent before what was remembered at its first seal.
+     *
+     * <p>The first seal may have come from an entry that was frozen after it had worked out the attempt's age. The attempt
+     * then seemed young enough to be remembered, though it had run and been forgotten, and whoever asks next would be told
+     * that it never ran.
+     */
+    private void doubtEarlierSeal(AttemptId id, long ageNanos, long now) {
+        Long horizon = forgottenBeforeSeal.get(id);
+        if (horizon != null && !isSentAfter(horizon, ageNanos, now)) {
+            states.replace(id, State.SEALED, State.FORGOTTEN);
+        }
+    }
+
     private Seen sealUnknown(AttemptId id, boolean isWithinMemory, long now) {
         if (!hasRoom()) {
             return Seen.FORGOTTEN;
@@ -171,6 +190,9 @@
         State state = isWithinMemory ? State.SEALED : State.FORGOTTEN;
         states.put(id, state);
         sealedAt.put(id, now);
+        if (hasForgotten) {
+            forgottenBeforeSeal.put(id, forgottenUntil);
+        }
         return seen(state);
     }
 
@@ -178,7 +200,11 @@
         if (!hasForgotten) {
             return true;
         }
-        return ageNanos >= 0 && now - ageNanos - TRAVEL_NANOS - forgottenUntil > 0;
+        return isSentAfter(forgottenUntil, ageNanos, now);
+    }
+
+    private static boolean isSentAfter(long horizon, long ageNanos, long now) {
+        return ageNanos >= 0 && now - ageNanos - TRAVEL_NANOS - horizon > 0;
     }
 
     private static Seen seen(State state) {
@@ -241,6 +267,7 @@
         forgottenUntil = hasForgotten ? Math.max(forgottenUntil, since) : since;
         hasForgotten = true;
         states.remove(id);
+        forgottenBeforeSeal.remove(id);
         kept.remove(id);
     }
 
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/AttemptTableTest.java
@@ -0,0 +1,40 @@
+package org.geraniumreach.daemon.companion;
+
+import java.time.Duration;
+
+import org.geraniumreach.model.AttemptId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AttemptTableTest {
+
+    private static final long RETENTION = Duration.ofSeconds(60).toNanos();
+    private static final long LATER = Duration.ofSeconds(300).toNanos();
+    private static final AttemptId BOOKING = AttemptId.of("booking");
+
+    @Test
+    void aSealWithAnAgeOfBeforeAFreezeDoesNotMakeALaterOneSayNeverStarted() {
+        // A caller would be told that its booking never ran, and would book again. The booking ran and was forgotten.
+        // An
+        // entry that was frozen meanwhile seals it with the age of before its freeze, which makes it seem remembered;
+        // then
+        // another entry seals it with its true age.
+        AttemptTable<String> table = new AttemptTable<>(RETENTION, 100);
+        table.add(BOOKING, "kept");
+        table.start(BOOKING);
+        table.end(BOOKING, true, 0);
+        table.expire(LATER);
+        table.seal(BOOKING, Duration.ofSeconds(1).toNanos(), LATER);
+        assertThat(table.seal(BOOKING, LATER, LATER)).isEqualTo(AttemptTable.Seen.FORGOTTEN);
+    }
+
+    @Test
+    void anAttemptThatWasSealedWhileItWaitedNeverStartedWhateverItsAge() {
+        AttemptTable<String> table = new AttemptTable<>(RETENTION, 100);
+        table.add(BOOKING, "kept");
+        table.seal(BOOKING, 0, 1);
+        assertThat(table.seal(BOOKING, LATER, 2)).isEqualTo(AttemptTable.Seen.NEVER_STARTED);
+        assertThat(table.start(BOOKING)).isFalse();
+    }
+}
