--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/Fleet.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/Fleet.java
@@ -150,7 +150,7 @@
             peer.close("invalid status: " + invalid.getMessage());
             return;
         }
-        lastStatus.note(InstanceId.of(peer.hello().getInstance()), status);
+        lastStatus.note(InstanceId.of(peer.hello().getInstance()), peer, status);
         noteFence(peer, frame.getStatus().getFence());
         if (isOwner(status.target(), peer)) {
             view.apply(status);
@@ -166,7 +166,7 @@
 
     @Override
     public void closed(Peer peer, String reason) {
-        lastStatus.forget(InstanceId.of(peer.hello().getInstance()));
+        lastStatus.forget(InstanceId.of(peer.hello().getInstance()), peer);
     }
 
     private static TargetStatus statusOf(Status status) {
--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/LastStatus.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/LastStatus.java
@@ -19,16 +19,25 @@
  */
 final class LastStatus {
 
-    private final Map<InstanceId, TargetStatus> words = new ConcurrentHashMap<>();
+    private final Map<InstanceId, Word> words = new ConcurrentHashMap<>();
+
+    /** A status, and the link that brought it: of two links with one instance, the older may close after the newer opens. */
+    private record Word(Object link, TargetStatus status) {}
 
     /**
      * Takes a status in.
      *
      * @param instance the companion, not null
+     * @param link the link that brought it, not null
      * @param status its status, whole or changes, not null
      */
-    void note(InstanceId instance, TargetStatus status) {
-        words.merge(instance, status, LastStatus::merge);
+    void note(InstanceId instance, Object link, TargetStatus status) {
+        words.merge(instance, new Word(link, status), LastStatus::merge);
+    }
+
+    private static Word merge(Word before, Word after) {
+        boolean fromOtherLink = before.link() != after.link();
+        return fromOtherLink ? after : new Word(after.link(), merge(before.status(), after.status()));
     }
 
     private static TargetStatus merge(TargetStatus before, TargetStatus status) {
@@ -56,15 +65,16 @@
     }
 
     Optional<TargetStatus> find(InstanceId instance) {
-        return Optional.ofNullable(words.get(instance));
+        return Optional.ofNullable(words.get(instance)).map(Word::status);
     }
 
     /**
      * Drops a companion's words, when its link closes; a new link begins with a whole one.
      *
      * @param instance the companion, not null
+     * @param link the link that closed, not null
      */
-    void forget(InstanceId instance) {
-        words.remove(instance);
+    void forget(InstanceId instance, Object link) {
+        words.computeIfPresent(instance, (companion, word) -> word.link() == link ? null : word);
     }
 }
--- a/daemon/src/test/java/org/geraniumreach/daemon/entry/LastStatusTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/entry/LastStatusTest.java
@@ -16,6 +16,8 @@
     private static final AdapterReference FIRST = AdapterReference.of("first", "1");
     private static final AdapterReference SECOND = AdapterReference.of("second", "1");
 
+    private static final Object LINK = new Object();
+
     private final LastStatus words = new LastStatus();
 
     @Test
@@ -23,26 +25,33 @@
         // Callers would wait for a load of an adapter that a target holds: the companion's whole first word came before
         // the
         // entry knew its target, and after it come only changes.
-        words.note(COMPANION, status(1, true, Set.of(FIRST), Set.of()));
-        words.note(COMPANION, status(2, false, Set.of(SECOND), Set.of()));
+        words.note(COMPANION, LINK, status(1, true, Set.of(FIRST), Set.of()));
+        words.note(COMPANION, LINK, status(2, false, Set.of(SECOND), Set.of()));
         assertThat(words.find(COMPANION).orElseThrow().resident()).containsExactlyInAnyOrder(FIRST, SECOND);
         assertThat(words.find(COMPANION).orElseThrow().complete()).isTrue();
     }
 
     @Test
     void whatWasTakenAwayIsNotTold() {
-        words.note(COMPANION, status(1, true, Set.of(FIRST, SECOND), Set.of()));
-        words.note(COMPANION, status(2, false, Set.of(), Set.of(FIRST)));
+        words.note(COMPANION, LINK, status(1, true, Set.of(FIRST, SECOND), Set.of()));
+        words.note(COMPANION, LINK, status(2, false, Set.of(), Set.of(FIRST)));
         assertThat(words.find(COMPANION).orElseThrow().resident()).containsExactly(SECOND);
     }
 
     @Test
     void aClosedLinksWordsAreForgotten() {
-        words.note(COMPANION, status(1, true, Set.of(FIRST), Set.of()));
-        words.forget(COMPANION);
+        words.note(COMPANION, LINK, status(1, true, Set.of(FIRST), Set.of()));
+        words.forget(COMPANION, LINK);
         assertThat(words.find(COMPANION)).isEmpty();
     }
 
+    @Test
+    void anOlderLinkThatClosesLateTakesNothingAway() {
+        words.note(COMPANION, LINK, status(1, true, Set.of(FIRST), Set.of()));
+        words.forget(COMPANION, new Object());
+        assertThat(words.find(COMPANION)).isPresent();
+    }
+
     private static TargetStatus status(
             long sequence, boolean complete, Set<AdapterReference> resident, Set<AdapterReference> removed) {
         return new TargetStatus(
