Count a target as tried once a request goes there, not when it is only chosen

Cause: a booking whose row says that an earlier attempt did not run chooses a companion twice, once for the insert that fails and once for the new attempt; the first choice already left the target out, so with one target every further call with the key got NO_TARGET though the target was there (aBookingWhoseCompanionDiesNeverRunsAgain waited in vain; by hand, a new key was served and the old one never). Ruled out: the row, which said NOT_RUN as it should.

--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/ServiceCall.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/ServiceCall.java
@@ -1,7 +1,9 @@
 package org.geraniumreach.daemon.entry;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
@@ -20,6 +22,7 @@
 import org.geraniumreach.daemon.metrics.RequestMeters;
 import org.geraniumreach.messages.Run;
 import org.geraniumreach.model.AttemptId;
+import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.Ran;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServiceName;
@@ -49,6 +52,7 @@
     private final long tokens;
     private final RequestMeters meters;
     private final long deadlineNanos;
+    private final Map<InstanceId, TargetId> offered = new HashMap<>();
     private final Set<TargetId> tried = new HashSet<>();
 
     ServiceCall(
@@ -129,7 +133,7 @@
     public synchronized Optional<Companion> choose() {
         RouteRequest plain = RouteRequest.ofService(Offering.ofService(service)).withExcluded(tried);
         return parts.fleet().route(plain).flatMap(route -> {
-            tried.add(route.target());
+            offered.put(route.instance(), route.target());
             return membership
                     .get()
                     .member(route.instance())
@@ -139,8 +143,10 @@
         });
     }
 
+    /** A target counts as tried once a request goes there; one that was only chosen may be chosen again. */
     @Override
-    public Run runFor(AttemptId attempt, Companion companion) {
+    public synchronized Run runFor(AttemptId attempt, Companion companion) {
+        Optional.ofNullable(offered.get(companion.instance())).ifPresent(tried::add);
         return Run.newBuilder()
                 .setAttempt(attempt.value())
                 .setDeadlineLeftMillis(deadlineLeft().toMillis())
