Let settings check what must hold between them by one interface

The budget's settings listed their ten values twice, once to be checked and once to be used. The reader now asks any record that implements ConsistentSettings, and names a fault with the record's path.

--- a/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetSettings.java
@@ -4,6 +4,7 @@
 
 import org.geraniumreach.coordination.budget.BudgetPolicy;
 import org.geraniumreach.coordination.budget.SharingPolicy;
+import org.geraniumreach.daemon.settings.ConsistentSettings;
 import org.geraniumreach.daemon.settings.Setting;
 
 /**
@@ -49,22 +50,12 @@
                         least = "0",
                         greatest = "10000",
                         about = "The greatest drift of a clock, in parts per million.")
-                int clockDriftPartsPerMillion) {
+                int clockDriftPartsPerMillion)
+        implements ConsistentSettings {
 
-    public BudgetSettings {
-        // The limits that hold between settings are the core's; checked here, a mistake is named with the settings'
-        // path.
-        new BudgetPolicy(
-                sharing == Sharing.BY_DEMAND ? SharingPolicy.byDemand() : SharingPolicy.staticSplit(),
-                leaseRenewal,
-                proofLimit,
-                listLag,
-                quarantine,
-                loanDuration,
-                loanAnswerLimit,
-                longestWait,
-                scanInterval,
-                clockDriftPartsPerMillion);
+    @Override
+    public void requireConsistent() {
+        policy();
     }
 
     /** How entries share a client account's budget. */
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/ConfigurationSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ConfigurationSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.geraniumreach.coordination.configuration.NodeOptions;
+import org.geraniumreach.daemon.settings.ConsistentSettings;
 import org.geraniumreach.daemon.settings.Setting;
 
 /**
@@ -44,12 +45,12 @@
                         least = "10",
                         greatest = "100000",
                         about = "After how many changes a new snapshot is written to the table.")
-                int compactionChanges) {
+                int compactionChanges)
+        implements ConsistentSettings {
 
-    public ConfigurationSettings {
-        // The limits that hold between settings are the core's; checked here, a mistake is named with the settings'
-        // path.
-        new NodeOptions(period, freshnessLimit, pollers, compactionChanges);
+    @Override
+    public void requireConsistent() {
+        nodeOptions();
     }
 
     NodeOptions nodeOptions() {
--- a/daemon/src/main/java/org/geraniumreach/daemon/node/LinkTuning.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/node/LinkTuning.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.geraniumreach.daemon.settings.ConsistentSettings;
 import org.geraniumreach.daemon.settings.DataSize;
 import org.geraniumreach.daemon.settings.Setting;
 import org.geraniumreach.link.LinkSettings;
@@ -34,18 +35,15 @@
                 Duration resumeLimit,
         @Setting(value = "4MiB", least = "64KiB", greatest = "64MiB", about = "The largest frame.")
                 DataSize maximumFrame,
-        @Setting(value = "2", least = "1", greatest = "64", about = "The event loops of links.") int threads) {
+        @Setting(value = "2", least = "1", greatest = "64", about = "The event loops of links.") int threads)
+        implements ConsistentSettings {
 
-    public LinkTuning {
-        toLinkSettings(pingInterval, unansweredPings, resumeLimit, maximumFrame, threads);
+    @Override
+    public void requireConsistent() {
+        toLinkSettings();
     }
 
     LinkSettings toLinkSettings() {
-        return toLinkSettings(pingInterval, unansweredPings, resumeLimit, maximumFrame, threads);
-    }
-
-    private static LinkSettings toLinkSettings(
-            Duration pingInterval, int unansweredPings, Duration resumeLimit, DataSize maximumFrame, int threads) {
         LinkSettings defaults = LinkSettings.defaults();
         return new LinkSettings(
                 defaults.connectLimit(),
--- a/daemon/src/main/java/org/geraniumreach/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/settings/SettingsReader.java
@@ -198,7 +198,14 @@
         try {
             var constructor = type.getDeclaredConstructor(types);
             constructor.setAccessible(true);
-            return Optional.of(constructor.newInstance(values));
+            T settings = constructor.newInstance(values);
+            if (settings instanceof ConsistentSettings consistent) {
+                consistent.requireConsistent();
+            }
+            return Optional.of(settings);
+        } catch (IllegalArgumentException inconsistent) {
+            mistake(path, inconsistent.getMessage());
+            return Optional.empty();
         } catch (InvocationTargetException refused) {
             mistake(path, refused.getCause().getMessage());
             return Optional.empty();
--- a/daemon/src/test/java/org/geraniumreach/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/settings/SettingsReaderTest.java
@@ -80,6 +80,28 @@
                 .containsExactlyInAnyOrder("listen", "count", "inner.pause", "inner.colour", "other");
     }
 
+    record Range(
+            @Setting(value = "1", about = "The least.") int least,
+            @Setting(value = "9", about = "The greatest.") int greatest)
+            implements ConsistentSettings {
+
+        @Override
+        public void requireConsistent() {
+            if (least > greatest) {
+                throw new IllegalArgumentException("least " + least + " is above greatest " + greatest);
+            }
+        }
+    }
+
+    record WithRange(Range range) {}
+
+    @Test
+    void readNamesThePathOfSettingsThatDoNotGoTogether() {
+        SettingsException refused = catchThrowableOfType(
+                SettingsException.class, () -> SettingsReader.read(WithRange.class, "range: {least: 10}"));
+        assertThat(refused).hasMessage("range: least 10 is above greatest 9");
+    }
+
     @Test
     void readRefusesANameGivenTwice() {
         SettingsException refused = catchThrowableOfType(
