--- a/integration/src/test/java/org/geraniumreach/integration/StreamFailureTest.java
+++ b/integration/src/test/java/org/geraniumreach/integration/StreamFailureTest.java
@@ -45,7 +45,7 @@
         assertThat(reply.whole()).as(reply.toString()).isTrue();
         assertThat(reply.text()).isEqualTo(Caller.expected(MODEL, prompt, TOKENS));
         assertThat(system.standIns().ranOnEngines())
-                .filteredOn(stream -> stream.toString().contains(MODEL))
+                .filteredOn(ran -> ran.toString().contains(MODEL))
                 .hasSize(1);
     }
 
