--- a/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetService.java
@@ -79,7 +79,7 @@
             RandomGenerator random,
             ScheduledExecutorService executor) {}
 
-    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration TICK = Duration.ofMillis(100);
     private static final String ENTRY_ROLE = "entry";
 
     private final Surroundings surroundings;
--- a/tools/idle-cost.sh
+++ b/tools/idle-cost.sh
@@ -4,13 +4,14 @@
 #
 #   tools/idle-cost.sh [FILE]
 #
-# SIZES ("entries:engines ...") and SECONDS_OF_REST are taken from the environment. Bytes are those that the machine's
+# SIZES ("entries:engines ..."), SETTLE_SECONDS and SECONDS_OF_REST are taken from the environment. Bytes are those that the machine's
 # sockets count, both ways, without the headers of TCP and IP. Needs ss (iproute2).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 SIZES=${SIZES:-"2:2 2:8 4:8 8:8"}
 SECONDS_OF_REST=${SECONDS_OF_REST:-20}
+SETTLE_SECONDS=${SETTLE_SECONDS:-60}   # until the Java machine has compiled what runs at rest
 FILE=${1:-/dev/stdout}
 PORT=${GERANIUMREACH_IDLE_PORT:-22000}
 RUN=${RUN:-demo-run/idle}
@@ -78,7 +79,7 @@
     start_standins >&2
     start_system >&2
     submit_records >&2
-    sleep 15
+    sleep "$SETTLE_SECONDS"
     measure "$ENTRIES" "$ENGINES"
     stop_fleet
     STARTED=()
