--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/Fleet.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/Fleet.java
@@ -1,6 +1,5 @@
 package org.geraniumreach.daemon.entry;
 
-import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -15,7 +14,6 @@
 import org.geraniumreach.coordination.membership.MembershipView;
 import org.geraniumreach.daemon.event.EventLog;
 import org.geraniumreach.link.FrameHandler;
-import org.geraniumreach.link.Links;
 import org.geraniumreach.link.Peer;
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.messages.Status;
@@ -60,10 +58,6 @@
         this.prefixes = prefixes;
     }
 
-    void register(Links links) {
-        links.handle(EnumSet.of(Frame.BodyCase.STATUS), this);
-    }
-
     /**
      * Brings the targets in step with who is there and what the records say.
      *
