--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/GenerationCall.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/GenerationCall.java
@@ -49,6 +49,8 @@
     private final String baseModel;
     private final GenerationRequest request;
     private final RequestMeters meters;
+    private final Optional<PrefixDigest> prefix;
+    private final long tokensAtMost;
     private final long startNanos;
     private final long deadlineNanos;
     private final Set<TargetId> tried = new HashSet<>();
@@ -72,6 +74,8 @@
         this.baseModel = baseModel;
         this.request = request;
         this.meters = parts.metrics().requests(caller.id(), request.kind());
+        this.prefix = prefixOf(adapter, request);
+        this.tokensAtMost = tokensAtMost(parts.limits(), request);
         this.startNanos = parts.clock().nanos();
         this.deadlineNanos = startNanos + parts.limits().deadline().toNanos();
     }
@@ -90,12 +94,12 @@
             deadline = Optional.of(parts.timer().schedule(this::deadlinePassed, left, TimeUnit.NANOSECONDS));
         }
         parts.active().add(caller.key(), this::keyWithdrawn, this);
-        parts.budget().reserve(caller.id(), tokensAtMost(), deadlineLeft(), this);
+        parts.budget().reserve(caller.id(), tokensAtMost, deadlineLeft(), this);
     }
 
-    private long tokensAtMost() {
+    private static long tokensAtMost(GenerationLimits limits, GenerationRequest request) {
         int bytes = request.prompt().getBytes(StandardCharsets.UTF_8).length;
-        int perToken = parts.limits().bytesPerToken();
+        int perToken = limits.bytesPerToken();
         return (bytes + perToken - 1) / perToken + (long) request.maximumTokens();
     }
 
@@ -135,10 +139,10 @@
 
     private RouteRequest routeRequest() {
         RouteRequest plain = RouteRequest.ofAdapter(baseModel, adapter).withExcluded(tried);
-        return prefix().map(plain::withPrefix).orElse(plain);
+        return prefix.map(plain::withPrefix).orElse(plain);
     }
 
-    private Optional<PrefixDigest> prefix() {
+    private static Optional<PrefixDigest> prefixOf(AdapterReference adapter, GenerationRequest request) {
         if (request.prefixLength() == 0) {
             return Optional.empty();
         }
@@ -159,7 +163,7 @@
                 .setPriority(caller.account().priority())
                 .setRepeatable(true)
                 .setRevision(parts.admittance().current().revision())
-                .setPromptTokens(tokensAtMost() - request.maximumTokens())
+                .setPromptTokens(tokensAtMost - request.maximumTokens())
                 .setCredit(CREDIT)
                 .build();
     }
@@ -219,7 +223,7 @@
         public void ended(End end) {
             sending.ended();
             parts.fleet().succeeded(route.target());
-            prefix().ifPresent(digest -> parts.fleet().prefixEnded(digest, route.target(), end.getPrefixHit()));
+            prefix.ifPresent(digest -> parts.fleet().prefixEnded(digest, route.target(), end.getPrefixHit()));
             synchronized (GenerationCall.this) {
                 if (isCurrent()) {
                     finish(end);
@@ -293,7 +297,7 @@
             return;
         }
         if (reservation.isEmpty()) {
-            parts.budget().reserve(caller.id(), tokensAtMost(), deadlineLeft(), this);
+            parts.budget().reserve(caller.id(), tokensAtMost, deadlineLeft(), this);
             return;
         }
         send();
--- a/daemon/src/main/java/org/geraniumreach/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/metrics/NodeMetrics.java
@@ -1,6 +1,5 @@
 package org.geraniumreach.daemon.metrics;
 
-import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -69,26 +68,6 @@
                 .register(registry);
     }
 
-    /**
-     * Counts something that happened.
-     *
-     * @param name the counter's name, not null
-     * @param amount how often, not negative
-     */
-    public void count(String name, double amount) {
-        registry.counter(name).increment(amount);
-    }
-
-    /**
-     * Records how long something took.
-     *
-     * @param name the timer's name, not null
-     * @param time how long, not null
-     */
-    public void time(String name, Duration time) {
-        registry.timer(name).record(time);
-    }
-
     /**
      * Prints all meters in Prometheus' text form.
      *
