--- a/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetService.java
@@ -42,7 +42,7 @@
 import org.geraniumreach.model.record.ClientAccount;
 import org.geraniumreach.model.record.Configuration;
 import org.geraniumreach.model.table.RowKey;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.TableService;
 
 /**
  * The budgets of all client accounts at one entry.
--- a/daemon/src/main/java/org/geraniumreach/daemon/budget/ListReading.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/ListReading.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import org.geraniumreach.platform.ListedInstance;
+import org.geraniumreach.ports.ListedInstance;
 
 /**
  * The entries on the platform's list, with the time of the reading.
--- a/daemon/src/main/java/org/geraniumreach/daemon/budget/StoreDriver.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/StoreDriver.java
@@ -8,8 +8,8 @@
 import org.geraniumreach.daemon.event.EventLog;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.table.Row;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /**
  * Makes the calls of the table service that a keeper of shares wants.
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionDaemon.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionDaemon.java
@@ -14,9 +14,9 @@
 import org.geraniumreach.daemon.node.PlatformSettings;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.TargetId;
-import org.geraniumreach.platform.ModelEngine;
-import org.geraniumreach.platform.PlainService;
-import org.geraniumreach.platform.http.PlatformClients;
+import org.geraniumreach.ports.ModelEngine;
+import org.geraniumreach.ports.PlainService;
+import org.geraniumreach.standalone.PlatformClients;
 
 /**
  * A companion's process: the companion and what it stands on.
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionParts.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/CompanionParts.java
@@ -9,9 +9,9 @@
 import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.TargetId;
-import org.geraniumreach.platform.ModelEngine;
-import org.geraniumreach.platform.PlainService;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.ModelEngine;
+import org.geraniumreach.ports.PlainService;
+import org.geraniumreach.ports.TableService;
 
 /**
  * What a companion works with.
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineAnswer.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineAnswer.java
@@ -7,10 +7,10 @@
 import com.google.protobuf.ByteString;
 import org.geraniumreach.messages.End;
 import org.geraniumreach.model.AdapterReference;
-import org.geraniumreach.platform.ModelEngine.EngineListener;
-import org.geraniumreach.platform.ModelEngine.EngineStream;
-import org.geraniumreach.platform.ModelEngine.GenerationEnd;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.ModelEngine.EngineListener;
+import org.geraniumreach.ports.ModelEngine.EngineStream;
+import org.geraniumreach.ports.ModelEngine.GenerationEnd;
+import org.geraniumreach.ports.PlatformException;
 import org.geraniumreach.serving.queue.QueuedRequest;
 import org.geraniumreach.serving.residency.Pin;
 
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineWatch.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineWatch.java
@@ -7,8 +7,8 @@
 import org.geraniumreach.model.AttemptId;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
-import org.geraniumreach.platform.ModelEngine;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.ModelEngine;
+import org.geraniumreach.ports.PlatformException;
 import org.geraniumreach.serving.residency.Residency;
 
 /**
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/FenceTaker.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/FenceTaker.java
@@ -10,8 +10,8 @@
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /**
  * Takes and reads the fence of a target, a number that rises with each companion that takes the target over.
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/OrderPermit.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/OrderPermit.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
-import org.geraniumreach.platform.ModelEngine.Order;
+import org.geraniumreach.ports.ModelEngine.Order;
 
 /**
  * Whether this companion may give its target orders.
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/ServiceRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/ServiceRunner.java
@@ -10,8 +10,8 @@
 import org.geraniumreach.model.Ran;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
-import org.geraniumreach.platform.PlainService;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.PlainService;
+import org.geraniumreach.ports.PlatformException;
 import org.geraniumreach.serving.queue.QueuedRequest;
 import org.geraniumreach.serving.queue.RequestQueue;
 
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/Compactor.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/Compactor.java
@@ -13,8 +13,8 @@
 import org.geraniumreach.model.record.RecordException;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /**
  * Writes snapshots of the configuration to the table and deletes what they make needless.
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/ConfigurationReader.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ConfigurationReader.java
@@ -12,8 +12,8 @@
 import org.geraniumreach.model.record.LogEntry;
 import org.geraniumreach.model.record.RecordException;
 import org.geraniumreach.model.table.Row;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /**
  * Reads the configuration from the table.
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/History.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/History.java
@@ -10,8 +10,8 @@
 import org.geraniumreach.model.record.LogEntry;
 import org.geraniumreach.model.record.RecordException;
 import org.geraniumreach.model.record.RecordKey;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /**
  * Reads the log of changes, as far back as the table holds it.
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/ReplicatedConfiguration.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/ReplicatedConfiguration.java
@@ -40,8 +40,8 @@
 import org.geraniumreach.model.record.Configuration;
 import org.geraniumreach.model.record.LogEntry;
 import org.geraniumreach.model.record.RecordException;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /**
  * The configuration of a process with links and a table.
--- a/daemon/src/main/java/org/geraniumreach/daemon/configuration/Submitter.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/configuration/Submitter.java
@@ -13,8 +13,8 @@
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.record.LogEntry;
 import org.geraniumreach.model.record.RecordException;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /**
  * Takes operators' submissions into the log.
--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/EntryDaemon.java
@@ -27,7 +27,7 @@
 import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.KeyDigest;
-import org.geraniumreach.platform.ListedInstance;
+import org.geraniumreach.ports.ListedInstance;
 import org.geraniumreach.serving.prefix.DecayingPrefixDirectory;
 import org.geraniumreach.serving.prefix.PrefixDirectory;
 import org.geraniumreach.serving.retry.Backoff;
--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/CallRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/CallRunner.java
@@ -20,7 +20,7 @@
 import org.geraniumreach.model.ServingException;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.PlatformException;
 
 /**
  * Carries out what one {@link LedgerCall} wants done.
--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/GroupCommitter.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/GroupCommitter.java
@@ -8,8 +8,8 @@
 
 import org.geraniumreach.coordination.ledger.TransactionGroup;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /**
  * Commits many small transactions as few large ones.
--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerService.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerService.java
@@ -17,8 +17,8 @@
 import org.geraniumreach.link.Attempts;
 import org.geraniumreach.model.AttemptId;
 import org.geraniumreach.model.InstanceId;
-import org.geraniumreach.platform.ObjectStore;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.ObjectStore;
+import org.geraniumreach.ports.TableService;
 
 /**
  * Runs each request with an idempotency key at most once.
--- a/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerSweep.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/ledger/LedgerSweep.java
@@ -8,7 +8,7 @@
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.PlatformException;
 
 /**
  * Deletes ledger rows past their retention, some at a time.
--- a/daemon/src/main/java/org/geraniumreach/daemon/membership/InstanceListReading.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/membership/InstanceListReading.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import org.geraniumreach.platform.ListedInstance;
+import org.geraniumreach.ports.ListedInstance;
 
 /**
  * A reading of the platform's instance list.
--- a/daemon/src/main/java/org/geraniumreach/daemon/membership/LinkedMembership.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/membership/LinkedMembership.java
@@ -33,9 +33,9 @@
 import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.TargetId;
-import org.geraniumreach.platform.InstanceList;
-import org.geraniumreach.platform.ListedInstance;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.InstanceList;
+import org.geraniumreach.ports.ListedInstance;
+import org.geraniumreach.ports.PlatformException;
 
 /**
  * The membership of a process with links: reads the list, keeps links and publishes the view.
--- a/daemon/src/main/java/org/geraniumreach/daemon/node/Foundation.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/node/Foundation.java
@@ -28,10 +28,10 @@
 import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.MonotonicClock;
-import org.geraniumreach.platform.InstanceList;
-import org.geraniumreach.platform.ObjectStore;
-import org.geraniumreach.platform.TableService;
-import org.geraniumreach.platform.http.PlatformClients;
+import org.geraniumreach.ports.InstanceList;
+import org.geraniumreach.ports.ObjectStore;
+import org.geraniumreach.ports.TableService;
+import org.geraniumreach.standalone.PlatformClients;
 
 /**
  * What every process of the system stands on: links, the platform's clients, membership and configuration.
--- a/daemon/src/test/java/org/geraniumreach/architecture/DependencyDirectionTest.java
+++ b/daemon/src/test/java/org/geraniumreach/architecture/DependencyDirectionTest.java
@@ -50,7 +50,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"model", "coordination", "serving", "platform", "link"})
+    @ValueSource(strings = {"model", "coordination", "serving", "ports", "standalone", "link"})
     void whatTheDaemonStandsOnDoesNotKnowIt(String module) {
         noClasses()
                 .that()
--- a/daemon/src/test/java/org/geraniumreach/daemon/FaultyTable.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/FaultyTable.java
@@ -9,8 +9,8 @@
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /** A table service in memory, whose answers can be taken away. */
 public final class FaultyTable implements TableService {
--- a/daemon/src/test/java/org/geraniumreach/daemon/budget/BudgetServiceTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/budget/BudgetServiceTest.java
@@ -25,7 +25,7 @@
 import org.geraniumreach.model.record.LogEntry;
 import org.geraniumreach.model.record.RecordKey;
 import org.geraniumreach.model.record.RecordKind;
-import org.geraniumreach.platform.ListedInstance;
+import org.geraniumreach.ports.ListedInstance;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
@@ -21,7 +21,7 @@
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.record.RecordKind;
-import org.geraniumreach.platform.PlainService;
+import org.geraniumreach.ports.PlainService;
 
 /** An entry's side and a companion on loopback, with the target, the table and the configuration under the test's hand. */
 final class CompanionFixture implements AutoCloseable {
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionTakeoverTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionTakeoverTest.java
@@ -11,8 +11,8 @@
 import org.geraniumreach.model.Ran;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.TargetId;
-import org.geraniumreach.platform.ModelEngine.Generation;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.ModelEngine.Generation;
+import org.geraniumreach.ports.PlatformException;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeEngine.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeEngine.java
@@ -11,10 +11,10 @@
 
 import org.geraniumreach.model.AdapterReference;
 import org.geraniumreach.model.AttemptId;
-import org.geraniumreach.platform.ModelEngine;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.PlatformException.Effect;
-import org.geraniumreach.platform.PlatformException.Reason;
+import org.geraniumreach.ports.ModelEngine;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.PlatformException.Effect;
+import org.geraniumreach.ports.PlatformException.Reason;
 
 /** An engine in memory, with its faults under the test's hand; it gives chunks only as they are asked for. */
 final class FakeEngine implements ModelEngine {
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeTable.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeTable.java
@@ -8,9 +8,9 @@
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.PlatformException.Effect;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.PlatformException.Effect;
+import org.geraniumreach.ports.TableService;
 
 /** A table service in memory, which can lose the answer to a write that took effect. */
 final class FakeTable implements TableService {
--- a/daemon/src/test/java/org/geraniumreach/daemon/configuration/MemoryTable.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/configuration/MemoryTable.java
@@ -7,8 +7,8 @@
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 
 /** A table service in memory, which can be away. */
 public final class MemoryTable implements TableService {
--- a/daemon/src/test/java/org/geraniumreach/daemon/configuration/ReplicatedConfigurationTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/configuration/ReplicatedConfigurationTest.java
@@ -20,7 +20,7 @@
 import org.geraniumreach.model.record.RecordKind;
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.PlatformException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/daemon/src/test/java/org/geraniumreach/daemon/ledger/LedgerServiceTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/ledger/LedgerServiceTest.java
@@ -30,7 +30,7 @@
 import org.geraniumreach.model.Ran;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
-import org.geraniumreach.platform.ObjectStore;
+import org.geraniumreach.ports.ObjectStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- /dev/null
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseHead.java
@@ -0,0 +1,34 @@
+package org.geraniumreach.httpclient;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The status line and headers of a response.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param status the status code
+ * @param headers the headers in their order
+ */
+public record HttpResponseHead(int status, List<Header> headers) {
+
+    public HttpResponseHead {
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * Finds the first header of a name.
+     *
+     * @param name the name, whatever its case, not null
+     * @return its value, or empty if there is none
+     */
+    public Optional<String> first(String name) {
+        for (Header header : headers) {
+            if (header.isNamed(name)) {
+                return Optional.of(header.value());
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/platform/src/main/java/org/geraniumreach/platform/ListedInstance.java
+++ b/ports/src/main/java/org/geraniumreach/ports/ListedInstance.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform;
+package org.geraniumreach.ports;
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
--- a/platform/src/main/java/org/geraniumreach/platform/ModelEngine.java
+++ b/ports/src/main/java/org/geraniumreach/ports/ModelEngine.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform;
+package org.geraniumreach.ports;
 
 import java.time.Duration;
 import java.util.Set;
--- a/platform/src/main/java/org/geraniumreach/platform/PlainService.java
+++ b/ports/src/main/java/org/geraniumreach/ports/PlainService.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform;
+package org.geraniumreach.ports;
 
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.AttemptId;
--- a/platform/src/main/java/org/geraniumreach/platform/TableService.java
+++ b/ports/src/main/java/org/geraniumreach/ports/TableService.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform;
+package org.geraniumreach.ports;
 
 import java.util.List;
 import java.util.Optional;
--- a/platform/src/main/java/org/geraniumreach/platform/package-info.java
+++ b/ports/src/main/java/org/geraniumreach/ports/package-info.java
@@ -5,4 +5,4 @@
  * <p>Every call has a timeout. After a timeout the next call takes a new connection, never the pooled one that went quiet.
  * A failure says whether the call may have taken effect; a write whose answer was lost is settled by reading.
  */
-package org.geraniumreach.platform;
+package org.geraniumreach.ports;
--- a/platform/src/main/java/org/geraniumreach/platform/http/HttpEngineStream.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpEngineStream.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -13,11 +13,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
-import org.geraniumreach.platform.ModelEngine.EngineListener;
-import org.geraniumreach.platform.ModelEngine.EngineStream;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.PlatformException.Effect;
-import org.geraniumreach.platform.PlatformException.Reason;
+import org.geraniumreach.ports.ModelEngine.EngineListener;
+import org.geraniumreach.ports.ModelEngine.EngineStream;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.PlatformException.Effect;
+import org.geraniumreach.ports.PlatformException.Reason;
 
 /**
  * One answer that an engine is sending.
--- a/platform/src/main/java/org/geraniumreach/platform/http/HttpInstanceList.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpInstanceList.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -8,11 +8,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.InstanceId;
-import org.geraniumreach.platform.InstanceList;
-import org.geraniumreach.platform.ListedInstance;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.PlatformException.Effect;
-import org.geraniumreach.platform.PlatformException.Reason;
+import org.geraniumreach.ports.InstanceList;
+import org.geraniumreach.ports.ListedInstance;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.PlatformException.Effect;
+import org.geraniumreach.ports.PlatformException.Reason;
 
 /**
  * The instance list over HTTP.
--- a/platform/src/main/java/org/geraniumreach/platform/http/HttpModelEngine.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpModelEngine.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.net.http.HttpRequest;
 import java.time.Duration;
@@ -10,10 +10,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.geraniumreach.model.AdapterReference;
 import org.geraniumreach.model.AttemptId;
-import org.geraniumreach.platform.ModelEngine;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.PlatformException.Effect;
-import org.geraniumreach.platform.PlatformException.Reason;
+import org.geraniumreach.ports.ModelEngine;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.PlatformException.Effect;
+import org.geraniumreach.ports.PlatformException.Reason;
 
 /**
  * A model engine over HTTP; its streams are lines of JSON.
--- a/platform/src/main/java/org/geraniumreach/platform/http/HttpObjectStore.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpObjectStore.java
@@ -1,12 +1,12 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.util.Optional;
 
-import org.geraniumreach.platform.ObjectStore;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.PlatformException.Reason;
+import org.geraniumreach.ports.ObjectStore;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.PlatformException.Reason;
 
 /**
  * The object store over HTTP.
--- a/platform/src/main/java/org/geraniumreach/platform/http/HttpPlainService.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpPlainService.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
@@ -6,8 +6,8 @@
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.AttemptId;
 import org.geraniumreach.model.Names;
-import org.geraniumreach.platform.PlainService;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.PlainService;
+import org.geraniumreach.ports.PlatformException;
 
 /**
  * A plain service's worker over HTTP.
--- a/platform/src/main/java/org/geraniumreach/platform/http/HttpTableService.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpTableService.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.net.http.HttpRequest;
 import java.util.ArrayList;
@@ -11,10 +11,10 @@
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.PlatformException.Effect;
-import org.geraniumreach.platform.PlatformException.Reason;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.PlatformException.Effect;
+import org.geraniumreach.ports.PlatformException.Reason;
+import org.geraniumreach.ports.TableService;
 
 /**
  * The table service over HTTP.
--- a/platform/src/main/java/org/geraniumreach/platform/http/HttpTransport.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpTransport.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.io.IOException;
 import java.net.ConnectException;
@@ -18,9 +18,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.PlatformException.Effect;
-import org.geraniumreach.platform.PlatformException.Reason;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.PlatformException.Effect;
+import org.geraniumreach.ports.PlatformException.Reason;
 
 /**
  * Calls one HTTP server, each call within a time limit, over pooled connections that are dropped after any failure.
--- a/platform/src/main/java/org/geraniumreach/platform/http/LimitedBody.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/LimitedBody.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/platform/src/main/java/org/geraniumreach/platform/http/PlatformClients.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/PlatformClients.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.net.URI;
 import java.time.Duration;
@@ -9,11 +9,11 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.geraniumreach.platform.InstanceList;
-import org.geraniumreach.platform.ModelEngine;
-import org.geraniumreach.platform.ObjectStore;
-import org.geraniumreach.platform.PlainService;
-import org.geraniumreach.platform.TableService;
+import org.geraniumreach.ports.InstanceList;
+import org.geraniumreach.ports.ModelEngine;
+import org.geraniumreach.ports.ObjectStore;
+import org.geraniumreach.ports.PlainService;
+import org.geraniumreach.ports.TableService;
 
 /**
  * Makes clients of the platform's services and of targets, which share a few threads.
--- a/platform/src/main/java/org/geraniumreach/platform/http/StreamLines.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/StreamLines.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -13,11 +13,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.geraniumreach.model.AdapterReference;
-import org.geraniumreach.platform.ModelEngine.EngineListener;
-import org.geraniumreach.platform.ModelEngine.GenerationEnd;
-import org.geraniumreach.platform.PlatformException;
-import org.geraniumreach.platform.PlatformException.Effect;
-import org.geraniumreach.platform.PlatformException.Reason;
+import org.geraniumreach.ports.ModelEngine.EngineListener;
+import org.geraniumreach.ports.ModelEngine.GenerationEnd;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.PlatformException.Effect;
+import org.geraniumreach.ports.PlatformException.Reason;
 
 /**
  * Reads an engine's stream, lines of JSON, and tells a listener of no more chunks than it asked for.
--- a/platform/src/main/java/org/geraniumreach/platform/http/package-info.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/package-info.java
@@ -3,4 +3,4 @@
  *
  * <p>Whatever broke or went silent once is not used again: the call after a failure opens a connection of its own.
  */
-package org.geraniumreach.platform.http;
+package org.geraniumreach.standalone;
--- a/standins/src/test/java/org/geraniumreach/standins/ListPartTest.java
+++ b/standins/src/test/java/org/geraniumreach/standins/ListPartTest.java
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.function.Predicate;
 
-import org.geraniumreach.platform.InstanceList;
-import org.geraniumreach.platform.ListedInstance;
+import org.geraniumreach.ports.InstanceList;
+import org.geraniumreach.ports.ListedInstance;
 import org.geraniumreach.standins.http.Administration;
 import org.geraniumreach.standins.http.Faults;
 import org.geraniumreach.standins.http.StandInServer;
--- a/standins/src/test/java/org/geraniumreach/standins/RecordingListener.java
+++ b/standins/src/test/java/org/geraniumreach/standins/RecordingListener.java
@@ -5,9 +5,9 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.geraniumreach.model.AdapterReference;
-import org.geraniumreach.platform.ModelEngine.EngineListener;
-import org.geraniumreach.platform.ModelEngine.GenerationEnd;
-import org.geraniumreach.platform.PlatformException;
+import org.geraniumreach.ports.ModelEngine.EngineListener;
+import org.geraniumreach.ports.ModelEngine.GenerationEnd;
+import org.geraniumreach.ports.PlatformException;
 
 /** Keeps what an engine's stream told. */
 final class RecordingListener implements EngineListener {
--- a/standins/src/test/java/org/geraniumreach/standins/StandInsFixture.java
+++ b/standins/src/test/java/org/geraniumreach/standins/StandInsFixture.java
@@ -7,8 +7,8 @@
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
 
-import org.geraniumreach.platform.http.PlatformClients;
-import org.geraniumreach.platform.http.PlatformClients.EngineLimits;
+import org.geraniumreach.standalone.PlatformClients;
+import org.geraniumreach.standalone.PlatformClients.EngineLimits;
 import org.geraniumreach.standins.engine.EngineSettings;
 
 /** Free ports, threads and settings that the tests of the stand-ins share. */
