--- a/daemon/src/main/java/org/geraniumreach/daemon/http/Call.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/Call.java
@@ -12,11 +12,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.httpserver.CallerWatch;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 
@@ -196,21 +195,7 @@
      * @param action the action, run once at most, not null
      */
     public void onCallerGone(Runnable action) {
-        Connection<?> connection = request.getRequest().getConnection();
-        CallerWatch watch = new CallerWatch(connection, action);
-        connection.addCloseListener(watch);
-        watches.add(watch);
-        watchForClose(connection);
-    }
-
-    private static void watchForClose(Connection<?> connection) {
-        try {
-            // Grizzly stops reading from a connection while its call is answered later, so a caller's close would go
-            // unseen until a write fails, and the work would go on for nobody. Reading on shows the close at once.
-            connection.enableIOEvent(IOEvent.READ);
-        } catch (IOException closed) {
-            connection.closeSilently();
-        }
+        watches.add(CallerWatch.start(request.getRequest().getConnection(), action));
     }
 
     private void finish() {
--- a/daemon/src/main/java/org/geraniumreach/daemon/http/HttpFront.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/HttpFront.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.geraniumreach.daemon.event.EventLog;
+import org.geraniumreach.httpserver.BodyReader;
+import org.geraniumreach.httpserver.UpgradeOffers;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.Ran;
 import org.geraniumreach.model.ResultCode;
@@ -108,7 +110,7 @@
             }
             BodyReader.read(
                     request,
-                    limits,
+                    limits.body().bytes(),
                     body -> dispatch(endpoint, new Call(request, response, body, parameters, open::decrementAndGet)),
                     failure -> refuse(
                             new Call(request, response, new byte[0], parameters, open::decrementAndGet), failure));
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -0,0 +1,389 @@
+package org.geraniumreach.gateway.adapter;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Function;
+
+import org.geraniumreach.gateway.traffic.AdapterName;
+
+/**
+ * The places for adapters at one life of a target, as its holder keeps them.
+ *
+ * <p>Invariants: the adapters that are there, are coming, or may not have left yet are never more than the places, since an order
+ * beyond them crashes the target; at most {@link #MOST_COMING} are coming; one call is under way at a time, so the number of
+ * accepted orders that each order names is known, and an order that is carried out late finds another number and does
+ * nothing. After an answer that was lost, nothing is ordered until a report has told what is so. Confined to the event loop.
+ */
+public final class AdapterPlaces {
+
+    /** Adapters that a target fetches at the same time; it refuses more. */
+    static final int MOST_COMING = 4;
+
+    /** A load takes 250 ms from the weight store. */
+    private static final Duration FIRST_LOOK_COLD = Duration.ofMillis(230);
+
+    /** A load takes 25 ms if the target has held the adapter recently. */
+    private static final Duration FIRST_LOOK_WARM = Duration.ofMillis(24);
+
+    /** An order repeated to ask whether a load is done costs a thirtieth of a report and delays nobody. */
+    private static final Duration NEXT_LOOK = Duration.ofMillis(25);
+
+    private static final Duration NEXT_LOOK_AT_MODEL = Duration.ofMillis(200);
+
+    /** A report tells of a moment up to 0.2 s ago, so one read sooner may not know of the last order. */
+    private static final Duration REPORT_LAG = Duration.ofMillis(300);
+
+    /** An adapter that was asked for this recently may still be running for another entry. */
+    private static final Duration IDLE_BEFORE_EVICTION = Duration.ofMillis(1_200);
+
+    /** Adapters that a target is taken to keep at hand after they were evicted; the users' engines keep 114. */
+    private static final int AT_HAND = 100;
+
+    private static final Duration REFUSED_PAUSE = Duration.ofMillis(500);
+
+    private final int places;
+    private final String model;
+    private final Function<AdapterName, Long> newestVersion;
+    private final Listener listener;
+    private final Map<AdapterName, Long> resident = new HashMap<>();
+    private final Map<AdapterName, Long> nextLook = new HashMap<>();
+    private final Set<AdapterName> leaving = new HashSet<>();
+    private final Map<AdapterName, Long> wanted = new LinkedHashMap<>();
+    private final UseScores uses = new UseScores();
+    private final Deque<AdapterName> atHand = new ArrayDeque<>();
+    private boolean modelPresent;
+    private boolean modelComing;
+    private OptionalLong orders = OptionalLong.empty();
+    private long notBefore;
+    private boolean callUnderWay;
+
+    /** Is told of adapters that come and go. */
+    public interface Listener {
+
+        /**
+         * Tells that an adapter is there.
+         *
+         * @param adapter the adapter, not null
+         * @param version its version
+         */
+        void arrived(AdapterName adapter, long version);
+
+        /**
+         * Tells that an adapter is not there any more, or will not be for requests that come now.
+         *
+         * @param adapter the adapter, not null
+         */
+        void leaves(AdapterName adapter);
+
+        /** Tells that the base model is there. */
+        void modelArrived();
+    }
+
+    /** A call to be made. */
+    public sealed interface Step {
+
+        /**
+         * Send an order.
+         *
+         * @param operation what to do
+         * @param adapter the adapter, empty for the base model
+         * @param expectedOrders the orders accepted before
+         */
+        record Send(Order.Operation operation, Optional<AdapterName> adapter, long expectedOrders) implements Step {}
+
+        /** Read the report. */
+        record Report() implements Step {}
+    }
+
+    /**
+     * Makes the places of a target whose state is not known yet.
+     *
+     * @param places how many there are
+     * @param model the base model, not null
+     * @param newestVersion tells an adapter's newest version, not null
+     * @param listener told of changes, not null
+     */
+    public AdapterPlaces(int places, String model, Function<AdapterName, Long> newestVersion, Listener listener) {
+        if (places < 1) {
+            throw new IllegalArgumentException("places below 1: " + places);
+        }
+        this.places = places;
+        this.model = Objects.requireNonNull(model, "model");
+        this.newestVersion = Objects.requireNonNull(newestVersion, "newestVersion");
+        this.listener = Objects.requireNonNull(listener, "listener");
+    }
+
+    /**
+     * Asks for an adapter.
+     *
+     * @param adapter the adapter, not null
+     * @param now the time
+     */
+    public void want(AdapterName adapter, long now) {
+        uses.used(adapter, 1, now);
+        if (isPresent(adapter)) {
+            listener.arrived(adapter, resident.get(adapter));
+            return;
+        }
+        wanted.putIfAbsent(adapter, now);
+    }
+
+    /**
+     * Notes that requests for an adapter were sent to the target.
+     *
+     * @param adapter the adapter, not null
+     * @param count how many
+     * @param now the time
+     */
+    public void used(AdapterName adapter, int count, long now) {
+        uses.used(adapter, count, now);
+    }
+
+    /**
+     * Notes that a newer version of an adapter is named; the one that is there is replaced if it is in use, else evicted in its
+     * turn.
+     *
+     * @param adapter the adapter, not null
+     * @param now the time
+     */
+    public void versionNamed(AdapterName adapter, long now) {
+        if (resident.containsKey(adapter) && !uses.isIdle(adapter, now, IDLE_BEFORE_EVICTION.toNanos())) {
+            wanted.putIfAbsent(adapter, now);
+        }
+    }
+
+    private boolean isPresent(AdapterName adapter) {
+        Long version = resident.get(adapter);
+        return version != null && !leaving.contains(adapter) && version >= newestVersion.apply(adapter);
+    }
+
+    /**
+     * Chooses the next call.
+     *
+     * @param now the time
+     * @return the call, or empty if none is due
+     */
+    public Optional<Step> next(long now) {
+        if (callUnderWay || now < notBefore) {
+            return Optional.empty();
+        }
+        Optional<Step> step = orders.isEmpty() ? Optional.of(new Step.Report()) : nextOrder(now);
+        callUnderWay = step.isPresent();
+        return step;
+    }
+
+    private Optional<Step> nextOrder(long now) {
+        if (!modelPresent) {
+            notBefore = now + NEXT_LOOK_AT_MODEL.toNanos();
+            return send(Order.Operation.LOAD, Optional.empty());
+        }
+        Optional<AdapterName> due = nextLook.entrySet().stream()
+                .filter(look -> look.getValue() <= now)
+                .map(Map.Entry::getKey)
+                .findFirst();
+        if (due.isPresent()) {
+            boolean unloading = leaving.contains(due.get());
+            return send(unloading ? Order.Operation.UNLOAD : Order.Operation.LOAD, due);
+        }
+        return nextWish(now);
+    }
+
+    private Optional<Step> nextWish(long now) {
+        Iterator<AdapterName> wishes = wanted.keySet().iterator();
+        while (wishes.hasNext()) {
+            AdapterName adapter = wishes.next();
+            if (isPresent(adapter)) {
+                wishes.remove();
+                continue;
+            }
+            if (nextLook.containsKey(adapter)) {
+                continue;
+            }
+            if (coming() >= MOST_COMING) {
+                return Optional.empty();
+            }
+            if (resident.containsKey(adapter) || occupied() < places) {
+                return send(Order.Operation.LOAD, Optional.of(adapter));
+            }
+            return victim(now).flatMap(idle -> send(Order.Operation.UNLOAD, Optional.of(idle)));
+        }
+        return Optional.empty();
+    }
+
+    private long coming() {
+        return nextLook.keySet().stream()
+                .filter(adapter -> !leaving.contains(adapter))
+                .count();
+    }
+
+    private long occupied() {
+        return resident.size()
+                + nextLook.keySet().stream()
+                        .filter(adapter -> !resident.containsKey(adapter))
+                        .count();
+    }
+
+    private Optional<AdapterName> victim(long now) {
+        if (!leaving.isEmpty()) {
+            return Optional.empty();
+        }
+        return resident.keySet().stream()
+                .filter(adapter -> !wanted.containsKey(adapter) && !nextLook.containsKey(adapter))
+                .filter(adapter -> uses.isIdle(adapter, now, IDLE_BEFORE_EVICTION.toNanos()))
+                .min((one, other) -> Double.compare(evictionRank(one, now), evictionRank(other, now)));
+    }
+
+    /** An outdated version serves nobody, so it goes first. */
+    private double evictionRank(AdapterName adapter, long now) {
+        boolean outdated = resident.get(adapter) < newestVersion.apply(adapter);
+        return outdated ? -1 : uses.score(adapter, now);
+    }
+
+    private Optional<Step> send(Order.Operation operation, Optional<AdapterName> adapter) {
+        return Optional.of(new Step.Send(operation, adapter, orders.getAsLong()));
+    }
+
+    /**
+     * Takes the answer to an order.
+     *
+     * @param sent the order, not null
+     * @param result its result, not null
+     * @param now the time
+     */
+    public void answered(Step.Send sent, OrderResult result, long now) {
+        callUnderWay = false;
+        switch (result) {
+            case ACCEPTED -> accepted(sent, now);
+            case ALREADY_SO -> alreadySo(sent, now);
+            case REFUSED, FENCED, ANOTHER_TARGET -> refused(sent, now);
+            default -> lostTrack(now);
+        }
+    }
+
+    private void accepted(Step.Send sent, long now) {
+        if (sent.adapter().isEmpty()) {
+            if (!modelComing) {
+                modelComing = true;
+                countOrder();
+            }
+            return;
+        }
+        AdapterName adapter = sent.adapter().get();
+        boolean repeated = nextLook.containsKey(adapter);
+        if (!repeated) {
+            countOrder();
+        }
+        Duration look = repeated ? NEXT_LOOK : atHand.contains(adapter) ? FIRST_LOOK_WARM : FIRST_LOOK_COLD;
+        nextLook.put(adapter, now + look.toNanos());
+        if (sent.operation() == Order.Operation.UNLOAD && leaving.add(adapter)) {
+            listener.leaves(adapter);
+        }
+    }
+
+    private void alreadySo(Step.Send sent, long now) {
+        if (sent.adapter().isEmpty()) {
+            modelComing = false;
+            modelPresent = true;
+            listener.modelArrived();
+            return;
+        }
+        AdapterName adapter = sent.adapter().get();
+        boolean repeated = nextLook.remove(adapter) != null;
+        if (sent.operation() == Order.Operation.UNLOAD) {
+            if (!repeated && resident.containsKey(adapter)) {
+                countOrder();
+            }
+            leaving.remove(adapter);
+            resident.remove(adapter);
+            keepAtHand(adapter);
+            listener.leaves(adapter);
+            return;
+        }
+        long version = newestVersion.apply(adapter);
+        resident.put(adapter, version);
+        wanted.remove(adapter);
+        uses.used(adapter, 0, now);
+        listener.arrived(adapter, version);
+    }
+
+    private void countOrder() {
+        orders = OptionalLong.of(orders.getAsLong() + 1);
+    }
+
+    private void keepAtHand(AdapterName adapter) {
+        atHand.remove(adapter);
+        atHand.addLast(adapter);
+        if (atHand.size() > AT_HAND) {
+            atHand.removeFirst();
+        }
+    }
+
+    private void refused(Step.Send sent, long now) {
+        sent.adapter().ifPresent(wanted::remove);
+        notBefore = now + REFUSED_PAUSE.toNanos();
+    }
+
+    private void lostTrack(long now) {
+        orders = OptionalLong.empty();
+        notBefore = now + REPORT_LAG.toNanos();
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @param report the report, not null
+     * @param now the time
+     */
+    public void reported(TargetReport report, long now) {
+        callUnderWay = false;
+        orders = OptionalLong.of(report.orders());
+        modelPresent = report.models().containsKey(model);
+        modelComing = false;
+        Map<AdapterName, Long> there = new HashMap<>();
+        report.models()
+                .getOrDefault(model, Map.of())
+                .forEach((adapter, version) -> there.put(new AdapterName(model, adapter), version));
+        Set<AdapterName> gone = new HashSet<>(resident.keySet());
+        gone.removeAll(there.keySet());
+        resident.clear();
+        resident.putAll(there);
+        leaving.clear();
+        nextLook.clear();
+        report.coming().forEach(adapter -> nextLook.put(new AdapterName(model, adapter), now + NEXT_LOOK.toNanos()));
+        gone.forEach(listener::leaves);
+        there.forEach(listener::arrived);
+    }
+
+    /**
+     * Notes that there was no report.
+     *
+     * @param now the time
+     */
+    public void reportFailed(long now) {
+        callUnderWay = false;
+        notBefore = now + REFUSED_PAUSE.toNanos();
+    }
+
+    /**
+     * Queries whether there is anything to look after.
+     *
+     * @return false if nothing is wanted, coming or leaving, and all is known
+     */
+    public boolean isBusy() {
+        return orders.isEmpty() || !modelPresent || !wanted.isEmpty() || !nextLook.isEmpty();
+    }
+
+    public String model() {
+        return model;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/Holdings.java
@@ -0,0 +1,266 @@
+package org.geraniumreach.gateway.adapter;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Predicate;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+
+/**
+ * Which entry may order which target.
+ *
+ * <p>Invariants: an entry orders a target only under a fence that this life of its process was given by the store, and only
+ * while its lease holds. A target of another entry is taken over only once that entry's lease has been seen unchanged for the
+ * lease and a {@link Lease#TURN}, by a transaction that requires it to be unchanged still; by then the other has stopped by
+ * itself. Confined to the event loop.
+ */
+public final class Holdings {
+
+    /** The table of this entry's and the others' rows. */
+    public static final String TABLE = "fleet";
+
+    /** The table of leases; apart, so that renewals wake nobody who waits for news. */
+    public static final String LEASES = "leases";
+
+    private static final String PREFIX = "holder/";
+
+    /** The lead of the first in order, which spares the others a transaction that fails. */
+    private static final Duration LEAD = Duration.ofMillis(700);
+
+    /** Rows of one transaction; the store takes a hundred. */
+    private static final int MOST_CLAIMS = 40;
+
+    private final String self;
+    private final long incarnation;
+    private final Lease lease;
+    private final MonotonicClock clock;
+    private final Map<TargetId, Held> rows = new HashMap<>();
+    private final Map<String, SeenLease> leases = new HashMap<>();
+    private final Map<TargetId, Long> claimableSince = new HashMap<>();
+
+    private record Held(HolderRow row, long version) {}
+
+    private record SeenLease(long version, OptionalLong releasedBy, long since) {}
+
+    /**
+     * Makes holdings without rows.
+     *
+     * @param self this entry's instance, not null
+     * @param incarnation this life of its process
+     * @param lease its lease, not null
+     * @param clock the clock, not null
+     */
+    public Holdings(String self, long incarnation, Lease lease, MonotonicClock clock) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.incarnation = incarnation;
+        this.lease = Objects.requireNonNull(lease, "lease");
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /**
+     * Gets this entry's instance.
+     *
+     * @return its name, not null
+     */
+    public String self() {
+        return self;
+    }
+
+    /**
+     * Queries whether a row of {@link #TABLE} is a holder's.
+     *
+     * @param key the row's key, not null
+     * @return true if it is
+     */
+    public static boolean isHolderRow(String key) {
+        return key.startsWith(PREFIX);
+    }
+
+    /**
+     * Takes a holder's row.
+     *
+     * @param key its key, not null
+     * @param row the row, or empty if it was removed
+     */
+    public void put(String key, Optional<Row> row) {
+        TargetId target = TargetId.of(key.substring(PREFIX.length()));
+        Optional<Held> held = row.flatMap(
+                present -> HolderRow.parse(present.value()).map(parsed -> new Held(parsed, present.version())));
+        Held known = rows.get(target);
+        if (held.isEmpty()) {
+            rows.remove(target);
+        } else if (known == null || known.version() < held.get().version()) {
+            rows.put(target, held.get());
+        }
+    }
+
+    /**
+     * Takes a lease's row.
+     *
+     * @param node the entry that it is of, not null
+     * @param version the row's version
+     * @param releasedBy the life of the entry's process that has said that it acts no more, empty if none has, not null
+     */
+    public void seenLease(String node, long version, OptionalLong releasedBy) {
+        SeenLease known = leases.get(node);
+        if (known == null || known.version() != version) {
+            leases.put(node, new SeenLease(version, releasedBy, clock.nanos()));
+        }
+    }
+
+    /**
+     * Finds the entry that holds a target.
+     *
+     * @param target the target, not null
+     * @return the entry's instance, or empty if nobody holds it
+     */
+    public Optional<String> holder(TargetId target) {
+        return Optional.ofNullable(rows.get(target)).map(held -> held.row().node());
+    }
+
+    /**
+     * Gets the fence under which this entry may order a target now.
+     *
+     * @param target the target, not null
+     * @return the fence, or empty if it may not
+     */
+    public OptionalLong fence(TargetId target) {
+        Held held = rows.get(target);
+        if (held == null || !isOwn(held.row()) || !lease.holds()) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(held.version());
+    }
+
+    private boolean isOwn(HolderRow row) {
+        return row.node().equals(self) && row.incarnation() == incarnation;
+    }
+
+    /**
+     * Queries whether a holder that is out of sight may have gone, so that leases are worth reading.
+     *
+     * @param targets the targets, not null
+     * @param visible tells whether an entry can be spoken to, not null
+     * @return true if one of the targets is held by an entry that is out of sight
+     */
+    public boolean wantsLeases(List<TargetId> targets, Predicate<String> visible) {
+        return targets.stream()
+                .map(rows::get)
+                .anyMatch(held -> held != null
+                        && !held.row().node().equals(self)
+                        && !visible.test(held.row().node()));
+    }
+
+    /**
+     * Chooses the targets to be taken over now.
+     *
+     * @param targets the targets, not null
+     * @param entries the entries that are known, this one too, not null
+     * @param visible tells whether an entry can be spoken to, not null
+     * @return the transaction that takes them over, or empty if there are none
+     */
+    public Optional<Transaction> claim(List<TargetId> targets, List<String> entries, Predicate<String> visible) {
+        if (!lease.holds()) {
+            return Optional.empty();
+        }
+        long now = clock.nanos();
+        claimableSince.keySet().retainAll(targets);
+        List<TargetId> due = new ArrayList<>();
+        for (TargetId target : targets) {
+            if (isDue(target, entries, visible, now) && due.size() < MOST_CLAIMS) {
+                due.add(target);
+            }
+        }
+        return due.isEmpty() ? Optional.empty() : Optional.of(transaction(due));
+    }
+
+    private boolean isDue(TargetId target, List<String> entries, Predicate<String> visible, long now) {
+        Held held = rows.get(target);
+        if (held != null && held.row().node().equals(self)) {
+            return !isOwn(held.row());
+        }
+        if (held != null && !isOver(held.row(), now)) {
+            claimableSince.remove(target);
+            return false;
+        }
+        long since = claimableSince.computeIfAbsent(target, missing -> now);
+        List<String> candidates = entries.stream()
+                .filter(entry -> entry.equals(self) || visible.test(entry))
+                .toList();
+        int rank = order(target, candidates).indexOf(self);
+        return now - since >= rank * LEAD.toNanos();
+    }
+
+    /** A row of a former life that said so late does not end the lease of the next. */
+    private boolean isOver(HolderRow holder, long now) {
+        SeenLease seen = leases.get(holder.node());
+        if (seen == null) {
+            return false;
+        }
+        boolean released = seen.releasedBy().isPresent() && seen.releasedBy().getAsLong() == holder.incarnation();
+        Duration limit = released ? Lease.TURN : Lease.DURATION.plus(Lease.TURN);
+        return now - seen.since() > limit.toNanos();
+    }
+
+    /**
+     * Gets the other entries whose leases have not changed for a time.
+     *
+     * @param limit the time, not null
+     * @return the versions of their leases by their instances, not null
+     */
+    public Map<String, Long> unchangedFor(Duration limit) {
+        long now = clock.nanos();
+        Map<String, Long> unchanged = new HashMap<>();
+        leases.forEach((node, seen) -> {
+            if (!node.equals(self) && now - seen.since() > limit.toNanos()) {
+                unchanged.put(node, seen.version());
+            }
+        });
+        return unchanged;
+    }
+
+    private static List<String> order(TargetId target, List<String> entries) {
+        return entries.stream()
+                .sorted(Comparator.comparingInt((String entry) -> hash(target.value() + ' ' + entry))
+                        .thenComparing(Comparator.naturalOrder()))
+                .toList();
+    }
+
+    private static int hash(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
+    }
+
+    private Transaction transaction(List<TargetId> due) {
+        Transaction transaction = Transaction.empty();
+        List<String> former = new ArrayList<>();
+        for (TargetId target : due) {
+            Held held = rows.get(target);
+            RowKey key = RowKey.of(TABLE, PREFIX + target.value());
+            transaction = transaction
+                    .withCondition(key, held == null ? Transaction.ABSENT : held.version())
+                    .withWrite(key, new HolderRow(self, incarnation).toText());
+            boolean others = held != null && !held.row().node().equals(self);
+            if (others && !former.contains(held.row().node())) {
+                former.add(held.row().node());
+                transaction = transaction.withCondition(
+                        RowKey.of(LEASES, held.row().node()),
+                        leases.get(held.row().node()).version());
+            }
+        }
+        return transaction;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/Lease.java
@@ -0,0 +1,124 @@
+package org.geraniumreach.gateway.adapter;
+
+import java.time.Duration;
+import java.util.Objects;
+
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * This entry's own lease: for how long it may act on what it holds.
+ *
+ * <p>Invariants: it counts from before the acknowledged renewal was sent. A frozen process's steady clock may stand still
+ * while others see time pass, so the lease does not hold either once steady clock and time of day have moved apart by more
+ * than {@link #GREATEST_STEP} since then; a mere step of the time of day costs no more than the wait for the next renewal. Confined
+ * to the event loop.
+ */
+public final class Lease {
+
+    /** How long a renewal counts; longer than the store is slow or away on most days, so that loads go on meanwhile. */
+    public static final Duration DURATION = Duration.ofSeconds(8);
+
+    /** Two entries' orders to one target must be this far apart. */
+    public static final Duration TURN = Duration.ofMillis(3_300);
+
+    /** Half of what a sender has after it woke up before its orders count against it. */
+    static final Duration GREATEST_STEP = Duration.ofMillis(150);
+
+    private final MonotonicClock clock;
+    private final WallClock wall;
+    private boolean renewed;
+    private long renewedAt;
+    private long offsetMillis;
+
+    /** The time of day. */
+    @FunctionalInterface
+    public interface WallClock {
+
+        /**
+         * Reads the time of day.
+         *
+         * @return milliseconds since 1970
+         */
+        long millis();
+    }
+
+    /**
+     * When a renewal was sent.
+     *
+     * @param nanos by the steady clock
+     * @param offsetMillis the time of day less the steady clock, in milliseconds
+     */
+    public record Sending(long nanos, long offsetMillis) {}
+
+    /**
+     * Makes a lease that does not hold yet.
+     *
+     * @param clock the steady clock, not null
+     * @param wall the time of day, not null
+     */
+    public Lease(MonotonicClock clock, WallClock wall) {
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.wall = Objects.requireNonNull(wall, "wall");
+    }
+
+    /**
+     * Notes the moment before a renewal is sent.
+     *
+     * @return to be handed to {@link #renewed}, not null
+     */
+    public Sending sending() {
+        long now = clock.nanos();
+        return new Sending(now, offset(now));
+    }
+
+    /**
+     * Takes the acknowledgement of a renewal.
+     *
+     * @param sending when it was sent, not null
+     */
+    public void renewed(Sending sending) {
+        renewed = true;
+        renewedAt = sending.nanos();
+        offsetMillis = sending.offsetMillis();
+    }
+
+    /** Ends the lease at once. */
+    public void release() {
+        renewed = false;
+    }
+
+    /**
+     * Queries whether the lease holds now.
+     *
+     * @return true if it does
+     */
+    public boolean holds() {
+        return holdsFor(DURATION);
+    }
+
+    /**
+     * Queries whether the last renewal is younger than a time.
+     *
+     * @param limit the time, not null
+     * @return true if it is
+     */
+    public boolean holdsFor(Duration limit) {
+        long now = clock.nanos();
+        return renewed
+                && now - renewedAt < limit.toNanos()
+                && Math.abs(offset(now) - offsetMillis) < GREATEST_STEP.toMillis();
+    }
+
+    /**
+     * Gets the age of the last renewal.
+     *
+     * @return its age, or the longest time if there was none
+     */
+    public Duration age() {
+        return renewed ? Duration.ofNanos(clock.nanos() - renewedAt) : Duration.ofNanos(Long.MAX_VALUE);
+    }
+
+    private long offset(long nanos) {
+        return wall.millis() - nanos / 1_000_000;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/TargetReport.java
@@ -0,0 +1,21 @@
+package org.geraniumreach.gateway.adapter;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A target's own report, which is some tenths of a second old.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param orders the orders accepted in this life
+ * @param models the base models held, with the version of each adapter by its name
+ * @param coming the adapters that are being loaded, by their names
+ */
+public record TargetReport(long orders, Map<String, Map<String, Long>> models, Set<String> coming) {
+
+    public TargetReport {
+        models = Map.copyOf(models);
+        coming = Set.copyOf(coming);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetAnswerHead.java
@@ -0,0 +1,44 @@
+package org.geraniumreach.gateway.port;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.geraniumreach.model.Header;
+
+/**
+ * The head of a target's answer, as it is passed on.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param status the status
+ * @param headers the headers that go to the caller
+ * @param eventStream whether the body is a stream of events
+ */
+public record TargetAnswerHead(int status, List<Header> headers, boolean eventStream) {
+
+    private static final int FIRST_SUCCESS = 200;
+    private static final int FIRST_REDIRECT = 300;
+    private static final int FIRST_SERVER_FAULT = 500;
+
+    public TargetAnswerHead {
+        headers = List.copyOf(Objects.requireNonNull(headers, "headers"));
+    }
+
+    /**
+     * Queries whether the request succeeded.
+     *
+     * @return true for a status from 200 to 299
+     */
+    public boolean isSuccess() {
+        return status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
+    }
+
+    /**
+     * Queries whether the target failed.
+     *
+     * @return true for a status from 500
+     */
+    public boolean isServerFault() {
+        return status >= FIRST_SERVER_FAULT;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/process/package-info.java
@@ -0,0 +1,2 @@
+/** What a process is told at its start. */
+package org.geraniumreach.gateway.process;
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/AccountBucket.java
@@ -0,0 +1,68 @@
+package org.geraniumreach.gateway.quota;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * The units of one account that may be admitted here, which flow in at this entry's part of the rate.
+ *
+ * <p>Invariant: what is admitted in a window is at most the part of rate and burst for it, and one request more, since a request above
+ * the burst's part is admitted from a full bucket that it leaves in debt: at a small part it could run nowhere otherwise.
+ * Confined to the event loop.
+ */
+final class AccountBucket {
+
+    private static final double NANOS = 1e9;
+
+    /** A bucket begins half full: with one that is full, a process that is killed again and again would admit a burst each time. */
+    private static final double FIRST_FILL = 0.5;
+
+    /** Steady clocks drift, and requests arrive at their targets a little later than they were admitted. */
+    private static final double CAUTION = 0.99;
+
+    private double level;
+    private double capacity;
+    private double perSecond;
+    private long updatedAt;
+    private boolean begun;
+
+    AccountBucket(long now) {
+        this.updatedAt = now;
+    }
+
+    void resize(double newPerSecond, double newCapacity, long now) {
+        advance(now);
+        if (!begun && newCapacity > 0) {
+            begun = true;
+            level = newCapacity * FIRST_FILL;
+        }
+        perSecond = newPerSecond * CAUTION;
+        capacity = newCapacity;
+        level = Math.min(level, capacity);
+    }
+
+    private void advance(long now) {
+        if (now > updatedAt) {
+            level = Math.min(capacity, level + perSecond * ((now - updatedAt) / NANOS));
+            updatedAt = now;
+        }
+    }
+
+    /** Takes units, or tells after what time they are there; empty if they never are. */
+    Optional<Duration> take(double units, long now) {
+        advance(now);
+        double enough = Math.min(units, capacity);
+        if (capacity > 0 && level >= enough) {
+            level -= units;
+            return Optional.of(Duration.ZERO);
+        }
+        if (perSecond <= 0) {
+            return Optional.empty();
+        }
+        return Optional.of(Duration.ofNanos((long) Math.ceil((enough - level) / perSecond * NANOS)));
+    }
+
+    double level() {
+        return level;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -0,0 +1,223 @@
+package org.geraniumreach.gateway.quota;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import org.geraniumreach.gateway.adapter.Holdings;
+import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.traffic.Account;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+
+/**
+ * What this entry may admit of each client account.
+ *
+ * <p>Invariants: an increase of a share counts once the store has acknowledged it, a decrease from before it is sent; a share
+ * counts for {@link #PROOF} after the last renewal of this entry's lease, and others take it only {@link #ABANDONED} after they
+ * saw the lease unchanged, so no part is spent twice. Confined to the event loop.
+ */
+public final class Quotas {
+
+    /** The table of the rows. */
+    public static final String TABLE = "fleet";
+
+    /** Without a renewal for as long as this, shares are not spent; the store is away for 12 s at the longest so far. */
+    static final Duration PROOF = Duration.ofSeconds(25);
+
+    /** A share is taken from an entry whose lease has not changed for as long as this. */
+    public static final Duration ABANDONED = Duration.ofSeconds(30);
+
+    private static final String PREFIX = "share/";
+
+    private final String self;
+    private final Lease lease;
+    private final MonotonicClock clock;
+    private final Map<AccountId, State> states = new HashMap<>();
+    private Map<AccountId, Account> accounts = Map.of();
+
+    private static final class State {
+        private final AccountBucket bucket;
+        private final DemandRate demand;
+        private ShareRow row = ShareRow.none();
+        private long version;
+        private int parts;
+
+        State(long now) {
+            this.bucket = new AccountBucket(now);
+            this.demand = new DemandRate(now);
+        }
+    }
+
+    /**
+     * What came of a request's admission.
+     *
+     * @param admitted whether it is within the rate
+     * @param after if it is not, when it may be, empty if nobody can tell
+     */
+    public record Admission(boolean admitted, Optional<Duration> after) {}
+
+    /**
+     * Makes quotas without accounts.
+     *
+     * @param self this entry's instance, not null
+     * @param lease its lease, not null
+     * @param clock the clock, not null
+     */
+    public Quotas(String self, Lease lease, MonotonicClock clock) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.lease = Objects.requireNonNull(lease, "lease");
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /**
+     * Queries whether a row of {@link #TABLE} is of a share.
+     *
+     * @param key the row's key, not null
+     * @return true if it is
+     */
+    public static boolean isShareRow(String key) {
+        return key.startsWith(PREFIX);
+    }
+
+    /**
+     * Sets the accounts that exist, with their rates.
+     *
+     * @param newAccounts the accounts, not null
+     */
+    public void configure(Map<AccountId, Account> newAccounts) {
+        accounts = Map.copyOf(newAccounts);
+        accounts.keySet().forEach(this::resize);
+    }
+
+    private State state(AccountId account) {
+        return states.computeIfAbsent(account, missing -> new State(clock.nanos()));
+    }
+
+    private void resize(AccountId id) {
+        Account account = accounts.get(id);
+        if (account == null) {
+            return;
+        }
+        State state = state(id);
+        double part = (double) state.parts / ShareRow.WHOLE;
+        state.bucket.resize(account.unitsPerSecond() * part, account.burstUnits() * part, clock.nanos());
+    }
+
+    /**
+     * Takes an account's row.
+     *
+     * @param key its key, not null
+     * @param row the row, or empty if it was removed
+     */
+    public void put(String key, Optional<Row> row) {
+        AccountId account = AccountId.of(key.substring(PREFIX.length()));
+        State state = state(account);
+        if (row.isPresent() && row.get().version() <= state.version) {
+            return;
+        }
+        state.row = row.flatMap(present -> ShareRow.parse(present.value())).orElse(ShareRow.none());
+        state.version = row.map(Row::version).orElse(Transaction.ABSENT);
+        state.parts = state.row.of(self).parts();
+        resize(account);
+    }
+
+    /**
+     * Asks for a request's units.
+     *
+     * @param account the account, not null
+     * @param units the units
+     * @param first whether the request asks for the first time
+     * @return whether it is admitted, not null
+     */
+    public Admission admit(Account account, double units, boolean first) {
+        if (!account.isLimited()) {
+            return new Admission(true, Optional.empty());
+        }
+        State state = state(account.id());
+        long now = clock.nanos();
+        if (first) {
+            state.demand.asked(units, now);
+        }
+        if (!lease.holdsFor(PROOF)) {
+            return new Admission(false, Optional.empty());
+        }
+        Optional<Duration> after = state.bucket.take(units, now);
+        return new Admission(after.isPresent() && after.get().isZero(), after);
+    }
+
+    /**
+     * Chooses what to change in the store.
+     *
+     * @param entries how many entries there are, this one too
+     * @param abandoned the entries whose shares may be taken, with the versions of their leases, not null
+     * @return the transaction, or empty if nothing is to be changed
+     */
+    public Optional<Transaction> change(int entries, Map<String, Long> abandoned) {
+        Transaction transaction = Transaction.empty();
+        for (Account account : accounts.values()) {
+            if (account.isLimited()) {
+                transaction = withChange(transaction, account, entries, abandoned);
+            }
+        }
+        return transaction.writes().isEmpty() ? Optional.empty() : Optional.of(transaction);
+    }
+
+    private Transaction withChange(Transaction transaction, Account account, int entries, Map<String, Long> abandoned) {
+        State state = state(account.id());
+        ShareRow row = state.row;
+        Transaction conditions = transaction;
+        for (Map.Entry<String, Long> gone : abandoned.entrySet()) {
+            if (row.shares().containsKey(gone.getKey())) {
+                row = row.without(gone.getKey());
+                conditions = conditions.withCondition(RowKey.of(Holdings.LEASES, gone.getKey()), gone.getValue());
+            }
+        }
+        double demand = state.demand.at(clock.nanos()) / account.unitsPerSecond();
+        Optional<ShareRow> change = SharePolicy.change(row, self, entries, demand);
+        if (change.isEmpty()) {
+            return transaction;
+        }
+        state.parts = Math.min(state.parts, change.get().of(self).parts());
+        resize(account.id());
+        RowKey key = RowKey.of(TABLE, PREFIX + account.id().value());
+        return conditions
+                .withCondition(key, state.version)
+                .withWrite(key, change.get().toText());
+    }
+
+    /** Takes back what was given up by a change that the store refused. */
+    public void changeRefused() {
+        states.forEach((account, state) -> {
+            state.parts = state.row.of(self).parts();
+            resize(account);
+        });
+    }
+
+    /**
+     * Gets the parts of an account's rate that this entry has.
+     *
+     * @param account the account, not null
+     * @return the parts, of {@link ShareRow#WHOLE}
+     */
+    public int parts(AccountId account) {
+        State state = states.get(account);
+        return state == null ? 0 : state.parts;
+    }
+
+    /**
+     * Gets the accounts that are known.
+     *
+     * @return their ids, not null
+     */
+    public Collection<AccountId> known() {
+        return Set.copyOf(accounts.keySet());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterDesk.java
@@ -0,0 +1,46 @@
+package org.geraniumreach.gateway.request;
+
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.target.Target;
+import org.geraniumreach.gateway.traffic.AdapterName;
+
+/**
+ * Has adapters loaded, by this entry or by the one that holds the target.
+ *
+ * <p>Confined to the event loop.
+ */
+public interface AdapterDesk {
+
+    /**
+     * Asks that an adapter be loaded.
+     *
+     * @param target where, not null
+     * @param adapter the adapter, not null
+     */
+    void want(Target target, AdapterName adapter);
+
+    /**
+     * Notes that a request for an adapter was sent.
+     *
+     * @param target where to, not null
+     * @param adapter the adapter, not null
+     */
+    void used(Target target, AdapterName adapter);
+
+    /**
+     * Registers an exchange that waits for an adapter; it is told of each change of where the adapter is.
+     *
+     * @param adapter the adapter, not null
+     * @param changed what to run, not null
+     * @return ends the waiting, not null
+     */
+    Cancellable await(AdapterName adapter, Runnable changed);
+
+    /**
+     * Gets the newest version of an adapter that was named.
+     *
+     * @param adapter the adapter, not null
+     * @return the version, 0 if none was named
+     */
+    long namedVersion(AdapterName adapter);
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -0,0 +1,460 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.geraniumreach.gateway.port.CallerAnswer;
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.port.TargetAnswerHead;
+import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.port.TargetPort;
+import org.geraniumreach.gateway.quota.Quotas;
+import org.geraniumreach.gateway.target.Placed;
+import org.geraniumreach.gateway.target.PlacementNeed;
+import org.geraniumreach.gateway.target.Target;
+import org.geraniumreach.gateway.traffic.Account;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.gateway.traffic.Route;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.TargetId;
+
+/**
+ * One request from its admission to its one final answer.
+ *
+ * <p>Invariants: at most one attempt is under way; after an attempt that a target may have begun, another is made only if
+ * the request may run again, on no more targets than the route allows; "not run" is answered only if no target may have begun it;
+ * a stream goes on only after the last whole event that the caller was sent, with the head of its first target; an answer that
+ * breaks off is cut, never ended. Confined to the event loop.
+ */
+final class Exchange {
+
+    private static final Duration COME_BACK = Duration.ofMillis(700);
+    private static final int PRIORITY_STEP = 3;
+    private static final int LAST_RANK = 2;
+    private static final int LEAST_URGENT = 9;
+
+    private final ExchangeServices services;
+    private final GatewayRequest request;
+    private final Route route;
+    private final String service;
+    private final Optional<Account> account;
+    private final CallerAnswer answer;
+    private final Consumer<Exchange> onEnd;
+    private final long startedAt;
+    private final Duration limit;
+    private final Set<TargetId> avoided = new HashSet<>();
+    private final Set<TargetId> mayHaveRun = new HashSet<>();
+    private final AnswerRelay relay;
+    private Cancellable limitTimer = Cancellable.NOTHING;
+    private Cancellable waitTimer = Cancellable.NOTHING;
+    private Cancellable adapterWait = Cancellable.NOTHING;
+    private Optional<Attempt> attempt = Optional.empty();
+    private int arrivals;
+    private boolean admitted;
+    private boolean ended;
+
+    Exchange(
+            ExchangeServices services,
+            GatewayRequest request,
+            Route route,
+            String service,
+            Optional<Account> account,
+            CallerAnswer answer,
+            Consumer<Exchange> onEnd) {
+        this.services = services;
+        this.request = request;
+        this.route = route;
+        this.service = service;
+        this.account = account;
+        this.answer = answer;
+        this.onEnd = onEnd;
+        this.startedAt = services.clock().nanos();
+        this.limit = request.patience().compareTo(route.timeout()) < 0 ? request.patience() : route.timeout();
+        this.relay = new AnswerRelay(answer, request.lastEvent(), services.clock());
+    }
+
+    void start() {
+        limitTimer = services.timers().after(limit, this::timeIsUp);
+        admit(true);
+    }
+
+    private Duration elapsed() {
+        return Duration.ofNanos(services.clock().nanos() - startedAt);
+    }
+
+    private Duration left() {
+        return limit.minus(elapsed());
+    }
+
+    private void admit(boolean first) {
+        if (ended) {
+            return;
+        }
+        if (account.isEmpty()) {
+            admitted();
+            return;
+        }
+        Quotas.Admission admission = services.quotas().admit(account.get(), units(account.get()), first);
+        if (admission.admitted()) {
+            admitted();
+            return;
+        }
+        Duration waited = elapsed();
+        Optional<Duration> after = admission.after();
+        Duration longest = services.settings().quotaWait();
+        if (after.isPresent() && waited.plus(after.get()).compareTo(longest) <= 0) {
+            waitTimer = services.timers().after(after.get(), () -> admit(false));
+            return;
+        }
+        refuse(Refusal.until(
+                ResultCode.OUT_OF_BUDGET, "the client account is above its rate", after.orElse(COME_BACK)));
+    }
+
+    private double units(Account of) {
+        if (!of.countsTokens()) {
+            return 1;
+        }
+        return request.generation()
+                .map(GatewayRequest.Generation::countedTokens)
+                .orElse(of.plainUnits());
+    }
+
+    private void admitted() {
+        admitted = true;
+        place();
+    }
+
+    private Optional<AdapterName> adapter() {
+        return request.generation().flatMap(GatewayRequest.Generation::adapter);
+    }
+
+    private void place() {
+        if (ended || attempt.isPresent()) {
+            return;
+        }
+        waitTimer.cancel();
+        if (left().compareTo(services.settings().leastLeft()) < 0) {
+            return;
+        }
+        Placed placed = services.placement().place(need());
+        if (placed instanceof Placed.Send send) {
+            adapterWait.cancel();
+            send(send);
+        } else if (placed instanceof Placed.Load load) {
+            awaitAdapter(load.target());
+        } else if (placed instanceof Placed.Nowhere nowhere) {
+            giveUp(ResultCode.NO_TARGET, nowhere.reason().name());
+        }
+    }
+
+    private PlacementNeed need() {
+        Optional<AdapterName> adapter = adapter();
+        return new PlacementNeed(
+                service,
+                request.generation().map(GatewayRequest.Generation::model),
+                adapter,
+                adapter.map(services.adapters()::namedVersion).orElse(0L),
+                request.affinity(),
+                request.generation()
+                        .map(GatewayRequest.Generation::promptTokens)
+                        .orElse(0L),
+                avoided);
+    }
+
+    private void awaitAdapter(Target target) {
+        AdapterName adapter = adapter().orElseThrow();
+        Duration longest =
+                Duration.ofNanos((long) (limit.toNanos() * services.settings().loadWaitShare()));
+        if (longest.compareTo(services.settings().longestLoadWait()) > 0) {
+            longest = services.settings().longestLoadWait();
+        }
+        if (elapsed().compareTo(longest) >= 0) {
+            giveUp(ResultCode.LOAD_FAILED, "the adapter is not loaded in time");
+            return;
+        }
+        adapterWait.cancel();
+        adapterWait = services.adapters().await(adapter, this::place);
+        waitTimer = services.timers().after(services.settings().lookAgain(), this::place);
+        services.adapters().want(target, adapter);
+    }
+
+    private void send(Placed.Send send) {
+        Target target = send.target();
+        if (arrivals > 0 && !services.repeats().take(service)) {
+            giveUp(ResultCode.OVERLOADED, "no second arrival is allowed now");
+            return;
+        }
+        arrivals++;
+        services.log()
+                .write(
+                        EventCode.REQUEST_PLACED,
+                        request.id(),
+                        Field.of("target", target.id().value()),
+                        Field.of("reason", send.reason()),
+                        Field.of("arrival", arrivals),
+                        Field.of("expectedWaitMillis", send.expectedWaitMillis()),
+                        Field.of("outstanding", target.outstanding()),
+                        Field.of("waitedMillis", elapsed().toMillis()));
+        adapter().ifPresent(adapter -> services.adapters().used(target, adapter));
+        Attempt started = new Attempt(services, target, request, new AttemptEvents(target));
+        attempt = Optional.of(started);
+        started.start(envelope(), longestIdle(), silenceLimits());
+    }
+
+    private TargetPort.Envelope envelope() {
+        Duration patienceLeft = request.patience().minus(elapsed());
+        Duration left = patienceLeft.compareTo(left()) < 0 ? patienceLeft : left();
+        OptionalLong version = adapter()
+                .map(services.adapters()::namedVersion)
+                .filter(named -> named > 0)
+                .map(OptionalLong::of)
+                .orElse(OptionalLong.empty());
+        return new TargetPort.Envelope(
+                account.map(known -> known.id().value()), left, urgency(), version, relay.resumeAfter());
+    }
+
+    private int urgency() {
+        int accountRank =
+                account.map(Account::priority).orElse(OptionalInt.empty()).orElse(1);
+        return Math.min(LEAST_URGENT, accountRank * PRIORITY_STEP + Math.min(LAST_RANK, route.priority()));
+    }
+
+    private Duration longestIdle() {
+        return route.repeatRule().mayRunAgain()
+                ? services.settings().keptConnection()
+                : services.settings().youngConnection();
+    }
+
+    private Attempt.SilenceLimits silenceLimits() {
+        if (!route.repeatRule().mayRunAgain() || mayHaveRun.size() + 1 >= route.maximumTargets()) {
+            return Attempt.SilenceLimits.NONE;
+        }
+        if (route.repeatRule().isStream()) {
+            return new Attempt.SilenceLimits(
+                    Optional.of(services.settings().silentStart()),
+                    Optional.of(services.settings().silentPause()));
+        }
+        Duration share =
+                Duration.ofNanos((long) (left().toNanos() * services.settings().silentShare()));
+        return new Attempt.SilenceLimits(Optional.of(share), Optional.empty());
+    }
+
+    /** What comes of one attempt. */
+    private final class AttemptEvents implements Attempt.Listener {
+        private final Target target;
+
+        private AttemptEvents(Target target) {
+            this.target = target;
+        }
+
+        @Override
+        public void notExecuted(NotExecuted why) {
+            attempt = Optional.empty();
+            noteNotExecuted(target, why);
+            if (why == NotExecuted.NOT_RESIDENT) {
+                adapter()
+                        .ifPresent(adapter ->
+                                target.learnAbsent(adapter, services.clock().nanos()));
+            } else {
+                avoided.add(target.id());
+            }
+            if (why == NotExecuted.ANOTHER_TARGET) {
+                services.book().ended(target);
+            }
+            again("not executed: " + why);
+        }
+
+        @Override
+        public boolean head(TargetAnswerHead head) {
+            return relay.head(head);
+        }
+
+        @Override
+        public boolean part(byte[] part) {
+            return relay.part(part);
+        }
+
+        @Override
+        public void end() {
+            attempt = Optional.empty();
+            if (!relay.isWhole()) {
+                failed(true, "the stream ended within an event");
+                return;
+            }
+            if (relay.isServerFault()) {
+                services.health().failed(target.id());
+                mayHaveRun.add(target.id());
+                avoided.add(target.id());
+                if (canRunAgain()) {
+                    again("the target failed");
+                    return;
+                }
+            } else {
+                services.health().succeeded(target.id());
+            }
+            relay.finish();
+            finish(OutcomeListener.Kind.ANSWERED, relay.status());
+        }
+
+        @Override
+        public void failed(boolean mayRun, String reason) {
+            attempt = Optional.empty();
+            services.health().failed(target.id());
+            avoided.add(target.id());
+            services.log()
+                    .write(
+                            EventCode.ATTEMPT_FAILED,
+                            request.id(),
+                            Field.of("target", target.id().value()),
+                            Field.of("mayHaveRun", mayRun),
+                            Field.of("reason", reason),
+                            Field.of("lastEvent", relay.lastEvent()));
+            if (mayRun) {
+                mayHaveRun.add(target.id());
+            }
+            relay.attemptLost();
+            if (!mayRun || canRunAgain()) {
+                again(reason);
+                return;
+            }
+            giveUp(ResultCode.OUTCOME_UNKNOWN, reason);
+        }
+    }
+
+    private void noteNotExecuted(Target target, NotExecuted why) {
+        services.log()
+                .write(
+                        EventCode.ATTEMPT_NOT_EXECUTED,
+                        request.id(),
+                        Field.of("target", target.id().value()),
+                        Field.of("reason", why));
+    }
+
+    private boolean canRunAgain() {
+        return route.repeatRule().mayRunAgain() && mayHaveRun.size() < route.maximumTargets();
+    }
+
+    private void again(String reason) {
+        boolean timeLeft = left().compareTo(services.settings().leastLeft()) > 0;
+        if (timeLeft && arrivals < services.settings().mostArrivals()) {
+            place();
+            return;
+        }
+        giveUp(ResultCode.OVERLOADED, reason);
+    }
+
+    /** Ends the exchange without a whole answer, at once, with as much as is known of what ran. */
+    private void giveUp(ResultCode notRunCode, String reason) {
+        if (ended) {
+            return;
+        }
+        if (relay.isBegun()) {
+            note(EventCode.REQUEST_FAILED, ResultCode.ANSWER_INTERRUPTED, reason);
+            answer.abort();
+            finish(OutcomeListener.Kind.CUT, relay.status());
+            return;
+        }
+        if (relay.hasFault()) {
+            relay.finish();
+            finish(OutcomeListener.Kind.ANSWERED, relay.status());
+            return;
+        }
+        if (mayHaveRun.isEmpty()) {
+            refuse(Refusal.until(notRunCode.httpStatus() == 503 ? notRunCode : ResultCode.NOT_RUN, reason, COME_BACK));
+            return;
+        }
+        note(EventCode.OUTCOME_UNKNOWN, ResultCode.OUTCOME_UNKNOWN, reason);
+        Refusal.of(ResultCode.OUTCOME_UNKNOWN, "a target may have run the request")
+                .send(answer);
+        finish(OutcomeListener.Kind.FAILED, ResultCode.OUTCOME_UNKNOWN.httpStatus());
+    }
+
+    private void refuse(Refusal refusal) {
+        note(EventCode.REQUEST_REFUSED, refusal.code(), refusal.message());
+        refusal.send(answer);
+        finish(OutcomeListener.Kind.REFUSED, refusal.code().httpStatus());
+    }
+
+    private void note(EventCode event, ResultCode code, String reason) {
+        services.log()
+                .write(
+                        event,
+                        request.id(),
+                        Field.of("code", code),
+                        Field.of("reason", reason),
+                        Field.of("admitted", admitted),
+                        Field.of(
+                                "account",
+                                account.map(known -> known.id().value()).orElse("")),
+                        Field.of("service", service),
+                        Field.of("adapter", adapter().map(AdapterName::adapter).orElse("")),
+                        Field.of("arrivals", arrivals),
+                        Field.of("afterMillis", elapsed().toMillis()));
+    }
+
+    private void timeIsUp() {
+        if (ended) {
+            return;
+        }
+        attempt.ifPresent(running -> {
+            mayHaveRun.add(running.target().id());
+            running.cancel();
+        });
+        attempt = Optional.empty();
+        if (relay.isBegun() || mayHaveRun.isEmpty()) {
+            giveUp(ResultCode.NOT_RUN, "the time is up");
+            return;
+        }
+        note(EventCode.REQUEST_FAILED, ResultCode.DEADLINE_EXCEEDED, "the time is up");
+        Refusal.of(ResultCode.DEADLINE_EXCEEDED, "the time for the request is up")
+                .send(answer);
+        finish(OutcomeListener.Kind.FAILED, ResultCode.DEADLINE_EXCEEDED.httpStatus());
+    }
+
+    void callerGone() {
+        if (ended) {
+            return;
+        }
+        attempt.ifPresent(Attempt::cancel);
+        attempt = Optional.empty();
+        services.log()
+                .write(
+                        EventCode.CALLER_GONE,
+                        request.id(),
+                        Field.of("arrivals", arrivals),
+                        Field.of("afterMillis", elapsed().toMillis()));
+        finish(OutcomeListener.Kind.CALLER_GONE, 0);
+    }
+
+    private void finish(OutcomeListener.Kind kind, int status) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        limitTimer.cancel();
+        waitTimer.cancel();
+        adapterWait.cancel();
+        services.outcomes()
+                .ended(new OutcomeListener.Outcome(
+                        route, kind, status, arrivals, relay.firstPartAfter(startedAt), elapsed()));
+        onEnd.accept(this);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other;
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hashCode(request.id());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -0,0 +1,48 @@
+package org.geraniumreach.gateway.request;
+
+import java.util.Objects;
+
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.TargetPort;
+import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.gateway.quota.Quotas;
+import org.geraniumreach.gateway.target.Placement;
+import org.geraniumreach.gateway.target.TargetBook;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.serving.retry.TargetHealth;
+
+/**
+ * What exchanges share.
+ *
+ * @param placement chooses targets
+ * @param book the targets
+ * @param targets calls targets
+ * @param adapters has adapters loaded
+ * @param quotas admits by account
+ * @param repeats grants second arrivals, by service
+ * @param health leaves failing targets out
+ * @param timers runs actions later
+ * @param clock the steady clock
+ * @param log takes decisions
+ * @param outcomes is told of ends
+ * @param settings times and limits
+ */
+public record ExchangeServices(
+        Placement placement,
+        TargetBook book,
+        TargetPort targets,
+        AdapterDesk adapters,
+        Quotas quotas,
+        RepeatBudgets repeats,
+        TargetHealth health,
+        Timers timers,
+        MonotonicClock clock,
+        DecisionLog log,
+        OutcomeListener outcomes,
+        ExchangeSettings settings) {
+
+    public ExchangeServices {
+        Objects.requireNonNull(placement, "placement");
+        Objects.requireNonNull(settings, "settings");
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
@@ -0,0 +1,58 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+
+/**
+ * The times and limits of an exchange.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param quotaWait how long a request may wait for units of its account that flow in
+ * @param loadWaitShare the part of the caller's time for which a request may wait for an adapter
+ * @param longestLoadWait the longest wait for an adapter
+ * @param lookAgain how often a waiting request looks for a target again
+ * @param silentStart the silence before a stream's first event after which one that may be resumed goes elsewhere
+ * @param silentPause the silence within a stream after which one that may be resumed goes elsewhere
+ * @param silentShare the part of the caller's time after which a silent idempotent request goes elsewhere
+ * @param youngConnection the longest time that a connection may have been idle to carry a request that may run once only
+ * @param keptConnection the longest time that a connection may have been idle to carry any other
+ * @param mostArrivals the most times that a request is sent to a target
+ * @param leastLeft the time below which a request is not sent any more
+ */
+public record ExchangeSettings(
+        Duration quotaWait,
+        double loadWaitShare,
+        Duration longestLoadWait,
+        Duration lookAgain,
+        Duration silentStart,
+        Duration silentPause,
+        double silentShare,
+        Duration youngConnection,
+        Duration keptConnection,
+        int mostArrivals,
+        Duration leastLeft) {
+
+    /**
+     * Obtains the defaults.
+     *
+     * @return the settings, not null
+     */
+    public static ExchangeSettings defaults() {
+        return new ExchangeSettings(
+                // Half of the objective of 800 ms is left for the first part.
+                Duration.ofMillis(400),
+                0.35,
+                // Above all loads of a cold start: 19 places, four at a time, 250 ms each.
+                Duration.ofSeconds(3),
+                Duration.ofMillis(150),
+                // Callers leave a stream after 3.2 s without an event; this leaves time for a second start.
+                Duration.ofMillis(1_500),
+                Duration.ofMillis(1_200),
+                0.4,
+                // A connection that broke while it was idle fails the request, which then cannot be sent again.
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(10),
+                4,
+                Duration.ofMillis(20));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeListener.java
@@ -0,0 +1,48 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.traffic.Route;
+
+/**
+ * Is told how exchanges end.
+ *
+ * <p>Confined to the event loop.
+ */
+@FunctionalInterface
+public interface OutcomeListener {
+
+    /**
+     * Tells of an end.
+     *
+     * @param outcome the end, not null
+     */
+    void ended(Outcome outcome);
+
+    /**
+     * How an exchange ended.
+     *
+     * @param route its route
+     * @param kind the kind of end
+     * @param status the status sent, 0 if none was
+     * @param arrivals how often the request was sent to a target
+     * @param firstPart the time to the first part of the answer, empty if there was none
+     * @param total the time to the end
+     */
+    record Outcome(Route route, Kind kind, int status, int arrivals, Optional<Duration> firstPart, Duration total) {}
+
+    /** The kinds of end. */
+    enum Kind {
+        /** A target's answer was passed on whole. */
+        ANSWERED,
+        /** Refused, and not run. */
+        REFUSED,
+        /** Failed after a target may have begun it. */
+        FAILED,
+        /** An answer was cut after its beginning had been passed on. */
+        CUT,
+        /** The caller went away. */
+        CALLER_GONE
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RepeatBudgets.java
@@ -0,0 +1,51 @@
+package org.geraniumreach.gateway.request;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Supplier;
+
+import org.geraniumreach.serving.retry.RetryBudget;
+
+/**
+ * A budget of second arrivals for each service.
+ *
+ * <p>Confined to the event loop.
+ */
+public final class RepeatBudgets {
+
+    private final Supplier<RetryBudget> maker;
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+
+    /**
+     * Makes budgets.
+     *
+     * @param maker makes the budget of a service, not null
+     */
+    public RepeatBudgets(Supplier<RetryBudget> maker) {
+        this.maker = Objects.requireNonNull(maker, "maker");
+    }
+
+    private RetryBudget of(String service) {
+        return budgets.computeIfAbsent(service, missing -> maker.get());
+    }
+
+    /**
+     * Notes a caller's request, which earns a part of a repeat.
+     *
+     * @param service the service, not null
+     */
+    public void requested(String service) {
+        of(service).succeeded();
+    }
+
+    /**
+     * Asks for a second arrival.
+     *
+     * @param service the service, not null
+     * @return true if it is granted, and spent
+     */
+    public boolean take(String service) {
+        return of(service).tryRetry();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestDesk.java
@@ -0,0 +1,108 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+
+import org.geraniumreach.gateway.port.CallerAnswer;
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.traffic.Account;
+import org.geraniumreach.gateway.traffic.Route;
+import org.geraniumreach.gateway.traffic.TrafficConfiguration;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.ResultCode;
+
+/**
+ * Receives callers' requests: finds route and account, or refuses.
+ *
+ * <p>Invariant: an entry that knows no configuration yet says "not now" and never that something does not exist. Confined to
+ * the event loop.
+ */
+public final class RequestDesk {
+
+    private static final Duration UNTIL_CONFIGURED = Duration.ofMillis(500);
+
+    private final ExchangeServices services;
+    private final Supplier<Optional<TrafficConfiguration>> configuration;
+    private final DoubleSupplier draws;
+    private final Set<Exchange> open = new HashSet<>();
+
+    /**
+     * Makes a desk.
+     *
+     * @param services what exchanges share, not null
+     * @param configuration the configuration in force, not null
+     * @param draws numbers from 0 to below 1 by which a service is drawn, not null
+     */
+    public RequestDesk(
+            ExchangeServices services, Supplier<Optional<TrafficConfiguration>> configuration, DoubleSupplier draws) {
+        this.services = Objects.requireNonNull(services, "services");
+        this.configuration = Objects.requireNonNull(configuration, "configuration");
+        this.draws = Objects.requireNonNull(draws, "draws");
+    }
+
+    /**
+     * Receives a request.
+     *
+     * @param request the request, not null
+     * @param answer where its answer goes, not null
+     * @return to be cancelled when the caller goes away, not null
+     */
+    public Cancellable receive(GatewayRequest request, CallerAnswer answer) {
+        Optional<TrafficConfiguration> current = configuration.get();
+        if (current.isEmpty()) {
+            return refuse(
+                    request,
+                    answer,
+                    Refusal.until(ResultCode.NOT_FRESH, "no configuration is known yet", UNTIL_CONFIGURED));
+        }
+        Optional<Route> route = current.get().route(request.host(), request.path());
+        if (route.isEmpty()) {
+            return refuse(request, answer, Refusal.of(ResultCode.UNKNOWN_PATH, "no route"));
+        }
+        Optional<Account> account = request.key().flatMap(current.get()::accountOfKey);
+        boolean wantsKey = current.get().wantsKeys() && !route.get().open();
+        if (wantsKey && account.isEmpty()) {
+            ResultCode code = request.key().isPresent() ? ResultCode.KEY_REFUSED : ResultCode.KEY_MISSING;
+            return refuse(request, answer, Refusal.of(code, "a key of a client account is needed"));
+        }
+        String service = route.get().service(draws.getAsDouble());
+        services.repeats().requested(service);
+        Exchange exchange = new Exchange(
+                services, request, route.get(), service, wantsKey ? account : Optional.empty(), answer, open::remove);
+        open.add(exchange);
+        exchange.start();
+        return exchange::callerGone;
+    }
+
+    private Cancellable refuse(GatewayRequest request, CallerAnswer answer, Refusal refusal) {
+        services.log()
+                .write(
+                        EventCode.REQUEST_REFUSED,
+                        request.id(),
+                        Field.of("code", refusal.code()),
+                        Field.of("host", request.host()),
+                        Field.of(
+                                "configuration",
+                                configuration
+                                        .get()
+                                        .map(TrafficConfiguration::version)
+                                        .orElse(0L)));
+        refusal.send(answer);
+        return Cancellable.NOTHING;
+    }
+
+    /**
+     * Gets the exchanges that have not ended.
+     *
+     * @return how many
+     */
+    public int open() {
+        return open.size();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/StoreWatch.java
@@ -0,0 +1,95 @@
+package org.geraniumreach.gateway.store;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.port.StoreReply;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * Whether the store answers.
+ *
+ * <p>Invariant: one line of the log for each loss and each return. Confined to the event loop.
+ */
+public final class StoreWatch {
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final MonotonicClock clock;
+    private final DecisionLog log;
+    private final List<Listener> listeners = new ArrayList<>();
+    private boolean away;
+    private long awaySince;
+
+    /** Is told of changes. */
+    public interface Listener {
+
+        /** Tells that the store does not answer. */
+        void lost();
+
+        /** Tells that it answers again. */
+        void answersAgain();
+    }
+
+    /**
+     * Makes a watch of a store that is taken to answer.
+     *
+     * @param clock the clock, not null
+     * @param log takes decisions, not null
+     */
+    public StoreWatch(MonotonicClock clock, DecisionLog log) {
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /**
+     * Registers who is told of changes.
+     *
+     * @param listener the listener, not null
+     */
+    public void listen(Listener listener) {
+        listeners.add(listener);
+    }
+
+    /**
+     * Takes what came of a call.
+     *
+     * @param reply the reply, not null
+     */
+    public void noted(StoreReply<?> reply) {
+        if (reply instanceof StoreReply.Unknown<?> unknown) {
+            lost(unknown.reason());
+        } else if (reply instanceof StoreReply.Refused<?> refused) {
+            lost(refused.reason());
+        } else {
+            answered();
+        }
+    }
+
+    private void lost(String reason) {
+        if (away) {
+            return;
+        }
+        away = true;
+        awaySince = clock.nanos();
+        log.write(EventCode.PLATFORM_UNREACHABLE, "", Field.of("reason", reason));
+        listeners.forEach(Listener::lost);
+    }
+
+    private void answered() {
+        if (!away) {
+            return;
+        }
+        away = false;
+        long awayMillis = (clock.nanos() - awaySince) / NANOS_PER_MILLI;
+        log.write(EventCode.PLATFORM_REACHABLE, "", Field.of("awayMillis", awayMillis));
+        listeners.forEach(Listener::answersAgain);
+    }
+
+    public boolean isAway() {
+        return away;
+    }
+}
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpCallRequest.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpCallRequest.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.geraniumreach.model.Header;
+
 /**
  * A request to be sent as it is; only length, {@code Host} if missing, and framing are added.
  *
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.geraniumreach.model.Header;
 
 /**
  * One connection, which carries calls one after another.
@@ -97,7 +98,8 @@
     boolean isUsable(long now, Duration longestIdle) {
         long idleNanos = now - idleSince;
         boolean allowed = allowedIdleSeconds.isEmpty()
-                || idleNanos < Duration.ofSeconds(allowedIdleSeconds.getAsLong() - 1).toNanos();
+                || idleNanos
+                        < Duration.ofSeconds(allowedIdleSeconds.getAsLong() - 1).toNanos();
         return channel.isActive() && allowed && idleNanos <= longestIdle.toNanos();
     }
 
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -65,10 +65,7 @@
      * @return the call, not null
      */
     public HttpCall send(
-            InetSocketAddress address,
-            HttpCallRequest request,
-            Duration longestIdle,
-            HttpResponseListener listener) {
+            InetSocketAddress address, HttpCallRequest request, Duration longestIdle, HttpResponseListener listener) {
         PendingCall call = new PendingCall(request, listener);
         HttpConnection kept = takeIdle(address, longestIdle);
         if (kept != null) {
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseHead.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseHead.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.geraniumreach.model.Header;
+
 /**
  * The status line and headers of a response.
  *
--- a/daemon/src/main/java/org/geraniumreach/daemon/http/BodyReader.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/BodyReader.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.daemon.http;
+package org.geraniumreach.httpserver;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -16,32 +16,39 @@
  * <p>A caller that sends slowly would otherwise hold one of few worker threads for as long as it likes. Invariant: exactly
  * one of the two consumers is called, once; no more than the limit is held. Grizzly calls it by one thread at a time.
  */
-final class BodyReader implements ReadHandler {
+public final class BodyReader implements ReadHandler {
 
     private static final int BUFFER = 8_192;
 
     private final NIOInputStream input;
-    private final HttpLimits limits;
+    private final long largest;
     private final Consumer<byte[]> whole;
     private final Consumer<ServingException> refused;
     private final ByteArrayOutputStream content = new ByteArrayOutputStream();
     private boolean done;
 
-    private BodyReader(
-            NIOInputStream input, HttpLimits limits, Consumer<byte[]> whole, Consumer<ServingException> refused) {
+    private BodyReader(NIOInputStream input, long largest, Consumer<byte[]> whole, Consumer<ServingException> refused) {
         this.input = input;
-        this.limits = limits;
+        this.largest = largest;
         this.whole = whole;
         this.refused = refused;
     }
 
-    static void read(Request request, HttpLimits limits, Consumer<byte[]> whole, Consumer<ServingException> refused) {
-        if (request.getContentLengthLong() > limits.body().bytes()) {
-            refused.accept(tooLarge(limits));
+    /**
+     * Reads a request's body.
+     *
+     * @param request the request, whose response is suspended, not null
+     * @param largest the greatest number of bytes taken
+     * @param whole told of the body once it is whole, not null
+     * @param refused told if it is too large or breaks off, not null
+     */
+    public static void read(Request request, long largest, Consumer<byte[]> whole, Consumer<ServingException> refused) {
+        if (request.getContentLengthLong() > largest) {
+            refused.accept(tooLarge(largest));
             return;
         }
         NIOInputStream input = request.getNIOInputStream();
-        input.notifyAvailable(new BodyReader(input, limits, whole, refused));
+        input.notifyAvailable(new BodyReader(input, largest, whole, refused));
     }
 
     @Override
@@ -77,17 +84,16 @@
             if (count < 0) {
                 return;
             }
-            if (content.size() + count > limits.body().bytes()) {
+            if (content.size() + count > largest) {
                 done = true;
-                refused.accept(tooLarge(limits));
+                refused.accept(tooLarge(largest));
                 return;
             }
             content.write(buffer, 0, count);
         }
     }
 
-    private static ServingException tooLarge(HttpLimits limits) {
-        return ServingException.notRun(
-                ResultCode.BODY_TOO_LARGE, "the body is above " + limits.body().bytes() + " bytes");
+    private static ServingException tooLarge(long largest) {
+        return ServingException.notRun(ResultCode.BODY_TOO_LARGE, "the body is above " + largest + " bytes");
     }
 }
--- a/daemon/src/main/java/org/geraniumreach/daemon/http/UpgradeOffers.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/UpgradeOffers.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.daemon.http;
+package org.geraniumreach.httpserver;
 
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -17,7 +17,7 @@
  * head for the other protocol, so the call waits for a body that has come already, until its time limit. Without the offer
  * the request is read as the HTTP/1.1 that it is, which the offer allows. Stateless and safe for use by several threads.
  */
-final class UpgradeOffers extends BaseFilter implements AddOn {
+public final class UpgradeOffers extends BaseFilter implements AddOn {
 
     @Override
     public void setup(NetworkListener listener, FilterChainBuilder filters) {
--- /dev/null
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/package-info.java
@@ -0,0 +1,2 @@
+/** What the HTTP faces towards callers and operators share. */
+package org.geraniumreach.httpserver;
--- a/link/src/main/java/org/geraniumreach/link/LinkNode.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkNode.java
@@ -46,17 +46,24 @@
     private final Supplier<Hello> localHello;
     private final LinkEventListener events;
     private final EventLoopGroup loops;
+    private final boolean ownsLoops;
     private final HandlerRegistry handlers = new HandlerRegistry();
     private final LinkTable<LinkChannel> table = new LinkTable<>();
     private final Map<InstanceId, KeptLink> kept = new ConcurrentHashMap<>();
     private volatile Channel server;
     private volatile boolean closed;
 
-    private LinkNode(LinkSettings settings, Supplier<Hello> localHello, LinkEventListener events) {
-        this.settings = settings;
-        this.localHello = localHello;
-        this.events = events;
-        this.loops = new NioEventLoopGroup(settings.threads(), new DefaultThreadFactory("link", true));
+    private LinkNode(
+            LinkSettings settings,
+            Supplier<Hello> localHello,
+            LinkEventListener events,
+            EventLoopGroup loops,
+            boolean ownsLoops) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.localHello = Objects.requireNonNull(localHello, "localHello");
+        this.events = Objects.requireNonNull(events, "events");
+        this.loops = Objects.requireNonNull(loops, "loops");
+        this.ownsLoops = ownsLoops;
     }
 
     /**
@@ -68,10 +75,22 @@
      * @return the node, not null
      */
     public static LinkNode create(LinkSettings settings, Supplier<Hello> localHello, LinkEventListener events) {
-        Objects.requireNonNull(settings, "settings");
-        Objects.requireNonNull(localHello, "localHello");
-        Objects.requireNonNull(events, "events");
-        return new LinkNode(settings, localHello, events);
+        EventLoopGroup own = new NioEventLoopGroup(settings.threads(), new DefaultThreadFactory("link", true));
+        return new LinkNode(settings, localHello, events, own, true);
+    }
+
+    /**
+     * Makes a node on event loops that serve other things too, and that it does not stop.
+     *
+     * @param settings how links behave, not null
+     * @param localHello gives what this process says of itself on each new connection, not null
+     * @param events told of what an operator should see, not null
+     * @param loops the event loops, not null
+     * @return the node, not null
+     */
+    public static LinkNode createOn(
+            LinkSettings settings, Supplier<Hello> localHello, LinkEventListener events, EventLoopGroup loops) {
+        return new LinkNode(settings, localHello, events, loops, false);
     }
 
     /**
@@ -252,6 +271,8 @@
             listening.close();
         }
         table.all().forEach(link -> link.close("this end stops"));
-        loops.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS);
+        if (ownsLoops) {
+            loops.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS);
+        }
     }
 }
--- a/messages/src/main/java/org/geraniumreach/messages/Frame.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Frame.java
@@ -71,6 +71,8 @@
     LOAD_NEWS(21),
     LEAVING(22),
     SHARE_MOVED(23),
+    ADAPTER_DEMAND(24),
+    ADAPTER_NEWS(25),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -111,6 +113,8 @@
         case 21: return LOAD_NEWS;
         case 22: return LEAVING;
         case 23: return SHARE_MOVED;
+        case 24: return ADAPTER_DEMAND;
+        case 25: return ADAPTER_NEWS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -839,6 +843,68 @@
     return org.geraniumreach.messages.ShareMoved.getDefaultInstance();
   }
 
+  public static final int ADAPTER_DEMAND_FIELD_NUMBER = 24;
+  /**
+   * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+   * @return Whether the adapterDemand field is set.
+   */
+  @java.lang.Override
+  public boolean hasAdapterDemand() {
+    return bodyCase_ == 24;
+  }
+  /**
+   * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+   * @return The adapterDemand.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.AdapterDemand getAdapterDemand() {
+    if (bodyCase_ == 24) {
+       return (org.geraniumreach.messages.AdapterDemand) body_;
+    }
+    return org.geraniumreach.messages.AdapterDemand.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.AdapterDemandOrBuilder getAdapterDemandOrBuilder() {
+    if (bodyCase_ == 24) {
+       return (org.geraniumreach.messages.AdapterDemand) body_;
+    }
+    return org.geraniumreach.messages.AdapterDemand.getDefaultInstance();
+  }
+
+  public static final int ADAPTER_NEWS_FIELD_NUMBER = 25;
+  /**
+   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+   * @return Whether the adapterNews field is set.
+   */
+  @java.lang.Override
+  public boolean hasAdapterNews() {
+    return bodyCase_ == 25;
+  }
+  /**
+   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+   * @return The adapterNews.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.AdapterNews getAdapterNews() {
+    if (bodyCase_ == 25) {
+       return (org.geraniumreach.messages.AdapterNews) body_;
+    }
+    return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.AdapterNewsOrBuilder getAdapterNewsOrBuilder() {
+    if (bodyCase_ == 25) {
+       return (org.geraniumreach.messages.AdapterNews) body_;
+    }
+    return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -922,6 +988,12 @@
     if (bodyCase_ == 23) {
       output.writeMessage(23, (org.geraniumreach.messages.ShareMoved) body_);
     }
+    if (bodyCase_ == 24) {
+      output.writeMessage(24, (org.geraniumreach.messages.AdapterDemand) body_);
+    }
+    if (bodyCase_ == 25) {
+      output.writeMessage(25, (org.geraniumreach.messages.AdapterNews) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1023,6 +1095,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(23, (org.geraniumreach.messages.ShareMoved) body_);
     }
+    if (bodyCase_ == 24) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, (org.geraniumreach.messages.AdapterDemand) body_);
+    }
+    if (bodyCase_ == 25) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(25, (org.geraniumreach.messages.AdapterNews) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1132,6 +1212,14 @@
         if (!getShareMoved()
             .equals(other.getShareMoved())) return false;
         break;
+      case 24:
+        if (!getAdapterDemand()
+            .equals(other.getAdapterDemand())) return false;
+        break;
+      case 25:
+        if (!getAdapterNews()
+            .equals(other.getAdapterNews())) return false;
+        break;
       case 0:
       default:
     }
@@ -1239,6 +1327,14 @@
         hash = (37 * hash) + SHARE_MOVED_FIELD_NUMBER;
         hash = (53 * hash) + getShareMoved().hashCode();
         break;
+      case 24:
+        hash = (37 * hash) + ADAPTER_DEMAND_FIELD_NUMBER;
+        hash = (53 * hash) + getAdapterDemand().hashCode();
+        break;
+      case 25:
+        hash = (37 * hash) + ADAPTER_NEWS_FIELD_NUMBER;
+        hash = (53 * hash) + getAdapterNews().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1442,6 +1538,12 @@
       if (shareMovedBuilder_ != null) {
         shareMovedBuilder_.clear();
       }
+      if (adapterDemandBuilder_ != null) {
+        adapterDemandBuilder_.clear();
+      }
+      if (adapterNewsBuilder_ != null) {
+        adapterNewsBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1575,6 +1677,14 @@
           shareMovedBuilder_ != null) {
         result.body_ = shareMovedBuilder_.build();
       }
+      if (bodyCase_ == 24 &&
+          adapterDemandBuilder_ != null) {
+        result.body_ = adapterDemandBuilder_.build();
+      }
+      if (bodyCase_ == 25 &&
+          adapterNewsBuilder_ != null) {
+        result.body_ = adapterNewsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1682,6 +1792,14 @@
           mergeShareMoved(other.getShareMoved());
           break;
         }
+        case ADAPTER_DEMAND: {
+          mergeAdapterDemand(other.getAdapterDemand());
+          break;
+        }
+        case ADAPTER_NEWS: {
+          mergeAdapterNews(other.getAdapterNews());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1873,6 +1991,20 @@
               bodyCase_ = 23;
               break;
             } // case 186
+            case 194: {
+              input.readMessage(
+                  getAdapterDemandFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 24;
+              break;
+            } // case 194
+            case 202: {
+              input.readMessage(
+                  getAdapterNewsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 25;
+              break;
+            } // case 202
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5171,6 +5303,290 @@
       return shareMovedBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.AdapterDemand, org.geraniumreach.messages.AdapterDemand.Builder, org.geraniumreach.messages.AdapterDemandOrBuilder> adapterDemandBuilder_;
+    /**
+     * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+     * @return Whether the adapterDemand field is set.
+     */
+    @java.lang.Override
+    public boolean hasAdapterDemand() {
+      return bodyCase_ == 24;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+     * @return The adapterDemand.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.AdapterDemand getAdapterDemand() {
+      if (adapterDemandBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          return (org.geraniumreach.messages.AdapterDemand) body_;
+        }
+        return org.geraniumreach.messages.AdapterDemand.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 24) {
+          return adapterDemandBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.AdapterDemand.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+     */
+    public Builder setAdapterDemand(org.geraniumreach.messages.AdapterDemand value) {
+      if (adapterDemandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        adapterDemandBuilder_.setMessage(value);
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+     */
+    public Builder setAdapterDemand(
+        org.geraniumreach.messages.AdapterDemand.Builder builderForValue) {
+      if (adapterDemandBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        adapterDemandBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+     */
+    public Builder mergeAdapterDemand(org.geraniumreach.messages.AdapterDemand value) {
+      if (adapterDemandBuilder_ == null) {
+        if (bodyCase_ == 24 &&
+            body_ != org.geraniumreach.messages.AdapterDemand.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.AdapterDemand.newBuilder((org.geraniumreach.messages.AdapterDemand) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 24) {
+          adapterDemandBuilder_.mergeFrom(value);
+        } else {
+          adapterDemandBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+     */
+    public Builder clearAdapterDemand() {
+      if (adapterDemandBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        adapterDemandBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+     */
+    public org.geraniumreach.messages.AdapterDemand.Builder getAdapterDemandBuilder() {
+      return getAdapterDemandFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.AdapterDemandOrBuilder getAdapterDemandOrBuilder() {
+      if ((bodyCase_ == 24) && (adapterDemandBuilder_ != null)) {
+        return adapterDemandBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 24) {
+          return (org.geraniumreach.messages.AdapterDemand) body_;
+        }
+        return org.geraniumreach.messages.AdapterDemand.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.AdapterDemand, org.geraniumreach.messages.AdapterDemand.Builder, org.geraniumreach.messages.AdapterDemandOrBuilder> 
+        getAdapterDemandFieldBuilder() {
+      if (adapterDemandBuilder_ == null) {
+        if (!(bodyCase_ == 24)) {
+          body_ = org.geraniumreach.messages.AdapterDemand.getDefaultInstance();
+        }
+        adapterDemandBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.AdapterDemand, org.geraniumreach.messages.AdapterDemand.Builder, org.geraniumreach.messages.AdapterDemandOrBuilder>(
+                (org.geraniumreach.messages.AdapterDemand) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 24;
+      onChanged();
+      return adapterDemandBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.AdapterNews, org.geraniumreach.messages.AdapterNews.Builder, org.geraniumreach.messages.AdapterNewsOrBuilder> adapterNewsBuilder_;
+    /**
+     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     * @return Whether the adapterNews field is set.
+     */
+    @java.lang.Override
+    public boolean hasAdapterNews() {
+      return bodyCase_ == 25;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     * @return The adapterNews.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.AdapterNews getAdapterNews() {
+      if (adapterNewsBuilder_ == null) {
+        if (bodyCase_ == 25) {
+          return (org.geraniumreach.messages.AdapterNews) body_;
+        }
+        return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 25) {
+          return adapterNewsBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     */
+    public Builder setAdapterNews(org.geraniumreach.messages.AdapterNews value) {
+      if (adapterNewsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        adapterNewsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     */
+    public Builder setAdapterNews(
+        org.geraniumreach.messages.AdapterNews.Builder builderForValue) {
+      if (adapterNewsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        adapterNewsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     */
+    public Builder mergeAdapterNews(org.geraniumreach.messages.AdapterNews value) {
+      if (adapterNewsBuilder_ == null) {
+        if (bodyCase_ == 25 &&
+            body_ != org.geraniumreach.messages.AdapterNews.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.AdapterNews.newBuilder((org.geraniumreach.messages.AdapterNews) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 25) {
+          adapterNewsBuilder_.mergeFrom(value);
+        } else {
+          adapterNewsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     */
+    public Builder clearAdapterNews() {
+      if (adapterNewsBuilder_ == null) {
+        if (bodyCase_ == 25) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 25) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        adapterNewsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     */
+    public org.geraniumreach.messages.AdapterNews.Builder getAdapterNewsBuilder() {
+      return getAdapterNewsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.AdapterNewsOrBuilder getAdapterNewsOrBuilder() {
+      if ((bodyCase_ == 25) && (adapterNewsBuilder_ != null)) {
+        return adapterNewsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 25) {
+          return (org.geraniumreach.messages.AdapterNews) body_;
+        }
+        return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.AdapterNews, org.geraniumreach.messages.AdapterNews.Builder, org.geraniumreach.messages.AdapterNewsOrBuilder> 
+        getAdapterNewsFieldBuilder() {
+      if (adapterNewsBuilder_ == null) {
+        if (!(bodyCase_ == 25)) {
+          body_ = org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+        }
+        adapterNewsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.AdapterNews, org.geraniumreach.messages.AdapterNews.Builder, org.geraniumreach.messages.AdapterNewsOrBuilder>(
+                (org.geraniumreach.messages.AdapterNews) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 25;
+      onChanged();
+      return adapterNewsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Frame)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
@@ -354,5 +354,35 @@
    */
   org.geraniumreach.messages.ShareMovedOrBuilder getShareMovedOrBuilder();
 
+  /**
+   * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+   * @return Whether the adapterDemand field is set.
+   */
+  boolean hasAdapterDemand();
+  /**
+   * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+   * @return The adapterDemand.
+   */
+  org.geraniumreach.messages.AdapterDemand getAdapterDemand();
+  /**
+   * <code>.geraniumreach.link.AdapterDemand adapter_demand = 24;</code>
+   */
+  org.geraniumreach.messages.AdapterDemandOrBuilder getAdapterDemandOrBuilder();
+
+  /**
+   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+   * @return Whether the adapterNews field is set.
+   */
+  boolean hasAdapterNews();
+  /**
+   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+   * @return The adapterNews.
+   */
+  org.geraniumreach.messages.AdapterNews getAdapterNews();
+  /**
+   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+   */
+  org.geraniumreach.messages.AdapterNewsOrBuilder getAdapterNewsOrBuilder();
+
   org.geraniumreach.messages.Frame.BodyCase getBodyCase();
 }
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/Header.java
+++ b/model/src/main/java/org/geraniumreach/model/Header.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.httpclient;
+package org.geraniumreach.model;
 
 import java.util.Objects;
 
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -0,0 +1,135 @@
+package org.geraniumreach.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.channel.EventLoopGroup;
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.process.ProcessSettings;
+import org.geraniumreach.link.FrameHandler;
+import org.geraniumreach.link.LinkNode;
+import org.geraniumreach.link.LinkSettings;
+import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.AdapterDemand;
+import org.geraniumreach.messages.AdapterNews;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.Hello;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.InstanceId;
+
+/**
+ * The links between entries.
+ *
+ * <p>Invariant: of two entries the one whose instance comes first opens the link. Confined to the event loop, which carries the
+ * links too.
+ */
+final class EntryLinks implements FrameHandler, AutoCloseable {
+
+    private static final int PROTOCOL_VERSION = 1;
+
+    private final LinkNode links;
+    private final String self;
+    private final Listener listener;
+    private final DecisionLog log;
+    private final Map<String, InetSocketAddress> known = new HashMap<>();
+
+    /** Is told of what other entries send. */
+    interface Listener {
+
+        void opened(String entry);
+
+        void demanded(AdapterDemand demand);
+
+        void news(AdapterNews news);
+    }
+
+    private EntryLinks(
+            ProcessSettings settings, long incarnation, EventLoopGroup loops, Listener listener, DecisionLog log) {
+        this.self = settings.instance();
+        this.listener = Objects.requireNonNull(listener, "listener");
+        this.log = Objects.requireNonNull(log, "log");
+        Hello hello = Hello.newBuilder()
+                .setProtocolVersion(PROTOCOL_VERSION)
+                .setInstance(self)
+                .setRole("entry")
+                .setIncarnation(incarnation)
+                .setFailureDomain(settings.failureDomain().value())
+                .build();
+        this.links = LinkNode.createOn(
+                LinkSettings.defaults(),
+                () -> hello,
+                (event, detail) -> log.write(event, "", Field.of("detail", detail)),
+                loops);
+    }
+
+    static EntryLinks start(
+            ProcessSettings settings, long incarnation, EventLoopGroup loops, Listener listener, DecisionLog log)
+            throws IOException {
+        EntryLinks entryLinks = new EntryLinks(settings, incarnation, loops, listener, log);
+        entryLinks.links.handle(EnumSet.of(Frame.BodyCase.ADAPTER_DEMAND, Frame.BodyCase.ADAPTER_NEWS), entryLinks);
+        entryLinks.links.listen(settings.links());
+        return entryLinks;
+    }
+
+    /** Sets the other entries that links are kept with. */
+    void keep(Map<String, InetSocketAddress> entries) {
+        Set<String> gone = new HashSet<>(known.keySet());
+        gone.removeAll(entries.keySet());
+        gone.forEach(entry -> links.release(InstanceId.of(entry)));
+        known.keySet().removeAll(gone);
+        entries.forEach((entry, address) -> {
+            if (self.compareTo(entry) < 0 && !address.equals(known.get(entry))) {
+                links.keep(InstanceId.of(entry), address);
+            }
+            known.put(entry, address);
+        });
+    }
+
+    boolean isVisible(String entry) {
+        return links.find(InstanceId.of(entry)).isPresent();
+    }
+
+    boolean send(String entry, Frame frame) {
+        Optional<Peer> peer = links.find(InstanceId.of(entry));
+        return peer.isPresent() && peer.get().send(frame);
+    }
+
+    void sendAll(Frame frame) {
+        List<Peer> peers = links.peers();
+        peers.forEach(peer -> peer.send(frame));
+    }
+
+    @Override
+    public void opened(Peer peer) {
+        log.write(EventCode.LINK_OPENED, peer.hello().getInstance());
+        listener.opened(peer.hello().getInstance());
+    }
+
+    @Override
+    public void received(Peer peer, Frame frame) {
+        if (frame.hasAdapterDemand()) {
+            listener.demanded(frame.getAdapterDemand());
+        } else if (frame.hasAdapterNews()) {
+            listener.news(frame.getAdapterNews());
+        }
+    }
+
+    @Override
+    public void closed(Peer peer, String reason) {
+        // The node has logged the loss; what was on its way is asked for again by whoever waits for it.
+    }
+
+    @Override
+    public void close() {
+        links.close();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -0,0 +1,326 @@
+package org.geraniumreach.node;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.geraniumreach.gateway.adapter.Holdings;
+import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.port.StorePort;
+import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.gateway.process.ProcessSettings;
+import org.geraniumreach.gateway.quota.Quotas;
+import org.geraniumreach.gateway.request.ExchangeServices;
+import org.geraniumreach.gateway.request.ExchangeSettings;
+import org.geraniumreach.gateway.request.OutcomeListener;
+import org.geraniumreach.gateway.request.RepeatBudgets;
+import org.geraniumreach.gateway.request.RequestDesk;
+import org.geraniumreach.gateway.store.FeedReader;
+import org.geraniumreach.gateway.store.LeaseKeeper;
+import org.geraniumreach.gateway.store.StoreWatch;
+import org.geraniumreach.gateway.target.Placement;
+import org.geraniumreach.gateway.target.PlacementSettings;
+import org.geraniumreach.gateway.target.Target;
+import org.geraniumreach.gateway.target.TargetBook;
+import org.geraniumreach.gateway.target.TargetDescription;
+import org.geraniumreach.gateway.traffic.TrafficConfiguration;
+import org.geraniumreach.httpclient.HttpConnections;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.platform.Ingress;
+import org.geraniumreach.platform.StoreClient;
+import org.geraniumreach.platform.TargetClient;
+import org.geraniumreach.serving.retry.EjectionRules;
+import org.geraniumreach.serving.retry.RetryBudget;
+import org.geraniumreach.serving.retry.TargetHealth;
+
+/**
+ * An entry on the users' platform.
+ *
+ * <p>Invariant: all decisions and all connections but the callers' reading are on one event loop. Safe for use by several threads.
+ */
+final class EntryProcess {
+
+    private static final Duration CONNECT_LIMIT = Duration.ofMillis(400);
+    private static final Duration IDLE_CONNECTIONS = Duration.ofSeconds(12);
+    private static final Duration SWEEP = Duration.ofMillis(500);
+
+    /** A change must be in force within 2 s, so a silent connection must show well before. */
+    private static final FeedReader.Pace OPERATOR_PACE =
+            new FeedReader.Pace(Duration.ofMillis(1_500), Duration.ZERO, Duration.ofMillis(500));
+
+    /** A leaving target must be heeded within 2 s; rows change with each load, so reading at each change costs 13 calls a second. */
+    private static final FeedReader.Pace TARGET_PACE =
+            new FeedReader.Pace(Duration.ofMillis(1_500), Duration.ofMillis(600), Duration.ofMillis(500));
+
+    private static final FeedReader.Pace FLEET_PACE =
+            new FeedReader.Pace(Duration.ofSeconds(4), Duration.ofMillis(100), Duration.ofSeconds(1));
+
+    private static final Ingress.Limits FIRST_LIMITS =
+            new Ingress.Limits(16_384, 4 * 1024 * 1024, Duration.ofSeconds(75));
+
+    /** Part of what all entries may cause that is planned for; the rest covers entries that come and go. */
+    private static final double REPEAT_CAUTION = 0.75;
+
+    /** Entries among which the fixed part of the repeats is divided, until it is known how many there are. */
+    private static final int LIKELY_ENTRIES = 6;
+
+    private static final Duration LEAST_DRAIN = Duration.ofMillis(3_500);
+    private static final Duration DRAIN_MARGIN = Duration.ofMillis(900);
+    private static final Duration DRAIN_LOOK = Duration.ofMillis(50);
+
+    private final ProcessSettings settings;
+    private final JsonLog log;
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop", true));
+    private final EventLoop loop = group.next();
+    private final Timers timers = new EventLoopTimers(loop);
+    private final AtomicBoolean draining = new AtomicBoolean();
+    private final long incarnation = System.currentTimeMillis();
+    private final SplittableRandom random = new SplittableRandom();
+    private final TargetBook book = new TargetBook(clock);
+    private final StoreWatch watch;
+    private final Lease lease = new Lease(clock, System::currentTimeMillis);
+    private final Holdings holdings;
+    private final Quotas quotas;
+    private final HttpConnections connections = new HttpConnections(loop, clock, CONNECT_LIMIT);
+    private final StorePort store;
+    private final TargetClient targets = new TargetClient(connections);
+    private final HolderDesk desk;
+    private final TargetHealth health;
+    private final RequestDesk requests;
+    private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
+    private volatile boolean targetsKnown;
+    private volatile boolean admits;
+    private Ingress ingress;
+    private EntryLinks links;
+    private FleetTable fleet;
+    private LeaseKeeper leaseKeeper;
+
+    EntryProcess(ProcessSettings settings, JsonLog log) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.log = Objects.requireNonNull(log, "log");
+        this.watch = new StoreWatch(clock, log);
+        this.holdings = new Holdings(settings.instance(), incarnation, lease, clock);
+        this.quotas = new Quotas(settings.instance(), lease, clock);
+        this.store = new StoreClient(connections, settings.store());
+        this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
+        this.desk = new HolderDesk(book, holdings, targets, timers, clock, log, () -> configuration);
+        this.requests = new RequestDesk(services(), () -> configuration, random::nextDouble);
+    }
+
+    private ExchangeServices services() {
+        Placement placement = new Placement(
+                book,
+                target -> health.admits(target.id()),
+                desk::isOrderable,
+                settings.failureDomain(),
+                PlacementSettings.defaults(),
+                clock,
+                random);
+        return new ExchangeServices(
+                placement,
+                book,
+                targets,
+                desk,
+                quotas,
+                new RepeatBudgets(this::repeatBudget),
+                health,
+                timers,
+                clock,
+                log,
+                this::ended,
+                ExchangeSettings.defaults());
+    }
+
+    private RetryBudget repeatBudget() {
+        ProcessSettings.RepeatLimits repeats = settings.repeats();
+        double size = Math.max(1, repeats.extra() * REPEAT_CAUTION / LIKELY_ENTRIES);
+        return RetryBudget.create(clock, repeats.ratio() * REPEAT_CAUTION, 0, size);
+    }
+
+    private void ended(OutcomeListener.Outcome outcome) {
+        if (outcome.kind() == OutcomeListener.Kind.ANSWERED) {
+            log.write(
+                    EventCode.REQUEST_ANSWERED,
+                    "",
+                    Field.of("route", outcome.route().name()),
+                    Field.of("status", outcome.status()),
+                    Field.of("arrivals", outcome.arrivals()),
+                    Field.of(
+                            "firstMillis",
+                            outcome.firstPart().map(Duration::toMillis).orElse(-1L)),
+                    Field.of("totalMillis", outcome.total().toMillis()));
+        }
+    }
+
+    void start() throws IOException {
+        log.write(
+                EventCode.STARTING,
+                settings.instance(),
+                Field.of("incarnation", incarnation),
+                Field.of("failureDomain", settings.failureDomain().value()));
+        ingress = Ingress.start(
+                settings.callers(), settings.readiness(), FIRST_LIMITS, requests::receive, this::isReady, loop, log);
+        links = EntryLinks.start(settings, incarnation, group, desk, log);
+        loop.execute(this::begin);
+    }
+
+    private void begin() {
+        fleet = new FleetTable(
+                settings,
+                incarnation,
+                new FleetTable.Parts(store, holdings, quotas, desk, links, timers, clock, watch, log));
+        leaseKeeper =
+                new LeaseKeeper(lease, store, timers, watch, settings.instance(), incarnation, this::leaseRenewed);
+        watch.listen(new StoreWatch.Listener() {
+            @Override
+            public void lost() {
+                book.storeLost();
+            }
+
+            @Override
+            public void answersAgain() {
+                book.storeAnswers();
+            }
+        });
+        book.listen(desk);
+        book.listen(new HealthMembers());
+        desk.start(links);
+        new FeedReader<>(store::operatorNews, this::operatorNews, watch, timers, OPERATOR_PACE).read();
+        new FeedReader<>(store::targetNews, this::targetNews, watch, timers, TARGET_PACE).read();
+        FeedReader.Source<StorePort.RowChange> fleetRows =
+                (position, reply) -> store.rowNews(Holdings.TABLE, position, reply);
+        new FeedReader<>(fleetRows, fleet::took, watch, timers, FLEET_PACE).read();
+        leaseKeeper.renew();
+        fleet.start();
+        sweep();
+    }
+
+    /** Keeps the health of known targets only. */
+    private final class HealthMembers implements TargetBook.Listener {
+
+        @Override
+        public void joined(Target target) {
+            health.forget(target.id());
+            health.add(target.id());
+        }
+
+        @Override
+        public void left(Target target) {
+            health.forget(target.id());
+            connections.forget(target.description().address());
+        }
+
+        @Override
+        public void changed(Target target) {
+            // A newer row says nothing of failures.
+        }
+    }
+
+    private void leaseRenewed() {
+        fleet.act();
+        admits = true;
+    }
+
+    private void operatorNews(StorePort.News<StorePort.OperatorItem> news) {
+        for (StorePort.OperatorItem item : news.items()) {
+            if (item instanceof StorePort.OperatorItem.Configuration newer) {
+                configure(newer.configuration());
+            } else if (item instanceof StorePort.OperatorItem.AdapterVersion named) {
+                desk.named(named.adapter(), named.version());
+            } else if (item instanceof StorePort.OperatorItem.Unreadable bad) {
+                log.write(EventCode.ROW_UNREADABLE, bad.key(), Field.of("reason", bad.reason()));
+            }
+        }
+    }
+
+    /** A reader that begins anew may be given an older one by a store that lags; what is in force never goes back. */
+    private void configure(TrafficConfiguration newer) {
+        if (configuration.isPresent() && configuration.get().version() >= newer.version()) {
+            return;
+        }
+        configuration = Optional.of(newer);
+        quotas.configure(newer.accounts());
+        ingress.limit(newer.limits().bodyBytes(), newer.limits().idleTime());
+        desk.refresh();
+        fleet.act();
+        log.write(EventCode.CONFIGURATION_ADVANCED, "", Field.of("version", newer.version()));
+    }
+
+    private void targetNews(StorePort.News<StorePort.TargetItem> news) {
+        List<TargetDescription> present = new ArrayList<>();
+        for (StorePort.TargetItem item : news.items()) {
+            if (item instanceof StorePort.TargetItem.Present row) {
+                present.add(row.description());
+            } else if (item instanceof StorePort.TargetItem.Gone gone) {
+                book.removed(gone.target());
+            } else if (item instanceof StorePort.TargetItem.Unreadable bad) {
+                log.write(EventCode.ROW_UNREADABLE, bad.key(), Field.of("reason", bad.reason()));
+            }
+        }
+        if (news.whole()) {
+            book.replaceAll(present);
+        } else {
+            present.forEach(book::put);
+        }
+        targetsKnown = true;
+    }
+
+    private void sweep() {
+        connections.closeIdle(IDLE_CONNECTIONS);
+        book.expire();
+        timers.after(SWEEP, this::sweep);
+    }
+
+    boolean isReady() {
+        return !draining.get() && configuration.isPresent() && targetsKnown && admits;
+    }
+
+    /** Stops taking new callers, finishes what runs, and returns when the process may end. */
+    void drain() {
+        if (!draining.compareAndSet(false, true)) {
+            return;
+        }
+        log.write(EventCode.DRAINING, settings.instance(), Field.of("open", ingress.open()));
+        ingress.drain();
+        long begun = clock.nanos();
+        loop.execute(() -> {
+            fleet.stop();
+            leaseKeeper.release();
+        });
+        Duration longest = settings.drainLimit().minus(DRAIN_MARGIN);
+        awaitQuiet(begun, longest);
+        log.write(EventCode.DRAINED, settings.instance(), Field.of("open", ingress.open()));
+        log.close();
+    }
+
+    private void awaitQuiet(long begun, Duration longest) {
+        try {
+            while (true) {
+                Duration passed = Duration.ofNanos(clock.nanos() - begun);
+                boolean quiet = ingress.open() == 0 && passed.compareTo(LEAST_DRAIN) >= 0;
+                if (quiet || passed.compareTo(longest) >= 0) {
+                    return;
+                }
+                Thread.sleep(DRAIN_LOOK.toMillis());
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/EventLoopTimers.java
@@ -0,0 +1,29 @@
+package org.geraniumreach.node;
+
+import java.time.Duration;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.Timers;
+
+/**
+ * Timers of an event loop.
+ *
+ * <p>Confined to the event loop.
+ */
+final class EventLoopTimers implements Timers {
+
+    private final EventLoop loop;
+
+    EventLoopTimers(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public Cancellable after(Duration delay, Runnable action) {
+        Future<?> scheduled = loop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+        return () -> scheduled.cancel(false);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/FleetTable.java
@@ -0,0 +1,280 @@
+package org.geraniumreach.node;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.geraniumreach.gateway.adapter.Holdings;
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.port.StorePort;
+import org.geraniumreach.gateway.port.StorePort.RowChange;
+import org.geraniumreach.gateway.port.StoreReply;
+import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.gateway.process.ProcessSettings;
+import org.geraniumreach.gateway.quota.Quotas;
+import org.geraniumreach.gateway.store.LeaseKeeper;
+import org.geraniumreach.gateway.store.StoreWatch;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+
+/**
+ * The entries' own table: who is there, who holds which target, who has which share.
+ *
+ * <p>Invariant: one transaction of a kind is under way at a time, and its outcome is believed only from the store's answer or from the
+ * table's news. Confined to the event loop.
+ */
+final class FleetTable {
+
+    private static final Duration TICK = Duration.ofMillis(500);
+    private static final Duration ANSWER_LIMIT = Duration.ofMillis(1_500);
+
+    /** Leases are read only while an entry is out of sight, at a quarter of what one lasts. */
+    private static final Duration READ_LEASES = Duration.ofSeconds(2);
+
+    /** Entries that start together see each other's rows by then, and divide accounts' rates evenly. */
+    private static final Duration SETTLING = Duration.ofMillis(1_500);
+
+    private final ProcessSettings settings;
+    private final long incarnation;
+    private final StorePort store;
+    private final Holdings holdings;
+    private final Quotas quotas;
+    private final HolderDesk desk;
+    private final EntryLinks links;
+    private final Timers timers;
+    private final MonotonicClock clock;
+    private final StoreWatch watch;
+    private final DecisionLog log;
+    private final Map<String, EntryRow> entries = new HashMap<>();
+    private final long startedAt;
+    private boolean read;
+    private boolean claiming;
+    private boolean sharing;
+    private boolean readingLeases;
+    private boolean introduced;
+    private boolean introducing;
+    private long leasesReadAt = Long.MIN_VALUE;
+    private boolean stopped;
+
+    /** What a table works with. */
+    record Parts(
+            StorePort store,
+            Holdings holdings,
+            Quotas quotas,
+            HolderDesk desk,
+            EntryLinks links,
+            Timers timers,
+            MonotonicClock clock,
+            StoreWatch watch,
+            DecisionLog log) {}
+
+    FleetTable(ProcessSettings settings, long incarnation, Parts parts) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.incarnation = incarnation;
+        this.store = parts.store();
+        this.holdings = parts.holdings();
+        this.quotas = parts.quotas();
+        this.desk = parts.desk();
+        this.links = parts.links();
+        this.timers = parts.timers();
+        this.clock = parts.clock();
+        this.watch = parts.watch();
+        this.log = parts.log();
+        this.startedAt = clock.nanos();
+    }
+
+    void start() {
+        introduce();
+        tick();
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    private void introduce() {
+        if (introduced || introducing) {
+            return;
+        }
+        introducing = true;
+        Transaction transaction = Transaction.empty()
+                .withWrite(
+                        EntryRow.key(Holdings.TABLE, settings.instance()),
+                        new EntryRow(settings.links(), incarnation).toText());
+        commit(transaction, committed -> {
+            introducing = false;
+            introduced = committed.isPresent();
+        });
+    }
+
+    /** Tells of a decision of the store, or of none where nobody knows. */
+    private void commit(Transaction transaction, Consumer<Optional<StorePort.Decision>> decided) {
+        OneAnswer<StoreReply<StorePort.Decision>> answer = new OneAnswer<>(reply -> {
+            watch.noted(reply);
+            boolean known = reply instanceof StoreReply.Value<StorePort.Decision>;
+            decided.accept(
+                    known ? Optional.of(((StoreReply.Value<StorePort.Decision>) reply).value()) : Optional.empty());
+        });
+        answer.within(ANSWER_LIMIT, new StoreReply.Unknown<>("no answer to a transaction"), timers);
+        answer.from(store.commit(transaction, answer));
+    }
+
+    /** Takes the table's news. */
+    void took(StorePort.News<RowChange> news) {
+        read = true;
+        for (RowChange change : news.items()) {
+            put(change.key(), change.row());
+        }
+        keepLinks();
+        desk.refresh();
+    }
+
+    private void put(String key, Optional<Row> row) {
+        if (Holdings.isHolderRow(key)) {
+            holdings.put(key, row);
+        } else if (Quotas.isShareRow(key)) {
+            quotas.put(key, row);
+        } else if (EntryRow.isEntryRow(key)) {
+            putEntry(EntryRow.instance(key), row);
+        }
+    }
+
+    private void putEntry(String instance, Optional<Row> row) {
+        Optional<EntryRow> parsed = row.flatMap(present -> EntryRow.parse(present.value()));
+        if (parsed.isEmpty()) {
+            entries.remove(instance);
+            log.write(EventCode.INSTANCE_LEFT, instance);
+            return;
+        }
+        entries.put(instance, parsed.get());
+        log.write(
+                EventCode.INSTANCE_JOINED,
+                instance,
+                Field.of("incarnation", parsed.get().incarnation()));
+    }
+
+    private void keepLinks() {
+        Map<String, InetSocketAddress> others = new HashMap<>();
+        entries.forEach((instance, row) -> {
+            if (!instance.equals(settings.instance())) {
+                others.put(instance, row.links());
+            }
+        });
+        links.keep(others);
+    }
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        timers.after(TICK, this::tick);
+        introduce();
+        act();
+    }
+
+    /** Takes over what is to be taken over; run at each tick and after each renewal of the lease. */
+    void act() {
+        if (!read || stopped) {
+            return;
+        }
+        desk.refresh();
+        claim();
+        share();
+        readLeases();
+    }
+
+    private void claim() {
+        if (claiming) {
+            return;
+        }
+        List<String> known = new ArrayList<>(entries.keySet());
+        if (!known.contains(settings.instance())) {
+            known.add(settings.instance());
+        }
+        holdings.claim(desk.needingHolder(), known, links::isVisible).ifPresent(transaction -> {
+            claiming = true;
+            commit(transaction, decision -> {
+                claiming = false;
+                decision.filter(StorePort.Decision::committed).ifPresent(done -> apply(transaction, done.version()));
+            });
+        });
+    }
+
+    private void share() {
+        boolean settled = clock.nanos() - startedAt >= SETTLING.toNanos();
+        if (sharing || !settled) {
+            return;
+        }
+        int count = Math.max(1, entries.size());
+        Map<String, Long> abandoned = holdings.unchangedFor(Quotas.ABANDONED);
+        quotas.change(count, abandoned).ifPresent(transaction -> {
+            sharing = true;
+            commit(transaction, decision -> shared(transaction, decision));
+        });
+    }
+
+    private void shared(Transaction transaction, Optional<StorePort.Decision> decision) {
+        sharing = false;
+        if (decision.isEmpty()) {
+            // It may have been done, so what it gave up stays given up until the table's news tell.
+            return;
+        }
+        if (decision.get().committed()) {
+            apply(transaction, decision.get().version());
+        } else {
+            quotas.changeRefused();
+        }
+    }
+
+    private void apply(Transaction transaction, long version) {
+        for (Transaction.Write write : transaction.writes()) {
+            RowKey key = write.key();
+            put(key.key(), write.value().map(value -> new Row(key, version, value)));
+        }
+        desk.refresh();
+    }
+
+    private void readLeases() {
+        long now = clock.nanos();
+        boolean due = leasesReadAt == Long.MIN_VALUE || now - leasesReadAt >= READ_LEASES.toNanos();
+        List<TargetId> targets = desk.needingHolder();
+        if (readingLeases || !due || !holdings.wantsLeases(targets, links::isVisible)) {
+            return;
+        }
+        readingLeases = true;
+        leasesReadAt = now;
+        OneAnswer<StoreReply<StorePort.News<RowChange>>> answer = new OneAnswer<>(reply -> {
+            readingLeases = false;
+            watch.noted(reply);
+            if (reply instanceof StoreReply.Value<StorePort.News<RowChange>> value) {
+                value.value().items().forEach(this::sawLease);
+            }
+        });
+        answer.within(ANSWER_LIMIT, new StoreReply.Unknown<>("no answer to a reading"), timers);
+        answer.from(store.rowNews(Holdings.LEASES, StorePort.Position.beginning(), answer));
+    }
+
+    private void sawLease(RowChange change) {
+        change.row()
+                .ifPresent(row -> holdings.seenLease(change.key(), row.version(), LeaseKeeper.released(row.value())));
+    }
+
+    boolean hasRead() {
+        return read;
+    }
+
+    int entries() {
+        return entries.size();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/HolderDesk.java
@@ -0,0 +1,435 @@
+package org.geraniumreach.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import org.geraniumreach.gateway.adapter.AdapterPlaces;
+import org.geraniumreach.gateway.adapter.Holdings;
+import org.geraniumreach.gateway.adapter.Order;
+import org.geraniumreach.gateway.adapter.OrderResult;
+import org.geraniumreach.gateway.adapter.TargetReport;
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.port.TargetPort;
+import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.gateway.request.AdapterDesk;
+import org.geraniumreach.gateway.target.Target;
+import org.geraniumreach.gateway.target.TargetBook;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.gateway.traffic.ServiceDefinition;
+import org.geraniumreach.gateway.traffic.TrafficConfiguration;
+import org.geraniumreach.messages.AdapterDemand;
+import org.geraniumreach.messages.AdapterNews;
+import org.geraniumreach.messages.AdapterThere;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+
+/**
+ * Has adapters loaded: orders the targets that this entry holds, and asks the holders of the others.
+ *
+ * <p>Invariant: no order is sent to a target without the fence that the store gave this entry, asked for at the moment of the
+ * sending. Confined to the event loop.
+ */
+final class HolderDesk implements AdapterDesk, TargetBook.Listener, EntryLinks.Listener {
+
+    /** Loads take 25 ms at the least, so looking after them more often shows nothing new. */
+    private static final Duration LOOK = Duration.ofMillis(12);
+
+    private static final Duration ORDER_LIMIT = Duration.ofMillis(700);
+
+    /** Uses that are told to holders; evictions look at the last 1.2 s. */
+    private static final Duration TELL_USES = Duration.ofMillis(400);
+
+    private static final Duration ASK_AGAIN = Duration.ofMillis(300);
+
+    private final TargetBook book;
+    private final Holdings holdings;
+    private final TargetPort targets;
+    private final Timers timers;
+    private final MonotonicClock clock;
+    private final DecisionLog log;
+    private final String self;
+    private final Supplier<Optional<TrafficConfiguration>> configuration;
+    private final Map<Target, Held> held = new HashMap<>();
+    private final Map<AdapterName, Long> versions = new HashMap<>();
+    private final Map<AdapterName, Set<Runnable>> waiting = new HashMap<>();
+    private final Map<Target, Set<String>> uses = new HashMap<>();
+    private final Map<Target, Map<AdapterName, Long>> asked = new HashMap<>();
+    private Optional<EntryLinks> links = Optional.empty();
+
+    /** A target that this entry holds. */
+    private static final class Held {
+        private final AdapterPlaces places;
+        private Cancellable look = Cancellable.NOTHING;
+
+        private Held(AdapterPlaces places) {
+            this.places = places;
+        }
+    }
+
+    HolderDesk(
+            TargetBook book,
+            Holdings holdings,
+            TargetPort targets,
+            Timers timers,
+            MonotonicClock clock,
+            DecisionLog log,
+            Supplier<Optional<TrafficConfiguration>> configuration) {
+        this.book = Objects.requireNonNull(book, "book");
+        this.holdings = Objects.requireNonNull(holdings, "holdings");
+        this.targets = Objects.requireNonNull(targets, "targets");
+        this.timers = Objects.requireNonNull(timers, "timers");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.log = Objects.requireNonNull(log, "log");
+        this.self = holdings.self();
+        this.configuration = Objects.requireNonNull(configuration, "configuration");
+    }
+
+    void start(EntryLinks entryLinks) {
+        links = Optional.of(entryLinks);
+        timers.after(TELL_USES, this::tellUses);
+    }
+
+    /** Queries whether somebody can have adapters loaded at a target now. */
+    boolean isOrderable(Target target) {
+        if (holdings.fence(target.id()).isPresent()) {
+            return true;
+        }
+        return holdings.holder(target.id())
+                .filter(holder -> !holder.equals(self))
+                .filter(holder -> links.isPresent() && links.get().isVisible(holder))
+                .isPresent();
+    }
+
+    /** Gets the targets that hold models, which need a holder. */
+    List<TargetId> needingHolder() {
+        List<TargetId> needing = new ArrayList<>();
+        for (Target target : book.all()) {
+            if (engine(target).isPresent()) {
+                needing.add(target.id());
+            }
+        }
+        return needing;
+    }
+
+    private Optional<ServiceDefinition.Engine> engine(Target target) {
+        return configuration
+                .get()
+                .flatMap(current -> current.service(target.description().service()))
+                .flatMap(ServiceDefinition::engine)
+                .filter(engine -> !engine.models().isEmpty());
+    }
+
+    /** Takes up the targets that this entry holds now, and lets go of those that it does not. */
+    void refresh() {
+        for (Target target : book.all()) {
+            boolean own = holdings.fence(target.id()).isPresent();
+            if (own && !held.containsKey(target)) {
+                engine(target).ifPresent(engine -> takeUp(target, engine));
+            } else if (!own
+                    && held.containsKey(target)
+                    && !holdings.holder(target.id()).equals(Optional.of(self))) {
+                letGo(target);
+            }
+        }
+    }
+
+    private void takeUp(Target target, ServiceDefinition.Engine engine) {
+        AdapterPlaces places = new AdapterPlaces(
+                engine.adapterPlaces(),
+                engine.models().get(0),
+                adapter -> Math.max(1, namedVersion(adapter)),
+                new Changes(target, engine.models().get(0)));
+        held.put(target, new Held(places));
+        log.write(
+                EventCode.HOLDER_CHANGED,
+                target.id().value(),
+                Field.of("holder", self),
+                Field.of("fence", holdings.fence(target.id()).orElse(0)));
+        look(target);
+    }
+
+    private void letGo(Target target) {
+        Held former = held.remove(target);
+        if (former != null) {
+            former.look.cancel();
+        }
+    }
+
+    /** Passes on what changes at a held target. */
+    private final class Changes implements AdapterPlaces.Listener {
+        private final Target target;
+        private final String model;
+
+        private Changes(Target target, String model) {
+            this.target = target;
+            this.model = model;
+        }
+
+        @Override
+        public void arrived(AdapterName adapter, long version) {
+            target.learnResident(adapter, version, clock.nanos());
+            tell(news().addThere(there(adapter.adapter(), version)));
+            wake(adapter);
+        }
+
+        @Override
+        public void leaves(AdapterName adapter) {
+            target.learnAbsent(adapter, clock.nanos());
+            tell(news().addGone(adapter.adapter()));
+        }
+
+        @Override
+        public void modelArrived() {
+            target.learnModel(model);
+            tell(news());
+        }
+
+        private AdapterNews.Builder news() {
+            return AdapterNews.newBuilder()
+                    .setTarget(target.id().value())
+                    .setStartedAt(target.description().startedAt())
+                    .setModel(model)
+                    .setModelPresent(true);
+        }
+
+        private void tell(AdapterNews.Builder news) {
+            links.ifPresent(
+                    open -> open.sendAll(Frame.newBuilder().setAdapterNews(news).build()));
+        }
+    }
+
+    private static AdapterThere there(String adapter, long version) {
+        return AdapterThere.newBuilder().setAdapter(adapter).setVersion(version).build();
+    }
+
+    private void wake(AdapterName adapter) {
+        Set<Runnable> woken = waiting.remove(adapter);
+        if (woken != null) {
+            woken.forEach(Runnable::run);
+        }
+    }
+
+    /** Makes the next call that is due at a held target, and comes back while anything is. */
+    private void look(Target target) {
+        Held now = held.get(target);
+        if (now == null) {
+            return;
+        }
+        now.look.cancel();
+        OptionalLong fence = holdings.fence(target.id());
+        if (fence.isPresent()) {
+            now.places.next(clock.nanos()).ifPresent(step -> carryOut(target, now, step, fence.getAsLong()));
+        }
+        if (now.places.isBusy()) {
+            now.look = timers.after(LOOK, () -> look(target));
+        }
+    }
+
+    private void carryOut(Target target, Held now, AdapterPlaces.Step step, long fence) {
+        if (step instanceof AdapterPlaces.Step.Send send) {
+            order(target, now, send, fence);
+        } else {
+            report(target, now);
+        }
+    }
+
+    private void order(Target target, Held now, AdapterPlaces.Step.Send send, long fence) {
+        Order order = new Order(
+                send.operation(),
+                now.places.model(),
+                send.adapter().map(AdapterName::adapter),
+                OptionalLong.of(send.expectedOrders()),
+                fence);
+        OneAnswer<OrderResult> answer = new OneAnswer<>(result -> {
+            logOrder(target, send, fence, result);
+            now.places.answered(send, result, clock.nanos());
+            if (result == OrderResult.ANOTHER_TARGET) {
+                book.ended(target);
+            }
+            look(target);
+        });
+        answer.within(ORDER_LIMIT, OrderResult.UNKNOWN, timers);
+        answer.from(targets.order(target, order, self, answer));
+    }
+
+    private void logOrder(Target target, AdapterPlaces.Step.Send send, long fence, OrderResult result) {
+        log.write(
+                EventCode.ORDER_ANSWERED,
+                target.id().value(),
+                Field.of("operation", send.operation()),
+                Field.of("adapter", send.adapter().map(AdapterName::adapter).orElse("")),
+                Field.of("expectedOrders", send.expectedOrders()),
+                Field.of("fence", fence),
+                Field.of("result", result));
+    }
+
+    private void report(Target target, Held now) {
+        OneAnswer<Optional<TargetReport>> answer = new OneAnswer<>(report -> {
+            if (report.isPresent()) {
+                now.places.reported(report.get(), clock.nanos());
+            } else {
+                now.places.reportFailed(clock.nanos());
+            }
+            look(target);
+        });
+        answer.within(ORDER_LIMIT, Optional.empty(), timers);
+        answer.from(targets.report(target, answer));
+    }
+
+    @Override
+    public void want(Target target, AdapterName adapter) {
+        Held own = held.get(target);
+        if (own != null) {
+            own.places.want(adapter, clock.nanos());
+            look(target);
+            return;
+        }
+        long now = clock.nanos();
+        Map<AdapterName, Long> recent = asked.computeIfAbsent(target, missing -> new LinkedHashMap<>());
+        recent.values().removeIf(at -> now - at > ASK_AGAIN.toNanos());
+        if (recent.putIfAbsent(adapter, now) == null) {
+            demand(target, adapter.baseModel(), Set.of(adapter.adapter()), Set.of());
+        }
+    }
+
+    private void demand(Target target, String model, Set<String> wanted, Set<String> used) {
+        Frame frame = Frame.newBuilder()
+                .setAdapterDemand(AdapterDemand.newBuilder()
+                        .setTarget(target.id().value())
+                        .setModel(model)
+                        .addAllWanted(wanted)
+                        .addAllUsed(used))
+                .build();
+        holdings.holder(target.id()).ifPresent(holder -> links.ifPresent(open -> open.send(holder, frame)));
+    }
+
+    @Override
+    public void used(Target target, AdapterName adapter) {
+        Held own = held.get(target);
+        if (own != null) {
+            own.places.used(adapter, 1, clock.nanos());
+            return;
+        }
+        uses.computeIfAbsent(target, missing -> new HashSet<>()).add(adapter.adapter());
+    }
+
+    private void tellUses() {
+        uses.forEach((target, adapters) -> engine(target)
+                .ifPresent(engine -> demand(target, engine.models().get(0), Set.of(), adapters)));
+        uses.clear();
+        timers.after(TELL_USES, this::tellUses);
+    }
+
+    @Override
+    public Cancellable await(AdapterName adapter, Runnable changed) {
+        waiting.computeIfAbsent(adapter, missing -> new LinkedHashSet<>()).add(changed);
+        return () -> {
+            Set<Runnable> others = waiting.get(adapter);
+            if (others != null && others.remove(changed) && others.isEmpty()) {
+                waiting.remove(adapter);
+            }
+        };
+    }
+
+    @Override
+    public long namedVersion(AdapterName adapter) {
+        return versions.getOrDefault(adapter, 0L);
+    }
+
+    /** Takes a version that is to be served from now on. */
+    void named(AdapterName adapter, long version) {
+        if (namedVersion(adapter) >= version) {
+            return;
+        }
+        versions.put(adapter, version);
+        log.write(EventCode.ADAPTER_VERSION_NAMED, adapter.toString(), Field.of("version", version));
+        held.forEach((target, own) -> own.places.versionNamed(adapter, clock.nanos()));
+        List.copyOf(held.keySet()).forEach(this::look);
+    }
+
+    @Override
+    public void joined(Target target) {
+        log.write(
+                EventCode.TARGET_JOINED,
+                target.id().value(),
+                Field.of("service", target.description().service()),
+                Field.of("startedAt", target.description().startedAt()));
+        refresh();
+    }
+
+    @Override
+    public void left(Target target) {
+        log.write(EventCode.TARGET_LEFT, target.id().value());
+        letGo(target);
+        uses.remove(target);
+        asked.remove(target);
+    }
+
+    @Override
+    public void changed(Target target) {
+        // Its row's models are in the target already.
+    }
+
+    @Override
+    public void opened(String entry) {
+        held.forEach((target, own) -> {
+            AdapterNews.Builder news = AdapterNews.newBuilder()
+                    .setTarget(target.id().value())
+                    .setStartedAt(target.description().startedAt())
+                    .setModel(own.places.model())
+                    .setModelPresent(target.holdsModel(own.places.model()));
+            target.residents().forEach((adapter, version) -> news.addThere(there(adapter.adapter(), version)));
+            links.ifPresent(open ->
+                    open.send(entry, Frame.newBuilder().setAdapterNews(news).build()));
+        });
+    }
+
+    @Override
+    public void demanded(AdapterDemand demand) {
+        Optional<Target> target = book.find(TargetId.of(demand.getTarget()));
+        if (target.isEmpty() || !held.containsKey(target.get())) {
+            return;
+        }
+        AdapterPlaces places = held.get(target.get()).places;
+        long now = clock.nanos();
+        demand.getUsedList().forEach(name -> places.used(new AdapterName(demand.getModel(), name), 1, now));
+        demand.getWantedList().forEach(name -> places.want(new AdapterName(demand.getModel(), name), now));
+        look(target.get());
+    }
+
+    @Override
+    public void news(AdapterNews news) {
+        Optional<Target> target = book.find(TargetId.of(news.getTarget()))
+                .filter(known -> known.description().startedAt() == news.getStartedAt());
+        if (target.isEmpty()) {
+            return;
+        }
+        long now = clock.nanos();
+        if (news.getModelPresent()) {
+            target.get().learnModel(news.getModel());
+        }
+        for (String gone : news.getGoneList()) {
+            target.get().learnAbsent(new AdapterName(news.getModel(), gone), now);
+        }
+        for (AdapterThere there : news.getThereList()) {
+            AdapterName adapter = new AdapterName(news.getModel(), there.getAdapter());
+            target.get().learnResident(adapter, there.getVersion(), now);
+            wake(adapter);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/Main.java
@@ -0,0 +1,106 @@
+package org.geraniumreach.node;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.process.ProcessSettings;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.platform.BootFile;
+import org.geraniumreach.platform.DocumentException;
+import org.geraniumreach.process.Signals;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/**
+ * The command line of the process on the users' platform.
+ *
+ * <p>Exit codes: 0 after a drain or a check that passed, 2 if the command line or the settings are wrong, 3 if an address cannot be
+ * had. Confined to the main thread.
+ */
+public final class Main {
+
+    private static final int WRONG_SETTINGS = 2;
+    private static final int NO_ADDRESS = 3;
+
+    @Argument(
+            index = 0,
+            metaVar = "COMMAND",
+            required = true,
+            usage = "entry: serve callers; check: read the settings only")
+    private Command command;
+
+    @Option(name = "--settings", metaVar = "FILE", usage = "the settings file; else the environment names it")
+    private Path file;
+
+    /** What to do. */
+    enum Command {
+        ENTRY,
+        CHECK
+    }
+
+    private Main() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param arguments the command line, not null
+     */
+    public static void main(String[] arguments) {
+        System.exit(new Main().run(arguments));
+    }
+
+    private int run(String[] arguments) {
+        CmdLineParser parser = new CmdLineParser(this);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException wrong) {
+            System.err.println(wrong.getMessage());
+            parser.printUsage(System.err);
+            return WRONG_SETTINGS;
+        }
+        JsonLog log = JsonLog.toStandardOutput();
+        try {
+            ProcessSettings settings = BootFile.read(file == null ? BootFile.path() : file);
+            return command == Command.CHECK ? 0 : serve(settings, log);
+        } catch (DocumentException wrong) {
+            log.write(EventCode.SETTINGS_INVALID, "", Field.of("reason", wrong.getMessage()));
+            log.close();
+            return WRONG_SETTINGS;
+        }
+    }
+
+    private static int serve(ProcessSettings settings, JsonLog log) {
+        EntryProcess process = new EntryProcess(settings, log);
+        CountDownLatch end = new CountDownLatch(1);
+        Signals.onEnd(end::countDown);
+        Signals.onReload(() -> reload(log));
+        try {
+            process.start();
+        } catch (IOException taken) {
+            log.write(EventCode.UNEXPECTED_FAILURE, "", Field.of("reason", String.valueOf(taken.getMessage())));
+            log.close();
+            return NO_ADDRESS;
+        }
+        try {
+            end.await();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+        process.drain();
+        return 0;
+    }
+
+    /** What an entry goes by comes from the store; the file only says where it stands, which needs a start to change. */
+    private static void reload(JsonLog log) {
+        try {
+            BootFile.read(BootFile.path());
+            log.write(EventCode.SETTINGS_READ, "");
+        } catch (DocumentException wrong) {
+            log.write(EventCode.SETTINGS_INVALID, "", Field.of("reason", wrong.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/OneAnswer.java
@@ -0,0 +1,49 @@
+package org.geraniumreach.node;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.Timers;
+
+/**
+ * Takes the one answer to a call, or a stand-in for it when the time is up.
+ *
+ * <p>Invariant: its listener is told once. Confined to the event loop.
+ *
+ * @param <T> what the call gives
+ */
+final class OneAnswer<T> implements Consumer<T> {
+
+    private final Consumer<T> listener;
+    private Cancellable timer = Cancellable.NOTHING;
+    private Cancellable call = Cancellable.NOTHING;
+    private boolean told;
+
+    OneAnswer(Consumer<T> listener) {
+        this.listener = listener;
+    }
+
+    /** Sets what is told if there is no answer within a time. */
+    void within(Duration limit, T missing, Timers timers) {
+        timer = timers.after(limit, () -> {
+            call.cancel();
+            accept(missing);
+        });
+    }
+
+    /** Sets the call, which is called off when the time is up. */
+    void from(Cancellable begun) {
+        call = begun;
+    }
+
+    @Override
+    public void accept(T answer) {
+        if (told) {
+            return;
+        }
+        told = true;
+        timer.cancel();
+        listener.accept(answer);
+    }
+}
--- a/daemon/src/main/java/org/geraniumreach/daemon/node/Signals.java
+++ b/process/src/main/java/org/geraniumreach/process/Signals.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.daemon.node;
+package org.geraniumreach.process;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
@@ -15,6 +15,7 @@
 
     private static final String TERMINATE = "TERM";
     private static final String INTERRUPT = "INT";
+    private static final String HANGUP = "HUP";
 
     private Signals() {}
 
@@ -28,6 +29,16 @@
         return handle(TERMINATE, action) && handle(INTERRUPT, action);
     }
 
+    /**
+     * Runs an action at each signal that says that the settings have changed.
+     *
+     * @param action the action, run by a thread of the JDK's, not null
+     * @return true if the signal is heard
+     */
+    public static boolean onReload(Runnable action) {
+        return handle(HANGUP, action);
+    }
+
     private static boolean handle(String name, Runnable action) {
         try {
             Class<?> signalType = Class.forName("sun.misc.Signal");
