Give the entries' buckets half of the tolerance of an account's rate, and let waiting requests reserve in order

Cause: with a burst of one second divided among entries, single requests of 1,900 tokens found no room in a bucket of 1,800, and waiting ones were passed by smaller ones.

--- a/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Objects;
 
+import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.model.FailureDomain;
 
 /**
@@ -18,6 +19,7 @@
  * @param links where other entries are listened to
  * @param store the store's address
  * @param repeats how many second arrivals all entries together may cause
+ * @param quotaTolerance how far all entries together may go beyond an account's rate
  * @param drainLimit how long the process may go on after it is asked to end
  */
 public record ProcessSettings(
@@ -28,6 +30,7 @@
         InetSocketAddress links,
         InetSocketAddress store,
         RepeatLimits repeats,
+        Quotas.Tolerance quotaTolerance,
         Duration drainLimit) {
 
     public ProcessSettings {
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/AccountBucket.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/AccountBucket.java
@@ -48,20 +48,28 @@
         }
     }
 
-    /** Takes units, or tells after what time they are there; empty if they never are. */
-    Optional<Duration> take(double units, long now) {
+    /**
+     * Takes units, which may flow in only later; the request must wait for them.
+     *
+     * <p>Requests that wait are so served in their order, and none is passed by a smaller one for ever.
+     */
+    Taking take(double units, long now, Duration longestWait) {
         advance(now);
-        double enough = Math.min(units, capacity);
-        if (capacity > 0 && level >= enough) {
-            level -= units;
-            return Optional.of(Duration.ZERO);
+        if (capacity <= 0 || perSecond <= 0) {
+            return new Taking(false, Optional.empty());
         }
-        if (perSecond <= 0) {
-            return Optional.empty();
+        double missing = Math.min(units, capacity) - level;
+        Duration delay = Duration.ofNanos((long) Math.ceil(Math.max(0, missing) / perSecond * NANOS));
+        boolean taken = delay.compareTo(longestWait) <= 0;
+        if (taken) {
+            level -= units;
         }
-        return Optional.of(Duration.ofNanos((long) Math.ceil((enough - level) / perSecond * NANOS)));
+        return new Taking(taken, Optional.of(delay));
     }
 
+    /** Whether units were taken, and after what time they are there, empty if they never are. */
+    record Taking(boolean taken, Optional<Duration> delay) {}
+
     double level() {
         return level;
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/DemandRate.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/DemandRate.java
@@ -7,8 +7,8 @@
  */
 final class DemandRate {
 
-    /** Two seconds smooth the clumps of requests and still follow a burst of 3 s. */
-    private static final double TIME_CONSTANT_NANOS = 2e9;
+    /** An entry sees one or two requests a second of a small account; four seconds make five of them. */
+    private static final double TIME_CONSTANT_NANOS = 4e9;
 
     private static final double NANOS = 1e9;
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -41,6 +41,7 @@
     private final Lease lease;
     private final MonotonicClock clock;
     private final Map<AccountId, State> states = new HashMap<>();
+    private final Tolerance tolerance;
     private Map<AccountId, Account> accounts = Map.of();
 
     private static final class State {
@@ -60,20 +61,42 @@
      * What came of a request's admission.
      *
      * @param admitted whether it is within the rate
-     * @param after if it is not, when it may be, empty if nobody can tell
+     * @param delay if it is admitted, how long it must wait; if not, when it may come back, empty if nobody can tell
      */
-    public record Admission(boolean admitted, Optional<Duration> after) {}
+    public record Admission(boolean admitted, Optional<Duration> delay) {}
+
+    /**
+     * How far all entries together may go beyond an account's rate and burst, since each counts by itself.
+     *
+     * @param ratio of rate and burst in a window
+     * @param units besides
+     * @param window the window
+     */
+    public record Tolerance(double ratio, double units, Duration window) {
+
+        /** Part of the tolerance that is given to the entries' buckets; the rest covers restarts and requests under way. */
+        private static final double GIVEN = 0.5;
+
+        private static final double NANOS = 1e9;
+
+        double unitsOf(Account account) {
+            double inWindow = account.unitsPerSecond() * window.toNanos() / NANOS + account.burstUnits();
+            return GIVEN * (ratio * inWindow + units);
+        }
+    }
 
     /**
      * Makes quotas without accounts.
      *
      * @param self this entry's instance, not null
      * @param lease its lease, not null
+     * @param tolerance how far all entries together may go beyond a rate, not null
      * @param clock the clock, not null
      */
-    public Quotas(String self, Lease lease, MonotonicClock clock) {
+    public Quotas(String self, Lease lease, Tolerance tolerance, MonotonicClock clock) {
         this.self = Objects.requireNonNull(self, "self");
         this.lease = Objects.requireNonNull(lease, "lease");
+        this.tolerance = Objects.requireNonNull(tolerance, "tolerance");
         this.clock = Objects.requireNonNull(clock, "clock");
     }
 
@@ -108,7 +131,8 @@
         }
         State state = state(id);
         double part = (double) state.parts / ShareRow.WHOLE;
-        state.bucket.resize(account.unitsPerSecond() * part, account.burstUnits() * part, clock.nanos());
+        double capacity = (account.burstUnits() + tolerance.unitsOf(account)) * part;
+        state.bucket.resize(account.unitsPerSecond() * part, capacity, clock.nanos());
     }
 
     /**
@@ -130,27 +154,25 @@
     }
 
     /**
-     * Asks for a request's units.
+     * Takes a request's units.
      *
      * @param account the account, not null
      * @param units the units
-     * @param first whether the request asks for the first time
+     * @param longestWait how long the request may wait for them, not null
      * @return whether it is admitted, not null
      */
-    public Admission admit(Account account, double units, boolean first) {
+    public Admission admit(Account account, double units, Duration longestWait) {
         if (!account.isLimited()) {
-            return new Admission(true, Optional.empty());
+            return new Admission(true, Optional.of(Duration.ZERO));
         }
         State state = state(account.id());
         long now = clock.nanos();
-        if (first) {
-            state.demand.asked(units, now);
-        }
+        state.demand.asked(units, now);
         if (!lease.holdsFor(PROOF)) {
             return new Admission(false, Optional.empty());
         }
-        Optional<Duration> after = state.bucket.take(units, now);
-        return new Admission(after.isPresent() && after.get().isZero(), after);
+        AccountBucket.Taking taking = state.bucket.take(units, now, longestWait);
+        return new Admission(taking.taken(), taking.delay());
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/SharePolicy.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/SharePolicy.java
@@ -15,8 +15,8 @@
     /** Kept above the demand measured, since requests come in clumps. */
     private static final double HEADROOM = 1.4;
 
-    /** What an entry without demand keeps, so that a first request need not wait for a transaction. */
-    private static final int LEAST_PARTS = 40;
+    /** What an entry without demand keeps of an even share, so that a clump of requests need not wait for a transaction. */
+    private static final double LEAST_OF_EVEN = 0.5;
 
     /** Changes below this are not worth a transaction. */
     private static final int LEAST_CHANGE = 30;
@@ -36,18 +36,19 @@
         ShareRow.Share own = row.of(self);
         if (!row.shares().containsKey(self)) {
             int first = Math.min(row.free(), ShareRow.WHOLE / Math.max(1, entries));
-            int lacking = Math.max(0, Math.min(need(demand), ShareRow.WHOLE / Math.max(1, entries)) - first);
+            int lacking = Math.max(0, Math.min(need(demand, entries), ShareRow.WHOLE / Math.max(1, entries)) - first);
             return Optional.of(row.with(self, new ShareRow.Share(first, lacking)));
         }
-        int need = need(demand);
+        int need = need(demand, entries);
         if (need > own.parts()) {
             return more(row, self, own, need);
         }
         return less(row, self, own, need);
     }
 
-    private static int need(double demand) {
-        return (int) Math.min(ShareRow.WHOLE, Math.max(LEAST_PARTS, Math.ceil(demand * HEADROOM * ShareRow.WHOLE)));
+    private static int need(double demand, int entries) {
+        double least = LEAST_OF_EVEN * ShareRow.WHOLE / Math.max(1, entries);
+        return (int) Math.min(ShareRow.WHOLE, Math.max(least, Math.ceil(demand * HEADROOM * ShareRow.WHOLE)));
     }
 
     private static Optional<ShareRow> more(ShareRow row, String self, ShareRow.Share own, int need) {
@@ -64,9 +65,7 @@
     private static int fairPart(ShareRow row, String self, ShareRow.Share own, int need) {
         int others = row.shares().entrySet().stream()
                 .filter(share -> !share.getKey().equals(self))
-                .mapToInt(share -> share.getValue().wanted() == 0
-                        ? Math.min(share.getValue().parts(), LEAST_PARTS)
-                        : share.getValue().parts() + share.getValue().wanted())
+                .mapToInt(share -> share.getValue().parts() + share.getValue().wanted())
                 .sum();
         if (row.wantedByOthers(self) == 0 || others + need <= ShareRow.WHOLE) {
             return ShareRow.WHOLE;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerRelay.java
@@ -28,6 +28,8 @@
     private boolean attemptStreams;
     private OptionalLong lastEvent;
     private OptionalLong firstPartAt = OptionalLong.empty();
+    private OptionalLong lastPartAt = OptionalLong.empty();
+    private long longestPause;
 
     AnswerRelay(CallerAnswer answer, OptionalLong lastEvent, MonotonicClock clock) {
         this.answer = answer;
@@ -58,6 +60,7 @@
                 return false;
             }
             begin();
+            notePause();
             answer.part(event.bytes());
         }
         return true;
@@ -83,6 +86,18 @@
         }
     }
 
+    private void notePause() {
+        long now = clock.nanos();
+        if (lastPartAt.isPresent()) {
+            longestPause = Math.max(longestPause, now - lastPartAt.getAsLong());
+        }
+        lastPartAt = OptionalLong.of(now);
+    }
+
+    Duration longestPause() {
+        return Duration.ofNanos(longestPause);
+    }
+
     /** Queries whether the attempt that has just ended left nothing unfinished. */
     boolean isWhole() {
         return !attemptStreams || !splitter.hasRest();
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -83,7 +83,7 @@
 
     void start() {
         limitTimer = services.timers().after(limit, this::timeIsUp);
-        admit(true);
+        admit();
     }
 
     private Duration elapsed() {
@@ -94,28 +94,26 @@
         return limit.minus(elapsed());
     }
 
-    private void admit(boolean first) {
-        if (ended) {
-            return;
-        }
+    private void admit() {
         if (account.isEmpty()) {
             admitted();
             return;
         }
-        Quotas.Admission admission = services.quotas().admit(account.get(), units(account.get()), first);
-        if (admission.admitted()) {
-            admitted();
+        Quotas.Admission admission = services.quotas()
+                .admit(account.get(), units(account.get()), services.settings().quotaWait());
+        if (!admission.admitted()) {
+            refuse(Refusal.until(
+                    ResultCode.OUT_OF_BUDGET,
+                    "the client account is above its rate",
+                    admission.delay().orElse(COME_BACK)));
             return;
         }
-        Duration waited = elapsed();
-        Optional<Duration> after = admission.after();
-        Duration longest = services.settings().quotaWait();
-        if (after.isPresent() && waited.plus(after.get()).compareTo(longest) <= 0) {
-            waitTimer = services.timers().after(after.get(), () -> admit(false));
-            return;
+        Duration delay = admission.delay().orElse(Duration.ZERO);
+        if (delay.isZero()) {
+            admitted();
+        } else {
+            waitTimer = services.timers().after(delay, this::admitted);
         }
-        refuse(Refusal.until(
-                ResultCode.OUT_OF_BUDGET, "the client account is above its rate", after.orElse(COME_BACK)));
     }
 
     private double units(Account of) {
@@ -444,7 +442,14 @@
         adapterWait.cancel();
         services.outcomes()
                 .ended(new OutcomeListener.Outcome(
-                        route, kind, status, arrivals, relay.firstPartAfter(startedAt), elapsed()));
+                        request.id(),
+                        route,
+                        kind,
+                        status,
+                        arrivals,
+                        relay.firstPartAfter(startedAt),
+                        relay.longestPause(),
+                        elapsed()));
         onEnd.accept(this);
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeListener.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeListener.java
@@ -23,14 +23,24 @@
     /**
      * How an exchange ended.
      *
+     * @param id the request's id
      * @param route its route
      * @param kind the kind of end
      * @param status the status sent, 0 if none was
      * @param arrivals how often the request was sent to a target
      * @param firstPart the time to the first part of the answer, empty if there was none
+     * @param longestPause the longest time between two parts
      * @param total the time to the end
      */
-    record Outcome(Route route, Kind kind, int status, int arrivals, Optional<Duration> firstPart, Duration total) {}
+    record Outcome(
+            String id,
+            Route route,
+            Kind kind,
+            int status,
+            int arrivals,
+            Optional<Duration> firstPart,
+            Duration longestPause,
+            Duration total) {}
 
     /** The kinds of end. */
     enum Kind {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -112,7 +112,7 @@
         this.log = Objects.requireNonNull(log, "log");
         this.watch = new StoreWatch(clock, log);
         this.holdings = new Holdings(settings.instance(), incarnation, lease, clock);
-        this.quotas = new Quotas(settings.instance(), lease, clock);
+        this.quotas = new Quotas(settings.instance(), lease, settings.quotaTolerance(), clock);
         this.store = new StoreClient(connections, settings.store());
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.desk = new HolderDesk(book, holdings, targets, timers, clock, log, () -> configuration);
@@ -153,13 +153,14 @@
         if (outcome.kind() == OutcomeListener.Kind.ANSWERED) {
             log.write(
                     EventCode.REQUEST_ANSWERED,
-                    "",
+                    outcome.id(),
                     Field.of("route", outcome.route().name()),
                     Field.of("status", outcome.status()),
                     Field.of("arrivals", outcome.arrivals()),
                     Field.of(
                             "firstMillis",
                             outcome.firstPart().map(Duration::toMillis).orElse(-1L)),
+                    Field.of("longestPauseMillis", outcome.longestPause().toMillis()),
                     Field.of("totalMillis", outcome.total().toMillis()));
         }
     }
