Give an adapter homes in proportion to the prompt tokens asked of it

Cause: the commonest adapter has a fifth of all requests; its one home read prompts for most of each second, and every stream there paused for over 300 ms.

--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/DemandRate.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/meter/DemandRate.java
@@ -1,11 +1,11 @@
-package org.geraniumreach.gateway.quota;
+package org.geraniumreach.gateway.meter;
 
 /**
  * The units a second that were asked for lately.
  *
  * <p>Confined to the event loop.
  */
-final class DemandRate {
+public final class DemandRate {
 
     /** An entry sees one or two requests a second of a small account; four seconds make five of them. */
     private static final double TIME_CONSTANT_NANOS = 4e9;
@@ -15,16 +15,33 @@
     private double perSecond;
     private long updatedAt;
 
-    DemandRate(long now) {
+    /**
+     * Makes a rate of nothing.
+     *
+     * @param now the time
+     */
+    public DemandRate(long now) {
         this.updatedAt = now;
     }
 
-    void asked(double units, long now) {
+    /**
+     * Counts what was asked for.
+     *
+     * @param units how much
+     * @param now the time
+     */
+    public void asked(double units, long now) {
         perSecond = at(now) + units * NANOS / TIME_CONSTANT_NANOS;
         updatedAt = now;
     }
 
-    double at(long now) {
+    /**
+     * Gets the rate.
+     *
+     * @param now the time
+     * @return units a second
+     */
+    public double at(long now) {
         return perSecond * Math.exp(-(now - updatedAt) / TIME_CONSTANT_NANOS);
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/meter/package-info.java
@@ -0,0 +1,2 @@
+/** Rates of what was asked for lately. */
+package org.geraniumreach.gateway.meter;
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -10,6 +10,7 @@
 
 import org.geraniumreach.gateway.adapter.Holdings;
 import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.meter.DemandRate;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.MonotonicClock;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -127,6 +127,7 @@
 
     private void admitted() {
         admitted = true;
+        adapter().ifPresent(adapter -> services.placement().requested(adapter, promptTokens()));
         place();
     }
 
@@ -153,6 +154,10 @@
         }
     }
 
+    private long promptTokens() {
+        return request.generation().map(GatewayRequest.Generation::promptTokens).orElse(0L);
+    }
+
     private PlacementNeed need() {
         Optional<AdapterName> adapter = adapter();
         return new PlacementNeed(
@@ -201,7 +206,10 @@
                         Field.of("expectedWaitMillis", send.expectedWaitMillis()),
                         Field.of("outstanding", target.outstanding()),
                         Field.of("waitedMillis", elapsed().toMillis()));
-        adapter().ifPresent(adapter -> services.adapters().used(target, adapter));
+        adapter().ifPresent(adapter -> {
+            services.adapters().used(target, adapter);
+            send.alsoLoad().ifPresent(other -> services.adapters().want(other, adapter));
+        });
         Attempt started = new Attempt(services, target, request, new AttemptEvents(target));
         attempt = Optional.of(started);
         started.start(envelope(), longestIdle(), silenceLimits());
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -124,10 +124,10 @@
                 book,
                 target -> health.admits(target.id()),
                 desk::isOrderable,
+                () -> fleet.entries(),
                 settings.failureDomain(),
                 PlacementSettings.defaults(),
-                clock,
-                random);
+                clock);
         return new ExchangeServices(
                 placement,
                 book,
