Let a target's order that awaits runs hold up the others, and let wishes for loads lapse

Cause: a target that waits for runs before it unloads or replaces an adapter refuses all other orders; each refusal was taken for a lost track and cost a report and 0.3 s. Wishes of requests that had gone elsewhere still took places.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -38,17 +38,23 @@
     /** An order repeated to ask whether a load is done costs a thirtieth of a report and delays nobody. */
     private static final Duration NEXT_LOOK = Duration.ofMillis(25);
 
+    /** A target that waits for runs to end before it carries an order out refuses all others meanwhile. */
+    private static final Duration LOOK_AT_WAITING = Duration.ofMillis(40);
+
     private static final Duration NEXT_LOOK_AT_MODEL = Duration.ofMillis(200);
 
     /** A report tells of a moment up to 0.2 s ago, so one read sooner may not know of the last order. */
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
-    /** An adapter that was asked for this recently may still be running for another entry. */
-    private static final Duration IDLE_BEFORE_EVICTION = Duration.ofMillis(1_200);
+    /** Entries tell five times a second for which adapters requests are under way, so one not heard of for this long runs nowhere. */
+    private static final Duration IDLE_BEFORE_EVICTION = Duration.ofMillis(450);
 
     /** Adapters that a target is taken to keep at hand after they were evicted; the users' engines keep 114. */
     private static final int AT_HAND = 100;
 
+    /** Who still waits for an adapter asks again each 300 ms; a load for somebody who has gone elsewhere takes a place for nothing. */
+    private static final Duration WISH_LIFETIME = Duration.ofMillis(700);
+
     private static final Duration REFUSED_PAUSE = Duration.ofMillis(500);
 
     private final int places;
@@ -58,6 +64,7 @@
     private final Map<AdapterName, Long> resident = new HashMap<>();
     private final Map<AdapterName, Long> nextLook = new HashMap<>();
     private final Set<AdapterName> leaving = new HashSet<>();
+    private Optional<AdapterName> awaitingRuns = Optional.empty();
     private final Map<AdapterName, Long> wanted = new LinkedHashMap<>();
     private final UseScores uses = new UseScores();
     private final Deque<AdapterName> atHand = new ArrayDeque<>();
@@ -135,7 +142,7 @@
             listener.arrived(adapter, resident.get(adapter));
             return;
         }
-        wanted.putIfAbsent(adapter, now);
+        wanted.put(adapter, now);
     }
 
     /**
@@ -149,19 +156,6 @@
         uses.used(adapter, count, now);
     }
 
-    /**
-     * Notes that a newer version of an adapter is named; the one that is there is replaced if it is in use, else evicted in its
-     * turn.
-     *
-     * @param adapter the adapter, not null
-     * @param now the time
-     */
-    public void versionNamed(AdapterName adapter, long now) {
-        if (resident.containsKey(adapter) && !uses.isIdle(adapter, now, IDLE_BEFORE_EVICTION.toNanos())) {
-            wanted.putIfAbsent(adapter, now);
-        }
-    }
-
     private boolean isPresent(AdapterName adapter) {
         Long version = resident.get(adapter);
         return version != null && !leaving.contains(adapter) && version >= newestVersion.apply(adapter);
@@ -187,22 +181,37 @@
             notBefore = now + NEXT_LOOK_AT_MODEL.toNanos();
             return send(Order.Operation.LOAD, Optional.empty());
         }
+        if (awaitingRuns.isPresent()) {
+            return lookAtWaiting(now);
+        }
         Optional<AdapterName> due = nextLook.entrySet().stream()
                 .filter(look -> look.getValue() <= now)
                 .map(Map.Entry::getKey)
                 .findFirst();
         if (due.isPresent()) {
-            boolean unloading = leaving.contains(due.get());
-            return send(unloading ? Order.Operation.UNLOAD : Order.Operation.LOAD, due);
+            return send(operation(due.get()), due);
         }
         return nextWish(now);
     }
 
+    private Optional<Step> lookAtWaiting(long now) {
+        if (nextLook.getOrDefault(awaitingRuns.get(), now) > now) {
+            return Optional.empty();
+        }
+        return send(operation(awaitingRuns.get()), awaitingRuns);
+    }
+
+    private Order.Operation operation(AdapterName underWay) {
+        return leaving.contains(underWay) ? Order.Operation.UNLOAD : Order.Operation.LOAD;
+    }
+
     private Optional<Step> nextWish(long now) {
-        Iterator<AdapterName> wishes = wanted.keySet().iterator();
+        Iterator<Map.Entry<AdapterName, Long>> wishes = wanted.entrySet().iterator();
         while (wishes.hasNext()) {
-            AdapterName adapter = wishes.next();
-            if (isPresent(adapter)) {
+            Map.Entry<AdapterName, Long> wish = wishes.next();
+            AdapterName adapter = wish.getKey();
+            boolean stale = now - wish.getValue() > WISH_LIFETIME.toNanos();
+            if (isPresent(adapter) || stale) {
                 wishes.remove();
                 continue;
             }
@@ -283,7 +292,13 @@
         if (!repeated) {
             countOrder();
         }
-        Duration look = repeated ? NEXT_LOOK : atHand.contains(adapter) ? FIRST_LOOK_WARM : FIRST_LOOK_COLD;
+        boolean waits = sent.operation() == Order.Operation.UNLOAD || resident.containsKey(adapter);
+        if (waits) {
+            awaitingRuns = Optional.of(adapter);
+        }
+        Duration look = waits
+                ? LOOK_AT_WAITING
+                : repeated ? NEXT_LOOK : atHand.contains(adapter) ? FIRST_LOOK_WARM : FIRST_LOOK_COLD;
         nextLook.put(adapter, now + look.toNanos());
         if (sent.operation() == Order.Operation.UNLOAD && leaving.add(adapter)) {
             listener.leaves(adapter);
@@ -299,6 +314,7 @@
         }
         AdapterName adapter = sent.adapter().get();
         boolean repeated = nextLook.remove(adapter) != null;
+        awaitingRuns = awaitingRuns.filter(waiting -> !waiting.equals(adapter));
         if (sent.operation() == Order.Operation.UNLOAD) {
             if (!repeated && resident.containsKey(adapter)) {
                 countOrder();
@@ -358,6 +374,7 @@
         resident.clear();
         resident.putAll(there);
         leaving.clear();
+        awaitingRuns = Optional.empty();
         nextLook.clear();
         report.coming().forEach(adapter -> nextLook.put(new AdapterName(model, adapter), now + NEXT_LOOK.toNanos()));
         gone.forEach(listener::leaves);
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -11,8 +11,11 @@
 import org.geraniumreach.gateway.adapter.Holdings;
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.meter.DemandRate;
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
@@ -43,6 +46,7 @@
     private final MonotonicClock clock;
     private final Map<AccountId, State> states = new HashMap<>();
     private final Tolerance tolerance;
+    private final DecisionLog log;
     private Map<AccountId, Account> accounts = Map.of();
 
     private static final class State {
@@ -93,10 +97,12 @@
      * @param lease its lease, not null
      * @param tolerance how far all entries together may go beyond a rate, not null
      * @param clock the clock, not null
+     * @param log takes decisions, not null
      */
-    public Quotas(String self, Lease lease, Tolerance tolerance, MonotonicClock clock) {
+    public Quotas(String self, Lease lease, Tolerance tolerance, MonotonicClock clock, DecisionLog log) {
         this.self = Objects.requireNonNull(self, "self");
         this.lease = Objects.requireNonNull(lease, "lease");
+        this.log = Objects.requireNonNull(log, "log");
         this.tolerance = Objects.requireNonNull(tolerance, "tolerance");
         this.clock = Objects.requireNonNull(clock, "clock");
     }
@@ -150,8 +156,18 @@
         }
         state.row = row.flatMap(present -> ShareRow.parse(present.value())).orElse(ShareRow.none());
         state.version = row.map(Row::version).orElse(Transaction.ABSENT);
+        int before = state.parts;
         state.parts = state.row.of(self).parts();
         resize(account);
+        if (before != state.parts) {
+            log.write(
+                    EventCode.SHARE_CHANGED,
+                    account.value(),
+                    Field.of("parts", state.parts),
+                    Field.of("partsBefore", before),
+                    Field.of("free", state.row.free()),
+                    Field.of("rowVersion", state.version));
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/SharePolicy.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/SharePolicy.java
@@ -56,11 +56,18 @@
         int parts = own.parts() + taken;
         int kept = Math.min(parts, fairPart(row, self, own, need));
         int wanted = need - kept;
-        boolean matters =
-                Math.abs(kept - own.parts()) >= LEAST_CHANGE || Math.abs(wanted - own.wanted()) >= LEAST_CHANGE;
+        boolean matters = Math.abs(kept - own.parts()) >= LEAST_CHANGE || isNews(wanted, own.wanted());
         return matters ? Optional.of(row.with(self, new ShareRow.Share(kept, wanted))) : Optional.empty();
     }
 
+    /** What is lacking wavers with each clump of requests; others need to know only whether and about how much. */
+    private static boolean isNews(int wanted, int told) {
+        if (wanted < LEAST_CHANGE || told == 0) {
+            return wanted >= LEAST_CHANGE && told == 0;
+        }
+        return wanted > 2 * told || 2 * wanted < told;
+    }
+
     /** When all together need more than there is, what the row says of the others' needs tells what is fair. */
     private static int fairPart(ShareRow row, String self, ShareRow.Share own, int need) {
         int others = row.shares().entrySet().stream()
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterDesk.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterDesk.java
@@ -25,7 +25,15 @@
      * @param target where to, not null
      * @param adapter the adapter, not null
      */
-    void used(Target target, AdapterName adapter);
+    void begun(Target target, AdapterName adapter);
+
+    /**
+     * Notes that a request that was sent has ended.
+     *
+     * @param target where it was sent, not null
+     * @param adapter the adapter, not null
+     */
+    void ended(Target target, AdapterName adapter);
 
     /**
      * Registers an exchange that waits for an adapter; it is told of each change of where the adapter is.
@@ -43,4 +51,12 @@
      * @return the version, 0 if none was named
      */
     long namedVersion(AdapterName adapter);
+
+    /**
+     * Gets the least version of an adapter that may still run: for a moment after a version was named, the one before.
+     *
+     * @param adapter the adapter, not null
+     * @return the version, 0 for any
+     */
+    long requiredVersion(AdapterName adapter);
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -9,6 +9,7 @@
 import org.geraniumreach.gateway.port.TargetLoad;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.target.Target;
+import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
  * One sending of a request to one target.
@@ -70,6 +71,7 @@
     void start(TargetPort.Envelope envelope, Duration longestIdle, SilenceLimits silenceLimits) {
         limits = silenceLimits;
         target.sent(promptTokens, services.clock().nanos());
+        adapter().ifPresent(adapter -> services.adapters().begun(target, adapter));
         call = services.targets().send(target, request, envelope, longestIdle, this);
         watch(limits.start());
     }
@@ -101,6 +103,11 @@
         silence.cancel();
         notePromptRead();
         target.ended();
+        adapter().ifPresent(adapter -> services.adapters().ended(target, adapter));
+    }
+
+    private Optional<AdapterName> adapter() {
+        return request.generation().flatMap(GatewayRequest.Generation::adapter);
     }
 
     private void notePromptRead() {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -1,7 +1,9 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -52,6 +54,7 @@
     private final Duration limit;
     private final Set<TargetId> avoided = new HashSet<>();
     private final Set<TargetId> mayHaveRun = new HashSet<>();
+    private final Map<TargetId, Long> askedAt = new HashMap<>();
     private final AnswerRelay relay;
     private Cancellable limitTimer = Cancellable.NOTHING;
     private Cancellable waitTimer = Cancellable.NOTHING;
@@ -167,13 +170,28 @@
                 service,
                 request.generation().map(GatewayRequest.Generation::model),
                 adapter,
+                adapter.map(services.adapters()::requiredVersion).orElse(0L),
                 adapter.map(services.adapters()::namedVersion).orElse(0L),
                 request.affinity(),
                 promptTokens(),
                 elapsed().compareTo(services.settings().longestHold()) < 0,
+                slowLoaders(),
                 avoided);
     }
 
+    /** A holder may be unable to order, or find no place that is idle; another target may load meanwhile. */
+    private Set<TargetId> slowLoaders() {
+        long longest = services.settings().slowLoad().toNanos();
+        long now = services.clock().nanos();
+        Set<TargetId> slow = new HashSet<>();
+        askedAt.forEach((target, at) -> {
+            if (now - at >= longest) {
+                slow.add(target);
+            }
+        });
+        return slow;
+    }
+
     private void awaitAdapter(Target target) {
         AdapterName adapter = adapter().orElseThrow();
         Duration longest =
@@ -185,6 +203,7 @@
             giveUp(ResultCode.LOAD_FAILED, "the adapter is not loaded in time");
             return;
         }
+        askedAt.putIfAbsent(target.id(), services.clock().nanos());
         adapterWait.cancel();
         adapterWait = services.adapters().await(adapter, this::place);
         waitTimer = services.timers().after(services.settings().lookAgain(), this::place);
@@ -205,25 +224,26 @@
                         Field.of("target", target.id().value()),
                         Field.of("reason", send.reason()),
                         Field.of("arrival", arrivals),
+                        Field.of(
+                                "account",
+                                account.map(known -> known.id().value()).orElse("")),
+                        Field.of("units", account.map(this::units).orElse(0.0)),
                         Field.of("expectedWaitMillis", send.expectedWaitMillis()),
                         Field.of("outstanding", target.outstanding()),
                         Field.of("waitedMillis", elapsed().toMillis()));
-        adapter().ifPresent(adapter -> {
-            services.adapters().used(target, adapter);
-            send.alsoLoad().ifPresent(other -> services.adapters().want(other, adapter));
-        });
+        adapter().ifPresent(adapter -> send.alsoLoad()
+                .ifPresent(other -> services.adapters().want(other, adapter)));
         Attempt started = new Attempt(services, target, request, new AttemptEvents(target));
         attempt = Optional.of(started);
-        started.start(envelope(), longestIdle(), silenceLimits());
+        started.start(envelope(target), longestIdle(), silenceLimits());
     }
 
-    private TargetPort.Envelope envelope() {
+    private TargetPort.Envelope envelope(Target target) {
         Duration patienceLeft = request.patience().minus(elapsed());
         Duration left = patienceLeft.compareTo(left()) < 0 ? patienceLeft : left();
         OptionalLong version = adapter()
-                .map(services.adapters()::namedVersion)
-                .filter(named -> named > 0)
-                .map(OptionalLong::of)
+                .filter(adapter -> services.adapters().namedVersion(adapter) > 0)
+                .map(target::residentVersion)
                 .orElse(OptionalLong.empty());
         return new TargetPort.Envelope(
                 account.map(known -> known.id().value()), left, urgency(), version, relay.resumeAfter());
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
@@ -11,6 +11,7 @@
  * @param loadWaitShare the part of the caller's time for which a request may wait for an adapter
  * @param longestLoadWait the longest wait for an adapter
  * @param lookAgain how often a waiting request looks for a target again
+ * @param slowLoad how long a load at one target is waited for before another one is asked
  * @param longestHold how long after its arrival a request may be held back so that prompts do not clump
  * @param silentStart the silence before a stream's first event after which one that may be resumed goes elsewhere
  * @param silentPause the silence within a stream after which one that may be resumed goes elsewhere
@@ -25,6 +26,7 @@
         double loadWaitShare,
         Duration longestLoadWait,
         Duration lookAgain,
+        Duration slowLoad,
         Duration longestHold,
         Duration silentStart,
         Duration silentPause,
@@ -47,14 +49,17 @@
                 // Above all loads of a cold start: 19 places, four at a time, 250 ms each.
                 Duration.ofSeconds(3),
                 Duration.ofMillis(150),
+                // A load takes 250 ms, and four at a time may be ahead.
+                Duration.ofMillis(700),
                 // With 76 ms to read a prompt and 250 ms for others ahead, the objective of 800 ms still holds.
                 Duration.ofMillis(350),
                 // Callers leave a stream after 3.2 s without an event; this leaves time for a second start.
                 Duration.ofMillis(1_500),
                 Duration.ofMillis(1_200),
                 0.4,
-                // A connection that broke while it was idle fails the request, which then cannot be sent again.
-                Duration.ofSeconds(1),
+                // A connection that broke while it was idle fails the request, which then cannot be sent again; targets
+                // tell how long they keep one, and a close that was seen is heeded.
+                Duration.ofSeconds(4),
                 Duration.ofSeconds(10),
                 4,
                 Duration.ofMillis(20));
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -61,10 +61,11 @@
 
     /** A leaving target must be heeded within 2 s; rows change with each load, so reading at each change costs 13 calls a second. */
     private static final FeedReader.Pace TARGET_PACE =
-            new FeedReader.Pace(Duration.ofMillis(1_500), Duration.ofMillis(600), Duration.ofMillis(500));
+            new FeedReader.Pace(Duration.ofMillis(1_500), Duration.ofMillis(800), Duration.ofMillis(500));
 
+    /** Changes of shares wake every reader; what an entry changes itself it knows at once. */
     private static final FeedReader.Pace FLEET_PACE =
-            new FeedReader.Pace(Duration.ofSeconds(4), Duration.ofMillis(100), Duration.ofSeconds(1));
+            new FeedReader.Pace(Duration.ofSeconds(4), Duration.ofMillis(900), Duration.ofSeconds(1));
 
     private static final Ingress.Limits FIRST_LIMITS =
             new Ingress.Limits(16_384, 4 * 1024 * 1024, Duration.ofSeconds(75));
@@ -112,7 +113,7 @@
         this.log = Objects.requireNonNull(log, "log");
         this.watch = new StoreWatch(clock, log);
         this.holdings = new Holdings(settings.instance(), incarnation, lease, clock);
-        this.quotas = new Quotas(settings.instance(), lease, settings.quotaTolerance(), clock);
+        this.quotas = new Quotas(settings.instance(), lease, settings.quotaTolerance(), clock, log);
         this.store = new StoreClient(connections, settings.store());
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.desk = new HolderDesk(book, holdings, targets, timers, clock, log, () -> configuration);
--- a/node/src/main/java/org/geraniumreach/node/HolderDesk.java
+++ b/node/src/main/java/org/geraniumreach/node/HolderDesk.java
@@ -49,10 +49,14 @@
     /** Loads take 25 ms at the least, so looking after them more often shows nothing new. */
     private static final Duration LOOK = Duration.ofMillis(12);
 
-    private static final Duration ORDER_LIMIT = Duration.ofMillis(700);
+    /** Orders are answered within 10 ms; one that is not was lost, or is carried out late. */
+    private static final Duration ORDER_LIMIT = Duration.ofMillis(300);
 
-    /** Uses that are told to holders; evictions look at the last 1.2 s. */
-    private static final Duration TELL_USES = Duration.ofMillis(400);
+    /** Adapters with requests under way are told to holders; evictions look at the last 450 ms. */
+    private static final Duration TELL_USES = Duration.ofMillis(200);
+
+    /** A version must be in force within 5 s; a request that is sent later than this might begin after them. */
+    private static final Duration VERSION_GRACE = Duration.ofMillis(2_500);
 
     private static final Duration ASK_AGAIN = Duration.ofMillis(300);
 
@@ -65,12 +69,15 @@
     private final String self;
     private final Supplier<Optional<TrafficConfiguration>> configuration;
     private final Map<Target, Held> held = new HashMap<>();
-    private final Map<AdapterName, Long> versions = new HashMap<>();
+    private final Map<AdapterName, Named> versions = new HashMap<>();
     private final Map<AdapterName, Set<Runnable>> waiting = new HashMap<>();
-    private final Map<Target, Set<String>> uses = new HashMap<>();
+    private final Map<Target, Map<AdapterName, Integer>> underWay = new HashMap<>();
     private final Map<Target, Map<AdapterName, Long>> asked = new HashMap<>();
     private Optional<EntryLinks> links = Optional.empty();
 
+    /** A version that was named, and the one before it. */
+    private record Named(long version, long before, long at) {}
+
     /** A target that this entry holds. */
     private static final class Held {
         private final AdapterPlaces places;
@@ -319,22 +326,42 @@
     }
 
     @Override
-    public void used(Target target, AdapterName adapter) {
+    public void begun(Target target, AdapterName adapter) {
+        underWay.computeIfAbsent(target, missing -> new HashMap<>()).merge(adapter, 1, Integer::sum);
         Held own = held.get(target);
         if (own != null) {
             own.places.used(adapter, 1, clock.nanos());
-            return;
         }
-        uses.computeIfAbsent(target, missing -> new HashSet<>()).add(adapter.adapter());
+    }
+
+    @Override
+    public void ended(Target target, AdapterName adapter) {
+        Map<AdapterName, Integer> running = underWay.get(target);
+        if (running != null) {
+            running.computeIfPresent(adapter, (name, count) -> count > 1 ? count - 1 : null);
+        }
     }
 
     private void tellUses() {
-        uses.forEach((target, adapters) -> engine(target)
-                .ifPresent(engine -> demand(target, engine.models().get(0), Set.of(), adapters)));
-        uses.clear();
+        long now = clock.nanos();
+        underWay.forEach((target, running) -> {
+            Held own = held.get(target);
+            if (own != null) {
+                running.keySet().forEach(adapter -> own.places.used(adapter, 0, now));
+            } else if (!running.isEmpty()) {
+                tellHolder(target, running.keySet());
+            }
+        });
         timers.after(TELL_USES, this::tellUses);
     }
 
+    private void tellHolder(Target target, Set<AdapterName> running) {
+        Map<String, Set<String>> byModel = new HashMap<>();
+        running.forEach(adapter -> byModel.computeIfAbsent(adapter.baseModel(), missing -> new HashSet<>())
+                .add(adapter.adapter()));
+        byModel.forEach((model, adapters) -> demand(target, model, Set.of(), adapters));
+    }
+
     @Override
     public Cancellable await(AdapterName adapter, Runnable changed) {
         waiting.computeIfAbsent(adapter, missing -> new LinkedHashSet<>()).add(changed);
@@ -348,7 +375,18 @@
 
     @Override
     public long namedVersion(AdapterName adapter) {
-        return versions.getOrDefault(adapter, 0L);
+        Named named = versions.get(adapter);
+        return named == null ? 0 : named.version();
+    }
+
+    @Override
+    public long requiredVersion(AdapterName adapter) {
+        Named named = versions.get(adapter);
+        if (named == null) {
+            return 0;
+        }
+        boolean grace = clock.nanos() - named.at() < VERSION_GRACE.toNanos();
+        return grace ? named.before() : named.version();
     }
 
     /** Takes a version that is to be served from now on. */
@@ -356,10 +394,8 @@
         if (namedVersion(adapter) >= version) {
             return;
         }
-        versions.put(adapter, version);
+        versions.put(adapter, new Named(version, namedVersion(adapter), clock.nanos()));
         log.write(EventCode.ADAPTER_VERSION_NAMED, adapter.toString(), Field.of("version", version));
-        held.forEach((target, own) -> own.places.versionNamed(adapter, clock.nanos()));
-        List.copyOf(held.keySet()).forEach(this::look);
     }
 
     @Override
@@ -376,7 +412,7 @@
     public void left(Target target) {
         log.write(EventCode.TARGET_LEFT, target.id().value());
         letGo(target);
-        uses.remove(target);
+        underWay.remove(target);
         asked.remove(target);
     }
 
