--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
@@ -0,0 +1,185 @@
+package org.geraniumreach.gateway.adapter;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AdapterPlacesTest {
+
+    private static final int PLACES = 5;
+    private static final long MILLI = 1_000_000;
+    private static final long LOAD_MILLIS = 250;
+    private static final long LATE_MILLIS = 3_000;
+
+    // A target crashes, and all its callers lose their streams, if it is ordered to hold more adapters than it has
+    // places.
+    // Answers are lost, orders are carried out seconds late, and runs hold unloads up meanwhile.
+    @Property(tries = 3000)
+    void theTargetIsNeverOrderedToHoldMoreThanItsPlaces(@ForAll long seed) {
+        new World(seed).play();
+    }
+
+    // A caller of a rare adapter is served although another entry's request for it gave up: wishes lapse unless they
+    // are renewed, so they take no place from those who still wait.
+    @Test
+    void aWishThatNobodyRenewsLapses() {
+        World world = new World(1);
+        world.places.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
+        world.places.want(name(1), 0);
+        assertThat(world.places.next(2_000 * MILLI)).isEmpty();
+        assertThat(world.places.isBusy()).isFalse();
+    }
+
+    // Nothing else can be ordered while a target waits for runs to end; each refusal would cost a report and 0.3 s.
+    @Test
+    void nothingElseIsOrderedWhileAnOrderAwaitsRuns() {
+        World world = new World(1);
+        Map<String, Long> full = new HashMap<>();
+        for (int number = 0; number < PLACES; number++) {
+            full.put("a" + number, 1L);
+        }
+        world.places.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
+        world.places.want(name(9), 0);
+        AdapterPlaces.Step.Send unload =
+                (AdapterPlaces.Step.Send) world.places.next(0).orElseThrow();
+        world.places.answered(unload, OrderResult.ACCEPTED, 0);
+        world.places.want(name(8), 100 * MILLI);
+        AdapterPlaces.Step.Send next =
+                (AdapterPlaces.Step.Send) world.places.next(100 * MILLI).orElseThrow();
+        assertThat(next.operation()).isEqualTo(Order.Operation.UNLOAD);
+        assertThat(next.adapter()).isEqualTo(unload.adapter());
+    }
+
+    private static AdapterName name(int number) {
+        return new AdapterName("base", "a" + number);
+    }
+
+    /** A target as the users describe theirs, with an oracle that counts what it holds. */
+    private static final class World implements AdapterPlaces.Listener {
+        private final SplittableRandom random;
+        private final AdapterPlaces places = new AdapterPlaces(PLACES, "base", adapter -> 1L, this);
+        private final Set<AdapterName> resident = new HashSet<>();
+        private final Map<AdapterName, Long> coming = new HashMap<>();
+        private final List<Late> late = new ArrayList<>();
+        private Optional<AdapterName> awaitingRuns = Optional.empty();
+        private long runsEndAt;
+        private long orders;
+        private long now;
+
+        private record Late(AdapterPlaces.Step.Send order, long at) {}
+
+        private World(long seed) {
+            this.random = new SplittableRandom(seed);
+        }
+
+        private void play() {
+            for (int step = 0; step < 400; step++) {
+                now += random.nextInt(30) * MILLI;
+                settle();
+                if (random.nextInt(3) == 0) {
+                    places.want(name(random.nextInt(14)), now);
+                }
+                places.next(now).ifPresent(this::carryOut);
+                assertThat(resident.size() + coming.size()).isLessThanOrEqualTo(PLACES);
+            }
+        }
+
+        private void settle() {
+            coming.entrySet().removeIf(each -> each.getValue() <= now && resident.add(each.getKey()));
+            if (awaitingRuns.isPresent() && runsEndAt <= now) {
+                resident.remove(awaitingRuns.get());
+                awaitingRuns = Optional.empty();
+            }
+            List<Late> due = late.stream().filter(each -> each.at() <= now).toList();
+            late.removeAll(due);
+            due.forEach(each -> obey(each.order()));
+        }
+
+        private void carryOut(AdapterPlaces.Step step) {
+            if (step instanceof AdapterPlaces.Step.Report) {
+                report();
+                return;
+            }
+            AdapterPlaces.Step.Send send = (AdapterPlaces.Step.Send) step;
+            switch (random.nextInt(12)) {
+                case 0 -> {
+                    late.add(new Late(send, now + random.nextLong(LATE_MILLIS) * MILLI));
+                    places.answered(send, OrderResult.UNKNOWN, now);
+                }
+                case 1 -> {
+                    obey(send);
+                    places.answered(send, OrderResult.UNKNOWN, now);
+                }
+                default -> places.answered(send, obey(send), now);
+            }
+        }
+
+        private void report() {
+            if (random.nextInt(5) == 0) {
+                places.reportFailed(now);
+                return;
+            }
+            Map<String, Long> there = new HashMap<>();
+            resident.forEach(adapter -> there.put(adapter.adapter(), 1L));
+            Set<String> onTheWay = new HashSet<>();
+            coming.keySet().forEach(adapter -> onTheWay.add(adapter.adapter()));
+            places.reported(new TargetReport(orders, Map.of("base", there), onTheWay), now);
+        }
+
+        private OrderResult obey(AdapterPlaces.Step.Send send) {
+            AdapterName adapter = send.adapter().orElseThrow();
+            boolean loads = send.operation() == Order.Operation.LOAD;
+            if (loads && coming.containsKey(adapter)) {
+                return OrderResult.ACCEPTED;
+            }
+            if (awaitingRuns.isPresent()) {
+                return awaitingRuns.get().equals(adapter) && !loads ? OrderResult.ACCEPTED : OrderResult.CONFLICT;
+            }
+            if (loads == resident.contains(adapter)) {
+                return OrderResult.ALREADY_SO;
+            }
+            if (send.expectedOrders() != orders) {
+                return OrderResult.CONFLICT;
+            }
+            orders++;
+            if (loads) {
+                coming.put(adapter, now + LOAD_MILLIS * MILLI);
+                return OrderResult.ACCEPTED;
+            }
+            if (random.nextInt(4) == 0) {
+                awaitingRuns = Optional.of(adapter);
+                runsEndAt = now + random.nextInt(1_500) * MILLI;
+                return OrderResult.ACCEPTED;
+            }
+            resident.remove(adapter);
+            return OrderResult.ALREADY_SO;
+        }
+
+        @Override
+        public void arrived(AdapterName adapter, long version) {
+            // The oracle looks at the target, not at what is believed of it.
+        }
+
+        @Override
+        public void leaves(AdapterName adapter) {
+            // The oracle looks at the target, not at what is believed of it.
+        }
+
+        @Override
+        public void modelArrived() {
+            // The base model is there from the beginning.
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
@@ -0,0 +1,170 @@
+package org.geraniumreach.gateway.quota;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.testing.VirtualTime;
+import org.geraniumreach.gateway.traffic.Account;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.Transaction;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class QuotasTest {
+
+    private static final AccountId ID = AccountId.of("acme");
+    private static final double RATE = 10_000;
+    private static final Account ACCOUNT = new Account(ID, RATE, RATE, true, 200, OptionalInt.empty());
+    private static final Quotas.Tolerance TOLERANCE = new Quotas.Tolerance(0.1, 11_000, Duration.ofSeconds(8));
+    private static final Duration WAIT = Duration.ofMillis(400);
+
+    // An account gets more than its rate if two entries spend one part of it. Entries take and give parts as demand
+    // moves,
+    // transactions conflict, their answers are lost, and news come late. The oracle adds up what all entries admit.
+    @Property(tries = 300)
+    void allEntriesTogetherKeepToRateBurstAndTolerance(@ForAll long seed) {
+        new World(seed).play();
+    }
+
+    // An entry that has been cut off from the store for long admits nothing, since others may take its share over.
+    @Test
+    void anEntryWithoutRenewalSpendsNothing() {
+        World world = new World(1);
+        world.settle();
+        Entry entry = world.entries.get(0);
+        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isTrue();
+        world.time.pass(Quotas.PROOF);
+        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isFalse();
+    }
+
+    // A booking's caller is told when its account has units again, not just to go away.
+    @Test
+    void whatIsAboveTheRateIsToldWhenToComeBack() {
+        World world = new World(1);
+        world.settle();
+        Entry entry = world.entries.get(0);
+        Quotas.Admission last = entry.quotas.admit(ACCOUNT, 1_000, WAIT);
+        while (last.admitted()) {
+            last = entry.quotas.admit(ACCOUNT, 1_000, WAIT);
+        }
+        assertThat(last.delay()).isPresent();
+        assertThat(last.delay().get()).isGreaterThan(WAIT).isLessThan(Duration.ofSeconds(5));
+    }
+
+    private static final class Entry {
+        private final Lease lease;
+        private final Quotas quotas;
+        private double demand;
+
+        private Entry(String name, VirtualTime time) {
+            this.lease = new Lease(time, time::wallMillis);
+            this.quotas = new Quotas(name, lease, TOLERANCE, time, (event, id, fields) -> {});
+            this.quotas.configure(Map.of(ID, ACCOUNT));
+        }
+    }
+
+    /** Entries and one stored row. */
+    private static final class World {
+        private final SplittableRandom random;
+        private final VirtualTime time = new VirtualTime();
+        private final List<Entry> entries = new ArrayList<>();
+        private final Map<Long, Double> admitted = new HashMap<>();
+        private Optional<Row> row = Optional.empty();
+        private long version = 1;
+
+        private World(long seed) {
+            this.random = new SplittableRandom(seed);
+            for (int number = 0; number < 4; number++) {
+                entries.add(new Entry("entry" + number, time));
+            }
+        }
+
+        private void settle() {
+            entries.forEach(entry -> entry.lease.renewed(entry.lease.sending()));
+            entries.forEach(entry -> change(entry, 2));
+        }
+
+        private void play() {
+            settle();
+            long begin = time.nanos();
+            for (int step = 0; step < 400; step++) {
+                time.pass(Duration.ofMillis(50));
+                if (step % 20 == 0) {
+                    entries.forEach(entry -> entry.demand = random.nextInt(3) * RATE * random.nextDouble());
+                }
+                entries.forEach(entry -> entry.lease.renewed(entry.lease.sending()));
+                entries.forEach(this::ask);
+                change(entries.get(random.nextInt(entries.size())), random.nextInt(4));
+                if (random.nextInt(3) == 0) {
+                    tell(entries.get(random.nextInt(entries.size())));
+                }
+            }
+            check(begin);
+        }
+
+        private void ask(Entry entry) {
+            double asked = entry.demand * 0.05;
+            while (asked > 0) {
+                double units = Math.min(asked, 200 + random.nextInt(3_000));
+                if (entry.quotas.admit(ACCOUNT, units, WAIT).admitted()) {
+                    admitted.merge(time.nanos(), units, Double::sum);
+                }
+                asked -= units;
+            }
+        }
+
+        private void tell(Entry entry) {
+            entry.quotas.put("share/acme", row);
+        }
+
+        /** Commits a change: the answer is lost (0), refused if outdated, or believed. */
+        private void change(Entry entry, int fate) {
+            Optional<Transaction> change = entry.quotas.change(entries.size(), Map.of());
+            if (change.isEmpty()) {
+                return;
+            }
+            long expected = change.get().conditions().get(0).version();
+            boolean fits = expected == row.map(Row::version).orElse(Transaction.ABSENT);
+            if (fits) {
+                Transaction.Write write = change.get().writes().get(0);
+                row = Optional.of(new Row(write.key(), ++version, write.value().orElseThrow()));
+                assertThat(ShareRow.parse(row.get().value())).isPresent();
+            }
+            if (fate == 0) {
+                return;
+            }
+            if (fits) {
+                tell(entry);
+            } else {
+                entry.quotas.changeRefused();
+                tell(entry);
+            }
+        }
+
+        private void check(long begin) {
+            long window = Duration.ofSeconds(8).toNanos();
+            double allowed = (RATE * 8 + RATE) * 1.1 + 11_000;
+            for (long from = begin;
+                    from <= time.nanos();
+                    from += Duration.ofMillis(500).toNanos()) {
+                long start = from;
+                double sum = admitted.entrySet().stream()
+                        .filter(each -> each.getKey() >= start && each.getKey() < start + window)
+                        .mapToDouble(Map.Entry::getValue)
+                        .sum();
+                assertThat(sum).isLessThanOrEqualTo(allowed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/target/TargetBookTest.java
@@ -0,0 +1,111 @@
+package org.geraniumreach.gateway.target;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import org.geraniumreach.gateway.testing.VirtualTime;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.TargetId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TargetBookTest {
+
+    private static final TargetId ID = TargetId.of("t");
+
+    private final VirtualTime time = new VirtualTime();
+    private final TargetBook book = new TargetBook(time);
+
+    private static TargetDescription description(long startedAt, boolean draining) {
+        return new TargetDescription(
+                ID,
+                startedAt,
+                "service",
+                new InetSocketAddress("127.0.0.1", 9),
+                FailureDomain.of("here"),
+                4,
+                draining,
+                Map.of("base", Map.of("a1", 1L)));
+    }
+
+    @Test
+    void aTargetWhoseRowIsGoneTakesNoWork() {
+        book.put(description(1, false));
+        book.removed(ID);
+        assertThat(book.find(ID)).isEmpty();
+    }
+
+    // All targets would be lost at once: their rows lapse while the store is away, though they live. They are used
+    // until
+    // the store has been back for two seconds; one whose row is missing still is gone then.
+    @Test
+    void rowsThatLapseWhileTheStoreIsAwayAreBelievedForTwoMoreSeconds() {
+        book.put(description(1, false));
+        book.storeLost();
+        book.removed(ID);
+        time.pass(Duration.ofSeconds(5));
+        book.expire();
+        assertThat(book.find(ID)).isPresent();
+        book.storeAnswers();
+        time.pass(TargetBook.RETURN_LIMIT);
+        book.expire();
+        assertThat(book.find(ID)).isEmpty();
+    }
+
+    @Test
+    void aLapsedRowThatComesBackIsKept() {
+        book.put(description(1, false));
+        book.storeLost();
+        book.replaceAll(List.of());
+        book.storeAnswers();
+        book.put(description(1, false));
+        time.pass(Duration.ofSeconds(3));
+        book.expire();
+        assertThat(book.find(ID)).isPresent();
+    }
+
+    // A caller's stream would be answered "not resident": the target has started again under its name and holds
+    // nothing.
+    @Test
+    void aTargetThatStartedAgainHoldsNothingOfBefore() {
+        book.put(description(1, false));
+        Target before = book.find(ID).orElseThrow();
+        before.learnResident(new AdapterName("base", "a9"), 1, time.nanos());
+        book.put(description(2, false));
+        assertThat(book.find(ID).orElseThrow().residentVersion(new AdapterName("base", "a9")))
+                .isEmpty();
+        assertThat(before.takesWork()).isFalse();
+    }
+
+    @Test
+    void anOlderLifeThatIsReadLateChangesNothing() {
+        book.put(description(2, false));
+        book.put(description(1, false));
+        assertThat(book.find(ID).orElseThrow().description().startedAt()).isEqualTo(2);
+    }
+
+    @Test
+    void whatWasLearntCountsAgainstARowOfAnOlderMoment() {
+        book.put(description(1, false));
+        Target target = book.find(ID).orElseThrow();
+        AdapterName loaded = new AdapterName("base", "a2");
+        target.learnResident(loaded, 1, time.nanos());
+        target.learnAbsent(new AdapterName("base", "a1"), time.nanos());
+        book.put(description(1, false));
+        assertThat(target.residents()).containsOnlyKeys(loaded);
+        time.pass(Target.ROW_LAG);
+        book.put(description(1, false));
+        assertThat(target.residents()).containsOnlyKeys(new AdapterName("base", "a1"));
+    }
+
+    @Test
+    void aLeavingTargetTakesNoWork() {
+        book.put(description(1, false));
+        book.put(description(1, true));
+        assertThat(book.find(ID).orElseThrow().takesWork()).isFalse();
+    }
+}
