--- /dev/null
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -0,0 +1,209 @@
+package org.geraniumreach.httpclient;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.geraniumreach.model.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The client against a server that writes exactly what a test says. */
+class HttpConnectionsTest {
+
+    private static final Duration KEPT = Duration.ofSeconds(10);
+    private static final long PATIENCE_SECONDS = 10;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final HttpConnections connections =
+            new HttpConnections(group.next(), MonotonicClock.system(), Duration.ofSeconds(2));
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private ServerSocket server;
+    private Socket accepted;
+
+    @BeforeEach
+    void listen() throws IOException {
+        server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        if (accepted != null) {
+            accepted.close();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+    }
+
+    private void call() {
+        HttpCallRequest request = new HttpCallRequest("GET", "/x", List.of(), new byte[0]);
+        group.next().execute(() -> connections.send(address(), request, KEPT, new Told()));
+    }
+
+    private final class Told implements HttpResponseListener {
+        private final StringBuilder body = new StringBuilder();
+
+        @Override
+        public void head(HttpResponseHead head) {
+            body.append(head.status()).append(' ');
+        }
+
+        @Override
+        public void part(byte[] part) {
+            body.append(new String(part, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void end() {
+            told.add(body.toString());
+        }
+
+        @Override
+        public void failed(CallFailure failure, String reason) {
+            told.add(failure.name());
+        }
+    }
+
+    private String outcome() throws InterruptedException {
+        return told.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void accept() throws IOException {
+        accepted = server.accept();
+        accepted.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+    }
+
+    private void readRequest() throws IOException {
+        InputStream input = accepted.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            head.append((char) input.read());
+        }
+    }
+
+    private void write(String text) throws IOException {
+        accepted.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        accepted.getOutputStream().flush();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'Content-Length: 2\r\n\r\nok'", "'Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n'"})
+    void aFramedBodyIsWhole(String rest) throws Exception {
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\n" + rest);
+        assertThat(outcome()).isEqualTo("200 ok");
+    }
+
+    @Test
+    void aBodyThatEndsWithItsConnectionIsWhole() throws Exception {
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\n\r\nok");
+        accepted.close();
+        assertThat(outcome()).isEqualTo("200 ok");
+    }
+
+    // A caller would take half an answer for the whole: a body that ends with its connection was cut by a reset.
+    @Test
+    void aBodyThatIsCutByAResetIsBroken() throws Exception {
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\n\r\nok");
+        TimeUnit.MILLISECONDS.sleep(200);
+        accepted.setSoLinger(true, 0);
+        accepted.close();
+        assertThat(outcome()).isEqualTo("BROKEN");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok'",
+        "'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n'",
+        "'HTTP/1.1 200 OK\r\nContent-Le'",
+        "'not a response at all\r\n\r\n'"
+    })
+    void whatIsCutOrNoResponseIsBroken(String bytes) throws Exception {
+        call();
+        accept();
+        readRequest();
+        write(bytes);
+        accepted.close();
+        assertThat(outcome()).isEqualTo("BROKEN");
+    }
+
+    @Test
+    void aConnectionThatIsRefusedWasNotSent() throws Exception {
+        server.close();
+        call();
+        assertThat(outcome()).isEqualTo("NOT_SENT");
+    }
+
+    @Test
+    void aConnectionIsKeptForTheNextCall() throws Exception {
+        call();
+        accept();
+        for (int number = 0; number < 2; number++) {
+            readRequest();
+            write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            assertThat(outcome()).isEqualTo("200 ok");
+            if (number == 0) {
+                call();
+            }
+        }
+        assertThat(connections.opened()).isEqualTo(1);
+    }
+
+    // The next caller would get an answer that nobody asked for: a second one came after the first on the connection.
+    @Test
+    void aConnectionWithSurplusBytesCarriesNoOtherCall() throws Exception {
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(outcome()).isEqualTo("200 ok");
+        write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+        assertThat(accepted.getInputStream().read()).isEqualTo(-1);
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew");
+        assertThat(outcome()).isEqualTo("200 new");
+    }
+
+    @Test
+    void aConnectionThatTheOtherEndClosesSoonCarriesNoOtherCall() throws Exception {
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(outcome()).isEqualTo("200 ok");
+        call();
+        accept();
+        readRequest();
+        assertThat(connections.opened()).isEqualTo(2);
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/geraniumreach/node/JsonLogTest.java
@@ -0,0 +1,74 @@
+package org.geraniumreach.node;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.model.EventCode;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+class JsonLogTest {
+
+    @Test
+    void writesOneObjectALineWithNumberNameAndFields() {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        JsonLog log = JsonLog.start(output, () -> 5);
+        log.write(EventCode.CALLER_GONE, "r\"1", Field.of("arrivals", 2), Field.of("reason", "a\nb"));
+        log.close();
+        assertThat(output.toString(StandardCharsets.UTF_8))
+                .isEqualTo("{\"time\":5,\"event\":4011,\"name\":\"CALLER_GONE\",\"id\":\"r\\\"1\",\"arrivals\":2,"
+                        + "\"reason\":\"a\\u000ab\"}\n");
+    }
+
+    // Callers would wait for a reader of the log that has stopped. The ring is full then, lines are dropped, and the
+    // log says how many once it is read again.
+    @Test
+    void aReaderThatHasStoppedHoldsNobodyUp() {
+        CountDownLatch reads = new CountDownLatch(1);
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        JsonLog log = JsonLog.start(new Stuck(output, reads), () -> 5);
+        assertTimeoutPreemptively(Duration.ofSeconds(10), () -> {
+            for (int line = 0; line < 3 * JsonLog.MOST_LINES; line++) {
+                log.write(EventCode.CALLER_GONE, "r");
+                if (line == 0) {
+                    Thread.sleep(300);
+                }
+            }
+        });
+        reads.countDown();
+        log.close();
+        assertThat(output.toString(StandardCharsets.UTF_8)).contains("LOG_LINES_DROPPED");
+    }
+
+    private static final class Stuck extends OutputStream {
+        private final OutputStream behind;
+        private final CountDownLatch reads;
+
+        private Stuck(OutputStream behind, CountDownLatch reads) {
+            this.behind = behind;
+            this.reads = reads;
+        }
+
+        @Override
+        public void write(int value) {
+            throw new UnsupportedOperationException("lines are written in batches");
+        }
+
+        @Override
+        public void write(byte[] batch) throws IOException {
+            try {
+                reads.await();
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
+            }
+            behind.write(batch);
+        }
+    }
+}
