--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
@@ -162,8 +162,9 @@
         if (!residents.isEmpty()) {
             return leastWait(residents, need);
         }
+        // Where every target was slow once, waiting on at one that may still load is better than being sent away.
         return order.stream()
-                .filter(target -> canLoad(target, need))
+                .filter(orderable)
                 .min(Comparator.comparingLong(target -> expectedWaitMillis(target, need)))
                 .<Placed>map(Placed.Load::new)
                 .orElseGet(() -> new Placed.Nowhere(Placed.Reason.NONE_LEFT));
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -224,6 +224,23 @@
         assertThat(answer.header("Retry-After")).isNotEmpty();
     }
 
+    // The caller of a rare adapter is served after a second: its only target was slow to load, and is asked on, since
+    // no other is there. Sent away it would come back to the same wait.
+    @Test
+    void aRequestWaitsOnForASlowLoadWhereNoOtherTargetIsLeft() {
+        world.route(RepeatRule.RESUMABLE_STREAM, 2).target("a", Map.of("base", Map.of()));
+        RecordedAnswer answer = world.send(Optional.of(generation()));
+        world.time().pass(Duration.ofMillis(1_200));
+        assertThat(answer.isOver()).isFalse();
+        world.book()
+                .all()
+                .iterator()
+                .next()
+                .learnResident(new AdapterName("base", "a7"), 1, world.time().nanos());
+        world.adapters().wake();
+        assertThat(world.targets().sent()).hasSize(1);
+    }
+
     private static GatewayRequest.Generation generation() {
         return new GatewayRequest.Generation(
                 "base",
