Require a named version at once where nobody can tell how long ago it was named

Cause: an entry that has just started took the moment of its first reading for that of the naming, and let the version before run for 2.5 s more. Ruled out: loads that finish after the naming (the target refuses what does not fit). The time counts from the last reading without the version now.

--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -6,17 +6,21 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.geraniumreach.gateway.adapter.Holdings;
 import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.StorePort;
+import org.geraniumreach.gateway.port.StoreReply;
 import org.geraniumreach.gateway.port.Timers;
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.Quotas;
@@ -101,6 +105,7 @@
     private final TargetHealth health;
     private final RequestDesk requests;
     private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
+    private OptionalLong operatorReadAt = OptionalLong.empty();
     private volatile boolean targetsKnown;
     private volatile boolean admits;
     private Ingress ingress;
@@ -199,7 +204,7 @@
         book.listen(desk);
         book.listen(new HealthMembers());
         desk.start(links);
-        new FeedReader<>(store::operatorNews, this::operatorNews, watch, timers, OPERATOR_PACE).read();
+        new FeedReader<>(this::readOperator, this::operatorNews, watch, timers, OPERATOR_PACE).read();
         new FeedReader<>(store::targetNews, this::targetNews, watch, timers, TARGET_PACE).read();
         FeedReader.Source<StorePort.RowChange> fleetRows =
                 (position, reply) -> store.rowNews(Holdings.TABLE, position, reply);
@@ -235,12 +240,22 @@
         admits = true;
     }
 
+    private Cancellable readOperator(
+            StorePort.Position position, Consumer<StoreReply<StorePort.News<StorePort.OperatorItem>>> reply) {
+        return store.operatorNews(position, answer -> {
+            reply.accept(answer);
+            if (answer instanceof StoreReply.Value<StorePort.News<StorePort.OperatorItem>>) {
+                operatorReadAt = OptionalLong.of(clock.nanos());
+            }
+        });
+    }
+
     private void operatorNews(StorePort.News<StorePort.OperatorItem> news) {
         for (StorePort.OperatorItem item : news.items()) {
             if (item instanceof StorePort.OperatorItem.Configuration newer) {
                 configure(newer.configuration());
             } else if (item instanceof StorePort.OperatorItem.AdapterVersion named) {
-                desk.named(named.adapter(), named.version());
+                desk.named(named.adapter(), named.version(), operatorReadAt);
             } else if (item instanceof StorePort.OperatorItem.Unreadable bad) {
                 log.write(EventCode.ROW_UNREADABLE, bad.key(), Field.of("reason", bad.reason()));
             }
--- a/node/src/main/java/org/geraniumreach/node/HolderDesk.java
+++ b/node/src/main/java/org/geraniumreach/node/HolderDesk.java
@@ -76,7 +76,7 @@
     private Optional<EntryLinks> links = Optional.empty();
 
     /** A version that was named, and the one before it. */
-    private record Named(long version, long before, long at) {}
+    private record Named(long version, long before, OptionalLong notNamedAt) {}
 
     /** A target that this entry holds. */
     private static final class Held {
@@ -385,16 +385,24 @@
         if (named == null) {
             return 0;
         }
-        boolean grace = clock.nanos() - named.at() < VERSION_GRACE.toNanos();
+        // A process that has just started, or whose store was away, cannot tell how long ago the version was named.
+        boolean grace = named.notNamedAt().isPresent()
+                && clock.nanos() - named.notNamedAt().getAsLong() < VERSION_GRACE.toNanos();
         return grace ? named.before() : named.version();
     }
 
-    /** Takes a version that is to be served from now on. */
-    void named(AdapterName adapter, long version) {
+    /**
+     * Takes a version that is to be served from now on.
+     *
+     * @param adapter the adapter
+     * @param version the version
+     * @param knownBefore when the operator's rows were last read without it, empty if they never were
+     */
+    void named(AdapterName adapter, long version, OptionalLong knownBefore) {
         if (namedVersion(adapter) >= version) {
             return;
         }
-        versions.put(adapter, new Named(version, namedVersion(adapter), clock.nanos()));
+        versions.put(adapter, new Named(version, namedVersion(adapter), knownBefore));
         log.write(EventCode.ADAPTER_VERSION_NAMED, adapter.toString(), Field.of("version", version));
     }
 
--- /dev/null
+++ b/node/src/test/java/org/geraniumreach/node/HolderDeskTest.java
@@ -0,0 +1,92 @@
+package org.geraniumreach.node;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import org.geraniumreach.gateway.adapter.Holdings;
+import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.adapter.Order;
+import org.geraniumreach.gateway.adapter.OrderResult;
+import org.geraniumreach.gateway.adapter.TargetReport;
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.TargetAnswerListener;
+import org.geraniumreach.gateway.port.TargetPort;
+import org.geraniumreach.gateway.request.GatewayRequest;
+import org.geraniumreach.gateway.target.Target;
+import org.geraniumreach.gateway.target.TargetBook;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.model.MonotonicClock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HolderDeskTest {
+
+    private static final AdapterName ADAPTER = new AdapterName("base", "a7");
+    private static final long BEGIN = 1_000_000_000_000L;
+
+    private final AtomicLong now = new AtomicLong(BEGIN);
+    private final MonotonicClock clock = now::get;
+    private final HolderDesk desk = new HolderDesk(
+            new TargetBook(clock),
+            new Holdings("one", 1, new Lease(clock, () -> now.get() / 1_000_000), clock),
+            new NoTargets(),
+            (delay, action) -> Cancellable.NOTHING,
+            clock,
+            (event, id, fields) -> {},
+            Optional::empty);
+
+    // A caller would be answered by an adapter that was replaced long ago: an entry starts again in mid-day, reads the
+    // version for the first time and cannot tell when it was named, so the version before may not run any more.
+    @Test
+    void aVersionThatAFirstReadingFindsIsRequiredAtOnce() {
+        desk.named(ADAPTER, 2, OptionalLong.empty());
+        assertThat(desk.requiredVersion(ADAPTER)).isEqualTo(2);
+    }
+
+    // Callers need not wait for a load while the version before may still run; the time counts from the last reading
+    // that had not found the version, since it may have been named right after.
+    @ParameterizedTest
+    @CsvSource({"0, 0", "2400, 0", "2600, 2"})
+    void theVersionBeforeMayRunForAMomentAfterTheLastReadingWithoutTheNewOne(long millis, long required) {
+        desk.named(ADAPTER, 2, OptionalLong.of(BEGIN));
+        now.addAndGet(Duration.ofMillis(millis).toNanos());
+        assertThat(desk.requiredVersion(ADAPTER)).isEqualTo(required);
+    }
+
+    @Test
+    void anOlderVersionThatIsReadLateChangesNothing() {
+        desk.named(ADAPTER, 3, OptionalLong.empty());
+        desk.named(ADAPTER, 2, OptionalLong.empty());
+        assertThat(desk.namedVersion(ADAPTER)).isEqualTo(3);
+    }
+
+    /** Nothing is sent here. */
+    private static final class NoTargets implements TargetPort {
+
+        @Override
+        public Cancellable send(
+                Target target,
+                GatewayRequest request,
+                Envelope envelope,
+                Duration longestIdle,
+                TargetAnswerListener listener) {
+            throw new UnsupportedOperationException("no requests here");
+        }
+
+        @Override
+        public Cancellable order(Target target, Order order, String holder, Consumer<OrderResult> result) {
+            throw new UnsupportedOperationException("no orders here");
+        }
+
+        @Override
+        public Cancellable report(Target target, Consumer<Optional<TargetReport>> result) {
+            throw new UnsupportedOperationException("no reports here");
+        }
+    }
+}
