Drop what nobody calls, and one copy of a check, a constant and a time

Read again as a whole: hasFault was isServerFault under another name; the table's name stood in Quotas and Holdings; the time left was worked out beside left(), which is never longer; equals and hashCode were those of Object; five methods and two events had no caller. No behaviour changes.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/Lease.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/Lease.java
@@ -109,15 +109,6 @@
                 && Math.abs(offset(now) - offsetMillis) < GREATEST_STEP.toMillis();
     }
 
-    /**
-     * Gets the age of the last renewal.
-     *
-     * @return its age, or the longest time if there was none
-     */
-    public Duration age() {
-        return renewed ? Duration.ofNanos(clock.nanos() - renewedAt) : Duration.ofNanos(Long.MAX_VALUE);
-    }
-
     private long offset(long nanos) {
         return wall.millis() - nanos / 1_000_000;
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -1,12 +1,10 @@
 package org.geraniumreach.gateway.quota;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 
 import org.geraniumreach.gateway.adapter.Holdings;
 import org.geraniumreach.gateway.adapter.Lease;
@@ -30,9 +28,6 @@
  */
 public final class Quotas {
 
-    /** The table of the rows. */
-    public static final String TABLE = "fleet";
-
     /** Without a renewal for as long as this, shares are not spent; the store is away for 12 s at the longest so far. */
     static final Duration PROOF = Duration.ofSeconds(25);
 
@@ -108,7 +103,7 @@
     }
 
     /**
-     * Queries whether a row of {@link #TABLE} is of a share.
+     * Queries whether a row of {@link Holdings#TABLE} is of a share.
      *
      * @param key the row's key, not null
      * @return true if it is
@@ -226,7 +221,7 @@
         }
         state.parts = Math.min(state.parts, change.get().of(self).parts());
         resize(account.id());
-        RowKey key = RowKey.of(TABLE, PREFIX + account.id().value());
+        RowKey key = RowKey.of(Holdings.TABLE, PREFIX + account.id().value());
         return conditions
                 .withCondition(key, state.version)
                 .withWrite(key, change.get().toText());
@@ -239,24 +234,4 @@
             resize(account);
         });
     }
-
-    /**
-     * Gets the parts of an account's rate that this entry has.
-     *
-     * @param account the account, not null
-     * @return the parts, of {@link ShareRow#WHOLE}
-     */
-    public int parts(AccountId account) {
-        State state = states.get(account);
-        return state == null ? 0 : state.parts;
-    }
-
-    /**
-     * Gets the accounts that are known.
-     *
-     * @return their ids, not null
-     */
-    public Collection<AccountId> known() {
-        return Set.copyOf(accounts.keySet());
-    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerRelay.java
@@ -129,15 +129,11 @@
         return begun;
     }
 
+    /** Queries whether a target's own failure is at hand, of which nothing was passed on yet. */
     boolean isServerFault() {
         return !begun && head.isPresent() && head.get().isServerFault();
     }
 
-    /** Queries whether a target's own failure, whole, is at hand to be passed on. */
-    boolean hasFault() {
-        return isServerFault();
-    }
-
     int status() {
         return head.map(TargetAnswerHead::status).orElse(0);
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -239,14 +238,12 @@
     }
 
     private TargetPort.Envelope envelope(Target target) {
-        Duration patienceLeft = request.patience().minus(elapsed());
-        Duration left = patienceLeft.compareTo(left()) < 0 ? patienceLeft : left();
         OptionalLong version = adapter()
                 .filter(adapter -> services.adapters().namedVersion(adapter) > 0)
                 .map(target::residentVersion)
                 .orElse(OptionalLong.empty());
         return new TargetPort.Envelope(
-                account.map(known -> known.id().value()), left, urgency(), version, relay.resumeAfter());
+                account.map(known -> known.id().value()), left(), urgency(), version, relay.resumeAfter());
     }
 
     private int urgency() {
@@ -390,7 +387,7 @@
             finish(OutcomeListener.Kind.CUT, relay.status());
             return;
         }
-        if (relay.hasFault()) {
+        if (relay.isServerFault()) {
             relay.finish();
             finish(OutcomeListener.Kind.ANSWERED, relay.status());
             return;
@@ -482,14 +479,4 @@
                         elapsed()));
         onEnd.accept(this);
     }
-
-    @Override
-    public boolean equals(Object other) {
-        return this == other;
-    }
-
-    @Override
-    public int hashCode() {
-        return Objects.hashCode(request.id());
-    }
 }
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -26,7 +26,6 @@
  */
 public final class HttpConnections {
 
-    private final EventLoop loop;
     private final MonotonicClock clock;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, Deque<HttpConnection>> idle = new HashMap<>();
@@ -40,10 +39,9 @@
      * @param connectLimit how long a connection may take to open, not null
      */
     public HttpConnections(EventLoop loop, MonotonicClock clock, Duration connectLimit) {
-        this.loop = Objects.requireNonNull(loop, "loop");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.bootstrap = new Bootstrap()
-                .group(loop)
+                .group(Objects.requireNonNull(loop, "loop"))
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectLimit.toMillis())
@@ -159,8 +157,4 @@
     public long opened() {
         return opened;
     }
-
-    EventLoop loop() {
-        return loop;
-    }
 }
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -61,8 +61,6 @@
     PLATFORM_UNREACHABLE(7001, Level.WARN, "The table service, object store or instance list does not answer."),
     PLATFORM_REACHABLE(7002, Level.INFO, "The table service, object store or instance list answers again."),
     WRITE_SETTLED(7003, Level.INFO, "A write whose answer was lost was settled by reading."),
-    LEASE_RENEWED(7004, Level.INFO, "This entry's lease holds again."),
-    LEASE_LOST(7005, Level.WARN, "This entry's lease does not hold; it orders nothing."),
     ROW_UNREADABLE(7006, Level.WARN, "A row of the store cannot be read, and is left out."),
     LOG_LINES_DROPPED(9003, Level.WARN, "The log was full; lines were dropped."),
     UNEXPECTED_FAILURE(9001, Level.ERROR, "A fault of the system."),
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -17,7 +17,6 @@
 import org.geraniumreach.gateway.adapter.Holdings;
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.port.Cancellable;
-import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.port.StoreReply;
@@ -341,8 +340,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    DecisionLog log() {
-        return log;
-    }
 }
--- a/node/src/main/java/org/geraniumreach/node/FleetTable.java
+++ b/node/src/main/java/org/geraniumreach/node/FleetTable.java
@@ -270,10 +270,6 @@
                 .ifPresent(row -> holdings.seenLease(change.key(), row.version(), LeaseKeeper.released(row.value())));
     }
 
-    boolean hasRead() {
-        return read;
-    }
-
     int entries() {
         return entries.size();
     }
