Let the captured timer of tests start no thread

Cause: the timer that only captures a task also scheduled an empty one far ahead, which starts a worker thread; with no core threads it wakes each 10 ms and never ends. The exchange's fuzzer makes one in each of some 8,000 plays.

--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CapturedTimer.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CapturedTimer.java
@@ -1,11 +1,19 @@
 package org.geraniumreach.daemon.companion;
 
+import java.util.concurrent.Delayed;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** A timer that runs nothing, and gives its tasks to the test. */
+/**
+ * A timer that runs nothing, and gives its tasks to the test.
+ *
+ * <p>It starts no thread. A task that was really scheduled, however far ahead, kept one that woke each 10 ms for as long as
+ * the tests ran; the worlds of a fuzzer made thousands of them, which took up the machine and kept the tests' process from
+ * ending.
+ */
 final class CapturedTimer extends ScheduledThreadPoolExecutor {
 
     private final Consumer<Runnable> captor;
@@ -18,6 +26,24 @@
     @Override
     public ScheduledFuture<?> scheduleWithFixedDelay(Runnable task, long first, long delay, TimeUnit unit) {
         captor.accept(task);
-        return schedule(() -> {}, Long.MAX_VALUE, TimeUnit.DAYS);
+        return new NeverDue();
+    }
+
+    /** The handle of a task that only the test runs. */
+    private static final class NeverDue extends FutureTask<Void> implements ScheduledFuture<Void> {
+
+        private NeverDue() {
+            super(() -> null);
+        }
+
+        @Override
+        public long getDelay(TimeUnit unit) {
+            return Long.MAX_VALUE;
+        }
+
+        @Override
+        public int compareTo(Delayed other) {
+            return Long.compare(Long.MAX_VALUE, other.getDelay(TimeUnit.NANOSECONDS));
+        }
     }
 }
