--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
@@ -196,12 +196,17 @@
     /**
      * Finds where the adapter, or its newest version, should be loaded for requests to come.
      *
-     * <p>A newer version replaces an older one at the same target only once the runs there have ended, and nothing else can be
-     * loaded there meanwhile; so it is loaded where no version is.
+     * <p>As many targets as there should be homes are enough, also where they are not the homes: when targets come and go the homes
+     * of a part of all adapters change, and loading each of these again at its new home fills the weight store. A newer version replaces an
+     * older one at the same target only once the runs there have ended, and nothing else can be loaded there meanwhile; so it is
+     * loaded where no version is.
      */
     private Optional<Target> loaderFor(
             PlacementNeed need, List<Target> order, List<Target> homes, List<Target> residents) {
         boolean newestThere = residents.stream().anyMatch(target -> version(target, need) >= need.newestVersion());
+        if (newestThere && residents.size() >= homes.size()) {
+            return Optional.empty();
+        }
         List<Target> candidates = newestThere ? homes : order;
         return candidates.stream()
                 .filter(target -> !residents.contains(target) && canLoad(target, need) && !holdsOlder(target, need))
