--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
@@ -153,6 +153,9 @@
         if (best.isPresent()) {
             return send(best.get(), order, need, missingHome);
         }
+        if (!residents.isEmpty() && !isWorthLoadingElsewhere(residents, need)) {
+            return leastWait(residents, need);
+        }
         Optional<Target> loadable = order.stream()
                 .filter(target -> !residents.contains(target) && canLoad(target, need) && !isCrowded(target, need))
                 .min(Comparator.comparing(target -> holdsOlder(target, need)));
@@ -170,6 +173,12 @@
                 .orElseGet(() -> new Placed.Nowhere(Placed.Reason.NONE_LEFT));
     }
 
+    /** A load elsewhere takes a place and a share of the weight store, which those without any target wait for. */
+    private boolean isWorthLoadingElsewhere(List<Target> residents, PlacementNeed need) {
+        long least = settings.loadElsewhereWait().toMillis();
+        return residents.stream().allMatch(target -> expectedWaitMillis(target, need) > least);
+    }
+
     private Duration readingRoom(Target target, PlacementNeed need) {
         return target.readingRoom(
                 need.promptTokens(), settings.readingTokens(), settings.readingWindow(), clock.nanos());
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
@@ -10,6 +10,7 @@
  *
  * @param promptTokensPerMilli the prompt tokens that a target reads in a millisecond
  * @param crowdedWait the expected wait for the first part beyond which another target is preferred
+ * @param loadElsewhereWait the expected wait at all targets that hold an adapter beyond which another one loads it
  * @param readingShare the part of a target's time in which it may read prompts of one adapter before another target shares them
  * @param readingWindow within which prompts sent to a target are counted
  * @param readingTokens the most tokens of such a window from one entry
@@ -19,6 +20,7 @@
 public record PlacementSettings(
         double promptTokensPerMilli,
         Duration crowdedWait,
+        Duration loadElsewhereWait,
         double readingShare,
         Duration readingWindow,
         long readingTokens,
@@ -27,6 +29,7 @@
 
     public PlacementSettings {
         Objects.requireNonNull(crowdedWait, "crowdedWait");
+        Objects.requireNonNull(loadElsewhereWait, "loadElsewhereWait");
         Objects.requireNonNull(readingWindow, "readingWindow");
         Objects.requireNonNull(slotTime, "slotTime");
         Objects.requireNonNull(reportLifetime, "reportLifetime");
@@ -50,6 +53,9 @@
         return new PlacementSettings(
                 19.2,
                 Duration.ofMillis(350),
+                // A load takes 400 ms on a heavy day and the target that loads has 350 ms to read, so below this the wait
+                // at a holder is the shorter one.
+                Duration.ofMillis(750),
                 0.25,
                 Duration.ofMillis(300),
                 2_600,
