--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -53,7 +53,7 @@
     private static final int AT_HAND = 100;
 
     /** Who still waits for an adapter asks again each 300 ms; a load for somebody who has gone elsewhere takes a place for nothing. */
-    private static final Duration WISH_LIFETIME = Duration.ofMillis(700);
+    private static final Duration WISH_LIFETIME = Duration.ofMillis(500);
 
     private static final Duration REFUSED_PAUSE = Duration.ofMillis(500);
 
