--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
@@ -157,7 +157,7 @@
             return leastWait(residents, need);
         }
         Optional<Target> loadable = order.stream()
-                .filter(target -> !residents.contains(target) && canLoad(target, need) && !isCrowded(target, need))
+                .filter(target -> !residents.contains(target) && canLoad(target, need) && isFreeAfterLoad(target, need))
                 .min(Comparator.comparing(target -> holdsOlder(target, need)));
         if (loadable.isPresent()) {
             return new Placed.Load(loadable.get());
@@ -179,6 +179,14 @@
         return residents.stream().allMatch(target -> expectedWaitMillis(target, need) > least);
     }
 
+    /**
+     * What is ahead now is read by the time the load is done. Entries see a target's crowd differently, and each that passes over
+     * the home has the same adapter fetched somewhere else.
+     */
+    private boolean isFreeAfterLoad(Target target, PlacementNeed need) {
+        return expectedWaitMillis(target, need) <= settings.loadElsewhereWait().toMillis();
+    }
+
     private Duration readingRoom(Target target, PlacementNeed need) {
         return target.readingRoom(
                 need.promptTokens(), settings.readingTokens(), settings.readingWindow(), clock.nanos());
