Believe no single late heartbeat of a target that has left, and none that ends draining

Cause: a target's row went and a heartbeat on its way put it back within the same reading (TARGET_LEFT and TARGET_JOINED of one life in the same millisecond); the entries sent on until the row lapsed again. Ruled out: the pace of reading (the row's end was read 0.4 s after its write), the doubt about rows while the store is away (it was not).

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -326,9 +326,7 @@
         if (repeated) {
             return NEXT_LOOK.toNanos();
         }
-        return isFetch(adapter)
-                ? (long) (window.typical().toNanos() * FIRST_LOOK_COLD)
-                : FIRST_LOOK_WARM.toNanos();
+        return isFetch(adapter) ? (long) (window.typical().toNanos() * FIRST_LOOK_COLD) : FIRST_LOOK_WARM.toNanos();
     }
 
     private void alreadySo(Step.Send sent, long now) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
@@ -49,7 +49,8 @@
                 // Above all loads of a cold start: 19 places, four at a time, 250 ms each.
                 Duration.ofSeconds(3),
                 Duration.ofMillis(150),
-                // A fetch takes 250 to 500 ms and some are ahead of it on a heavy day. Asking the next target sooner puts the
+                // A fetch takes 250 to 500 ms and some are ahead of it on a heavy day. Asking the next target sooner
+                // puts the
                 // request at the end of another queue and has the adapter fetched twice.
                 Duration.ofMillis(1_500),
                 // With 76 ms to read a prompt and 250 ms for others ahead, the objective of 800 ms still holds.
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
@@ -53,7 +53,8 @@
         return new PlacementSettings(
                 19.2,
                 Duration.ofMillis(350),
-                // A load takes 400 ms on a heavy day and the target that loads has 350 ms to read, so below this the wait
+                // A load takes 400 ms on a heavy day and the target that loads has 350 ms to read, so below this the
+                // wait
                 // at a holder is the shorter one.
                 Duration.ofMillis(750),
                 0.25,
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Target.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Target.java
@@ -56,8 +56,9 @@
         return description;
     }
 
-    /** Takes newer news from the target's row. */
+    /** Takes newer news from the target's row; a late heartbeat from before a target began to drain does not end its draining. */
     void update(TargetDescription newer, long now) {
+        leaving |= description.draining();
         description = newer;
         adoptRow(newer, now);
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/TargetBook.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/TargetBook.java
@@ -20,7 +20,8 @@
  *
  * <p>Invariants: a target that starts again is another {@link Target}, though its name be the same; one whose row vanished
  * takes no work, but for a row that vanished while the store was away: rows lapse then though their targets live, so the
- * target is used until the store has been back for {@link #RETURN_LIMIT}. Confined to the event loop.
+ * target is used until the store has been back for {@link #RETURN_LIMIT}; a life whose row vanished comes back only by a second heartbeat,
+ * and one that is draining never takes work again. Confined to the event loop.
  */
 public final class TargetBook {
 
@@ -36,6 +37,7 @@
     private final MonotonicClock clock;
     private final Map<TargetId, Target> targets = new HashMap<>();
     private final Map<TargetId, Long> lapsed = new HashMap<>();
+    private final DepartedTargets departed = new DepartedTargets();
     private final Map<String, List<Target>> byService = new HashMap<>();
     private final List<Listener> listeners = new ArrayList<>();
     private long storeBackAt = Long.MIN_VALUE;
@@ -123,6 +125,9 @@
         if (known != null) {
             remove(known);
         }
+        if (!departed.isProven(description)) {
+            return;
+        }
         Target target = new Target(description, clock.nanos());
         targets.put(target.id(), target);
         refresh(description.service());
@@ -137,6 +142,7 @@
     public void removed(TargetId id) {
         Target target = targets.get(id);
         if (target == null) {
+            departed.leftAgain(id);
             return;
         }
         if (isStoreJustBack()) {
@@ -193,6 +199,7 @@
 
     private void remove(Target target) {
         target.leave();
+        departed.left(target.description());
         lapsed.remove(target.id());
         targets.remove(target.id());
         refresh(target.description().service());
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/FetchWindowTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/FetchWindowTest.java
@@ -68,7 +68,9 @@
         store.play(20_000);
         int before = store.times.size();
         store.play(20_000);
-        List<Long> times = store.times.subList(before, store.times.size()).stream().sorted().toList();
+        List<Long> times = store.times.subList(before, store.times.size()).stream()
+                .sorted()
+                .toList();
         assertThat(times.get(times.size() / 2)).isLessThan(3 * FULL_SPEED.toMillis());
         double fullyUsed = 20_000.0 / FULL_SPEED.toMillis() * SharedStore.AT_FULL_SPEED;
         assertThat((double) times.size()).isGreaterThan(0.9 * fullyUsed);
--- a/gateway/src/test/java/org/geraniumreach/gateway/target/TargetBookTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/target/TargetBookTest.java
@@ -56,6 +56,48 @@
         assertThat(book.find(ID)).isEmpty();
     }
 
+    // Callers' answers are cut off: a target leaves, its row goes, and a heartbeat that was on its way puts the row
+    // back for some seconds. It is the only one, so the target is not taken to be there.
+    @Test
+    void aLateHeartbeatOfATargetThatHasLeftDoesNotBringItBack() {
+        book.put(description(1, false));
+        book.removed(ID);
+        book.put(description(1, false));
+        assertThat(book.find(ID)).isEmpty();
+        book.removed(ID);
+        book.put(description(1, false));
+        assertThat(book.find(ID)).isEmpty();
+    }
+
+    // A target that was cut off from the store lives and writes its heartbeats again; without it the others are
+    // crowded.
+    @Test
+    void aTargetThatWritesHeartbeatsAgainIsBack() {
+        book.put(description(1, false));
+        book.removed(ID);
+        book.put(description(1, false));
+        book.put(description(1, false));
+        assertThat(book.find(ID)).isPresent();
+    }
+
+    @Test
+    void aTargetThatStartsAgainIsBackAtOnce() {
+        book.put(description(1, false));
+        book.removed(ID);
+        book.put(description(2, false));
+        assertThat(book.find(ID)).isPresent();
+    }
+
+    // Requests reach a target that drains: the heartbeat from before its draining is written after the one that told
+    // of it.
+    @Test
+    void aLateHeartbeatDoesNotEndDraining() {
+        book.put(description(1, false));
+        book.put(description(1, true));
+        book.put(description(1, false));
+        assertThat(book.find(ID).orElseThrow().takesWork()).isFalse();
+    }
+
     // A target that has left gets requests for seconds: one call of the store fails just as its row goes. No row lapses
     // within so short an absence, so the target is gone.
     @Test
