--- a/node/src/main/java/org/geraniumreach/node/Main.java
+++ b/node/src/main/java/org/geraniumreach/node/Main.java
@@ -30,7 +30,7 @@
             index = 0,
             metaVar = "COMMAND",
             required = true,
-            usage = "entry: serve callers; check: read the settings only")
+            usage = "entry: serve callers; check: read the settings only; rehearse: start on loopback, for the build")
     private Command command;
 
     @Option(name = "--settings", metaVar = "FILE", usage = "the settings file; else the environment names it")
@@ -39,7 +39,8 @@
     /** What to do. */
     enum Command {
         ENTRY,
-        CHECK
+        CHECK,
+        REHEARSE
     }
 
     private Main() {}
@@ -63,6 +64,9 @@
             return WRONG_SETTINGS;
         }
         JsonLog log = JsonLog.toStandardOutput();
+        if (command == Command.REHEARSE) {
+            return rehearse(log);
+        }
         try {
             ProcessSettings settings = BootFile.read(file == null ? BootFile.path() : file);
             return command == Command.CHECK ? 0 : serve(settings, log);
@@ -73,6 +77,18 @@
         }
     }
 
+    private static int rehearse(JsonLog log) {
+        try {
+            new Rehearsal(log).run();
+            return 0;
+        } catch (IOException failed) {
+            log.write(EventCode.UNEXPECTED_FAILURE, "", Field.of("reason", String.valueOf(failed.getMessage())));
+            return NO_ADDRESS;
+        } finally {
+            log.close();
+        }
+    }
+
     private static int serve(ProcessSettings settings, JsonLog log) {
         EntryProcess process = new EntryProcess(settings, log);
         CountDownLatch end = new CountDownLatch(1);
