--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -22,7 +22,9 @@
  * <p>Invariants: the adapters that are there, are coming, or may not have left yet are never more than the places, since an order
  * beyond them crashes the target; at most {@link #MOST_COMING} are coming; one call is under way at a time, so the number of
  * accepted orders that each order names is known, and an order that is carried out late finds another number and does
- * nothing. After an answer that was lost, nothing is ordered until a report has told what is so. Confined to the event loop.
+ * nothing. An order whose answer was lost is sent again unchanged before any other: whichever copy comes first is carried out,
+ * and the others find another number. After {@link #MOST_COPIES}, or a conflict, nothing is ordered until a report has told
+ * what is so. Confined to the event loop.
  */
 public final class AdapterPlaces {
 
@@ -41,6 +43,9 @@
     /** A target that waits for runs to end before it carries an order out refuses all others meanwhile. */
     private static final Duration LOOK_AT_WAITING = Duration.ofMillis(40);
 
+    /** Sendings of one order; a target that answers none of them is better asked for a report. */
+    private static final int MOST_COPIES = 3;
+
     private static final Duration NEXT_LOOK_AT_MODEL = Duration.ofMillis(200);
 
     /** A report tells of a moment up to 0.2 s ago, so one read sooner may not know of the last order. */
@@ -75,6 +80,8 @@
     private OptionalLong orders = OptionalLong.empty();
     private long notBefore;
     private boolean callUnderWay;
+    private Optional<Step.Send> unanswered = Optional.empty();
+    private int copies;
 
     /** Is told of adapters that come and go. */
     public interface Listener {
@@ -186,6 +193,9 @@
     }
 
     private Optional<Step> nextOrder(long now) {
+        if (unanswered.isPresent()) {
+            return Optional.of(unanswered.get());
+        }
         if (!modelPresent) {
             notBefore = now + NEXT_LOOK_AT_MODEL.toNanos();
             return send(Order.Operation.LOAD, Optional.empty());
@@ -284,14 +294,29 @@
      */
     public void answered(Step.Send sent, OrderResult result, long now) {
         callUnderWay = false;
+        if (result == OrderResult.UNKNOWN && mayRepeat(sent)) {
+            unanswered = Optional.of(sent);
+            return;
+        }
+        boolean wasUnanswered = unanswered.isPresent();
+        unanswered = Optional.empty();
+        copies = 0;
         switch (result) {
             case ACCEPTED -> accepted(sent, now);
-            case ALREADY_SO -> alreadySo(sent, now);
+            case ALREADY_SO -> alreadySo(sent, wasUnanswered, now);
             case REFUSED, FENCED, ANOTHER_TARGET -> refused(sent, now);
             default -> lostTrack(now);
         }
     }
 
+    /** A load of the base model is asked for again in any case, and a look is no new order. */
+    private boolean mayRepeat(Step.Send sent) {
+        boolean known =
+                sent.adapter().isEmpty() || nextLook.containsKey(sent.adapter().get());
+        copies++;
+        return !known && copies < MOST_COPIES;
+    }
+
     private void accepted(Step.Send sent, long now) {
         if (sent.adapter().isEmpty()) {
             if (!modelComing) {
@@ -329,7 +354,7 @@
         return isFetch(adapter) ? (long) (window.typical().toNanos() * FIRST_LOOK_COLD) : FIRST_LOOK_WARM.toNanos();
     }
 
-    private void alreadySo(Step.Send sent, long now) {
+    private void alreadySo(Step.Send sent, boolean wasUnanswered, long now) {
         if (sent.adapter().isEmpty()) {
             modelComing = false;
             modelPresent = true;
@@ -349,6 +374,9 @@
             listener.leaves(adapter);
             return;
         }
+        if (wasUnanswered && !repeated && !resident.containsKey(adapter)) {
+            countOrder();
+        }
         Long since = fetchedSince.remove(adapter);
         if (since != null) {
             window.ended(Duration.ofNanos(now - since), now);
@@ -378,6 +406,7 @@
     }
 
     private void lostTrack(long now) {
+        copies = 0;
         forgetFetches();
         orders = OptionalLong.empty();
         notBefore = now + REPORT_LAG.toNanos();
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
@@ -62,6 +62,40 @@
         assertThat(next.adapter()).isEqualTo(unload.adapter());
     }
 
+    // Callers of rare adapters wait for a second: an order's answer is lost, and the target is asked for a report,
+    // which
+    // is 0.3 s old. Sent again unchanged, the order is carried out once whichever copy comes first.
+    @Test
+    void anOrderWhoseAnswerWasLostIsSentAgainUnchangedAtOnce() {
+        World world = new World(1);
+        world.places.reported(new TargetReport(7, Map.of("base", Map.of()), Set.of()), 0);
+        world.places.want(name(1), 0);
+        AdapterPlaces.Step first = world.places.next(0).orElseThrow();
+        world.places.answered((AdapterPlaces.Step.Send) first, OrderResult.UNKNOWN, 150 * MILLI);
+        world.places.want(name(2), 150 * MILLI);
+        AdapterPlaces.Step second = world.places.next(150 * MILLI).orElseThrow();
+        assertThat(second).isEqualTo(first);
+        world.places.answered((AdapterPlaces.Step.Send) second, OrderResult.ACCEPTED, 160 * MILLI);
+        AdapterPlaces.Step.Send other =
+                (AdapterPlaces.Step.Send) world.places.next(160 * MILLI).orElseThrow();
+        assertThat(other.adapter()).contains(name(2));
+        assertThat(other.expectedOrders()).isEqualTo(8);
+    }
+
+    @Test
+    void aTargetThatAnswersNoCopyIsAskedForAReport() {
+        World world = new World(1);
+        world.places.reported(new TargetReport(7, Map.of("base", Map.of()), Set.of()), 0);
+        world.places.want(name(1), 0);
+        long now = 0;
+        for (int copy = 0; copy < 3; copy++) {
+            AdapterPlaces.Step step = world.places.next(now).orElseThrow();
+            now += 150 * MILLI;
+            world.places.answered((AdapterPlaces.Step.Send) step, OrderResult.UNKNOWN, now);
+        }
+        assertThat(world.places.next(now + 400 * MILLI)).contains(new AdapterPlaces.Step.Report());
+    }
+
     private static AdapterName name(int number) {
         return new AdapterName("base", "a" + number);
     }
--- a/node/src/main/java/org/geraniumreach/node/HolderDesk.java
+++ b/node/src/main/java/org/geraniumreach/node/HolderDesk.java
@@ -50,8 +50,10 @@
     /** Loads take 25 ms at the least, so looking after them more often shows nothing new. */
     private static final Duration LOOK = Duration.ofMillis(12);
 
-    /** Orders are answered within 10 ms; one that is not was lost, or is carried out late. */
-    private static final Duration ORDER_LIMIT = Duration.ofMillis(300);
+    /** Orders are answered within 10 ms; one that is not was lost, or is carried out late, and a copy of it does no harm. */
+    private static final Duration ORDER_LIMIT = Duration.ofMillis(150);
+
+    private static final Duration REPORT_LIMIT = Duration.ofMillis(300);
 
     /** Adapters with requests under way are told to holders; evictions look at the last 450 ms. */
     private static final Duration TELL_USES = Duration.ofMillis(200);
@@ -298,7 +300,7 @@
             }
             look(target);
         });
-        answer.within(ORDER_LIMIT, Optional.empty(), timers);
+        answer.within(REPORT_LIMIT, Optional.empty(), timers);
         answer.from(targets.report(target, answer));
     }
 
