Let a draining entry, and one whose time of day jumps, spend its shares

Cause: a drain gave up the lease on targets at once, and the shares of accounts' rates counted as unproved with it, so the entry answered 429 to every request of a limited account until it ended; so did one whose time of day had moved by 150 ms, until its next renewal. Ruled out: shares too small (all refusals of seconds 28 to 34 were of the three draining entries).

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/Lease.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/Lease.java
@@ -27,6 +27,7 @@
     private final MonotonicClock clock;
     private final WallClock wall;
     private boolean renewed;
+    private boolean released;
     private long renewedAt;
     private long offsetMillis;
 
@@ -82,9 +83,9 @@
         offsetMillis = sending.offsetMillis();
     }
 
-    /** Ends the lease at once. */
+    /** Ends the lease at once; when it was last renewed is still known. */
     public void release() {
-        renewed = false;
+        released = true;
     }
 
     /**
@@ -93,20 +94,27 @@
      * @return true if it does
      */
     public boolean holds() {
-        return holdsFor(DURATION);
+        long now = clock.nanos();
+        return renewed
+                && !released
+                && now - renewedAt < DURATION.toNanos()
+                && Math.abs(offset(now) - offsetMillis) < GREATEST_STEP.toMillis();
     }
 
     /**
-     * Queries whether the last renewal is younger than a time.
+     * Queries whether the last renewal is younger than a time, whatever became of the lease since.
+     *
+     * <p>It is for limits far above any freeze or step of a clock. The longer of the times that both clocks show counts: after a
+     * freeze the steady clock shows too little, and a step back of the time of day leaves the steady one. A step ahead costs
+     * only its own length of the limit.
      *
      * @param limit the time, not null
      * @return true if it is
      */
-    public boolean holdsFor(Duration limit) {
+    public boolean wasRenewedWithin(Duration limit) {
         long now = clock.nanos();
-        return renewed
-                && now - renewedAt < limit.toNanos()
-                && Math.abs(offset(now) - offsetMillis) < GREATEST_STEP.toMillis();
+        long ahead = Math.max(0, offset(now) - offsetMillis);
+        return renewed && now - renewedAt + Duration.ofMillis(ahead).toNanos() < limit.toNanos();
     }
 
     private long offset(long nanos) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -180,7 +180,7 @@
         State state = state(account.id());
         long now = clock.nanos();
         state.demand.asked(units, now);
-        if (!lease.holdsFor(PROOF)) {
+        if (!lease.wasRenewedWithin(PROOF)) {
             return new Admission(false, Optional.empty());
         }
         AccountBucket.Taking taking = state.bucket.take(units, now, longestWait);
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
@@ -18,6 +18,8 @@
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.Transaction;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -48,6 +50,40 @@
         assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isFalse();
     }
 
+    // Callers of a draining entry got 429 for seconds although their accounts were far below their rates: the drain
+    // gave
+    // up the lease on targets, and the shares counted as unproved with it.
+    @Test
+    void anEntryThatDrainsStillSpendsItsShares() {
+        World world = new World(1);
+        world.settle();
+        Entry entry = world.entries.get(0);
+        entry.lease.release();
+        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isTrue();
+    }
+
+    // Callers got 429 until the next renewal when an instance's time of day jumped. A jump is no freeze: both clocks
+    // together still show less than the limit.
+    @ParameterizedTest
+    @ValueSource(longs = {-2_400, 2_400})
+    void anEntryWhoseTimeOfDayJumpsStillSpendsItsShares(long stepMillis) {
+        World world = new World(1);
+        world.settle();
+        world.time.stepWall(Duration.ofMillis(stepMillis));
+        Entry entry = world.entries.get(0);
+        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isTrue();
+    }
+
+    // Others may have taken the shares over while the process was frozen; its steady clock stood still meanwhile.
+    @Test
+    void anEntryThatWasFrozenForLongSpendsNothing() {
+        World world = new World(1);
+        world.settle();
+        world.time.stepWall(Quotas.PROOF);
+        Entry entry = world.entries.get(0);
+        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isFalse();
+    }
+
     // A booking's caller is told when its account has units again, not just to go away.
     @Test
     void whatIsAboveTheRateIsToldWhenToComeBack() {
