--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/DrainRule.java
@@ -0,0 +1,54 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+
+/**
+ * Which requests an entry still takes that is about to end.
+ *
+ * <p>The load it answers: callers keep coming for some seconds after an entry has said that it is not ready, on connections that
+ * they hold and by a balancer that has no other entry of the failure domain. One that is taken late and still runs at the end is cut, and
+ * its caller cannot tell whether it ran. So a request is taken at first, and later only if it must be over by the end;
+ * the others are sent elsewhere at once. Immutable and safe for use by several threads.
+ */
+final class DrainRule {
+
+    /** The balancer asks once a second and needs two answers; within this nearly all callers have moved on. */
+    private static final Duration TAKES_ALL = Duration.ofMillis(2_500);
+
+    /** To write the last answer and end the process. */
+    private static final Duration MARGIN = Duration.ofMillis(200);
+
+    private final long begunAt;
+    private final Duration length;
+
+    private DrainRule(long begunAt, Duration length) {
+        this.begunAt = begunAt;
+        this.length = length;
+    }
+
+    /**
+     * Makes the rule of a drain.
+     *
+     * @param begunAt when it began
+     * @param length after what time the process ends, not null
+     * @return the rule, not null
+     */
+    static DrainRule of(long begunAt, Duration length) {
+        return new DrainRule(begunAt, length);
+    }
+
+    /**
+     * Decides on a request that has come.
+     *
+     * @param longest the longest time that it may take, not null
+     * @param now the time
+     * @return true if it is taken
+     */
+    boolean takes(Duration longest, long now) {
+        Duration passed = Duration.ofNanos(now - begunAt);
+        if (passed.compareTo(TAKES_ALL) < 0) {
+            return true;
+        }
+        return passed.plus(longest).plus(MARGIN).compareTo(length) <= 0;
+    }
+}
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -79,7 +79,7 @@
         this.answer = answer;
         this.onEnd = onEnd;
         this.startedAt = services.clock().nanos();
-        this.limit = request.patience().compareTo(route.timeout()) < 0 ? request.patience() : route.timeout();
+        this.limit = route.longest(request.patience());
         this.relay = new AnswerRelay(answer, request.lastEvent(), services.clock());
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestDesk.java
@@ -31,6 +31,7 @@
     private final Supplier<Optional<TrafficConfiguration>> configuration;
     private final DoubleSupplier draws;
     private final Set<Exchange> open = new HashSet<>();
+    private Optional<DrainRule> drain = Optional.empty();
 
     /**
      * Makes a desk.
@@ -71,6 +72,16 @@
             ResultCode code = request.key().isPresent() ? ResultCode.KEY_REFUSED : ResultCode.KEY_MISSING;
             return refuse(request, answer, Refusal.of(code, "a key of a client account is needed"));
         }
+        if (drain.isPresent()
+                && !drain.get()
+                        .takes(
+                                route.get().longest(request.patience()),
+                                services.clock().nanos())) {
+            return refuse(
+                    request,
+                    answer,
+                    Refusal.until(ResultCode.DRAINING, "this entry ends before the request might", Duration.ZERO));
+        }
         String service = route.get().service(draws.getAsDouble());
         services.repeats().requested(service);
         Exchange exchange = new Exchange(
@@ -80,6 +91,15 @@
         return exchange::callerGone;
     }
 
+    /**
+     * Notes that the process is about to end.
+     *
+     * @param length after what time, not null
+     */
+    public void drain(Duration length) {
+        drain = Optional.of(DrainRule.of(services.clock().nanos(), length));
+    }
+
     private Cancellable refuse(GatewayRequest request, CallerAnswer answer, Refusal refusal) {
         services.log()
                 .write(
--- a/gateway/src/main/java/org/geraniumreach/gateway/traffic/Route.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/traffic/Route.java
@@ -81,4 +81,14 @@
         }
         return destinations.get(destinations.size() - 1).service();
     }
+
+    /**
+     * Gets the longest time that a request may take.
+     *
+     * @param patience how long its caller waits, not null
+     * @return that, or the route's time limit if that is shorter, not null
+     */
+    public Duration longest(Duration patience) {
+        return patience.compareTo(timeout) < 0 ? patience : timeout;
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
@@ -211,6 +211,10 @@
                 answer);
     }
 
+    public void drain(Duration length) {
+        desk.drain(length);
+    }
+
     public VirtualTime time() {
         return time;
     }
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -316,11 +316,12 @@
         log.write(EventCode.DRAINING, settings.instance(), Field.of("open", ingress.open()));
         ingress.drain();
         long begun = clock.nanos();
+        Duration longest = settings.drainLimit().minus(DRAIN_MARGIN);
         loop.execute(() -> {
+            requests.drain(longest);
             fleet.stop();
             leaseKeeper.release();
         });
-        Duration longest = settings.drainLimit().minus(DRAIN_MARGIN);
         awaitQuiet(begun, longest);
         log.write(EventCode.DRAINED, settings.instance(), Field.of("open", ingress.open()));
         log.close();
