Log what is known of a target's load as a request is placed, and note failed trials of pacing

Tried: holding prompts back by an entry's part of what a target reads until the objective is at stake, and those that are late for 2.2 and 2.8 s.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -230,6 +230,12 @@
                         Field.of("units", account.map(this::units).orElse(0.0)),
                         Field.of("expectedWaitMillis", send.expectedWaitMillis()),
                         Field.of("outstanding", target.outstanding()),
+                        Field.of("reported", target.reported()),
+                        Field.of(
+                                "reportAgeMillis",
+                                target.reportAge(services.clock().nanos())
+                                        .map(Duration::toMillis)
+                                        .orElse(-1L)),
                         Field.of("waitedMillis", elapsed().toMillis()));
         adapter().ifPresent(adapter -> send.alsoLoad()
                 .ifPresent(other -> services.adapters().want(other, adapter)));
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Target.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Target.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -248,6 +249,25 @@
         return Math.max(0, load(now, reportLifetime) - description.slots());
     }
 
+    /**
+     * Gets the requests that ran and waited there by its own last word.
+     *
+     * @return the number, 0 if it has not said
+     */
+    public int reported() {
+        return reportedRunning + reportedWaiting;
+    }
+
+    /**
+     * Tells how old its own last word of its load is.
+     *
+     * @param now the time
+     * @return the age, or empty if it has not said
+     */
+    public Optional<Duration> reportAge(long now) {
+        return reportedAt == Long.MIN_VALUE ? Optional.empty() : Optional.of(Duration.ofNanos(now - reportedAt));
+    }
+
     public int outstanding() {
         return outstanding;
     }
