--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -478,6 +478,7 @@
                 .ended(new OutcomeListener.Outcome(
                         request.id(),
                         route,
+                        account.map(Account::id),
                         kind,
                         status,
                         arrivals,
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeListener.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeListener.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.geraniumreach.gateway.traffic.Route;
+import org.geraniumreach.model.AccountId;
 
 /**
  * Is told how exchanges end.
@@ -25,6 +26,7 @@
      *
      * @param id the request's id
      * @param route its route
+     * @param account the client account that it counts for, empty if none
      * @param kind the kind of end
      * @param status the status sent, 0 if none was
      * @param arrivals how often the request was sent to a target
@@ -35,6 +37,7 @@
     record Outcome(
             String id,
             Route route,
+            Optional<AccountId> account,
             Kind kind,
             int status,
             int arrivals,
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -1,11 +1,13 @@
 package org.geraniumreach.node;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -17,6 +19,7 @@
 import org.geraniumreach.gateway.adapter.Holdings;
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.port.StoreReply;
@@ -84,7 +87,10 @@
     private static final Duration DRAIN_LOOK = Duration.ofMillis(50);
 
     private final ProcessSettings settings;
-    private final JsonLog log;
+    private final JsonLog lines;
+    private final EntryMetrics metrics;
+    private final DecisionLog log;
+    private final OptionalInt metricsPort;
     private final MonotonicClock clock = MonotonicClock.system();
     private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop", true));
     private final EventLoop loop = group.next();
@@ -116,9 +122,12 @@
     private FleetTable fleet;
     private LeaseKeeper leaseKeeper;
 
-    EntryProcess(ProcessSettings settings, JsonLog log) {
+    EntryProcess(ProcessSettings settings, OptionalInt metricsPort, JsonLog lines) {
         this.settings = Objects.requireNonNull(settings, "settings");
-        this.log = Objects.requireNonNull(log, "log");
+        this.metricsPort = Objects.requireNonNull(metricsPort, "metricsPort");
+        this.lines = Objects.requireNonNull(lines, "lines");
+        this.metrics = new EntryMetrics(lines);
+        this.log = metrics;
         this.watch = new StoreWatch(clock, log, "");
         this.targetWatch = new StoreWatch(clock, log, "targets");
         this.holdings = new Holdings(settings.instance(), incarnation, lease, clock);
@@ -160,6 +169,7 @@
     }
 
     private void ended(OutcomeListener.Outcome outcome) {
+        metrics.ended(outcome);
         if (outcome.kind() == OutcomeListener.Kind.ANSWERED) {
             log.write(
                     EventCode.REQUEST_ANSWERED,
@@ -185,6 +195,30 @@
                 settings.callers(), settings.readiness(), FIRST_LIMITS, requests::receive, this::isReady, loop, log);
         links = EntryLinks.start(settings, incarnation, group, desk, log);
         loop.execute(this::begin);
+        serveMetrics();
+    }
+
+    /** An entry without metrics serves its callers; whoever watches it sees that nothing answers. */
+    private void serveMetrics() {
+        if (metricsPort.isEmpty()) {
+            return;
+        }
+        metrics.gauge("geraniumreach.requests.open", "Requests read or answered now.", () -> ingress.open());
+        metrics.gauge(
+                "geraniumreach.configuration.version",
+                "The version in force, 0 for none.",
+                () -> configuration.map(TrafficConfiguration::version).orElse(0L));
+        metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> isReady() ? 1 : 0);
+        metrics.gauge("geraniumreach.log.lines.dropped", "Lines that the log had no room for.", lines::droppedInAll);
+        InetSocketAddress address = new InetSocketAddress(settings.callers().getAddress(), metricsPort.getAsInt());
+        try {
+            MetricsPort.start(address, metrics::scrape);
+        } catch (IOException taken) {
+            log.write(
+                    EventCode.UNEXPECTED_FAILURE,
+                    "",
+                    Field.of("reason", "no metrics at " + address + ": " + taken.getMessage()));
+        }
     }
 
     private void begin() {
@@ -324,7 +358,7 @@
         });
         awaitQuiet(begun, longest);
         log.write(EventCode.DRAINED, settings.instance(), Field.of("open", ingress.open()));
-        log.close();
+        lines.close();
     }
 
     private void awaitQuiet(long begun, Duration longest) {
--- a/node/src/main/java/org/geraniumreach/node/JsonLog.java
+++ b/node/src/main/java/org/geraniumreach/node/JsonLog.java
@@ -32,6 +32,7 @@
     private final Deque<String> waiting = new ArrayDeque<>();
     private final Thread writer = new Thread(this::run, "log");
     private long dropped;
+    private long droppedInAll;
     private boolean closed;
 
     private JsonLog(OutputStream output, LongSupplier millis) {
@@ -57,6 +58,7 @@
         synchronized (waiting) {
             if (waiting.size() >= MOST_LINES) {
                 dropped++;
+                droppedInAll++;
                 return;
             }
             waiting.add(line);
@@ -140,10 +142,18 @@
         } catch (IOException nobodyReads) {
             synchronized (waiting) {
                 dropped++;
+                droppedInAll++;
             }
         }
     }
 
+    /** Gets how many lines had no room since the start. */
+    long droppedInAll() {
+        synchronized (waiting) {
+            return droppedInAll;
+        }
+    }
+
     @Override
     public void close() {
         synchronized (waiting) {
--- a/node/src/main/java/org/geraniumreach/node/Main.java
+++ b/node/src/main/java/org/geraniumreach/node/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 
 import org.geraniumreach.gateway.port.DecisionLog.Field;
@@ -25,6 +26,7 @@
 
     private static final int WRONG_SETTINGS = 2;
     private static final int NO_ADDRESS = 3;
+    private static final int GREATEST_PORT = 65_535;
 
     @Argument(
             index = 0,
@@ -36,6 +38,9 @@
     @Option(name = "--settings", metaVar = "FILE", usage = "the settings file; else the environment names it")
     private Path file;
 
+    @Option(name = "--metrics-port", metaVar = "PORT", usage = "the port that serves metrics; without it none does")
+    private Integer metricsPort;
+
     /** What to do. */
     enum Command {
         ENTRY,
@@ -63,13 +68,17 @@
             parser.printUsage(System.err);
             return WRONG_SETTINGS;
         }
+        if (metricsPort != null && (metricsPort < 1 || metricsPort > GREATEST_PORT)) {
+            System.err.println("--metrics-port: not a port: " + metricsPort);
+            return WRONG_SETTINGS;
+        }
         JsonLog log = JsonLog.toStandardOutput();
         if (command == Command.REHEARSE) {
             return rehearse(log);
         }
         try {
             ProcessSettings settings = BootFile.read(file == null ? BootFile.path() : file);
-            return command == Command.CHECK ? 0 : serve(settings, log);
+            return command == Command.CHECK ? 0 : serve(settings, metricsPort == null ? OptionalInt.empty() : OptionalInt.of(metricsPort), log);
         } catch (DocumentException wrong) {
             log.write(EventCode.SETTINGS_INVALID, "", Field.of("reason", wrong.getMessage()));
             log.close();
@@ -89,8 +98,8 @@
         }
     }
 
-    private static int serve(ProcessSettings settings, JsonLog log) {
-        EntryProcess process = new EntryProcess(settings, log);
+    private static int serve(ProcessSettings settings, OptionalInt metricsPort, JsonLog log) {
+        EntryProcess process = new EntryProcess(settings, metricsPort, log);
         CountDownLatch end = new CountDownLatch(1);
         Signals.onEnd(end::countDown);
         Signals.onReload(() -> reload(log));
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/MetricsPort.java
@@ -0,0 +1,64 @@
+package org.geraniumreach.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/**
+ * Serves the meters as text.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class MetricsPort implements AutoCloseable {
+
+    static final String PATH = "/metrics";
+
+    private static final String TEXT = "text/plain; version=0.0.4";
+
+    private final HttpServer server;
+
+    private MetricsPort(HttpServer server) {
+        this.server = server;
+    }
+
+    static MetricsPort start(InetSocketAddress address, Supplier<String> text) throws IOException {
+        NetworkListener listener =
+                new NetworkListener("metrics", address.getAddress().getHostAddress(), address.getPort());
+        listener.getTransport().setReuseAddress(true);
+        listener.getTransport().setSelectorRunnersCount(1);
+        listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
+        listener.getTransport().setWorkerThreadPoolConfig(null);
+        HttpServer server = new HttpServer();
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(new TextHandler(text), PATH);
+        server.getServerConfiguration().setJmxEnabled(false);
+        server.start();
+        return new MetricsPort(server);
+    }
+
+    private static final class TextHandler extends HttpHandler {
+        private final Supplier<String> text;
+
+        private TextHandler(Supplier<String> text) {
+            this.text = text;
+        }
+
+        @Override
+        public void service(Request request, Response response) throws IOException {
+            response.setContentType(TEXT);
+            response.getWriter().write(text.get());
+        }
+    }
+
+    @Override
+    public void close() {
+        server.shutdownNow();
+    }
+}
--- a/node/src/main/java/org/geraniumreach/node/Rehearsal.java
+++ b/node/src/main/java/org/geraniumreach/node/Rehearsal.java
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
 import java.util.stream.Stream;
@@ -53,10 +54,12 @@
             answering.setDaemon(true);
             answering.start();
             ProcessSettings settings = settings(store);
-            new EntryProcess(settings, log).start();
+            InetSocketAddress metrics = free();
+            new EntryProcess(settings, OptionalInt.of(metrics.getPort()), log).start();
             for (int question = 0; question < QUESTIONS; question++) {
                 ask(settings.callers());
                 ask(settings.readiness());
+                ask(metrics);
                 Thread.sleep(PAUSE.toMillis());
             }
         } catch (InterruptedException stopped) {
--- /dev/null
+++ b/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
@@ -0,0 +1,100 @@
+package org.geraniumreach.node;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.request.OutcomeListener;
+import org.geraniumreach.gateway.traffic.RepeatRule;
+import org.geraniumreach.gateway.traffic.Route;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.ResultCode;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EntryMetricsTest {
+
+    private static final Route ROUTE = new Route(
+            "route",
+            "host",
+            "/",
+            List.of(new Route.Destination("service", 1)),
+            RepeatRule.ONCE,
+            Duration.ofSeconds(10),
+            Duration.ofMillis(800),
+            1,
+            0,
+            false);
+
+    private final EntryMetrics metrics = new EntryMetrics((event, subject, fields) -> {});
+
+    private static OutcomeListener.Outcome outcome(String account, OutcomeListener.Kind kind) {
+        return new OutcomeListener.Outcome(
+                "id",
+                ROUTE,
+                Optional.of(AccountId.of(account)),
+                kind,
+                200,
+                2,
+                Optional.of(Duration.ofMillis(40)),
+                Duration.ofMillis(350),
+                Duration.ofSeconds(1));
+    }
+
+    @Test
+    void refusalsAreCountedByTheirCode() {
+        metrics.write(EventCode.REQUEST_REFUSED, "a", Field.of("code", ResultCode.OUT_OF_BUDGET));
+        metrics.write(EventCode.REQUEST_REFUSED, "b", Field.of("code", ResultCode.OUT_OF_BUDGET));
+        metrics.write(EventCode.REQUEST_REFUSED, "c", Field.of("code", ResultCode.DRAINING));
+        assertThat(metrics.scrape())
+                .contains("geraniumreach_events_total{event=\"REQUEST_REFUSED\",result=\"OUT_OF_BUDGET\"} 2.0")
+                .contains("geraniumreach_events_total{event=\"REQUEST_REFUSED\",result=\"DRAINING\"} 1.0");
+    }
+
+    @Test
+    void endsAndTimesAreCountedForEachAccount() {
+        metrics.ended(outcome("acme", OutcomeListener.Kind.ANSWERED));
+        assertThat(metrics.scrape())
+                .contains("geraniumreach_requests_total{account=\"acme\",end=\"ANSWERED\"} 1.0")
+                .contains("geraniumreach_repeated_sends_total{account=\"acme\"} 1.0")
+                .contains("geraniumreach_first_part_seconds_bucket{account=\"acme\",le=\"0.05\"} 1")
+                .contains("geraniumreach_longest_pause_seconds_bucket{account=\"acme\",le=\"0.3\"} 0");
+    }
+
+    // Operators would lose all metrics to a client account list that grows without end: each account has some forty
+    // series.
+    @Test
+    void accountsBeyondTheFirstShareTheirSeries() {
+        for (int number = 0; number < 10 * EntryMetrics.MOST_ACCOUNTS; number++) {
+            metrics.ended(outcome("account" + number, OutcomeListener.Kind.ANSWERED));
+        }
+        assertThat(metrics.scrape().lines().filter(line -> line.startsWith("geraniumreach_repeated_sends_total")))
+                .hasSize(EntryMetrics.MOST_ACCOUNTS + 1);
+    }
+
+    @Test
+    void thePortServesTheMetersAsText() throws IOException {
+        metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> 1);
+        InetSocketAddress address;
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = (InetSocketAddress) probe.getLocalSocketAddress();
+        }
+        String url = "http://127.0.0.1:" + address.getPort() + MetricsPort.PATH;
+        try (MetricsPort port = MetricsPort.start(address, metrics::scrape);
+                InputStream answer = URI.create(url).toURL().openStream()) {
+            assertThat(port).isNotNull();
+            assertThat(new String(answer.readAllBytes(), StandardCharsets.UTF_8))
+                    .contains("geraniumreach_ready 1.0");
+        }
+    }
+}
