--- a/gateway/src/main/java/org/geraniumreach/gateway/target/AdapterDemand.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/AdapterDemand.java
@@ -7,7 +7,7 @@
 import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
- * The prompt tokens a second that are asked of each adapter here.
+ * The prompt tokens a second that are asked of each adapter, and of all, here.
  *
  * <p>Invariant: adapters whose rate has faded are forgotten, so that a day's thousands of rare ones do not gather. Confined to the
  * event loop.
@@ -18,14 +18,24 @@
     private static final double FORGOTTEN = 1;
 
     private final Map<AdapterName, DemandRate> rates = new HashMap<>();
+    private final DemandRate all;
+
+    AdapterDemand(long now) {
+        this.all = new DemandRate(now);
+    }
 
     void asked(AdapterName adapter, long promptTokens, long now) {
+        all.asked(promptTokens, now);
         if (rates.size() > LOOK_THROUGH) {
             rates.values().removeIf(rate -> rate.at(now) < FORGOTTEN);
         }
         rates.computeIfAbsent(adapter, missing -> new DemandRate(now)).asked(promptTokens, now);
     }
 
+    double perSecond(long now) {
+        return all.at(now);
+    }
+
     double perSecond(AdapterName adapter, long now) {
         DemandRate rate = rates.get(adapter);
         return rate == null ? 0 : rate.at(now);
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
@@ -32,7 +32,7 @@
     /** Waits closer than this are alike, and the session decides, whose prompt one of the targets may still have. */
     private static final long SAME_WAIT = 40;
 
-    private final AdapterDemand demand = new AdapterDemand();
+    private final AdapterDemand demand;
     private final TargetBook book;
     private final Predicate<Target> admitted;
     private final Predicate<Target> orderable;
@@ -67,6 +67,7 @@
         this.here = Objects.requireNonNull(here, "here");
         this.settings = Objects.requireNonNull(settings, "settings");
         this.clock = Objects.requireNonNull(clock, "clock");
+        this.demand = new AdapterDemand(clock.nanos());
     }
 
     /**
@@ -134,7 +135,7 @@
     private Placed ofAdapter(PlacementNeed need, List<Target> holding) {
         AdapterName adapter = need.adapter().get();
         List<Target> order = order(adapter.toString(), holding);
-        List<Target> homes = order.subList(0, Math.min(order.size(), homes(adapter)));
+        List<Target> homes = order.subList(0, Math.min(order.size(), homes(adapter, order.size())));
         List<Target> residents = newestFirst(order, need);
         Optional<Target> missingHome = loaderFor(need, order, homes, residents);
         List<Target> usableHomes = homes.stream().filter(residents::contains).toList();
@@ -238,11 +239,20 @@
         return target.residentVersion(need.adapter().get()).orElse(0);
     }
 
-    /** One adapter may have a fifth of all requests, more than one target reads without making its streams pause. */
-    private int homes(AdapterName adapter) {
-        double everywhere = demand.perSecond(adapter, clock.nanos()) * Math.max(1, entries.getAsInt());
-        double readPerSecond = settings.promptTokensPerMilli() * MILLIS_PER_SECOND * settings.readingShare();
-        return Math.max(1, (int) Math.ceil(everywhere / readPerSecond));
+    /**
+     * Tells at how many targets an adapter should be.
+     *
+     * <p>One adapter may have a fifth of all requests, more than one target reads without making its streams pause. How much of it one
+     * target takes depends on what all of them read: on a calm day a second home costs a load and a place for nothing, on the
+     * heaviest it keeps the home's other streams going.
+     */
+    private int homes(AdapterName adapter, int targets) {
+        long now = clock.nanos();
+        int everybody = Math.max(1, entries.getAsInt());
+        double readable = settings.promptTokensPerMilli() * MILLIS_PER_SECOND;
+        double busy = demand.perSecond(now) * everybody / (readable * targets);
+        double share = settings.readingShare().at(busy);
+        return Math.max(1, (int) Math.ceil(demand.perSecond(adapter, now) * everybody / (readable * share)));
     }
 
     private Optional<Target> leastWaiting(List<Target> targets, PlacementNeed need) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
@@ -21,12 +21,35 @@
         double promptTokensPerMilli,
         Duration crowdedWait,
         Duration loadElsewhereWait,
-        double readingShare,
+        ReadingShare readingShare,
         Duration readingWindow,
         long readingTokens,
         Duration slotTime,
         Duration reportLifetime) {
 
+    /**
+     * The part of a target's time for one adapter, which falls as targets have more to read.
+     *
+     * @param calm the part on a calm day
+     * @param heavy the part on a heavy day
+     * @param calmBelow the part of their time in which all targets read below which a day is calm
+     * @param heavyFrom that part from which a day is heavy
+     */
+    public record ReadingShare(double calm, double heavy, double calmBelow, double heavyFrom) {
+
+        public ReadingShare {
+            if (!(heavy > 0 && calm >= heavy && heavyFrom > calmBelow)) {
+                throw new IllegalArgumentException(
+                        "not a falling share: " + calm + ", " + heavy + ", " + calmBelow + ", " + heavyFrom);
+            }
+        }
+
+        double at(double busy) {
+            double way = Math.min(1, Math.max(0, (busy - calmBelow) / (heavyFrom - calmBelow)));
+            return calm + way * (heavy - calm);
+        }
+    }
+
     public PlacementSettings {
         Objects.requireNonNull(crowdedWait, "crowdedWait");
         Objects.requireNonNull(loadElsewhereWait, "loadElsewhereWait");
@@ -45,10 +68,10 @@
      */
     public static PlacementSettings defaults() {
         // 19.2 tokens a millisecond is what the users' engines read; half of an objective of 800 ms leaves room for a
-        // load of 250 ms; a target spends half of its time reading on the heaviest days, so an adapter that takes a
-        // tenth
-        // of it more is better shared between two (srw scale-2: streams in time 1,733 -> 1,854 of 5,337, for a
-        // tenth more fetches than with a quarter); a batch of 48 that generates for 1.5 s gives
+        // load of 250 ms; srw quiet-1 reads for a fifth of the targets'
+        // time, scale-2 for 45 %: with a tenth for each adapter throughout, scale-2 has 1,854 streams of 5,337 in time
+        // instead of 1,733 with a quarter, and quiet-1 fetches 758 adapters instead of 558; a batch of 48 that
+        // generates for 1.5 s gives
         // up a slot each 30 ms; answers come many times a second, so one of a second ago is only left where nothing was
         // sent since. A stream pauses for over 300 ms if its target reads some 5,000 tokens at a stretch; of these one
         // entry may send half.
@@ -59,7 +82,7 @@
                 // wait
                 // at a holder is the shorter one.
                 Duration.ofMillis(750),
-                0.1,
+                new ReadingShare(0.25, 0.1, 0.15, 0.4),
                 Duration.ofMillis(300),
                 2_600,
                 Duration.ofMillis(30),
--- a/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
@@ -110,8 +110,7 @@
     /** Counts the end of a request. */
     synchronized void ended(OutcomeListener.Outcome outcome) {
         String account = label(outcome.account().map(Object::toString).orElse(""));
-        RequestMeters meters =
-                requests.computeIfAbsent(account, missing -> new RequestMeters(registry, account));
+        RequestMeters meters = requests.computeIfAbsent(account, missing -> new RequestMeters(registry, account));
         meters.ends.get(outcome.kind()).increment();
         meters.total.record(outcome.total());
         meters.repeats.increment(Math.max(0, outcome.arrivals() - 1));
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -204,10 +204,9 @@
             return;
         }
         metrics.gauge("geraniumreach.requests.open", "Requests read or answered now.", () -> ingress.open());
-        metrics.gauge(
-                "geraniumreach.configuration.version",
-                "The version in force, 0 for none.",
-                () -> configuration.map(TrafficConfiguration::version).orElse(0L));
+        metrics.gauge("geraniumreach.configuration.version", "The version in force, 0 for none.", () -> configuration
+                .map(TrafficConfiguration::version)
+                .orElse(0L));
         metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> isReady() ? 1 : 0);
         metrics.gauge("geraniumreach.log.lines.dropped", "Lines that the log had no room for.", lines::droppedInAll);
         InetSocketAddress address = new InetSocketAddress(settings.callers().getAddress(), metricsPort.getAsInt());
--- a/node/src/main/java/org/geraniumreach/node/Main.java
+++ b/node/src/main/java/org/geraniumreach/node/Main.java
@@ -78,7 +78,9 @@
         }
         try {
             ProcessSettings settings = BootFile.read(file == null ? BootFile.path() : file);
-            return command == Command.CHECK ? 0 : serve(settings, metricsPort == null ? OptionalInt.empty() : OptionalInt.of(metricsPort), log);
+            return command == Command.CHECK
+                    ? 0
+                    : serve(settings, metricsPort == null ? OptionalInt.empty() : OptionalInt.of(metricsPort), log);
         } catch (DocumentException wrong) {
             log.write(EventCode.SETTINGS_INVALID, "", Field.of("reason", wrong.getMessage()));
             log.close();
