--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/target/PlacementTest.java
@@ -0,0 +1,163 @@
+package org.geraniumreach.gateway.target;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.geraniumreach.gateway.testing.VirtualTime;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.TargetId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PlacementTest {
+
+    private static final String MODEL = "base";
+    private static final AdapterName ADAPTER = new AdapterName(MODEL, "a1");
+    private static final long PROMPT = 1_460;
+    private static final int TARGETS = 8;
+
+    /** Tokens that a target reads in half a second, more than the wait below which nothing is loaded elsewhere. */
+    private static final long LONG_READING = 9_600;
+
+    private final VirtualTime time = new VirtualTime();
+    private final TargetBook book = new TargetBook(time);
+    private final Placement one = placement();
+    private final Placement other = placement();
+
+    PlacementTest() {
+        for (int number = 0; number < TARGETS; number++) {
+            join("t" + number);
+        }
+    }
+
+    private Placement placement() {
+        return new Placement(
+                book,
+                target -> true,
+                target -> true,
+                () -> 1,
+                FailureDomain.of("here"),
+                PlacementSettings.defaults(),
+                time);
+    }
+
+    private void join(String name) {
+        book.put(new TargetDescription(
+                TargetId.of(name),
+                1,
+                "service",
+                new InetSocketAddress("127.0.0.1", 1),
+                FailureDomain.of("here"),
+                48,
+                false,
+                Map.of(MODEL, Map.of())));
+    }
+
+    private static PlacementNeed need(AdapterName adapter, String session) {
+        return new PlacementNeed(
+                "service", Optional.of(MODEL), Optional.of(adapter), 0, 0, session, PROMPT, false, Set.of(), Set.of());
+    }
+
+    private Target homeOf(AdapterName adapter) {
+        return ((Placed.Load) one.place(need(adapter, "s"))).target();
+    }
+
+    private Target anotherThan(Target target) {
+        return book.all().stream().filter(each -> each != target).findFirst().orElseThrow();
+    }
+
+    @Test
+    void anAdapterThatIsNowhereIsLoadedAtTheSameTargetByAllEntries() {
+        for (int number = 0; number < 50; number++) {
+            AdapterName adapter = new AdapterName(MODEL, "a" + number);
+            assertThat(one.place(need(adapter, "s"))).isEqualTo(other.place(need(adapter, "t")));
+        }
+    }
+
+    // Callers of rare adapters waited for seconds after targets had come and gone: adapters that others held were
+    // fetched again at their new homes, and filled the weight store. One holder is enough for a rare adapter.
+    @Test
+    void anAdapterThatIsHeldElsewhereIsNotLoadedAtItsHomeAsWell() {
+        Target holder = anotherThan(homeOf(ADAPTER));
+        holder.learnResident(ADAPTER, 1, time.nanos());
+        Placed.Send send = (Placed.Send) one.place(need(ADAPTER, "s"));
+        assertThat(send.target()).isEqualTo(holder);
+        assertThat(send.alsoLoad()).isEmpty();
+    }
+
+    // The holder has half a second to read. A load elsewhere takes as long, and a share of the weight store from
+    // callers
+    // whose adapter is nowhere, so the request waits at the holder.
+    @Test
+    void aRequestWaitsAtACrowdedHolderRatherThanForALoadElsewhere() {
+        Target holder = homeOf(ADAPTER);
+        holder.learnResident(ADAPTER, 1, time.nanos());
+        holder.sent(LONG_READING, time.nanos());
+        Placed placed = one.place(need(ADAPTER, "s"));
+        assertThat(placed).isInstanceOf(Placed.Send.class);
+        assertThat(((Placed.Send) placed).target()).isEqualTo(holder);
+    }
+
+    @Test
+    void anAdapterIsLoadedElsewhereOnceItsHolderIsCrowdedForLongerThanALoadTakes() {
+        Target holder = homeOf(ADAPTER);
+        holder.learnResident(ADAPTER, 1, time.nanos());
+        holder.sent(3 * LONG_READING, time.nanos());
+        Placed placed = one.place(need(ADAPTER, "s"));
+        assertThat(placed).isInstanceOf(Placed.Load.class);
+        assertThat(((Placed.Load) placed).target()).isNotEqualTo(holder);
+    }
+
+    // Two entries had one adapter fetched at two targets: one of them saw the home crowded by prompts that are read by
+    // the time the load is done.
+    @Test
+    void aHomeWithLittleToReadIsNotPassedOverForALoad() {
+        Target home = homeOf(ADAPTER);
+        home.sent(LONG_READING, time.nanos());
+        assertThat(homeOf(ADAPTER)).isEqualTo(home);
+    }
+
+    // Streams of the commonest adapter's only home paused for over 300 ms on the heaviest days, beside targets that had
+    // little to read. On a calm day a second home is a load and a place for nothing. The first rate is of one adapter,
+    // the
+    // second of all others together, both in prompts a second.
+    @ParameterizedTest
+    @CsvSource({"2, 4, 1", "2, 60, 2", "10, 4, 3", "10, 60, 7"})
+    void aCommonAdapterHasMoreHomesTheMoreAllTargetsRead(int itsRate, int otherRate, int homes) {
+        for (int second = 0; second < 30; second++) {
+            ask(ADAPTER, itsRate);
+            ask(new AdapterName(MODEL, "other"), otherRate);
+            time.pass(Duration.ofSeconds(1));
+        }
+        assertThat(loadedHomes()).hasSize(homes);
+    }
+
+    private void ask(AdapterName adapter, int times) {
+        for (int number = 0; number < times; number++) {
+            one.requested(adapter, PROMPT);
+        }
+    }
+
+    /** Has the adapter loaded wherever requests want it until none does. */
+    private Set<Target> loadedHomes() {
+        Set<Target> homes = new HashSet<>();
+        List<Target> wanted = new ArrayList<>(List.of(homeOf(ADAPTER)));
+        while (!wanted.isEmpty()) {
+            Target next = wanted.remove(0);
+            next.learnResident(ADAPTER, 1, time.nanos());
+            homes.add(next);
+            ((Placed.Send) one.place(need(ADAPTER, "s"))).alsoLoad().ifPresent(wanted::add);
+        }
+        return homes;
+    }
+}
