Keep ordering targets until a drain's end

Ruled out: the weight store (20 fetches in 2 s). An entry that is only restarted takes its targets up as it comes back.

--- a/gateway/src/main/java/org/geraniumreach/gateway/store/LeaseKeeper.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/LeaseKeeper.java
@@ -106,12 +106,19 @@
         timer = timers.after(AFTER_FAILURE, this::renew);
     }
 
-    /** Ends the lease, and says so, so that others need not wait it out. */
-    public void release() {
+    /**
+     * Ends the lease, and says so, so that others need not wait it out.
+     *
+     * @param told run once the store has answered, not null
+     */
+    public void release(Runnable told) {
         released = true;
         lease.release();
         timer.cancel();
         call.cancel();
-        store.commit(Transaction.empty().withWrite(key, RELEASED + content), reply -> watch.noted(reply));
+        store.commit(Transaction.empty().withWrite(key, RELEASED + content), reply -> {
+            watch.noted(reply);
+            told.run();
+        });
     }
 }
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -10,6 +10,8 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
@@ -84,6 +86,9 @@
 
     private static final Duration LEAST_DRAIN = Duration.ofMillis(3_500);
     private static final Duration DRAIN_MARGIN = Duration.ofMillis(900);
+    /** The store answers within 10 ms; without its answer others wait the lease out. */
+    private static final Duration RELEASE_LIMIT = Duration.ofMillis(300);
+
     private static final Duration DRAIN_LOOK = Duration.ofMillis(50);
 
     private final ProcessSettings settings;
@@ -353,13 +358,32 @@
         loop.execute(() -> {
             requests.drain(longest);
             fleet.stop();
-            leaseKeeper.release();
         });
         awaitQuiet(begun, longest);
+        release();
         log.write(EventCode.DRAINED, settings.instance(), Field.of("open", ingress.open()));
         lines.close();
     }
 
+    /**
+     * Gives up the right to order targets, at the very end.
+     *
+     * <p>Given up at the drain's beginning, targets had nobody to load adapters for the seconds in which a holder's last order may
+     * still arrive, and at a restart of all entries in turn again and again; an entry that is only restarted takes its targets up as it
+     * comes back.
+     */
+    private void release() {
+        CountDownLatch told = new CountDownLatch(1);
+        loop.execute(() -> leaseKeeper.release(told::countDown));
+        try {
+            boolean answered = told.await(RELEASE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+            log.write(
+                    EventCode.HOLDER_CHANGED, settings.instance(), Field.of("holder", ""), Field.of("told", answered));
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void awaitQuiet(long begun, Duration longest) {
         try {
             while (true) {
