--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -59,6 +59,7 @@
     private Cancellable waitTimer = Cancellable.NOTHING;
     private Cancellable adapterWait = Cancellable.NOTHING;
     private Optional<Attempt> attempt = Optional.empty();
+    private OptionalLong adapterWaitSince = OptionalLong.empty();
     private int arrivals;
     private boolean admitted;
     private boolean ended;
@@ -198,7 +199,7 @@
         if (longest.compareTo(services.settings().longestLoadWait()) > 0) {
             longest = services.settings().longestLoadWait();
         }
-        if (elapsed().compareTo(longest) >= 0) {
+        if (waitedForAdapter().compareTo(longest) >= 0) {
             giveUp(ResultCode.LOAD_FAILED, "the adapter is not loaded in time");
             return;
         }
@@ -209,7 +210,20 @@
         services.adapters().want(target, adapter);
     }
 
+    /**
+     * Counts from the first look for a target since the last sending: a stream that has lost its target after seconds may wait for the
+     * adapter elsewhere as long as a new one.
+     */
+    private Duration waitedForAdapter() {
+        long now = services.clock().nanos();
+        if (adapterWaitSince.isEmpty()) {
+            adapterWaitSince = OptionalLong.of(now);
+        }
+        return Duration.ofNanos(now - adapterWaitSince.getAsLong());
+    }
+
     private void send(Placed.Send send) {
+        adapterWaitSince = OptionalLong.empty();
         Target target = send.target();
         if (arrivals > 0 && !services.repeats().take(service)) {
             giveUp(ResultCode.OVERLOADED, "no second arrival is allowed now");
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -11,6 +11,7 @@
 import org.geraniumreach.gateway.testing.RequestWorld;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RepeatRule;
+import org.geraniumreach.model.TargetId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -20,6 +21,8 @@
 
 class ExchangeTest {
 
+    private static final AdapterName ADAPTER = new AdapterName("base", "a7");
+
     private final RequestWorld world = new RequestWorld();
 
     @Test
@@ -241,6 +244,31 @@
         assertThat(world.targets().sent()).hasSize(1);
     }
 
+    // A draft is cut off though another target could go on with it: its target crashes after five seconds, longer than
+    // a
+    // new request may wait for its adapter, and the adapter has to be loaded at the other target first.
+    @Test
+    void aStreamThatLosesItsTargetLateWaitsForItsAdapterElsewhere() {
+        world.route(RepeatRule.RESUMABLE_STREAM, 2)
+                .target("a", Map.of("base", Map.of("a7", 1L)))
+                .target("b", Map.of("base", Map.of()));
+        RecordedAnswer answer = world.send(Optional.of(generation()));
+        world.targets().last().head(200, true);
+        for (int event = 1; event <= 5; event++) {
+            world.targets().last().part("id: " + event + "\ndata: x\n\n");
+            world.time().pass(Duration.ofSeconds(1));
+        }
+        world.targets().last().failed(true);
+        assertThat(answer.isOver()).isFalse();
+        assertThat(world.adapters().wanted()).contains("b a7");
+        world.book()
+                .find(TargetId.of("b"))
+                .orElseThrow()
+                .learnResident(ADAPTER, 1, world.time().nanos());
+        world.adapters().wake();
+        assertThat(world.targets().last().envelope().lastEvent()).hasValue(5);
+    }
+
     private static GatewayRequest.Generation generation() {
         return new GatewayRequest.Generation(
                 "base",
