--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -12,7 +12,6 @@
 
 import org.geraniumreach.gateway.port.CallerAnswer;
 import org.geraniumreach.gateway.port.Cancellable;
-import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.TargetAnswerHead;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.port.TargetPort;
@@ -55,6 +54,7 @@
     private final Set<TargetId> mayHaveRun = new HashSet<>();
     private final Map<TargetId, Long> askedAt = new HashMap<>();
     private final AnswerRelay relay;
+    private final ExchangeLog log;
     private Cancellable limitTimer = Cancellable.NOTHING;
     private Cancellable waitTimer = Cancellable.NOTHING;
     private Cancellable adapterWait = Cancellable.NOTHING;
@@ -82,6 +82,7 @@
         this.startedAt = services.clock().nanos();
         this.limit = route.longest(request.patience());
         this.relay = new AnswerRelay(answer, request.lastEvent(), services.clock());
+        this.log = new ExchangeLog(services.log(), services.clock(), request, service, account.map(Account::id));
     }
 
     void start() {
@@ -230,27 +231,7 @@
             return;
         }
         arrivals++;
-        services.log()
-                .write(
-                        EventCode.REQUEST_PLACED,
-                        request.id(),
-                        Field.of("target", target.id().value()),
-                        Field.of("reason", send.reason()),
-                        Field.of("adapter", adapter().map(AdapterName::adapter).orElse("")),
-                        Field.of("arrival", arrivals),
-                        Field.of(
-                                "account",
-                                account.map(known -> known.id().value()).orElse("")),
-                        Field.of("units", account.map(this::units).orElse(0.0)),
-                        Field.of("expectedWaitMillis", send.expectedWaitMillis()),
-                        Field.of("outstanding", target.outstanding()),
-                        Field.of("reported", target.reported()),
-                        Field.of(
-                                "reportAgeMillis",
-                                target.reportAge(services.clock().nanos())
-                                        .map(Duration::toMillis)
-                                        .orElse(-1L)),
-                        Field.of("waitedMillis", elapsed().toMillis()));
+        log.placed(send, arrivals, account.map(this::units).orElse(0.0), elapsed());
         adapter().ifPresent(adapter -> send.alsoLoad()
                 .ifPresent(other -> services.adapters().want(other, adapter)));
         Attempt started = new Attempt(services, target, request, new AttemptEvents(target));
@@ -304,7 +285,7 @@
         @Override
         public void notExecuted(NotExecuted why) {
             attempt = Optional.empty();
-            noteNotExecuted(target, why);
+            log.notExecuted(target, why);
             if (why == NotExecuted.NOT_RESIDENT) {
                 adapter()
                         .ifPresent(adapter ->
@@ -355,14 +336,7 @@
             attempt = Optional.empty();
             services.health().failed(target.id());
             avoided.add(target.id());
-            services.log()
-                    .write(
-                            EventCode.ATTEMPT_FAILED,
-                            request.id(),
-                            Field.of("target", target.id().value()),
-                            Field.of("mayHaveRun", mayRun),
-                            Field.of("reason", reason),
-                            Field.of("lastEvent", relay.lastEvent()));
+            log.attemptFailed(target, mayRun, reason, relay.lastEvent());
             if (mayRun) {
                 mayHaveRun.add(target.id());
             }
@@ -375,15 +349,6 @@
         }
     }
 
-    private void noteNotExecuted(Target target, NotExecuted why) {
-        services.log()
-                .write(
-                        EventCode.ATTEMPT_NOT_EXECUTED,
-                        request.id(),
-                        Field.of("target", target.id().value()),
-                        Field.of("reason", why));
-    }
-
     private boolean canRunAgain() {
         return route.repeatRule().mayRunAgain() && mayHaveRun.size() < route.maximumTargets();
     }
@@ -430,20 +395,7 @@
     }
 
     private void note(EventCode event, ResultCode code, String reason) {
-        services.log()
-                .write(
-                        event,
-                        request.id(),
-                        Field.of("code", code),
-                        Field.of("reason", reason),
-                        Field.of("admitted", admitted),
-                        Field.of(
-                                "account",
-                                account.map(known -> known.id().value()).orElse("")),
-                        Field.of("service", service),
-                        Field.of("adapter", adapter().map(AdapterName::adapter).orElse("")),
-                        Field.of("arrivals", arrivals),
-                        Field.of("afterMillis", elapsed().toMillis()));
+        log.ended(event, code, reason, new ExchangeLog.Progress(admitted, arrivals, elapsed()));
     }
 
     private void timeIsUp() {
@@ -471,12 +423,7 @@
         }
         attempt.ifPresent(Attempt::cancel);
         attempt = Optional.empty();
-        services.log()
-                .write(
-                        EventCode.CALLER_GONE,
-                        request.id(),
-                        Field.of("arrivals", arrivals),
-                        Field.of("afterMillis", elapsed().toMillis()));
+        log.callerGone(arrivals, elapsed());
         finish(OutcomeListener.Kind.CALLER_GONE, 0);
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -0,0 +1,113 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.target.Placed;
+import org.geraniumreach.gateway.target.Target;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.ResultCode;
+
+/**
+ * The lines of one exchange's decisions, with what decided them.
+ *
+ * <p>Immutable; confined to the event loop as the exchange is.
+ */
+final class ExchangeLog {
+
+    private final DecisionLog log;
+    private final MonotonicClock clock;
+    private final String id;
+    private final String service;
+    private final String account;
+    private final String adapter;
+
+    /**
+     * How far an exchange had come.
+     *
+     * @param admitted whether it was within its account's rate
+     * @param arrivals how often it was sent
+     * @param passed the time since its arrival
+     */
+    record Progress(boolean admitted, int arrivals, Duration passed) {}
+
+    ExchangeLog(
+            DecisionLog log,
+            MonotonicClock clock,
+            GatewayRequest request,
+            String service,
+            Optional<AccountId> account) {
+        this.log = log;
+        this.clock = clock;
+        this.id = request.id();
+        this.service = service;
+        this.account = account.map(AccountId::value).orElse("");
+        this.adapter = request.generation()
+                .flatMap(GatewayRequest.Generation::adapter)
+                .map(AdapterName::adapter)
+                .orElse("");
+    }
+
+    void placed(Placed.Send send, int arrival, double units, Duration waited) {
+        Target target = send.target();
+        log.write(
+                EventCode.REQUEST_PLACED,
+                id,
+                Field.of("target", target.id().value()),
+                Field.of("reason", send.reason()),
+                Field.of("adapter", adapter),
+                Field.of("arrival", arrival),
+                Field.of("account", account),
+                Field.of("units", units),
+                Field.of("expectedWaitMillis", send.expectedWaitMillis()),
+                Field.of("outstanding", target.outstanding()),
+                Field.of("reported", target.reported()),
+                Field.of(
+                        "reportAgeMillis",
+                        target.reportAge(clock.nanos()).map(Duration::toMillis).orElse(-1L)),
+                Field.of("waitedMillis", waited.toMillis()));
+    }
+
+    void notExecuted(Target target, NotExecuted why) {
+        log.write(
+                EventCode.ATTEMPT_NOT_EXECUTED,
+                id,
+                Field.of("target", target.id().value()),
+                Field.of("reason", why));
+    }
+
+    void attemptFailed(Target target, boolean mayHaveRun, String reason, long lastEvent) {
+        log.write(
+                EventCode.ATTEMPT_FAILED,
+                id,
+                Field.of("target", target.id().value()),
+                Field.of("mayHaveRun", mayHaveRun),
+                Field.of("reason", reason),
+                Field.of("lastEvent", lastEvent));
+    }
+
+    void ended(EventCode event, ResultCode code, String reason, Progress progress) {
+        log.write(
+                event,
+                id,
+                Field.of("code", code),
+                Field.of("reason", reason),
+                Field.of("admitted", progress.admitted()),
+                Field.of("account", account),
+                Field.of("service", service),
+                Field.of("adapter", adapter),
+                Field.of("arrivals", progress.arrivals()),
+                Field.of("afterMillis", progress.passed().toMillis()));
+    }
+
+    void callerGone(int arrivals, Duration passed) {
+        log.write(
+                EventCode.CALLER_GONE, id, Field.of("arrivals", arrivals), Field.of("afterMillis", passed.toMillis()));
+    }
+}
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
@@ -154,9 +154,12 @@
         if (best.isPresent()) {
             return send(best.get(), order, need, missingHome);
         }
-        if (!residents.isEmpty() && !isWorthLoadingElsewhere(residents, need)) {
-            return leastWait(residents, need);
-        }
+        return residents.isEmpty() || isWorthLoadingElsewhere(residents, need)
+                ? byLoad(need, order, residents)
+                : leastWait(residents, need);
+    }
+
+    private Placed byLoad(PlacementNeed need, List<Target> order, List<Target> residents) {
         Optional<Target> loadable = order.stream()
                 .filter(target -> !residents.contains(target) && canLoad(target, need) && isFreeAfterLoad(target, need))
                 .min(Comparator.comparing(target -> holdsOlder(target, need)));
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
@@ -27,6 +27,34 @@
         Duration slotTime,
         Duration reportLifetime) {
 
+    /** What the users' engines read. */
+    private static final double TOKENS_PER_MILLI = 19.2;
+
+    /** Of an objective of 800 ms this leaves room for a load of 250 ms. */
+    private static final Duration CROWDED_WAIT = Duration.ofMillis(350);
+
+    /** A load takes 400 ms on a heavy day, and the target that loads has 350 ms to read; below this the wait at a holder is shorter. */
+    private static final Duration LOAD_ELSEWHERE_WAIT = Duration.ofMillis(750);
+
+    /**
+     * Targets read for a fifth of their time on Sabarmati's calm day, for 45 % on its heaviest. With a tenth for each adapter throughout,
+     * 1,854 streams of the heavy day's 5,337 were in time instead of 1,733 with a quarter, and the calm day fetched 758 adapters
+     * instead of 558; one run each, with simulated targets.
+     */
+    private static final ReadingShare READING_SHARE = new ReadingShare(0.25, 0.1, 0.15, 0.4);
+
+    /** The longest pause in a stream that callers take well. */
+    private static final Duration READING_WINDOW = Duration.ofMillis(300);
+
+    /** Some 5,000 tokens at a stretch make a target's streams pause for longer than the window; one entry may send half. */
+    private static final long READING_TOKENS = 2_600;
+
+    /** A batch of 48 that generates for 1.5 s gives up a slot this often. */
+    private static final Duration SLOT_TIME = Duration.ofMillis(30);
+
+    /** Answers come many times a second, so an older report is only left where nothing was sent since. */
+    private static final Duration REPORT_LIFETIME = Duration.ofSeconds(1);
+
     /**
      * The part of a target's time for one adapter, which falls as targets have more to read.
      *
@@ -67,25 +95,14 @@
      * @return the settings, not null
      */
     public static PlacementSettings defaults() {
-        // 19.2 tokens a millisecond is what the users' engines read; half of an objective of 800 ms leaves room for a
-        // load of 250 ms; srw quiet-1 reads for a fifth of the targets'
-        // time, scale-2 for 45 %: with a tenth for each adapter throughout, scale-2 has 1,854 streams of 5,337 in time
-        // instead of 1,733 with a quarter, and quiet-1 fetches 758 adapters instead of 558; a batch of 48 that
-        // generates for 1.5 s gives
-        // up a slot each 30 ms; answers come many times a second, so one of a second ago is only left where nothing was
-        // sent since. A stream pauses for over 300 ms if its target reads some 5,000 tokens at a stretch; of these one
-        // entry may send half.
         return new PlacementSettings(
-                19.2,
-                Duration.ofMillis(350),
-                // A load takes 400 ms on a heavy day and the target that loads has 350 ms to read, so below this the
-                // wait
-                // at a holder is the shorter one.
-                Duration.ofMillis(750),
-                new ReadingShare(0.25, 0.1, 0.15, 0.4),
-                Duration.ofMillis(300),
-                2_600,
-                Duration.ofMillis(30),
-                Duration.ofSeconds(1));
+                TOKENS_PER_MILLI,
+                CROWDED_WAIT,
+                LOAD_ELSEWHERE_WAIT,
+                READING_SHARE,
+                READING_WINDOW,
+                READING_TOKENS,
+                SLOT_TIME,
+                REPORT_LIFETIME);
     }
 }
--- a/node/src/main/java/org/geraniumreach/node/MetricsPort.java
+++ b/node/src/main/java/org/geraniumreach/node/MetricsPort.java
@@ -4,12 +4,12 @@
 import java.net.InetSocketAddress;
 import java.util.function.Supplier;
 
+import org.geraniumreach.httpserver.OneThreadListener;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 
 /**
  * Serves the meters as text.
@@ -29,12 +29,7 @@
     }
 
     static MetricsPort start(InetSocketAddress address, Supplier<String> text) throws IOException {
-        NetworkListener listener =
-                new NetworkListener("metrics", address.getAddress().getHostAddress(), address.getPort());
-        listener.getTransport().setReuseAddress(true);
-        listener.getTransport().setSelectorRunnersCount(1);
-        listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
-        listener.getTransport().setWorkerThreadPoolConfig(null);
+        NetworkListener listener = OneThreadListener.create("metrics", address);
         HttpServer server = new HttpServer();
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(new TextHandler(text), PATH);
