Free what an entry has soon after it said that it ends, take targets' rows in their order, and log readiness

Of the second, found by reading: of one answer of the feed, rows that went were taken before rows that came, so a target's last heartbeat could undo its end.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/Holdings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/Holdings.java
@@ -40,6 +40,9 @@
     /** The lead of the first in order, which spares the others a transaction that fails. */
     private static final Duration LEAD = Duration.ofMillis(700);
 
+    /** An entry that is only restarted renews its lease within 2 s of its end, and finds what it had. */
+    static final Duration COMES_BACK = Duration.ofSeconds(4);
+
     /** Rows of one transaction; the store takes a hundred. */
     private static final int MOST_CLAIMS = 40;
 
@@ -216,20 +219,21 @@
     }
 
     /**
-     * Gets the other entries whose leases have not changed for a time.
+     * Gets the other entries that have ended: their leases have not changed for a time, or were given up at their end.
      *
      * @param limit the time, not null
      * @return the versions of their leases by their instances, not null
      */
-    public Map<String, Long> unchangedFor(Duration limit) {
+    public Map<String, Long> endedFor(Duration limit) {
         long now = clock.nanos();
-        Map<String, Long> unchanged = new HashMap<>();
+        Map<String, Long> ended = new HashMap<>();
         leases.forEach((node, seen) -> {
-            if (!node.equals(self) && now - seen.since() > limit.toNanos()) {
-                unchanged.put(node, seen.version());
+            Duration needed = seen.releasedBy().isPresent() ? COMES_BACK : limit;
+            if (!node.equals(self) && now - seen.since() > needed.toNanos()) {
+                ended.put(node, seen.version());
             }
         });
-        return unchanged;
+        return ended;
     }
 
     private static List<String> order(TargetId target, List<String> entries) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/HoldingsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/HoldingsTest.java
@@ -67,6 +67,26 @@
         assertThat(claim().isPresent()).isEqualTo(claimed);
     }
 
+    // Callers of a failure domain got 429 within their rate for 30 s after an entry had been replaced, since its share
+    // lay
+    // idle. One that said that it ends needs no such proof; one that is only restarted must find its share again.
+    @ParameterizedTest
+    @CsvSource({"true, 3900, false", "true, 4100, true", "false, 4100, false", "false, 30100, true"})
+    void whatAnEntryHasIsFreeSoonAfterItSaidThatItEnds(boolean released, long millis, boolean ended) {
+        holdings.seenLease("two", 3, released ? OptionalLong.of(1) : OptionalLong.empty());
+        time.pass(Duration.ofMillis(millis));
+        assertThat(holdings.endedFor(Duration.ofSeconds(30)).containsKey("two")).isEqualTo(ended);
+    }
+
+    @Test
+    void anEntryThatRenewsAfterItSaidThatItEndsKeepsWhatItHas() {
+        holdings.seenLease("two", 3, OptionalLong.of(1));
+        time.pass(Duration.ofSeconds(2));
+        holdings.seenLease("two", 4, OptionalLong.empty());
+        time.pass(Duration.ofSeconds(10));
+        assertThat(holdings.endedFor(Duration.ofSeconds(30))).isEmpty();
+    }
+
     // A holder that renews at the last moment keeps its target: the taking over requires the lease as it was seen.
     @Test
     void takingOverRequiresThatTheLeaseIsUnchanged() {
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/target/TargetNewsTest.java
@@ -0,0 +1,57 @@
+package org.geraniumreach.gateway.target;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.geraniumreach.gateway.port.StorePort;
+import org.geraniumreach.gateway.port.StorePort.TargetItem;
+import org.geraniumreach.gateway.testing.VirtualTime;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.TargetId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TargetNewsTest {
+
+    private static final TargetId ID = TargetId.of("t");
+
+    private final TargetBook book = new TargetBook(new VirtualTime());
+    private final List<EventCode> logged = new ArrayList<>();
+    private final TargetNews news = new TargetNews(book, (event, subject, fields) -> logged.add(event));
+
+    private static TargetItem present() {
+        return new TargetItem.Present(new TargetDescription(
+                ID, 1, "service", new InetSocketAddress("127.0.0.1", 9), FailureDomain.of("here"), 4, false, Map.of()));
+    }
+
+    private void take(boolean whole, TargetItem... items) {
+        news.took(new StorePort.News<>(List.of(items), 1, whole));
+    }
+
+    // Requests would go to a target that has left: its last heartbeat and its row's end come in one answer, and the
+    // heartbeat must not be taken for the newer one.
+    @Test
+    void aRowThatGoesAfterAHeartbeatOfTheSameNewsIsGone() {
+        take(true, present());
+        take(false, present(), new TargetItem.Gone(ID));
+        assertThat(book.find(ID)).isEmpty();
+    }
+
+    @Test
+    void aTargetWithoutARowInWholeNewsIsGone() {
+        take(true, present());
+        take(true);
+        assertThat(book.find(ID)).isEmpty();
+    }
+
+    @Test
+    void aRowThatCannotBeReadIsLoggedAndLeavesTheOthers() {
+        take(false, new TargetItem.Unreadable("odd", "no state"), present());
+        assertThat(book.find(ID)).isPresent();
+        assertThat(logged).containsExactly(EventCode.ROW_UNREADABLE);
+    }
+}
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -40,7 +38,7 @@
 import org.geraniumreach.gateway.target.PlacementSettings;
 import org.geraniumreach.gateway.target.Target;
 import org.geraniumreach.gateway.target.TargetBook;
-import org.geraniumreach.gateway.target.TargetDescription;
+import org.geraniumreach.gateway.target.TargetNews;
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
 import org.geraniumreach.httpclient.HttpConnections;
 import org.geraniumreach.model.EventCode;
@@ -109,6 +107,7 @@
     /** Of the targets' rows alone: while only writes fail, a row that is gone tells of a target that is gone. */
     private final StoreWatch targetWatch;
 
+    private final TargetNews targetNews;
     private final Lease lease = new Lease(clock, System::currentTimeMillis);
     private final Holdings holdings;
     private final Quotas quotas;
@@ -122,6 +121,7 @@
     private OptionalLong operatorReadAt = OptionalLong.empty();
     private volatile boolean targetsKnown;
     private volatile boolean admits;
+    private boolean wasReady;
     private Ingress ingress;
     private EntryLinks links;
     private FleetTable fleet;
@@ -135,6 +135,7 @@
         this.log = metrics;
         this.watch = new StoreWatch(clock, log, "");
         this.targetWatch = new StoreWatch(clock, log, "targets");
+        this.targetNews = new TargetNews(book, log);
         this.holdings = new Holdings(settings.instance(), incarnation, lease, clock);
         this.quotas = new Quotas(settings.instance(), lease, settings.quotaTolerance(), clock, log);
         this.store = new StoreClient(connections, settings.store());
@@ -318,30 +319,32 @@
     }
 
     private void targetNews(StorePort.News<StorePort.TargetItem> news) {
-        List<TargetDescription> present = new ArrayList<>();
-        for (StorePort.TargetItem item : news.items()) {
-            if (item instanceof StorePort.TargetItem.Present row) {
-                present.add(row.description());
-            } else if (item instanceof StorePort.TargetItem.Gone gone) {
-                book.removed(gone.target());
-            } else if (item instanceof StorePort.TargetItem.Unreadable bad) {
-                log.write(EventCode.ROW_UNREADABLE, bad.key(), Field.of("reason", bad.reason()));
-            }
-        }
-        if (news.whole()) {
-            book.replaceAll(present);
-        } else {
-            present.forEach(book::put);
-        }
+        targetNews.took(news);
         targetsKnown = true;
     }
 
     private void sweep() {
+        noteReadiness();
         connections.closeIdle(IDLE_CONNECTIONS);
         book.expire();
         timers.after(SWEEP, this::sweep);
     }
 
+    private void noteReadiness() {
+        boolean ready = isReady();
+        if (ready == wasReady) {
+            return;
+        }
+        wasReady = ready;
+        log.write(
+                ready ? EventCode.READY : EventCode.NOT_READY,
+                settings.instance(),
+                Field.of("draining", draining.get()),
+                Field.of("configured", configuration.isPresent()),
+                Field.of("targetsKnown", targetsKnown),
+                Field.of("admits", admits));
+    }
+
     boolean isReady() {
         return !draining.get() && configuration.isPresent() && targetsKnown && admits;
     }
--- a/node/src/main/java/org/geraniumreach/node/FleetTable.java
+++ b/node/src/main/java/org/geraniumreach/node/FleetTable.java
@@ -217,7 +217,7 @@
             return;
         }
         int count = Math.max(1, entries.size());
-        Map<String, Long> abandoned = holdings.unchangedFor(Quotas.ABANDONED);
+        Map<String, Long> abandoned = holdings.endedFor(Quotas.ABANDONED);
         quotas.change(count, abandoned).ifPresent(transaction -> {
             sharing = true;
             commit(transaction, decision -> shared(transaction, decision));
