Read the count of orders anew after an unload that may have awaited runs before

Cause: a look at an unload that awaited runs was lost, the report after it does not tell of such an unload, and it was sent again, accepted and counted a second time. A load that named the number after was lost, refused as long as the number was to come, and carried out when it came: six adapters for five places, which crashes a target.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -83,6 +83,14 @@
     private Optional<Step.Send> unanswered = Optional.empty();
     private int copies;
 
+    /**
+     * Whether an order from before the last report may still await runs at the target. A report does not tell; the same order sent
+     * again is accepted without being counted there. Counted here, it made a later order name a number yet to come: lost, and
+     * carried out when the number came, it loaded an adapter beyond the places. So the count is read anew after such an order,
+     * until the target has accepted a load, whose number it has checked.
+     */
+    private boolean countDoubtful = true;
+
     /** Is told of adapters that come and go. */
     public interface Listener {
 
@@ -327,10 +335,11 @@
         }
         AdapterName adapter = sent.adapter().get();
         boolean repeated = nextLook.containsKey(adapter);
-        if (!repeated) {
+        boolean waits = sent.operation() == Order.Operation.UNLOAD || resident.containsKey(adapter);
+        if (!repeated && !(waits && countDoubtful)) {
             countOrder();
         }
-        boolean waits = sent.operation() == Order.Operation.UNLOAD || resident.containsKey(adapter);
+        countDoubtful &= waits || repeated;
         if (waits) {
             awaitingRuns = Optional.of(adapter);
         }
@@ -372,6 +381,9 @@
             resident.remove(adapter);
             keepAtHand(adapter);
             listener.leaves(adapter);
+            if (countDoubtful) {
+                lostTrack(now);
+            }
             return;
         }
         if (wasUnanswered && !repeated && !resident.containsKey(adapter)) {
@@ -382,10 +394,14 @@
             window.ended(Duration.ofNanos(now - since), now);
         }
         long version = newestVersion.apply(adapter);
+        boolean replaced = repeated && resident.containsKey(adapter);
         resident.put(adapter, version);
         wanted.remove(adapter);
         uses.used(adapter, 0, now);
         listener.arrived(adapter, version);
+        if (countDoubtful && replaced) {
+            lostTrack(now);
+        }
     }
 
     private void countOrder() {
@@ -407,6 +423,7 @@
 
     private void lostTrack(long now) {
         copies = 0;
+        countDoubtful = true;
         forgetFetches();
         orders = OptionalLong.empty();
         notBefore = now + REPORT_LAG.toNanos();
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
@@ -31,6 +31,16 @@
         new World(seed).play();
     }
 
+    // All callers of a target lose their streams: an unload awaits runs, its answer is lost, and it is sent again after
+    // a
+    // report that does not tell of it. It counted twice here, so a load that was lost named a number yet to come and
+    // was
+    // carried out seconds later, beyond the places.
+    @Test
+    void anUnloadThatAwaitsRunsIsNotCountedTwice() {
+        new World(-4568).play();
+    }
+
     // A caller of a rare adapter is served although another entry's request for it gave up: wishes lapse unless they
     // are renewed, so they take no place from those who still wait.
     @Test
