--- a/daemon/src/main/java/org/geraniumreach/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/metrics/NodeMetrics.java
@@ -1,33 +1,23 @@
 package org.geraniumreach.daemon.metrics;
 
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
 
-import io.micrometer.core.instrument.Gauge;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.process.ProcessMeters;
 
 /**
  * The meters of one process.
  *
- * <p>Invariant: the number of series is bounded. Only the first {@value #MAXIMUM_ACCOUNTS} client accounts have meters of
- * their own; the others share those of {@value #OTHER}, so that a great number of accounts costs no memory. Safe for use
+ * <p>Invariant: the number of series is bounded. Client accounts beyond the first
+ * {@link ProcessMeters#MOST_ACCOUNTS} share their meters. Safe for use
  * by several threads.
  */
 public final class NodeMetrics {
 
-    /** The most client accounts with meters of their own. */
-    public static final int MAXIMUM_ACCOUNTS = 64;
-
-    /** The label of the client accounts beyond. */
-    public static final String OTHER = "other";
-
-    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    private final Set<String> accounts = ConcurrentHashMap.newKeySet();
+    private final ProcessMeters shared = new ProcessMeters();
     private final Map<Series, RequestMeters> meters = new ConcurrentHashMap<>();
 
     private record Series(String account, RequestClass kind) {}
@@ -41,7 +31,8 @@
      */
     public RequestMeters requests(AccountId account, RequestClass kind) {
         return meters.computeIfAbsent(
-                new Series(label(account), kind), series -> new RequestMeters(registry, series.account(), kind));
+                new Series(shared.accountLabel(account.value()), kind),
+                series -> new RequestMeters(shared.registry(), series.account(), kind));
     }
 
     /**
@@ -50,7 +41,8 @@
      * @param code the result, not null
      */
     public void countUnknownCaller(ResultCode code) {
-        registry.counter("geraniumreach.refusals.unknown.caller", "result", code.name())
+        shared.registry()
+                .counter("geraniumreach.refusals.unknown.caller", "result", code.name())
                 .increment();
     }
 
@@ -62,10 +54,7 @@
      * @param value reads it, not null
      */
     public void gauge(String name, String about, DoubleSupplier value) {
-        Gauge.builder(name, value, DoubleSupplier::getAsDouble)
-                .description(about)
-                .strongReference(true)
-                .register(registry);
+        shared.gauge(name, about, value);
     }
 
     /**
@@ -74,20 +63,6 @@
      * @return the text, not null
      */
     public String scrape() {
-        return registry.scrape();
-    }
-
-    private String label(AccountId account) {
-        String name = account.value();
-        if (accounts.contains(name)) {
-            return name;
-        }
-        synchronized (accounts) {
-            if (accounts.size() >= MAXIMUM_ACCOUNTS) {
-                return OTHER;
-            }
-            accounts.add(name);
-            return name;
-        }
+        return shared.scrape();
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -302,6 +302,7 @@
      */
     public void answered(Step.Send sent, OrderResult result, long now) {
         callUnderWay = false;
+        copies++;
         if (result == OrderResult.UNKNOWN && mayRepeat(sent)) {
             unanswered = Optional.of(sent);
             return;
@@ -321,7 +322,6 @@
     private boolean mayRepeat(Step.Send sent) {
         boolean known =
                 sent.adapter().isEmpty() || nextLook.containsKey(sent.adapter().get());
-        copies++;
         return !known && copies < MOST_COPIES;
     }
 
@@ -422,7 +422,6 @@
     }
 
     private void lostTrack(long now) {
-        copies = 0;
         countDoubtful = true;
         forgetFetches();
         orders = OptionalLong.empty();
--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/Holdings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/Holdings.java
@@ -1,6 +1,5 @@
 package org.geraniumreach.gateway.adapter;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -12,12 +11,12 @@
 import java.util.OptionalLong;
 import java.util.function.Predicate;
 
-import org.apache.commons.codec.digest.MurmurHash3;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.serving.routing.Rendezvous;
 
 /**
  * Which entry may order which target.
@@ -238,16 +237,11 @@
 
     private static List<String> order(TargetId target, List<String> entries) {
         return entries.stream()
-                .sorted(Comparator.comparingInt((String entry) -> hash(target.value() + ' ' + entry))
+                .sorted(Comparator.comparingInt((String entry) -> Rendezvous.hash(target.value() + ' ' + entry))
                         .thenComparing(Comparator.naturalOrder()))
                 .toList();
     }
 
-    private static int hash(String text) {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
-    }
-
     private Transaction transaction(List<TargetId> due) {
         Transaction transaction = Transaction.empty();
         List<String> former = new ArrayList<>();
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/AccountBucket.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/AccountBucket.java
@@ -69,8 +69,4 @@
 
     /** Whether units were taken, and after what time they are there, empty if they never are. */
     record Taking(boolean taken, Optional<Duration> delay) {}
-
-    double level() {
-        return level;
-    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/EventSplitter.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/EventSplitter.java
@@ -61,13 +61,6 @@
         return pending.size() > 0;
     }
 
-    /** Hands out what is left of a stream that ended as complete. */
-    byte[] takeRest() {
-        byte[] rest = pending.toByteArray();
-        pending.reset();
-        return rest;
-    }
-
     private static OptionalLong number(byte[] event) {
         String text = new String(event, StandardCharsets.ISO_8859_1);
         return Arrays.stream(text.split("\r?\n"))
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -59,7 +59,10 @@
     private Cancellable waitTimer = Cancellable.NOTHING;
     private Cancellable adapterWait = Cancellable.NOTHING;
     private Optional<Attempt> attempt = Optional.empty();
+
+    /** Since the last sending: a stream that has lost its target after seconds may wait for its adapter as long as a new one. */
     private OptionalLong adapterWaitSince = OptionalLong.empty();
+
     private int arrivals;
     private boolean admitted;
     private boolean ended;
@@ -200,29 +203,21 @@
         if (longest.compareTo(services.settings().longestLoadWait()) > 0) {
             longest = services.settings().longestLoadWait();
         }
-        if (waitedForAdapter().compareTo(longest) >= 0) {
+        long now = services.clock().nanos();
+        if (adapterWaitSince.isEmpty()) {
+            adapterWaitSince = OptionalLong.of(now);
+        }
+        if (now - adapterWaitSince.getAsLong() >= longest.toNanos()) {
             giveUp(ResultCode.LOAD_FAILED, "the adapter is not loaded in time");
             return;
         }
-        askedAt.putIfAbsent(target.id(), services.clock().nanos());
+        askedAt.putIfAbsent(target.id(), now);
         adapterWait.cancel();
         adapterWait = services.adapters().await(adapter, this::place);
         waitTimer = services.timers().after(services.settings().lookAgain(), this::place);
         services.adapters().want(target, adapter);
     }
 
-    /**
-     * Counts from the first look for a target since the last sending: a stream that has lost its target after seconds may wait for the
-     * adapter elsewhere as long as a new one.
-     */
-    private Duration waitedForAdapter() {
-        long now = services.clock().nanos();
-        if (adapterWaitSince.isEmpty()) {
-            adapterWaitSince = OptionalLong.of(now);
-        }
-        return Duration.ofNanos(now - adapterWaitSince.getAsLong());
-    }
-
     private void send(Placed.Send send) {
         adapterWaitSince = OptionalLong.empty();
         Target target = send.target();
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
@@ -33,7 +33,6 @@
     private Cancellable call = Cancellable.NOTHING;
     private Cancellable timer = Cancellable.NOTHING;
     private Duration pause = FIRST_PAUSE;
-    private boolean stopped;
 
     /**
      * Makes the calls.
@@ -82,9 +81,6 @@
 
     /** Reads on from where the reader stands. */
     public void read() {
-        if (stopped) {
-            return;
-        }
         Duration limit = position.patience().plus(pace.limit());
         timer = timers.after(limit, () -> {
             call.cancel();
@@ -118,11 +114,4 @@
     private void again(Duration delay) {
         timer = timers.after(delay, this::read);
     }
-
-    /** Ends the reading. */
-    public void stop() {
-        stopped = true;
-        timer.cancel();
-        call.cancel();
-    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
@@ -1,6 +1,5 @@
 package org.geraniumreach.gateway.target;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -11,10 +10,10 @@
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
-import org.apache.commons.codec.digest.MurmurHash3;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.serving.routing.Rendezvous;
 
 /**
  * Chooses a target for a request.
@@ -329,9 +328,9 @@
 
     private static List<Target> order(String key, List<Target> targets) {
         List<Ranked> ranked = new ArrayList<>(targets.size());
-        int hash = hash(key);
+        int hash = Rendezvous.hash(key);
         for (Target target : targets) {
-            ranked.add(new Ranked(MurmurHash3.hash32(hash, hash(target.id().value())), target));
+            ranked.add(new Ranked(Rendezvous.score(hash, target.hash()), target));
         }
         ranked.sort(Comparator.comparingInt(Ranked::rank).reversed().thenComparing(each -> each.target()
                 .id()));
@@ -339,9 +338,4 @@
     }
 
     private record Ranked(int rank, Target target) {}
-
-    private static int hash(String text) {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
-    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Target.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Target.java
@@ -14,6 +14,7 @@
 
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.TargetId;
+import org.geraniumreach.serving.routing.Rendezvous;
 
 /**
  * One life of a target, with what this entry knows of its adapters and its load.
@@ -29,6 +30,7 @@
     private final Map<AdapterName, Residence> adapters = new HashMap<>();
     private final Deque<Reading> reading = new ArrayDeque<>();
     private final Set<String> learntModels = new HashSet<>();
+    private final int hash;
     private TargetDescription description;
     private int outstanding;
     private long promptTokensAhead;
@@ -46,6 +48,7 @@
 
     Target(TargetDescription description, long now) {
         this.description = Objects.requireNonNull(description, "description");
+        this.hash = Rendezvous.hash(description.id().value());
         adoptRow(description, now);
     }
 
@@ -53,6 +56,11 @@
         return description.id();
     }
 
+    /** Gets the hash of its name, which is needed for each order of each request. */
+    int hash() {
+        return hash;
+    }
+
     public TargetDescription description() {
         return description;
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/target/TargetBookTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/target/TargetBookTest.java
@@ -32,6 +32,15 @@
                 Map.of("base", Map.of("a1", 1L)));
     }
 
+    private void rowGoesJustAfterTheStoreIsBackAndOneHeartbeatComes() {
+        book.put(description(1, false));
+        book.storeLost();
+        time.pass(Duration.ofSeconds(7));
+        book.storeAnswers();
+        book.removed(ID);
+        book.put(description(1, false));
+    }
+
     @Test
     void aTargetWhoseRowIsGoneTakesNoWork() {
         book.put(description(1, false));
@@ -57,16 +66,10 @@
     }
 
     // A request reached a target 2.7 s after it had left: the store turned one entry away for 7 s, the target's row
-    // went
-    // just after its return, when rows are doubted, and a late heartbeat put it back. No second one came.
+    // went just after its return, when rows are doubted, and a late heartbeat put it back. No second one came.
     @Test
     void aLateHeartbeatAfterTheStoresReturnKeepsATargetForMomentsOnly() {
-        book.put(description(1, false));
-        book.storeLost();
-        time.pass(Duration.ofSeconds(7));
-        book.storeAnswers();
-        book.removed(ID);
-        book.put(description(1, false));
+        rowGoesJustAfterTheStoreIsBackAndOneHeartbeatComes();
         time.pass(TargetBook.PROOF_LIMIT.minusMillis(1));
         book.expire();
         assertThat(book.find(ID)).isPresent();
@@ -77,12 +80,7 @@
 
     @Test
     void aTargetThatWasLetGoOfAfterOneHeartbeatIsBackWithTheNext() {
-        book.put(description(1, false));
-        book.storeLost();
-        time.pass(Duration.ofSeconds(7));
-        book.storeAnswers();
-        book.removed(ID);
-        book.put(description(1, false));
+        rowGoesJustAfterTheStoreIsBackAndOneHeartbeatComes();
         time.pass(TargetBook.PROOF_LIMIT);
         book.expire();
         book.put(description(1, false));
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -5,7 +5,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
 
@@ -140,12 +139,8 @@
      */
     public void forget(InetSocketAddress address) {
         Deque<HttpConnection> kept = idle.remove(address);
-        if (kept == null) {
-            return;
-        }
-        Iterator<HttpConnection> each = kept.iterator();
-        while (each.hasNext()) {
-            each.next().close();
+        if (kept != null) {
+            kept.forEach(HttpConnection::close);
         }
     }
 
--- a/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
@@ -3,35 +3,27 @@
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import java.util.function.DoubleSupplier;
 
 import io.micrometer.core.instrument.Counter;
-import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.model.EventCode;
+import org.geraniumreach.process.ProcessMeters;
 
 /**
  * The meters of an entry.
  *
  * <p>Each line of the log is counted, also one that the full log drops, by its event and by the result that it names: refusals by cause,
  * orders by result, changes of belief by kind. Invariant: the number of series is bounded, by the events, by the results, which
- * are enumerations, and by {@link #MOST_ACCOUNTS}. Safe for use by several threads.
+ * are enumerations, and by {@link ProcessMeters#MOST_ACCOUNTS}. Safe for use by several threads.
  */
 final class EntryMetrics implements DecisionLog {
 
-    /** Client accounts with series of their own; the others share those of {@link #OTHER}. */
-    static final int MOST_ACCOUNTS = 64;
-
-    static final String OTHER = "other";
-
     /** From the time to read a short prompt to the time after which callers have left; 0.3 s is the pause and 0.8 s the objective of most. */
     private static final Duration[] BOUNDS = {
         Duration.ofMillis(25),
@@ -47,10 +39,9 @@
     };
 
     private final DecisionLog log;
-    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final ProcessMeters meters = new ProcessMeters();
     private final Map<EventCode, Map<String, Counter>> events = new EnumMap<>(EventCode.class);
     private final Map<String, RequestMeters> requests = new HashMap<>();
-    private final Set<String> accounts = new HashSet<>();
 
     /** The meters of one client account's requests. */
     private static final class RequestMeters {
@@ -60,7 +51,7 @@
         private final Map<OutcomeListener.Kind, Counter> ends = new EnumMap<>(OutcomeListener.Kind.class);
         private final Counter repeats;
 
-        private RequestMeters(PrometheusMeterRegistry registry, String account) {
+        private RequestMeters(MeterRegistry registry, String account) {
             firstPart = timer(registry, "geraniumreach.first.part", "Time to the first part of an answer.", account);
             pause = timer(registry, "geraniumreach.longest.pause", "Longest pause within an answer.", account);
             total = timer(registry, "geraniumreach.request.time", "Time to the end of a request.", account);
@@ -70,7 +61,7 @@
             }
         }
 
-        private static Timer timer(PrometheusMeterRegistry registry, String name, String about, String account) {
+        private static Timer timer(MeterRegistry registry, String name, String about, String account) {
             return Timer.builder(name)
                     .description(about)
                     .tag("account", account)
@@ -101,46 +92,33 @@
 
     private synchronized void count(EventCode event, String result) {
         events.computeIfAbsent(event, missing -> new HashMap<>())
-                .computeIfAbsent(
-                        result,
-                        missing -> registry.counter("geraniumreach.events", "event", event.name(), "result", result))
+                .computeIfAbsent(result, missing -> meters.registry()
+                        .counter("geraniumreach.events", "event", event.name(), "result", result))
                 .increment();
     }
 
     /** Counts the end of a request. */
     synchronized void ended(OutcomeListener.Outcome outcome) {
-        String account = label(outcome.account().map(Object::toString).orElse(""));
-        RequestMeters meters = requests.computeIfAbsent(account, missing -> new RequestMeters(registry, account));
-        meters.ends.get(outcome.kind()).increment();
-        meters.total.record(outcome.total());
-        meters.repeats.increment(Math.max(0, outcome.arrivals() - 1));
-        outcome.firstPart().ifPresent(meters.firstPart::record);
+        String account =
+                meters.accountLabel(outcome.account().map(Object::toString).orElse(""));
+        RequestMeters ofAccount =
+                requests.computeIfAbsent(account, missing -> new RequestMeters(meters.registry(), account));
+        ofAccount.ends.get(outcome.kind()).increment();
+        ofAccount.total.record(outcome.total());
+        ofAccount.repeats.increment(Math.max(0, outcome.arrivals() - 1));
+        outcome.firstPart().ifPresent(ofAccount.firstPart::record);
         if (outcome.firstPart().isPresent()) {
-            meters.pause.record(outcome.longestPause());
-        }
-    }
-
-    private String label(String account) {
-        if (accounts.contains(account)) {
-            return account;
-        }
-        if (accounts.size() >= MOST_ACCOUNTS) {
-            return OTHER;
+            ofAccount.pause.record(outcome.longestPause());
         }
-        accounts.add(account);
-        return account;
     }
 
     /** Adds a gauge; it is read by the thread that scrapes. */
     void gauge(String name, String about, DoubleSupplier value) {
-        Gauge.builder(name, value, DoubleSupplier::getAsDouble)
-                .description(about)
-                .strongReference(true)
-                .register(registry);
+        meters.gauge(name, about, value);
     }
 
     /** Prints all meters in Prometheus' text form. */
     String scrape() {
-        return registry.scrape();
+        return meters.scrape();
     }
 }
--- a/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
@@ -18,6 +18,7 @@
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.process.ProcessMeters;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -75,11 +76,11 @@
     // series.
     @Test
     void accountsBeyondTheFirstShareTheirSeries() {
-        for (int number = 0; number < 10 * EntryMetrics.MOST_ACCOUNTS; number++) {
+        for (int number = 0; number < 10 * ProcessMeters.MOST_ACCOUNTS; number++) {
             metrics.ended(outcome("account" + number, OutcomeListener.Kind.ANSWERED));
         }
         assertThat(metrics.scrape().lines().filter(line -> line.startsWith("geraniumreach_repeated_sends_total")))
-                .hasSize(EntryMetrics.MOST_ACCOUNTS + 1);
+                .hasSize(ProcessMeters.MOST_ACCOUNTS + 1);
     }
 
     @Test
--- a/serving/src/main/java/org/geraniumreach/serving/routing/Rendezvous.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/Rendezvous.java
@@ -11,13 +11,19 @@
  *
  * <p>Stateless and safe for use by several threads.
  */
-final class Rendezvous {
+public final class Rendezvous {
 
     private static final int ADAPTER_FACTOR = 31;
 
     private Rendezvous() {}
 
-    static int hash(String text) {
+    /**
+     * Hashes a name, for an order of keys and members.
+     *
+     * @param text the name, not null
+     * @return the hash
+     */
+    public static int hash(String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
     }
@@ -40,7 +46,7 @@
         int[] scores = new int[wanted];
         int filled = 0;
         for (TrackedTarget member : members) {
-            int score = MurmurHash3.hash32(key, member.hash());
+            int score = score(key, member.hash());
             if (filled == wanted && !precedes(score, member, scores[filled - 1], best[filled - 1])) {
                 continue;
             }
@@ -56,6 +62,17 @@
         return best;
     }
 
+    /**
+     * Scores a member for a key; the highest score is the first choice, and equal ones go by the members' names.
+     *
+     * @param key the key's hash
+     * @param member the member's hash
+     * @return the score
+     */
+    public static int score(int key, int member) {
+        return MurmurHash3.hash32(key, member);
+    }
+
     private static boolean precedes(int score, TrackedTarget member, int otherScore, TrackedTarget other) {
         if (score != otherScore) {
             return score > otherScore;
