Say how long a request was kept from being sent, by cause, and what its target took

The log did not tell whether a late request had waited for units of its rate, for its adapter, for room to read or for the engine. 4001, 4002, 4008 and 4012 say it now, and histograms of each account.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -55,6 +55,7 @@
     private final Map<TargetId, Long> askedAt = new HashMap<>();
     private final AnswerRelay relay;
     private final ExchangeLog log;
+    private final WaitClock waits = new WaitClock();
     private Cancellable limitTimer = Cancellable.NOTHING;
     private Cancellable waitTimer = Cancellable.NOTHING;
     private Cancellable adapterWait = Cancellable.NOTHING;
@@ -63,6 +64,7 @@
     /** Since the last sending: a stream that has lost its target after seconds may wait for its adapter as long as a new one. */
     private OptionalLong adapterWaitSince = OptionalLong.empty();
 
+    private OptionalLong sentAt = OptionalLong.empty();
     private int arrivals;
     private boolean admitted;
     private boolean ended;
@@ -119,6 +121,7 @@
         if (delay.isZero()) {
             admitted();
         } else {
+            waits.waitsFor(WaitCause.RATE, services.clock().nanos());
             waitTimer = services.timers().after(delay, this::admitted);
         }
     }
@@ -147,6 +150,7 @@
             return;
         }
         waitTimer.cancel();
+        waits.goesOn(services.clock().nanos());
         if (left().compareTo(services.settings().leastLeft()) < 0) {
             return;
         }
@@ -158,6 +162,7 @@
             awaitAdapter(load.target());
         } else if (placed instanceof Placed.Later later) {
             adapterWait.cancel();
+            waits.waitsFor(WaitCause.ROOM, services.clock().nanos());
             waitTimer = services.timers().after(later.delay(), this::place);
         } else if (placed instanceof Placed.Nowhere nowhere) {
             giveUp(ResultCode.NO_TARGET, nowhere.reason().name());
@@ -212,6 +217,7 @@
             return;
         }
         askedAt.putIfAbsent(target.id(), now);
+        waits.waitsFor(WaitCause.ADAPTER, now);
         adapterWait.cancel();
         adapterWait = services.adapters().await(adapter, this::place);
         waitTimer = services.timers().after(services.settings().lookAgain(), this::place);
@@ -226,7 +232,11 @@
             return;
         }
         arrivals++;
-        log.placed(send, arrivals, account.map(this::units).orElse(0.0), elapsed());
+        log.placed(
+                send,
+                new ExchangeLog.Progress(admitted, arrivals, elapsed(), waits.waits()),
+                account.map(this::units).orElse(0.0));
+        sentAt = OptionalLong.of(services.clock().nanos());
         adapter().ifPresent(adapter -> send.alsoLoad()
                 .ifPresent(other -> services.adapters().want(other, adapter)));
         Attempt started = new Attempt(services, target, request, new AttemptEvents(target));
@@ -390,7 +400,8 @@
     }
 
     private void note(EventCode event, ResultCode code, String reason) {
-        log.ended(event, code, reason, new ExchangeLog.Progress(admitted, arrivals, elapsed()));
+        waits.goesOn(services.clock().nanos());
+        log.ended(event, code, reason, new ExchangeLog.Progress(admitted, arrivals, elapsed(), waits.waits()));
     }
 
     private void timeIsUp() {
@@ -427,6 +438,7 @@
             return;
         }
         ended = true;
+        waits.goesOn(services.clock().nanos());
         limitTimer.cancel();
         waitTimer.cancel();
         adapterWait.cancel();
@@ -439,6 +451,8 @@
                         status,
                         arrivals,
                         relay.firstPartAfter(startedAt),
+                        sentAt.isEmpty() ? Optional.empty() : relay.firstPartAfter(sentAt.getAsLong()),
+                        waits.waits(),
                         relay.longestPause(),
                         elapsed()));
         onEnd.accept(this);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -34,8 +34,9 @@
      * @param admitted whether it was within its account's rate
      * @param arrivals how often it was sent
      * @param passed the time since its arrival
+     * @param waits how much of it was spent waiting, by cause
      */
-    record Progress(boolean admitted, int arrivals, Duration passed) {}
+    record Progress(boolean admitted, int arrivals, Duration passed, Waits waits) {}
 
     ExchangeLog(
             DecisionLog log,
@@ -54,7 +55,7 @@
                 .orElse("");
     }
 
-    void placed(Placed.Send send, int arrival, double units, Duration waited) {
+    void placed(Placed.Send send, Progress progress, double units) {
         Target target = send.target();
         log.write(
                 EventCode.REQUEST_PLACED,
@@ -62,7 +63,7 @@
                 Field.of("target", target.id().value()),
                 Field.of("reason", send.reason()),
                 Field.of("adapter", adapter),
-                Field.of("arrival", arrival),
+                Field.of("arrival", progress.arrivals()),
                 Field.of("account", account),
                 Field.of("units", units),
                 Field.of("expectedWaitMillis", send.expectedWaitMillis()),
@@ -71,7 +72,10 @@
                 Field.of(
                         "reportAgeMillis",
                         target.reportAge(clock.nanos()).map(Duration::toMillis).orElse(-1L)),
-                Field.of("waitedMillis", waited.toMillis()));
+                Field.of("waitedMillis", progress.passed().toMillis()),
+                Field.of("rateWaitMillis", progress.waits().rate().toMillis()),
+                Field.of("adapterWaitMillis", progress.waits().adapter().toMillis()),
+                Field.of("roomWaitMillis", progress.waits().room().toMillis()));
     }
 
     void notExecuted(Target target, NotExecuted why) {
@@ -103,7 +107,10 @@
                 Field.of("service", service),
                 Field.of("adapter", adapter),
                 Field.of("arrivals", progress.arrivals()),
-                Field.of("afterMillis", progress.passed().toMillis()));
+                Field.of("afterMillis", progress.passed().toMillis()),
+                Field.of("rateWaitMillis", progress.waits().rate().toMillis()),
+                Field.of("adapterWaitMillis", progress.waits().adapter().toMillis()),
+                Field.of("roomWaitMillis", progress.waits().room().toMillis()));
     }
 
     void callerGone(int arrivals, Duration passed) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeListener.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeListener.java
@@ -31,6 +31,8 @@
      * @param status the status sent, 0 if none was
      * @param arrivals how often the request was sent to a target
      * @param firstPart the time to the first part of the answer, empty if there was none
+     * @param firstPartAfterSend the time from the last sending to a target to the first part, empty if there was none
+     * @param waits how long it was kept from being sent, by cause
      * @param longestPause the longest time between two parts
      * @param total the time to the end
      */
@@ -42,6 +44,8 @@
             int status,
             int arrivals,
             Optional<Duration> firstPart,
+            Optional<Duration> firstPartAfterSend,
+            Waits waits,
             Duration longestPause,
             Duration total) {}
 
--- a/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
@@ -48,6 +48,10 @@
         private final Timer firstPart;
         private final Timer pause;
         private final Timer total;
+        private final Timer rateWait;
+        private final Timer adapterWait;
+        private final Timer roomWait;
+        private final Timer firstAfterSend;
         private final Map<OutcomeListener.Kind, Counter> ends = new EnumMap<>(OutcomeListener.Kind.class);
         private final Counter repeats;
 
@@ -55,6 +59,14 @@
             firstPart = timer(registry, "geraniumreach.first.part", "Time to the first part of an answer.", account);
             pause = timer(registry, "geraniumreach.longest.pause", "Longest pause within an answer.", account);
             total = timer(registry, "geraniumreach.request.time", "Time to the end of a request.", account);
+            rateWait = timer(registry, "geraniumreach.rate.wait", "Wait for units of the account's rate.", account);
+            adapterWait = timer(registry, "geraniumreach.adapter.wait", "Wait for the load of an adapter.", account);
+            roomWait = timer(registry, "geraniumreach.room.wait", "Wait for room to read at a target.", account);
+            firstAfterSend = timer(
+                    registry,
+                    "geraniumreach.target.first.part",
+                    "Time from the last sending to the first part.",
+                    account);
             repeats = registry.counter("geraniumreach.repeated.sends", "account", account);
             for (OutcomeListener.Kind kind : OutcomeListener.Kind.values()) {
                 ends.put(kind, registry.counter("geraniumreach.requests", "account", account, "end", kind.name()));
@@ -106,6 +118,10 @@
         ofAccount.ends.get(outcome.kind()).increment();
         ofAccount.total.record(outcome.total());
         ofAccount.repeats.increment(Math.max(0, outcome.arrivals() - 1));
+        ofAccount.rateWait.record(outcome.waits().rate());
+        ofAccount.adapterWait.record(outcome.waits().adapter());
+        ofAccount.roomWait.record(outcome.waits().room());
+        outcome.firstPartAfterSend().ifPresent(ofAccount.firstAfterSend::record);
         outcome.firstPart().ifPresent(ofAccount.firstPart::record);
         if (outcome.firstPart().isPresent()) {
             ofAccount.pause.record(outcome.longestPause());
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -186,6 +186,13 @@
                     Field.of(
                             "firstMillis",
                             outcome.firstPart().map(Duration::toMillis).orElse(-1L)),
+                    Field.of(
+                            "firstAfterSendMillis",
+                            outcome.firstPartAfterSend().map(Duration::toMillis).orElse(-1L)),
+                    Field.of("rateWaitMillis", outcome.waits().rate().toMillis()),
+                    Field.of("adapterWaitMillis", outcome.waits().adapter().toMillis()),
+                    Field.of("roomWaitMillis", outcome.waits().room().toMillis()),
+                    Field.of("account", outcome.account().map(Object::toString).orElse("")),
                     Field.of("longestPauseMillis", outcome.longestPause().toMillis()),
                     Field.of("totalMillis", outcome.total().toMillis()));
         }
--- a/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
@@ -13,6 +13,7 @@
 
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.request.OutcomeListener;
+import org.geraniumreach.gateway.request.Waits;
 import org.geraniumreach.gateway.traffic.RepeatRule;
 import org.geraniumreach.gateway.traffic.Route;
 import org.geraniumreach.model.AccountId;
@@ -48,6 +49,8 @@
                 200,
                 2,
                 Optional.of(Duration.ofMillis(40)),
+                Optional.of(Duration.ofMillis(15)),
+                new Waits(Duration.ZERO, Duration.ofMillis(250), Duration.ofMillis(90)),
                 Duration.ofMillis(350),
                 Duration.ofSeconds(1));
     }
@@ -69,7 +72,11 @@
                 .contains("geraniumreach_requests_total{account=\"acme\",end=\"ANSWERED\"} 1.0")
                 .contains("geraniumreach_repeated_sends_total{account=\"acme\"} 1.0")
                 .contains("geraniumreach_first_part_seconds_bucket{account=\"acme\",le=\"0.05\"} 1")
-                .contains("geraniumreach_longest_pause_seconds_bucket{account=\"acme\",le=\"0.3\"} 0");
+                .contains("geraniumreach_longest_pause_seconds_bucket{account=\"acme\",le=\"0.3\"} 0")
+                .contains("geraniumreach_target_first_part_seconds_bucket{account=\"acme\",le=\"0.025\"} 1")
+                .contains("geraniumreach_rate_wait_seconds_bucket{account=\"acme\",le=\"0.025\"} 1")
+                .contains("geraniumreach_adapter_wait_seconds_bucket{account=\"acme\",le=\"0.2\"} 0")
+                .contains("geraniumreach_room_wait_seconds_bucket{account=\"acme\",le=\"0.1\"} 1");
     }
 
     // Operators would lose all metrics to a client account list that grows without end: each account has some forty
