Limit fetches by their delay, alike in all entries, and look at a fetch after its undisturbed time

The first look at a fetch came after 0.92 of the smoothed time of the last ones, and that time is measured by these looks: one fetch that a slow target held up had later ones looked at late, and each of them then seemed slow; the smoothed time stood at 1.2 to 2.4 s for fetches of 250 ms, and adapters that were there were not used. And windows moved by steps from wherever they began: one entry had 9 fetches, others 1.

Change: the first look goes by the undisturbed time, learnt as the shortest of the last 32 fetches but for loads from a target's own memory; no time of one weight store is in the code any more. The window goes by delay: window / slowness + 0.75, half of the way each round, so that entries' windows become alike; the median of the last 5 fetches decides, so one slow target does not.

Ruled out: room at targets (139 samples of 6,119 found no place that was idle), orders that await runs (67), four coming (55).

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -31,7 +31,11 @@
     /** Adapters that a target fetches at the same time; it refuses more. */
     static final int MOST_COMING = 4;
 
-    /** Part of what fetches from the weight store take lately after which the first look at one is worth its price. */
+    /**
+     * Part of an undisturbed fetch's time after which the first look at one is worth its price. It does not go by what fetches took
+     * lately: that is measured by these very looks, so one slow fetch would have the next ones looked at late, which would
+     * then seem as slow, and adapters that are there would stay unused for seconds.
+     */
     private static final double FIRST_LOOK_COLD = 0.92;
 
     /** A load takes 25 ms if the target has held the adapter recently. */
@@ -360,7 +364,12 @@
         if (repeated) {
             return NEXT_LOOK.toNanos();
         }
-        return isFetch(adapter) ? (long) (window.typical().toNanos() * FIRST_LOOK_COLD) : FIRST_LOOK_WARM.toNanos();
+        if (!isFetch(adapter)) {
+            return FIRST_LOOK_WARM.toNanos();
+        }
+        return window.undisturbed()
+                .map(time -> (long) (time.toNanos() * FIRST_LOOK_COLD))
+                .orElse(NEXT_LOOK.toNanos());
     }
 
     private void alreadySo(Step.Send sent, boolean wasUnanswered, long now) {
@@ -391,7 +400,7 @@
         }
         Long since = fetchedSince.remove(adapter);
         if (since != null) {
-            window.ended(Duration.ofNanos(now - since), now);
+            window.ended(Duration.ofNanos(now - since));
         }
         long version = newestVersion.apply(adapter);
         boolean replaced = repeated && resident.containsKey(adapter);
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchTimes.java
@@ -0,0 +1,67 @@
+package org.geraniumreach.gateway.adapter;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * How long the last fetches took.
+ *
+ * <p>A load that a target made from its own memory, which a new holder does not know of, takes a tenth of a fetch. Taken for the
+ * weight store's speed, it would make each fetch seem slow. So what is far shorter than most is left out of the undisturbed time, and
+ * one fetch that took long, because its target was slow, does not decide by itself. Confined to the event loop.
+ */
+final class FetchTimes {
+
+    private static final int REMEMBERED = 32;
+
+    /** Fetches of the last moments, of which the median counts. */
+    private static final int RECENT = 5;
+
+    /** Part of what most take at the most below which a load came from a target's own memory. */
+    private static final double FROM_MEMORY = 0.25;
+
+    private static final double MOST_TAKE_AT_THE_MOST = 0.75;
+
+    private final long[] nanos = new long[REMEMBERED];
+    private int count;
+
+    void add(Duration took) {
+        nanos[count % REMEMBERED] = took.toNanos();
+        count++;
+    }
+
+    /** Gets the shortest time that a fetch took, empty if none is known. */
+    Optional<Duration> undisturbed() {
+        if (count == 0) {
+            return Optional.empty();
+        }
+        long[] sorted = sorted(Math.min(count, REMEMBERED));
+        long longest = sorted[(int) ((sorted.length - 1) * MOST_TAKE_AT_THE_MOST)];
+        long least = (long) (longest * FROM_MEMORY);
+        return Arrays.stream(sorted)
+                .filter(each -> each >= least)
+                .mapToObj(Duration::ofNanos)
+                .findFirst();
+    }
+
+    /** Tells how many times the undisturbed time the last fetches took, 1 if nothing is known. */
+    double slowness() {
+        long[] recent = sorted(Math.min(count, RECENT));
+        Optional<Duration> undisturbed = undisturbed();
+        if (undisturbed.isEmpty()) {
+            return 1;
+        }
+        return (double) recent[recent.length / 2] / undisturbed.get().toNanos();
+    }
+
+    /** Gets the newest times, the shortest first. */
+    private long[] sorted(int newest) {
+        long[] copy = new long[newest];
+        for (int each = 0; each < newest; each++) {
+            copy[each] = nanos[(count - 1 - each) % REMEMBERED];
+        }
+        Arrays.sort(copy);
+        return copy;
+    }
+}
--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchWindow.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchWindow.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.gateway.adapter;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * How many adapters this entry has targets fetch from the weight store at the same time.
@@ -8,43 +9,35 @@
  * <p>The load it answers: the weight store serves a few fetches of all targets together at full speed, and slows all of them in
  * proportion beyond. Without a limit every target fetches as many as it may; each fetch then takes over a second, requests give up on
  * the target that fetches and have another one fetch the same adapter, and most of what is fetched serves nobody. How many the
- * weight store serves is not told, and the other entries' fetches are not known, so the limit is found as a congestion window
- * is: it grows while fetches take about the least time seen, and shrinks when they take longer. Entries that share a weight
- * store find their parts of it without talking.
+ * weight store serves is not told, and the other entries' fetches are not known, so the limit is found as by a congestion control
+ * that goes by delay: a round of fetches that takes twice the undisturbed time says that half of them would have done. Each
+ * entry keeps {@link #EXCESS} fetches more than that under way, which makes the entries' windows alike whatever they began with, and
+ * keeps the weight store busy.
  *
  * <p>Invariant: the window is at least one, so a slow weight store never stops fetches. Confined to the event loop.
  */
 public final class FetchWindow {
 
-    /**
-     * Entries start together, and the least time that they see first is what they go by: with 4 entries the weight store's 8 at
-     * full speed are met, and with 6 fetches take half more. With 4 each, 6 entries never saw full speed, and the median stayed at
-     * 977 ms in the shared weight store of FetchWindowTest.
-     */
+    /** Entries start together; a few of them with this many come near to what a weight store serves, and do not choke it. */
     private static final double FIRST = 2;
 
     private static final double LEAST = 1;
 
-    /** No more than a site's targets together may fetch; keeps the window from growing without end while it is not used. */
+    /** Keeps the window from growing without end where the weight store is never the limit. */
     private static final double MOST = 64;
 
-    /** Polls come 25 ms apart, a tenth of a fetch; beyond half more the weight store is shared with too many. */
-    private static final double SLOW = 1.5;
+    /** The fetches that one entry keeps under way beyond its part of what the weight store serves at full speed. */
+    private static final double EXCESS = 0.75;
 
-    private static final double SHRINK = 0.8;
-    private static final double SMOOTHING = 0.2;
+    /** Part of the way to the window aimed at that one round of fetches goes. */
+    private static final double GAIN = 0.5;
 
-    /**
-     * What a fetch takes at full speed at the users' sites. One that took less came from the target's own memory, of which a
-     * new holder does not know; taken for the weight store's speed it would shrink the window to one for good.
-     */
-    private static final Duration FULL_SPEED = Duration.ofMillis(250);
+    /** Below this many times the undisturbed time nobody waits for the weight store; looks at fetches come some 25 ms apart. */
+    private static final double UNDISTURBED = 1.2;
 
+    private final FetchTimes times = new FetchTimes();
     private double window = FIRST;
     private int underWay;
-    private double leastNanos = Double.MAX_VALUE;
-    private double typicalNanos = FULL_SPEED.toNanos();
-    private long shrunkAt = Long.MIN_VALUE;
 
     /**
      * Queries whether one more fetch may begin.
@@ -69,36 +62,35 @@
      * Notes that a fetch has ended.
      *
      * @param took how long it took, not null
-     * @param now the time
      */
-    public void ended(Duration took, long now) {
+    public void ended(Duration took) {
         boolean full = !isOpen();
         underWay--;
-        leastNanos = Math.min(leastNanos, Math.max(FULL_SPEED.toNanos(), took.toNanos()));
-        typicalNanos += SMOOTHING * (took.toNanos() - typicalNanos);
-        if (took.toNanos() > SLOW * leastNanos) {
-            shrink(now);
-        } else if (full) {
-            window = Math.min(MOST, window + 1 / window);
+        times.add(took);
+        double slowness = times.slowness();
+        if (slowness > UNDISTURBED) {
+            double aim = window / slowness + EXCESS;
+            move((aim - window) * GAIN, full);
+        } else {
+            move(1, full);
         }
     }
 
-    /** The fetches under way at the same time are slow for one reason, so the window shrinks once for all of them. */
-    private void shrink(long now) {
-        if (shrunkAt != Long.MIN_VALUE && now - shrunkAt < typicalNanos) {
+    /** A window that is not used up says nothing of what more fetches would do, so it does not grow. */
+    private void move(double perRound, boolean full) {
+        if (perRound > 0 && !full) {
             return;
         }
-        shrunkAt = now;
-        window = Math.max(LEAST, window * SHRINK);
+        window = Math.min(MOST, Math.max(LEAST, window + perRound / window));
     }
 
     /**
-     * Estimates how long a fetch takes now.
+     * Estimates how long a fetch takes that need not wait for others.
      *
-     * @return the smoothed time of the last fetches, not null
+     * @return the time, or empty if no fetch has ended yet
      */
-    public Duration typical() {
-        return Duration.ofNanos((long) typicalNanos);
+    public Optional<Duration> undisturbed() {
+        return times.undisturbed();
     }
 
     int size() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
@@ -52,6 +52,41 @@
         assertThat(world.places.isBusy()).isFalse();
     }
 
+    // The caller waited for over two seconds for an adapter that was there after a quarter of one. An earlier fetch had
+    // taken long; the first look at a fetch waited for what the last ones had taken, so the next took as long by its
+    // look.
+    @Test
+    void aFetchThatTookLongDoesNotDelayTheLookAtTheNext() {
+        World world = new World(1);
+        world.places.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
+        long usual = 250 * MILLI;
+        long now = 0;
+        for (int number = 0; number < PLACES - 1; number++) {
+            long took = number == 1 ? 10 * usual : usual;
+            now = load(world.places, name(number), now, took);
+        }
+        long begun = now;
+        assertThat(load(world.places, name(PLACES), begun, usual) - begun).isLessThan(usual + 50 * MILLI);
+    }
+
+    /** Has an adapter loaded that is there after a time, and returns when that was noticed. */
+    private static long load(AdapterPlaces places, AdapterName adapter, long begun, long took) {
+        places.want(adapter, begun);
+        AdapterPlaces.Step.Send order =
+                (AdapterPlaces.Step.Send) places.next(begun).orElseThrow();
+        places.answered(order, OrderResult.ACCEPTED, begun);
+        long now = begun;
+        while (places.isBusy()) {
+            now += MILLI;
+            Optional<AdapterPlaces.Step> look = places.next(now);
+            if (look.isPresent()) {
+                OrderResult result = now - begun >= took ? OrderResult.ALREADY_SO : OrderResult.ACCEPTED;
+                places.answered((AdapterPlaces.Step.Send) look.get(), result, now);
+            }
+        }
+        return now;
+    }
+
     // Nothing else can be ordered while a target waits for runs to end; each refusal would cost a report and 0.3 s.
     @Test
     void nothingElseIsOrderedWhileAnOrderAwaitsRuns() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/FetchWindowTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/FetchWindowTest.java
@@ -15,7 +15,6 @@
 
 class FetchWindowTest {
 
-    private static final long MILLI = 1_000_000;
     private static final Duration FULL_SPEED = Duration.ofMillis(250);
 
     @Test
@@ -27,7 +26,7 @@
             begun++;
         }
         assertThat(begun).isEqualTo(window.size());
-        window.ended(FULL_SPEED, 0);
+        window.ended(FULL_SPEED);
         assertThat(window.isOpen()).isTrue();
     }
 
@@ -37,11 +36,9 @@
     void loadsFromATargetsOwnMemoryDoNotMakeFetchesSeemSlow() {
         FetchWindow window = new FetchWindow();
         int first = window.size();
-        long now = 0;
         for (int round = 0; round < 100; round++) {
-            now += FULL_SPEED.toNanos();
             window.began();
-            window.ended(Duration.ofMillis(round % 2 == 0 ? 25 : 250), now);
+            window.ended(Duration.ofMillis(round % 2 == 0 ? 25 : 250));
         }
         assertThat(window.size()).isGreaterThanOrEqualTo(first);
     }
@@ -50,10 +47,10 @@
     void aSlowWeightStoreNeverStopsFetches() {
         FetchWindow window = new FetchWindow();
         window.began();
-        window.ended(FULL_SPEED, 0);
+        window.ended(FULL_SPEED);
         for (int round = 1; round < 100; round++) {
             window.began();
-            window.ended(Duration.ofSeconds(10), round * 100_000 * MILLI);
+            window.ended(Duration.ofSeconds(10));
         }
         assertThat(window.isOpen()).isTrue();
     }
@@ -76,6 +73,42 @@
         assertThat((double) times.size()).isGreaterThan(0.9 * fullyUsed);
     }
 
+    // Callers whose adapters are ordered by one entry waited for seconds, while another entry had nine fetches under
+    // way:
+    // it had been alone for a while, the others' first fetches were slow for its sake, and their windows stayed at one.
+    // Entries that come later must get about as much as the one that was there before.
+    @Test
+    void anEntryThatComesLaterGetsAboutAsManyFetchesAsTheOthers() {
+        SharedStore store = new SharedStore(1);
+        store.play(5_000);
+        for (int later = 0; later < 4; later++) {
+            store.windows.add(new FetchWindow());
+        }
+        store.play(5_000);
+        int most = store.windows.stream().mapToInt(FetchWindow::size).max().orElseThrow();
+        assertThat(store.windows).allSatisfy(window -> assertThat(window.size()).isGreaterThanOrEqualTo(most / 2));
+    }
+
+    // All callers of rare adapters waited for one target that carried an order out seconds late: its fetch seemed to
+    // show a
+    // slow weight store, and the window shut. One slow fetch among many tells of its target.
+    @Test
+    void oneSlowFetchDoesNotShutTheWindow() {
+        FetchWindow window = new FetchWindow();
+        for (int round = 0; round < 40; round++) {
+            window.began();
+            window.began();
+            window.ended(FULL_SPEED);
+            window.ended(FULL_SPEED);
+        }
+        int before = window.size();
+        window.began();
+        window.ended(Duration.ofSeconds(3));
+        window.began();
+        window.ended(FULL_SPEED);
+        assertThat(window.size()).isGreaterThanOrEqualTo(before - 1);
+    }
+
     /** A weight store that several entries fetch from, as much as their windows let them. */
     private static final class SharedStore {
         private static final int AT_FULL_SPEED = 8;
@@ -126,7 +159,7 @@
             underWay.remove(fetch);
             long took = nowMillis - fetch.begunMillis;
             times.add(took);
-            fetch.window.ended(Duration.ofMillis(took), nowMillis * MILLI);
+            fetch.window.ended(Duration.ofMillis(took));
         }
     }
 }
