Keep no standing queue for units of an account's rate, and admit from one level whatever a request's size

And small requests took what flowed in: long prompts need a fuller bucket, which never came. Change: a request waits for units for 0.4 of the shortest objective of any route at most, the same for all. A quarter of the tolerance is a debt that requests may be admitted into, so that up to it each size is admitted from the same level. What all entries may admit in a window stays within rate, burst and three quarters of the tolerance; the oracle of QuotasTest is unchanged.

--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/AccountBucket.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/AccountBucket.java
@@ -6,9 +6,13 @@
 /**
  * The units of one account that may be admitted here, which flow in at this entry's part of the rate.
  *
- * <p>Invariant: what is admitted in a window is at most the part of rate and burst for it, and one request more, since a request above
- * the burst's part is admitted from a full bucket that it leaves in debt: at a small part it could run nowhere otherwise.
- * Confined to the event loop.
+ * <p>The load it answers: an account that asks for many times its rate. As long as the debt allows it, each request is admitted from
+ * the same level, whatever its size: if large ones needed a fuller bucket, small ones would take all that flows in, and the account's
+ * large requests would never run.
+ *
+ * <p>Invariant: what is admitted in a window is at most the part of rate and burst for it, the debt, and one request more, since a
+ * request above the burst's part is admitted from a full bucket: at a small part it could run nowhere otherwise. Confined to
+ * the event loop.
  */
 final class AccountBucket {
 
@@ -22,6 +26,7 @@
 
     private double level;
     private double capacity;
+    private double debt;
     private double perSecond;
     private long updatedAt;
     private boolean begun;
@@ -30,7 +35,7 @@
         this.updatedAt = now;
     }
 
-    void resize(double newPerSecond, double newCapacity, long now) {
+    void resize(double newPerSecond, double newCapacity, double newDebt, long now) {
         advance(now);
         if (!begun && newCapacity > 0) {
             begun = true;
@@ -38,6 +43,7 @@
         }
         perSecond = newPerSecond * CAUTION;
         capacity = newCapacity;
+        debt = newDebt;
         level = Math.min(level, capacity);
     }
 
@@ -58,7 +64,8 @@
         if (capacity <= 0 || perSecond <= 0) {
             return new Taking(false, Optional.empty());
         }
-        double missing = Math.min(units, capacity) - level;
+        double needed = Math.max(0, Math.min(units, capacity) - debt);
+        double missing = needed - level;
         Duration delay = Duration.ofNanos((long) Math.ceil(Math.max(0, missing) / perSecond * NANOS));
         boolean taken = delay.compareTo(longestWait) <= 0;
         if (taken) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -34,6 +34,9 @@
     /** A share is taken from an entry whose lease has not changed for as long as this. */
     public static final Duration ABANDONED = Duration.ofSeconds(30);
 
+    /** Part of the shortest objective for which a request may wait for units; the rest is left for its target. */
+    private static final double WAIT_PART = 0.4;
+
     private static final String PREFIX = "share/";
 
     private final String self;
@@ -43,6 +46,7 @@
     private final Tolerance tolerance;
     private final DecisionLog log;
     private Map<AccountId, Account> accounts = Map.of();
+    private Duration longestWait = Duration.ZERO;
 
     private static final class State {
         private final AccountBucket bucket;
@@ -74,14 +78,25 @@
      */
     public record Tolerance(double ratio, double units, Duration window) {
 
-        /** Part of the tolerance that is given to the entries' buckets; the rest covers restarts and requests under way. */
+        /** Part of the tolerance that is given to the entries' buckets; what is left covers restarts and requests under way. */
         private static final double GIVEN = 0.5;
 
+        /** Part of the tolerance that requests may be admitted beyond a bucket's level, in all entries together. */
+        private static final double DEBT = 0.25;
+
         private static final double NANOS = 1e9;
 
-        double unitsOf(Account account) {
+        double givenTo(Account account) {
+            return GIVEN * of(account);
+        }
+
+        double debtOf(Account account) {
+            return DEBT * of(account);
+        }
+
+        private double of(Account account) {
             double inWindow = account.unitsPerSecond() * window.toNanos() / NANOS + account.burstUnits();
-            return GIVEN * (ratio * inWindow + units);
+            return ratio * inWindow + units;
         }
     }
 
@@ -115,10 +130,16 @@
     /**
      * Sets the accounts that exist, with their rates.
      *
+     * <p>A request may wait for units for a part of the shortest objective, the same for all: an account far above its rate has
+     * a queue of this length at all times, so each of its requests waits that long for nothing, and those that could wait longer
+     * would take all units.
+     *
      * @param newAccounts the accounts, not null
+     * @param shortestObjective the shortest time within which an answer of any route is wanted, not null
      */
-    public void configure(Map<AccountId, Account> newAccounts) {
+    public void configure(Map<AccountId, Account> newAccounts, Duration shortestObjective) {
         accounts = Map.copyOf(newAccounts);
+        longestWait = Duration.ofNanos((long) (shortestObjective.toNanos() * WAIT_PART));
         accounts.keySet().forEach(this::resize);
     }
 
@@ -133,8 +154,9 @@
         }
         State state = state(id);
         double part = (double) state.parts / ShareRow.WHOLE;
-        double capacity = (account.burstUnits() + tolerance.unitsOf(account)) * part;
-        state.bucket.resize(account.unitsPerSecond() * part, capacity, clock.nanos());
+        double capacity = (account.burstUnits() + tolerance.givenTo(account)) * part;
+        double debt = tolerance.debtOf(account) * part;
+        state.bucket.resize(account.unitsPerSecond() * part, capacity, debt, clock.nanos());
     }
 
     /**
@@ -170,10 +192,9 @@
      *
      * @param account the account, not null
      * @param units the units
-     * @param longestWait how long the request may wait for them, not null
      * @return whether it is admitted, not null
      */
-    public Admission admit(Account account, double units, Duration longestWait) {
+    public Admission admit(Account account, double units) {
         if (!account.isLimited()) {
             return new Admission(true, Optional.of(Duration.ZERO));
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -107,8 +107,7 @@
             admitted();
             return;
         }
-        Quotas.Admission admission = services.quotas()
-                .admit(account.get(), units(account.get()), services.settings().quotaWait());
+        Quotas.Admission admission = services.quotas().admit(account.get(), units(account.get()));
         if (!admission.admitted()) {
             refuse(Refusal.until(
                     ResultCode.OUT_OF_BUDGET,
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
@@ -7,7 +7,6 @@
  *
  * <p>Immutable and safe for use by several threads.
  *
- * @param quotaWait how long a request may wait for units of its account that flow in
  * @param loadWaitShare the part of the caller's time for which a request may wait for an adapter
  * @param longestLoadWait the longest wait for an adapter
  * @param holderWait how long after its arrival a request waits for somebody who can have its adapter loaded
@@ -23,7 +22,6 @@
  * @param leastLeft the time below which a request is not sent any more
  */
 public record ExchangeSettings(
-        Duration quotaWait,
         double loadWaitShare,
         Duration longestLoadWait,
         Duration holderWait,
@@ -45,8 +43,6 @@
      */
     public static ExchangeSettings defaults() {
         return new ExchangeSettings(
-                // Half of the objective of 800 ms is left for the first part.
-                Duration.ofMillis(400),
                 0.35,
                 // Above all loads of a cold start: 19 places, four at a time, 250 ms each.
                 Duration.ofSeconds(3),
--- a/gateway/src/main/java/org/geraniumreach/gateway/traffic/TrafficConfiguration.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/traffic/TrafficConfiguration.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.gateway.traffic;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -109,6 +110,19 @@
         return Optional.empty();
     }
 
+    /**
+     * Gets the shortest objective of any route.
+     *
+     * @return the objective, zero if there is no route, not null
+     */
+    public Duration shortestObjective() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .map(Route::objective)
+                .min(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
+    }
+
     /**
      * Finds the account that holds a key.
      *
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
@@ -11,11 +11,13 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.geraniumreach.gateway.adapter.Holdings;
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.testing.VirtualTime;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,6 +31,7 @@
     private static final double RATE = 10_000;
     private static final Account ACCOUNT = new Account(ID, RATE, RATE, true, 200, OptionalInt.empty());
     private static final Quotas.Tolerance TOLERANCE = new Quotas.Tolerance(0.1, 11_000, Duration.ofSeconds(8));
+    private static final Duration OBJECTIVE = Duration.ofMillis(1_000);
     private static final Duration WAIT = Duration.ofMillis(400);
 
     // An account gets more than its rate if two entries spend one part of it. Entries take and give parts as demand
@@ -45,9 +48,9 @@
         World world = new World(1);
         world.settle();
         Entry entry = world.entries.get(0);
-        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isTrue();
+        assertThat(entry.quotas.admit(ACCOUNT, 10).admitted()).isTrue();
         world.time.pass(Quotas.PROOF);
-        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isFalse();
+        assertThat(entry.quotas.admit(ACCOUNT, 10).admitted()).isFalse();
     }
 
     // Callers of a draining entry got 429 for seconds although their accounts were far below their rates: the drain
@@ -59,7 +62,7 @@
         world.settle();
         Entry entry = world.entries.get(0);
         entry.lease.release();
-        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isTrue();
+        assertThat(entry.quotas.admit(ACCOUNT, 10).admitted()).isTrue();
     }
 
     // Callers got 429 until the next renewal when an instance's time of day jumped. A jump is no freeze: both clocks
@@ -71,7 +74,7 @@
         world.settle();
         world.time.stepWall(Duration.ofMillis(stepMillis));
         Entry entry = world.entries.get(0);
-        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isTrue();
+        assertThat(entry.quotas.admit(ACCOUNT, 10).admitted()).isTrue();
     }
 
     // Others may have taken the shares over while the process was frozen; its steady clock stood still meanwhile.
@@ -81,7 +84,7 @@
         world.settle();
         world.time.stepWall(Quotas.PROOF);
         Entry entry = world.entries.get(0);
-        assertThat(entry.quotas.admit(ACCOUNT, 10, WAIT).admitted()).isFalse();
+        assertThat(entry.quotas.admit(ACCOUNT, 10).admitted()).isFalse();
     }
 
     // A booking's caller is told when its account has units again, not just to go away.
@@ -90,14 +93,86 @@
         World world = new World(1);
         world.settle();
         Entry entry = world.entries.get(0);
-        Quotas.Admission last = entry.quotas.admit(ACCOUNT, 1_000, WAIT);
+        Quotas.Admission last = entry.quotas.admit(ACCOUNT, 1_000);
         while (last.admitted()) {
-            last = entry.quotas.admit(ACCOUNT, 1_000, WAIT);
+            last = entry.quotas.admit(ACCOUNT, 1_000);
         }
         assertThat(last.delay()).isPresent();
         assertThat(last.delay().get()).isGreaterThan(WAIT).isLessThan(Duration.ofSeconds(5));
     }
 
+    // An account asks for six times its rate, as it does for some seconds on a heavy day. Its requests that are
+    // admitted had all
+    // waited for 0.4 s, in a queue that stood at its longest for as long as that lasted, and were late for it.
+    @Test
+    void whatIsAdmittedOfAnAccountFarAboveItsRateDoesNotWaitMuch() {
+        Overload overload = new Overload(Duration.ofMillis(100));
+        overload.play(Duration.ofSeconds(10));
+        assertThat(overload.longestWait).isLessThanOrEqualTo(Duration.ofMillis(40));
+    }
+
+    // The same account sends long and short prompts. Short ones took all that flowed in, and hardly any long one ran;
+    // the
+    // parts that are admitted of each size must be alike within a half.
+    @Test
+    void anAccountFarAboveItsRateHasItsLongPromptsServedToo() {
+        Overload overload = new Overload(Duration.ofMillis(100));
+        overload.play(Duration.ofSeconds(10));
+        double shortPart = (double) overload.shortAdmitted / overload.shortAsked;
+        double longPart = (double) overload.longAdmitted / overload.longAsked;
+        assertThat(longPart).isGreaterThan(shortPart / 2);
+    }
+
+    /** An account that asks one entry, which has its whole rate, for six times that, half in prompts and half in short requests. */
+    private static final class Overload {
+        private static final int SHORT = 200;
+        private static final int LONG = 2_000;
+
+        /** With as many units in long as in short requests, six times the rate is a request each 6 ms. */
+        private static final long MEAN_GAP_NANOS = 6_000_000;
+
+        private final SplittableRandom random = new SplittableRandom(11);
+        private final VirtualTime time = new VirtualTime();
+        private final Quotas quotas;
+        private Duration longestWait = Duration.ZERO;
+        private int shortAsked;
+        private int shortAdmitted;
+        private int longAsked;
+        private int longAdmitted;
+
+        private Overload(Duration shortestObjective) {
+            Lease lease = new Lease(time, time::wallMillis);
+            lease.renewed(lease.sending());
+            quotas = new Quotas("one", lease, TOLERANCE, time, (event, id, fields) -> {});
+            quotas.configure(Map.of(ID, ACCOUNT), shortestObjective);
+            ShareRow all = ShareRow.none().with("one", new ShareRow.Share(ShareRow.WHOLE, 0));
+            RowKey key = RowKey.of(Holdings.TABLE, "share/acme");
+            quotas.put(key.key(), Optional.of(new Row(key, 1, all.toText())));
+        }
+
+        private void play(Duration length) {
+            long end = time.nanos() + length.toNanos();
+            while (time.nanos() < end) {
+                time.pass(Duration.ofNanos(random.nextLong(MEAN_GAP_NANOS * 2)));
+                if (random.nextInt(LONG + SHORT) < SHORT) {
+                    longAsked++;
+                    longAdmitted += ask(LONG) ? 1 : 0;
+                } else {
+                    shortAsked++;
+                    shortAdmitted += ask(SHORT) ? 1 : 0;
+                }
+            }
+        }
+
+        private boolean ask(int units) {
+            Quotas.Admission admission = quotas.admit(ACCOUNT, units);
+            if (admission.admitted() && admission.delay().orElseThrow().compareTo(longestWait) > 0) {
+                longestWait = admission.delay().get();
+            }
+            return admission.admitted();
+        }
+    }
+
     private static final class Entry {
         private final Lease lease;
         private final Quotas quotas;
@@ -106,7 +181,7 @@
         private Entry(String name, VirtualTime time) {
             this.lease = new Lease(time, time::wallMillis);
             this.quotas = new Quotas(name, lease, TOLERANCE, time, (event, id, fields) -> {});
-            this.quotas.configure(Map.of(ID, ACCOUNT));
+            this.quotas.configure(Map.of(ID, ACCOUNT), OBJECTIVE);
         }
     }
 
@@ -153,7 +228,7 @@
             double asked = entry.demand * 0.05;
             while (asked > 0) {
                 double units = Math.min(asked, 200 + random.nextInt(3_000));
-                if (entry.quotas.admit(ACCOUNT, units, WAIT).admitted()) {
+                if (entry.quotas.admit(ACCOUNT, units).admitted()) {
                     admitted.merge(time.nanos(), units, Double::sum);
                 }
                 asked -= units;
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -325,7 +325,7 @@
             return;
         }
         configuration = Optional.of(newer);
-        quotas.configure(newer.accounts());
+        quotas.configure(newer.accounts(), newer.shortestObjective());
         ingress.limit(newer.limits().bodyBytes(), newer.limits().idleTime());
         desk.refresh();
         fleet.act();
