--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -87,6 +87,9 @@
     /** The store answers within 10 ms; without its answer others wait the lease out. */
     private static final Duration RELEASE_LIMIT = Duration.ofMillis(300);
 
+    /** Callers wait for an entry that starts; who reads metrics does not. */
+    private static final Duration METRICS_DELAY = Duration.ofMillis(1_500);
+
     private static final Duration DRAIN_LOOK = Duration.ofMillis(50);
 
     private final ProcessSettings settings;
@@ -208,21 +211,22 @@
                 settings.callers(), settings.readiness(), FIRST_LIMITS, requests::receive, this::isReady, loop, log);
         links = EntryLinks.start(settings, incarnation, group, desk, log);
         loop.execute(this::begin);
-        serveMetrics();
+        if (metricsPort.isPresent()) {
+            timers.after(METRICS_DELAY, () -> new DefaultThreadFactory("metrics", true)
+                    .newThread(() -> serveMetrics(metricsPort.getAsInt()))
+                    .start());
+        }
     }
 
     /** An entry without metrics serves its callers; whoever watches it sees that nothing answers. */
-    private void serveMetrics() {
-        if (metricsPort.isEmpty()) {
-            return;
-        }
+    private void serveMetrics(int port) {
         metrics.gauge("geraniumreach.requests.open", "Requests read or answered now.", () -> ingress.open());
         metrics.gauge("geraniumreach.configuration.version", "The version in force, 0 for none.", () -> configuration
                 .map(TrafficConfiguration::version)
                 .orElse(0L));
         metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> isReady() ? 1 : 0);
         metrics.gauge("geraniumreach.log.lines.dropped", "Lines that the log had no room for.", lines::droppedInAll);
-        InetSocketAddress address = new InetSocketAddress(settings.callers().getAddress(), metricsPort.getAsInt());
+        InetSocketAddress address = new InetSocketAddress(settings.callers().getAddress(), port);
         try {
             MetricsPort.start(address, metrics::scrape);
         } catch (IOException taken) {
--- a/node/src/main/java/org/geraniumreach/node/Main.java
+++ b/node/src/main/java/org/geraniumreach/node/Main.java
@@ -5,6 +5,8 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.model.EventCode;
@@ -56,6 +58,8 @@
      * @param arguments the command line, not null
      */
     public static void main(String[] arguments) {
+        // Netty would look for three loggers that are not delivered, in each start, while callers wait.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         System.exit(new Main().run(arguments));
     }
 
--- a/node/src/main/java/org/geraniumreach/node/Rehearsal.java
+++ b/node/src/main/java/org/geraniumreach/node/Rehearsal.java
@@ -59,9 +59,9 @@
             for (int question = 0; question < QUESTIONS; question++) {
                 ask(settings.callers());
                 ask(settings.readiness());
-                ask(metrics);
                 Thread.sleep(PAUSE.toMillis());
             }
+            ask(metrics);
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
         }
