--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -5,8 +5,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -61,9 +59,6 @@
     /** Adapters that a target is taken to keep at hand after they were evicted; the users' engines keep 114. */
     private static final int AT_HAND = 100;
 
-    /** Who still waits for an adapter asks again each 300 ms; a load for somebody who has gone elsewhere takes a place for nothing. */
-    private static final Duration WISH_LIFETIME = Duration.ofMillis(500);
-
     private static final Duration REFUSED_PAUSE = Duration.ofMillis(500);
 
     private final int places;
@@ -76,7 +71,7 @@
     private final Map<AdapterName, Long> nextLook = new HashMap<>();
     private final Set<AdapterName> leaving = new HashSet<>();
     private Optional<AdapterName> awaitingRuns = Optional.empty();
-    private final Map<AdapterName, Long> wanted = new LinkedHashMap<>();
+    private final Wishes wishes = new Wishes();
     private final UseScores uses = new UseScores();
     private final Deque<AdapterName> atHand = new ArrayDeque<>();
     private boolean modelPresent;
@@ -162,15 +157,16 @@
      * Asks for an adapter.
      *
      * @param adapter the adapter, not null
+     * @param lateAt when the request that waits for it misses its objective, empty if none waits, not null
      * @param now the time
      */
-    public void want(AdapterName adapter, long now) {
+    public void want(AdapterName adapter, OptionalLong lateAt, long now) {
         uses.used(adapter, 1, now);
         if (isPresent(adapter)) {
             listener.arrived(adapter, resident.get(adapter));
             return;
         }
-        wanted.put(adapter, now);
+        wishes.want(adapter, lateAt, now);
     }
 
     /**
@@ -237,21 +233,19 @@
     }
 
     private Optional<Step> nextWish(long now) {
-        Iterator<Map.Entry<AdapterName, Long>> wishes = wanted.entrySet().iterator();
-        while (wishes.hasNext()) {
-            Map.Entry<AdapterName, Long> wish = wishes.next();
-            AdapterName adapter = wish.getKey();
-            boolean stale = now - wish.getValue() > WISH_LIFETIME.toNanos();
-            if (isPresent(adapter) || stale) {
-                wishes.remove();
+        if (wishes.isEmpty() || coming() >= MOST_COMING) {
+            return Optional.empty();
+        }
+        for (AdapterName adapter : wishes.inOrder(now, window.undisturbed().orElse(Duration.ZERO))) {
+            if (isPresent(adapter)) {
+                wishes.remove(adapter);
                 continue;
             }
-            if (nextLook.containsKey(adapter)) {
+            // What the target has at hand does not wait for the weight store behind what it has not.
+            boolean mustWait = isFetch(adapter) && !window.isOpen();
+            if (nextLook.containsKey(adapter) || mustWait) {
                 continue;
             }
-            if (coming() >= MOST_COMING || isFetch(adapter) && !window.isOpen()) {
-                return Optional.empty();
-            }
             if (resident.containsKey(adapter) || occupied() < places) {
                 return send(Order.Operation.LOAD, Optional.of(adapter));
             }
@@ -282,7 +276,7 @@
             return Optional.empty();
         }
         return resident.keySet().stream()
-                .filter(adapter -> !wanted.containsKey(adapter) && !nextLook.containsKey(adapter))
+                .filter(adapter -> !wishes.contains(adapter) && !nextLook.containsKey(adapter))
                 .filter(adapter -> uses.isIdle(adapter, now, IDLE_BEFORE_EVICTION.toNanos()))
                 .min((one, other) -> Double.compare(evictionRank(one, now), evictionRank(other, now)));
     }
@@ -405,7 +399,7 @@
         long version = newestVersion.apply(adapter);
         boolean replaced = repeated && resident.containsKey(adapter);
         resident.put(adapter, version);
-        wanted.remove(adapter);
+        wishes.remove(adapter);
         uses.used(adapter, 0, now);
         listener.arrived(adapter, version);
         if (countDoubtful && replaced) {
@@ -426,7 +420,7 @@
     }
 
     private void refused(Step.Send sent, long now) {
-        sent.adapter().ifPresent(wanted::remove);
+        sent.adapter().ifPresent(wishes::remove);
         notBefore = now + REFUSED_PAUSE.toNanos();
     }
 
@@ -490,7 +484,7 @@
      * @return false if nothing is wanted, coming or leaving, and all is known
      */
     public boolean isBusy() {
-        return orders.isEmpty() || !modelPresent || !wanted.isEmpty() || !nextLook.isEmpty();
+        return orders.isEmpty() || !modelPresent || !wishes.isEmpty() || !nextLook.isEmpty();
     }
 
     public String model() {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterDesk.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterDesk.java
@@ -1,5 +1,8 @@
 package org.geraniumreach.gateway.request;
 
+import java.time.Duration;
+import java.util.Optional;
+
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.target.Target;
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -16,8 +19,10 @@
      *
      * @param target where, not null
      * @param adapter the adapter, not null
+     * @param untilLate after what time the request that waits for it misses its objective, below zero if it has, empty if none
+     *         waits, not null
      */
-    void want(Target target, AdapterName adapter);
+    void want(Target target, AdapterName adapter, Optional<Duration> untilLate);
 
     /**
      * Notes that a request for an adapter was sent.
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -28,6 +28,8 @@
     private Cancellable silence = Cancellable.NOTHING;
     private SilenceLimits limits = SilenceLimits.NONE;
     private boolean promptRead;
+    private boolean nothingAhead;
+    private long sentAt;
     private boolean over;
 
     /**
@@ -70,7 +72,9 @@
 
     void start(TargetPort.Envelope envelope, Duration longestIdle, SilenceLimits silenceLimits) {
         limits = silenceLimits;
-        target.sent(promptTokens, services.clock().nanos());
+        sentAt = services.clock().nanos();
+        nothingAhead = target.promptTokensAhead() == 0;
+        target.sent(promptTokens, sentAt);
         adapter().ifPresent(adapter -> services.adapters().begun(target, adapter));
         call = services.targets().send(target, request, envelope, longestIdle, this);
         watch(limits.start());
@@ -110,6 +114,13 @@
         return request.generation().flatMap(GatewayRequest.Generation::adapter);
     }
 
+    private void noteSpeed() {
+        if (!promptRead && nothingAhead && promptTokens > 0) {
+            Duration took = Duration.ofNanos(services.clock().nanos() - sentAt);
+            services.placement().promptRead(target, promptTokens, took);
+        }
+    }
+
     private void notePromptRead() {
         if (!promptRead) {
             promptRead = true;
@@ -149,6 +160,7 @@
         if (over) {
             return;
         }
+        noteSpeed();
         notePromptRead();
         watch(limits.pause());
         if (!listener.part(part)) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -231,7 +231,7 @@
         adapterWait.cancel();
         adapterWait = services.adapters().await(adapter, this::place);
         waitTimer = services.timers().after(services.settings().lookAgain(), this::place);
-        services.adapters().want(target, adapter);
+        services.adapters().want(target, adapter, Optional.of(route.objective().minus(elapsed())));
     }
 
     private void send(Placed.Send send) {
@@ -248,7 +248,7 @@
                 account.map(this::units).orElse(0.0));
         sentAt = OptionalLong.of(services.clock().nanos());
         adapter().ifPresent(adapter -> send.alsoLoad()
-                .ifPresent(other -> services.adapters().want(other, adapter)));
+                .ifPresent(other -> services.adapters().want(other, adapter, Optional.empty())));
         Attempt started = new Attempt(services, target, request, new AttemptEvents(target));
         attempt = Optional.of(started);
         started.start(envelope(target), longestIdle(), silenceLimits());
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -31,7 +33,11 @@
     /** Waits closer than this are alike, and the session decides, whose prompt one of the targets may still have. */
     private static final long SAME_WAIT = 40;
 
+    /** Of services nothing of whose targets was learnt yet. */
+    private static final ReadingSpeed UNKNOWN = new ReadingSpeed();
+
     private final AdapterDemand demand;
+    private final Map<String, ReadingSpeed> speeds = new HashMap<>();
     private final TargetBook book;
     private final Predicate<Target> admitted;
     private final Predicate<Target> orderable;
@@ -134,7 +140,7 @@
     private Placed ofAdapter(PlacementNeed need, List<Target> holding) {
         AdapterName adapter = need.adapter().get();
         List<Target> order = order(adapter.toString(), holding);
-        List<Target> homes = order.subList(0, Math.min(order.size(), homes(adapter, order.size())));
+        List<Target> homes = order.subList(0, Math.min(order.size(), homes(need.service(), adapter, order.size())));
         List<Target> residents = newestFirst(order, need);
         Optional<Target> missingHome = loaderFor(need, order, homes, residents);
         List<Target> usableHomes = homes.stream().filter(residents::contains).toList();
@@ -192,7 +198,29 @@
 
     private Duration readingRoom(Target target, PlacementNeed need) {
         return target.readingRoom(
-                need.promptTokens(), settings.readingTokens(), settings.readingWindow(), clock.nanos());
+                need.promptTokens(), readingTokens(need.service()), settings.readingWindow(), clock.nanos());
+    }
+
+    private long readingTokens(String service) {
+        double readable = speed(service) * settings.readingWindow().toMillis();
+        return (long) (readable * settings.readingPart());
+    }
+
+    private double speed(String service) {
+        ReadingSpeed learnt = speeds.get(service);
+        return (learnt == null ? UNKNOWN : learnt).tokensPerMilli();
+    }
+
+    /**
+     * Notes that a prompt was read that had nothing of this entry's ahead of it.
+     *
+     * @param target where it was read, not null
+     * @param promptTokens its tokens
+     * @param took the time from its sending to the first part of its answer, not null
+     */
+    public void promptRead(Target target, long promptTokens, Duration took) {
+        speeds.computeIfAbsent(target.description().service(), missing -> new ReadingSpeed())
+                .read(promptTokens, took);
     }
 
     private List<Target> withRoom(List<Target> targets, PlacementNeed need) {
@@ -248,10 +276,10 @@
      * target takes depends on what all of them read: on a calm day a second home costs a load and a place for nothing, on the
      * heaviest it keeps the home's other streams going.
      */
-    private int homes(AdapterName adapter, int targets) {
+    private int homes(String service, AdapterName adapter, int targets) {
         long now = clock.nanos();
         int everybody = Math.max(1, entries.getAsInt());
-        double readable = settings.promptTokensPerMilli() * MILLIS_PER_SECOND;
+        double readable = speed(service) * MILLIS_PER_SECOND;
         double busy = demand.perSecond(now) * everybody / (readable * targets);
         double share = settings.readingShare().at(busy);
         return Math.max(1, (int) Math.ceil(demand.perSecond(adapter, now) * everybody / (readable * share)));
@@ -320,7 +348,7 @@
         long now = clock.nanos();
         int load = target.load(now, settings.reportLifetime());
         double others = target.outstanding() > 0 ? Math.max(1.0, (double) load / target.outstanding()) : 1.0;
-        double reading = (target.promptTokensAhead() * others + need.promptTokens()) / settings.promptTokensPerMilli();
+        double reading = (target.promptTokensAhead() * others + need.promptTokens()) / speed(need.service());
         double queued = target.waiting(now, settings.reportLifetime())
                 * (double) settings.slotTime().toMillis();
         return (long) (reading + queued);
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -47,7 +48,7 @@
     void aWishThatNobodyRenewsLapses() {
         World world = new World(1);
         world.places.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
-        world.places.want(name(1), 0);
+        world.places.want(name(1), OptionalLong.empty(), 0);
         assertThat(world.places.next(2_000 * MILLI)).isEmpty();
         assertThat(world.places.isBusy()).isFalse();
     }
@@ -71,7 +72,7 @@
 
     /** Has an adapter loaded that is there after a time, and returns when that was noticed. */
     private static long load(AdapterPlaces places, AdapterName adapter, long begun, long took) {
-        places.want(adapter, begun);
+        places.want(adapter, OptionalLong.empty(), begun);
         AdapterPlaces.Step.Send order =
                 (AdapterPlaces.Step.Send) places.next(begun).orElseThrow();
         places.answered(order, OrderResult.ACCEPTED, begun);
@@ -87,6 +88,37 @@
         return now;
     }
 
+    // Callers of an adapter that the target had a moment ago waited for seconds behind callers of one that must be
+    // fetched,
+    // while the weight store was busy. A load from the target's own memory takes nothing from anybody.
+    @Test
+    void whatTheTargetHasAtHandDoesNotWaitForTheWeightStore() {
+        World world = new World(1);
+        Map<String, Long> full = new HashMap<>();
+        for (int number = 0; number < PLACES; number++) {
+            full.put("a" + number, 1L);
+        }
+        world.places.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
+        long now = 1_000 * MILLI;
+        world.places.want(name(9), OptionalLong.of(now), now);
+        AdapterPlaces.Step.Send unload =
+                (AdapterPlaces.Step.Send) world.places.next(now).orElseThrow();
+        world.places.answered(unload, OrderResult.ALREADY_SO, now);
+        full.remove(unload.adapter().orElseThrow().adapter());
+        now += 400 * MILLI;
+        assertThat(world.places.next(now)).contains(new AdapterPlaces.Step.Report());
+        world.places.reported(new TargetReport(1, Map.of("base", full), Set.of()), now);
+        while (world.window.isOpen()) {
+            world.window.began();
+        }
+        world.places.want(name(9), OptionalLong.of(now), now);
+        world.places.want(unload.adapter().orElseThrow(), OptionalLong.of(now + 1), now);
+        AdapterPlaces.Step.Send load =
+                (AdapterPlaces.Step.Send) world.places.next(now).orElseThrow();
+        assertThat(load.adapter()).isEqualTo(unload.adapter());
+        assertThat(load.operation()).isEqualTo(Order.Operation.LOAD);
+    }
+
     // Nothing else can be ordered while a target waits for runs to end; each refusal would cost a report and 0.3 s.
     @Test
     void nothingElseIsOrderedWhileAnOrderAwaitsRuns() {
@@ -96,11 +128,11 @@
             full.put("a" + number, 1L);
         }
         world.places.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
-        world.places.want(name(9), 0);
+        world.places.want(name(9), OptionalLong.empty(), 0);
         AdapterPlaces.Step.Send unload =
                 (AdapterPlaces.Step.Send) world.places.next(0).orElseThrow();
         world.places.answered(unload, OrderResult.ACCEPTED, 0);
-        world.places.want(name(8), 100 * MILLI);
+        world.places.want(name(8), OptionalLong.empty(), 100 * MILLI);
         AdapterPlaces.Step.Send next =
                 (AdapterPlaces.Step.Send) world.places.next(100 * MILLI).orElseThrow();
         assertThat(next.operation()).isEqualTo(Order.Operation.UNLOAD);
@@ -114,10 +146,10 @@
     void anOrderWhoseAnswerWasLostIsSentAgainUnchangedAtOnce() {
         World world = new World(1);
         world.places.reported(new TargetReport(7, Map.of("base", Map.of()), Set.of()), 0);
-        world.places.want(name(1), 0);
+        world.places.want(name(1), OptionalLong.empty(), 0);
         AdapterPlaces.Step first = world.places.next(0).orElseThrow();
         world.places.answered((AdapterPlaces.Step.Send) first, OrderResult.UNKNOWN, 150 * MILLI);
-        world.places.want(name(2), 150 * MILLI);
+        world.places.want(name(2), OptionalLong.empty(), 150 * MILLI);
         AdapterPlaces.Step second = world.places.next(150 * MILLI).orElseThrow();
         assertThat(second).isEqualTo(first);
         world.places.answered((AdapterPlaces.Step.Send) second, OrderResult.ACCEPTED, 160 * MILLI);
@@ -131,7 +163,7 @@
     void aTargetThatAnswersNoCopyIsAskedForAReport() {
         World world = new World(1);
         world.places.reported(new TargetReport(7, Map.of("base", Map.of()), Set.of()), 0);
-        world.places.want(name(1), 0);
+        world.places.want(name(1), OptionalLong.empty(), 0);
         long now = 0;
         for (int copy = 0; copy < 3; copy++) {
             AdapterPlaces.Step step = world.places.next(now).orElseThrow();
@@ -169,7 +201,7 @@
                 now += random.nextInt(30) * MILLI;
                 settle();
                 if (random.nextInt(3) == 0) {
-                    places.want(name(random.nextInt(14)), now);
+                    places.want(name(random.nextInt(14)), OptionalLong.empty(), now);
                 }
                 places.next(now).ifPresent(this::carryOut);
                 assertThat(resident.size() + coming.size()).isLessThanOrEqualTo(PLACES);
--- a/gateway/src/test/java/org/geraniumreach/gateway/target/PlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/target/PlacementTest.java
@@ -26,6 +26,8 @@
     private static final long PROMPT = 1_460;
     private static final int TARGETS = 8;
 
+    private static final double READ_IN_A_MILLI = 19.2;
+
     /** Tokens that a target reads in half a second, more than the wait below which nothing is loaded elsewhere. */
     private static final long LONG_READING = 9_600;
 
@@ -38,6 +40,16 @@
         for (int number = 0; number < TARGETS; number++) {
             join("t" + number);
         }
+        teach(one, READ_IN_A_MILLI);
+        teach(other, READ_IN_A_MILLI);
+    }
+
+    private void teach(Placement placement, double tokensPerMilli) {
+        long tokens = 2_000;
+        Duration took = Duration.ofNanos((long) (tokens / tokensPerMilli * 1e6));
+        for (int prompt = 0; prompt < 100; prompt++) {
+            placement.promptRead(book.all().iterator().next(), tokens, took);
+        }
     }
 
     private Placement placement() {
@@ -118,6 +130,19 @@
         assertThat(((Placed.Load) placed).target()).isNotEqualTo(holder);
     }
 
+    // The same prompts ahead crowd a slow engine and not one that reads three times as fast; nobody tells an entry
+    // which it
+    // has. What a holder reads in time is not worth a second load.
+    @Test
+    void whatCrowdsATargetDependsOnHowFastItsKindReads() {
+        Target holder = homeOf(ADAPTER);
+        holder.learnResident(ADAPTER, 1, time.nanos());
+        holder.sent(3 * LONG_READING, time.nanos());
+        assertThat(one.place(need(ADAPTER, "s"))).isInstanceOf(Placed.Load.class);
+        teach(one, 3 * READ_IN_A_MILLI);
+        assertThat(one.place(need(ADAPTER, "s"))).isInstanceOf(Placed.Send.class);
+    }
+
     // Two entries had one adapter fetched at two targets: one of them saw the home crowded by prompts that are read by
     // the time the load is done.
     @Test
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
@@ -70,7 +70,7 @@
         private long required;
 
         @Override
-        public void want(Target target, AdapterName adapter) {
+        public void want(Target target, AdapterName adapter, Optional<Duration> untilLate) {
             wanted.add(target.id().value() + ' ' + adapter.adapter());
         }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterDemand.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterDemand.java
@@ -34,10 +34,9 @@
   private AdapterDemand() {
     target_ = "";
     model_ = "";
-    wanted_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
     used_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    wishes_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -131,59 +130,6 @@
     }
   }
 
-  public static final int WANTED_FIELD_NUMBER = 3;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList wanted_ =
-      com.google.protobuf.LazyStringArrayList.emptyList();
-  /**
-   * <pre>
-   * adapters to be loaded
-   * </pre>
-   *
-   * <code>repeated string wanted = 3;</code>
-   * @return A list containing the wanted.
-   */
-  public com.google.protobuf.ProtocolStringList
-      getWantedList() {
-    return wanted_;
-  }
-  /**
-   * <pre>
-   * adapters to be loaded
-   * </pre>
-   *
-   * <code>repeated string wanted = 3;</code>
-   * @return The count of wanted.
-   */
-  public int getWantedCount() {
-    return wanted_.size();
-  }
-  /**
-   * <pre>
-   * adapters to be loaded
-   * </pre>
-   *
-   * <code>repeated string wanted = 3;</code>
-   * @param index The index of the element to return.
-   * @return The wanted at the given index.
-   */
-  public java.lang.String getWanted(int index) {
-    return wanted_.get(index);
-  }
-  /**
-   * <pre>
-   * adapters to be loaded
-   * </pre>
-   *
-   * <code>repeated string wanted = 3;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the wanted at the given index.
-   */
-  public com.google.protobuf.ByteString
-      getWantedBytes(int index) {
-    return wanted_.getByteString(index);
-  }
-
   public static final int USED_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
   private com.google.protobuf.LazyStringArrayList used_ =
@@ -237,6 +183,47 @@
     return used_.getByteString(index);
   }
 
+  public static final int WISHES_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<org.geraniumreach.messages.AdapterWish> wishes_;
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.geraniumreach.messages.AdapterWish> getWishesList() {
+    return wishes_;
+  }
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.geraniumreach.messages.AdapterWishOrBuilder> 
+      getWishesOrBuilderList() {
+    return wishes_;
+  }
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  @java.lang.Override
+  public int getWishesCount() {
+    return wishes_.size();
+  }
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.AdapterWish getWishes(int index) {
+    return wishes_.get(index);
+  }
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.AdapterWishOrBuilder getWishesOrBuilder(
+      int index) {
+    return wishes_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -257,12 +244,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, model_);
     }
-    for (int i = 0; i < wanted_.size(); i++) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 3, wanted_.getRaw(i));
-    }
     for (int i = 0; i < used_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, used_.getRaw(i));
     }
+    for (int i = 0; i < wishes_.size(); i++) {
+      output.writeMessage(5, wishes_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -278,14 +265,6 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, model_);
     }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < wanted_.size(); i++) {
-        dataSize += computeStringSizeNoTag(wanted_.getRaw(i));
-      }
-      size += dataSize;
-      size += 1 * getWantedList().size();
-    }
     {
       int dataSize = 0;
       for (int i = 0; i < used_.size(); i++) {
@@ -294,6 +273,10 @@
       size += dataSize;
       size += 1 * getUsedList().size();
     }
+    for (int i = 0; i < wishes_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, wishes_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -313,10 +296,10 @@
         .equals(other.getTarget())) return false;
     if (!getModel()
         .equals(other.getModel())) return false;
-    if (!getWantedList()
-        .equals(other.getWantedList())) return false;
     if (!getUsedList()
         .equals(other.getUsedList())) return false;
+    if (!getWishesList()
+        .equals(other.getWishesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -332,14 +315,14 @@
     hash = (53 * hash) + getTarget().hashCode();
     hash = (37 * hash) + MODEL_FIELD_NUMBER;
     hash = (53 * hash) + getModel().hashCode();
-    if (getWantedCount() > 0) {
-      hash = (37 * hash) + WANTED_FIELD_NUMBER;
-      hash = (53 * hash) + getWantedList().hashCode();
-    }
     if (getUsedCount() > 0) {
       hash = (37 * hash) + USED_FIELD_NUMBER;
       hash = (53 * hash) + getUsedList().hashCode();
     }
+    if (getWishesCount() > 0) {
+      hash = (37 * hash) + WISHES_FIELD_NUMBER;
+      hash = (53 * hash) + getWishesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -478,10 +461,15 @@
       bitField0_ = 0;
       target_ = "";
       model_ = "";
-      wanted_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
       used_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      if (wishesBuilder_ == null) {
+        wishes_ = java.util.Collections.emptyList();
+      } else {
+        wishes_ = null;
+        wishesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
       return this;
     }
 
@@ -508,11 +496,24 @@
     @java.lang.Override
     public org.geraniumreach.messages.AdapterDemand buildPartial() {
       org.geraniumreach.messages.AdapterDemand result = new org.geraniumreach.messages.AdapterDemand(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.geraniumreach.messages.AdapterDemand result) {
+      if (wishesBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          wishes_ = java.util.Collections.unmodifiableList(wishes_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.wishes_ = wishes_;
+      } else {
+        result.wishes_ = wishesBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.geraniumreach.messages.AdapterDemand result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -522,10 +523,6 @@
         result.model_ = model_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        wanted_.makeImmutable();
-        result.wanted_ = wanted_;
-      }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
         used_.makeImmutable();
         result.used_ = used_;
       }
@@ -553,26 +550,42 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
-      if (!other.wanted_.isEmpty()) {
-        if (wanted_.isEmpty()) {
-          wanted_ = other.wanted_;
-          bitField0_ |= 0x00000004;
-        } else {
-          ensureWantedIsMutable();
-          wanted_.addAll(other.wanted_);
-        }
-        onChanged();
-      }
       if (!other.used_.isEmpty()) {
         if (used_.isEmpty()) {
           used_ = other.used_;
-          bitField0_ |= 0x00000008;
+          bitField0_ |= 0x00000004;
         } else {
           ensureUsedIsMutable();
           used_.addAll(other.used_);
         }
         onChanged();
       }
+      if (wishesBuilder_ == null) {
+        if (!other.wishes_.isEmpty()) {
+          if (wishes_.isEmpty()) {
+            wishes_ = other.wishes_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureWishesIsMutable();
+            wishes_.addAll(other.wishes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.wishes_.isEmpty()) {
+          if (wishesBuilder_.isEmpty()) {
+            wishesBuilder_.dispose();
+            wishesBuilder_ = null;
+            wishes_ = other.wishes_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            wishesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 getWishesFieldBuilder() : null;
+          } else {
+            wishesBuilder_.addAllMessages(other.wishes_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -609,18 +622,25 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
-            case 26: {
-              java.lang.String s = input.readStringRequireUtf8();
-              ensureWantedIsMutable();
-              wanted_.add(s);
-              break;
-            } // case 26
             case 34: {
               java.lang.String s = input.readStringRequireUtf8();
               ensureUsedIsMutable();
               used_.add(s);
               break;
             } // case 34
+            case 42: {
+              org.geraniumreach.messages.AdapterWish m =
+                  input.readMessage(
+                      org.geraniumreach.messages.AdapterWish.parser(),
+                      extensionRegistry);
+              if (wishesBuilder_ == null) {
+                ensureWishesIsMutable();
+                wishes_.add(m);
+              } else {
+                wishesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -782,160 +802,13 @@
       return this;
     }
 
-    private com.google.protobuf.LazyStringArrayList wanted_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-    private void ensureWantedIsMutable() {
-      if (!wanted_.isModifiable()) {
-        wanted_ = new com.google.protobuf.LazyStringArrayList(wanted_);
-      }
-      bitField0_ |= 0x00000004;
-    }
-    /**
-     * <pre>
-     * adapters to be loaded
-     * </pre>
-     *
-     * <code>repeated string wanted = 3;</code>
-     * @return A list containing the wanted.
-     */
-    public com.google.protobuf.ProtocolStringList
-        getWantedList() {
-      wanted_.makeImmutable();
-      return wanted_;
-    }
-    /**
-     * <pre>
-     * adapters to be loaded
-     * </pre>
-     *
-     * <code>repeated string wanted = 3;</code>
-     * @return The count of wanted.
-     */
-    public int getWantedCount() {
-      return wanted_.size();
-    }
-    /**
-     * <pre>
-     * adapters to be loaded
-     * </pre>
-     *
-     * <code>repeated string wanted = 3;</code>
-     * @param index The index of the element to return.
-     * @return The wanted at the given index.
-     */
-    public java.lang.String getWanted(int index) {
-      return wanted_.get(index);
-    }
-    /**
-     * <pre>
-     * adapters to be loaded
-     * </pre>
-     *
-     * <code>repeated string wanted = 3;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the wanted at the given index.
-     */
-    public com.google.protobuf.ByteString
-        getWantedBytes(int index) {
-      return wanted_.getByteString(index);
-    }
-    /**
-     * <pre>
-     * adapters to be loaded
-     * </pre>
-     *
-     * <code>repeated string wanted = 3;</code>
-     * @param index The index to set the value at.
-     * @param value The wanted to set.
-     * @return This builder for chaining.
-     */
-    public Builder setWanted(
-        int index, java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureWantedIsMutable();
-      wanted_.set(index, value);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * adapters to be loaded
-     * </pre>
-     *
-     * <code>repeated string wanted = 3;</code>
-     * @param value The wanted to add.
-     * @return This builder for chaining.
-     */
-    public Builder addWanted(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureWantedIsMutable();
-      wanted_.add(value);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * adapters to be loaded
-     * </pre>
-     *
-     * <code>repeated string wanted = 3;</code>
-     * @param values The wanted to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllWanted(
-        java.lang.Iterable<java.lang.String> values) {
-      ensureWantedIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, wanted_);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * adapters to be loaded
-     * </pre>
-     *
-     * <code>repeated string wanted = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearWanted() {
-      wanted_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00000004);;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * adapters to be loaded
-     * </pre>
-     *
-     * <code>repeated string wanted = 3;</code>
-     * @param value The bytes of the wanted to add.
-     * @return This builder for chaining.
-     */
-    public Builder addWantedBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      ensureWantedIsMutable();
-      wanted_.add(value);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-
     private com.google.protobuf.LazyStringArrayList used_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     private void ensureUsedIsMutable() {
       if (!used_.isModifiable()) {
         used_ = new com.google.protobuf.LazyStringArrayList(used_);
       }
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
     }
     /**
      * <pre>
@@ -1001,7 +874,7 @@
       if (value == null) { throw new NullPointerException(); }
       ensureUsedIsMutable();
       used_.set(index, value);
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
@@ -1019,7 +892,7 @@
       if (value == null) { throw new NullPointerException(); }
       ensureUsedIsMutable();
       used_.add(value);
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
@@ -1037,7 +910,7 @@
       ensureUsedIsMutable();
       com.google.protobuf.AbstractMessageLite.Builder.addAll(
           values, used_);
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
@@ -1052,7 +925,7 @@
     public Builder clearUsed() {
       used_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00000008);;
+      bitField0_ = (bitField0_ & ~0x00000004);;
       onChanged();
       return this;
     }
@@ -1071,11 +944,251 @@
       checkByteStringIsUtf8(value);
       ensureUsedIsMutable();
       used_.add(value);
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
 
+    private java.util.List<org.geraniumreach.messages.AdapterWish> wishes_ =
+      java.util.Collections.emptyList();
+    private void ensureWishesIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        wishes_ = new java.util.ArrayList<org.geraniumreach.messages.AdapterWish>(wishes_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.geraniumreach.messages.AdapterWish, org.geraniumreach.messages.AdapterWish.Builder, org.geraniumreach.messages.AdapterWishOrBuilder> wishesBuilder_;
+
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public java.util.List<org.geraniumreach.messages.AdapterWish> getWishesList() {
+      if (wishesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(wishes_);
+      } else {
+        return wishesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public int getWishesCount() {
+      if (wishesBuilder_ == null) {
+        return wishes_.size();
+      } else {
+        return wishesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public org.geraniumreach.messages.AdapterWish getWishes(int index) {
+      if (wishesBuilder_ == null) {
+        return wishes_.get(index);
+      } else {
+        return wishesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public Builder setWishes(
+        int index, org.geraniumreach.messages.AdapterWish value) {
+      if (wishesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWishesIsMutable();
+        wishes_.set(index, value);
+        onChanged();
+      } else {
+        wishesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public Builder setWishes(
+        int index, org.geraniumreach.messages.AdapterWish.Builder builderForValue) {
+      if (wishesBuilder_ == null) {
+        ensureWishesIsMutable();
+        wishes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        wishesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public Builder addWishes(org.geraniumreach.messages.AdapterWish value) {
+      if (wishesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWishesIsMutable();
+        wishes_.add(value);
+        onChanged();
+      } else {
+        wishesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public Builder addWishes(
+        int index, org.geraniumreach.messages.AdapterWish value) {
+      if (wishesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWishesIsMutable();
+        wishes_.add(index, value);
+        onChanged();
+      } else {
+        wishesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public Builder addWishes(
+        org.geraniumreach.messages.AdapterWish.Builder builderForValue) {
+      if (wishesBuilder_ == null) {
+        ensureWishesIsMutable();
+        wishes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        wishesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public Builder addWishes(
+        int index, org.geraniumreach.messages.AdapterWish.Builder builderForValue) {
+      if (wishesBuilder_ == null) {
+        ensureWishesIsMutable();
+        wishes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        wishesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public Builder addAllWishes(
+        java.lang.Iterable<? extends org.geraniumreach.messages.AdapterWish> values) {
+      if (wishesBuilder_ == null) {
+        ensureWishesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, wishes_);
+        onChanged();
+      } else {
+        wishesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public Builder clearWishes() {
+      if (wishesBuilder_ == null) {
+        wishes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        wishesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public Builder removeWishes(int index) {
+      if (wishesBuilder_ == null) {
+        ensureWishesIsMutable();
+        wishes_.remove(index);
+        onChanged();
+      } else {
+        wishesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public org.geraniumreach.messages.AdapterWish.Builder getWishesBuilder(
+        int index) {
+      return getWishesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public org.geraniumreach.messages.AdapterWishOrBuilder getWishesOrBuilder(
+        int index) {
+      if (wishesBuilder_ == null) {
+        return wishes_.get(index);  } else {
+        return wishesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public java.util.List<? extends org.geraniumreach.messages.AdapterWishOrBuilder> 
+         getWishesOrBuilderList() {
+      if (wishesBuilder_ != null) {
+        return wishesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(wishes_);
+      }
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public org.geraniumreach.messages.AdapterWish.Builder addWishesBuilder() {
+      return getWishesFieldBuilder().addBuilder(
+          org.geraniumreach.messages.AdapterWish.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public org.geraniumreach.messages.AdapterWish.Builder addWishesBuilder(
+        int index) {
+      return getWishesFieldBuilder().addBuilder(
+          index, org.geraniumreach.messages.AdapterWish.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     */
+    public java.util.List<org.geraniumreach.messages.AdapterWish.Builder> 
+         getWishesBuilderList() {
+      return getWishesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.geraniumreach.messages.AdapterWish, org.geraniumreach.messages.AdapterWish.Builder, org.geraniumreach.messages.AdapterWishOrBuilder> 
+        getWishesFieldBuilder() {
+      if (wishesBuilder_ == null) {
+        wishesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.geraniumreach.messages.AdapterWish, org.geraniumreach.messages.AdapterWish.Builder, org.geraniumreach.messages.AdapterWishOrBuilder>(
+                wishes_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        wishes_ = null;
+      }
+      return wishesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterDemand)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterDemandOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterDemandOrBuilder.java
@@ -33,47 +33,6 @@
   com.google.protobuf.ByteString
       getModelBytes();
 
-  /**
-   * <pre>
-   * adapters to be loaded
-   * </pre>
-   *
-   * <code>repeated string wanted = 3;</code>
-   * @return A list containing the wanted.
-   */
-  java.util.List<java.lang.String>
-      getWantedList();
-  /**
-   * <pre>
-   * adapters to be loaded
-   * </pre>
-   *
-   * <code>repeated string wanted = 3;</code>
-   * @return The count of wanted.
-   */
-  int getWantedCount();
-  /**
-   * <pre>
-   * adapters to be loaded
-   * </pre>
-   *
-   * <code>repeated string wanted = 3;</code>
-   * @param index The index of the element to return.
-   * @return The wanted at the given index.
-   */
-  java.lang.String getWanted(int index);
-  /**
-   * <pre>
-   * adapters to be loaded
-   * </pre>
-   *
-   * <code>repeated string wanted = 3;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the wanted at the given index.
-   */
-  com.google.protobuf.ByteString
-      getWantedBytes(int index);
-
   /**
    * <pre>
    * adapters that requests were sent for
@@ -114,4 +73,28 @@
    */
   com.google.protobuf.ByteString
       getUsedBytes(int index);
+
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  java.util.List<org.geraniumreach.messages.AdapterWish> 
+      getWishesList();
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  org.geraniumreach.messages.AdapterWish getWishes(int index);
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  int getWishesCount();
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  java.util.List<? extends org.geraniumreach.messages.AdapterWishOrBuilder> 
+      getWishesOrBuilderList();
+  /**
+   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   */
+  org.geraniumreach.messages.AdapterWishOrBuilder getWishesOrBuilder(
+      int index);
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -155,6 +155,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_geraniumreach_link_AdapterDemand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_AdapterWish_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_AdapterWish_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_geraniumreach_link_AdapterNews_descriptor;
   static final 
@@ -280,15 +285,18 @@
       "t\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014waiting_work" +
       "\030\004 \001(\003\"\035\n\nShareMoved\022\017\n\007account\030\001 \001(\t\"0\n" +
       "\007Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnatio" +
-      "n\030\002 \001(\003\"L\n\rAdapterDemand\022\016\n\006target\030\001 \001(\t" +
-      "\022\r\n\005model\030\002 \001(\t\022\016\n\006wanted\030\003 \003(\t\022\014\n\004used\030" +
-      "\004 \003(\t\"\226\001\n\013AdapterNews\022\016\n\006target\030\001 \001(\t\022\022\n" +
-      "\nstarted_at\030\002 \001(\003\022\r\n\005model\030\003 \001(\t\022\025\n\rmode" +
-      "l_present\030\004 \001(\010\022/\n\005there\030\005 \003(\0132 .geraniu" +
-      "mreach.link.AdapterThere\022\014\n\004gone\030\006 \003(\t\"0" +
-      "\n\014AdapterThere\022\017\n\007adapter\030\001 \001(\t\022\017\n\007versi" +
-      "on\030\002 \001(\003B)\n\032org.geraniumreach.messagesB\t" +
-      "LinkProtoP\001b\006proto3"
+      "n\030\002 \001(\003\"s\n\rAdapterDemand\022\016\n\006target\030\001 \001(\t" +
+      "\022\r\n\005model\030\002 \001(\t\022\014\n\004used\030\004 \003(\t\022/\n\006wishes\030" +
+      "\005 \003(\0132\037.geraniumreach.link.AdapterWishJ\004" +
+      "\010\003\020\004\"M\n\013AdapterWish\022\017\n\007adapter\030\001 \001(\t\022\022\n\n" +
+      "waited_for\030\002 \001(\010\022\031\n\021until_late_millis\030\003 " +
+      "\001(\021\"\226\001\n\013AdapterNews\022\016\n\006target\030\001 \001(\t\022\022\n\ns" +
+      "tarted_at\030\002 \001(\003\022\r\n\005model\030\003 \001(\t\022\025\n\rmodel_" +
+      "present\030\004 \001(\010\022/\n\005there\030\005 \003(\0132 .geraniumr" +
+      "each.link.AdapterThere\022\014\n\004gone\030\006 \003(\t\"0\n\014" +
+      "AdapterThere\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version" +
+      "\030\002 \001(\003B)\n\032org.geraniumreach.messagesB\tLi" +
+      "nkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -449,15 +457,21 @@
     internal_static_geraniumreach_link_AdapterDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_AdapterDemand_descriptor,
-        new java.lang.String[] { "Target", "Model", "Wanted", "Used", });
-    internal_static_geraniumreach_link_AdapterNews_descriptor =
+        new java.lang.String[] { "Target", "Model", "Used", "Wishes", });
+    internal_static_geraniumreach_link_AdapterWish_descriptor =
       getDescriptor().getMessageTypes().get(26);
+    internal_static_geraniumreach_link_AdapterWish_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_AdapterWish_descriptor,
+        new java.lang.String[] { "Adapter", "WaitedFor", "UntilLateMillis", });
+    internal_static_geraniumreach_link_AdapterNews_descriptor =
+      getDescriptor().getMessageTypes().get(27);
     internal_static_geraniumreach_link_AdapterNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_AdapterNews_descriptor,
         new java.lang.String[] { "Target", "StartedAt", "Model", "ModelPresent", "There", "Gone", });
     internal_static_geraniumreach_link_AdapterThere_descriptor =
-      getDescriptor().getMessageTypes().get(27);
+      getDescriptor().getMessageTypes().get(28);
     internal_static_geraniumreach_link_AdapterThere_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_AdapterThere_descriptor,
--- a/node/src/main/java/org/geraniumreach/node/HolderDesk.java
+++ b/node/src/main/java/org/geraniumreach/node/HolderDesk.java
@@ -34,6 +34,7 @@
 import org.geraniumreach.messages.AdapterDemand;
 import org.geraniumreach.messages.AdapterNews;
 import org.geraniumreach.messages.AdapterThere;
+import org.geraniumreach.messages.AdapterWish;
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
@@ -305,28 +306,34 @@
     }
 
     @Override
-    public void want(Target target, AdapterName adapter) {
+    public void want(Target target, AdapterName adapter, Optional<Duration> untilLate) {
         Held own = held.get(target);
+        long now = clock.nanos();
         if (own != null) {
-            own.places.want(adapter, clock.nanos());
+            own.places.want(adapter, lateAt(untilLate, now), now);
             look(target);
             return;
         }
-        long now = clock.nanos();
         Map<AdapterName, Long> recent = asked.computeIfAbsent(target, missing -> new LinkedHashMap<>());
         recent.values().removeIf(at -> now - at > ASK_AGAIN.toNanos());
         if (recent.putIfAbsent(adapter, now) == null) {
-            demand(target, adapter.baseModel(), Set.of(adapter.adapter()), Set.of());
+            AdapterWish.Builder wish = AdapterWish.newBuilder()
+                    .setAdapter(adapter.adapter())
+                    .setWaitedFor(untilLate.isPresent())
+                    .setUntilLateMillis((int) untilLate.orElse(Duration.ZERO).toMillis());
+            demand(target, adapter.baseModel(), AdapterDemand.newBuilder().addWishes(wish));
         }
     }
 
-    private void demand(Target target, String model, Set<String> wanted, Set<String> used) {
+    private static OptionalLong lateAt(Optional<Duration> untilLate, long now) {
+        return untilLate.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(now + untilLate.get().toNanos());
+    }
+
+    private void demand(Target target, String model, AdapterDemand.Builder demand) {
         Frame frame = Frame.newBuilder()
-                .setAdapterDemand(AdapterDemand.newBuilder()
-                        .setTarget(target.id().value())
-                        .setModel(model)
-                        .addAllWanted(wanted)
-                        .addAllUsed(used))
+                .setAdapterDemand(demand.setTarget(target.id().value()).setModel(model))
                 .build();
         holdings.holder(target.id()).ifPresent(holder -> links.ifPresent(open -> open.send(holder, frame)));
     }
@@ -365,7 +372,8 @@
         Map<String, Set<String>> byModel = new HashMap<>();
         running.forEach(adapter -> byModel.computeIfAbsent(adapter.baseModel(), missing -> new HashSet<>())
                 .add(adapter.adapter()));
-        byModel.forEach((model, adapters) -> demand(target, model, Set.of(), adapters));
+        byModel.forEach((model, adapters) ->
+                demand(target, model, AdapterDemand.newBuilder().addAllUsed(adapters)));
     }
 
     @Override
@@ -458,10 +466,18 @@
         AdapterPlaces places = held.get(target.get()).places;
         long now = clock.nanos();
         demand.getUsedList().forEach(name -> places.used(new AdapterName(demand.getModel(), name), 1, now));
-        demand.getWantedList().forEach(name -> places.want(new AdapterName(demand.getModel(), name), now));
+        demand.getWishesList().forEach(wish -> places.want(adapter(demand, wish), lateAt(untilLate(wish), now), now));
         look(target.get());
     }
 
+    private static AdapterName adapter(AdapterDemand demand, AdapterWish wish) {
+        return new AdapterName(demand.getModel(), wish.getAdapter());
+    }
+
+    private static Optional<Duration> untilLate(AdapterWish wish) {
+        return wish.getWaitedFor() ? Optional.of(Duration.ofMillis(wish.getUntilLateMillis())) : Optional.empty();
+    }
+
     @Override
     public void news(AdapterNews news) {
         Optional<Target> target = book.find(TargetId.of(news.getTarget()))
