Rehearse what an entry serves, so that its classes are archived

Cause: a restarted entry loaded 625 of 4,300 classes outside the archive, nearly all of those of its second half second (115 of 115 at 1.4 s), while its first callers waited: a ledger's answer of 22 ms took 250 to 660 ms. The rehearsal met a store that refused everything, so nothing of configuration, targets, shares, links, orders or answers was ever run in it. Change: SamplePlatform answers as the platform does, with one configuration and one target; two entries with a link between them serve some fifty requests in the build.

--- a/node/src/main/java/org/geraniumreach/node/Rehearsal.java
+++ b/node/src/main/java/org/geraniumreach/node/Rehearsal.java
@@ -1,8 +1,6 @@
 package org.geraniumreach.node;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -23,9 +21,11 @@
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.platform.SamplePlatform;
 
 /**
- * Starts an entry on loopback and loads what it is made of, so that the build can archive the classes.
+ * Starts two entries on loopback, lets them serve a few requests, and loads what they are made of, so that the build can archive
+ * the classes.
  *
  * <p>A process that is restarted while callers wait spends most of its start reading, checking and linking classes; from an
  * archive it maps them. What is not rehearsed here is loaded as without an archive, so an omission costs time and breaks nothing.
@@ -35,11 +35,15 @@
 
     private static final Duration PAUSE = Duration.ofMillis(100);
     private static final Duration READ_LIMIT = Duration.ofSeconds(1);
-    private static final int QUESTIONS = 20;
+
+    /** Entries that start together take their parts of accounts' rates after this. */
+    private static final Duration UNTIL_SHARES = Duration.ofMillis(2_500);
+
+    private static final int ROUNDS = 10;
+    private static final byte[] QUESTION =
+            "GET / HTTP/1.1\r\nHost: rehearsal\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final String OWN_PREFIX = "geraniumreach";
     private static final String CLASS_SUFFIX = ".class";
-    private static final byte[] UNAVAILABLE =
-            "HTTP/1.1 503 Unavailable\r\nContent-Length: 2\r\n\r\n{}".getBytes(StandardCharsets.US_ASCII);
 
     private final JsonLog log;
 
@@ -49,32 +53,34 @@
 
     void run() throws IOException {
         loadOwnClasses();
-        try (ServerSocket store = new ServerSocket(0, QUESTIONS, InetAddress.getLoopbackAddress())) {
-            Thread answering = new Thread(() -> refuseAll(store), "store");
-            answering.setDaemon(true);
-            answering.start();
-            ProcessSettings settings = settings(store);
+        try (SamplePlatform platform = SamplePlatform.start(this::note)) {
+            ProcessSettings settings = settings("rehearsal-1", platform);
             InetSocketAddress metrics = free();
             new EntryProcess(settings, OptionalInt.of(metrics.getPort()), log).start();
-            for (int question = 0; question < QUESTIONS; question++) {
-                ask(settings.callers());
-                ask(settings.readiness());
+            new EntryProcess(settings("rehearsal-2", platform), OptionalInt.empty(), log).start();
+            ask(settings.callers(), QUESTION);
+            Thread.sleep(UNTIL_SHARES.toMillis());
+            for (int round = 0; round < ROUNDS; round++) {
+                for (byte[] request : SamplePlatform.callersRequests(round)) {
+                    ask(settings.callers(), request);
+                }
+                ask(settings.readiness(), QUESTION);
                 Thread.sleep(PAUSE.toMillis());
             }
-            ask(metrics);
+            ask(metrics, QUESTION);
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static ProcessSettings settings(ServerSocket store) throws IOException {
+    private static ProcessSettings settings(String instance, SamplePlatform platform) throws IOException {
         return new ProcessSettings(
-                "rehearsal",
+                instance,
                 FailureDomain.of("loopback"),
                 free(),
                 free(),
                 free(),
-                (InetSocketAddress) store.getLocalSocketAddress(),
+                platform.address(),
                 new ProcessSettings.RepeatLimits(0, 0, Duration.ofSeconds(1)),
                 new Quotas.Tolerance(0, 0, Duration.ofSeconds(1)),
                 Duration.ofSeconds(1));
@@ -86,33 +92,19 @@
         }
     }
 
-    private void ask(InetSocketAddress address) throws IOException {
+    /** A question that stays unanswered has loaded what it could. */
+    private void ask(InetSocketAddress address, byte[] request) {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.setSoTimeout((int) READ_LIMIT.toMillis());
-            String request =
-                    "POST /rehearsal/ HTTP/1.1\r\nHost: rehearsal\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi";
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            InputStream answer = socket.getInputStream();
-            answer.readNBytes(UNAVAILABLE.length);
+            socket.getOutputStream().write(request);
+            socket.getInputStream().readAllBytes();
+        } catch (IOException unanswered) {
+            note(String.valueOf(unanswered.getMessage()));
         }
     }
 
-    private void refuseAll(ServerSocket store) {
-        try {
-            while (!store.isClosed()) {
-                refuse(store.accept());
-            }
-        } catch (IOException closed) {
-            log.write(EventCode.LIBRARY_MESSAGE, "rehearsal", Field.of("reason", String.valueOf(closed.getMessage())));
-        }
-    }
-
-    private static void refuse(Socket caller) throws IOException {
-        try (caller;
-                OutputStream answer = caller.getOutputStream()) {
-            caller.getInputStream().read();
-            answer.write(UNAVAILABLE);
-        }
+    private void note(String reason) {
+        log.write(EventCode.LIBRARY_MESSAGE, "rehearsal", Field.of("reason", reason));
     }
 
     private void loadOwnClasses() throws IOException {
