Tell a crowd by the objective, stay with the target that loads, and refuse before the caller leaves

A request whose loader became crowded asked another target, and the adapter was fetched twice. A request waited 3 s for its adapter while its caller left after 2 to 2.4 s without a word. Change: crowded is 0.45 of the route's objective, elsewhere 0.95; one entry sends at most 0.35 of what a target reads in a window. A target that was asked for a load and is not slow stays the one. The wait ends after 3.6 objectives, 1.8 s at the least, which is before callers leave.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -193,31 +193,29 @@
                 adapter.map(services.adapters()::namedVersion).orElse(0L),
                 request.affinity(),
                 promptTokens(),
+                route.objective(),
                 elapsed().compareTo(services.settings().longestHold()) < 0,
-                slowLoaders(),
+                loaders(false),
+                loaders(true),
                 avoided);
     }
 
     /** A holder may be unable to order, or find no place that is idle; another target may load meanwhile. */
-    private Set<TargetId> slowLoaders() {
+    private Set<TargetId> loaders(boolean slow) {
         long longest = services.settings().slowLoad().toNanos();
         long now = services.clock().nanos();
-        Set<TargetId> slow = new HashSet<>();
+        Set<TargetId> asked = new HashSet<>();
         askedAt.forEach((target, at) -> {
-            if (now - at >= longest) {
-                slow.add(target);
+            if (now - at >= longest == slow) {
+                asked.add(target);
             }
         });
-        return slow;
+        return asked;
     }
 
     private void awaitAdapter(Target target) {
         AdapterName adapter = adapter().orElseThrow();
-        Duration longest =
-                Duration.ofNanos((long) (limit.toNanos() * services.settings().loadWaitShare()));
-        if (longest.compareTo(services.settings().longestLoadWait()) > 0) {
-            longest = services.settings().longestLoadWait();
-        }
+        Duration longest = services.settings().longestLoadWait(limit, route.objective());
         long now = services.clock().nanos();
         if (adapterWaitSince.isEmpty()) {
             adapterWaitSince = OptionalLong.of(now);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
@@ -8,6 +8,8 @@
  * <p>Immutable and safe for use by several threads.
  *
  * @param loadWaitShare the part of the caller's time for which a request may wait for an adapter
+ * @param loadWaitObjectives the objectives of its route for which a request may wait for an adapter
+ * @param leastLoadWait what it may wait in any case, however short the objective
  * @param longestLoadWait the longest wait for an adapter
  * @param holderWait how long after its arrival a request waits for somebody who can have its adapter loaded
  * @param lookAgain how often a waiting request looks for a target again
@@ -23,6 +25,8 @@
  */
 public record ExchangeSettings(
         double loadWaitShare,
+        double loadWaitObjectives,
+        Duration leastLoadWait,
         Duration longestLoadWait,
         Duration holderWait,
         Duration lookAgain,
@@ -36,6 +40,30 @@
         int mostArrivals,
         Duration leastLeft) {
 
+    /**
+     * Tells how long a request may wait for its adapter.
+     *
+     * @param limit the time that the request may take, not null
+     * @param objective the objective of its route, not null
+     * @return the longest wait, not null
+     */
+    public Duration longestLoadWait(Duration limit, Duration objective) {
+        Duration untilCallerLeaves = longer(leastLoadWait, times(objective, loadWaitObjectives));
+        return shorter(longestLoadWait, shorter(times(limit, loadWaitShare), untilCallerLeaves));
+    }
+
+    private static Duration times(Duration duration, double factor) {
+        return Duration.ofNanos((long) (duration.toNanos() * factor));
+    }
+
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) <= 0 ? one : other;
+    }
+
+    private static Duration longer(Duration one, Duration other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
+
     /**
      * Obtains the defaults.
      *
@@ -44,6 +72,10 @@
     public static ExchangeSettings defaults() {
         return new ExchangeSettings(
                 0.35,
+                // Callers leave a stream that shows nothing for two seconds or four objectives. Who is refused before
+                // may come back.
+                3.6,
+                Duration.ofMillis(1_800),
                 // Above all loads of a cold start: 19 places, four at a time, 250 ms each.
                 Duration.ofSeconds(3),
                 // Entries that have just started take targets up 0.6 s after they know them.
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/Placement.java
@@ -165,6 +165,13 @@
     }
 
     private Placed byLoad(PlacementNeed need, List<Target> order, List<Target> residents) {
+        // Each load that is given up for one elsewhere has the adapter fetched twice.
+        Optional<Target> asked = order.stream()
+                .filter(target -> need.loaders().contains(target.id()) && orderable.test(target))
+                .findFirst();
+        if (asked.isPresent() && !residents.contains(asked.get())) {
+            return new Placed.Load(asked.get());
+        }
         Optional<Target> loadable = order.stream()
                 .filter(target -> !residents.contains(target) && canLoad(target, need) && isFreeAfterLoad(target, need))
                 .min(Comparator.comparing(target -> holdsOlder(target, need)));
@@ -184,8 +191,7 @@
 
     /** A load elsewhere takes a place and a share of the weight store, which those without any target wait for. */
     private boolean isWorthLoadingElsewhere(List<Target> residents, PlacementNeed need) {
-        long least = settings.loadElsewhereWait().toMillis();
-        return residents.stream().allMatch(target -> expectedWaitMillis(target, need) > least);
+        return residents.stream().noneMatch(target -> isFreeAfterLoad(target, need));
     }
 
     /**
@@ -193,7 +199,7 @@
      * the home has the same adapter fetched somewhere else.
      */
     private boolean isFreeAfterLoad(Target target, PlacementNeed need) {
-        return expectedWaitMillis(target, need) <= settings.loadElsewhereWait().toMillis();
+        return expectedWaitMillis(target, need) <= need.objective().toMillis() * settings.loadElsewherePart();
     }
 
     private Duration readingRoom(Target target, PlacementNeed need) {
@@ -320,7 +326,7 @@
     }
 
     private boolean isCrowded(Target target, PlacementNeed need) {
-        return expectedWaitMillis(target, need) > settings.crowdedWait().toMillis();
+        return expectedWaitMillis(target, need) > need.objective().toMillis() * settings.crowdedPart();
     }
 
     private Placed send(Target target, List<Target> order, PlacementNeed need, Optional<Target> alsoLoad) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementNeed.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementNeed.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.gateway.target;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -19,7 +20,9 @@
  * @param newestVersion the version that is to be loaded, 0 for any
  * @param affinity what requests have in common that are better off at the same target, empty for none
  * @param promptTokens the tokens to be read first
+ * @param objective within which the first part is wanted
  * @param mayWait whether it may be held back for a moment, so that prompts do not reach a target in a clump
+ * @param loaders the targets that were asked for a load and may still be in time with it
  * @param slowLoaders the targets at which a load was waited for in vain
  * @param excluded the targets not to be used
  */
@@ -31,7 +34,9 @@
         long newestVersion,
         String affinity,
         long promptTokens,
+        Duration objective,
         boolean mayWait,
+        Set<TargetId> loaders,
         Set<TargetId> slowLoaders,
         Set<TargetId> excluded) {
 
@@ -40,6 +45,8 @@
         Objects.requireNonNull(model, "model");
         Objects.requireNonNull(adapter, "adapter");
         Objects.requireNonNull(affinity, "affinity");
+        Objects.requireNonNull(objective, "objective");
+        loaders = Set.copyOf(loaders);
         slowLoaders = Set.copyOf(slowLoaders);
         excluded = Set.copyOf(excluded);
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/target/PlacementSettings.java
@@ -8,8 +8,9 @@
  *
  * <p>Immutable and safe for use by several threads.
  *
- * @param crowdedWait the expected wait for the first part beyond which another target is preferred
- * @param loadElsewhereWait the expected wait at all targets that hold an adapter beyond which another one loads it
+ * @param crowdedPart the part of its objective for which a request is expected to wait beyond which another target is preferred
+ * @param loadElsewherePart the part of its objective for which it is expected to wait at all targets that hold its adapter
+ *         beyond which another one loads it
  * @param readingShare the part of a target's time in which it may read prompts of one adapter before another target shares them
  * @param readingWindow within which prompts sent to a target are counted
  * @param readingPart the most that one entry may send of what a target reads in such a window
@@ -17,19 +18,19 @@
  * @param reportLifetime for how long a target's own word of its load counts
  */
 public record PlacementSettings(
-        Duration crowdedWait,
-        Duration loadElsewhereWait,
+        double crowdedPart,
+        double loadElsewherePart,
         ReadingShare readingShare,
         Duration readingWindow,
         double readingPart,
         Duration slotTime,
         Duration reportLifetime) {
 
-    /** Within most objectives this leaves room for a load. */
-    private static final Duration CROWDED_WAIT = Duration.ofMillis(350);
+    /** What is left of the objective is enough for a load and a short prompt. */
+    private static final double CROWDED_PART = 0.45;
 
-    /** About what a load and the reading at the target that loads take; below this the wait at a holder is shorter. */
-    private static final Duration LOAD_ELSEWHERE_WAIT = Duration.ofMillis(750);
+    /** Below this the request is in time where its adapter is, or nearly, and a load elsewhere would not make it sooner. */
+    private static final double LOAD_ELSEWHERE_PART = 0.95;
 
     /** Where targets have little to read, a second home costs a place and a load; where they have much, it keeps streams going. */
     private static final ReadingShare READING_SHARE = new ReadingShare(0.25, 0.1, 0.15, 0.4);
@@ -37,8 +38,8 @@
     /** The longest pause in a stream that callers take well. */
     private static final Duration READING_WINDOW = Duration.ofMillis(300);
 
-    /** More than a window's reading makes a target's streams pause for longer than the window; two entries may send at once. */
-    private static final double READING_PART = 0.45;
+    /** More than a window's reading makes a target's streams pause for longer than the window; others send at the same time. */
+    private static final double READING_PART = 0.35;
 
     /** A batch of some fifty that generates for 1.5 s gives up a slot this often. */
     private static final Duration SLOT_TIME = Duration.ofMillis(30);
@@ -70,11 +71,12 @@
     }
 
     public PlacementSettings {
-        Objects.requireNonNull(crowdedWait, "crowdedWait");
-        Objects.requireNonNull(loadElsewhereWait, "loadElsewhereWait");
         Objects.requireNonNull(readingWindow, "readingWindow");
         Objects.requireNonNull(slotTime, "slotTime");
         Objects.requireNonNull(reportLifetime, "reportLifetime");
+        if (!(crowdedPart > 0 && loadElsewherePart >= crowdedPart)) {
+            throw new IllegalArgumentException("not rising parts: " + crowdedPart + ", " + loadElsewherePart);
+        }
         if (!(readingPart > 0 && readingPart <= 1)) {
             throw new IllegalArgumentException("readingPart outside 0 to 1: " + readingPart);
         }
@@ -87,8 +89,8 @@
      */
     public static PlacementSettings defaults() {
         return new PlacementSettings(
-                CROWDED_WAIT,
-                LOAD_ELSEWHERE_WAIT,
+                CROWDED_PART,
+                LOAD_ELSEWHERE_PART,
                 READING_SHARE,
                 READING_WINDOW,
                 READING_PART,
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -343,4 +343,18 @@
         assertThat(answer.status()).isEqualTo(503);
         assertThat(answer.header("Retry-After")).isNotEmpty();
     }
+
+    // Callers that wait for an adapter leave after two seconds, or four objectives, without having been told anything.
+    // Those whose
+    // adapter does not come are told before that when to come back. The objective of this route is 0.8 s.
+    @Test
+    void whoWaitsForAnAdapterInVainIsToldBeforeHeLeaves() {
+        world.route(RepeatRule.ONCE_STREAM, 1).target("a", Map.of("base", Map.of()));
+        RecordedAnswer answer = world.send(Optional.of(generation()));
+        world.time().pass(Duration.ofMillis(2_500));
+        assertThat(answer.isOver()).isFalse();
+        world.time().pass(Duration.ofMillis(600));
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.header("Retry-After")).isNotEmpty();
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/target/PlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/target/PlacementTest.java
@@ -24,6 +24,7 @@
     private static final String MODEL = "base";
     private static final AdapterName ADAPTER = new AdapterName(MODEL, "a1");
     private static final long PROMPT = 1_460;
+    private static final Duration OBJECTIVE = Duration.ofMillis(800);
     private static final int TARGETS = 8;
 
     private static final double READ_IN_A_MILLI = 19.2;
@@ -76,8 +77,23 @@
     }
 
     private static PlacementNeed need(AdapterName adapter, String session) {
+        return need(adapter, session, Set.of());
+    }
+
+    private static PlacementNeed need(AdapterName adapter, String session, Set<TargetId> loaders) {
         return new PlacementNeed(
-                "service", Optional.of(MODEL), Optional.of(adapter), 0, 0, session, PROMPT, false, Set.of(), Set.of());
+                "service",
+                Optional.of(MODEL),
+                Optional.of(adapter),
+                0,
+                0,
+                session,
+                PROMPT,
+                OBJECTIVE,
+                false,
+                loaders,
+                Set.of(),
+                Set.of());
     }
 
     private Target homeOf(AdapterName adapter) {
@@ -143,6 +159,17 @@
         assertThat(one.place(need(ADAPTER, "s"))).isInstanceOf(Placed.Send.class);
     }
 
+    // An adapter was fetched at two targets for one request: while the first one loaded it, other prompts crowded that
+    // target,
+    // and the next look asked another one.
+    @Test
+    void aRequestStaysWithTheTargetThatLoadsItsAdapter() {
+        Target home = homeOf(ADAPTER);
+        home.sent(4 * LONG_READING, time.nanos());
+        assertThat(homeOf(ADAPTER)).isNotEqualTo(home);
+        assertThat(one.place(need(ADAPTER, "s", Set.of(home.id())))).isEqualTo(new Placed.Load(home));
+    }
+
     // Two entries had one adapter fetched at two targets: one of them saw the home crowded by prompts that are read by
     // the time the load is done.
     @Test
