--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/CompanionBenchmark.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/CompanionBenchmark.java
@@ -57,7 +57,7 @@
     @Setup
     public void setUp() {
         queue = RequestQueue.create(
-                QueuePolicy.FAIR, QueueWeights.sabarmati(), ConcurrencyLimit.fixed(4), MonotonicClock.system());
+                QueuePolicy.FAIR, QueueWeights.fullBatches(), ConcurrencyLimit.fixed(4), MonotonicClock.system());
         residency = residency();
         residency.synchronise(1, Set.of(adapters), 0);
         coldResidency = residency();
--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/FleetSize.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/FleetSize.java
@@ -2,7 +2,7 @@
 
 /** The sizes at which decisions are measured. */
 public enum FleetSize {
-    /** Sabarmati's workers and adapters, rounded up. */
+    /** A small site's workers and adapters, rounded up. */
     TODAY(16, 3_000),
     /** Half of the size designed for, for the slope. */
     HALF(380, 11_000),
--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/MemoryMain.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/MemoryMain.java
@@ -51,7 +51,7 @@
                         fleet,
                         TargetFilter.all(),
                         PrefixDirectory.none(),
-                        RouterSettings.of(RoutingWeights.sabarmati()),
+                        RouterSettings.of(RoutingWeights.fewestStalls()),
                         new Random(1));
                 for (AdapterReference adapter : adapters) {
                     router.route(RouteRequest.ofAdapter(Fleets.MODEL, adapter));
--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/RoutingBenchmark.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/jmh/RoutingBenchmark.java
@@ -65,7 +65,7 @@
                 fleet,
                 TargetFilter.all(),
                 PrefixDirectory.none(),
-                RouterSettings.of(RoutingWeights.sabarmati()),
+                RouterSettings.of(RoutingWeights.fewestStalls()),
                 new Random(1));
     }
 
--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/Policies.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/Policies.java
@@ -30,7 +30,8 @@
         ResidencySettings residency = ResidencySettings.standard(1)
                 .withEviction(EvictionPolicy.LEAST_RECENTLY_USED)
                 .withLoading(LoadPolicy.FIRST_COME);
-        return new Policies(name, routing, weights, QueuePolicy.FIRST_COME, QueueWeights.siam(), residency);
+        return new Policies(
+                name, routing, weights, QueuePolicy.FIRST_COME, QueueWeights.worstAccountFirst(), residency);
     }
 
     static Policies full(String name, RoutingWeights weights, QueueWeights queueWeights) {
--- a/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/TrialMain.java
+++ b/benchmarks/src/main/java/org/geraniumreach/benchmarks/trial/TrialMain.java
@@ -29,14 +29,14 @@
         TrialReport report = new TrialReport(Integer.parseInt(arguments[1]));
         Workload sabarmati = Workload.sabarmati();
         Workload siam = Workload.siam();
-        RoutingWeights sabarmatiWeights = RoutingWeights.sabarmati();
-        RoutingWeights siamWeights = RoutingWeights.siam();
-        report.run(sabarmati, variants(sabarmatiWeights, QueueWeights.sabarmati()));
-        report.run(siam, variants(siamWeights, QueueWeights.siam()));
-        report.run(sabarmati.withFlood(FLOOD), ends(sabarmatiWeights, QueueWeights.sabarmati()));
-        report.run(siam.withFlood(FLOOD), ends(siamWeights, QueueWeights.siam()));
-        report.run(sabarmati.withTokensShort().withFlood(FLOOD), ends(sabarmatiWeights, QueueWeights.sabarmati()));
-        report.run(siam.withTokensShort().withFlood(FLOOD), ends(siamWeights, QueueWeights.siam()));
+        RoutingWeights sabarmatiWeights = RoutingWeights.fewestStalls();
+        RoutingWeights siamWeights = RoutingWeights.worstAccountFirst();
+        report.run(sabarmati, variants(sabarmatiWeights, QueueWeights.fullBatches()));
+        report.run(siam, variants(siamWeights, QueueWeights.worstAccountFirst()));
+        report.run(sabarmati.withFlood(FLOOD), ends(sabarmatiWeights, QueueWeights.fullBatches()));
+        report.run(siam.withFlood(FLOOD), ends(siamWeights, QueueWeights.worstAccountFirst()));
+        report.run(sabarmati.withTokensShort().withFlood(FLOOD), ends(sabarmatiWeights, QueueWeights.fullBatches()));
+        report.run(siam.withTokensShort().withFlood(FLOOD), ends(siamWeights, QueueWeights.worstAccountFirst()));
         report.writeJson(Path.of(arguments[0]));
         System.out.print(report.markdown());
     }
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/QueueSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/QueueSettings.java
@@ -50,7 +50,7 @@
      * @return the settings, not null
      */
     public static QueueSettings defaults() {
-        QueueWeights weights = QueueWeights.sabarmati();
+        QueueWeights weights = QueueWeights.fullBatches();
         return new QueueSettings(
                 QueuePolicy.FAIR,
                 weights.passedOverAtMost(),
--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/RoutingSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/RoutingSettings.java
@@ -13,7 +13,7 @@
  * <p>Immutable and safe for use by several threads.
  *
  * @param policy how a target is chosen
- * @param preset whose weights are used
+ * @param preset what the weights are for
  * @param rememberedAdapters the adapters whose order of targets is kept
  * @param tries the most tries of one request
  * @param retryRatio the retries allowed for each success
@@ -25,7 +25,7 @@
  */
 public record RoutingSettings(
         @Setting(value = "affinity", about = "How a target is chosen.") RoutingPolicy policy,
-        @Setting(value = "sabarmati", about = "Whose weights are used.") Preset preset,
+        @Setting(value = "fewest-stalls", about = "What the weights are for.") Preset preset,
         @Setting(value = "32768", least = "1", greatest = "1000000", about = "The adapters whose order is kept.")
                 int rememberedAdapters,
         @Setting(value = "3", least = "1", greatest = "10", about = "The most tries of one request.") int tries,
@@ -57,16 +57,16 @@
     /** The retries that may be saved up. */
     static final double RETRY_BUDGET_SIZE = 10;
 
-    /** The users whose weights are known. */
+    /** What counts most. */
     public enum Preset {
         /** Stalls on loads and full batches count most. */
-        SABARMATI,
+        FEWEST_STALLS,
         /** The worst-served client account and wrongful refusals count most. */
-        SIAM
+        WORST_ACCOUNT_FIRST
     }
 
     RoutingWeights weights() {
-        return preset == Preset.SABARMATI ? RoutingWeights.sabarmati() : RoutingWeights.siam();
+        return preset == Preset.FEWEST_STALLS ? RoutingWeights.fewestStalls() : RoutingWeights.worstAccountFirst();
     }
 
     EjectionRules ejection() {
--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -56,7 +56,7 @@
     /** Entries tell five times a second for which adapters requests are under way, so one not heard of for this long runs nowhere. */
     private static final Duration IDLE_BEFORE_EVICTION = Duration.ofMillis(450);
 
-    /** Adapters that a target is taken to keep at hand after they were evicted; the users' engines keep 114. */
+    /** Adapters that a target is taken to keep at hand after they were evicted; taken for more, a fetch would not be counted as one. */
     private static final int AT_HAND = 100;
 
     private static final Duration REFUSED_PAUSE = Duration.ofMillis(500);
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/TargetNews.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetNews.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.gateway.target;
+package org.geraniumreach.gateway.placement;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/gateway/src/main/java/org/geraniumreach/gateway/target/package-info.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/package-info.java
@@ -1,2 +1,2 @@
 /** The targets as one entry sees them, and the choice of one for a request. */
-package org.geraniumreach.gateway.target;
+package org.geraniumreach.gateway.placement;
--- a/gateway/src/main/java/org/geraniumreach/gateway/port/StorePort.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/StorePort.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import org.geraniumreach.gateway.target.TargetDescription;
+import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
 import org.geraniumreach.model.TargetId;
--- a/gateway/src/main/java/org/geraniumreach/gateway/port/TargetPort.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetPort.java
@@ -8,8 +8,8 @@
 import org.geraniumreach.gateway.adapter.Order;
 import org.geraniumreach.gateway.adapter.OrderResult;
 import org.geraniumreach.gateway.adapter.TargetReport;
+import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.request.GatewayRequest;
-import org.geraniumreach.gateway.target.Target;
 
 /**
  * The calls of targets.
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterDesk.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterDesk.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
-import org.geraniumreach.gateway.target.Target;
 import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -3,12 +3,12 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerHead;
 import org.geraniumreach.gateway.port.TargetAnswerListener;
 import org.geraniumreach.gateway.port.TargetLoad;
 import org.geraniumreach.gateway.port.TargetPort;
-import org.geraniumreach.gateway.target.Target;
 import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -1,24 +1,22 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.geraniumreach.gateway.placement.Placed;
+import org.geraniumreach.gateway.placement.PlacementNeed;
+import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.CallerAnswer;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerHead;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.quota.Quotas;
-import org.geraniumreach.gateway.target.Placed;
-import org.geraniumreach.gateway.target.PlacementNeed;
-import org.geraniumreach.gateway.target.Target;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.Route;
@@ -52,7 +50,7 @@
     private final Duration limit;
     private final Set<TargetId> avoided = new HashSet<>();
     private final Set<TargetId> mayHaveRun = new HashSet<>();
-    private final Map<TargetId, Long> askedAt = new HashMap<>();
+    private final LoadWait loadWait;
     private final AnswerRelay relay;
     private final ExchangeLog log;
     private final WaitClock waits = new WaitClock();
@@ -61,9 +59,6 @@
     private Cancellable adapterWait = Cancellable.NOTHING;
     private Optional<Attempt> attempt = Optional.empty();
 
-    /** Since the last sending: a stream that has lost its target after seconds may wait for its adapter as long as a new one. */
-    private OptionalLong adapterWaitSince = OptionalLong.empty();
-
     private OptionalLong sentAt = OptionalLong.empty();
     private int arrivals;
     private boolean admitted;
@@ -85,6 +80,8 @@
         this.onEnd = onEnd;
         this.startedAt = arrival.at();
         this.limit = route.longest(request.patience());
+        ExchangeSettings settings = services.settings();
+        this.loadWait = new LoadWait(settings.longestLoadWait(limit, route.objective()), settings.slowLoad());
         this.relay = new AnswerRelay(answer, request.lastEvent(), services.clock());
         this.log = new ExchangeLog(services.log(), services.clock(), request, service, account.map(Account::id));
     }
@@ -184,6 +181,7 @@
     }
 
     private PlacementNeed need() {
+        long now = services.clock().nanos();
         Optional<AdapterName> adapter = adapter();
         return new PlacementNeed(
                 service,
@@ -195,36 +193,19 @@
                 promptTokens(),
                 route.objective(),
                 elapsed().compareTo(services.settings().longestHold()) < 0,
-                loaders(false),
-                loaders(true),
+                loadWait.loaders(now),
+                loadWait.slowLoaders(now),
                 avoided);
     }
 
-    /** A holder may be unable to order, or find no place that is idle; another target may load meanwhile. */
-    private Set<TargetId> loaders(boolean slow) {
-        long longest = services.settings().slowLoad().toNanos();
-        long now = services.clock().nanos();
-        Set<TargetId> asked = new HashSet<>();
-        askedAt.forEach((target, at) -> {
-            if (now - at >= longest == slow) {
-                asked.add(target);
-            }
-        });
-        return asked;
-    }
-
     private void awaitAdapter(Target target) {
         AdapterName adapter = adapter().orElseThrow();
-        Duration longest = services.settings().longestLoadWait(limit, route.objective());
         long now = services.clock().nanos();
-        if (adapterWaitSince.isEmpty()) {
-            adapterWaitSince = OptionalLong.of(now);
-        }
-        if (now - adapterWaitSince.getAsLong() >= longest.toNanos()) {
+        if (!loadWait.goesOn(now)) {
             giveUp(ResultCode.LOAD_FAILED, "the adapter is not loaded in time");
             return;
         }
-        askedAt.putIfAbsent(target.id(), now);
+        loadWait.asked(target.id(), now);
         waits.waitsFor(WaitCause.ADAPTER, now);
         adapterWait.cancel();
         adapterWait = services.adapters().await(adapter, this::place);
@@ -233,7 +214,7 @@
     }
 
     private void send(Placed.Send send) {
-        adapterWaitSince = OptionalLong.empty();
+        loadWait.sent();
         Target target = send.target();
         if (arrivals > 0 && !services.repeats().take(service)) {
             giveUp(ResultCode.OVERLOADED, "no second arrival is allowed now");
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.placement.Placed;
+import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
-import org.geraniumreach.gateway.target.Placed;
-import org.geraniumreach.gateway.target.Target;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.EventCode;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -2,12 +2,12 @@
 
 import java.util.Objects;
 
+import org.geraniumreach.gateway.placement.Placement;
+import org.geraniumreach.gateway.placement.TargetBook;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.port.Timers;
 import org.geraniumreach.gateway.quota.Quotas;
-import org.geraniumreach.gateway.target.Placement;
-import org.geraniumreach.gateway.target.TargetBook;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.serving.retry.TargetHealth;
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/target/TargetNewsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetNewsTest.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.gateway.target;
+package org.geraniumreach.gateway.placement;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
@@ -10,13 +10,13 @@
 import org.geraniumreach.gateway.adapter.Order;
 import org.geraniumreach.gateway.adapter.OrderResult;
 import org.geraniumreach.gateway.adapter.TargetReport;
+import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerHead;
 import org.geraniumreach.gateway.port.TargetAnswerListener;
 import org.geraniumreach.gateway.port.TargetLoad;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.request.GatewayRequest;
-import org.geraniumreach.gateway.target.Target;
 import org.geraniumreach.model.Header;
 
 /** Targets that answer when a test says so. */
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -18,6 +18,11 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.geraniumreach.gateway.adapter.Holdings;
 import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.placement.Placement;
+import org.geraniumreach.gateway.placement.PlacementSettings;
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetBook;
+import org.geraniumreach.gateway.placement.TargetNews;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
@@ -34,11 +39,6 @@
 import org.geraniumreach.gateway.store.FeedReader;
 import org.geraniumreach.gateway.store.LeaseKeeper;
 import org.geraniumreach.gateway.store.StoreWatch;
-import org.geraniumreach.gateway.target.Placement;
-import org.geraniumreach.gateway.target.PlacementSettings;
-import org.geraniumreach.gateway.target.Target;
-import org.geraniumreach.gateway.target.TargetBook;
-import org.geraniumreach.gateway.target.TargetNews;
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
 import org.geraniumreach.httpclient.HttpConnections;
 import org.geraniumreach.model.EventCode;
@@ -316,7 +316,7 @@
             if (item instanceof StorePort.OperatorItem.Configuration newer) {
                 configure(newer.configuration());
             } else if (item instanceof StorePort.OperatorItem.AdapterVersion named) {
-                desk.named(named.adapter(), named.version(), operatorReadAt);
+                desk.versions().named(named.adapter(), named.version(), operatorReadAt);
             } else if (item instanceof StorePort.OperatorItem.Unreadable bad) {
                 log.write(EventCode.ROW_UNREADABLE, bad.key(), Field.of("reason", bad.reason()));
             }
--- a/node/src/main/java/org/geraniumreach/node/HolderDesk.java
+++ b/node/src/main/java/org/geraniumreach/node/HolderDesk.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -20,14 +19,14 @@
 import org.geraniumreach.gateway.adapter.Order;
 import org.geraniumreach.gateway.adapter.OrderResult;
 import org.geraniumreach.gateway.adapter.TargetReport;
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetBook;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.port.Timers;
 import org.geraniumreach.gateway.request.AdapterDesk;
-import org.geraniumreach.gateway.target.Target;
-import org.geraniumreach.gateway.target.TargetBook;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.ServiceDefinition;
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
@@ -59,9 +58,6 @@
     /** Adapters with requests under way are told to holders; evictions look at the last 450 ms. */
     private static final Duration TELL_USES = Duration.ofMillis(200);
 
-    /** A version must be in force within 5 s; a request that is sent later than this might begin after them. */
-    private static final Duration VERSION_GRACE = Duration.ofMillis(2_500);
-
     private static final Duration ASK_AGAIN = Duration.ofMillis(300);
 
     private final TargetBook book;
@@ -74,15 +70,12 @@
     private final Supplier<Optional<TrafficConfiguration>> configuration;
     private final FetchWindow fetches = new FetchWindow();
     private final Map<Target, Held> held = new HashMap<>();
-    private final Map<AdapterName, Named> versions = new HashMap<>();
-    private final Map<AdapterName, Set<Runnable>> waiting = new HashMap<>();
+    private final NamedVersions versions;
+    private final AdapterWaiters waiting = new AdapterWaiters();
     private final Map<Target, Map<AdapterName, Integer>> underWay = new HashMap<>();
     private final Map<Target, Map<AdapterName, Long>> asked = new HashMap<>();
     private Optional<EntryLinks> links = Optional.empty();
 
-    /** A version that was named, and the one before it. */
-    private record Named(long version, long before, OptionalLong notNamedAt) {}
-
     /** A target that this entry holds. */
     private static final class Held {
         private final AdapterPlaces places;
@@ -109,6 +102,7 @@
         this.log = Objects.requireNonNull(log, "log");
         this.self = holdings.self();
         this.configuration = Objects.requireNonNull(configuration, "configuration");
+        this.versions = new NamedVersions(clock, log);
     }
 
     void start(EntryLinks entryLinks) {
@@ -198,7 +192,7 @@
         public void arrived(AdapterName adapter, long version) {
             target.learnResident(adapter, version, clock.nanos());
             tell(news().addThere(there(adapter.adapter(), version)));
-            wake(adapter);
+            waiting.wake(adapter);
         }
 
         @Override
@@ -231,13 +225,6 @@
         return AdapterThere.newBuilder().setAdapter(adapter).setVersion(version).build();
     }
 
-    private void wake(AdapterName adapter) {
-        Set<Runnable> woken = waiting.remove(adapter);
-        if (woken != null) {
-            woken.forEach(Runnable::run);
-        }
-    }
-
     /** Makes the next call that is due at a held target, and comes back while anything is. */
     private void look(Target target) {
         Held now = held.get(target);
@@ -378,46 +365,22 @@
 
     @Override
     public Cancellable await(AdapterName adapter, Runnable changed) {
-        waiting.computeIfAbsent(adapter, missing -> new LinkedHashSet<>()).add(changed);
-        return () -> {
-            Set<Runnable> others = waiting.get(adapter);
-            if (others != null && others.remove(changed) && others.isEmpty()) {
-                waiting.remove(adapter);
-            }
-        };
+        return waiting.add(adapter, changed);
     }
 
     @Override
     public long namedVersion(AdapterName adapter) {
-        Named named = versions.get(adapter);
-        return named == null ? 0 : named.version();
+        return versions.newest(adapter);
     }
 
     @Override
     public long requiredVersion(AdapterName adapter) {
-        Named named = versions.get(adapter);
-        if (named == null) {
-            return 0;
-        }
-        // A process that has just started, or whose store was away, cannot tell how long ago the version was named.
-        boolean grace = named.notNamedAt().isPresent()
-                && clock.nanos() - named.notNamedAt().getAsLong() < VERSION_GRACE.toNanos();
-        return grace ? named.before() : named.version();
-    }
-
-    /**
-     * Takes a version that is to be served from now on.
-     *
-     * @param adapter the adapter
-     * @param version the version
-     * @param knownBefore when the operator's rows were last read without it, empty if they never were
-     */
-    void named(AdapterName adapter, long version, OptionalLong knownBefore) {
-        if (namedVersion(adapter) >= version) {
-            return;
-        }
-        versions.put(adapter, new Named(version, namedVersion(adapter), knownBefore));
-        log.write(EventCode.ADAPTER_VERSION_NAMED, adapter.toString(), Field.of("version", version));
+        return versions.required(adapter);
+    }
+
+    /** Gets the versions that the operator has named, to be kept up to date. */
+    NamedVersions versions() {
+        return versions;
     }
 
     @Override
@@ -495,7 +458,7 @@
         for (AdapterThere there : news.getThereList()) {
             AdapterName adapter = new AdapterName(news.getModel(), there.getAdapter());
             target.get().learnResident(adapter, there.getVersion(), now);
-            wake(adapter);
+            waiting.wake(adapter);
         }
     }
 }
--- a/node/src/test/java/org/geraniumreach/node/HolderDeskTest.java
+++ b/node/src/test/java/org/geraniumreach/node/HolderDeskTest.java
@@ -11,12 +11,12 @@
 import org.geraniumreach.gateway.adapter.Order;
 import org.geraniumreach.gateway.adapter.OrderResult;
 import org.geraniumreach.gateway.adapter.TargetReport;
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetBook;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerListener;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.request.GatewayRequest;
-import org.geraniumreach.gateway.target.Target;
-import org.geraniumreach.gateway.target.TargetBook;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.MonotonicClock;
 import org.junit.jupiter.api.Test;
@@ -45,7 +45,7 @@
     // version for the first time and cannot tell when it was named, so the version before may not run any more.
     @Test
     void aVersionThatAFirstReadingFindsIsRequiredAtOnce() {
-        desk.named(ADAPTER, 2, OptionalLong.empty());
+        desk.versions().named(ADAPTER, 2, OptionalLong.empty());
         assertThat(desk.requiredVersion(ADAPTER)).isEqualTo(2);
     }
 
@@ -54,15 +54,15 @@
     @ParameterizedTest
     @CsvSource({"0, 0", "2400, 0", "2600, 2"})
     void theVersionBeforeMayRunForAMomentAfterTheLastReadingWithoutTheNewOne(long millis, long required) {
-        desk.named(ADAPTER, 2, OptionalLong.of(BEGIN));
+        desk.versions().named(ADAPTER, 2, OptionalLong.of(BEGIN));
         now.addAndGet(Duration.ofMillis(millis).toNanos());
         assertThat(desk.requiredVersion(ADAPTER)).isEqualTo(required);
     }
 
     @Test
     void anOlderVersionThatIsReadLateChangesNothing() {
-        desk.named(ADAPTER, 3, OptionalLong.empty());
-        desk.named(ADAPTER, 2, OptionalLong.empty());
+        desk.versions().named(ADAPTER, 3, OptionalLong.empty());
+        desk.versions().named(ADAPTER, 2, OptionalLong.empty());
         assertThat(desk.namedVersion(ADAPTER)).isEqualTo(3);
     }
 
--- a/serving/src/main/java/org/geraniumreach/serving/queue/QueueWeights.java
+++ b/serving/src/main/java/org/geraniumreach/serving/queue/QueueWeights.java
@@ -25,20 +25,20 @@
     }
 
     /**
-     * Obtains the weights for Sabarmati, for whom batches on few adapters count most.
+     * Obtains the weights where batches on few adapters count most.
      *
      * @return the weights, not null
      */
-    public static QueueWeights sabarmati() {
+    public static QueueWeights fullBatches() {
         return new QueueWeights(16, 2048, DEFAULT_STEP);
     }
 
     /**
-     * Obtains the weights for Siam, for whom the worst-served client account counts most.
+     * Obtains the weights where the worst-served client account counts most.
      *
      * @return the weights, not null
      */
-    public static QueueWeights siam() {
+    public static QueueWeights worstAccountFirst() {
         return new QueueWeights(16, 512, DEFAULT_STEP);
     }
 
--- a/serving/src/main/java/org/geraniumreach/serving/routing/RoutingWeights.java
+++ b/serving/src/main/java/org/geraniumreach/serving/routing/RoutingWeights.java
@@ -63,11 +63,11 @@
     }
 
     /**
-     * Obtains the weights for Sabarmati, for whom stalls on loads and full batches count most.
+     * Obtains the weights where stalls on loads and full batches count most.
      *
      * @return the weights, not null
      */
-    public static RoutingWeights sabarmati() {
+    public static RoutingWeights fewestStalls() {
         return new RoutingWeights(
                 1.5,
                 1,
@@ -84,11 +84,11 @@
     }
 
     /**
-     * Obtains the weights for Siam, for whom the worst-served client account counts most.
+     * Obtains the weights where the worst-served client account counts most.
      *
      * @return the weights, not null
      */
-    public static RoutingWeights siam() {
+    public static RoutingWeights worstAccountFirst() {
         return new RoutingWeights(
                 1.25,
                 1,
--- a/serving/src/test/java/org/geraniumreach/serving/queue/FairOrderTest.java
+++ b/serving/src/test/java/org/geraniumreach/serving/queue/FairOrderTest.java
@@ -67,7 +67,7 @@
      */
     @Test
     void idleAccountSavesNothingUp() {
-        FairOrder<String> order = new FairOrder<>(QueueWeights.siam());
+        FairOrder<String> order = new FairOrder<>(QueueWeights.worstAccountFirst());
         order.add(request("late", "adapter", 1, 5));
         next(order);
         for (int index = 0; index < 100; index++) {
@@ -88,7 +88,7 @@
 
     @Test
     void tokensChargedButNotUsedAreGivenBack() {
-        FairOrder<String> order = new FairOrder<>(QueueWeights.siam());
+        FairOrder<String> order = new FairOrder<>(QueueWeights.worstAccountFirst());
         for (int index = 0; index < 200; index++) {
             order.add(request("brief", "adapter", 100, 5));
             order.add(request("whole", "adapter", 100, 5));
@@ -118,7 +118,7 @@
 
     @Test
     void withinAnAccountTheAdapterInTheBatchGoesFirst() {
-        FairOrder<String> order = new FairOrder<>(QueueWeights.sabarmati());
+        FairOrder<String> order = new FairOrder<>(QueueWeights.fullBatches());
         order.add(request("account", "other", 10, 5));
         order.add(request("account", "running", 10, 5));
         batch.add(AdapterReference.of("running", "1"));
@@ -127,7 +127,7 @@
 
     @Test
     void tokensAheadOfAQuietAccountDisregardAnotherAccountsFlood() {
-        FairOrder<String> order = new FairOrder<>(QueueWeights.siam());
+        FairOrder<String> order = new FairOrder<>(QueueWeights.worstAccountFirst());
         for (int index = 0; index < 100; index++) {
             order.add(request("flood", "adapter", 100, 5));
         }
--- a/serving/src/test/java/org/geraniumreach/serving/routing/AffinityRouterTest.java
+++ b/serving/src/test/java/org/geraniumreach/serving/routing/AffinityRouterTest.java
@@ -176,7 +176,7 @@
         report(0, nearLoad, ADAPTER);
         report(1, farLoad, ADAPTER);
         RouterSettings settings =
-                RouterSettings.of(RoutingWeights.sabarmati()).withFailureDomain(FailureDomain.of("domain-0"));
+                RouterSettings.of(RoutingWeights.fewestStalls()).withFailureDomain(FailureDomain.of("domain-0"));
         Router router = RoutingPolicy.AFFINITY.router(
                 fleet, TargetFilter.all(), PrefixDirectory.none(), settings, new Random(7));
         assertThat(router.route(request(ADAPTER))).map(Route::target).contains(near ? id(0) : id(1));
--- a/serving/src/test/java/org/geraniumreach/serving/routing/Routers.java
+++ b/serving/src/test/java/org/geraniumreach/serving/routing/Routers.java
@@ -12,6 +12,7 @@
     private Routers() {}
 
     static Router of(RoutingPolicy policy, FleetView fleet, TargetFilter filter, PrefixDirectory prefixes) {
-        return policy.router(fleet, filter, prefixes, RouterSettings.of(RoutingWeights.sabarmati()), new Random(SEED));
+        return policy.router(
+                fleet, filter, prefixes, RouterSettings.of(RoutingWeights.fewestStalls()), new Random(SEED));
     }
 }
