--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
@@ -40,6 +40,46 @@
         int mostArrivals,
         Duration leastLeft) {
 
+    private static final double LOAD_WAIT_SHARE = 0.35;
+
+    /** Callers leave a stream that shows nothing for two seconds or four objectives; who is refused before may come back. */
+    private static final double LOAD_WAIT_OBJECTIVES = 3.6;
+
+    private static final Duration LEAST_LOAD_WAIT = Duration.ofMillis(1_800);
+
+    /** A cold start, in which a target fills all its places, takes less. */
+    private static final Duration LONGEST_LOAD_WAIT = Duration.ofSeconds(3);
+
+    /** Entries that have just started take targets up 0.6 s after they know them. */
+    private static final Duration HOLDER_WAIT = Duration.ofSeconds(1);
+
+    private static final Duration LOOK_AGAIN = Duration.ofMillis(150);
+
+    /**
+     * Several times a fetch, since some are ahead of it on a heavy day. Asking the next target sooner puts the request at the end of
+     * another queue and has the adapter fetched twice.
+     */
+    private static final Duration SLOW_LOAD = Duration.ofMillis(1_500);
+
+    /** Leaves enough of most objectives for the prompt itself and some others ahead of it. */
+    private static final Duration LONGEST_HOLD = Duration.ofMillis(350);
+
+    /** Before callers leave a stream that has not begun, with time for a second start. */
+    private static final Duration SILENT_START = Duration.ofMillis(1_500);
+
+    private static final Duration SILENT_PAUSE = Duration.ofMillis(1_200);
+    private static final double SILENT_SHARE = 0.4;
+
+    /**
+     * A connection that broke while it was idle fails the request, which then cannot be sent again; targets tell how long they keep
+     * one, and a close that was seen is heeded.
+     */
+    private static final Duration YOUNG_CONNECTION = Duration.ofSeconds(4);
+
+    private static final Duration KEPT_CONNECTION = Duration.ofSeconds(10);
+    private static final int MOST_ARRIVALS = 4;
+    private static final Duration LEAST_LEFT = Duration.ofMillis(20);
+
     /**
      * Tells how long a request may wait for its adapter.
      *
@@ -71,31 +111,20 @@
      */
     public static ExchangeSettings defaults() {
         return new ExchangeSettings(
-                0.35,
-                // Callers leave a stream that shows nothing for two seconds or four objectives. Who is refused before
-                // may come back.
-                3.6,
-                Duration.ofMillis(1_800),
-                // Above all loads of a cold start: 19 places, four at a time, 250 ms each.
-                Duration.ofSeconds(3),
-                // Entries that have just started take targets up 0.6 s after they know them.
-                Duration.ofSeconds(1),
-                Duration.ofMillis(150),
-                // A fetch takes 250 to 500 ms and some are ahead of it on a heavy day. Asking the next target sooner
-                // puts the
-                // request at the end of another queue and has the adapter fetched twice.
-                Duration.ofMillis(1_500),
-                // With 76 ms to read a prompt and 250 ms for others ahead, the objective of 800 ms still holds.
-                Duration.ofMillis(350),
-                // Callers leave a stream after 3.2 s without an event; this leaves time for a second start.
-                Duration.ofMillis(1_500),
-                Duration.ofMillis(1_200),
-                0.4,
-                // A connection that broke while it was idle fails the request, which then cannot be sent again; targets
-                // tell how long they keep one, and a close that was seen is heeded.
-                Duration.ofSeconds(4),
-                Duration.ofSeconds(10),
-                4,
-                Duration.ofMillis(20));
+                LOAD_WAIT_SHARE,
+                LOAD_WAIT_OBJECTIVES,
+                LEAST_LOAD_WAIT,
+                LONGEST_LOAD_WAIT,
+                HOLDER_WAIT,
+                LOOK_AGAIN,
+                SLOW_LOAD,
+                LONGEST_HOLD,
+                SILENT_START,
+                SILENT_PAUSE,
+                SILENT_SHARE,
+                YOUNG_CONNECTION,
+                KEPT_CONNECTION,
+                MOST_ARRIVALS,
+                LEAST_LEFT);
     }
 }
