Keep one copy of the waits' log fields, and work a fetch's undisturbed time out once a fetch

The three fields stood in three log lines; a wait that still lasts is told from the clock, so that an end need not close it first; the undisturbed time was sorted anew for each look at each target; a service's reading speed had two ways to be found.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchTimes.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchTimes.java
@@ -25,17 +25,20 @@
 
     private final long[] nanos = new long[REMEMBERED];
     private int count;
+    private Optional<Duration> undisturbed = Optional.empty();
 
     void add(Duration took) {
         nanos[count % REMEMBERED] = took.toNanos();
         count++;
+        undisturbed = shortest();
     }
 
     /** Gets the shortest time that a fetch took, empty if none is known. */
     Optional<Duration> undisturbed() {
-        if (count == 0) {
-            return Optional.empty();
-        }
+        return undisturbed;
+    }
+
+    private Optional<Duration> shortest() {
         long[] sorted = sorted(Math.min(count, REMEMBERED));
         long longest = sorted[(int) ((sorted.length - 1) * MOST_TAKE_AT_THE_MOST)];
         long least = (long) (longest * FROM_MEMORY);
@@ -47,11 +50,10 @@
 
     /** Tells how many times the undisturbed time the last fetches took, 1 if nothing is known. */
     double slowness() {
-        long[] recent = sorted(Math.min(count, RECENT));
-        Optional<Duration> undisturbed = undisturbed();
         if (undisturbed.isEmpty()) {
             return 1;
         }
+        long[] recent = sorted(Math.min(count, RECENT));
         return (double) recent[recent.length / 2] / undisturbed.get().toNanos();
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -33,9 +33,6 @@
     /** Waits closer than this are alike, and the session decides, whose prompt one of the targets may still have. */
     private static final long SAME_WAIT = 40;
 
-    /** Of services nothing of whose targets was learnt yet. */
-    private static final ReadingSpeed UNKNOWN = new ReadingSpeed();
-
     private final AdapterDemand demand;
     private final Map<String, ReadingSpeed> speeds = new HashMap<>();
     private final TargetBook book;
@@ -213,8 +210,11 @@
     }
 
     private double speed(String service) {
-        ReadingSpeed learnt = speeds.get(service);
-        return (learnt == null ? UNKNOWN : learnt).tokensPerMilli();
+        return learnt(service).tokensPerMilli();
+    }
+
+    private ReadingSpeed learnt(String service) {
+        return speeds.computeIfAbsent(service, missing -> new ReadingSpeed());
     }
 
     /**
@@ -225,8 +225,7 @@
      * @param took the time from its sending to the first part of its answer, not null
      */
     public void promptRead(Target target, long promptTokens, Duration took) {
-        speeds.computeIfAbsent(target.description().service(), missing -> new ReadingSpeed())
-                .read(promptTokens, took);
+        learnt(target.description().service()).read(promptTokens, took);
     }
 
     private List<Target> withRoom(List<Target> targets, PlacementNeed need) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -221,10 +221,7 @@
             return;
         }
         arrivals++;
-        log.placed(
-                send,
-                new ExchangeLog.Progress(admitted, arrivals, elapsed(), waits.waits()),
-                account.map(this::units).orElse(0.0));
+        log.placed(send, progress(), account.map(this::units).orElse(0.0));
         sentAt = OptionalLong.of(services.clock().nanos());
         adapter().ifPresent(adapter -> send.alsoLoad()
                 .ifPresent(other -> services.adapters().want(other, adapter, Optional.empty())));
@@ -388,9 +385,13 @@
         finish(OutcomeListener.Kind.REFUSED, refusal.code().httpStatus());
     }
 
+    private ExchangeLog.Progress progress() {
+        return new ExchangeLog.Progress(
+                admitted, arrivals, elapsed(), waits.waits(services.clock().nanos()));
+    }
+
     private void note(EventCode event, ResultCode code, String reason) {
-        waits.goesOn(services.clock().nanos());
-        log.ended(event, code, reason, new ExchangeLog.Progress(admitted, arrivals, elapsed(), waits.waits()));
+        log.ended(event, code, reason, progress());
     }
 
     private void timeIsUp() {
@@ -427,7 +428,6 @@
             return;
         }
         ended = true;
-        waits.goesOn(services.clock().nanos());
         limitTimer.cancel();
         waitTimer.cancel();
         adapterWait.cancel();
@@ -441,7 +441,7 @@
                         arrivals,
                         relay.firstPartAfter(startedAt),
                         sentAt.isEmpty() ? Optional.empty() : relay.firstPartAfter(sentAt.getAsLong()),
-                        waits.waits(),
+                        waits.waits(services.clock().nanos()),
                         relay.longestPause(),
                         elapsed()));
         onEnd.accept(this);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -60,22 +60,23 @@
         log.write(
                 EventCode.REQUEST_PLACED,
                 id,
-                Field.of("target", target.id().value()),
-                Field.of("reason", send.reason()),
-                Field.of("adapter", adapter),
-                Field.of("arrival", progress.arrivals()),
-                Field.of("account", account),
-                Field.of("units", units),
-                Field.of("expectedWaitMillis", send.expectedWaitMillis()),
-                Field.of("outstanding", target.outstanding()),
-                Field.of("reported", target.reported()),
-                Field.of(
-                        "reportAgeMillis",
-                        target.reportAge(clock.nanos()).map(Duration::toMillis).orElse(-1L)),
-                Field.of("waitedMillis", progress.passed().toMillis()),
-                Field.of("rateWaitMillis", progress.waits().rate().toMillis()),
-                Field.of("adapterWaitMillis", progress.waits().adapter().toMillis()),
-                Field.of("roomWaitMillis", progress.waits().room().toMillis()));
+                progress.waits()
+                        .after(
+                                Field.of("target", target.id().value()),
+                                Field.of("reason", send.reason()),
+                                Field.of("adapter", adapter),
+                                Field.of("arrival", progress.arrivals()),
+                                Field.of("account", account),
+                                Field.of("units", units),
+                                Field.of("expectedWaitMillis", send.expectedWaitMillis()),
+                                Field.of("outstanding", target.outstanding()),
+                                Field.of("reported", target.reported()),
+                                Field.of(
+                                        "reportAgeMillis",
+                                        target.reportAge(clock.nanos())
+                                                .map(Duration::toMillis)
+                                                .orElse(-1L)),
+                                Field.of("waitedMillis", progress.passed().toMillis())));
     }
 
     void notExecuted(Target target, NotExecuted why) {
@@ -100,17 +101,16 @@
         log.write(
                 event,
                 id,
-                Field.of("code", code),
-                Field.of("reason", reason),
-                Field.of("admitted", progress.admitted()),
-                Field.of("account", account),
-                Field.of("service", service),
-                Field.of("adapter", adapter),
-                Field.of("arrivals", progress.arrivals()),
-                Field.of("afterMillis", progress.passed().toMillis()),
-                Field.of("rateWaitMillis", progress.waits().rate().toMillis()),
-                Field.of("adapterWaitMillis", progress.waits().adapter().toMillis()),
-                Field.of("roomWaitMillis", progress.waits().room().toMillis()));
+                progress.waits()
+                        .after(
+                                Field.of("code", code),
+                                Field.of("reason", reason),
+                                Field.of("admitted", progress.admitted()),
+                                Field.of("account", account),
+                                Field.of("service", service),
+                                Field.of("adapter", adapter),
+                                Field.of("arrivals", progress.arrivals()),
+                                Field.of("afterMillis", progress.passed().toMillis())));
     }
 
     void callerGone(int arrivals, Duration passed) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/WaitClock.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/WaitClock.java
@@ -30,12 +30,13 @@
         current = Optional.empty();
     }
 
-    /** Gets the waits that have ended. */
-    Waits waits() {
-        return new Waits(of(WaitCause.RATE), of(WaitCause.ADAPTER), of(WaitCause.ROOM));
+    /** Gets the waits so far, with one that still lasts. */
+    Waits waits(long now) {
+        return new Waits(of(WaitCause.RATE, now), of(WaitCause.ADAPTER, now), of(WaitCause.ROOM, now));
     }
 
-    private Duration of(WaitCause cause) {
-        return Duration.ofNanos(nanos.getOrDefault(cause, 0L));
+    private Duration of(WaitCause cause, long now) {
+        long lasting = current.filter(cause::equals).isPresent() ? now - since : 0;
+        return Duration.ofNanos(nanos.getOrDefault(cause, 0L) + lasting);
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/WaitClockTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/WaitClockTest.java
@@ -19,14 +19,16 @@
         clock.goesOn(350 * MILLI);
         clock.waitsFor(WaitCause.ROOM, 400 * MILLI);
         clock.waitsFor(WaitCause.ADAPTER, 440 * MILLI);
+        assertThat(clock.waits(450 * MILLI))
+                .isEqualTo(new Waits(Duration.ofMillis(100), Duration.ofMillis(260), Duration.ofMillis(40)));
         clock.goesOn(450 * MILLI);
-        assertThat(clock.waits())
+        assertThat(clock.waits(500 * MILLI))
                 .isEqualTo(new Waits(Duration.ofMillis(100), Duration.ofMillis(260), Duration.ofMillis(40)));
     }
 
     @Test
     void whatDoesNotWaitAddsNothing() {
         clock.goesOn(70 * MILLI);
-        assertThat(clock.waits()).isEqualTo(new Waits(Duration.ZERO, Duration.ZERO, Duration.ZERO));
+        assertThat(clock.waits(90 * MILLI)).isEqualTo(new Waits(Duration.ZERO, Duration.ZERO, Duration.ZERO));
     }
 }
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -183,21 +183,30 @@
             log.write(
                     EventCode.REQUEST_ANSWERED,
                     outcome.id(),
-                    Field.of("route", outcome.route().name()),
-                    Field.of("status", outcome.status()),
-                    Field.of("arrivals", outcome.arrivals()),
-                    Field.of(
-                            "firstMillis",
-                            outcome.firstPart().map(Duration::toMillis).orElse(-1L)),
-                    Field.of(
-                            "firstAfterSendMillis",
-                            outcome.firstPartAfterSend().map(Duration::toMillis).orElse(-1L)),
-                    Field.of("rateWaitMillis", outcome.waits().rate().toMillis()),
-                    Field.of("adapterWaitMillis", outcome.waits().adapter().toMillis()),
-                    Field.of("roomWaitMillis", outcome.waits().room().toMillis()),
-                    Field.of("account", outcome.account().map(Object::toString).orElse("")),
-                    Field.of("longestPauseMillis", outcome.longestPause().toMillis()),
-                    Field.of("totalMillis", outcome.total().toMillis()));
+                    outcome.waits()
+                            .after(
+                                    Field.of("route", outcome.route().name()),
+                                    Field.of("status", outcome.status()),
+                                    Field.of("arrivals", outcome.arrivals()),
+                                    Field.of(
+                                            "firstMillis",
+                                            outcome.firstPart()
+                                                    .map(Duration::toMillis)
+                                                    .orElse(-1L)),
+                                    Field.of(
+                                            "firstAfterSendMillis",
+                                            outcome.firstPartAfterSend()
+                                                    .map(Duration::toMillis)
+                                                    .orElse(-1L)),
+                                    Field.of(
+                                            "account",
+                                            outcome.account()
+                                                    .map(Object::toString)
+                                                    .orElse("")),
+                                    Field.of(
+                                            "longestPauseMillis",
+                                            outcome.longestPause().toMillis()),
+                                    Field.of("totalMillis", outcome.total().toMillis())));
         }
     }
 
