--- a/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
@@ -53,10 +53,10 @@
      * @param extra besides
      * @param window the window
      */
-    public record RepeatLimits(double ratio, int extra, Duration window) {
+    public record RepeatLimits(double ratio, double extra, Duration window) {
 
         public RepeatLimits {
-            if (!(ratio >= 0) || extra < 0) {
+            if (!(ratio >= 0) || !(extra >= 0)) {
                 throw new IllegalArgumentException("repeat limits below zero: " + ratio + ", " + extra);
             }
         }
