--- a/gateway/src/main/java/org/geraniumreach/gateway/port/StorePort.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/StorePort.java
@@ -10,6 +10,7 @@
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
 
 /**
@@ -20,13 +21,62 @@
  */
 public interface StorePort {
 
+    /** What is read. */
+    enum Table {
+        /** What the operator writes. */
+        OPERATOR,
+        /** What targets say of themselves. */
+        TARGETS,
+        /** What entries share. */
+        FLEET,
+        /** The leases of entries. */
+        LEASES
+    }
+
+    /**
+     * A row as it is stored.
+     *
+     * @param key its key
+     * @param version the version that wrote or removed it
+     * @param value its value, empty if it was removed
+     */
+    record StoredRow(String key, long version, Optional<String> value) {}
+
+    /**
+     * What a reading of a table found.
+     *
+     * @param rows the rows, in order
+     * @param version the version up to which the table was read
+     * @param whole whether these are all rows, rather than those that changed
+     * @param storeMillis the store's steady clock at the reading
+     */
+    record Page(List<StoredRow> rows, long version, boolean whole, long storeMillis) {
+
+        public Page {
+            rows = List.copyOf(rows);
+        }
+    }
+
     /**
      * A row that was written or removed.
      *
      * @param key its key
      * @param row the row, empty if it was removed
      */
-    record RowChange(String key, Optional<Row> row) {}
+    record RowChange(String key, Optional<Row> row) {
+
+        /**
+         * Obtains the change that a stored row tells of.
+         *
+         * @param table the table that holds it, not null
+         * @param stored the stored row, not null
+         * @return the change, not null
+         */
+        public static RowChange of(String table, StoredRow stored) {
+            RowKey key = RowKey.of(table, stored.key());
+            return new RowChange(stored.key(), stored.value().map(value -> new Row(key, stored.version(), value)));
+        }
+    }
 
     /**
      * News of a table.
@@ -108,9 +158,9 @@
      * Where a reader of news stands.
      *
      * @param version the version to go on from, empty to read all
-     * @param patience how long an answer may be held back while there is nothing new
+     * @param longPollWait how long an answer may be held back while there is nothing new
      */
-    record Position(Optional<Long> version, Duration patience) {
+    record Position(Optional<Long> version, Duration longPollWait) {
 
         /**
          * Obtains the position of a reader that knows nothing.
@@ -123,32 +173,14 @@
     }
 
     /**
-     * Reads news of the operator.
-     *
-     * @param position where the reader stands, not null
-     * @param reply told of the news, not null
-     * @return calls it off, not null
-     */
-    Cancellable operatorNews(Position position, Consumer<StoreReply<News<OperatorItem>>> reply);
-
-    /**
-     * Reads news of the targets.
-     *
-     * @param position where the reader stands, not null
-     * @param reply told of the news, not null
-     * @return calls it off, not null
-     */
-    Cancellable targetNews(Position position, Consumer<StoreReply<News<TargetItem>>> reply);
-
-    /**
-     * Reads news of a table of the system's own.
+     * Reads a table, or what has changed in it.
      *
      * @param table the table, not null
      * @param position where the reader stands, not null
-     * @param reply told of the news, not null
+     * @param reply told of what was found, not null
      * @return calls it off, not null
      */
-    Cancellable rowNews(String table, Position position, Consumer<StoreReply<News<RowChange>>> reply);
+    Cancellable read(Table table, Position position, Consumer<StoreReply<Page>> reply);
 
     /**
      * Commits a transaction.
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
@@ -1,21 +1,30 @@
 package org.geraniumreach.gateway.store;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.port.StoreReply;
 import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.model.MonotonicClock;
 
 /**
- * Reads the news of one table for ever.
+ * Follows one table of the store: reads it, or takes the updates of another entry that does.
  *
- * <p>Invariants: one call is under way at a time; news are handed out in the order of the store; after a loss of history all is read
- * anew, so nothing is missed. A call that has not answered in time is given up and made anew on another connection, since
- * a connection may have gone silent while new ones work. Confined to the event loop.
+ * <p>Intended for fleets in which many entries need the same rows. A few entries of each failure domain read the store and publish what
+ * they find; the others read only while the latest update is older than {@link Pace#followLimit}.
+ *
+ * <p>Invariants: at most one call is under way; rows are handed out in the order of their versions, each once, whoever read them; an
+ * update that does not connect to what is known is not used, and the store is read instead; after a loss of history all is
+ * read anew. A call without an answer is given up and made anew on another connection, since a connection may go silent
+ * while new ones work. Confined to the event loop.
  *
  * @param <T> what the table holds
  */
@@ -24,94 +33,239 @@
     private static final Duration FIRST_PAUSE = Duration.ofMillis(120);
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(500);
 
-    private final Source<T> source;
+    /** One reader that is turned away by the store is no loss for entries that hear from another. */
+    private static final Duration UNREACHABLE_CONFIRMATION = Duration.ofSeconds(1);
+
+    private final StorePort.Table table;
+    private final Function<StorePort.StoredRow, Optional<T>> decoder;
     private final Consumer<StorePort.News<T>> listener;
     private final StoreWatch watch;
-    private final Timers timers;
     private final Pace pace;
+    private final Context context;
     private StorePort.Position position = StorePort.Position.beginning();
+    private Optional<Long> calledAfter = Optional.empty();
+    private OptionalLong readAt = OptionalLong.empty();
     private Cancellable call = Cancellable.NOTHING;
     private Cancellable timer = Cancellable.NOTHING;
     private Duration pause = FIRST_PAUSE;
+    private boolean calling;
 
     /**
-     * Makes the calls.
+     * The times of a reader.
      *
-     * @param <T> what the table holds
+     * @param longPollWait how long the store may hold an answer back while there is nothing new
+     * @param minimumInterval the time from one answer with changes to the next call
+     * @param timeout how long an answer may take beyond the long poll
+     * @param followLimit the age of the latest reading from which on an entry that is no reader reads itself
      */
-    @FunctionalInterface
-    public interface Source<T> {
+    public record Pace(Duration longPollWait, Duration minimumInterval, Duration timeout, Duration followLimit) {
 
-        /**
-         * Reads news.
-         *
-         * @param position where the reader stands, not null
-         * @param reply told of the news, not null
-         * @return calls it off, not null
-         */
-        Cancellable read(StorePort.Position position, Consumer<StoreReply<StorePort.News<T>>> reply);
+        public Pace {
+            if (followLimit.compareTo(longPollWait) <= 0) {
+                throw new IllegalArgumentException(
+                        "followLimit " + followLimit + " not above longPollWait " + longPollWait);
+            }
+        }
     }
 
     /**
-     * The times of a reader.
+     * What all readers of an entry share.
      *
-     * @param patience how long the store may hold an answer back while there is nothing new
-     * @param rest the time from one answer with news to the next call
-     * @param limit how long an answer may take beyond the patience
+     * @param store the store
+     * @param timers runs actions later
+     * @param clock the steady clock
+     * @param storeClock converts the store's moments
+     * @param relay passes updates on
      */
-    public record Pace(Duration patience, Duration rest, Duration limit) {}
+    public record Context(
+            StorePort store, Timers timers, MonotonicClock clock, StoreClock storeClock, FeedRelay relay) {
+
+        public Context {
+            Objects.requireNonNull(store, "store");
+            Objects.requireNonNull(timers, "timers");
+            Objects.requireNonNull(clock, "clock");
+            Objects.requireNonNull(storeClock, "storeClock");
+            Objects.requireNonNull(relay, "relay");
+        }
+    }
 
     /**
-     * Makes a reader that has not begun.
+     * Creates a reader that has not started.
      *
-     * @param source makes the calls, not null
-     * @param listener told of news, not null
+     * @param table what is read, not null
+     * @param decoder decodes a row, to empty if it holds nothing of interest, not null
+     * @param listener told of changes, not null
      * @param watch told of what came of calls, not null
-     * @param timers runs actions later, not null
      * @param pace the times, not null
+     * @param context what readers share, not null
      */
     public FeedReader(
-            Source<T> source, Consumer<StorePort.News<T>> listener, StoreWatch watch, Timers timers, Pace pace) {
-        this.source = Objects.requireNonNull(source, "source");
+            StorePort.Table table,
+            Function<StorePort.StoredRow, Optional<T>> decoder,
+            Consumer<StorePort.News<T>> listener,
+            StoreWatch watch,
+            Pace pace,
+            Context context) {
+        this.table = Objects.requireNonNull(table, "table");
+        this.decoder = Objects.requireNonNull(decoder, "decoder");
         this.listener = Objects.requireNonNull(listener, "listener");
         this.watch = Objects.requireNonNull(watch, "watch");
-        this.timers = Objects.requireNonNull(timers, "timers");
         this.pace = Objects.requireNonNull(pace, "pace");
+        this.context = Objects.requireNonNull(context, "context");
     }
 
-    /** Reads on from where the reader stands. */
+    /** Reads the store now, and goes on from there. */
     public void read() {
-        Duration limit = position.patience().plus(pace.limit());
-        timer = timers.after(limit, () -> {
+        timer.cancel();
+        Duration limit = position.longPollWait().plus(pace.timeout());
+        calling = true;
+        calledAfter = position.version();
+        timer = context.timers().after(limit, () -> {
             call.cancel();
-            took(new StoreReply.Unknown<>("no answer within " + limit.toMillis() + " ms"));
+            onReply(new StoreReply.Unknown<>("no answer within " + limit.toMillis() + " ms"));
         });
-        call = source.read(position, this::took);
+        call = context.store().read(table, position, this::onReply);
+    }
+
+    /**
+     * Gets the moment of the latest reading, whoever made it. While changes are handed out, it is still that of the reading before.
+     *
+     * @return the moment by this process's clock, in nanoseconds, empty before the first reading
+     */
+    public OptionalLong readAt() {
+        return readAt;
     }
 
-    private void took(StoreReply<StorePort.News<T>> reply) {
+    private void onReply(StoreReply<StorePort.Page> reply) {
         timer.cancel();
+        calling = false;
         watch.noted(reply);
-        if (reply instanceof StoreReply.Value<StorePort.News<T>> value) {
-            pause = FIRST_PAUSE;
-            position = new StorePort.Position(Optional.of(value.value().version()), pace.patience());
-            boolean news = value.value().whole() || !value.value().items().isEmpty();
-            if (news) {
-                listener.accept(value.value());
-            }
-            again(news ? pace.rest() : Duration.ZERO);
+        if (reply instanceof StoreReply.Value<StorePort.Page> value) {
+            onPage(value.value());
             return;
         }
-        if (reply instanceof StoreReply.HistoryLost<StorePort.News<T>>) {
+        if (reply instanceof StoreReply.HistoryLost<StorePort.Page>) {
             position = StorePort.Position.beginning();
-            again(Duration.ZERO);
+            schedule(Duration.ZERO);
             return;
         }
-        again(pause);
+        publishFailure(reply);
+        schedule(pause);
         pause = pause.multipliedBy(2).compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : pause.multipliedBy(2);
     }
 
-    private void again(Duration delay) {
-        timer = timers.after(delay, this::read);
+    private void onPage(StorePort.Page page) {
+        pause = FIRST_PAUSE;
+        publish(page);
+        boolean changed = accept(page);
+        scheduleNext(changed ? pace.minimumInterval() : Duration.ZERO);
+    }
+
+    /** Others cannot use a whole table in place of what has changed, but learn from its version that they miss something. */
+    private void publish(StorePort.Page page) {
+        if (!context.relay().isReader()) {
+            return;
+        }
+        boolean connects = !page.whole() && calledAfter.isPresent();
+        StorePort.Page shown =
+                connects ? page : new StorePort.Page(List.of(), page.version(), false, page.storeMillis());
+        long after = connects ? calledAfter.get() : page.version();
+        context.relay().publish(new FeedUpdate.Changes(table, after, shown));
+    }
+
+    private void publishFailure(StoreReply<StorePort.Page> reply) {
+        if (!context.relay().isReader()) {
+            return;
+        }
+        String reason = reply instanceof StoreReply.Refused<StorePort.Page> refused
+                ? refused.reason()
+                : ((StoreReply.Unknown<StorePort.Page>) reply).reason();
+        context.relay().publish(new FeedUpdate.Unreachable(table, reason));
+    }
+
+    private boolean accept(StorePort.Page page) {
+        long known = position.version().orElse(Long.MIN_VALUE);
+        List<T> items = new ArrayList<>();
+        for (StorePort.StoredRow row : page.rows()) {
+            if (page.whole() || row.version() > known) {
+                decoder.apply(row).ifPresent(items::add);
+            }
+        }
+        long reached = Math.max(known, page.version());
+        position = new StorePort.Position(Optional.of(reached), pace.longPollWait());
+        boolean changed = page.whole() || !items.isEmpty();
+        if (changed) {
+            listener.accept(new StorePort.News<>(items, reached, page.whole()));
+        }
+        long moment = context.storeClock().readAt(page.storeMillis());
+        readAt = OptionalLong.of(Math.max(moment, readAt.orElse(moment)));
+        return changed;
+    }
+
+    /**
+     * Takes the update of another entry.
+     *
+     * @param update the update, of this reader's table, not null
+     */
+    public void onUpdate(FeedUpdate update) {
+        if (position.version().isEmpty()) {
+            return;
+        }
+        if (update instanceof FeedUpdate.Changes changes) {
+            onChanges(changes);
+        } else if (update instanceof FeedUpdate.Unreachable unreachable) {
+            onUnreachable(unreachable);
+        }
+    }
+
+    private void onChanges(FeedUpdate.Changes changes) {
+        long known = position.version().orElseThrow();
+        if (changes.page().version() < known) {
+            return;
+        }
+        if (changes.after() > known) {
+            readUnlessReader();
+            return;
+        }
+        accept(changes.page());
+        if (isFresh(pace.followLimit())) {
+            watch.noted(new StoreReply.Value<>(changes.page()));
+        }
+        if (!calling && !context.relay().isReader()) {
+            scheduleNext(Duration.ZERO);
+        }
+    }
+
+    /** Known at the same time as by the reader, so that rows which lapse while the store is away are judged alike by all. */
+    private void onUnreachable(FeedUpdate.Unreachable unreachable) {
+        if (context.relay().isReader() || isFresh(UNREACHABLE_CONFIRMATION)) {
+            return;
+        }
+        watch.noted(new StoreReply.Unknown<>("told by a reader: " + unreachable.reason()));
+        readUnlessReader();
+    }
+
+    private void readUnlessReader() {
+        if (!calling && !context.relay().isReader()) {
+            read();
+        }
+    }
+
+    private boolean isFresh(Duration limit) {
+        return readAt.isPresent() && context.clock().nanos() - readAt.getAsLong() < limit.toNanos();
+    }
+
+    private void scheduleNext(Duration delay) {
+        if (context.relay().isReader() || !isFresh(pace.followLimit())) {
+            schedule(delay);
+            return;
+        }
+        long age = context.clock().nanos() - readAt.getAsLong();
+        schedule(pace.followLimit().minusNanos(age));
+    }
+
+    private void schedule(Duration delay) {
+        timer.cancel();
+        timer = context.timers().after(delay, this::read);
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/ReaderSelection.java
@@ -0,0 +1,38 @@
+package org.geraniumreach.gateway.store;
+
+import java.util.Collection;
+import java.util.Objects;
+
+import org.geraniumreach.serving.routing.Rendezvous;
+
+/**
+ * Selects the entries of a failure domain that read the store for all of them.
+ *
+ * <p>Each entry decides from the links that it has, without agreeing with the others: two that see different peers may both read, or
+ * neither, and who gets no updates reads for itself. Stateless and safe for use by several threads.
+ */
+public final class ReaderSelection {
+
+    /** With two, the loss of one is no gap for the others. */
+    static final int READERS = 2;
+
+    private ReaderSelection() {}
+
+    /**
+     * Queries whether an entry is among the readers.
+     *
+     * @param self the entry, not null
+     * @param others the entries of its failure domain that it has links with, not null
+     * @return true if it is
+     */
+    public static boolean isReader(String self, Collection<String> others) {
+        Objects.requireNonNull(others, "others");
+        long ahead = others.stream().filter(other -> isAhead(other, self)).count();
+        return ahead < READERS;
+    }
+
+    private static boolean isAhead(String one, String other) {
+        int order = Integer.compare(Rendezvous.hash(one), Rendezvous.hash(other));
+        return order == 0 ? one.compareTo(other) < 0 : order < 0;
+    }
+}
--- a/gateway/src/test/java/org/geraniumreach/gateway/store/FeedReaderTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/store/FeedReaderTest.java
@@ -6,42 +6,87 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.port.StoreReply;
 import org.geraniumreach.gateway.testing.VirtualTime;
+import org.geraniumreach.model.table.Transaction;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class FeedReaderTest {
 
-    private static final FeedReader.Pace PACE =
-            new FeedReader.Pace(Duration.ofSeconds(1), Duration.ofMillis(200), Duration.ofMillis(500));
+    private static final FeedReader.Pace PACE = new FeedReader.Pace(
+            Duration.ofSeconds(1), Duration.ofMillis(200), Duration.ofMillis(500), Duration.ofMillis(1_500));
+    private static final StorePort.Table TABLE = StorePort.Table.TARGETS;
+    private static final long STORE_AHEAD_MILLIS = 77_000;
 
     private final VirtualTime time = new VirtualTime();
     private final List<StorePort.Position> positions = new ArrayList<>();
-    private final List<Consumer<StoreReply<StorePort.News<String>>>> replies = new ArrayList<>();
-    private final List<String> news = new ArrayList<>();
+    private final List<Consumer<StoreReply<StorePort.Page>>> replies = new ArrayList<>();
+    private final List<String> items = new ArrayList<>();
+    private final List<FeedUpdate> published = new ArrayList<>();
     private final StoreWatch watch = new StoreWatch(time, (event, id, fields) -> {}, "");
+    private FeedReader<String> reader;
+    private boolean isReader = true;
     private int cancelled;
 
     @BeforeEach
     void begin() {
-        FeedReader.Source<String> source = (position, reply) -> {
-            positions.add(position);
-            replies.add(reply);
-            return () -> cancelled++;
+        FeedRelay relay = new FeedRelay() {
+            @Override
+            public boolean isReader() {
+                return isReader;
+            }
+
+            @Override
+            public void publish(FeedUpdate update) {
+                published.add(update);
+            }
         };
-        new FeedReader<>(source, each -> news.addAll(each.items()), watch, time, PACE).read();
+        reader = new FeedReader<>(
+                TABLE,
+                StorePort.StoredRow::value,
+                changes -> items.addAll(changes.items()),
+                watch,
+                PACE,
+                new FeedReader.Context(new Store(), time, time, new StoreClock(time), relay));
+        reader.read();
     }
 
-    private void reply(StoreReply<StorePort.News<String>> reply) {
+    private void reply(StoreReply<StorePort.Page> reply) {
         replies.get(replies.size() - 1).accept(reply);
     }
 
-    private static StoreReply<StorePort.News<String>> value(String item, long version) {
-        return new StoreReply.Value<>(new StorePort.News<>(List.of(item), version, false));
+    private long storeMillis() {
+        return time.nanos() / 1_000_000 + STORE_AHEAD_MILLIS;
+    }
+
+    private StoreReply<StorePort.Page> value(String item, long version) {
+        return new StoreReply.Value<>(page(item, version, storeMillis()));
+    }
+
+    private static StorePort.Page page(String item, long version, long storeMillis) {
+        return new StorePort.Page(
+                List.of(new StorePort.StoredRow(item, version, Optional.of(item))), version, false, storeMillis);
+    }
+
+    private StorePort.Page nothing(long version) {
+        return new StorePort.Page(List.of(), version, false, storeMillis());
+    }
+
+    private void update(long after, StorePort.Page page) {
+        reader.onUpdate(new FeedUpdate.Changes(TABLE, after, page));
+    }
+
+    /** An entry that has read everything up to version 7 and lets others read from then on. */
+    private void follow() {
+        isReader = false;
+        reply(value("a", 7));
     }
 
     @Test
@@ -49,10 +94,10 @@
         reply(value("a", 7));
         time.pass(Duration.ofMillis(200));
         assertThat(positions.get(1).version()).isEqualTo(Optional.of(7L));
-        assertThat(news).containsExactly("a");
+        assertThat(items).containsExactly("a");
     }
 
-    // A withdrawn key would go on working: the store has dropped the change's history. All is read anew instead.
+    /** Guards against a withdrawn key that goes on working because the store has dropped the change's history. */
     @Test
     void readsAllAnewAfterALossOfHistory() {
         reply(value("a", 7));
@@ -62,8 +107,7 @@
         assertThat(positions.get(2).version()).isEmpty();
     }
 
-    // An entry would never hear of a change: its connection has gone silent while new ones work. The call is given up a
-    // little after the time for which the store may hold it back, and made anew.
+    /** Guards against a change that is never heard of because the connection to the store has gone silent. */
     @Test
     void givesUpACallThatIsSilentAndMakesItAnew() {
         reply(value("a", 7));
@@ -75,7 +119,7 @@
         assertThat(positions).hasSize(3);
         reply(value("b", 8));
         assertThat(watch.isAway()).isFalse();
-        assertThat(news).containsExactly("a", "b");
+        assertThat(items).containsExactly("a", "b");
     }
 
     @Test
@@ -86,4 +130,153 @@
         }
         assertThat(positions.size()).isLessThanOrEqualTo(13);
     }
+
+    @Test
+    void aReaderPublishesWhatItFindsAndItsFailures() {
+        reply(new StoreReply.Value<>(new StorePort.Page(
+                List.of(new StorePort.StoredRow("a", 3, Optional.of("a"))), 7, true, storeMillis())));
+        time.pass(Duration.ofMillis(200));
+        reply(value("b", 8));
+        time.pass(Duration.ofMillis(200));
+        reply(new StoreReply.Refused<>("status 503"));
+        assertThat(published).hasSize(3);
+        assertThat(published.get(0))
+                .isEqualTo(
+                        new FeedUpdate.Changes(TABLE, 7, new StorePort.Page(List.of(), 7, false, storeMillis() - 400)));
+        assertThat(((FeedUpdate.Changes) published.get(1)).after()).isEqualTo(7);
+        assertThat(published.get(2)).isEqualTo(new FeedUpdate.Unreachable(TABLE, "status 503"));
+    }
+
+    @Test
+    void anEntryThatIsNoReaderCallsNobodyWhileUpdatesCome() {
+        follow();
+        for (int update = 0; update < 20; update++) {
+            time.pass(Duration.ofMillis(700));
+            update(7 + update, page("u" + update, 8 + update, storeMillis()));
+        }
+        assertThat(positions).hasSize(1);
+        assertThat(published).isEmpty();
+        assertThat(items).hasSize(21).endsWith("u19");
+    }
+
+    /** Guards against a change that is not heard of because the readers were killed, frozen or cut off. */
+    @Test
+    void readsForItselfOnceTheLatestReadingIsOld() {
+        follow();
+        time.pass(Duration.ofMillis(1_000));
+        update(7, nothing(7));
+        time.pass(Duration.ofMillis(1_499));
+        assertThat(positions).hasSize(1);
+        time.pass(Duration.ofMillis(1));
+        assertThat(positions).hasSize(2);
+        assertThat(positions.get(1).version()).contains(7L);
+    }
+
+    /** Guards against old rows that are taken for current because a link held them up. */
+    @Test
+    void anUpdateThatWasHeldUpDoesNotPutTheNextReadingOff() {
+        follow();
+        long read = storeMillis();
+        time.pass(Duration.ofMillis(1_400));
+        update(7, page("late", 8, read));
+        assertThat(items).containsExactly("a", "late");
+        time.pass(Duration.ofMillis(100));
+        assertThat(positions).hasSize(2);
+    }
+
+    /** Guards against a lost change: an update that does not connect to what is known is not used, but leads to a reading. */
+    @Test
+    void readsTheStoreAfterAMissedUpdate() {
+        follow();
+        update(9, page("d", 10, storeMillis()));
+        assertThat(items).containsExactly("a");
+        assertThat(positions).hasSize(2);
+        assertThat(positions.get(1).version()).contains(7L);
+    }
+
+    /** Guards against a row that goes back or counts twice because two readers are at different versions. */
+    @Test
+    void takesEachRowOnceFromReadersThatOverlap() {
+        follow();
+        update(7, page("b", 9, storeMillis()));
+        update(7, page("old", 8, storeMillis()));
+        StorePort.Page both = new StorePort.Page(
+                List.of(
+                        new StorePort.StoredRow("b", 9, Optional.of("b")),
+                        new StorePort.StoredRow("c", 10, Optional.of("c"))),
+                10,
+                false,
+                storeMillis());
+        update(8, both);
+        assertThat(items).containsExactly("a", "b", "c");
+    }
+
+    /** Guards against rows that lapse while the store is away being believed by entries that have not noticed. */
+    @Test
+    void aReadersFailureCountsAsALossOfTheStoreAndLeadsToAReading() {
+        follow();
+        time.pass(Duration.ofMillis(1_100));
+        reader.onUpdate(new FeedUpdate.Unreachable(TABLE, "status 503"));
+        assertThat(watch.isAway()).isTrue();
+        assertThat(positions).hasSize(2);
+        reply(value("b", 8));
+        assertThat(watch.isAway()).isFalse();
+    }
+
+    /** Guards against needless calls because one of two readers is cut off from the store. */
+    @Test
+    void oneReadersFailureIsNoLossWhileAnotherReads() {
+        follow();
+        for (int update = 0; update < 20; update++) {
+            time.pass(Duration.ofMillis(400));
+            update(7, nothing(7));
+            time.pass(Duration.ofMillis(300));
+            reader.onUpdate(new FeedUpdate.Unreachable(TABLE, "status 503"));
+        }
+        assertThat(watch.isAway()).isFalse();
+        assertThat(positions).hasSize(1);
+    }
+
+    @Test
+    void anEntryThatBecomesAReaderReadsOnByItself() {
+        follow();
+        time.pass(Duration.ofMillis(500));
+        update(7, nothing(7));
+        isReader = true;
+        time.pass(Duration.ofMillis(1_500));
+        reply(value("b", 8));
+        time.pass(Duration.ofMillis(200));
+        assertThat(positions).hasSize(3);
+        assertThat(published).hasSize(1);
+    }
+
+    /** Guards against readings that seem current for ever because this process stood still while the store's clock ran. */
+    @ParameterizedTest
+    @ValueSource(longs = {3_000, 30_000})
+    void aFreezeDoesNotMakeOldReadingsSeemCurrent(long frozenMillis) {
+        follow();
+        time.pass(Duration.ofMillis(100));
+        update(7, new StorePort.Page(List.of(), 7, false, storeMillis() + frozenMillis));
+        long held = storeMillis() + frozenMillis;
+        time.pass(Duration.ofMillis(1_400));
+        update(7, new StorePort.Page(List.of(), 7, false, held));
+        time.pass(Duration.ofMillis(100));
+        assertThat(positions).hasSize(2);
+    }
+
+    private final class Store implements StorePort {
+
+        @Override
+        public Cancellable read(Table table, Position position, Consumer<StoreReply<Page>> reply) {
+            assertThat(table).isEqualTo(TABLE);
+            positions.add(position);
+            replies.add(reply);
+            return () -> cancelled++;
+        }
+
+        @Override
+        public Cancellable commit(Transaction transaction, Consumer<StoreReply<Decision>> reply) {
+            throw new UnsupportedOperationException("nothing is written here");
+        }
+    }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/store/ReaderSelectionTest.java
@@ -0,0 +1,49 @@
+package org.geraniumreach.gateway.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReaderSelectionTest {
+
+    private static List<String> entries(int count) {
+        return IntStream.range(0, count).mapToObj(number -> "entry-" + number).toList();
+    }
+
+    private static List<String> readers(List<String> entries) {
+        return entries.stream()
+                .filter(self -> {
+                    List<String> others = new ArrayList<>(entries);
+                    others.remove(self);
+                    return ReaderSelection.isReader(self, others);
+                })
+                .toList();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 8, 57, 340})
+    void aDomainHasTwoReadersHoweverManyEntriesItHas(int count) {
+        assertThat(readers(entries(count))).hasSize(Math.min(2, count));
+    }
+
+    /** Guards against entries that all change their reader when one of them goes. */
+    @Test
+    void onlyTheLostReaderIsReplaced() {
+        List<String> entries = new ArrayList<>(entries(9));
+        List<String> before = readers(entries);
+        entries.remove(before.get(0));
+        assertThat(readers(entries)).hasSize(2).contains(before.get(1));
+    }
+
+    /** Guards against nobody reading when links are missing: who sees nobody reads. */
+    @Test
+    void anEntryWithoutLinksReads() {
+        assertThat(ReaderSelection.isReader("entry-1", List.of())).isTrue();
+    }
+}
--- a/messages/src/main/java/org/geraniumreach/messages/Frame.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Frame.java
@@ -73,6 +73,7 @@
     SHARE_MOVED(23),
     ADAPTER_DEMAND(24),
     ADAPTER_NEWS(25),
+    FEED_UPDATE(26),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -115,6 +116,7 @@
         case 23: return SHARE_MOVED;
         case 24: return ADAPTER_DEMAND;
         case 25: return ADAPTER_NEWS;
+        case 26: return FEED_UPDATE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -905,6 +907,37 @@
     return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
   }
 
+  public static final int FEED_UPDATE_FIELD_NUMBER = 26;
+  /**
+   * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+   * @return Whether the feedUpdate field is set.
+   */
+  @java.lang.Override
+  public boolean hasFeedUpdate() {
+    return bodyCase_ == 26;
+  }
+  /**
+   * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+   * @return The feedUpdate.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.FeedUpdate getFeedUpdate() {
+    if (bodyCase_ == 26) {
+       return (org.geraniumreach.messages.FeedUpdate) body_;
+    }
+    return org.geraniumreach.messages.FeedUpdate.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.FeedUpdateOrBuilder getFeedUpdateOrBuilder() {
+    if (bodyCase_ == 26) {
+       return (org.geraniumreach.messages.FeedUpdate) body_;
+    }
+    return org.geraniumreach.messages.FeedUpdate.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -994,6 +1027,9 @@
     if (bodyCase_ == 25) {
       output.writeMessage(25, (org.geraniumreach.messages.AdapterNews) body_);
     }
+    if (bodyCase_ == 26) {
+      output.writeMessage(26, (org.geraniumreach.messages.FeedUpdate) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1103,6 +1139,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(25, (org.geraniumreach.messages.AdapterNews) body_);
     }
+    if (bodyCase_ == 26) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(26, (org.geraniumreach.messages.FeedUpdate) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1220,6 +1260,10 @@
         if (!getAdapterNews()
             .equals(other.getAdapterNews())) return false;
         break;
+      case 26:
+        if (!getFeedUpdate()
+            .equals(other.getFeedUpdate())) return false;
+        break;
       case 0:
       default:
     }
@@ -1335,6 +1379,10 @@
         hash = (37 * hash) + ADAPTER_NEWS_FIELD_NUMBER;
         hash = (53 * hash) + getAdapterNews().hashCode();
         break;
+      case 26:
+        hash = (37 * hash) + FEED_UPDATE_FIELD_NUMBER;
+        hash = (53 * hash) + getFeedUpdate().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1544,6 +1592,9 @@
       if (adapterNewsBuilder_ != null) {
         adapterNewsBuilder_.clear();
       }
+      if (feedUpdateBuilder_ != null) {
+        feedUpdateBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1685,6 +1736,10 @@
           adapterNewsBuilder_ != null) {
         result.body_ = adapterNewsBuilder_.build();
       }
+      if (bodyCase_ == 26 &&
+          feedUpdateBuilder_ != null) {
+        result.body_ = feedUpdateBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1800,6 +1855,10 @@
           mergeAdapterNews(other.getAdapterNews());
           break;
         }
+        case FEED_UPDATE: {
+          mergeFeedUpdate(other.getFeedUpdate());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -2005,6 +2064,13 @@
               bodyCase_ = 25;
               break;
             } // case 202
+            case 210: {
+              input.readMessage(
+                  getFeedUpdateFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 26;
+              break;
+            } // case 210
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5587,6 +5653,148 @@
       return adapterNewsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.FeedUpdate, org.geraniumreach.messages.FeedUpdate.Builder, org.geraniumreach.messages.FeedUpdateOrBuilder> feedUpdateBuilder_;
+    /**
+     * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+     * @return Whether the feedUpdate field is set.
+     */
+    @java.lang.Override
+    public boolean hasFeedUpdate() {
+      return bodyCase_ == 26;
+    }
+    /**
+     * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+     * @return The feedUpdate.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.FeedUpdate getFeedUpdate() {
+      if (feedUpdateBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          return (org.geraniumreach.messages.FeedUpdate) body_;
+        }
+        return org.geraniumreach.messages.FeedUpdate.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 26) {
+          return feedUpdateBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.FeedUpdate.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+     */
+    public Builder setFeedUpdate(org.geraniumreach.messages.FeedUpdate value) {
+      if (feedUpdateBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        feedUpdateBuilder_.setMessage(value);
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+     */
+    public Builder setFeedUpdate(
+        org.geraniumreach.messages.FeedUpdate.Builder builderForValue) {
+      if (feedUpdateBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        feedUpdateBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+     */
+    public Builder mergeFeedUpdate(org.geraniumreach.messages.FeedUpdate value) {
+      if (feedUpdateBuilder_ == null) {
+        if (bodyCase_ == 26 &&
+            body_ != org.geraniumreach.messages.FeedUpdate.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.FeedUpdate.newBuilder((org.geraniumreach.messages.FeedUpdate) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 26) {
+          feedUpdateBuilder_.mergeFrom(value);
+        } else {
+          feedUpdateBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+     */
+    public Builder clearFeedUpdate() {
+      if (feedUpdateBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        feedUpdateBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+     */
+    public org.geraniumreach.messages.FeedUpdate.Builder getFeedUpdateBuilder() {
+      return getFeedUpdateFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.FeedUpdateOrBuilder getFeedUpdateOrBuilder() {
+      if ((bodyCase_ == 26) && (feedUpdateBuilder_ != null)) {
+        return feedUpdateBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 26) {
+          return (org.geraniumreach.messages.FeedUpdate) body_;
+        }
+        return org.geraniumreach.messages.FeedUpdate.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.FeedUpdate, org.geraniumreach.messages.FeedUpdate.Builder, org.geraniumreach.messages.FeedUpdateOrBuilder> 
+        getFeedUpdateFieldBuilder() {
+      if (feedUpdateBuilder_ == null) {
+        if (!(bodyCase_ == 26)) {
+          body_ = org.geraniumreach.messages.FeedUpdate.getDefaultInstance();
+        }
+        feedUpdateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.FeedUpdate, org.geraniumreach.messages.FeedUpdate.Builder, org.geraniumreach.messages.FeedUpdateOrBuilder>(
+                (org.geraniumreach.messages.FeedUpdate) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 26;
+      onChanged();
+      return feedUpdateBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Frame)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
@@ -384,5 +384,20 @@
    */
   org.geraniumreach.messages.AdapterNewsOrBuilder getAdapterNewsOrBuilder();
 
+  /**
+   * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+   * @return Whether the feedUpdate field is set.
+   */
+  boolean hasFeedUpdate();
+  /**
+   * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+   * @return The feedUpdate.
+   */
+  org.geraniumreach.messages.FeedUpdate getFeedUpdate();
+  /**
+   * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
+   */
+  org.geraniumreach.messages.FeedUpdateOrBuilder getFeedUpdateOrBuilder();
+
   org.geraniumreach.messages.Frame.BodyCase getBodyCase();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -170,6 +170,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_geraniumreach_link_AdapterThere_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_FeedUpdate_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_FeedUpdate_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_StoredRow_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_StoredRow_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -179,7 +189,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nlink.proto\022\022geraniumreach.link\"\374\t\n\005Fra" +
+      "\n\nlink.proto\022\022geraniumreach.link\"\263\n\n\005Fra" +
       "me\022*\n\005hello\030\001 \001(\0132\031.geraniumreach.link.H" +
       "elloH\000\022(\n\004ping\030\002 \001(\0132\030.geraniumreach.lin" +
       "k.PingH\000\022(\n\004pong\030\003 \001(\0132\030.geraniumreach.l" +
@@ -211,92 +221,101 @@
       "umreach.link.ShareMovedH\000\022;\n\016adapter_dem" +
       "and\030\030 \001(\0132!.geraniumreach.link.AdapterDe" +
       "mandH\000\0227\n\014adapter_news\030\031 \001(\0132\037.geraniumr" +
-      "each.link.AdapterNewsH\000B\006\n\004body\"\237\001\n\005Hell" +
-      "o\022\030\n\020protocol_version\030\001 \001(\r\022\020\n\010instance\030" +
-      "\002 \001(\t\022\014\n\004role\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003" +
-      "\022\026\n\016failure_domain\030\005 \001(\t\022\016\n\006target\030\006 \001(\t" +
-      "\022\r\n\005fence\030\007 \001(\003\022\020\n\010revision\030\010 \001(\003\"\026\n\004Pin" +
-      "g\022\016\n\006number\030\001 \001(\003\"\026\n\004Pong\022\016\n\006number\030\001 \001(" +
-      "\003\"\364\002\n\003Run\022\017\n\007attempt\030\001 \001(\t\022\034\n\024deadline_l" +
-      "eft_millis\030\002 \001(\003\022\017\n\007account\030\003 \001(\t\022\022\n\nkey" +
-      "_digest\030\004 \001(\014\022\017\n\007adapter\030\005 \001(\t\022\017\n\007versio" +
-      "n\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\021\n\toperation\030\010 " +
-      "\001(\t\022\014\n\004body\030\t \001(\014\022\026\n\016maximum_tokens\030\n \001(" +
-      "\005\022\020\n\010priority\030\013 \001(\005\022\022\n\nrepeatable\030\014 \001(\010\022" +
-      "\035\n\025companion_incarnation\030\r \001(\003\022\020\n\010revisi" +
-      "on\030\016 \001(\003\022\025\n\rprompt_tokens\030\017 \001(\003\022\025\n\rprefi" +
-      "x_digest\030\020 \001(\014\022\016\n\006credit\030\021 \001(\005\022\030\n\020not_af" +
-      "ter_millis\030\022 \001(\003\":\n\010Accepted\022\017\n\007attempt\030" +
-      "\001 \001(\t\022\035\n\025companion_incarnation\030\002 \001(\003\"K\n\005" +
-      "Chunk\022\017\n\007attempt\030\001 \001(\t\022\020\n\010sequence\030\002 \001(\003" +
-      "\022\017\n\007payload\030\003 \001(\014\022\016\n\006tokens\030\004 \001(\005\"\316\001\n\003En" +
-      "d\022\017\n\007attempt\030\001 \001(\t\022\r\n\005count\030\002 \001(\003\022\025\n\rpro" +
-      "mpt_tokens\030\003 \001(\005\022\030\n\020generated_tokens\030\004 \001" +
-      "(\005\022\017\n\007adapter\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\025\n\r" +
-      "finish_reason\030\007 \001(\t\022\024\n\014queue_micros\030\010 \001(" +
-      "\003\022\023\n\013load_micros\030\t \001(\003\022\022\n\nprefix_hit\030\n \001" +
-      "(\010\"b\n\007Refused\022\017\n\007attempt\030\001 \001(\t\022\014\n\004code\030\002" +
-      " \001(\005\022\017\n\007message\030\003 \001(\t\022\013\n\003ran\030\004 \001(\005\022\032\n\022re" +
-      "try_after_millis\030\005 \001(\003\"\\\n\006Cancel\022\017\n\007atte" +
-      "mpt\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\022\n\nage_millis\030" +
-      "\003 \001(\003\022\035\n\025companion_incarnation\030\004 \001(\003\"\354\001\n" +
-      "\006Resume\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_sequenc" +
-      "e\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022\n\nage_millis\030\004 " +
-      "\001(\003\022\035\n\025companion_incarnation\030\005 \001(\003\022\017\n\007ac" +
-      "count\030\006 \001(\t\022\022\n\nkey_digest\030\007 \001(\014\022\017\n\007adapt" +
-      "er\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\022\n\nrepeatable\030" +
-      "\n \001(\010\022\034\n\024deadline_left_millis\030\013 \001(\003\"E\n\013A" +
-      "cknowledge\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_sequ" +
-      "ence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\"J\n\004Seal\022\017\n\007at" +
-      "tempt\030\001 \001(\t\022\035\n\025companion_incarnation\030\002 \001" +
-      "(\003\022\022\n\nage_millis\030\003 \001(\003\"G\n\006Sealed\022\017\n\007atte" +
-      "mpt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022\035\n\025companion_in" +
-      "carnation\030\003 \001(\003\"\252\002\n\006Status\022\020\n\010sequence\030\001" +
-      " \001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007running\030\003 \001(\005\022\016\n" +
-      "\006queued\030\004 \001(\005\022\025\n\rqueued_tokens\030\005 \001(\003\022\031\n\021" +
-      "concurrency_limit\030\006 \001(\005\022\r\n\005slots\030\007 \001(\005\022\020" +
-      "\n\010complete\030\010 \001(\010\022\020\n\010resident\030\t \003(\t\022\017\n\007re" +
-      "moved\030\n \003(\t\022\017\n\007loading\030\013 \003(\t\022\032\n\022engine_i" +
-      "ncarnation\030\014 \001(\003\022\020\n\010draining\030\r \001(\010\022\r\n\005fe" +
-      "nce\030\016 \001(\003\022\031\n\021tokens_per_second\030\017 \001(\001\"P\n\021" +
-      "ConfigurationNews\022-\n\007entries\030\001 \003(\0132\034.ger" +
-      "aniumreach.link.LogEntry\022\014\n\004head\030\002 \001(\003\"l" +
-      "\n\010LogEntry\022\020\n\010revision\030\001 \001(\003\022\021\n\toperatio" +
-      "n\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004name\030\004 \001(\t\022\021\n\tw" +
-      "ithdrawn\030\005 \001(\010\022\014\n\004body\030\006 \001(\t\"(\n\017Snapshot" +
-      "Request\022\025\n\rhave_revision\030\001 \001(\003\"m\n\014Snapsh" +
-      "otPart\022\020\n\010revision\030\001 \001(\003\022\r\n\005index\030\002 \001(\005\022" +
-      "\r\n\005parts\030\003 \001(\005\022-\n\007entries\030\004 \003(\0132\034.gerani" +
-      "umreach.link.LogEntry\"\250\001\n\013LoanRequest\022\016\n" +
-      "\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\025\n\rtokens" +
-      "_wanted\030\003 \001(\003\022\024\n\014share_wanted\030\004 \001(\003\022\027\n\017d" +
-      "uration_millis\030\005 \001(\003\022\016\n\006demand\030\006 \001(\003\022\022\n\n" +
-      "share_held\030\007 \001(\003\022\016\n\006holder\030\010 \001(\t\"e\n\nLoan" +
-      "Answer\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022" +
-      "\016\n\006tokens\030\003 \001(\003\022\r\n\005share\030\004 \001(\003\022\027\n\017durati" +
-      "on_millis\030\005 \001(\003\"\205\002\n\tFreshness\022\020\n\010instanc" +
-      "e\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010revision" +
-      "\030\003 \001(\003\022\034\n\024confirmed_age_millis\030\004 \001(\003\022\027\n\017" +
-      "store_reachable\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\022\030\n\020" +
-      "heard_age_millis\030\007 \003(\003\022\030\n\020highest_revisi" +
-      "on\030\010 \001(\003\022\r\n\005stamp\030\t \001(\003\022\016\n\006echoes\030\n \001(\010\022" +
-      "\014\n\004echo\030\013 \001(\003\022\030\n\020echo_held_millis\030\014 \001(\003\"" +
-      "U\n\010LoadNews\022\016\n\006target\030\001 \001(\t\022\022\n\nin_transi" +
-      "t\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014waiting_work" +
-      "\030\004 \001(\003\"\035\n\nShareMoved\022\017\n\007account\030\001 \001(\t\"0\n" +
-      "\007Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnatio" +
-      "n\030\002 \001(\003\"s\n\rAdapterDemand\022\016\n\006target\030\001 \001(\t" +
-      "\022\r\n\005model\030\002 \001(\t\022\014\n\004used\030\004 \003(\t\022/\n\006wishes\030" +
-      "\005 \003(\0132\037.geraniumreach.link.AdapterWishJ\004" +
-      "\010\003\020\004\"M\n\013AdapterWish\022\017\n\007adapter\030\001 \001(\t\022\022\n\n" +
-      "waited_for\030\002 \001(\010\022\031\n\021until_late_millis\030\003 " +
-      "\001(\021\"\226\001\n\013AdapterNews\022\016\n\006target\030\001 \001(\t\022\022\n\ns" +
-      "tarted_at\030\002 \001(\003\022\r\n\005model\030\003 \001(\t\022\025\n\rmodel_" +
-      "present\030\004 \001(\010\022/\n\005there\030\005 \003(\0132 .geraniumr" +
-      "each.link.AdapterThere\022\014\n\004gone\030\006 \003(\t\"0\n\014" +
-      "AdapterThere\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version" +
-      "\030\002 \001(\003B)\n\032org.geraniumreach.messagesB\tLi" +
-      "nkProtoP\001b\006proto3"
+      "each.link.AdapterNewsH\000\0225\n\013feed_update\030\032" +
+      " \001(\0132\036.geraniumreach.link.FeedUpdateH\000B\006" +
+      "\n\004body\"\237\001\n\005Hello\022\030\n\020protocol_version\030\001 \001" +
+      "(\r\022\020\n\010instance\030\002 \001(\t\022\014\n\004role\030\003 \001(\t\022\023\n\013in" +
+      "carnation\030\004 \001(\003\022\026\n\016failure_domain\030\005 \001(\t\022" +
+      "\016\n\006target\030\006 \001(\t\022\r\n\005fence\030\007 \001(\003\022\020\n\010revisi" +
+      "on\030\010 \001(\003\"\026\n\004Ping\022\016\n\006number\030\001 \001(\003\"\026\n\004Pong" +
+      "\022\016\n\006number\030\001 \001(\003\"\364\002\n\003Run\022\017\n\007attempt\030\001 \001(" +
+      "\t\022\034\n\024deadline_left_millis\030\002 \001(\003\022\017\n\007accou" +
+      "nt\030\003 \001(\t\022\022\n\nkey_digest\030\004 \001(\014\022\017\n\007adapter\030" +
+      "\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022" +
+      "\021\n\toperation\030\010 \001(\t\022\014\n\004body\030\t \001(\014\022\026\n\016maxi" +
+      "mum_tokens\030\n \001(\005\022\020\n\010priority\030\013 \001(\005\022\022\n\nre" +
+      "peatable\030\014 \001(\010\022\035\n\025companion_incarnation\030" +
+      "\r \001(\003\022\020\n\010revision\030\016 \001(\003\022\025\n\rprompt_tokens" +
+      "\030\017 \001(\003\022\025\n\rprefix_digest\030\020 \001(\014\022\016\n\006credit\030" +
+      "\021 \001(\005\022\030\n\020not_after_millis\030\022 \001(\003\":\n\010Accep" +
+      "ted\022\017\n\007attempt\030\001 \001(\t\022\035\n\025companion_incarn" +
+      "ation\030\002 \001(\003\"K\n\005Chunk\022\017\n\007attempt\030\001 \001(\t\022\020\n" +
+      "\010sequence\030\002 \001(\003\022\017\n\007payload\030\003 \001(\014\022\016\n\006toke" +
+      "ns\030\004 \001(\005\"\316\001\n\003End\022\017\n\007attempt\030\001 \001(\t\022\r\n\005cou" +
+      "nt\030\002 \001(\003\022\025\n\rprompt_tokens\030\003 \001(\005\022\030\n\020gener" +
+      "ated_tokens\030\004 \001(\005\022\017\n\007adapter\030\005 \001(\t\022\017\n\007ve" +
+      "rsion\030\006 \001(\t\022\025\n\rfinish_reason\030\007 \001(\t\022\024\n\014qu" +
+      "eue_micros\030\010 \001(\003\022\023\n\013load_micros\030\t \001(\003\022\022\n" +
+      "\nprefix_hit\030\n \001(\010\"b\n\007Refused\022\017\n\007attempt\030" +
+      "\001 \001(\t\022\014\n\004code\030\002 \001(\005\022\017\n\007message\030\003 \001(\t\022\013\n\003" +
+      "ran\030\004 \001(\005\022\032\n\022retry_after_millis\030\005 \001(\003\"\\\n" +
+      "\006Cancel\022\017\n\007attempt\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t" +
+      "\022\022\n\nage_millis\030\003 \001(\003\022\035\n\025companion_incarn" +
+      "ation\030\004 \001(\003\"\354\001\n\006Resume\022\017\n\007attempt\030\001 \001(\t\022" +
+      "\025\n\rnext_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022" +
+      "\n\nage_millis\030\004 \001(\003\022\035\n\025companion_incarnat" +
+      "ion\030\005 \001(\003\022\017\n\007account\030\006 \001(\t\022\022\n\nkey_digest" +
+      "\030\007 \001(\014\022\017\n\007adapter\030\010 \001(\t\022\017\n\007version\030\t \001(\t" +
+      "\022\022\n\nrepeatable\030\n \001(\010\022\034\n\024deadline_left_mi" +
+      "llis\030\013 \001(\003\"E\n\013Acknowledge\022\017\n\007attempt\030\001 \001" +
+      "(\t\022\025\n\rnext_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(" +
+      "\005\"J\n\004Seal\022\017\n\007attempt\030\001 \001(\t\022\035\n\025companion_" +
+      "incarnation\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\"G\n" +
+      "\006Sealed\022\017\n\007attempt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022" +
+      "\035\n\025companion_incarnation\030\003 \001(\003\"\252\002\n\006Statu" +
+      "s\022\020\n\010sequence\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007r" +
+      "unning\030\003 \001(\005\022\016\n\006queued\030\004 \001(\005\022\025\n\rqueued_t" +
+      "okens\030\005 \001(\003\022\031\n\021concurrency_limit\030\006 \001(\005\022\r" +
+      "\n\005slots\030\007 \001(\005\022\020\n\010complete\030\010 \001(\010\022\020\n\010resid" +
+      "ent\030\t \003(\t\022\017\n\007removed\030\n \003(\t\022\017\n\007loading\030\013 " +
+      "\003(\t\022\032\n\022engine_incarnation\030\014 \001(\003\022\020\n\010drain" +
+      "ing\030\r \001(\010\022\r\n\005fence\030\016 \001(\003\022\031\n\021tokens_per_s" +
+      "econd\030\017 \001(\001\"P\n\021ConfigurationNews\022-\n\007entr" +
+      "ies\030\001 \003(\0132\034.geraniumreach.link.LogEntry\022" +
+      "\014\n\004head\030\002 \001(\003\"l\n\010LogEntry\022\020\n\010revision\030\001 " +
+      "\001(\003\022\021\n\toperation\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004" +
+      "name\030\004 \001(\t\022\021\n\twithdrawn\030\005 \001(\010\022\014\n\004body\030\006 " +
+      "\001(\t\"(\n\017SnapshotRequest\022\025\n\rhave_revision\030" +
+      "\001 \001(\003\"m\n\014SnapshotPart\022\020\n\010revision\030\001 \001(\003\022" +
+      "\r\n\005index\030\002 \001(\005\022\r\n\005parts\030\003 \001(\005\022-\n\007entries" +
+      "\030\004 \003(\0132\034.geraniumreach.link.LogEntry\"\250\001\n" +
+      "\013LoanRequest\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030" +
+      "\002 \001(\t\022\025\n\rtokens_wanted\030\003 \001(\003\022\024\n\014share_wa" +
+      "nted\030\004 \001(\003\022\027\n\017duration_millis\030\005 \001(\003\022\016\n\006d" +
+      "emand\030\006 \001(\003\022\022\n\nshare_held\030\007 \001(\003\022\016\n\006holde" +
+      "r\030\010 \001(\t\"e\n\nLoanAnswer\022\016\n\006number\030\001 \001(\003\022\017\n" +
+      "\007account\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\003\022\r\n\005share\030" +
+      "\004 \001(\003\022\027\n\017duration_millis\030\005 \001(\003\"\205\002\n\tFresh" +
+      "ness\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
+      "\001(\003\022\020\n\010revision\030\003 \001(\003\022\034\n\024confirmed_age_m" +
+      "illis\030\004 \001(\003\022\027\n\017store_reachable\030\005 \001(\010\022\r\n\005" +
+      "heard\030\006 \003(\t\022\030\n\020heard_age_millis\030\007 \003(\003\022\030\n" +
+      "\020highest_revision\030\010 \001(\003\022\r\n\005stamp\030\t \001(\003\022\016" +
+      "\n\006echoes\030\n \001(\010\022\014\n\004echo\030\013 \001(\003\022\030\n\020echo_hel" +
+      "d_millis\030\014 \001(\003\"U\n\010LoadNews\022\016\n\006target\030\001 \001" +
+      "(\t\022\022\n\nin_transit\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022" +
+      "\024\n\014waiting_work\030\004 \001(\003\"\035\n\nShareMoved\022\017\n\007a" +
+      "ccount\030\001 \001(\t\"0\n\007Leaving\022\020\n\010instance\030\001 \001(" +
+      "\t\022\023\n\013incarnation\030\002 \001(\003\"s\n\rAdapterDemand\022" +
+      "\016\n\006target\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\014\n\004used\030\004" +
+      " \003(\t\022/\n\006wishes\030\005 \003(\0132\037.geraniumreach.lin" +
+      "k.AdapterWishJ\004\010\003\020\004\"M\n\013AdapterWish\022\017\n\007ad" +
+      "apter\030\001 \001(\t\022\022\n\nwaited_for\030\002 \001(\010\022\031\n\021until" +
+      "_late_millis\030\003 \001(\021\"\226\001\n\013AdapterNews\022\016\n\006ta" +
+      "rget\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\r\n\005model\030" +
+      "\003 \001(\t\022\025\n\rmodel_present\030\004 \001(\010\022/\n\005there\030\005 " +
+      "\003(\0132 .geraniumreach.link.AdapterThere\022\014\n" +
+      "\004gone\030\006 \003(\t\"0\n\014AdapterThere\022\017\n\007adapter\030\001" +
+      " \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\nFeedUpdate\0223\n\005" +
+      "table\030\001 \001(\0162$.geraniumreach.link.FeedUpd" +
+      "ate.Table\022\r\n\005after\030\002 \001(\003\022\017\n\007version\030\003 \001(" +
+      "\003\022\024\n\014store_millis\030\004 \001(\003\022+\n\004rows\030\005 \003(\0132\035." +
+      "geraniumreach.link.StoredRow\022\017\n\007failure\030" +
+      "\006 \001(\t\":\n\005Table\022\013\n\007UNKNOWN\020\000\022\014\n\010OPERATOR\020" +
+      "\001\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003\"I\n\tStoredRow\022\013" +
+      "\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\017\n\007removed\030" +
+      "\003 \001(\010\022\r\n\005value\030\004 \001(\tB)\n\032org.geraniumreac" +
+      "h.messagesB\tLinkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -307,7 +326,7 @@
     internal_static_geraniumreach_link_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Run", "Accepted", "Chunk", "End", "Refused", "Cancel", "Resume", "Acknowledge", "Seal", "Sealed", "Status", "ConfigurationNews", "SnapshotRequest", "SnapshotPart", "LoanRequest", "LoanAnswer", "Freshness", "LoadNews", "Leaving", "ShareMoved", "AdapterDemand", "AdapterNews", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Run", "Accepted", "Chunk", "End", "Refused", "Cancel", "Resume", "Acknowledge", "Seal", "Sealed", "Status", "ConfigurationNews", "SnapshotRequest", "SnapshotPart", "LoanRequest", "LoanAnswer", "Freshness", "LoadNews", "Leaving", "ShareMoved", "AdapterDemand", "AdapterNews", "FeedUpdate", "Body", });
     internal_static_geraniumreach_link_Hello_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_geraniumreach_link_Hello_fieldAccessorTable = new
@@ -476,6 +495,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_AdapterThere_descriptor,
         new java.lang.String[] { "Adapter", "Version", });
+    internal_static_geraniumreach_link_FeedUpdate_descriptor =
+      getDescriptor().getMessageTypes().get(29);
+    internal_static_geraniumreach_link_FeedUpdate_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_FeedUpdate_descriptor,
+        new java.lang.String[] { "Table", "After", "Version", "StoreMillis", "Rows", "Failure", });
+    internal_static_geraniumreach_link_StoredRow_descriptor =
+      getDescriptor().getMessageTypes().get(30);
+    internal_static_geraniumreach_link_StoredRow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_StoredRow_descriptor,
+        new java.lang.String[] { "Key", "Version", "Removed", "Value", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/DomainRelay.java
@@ -0,0 +1,45 @@
+package org.geraniumreach.node;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.geraniumreach.gateway.store.FeedRelay;
+import org.geraniumreach.gateway.store.FeedUpdate;
+import org.geraniumreach.gateway.store.ReaderSelection;
+import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.Frame;
+
+/**
+ * Passes readings of the store on over the links within this entry's failure domain.
+ *
+ * <p>Confined to the event loop.
+ */
+final class DomainRelay implements FeedRelay {
+
+    private final String self;
+    private final EntryLinks links;
+
+    DomainRelay(String self, EntryLinks links) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.links = Objects.requireNonNull(links, "links");
+    }
+
+    @Override
+    public boolean isReader() {
+        List<String> others = links.domainPeers().stream()
+                .map(peer -> peer.hello().getInstance())
+                .toList();
+        return ReaderSelection.isReader(self, others);
+    }
+
+    @Override
+    public void publish(FeedUpdate update) {
+        List<Peer> peers = links.domainPeers();
+        if (peers.isEmpty()) {
+            return;
+        }
+        Frame frame = FeedUpdates.toFrame(update);
+        // A peer whose link is choked gets no update late, but notices the gap and reads the store.
+        peers.stream().filter(Peer::isWritable).forEach(peer -> peer.send(frame));
+    }
+}
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -10,11 +10,13 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoopGroup;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.process.ProcessSettings;
+import org.geraniumreach.gateway.store.FeedUpdate;
 import org.geraniumreach.link.FrameHandler;
 import org.geraniumreach.link.LinkNode;
 import org.geraniumreach.link.LinkSettings;
@@ -34,13 +36,18 @@
  */
 final class EntryLinks implements FrameHandler, AutoCloseable {
 
-    private static final int PROTOCOL_VERSION = 1;
+    private static final int PROTOCOL_VERSION = 2;
+
+    /** From this version on, entries take updates of the store's tables; an earlier one would close the link. */
+    private static final int FEED_UPDATE_VERSION = 2;
 
     private final LinkNode links;
     private final String self;
     private final Listener listener;
     private final DecisionLog log;
+    private final String failureDomain;
     private final Map<String, InetSocketAddress> known = new HashMap<>();
+    private Consumer<FeedUpdate> feedUpdates = update -> {};
 
     /** Is told of what other entries send. */
     interface Listener {
@@ -55,6 +62,7 @@
     private EntryLinks(
             ProcessSettings settings, long incarnation, EventLoopGroup loops, Listener listener, DecisionLog log) {
         this.self = settings.instance();
+        this.failureDomain = settings.failureDomain().value();
         this.listener = Objects.requireNonNull(listener, "listener");
         this.log = Objects.requireNonNull(log, "log");
         Hello hello = Hello.newBuilder()
@@ -75,7 +83,9 @@
             ProcessSettings settings, long incarnation, EventLoopGroup loops, Listener listener, DecisionLog log)
             throws IOException {
         EntryLinks entryLinks = new EntryLinks(settings, incarnation, loops, listener, log);
-        entryLinks.links.handle(EnumSet.of(Frame.BodyCase.ADAPTER_DEMAND, Frame.BodyCase.ADAPTER_NEWS), entryLinks);
+        entryLinks.links.handle(
+                EnumSet.of(Frame.BodyCase.ADAPTER_DEMAND, Frame.BodyCase.ADAPTER_NEWS, Frame.BodyCase.FEED_UPDATE),
+                entryLinks);
         entryLinks.links.listen(settings.links());
         return entryLinks;
     }
@@ -108,6 +118,19 @@
         peers.forEach(peer -> peer.send(frame));
     }
 
+    /** Sets who is told of the updates that others publish. */
+    void onFeedUpdate(Consumer<FeedUpdate> consumer) {
+        feedUpdates = Objects.requireNonNull(consumer, "consumer");
+    }
+
+    /** Gets the open links to entries of this entry's failure domain that take feed updates. */
+    List<Peer> domainPeers() {
+        return links.peers().stream()
+                .filter(peer -> peer.hello().getFailureDomain().equals(failureDomain))
+                .filter(peer -> peer.hello().getProtocolVersion() >= FEED_UPDATE_VERSION)
+                .toList();
+    }
+
     @Override
     public void opened(Peer peer) {
         log.write(EventCode.LINK_OPENED, peer.hello().getInstance());
@@ -120,6 +143,8 @@
             listener.demanded(frame.getAdapterDemand());
         } else if (frame.hasAdapterNews()) {
             listener.news(frame.getAdapterNews());
+        } else if (frame.hasFeedUpdate()) {
+            FeedUpdates.fromMessage(frame.getFeedUpdate()).ifPresent(feedUpdates);
         }
     }
 
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -3,15 +3,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -23,11 +22,9 @@
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetBook;
 import org.geraniumreach.gateway.placement.TargetNews;
-import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.StorePort;
-import org.geraniumreach.gateway.port.StoreReply;
 import org.geraniumreach.gateway.port.Timers;
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.Quotas;
@@ -38,6 +35,7 @@
 import org.geraniumreach.gateway.request.RequestDesk;
 import org.geraniumreach.gateway.store.FeedReader;
 import org.geraniumreach.gateway.store.LeaseKeeper;
+import org.geraniumreach.gateway.store.StoreClock;
 import org.geraniumreach.gateway.store.StoreWatch;
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
 import org.geraniumreach.httpclient.HttpConnections;
@@ -45,6 +43,7 @@
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.platform.Ingress;
 import org.geraniumreach.platform.StoreClient;
+import org.geraniumreach.platform.StoredRows;
 import org.geraniumreach.platform.TargetClient;
 import org.geraniumreach.serving.retry.EjectionRules;
 import org.geraniumreach.serving.retry.RetryBudget;
@@ -61,17 +60,17 @@
     private static final Duration IDLE_CONNECTIONS = Duration.ofSeconds(12);
     private static final Duration SWEEP = Duration.ofMillis(500);
 
-    /** A change must be in force within 2 s, so a silent connection must show well before. */
-    private static final FeedReader.Pace OPERATOR_PACE =
-            new FeedReader.Pace(Duration.ofMillis(1_500), Duration.ZERO, Duration.ofMillis(500));
+    /** A change must be in force within 2 s, also where the connection to the store or the reader has gone silent. */
+    private static final FeedReader.Pace OPERATOR_PACE = new FeedReader.Pace(
+            Duration.ofMillis(1_200), Duration.ZERO, Duration.ofMillis(500), Duration.ofMillis(1_600));
 
-    /** A leaving target must be heeded within 2 s; rows change with each load, so reading at each change costs 13 calls a second. */
-    private static final FeedReader.Pace TARGET_PACE =
-            new FeedReader.Pace(Duration.ofMillis(1_500), Duration.ofMillis(800), Duration.ofMillis(500));
+    /** Bounds how long a leaving target is still used; see docs/CAPACITY.md for the cost of shorter intervals. */
+    private static final FeedReader.Pace TARGET_PACE = new FeedReader.Pace(
+            Duration.ofMillis(1_200), Duration.ofMillis(800), Duration.ofMillis(500), Duration.ofMillis(1_500));
 
     /** Changes of shares wake every reader; what an entry changes itself it knows at once. */
-    private static final FeedReader.Pace FLEET_PACE =
-            new FeedReader.Pace(Duration.ofSeconds(4), Duration.ofMillis(900), Duration.ofSeconds(1));
+    private static final FeedReader.Pace FLEET_PACE = new FeedReader.Pace(
+            Duration.ofSeconds(4), Duration.ofMillis(900), Duration.ofSeconds(1), Duration.ofMillis(4_500));
 
     private static final Ingress.Limits FIRST_LIMITS =
             new Ingress.Limits(16_384, 4 * 1024 * 1024, Duration.ofSeconds(75));
@@ -121,7 +120,7 @@
     private final TargetHealth health;
     private final RequestDesk requests;
     private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
-    private OptionalLong operatorReadAt = OptionalLong.empty();
+    private Map<StorePort.Table, FeedReader<?>> readers = Map.of();
     private volatile boolean targetsKnown;
     private volatile boolean admits;
     private boolean wasReady;
@@ -267,11 +266,7 @@
         book.listen(desk);
         book.listen(new HealthMembers());
         desk.start(links);
-        new FeedReader<>(this::readOperator, this::operatorNews, watch, timers, OPERATOR_PACE).read();
-        new FeedReader<>(store::targetNews, this::targetNews, targetWatch, timers, TARGET_PACE).read();
-        FeedReader.Source<StorePort.RowChange> fleetRows =
-                (position, reply) -> store.rowNews(Holdings.TABLE, position, reply);
-        new FeedReader<>(fleetRows, fleet::took, watch, timers, FLEET_PACE).read();
+        readFeeds();
         leaseKeeper.renew();
         fleet.start();
         sweep();
@@ -310,14 +305,28 @@
         }
     }
 
-    private Cancellable readOperator(
-            StorePort.Position position, Consumer<StoreReply<StorePort.News<StorePort.OperatorItem>>> reply) {
-        return store.operatorNews(position, answer -> {
-            reply.accept(answer);
-            if (answer instanceof StoreReply.Value<StorePort.News<StorePort.OperatorItem>>) {
-                operatorReadAt = OptionalLong.of(clock.nanos());
-            }
-        });
+    private void readFeeds() {
+        FeedReader.Context context = new FeedReader.Context(
+                store, timers, clock, new StoreClock(clock), new DomainRelay(settings.instance(), links));
+        FeedReader<StorePort.OperatorItem> operator = new FeedReader<>(
+                StorePort.Table.OPERATOR, StoredRows::operatorItem, this::operatorNews, watch, OPERATOR_PACE, context);
+        FeedReader<StorePort.TargetItem> targetRows = new FeedReader<>(
+                StorePort.Table.TARGETS, StoredRows::targetItem, this::targetNews, targetWatch, TARGET_PACE, context);
+        FeedReader<StorePort.RowChange> fleetRows = new FeedReader<>(
+                StorePort.Table.FLEET,
+                row -> Optional.of(StorePort.RowChange.of(Holdings.TABLE, row)),
+                fleet::took,
+                watch,
+                FLEET_PACE,
+                context);
+        readers = Map.of(
+                StorePort.Table.OPERATOR, operator,
+                StorePort.Table.TARGETS, targetRows,
+                StorePort.Table.FLEET, fleetRows);
+        links.onFeedUpdate(update -> readers.get(update.table()).onUpdate(update));
+        operator.read();
+        targetRows.read();
+        fleetRows.read();
     }
 
     private void operatorNews(StorePort.News<StorePort.OperatorItem> news) {
@@ -325,7 +334,11 @@
             if (item instanceof StorePort.OperatorItem.Configuration newer) {
                 configure(newer.configuration());
             } else if (item instanceof StorePort.OperatorItem.AdapterVersion named) {
-                desk.versions().named(named.adapter(), named.version(), operatorReadAt);
+                desk.versions()
+                        .named(
+                                named.adapter(),
+                                named.version(),
+                                readers.get(StorePort.Table.OPERATOR).readAt());
             } else if (item instanceof StorePort.OperatorItem.Unreadable bad) {
                 log.write(EventCode.ROW_UNREADABLE, bad.key(), Field.of("reason", bad.reason()));
             }
--- a/node/src/main/java/org/geraniumreach/node/FleetTable.java
+++ b/node/src/main/java/org/geraniumreach/node/FleetTable.java
@@ -254,20 +254,19 @@
         }
         readingLeases = true;
         leasesReadAt = now;
-        OneAnswer<StoreReply<StorePort.News<RowChange>>> answer = new OneAnswer<>(reply -> {
+        OneAnswer<StoreReply<StorePort.Page>> answer = new OneAnswer<>(reply -> {
             readingLeases = false;
             watch.noted(reply);
-            if (reply instanceof StoreReply.Value<StorePort.News<RowChange>> value) {
-                value.value().items().forEach(this::sawLease);
+            if (reply instanceof StoreReply.Value<StorePort.Page> value) {
+                value.value().rows().forEach(this::sawLease);
             }
         });
         answer.within(ANSWER_LIMIT, new StoreReply.Unknown<>("no answer to a reading"), timers);
-        answer.from(store.rowNews(Holdings.LEASES, StorePort.Position.beginning(), answer));
+        answer.from(store.read(StorePort.Table.LEASES, StorePort.Position.beginning(), answer));
     }
 
-    private void sawLease(RowChange change) {
-        change.row()
-                .ifPresent(row -> holdings.seenLease(change.key(), row.version(), LeaseKeeper.released(row.value())));
+    private void sawLease(StorePort.StoredRow row) {
+        row.value().ifPresent(value -> holdings.seenLease(row.key(), row.version(), LeaseKeeper.released(value)));
     }
 
     int entries() {
