--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterPlaces.java
@@ -53,7 +53,7 @@
     /** A report tells of a moment up to 0.2 s ago, so one read sooner may not know of the last order. */
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
-    /** Entries tell five times a second for which adapters requests are under way, so one not heard of for this long runs nowhere. */
+    /** Entries report requests that began within {@link UsageReports#CHECK_INTERVAL}, so one that began earlier is known. */
     private static final Duration IDLE_BEFORE_EVICTION = Duration.ofMillis(450);
 
     /** Adapters that a target is taken to keep at hand after they were evicted; taken for more, a fetch would not be counted as one. */
@@ -73,6 +73,7 @@
     private Optional<AdapterName> awaitingRuns = Optional.empty();
     private final Wishes wishes = new Wishes();
     private final UseScores uses = new UseScores();
+    private final RunningAdapters running = new RunningAdapters();
     private final Deque<AdapterName> atHand = new ArrayDeque<>();
     private boolean modelPresent;
     private boolean modelComing;
@@ -180,6 +181,35 @@
         uses.used(adapter, count, now);
     }
 
+    /**
+     * Takes an entry's report of the adapters that its requests run for.
+     *
+     * @param entry the entry, not null
+     * @param adapters the adapters, not null
+     * @param now the time
+     */
+    public void running(String entry, Set<AdapterName> adapters, long now) {
+        running.reported(entry, adapters, now);
+    }
+
+    /**
+     * Gets how long nothing is to be done.
+     *
+     * @param now the time
+     * @return the time until the next call may be due, empty if that depends on other events than the passing of time, not null
+     */
+    public Optional<Duration> untilNextCall(long now) {
+        boolean open =
+                orders.isEmpty() || !modelPresent || unanswered.isPresent() || !wishes.areAllIn(nextLook.keySet());
+        if (open || callUnderWay) {
+            return Optional.empty();
+        }
+        Optional<Long> next = awaitingRuns.isPresent()
+                ? awaitingRuns.map(waiting -> nextLook.getOrDefault(waiting, now))
+                : nextLook.values().stream().min(Long::compare);
+        return next.map(at -> Duration.ofNanos(Math.max(0, Math.max(at, notBefore) - now)));
+    }
+
     private boolean isPresent(AdapterName adapter) {
         Long version = resident.get(adapter);
         return version != null && !leaving.contains(adapter) && version >= newestVersion.apply(adapter);
@@ -278,6 +308,7 @@
         return resident.keySet().stream()
                 .filter(adapter -> !wishes.contains(adapter) && !nextLook.containsKey(adapter))
                 .filter(adapter -> uses.isIdle(adapter, now, IDLE_BEFORE_EVICTION.toNanos()))
+                .filter(adapter -> !running.contains(adapter, now))
                 .min((one, other) -> Double.compare(evictionRank(one, now), evictionRank(other, now)));
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/Wishes.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/Wishes.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.geraniumreach.gateway.traffic.AdapterName;
 
@@ -90,6 +91,10 @@
         return wishes.containsKey(adapter);
     }
 
+    boolean areAllIn(Set<AdapterName> adapters) {
+        return adapters.containsAll(wishes.keySet());
+    }
+
     boolean isEmpty() {
         return wishes.isEmpty();
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterPlacesTest.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.gateway.adapter;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -70,6 +71,64 @@
         assertThat(load(world.places, name(PLACES), begun, usual) - begun).isLessThan(usual + 50 * MILLI);
     }
 
+    /** Guards against the eviction of an adapter whose request runs for longer than evictions look back. */
+    @Test
+    void anAdapterThatRequestsRunForIsNotEvicted() {
+        World world = new World(1);
+        Map<String, Long> full = new HashMap<>();
+        for (int number = 0; number < PLACES; number++) {
+            full.put("a" + number, 1L);
+        }
+        world.places.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
+        long now = 5_000 * MILLI;
+        world.places.running("other", Set.of(name(0), name(1), name(2)), now);
+        world.places.running("another", Set.of(name(3), name(4)), now);
+        now += 1_500 * MILLI;
+        world.places.want(name(9), OptionalLong.empty(), now);
+        assertThat(world.places.next(now)).isEmpty();
+        world.places.running("another", Set.of(name(3)), now);
+        AdapterPlaces.Step.Send unload =
+                (AdapterPlaces.Step.Send) world.places.next(now).orElseThrow();
+        assertThat(unload.adapter()).contains(name(4));
+    }
+
+    /** Guards against slots that are lost for good because an entry ended without a last report. */
+    @Test
+    void whatAnEntryThatIsGoneReportedDoesNotPreventEvictionsForLong() {
+        World world = new World(1);
+        Map<String, Long> full = new HashMap<>();
+        for (int number = 0; number < PLACES; number++) {
+            full.put("a" + number, 1L);
+        }
+        world.places.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
+        world.places.running("gone", Set.of(name(0), name(1), name(2), name(3), name(4)), 0);
+        long now = RunningAdapters.LIFETIME.toNanos();
+        world.places.want(name(9), OptionalLong.empty(), now);
+        assertThat(world.places.next(now)).isPresent();
+    }
+
+    @Test
+    void nothingIsDueUntilTheFirstLookAtALoad() {
+        World world = new World(1);
+        world.places.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
+        load(world.places, name(0), 0, 250 * MILLI);
+        long now = 1_000 * MILLI;
+        world.places.want(name(1), OptionalLong.empty(), now);
+        AdapterPlaces.Step.Send order =
+                (AdapterPlaces.Step.Send) world.places.next(now).orElseThrow();
+        assertThat(world.places.untilNextCall(now)).isEmpty();
+        world.places.answered(order, OrderResult.ACCEPTED, now);
+        assertThat(world.places.untilNextCall(now)).contains(Duration.ofMillis(230));
+        now += 230 * MILLI;
+        AdapterPlaces.Step.Send poll =
+                (AdapterPlaces.Step.Send) world.places.next(now).orElseThrow();
+        assertThat(world.places.untilNextCall(now)).isEmpty();
+        world.places.answered(poll, OrderResult.ACCEPTED, now);
+        assertThat(world.places.untilNextCall(now)).contains(Duration.ofMillis(25));
+        world.places.want(name(2), OptionalLong.empty(), now);
+        assertThat(world.places.untilNextCall(now)).isEmpty();
+    }
+
     /** Has an adapter loaded that is there after a time, and returns when that was noticed. */
     private static long load(AdapterPlaces places, AdapterName adapter, long begun, long took) {
         places.want(adapter, OptionalLong.empty(), begun);
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/UsageReportsTest.java
@@ -0,0 +1,74 @@
+package org.geraniumreach.gateway.adapter;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetBook;
+import org.geraniumreach.gateway.placement.TargetDescription;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.TargetId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UsageReportsTest {
+
+    private static final long CHECK = UsageReports.CHECK_INTERVAL.toNanos();
+    private static final AdapterName ONE = new AdapterName("base", "a1");
+    private static final AdapterName TWO = new AdapterName("base", "a2");
+
+    private final UsageReports reports = new UsageReports();
+    private final Target target = target();
+
+    private static Target target() {
+        TargetBook book = new TargetBook(() -> 0);
+        TargetId id = TargetId.of("t");
+        book.put(new TargetDescription(
+                id, 1, "service", new InetSocketAddress(1), FailureDomain.of("domain"), 8, false, Map.of()));
+        return book.find(id).orElseThrow();
+    }
+
+    @Test
+    void reportsEachBeginningOnceAndWhatRuns() {
+        reports.began(target, ONE);
+        reports.began(target, ONE);
+        reports.began(target, TWO);
+        reports.ended(target, TWO);
+        assertThat(reports.due(0))
+                .containsExactly(new UsageReports.Report(target, List.of(ONE, ONE, TWO), Set.of(ONE)));
+        assertThat(reports.due(CHECK)).isEmpty();
+    }
+
+    /** Guards against slots that stay taken because the end of a request is not reported. */
+    @Test
+    void reportsThatNothingRunsAnyMoreOnce() {
+        reports.began(target, ONE);
+        reports.due(0);
+        reports.ended(target, ONE);
+        assertThat(reports.due(CHECK)).containsExactly(new UsageReports.Report(target, List.of(), Set.of()));
+        assertThat(reports.due(100 * CHECK)).isEmpty();
+    }
+
+    /** Guards against traffic between entries that grows with the requests that merely go on. */
+    @Test
+    void aLongRequestIsRenewedOnceASecond() {
+        reports.began(target, ONE);
+        int count = 0;
+        for (int check = 0; check < 50; check++) {
+            count += reports.due(check * CHECK).size();
+        }
+        assertThat(count).isEqualTo(10);
+    }
+
+    @Test
+    void aTargetThatIsGoneIsForgotten() {
+        reports.began(target, ONE);
+        reports.forget(target);
+        reports.ended(target, ONE);
+        assertThat(reports.due(0)).isEmpty();
+    }
+}
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterDemand.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterDemand.java
@@ -37,6 +37,8 @@
     used_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     wishes_ = java.util.Collections.emptyList();
+    running_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -136,7 +138,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * adapters that requests were sent for
+   * adapters that requests were sent for since the last report, one for each request
    * </pre>
    *
    * <code>repeated string used = 4;</code>
@@ -148,7 +150,7 @@
   }
   /**
    * <pre>
-   * adapters that requests were sent for
+   * adapters that requests were sent for since the last report, one for each request
    * </pre>
    *
    * <code>repeated string used = 4;</code>
@@ -159,7 +161,7 @@
   }
   /**
    * <pre>
-   * adapters that requests were sent for
+   * adapters that requests were sent for since the last report, one for each request
    * </pre>
    *
    * <code>repeated string used = 4;</code>
@@ -171,7 +173,7 @@
   }
   /**
    * <pre>
-   * adapters that requests were sent for
+   * adapters that requests were sent for since the last report, one for each request
    * </pre>
    *
    * <code>repeated string used = 4;</code>
@@ -224,6 +226,74 @@
     return wishes_.get(index);
   }
 
+  public static final int RUNNING_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList running_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * adapters that requests run for now
+   * </pre>
+   *
+   * <code>repeated string running = 6;</code>
+   * @return A list containing the running.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getRunningList() {
+    return running_;
+  }
+  /**
+   * <pre>
+   * adapters that requests run for now
+   * </pre>
+   *
+   * <code>repeated string running = 6;</code>
+   * @return The count of running.
+   */
+  public int getRunningCount() {
+    return running_.size();
+  }
+  /**
+   * <pre>
+   * adapters that requests run for now
+   * </pre>
+   *
+   * <code>repeated string running = 6;</code>
+   * @param index The index of the element to return.
+   * @return The running at the given index.
+   */
+  public java.lang.String getRunning(int index) {
+    return running_.get(index);
+  }
+  /**
+   * <pre>
+   * adapters that requests run for now
+   * </pre>
+   *
+   * <code>repeated string running = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the running at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getRunningBytes(int index) {
+    return running_.getByteString(index);
+  }
+
+  public static final int TELLS_RUNNING_FIELD_NUMBER = 7;
+  private boolean tellsRunning_ = false;
+  /**
+   * <pre>
+   * whether running is set; it may be empty then
+   * </pre>
+   *
+   * <code>bool tells_running = 7;</code>
+   * @return The tellsRunning.
+   */
+  @java.lang.Override
+  public boolean getTellsRunning() {
+    return tellsRunning_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -250,6 +320,12 @@
     for (int i = 0; i < wishes_.size(); i++) {
       output.writeMessage(5, wishes_.get(i));
     }
+    for (int i = 0; i < running_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, running_.getRaw(i));
+    }
+    if (tellsRunning_ != false) {
+      output.writeBool(7, tellsRunning_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -277,6 +353,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, wishes_.get(i));
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < running_.size(); i++) {
+        dataSize += computeStringSizeNoTag(running_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getRunningList().size();
+    }
+    if (tellsRunning_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, tellsRunning_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -300,6 +388,10 @@
         .equals(other.getUsedList())) return false;
     if (!getWishesList()
         .equals(other.getWishesList())) return false;
+    if (!getRunningList()
+        .equals(other.getRunningList())) return false;
+    if (getTellsRunning()
+        != other.getTellsRunning()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -323,6 +415,13 @@
       hash = (37 * hash) + WISHES_FIELD_NUMBER;
       hash = (53 * hash) + getWishesList().hashCode();
     }
+    if (getRunningCount() > 0) {
+      hash = (37 * hash) + RUNNING_FIELD_NUMBER;
+      hash = (53 * hash) + getRunningList().hashCode();
+    }
+    hash = (37 * hash) + TELLS_RUNNING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getTellsRunning());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -470,6 +569,9 @@
         wishesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      running_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      tellsRunning_ = false;
       return this;
     }
 
@@ -526,6 +628,13 @@
         used_.makeImmutable();
         result.used_ = used_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        running_.makeImmutable();
+        result.running_ = running_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.tellsRunning_ = tellsRunning_;
+      }
     }
 
     @java.lang.Override
@@ -586,6 +695,19 @@
           }
         }
       }
+      if (!other.running_.isEmpty()) {
+        if (running_.isEmpty()) {
+          running_ = other.running_;
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureRunningIsMutable();
+          running_.addAll(other.running_);
+        }
+        onChanged();
+      }
+      if (other.getTellsRunning() != false) {
+        setTellsRunning(other.getTellsRunning());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -641,6 +763,17 @@
               }
               break;
             } // case 42
+            case 50: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureRunningIsMutable();
+              running_.add(s);
+              break;
+            } // case 50
+            case 56: {
+              tellsRunning_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -812,7 +945,7 @@
     }
     /**
      * <pre>
-     * adapters that requests were sent for
+     * adapters that requests were sent for since the last report, one for each request
      * </pre>
      *
      * <code>repeated string used = 4;</code>
@@ -825,7 +958,7 @@
     }
     /**
      * <pre>
-     * adapters that requests were sent for
+     * adapters that requests were sent for since the last report, one for each request
      * </pre>
      *
      * <code>repeated string used = 4;</code>
@@ -836,7 +969,7 @@
     }
     /**
      * <pre>
-     * adapters that requests were sent for
+     * adapters that requests were sent for since the last report, one for each request
      * </pre>
      *
      * <code>repeated string used = 4;</code>
@@ -848,7 +981,7 @@
     }
     /**
      * <pre>
-     * adapters that requests were sent for
+     * adapters that requests were sent for since the last report, one for each request
      * </pre>
      *
      * <code>repeated string used = 4;</code>
@@ -861,7 +994,7 @@
     }
     /**
      * <pre>
-     * adapters that requests were sent for
+     * adapters that requests were sent for since the last report, one for each request
      * </pre>
      *
      * <code>repeated string used = 4;</code>
@@ -880,7 +1013,7 @@
     }
     /**
      * <pre>
-     * adapters that requests were sent for
+     * adapters that requests were sent for since the last report, one for each request
      * </pre>
      *
      * <code>repeated string used = 4;</code>
@@ -898,7 +1031,7 @@
     }
     /**
      * <pre>
-     * adapters that requests were sent for
+     * adapters that requests were sent for since the last report, one for each request
      * </pre>
      *
      * <code>repeated string used = 4;</code>
@@ -916,7 +1049,7 @@
     }
     /**
      * <pre>
-     * adapters that requests were sent for
+     * adapters that requests were sent for since the last report, one for each request
      * </pre>
      *
      * <code>repeated string used = 4;</code>
@@ -931,7 +1064,7 @@
     }
     /**
      * <pre>
-     * adapters that requests were sent for
+     * adapters that requests were sent for since the last report, one for each request
      * </pre>
      *
      * <code>repeated string used = 4;</code>
@@ -1189,6 +1322,197 @@
       return wishesBuilder_;
     }
 
+    private com.google.protobuf.LazyStringArrayList running_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureRunningIsMutable() {
+      if (!running_.isModifiable()) {
+        running_ = new com.google.protobuf.LazyStringArrayList(running_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * adapters that requests run for now
+     * </pre>
+     *
+     * <code>repeated string running = 6;</code>
+     * @return A list containing the running.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getRunningList() {
+      running_.makeImmutable();
+      return running_;
+    }
+    /**
+     * <pre>
+     * adapters that requests run for now
+     * </pre>
+     *
+     * <code>repeated string running = 6;</code>
+     * @return The count of running.
+     */
+    public int getRunningCount() {
+      return running_.size();
+    }
+    /**
+     * <pre>
+     * adapters that requests run for now
+     * </pre>
+     *
+     * <code>repeated string running = 6;</code>
+     * @param index The index of the element to return.
+     * @return The running at the given index.
+     */
+    public java.lang.String getRunning(int index) {
+      return running_.get(index);
+    }
+    /**
+     * <pre>
+     * adapters that requests run for now
+     * </pre>
+     *
+     * <code>repeated string running = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the running at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getRunningBytes(int index) {
+      return running_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * adapters that requests run for now
+     * </pre>
+     *
+     * <code>repeated string running = 6;</code>
+     * @param index The index to set the value at.
+     * @param value The running to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRunning(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureRunningIsMutable();
+      running_.set(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * adapters that requests run for now
+     * </pre>
+     *
+     * <code>repeated string running = 6;</code>
+     * @param value The running to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRunning(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureRunningIsMutable();
+      running_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * adapters that requests run for now
+     * </pre>
+     *
+     * <code>repeated string running = 6;</code>
+     * @param values The running to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllRunning(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureRunningIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, running_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * adapters that requests run for now
+     * </pre>
+     *
+     * <code>repeated string running = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRunning() {
+      running_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000010);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * adapters that requests run for now
+     * </pre>
+     *
+     * <code>repeated string running = 6;</code>
+     * @param value The bytes of the running to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRunningBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureRunningIsMutable();
+      running_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private boolean tellsRunning_ ;
+    /**
+     * <pre>
+     * whether running is set; it may be empty then
+     * </pre>
+     *
+     * <code>bool tells_running = 7;</code>
+     * @return The tellsRunning.
+     */
+    @java.lang.Override
+    public boolean getTellsRunning() {
+      return tellsRunning_;
+    }
+    /**
+     * <pre>
+     * whether running is set; it may be empty then
+     * </pre>
+     *
+     * <code>bool tells_running = 7;</code>
+     * @param value The tellsRunning to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTellsRunning(boolean value) {
+
+      tellsRunning_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * whether running is set; it may be empty then
+     * </pre>
+     *
+     * <code>bool tells_running = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTellsRunning() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      tellsRunning_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterDemand)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterDemandOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterDemandOrBuilder.java
@@ -35,7 +35,7 @@
 
   /**
    * <pre>
-   * adapters that requests were sent for
+   * adapters that requests were sent for since the last report, one for each request
    * </pre>
    *
    * <code>repeated string used = 4;</code>
@@ -45,7 +45,7 @@
       getUsedList();
   /**
    * <pre>
-   * adapters that requests were sent for
+   * adapters that requests were sent for since the last report, one for each request
    * </pre>
    *
    * <code>repeated string used = 4;</code>
@@ -54,7 +54,7 @@
   int getUsedCount();
   /**
    * <pre>
-   * adapters that requests were sent for
+   * adapters that requests were sent for since the last report, one for each request
    * </pre>
    *
    * <code>repeated string used = 4;</code>
@@ -64,7 +64,7 @@
   java.lang.String getUsed(int index);
   /**
    * <pre>
-   * adapters that requests were sent for
+   * adapters that requests were sent for since the last report, one for each request
    * </pre>
    *
    * <code>repeated string used = 4;</code>
@@ -97,4 +97,55 @@
    */
   org.geraniumreach.messages.AdapterWishOrBuilder getWishesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * adapters that requests run for now
+   * </pre>
+   *
+   * <code>repeated string running = 6;</code>
+   * @return A list containing the running.
+   */
+  java.util.List<java.lang.String>
+      getRunningList();
+  /**
+   * <pre>
+   * adapters that requests run for now
+   * </pre>
+   *
+   * <code>repeated string running = 6;</code>
+   * @return The count of running.
+   */
+  int getRunningCount();
+  /**
+   * <pre>
+   * adapters that requests run for now
+   * </pre>
+   *
+   * <code>repeated string running = 6;</code>
+   * @param index The index of the element to return.
+   * @return The running at the given index.
+   */
+  java.lang.String getRunning(int index);
+  /**
+   * <pre>
+   * adapters that requests run for now
+   * </pre>
+   *
+   * <code>repeated string running = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the running at the given index.
+   */
+  com.google.protobuf.ByteString
+      getRunningBytes(int index);
+
+  /**
+   * <pre>
+   * whether running is set; it may be empty then
+   * </pre>
+   *
+   * <code>bool tells_running = 7;</code>
+   * @return The tellsRunning.
+   */
+  boolean getTellsRunning();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -296,26 +296,27 @@
       "(\t\022\022\n\nin_transit\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022" +
       "\024\n\014waiting_work\030\004 \001(\003\"\035\n\nShareMoved\022\017\n\007a" +
       "ccount\030\001 \001(\t\"0\n\007Leaving\022\020\n\010instance\030\001 \001(" +
-      "\t\022\023\n\013incarnation\030\002 \001(\003\"s\n\rAdapterDemand\022" +
-      "\016\n\006target\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\014\n\004used\030\004" +
-      " \003(\t\022/\n\006wishes\030\005 \003(\0132\037.geraniumreach.lin" +
-      "k.AdapterWishJ\004\010\003\020\004\"M\n\013AdapterWish\022\017\n\007ad" +
-      "apter\030\001 \001(\t\022\022\n\nwaited_for\030\002 \001(\010\022\031\n\021until" +
-      "_late_millis\030\003 \001(\021\"\226\001\n\013AdapterNews\022\016\n\006ta" +
-      "rget\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\r\n\005model\030" +
-      "\003 \001(\t\022\025\n\rmodel_present\030\004 \001(\010\022/\n\005there\030\005 " +
-      "\003(\0132 .geraniumreach.link.AdapterThere\022\014\n" +
-      "\004gone\030\006 \003(\t\"0\n\014AdapterThere\022\017\n\007adapter\030\001" +
-      " \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\nFeedUpdate\0223\n\005" +
-      "table\030\001 \001(\0162$.geraniumreach.link.FeedUpd" +
-      "ate.Table\022\r\n\005after\030\002 \001(\003\022\017\n\007version\030\003 \001(" +
-      "\003\022\024\n\014store_millis\030\004 \001(\003\022+\n\004rows\030\005 \003(\0132\035." +
-      "geraniumreach.link.StoredRow\022\017\n\007failure\030" +
-      "\006 \001(\t\":\n\005Table\022\013\n\007UNKNOWN\020\000\022\014\n\010OPERATOR\020" +
-      "\001\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003\"I\n\tStoredRow\022\013" +
-      "\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\017\n\007removed\030" +
-      "\003 \001(\010\022\r\n\005value\030\004 \001(\tB)\n\032org.geraniumreac" +
-      "h.messagesB\tLinkProtoP\001b\006proto3"
+      "\t\022\023\n\013incarnation\030\002 \001(\003\"\233\001\n\rAdapterDemand" +
+      "\022\016\n\006target\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\014\n\004used\030" +
+      "\004 \003(\t\022/\n\006wishes\030\005 \003(\0132\037.geraniumreach.li" +
+      "nk.AdapterWish\022\017\n\007running\030\006 \003(\t\022\025\n\rtells" +
+      "_running\030\007 \001(\010J\004\010\003\020\004\"M\n\013AdapterWish\022\017\n\007a" +
+      "dapter\030\001 \001(\t\022\022\n\nwaited_for\030\002 \001(\010\022\031\n\021unti" +
+      "l_late_millis\030\003 \001(\021\"\226\001\n\013AdapterNews\022\016\n\006t" +
+      "arget\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\r\n\005model" +
+      "\030\003 \001(\t\022\025\n\rmodel_present\030\004 \001(\010\022/\n\005there\030\005" +
+      " \003(\0132 .geraniumreach.link.AdapterThere\022\014" +
+      "\n\004gone\030\006 \003(\t\"0\n\014AdapterThere\022\017\n\007adapter\030" +
+      "\001 \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\nFeedUpdate\0223\n" +
+      "\005table\030\001 \001(\0162$.geraniumreach.link.FeedUp" +
+      "date.Table\022\r\n\005after\030\002 \001(\003\022\017\n\007version\030\003 \001" +
+      "(\003\022\024\n\014store_millis\030\004 \001(\003\022+\n\004rows\030\005 \003(\0132\035" +
+      ".geraniumreach.link.StoredRow\022\017\n\007failure" +
+      "\030\006 \001(\t\":\n\005Table\022\013\n\007UNKNOWN\020\000\022\014\n\010OPERATOR" +
+      "\020\001\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003\"I\n\tStoredRow\022" +
+      "\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\017\n\007removed" +
+      "\030\003 \001(\010\022\r\n\005value\030\004 \001(\tB)\n\032org.geraniumrea" +
+      "ch.messagesB\tLinkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -476,7 +477,7 @@
     internal_static_geraniumreach_link_AdapterDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_AdapterDemand_descriptor,
-        new java.lang.String[] { "Target", "Model", "Used", "Wishes", });
+        new java.lang.String[] { "Target", "Model", "Used", "Wishes", "Running", "TellsRunning", });
     internal_static_geraniumreach_link_AdapterWish_descriptor =
       getDescriptor().getMessageTypes().get(26);
     internal_static_geraniumreach_link_AdapterWish_fieldAccessorTable = new
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -54,7 +54,7 @@
 
         void opened(String entry);
 
-        void demanded(AdapterDemand demand);
+        void demanded(String entry, AdapterDemand demand);
 
         void news(AdapterNews news);
     }
@@ -140,7 +140,7 @@
     @Override
     public void received(Peer peer, Frame frame) {
         if (frame.hasAdapterDemand()) {
-            listener.demanded(frame.getAdapterDemand());
+            listener.demanded(peer.hello().getInstance(), frame.getAdapterDemand());
         } else if (frame.hasAdapterNews()) {
             listener.news(frame.getAdapterNews());
         } else if (frame.hasFeedUpdate()) {
--- a/node/src/main/java/org/geraniumreach/node/HolderDesk.java
+++ b/node/src/main/java/org/geraniumreach/node/HolderDesk.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.geraniumreach.gateway.adapter.AdapterPlaces;
 import org.geraniumreach.gateway.adapter.FetchWindow;
@@ -19,6 +19,7 @@
 import org.geraniumreach.gateway.adapter.Order;
 import org.geraniumreach.gateway.adapter.OrderResult;
 import org.geraniumreach.gateway.adapter.TargetReport;
+import org.geraniumreach.gateway.adapter.UsageReports;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetBook;
 import org.geraniumreach.gateway.port.Cancellable;
@@ -47,17 +48,16 @@
  */
 final class HolderDesk implements AdapterDesk, TargetBook.Listener, EntryLinks.Listener {
 
-    /** Loads take 25 ms at the least, so looking after them more often shows nothing new. */
+    /** Between two looks while load requests wait for a slot, for the weight store or for an adapter to be idle. */
     private static final Duration LOOK = Duration.ofMillis(12);
 
+    private static final Duration SHORTEST_LOOK = Duration.ofMillis(1);
+
     /** Orders are answered within 10 ms; one that is not was lost, or is carried out late, and a copy of it does no harm. */
     private static final Duration ORDER_LIMIT = Duration.ofMillis(150);
 
     private static final Duration REPORT_LIMIT = Duration.ofMillis(300);
 
-    /** Adapters with requests under way are told to holders; evictions look at the last 450 ms. */
-    private static final Duration TELL_USES = Duration.ofMillis(200);
-
     private static final Duration ASK_AGAIN = Duration.ofMillis(300);
 
     private final TargetBook book;
@@ -72,7 +72,7 @@
     private final Map<Target, Held> held = new HashMap<>();
     private final NamedVersions versions;
     private final AdapterWaiters waiting = new AdapterWaiters();
-    private final Map<Target, Map<AdapterName, Integer>> underWay = new HashMap<>();
+    private final UsageReports usage = new UsageReports();
     private final Map<Target, Map<AdapterName, Long>> asked = new HashMap<>();
     private Optional<EntryLinks> links = Optional.empty();
 
@@ -107,7 +107,7 @@
 
     void start(EntryLinks entryLinks) {
         links = Optional.of(entryLinks);
-        timers.after(TELL_USES, this::tellUses);
+        timers.after(UsageReports.CHECK_INTERVAL, this::reportUsage);
     }
 
     /** Queries whether somebody can have adapters loaded at a target now. */
@@ -237,10 +237,15 @@
             now.places.next(clock.nanos()).ifPresent(step -> carryOut(target, now, step, fence.getAsLong()));
         }
         if (now.places.isBusy()) {
-            now.look = timers.after(LOOK, () -> look(target));
+            now.look = timers.after(untilLook(now.places), () -> look(target));
         }
     }
 
+    private Duration untilLook(AdapterPlaces places) {
+        Duration until = places.untilNextCall(clock.nanos()).orElse(LOOK);
+        return until.compareTo(SHORTEST_LOOK) < 0 ? SHORTEST_LOOK : until;
+    }
+
     private void carryOut(Target target, Held now, AdapterPlaces.Step step, long fence) {
         if (step instanceof AdapterPlaces.Step.Send send) {
             order(target, now, send, fence);
@@ -327,7 +332,7 @@
 
     @Override
     public void begun(Target target, AdapterName adapter) {
-        underWay.computeIfAbsent(target, missing -> new HashMap<>()).merge(adapter, 1, Integer::sum);
+        usage.began(target, adapter);
         Held own = held.get(target);
         if (own != null) {
             own.places.used(adapter, 1, clock.nanos());
@@ -336,31 +341,37 @@
 
     @Override
     public void ended(Target target, AdapterName adapter) {
-        Map<AdapterName, Integer> running = underWay.get(target);
-        if (running != null) {
-            running.computeIfPresent(adapter, (name, count) -> count > 1 ? count - 1 : null);
-        }
+        usage.ended(target, adapter);
     }
 
-    private void tellUses() {
+    private void reportUsage() {
         long now = clock.nanos();
-        underWay.forEach((target, running) -> {
-            Held own = held.get(target);
+        for (UsageReports.Report report : usage.due(now)) {
+            Held own = held.get(report.target());
             if (own != null) {
-                running.keySet().forEach(adapter -> own.places.used(adapter, 0, now));
-            } else if (!running.isEmpty()) {
-                tellHolder(target, running.keySet());
+                own.places.running(self, report.running(), now);
+            } else {
+                reportToOwner(report);
             }
-        });
-        timers.after(TELL_USES, this::tellUses);
+        }
+        timers.after(UsageReports.CHECK_INTERVAL, this::reportUsage);
+    }
+
+    private void reportToOwner(UsageReports.Report report) {
+        Map<String, AdapterDemand.Builder> byModel = new HashMap<>();
+        report.began().forEach(adapter -> byModel.computeIfAbsent(adapter.baseModel(), missing -> report())
+                .addUsed(adapter.adapter()));
+        report.running().forEach(adapter -> byModel.computeIfAbsent(adapter.baseModel(), missing -> report())
+                .addRunning(adapter.adapter()));
+        if (byModel.isEmpty()) {
+            engine(report.target())
+                    .ifPresent(engine -> byModel.put(engine.models().get(0), report()));
+        }
+        byModel.forEach((model, demand) -> demand(report.target(), model, demand));
     }
 
-    private void tellHolder(Target target, Set<AdapterName> running) {
-        Map<String, Set<String>> byModel = new HashMap<>();
-        running.forEach(adapter -> byModel.computeIfAbsent(adapter.baseModel(), missing -> new HashSet<>())
-                .add(adapter.adapter()));
-        byModel.forEach((model, adapters) ->
-                demand(target, model, AdapterDemand.newBuilder().addAllUsed(adapters)));
+    private static AdapterDemand.Builder report() {
+        return AdapterDemand.newBuilder().setTellsRunning(true);
     }
 
     @Override
@@ -397,7 +408,7 @@
     public void left(Target target) {
         log.write(EventCode.TARGET_LEFT, target.id().value());
         letGo(target);
-        underWay.remove(target);
+        usage.forget(target);
         asked.remove(target);
     }
 
@@ -421,7 +432,7 @@
     }
 
     @Override
-    public void demanded(AdapterDemand demand) {
+    public void demanded(String entry, AdapterDemand demand) {
         Optional<Target> target = book.find(TargetId.of(demand.getTarget()));
         if (target.isEmpty() || !held.containsKey(target.get())) {
             return;
@@ -429,10 +440,17 @@
         AdapterPlaces places = held.get(target.get()).places;
         long now = clock.nanos();
         demand.getUsedList().forEach(name -> places.used(new AdapterName(demand.getModel(), name), 1, now));
+        if (demand.getTellsRunning()) {
+            places.running(entry, adapters(demand.getModel(), demand.getRunningList()), now);
+        }
         demand.getWishesList().forEach(wish -> places.want(adapter(demand, wish), lateAt(untilLate(wish), now), now));
         look(target.get());
     }
 
+    private static Set<AdapterName> adapters(String model, List<String> names) {
+        return names.stream().map(name -> new AdapterName(model, name)).collect(Collectors.toUnmodifiableSet());
+    }
+
     private static AdapterName adapter(AdapterDemand demand, AdapterWish wish) {
         return new AdapterName(demand.getModel(), wish.getAdapter());
     }
