--- a/link/src/main/java/org/geraniumreach/link/LinkChannel.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkChannel.java
@@ -31,6 +31,7 @@
 final class LinkChannel extends SimpleChannelInboundHandler<Frame> implements Peer, LinkTable.Member {
 
     private static final int OLDEST_PROTOCOL = 1;
+    private static final long PHASE_STEP_NANOS = 100_003;
     private static final Set<Frame.BodyCase> REQUESTS =
             EnumSet.of(Frame.BodyCase.RUN, Frame.BodyCase.RESUME, Frame.BodyCase.CANCEL, Frame.BodyCase.SEAL);
 
@@ -147,7 +148,15 @@
         }
         owner.happened(EventCode.LINK_OPENED, description());
         handlers.all().forEach(this::announce);
-        tick();
+        scheduleTick();
+    }
+
+    /** All links of a process ping at the same moments, so that many links wake it no more often than one; processes differ. */
+    private void scheduleTick() {
+        long interval = settings.pingInterval().toNanos();
+        long phase = owner.localHello().getInstance().hashCode() * PHASE_STEP_NANOS;
+        long delay = interval - Math.floorMod(System.nanoTime() - phase, interval);
+        channel.eventLoop().schedule(this::tick, delay, TimeUnit.NANOSECONDS);
     }
 
     private void tick() {
@@ -161,7 +170,7 @@
         send(Frame.newBuilder()
                 .setPing(Ping.newBuilder().setNumber(health.pingNumber()))
                 .build());
-        channel.eventLoop().schedule(this::tick, settings.pingInterval().toNanos(), TimeUnit.NANOSECONDS);
+        scheduleTick();
     }
 
     /**
--- a/link/src/main/java/org/geraniumreach/link/LinkSettings.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkSettings.java
@@ -86,6 +86,30 @@
                 Duration.ofSeconds(2));
     }
 
+    /**
+     * Returns settings with other heartbeats.
+     *
+     * @param interval the time between two pings, not null
+     * @param unanswered the number of pings without an answer after which a link is given up
+     * @return the settings, not null
+     */
+    public LinkSettings withPings(Duration interval, int unanswered) {
+        return new LinkSettings(
+                connectLimit,
+                helloLimit,
+                interval,
+                unanswered,
+                leastBackoff,
+                greatestBackoff,
+                maximumFrameBytes,
+                writeBufferLow,
+                writeBufferHigh,
+                threads,
+                resumeLimit,
+                answerLimit,
+                deadlineGrace);
+    }
+
     private static void requirePositive(String name, Duration value) {
         Objects.requireNonNull(value, name);
         if (value.isZero() || value.isNegative()) {
--- /dev/null
+++ b/link/src/test/java/org/geraniumreach/link/LinkSettingsTest.java
@@ -0,0 +1,20 @@
+package org.geraniumreach.link;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LinkSettingsTest {
+
+    @Test
+    void otherHeartbeatsLeaveTheRest() {
+        LinkSettings defaults = LinkSettings.defaults();
+        LinkSettings changed = defaults.withPings(Duration.ofSeconds(1), 2);
+        assertThat(changed.pingInterval()).isEqualTo(Duration.ofSeconds(1));
+        assertThat(changed.unansweredPings()).isEqualTo(2);
+        assertThat(changed.withPings(defaults.pingInterval(), defaults.unansweredPings()))
+                .isEqualTo(defaults);
+    }
+}
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -41,6 +42,11 @@
     /** From this version on, entries take updates of the store's tables; an earlier one would close the link. */
     private static final int FEED_UPDATE_VERSION = 2;
 
+    /** Heartbeats are most of the frames between many entries; a lost entry's targets are taken over after its lease, much later. */
+    private static final Duration PING_INTERVAL = Duration.ofSeconds(1);
+
+    private static final int UNANSWERED_PINGS = 2;
+
     private final LinkNode links;
     private final String self;
     private final Listener listener;
@@ -73,7 +79,7 @@
                 .setFailureDomain(settings.failureDomain().value())
                 .build();
         this.links = LinkNode.createOn(
-                LinkSettings.defaults(),
+                LinkSettings.defaults().withPings(PING_INTERVAL, UNANSWERED_PINGS),
                 () -> hello,
                 (event, detail) -> log.write(event, "", Field.of("detail", detail)),
                 loops);
