--- a/node/src/main/java/org/geraniumreach/node/Main.java
+++ b/node/src/main/java/org/geraniumreach/node/Main.java
@@ -77,6 +77,7 @@
             return WRONG_SETTINGS;
         }
         JsonLog log = JsonLog.toStandardOutput();
+        LibraryLog.install(log);
         if (command == Command.REHEARSE) {
             return rehearse(log);
         }
