--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/QuotaAdmission.java
@@ -0,0 +1,194 @@
+package org.geraniumreach.gateway.quota;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.gateway.traffic.Account;
+import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * Admits requests by their accounts' rates: from this entry's share, or from that of another entry that is asked for units.
+ *
+ * <p>Invariants: units are taken at one holder for each admitted request; units whose grant is lost or comes too late are spent for nothing,
+ * never twice. A holder that has refused is not asked again before it said that it has units. Confined to the event loop.
+ */
+public final class QuotaAdmission {
+
+    /** Holders asked for one request; beyond, the account is taken to be above its rate. */
+    private static final int MOST_ASKED = 2;
+
+    /** An answer takes a few milliseconds; a holder that is stopped or cut off never answers. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(150);
+
+    /** Shares move, so a refusal is not believed for longer. */
+    private static final Duration LONGEST_REFUSAL = Duration.ofMillis(500);
+
+    private static final int MOST_REFUSALS = 4_096;
+
+    private final Quotas quotas;
+    private final QuotaPeers peers;
+    private final Timers timers;
+    private final MonotonicClock clock;
+    private final Random random;
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private final Map<Holder, Long> refusedUntil = new HashMap<>();
+    private long numbers;
+
+    private record Holder(String entry, AccountId account) {}
+
+    /** A request whose units are asked for. */
+    private final class Pending {
+        private final Account account;
+        private final double units;
+        private final Consumer<Quotas.Admission> decided;
+        private final Deque<String> holders;
+        private Optional<Duration> comeBack;
+        private Cancellable timeout = Cancellable.NOTHING;
+        private long number;
+        private String asked = "";
+        private int count;
+
+        private Pending(
+                Account account,
+                double units,
+                Consumer<Quotas.Admission> decided,
+                Deque<String> holders,
+                Optional<Duration> comeBack) {
+            this.account = account;
+            this.units = units;
+            this.decided = decided;
+            this.holders = holders;
+            this.comeBack = comeBack;
+        }
+
+        private void askNext() {
+            while (count < MOST_ASKED && !holders.isEmpty()) {
+                asked = holders.poll();
+                number = ++numbers;
+                if (peers.ask(asked, number, account.id(), units)) {
+                    count++;
+                    pending.put(number, this);
+                    timeout = timers.after(ANSWER_TIMEOUT, this::onTimeout);
+                    return;
+                }
+            }
+            decided.accept(new Quotas.Admission(false, comeBack));
+        }
+
+        private void onTimeout() {
+            pending.remove(number);
+            refuse(asked, account.id(), LONGEST_REFUSAL);
+            askNext();
+        }
+
+        private void onAnswer(Quotas.Admission answer) {
+            timeout.cancel();
+            if (answer.admitted()) {
+                decided.accept(answer);
+                return;
+            }
+            refuse(asked, account.id(), answer.delay().orElse(LONGEST_REFUSAL));
+            comeBack = sooner(comeBack, answer.delay());
+            askNext();
+        }
+
+        private void cancel() {
+            timeout.cancel();
+            pending.remove(number);
+        }
+    }
+
+    /**
+     * Creates an admission.
+     *
+     * @param quotas this entry's shares, not null
+     * @param peers reaches the other holders, not null
+     * @param timers runs actions later, not null
+     * @param clock the clock, not null
+     * @param random orders the holders, not null
+     */
+    public QuotaAdmission(Quotas quotas, QuotaPeers peers, Timers timers, MonotonicClock clock, Random random) {
+        this.quotas = Objects.requireNonNull(quotas, "quotas");
+        this.peers = Objects.requireNonNull(peers, "peers");
+        this.timers = Objects.requireNonNull(timers, "timers");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /**
+     * Takes a request's units.
+     *
+     * @param account the account, not null
+     * @param units the units
+     * @param decided told whether the request is admitted, at once if nobody need be asked, not null
+     * @return calls it off, not null
+     */
+    public Cancellable admit(Account account, double units, Consumer<Quotas.Admission> decided) {
+        Optional<Duration> comeBack = Optional.empty();
+        if (!account.isLimited() || quotas.hasShare(account.id())) {
+            Quotas.Admission own = quotas.admit(account, units);
+            if (own.admitted()) {
+                decided.accept(own);
+                return Cancellable.NOTHING;
+            }
+            comeBack = own.delay();
+        }
+        Pending request = new Pending(account, units, decided, holders(account.id()), comeBack);
+        request.askNext();
+        return request::cancel;
+    }
+
+    private Deque<String> holders(AccountId account) {
+        long now = clock.nanos();
+        List<String> holders = new ArrayList<>();
+        for (String entry : quotas.otherHolders(account)) {
+            if (refusedUntil.getOrDefault(new Holder(entry, account), now) <= now) {
+                holders.add(entry);
+            }
+        }
+        Collections.shuffle(holders, random);
+        return new ArrayDeque<>(holders);
+    }
+
+    private void refuse(String entry, AccountId account, Duration delay) {
+        long now = clock.nanos();
+        if (refusedUntil.size() > MOST_REFUSALS) {
+            refusedUntil.values().removeIf(until -> until <= now);
+        }
+        Duration believed = delay.compareTo(LONGEST_REFUSAL) < 0 ? delay : LONGEST_REFUSAL;
+        refusedUntil.put(new Holder(entry, account), now + believed.toNanos());
+    }
+
+    private static Optional<Duration> sooner(Optional<Duration> one, Optional<Duration> other) {
+        if (one.isEmpty() || other.isEmpty()) {
+            return one.isPresent() ? one : other;
+        }
+        return one.get().compareTo(other.get()) <= 0 ? one : other;
+    }
+
+    /**
+     * Takes another entry's answer.
+     *
+     * @param number the request's number
+     * @param answer the answer, not null
+     */
+    public void onAnswer(long number, Quotas.Admission answer) {
+        Pending request = pending.remove(number);
+        if (request != null) {
+            request.onAnswer(answer);
+        }
+    }
+}
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -1,7 +1,10 @@
 package org.geraniumreach.gateway.quota;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -211,11 +214,11 @@
     /**
      * Chooses what to change in the store.
      *
-     * @param entries how many entries there are, this one too
+     * @param entries the entries that there are, this one too, not null
      * @param abandoned the entries whose shares may be taken, with the versions of their leases, not null
      * @return the transaction, or empty if nothing is to be changed
      */
-    public Optional<Transaction> change(int entries, Map<String, Long> abandoned) {
+    public Optional<Transaction> change(Collection<String> entries, Map<String, Long> abandoned) {
         Transaction transaction = Transaction.empty();
         for (Account account : accounts.values()) {
             if (account.isLimited()) {
@@ -225,7 +228,8 @@
         return transaction.writes().isEmpty() ? Optional.empty() : Optional.of(transaction);
     }
 
-    private Transaction withChange(Transaction transaction, Account account, int entries, Map<String, Long> abandoned) {
+    private Transaction withChange(
+            Transaction transaction, Account account, Collection<String> entries, Map<String, Long> abandoned) {
         State state = state(account.id());
         ShareRow row = state.row;
         Transaction conditions = transaction;
@@ -235,8 +239,7 @@
                 conditions = conditions.withCondition(RowKey.of(Holdings.LEASES, gone.getKey()), gone.getValue());
             }
         }
-        double demand = state.demand.at(clock.nanos()) / account.unitsPerSecond();
-        Optional<ShareRow> change = SharePolicy.change(row, self, entries, demand);
+        Optional<ShareRow> change = change(row, account, state, entries);
         if (change.isEmpty()) {
             return transaction;
         }
@@ -248,6 +251,53 @@
                 .withWrite(key, change.get().toText());
     }
 
+    private Optional<ShareRow> change(ShareRow row, Account account, State state, Collection<String> entries) {
+        if (ShareHolders.isHolder(account.id(), self, entries)) {
+            double demand = state.demand.at(clock.nanos()) / account.unitsPerSecond();
+            return SharePolicy.change(row, self, ShareHolders.count(entries.size()), demand);
+        }
+        return row.shares().containsKey(self) ? Optional.of(row.without(self)) : Optional.empty();
+    }
+
+    /**
+     * Queries whether this entry has a share of an account's rate.
+     *
+     * @param account the account, not null
+     * @return true if it has
+     */
+    public boolean hasShare(AccountId account) {
+        return state(account).parts > 0;
+    }
+
+    /**
+     * Gets the other entries that have a share of an account's rate.
+     *
+     * @param account the account, not null
+     * @return their instances, not null
+     */
+    public List<String> otherHolders(AccountId account) {
+        List<String> holders = new ArrayList<>();
+        state(account).row.shares().forEach((entry, share) -> {
+            if (share.parts() > 0 && !entry.equals(self)) {
+                holders.add(entry);
+            }
+        });
+        return holders;
+    }
+
+    /**
+     * Takes units for a request of another entry.
+     *
+     * @param id the account, not null
+     * @param units the units
+     * @return whether it is admitted, not null
+     */
+    public Admission lend(AccountId id, double units) {
+        Account account = accounts.get(id);
+        boolean known = account != null && account.isLimited() && Double.isFinite(units) && units >= 0;
+        return known && hasShare(id) ? admit(account, units) : new Admission(false, Optional.empty());
+    }
+
     /** Takes back what was given up by a change that the store refused. */
     public void changeRefused() {
         states.forEach((account, state) -> {
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/SharePolicy.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/SharePolicy.java
@@ -40,6 +40,9 @@
             return Optional.of(row.with(self, new ShareRow.Share(first, lacking)));
         }
         int need = need(demand, entries);
+        if (row.free() >= LEAST_CHANGE) {
+            need = Math.max(need, Math.min(ShareRow.WHOLE / Math.max(1, entries), own.parts() + row.free()));
+        }
         if (need > own.parts()) {
             return more(row, self, own, need);
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -55,6 +55,7 @@
     private final ExchangeLog log;
     private final WaitClock waits = new WaitClock();
     private Cancellable limitTimer = Cancellable.NOTHING;
+    private Cancellable admission = Cancellable.NOTHING;
     private Cancellable waitTimer = Cancellable.NOTHING;
     private Cancellable adapterWait = Cancellable.NOTHING;
     private Optional<Attempt> attempt = Optional.empty();
@@ -104,19 +105,25 @@
             admitted();
             return;
         }
-        Quotas.Admission admission = services.quotas().admit(account.get(), units(account.get()));
-        if (!admission.admitted()) {
+        waits.waitsFor(WaitCause.RATE, services.clock().nanos());
+        admission = services.quotas().admit(account.get(), units(account.get()), this::onAdmission);
+    }
+
+    private void onAdmission(Quotas.Admission decision) {
+        if (ended) {
+            return;
+        }
+        if (!decision.admitted()) {
             refuse(Refusal.until(
                     ResultCode.OUT_OF_BUDGET,
                     "the client account is above its rate",
-                    admission.delay().orElse(COME_BACK)));
+                    decision.delay().orElse(COME_BACK)));
             return;
         }
-        Duration delay = admission.delay().orElse(Duration.ZERO);
+        Duration delay = decision.delay().orElse(Duration.ZERO);
         if (delay.isZero()) {
             admitted();
         } else {
-            waits.waitsFor(WaitCause.RATE, services.clock().nanos());
             waitTimer = services.timers().after(delay, this::admitted);
         }
     }
@@ -429,6 +436,7 @@
         }
         ended = true;
         limitTimer.cancel();
+        admission.cancel();
         waitTimer.cancel();
         adapterWait.cancel();
         services.outcomes()
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -7,7 +7,7 @@
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.port.Timers;
-import org.geraniumreach.gateway.quota.Quotas;
+import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.serving.retry.TargetHealth;
 
@@ -32,7 +32,7 @@
         TargetBook book,
         TargetPort targets,
         AdapterDesk adapters,
-        Quotas quotas,
+        QuotaAdmission quotas,
         RepeatBudgets repeats,
         TargetHealth health,
         Timers timers,
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
@@ -33,6 +33,7 @@
     private static final Quotas.Tolerance TOLERANCE = new Quotas.Tolerance(0.1, 11_000, Duration.ofSeconds(8));
     private static final Duration OBJECTIVE = Duration.ofMillis(1_000);
     private static final Duration WAIT = Duration.ofMillis(400);
+    private static final List<String> NAMES = List.of("entry0", "entry1", "entry2", "entry3");
 
     // An account gets more than its rate if two entries spend one part of it. Entries take and give parts as demand
     // moves,
@@ -241,7 +242,7 @@
 
         /** Commits a change: the answer is lost (0), refused if outdated, or believed. */
         private void change(Entry entry, int fate) {
-            Optional<Transaction> change = entry.quotas.change(entries.size(), Map.of());
+            Optional<Transaction> change = entry.quotas.change(NAMES, Map.of());
             if (change.isEmpty()) {
                 return;
             }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.SplittableRandom;
 
 import org.geraniumreach.gateway.adapter.Lease;
@@ -17,6 +18,7 @@
 import org.geraniumreach.gateway.placement.TargetBook;
 import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.gateway.request.AdapterDesk;
 import org.geraniumreach.gateway.request.ExchangeServices;
@@ -129,7 +131,7 @@
                         book,
                         targets,
                         adapters,
-                        quotas,
+                        new QuotaAdmission(quotas, (entry, number, account, units) -> false, time, time, new Random(1)),
                         new RepeatBudgets(() -> RetryBudget.create(time, 1, 0, RETRIES)),
                         health,
                         time,
--- a/messages/src/main/java/org/geraniumreach/messages/Frame.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Frame.java
@@ -74,6 +74,8 @@
     ADAPTER_DEMAND(24),
     ADAPTER_NEWS(25),
     FEED_UPDATE(26),
+    QUOTA_REQUEST(27),
+    QUOTA_RESPONSE(28),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -117,6 +119,8 @@
         case 24: return ADAPTER_DEMAND;
         case 25: return ADAPTER_NEWS;
         case 26: return FEED_UPDATE;
+        case 27: return QUOTA_REQUEST;
+        case 28: return QUOTA_RESPONSE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -938,6 +942,68 @@
     return org.geraniumreach.messages.FeedUpdate.getDefaultInstance();
   }
 
+  public static final int QUOTA_REQUEST_FIELD_NUMBER = 27;
+  /**
+   * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+   * @return Whether the quotaRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotaRequest() {
+    return bodyCase_ == 27;
+  }
+  /**
+   * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+   * @return The quotaRequest.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.QuotaRequest getQuotaRequest() {
+    if (bodyCase_ == 27) {
+       return (org.geraniumreach.messages.QuotaRequest) body_;
+    }
+    return org.geraniumreach.messages.QuotaRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.QuotaRequestOrBuilder getQuotaRequestOrBuilder() {
+    if (bodyCase_ == 27) {
+       return (org.geraniumreach.messages.QuotaRequest) body_;
+    }
+    return org.geraniumreach.messages.QuotaRequest.getDefaultInstance();
+  }
+
+  public static final int QUOTA_RESPONSE_FIELD_NUMBER = 28;
+  /**
+   * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+   * @return Whether the quotaResponse field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotaResponse() {
+    return bodyCase_ == 28;
+  }
+  /**
+   * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+   * @return The quotaResponse.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.QuotaResponse getQuotaResponse() {
+    if (bodyCase_ == 28) {
+       return (org.geraniumreach.messages.QuotaResponse) body_;
+    }
+    return org.geraniumreach.messages.QuotaResponse.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.QuotaResponseOrBuilder getQuotaResponseOrBuilder() {
+    if (bodyCase_ == 28) {
+       return (org.geraniumreach.messages.QuotaResponse) body_;
+    }
+    return org.geraniumreach.messages.QuotaResponse.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1030,6 +1096,12 @@
     if (bodyCase_ == 26) {
       output.writeMessage(26, (org.geraniumreach.messages.FeedUpdate) body_);
     }
+    if (bodyCase_ == 27) {
+      output.writeMessage(27, (org.geraniumreach.messages.QuotaRequest) body_);
+    }
+    if (bodyCase_ == 28) {
+      output.writeMessage(28, (org.geraniumreach.messages.QuotaResponse) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1143,6 +1215,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(26, (org.geraniumreach.messages.FeedUpdate) body_);
     }
+    if (bodyCase_ == 27) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, (org.geraniumreach.messages.QuotaRequest) body_);
+    }
+    if (bodyCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (org.geraniumreach.messages.QuotaResponse) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1264,6 +1344,14 @@
         if (!getFeedUpdate()
             .equals(other.getFeedUpdate())) return false;
         break;
+      case 27:
+        if (!getQuotaRequest()
+            .equals(other.getQuotaRequest())) return false;
+        break;
+      case 28:
+        if (!getQuotaResponse()
+            .equals(other.getQuotaResponse())) return false;
+        break;
       case 0:
       default:
     }
@@ -1383,6 +1471,14 @@
         hash = (37 * hash) + FEED_UPDATE_FIELD_NUMBER;
         hash = (53 * hash) + getFeedUpdate().hashCode();
         break;
+      case 27:
+        hash = (37 * hash) + QUOTA_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getQuotaRequest().hashCode();
+        break;
+      case 28:
+        hash = (37 * hash) + QUOTA_RESPONSE_FIELD_NUMBER;
+        hash = (53 * hash) + getQuotaResponse().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1595,6 +1691,12 @@
       if (feedUpdateBuilder_ != null) {
         feedUpdateBuilder_.clear();
       }
+      if (quotaRequestBuilder_ != null) {
+        quotaRequestBuilder_.clear();
+      }
+      if (quotaResponseBuilder_ != null) {
+        quotaResponseBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1740,6 +1842,14 @@
           feedUpdateBuilder_ != null) {
         result.body_ = feedUpdateBuilder_.build();
       }
+      if (bodyCase_ == 27 &&
+          quotaRequestBuilder_ != null) {
+        result.body_ = quotaRequestBuilder_.build();
+      }
+      if (bodyCase_ == 28 &&
+          quotaResponseBuilder_ != null) {
+        result.body_ = quotaResponseBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1859,6 +1969,14 @@
           mergeFeedUpdate(other.getFeedUpdate());
           break;
         }
+        case QUOTA_REQUEST: {
+          mergeQuotaRequest(other.getQuotaRequest());
+          break;
+        }
+        case QUOTA_RESPONSE: {
+          mergeQuotaResponse(other.getQuotaResponse());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -2071,6 +2189,20 @@
               bodyCase_ = 26;
               break;
             } // case 210
+            case 218: {
+              input.readMessage(
+                  getQuotaRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 27;
+              break;
+            } // case 218
+            case 226: {
+              input.readMessage(
+                  getQuotaResponseFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 28;
+              break;
+            } // case 226
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5795,6 +5927,290 @@
       return feedUpdateBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.QuotaRequest, org.geraniumreach.messages.QuotaRequest.Builder, org.geraniumreach.messages.QuotaRequestOrBuilder> quotaRequestBuilder_;
+    /**
+     * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+     * @return Whether the quotaRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuotaRequest() {
+      return bodyCase_ == 27;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+     * @return The quotaRequest.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.QuotaRequest getQuotaRequest() {
+      if (quotaRequestBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          return (org.geraniumreach.messages.QuotaRequest) body_;
+        }
+        return org.geraniumreach.messages.QuotaRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 27) {
+          return quotaRequestBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.QuotaRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+     */
+    public Builder setQuotaRequest(org.geraniumreach.messages.QuotaRequest value) {
+      if (quotaRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        quotaRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+     */
+    public Builder setQuotaRequest(
+        org.geraniumreach.messages.QuotaRequest.Builder builderForValue) {
+      if (quotaRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        quotaRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+     */
+    public Builder mergeQuotaRequest(org.geraniumreach.messages.QuotaRequest value) {
+      if (quotaRequestBuilder_ == null) {
+        if (bodyCase_ == 27 &&
+            body_ != org.geraniumreach.messages.QuotaRequest.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.QuotaRequest.newBuilder((org.geraniumreach.messages.QuotaRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 27) {
+          quotaRequestBuilder_.mergeFrom(value);
+        } else {
+          quotaRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+     */
+    public Builder clearQuotaRequest() {
+      if (quotaRequestBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        quotaRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+     */
+    public org.geraniumreach.messages.QuotaRequest.Builder getQuotaRequestBuilder() {
+      return getQuotaRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.QuotaRequestOrBuilder getQuotaRequestOrBuilder() {
+      if ((bodyCase_ == 27) && (quotaRequestBuilder_ != null)) {
+        return quotaRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 27) {
+          return (org.geraniumreach.messages.QuotaRequest) body_;
+        }
+        return org.geraniumreach.messages.QuotaRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.QuotaRequest, org.geraniumreach.messages.QuotaRequest.Builder, org.geraniumreach.messages.QuotaRequestOrBuilder> 
+        getQuotaRequestFieldBuilder() {
+      if (quotaRequestBuilder_ == null) {
+        if (!(bodyCase_ == 27)) {
+          body_ = org.geraniumreach.messages.QuotaRequest.getDefaultInstance();
+        }
+        quotaRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.QuotaRequest, org.geraniumreach.messages.QuotaRequest.Builder, org.geraniumreach.messages.QuotaRequestOrBuilder>(
+                (org.geraniumreach.messages.QuotaRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 27;
+      onChanged();
+      return quotaRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.QuotaResponse, org.geraniumreach.messages.QuotaResponse.Builder, org.geraniumreach.messages.QuotaResponseOrBuilder> quotaResponseBuilder_;
+    /**
+     * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+     * @return Whether the quotaResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuotaResponse() {
+      return bodyCase_ == 28;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+     * @return The quotaResponse.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.QuotaResponse getQuotaResponse() {
+      if (quotaResponseBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          return (org.geraniumreach.messages.QuotaResponse) body_;
+        }
+        return org.geraniumreach.messages.QuotaResponse.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 28) {
+          return quotaResponseBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.QuotaResponse.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+     */
+    public Builder setQuotaResponse(org.geraniumreach.messages.QuotaResponse value) {
+      if (quotaResponseBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        quotaResponseBuilder_.setMessage(value);
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+     */
+    public Builder setQuotaResponse(
+        org.geraniumreach.messages.QuotaResponse.Builder builderForValue) {
+      if (quotaResponseBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        quotaResponseBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+     */
+    public Builder mergeQuotaResponse(org.geraniumreach.messages.QuotaResponse value) {
+      if (quotaResponseBuilder_ == null) {
+        if (bodyCase_ == 28 &&
+            body_ != org.geraniumreach.messages.QuotaResponse.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.QuotaResponse.newBuilder((org.geraniumreach.messages.QuotaResponse) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 28) {
+          quotaResponseBuilder_.mergeFrom(value);
+        } else {
+          quotaResponseBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+     */
+    public Builder clearQuotaResponse() {
+      if (quotaResponseBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        quotaResponseBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+     */
+    public org.geraniumreach.messages.QuotaResponse.Builder getQuotaResponseBuilder() {
+      return getQuotaResponseFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.QuotaResponseOrBuilder getQuotaResponseOrBuilder() {
+      if ((bodyCase_ == 28) && (quotaResponseBuilder_ != null)) {
+        return quotaResponseBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 28) {
+          return (org.geraniumreach.messages.QuotaResponse) body_;
+        }
+        return org.geraniumreach.messages.QuotaResponse.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.QuotaResponse, org.geraniumreach.messages.QuotaResponse.Builder, org.geraniumreach.messages.QuotaResponseOrBuilder> 
+        getQuotaResponseFieldBuilder() {
+      if (quotaResponseBuilder_ == null) {
+        if (!(bodyCase_ == 28)) {
+          body_ = org.geraniumreach.messages.QuotaResponse.getDefaultInstance();
+        }
+        quotaResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.QuotaResponse, org.geraniumreach.messages.QuotaResponse.Builder, org.geraniumreach.messages.QuotaResponseOrBuilder>(
+                (org.geraniumreach.messages.QuotaResponse) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 28;
+      onChanged();
+      return quotaResponseBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Frame)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
@@ -399,5 +399,35 @@
    */
   org.geraniumreach.messages.FeedUpdateOrBuilder getFeedUpdateOrBuilder();
 
+  /**
+   * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+   * @return Whether the quotaRequest field is set.
+   */
+  boolean hasQuotaRequest();
+  /**
+   * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+   * @return The quotaRequest.
+   */
+  org.geraniumreach.messages.QuotaRequest getQuotaRequest();
+  /**
+   * <code>.geraniumreach.link.QuotaRequest quota_request = 27;</code>
+   */
+  org.geraniumreach.messages.QuotaRequestOrBuilder getQuotaRequestOrBuilder();
+
+  /**
+   * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+   * @return Whether the quotaResponse field is set.
+   */
+  boolean hasQuotaResponse();
+  /**
+   * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+   * @return The quotaResponse.
+   */
+  org.geraniumreach.messages.QuotaResponse getQuotaResponse();
+  /**
+   * <code>.geraniumreach.link.QuotaResponse quota_response = 28;</code>
+   */
+  org.geraniumreach.messages.QuotaResponseOrBuilder getQuotaResponseOrBuilder();
+
   org.geraniumreach.messages.Frame.BodyCase getBodyCase();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -180,6 +180,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_geraniumreach_link_StoredRow_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_QuotaRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_QuotaRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_QuotaResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_QuotaResponse_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -189,7 +199,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nlink.proto\022\022geraniumreach.link\"\263\n\n\005Fra" +
+      "\n\nlink.proto\022\022geraniumreach.link\"\253\013\n\005Fra" +
       "me\022*\n\005hello\030\001 \001(\0132\031.geraniumreach.link.H" +
       "elloH\000\022(\n\004ping\030\002 \001(\0132\030.geraniumreach.lin" +
       "k.PingH\000\022(\n\004pong\030\003 \001(\0132\030.geraniumreach.l" +
@@ -222,7 +232,10 @@
       "and\030\030 \001(\0132!.geraniumreach.link.AdapterDe" +
       "mandH\000\0227\n\014adapter_news\030\031 \001(\0132\037.geraniumr" +
       "each.link.AdapterNewsH\000\0225\n\013feed_update\030\032" +
-      " \001(\0132\036.geraniumreach.link.FeedUpdateH\000B\006" +
+      " \001(\0132\036.geraniumreach.link.FeedUpdateH\000\0229" +
+      "\n\rquota_request\030\033 \001(\0132 .geraniumreach.li" +
+      "nk.QuotaRequestH\000\022;\n\016quota_response\030\034 \001(" +
+      "\0132!.geraniumreach.link.QuotaResponseH\000B\006" +
       "\n\004body\"\237\001\n\005Hello\022\030\n\020protocol_version\030\001 \001" +
       "(\r\022\020\n\010instance\030\002 \001(\t\022\014\n\004role\030\003 \001(\t\022\023\n\013in" +
       "carnation\030\004 \001(\003\022\026\n\016failure_domain\030\005 \001(\t\022" +
@@ -315,8 +328,12 @@
       "\030\006 \001(\t\":\n\005Table\022\013\n\007UNKNOWN\020\000\022\014\n\010OPERATOR" +
       "\020\001\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003\"I\n\tStoredRow\022" +
       "\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\017\n\007removed" +
-      "\030\003 \001(\010\022\r\n\005value\030\004 \001(\tB)\n\032org.geraniumrea" +
-      "ch.messagesB\tLinkProtoP\001b\006proto3"
+      "\030\003 \001(\010\022\r\n\005value\030\004 \001(\t\">\n\014QuotaRequest\022\016\n" +
+      "\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\r\n\005units\030" +
+      "\003 \001(\001\"Z\n\rQuotaResponse\022\016\n\006number\030\001 \001(\003\022\017" +
+      "\n\007granted\030\002 \001(\010\022\023\n\013delay_known\030\003 \001(\010\022\023\n\013" +
+      "delay_nanos\030\004 \001(\003B)\n\032org.geraniumreach.m" +
+      "essagesB\tLinkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -327,7 +344,7 @@
     internal_static_geraniumreach_link_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Run", "Accepted", "Chunk", "End", "Refused", "Cancel", "Resume", "Acknowledge", "Seal", "Sealed", "Status", "ConfigurationNews", "SnapshotRequest", "SnapshotPart", "LoanRequest", "LoanAnswer", "Freshness", "LoadNews", "Leaving", "ShareMoved", "AdapterDemand", "AdapterNews", "FeedUpdate", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Run", "Accepted", "Chunk", "End", "Refused", "Cancel", "Resume", "Acknowledge", "Seal", "Sealed", "Status", "ConfigurationNews", "SnapshotRequest", "SnapshotPart", "LoanRequest", "LoanAnswer", "Freshness", "LoadNews", "Leaving", "ShareMoved", "AdapterDemand", "AdapterNews", "FeedUpdate", "QuotaRequest", "QuotaResponse", "Body", });
     internal_static_geraniumreach_link_Hello_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_geraniumreach_link_Hello_fieldAccessorTable = new
@@ -508,6 +525,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_StoredRow_descriptor,
         new java.lang.String[] { "Key", "Version", "Removed", "Value", });
+    internal_static_geraniumreach_link_QuotaRequest_descriptor =
+      getDescriptor().getMessageTypes().get(31);
+    internal_static_geraniumreach_link_QuotaRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_QuotaRequest_descriptor,
+        new java.lang.String[] { "Number", "Account", "Units", });
+    internal_static_geraniumreach_link_QuotaResponse_descriptor =
+      getDescriptor().getMessageTypes().get(32);
+    internal_static_geraniumreach_link_QuotaResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_QuotaResponse_descriptor,
+        new java.lang.String[] { "Number", "Granted", "DelayKnown", "DelayNanos", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoopGroup;
@@ -26,6 +27,8 @@
 import org.geraniumreach.messages.AdapterNews;
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.messages.Hello;
+import org.geraniumreach.messages.QuotaRequest;
+import org.geraniumreach.messages.QuotaResponse;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.InstanceId;
 
@@ -39,8 +42,8 @@
 
     private static final int PROTOCOL_VERSION = 2;
 
-    /** From this version on, entries take updates of the store's tables; an earlier one would close the link. */
-    private static final int FEED_UPDATE_VERSION = 2;
+    /** Entries of earlier versions close a link over a frame that they do not know, such as a feed update or a quota request. */
+    private static final int CURRENT_VERSION = 2;
 
     /** Heartbeats are most of the frames between many entries; a lost entry's targets are taken over after its lease, much later. */
     private static final Duration PING_INTERVAL = Duration.ofSeconds(1);
@@ -54,6 +57,8 @@
     private final String failureDomain;
     private final Map<String, InetSocketAddress> known = new HashMap<>();
     private Consumer<FeedUpdate> feedUpdates = update -> {};
+    private BiConsumer<String, QuotaRequest> quotaRequests = (entry, request) -> {};
+    private Consumer<QuotaResponse> quotaResponses = response -> {};
 
     /** Is told of what other entries send. */
     interface Listener {
@@ -119,6 +124,13 @@
         return peer.isPresent() && peer.get().send(frame);
     }
 
+    /** Sends a frame that entries of earlier versions do not know. */
+    boolean sendCurrent(String entry, Frame frame) {
+        Optional<Peer> peer =
+                links.find(InstanceId.of(entry)).filter(found -> found.hello().getProtocolVersion() >= CURRENT_VERSION);
+        return peer.isPresent() && peer.get().send(frame);
+    }
+
     void sendAll(Frame frame) {
         List<Peer> peers = links.peers();
         peers.forEach(peer -> peer.send(frame));
@@ -129,11 +141,17 @@
         feedUpdates = Objects.requireNonNull(consumer, "consumer");
     }
 
+    /** Sets who is told of requests for units, with the entry that sent them, and of their answers. */
+    void onQuota(BiConsumer<String, QuotaRequest> requests, Consumer<QuotaResponse> responses) {
+        quotaRequests = Objects.requireNonNull(requests, "requests");
+        quotaResponses = Objects.requireNonNull(responses, "responses");
+    }
+
     /** Gets the open links to entries of this entry's failure domain that take feed updates. */
     List<Peer> domainPeers() {
         return links.peers().stream()
                 .filter(peer -> peer.hello().getFailureDomain().equals(failureDomain))
-                .filter(peer -> peer.hello().getProtocolVersion() >= FEED_UPDATE_VERSION)
+                .filter(peer -> peer.hello().getProtocolVersion() >= CURRENT_VERSION)
                 .toList();
     }
 
@@ -151,6 +169,10 @@
             listener.news(frame.getAdapterNews());
         } else if (frame.hasFeedUpdate()) {
             FeedUpdates.fromMessage(frame.getFeedUpdate()).ifPresent(feedUpdates);
+        } else if (frame.hasQuotaRequest()) {
+            quotaRequests.accept(peer.hello().getInstance(), frame.getQuotaRequest());
+        } else if (frame.hasQuotaResponse()) {
+            quotaResponses.accept(frame.getQuotaResponse());
         }
     }
 
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,7 @@
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.port.Timers;
 import org.geraniumreach.gateway.process.ProcessSettings;
+import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.gateway.request.ExchangeServices;
 import org.geraniumreach.gateway.request.ExchangeSettings;
@@ -39,6 +41,7 @@
 import org.geraniumreach.gateway.store.StoreWatch;
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
 import org.geraniumreach.httpclient.HttpConnections;
+import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.platform.Ingress;
@@ -113,6 +116,7 @@
     private final Lease lease = new Lease(clock, System::currentTimeMillis);
     private final Holdings holdings;
     private final Quotas quotas;
+    private final QuotaAdmission admission;
     private final HttpConnections connections = new HttpConnections(loop, clock, CONNECT_LIMIT);
     private final StorePort store;
     private final TargetClient targets = new TargetClient(connections);
@@ -126,6 +130,7 @@
     private boolean wasReady;
     private Ingress ingress;
     private EntryLinks links;
+    private QuotaLinks quotaLinks;
     private FleetTable fleet;
     private LeaseKeeper leaseKeeper;
 
@@ -140,6 +145,7 @@
         this.targetNews = new TargetNews(book, log);
         this.holdings = new Holdings(settings.instance(), incarnation, lease, clock);
         this.quotas = new Quotas(settings.instance(), lease, settings.quotaTolerance(), clock, log);
+        this.admission = new QuotaAdmission(quotas, this::askForUnits, timers, clock, new Random());
         this.store = new StoreClient(connections, settings.store());
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.desk = new HolderDesk(book, holdings, targets, timers, clock, log, () -> configuration);
@@ -160,7 +166,7 @@
                 book,
                 targets,
                 desk,
-                quotas,
+                admission,
                 new RepeatBudgets(this::repeatBudget),
                 health,
                 timers,
@@ -170,6 +176,11 @@
                 ExchangeSettings.defaults());
     }
 
+    /** Nobody is asked before the links are open. */
+    private boolean askForUnits(String entry, long number, AccountId account, double units) {
+        return quotaLinks != null && quotaLinks.ask(entry, number, account, units);
+    }
+
     private RetryBudget repeatBudget() {
         ProcessSettings.RepeatLimits repeats = settings.repeats();
         double size = Math.max(1, repeats.extra() * REPEAT_CAUTION / LIKELY_ENTRIES);
@@ -266,6 +277,10 @@
         book.listen(desk);
         book.listen(new HealthMembers());
         desk.start(links);
+        quotaLinks = new QuotaLinks(quotas, links);
+        links.onQuota(
+                quotaLinks::onRequest,
+                response -> admission.onAnswer(response.getNumber(), QuotaLinks.answer(response)));
         readFeeds();
         leaseKeeper.renew();
         fleet.start();
--- a/node/src/main/java/org/geraniumreach/node/FleetTable.java
+++ b/node/src/main/java/org/geraniumreach/node/FleetTable.java
@@ -216,14 +216,22 @@
         if (sharing || !settled) {
             return;
         }
-        int count = Math.max(1, entries.size());
         Map<String, Long> abandoned = holdings.endedFor(Quotas.ABANDONED);
-        quotas.change(count, abandoned).ifPresent(transaction -> {
+        quotas.change(reachable(), abandoned).ifPresent(transaction -> {
             sharing = true;
             commit(transaction, decision -> shared(transaction, decision));
         });
     }
 
+    private List<String> reachable() {
+        List<String> reachable = new ArrayList<>();
+        reachable.add(settings.instance());
+        entries.keySet().stream()
+                .filter(entry -> !entry.equals(settings.instance()) && links.isVisible(entry))
+                .forEach(reachable::add);
+        return reachable;
+    }
+
     private void shared(Transaction transaction, Optional<StorePort.Decision> decision) {
         sharing = false;
         if (decision.isEmpty()) {
