--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -95,7 +95,12 @@
             throws IOException {
         EntryLinks entryLinks = new EntryLinks(settings, incarnation, loops, listener, log);
         entryLinks.links.handle(
-                EnumSet.of(Frame.BodyCase.ADAPTER_DEMAND, Frame.BodyCase.ADAPTER_NEWS, Frame.BodyCase.FEED_UPDATE),
+                EnumSet.of(
+                        Frame.BodyCase.ADAPTER_DEMAND,
+                        Frame.BodyCase.ADAPTER_NEWS,
+                        Frame.BodyCase.FEED_UPDATE,
+                        Frame.BodyCase.QUOTA_REQUEST,
+                        Frame.BodyCase.QUOTA_RESPONSE),
                 entryLinks);
         entryLinks.links.listen(settings.links());
         return entryLinks;
--- /dev/null
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -0,0 +1,127 @@
+package org.geraniumreach.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.geraniumreach.gateway.port.StorePort;
+import org.geraniumreach.gateway.process.ProcessSettings;
+import org.geraniumreach.gateway.quota.Quotas;
+import org.geraniumreach.gateway.store.FeedUpdate;
+import org.geraniumreach.messages.AdapterDemand;
+import org.geraniumreach.messages.AdapterNews;
+import org.geraniumreach.messages.Frame;
+import org.geraniumreach.messages.QuotaRequest;
+import org.geraniumreach.messages.QuotaResponse;
+import org.geraniumreach.model.FailureDomain;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EntryLinksTest {
+
+    private static final long LIMIT_SECONDS = 10;
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
+    private EntryLinks one;
+    private EntryLinks two;
+
+    @BeforeEach
+    void open() throws Exception {
+        ProcessSettings first = settings("one");
+        ProcessSettings second = settings("two");
+        one = EntryLinks.start(first, 1, loops, new Recorder(), (event, id, fields) -> {});
+        two = EntryLinks.start(second, 1, loops, new Recorder(), (event, id, fields) -> {});
+        two.onFeedUpdate(update -> received.add("feed update " + update.table()));
+        two.onQuota(
+                (entry, request) -> received.add("quota request of " + entry),
+                response -> received.add("quota response " + response.getNumber()));
+        loops.submit(() -> one.keep(Map.of("two", second.links()))).sync();
+        assertThat(received.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).startsWith("opened");
+        assertThat(received.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).startsWith("opened");
+    }
+
+    @AfterEach
+    void close() {
+        one.close();
+        two.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static ProcessSettings settings(String instance) throws IOException {
+        return new ProcessSettings(
+                instance,
+                FailureDomain.of("domain"),
+                free(),
+                free(),
+                free(),
+                free(),
+                new ProcessSettings.RepeatLimits(0, 0, Duration.ofSeconds(1)),
+                new Quotas.Tolerance(0, 0, Duration.ofSeconds(1)),
+                Duration.ofSeconds(1));
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) probe.getLocalSocketAddress();
+        }
+    }
+
+    static Stream<Frame> frames() {
+        FeedUpdate update =
+                new FeedUpdate.Changes(StorePort.Table.TARGETS, 1, new StorePort.Page(List.of(), 1, false, 1));
+        return Stream.of(
+                Frame.newBuilder()
+                        .setAdapterDemand(AdapterDemand.getDefaultInstance())
+                        .build(),
+                Frame.newBuilder()
+                        .setAdapterNews(AdapterNews.getDefaultInstance())
+                        .build(),
+                FeedUpdates.toFrame(update),
+                Frame.newBuilder()
+                        .setQuotaRequest(QuotaRequest.getDefaultInstance())
+                        .build(),
+                Frame.newBuilder()
+                        .setQuotaResponse(QuotaResponse.getDefaultInstance())
+                        .build());
+    }
+
+    /** Guards against a kind of frame that is sent and that nobody at the other end takes. */
+    @ParameterizedTest
+    @MethodSource("frames")
+    void eachKindOfFrameIsTaken(Frame frame) throws Exception {
+        loops.submit(() -> one.sendCurrent("two", frame)).sync();
+        assertThat(received.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).isNotNull();
+    }
+
+    private final class Recorder implements EntryLinks.Listener {
+
+        @Override
+        public void opened(String entry) {
+            received.add("opened " + entry);
+        }
+
+        @Override
+        public void demanded(String entry, AdapterDemand demand) {
+            received.add("demand of " + entry);
+        }
+
+        @Override
+        public void news(AdapterNews news) {
+            received.add("news");
+        }
+    }
+}
