--- a/gateway/src/main/java/org/geraniumreach/gateway/meter/DemandRate.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/meter/DemandRate.java
@@ -35,6 +35,17 @@
         updatedAt = now;
     }
 
+    /**
+     * Gets the rate without the last units that were asked for.
+     *
+     * @param units how much was asked for last
+     * @param now the time
+     * @return units a second, not below zero
+     */
+    public double without(double units, long now) {
+        return Math.max(0, at(now) - units * NANOS / TIME_CONSTANT_NANOS);
+    }
+
     /**
      * Gets the rate.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/AdapterDemand.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/AdapterDemand.java
@@ -36,8 +36,14 @@
         return all.at(now);
     }
 
-    double perSecond(AdapterName adapter, long now) {
+    /**
+     * Gets the rate that an adapter is asked for beside one request that was counted.
+     *
+     * <p>Whoever asks because of a request has seen one for certain, which says nothing of how many there are: counted, and
+     * multiplied by the number of entries, it would make each rare adapter look like a common one.
+     */
+    double perSecondBeside(AdapterName adapter, long promptTokens, long now) {
         DemandRate rate = rates.get(adapter);
-        return rate == null ? 0 : rate.at(now);
+        return rate == null ? 0 : rate.without(promptTokens, now);
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -137,7 +137,7 @@
     private Placed ofAdapter(PlacementNeed need, List<Target> holding) {
         AdapterName adapter = need.adapter().get();
         List<Target> order = order(adapter.toString(), holding);
-        List<Target> homes = order.subList(0, Math.min(order.size(), homes(need.service(), adapter, order.size())));
+        List<Target> homes = order.subList(0, Math.min(order.size(), homes(need, order.size())));
         List<Target> residents = newestFirst(order, need);
         Optional<Target> missingHome = loaderFor(need, order, homes, residents);
         List<Target> usableHomes = homes.stream().filter(residents::contains).toList();
@@ -281,13 +281,14 @@
      * target takes depends on what all of them read: on a calm day a second home costs a load and a place for nothing, on the
      * heaviest it keeps the home's other streams going.
      */
-    private int homes(String service, AdapterName adapter, int targets) {
+    private int homes(PlacementNeed need, int targets) {
         long now = clock.nanos();
         int everybody = Math.max(1, entries.getAsInt());
-        double readable = speed(service) * MILLIS_PER_SECOND;
+        double readable = speed(need.service()) * MILLIS_PER_SECOND;
         double busy = demand.perSecond(now) * everybody / (readable * targets);
         double share = settings.readingShare().at(busy);
-        return Math.max(1, (int) Math.ceil(demand.perSecond(adapter, now) * everybody / (readable * share)));
+        double others = demand.perSecondBeside(need.adapter().get(), need.promptTokens(), now);
+        return Math.max(1, (int) Math.ceil(others * everybody / (readable * share)));
     }
 
     private Optional<Target> leastWaiting(List<Target> targets, PlacementNeed need) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -34,6 +35,7 @@
 
     private final VirtualTime time = new VirtualTime();
     private final TargetBook book = new TargetBook(time);
+    private int entries = 1;
     private final Placement one = placement();
     private final Placement other = placement();
 
@@ -58,7 +60,7 @@
                 book,
                 target -> true,
                 target -> true,
-                () -> 1,
+                () -> entries,
                 FailureDomain.of("here"),
                 PlacementSettings.defaults(),
                 time);
@@ -194,6 +196,25 @@
         assertThat(loadedHomes()).hasSize(homes);
     }
 
+    /** Guards against fetches of rare adapters to several targets, which grow with the number of entries. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 33, 340})
+    void aRareAdapterHasOneHomeHoweverManyEntriesThereAre(int count) {
+        entries = count;
+        assertThat(loadedHomes()).hasSize(1);
+    }
+
+    /** Guards against too few homes of a common adapter where each entry sees few of its requests. */
+    @Test
+    void aCommonAdapterHasSeveralHomesThoughEachEntrySeesFewOfItsRequests() {
+        entries = 33;
+        for (int second = 0; second < 30; second++) {
+            ask(ADAPTER, 1);
+            time.pass(Duration.ofSeconds(1));
+        }
+        assertThat(loadedHomes().size()).isBetween(5, TARGETS);
+    }
+
     private void ask(AdapterName adapter, int times) {
         for (int number = 0; number < times; number++) {
             one.requested(adapter, PROMPT);
@@ -202,6 +223,7 @@
 
     /** Has the adapter loaded wherever requests want it until none does. */
     private Set<Target> loadedHomes() {
+        one.requested(ADAPTER, PROMPT);
         Set<Target> homes = new HashSet<>();
         List<Target> wanted = new ArrayList<>(List.of(homeOf(ADAPTER)));
         while (!wanted.isEmpty()) {
