--- a/node/src/main/java/org/geraniumreach/node/FleetTable.java
+++ b/node/src/main/java/org/geraniumreach/node/FleetTable.java
@@ -58,6 +58,7 @@
     private final DecisionLog log;
     private final Map<String, EntryRow> entries = new HashMap<>();
     private final long startedAt;
+    private int reachableEntries = 1;
     private boolean read;
     private boolean claiming;
     private boolean sharing;
@@ -188,6 +189,7 @@
         if (!read || stopped) {
             return;
         }
+        reachableEntries = reachable().size();
         desk.refresh();
         claim();
         share();
@@ -277,7 +279,8 @@
         row.value().ifPresent(value -> holdings.seenLease(row.key(), row.version(), LeaseKeeper.released(value)));
     }
 
+    /** Gets the number of entries that can be spoken to, this one too, as of the last tick. */
     int entries() {
-        return entries.size();
+        return reachableEntries;
     }
 }
