--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/QuotaAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/QuotaAdmission.java
@@ -38,6 +38,14 @@
 
     private static final int MOST_REFUSALS = 4_096;
 
+    /** For so long after its creation, links to holders may still be on their way. */
+    private static final Duration STARTUP = Duration.ofSeconds(4);
+
+    /** How long a request waits for a link to a holder, in that time. */
+    private static final Duration LONGEST_LINK_WAIT = Duration.ofMillis(600);
+
+    private static final Duration LINK_RETRY_INTERVAL = Duration.ofMillis(60);
+
     private final Quotas quotas;
     private final QuotaPeers peers;
     private final Timers timers;
@@ -45,6 +53,7 @@
     private final Random random;
     private final Map<Long, Pending> pending = new HashMap<>();
     private final Map<Holder, Long> refusedUntil = new HashMap<>();
+    private final long createdAt;
     private long numbers;
 
     private record Holder(String entry, AccountId account) {}
@@ -54,7 +63,8 @@
         private final Account account;
         private final double units;
         private final Consumer<Quotas.Admission> decided;
-        private final Deque<String> holders;
+        private final long startedAt = clock.nanos();
+        private Deque<String> holders;
         private Optional<Duration> comeBack;
         private Cancellable timeout = Cancellable.NOTHING;
         private long number;
@@ -85,9 +95,27 @@
                     return;
                 }
             }
+            if (mayGetLink()) {
+                timeout = timers.after(LINK_RETRY_INTERVAL, this::askAgain);
+                return;
+            }
             decided.accept(new Quotas.Admission(false, comeBack));
         }
 
+        /** Guards against refusals within the rate by an entry that has just started again. */
+        private boolean mayGetLink() {
+            long now = clock.nanos();
+            return count == 0
+                    && now - createdAt < STARTUP.toNanos()
+                    && now - startedAt < LONGEST_LINK_WAIT.toNanos()
+                    && !quotas.otherHolders(account.id()).isEmpty();
+        }
+
+        private void askAgain() {
+            holders = holders(account.id());
+            askNext();
+        }
+
         private void onTimeout() {
             pending.remove(number);
             refuse(asked, account.id(), LONGEST_REFUSAL);
@@ -126,6 +154,7 @@
         this.timers = Objects.requireNonNull(timers, "timers");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.random = Objects.requireNonNull(random, "random");
+        this.createdAt = clock.nanos();
     }
 
     /**
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
@@ -57,6 +57,39 @@
         world.check();
     }
 
+    /** Guards against refusals within the rate by an entry that starts again and has no links yet. */
+    @Test
+    void aRequestWaitsForTheFirstLinksOfAnEntryThatStarts() {
+        World world = new World(10, 33, RATE);
+        world.settle();
+        Entry restarted = new Entry("entry-new", world);
+        restarted.quotas.put("share/acme", world.row);
+        world.linksOpen = false;
+        List<Quotas.Admission> decisions = new ArrayList<>();
+        restarted.admission.admit(world.account, 1_000, decisions::add);
+        world.time.pass(Duration.ofMillis(300));
+        assertThat(decisions).isEmpty();
+        world.linksOpen = true;
+        world.time.pass(Duration.ofMillis(100));
+        assertThat(decisions).hasSize(1);
+        assertThat(decisions.get(0).admitted()).isTrue();
+    }
+
+    /** Guards against requests that are kept waiting for what cannot come. */
+    @Test
+    void aRequestIsRefusedAtOnceWhereNoHolderCanBeReachedLater() {
+        World world = new World(11, 33, RATE);
+        world.settle();
+        Entry entry = new Entry("entry-new", world);
+        entry.quotas.put("share/acme", world.row);
+        world.time.pass(Duration.ofSeconds(4));
+        world.linksOpen = false;
+        List<Quotas.Admission> decisions = new ArrayList<>();
+        entry.admission.admit(world.account, 1_000, decisions::add);
+        assertThat(decisions).hasSize(1);
+        assertThat(decisions.get(0).admitted()).isFalse();
+    }
+
     /** Guards against requests that wait long, or are all refused, because a holder neither answers nor is taken for lost. */
     @Test
     void aHolderThatDoesNotAnswerCostsLittle() {
@@ -115,6 +148,7 @@
         private int refused;
         private String silent = "";
         private String unseen = "";
+        private boolean linksOpen = true;
         private double lossPart;
         private Duration longestDecision = Duration.ZERO;
 
@@ -139,7 +173,7 @@
         }
 
         private boolean ask(Entry from, String to, long number, double units) {
-            if (to.equals(unseen)) {
+            if (to.equals(unseen) || !linksOpen) {
                 return false;
             }
             if (to.equals(silent) || isLost()) {
--- a/link/src/main/java/org/geraniumreach/link/LinkSettings.java
+++ b/link/src/main/java/org/geraniumreach/link/LinkSettings.java
@@ -110,6 +110,29 @@
                 deadlineGrace);
     }
 
+    /**
+     * Returns settings with another greatest backoff.
+     *
+     * @param backoff the greatest wait before any new connection, not null
+     * @return the settings, not null
+     */
+    public LinkSettings withGreatestBackoff(Duration backoff) {
+        return new LinkSettings(
+                connectLimit,
+                helloLimit,
+                pingInterval,
+                unansweredPings,
+                leastBackoff,
+                backoff,
+                maximumFrameBytes,
+                writeBufferLow,
+                writeBufferHigh,
+                threads,
+                resumeLimit,
+                answerLimit,
+                deadlineGrace);
+    }
+
     private static void requirePositive(String name, Duration value) {
         Objects.requireNonNull(value, name);
         if (value.isZero() || value.isNegative()) {
--- a/link/src/test/java/org/geraniumreach/link/LinkSettingsTest.java
+++ b/link/src/test/java/org/geraniumreach/link/LinkSettingsTest.java
@@ -14,6 +14,8 @@
         LinkSettings changed = defaults.withPings(Duration.ofSeconds(1), 2);
         assertThat(changed.pingInterval()).isEqualTo(Duration.ofSeconds(1));
         assertThat(changed.unansweredPings()).isEqualTo(2);
+        assertThat(changed.withGreatestBackoff(Duration.ofSeconds(9)).greatestBackoff())
+                .isEqualTo(Duration.ofSeconds(9));
         assertThat(changed.withPings(defaults.pingInterval(), defaults.unansweredPings()))
                 .isEqualTo(defaults);
     }
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -50,6 +50,9 @@
 
     private static final int UNANSWERED_PINGS = 2;
 
+    /** An entry that starts again is of little use before its links are open, half of which the others open. */
+    private static final Duration GREATEST_BACKOFF = Duration.ofMillis(400);
+
     private final LinkNode links;
     private final String self;
     private final Listener listener;
@@ -84,7 +87,9 @@
                 .setFailureDomain(settings.failureDomain().value())
                 .build();
         this.links = LinkNode.createOn(
-                LinkSettings.defaults().withPings(PING_INTERVAL, UNANSWERED_PINGS),
+                LinkSettings.defaults()
+                        .withPings(PING_INTERVAL, UNANSWERED_PINGS)
+                        .withGreatestBackoff(GREATEST_BACKOFF),
                 () -> hello,
                 (event, detail) -> log.write(event, "", Field.of("detail", detail)),
                 loops);
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -126,6 +126,10 @@
     private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
     private Map<StorePort.Table, FeedReader<?>> readers = Map.of();
     private volatile boolean targetsKnown;
+
+    /** Without the shares, every request of a limited account would be refused. */
+    private volatile boolean sharesKnown;
+
     private volatile boolean admits;
     private boolean wasReady;
     private Ingress ingress;
@@ -315,7 +319,7 @@
     }
 
     private void noteStart() {
-        if (configuration.isPresent() && targetsKnown && admits) {
+        if (configuration.isPresent() && targetsKnown && sharesKnown && admits) {
             requests.started();
         }
     }
@@ -330,7 +334,7 @@
         FeedReader<StorePort.RowChange> fleetRows = new FeedReader<>(
                 StorePort.Table.FLEET,
                 row -> Optional.of(StorePort.RowChange.of(TargetOwnership.TABLE, row)),
-                fleet::took,
+                this::fleetChanged,
                 watch,
                 FLEET_PACE,
                 context);
@@ -380,6 +384,12 @@
         noteStart();
     }
 
+    private void fleetChanged(StorePort.News<StorePort.RowChange> changes) {
+        fleet.took(changes);
+        sharesKnown = true;
+        noteStart();
+    }
+
     private void sweep() {
         noteReadiness();
         connections.closeIdle(IDLE_CONNECTIONS);
@@ -399,11 +409,12 @@
                 Field.of("draining", draining.get()),
                 Field.of("configured", configuration.isPresent()),
                 Field.of("targetsKnown", targetsKnown),
+                Field.of("sharesKnown", sharesKnown),
                 Field.of("admits", admits));
     }
 
     boolean isReady() {
-        return !draining.get() && configuration.isPresent() && targetsKnown && admits;
+        return !draining.get() && configuration.isPresent() && targetsKnown && sharesKnown && admits;
     }
 
     /** Stops taking new callers, finishes what runs, and returns when the process may end. */
