--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -255,11 +255,19 @@
     private Optional<ShareRow> change(ShareRow row, Account account, State state, Collection<String> entries) {
         if (ShareHolders.isHolder(account.id(), self, entries)) {
             double demand = state.demand.at(clock.nanos()) / account.unitsPerSecond();
-            return SharePolicy.change(row, self, ShareHolders.count(entries.size()), demand);
+            return SharePolicy.change(row, self, holders(row, entries), demand);
         }
         return row.shares().containsKey(self) ? Optional.of(row.without(self)) : Optional.empty();
     }
 
+    /** An entry that is cut off from the others takes itself for the only one; the row tells how many there are besides. */
+    private int holders(ShareRow row, Collection<String> entries) {
+        int others = (int) row.shares().keySet().stream()
+                .filter(entry -> !entry.equals(self))
+                .count();
+        return Math.max(ShareHolders.count(entries.size()), others + 1);
+    }
+
     /**
      * Queries whether this entry has a share of an account's rate.
      *
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import net.jqwik.api.ForAll;
@@ -90,6 +91,20 @@
         assertThat(decisions.get(0).admitted()).isFalse();
     }
 
+    /** Guards against refusals of all requests at entries that are cut off from the others for long. */
+    @Test
+    void entriesThatAreCutOffFromTheOthersGetSharesOfTheirOwn() {
+        World world = new World(12, 12, RATE);
+        world.settle();
+        world.cutOff = Set.of("entry0", "entry1", "entry2", "entry3");
+        world.load(0.4, Duration.ofSeconds(20));
+        world.asked = 0;
+        world.refused = 0;
+        world.load(0.4, Duration.ofSeconds(30));
+        assertThat(world.refusedPart()).isLessThan(0.15);
+        world.check();
+    }
+
     /** Guards against requests that wait long, or are all refused, because a holder neither answers nor is taken for lost. */
     @Test
     void aHolderThatDoesNotAnswerCostsLittle() {
@@ -149,6 +164,7 @@
         private String silent = "";
         private String unseen = "";
         private boolean linksOpen = true;
+        private Set<String> cutOff = Set.of();
         private double lossPart;
         private Duration longestDecision = Duration.ZERO;
 
@@ -173,7 +189,7 @@
         }
 
         private boolean ask(Entry from, String to, long number, double units) {
-            if (to.equals(unseen) || !linksOpen) {
+            if (!sees(from.name, to) || !linksOpen) {
                 return false;
             }
             if (to.equals(silent) || isLost()) {
@@ -188,6 +204,11 @@
             return true;
         }
 
+        private boolean sees(String one, String other) {
+            boolean cut = cutOff.contains(one) || cutOff.contains(other);
+            return one.equals(other) || !cut && !other.equals(unseen);
+        }
+
         private boolean isLost() {
             return random.nextDouble() < lossPart;
         }
@@ -235,7 +256,7 @@
         private void change(Entry entry) {
             List<String> seen = entries.stream()
                     .map(each -> each.name)
-                    .filter(name -> name.equals(entry.name) || !name.equals(unseen))
+                    .filter(name -> sees(entry.name, name))
                     .toList();
             Optional<Transaction> change = entry.quotas.change(seen, Map.of());
             if (change.isPresent()) {
