--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
@@ -15,9 +15,9 @@
 import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
- * The places for adapters at one life of a target, as its holder keeps them.
+ * The adapter slots of one life of a target, as its owner tracks them.
  *
- * <p>Invariants: the adapters that are there, are coming, or may not have left yet are never more than the places, since an order
+ * <p>Invariants: the adapters that are loaded, loading, or may not be unloaded yet are never more than the slots, since an order
  * beyond them crashes the target; at most {@link #MOST_COMING} are coming; one call is under way at a time, so the number of
  * accepted orders that each order names is known, and an order that is carried out late finds another number and does
  * nothing. An order whose answer was lost is sent again unchanged before any other: whichever copy comes first is carried out,
@@ -30,25 +30,23 @@
     static final int MOST_COMING = 4;
 
     /**
-     * Part of an undisturbed fetch's time after which the first look at one is worth its price. It does not go by what fetches took
-     * lately: that is measured by these very looks, so one slow fetch would have the next ones looked at late, which would
-     * then seem as slow, and adapters that are there would stay unused for seconds.
+     * Part of an undisturbed fetch's time after which it is polled first. Recent fetch times would feed back: they are measured by
+     * these polls, so one slow fetch would delay the polls of the next ones.
      */
-    private static final double FIRST_LOOK_COLD = 0.92;
+    private static final double FIRST_POLL_PART = 0.92;
 
-    /** A load takes 25 ms if the target has held the adapter recently. */
-    private static final Duration FIRST_LOOK_WARM = Duration.ofMillis(24);
+    private static final Duration FIRST_POLL_WARM = Duration.ofMillis(24);
 
     /** An order repeated to ask whether a load is done costs a thirtieth of a report and delays nobody. */
-    private static final Duration NEXT_LOOK = Duration.ofMillis(25);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(25);
 
     /** A target that waits for runs to end before it carries an order out refuses all others meanwhile. */
-    private static final Duration LOOK_AT_WAITING = Duration.ofMillis(40);
+    private static final Duration WAITING_POLL_INTERVAL = Duration.ofMillis(40);
 
     /** Sendings of one order; a target that answers none of them is better asked for a report. */
     private static final int MOST_COPIES = 3;
 
-    private static final Duration NEXT_LOOK_AT_MODEL = Duration.ofMillis(200);
+    private static final Duration MODEL_POLL_INTERVAL = Duration.ofMillis(200);
 
     /** A report tells of a moment up to 0.2 s ago, so one read sooner may not know of the last order. */
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
@@ -68,10 +66,10 @@
     private final Listener listener;
     private final Map<AdapterName, Long> fetchedSince = new HashMap<>();
     private final Map<AdapterName, Long> resident = new HashMap<>();
-    private final Map<AdapterName, Long> nextLook = new HashMap<>();
+    private final Map<AdapterName, Long> nextPoll = new HashMap<>();
     private final Set<AdapterName> leaving = new HashSet<>();
     private Optional<AdapterName> awaitingRuns = Optional.empty();
-    private final LoadQueue wishes = new LoadQueue();
+    private final LoadQueue loadQueue = new LoadQueue();
     private final AdapterFrequency uses = new AdapterFrequency();
     private final RunningAdapters running = new RunningAdapters();
     private final Deque<AdapterName> atHand = new ArrayDeque<>();
@@ -161,13 +159,13 @@
      * @param lateAt when the request that waits for it misses its objective, empty if none waits, not null
      * @param now the time
      */
-    public void want(AdapterName adapter, OptionalLong lateAt, long now) {
+    public void enqueue(AdapterName adapter, OptionalLong lateAt, long now) {
         uses.used(adapter, 1, now);
         if (isPresent(adapter)) {
             listener.arrived(adapter, resident.get(adapter));
             return;
         }
-        wishes.want(adapter, lateAt, now);
+        loadQueue.enqueue(adapter, lateAt, now);
     }
 
     /**
@@ -200,13 +198,13 @@
      */
     public Optional<Duration> untilNextCall(long now) {
         boolean open =
-                orders.isEmpty() || !modelPresent || unanswered.isPresent() || !wishes.areAllIn(nextLook.keySet());
+                orders.isEmpty() || !modelPresent || unanswered.isPresent() || !loadQueue.areAllIn(nextPoll.keySet());
         if (open || callUnderWay) {
             return Optional.empty();
         }
         Optional<Long> next = awaitingRuns.isPresent()
-                ? awaitingRuns.map(waiting -> nextLook.getOrDefault(waiting, now))
-                : nextLook.values().stream().min(Long::compare);
+                ? awaitingRuns.map(waiting -> nextPoll.getOrDefault(waiting, now))
+                : nextPoll.values().stream().min(Long::compare);
         return next.map(at -> Duration.ofNanos(Math.max(0, Math.max(at, notBefore) - now)));
     }
 
@@ -235,24 +233,24 @@
             return Optional.of(unanswered.get());
         }
         if (!modelPresent) {
-            notBefore = now + NEXT_LOOK_AT_MODEL.toNanos();
+            notBefore = now + MODEL_POLL_INTERVAL.toNanos();
             return send(Order.Operation.LOAD, Optional.empty());
         }
         if (awaitingRuns.isPresent()) {
-            return lookAtWaiting(now);
+            return pollWaiting(now);
         }
-        Optional<AdapterName> due = nextLook.entrySet().stream()
-                .filter(look -> look.getValue() <= now)
+        Optional<AdapterName> due = nextPoll.entrySet().stream()
+                .filter(poll -> poll.getValue() <= now)
                 .map(Map.Entry::getKey)
                 .findFirst();
         if (due.isPresent()) {
             return send(operation(due.get()), due);
         }
-        return nextWish(now);
+        return nextLoadRequest(now);
     }
 
-    private Optional<Step> lookAtWaiting(long now) {
-        if (nextLook.getOrDefault(awaitingRuns.get(), now) > now) {
+    private Optional<Step> pollWaiting(long now) {
+        if (nextPoll.getOrDefault(awaitingRuns.get(), now) > now) {
             return Optional.empty();
         }
         return send(operation(awaitingRuns.get()), awaitingRuns);
@@ -262,18 +260,18 @@
         return leaving.contains(underWay) ? Order.Operation.UNLOAD : Order.Operation.LOAD;
     }
 
-    private Optional<Step> nextWish(long now) {
-        if (wishes.isEmpty() || coming() >= MOST_COMING) {
+    private Optional<Step> nextLoadRequest(long now) {
+        if (loadQueue.isEmpty() || coming() >= MOST_COMING) {
             return Optional.empty();
         }
-        for (AdapterName adapter : wishes.inOrder(now, window.undisturbed().orElse(Duration.ZERO))) {
+        for (AdapterName adapter : loadQueue.inOrder(now, window.undisturbed().orElse(Duration.ZERO))) {
             if (isPresent(adapter)) {
-                wishes.remove(adapter);
+                loadQueue.remove(adapter);
                 continue;
             }
             // What the target has at hand does not wait for the weight store behind what it has not.
             boolean mustWait = isFetch(adapter) && !window.isOpen();
-            if (nextLook.containsKey(adapter) || mustWait) {
+            if (nextPoll.containsKey(adapter) || mustWait) {
                 continue;
             }
             if (resident.containsKey(adapter) || occupied() < places) {
@@ -289,14 +287,14 @@
     }
 
     private long coming() {
-        return nextLook.keySet().stream()
+        return nextPoll.keySet().stream()
                 .filter(adapter -> !leaving.contains(adapter))
                 .count();
     }
 
     private long occupied() {
         return resident.size()
-                + nextLook.keySet().stream()
+                + nextPoll.keySet().stream()
                         .filter(adapter -> !resident.containsKey(adapter))
                         .count();
     }
@@ -306,7 +304,7 @@
             return Optional.empty();
         }
         return resident.keySet().stream()
-                .filter(adapter -> !wishes.contains(adapter) && !nextLook.containsKey(adapter))
+                .filter(adapter -> !loadQueue.contains(adapter) && !nextPoll.containsKey(adapter))
                 .filter(adapter -> uses.isIdle(adapter, now, IDLE_BEFORE_EVICTION.toNanos()))
                 .filter(adapter -> !running.contains(adapter, now))
                 .min((one, other) -> Double.compare(evictionRank(one, now), evictionRank(other, now)));
@@ -350,7 +348,7 @@
     /** A load of the base model is asked for again in any case, and a look is no new order. */
     private boolean mayRepeat(Step.Send sent) {
         boolean known =
-                sent.adapter().isEmpty() || nextLook.containsKey(sent.adapter().get());
+                sent.adapter().isEmpty() || nextPoll.containsKey(sent.adapter().get());
         return !known && copies < MOST_COPIES;
     }
 
@@ -363,7 +361,7 @@
             return;
         }
         AdapterName adapter = sent.adapter().get();
-        boolean repeated = nextLook.containsKey(adapter);
+        boolean repeated = nextPoll.containsKey(adapter);
         boolean waits = sent.operation() == Order.Operation.UNLOAD || resident.containsKey(adapter);
         if (!repeated && !(waits && countDoubtful)) {
             countOrder();
@@ -376,25 +374,25 @@
             fetchedSince.put(adapter, now);
             window.began();
         }
-        nextLook.put(adapter, now + untilLook(adapter, waits, repeated));
+        nextPoll.put(adapter, now + untilPoll(adapter, waits, repeated));
         if (sent.operation() == Order.Operation.UNLOAD && leaving.add(adapter)) {
             listener.leaves(adapter);
         }
     }
 
-    private long untilLook(AdapterName adapter, boolean waits, boolean repeated) {
+    private long untilPoll(AdapterName adapter, boolean waits, boolean repeated) {
         if (waits) {
-            return LOOK_AT_WAITING.toNanos();
+            return WAITING_POLL_INTERVAL.toNanos();
         }
         if (repeated) {
-            return NEXT_LOOK.toNanos();
+            return POLL_INTERVAL.toNanos();
         }
         if (!isFetch(adapter)) {
-            return FIRST_LOOK_WARM.toNanos();
+            return FIRST_POLL_WARM.toNanos();
         }
         return window.undisturbed()
-                .map(time -> (long) (time.toNanos() * FIRST_LOOK_COLD))
-                .orElse(NEXT_LOOK.toNanos());
+                .map(time -> (long) (time.toNanos() * FIRST_POLL_PART))
+                .orElse(POLL_INTERVAL.toNanos());
     }
 
     private void alreadySo(Step.Send sent, boolean wasUnanswered, long now) {
@@ -405,7 +403,7 @@
             return;
         }
         AdapterName adapter = sent.adapter().get();
-        boolean repeated = nextLook.remove(adapter) != null;
+        boolean repeated = nextPoll.remove(adapter) != null;
         awaitingRuns = awaitingRuns.filter(waiting -> !waiting.equals(adapter));
         if (sent.operation() == Order.Operation.UNLOAD) {
             if (!repeated && resident.containsKey(adapter)) {
@@ -430,7 +428,7 @@
         long version = newestVersion.apply(adapter);
         boolean replaced = repeated && resident.containsKey(adapter);
         resident.put(adapter, version);
-        wishes.remove(adapter);
+        loadQueue.remove(adapter);
         uses.used(adapter, 0, now);
         listener.arrived(adapter, version);
         if (countDoubtful && replaced) {
@@ -451,7 +449,7 @@
     }
 
     private void refused(Step.Send sent, long now) {
-        sent.adapter().ifPresent(wishes::remove);
+        sent.adapter().ifPresent(loadQueue::remove);
         notBefore = now + REFUSED_PAUSE.toNanos();
     }
 
@@ -493,8 +491,9 @@
         resident.putAll(there);
         leaving.clear();
         awaitingRuns = Optional.empty();
-        nextLook.clear();
-        report.coming().forEach(adapter -> nextLook.put(new AdapterName(model, adapter), now + NEXT_LOOK.toNanos()));
+        nextPoll.clear();
+        report.coming()
+                .forEach(adapter -> nextPoll.put(new AdapterName(model, adapter), now + POLL_INTERVAL.toNanos()));
         gone.forEach(listener::leaves);
         there.forEach(listener::arrived);
     }
@@ -515,7 +514,7 @@
      * @return false if nothing is wanted, coming or leaving, and all is known
      */
     public boolean isBusy() {
-        return orders.isEmpty() || !modelPresent || !wishes.isEmpty() || !nextLook.isEmpty();
+        return orders.isEmpty() || !modelPresent || !loadQueue.isEmpty() || !nextPoll.isEmpty();
     }
 
     public String model() {
--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchWindow.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchWindow.java
@@ -6,21 +6,16 @@
 /**
  * How many adapters this entry has targets fetch from the weight store at the same time.
  *
- * <p>The load it answers: the weight store serves a few fetches of all targets together at full speed, and slows all of them in
- * proportion beyond. Without a limit every target fetches as many as it may; each fetch then takes over a second, requests give up on
- * the target that fetches and have another one fetch the same adapter, and most of what is fetched serves nobody. How many the
- * weight store serves is not told, and the other entries' fetches are not known, so the limit is found as by a congestion control
- * that goes by delay: a round of fetches that takes twice the undisturbed time says that half of them would have done. Each
- * entry keeps {@link #EXCESS} fetches more than that under way, which makes the entries' windows alike whatever they began with, and
- * keeps the weight store busy.
+ * <p>Intended for a weight store that serves a few fetches of all targets together at full speed and slows all of them in proportion
+ * beyond. Neither that number nor the other entries' fetches are known, so the limit is found by delay-based congestion control: a
+ * round of fetches that takes twice the undisturbed time shows that half of them would have done. Each entry aims at
+ * {@link #EXCESS} fetches more than that, which makes the windows of all entries converge and keeps the weight store busy.
  *
  * <p>Invariant: the window is at least one, so a slow weight store never stops fetches. Confined to the event loop.
  */
 public final class FetchWindow {
 
-    /** Entries start together; a few of them with this many come near to what a weight store serves, and do not choke it. */
     private static final double FIRST = 2;
-
     private static final double LEAST = 1;
 
     /** Keeps the window from growing without end where the weight store is never the limit. */
--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/LoadQueue.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/LoadQueue.java
@@ -12,24 +12,23 @@
 import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
- * The adapters that are to be loaded at one target, in the order in which they should be.
+ * The load requests of one target, in the order in which they are served.
  *
- * <p>The load it answers: more adapters are asked for in a second than the weight store serves. In the order of their coming, each would
- * wait as long as the queue has grown, and all requests would miss their objectives. So adapters whose requests can still be in
- * time go first, the one with the least time left before the others; then those whose requests are late, as they came; last
- * those that no request waits for, which would only relieve another target.
+ * <p>Intended for workloads in which more adapters are asked for than the weight store serves. Adapters whose requests can still meet
+ * their objectives come first, by least time left; then those whose requests are late, first in, first out; then those that no request
+ * waits for.
  *
- * <p>Invariant: a wish that is not renewed for {@link #LIFETIME} lapses. Confined to the event loop.
+ * <p>Invariant: a load request that is not renewed for {@link #LOAD_REQUEST_TTL} is dropped. Confined to the event loop.
  */
 final class LoadQueue {
 
-    /** Who still waits asks again each 300 ms; a load for somebody who has gone elsewhere takes a place for nothing. */
-    static final Duration LIFETIME = Duration.ofMillis(500);
+    /** Load requests that are not renewed within this time are dropped. */
+    static final Duration LOAD_REQUEST_TTL = Duration.ofMillis(500);
 
-    private final Map<AdapterName, Wish> wishes = new HashMap<>();
+    private final Map<AdapterName, LoadRequest> requests = new HashMap<>();
     private long numbers;
 
-    private record Wish(long number, long renewedAt, OptionalLong lateAt) {
+    private record LoadRequest(long number, long renewedAt, OptionalLong lateAt) {
 
         boolean isWaitedFor() {
             return lateAt.isPresent();
@@ -41,19 +40,19 @@
     }
 
     /**
-     * Asks for an adapter, or renews the wish for it.
+     * Asks for an adapter, or renews the request for it.
      *
      * @param adapter the adapter
      * @param lateAt when the request that waits for it misses its objective, empty if none waits
      * @param now the time
      */
-    void want(AdapterName adapter, OptionalLong lateAt, long now) {
-        Wish before = wishes.get(adapter);
+    void enqueue(AdapterName adapter, OptionalLong lateAt, long now) {
+        LoadRequest before = requests.get(adapter);
         if (before == null) {
-            wishes.put(adapter, new Wish(numbers++, now, lateAt));
+            requests.put(adapter, new LoadRequest(numbers++, now, lateAt));
             return;
         }
-        wishes.put(adapter, new Wish(before.number(), now, moreUrgent(before.lateAt(), lateAt, now)));
+        requests.put(adapter, new LoadRequest(before.number(), now, moreUrgent(before.lateAt(), lateAt, now)));
     }
 
     /** Of several requests the next to be late counts, among those that are not late yet. */
@@ -73,29 +72,30 @@
      * @return the adapters, the next to be loaded first
      */
     List<AdapterName> inOrder(long now, Duration load) {
-        wishes.values().removeIf(wish -> now - wish.renewedAt() > LIFETIME.toNanos());
+        requests.values().removeIf(request -> now - request.renewedAt() > LOAD_REQUEST_TTL.toNanos());
         long loaded = now + load.toNanos();
-        Comparator<Wish> order = Comparator.comparing((Wish wish) -> !wish.isInTime(loaded))
-                .thenComparing(wish -> !wish.isWaitedFor())
-                .thenComparingLong(wish -> wish.isInTime(loaded) ? wish.lateAt().getAsLong() : wish.number());
-        List<AdapterName> adapters = new ArrayList<>(wishes.keySet());
-        adapters.sort(Comparator.comparing(wishes::get, order));
+        Comparator<LoadRequest> order = Comparator.comparing((LoadRequest request) -> !request.isInTime(loaded))
+                .thenComparing(request -> !request.isWaitedFor())
+                .thenComparingLong(
+                        request -> request.isInTime(loaded) ? request.lateAt().getAsLong() : request.number());
+        List<AdapterName> adapters = new ArrayList<>(requests.keySet());
+        adapters.sort(Comparator.comparing(requests::get, order));
         return adapters;
     }
 
     void remove(AdapterName adapter) {
-        wishes.remove(adapter);
+        requests.remove(adapter);
     }
 
     boolean contains(AdapterName adapter) {
-        return wishes.containsKey(adapter);
+        return requests.containsKey(adapter);
     }
 
     boolean areAllIn(Set<AdapterName> adapters) {
-        return adapters.containsAll(wishes.keySet());
+        return adapters.containsAll(requests.keySet());
     }
 
     boolean isEmpty() {
-        return wishes.isEmpty();
+        return requests.isEmpty();
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -18,13 +18,12 @@
 import org.geraniumreach.serving.routing.Rendezvous;
 
 /**
- * Chooses a target for a request.
+ * Selects targets for requests.
  *
- * <p>The load it answers: thousands of adapters used by a steep law, few places for them, prompts that keep a target busy for
- * tens of milliseconds, and parts of prompts that only the target that read them still has. So requests of one adapter go
- * to one home while it is not crowded, which keeps a place and the prompt parts from being held twice; a crowded home is
- * relieved by whoever holds the adapter with the least wait, and by a load elsewhere only if all holders are crowded. Confined to
- * the event loop.
+ * <p>Intended for thousands of adapters of very uneven popularity, few slots for them, and prompt prefixes that only the target that read
+ * them has cached. Requests of one adapter go to one home target while it has capacity, so that neither a slot nor a prefix is taken
+ * twice; a saturated home is relieved by another target that holds the adapter, and by a load elsewhere only if all of them are
+ * saturated. Confined to the event loop.
  */
 public final class Placement {
 
@@ -73,10 +72,10 @@
     }
 
     /**
-     * Chooses.
+     * Selects a target for a request.
      *
-     * @param need what the request needs, not null
-     * @return the choice, not null
+     * @param need the placement request, not null
+     * @return the decision, not null
      */
     public PlacementDecision place(PlacementRequest need) {
         List<Target> offering = book.ofService(need.service());
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/AccountBucket.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/AccountBucket.java
@@ -6,7 +6,7 @@
 /**
  * The units of one account that may be admitted here, which flow in at this entry's part of the rate.
  *
- * <p>The load it answers: an account that asks for many times its rate. As long as the debt allows it, each request is admitted from
+ * <p>Intended for accounts that ask for many times their rate. As long as the debt allows it, each request is admitted from
  * the same level, whatever its size: if large ones needed a fuller bucket, small ones would take all that flows in, and the account's
  * large requests would never run.
  *
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/SharePolicy.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/SharePolicy.java
@@ -5,7 +5,7 @@
 /**
  * Decides what an entry changes in an account's row.
  *
- * <p>The load it answers: callers reach entries unevenly and move between them, and one account at a time may ask for many
+ * <p>Intended for workloads in which callers reach entries unevenly and move between them, and one account at a time may ask for many
  * times its rate. An entry takes what is free, asks for what it lacks, and gives up what it does not need when another lacks it;
  * when all together need more than the rate, each keeps its part in proportion to its need. Stateless and safe for use by several
  * threads.
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
@@ -22,7 +22,7 @@
      * @param untilLate after what time the request that waits for it misses its objective, below zero if it has, empty if none
      *         waits, not null
      */
-    void want(Target target, AdapterName adapter, Optional<Duration> untilLate);
+    void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate);
 
     /**
      * Notes that a request for an adapter was sent.
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/DrainRule.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/DrainRule.java
@@ -5,10 +5,9 @@
 /**
  * Which requests an entry still takes that is about to end.
  *
- * <p>The load it answers: callers keep coming for some seconds after an entry has said that it is not ready, on connections that
- * they hold and by a balancer that has no other entry of the failure domain. One that is taken late and still runs at the end is cut, and
- * its caller cannot tell whether it ran. So a request is taken at first, and later only if it must be over by the end;
- * the others are sent elsewhere at once. Immutable and safe for use by several threads.
+ * <p>Intended for callers that keep coming for some seconds after an entry has reported that it is not ready. A request that still runs
+ * at the end is cut, and its caller cannot tell whether it ran; so late in a drain only requests are taken that must be over
+ * by the end, and the others are rejected at once. Immutable and safe for use by several threads.
  */
 final class DrainRule {
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -217,7 +217,8 @@
         adapterWait.cancel();
         adapterWait = services.adapters().await(adapter, this::place);
         waitTimer = services.timers().after(services.settings().lookAgain(), this::place);
-        services.adapters().want(target, adapter, Optional.of(route.objective().minus(elapsed())));
+        services.adapters()
+                .enqueue(target, adapter, Optional.of(route.objective().minus(elapsed())));
     }
 
     private void send(PlacementDecision.Send send) {
@@ -231,7 +232,7 @@
         log.placed(send, progress(), account.map(this::units).orElse(0.0));
         sentAt = OptionalLong.of(services.clock().nanos());
         adapter().ifPresent(adapter -> send.alsoLoad()
-                .ifPresent(other -> services.adapters().want(other, adapter, Optional.empty())));
+                .ifPresent(other -> services.adapters().enqueue(other, adapter, Optional.empty())));
         Attempt started = new Attempt(services, target, request, new AttemptEvents(target));
         attempt = Optional.of(started);
         started.start(envelope(target), longestIdle(), silenceLimits());
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/StartupQueue.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/StartupQueue.java
@@ -11,15 +11,13 @@
 /**
  * Holds back requests that come before the entry knows a configuration and targets.
  *
- * <p>The load it answers: after many entries ended together, all callers reach entries that have just begun to listen and will know
- * what they need in about half a second. Refused, a caller comes back later than that, and again to an entry that may
- * not be ready; so a request waits for a moment. Invariants: each request goes on once, at the latest after
+ * <p>Intended for restarts of many entries at once, when all callers reach entries that will be ready in less time than it takes
+ * a rejected caller to come back. Invariants: each request goes on once, at the latest after
  * {@link #LONGEST} or a part of its caller's time; nothing is held after the start, nor by an entry whose start takes longer than
  * {@link #START}, since it cannot tell when that will end. Confined to the event loop.
  */
 final class StartupQueue {
 
-    /** A start takes 0.9 s from the moment at which the process listens. */
     private static final Duration LONGEST = Duration.ofMillis(800);
 
     private static final Duration START = Duration.ofSeconds(2);
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
@@ -139,7 +139,7 @@
     private void onReply(StoreReply<StorePort.Page> reply) {
         timer.cancel();
         calling = false;
-        watch.noted(reply);
+        watch.record(reply);
         if (reply instanceof StoreReply.Value<StorePort.Page> value) {
             onPage(value.value());
             return;
@@ -229,7 +229,7 @@
         }
         accept(changes.page());
         if (isFresh(pace.followLimit())) {
-            watch.noted(new StoreReply.Value<>(changes.page()));
+            watch.record(new StoreReply.Value<>(changes.page()));
         }
         if (!calling && !context.relay().isReader()) {
             scheduleNext(Duration.ZERO);
@@ -241,7 +241,7 @@
         if (context.relay().isReader() || isFresh(UNREACHABLE_CONFIRMATION)) {
             return;
         }
-        watch.noted(new StoreReply.Unknown<>("told by a reader: " + unreachable.reason()));
+        watch.record(new StoreReply.Unknown<>("told by a reader: " + unreachable.reason()));
         readUnlessReader();
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/LeaseRenewer.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/LeaseRenewer.java
@@ -96,7 +96,7 @@
         if (released) {
             return;
         }
-        watch.noted(reply);
+        watch.record(reply);
         if (reply instanceof StoreReply.Value<StorePort.Decision>) {
             lease.renewed(sending);
             timer = timers.after(INTERVAL, this::renew);
@@ -117,7 +117,7 @@
         timer.cancel();
         call.cancel();
         store.commit(Transaction.empty().withWrite(key, RELEASED + content), reply -> {
-            watch.noted(reply);
+            watch.record(reply);
             told.run();
         });
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/StoreAvailability.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/StoreAvailability.java
@@ -62,7 +62,7 @@
      *
      * @param reply the reply, not null
      */
-    public void noted(StoreReply<?> reply) {
+    public void record(StoreReply<?> reply) {
         if (reply instanceof StoreReply.Unknown<?> unknown) {
             lost(unknown.reason());
         } else if (reply instanceof StoreReply.Refused<?> refused) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterSlotsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterSlotsTest.java
@@ -26,7 +26,7 @@
     private static final long LATE_MILLIS = 3_000;
 
     // A target crashes, and all its callers lose their streams, if it is ordered to hold more adapters than it has
-    // places.
+    // slots.
     // Answers are lost, orders are carried out seconds late, and runs hold unloads up meanwhile.
     @Property(tries = 3000)
     void theTargetIsNeverOrderedToHoldMoreThanItsPlaces(@ForAll long seed) {
@@ -37,7 +37,7 @@
     // a
     // report that does not tell of it. It counted twice here, so a load that was lost named a number yet to come and
     // was
-    // carried out seconds later, beyond the places.
+    // carried out seconds later, beyond the slots.
     @Test
     void anUnloadThatAwaitsRunsIsNotCountedTwice() {
         new World(-4568).play();
@@ -48,10 +48,10 @@
     @Test
     void aWishThatNobodyRenewsLapses() {
         World world = new World(1);
-        world.places.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
-        world.places.want(name(1), OptionalLong.empty(), 0);
-        assertThat(world.places.next(2_000 * MILLI)).isEmpty();
-        assertThat(world.places.isBusy()).isFalse();
+        world.slots.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
+        world.slots.enqueue(name(1), OptionalLong.empty(), 0);
+        assertThat(world.slots.next(2_000 * MILLI)).isEmpty();
+        assertThat(world.slots.isBusy()).isFalse();
     }
 
     // The caller waited for over two seconds for an adapter that was there after a quarter of one. An earlier fetch had
@@ -60,15 +60,15 @@
     @Test
     void aFetchThatTookLongDoesNotDelayTheLookAtTheNext() {
         World world = new World(1);
-        world.places.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
+        world.slots.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
         long usual = 250 * MILLI;
         long now = 0;
         for (int number = 0; number < PLACES - 1; number++) {
             long took = number == 1 ? 10 * usual : usual;
-            now = load(world.places, name(number), now, took);
+            now = load(world.slots, name(number), now, took);
         }
         long begun = now;
-        assertThat(load(world.places, name(PLACES), begun, usual) - begun).isLessThan(usual + 50 * MILLI);
+        assertThat(load(world.slots, name(PLACES), begun, usual) - begun).isLessThan(usual + 50 * MILLI);
     }
 
     /** Guards against the eviction of an adapter whose request runs for longer than evictions look back. */
@@ -79,16 +79,16 @@
         for (int number = 0; number < PLACES; number++) {
             full.put("a" + number, 1L);
         }
-        world.places.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
+        world.slots.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
         long now = 5_000 * MILLI;
-        world.places.running("other", Set.of(name(0), name(1), name(2)), now);
-        world.places.running("another", Set.of(name(3), name(4)), now);
+        world.slots.running("other", Set.of(name(0), name(1), name(2)), now);
+        world.slots.running("another", Set.of(name(3), name(4)), now);
         now += 1_500 * MILLI;
-        world.places.want(name(9), OptionalLong.empty(), now);
-        assertThat(world.places.next(now)).isEmpty();
-        world.places.running("another", Set.of(name(3)), now);
+        world.slots.enqueue(name(9), OptionalLong.empty(), now);
+        assertThat(world.slots.next(now)).isEmpty();
+        world.slots.running("another", Set.of(name(3)), now);
         AdapterSlots.Step.Send unload =
-                (AdapterSlots.Step.Send) world.places.next(now).orElseThrow();
+                (AdapterSlots.Step.Send) world.slots.next(now).orElseThrow();
         assertThat(unload.adapter()).contains(name(4));
     }
 
@@ -100,48 +100,48 @@
         for (int number = 0; number < PLACES; number++) {
             full.put("a" + number, 1L);
         }
-        world.places.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
-        world.places.running("gone", Set.of(name(0), name(1), name(2), name(3), name(4)), 0);
+        world.slots.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
+        world.slots.running("gone", Set.of(name(0), name(1), name(2), name(3), name(4)), 0);
         long now = RunningAdapters.LIFETIME.toNanos();
-        world.places.want(name(9), OptionalLong.empty(), now);
-        assertThat(world.places.next(now)).isPresent();
+        world.slots.enqueue(name(9), OptionalLong.empty(), now);
+        assertThat(world.slots.next(now)).isPresent();
     }
 
     @Test
     void nothingIsDueUntilTheFirstLookAtALoad() {
         World world = new World(1);
-        world.places.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
-        load(world.places, name(0), 0, 250 * MILLI);
+        world.slots.reported(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
+        load(world.slots, name(0), 0, 250 * MILLI);
         long now = 1_000 * MILLI;
-        world.places.want(name(1), OptionalLong.empty(), now);
+        world.slots.enqueue(name(1), OptionalLong.empty(), now);
         AdapterSlots.Step.Send order =
-                (AdapterSlots.Step.Send) world.places.next(now).orElseThrow();
-        assertThat(world.places.untilNextCall(now)).isEmpty();
-        world.places.answered(order, OrderResult.ACCEPTED, now);
-        assertThat(world.places.untilNextCall(now)).contains(Duration.ofMillis(230));
+                (AdapterSlots.Step.Send) world.slots.next(now).orElseThrow();
+        assertThat(world.slots.untilNextCall(now)).isEmpty();
+        world.slots.answered(order, OrderResult.ACCEPTED, now);
+        assertThat(world.slots.untilNextCall(now)).contains(Duration.ofMillis(230));
         now += 230 * MILLI;
         AdapterSlots.Step.Send poll =
-                (AdapterSlots.Step.Send) world.places.next(now).orElseThrow();
-        assertThat(world.places.untilNextCall(now)).isEmpty();
-        world.places.answered(poll, OrderResult.ACCEPTED, now);
-        assertThat(world.places.untilNextCall(now)).contains(Duration.ofMillis(25));
-        world.places.want(name(2), OptionalLong.empty(), now);
-        assertThat(world.places.untilNextCall(now)).isEmpty();
+                (AdapterSlots.Step.Send) world.slots.next(now).orElseThrow();
+        assertThat(world.slots.untilNextCall(now)).isEmpty();
+        world.slots.answered(poll, OrderResult.ACCEPTED, now);
+        assertThat(world.slots.untilNextCall(now)).contains(Duration.ofMillis(25));
+        world.slots.enqueue(name(2), OptionalLong.empty(), now);
+        assertThat(world.slots.untilNextCall(now)).isEmpty();
     }
 
     /** Has an adapter loaded that is there after a time, and returns when that was noticed. */
-    private static long load(AdapterSlots places, AdapterName adapter, long begun, long took) {
-        places.want(adapter, OptionalLong.empty(), begun);
+    private static long load(AdapterSlots slots, AdapterName adapter, long begun, long took) {
+        slots.enqueue(adapter, OptionalLong.empty(), begun);
         AdapterSlots.Step.Send order =
-                (AdapterSlots.Step.Send) places.next(begun).orElseThrow();
-        places.answered(order, OrderResult.ACCEPTED, begun);
+                (AdapterSlots.Step.Send) slots.next(begun).orElseThrow();
+        slots.answered(order, OrderResult.ACCEPTED, begun);
         long now = begun;
-        while (places.isBusy()) {
+        while (slots.isBusy()) {
             now += MILLI;
-            Optional<AdapterSlots.Step> look = places.next(now);
+            Optional<AdapterSlots.Step> look = slots.next(now);
             if (look.isPresent()) {
                 OrderResult result = now - begun >= took ? OrderResult.ALREADY_SO : OrderResult.ACCEPTED;
-                places.answered((AdapterSlots.Step.Send) look.get(), result, now);
+                slots.answered((AdapterSlots.Step.Send) look.get(), result, now);
             }
         }
         return now;
@@ -157,23 +157,23 @@
         for (int number = 0; number < PLACES; number++) {
             full.put("a" + number, 1L);
         }
-        world.places.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
+        world.slots.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
         long now = 1_000 * MILLI;
-        world.places.want(name(9), OptionalLong.of(now), now);
+        world.slots.enqueue(name(9), OptionalLong.of(now), now);
         AdapterSlots.Step.Send unload =
-                (AdapterSlots.Step.Send) world.places.next(now).orElseThrow();
-        world.places.answered(unload, OrderResult.ALREADY_SO, now);
+                (AdapterSlots.Step.Send) world.slots.next(now).orElseThrow();
+        world.slots.answered(unload, OrderResult.ALREADY_SO, now);
         full.remove(unload.adapter().orElseThrow().adapter());
         now += 400 * MILLI;
-        assertThat(world.places.next(now)).contains(new AdapterSlots.Step.Report());
-        world.places.reported(new TargetReport(1, Map.of("base", full), Set.of()), now);
+        assertThat(world.slots.next(now)).contains(new AdapterSlots.Step.Report());
+        world.slots.reported(new TargetReport(1, Map.of("base", full), Set.of()), now);
         while (world.window.isOpen()) {
             world.window.began();
         }
-        world.places.want(name(9), OptionalLong.of(now), now);
-        world.places.want(unload.adapter().orElseThrow(), OptionalLong.of(now + 1), now);
+        world.slots.enqueue(name(9), OptionalLong.of(now), now);
+        world.slots.enqueue(unload.adapter().orElseThrow(), OptionalLong.of(now + 1), now);
         AdapterSlots.Step.Send load =
-                (AdapterSlots.Step.Send) world.places.next(now).orElseThrow();
+                (AdapterSlots.Step.Send) world.slots.next(now).orElseThrow();
         assertThat(load.adapter()).isEqualTo(unload.adapter());
         assertThat(load.operation()).isEqualTo(Order.Operation.LOAD);
     }
@@ -186,14 +186,14 @@
         for (int number = 0; number < PLACES; number++) {
             full.put("a" + number, 1L);
         }
-        world.places.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
-        world.places.want(name(9), OptionalLong.empty(), 0);
+        world.slots.reported(new TargetReport(0, Map.of("base", full), Set.of()), 0);
+        world.slots.enqueue(name(9), OptionalLong.empty(), 0);
         AdapterSlots.Step.Send unload =
-                (AdapterSlots.Step.Send) world.places.next(0).orElseThrow();
-        world.places.answered(unload, OrderResult.ACCEPTED, 0);
-        world.places.want(name(8), OptionalLong.empty(), 100 * MILLI);
+                (AdapterSlots.Step.Send) world.slots.next(0).orElseThrow();
+        world.slots.answered(unload, OrderResult.ACCEPTED, 0);
+        world.slots.enqueue(name(8), OptionalLong.empty(), 100 * MILLI);
         AdapterSlots.Step.Send next =
-                (AdapterSlots.Step.Send) world.places.next(100 * MILLI).orElseThrow();
+                (AdapterSlots.Step.Send) world.slots.next(100 * MILLI).orElseThrow();
         assertThat(next.operation()).isEqualTo(Order.Operation.UNLOAD);
         assertThat(next.adapter()).isEqualTo(unload.adapter());
     }
@@ -204,16 +204,16 @@
     @Test
     void anOrderWhoseAnswerWasLostIsSentAgainUnchangedAtOnce() {
         World world = new World(1);
-        world.places.reported(new TargetReport(7, Map.of("base", Map.of()), Set.of()), 0);
-        world.places.want(name(1), OptionalLong.empty(), 0);
-        AdapterSlots.Step first = world.places.next(0).orElseThrow();
-        world.places.answered((AdapterSlots.Step.Send) first, OrderResult.UNKNOWN, 150 * MILLI);
-        world.places.want(name(2), OptionalLong.empty(), 150 * MILLI);
-        AdapterSlots.Step second = world.places.next(150 * MILLI).orElseThrow();
+        world.slots.reported(new TargetReport(7, Map.of("base", Map.of()), Set.of()), 0);
+        world.slots.enqueue(name(1), OptionalLong.empty(), 0);
+        AdapterSlots.Step first = world.slots.next(0).orElseThrow();
+        world.slots.answered((AdapterSlots.Step.Send) first, OrderResult.UNKNOWN, 150 * MILLI);
+        world.slots.enqueue(name(2), OptionalLong.empty(), 150 * MILLI);
+        AdapterSlots.Step second = world.slots.next(150 * MILLI).orElseThrow();
         assertThat(second).isEqualTo(first);
-        world.places.answered((AdapterSlots.Step.Send) second, OrderResult.ACCEPTED, 160 * MILLI);
+        world.slots.answered((AdapterSlots.Step.Send) second, OrderResult.ACCEPTED, 160 * MILLI);
         AdapterSlots.Step.Send other =
-                (AdapterSlots.Step.Send) world.places.next(160 * MILLI).orElseThrow();
+                (AdapterSlots.Step.Send) world.slots.next(160 * MILLI).orElseThrow();
         assertThat(other.adapter()).contains(name(2));
         assertThat(other.expectedOrders()).isEqualTo(8);
     }
@@ -221,15 +221,15 @@
     @Test
     void aTargetThatAnswersNoCopyIsAskedForAReport() {
         World world = new World(1);
-        world.places.reported(new TargetReport(7, Map.of("base", Map.of()), Set.of()), 0);
-        world.places.want(name(1), OptionalLong.empty(), 0);
+        world.slots.reported(new TargetReport(7, Map.of("base", Map.of()), Set.of()), 0);
+        world.slots.enqueue(name(1), OptionalLong.empty(), 0);
         long now = 0;
         for (int copy = 0; copy < 3; copy++) {
-            AdapterSlots.Step step = world.places.next(now).orElseThrow();
+            AdapterSlots.Step step = world.slots.next(now).orElseThrow();
             now += 150 * MILLI;
-            world.places.answered((AdapterSlots.Step.Send) step, OrderResult.UNKNOWN, now);
+            world.slots.answered((AdapterSlots.Step.Send) step, OrderResult.UNKNOWN, now);
         }
-        assertThat(world.places.next(now + 400 * MILLI)).contains(new AdapterSlots.Step.Report());
+        assertThat(world.slots.next(now + 400 * MILLI)).contains(new AdapterSlots.Step.Report());
     }
 
     private static AdapterName name(int number) {
@@ -240,7 +240,7 @@
     private static final class World implements AdapterSlots.Listener {
         private final SplittableRandom random;
         private final FetchWindow window = new FetchWindow();
-        private final AdapterSlots places = new AdapterSlots(PLACES, "base", adapter -> 1L, window, this);
+        private final AdapterSlots slots = new AdapterSlots(PLACES, "base", adapter -> 1L, window, this);
         private final Set<AdapterName> resident = new HashSet<>();
         private final Map<AdapterName, Long> coming = new HashMap<>();
         private final List<Late> late = new ArrayList<>();
@@ -260,9 +260,9 @@
                 now += random.nextInt(30) * MILLI;
                 settle();
                 if (random.nextInt(3) == 0) {
-                    places.want(name(random.nextInt(14)), OptionalLong.empty(), now);
+                    slots.enqueue(name(random.nextInt(14)), OptionalLong.empty(), now);
                 }
-                places.next(now).ifPresent(this::carryOut);
+                slots.next(now).ifPresent(this::carryOut);
                 assertThat(resident.size() + coming.size()).isLessThanOrEqualTo(PLACES);
                 assertThat(window.underWay()).isBetween(0, PLACES);
             }
@@ -288,26 +288,26 @@
             switch (random.nextInt(12)) {
                 case 0 -> {
                     late.add(new Late(send, now + random.nextLong(LATE_MILLIS) * MILLI));
-                    places.answered(send, OrderResult.UNKNOWN, now);
+                    slots.answered(send, OrderResult.UNKNOWN, now);
                 }
                 case 1 -> {
                     obey(send);
-                    places.answered(send, OrderResult.UNKNOWN, now);
+                    slots.answered(send, OrderResult.UNKNOWN, now);
                 }
-                default -> places.answered(send, obey(send), now);
+                default -> slots.answered(send, obey(send), now);
             }
         }
 
         private void report() {
             if (random.nextInt(5) == 0) {
-                places.reportFailed(now);
+                slots.reportFailed(now);
                 return;
             }
             Map<String, Long> there = new HashMap<>();
             resident.forEach(adapter -> there.put(adapter.adapter(), 1L));
             Set<String> onTheWay = new HashSet<>();
             coming.keySet().forEach(adapter -> onTheWay.add(adapter.adapter()));
-            places.reported(new TargetReport(orders, Map.of("base", there), onTheWay), now);
+            slots.reported(new TargetReport(orders, Map.of("base", there), onTheWay), now);
         }
 
         private OrderResult obey(AdapterSlots.Step.Send send) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/LoadQueueTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/LoadQueueTest.java
@@ -20,7 +20,7 @@
     private static final Duration LOAD = Duration.ofMillis(250);
     private static final long OBJECTIVE_MILLIS = 500;
 
-    private final LoadQueue wishes = new LoadQueue();
+    private final LoadQueue queue = new LoadQueue();
 
     private static AdapterName name(int number) {
         return new AdapterName("base", "a" + number);
@@ -32,19 +32,19 @@
 
     @Test
     void whatIsDueSoonestGoesFirstThenWhatIsLateThenWhatNobodyWaitsFor() {
-        wishes.want(name(1), OptionalLong.empty(), 0);
-        wishes.want(name(2), at(100), 0);
-        wishes.want(name(3), at(900), 0);
-        wishes.want(name(4), at(400), 0);
-        assertThat(wishes.inOrder(0, LOAD)).containsExactly(name(4), name(3), name(2), name(1));
+        queue.enqueue(name(1), OptionalLong.empty(), 0);
+        queue.enqueue(name(2), at(100), 0);
+        queue.enqueue(name(3), at(900), 0);
+        queue.enqueue(name(4), at(400), 0);
+        assertThat(queue.inOrder(0, LOAD)).containsExactly(name(4), name(3), name(2), name(1));
     }
 
     @Test
     void aNewerRequestInTimeRevivesAWishWhoseFirstRequestIsLate() {
-        wishes.want(name(1), at(100), 0);
-        wishes.want(name(2), at(700), 200 * MILLI);
-        wishes.want(name(1), at(600), 200 * MILLI);
-        assertThat(wishes.inOrder(200 * MILLI, LOAD)).containsExactly(name(1), name(2));
+        queue.enqueue(name(1), at(100), 0);
+        queue.enqueue(name(2), at(700), 200 * MILLI);
+        queue.enqueue(name(1), at(600), 200 * MILLI);
+        assertThat(queue.inOrder(200 * MILLI, LOAD)).containsExactly(name(1), name(2));
     }
 
     // For some seconds adapters are asked for half as often again as one target can fetch them. In the order of their
@@ -64,10 +64,10 @@
                 askedAt.put(askedAt.size(), now);
             }
             renew(asking, askedAt, now);
-            if (now >= loadedAt && !wishes.isEmpty()) {
-                List<AdapterName> order = wishes.inOrder(now * MILLI, LOAD);
+            if (now >= loadedAt && !queue.isEmpty()) {
+                List<AdapterName> order = queue.inOrder(now * MILLI, LOAD);
                 int loaded = Integer.parseInt(order.get(0).adapter().substring(1));
-                wishes.remove(order.get(0));
+                queue.remove(order.get(0));
                 asking.remove(loaded);
                 loadedAt = now + LOAD.toMillis();
                 loads++;
@@ -82,7 +82,7 @@
         asking.removeIf(each -> now - askedAt.get(each) > 2_000);
         for (int each : asking) {
             if ((now - askedAt.get(each)) % 150 == 0) {
-                wishes.want(name(each), at(askedAt.get(each) + OBJECTIVE_MILLIS), now * MILLI);
+                queue.enqueue(name(each), at(askedAt.get(each) + OBJECTIVE_MILLIS), now * MILLI);
             }
         }
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
@@ -72,7 +72,7 @@
         private long required;
 
         @Override
-        public void want(Target target, AdapterName adapter, Optional<Duration> untilLate) {
+        public void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate) {
             wanted.add(target.id().value() + ' ' + adapter.adapter());
         }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterNews.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterChanges.java
@@ -10,12 +10,12 @@
  * From the entry that may order a target, what has changed there.
  * </pre>
  *
- * Protobuf type {@code geraniumreach.link.AdapterNews}
+ * Protobuf type {@code geraniumreach.link.AdapterChanges}
  */
-public final class AdapterNews extends
+public final class AdapterChanges extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:geraniumreach.link.AdapterNews)
-    AdapterNewsOrBuilder {
+    // @@protoc_insertion_point(message_implements:geraniumreach.link.AdapterChanges)
+    AdapterChangesOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -24,31 +24,31 @@
       /* minor= */ 29,
       /* patch= */ 3,
       /* suffix= */ "",
-      AdapterNews.class.getName());
+      AdapterChanges.class.getName());
   }
-  // Use AdapterNews.newBuilder() to construct.
-  private AdapterNews(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use AdapterChanges.newBuilder() to construct.
+  private AdapterChanges(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private AdapterNews() {
+  private AdapterChanges() {
     target_ = "";
     model_ = "";
-    there_ = java.util.Collections.emptyList();
-    gone_ =
+    loaded_ = java.util.Collections.emptyList();
+    unloaded_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterNews_descriptor;
+    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterChanges_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterNews_fieldAccessorTable
+    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterChanges_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.geraniumreach.messages.AdapterNews.class, org.geraniumreach.messages.AdapterNews.Builder.class);
+            org.geraniumreach.messages.AdapterChanges.class, org.geraniumreach.messages.AdapterChanges.Builder.class);
   }
 
   public static final int TARGET_FIELD_NUMBER = 1;
@@ -155,82 +155,82 @@
     return modelPresent_;
   }
 
-  public static final int THERE_FIELD_NUMBER = 5;
+  public static final int LOADED_FIELD_NUMBER = 5;
   @SuppressWarnings("serial")
-  private java.util.List<org.geraniumreach.messages.AdapterThere> there_;
+  private java.util.List<org.geraniumreach.messages.AdapterLoaded> loaded_;
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
   @java.lang.Override
-  public java.util.List<org.geraniumreach.messages.AdapterThere> getThereList() {
-    return there_;
+  public java.util.List<org.geraniumreach.messages.AdapterLoaded> getLoadedList() {
+    return loaded_;
   }
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.geraniumreach.messages.AdapterThereOrBuilder> 
-      getThereOrBuilderList() {
-    return there_;
+  public java.util.List<? extends org.geraniumreach.messages.AdapterLoadedOrBuilder> 
+      getLoadedOrBuilderList() {
+    return loaded_;
   }
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
   @java.lang.Override
-  public int getThereCount() {
-    return there_.size();
+  public int getLoadedCount() {
+    return loaded_.size();
   }
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
   @java.lang.Override
-  public org.geraniumreach.messages.AdapterThere getThere(int index) {
-    return there_.get(index);
+  public org.geraniumreach.messages.AdapterLoaded getLoaded(int index) {
+    return loaded_.get(index);
   }
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
   @java.lang.Override
-  public org.geraniumreach.messages.AdapterThereOrBuilder getThereOrBuilder(
+  public org.geraniumreach.messages.AdapterLoadedOrBuilder getLoadedOrBuilder(
       int index) {
-    return there_.get(index);
+    return loaded_.get(index);
   }
 
-  public static final int GONE_FIELD_NUMBER = 6;
+  public static final int UNLOADED_FIELD_NUMBER = 6;
   @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList gone_ =
+  private com.google.protobuf.LazyStringArrayList unloaded_ =
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
-   * <code>repeated string gone = 6;</code>
-   * @return A list containing the gone.
+   * <code>repeated string unloaded = 6;</code>
+   * @return A list containing the unloaded.
    */
   public com.google.protobuf.ProtocolStringList
-      getGoneList() {
-    return gone_;
+      getUnloadedList() {
+    return unloaded_;
   }
   /**
-   * <code>repeated string gone = 6;</code>
-   * @return The count of gone.
+   * <code>repeated string unloaded = 6;</code>
+   * @return The count of unloaded.
    */
-  public int getGoneCount() {
-    return gone_.size();
+  public int getUnloadedCount() {
+    return unloaded_.size();
   }
   /**
-   * <code>repeated string gone = 6;</code>
+   * <code>repeated string unloaded = 6;</code>
    * @param index The index of the element to return.
-   * @return The gone at the given index.
+   * @return The unloaded at the given index.
    */
-  public java.lang.String getGone(int index) {
-    return gone_.get(index);
+  public java.lang.String getUnloaded(int index) {
+    return unloaded_.get(index);
   }
   /**
-   * <code>repeated string gone = 6;</code>
+   * <code>repeated string unloaded = 6;</code>
    * @param index The index of the value to return.
-   * @return The bytes of the gone at the given index.
+   * @return The bytes of the unloaded at the given index.
    */
   public com.google.protobuf.ByteString
-      getGoneBytes(int index) {
-    return gone_.getByteString(index);
+      getUnloadedBytes(int index) {
+    return unloaded_.getByteString(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -259,11 +259,11 @@
     if (modelPresent_ != false) {
       output.writeBool(4, modelPresent_);
     }
-    for (int i = 0; i < there_.size(); i++) {
-      output.writeMessage(5, there_.get(i));
+    for (int i = 0; i < loaded_.size(); i++) {
+      output.writeMessage(5, loaded_.get(i));
     }
-    for (int i = 0; i < gone_.size(); i++) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 6, gone_.getRaw(i));
+    for (int i = 0; i < unloaded_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, unloaded_.getRaw(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -288,17 +288,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, modelPresent_);
     }
-    for (int i = 0; i < there_.size(); i++) {
+    for (int i = 0; i < loaded_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, there_.get(i));
+        .computeMessageSize(5, loaded_.get(i));
     }
     {
       int dataSize = 0;
-      for (int i = 0; i < gone_.size(); i++) {
-        dataSize += computeStringSizeNoTag(gone_.getRaw(i));
+      for (int i = 0; i < unloaded_.size(); i++) {
+        dataSize += computeStringSizeNoTag(unloaded_.getRaw(i));
       }
       size += dataSize;
-      size += 1 * getGoneList().size();
+      size += 1 * getUnloadedList().size();
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -310,10 +310,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.geraniumreach.messages.AdapterNews)) {
+    if (!(obj instanceof org.geraniumreach.messages.AdapterChanges)) {
       return super.equals(obj);
     }
-    org.geraniumreach.messages.AdapterNews other = (org.geraniumreach.messages.AdapterNews) obj;
+    org.geraniumreach.messages.AdapterChanges other = (org.geraniumreach.messages.AdapterChanges) obj;
 
     if (!getTarget()
         .equals(other.getTarget())) return false;
@@ -323,10 +323,10 @@
         .equals(other.getModel())) return false;
     if (getModelPresent()
         != other.getModelPresent()) return false;
-    if (!getThereList()
-        .equals(other.getThereList())) return false;
-    if (!getGoneList()
-        .equals(other.getGoneList())) return false;
+    if (!getLoadedList()
+        .equals(other.getLoadedList())) return false;
+    if (!getUnloadedList()
+        .equals(other.getUnloadedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -348,57 +348,57 @@
     hash = (37 * hash) + MODEL_PRESENT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getModelPresent());
-    if (getThereCount() > 0) {
-      hash = (37 * hash) + THERE_FIELD_NUMBER;
-      hash = (53 * hash) + getThereList().hashCode();
+    if (getLoadedCount() > 0) {
+      hash = (37 * hash) + LOADED_FIELD_NUMBER;
+      hash = (53 * hash) + getLoadedList().hashCode();
     }
-    if (getGoneCount() > 0) {
-      hash = (37 * hash) + GONE_FIELD_NUMBER;
-      hash = (53 * hash) + getGoneList().hashCode();
+    if (getUnloadedCount() > 0) {
+      hash = (37 * hash) + UNLOADED_FIELD_NUMBER;
+      hash = (53 * hash) + getUnloadedList().hashCode();
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.geraniumreach.messages.AdapterNews parseFrom(
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.geraniumreach.messages.AdapterNews parseFrom(
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterNews parseFrom(
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.geraniumreach.messages.AdapterNews parseFrom(
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterNews parseFrom(byte[] data)
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.geraniumreach.messages.AdapterNews parseFrom(
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterNews parseFrom(java.io.InputStream input)
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.geraniumreach.messages.AdapterNews parseFrom(
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -406,26 +406,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.geraniumreach.messages.AdapterNews parseDelimitedFrom(java.io.InputStream input)
+  public static org.geraniumreach.messages.AdapterChanges parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.geraniumreach.messages.AdapterNews parseDelimitedFrom(
+  public static org.geraniumreach.messages.AdapterChanges parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterNews parseFrom(
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.geraniumreach.messages.AdapterNews parseFrom(
+  public static org.geraniumreach.messages.AdapterChanges parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -438,7 +438,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.geraniumreach.messages.AdapterNews prototype) {
+  public static Builder newBuilder(org.geraniumreach.messages.AdapterChanges prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -458,26 +458,26 @@
    * From the entry that may order a target, what has changed there.
    * </pre>
    *
-   * Protobuf type {@code geraniumreach.link.AdapterNews}
+   * Protobuf type {@code geraniumreach.link.AdapterChanges}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:geraniumreach.link.AdapterNews)
-      org.geraniumreach.messages.AdapterNewsOrBuilder {
+      // @@protoc_insertion_point(builder_implements:geraniumreach.link.AdapterChanges)
+      org.geraniumreach.messages.AdapterChangesOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterNews_descriptor;
+      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterChanges_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterNews_fieldAccessorTable
+      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterChanges_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.geraniumreach.messages.AdapterNews.class, org.geraniumreach.messages.AdapterNews.Builder.class);
+              org.geraniumreach.messages.AdapterChanges.class, org.geraniumreach.messages.AdapterChanges.Builder.class);
     }
 
-    // Construct using org.geraniumreach.messages.AdapterNews.newBuilder()
+    // Construct using org.geraniumreach.messages.AdapterChanges.newBuilder()
     private Builder() {
 
     }
@@ -495,14 +495,14 @@
       startedAt_ = 0L;
       model_ = "";
       modelPresent_ = false;
-      if (thereBuilder_ == null) {
-        there_ = java.util.Collections.emptyList();
+      if (loadedBuilder_ == null) {
+        loaded_ = java.util.Collections.emptyList();
       } else {
-        there_ = null;
-        thereBuilder_.clear();
+        loaded_ = null;
+        loadedBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
-      gone_ =
+      unloaded_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
@@ -510,17 +510,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterNews_descriptor;
+      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterChanges_descriptor;
     }
 
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterNews getDefaultInstanceForType() {
-      return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+    public org.geraniumreach.messages.AdapterChanges getDefaultInstanceForType() {
+      return org.geraniumreach.messages.AdapterChanges.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterNews build() {
-      org.geraniumreach.messages.AdapterNews result = buildPartial();
+    public org.geraniumreach.messages.AdapterChanges build() {
+      org.geraniumreach.messages.AdapterChanges result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -528,27 +528,27 @@
     }
 
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterNews buildPartial() {
-      org.geraniumreach.messages.AdapterNews result = new org.geraniumreach.messages.AdapterNews(this);
+    public org.geraniumreach.messages.AdapterChanges buildPartial() {
+      org.geraniumreach.messages.AdapterChanges result = new org.geraniumreach.messages.AdapterChanges(this);
       buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(org.geraniumreach.messages.AdapterNews result) {
-      if (thereBuilder_ == null) {
+    private void buildPartialRepeatedFields(org.geraniumreach.messages.AdapterChanges result) {
+      if (loadedBuilder_ == null) {
         if (((bitField0_ & 0x00000010) != 0)) {
-          there_ = java.util.Collections.unmodifiableList(there_);
+          loaded_ = java.util.Collections.unmodifiableList(loaded_);
           bitField0_ = (bitField0_ & ~0x00000010);
         }
-        result.there_ = there_;
+        result.loaded_ = loaded_;
       } else {
-        result.there_ = thereBuilder_.build();
+        result.loaded_ = loadedBuilder_.build();
       }
     }
 
-    private void buildPartial0(org.geraniumreach.messages.AdapterNews result) {
+    private void buildPartial0(org.geraniumreach.messages.AdapterChanges result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.target_ = target_;
@@ -563,23 +563,23 @@
         result.modelPresent_ = modelPresent_;
       }
       if (((from_bitField0_ & 0x00000020) != 0)) {
-        gone_.makeImmutable();
-        result.gone_ = gone_;
+        unloaded_.makeImmutable();
+        result.unloaded_ = unloaded_;
       }
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.geraniumreach.messages.AdapterNews) {
-        return mergeFrom((org.geraniumreach.messages.AdapterNews)other);
+      if (other instanceof org.geraniumreach.messages.AdapterChanges) {
+        return mergeFrom((org.geraniumreach.messages.AdapterChanges)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.geraniumreach.messages.AdapterNews other) {
-      if (other == org.geraniumreach.messages.AdapterNews.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.geraniumreach.messages.AdapterChanges other) {
+      if (other == org.geraniumreach.messages.AdapterChanges.getDefaultInstance()) return this;
       if (!other.getTarget().isEmpty()) {
         target_ = other.target_;
         bitField0_ |= 0x00000001;
@@ -596,39 +596,39 @@
       if (other.getModelPresent() != false) {
         setModelPresent(other.getModelPresent());
       }
-      if (thereBuilder_ == null) {
-        if (!other.there_.isEmpty()) {
-          if (there_.isEmpty()) {
-            there_ = other.there_;
+      if (loadedBuilder_ == null) {
+        if (!other.loaded_.isEmpty()) {
+          if (loaded_.isEmpty()) {
+            loaded_ = other.loaded_;
             bitField0_ = (bitField0_ & ~0x00000010);
           } else {
-            ensureThereIsMutable();
-            there_.addAll(other.there_);
+            ensureLoadedIsMutable();
+            loaded_.addAll(other.loaded_);
           }
           onChanged();
         }
       } else {
-        if (!other.there_.isEmpty()) {
-          if (thereBuilder_.isEmpty()) {
-            thereBuilder_.dispose();
-            thereBuilder_ = null;
-            there_ = other.there_;
+        if (!other.loaded_.isEmpty()) {
+          if (loadedBuilder_.isEmpty()) {
+            loadedBuilder_.dispose();
+            loadedBuilder_ = null;
+            loaded_ = other.loaded_;
             bitField0_ = (bitField0_ & ~0x00000010);
-            thereBuilder_ = 
+            loadedBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 getThereFieldBuilder() : null;
+                 getLoadedFieldBuilder() : null;
           } else {
-            thereBuilder_.addAllMessages(other.there_);
+            loadedBuilder_.addAllMessages(other.loaded_);
           }
         }
       }
-      if (!other.gone_.isEmpty()) {
-        if (gone_.isEmpty()) {
-          gone_ = other.gone_;
+      if (!other.unloaded_.isEmpty()) {
+        if (unloaded_.isEmpty()) {
+          unloaded_ = other.unloaded_;
           bitField0_ |= 0x00000020;
         } else {
-          ensureGoneIsMutable();
-          gone_.addAll(other.gone_);
+          ensureUnloadedIsMutable();
+          unloaded_.addAll(other.unloaded_);
         }
         onChanged();
       }
@@ -679,22 +679,22 @@
               break;
             } // case 32
             case 42: {
-              org.geraniumreach.messages.AdapterThere m =
+              org.geraniumreach.messages.AdapterLoaded m =
                   input.readMessage(
-                      org.geraniumreach.messages.AdapterThere.parser(),
+                      org.geraniumreach.messages.AdapterLoaded.parser(),
                       extensionRegistry);
-              if (thereBuilder_ == null) {
-                ensureThereIsMutable();
-                there_.add(m);
+              if (loadedBuilder_ == null) {
+                ensureLoadedIsMutable();
+                loaded_.add(m);
               } else {
-                thereBuilder_.addMessage(m);
+                loadedBuilder_.addMessage(m);
               }
               break;
             } // case 42
             case 50: {
               java.lang.String s = input.readStringRequireUtf8();
-              ensureGoneIsMutable();
-              gone_.add(s);
+              ensureUnloadedIsMutable();
+              unloaded_.add(s);
               break;
             } // case 50
             default: {
@@ -934,374 +934,374 @@
       return this;
     }
 
-    private java.util.List<org.geraniumreach.messages.AdapterThere> there_ =
+    private java.util.List<org.geraniumreach.messages.AdapterLoaded> loaded_ =
       java.util.Collections.emptyList();
-    private void ensureThereIsMutable() {
+    private void ensureLoadedIsMutable() {
       if (!((bitField0_ & 0x00000010) != 0)) {
-        there_ = new java.util.ArrayList<org.geraniumreach.messages.AdapterThere>(there_);
+        loaded_ = new java.util.ArrayList<org.geraniumreach.messages.AdapterLoaded>(loaded_);
         bitField0_ |= 0x00000010;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.geraniumreach.messages.AdapterThere, org.geraniumreach.messages.AdapterThere.Builder, org.geraniumreach.messages.AdapterThereOrBuilder> thereBuilder_;
+        org.geraniumreach.messages.AdapterLoaded, org.geraniumreach.messages.AdapterLoaded.Builder, org.geraniumreach.messages.AdapterLoadedOrBuilder> loadedBuilder_;
 
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public java.util.List<org.geraniumreach.messages.AdapterThere> getThereList() {
-      if (thereBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(there_);
+    public java.util.List<org.geraniumreach.messages.AdapterLoaded> getLoadedList() {
+      if (loadedBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(loaded_);
       } else {
-        return thereBuilder_.getMessageList();
+        return loadedBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public int getThereCount() {
-      if (thereBuilder_ == null) {
-        return there_.size();
+    public int getLoadedCount() {
+      if (loadedBuilder_ == null) {
+        return loaded_.size();
       } else {
-        return thereBuilder_.getCount();
+        return loadedBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterThere getThere(int index) {
-      if (thereBuilder_ == null) {
-        return there_.get(index);
+    public org.geraniumreach.messages.AdapterLoaded getLoaded(int index) {
+      if (loadedBuilder_ == null) {
+        return loaded_.get(index);
       } else {
-        return thereBuilder_.getMessage(index);
+        return loadedBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public Builder setThere(
-        int index, org.geraniumreach.messages.AdapterThere value) {
-      if (thereBuilder_ == null) {
+    public Builder setLoaded(
+        int index, org.geraniumreach.messages.AdapterLoaded value) {
+      if (loadedBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureThereIsMutable();
-        there_.set(index, value);
+        ensureLoadedIsMutable();
+        loaded_.set(index, value);
         onChanged();
       } else {
-        thereBuilder_.setMessage(index, value);
+        loadedBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public Builder setThere(
-        int index, org.geraniumreach.messages.AdapterThere.Builder builderForValue) {
-      if (thereBuilder_ == null) {
-        ensureThereIsMutable();
-        there_.set(index, builderForValue.build());
+    public Builder setLoaded(
+        int index, org.geraniumreach.messages.AdapterLoaded.Builder builderForValue) {
+      if (loadedBuilder_ == null) {
+        ensureLoadedIsMutable();
+        loaded_.set(index, builderForValue.build());
         onChanged();
       } else {
-        thereBuilder_.setMessage(index, builderForValue.build());
+        loadedBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public Builder addThere(org.geraniumreach.messages.AdapterThere value) {
-      if (thereBuilder_ == null) {
+    public Builder addLoaded(org.geraniumreach.messages.AdapterLoaded value) {
+      if (loadedBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureThereIsMutable();
-        there_.add(value);
+        ensureLoadedIsMutable();
+        loaded_.add(value);
         onChanged();
       } else {
-        thereBuilder_.addMessage(value);
+        loadedBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public Builder addThere(
-        int index, org.geraniumreach.messages.AdapterThere value) {
-      if (thereBuilder_ == null) {
+    public Builder addLoaded(
+        int index, org.geraniumreach.messages.AdapterLoaded value) {
+      if (loadedBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureThereIsMutable();
-        there_.add(index, value);
+        ensureLoadedIsMutable();
+        loaded_.add(index, value);
         onChanged();
       } else {
-        thereBuilder_.addMessage(index, value);
+        loadedBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public Builder addThere(
-        org.geraniumreach.messages.AdapterThere.Builder builderForValue) {
-      if (thereBuilder_ == null) {
-        ensureThereIsMutable();
-        there_.add(builderForValue.build());
+    public Builder addLoaded(
+        org.geraniumreach.messages.AdapterLoaded.Builder builderForValue) {
+      if (loadedBuilder_ == null) {
+        ensureLoadedIsMutable();
+        loaded_.add(builderForValue.build());
         onChanged();
       } else {
-        thereBuilder_.addMessage(builderForValue.build());
+        loadedBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public Builder addThere(
-        int index, org.geraniumreach.messages.AdapterThere.Builder builderForValue) {
-      if (thereBuilder_ == null) {
-        ensureThereIsMutable();
-        there_.add(index, builderForValue.build());
+    public Builder addLoaded(
+        int index, org.geraniumreach.messages.AdapterLoaded.Builder builderForValue) {
+      if (loadedBuilder_ == null) {
+        ensureLoadedIsMutable();
+        loaded_.add(index, builderForValue.build());
         onChanged();
       } else {
-        thereBuilder_.addMessage(index, builderForValue.build());
+        loadedBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public Builder addAllThere(
-        java.lang.Iterable<? extends org.geraniumreach.messages.AdapterThere> values) {
-      if (thereBuilder_ == null) {
-        ensureThereIsMutable();
+    public Builder addAllLoaded(
+        java.lang.Iterable<? extends org.geraniumreach.messages.AdapterLoaded> values) {
+      if (loadedBuilder_ == null) {
+        ensureLoadedIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, there_);
+            values, loaded_);
         onChanged();
       } else {
-        thereBuilder_.addAllMessages(values);
+        loadedBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public Builder clearThere() {
-      if (thereBuilder_ == null) {
-        there_ = java.util.Collections.emptyList();
+    public Builder clearLoaded() {
+      if (loadedBuilder_ == null) {
+        loaded_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00000010);
         onChanged();
       } else {
-        thereBuilder_.clear();
+        loadedBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public Builder removeThere(int index) {
-      if (thereBuilder_ == null) {
-        ensureThereIsMutable();
-        there_.remove(index);
+    public Builder removeLoaded(int index) {
+      if (loadedBuilder_ == null) {
+        ensureLoadedIsMutable();
+        loaded_.remove(index);
         onChanged();
       } else {
-        thereBuilder_.remove(index);
+        loadedBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterThere.Builder getThereBuilder(
+    public org.geraniumreach.messages.AdapterLoaded.Builder getLoadedBuilder(
         int index) {
-      return getThereFieldBuilder().getBuilder(index);
+      return getLoadedFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterThereOrBuilder getThereOrBuilder(
+    public org.geraniumreach.messages.AdapterLoadedOrBuilder getLoadedOrBuilder(
         int index) {
-      if (thereBuilder_ == null) {
-        return there_.get(index);  } else {
-        return thereBuilder_.getMessageOrBuilder(index);
+      if (loadedBuilder_ == null) {
+        return loaded_.get(index);  } else {
+        return loadedBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public java.util.List<? extends org.geraniumreach.messages.AdapterThereOrBuilder> 
-         getThereOrBuilderList() {
-      if (thereBuilder_ != null) {
-        return thereBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.geraniumreach.messages.AdapterLoadedOrBuilder> 
+         getLoadedOrBuilderList() {
+      if (loadedBuilder_ != null) {
+        return loadedBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(there_);
+        return java.util.Collections.unmodifiableList(loaded_);
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterThere.Builder addThereBuilder() {
-      return getThereFieldBuilder().addBuilder(
-          org.geraniumreach.messages.AdapterThere.getDefaultInstance());
+    public org.geraniumreach.messages.AdapterLoaded.Builder addLoadedBuilder() {
+      return getLoadedFieldBuilder().addBuilder(
+          org.geraniumreach.messages.AdapterLoaded.getDefaultInstance());
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterThere.Builder addThereBuilder(
+    public org.geraniumreach.messages.AdapterLoaded.Builder addLoadedBuilder(
         int index) {
-      return getThereFieldBuilder().addBuilder(
-          index, org.geraniumreach.messages.AdapterThere.getDefaultInstance());
+      return getLoadedFieldBuilder().addBuilder(
+          index, org.geraniumreach.messages.AdapterLoaded.getDefaultInstance());
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
      */
-    public java.util.List<org.geraniumreach.messages.AdapterThere.Builder> 
-         getThereBuilderList() {
-      return getThereFieldBuilder().getBuilderList();
+    public java.util.List<org.geraniumreach.messages.AdapterLoaded.Builder> 
+         getLoadedBuilderList() {
+      return getLoadedFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.geraniumreach.messages.AdapterThere, org.geraniumreach.messages.AdapterThere.Builder, org.geraniumreach.messages.AdapterThereOrBuilder> 
-        getThereFieldBuilder() {
-      if (thereBuilder_ == null) {
-        thereBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.geraniumreach.messages.AdapterThere, org.geraniumreach.messages.AdapterThere.Builder, org.geraniumreach.messages.AdapterThereOrBuilder>(
-                there_,
+        org.geraniumreach.messages.AdapterLoaded, org.geraniumreach.messages.AdapterLoaded.Builder, org.geraniumreach.messages.AdapterLoadedOrBuilder> 
+        getLoadedFieldBuilder() {
+      if (loadedBuilder_ == null) {
+        loadedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.geraniumreach.messages.AdapterLoaded, org.geraniumreach.messages.AdapterLoaded.Builder, org.geraniumreach.messages.AdapterLoadedOrBuilder>(
+                loaded_,
                 ((bitField0_ & 0x00000010) != 0),
                 getParentForChildren(),
                 isClean());
-        there_ = null;
+        loaded_ = null;
       }
-      return thereBuilder_;
+      return loadedBuilder_;
     }
 
-    private com.google.protobuf.LazyStringArrayList gone_ =
+    private com.google.protobuf.LazyStringArrayList unloaded_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
-    private void ensureGoneIsMutable() {
-      if (!gone_.isModifiable()) {
-        gone_ = new com.google.protobuf.LazyStringArrayList(gone_);
+    private void ensureUnloadedIsMutable() {
+      if (!unloaded_.isModifiable()) {
+        unloaded_ = new com.google.protobuf.LazyStringArrayList(unloaded_);
       }
       bitField0_ |= 0x00000020;
     }
     /**
-     * <code>repeated string gone = 6;</code>
-     * @return A list containing the gone.
+     * <code>repeated string unloaded = 6;</code>
+     * @return A list containing the unloaded.
      */
     public com.google.protobuf.ProtocolStringList
-        getGoneList() {
-      gone_.makeImmutable();
-      return gone_;
+        getUnloadedList() {
+      unloaded_.makeImmutable();
+      return unloaded_;
     }
     /**
-     * <code>repeated string gone = 6;</code>
-     * @return The count of gone.
+     * <code>repeated string unloaded = 6;</code>
+     * @return The count of unloaded.
      */
-    public int getGoneCount() {
-      return gone_.size();
+    public int getUnloadedCount() {
+      return unloaded_.size();
     }
     /**
-     * <code>repeated string gone = 6;</code>
+     * <code>repeated string unloaded = 6;</code>
      * @param index The index of the element to return.
-     * @return The gone at the given index.
+     * @return The unloaded at the given index.
      */
-    public java.lang.String getGone(int index) {
-      return gone_.get(index);
+    public java.lang.String getUnloaded(int index) {
+      return unloaded_.get(index);
     }
     /**
-     * <code>repeated string gone = 6;</code>
+     * <code>repeated string unloaded = 6;</code>
      * @param index The index of the value to return.
-     * @return The bytes of the gone at the given index.
+     * @return The bytes of the unloaded at the given index.
      */
     public com.google.protobuf.ByteString
-        getGoneBytes(int index) {
-      return gone_.getByteString(index);
+        getUnloadedBytes(int index) {
+      return unloaded_.getByteString(index);
     }
     /**
-     * <code>repeated string gone = 6;</code>
+     * <code>repeated string unloaded = 6;</code>
      * @param index The index to set the value at.
-     * @param value The gone to set.
+     * @param value The unloaded to set.
      * @return This builder for chaining.
      */
-    public Builder setGone(
+    public Builder setUnloaded(
         int index, java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
-      ensureGoneIsMutable();
-      gone_.set(index, value);
+      ensureUnloadedIsMutable();
+      unloaded_.set(index, value);
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated string gone = 6;</code>
-     * @param value The gone to add.
+     * <code>repeated string unloaded = 6;</code>
+     * @param value The unloaded to add.
      * @return This builder for chaining.
      */
-    public Builder addGone(
+    public Builder addUnloaded(
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
-      ensureGoneIsMutable();
-      gone_.add(value);
+      ensureUnloadedIsMutable();
+      unloaded_.add(value);
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated string gone = 6;</code>
-     * @param values The gone to add.
+     * <code>repeated string unloaded = 6;</code>
+     * @param values The unloaded to add.
      * @return This builder for chaining.
      */
-    public Builder addAllGone(
+    public Builder addAllUnloaded(
         java.lang.Iterable<java.lang.String> values) {
-      ensureGoneIsMutable();
+      ensureUnloadedIsMutable();
       com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, gone_);
+          values, unloaded_);
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated string gone = 6;</code>
+     * <code>repeated string unloaded = 6;</code>
      * @return This builder for chaining.
      */
-    public Builder clearGone() {
-      gone_ =
+    public Builder clearUnloaded() {
+      unloaded_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
       bitField0_ = (bitField0_ & ~0x00000020);;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated string gone = 6;</code>
-     * @param value The bytes of the gone to add.
+     * <code>repeated string unloaded = 6;</code>
+     * @param value The bytes of the unloaded to add.
      * @return This builder for chaining.
      */
-    public Builder addGoneBytes(
+    public Builder addUnloadedBytes(
         com.google.protobuf.ByteString value) {
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
-      ensureGoneIsMutable();
-      gone_.add(value);
+      ensureUnloadedIsMutable();
+      unloaded_.add(value);
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterNews)
+    // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterChanges)
   }
 
-  // @@protoc_insertion_point(class_scope:geraniumreach.link.AdapterNews)
-  private static final org.geraniumreach.messages.AdapterNews DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:geraniumreach.link.AdapterChanges)
+  private static final org.geraniumreach.messages.AdapterChanges DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.geraniumreach.messages.AdapterNews();
+    DEFAULT_INSTANCE = new org.geraniumreach.messages.AdapterChanges();
   }
 
-  public static org.geraniumreach.messages.AdapterNews getDefaultInstance() {
+  public static org.geraniumreach.messages.AdapterChanges getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<AdapterNews>
-      PARSER = new com.google.protobuf.AbstractParser<AdapterNews>() {
+  private static final com.google.protobuf.Parser<AdapterChanges>
+      PARSER = new com.google.protobuf.AbstractParser<AdapterChanges>() {
     @java.lang.Override
-    public AdapterNews parsePartialFrom(
+    public AdapterChanges parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1320,17 +1320,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<AdapterNews> parser() {
+  public static com.google.protobuf.Parser<AdapterChanges> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<AdapterNews> getParserForType() {
+  public com.google.protobuf.Parser<AdapterChanges> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.geraniumreach.messages.AdapterNews getDefaultInstanceForType() {
+  public org.geraniumreach.messages.AdapterChanges getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterNewsOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterChangesOrBuilder.java
@@ -5,8 +5,8 @@
 
 package org.geraniumreach.messages;
 
-public interface AdapterNewsOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:geraniumreach.link.AdapterNews)
+public interface AdapterChangesOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:geraniumreach.link.AdapterChanges)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -50,51 +50,51 @@
   boolean getModelPresent();
 
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
-  java.util.List<org.geraniumreach.messages.AdapterThere> 
-      getThereList();
+  java.util.List<org.geraniumreach.messages.AdapterLoaded> 
+      getLoadedList();
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
-  org.geraniumreach.messages.AdapterThere getThere(int index);
+  org.geraniumreach.messages.AdapterLoaded getLoaded(int index);
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
-  int getThereCount();
+  int getLoadedCount();
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
-  java.util.List<? extends org.geraniumreach.messages.AdapterThereOrBuilder> 
-      getThereOrBuilderList();
+  java.util.List<? extends org.geraniumreach.messages.AdapterLoadedOrBuilder> 
+      getLoadedOrBuilderList();
   /**
-   * <code>repeated .geraniumreach.link.AdapterThere there = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoaded loaded = 5;</code>
    */
-  org.geraniumreach.messages.AdapterThereOrBuilder getThereOrBuilder(
+  org.geraniumreach.messages.AdapterLoadedOrBuilder getLoadedOrBuilder(
       int index);
 
   /**
-   * <code>repeated string gone = 6;</code>
-   * @return A list containing the gone.
+   * <code>repeated string unloaded = 6;</code>
+   * @return A list containing the unloaded.
    */
   java.util.List<java.lang.String>
-      getGoneList();
+      getUnloadedList();
   /**
-   * <code>repeated string gone = 6;</code>
-   * @return The count of gone.
+   * <code>repeated string unloaded = 6;</code>
+   * @return The count of unloaded.
    */
-  int getGoneCount();
+  int getUnloadedCount();
   /**
-   * <code>repeated string gone = 6;</code>
+   * <code>repeated string unloaded = 6;</code>
    * @param index The index of the element to return.
-   * @return The gone at the given index.
+   * @return The unloaded at the given index.
    */
-  java.lang.String getGone(int index);
+  java.lang.String getUnloaded(int index);
   /**
-   * <code>repeated string gone = 6;</code>
+   * <code>repeated string unloaded = 6;</code>
    * @param index The index of the value to return.
-   * @return The bytes of the gone at the given index.
+   * @return The bytes of the unloaded at the given index.
    */
   com.google.protobuf.ByteString
-      getGoneBytes(int index);
+      getUnloadedBytes(int index);
 }
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterDemand.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterDemand.java
@@ -36,7 +36,7 @@
     model_ = "";
     used_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
-    wishes_ = java.util.Collections.emptyList();
+    loadRequests_ = java.util.Collections.emptyList();
     running_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
   }
@@ -185,45 +185,45 @@
     return used_.getByteString(index);
   }
 
-  public static final int WISHES_FIELD_NUMBER = 5;
+  public static final int LOAD_REQUESTS_FIELD_NUMBER = 5;
   @SuppressWarnings("serial")
-  private java.util.List<org.geraniumreach.messages.AdapterWish> wishes_;
+  private java.util.List<org.geraniumreach.messages.AdapterLoadRequest> loadRequests_;
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
   @java.lang.Override
-  public java.util.List<org.geraniumreach.messages.AdapterWish> getWishesList() {
-    return wishes_;
+  public java.util.List<org.geraniumreach.messages.AdapterLoadRequest> getLoadRequestsList() {
+    return loadRequests_;
   }
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.geraniumreach.messages.AdapterWishOrBuilder> 
-      getWishesOrBuilderList() {
-    return wishes_;
+  public java.util.List<? extends org.geraniumreach.messages.AdapterLoadRequestOrBuilder> 
+      getLoadRequestsOrBuilderList() {
+    return loadRequests_;
   }
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
   @java.lang.Override
-  public int getWishesCount() {
-    return wishes_.size();
+  public int getLoadRequestsCount() {
+    return loadRequests_.size();
   }
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
   @java.lang.Override
-  public org.geraniumreach.messages.AdapterWish getWishes(int index) {
-    return wishes_.get(index);
+  public org.geraniumreach.messages.AdapterLoadRequest getLoadRequests(int index) {
+    return loadRequests_.get(index);
   }
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
   @java.lang.Override
-  public org.geraniumreach.messages.AdapterWishOrBuilder getWishesOrBuilder(
+  public org.geraniumreach.messages.AdapterLoadRequestOrBuilder getLoadRequestsOrBuilder(
       int index) {
-    return wishes_.get(index);
+    return loadRequests_.get(index);
   }
 
   public static final int RUNNING_FIELD_NUMBER = 6;
@@ -317,8 +317,8 @@
     for (int i = 0; i < used_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, used_.getRaw(i));
     }
-    for (int i = 0; i < wishes_.size(); i++) {
-      output.writeMessage(5, wishes_.get(i));
+    for (int i = 0; i < loadRequests_.size(); i++) {
+      output.writeMessage(5, loadRequests_.get(i));
     }
     for (int i = 0; i < running_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, running_.getRaw(i));
@@ -349,9 +349,9 @@
       size += dataSize;
       size += 1 * getUsedList().size();
     }
-    for (int i = 0; i < wishes_.size(); i++) {
+    for (int i = 0; i < loadRequests_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, wishes_.get(i));
+        .computeMessageSize(5, loadRequests_.get(i));
     }
     {
       int dataSize = 0;
@@ -386,8 +386,8 @@
         .equals(other.getModel())) return false;
     if (!getUsedList()
         .equals(other.getUsedList())) return false;
-    if (!getWishesList()
-        .equals(other.getWishesList())) return false;
+    if (!getLoadRequestsList()
+        .equals(other.getLoadRequestsList())) return false;
     if (!getRunningList()
         .equals(other.getRunningList())) return false;
     if (getTellsRunning()
@@ -411,9 +411,9 @@
       hash = (37 * hash) + USED_FIELD_NUMBER;
       hash = (53 * hash) + getUsedList().hashCode();
     }
-    if (getWishesCount() > 0) {
-      hash = (37 * hash) + WISHES_FIELD_NUMBER;
-      hash = (53 * hash) + getWishesList().hashCode();
+    if (getLoadRequestsCount() > 0) {
+      hash = (37 * hash) + LOAD_REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getLoadRequestsList().hashCode();
     }
     if (getRunningCount() > 0) {
       hash = (37 * hash) + RUNNING_FIELD_NUMBER;
@@ -562,11 +562,11 @@
       model_ = "";
       used_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-      if (wishesBuilder_ == null) {
-        wishes_ = java.util.Collections.emptyList();
+      if (loadRequestsBuilder_ == null) {
+        loadRequests_ = java.util.Collections.emptyList();
       } else {
-        wishes_ = null;
-        wishesBuilder_.clear();
+        loadRequests_ = null;
+        loadRequestsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
       running_ =
@@ -605,14 +605,14 @@
     }
 
     private void buildPartialRepeatedFields(org.geraniumreach.messages.AdapterDemand result) {
-      if (wishesBuilder_ == null) {
+      if (loadRequestsBuilder_ == null) {
         if (((bitField0_ & 0x00000008) != 0)) {
-          wishes_ = java.util.Collections.unmodifiableList(wishes_);
+          loadRequests_ = java.util.Collections.unmodifiableList(loadRequests_);
           bitField0_ = (bitField0_ & ~0x00000008);
         }
-        result.wishes_ = wishes_;
+        result.loadRequests_ = loadRequests_;
       } else {
-        result.wishes_ = wishesBuilder_.build();
+        result.loadRequests_ = loadRequestsBuilder_.build();
       }
     }
 
@@ -669,29 +669,29 @@
         }
         onChanged();
       }
-      if (wishesBuilder_ == null) {
-        if (!other.wishes_.isEmpty()) {
-          if (wishes_.isEmpty()) {
-            wishes_ = other.wishes_;
+      if (loadRequestsBuilder_ == null) {
+        if (!other.loadRequests_.isEmpty()) {
+          if (loadRequests_.isEmpty()) {
+            loadRequests_ = other.loadRequests_;
             bitField0_ = (bitField0_ & ~0x00000008);
           } else {
-            ensureWishesIsMutable();
-            wishes_.addAll(other.wishes_);
+            ensureLoadRequestsIsMutable();
+            loadRequests_.addAll(other.loadRequests_);
           }
           onChanged();
         }
       } else {
-        if (!other.wishes_.isEmpty()) {
-          if (wishesBuilder_.isEmpty()) {
-            wishesBuilder_.dispose();
-            wishesBuilder_ = null;
-            wishes_ = other.wishes_;
+        if (!other.loadRequests_.isEmpty()) {
+          if (loadRequestsBuilder_.isEmpty()) {
+            loadRequestsBuilder_.dispose();
+            loadRequestsBuilder_ = null;
+            loadRequests_ = other.loadRequests_;
             bitField0_ = (bitField0_ & ~0x00000008);
-            wishesBuilder_ = 
+            loadRequestsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 getWishesFieldBuilder() : null;
+                 getLoadRequestsFieldBuilder() : null;
           } else {
-            wishesBuilder_.addAllMessages(other.wishes_);
+            loadRequestsBuilder_.addAllMessages(other.loadRequests_);
           }
         }
       }
@@ -751,15 +751,15 @@
               break;
             } // case 34
             case 42: {
-              org.geraniumreach.messages.AdapterWish m =
+              org.geraniumreach.messages.AdapterLoadRequest m =
                   input.readMessage(
-                      org.geraniumreach.messages.AdapterWish.parser(),
+                      org.geraniumreach.messages.AdapterLoadRequest.parser(),
                       extensionRegistry);
-              if (wishesBuilder_ == null) {
-                ensureWishesIsMutable();
-                wishes_.add(m);
+              if (loadRequestsBuilder_ == null) {
+                ensureLoadRequestsIsMutable();
+                loadRequests_.add(m);
               } else {
-                wishesBuilder_.addMessage(m);
+                loadRequestsBuilder_.addMessage(m);
               }
               break;
             } // case 42
@@ -1082,244 +1082,244 @@
       return this;
     }
 
-    private java.util.List<org.geraniumreach.messages.AdapterWish> wishes_ =
+    private java.util.List<org.geraniumreach.messages.AdapterLoadRequest> loadRequests_ =
       java.util.Collections.emptyList();
-    private void ensureWishesIsMutable() {
+    private void ensureLoadRequestsIsMutable() {
       if (!((bitField0_ & 0x00000008) != 0)) {
-        wishes_ = new java.util.ArrayList<org.geraniumreach.messages.AdapterWish>(wishes_);
+        loadRequests_ = new java.util.ArrayList<org.geraniumreach.messages.AdapterLoadRequest>(loadRequests_);
         bitField0_ |= 0x00000008;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.geraniumreach.messages.AdapterWish, org.geraniumreach.messages.AdapterWish.Builder, org.geraniumreach.messages.AdapterWishOrBuilder> wishesBuilder_;
+        org.geraniumreach.messages.AdapterLoadRequest, org.geraniumreach.messages.AdapterLoadRequest.Builder, org.geraniumreach.messages.AdapterLoadRequestOrBuilder> loadRequestsBuilder_;
 
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public java.util.List<org.geraniumreach.messages.AdapterWish> getWishesList() {
-      if (wishesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(wishes_);
+    public java.util.List<org.geraniumreach.messages.AdapterLoadRequest> getLoadRequestsList() {
+      if (loadRequestsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(loadRequests_);
       } else {
-        return wishesBuilder_.getMessageList();
+        return loadRequestsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public int getWishesCount() {
-      if (wishesBuilder_ == null) {
-        return wishes_.size();
+    public int getLoadRequestsCount() {
+      if (loadRequestsBuilder_ == null) {
+        return loadRequests_.size();
       } else {
-        return wishesBuilder_.getCount();
+        return loadRequestsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterWish getWishes(int index) {
-      if (wishesBuilder_ == null) {
-        return wishes_.get(index);
+    public org.geraniumreach.messages.AdapterLoadRequest getLoadRequests(int index) {
+      if (loadRequestsBuilder_ == null) {
+        return loadRequests_.get(index);
       } else {
-        return wishesBuilder_.getMessage(index);
+        return loadRequestsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public Builder setWishes(
-        int index, org.geraniumreach.messages.AdapterWish value) {
-      if (wishesBuilder_ == null) {
+    public Builder setLoadRequests(
+        int index, org.geraniumreach.messages.AdapterLoadRequest value) {
+      if (loadRequestsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureWishesIsMutable();
-        wishes_.set(index, value);
+        ensureLoadRequestsIsMutable();
+        loadRequests_.set(index, value);
         onChanged();
       } else {
-        wishesBuilder_.setMessage(index, value);
+        loadRequestsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public Builder setWishes(
-        int index, org.geraniumreach.messages.AdapterWish.Builder builderForValue) {
-      if (wishesBuilder_ == null) {
-        ensureWishesIsMutable();
-        wishes_.set(index, builderForValue.build());
+    public Builder setLoadRequests(
+        int index, org.geraniumreach.messages.AdapterLoadRequest.Builder builderForValue) {
+      if (loadRequestsBuilder_ == null) {
+        ensureLoadRequestsIsMutable();
+        loadRequests_.set(index, builderForValue.build());
         onChanged();
       } else {
-        wishesBuilder_.setMessage(index, builderForValue.build());
+        loadRequestsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public Builder addWishes(org.geraniumreach.messages.AdapterWish value) {
-      if (wishesBuilder_ == null) {
+    public Builder addLoadRequests(org.geraniumreach.messages.AdapterLoadRequest value) {
+      if (loadRequestsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureWishesIsMutable();
-        wishes_.add(value);
+        ensureLoadRequestsIsMutable();
+        loadRequests_.add(value);
         onChanged();
       } else {
-        wishesBuilder_.addMessage(value);
+        loadRequestsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public Builder addWishes(
-        int index, org.geraniumreach.messages.AdapterWish value) {
-      if (wishesBuilder_ == null) {
+    public Builder addLoadRequests(
+        int index, org.geraniumreach.messages.AdapterLoadRequest value) {
+      if (loadRequestsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureWishesIsMutable();
-        wishes_.add(index, value);
+        ensureLoadRequestsIsMutable();
+        loadRequests_.add(index, value);
         onChanged();
       } else {
-        wishesBuilder_.addMessage(index, value);
+        loadRequestsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public Builder addWishes(
-        org.geraniumreach.messages.AdapterWish.Builder builderForValue) {
-      if (wishesBuilder_ == null) {
-        ensureWishesIsMutable();
-        wishes_.add(builderForValue.build());
+    public Builder addLoadRequests(
+        org.geraniumreach.messages.AdapterLoadRequest.Builder builderForValue) {
+      if (loadRequestsBuilder_ == null) {
+        ensureLoadRequestsIsMutable();
+        loadRequests_.add(builderForValue.build());
         onChanged();
       } else {
-        wishesBuilder_.addMessage(builderForValue.build());
+        loadRequestsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public Builder addWishes(
-        int index, org.geraniumreach.messages.AdapterWish.Builder builderForValue) {
-      if (wishesBuilder_ == null) {
-        ensureWishesIsMutable();
-        wishes_.add(index, builderForValue.build());
+    public Builder addLoadRequests(
+        int index, org.geraniumreach.messages.AdapterLoadRequest.Builder builderForValue) {
+      if (loadRequestsBuilder_ == null) {
+        ensureLoadRequestsIsMutable();
+        loadRequests_.add(index, builderForValue.build());
         onChanged();
       } else {
-        wishesBuilder_.addMessage(index, builderForValue.build());
+        loadRequestsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public Builder addAllWishes(
-        java.lang.Iterable<? extends org.geraniumreach.messages.AdapterWish> values) {
-      if (wishesBuilder_ == null) {
-        ensureWishesIsMutable();
+    public Builder addAllLoadRequests(
+        java.lang.Iterable<? extends org.geraniumreach.messages.AdapterLoadRequest> values) {
+      if (loadRequestsBuilder_ == null) {
+        ensureLoadRequestsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, wishes_);
+            values, loadRequests_);
         onChanged();
       } else {
-        wishesBuilder_.addAllMessages(values);
+        loadRequestsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public Builder clearWishes() {
-      if (wishesBuilder_ == null) {
-        wishes_ = java.util.Collections.emptyList();
+    public Builder clearLoadRequests() {
+      if (loadRequestsBuilder_ == null) {
+        loadRequests_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
       } else {
-        wishesBuilder_.clear();
+        loadRequestsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public Builder removeWishes(int index) {
-      if (wishesBuilder_ == null) {
-        ensureWishesIsMutable();
-        wishes_.remove(index);
+    public Builder removeLoadRequests(int index) {
+      if (loadRequestsBuilder_ == null) {
+        ensureLoadRequestsIsMutable();
+        loadRequests_.remove(index);
         onChanged();
       } else {
-        wishesBuilder_.remove(index);
+        loadRequestsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterWish.Builder getWishesBuilder(
+    public org.geraniumreach.messages.AdapterLoadRequest.Builder getLoadRequestsBuilder(
         int index) {
-      return getWishesFieldBuilder().getBuilder(index);
+      return getLoadRequestsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterWishOrBuilder getWishesOrBuilder(
+    public org.geraniumreach.messages.AdapterLoadRequestOrBuilder getLoadRequestsOrBuilder(
         int index) {
-      if (wishesBuilder_ == null) {
-        return wishes_.get(index);  } else {
-        return wishesBuilder_.getMessageOrBuilder(index);
+      if (loadRequestsBuilder_ == null) {
+        return loadRequests_.get(index);  } else {
+        return loadRequestsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public java.util.List<? extends org.geraniumreach.messages.AdapterWishOrBuilder> 
-         getWishesOrBuilderList() {
-      if (wishesBuilder_ != null) {
-        return wishesBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.geraniumreach.messages.AdapterLoadRequestOrBuilder> 
+         getLoadRequestsOrBuilderList() {
+      if (loadRequestsBuilder_ != null) {
+        return loadRequestsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(wishes_);
+        return java.util.Collections.unmodifiableList(loadRequests_);
       }
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterWish.Builder addWishesBuilder() {
-      return getWishesFieldBuilder().addBuilder(
-          org.geraniumreach.messages.AdapterWish.getDefaultInstance());
+    public org.geraniumreach.messages.AdapterLoadRequest.Builder addLoadRequestsBuilder() {
+      return getLoadRequestsFieldBuilder().addBuilder(
+          org.geraniumreach.messages.AdapterLoadRequest.getDefaultInstance());
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public org.geraniumreach.messages.AdapterWish.Builder addWishesBuilder(
+    public org.geraniumreach.messages.AdapterLoadRequest.Builder addLoadRequestsBuilder(
         int index) {
-      return getWishesFieldBuilder().addBuilder(
-          index, org.geraniumreach.messages.AdapterWish.getDefaultInstance());
+      return getLoadRequestsFieldBuilder().addBuilder(
+          index, org.geraniumreach.messages.AdapterLoadRequest.getDefaultInstance());
     }
     /**
-     * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+     * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
      */
-    public java.util.List<org.geraniumreach.messages.AdapterWish.Builder> 
-         getWishesBuilderList() {
-      return getWishesFieldBuilder().getBuilderList();
+    public java.util.List<org.geraniumreach.messages.AdapterLoadRequest.Builder> 
+         getLoadRequestsBuilderList() {
+      return getLoadRequestsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.geraniumreach.messages.AdapterWish, org.geraniumreach.messages.AdapterWish.Builder, org.geraniumreach.messages.AdapterWishOrBuilder> 
-        getWishesFieldBuilder() {
-      if (wishesBuilder_ == null) {
-        wishesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.geraniumreach.messages.AdapterWish, org.geraniumreach.messages.AdapterWish.Builder, org.geraniumreach.messages.AdapterWishOrBuilder>(
-                wishes_,
+        org.geraniumreach.messages.AdapterLoadRequest, org.geraniumreach.messages.AdapterLoadRequest.Builder, org.geraniumreach.messages.AdapterLoadRequestOrBuilder> 
+        getLoadRequestsFieldBuilder() {
+      if (loadRequestsBuilder_ == null) {
+        loadRequestsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.geraniumreach.messages.AdapterLoadRequest, org.geraniumreach.messages.AdapterLoadRequest.Builder, org.geraniumreach.messages.AdapterLoadRequestOrBuilder>(
+                loadRequests_,
                 ((bitField0_ & 0x00000008) != 0),
                 getParentForChildren(),
                 isClean());
-        wishes_ = null;
+        loadRequests_ = null;
       }
-      return wishesBuilder_;
+      return loadRequestsBuilder_;
     }
 
     private com.google.protobuf.LazyStringArrayList running_ =
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterDemandOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterDemandOrBuilder.java
@@ -75,27 +75,27 @@
       getUsedBytes(int index);
 
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
-  java.util.List<org.geraniumreach.messages.AdapterWish> 
-      getWishesList();
+  java.util.List<org.geraniumreach.messages.AdapterLoadRequest> 
+      getLoadRequestsList();
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
-  org.geraniumreach.messages.AdapterWish getWishes(int index);
+  org.geraniumreach.messages.AdapterLoadRequest getLoadRequests(int index);
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
-  int getWishesCount();
+  int getLoadRequestsCount();
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
-  java.util.List<? extends org.geraniumreach.messages.AdapterWishOrBuilder> 
-      getWishesOrBuilderList();
+  java.util.List<? extends org.geraniumreach.messages.AdapterLoadRequestOrBuilder> 
+      getLoadRequestsOrBuilderList();
   /**
-   * <code>repeated .geraniumreach.link.AdapterWish wishes = 5;</code>
+   * <code>repeated .geraniumreach.link.AdapterLoadRequest load_requests = 5;</code>
    */
-  org.geraniumreach.messages.AdapterWishOrBuilder getWishesOrBuilder(
+  org.geraniumreach.messages.AdapterLoadRequestOrBuilder getLoadRequestsOrBuilder(
       int index);
 
   /**
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterWish.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequest.java
@@ -10,12 +10,12 @@
  * An adapter to be loaded.
  * </pre>
  *
- * Protobuf type {@code geraniumreach.link.AdapterWish}
+ * Protobuf type {@code geraniumreach.link.AdapterLoadRequest}
  */
-public final class AdapterWish extends
+public final class AdapterLoadRequest extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:geraniumreach.link.AdapterWish)
-    AdapterWishOrBuilder {
+    // @@protoc_insertion_point(message_implements:geraniumreach.link.AdapterLoadRequest)
+    AdapterLoadRequestOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -24,27 +24,27 @@
       /* minor= */ 29,
       /* patch= */ 3,
       /* suffix= */ "",
-      AdapterWish.class.getName());
+      AdapterLoadRequest.class.getName());
   }
-  // Use AdapterWish.newBuilder() to construct.
-  private AdapterWish(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use AdapterLoadRequest.newBuilder() to construct.
+  private AdapterLoadRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private AdapterWish() {
+  private AdapterLoadRequest() {
     adapter_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterWish_descriptor;
+    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoadRequest_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterWish_fieldAccessorTable
+    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoadRequest_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.geraniumreach.messages.AdapterWish.class, org.geraniumreach.messages.AdapterWish.Builder.class);
+            org.geraniumreach.messages.AdapterLoadRequest.class, org.geraniumreach.messages.AdapterLoadRequest.Builder.class);
   }
 
   public static final int ADAPTER_FIELD_NUMBER = 1;
@@ -169,10 +169,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.geraniumreach.messages.AdapterWish)) {
+    if (!(obj instanceof org.geraniumreach.messages.AdapterLoadRequest)) {
       return super.equals(obj);
     }
-    org.geraniumreach.messages.AdapterWish other = (org.geraniumreach.messages.AdapterWish) obj;
+    org.geraniumreach.messages.AdapterLoadRequest other = (org.geraniumreach.messages.AdapterLoadRequest) obj;
 
     if (!getAdapter()
         .equals(other.getAdapter())) return false;
@@ -203,44 +203,44 @@
     return hash;
   }
 
-  public static org.geraniumreach.messages.AdapterWish parseFrom(
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.geraniumreach.messages.AdapterWish parseFrom(
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterWish parseFrom(
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.geraniumreach.messages.AdapterWish parseFrom(
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterWish parseFrom(byte[] data)
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.geraniumreach.messages.AdapterWish parseFrom(
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterWish parseFrom(java.io.InputStream input)
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.geraniumreach.messages.AdapterWish parseFrom(
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -248,26 +248,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.geraniumreach.messages.AdapterWish parseDelimitedFrom(java.io.InputStream input)
+  public static org.geraniumreach.messages.AdapterLoadRequest parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.geraniumreach.messages.AdapterWish parseDelimitedFrom(
+  public static org.geraniumreach.messages.AdapterLoadRequest parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterWish parseFrom(
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.geraniumreach.messages.AdapterWish parseFrom(
+  public static org.geraniumreach.messages.AdapterLoadRequest parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -280,7 +280,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.geraniumreach.messages.AdapterWish prototype) {
+  public static Builder newBuilder(org.geraniumreach.messages.AdapterLoadRequest prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -300,26 +300,26 @@
    * An adapter to be loaded.
    * </pre>
    *
-   * Protobuf type {@code geraniumreach.link.AdapterWish}
+   * Protobuf type {@code geraniumreach.link.AdapterLoadRequest}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:geraniumreach.link.AdapterWish)
-      org.geraniumreach.messages.AdapterWishOrBuilder {
+      // @@protoc_insertion_point(builder_implements:geraniumreach.link.AdapterLoadRequest)
+      org.geraniumreach.messages.AdapterLoadRequestOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterWish_descriptor;
+      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoadRequest_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterWish_fieldAccessorTable
+      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoadRequest_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.geraniumreach.messages.AdapterWish.class, org.geraniumreach.messages.AdapterWish.Builder.class);
+              org.geraniumreach.messages.AdapterLoadRequest.class, org.geraniumreach.messages.AdapterLoadRequest.Builder.class);
     }
 
-    // Construct using org.geraniumreach.messages.AdapterWish.newBuilder()
+    // Construct using org.geraniumreach.messages.AdapterLoadRequest.newBuilder()
     private Builder() {
 
     }
@@ -342,17 +342,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterWish_descriptor;
+      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoadRequest_descriptor;
     }
 
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterWish getDefaultInstanceForType() {
-      return org.geraniumreach.messages.AdapterWish.getDefaultInstance();
+    public org.geraniumreach.messages.AdapterLoadRequest getDefaultInstanceForType() {
+      return org.geraniumreach.messages.AdapterLoadRequest.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterWish build() {
-      org.geraniumreach.messages.AdapterWish result = buildPartial();
+    public org.geraniumreach.messages.AdapterLoadRequest build() {
+      org.geraniumreach.messages.AdapterLoadRequest result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -360,14 +360,14 @@
     }
 
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterWish buildPartial() {
-      org.geraniumreach.messages.AdapterWish result = new org.geraniumreach.messages.AdapterWish(this);
+    public org.geraniumreach.messages.AdapterLoadRequest buildPartial() {
+      org.geraniumreach.messages.AdapterLoadRequest result = new org.geraniumreach.messages.AdapterLoadRequest(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.geraniumreach.messages.AdapterWish result) {
+    private void buildPartial0(org.geraniumreach.messages.AdapterLoadRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.adapter_ = adapter_;
@@ -382,16 +382,16 @@
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.geraniumreach.messages.AdapterWish) {
-        return mergeFrom((org.geraniumreach.messages.AdapterWish)other);
+      if (other instanceof org.geraniumreach.messages.AdapterLoadRequest) {
+        return mergeFrom((org.geraniumreach.messages.AdapterLoadRequest)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.geraniumreach.messages.AdapterWish other) {
-      if (other == org.geraniumreach.messages.AdapterWish.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.geraniumreach.messages.AdapterLoadRequest other) {
+      if (other == org.geraniumreach.messages.AdapterLoadRequest.getDefaultInstance()) return this;
       if (!other.getAdapter().isEmpty()) {
         adapter_ = other.adapter_;
         bitField0_ |= 0x00000001;
@@ -621,23 +621,23 @@
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterWish)
+    // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterLoadRequest)
   }
 
-  // @@protoc_insertion_point(class_scope:geraniumreach.link.AdapterWish)
-  private static final org.geraniumreach.messages.AdapterWish DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:geraniumreach.link.AdapterLoadRequest)
+  private static final org.geraniumreach.messages.AdapterLoadRequest DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.geraniumreach.messages.AdapterWish();
+    DEFAULT_INSTANCE = new org.geraniumreach.messages.AdapterLoadRequest();
   }
 
-  public static org.geraniumreach.messages.AdapterWish getDefaultInstance() {
+  public static org.geraniumreach.messages.AdapterLoadRequest getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<AdapterWish>
-      PARSER = new com.google.protobuf.AbstractParser<AdapterWish>() {
+  private static final com.google.protobuf.Parser<AdapterLoadRequest>
+      PARSER = new com.google.protobuf.AbstractParser<AdapterLoadRequest>() {
     @java.lang.Override
-    public AdapterWish parsePartialFrom(
+    public AdapterLoadRequest parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -656,17 +656,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<AdapterWish> parser() {
+  public static com.google.protobuf.Parser<AdapterLoadRequest> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<AdapterWish> getParserForType() {
+  public com.google.protobuf.Parser<AdapterLoadRequest> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.geraniumreach.messages.AdapterWish getDefaultInstanceForType() {
+  public org.geraniumreach.messages.AdapterLoadRequest getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterWishOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequestOrBuilder.java
@@ -5,8 +5,8 @@
 
 package org.geraniumreach.messages;
 
-public interface AdapterWishOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:geraniumreach.link.AdapterWish)
+public interface AdapterLoadRequestOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:geraniumreach.link.AdapterLoadRequest)
     com.google.protobuf.MessageOrBuilder {
 
   /**
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterThere.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoaded.java
@@ -6,12 +6,12 @@
 package org.geraniumreach.messages;
 
 /**
- * Protobuf type {@code geraniumreach.link.AdapterThere}
+ * Protobuf type {@code geraniumreach.link.AdapterLoaded}
  */
-public final class AdapterThere extends
+public final class AdapterLoaded extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:geraniumreach.link.AdapterThere)
-    AdapterThereOrBuilder {
+    // @@protoc_insertion_point(message_implements:geraniumreach.link.AdapterLoaded)
+    AdapterLoadedOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -20,27 +20,27 @@
       /* minor= */ 29,
       /* patch= */ 3,
       /* suffix= */ "",
-      AdapterThere.class.getName());
+      AdapterLoaded.class.getName());
   }
-  // Use AdapterThere.newBuilder() to construct.
-  private AdapterThere(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use AdapterLoaded.newBuilder() to construct.
+  private AdapterLoaded(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private AdapterThere() {
+  private AdapterLoaded() {
     adapter_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterThere_descriptor;
+    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoaded_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterThere_fieldAccessorTable
+    return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoaded_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.geraniumreach.messages.AdapterThere.class, org.geraniumreach.messages.AdapterThere.Builder.class);
+            org.geraniumreach.messages.AdapterLoaded.class, org.geraniumreach.messages.AdapterLoaded.Builder.class);
   }
 
   public static final int ADAPTER_FIELD_NUMBER = 1;
@@ -139,10 +139,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.geraniumreach.messages.AdapterThere)) {
+    if (!(obj instanceof org.geraniumreach.messages.AdapterLoaded)) {
       return super.equals(obj);
     }
-    org.geraniumreach.messages.AdapterThere other = (org.geraniumreach.messages.AdapterThere) obj;
+    org.geraniumreach.messages.AdapterLoaded other = (org.geraniumreach.messages.AdapterLoaded) obj;
 
     if (!getAdapter()
         .equals(other.getAdapter())) return false;
@@ -169,44 +169,44 @@
     return hash;
   }
 
-  public static org.geraniumreach.messages.AdapterThere parseFrom(
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.geraniumreach.messages.AdapterThere parseFrom(
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterThere parseFrom(
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.geraniumreach.messages.AdapterThere parseFrom(
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterThere parseFrom(byte[] data)
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.geraniumreach.messages.AdapterThere parseFrom(
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterThere parseFrom(java.io.InputStream input)
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.geraniumreach.messages.AdapterThere parseFrom(
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -214,26 +214,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.geraniumreach.messages.AdapterThere parseDelimitedFrom(java.io.InputStream input)
+  public static org.geraniumreach.messages.AdapterLoaded parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.geraniumreach.messages.AdapterThere parseDelimitedFrom(
+  public static org.geraniumreach.messages.AdapterLoaded parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.geraniumreach.messages.AdapterThere parseFrom(
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.geraniumreach.messages.AdapterThere parseFrom(
+  public static org.geraniumreach.messages.AdapterLoaded parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -246,7 +246,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.geraniumreach.messages.AdapterThere prototype) {
+  public static Builder newBuilder(org.geraniumreach.messages.AdapterLoaded prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -262,26 +262,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code geraniumreach.link.AdapterThere}
+   * Protobuf type {@code geraniumreach.link.AdapterLoaded}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:geraniumreach.link.AdapterThere)
-      org.geraniumreach.messages.AdapterThereOrBuilder {
+      // @@protoc_insertion_point(builder_implements:geraniumreach.link.AdapterLoaded)
+      org.geraniumreach.messages.AdapterLoadedOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterThere_descriptor;
+      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoaded_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterThere_fieldAccessorTable
+      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoaded_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.geraniumreach.messages.AdapterThere.class, org.geraniumreach.messages.AdapterThere.Builder.class);
+              org.geraniumreach.messages.AdapterLoaded.class, org.geraniumreach.messages.AdapterLoaded.Builder.class);
     }
 
-    // Construct using org.geraniumreach.messages.AdapterThere.newBuilder()
+    // Construct using org.geraniumreach.messages.AdapterLoaded.newBuilder()
     private Builder() {
 
     }
@@ -303,17 +303,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterThere_descriptor;
+      return org.geraniumreach.messages.LinkProto.internal_static_geraniumreach_link_AdapterLoaded_descriptor;
     }
 
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterThere getDefaultInstanceForType() {
-      return org.geraniumreach.messages.AdapterThere.getDefaultInstance();
+    public org.geraniumreach.messages.AdapterLoaded getDefaultInstanceForType() {
+      return org.geraniumreach.messages.AdapterLoaded.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterThere build() {
-      org.geraniumreach.messages.AdapterThere result = buildPartial();
+    public org.geraniumreach.messages.AdapterLoaded build() {
+      org.geraniumreach.messages.AdapterLoaded result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -321,14 +321,14 @@
     }
 
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterThere buildPartial() {
-      org.geraniumreach.messages.AdapterThere result = new org.geraniumreach.messages.AdapterThere(this);
+    public org.geraniumreach.messages.AdapterLoaded buildPartial() {
+      org.geraniumreach.messages.AdapterLoaded result = new org.geraniumreach.messages.AdapterLoaded(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.geraniumreach.messages.AdapterThere result) {
+    private void buildPartial0(org.geraniumreach.messages.AdapterLoaded result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.adapter_ = adapter_;
@@ -340,16 +340,16 @@
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.geraniumreach.messages.AdapterThere) {
-        return mergeFrom((org.geraniumreach.messages.AdapterThere)other);
+      if (other instanceof org.geraniumreach.messages.AdapterLoaded) {
+        return mergeFrom((org.geraniumreach.messages.AdapterLoaded)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.geraniumreach.messages.AdapterThere other) {
-      if (other == org.geraniumreach.messages.AdapterThere.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.geraniumreach.messages.AdapterLoaded other) {
+      if (other == org.geraniumreach.messages.AdapterLoaded.getDefaultInstance()) return this;
       if (!other.getAdapter().isEmpty()) {
         adapter_ = other.adapter_;
         bitField0_ |= 0x00000001;
@@ -515,23 +515,23 @@
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterThere)
+    // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterLoaded)
   }
 
-  // @@protoc_insertion_point(class_scope:geraniumreach.link.AdapterThere)
-  private static final org.geraniumreach.messages.AdapterThere DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:geraniumreach.link.AdapterLoaded)
+  private static final org.geraniumreach.messages.AdapterLoaded DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.geraniumreach.messages.AdapterThere();
+    DEFAULT_INSTANCE = new org.geraniumreach.messages.AdapterLoaded();
   }
 
-  public static org.geraniumreach.messages.AdapterThere getDefaultInstance() {
+  public static org.geraniumreach.messages.AdapterLoaded getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<AdapterThere>
-      PARSER = new com.google.protobuf.AbstractParser<AdapterThere>() {
+  private static final com.google.protobuf.Parser<AdapterLoaded>
+      PARSER = new com.google.protobuf.AbstractParser<AdapterLoaded>() {
     @java.lang.Override
-    public AdapterThere parsePartialFrom(
+    public AdapterLoaded parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -550,17 +550,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<AdapterThere> parser() {
+  public static com.google.protobuf.Parser<AdapterLoaded> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<AdapterThere> getParserForType() {
+  public com.google.protobuf.Parser<AdapterLoaded> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.geraniumreach.messages.AdapterThere getDefaultInstanceForType() {
+  public org.geraniumreach.messages.AdapterLoaded getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterThereOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoadedOrBuilder.java
@@ -5,8 +5,8 @@
 
 package org.geraniumreach.messages;
 
-public interface AdapterThereOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:geraniumreach.link.AdapterThere)
+public interface AdapterLoadedOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:geraniumreach.link.AdapterLoaded)
     com.google.protobuf.MessageOrBuilder {
 
   /**
--- a/messages/src/main/java/org/geraniumreach/messages/Frame.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Frame.java
@@ -72,7 +72,7 @@
     LEAVING(22),
     SHARE_MOVED(23),
     ADAPTER_DEMAND(24),
-    ADAPTER_NEWS(25),
+    ADAPTER_CHANGES(25),
     FEED_UPDATE(26),
     QUOTA_REQUEST(27),
     QUOTA_RESPONSE(28),
@@ -117,7 +117,7 @@
         case 22: return LEAVING;
         case 23: return SHARE_MOVED;
         case 24: return ADAPTER_DEMAND;
-        case 25: return ADAPTER_NEWS;
+        case 25: return ADAPTER_CHANGES;
         case 26: return FEED_UPDATE;
         case 27: return QUOTA_REQUEST;
         case 28: return QUOTA_RESPONSE;
@@ -880,35 +880,35 @@
     return org.geraniumreach.messages.AdapterDemand.getDefaultInstance();
   }
 
-  public static final int ADAPTER_NEWS_FIELD_NUMBER = 25;
+  public static final int ADAPTER_CHANGES_FIELD_NUMBER = 25;
   /**
-   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
-   * @return Whether the adapterNews field is set.
+   * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
+   * @return Whether the adapterChanges field is set.
    */
   @java.lang.Override
-  public boolean hasAdapterNews() {
+  public boolean hasAdapterChanges() {
     return bodyCase_ == 25;
   }
   /**
-   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
-   * @return The adapterNews.
+   * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
+   * @return The adapterChanges.
    */
   @java.lang.Override
-  public org.geraniumreach.messages.AdapterNews getAdapterNews() {
+  public org.geraniumreach.messages.AdapterChanges getAdapterChanges() {
     if (bodyCase_ == 25) {
-       return (org.geraniumreach.messages.AdapterNews) body_;
+       return (org.geraniumreach.messages.AdapterChanges) body_;
     }
-    return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+    return org.geraniumreach.messages.AdapterChanges.getDefaultInstance();
   }
   /**
-   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+   * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
    */
   @java.lang.Override
-  public org.geraniumreach.messages.AdapterNewsOrBuilder getAdapterNewsOrBuilder() {
+  public org.geraniumreach.messages.AdapterChangesOrBuilder getAdapterChangesOrBuilder() {
     if (bodyCase_ == 25) {
-       return (org.geraniumreach.messages.AdapterNews) body_;
+       return (org.geraniumreach.messages.AdapterChanges) body_;
     }
-    return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+    return org.geraniumreach.messages.AdapterChanges.getDefaultInstance();
   }
 
   public static final int FEED_UPDATE_FIELD_NUMBER = 26;
@@ -1091,7 +1091,7 @@
       output.writeMessage(24, (org.geraniumreach.messages.AdapterDemand) body_);
     }
     if (bodyCase_ == 25) {
-      output.writeMessage(25, (org.geraniumreach.messages.AdapterNews) body_);
+      output.writeMessage(25, (org.geraniumreach.messages.AdapterChanges) body_);
     }
     if (bodyCase_ == 26) {
       output.writeMessage(26, (org.geraniumreach.messages.FeedUpdate) body_);
@@ -1209,7 +1209,7 @@
     }
     if (bodyCase_ == 25) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(25, (org.geraniumreach.messages.AdapterNews) body_);
+        .computeMessageSize(25, (org.geraniumreach.messages.AdapterChanges) body_);
     }
     if (bodyCase_ == 26) {
       size += com.google.protobuf.CodedOutputStream
@@ -1337,8 +1337,8 @@
             .equals(other.getAdapterDemand())) return false;
         break;
       case 25:
-        if (!getAdapterNews()
-            .equals(other.getAdapterNews())) return false;
+        if (!getAdapterChanges()
+            .equals(other.getAdapterChanges())) return false;
         break;
       case 26:
         if (!getFeedUpdate()
@@ -1464,8 +1464,8 @@
         hash = (53 * hash) + getAdapterDemand().hashCode();
         break;
       case 25:
-        hash = (37 * hash) + ADAPTER_NEWS_FIELD_NUMBER;
-        hash = (53 * hash) + getAdapterNews().hashCode();
+        hash = (37 * hash) + ADAPTER_CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getAdapterChanges().hashCode();
         break;
       case 26:
         hash = (37 * hash) + FEED_UPDATE_FIELD_NUMBER;
@@ -1685,8 +1685,8 @@
       if (adapterDemandBuilder_ != null) {
         adapterDemandBuilder_.clear();
       }
-      if (adapterNewsBuilder_ != null) {
-        adapterNewsBuilder_.clear();
+      if (adapterChangesBuilder_ != null) {
+        adapterChangesBuilder_.clear();
       }
       if (feedUpdateBuilder_ != null) {
         feedUpdateBuilder_.clear();
@@ -1835,8 +1835,8 @@
         result.body_ = adapterDemandBuilder_.build();
       }
       if (bodyCase_ == 25 &&
-          adapterNewsBuilder_ != null) {
-        result.body_ = adapterNewsBuilder_.build();
+          adapterChangesBuilder_ != null) {
+        result.body_ = adapterChangesBuilder_.build();
       }
       if (bodyCase_ == 26 &&
           feedUpdateBuilder_ != null) {
@@ -1961,8 +1961,8 @@
           mergeAdapterDemand(other.getAdapterDemand());
           break;
         }
-        case ADAPTER_NEWS: {
-          mergeAdapterNews(other.getAdapterNews());
+        case ADAPTER_CHANGES: {
+          mergeAdapterChanges(other.getAdapterChanges());
           break;
         }
         case FEED_UPDATE: {
@@ -2177,7 +2177,7 @@
             } // case 194
             case 202: {
               input.readMessage(
-                  getAdapterNewsFieldBuilder().getBuilder(),
+                  getAdapterChangesFieldBuilder().getBuilder(),
                   extensionRegistry);
               bodyCase_ = 25;
               break;
@@ -5644,71 +5644,71 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.geraniumreach.messages.AdapterNews, org.geraniumreach.messages.AdapterNews.Builder, org.geraniumreach.messages.AdapterNewsOrBuilder> adapterNewsBuilder_;
+        org.geraniumreach.messages.AdapterChanges, org.geraniumreach.messages.AdapterChanges.Builder, org.geraniumreach.messages.AdapterChangesOrBuilder> adapterChangesBuilder_;
     /**
-     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
-     * @return Whether the adapterNews field is set.
+     * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
+     * @return Whether the adapterChanges field is set.
      */
     @java.lang.Override
-    public boolean hasAdapterNews() {
+    public boolean hasAdapterChanges() {
       return bodyCase_ == 25;
     }
     /**
-     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
-     * @return The adapterNews.
+     * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
+     * @return The adapterChanges.
      */
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterNews getAdapterNews() {
-      if (adapterNewsBuilder_ == null) {
+    public org.geraniumreach.messages.AdapterChanges getAdapterChanges() {
+      if (adapterChangesBuilder_ == null) {
         if (bodyCase_ == 25) {
-          return (org.geraniumreach.messages.AdapterNews) body_;
+          return (org.geraniumreach.messages.AdapterChanges) body_;
         }
-        return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+        return org.geraniumreach.messages.AdapterChanges.getDefaultInstance();
       } else {
         if (bodyCase_ == 25) {
-          return adapterNewsBuilder_.getMessage();
+          return adapterChangesBuilder_.getMessage();
         }
-        return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+        return org.geraniumreach.messages.AdapterChanges.getDefaultInstance();
       }
     }
     /**
-     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
      */
-    public Builder setAdapterNews(org.geraniumreach.messages.AdapterNews value) {
-      if (adapterNewsBuilder_ == null) {
+    public Builder setAdapterChanges(org.geraniumreach.messages.AdapterChanges value) {
+      if (adapterChangesBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
         body_ = value;
         onChanged();
       } else {
-        adapterNewsBuilder_.setMessage(value);
+        adapterChangesBuilder_.setMessage(value);
       }
       bodyCase_ = 25;
       return this;
     }
     /**
-     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
      */
-    public Builder setAdapterNews(
-        org.geraniumreach.messages.AdapterNews.Builder builderForValue) {
-      if (adapterNewsBuilder_ == null) {
+    public Builder setAdapterChanges(
+        org.geraniumreach.messages.AdapterChanges.Builder builderForValue) {
+      if (adapterChangesBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        adapterNewsBuilder_.setMessage(builderForValue.build());
+        adapterChangesBuilder_.setMessage(builderForValue.build());
       }
       bodyCase_ = 25;
       return this;
     }
     /**
-     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
      */
-    public Builder mergeAdapterNews(org.geraniumreach.messages.AdapterNews value) {
-      if (adapterNewsBuilder_ == null) {
+    public Builder mergeAdapterChanges(org.geraniumreach.messages.AdapterChanges value) {
+      if (adapterChangesBuilder_ == null) {
         if (bodyCase_ == 25 &&
-            body_ != org.geraniumreach.messages.AdapterNews.getDefaultInstance()) {
-          body_ = org.geraniumreach.messages.AdapterNews.newBuilder((org.geraniumreach.messages.AdapterNews) body_)
+            body_ != org.geraniumreach.messages.AdapterChanges.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.AdapterChanges.newBuilder((org.geraniumreach.messages.AdapterChanges) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
@@ -5716,19 +5716,19 @@
         onChanged();
       } else {
         if (bodyCase_ == 25) {
-          adapterNewsBuilder_.mergeFrom(value);
+          adapterChangesBuilder_.mergeFrom(value);
         } else {
-          adapterNewsBuilder_.setMessage(value);
+          adapterChangesBuilder_.setMessage(value);
         }
       }
       bodyCase_ = 25;
       return this;
     }
     /**
-     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
      */
-    public Builder clearAdapterNews() {
-      if (adapterNewsBuilder_ == null) {
+    public Builder clearAdapterChanges() {
+      if (adapterChangesBuilder_ == null) {
         if (bodyCase_ == 25) {
           bodyCase_ = 0;
           body_ = null;
@@ -5739,50 +5739,50 @@
           bodyCase_ = 0;
           body_ = null;
         }
-        adapterNewsBuilder_.clear();
+        adapterChangesBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
      */
-    public org.geraniumreach.messages.AdapterNews.Builder getAdapterNewsBuilder() {
-      return getAdapterNewsFieldBuilder().getBuilder();
+    public org.geraniumreach.messages.AdapterChanges.Builder getAdapterChangesBuilder() {
+      return getAdapterChangesFieldBuilder().getBuilder();
     }
     /**
-     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
      */
     @java.lang.Override
-    public org.geraniumreach.messages.AdapterNewsOrBuilder getAdapterNewsOrBuilder() {
-      if ((bodyCase_ == 25) && (adapterNewsBuilder_ != null)) {
-        return adapterNewsBuilder_.getMessageOrBuilder();
+    public org.geraniumreach.messages.AdapterChangesOrBuilder getAdapterChangesOrBuilder() {
+      if ((bodyCase_ == 25) && (adapterChangesBuilder_ != null)) {
+        return adapterChangesBuilder_.getMessageOrBuilder();
       } else {
         if (bodyCase_ == 25) {
-          return (org.geraniumreach.messages.AdapterNews) body_;
+          return (org.geraniumreach.messages.AdapterChanges) body_;
         }
-        return org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+        return org.geraniumreach.messages.AdapterChanges.getDefaultInstance();
       }
     }
     /**
-     * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+     * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.geraniumreach.messages.AdapterNews, org.geraniumreach.messages.AdapterNews.Builder, org.geraniumreach.messages.AdapterNewsOrBuilder> 
-        getAdapterNewsFieldBuilder() {
-      if (adapterNewsBuilder_ == null) {
+        org.geraniumreach.messages.AdapterChanges, org.geraniumreach.messages.AdapterChanges.Builder, org.geraniumreach.messages.AdapterChangesOrBuilder> 
+        getAdapterChangesFieldBuilder() {
+      if (adapterChangesBuilder_ == null) {
         if (!(bodyCase_ == 25)) {
-          body_ = org.geraniumreach.messages.AdapterNews.getDefaultInstance();
+          body_ = org.geraniumreach.messages.AdapterChanges.getDefaultInstance();
         }
-        adapterNewsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.geraniumreach.messages.AdapterNews, org.geraniumreach.messages.AdapterNews.Builder, org.geraniumreach.messages.AdapterNewsOrBuilder>(
-                (org.geraniumreach.messages.AdapterNews) body_,
+        adapterChangesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.AdapterChanges, org.geraniumreach.messages.AdapterChanges.Builder, org.geraniumreach.messages.AdapterChangesOrBuilder>(
+                (org.geraniumreach.messages.AdapterChanges) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
       bodyCase_ = 25;
       onChanged();
-      return adapterNewsBuilder_;
+      return adapterChangesBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
--- a/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
@@ -370,19 +370,19 @@
   org.geraniumreach.messages.AdapterDemandOrBuilder getAdapterDemandOrBuilder();
 
   /**
-   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
-   * @return Whether the adapterNews field is set.
+   * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
+   * @return Whether the adapterChanges field is set.
    */
-  boolean hasAdapterNews();
+  boolean hasAdapterChanges();
   /**
-   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
-   * @return The adapterNews.
+   * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
+   * @return The adapterChanges.
    */
-  org.geraniumreach.messages.AdapterNews getAdapterNews();
+  org.geraniumreach.messages.AdapterChanges getAdapterChanges();
   /**
-   * <code>.geraniumreach.link.AdapterNews adapter_news = 25;</code>
+   * <code>.geraniumreach.link.AdapterChanges adapter_changes = 25;</code>
    */
-  org.geraniumreach.messages.AdapterNewsOrBuilder getAdapterNewsOrBuilder();
+  org.geraniumreach.messages.AdapterChangesOrBuilder getAdapterChangesOrBuilder();
 
   /**
    * <code>.geraniumreach.link.FeedUpdate feed_update = 26;</code>
--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -31,10 +31,10 @@
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.ServiceDefinition;
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
+import org.geraniumreach.messages.AdapterChanges;
 import org.geraniumreach.messages.AdapterDemand;
-import org.geraniumreach.messages.AdapterNews;
-import org.geraniumreach.messages.AdapterThere;
-import org.geraniumreach.messages.AdapterWish;
+import org.geraniumreach.messages.AdapterLoadRequest;
+import org.geraniumreach.messages.AdapterLoaded;
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
@@ -49,19 +49,19 @@
 final class AdapterLoadCoordinator implements AdapterLoader, TargetRegistry.Listener, EntryLinks.Listener {
 
     /** Between two looks while load requests wait for a slot, for the weight store or for an adapter to be idle. */
-    private static final Duration LOOK = Duration.ofMillis(12);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(12);
 
-    private static final Duration SHORTEST_LOOK = Duration.ofMillis(1);
+    private static final Duration SHORTEST_POLL_INTERVAL = Duration.ofMillis(1);
 
     /** Orders are answered within 10 ms; one that is not was lost, or is carried out late, and a copy of it does no harm. */
-    private static final Duration ORDER_LIMIT = Duration.ofMillis(150);
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(150);
 
-    private static final Duration REPORT_LIMIT = Duration.ofMillis(300);
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(300);
 
-    private static final Duration ASK_AGAIN = Duration.ofMillis(300);
+    private static final Duration REQUEST_INTERVAL = Duration.ofMillis(300);
 
-    private final TargetRegistry book;
-    private final TargetOwnership holdings;
+    private final TargetRegistry registry;
+    private final TargetOwnership ownership;
     private final TargetPort targets;
     private final Timers timers;
     private final MonotonicClock clock;
@@ -69,7 +69,7 @@
     private final String self;
     private final Supplier<Optional<TrafficConfiguration>> configuration;
     private final FetchWindow fetches = new FetchWindow();
-    private final Map<Target, Held> held = new HashMap<>();
+    private final Map<Target, Owned> owned = new HashMap<>();
     private final NamedVersions versions;
     private final AdapterWaiters waiting = new AdapterWaiters();
     private final UsageReports usage = new UsageReports();
@@ -77,30 +77,30 @@
     private Optional<EntryLinks> links = Optional.empty();
 
     /** A target that this entry holds. */
-    private static final class Held {
-        private final AdapterSlots places;
-        private Cancellable look = Cancellable.NOTHING;
+    private static final class Owned {
+        private final AdapterSlots slots;
+        private Cancellable poll = Cancellable.NOTHING;
 
-        private Held(AdapterSlots places) {
-            this.places = places;
+        private Owned(AdapterSlots slots) {
+            this.slots = slots;
         }
     }
 
     AdapterLoadCoordinator(
-            TargetRegistry book,
-            TargetOwnership holdings,
+            TargetRegistry registry,
+            TargetOwnership ownership,
             TargetPort targets,
             Timers timers,
             MonotonicClock clock,
             DecisionLog log,
             Supplier<Optional<TrafficConfiguration>> configuration) {
-        this.book = Objects.requireNonNull(book, "book");
-        this.holdings = Objects.requireNonNull(holdings, "holdings");
+        this.registry = Objects.requireNonNull(registry, "registry");
+        this.ownership = Objects.requireNonNull(ownership, "ownership");
         this.targets = Objects.requireNonNull(targets, "targets");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.log = Objects.requireNonNull(log, "log");
-        this.self = holdings.self();
+        this.self = ownership.self();
         this.configuration = Objects.requireNonNull(configuration, "configuration");
         this.versions = new NamedVersions(clock, log);
     }
@@ -112,19 +112,20 @@
 
     /** Queries whether somebody can have adapters loaded at a target now. */
     boolean isOrderable(Target target) {
-        if (holdings.fence(target.id()).isPresent()) {
+        if (ownership.fence(target.id()).isPresent()) {
             return true;
         }
-        return holdings.holder(target.id())
+        return ownership
+                .holder(target.id())
                 .filter(holder -> !holder.equals(self))
                 .filter(holder -> links.isPresent() && links.get().isVisible(holder))
                 .isPresent();
     }
 
     /** Gets the targets that hold models, which need a holder. */
-    List<TargetId> needingHolder() {
+    List<TargetId> needingOwner() {
         List<TargetId> needing = new ArrayList<>();
-        for (Target target : book.all()) {
+        for (Target target : registry.all()) {
             if (engine(target).isPresent()) {
                 needing.add(target.id());
             }
@@ -142,43 +143,43 @@
 
     /** Takes up the targets that this entry holds now, and lets go of those that it does not. */
     void refresh() {
-        for (Target target : book.all()) {
-            boolean own = holdings.fence(target.id()).isPresent();
-            if (own && !held.containsKey(target)) {
+        for (Target target : registry.all()) {
+            boolean own = ownership.fence(target.id()).isPresent();
+            if (own && !owned.containsKey(target)) {
                 engine(target).ifPresent(engine -> takeUp(target, engine));
             } else if (!own
-                    && held.containsKey(target)
-                    && !holdings.holder(target.id()).equals(Optional.of(self))) {
+                    && owned.containsKey(target)
+                    && !ownership.holder(target.id()).equals(Optional.of(self))) {
                 letGo(target);
             }
         }
     }
 
     private void takeUp(Target target, ServiceDefinition.Engine engine) {
-        AdapterSlots places = new AdapterSlots(
+        AdapterSlots slots = new AdapterSlots(
                 engine.adapterPlaces(),
                 engine.models().get(0),
                 adapter -> Math.max(1, namedVersion(adapter)),
                 fetches,
                 new Changes(target, engine.models().get(0)));
-        held.put(target, new Held(places));
+        owned.put(target, new Owned(slots));
         log.write(
                 EventCode.HOLDER_CHANGED,
                 target.id().value(),
                 Field.of("holder", self),
-                Field.of("fence", holdings.fence(target.id()).orElse(0)));
-        look(target);
+                Field.of("fence", ownership.fence(target.id()).orElse(0)));
+        poll(target);
     }
 
     private void letGo(Target target) {
-        Held former = held.remove(target);
+        Owned former = owned.remove(target);
         if (former != null) {
-            former.look.cancel();
-            former.places.close();
+            former.poll.cancel();
+            former.slots.close();
         }
     }
 
-    /** Passes on what changes at a held target. */
+    /** Passes on what changes at an owned target. */
     private final class Changes implements AdapterSlots.Listener {
         private final Target target;
         private final String model;
@@ -191,62 +192,65 @@
         @Override
         public void arrived(AdapterName adapter, long version) {
             target.learnResident(adapter, version, clock.nanos());
-            tell(news().addThere(there(adapter.adapter(), version)));
+            publish(changes().addLoaded(loaded(adapter.adapter(), version)));
             waiting.wake(adapter);
         }
 
         @Override
         public void leaves(AdapterName adapter) {
             target.learnAbsent(adapter, clock.nanos());
-            tell(news().addGone(adapter.adapter()));
+            publish(changes().addUnloaded(adapter.adapter()));
         }
 
         @Override
         public void modelArrived() {
             target.learnModel(model);
-            tell(news());
+            publish(changes());
         }
 
-        private AdapterNews.Builder news() {
-            return AdapterNews.newBuilder()
+        private AdapterChanges.Builder changes() {
+            return AdapterChanges.newBuilder()
                     .setTarget(target.id().value())
                     .setStartedAt(target.description().startedAt())
                     .setModel(model)
                     .setModelPresent(true);
         }
 
-        private void tell(AdapterNews.Builder news) {
-            links.ifPresent(
-                    open -> open.sendAll(Frame.newBuilder().setAdapterNews(news).build()));
+        private void publish(AdapterChanges.Builder changes) {
+            links.ifPresent(open ->
+                    open.sendAll(Frame.newBuilder().setAdapterChanges(changes).build()));
         }
     }
 
-    private static AdapterThere there(String adapter, long version) {
-        return AdapterThere.newBuilder().setAdapter(adapter).setVersion(version).build();
+    private static AdapterLoaded loaded(String adapter, long version) {
+        return AdapterLoaded.newBuilder()
+                .setAdapter(adapter)
+                .setVersion(version)
+                .build();
     }
 
-    /** Makes the next call that is due at a held target, and comes back while anything is. */
-    private void look(Target target) {
-        Held now = held.get(target);
+    /** Makes the next call that is due at an owned target, and comes back while anything is. */
+    private void poll(Target target) {
+        Owned now = owned.get(target);
         if (now == null) {
             return;
         }
-        now.look.cancel();
-        OptionalLong fence = holdings.fence(target.id());
+        now.poll.cancel();
+        OptionalLong fence = ownership.fence(target.id());
         if (fence.isPresent()) {
-            now.places.next(clock.nanos()).ifPresent(step -> carryOut(target, now, step, fence.getAsLong()));
+            now.slots.next(clock.nanos()).ifPresent(step -> carryOut(target, now, step, fence.getAsLong()));
         }
-        if (now.places.isBusy()) {
-            now.look = timers.after(untilLook(now.places), () -> look(target));
+        if (now.slots.isBusy()) {
+            now.poll = timers.after(untilPoll(now.slots), () -> poll(target));
         }
     }
 
-    private Duration untilLook(AdapterSlots places) {
-        Duration until = places.untilNextCall(clock.nanos()).orElse(LOOK);
-        return until.compareTo(SHORTEST_LOOK) < 0 ? SHORTEST_LOOK : until;
+    private Duration untilPoll(AdapterSlots slots) {
+        Duration until = slots.untilNextCall(clock.nanos()).orElse(POLL_INTERVAL);
+        return until.compareTo(SHORTEST_POLL_INTERVAL) < 0 ? SHORTEST_POLL_INTERVAL : until;
     }
 
-    private void carryOut(Target target, Held now, AdapterSlots.Step step, long fence) {
+    private void carryOut(Target target, Owned now, AdapterSlots.Step step, long fence) {
         if (step instanceof AdapterSlots.Step.Send send) {
             order(target, now, send, fence);
         } else {
@@ -254,22 +258,22 @@
         }
     }
 
-    private void order(Target target, Held now, AdapterSlots.Step.Send send, long fence) {
+    private void order(Target target, Owned now, AdapterSlots.Step.Send send, long fence) {
         Order order = new Order(
                 send.operation(),
-                now.places.model(),
+                now.slots.model(),
                 send.adapter().map(AdapterName::adapter),
                 OptionalLong.of(send.expectedOrders()),
                 fence);
         OneAnswer<OrderResult> answer = new OneAnswer<>(result -> {
             logOrder(target, send, fence, result);
-            now.places.answered(send, result, clock.nanos());
+            now.slots.answered(send, result, clock.nanos());
             if (result == OrderResult.ANOTHER_TARGET) {
-                book.ended(target);
+                registry.ended(target);
             }
-            look(target);
+            poll(target);
         });
-        answer.within(ORDER_LIMIT, OrderResult.UNKNOWN, timers);
+        answer.within(ORDER_TIMEOUT, OrderResult.UNKNOWN, timers);
         answer.from(targets.order(target, order, self, answer));
     }
 
@@ -284,36 +288,36 @@
                 Field.of("result", result));
     }
 
-    private void report(Target target, Held now) {
+    private void report(Target target, Owned now) {
         OneAnswer<Optional<TargetReport>> answer = new OneAnswer<>(report -> {
             if (report.isPresent()) {
-                now.places.reported(report.get(), clock.nanos());
+                now.slots.reported(report.get(), clock.nanos());
             } else {
-                now.places.reportFailed(clock.nanos());
+                now.slots.reportFailed(clock.nanos());
             }
-            look(target);
+            poll(target);
         });
-        answer.within(REPORT_LIMIT, Optional.empty(), timers);
+        answer.within(REPORT_TIMEOUT, Optional.empty(), timers);
         answer.from(targets.report(target, answer));
     }
 
     @Override
-    public void want(Target target, AdapterName adapter, Optional<Duration> untilLate) {
-        Held own = held.get(target);
+    public void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate) {
+        Owned own = owned.get(target);
         long now = clock.nanos();
         if (own != null) {
-            own.places.want(adapter, lateAt(untilLate, now), now);
-            look(target);
+            own.slots.enqueue(adapter, lateAt(untilLate, now), now);
+            poll(target);
             return;
         }
         Map<AdapterName, Long> recent = asked.computeIfAbsent(target, missing -> new LinkedHashMap<>());
-        recent.values().removeIf(at -> now - at > ASK_AGAIN.toNanos());
+        recent.values().removeIf(at -> now - at > REQUEST_INTERVAL.toNanos());
         if (recent.putIfAbsent(adapter, now) == null) {
-            AdapterWish.Builder wish = AdapterWish.newBuilder()
+            AdapterLoadRequest.Builder request = AdapterLoadRequest.newBuilder()
                     .setAdapter(adapter.adapter())
                     .setWaitedFor(untilLate.isPresent())
                     .setUntilLateMillis((int) untilLate.orElse(Duration.ZERO).toMillis());
-            demand(target, adapter.baseModel(), AdapterDemand.newBuilder().addWishes(wish));
+            demand(target, adapter.baseModel(), AdapterDemand.newBuilder().addLoadRequests(request));
         }
     }
 
@@ -327,15 +331,15 @@
         Frame frame = Frame.newBuilder()
                 .setAdapterDemand(demand.setTarget(target.id().value()).setModel(model))
                 .build();
-        holdings.holder(target.id()).ifPresent(holder -> links.ifPresent(open -> open.send(holder, frame)));
+        ownership.holder(target.id()).ifPresent(holder -> links.ifPresent(open -> open.send(holder, frame)));
     }
 
     @Override
     public void begun(Target target, AdapterName adapter) {
         usage.began(target, adapter);
-        Held own = held.get(target);
+        Owned own = owned.get(target);
         if (own != null) {
-            own.places.used(adapter, 1, clock.nanos());
+            own.slots.used(adapter, 1, clock.nanos());
         }
     }
 
@@ -347,9 +351,9 @@
     private void reportUsage() {
         long now = clock.nanos();
         for (UsageReports.Report report : usage.due(now)) {
-            Held own = held.get(report.target());
+            Owned own = owned.get(report.target());
             if (own != null) {
-                own.places.running(self, report.running(), now);
+                own.slots.running(self, report.running(), now);
             } else {
                 reportToOwner(report);
             }
@@ -419,63 +423,64 @@
 
     @Override
     public void opened(String entry) {
-        held.forEach((target, own) -> {
-            AdapterNews.Builder news = AdapterNews.newBuilder()
+        owned.forEach((target, own) -> {
+            AdapterChanges.Builder changes = AdapterChanges.newBuilder()
                     .setTarget(target.id().value())
                     .setStartedAt(target.description().startedAt())
-                    .setModel(own.places.model())
-                    .setModelPresent(target.holdsModel(own.places.model()));
-            target.residents().forEach((adapter, version) -> news.addThere(there(adapter.adapter(), version)));
-            links.ifPresent(open ->
-                    open.send(entry, Frame.newBuilder().setAdapterNews(news).build()));
+                    .setModel(own.slots.model())
+                    .setModelPresent(target.holdsModel(own.slots.model()));
+            target.residents().forEach((adapter, version) -> changes.addLoaded(loaded(adapter.adapter(), version)));
+            links.ifPresent(open -> open.send(
+                    entry, Frame.newBuilder().setAdapterChanges(changes).build()));
         });
     }
 
     @Override
     public void demanded(String entry, AdapterDemand demand) {
-        Optional<Target> target = book.find(TargetId.of(demand.getTarget()));
-        if (target.isEmpty() || !held.containsKey(target.get())) {
+        Optional<Target> target = registry.find(TargetId.of(demand.getTarget()));
+        if (target.isEmpty() || !owned.containsKey(target.get())) {
             return;
         }
-        AdapterSlots places = held.get(target.get()).places;
+        AdapterSlots slots = owned.get(target.get()).slots;
         long now = clock.nanos();
-        demand.getUsedList().forEach(name -> places.used(new AdapterName(demand.getModel(), name), 1, now));
+        demand.getUsedList().forEach(name -> slots.used(new AdapterName(demand.getModel(), name), 1, now));
         if (demand.getTellsRunning()) {
-            places.running(entry, adapters(demand.getModel(), demand.getRunningList()), now);
+            slots.running(entry, adapters(demand.getModel(), demand.getRunningList()), now);
         }
-        demand.getWishesList().forEach(wish -> places.want(adapter(demand, wish), lateAt(untilLate(wish), now), now));
-        look(target.get());
+        demand.getLoadRequestsList()
+                .forEach(request -> slots.enqueue(adapter(demand, request), lateAt(untilLate(request), now), now));
+        poll(target.get());
     }
 
     private static Set<AdapterName> adapters(String model, List<String> names) {
         return names.stream().map(name -> new AdapterName(model, name)).collect(Collectors.toUnmodifiableSet());
     }
 
-    private static AdapterName adapter(AdapterDemand demand, AdapterWish wish) {
-        return new AdapterName(demand.getModel(), wish.getAdapter());
+    private static AdapterName adapter(AdapterDemand demand, AdapterLoadRequest request) {
+        return new AdapterName(demand.getModel(), request.getAdapter());
     }
 
-    private static Optional<Duration> untilLate(AdapterWish wish) {
-        return wish.getWaitedFor() ? Optional.of(Duration.ofMillis(wish.getUntilLateMillis())) : Optional.empty();
+    private static Optional<Duration> untilLate(AdapterLoadRequest request) {
+        return request.getWaitedFor() ? Optional.of(Duration.ofMillis(request.getUntilLateMillis())) : Optional.empty();
     }
 
     @Override
-    public void news(AdapterNews news) {
-        Optional<Target> target = book.find(TargetId.of(news.getTarget()))
-                .filter(known -> known.description().startedAt() == news.getStartedAt());
+    public void adaptersChanged(AdapterChanges changes) {
+        Optional<Target> target = registry.find(TargetId.of(changes.getTarget()))
+                .filter(known -> known.description().startedAt() == changes.getStartedAt());
         if (target.isEmpty()) {
             return;
         }
         long now = clock.nanos();
-        if (news.getModelPresent()) {
-            target.get().learnModel(news.getModel());
+        if (changes.getModelPresent()) {
+            target.get().learnModel(changes.getModel());
         }
-        for (String gone : news.getGoneList()) {
-            target.get().learnAbsent(new AdapterName(news.getModel(), gone), now);
+        for (String gone : changes.getUnloadedList()) {
+            target.get().learnAbsent(new AdapterName(changes.getModel(), gone), now);
         }
-        for (AdapterThere there : news.getThereList()) {
-            AdapterName adapter = new AdapterName(news.getModel(), there.getAdapter());
-            target.get().learnResident(adapter, there.getVersion(), now);
+        for (AdapterLoaded loaded : changes.getLoadedList()) {
+            AdapterName adapter = new AdapterName(changes.getModel(), loaded.getAdapter());
+            target.get().learnResident(adapter, loaded.getVersion(), now);
             waiting.wake(adapter);
         }
     }
--- a/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
@@ -122,7 +122,7 @@
     /** Tells of a decision of the store, or of none where nobody knows. */
     private void commit(Transaction transaction, Consumer<Optional<StorePort.Decision>> decided) {
         OneAnswer<StoreReply<StorePort.Decision>> answer = new OneAnswer<>(reply -> {
-            watch.noted(reply);
+            watch.record(reply);
             boolean known = reply instanceof StoreReply.Value<StorePort.Decision>;
             decided.accept(
                     known ? Optional.of(((StoreReply.Value<StorePort.Decision>) reply).value()) : Optional.empty());
@@ -204,7 +204,7 @@
         if (!known.contains(settings.instance())) {
             known.add(settings.instance());
         }
-        holdings.claim(desk.needingHolder(), known, links::isVisible).ifPresent(transaction -> {
+        holdings.claim(desk.needingOwner(), known, links::isVisible).ifPresent(transaction -> {
             claiming = true;
             commit(transaction, decision -> {
                 claiming = false;
@@ -258,7 +258,7 @@
     private void readLeases() {
         long now = clock.nanos();
         boolean due = leasesReadAt == Long.MIN_VALUE || now - leasesReadAt >= READ_LEASES.toNanos();
-        List<TargetId> targets = desk.needingHolder();
+        List<TargetId> targets = desk.needingOwner();
         if (readingLeases || !due || !holdings.wantsLeases(targets, links::isVisible)) {
             return;
         }
@@ -266,7 +266,7 @@
         leasesReadAt = now;
         OneAnswer<StoreReply<StorePort.Page>> answer = new OneAnswer<>(reply -> {
             readingLeases = false;
-            watch.noted(reply);
+            watch.record(reply);
             if (reply instanceof StoreReply.Value<StorePort.Page> value) {
                 value.value().rows().forEach(this::sawLease);
             }
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -23,8 +23,8 @@
 import org.geraniumreach.link.LinkNode;
 import org.geraniumreach.link.LinkSettings;
 import org.geraniumreach.link.Peer;
+import org.geraniumreach.messages.AdapterChanges;
 import org.geraniumreach.messages.AdapterDemand;
-import org.geraniumreach.messages.AdapterNews;
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.messages.Hello;
 import org.geraniumreach.messages.QuotaRequest;
@@ -70,7 +70,7 @@
 
         void demanded(String entry, AdapterDemand demand);
 
-        void news(AdapterNews news);
+        void adaptersChanged(AdapterChanges changes);
     }
 
     private EntryLinks(
@@ -102,7 +102,7 @@
         entryLinks.links.handle(
                 EnumSet.of(
                         Frame.BodyCase.ADAPTER_DEMAND,
-                        Frame.BodyCase.ADAPTER_NEWS,
+                        Frame.BodyCase.ADAPTER_CHANGES,
                         Frame.BodyCase.FEED_UPDATE,
                         Frame.BodyCase.QUOTA_REQUEST,
                         Frame.BodyCase.QUOTA_RESPONSE),
@@ -175,8 +175,8 @@
     public void received(Peer peer, Frame frame) {
         if (frame.hasAdapterDemand()) {
             listener.demanded(peer.hello().getInstance(), frame.getAdapterDemand());
-        } else if (frame.hasAdapterNews()) {
-            listener.news(frame.getAdapterNews());
+        } else if (frame.hasAdapterChanges()) {
+            listener.adaptersChanged(frame.getAdapterChanges());
         } else if (frame.hasFeedUpdate()) {
             FeedUpdates.fromMessage(frame.getFeedUpdate()).ifPresent(feedUpdates);
         } else if (frame.hasQuotaRequest()) {
--- a/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -17,8 +17,8 @@
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.gateway.store.FeedUpdate;
+import org.geraniumreach.messages.AdapterChanges;
 import org.geraniumreach.messages.AdapterDemand;
-import org.geraniumreach.messages.AdapterNews;
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.messages.QuotaRequest;
 import org.geraniumreach.messages.QuotaResponse;
@@ -88,7 +88,7 @@
                         .setAdapterDemand(AdapterDemand.getDefaultInstance())
                         .build(),
                 Frame.newBuilder()
-                        .setAdapterNews(AdapterNews.getDefaultInstance())
+                        .setAdapterChanges(AdapterChanges.getDefaultInstance())
                         .build(),
                 FeedUpdates.toFrame(update),
                 Frame.newBuilder()
@@ -120,8 +120,8 @@
         }
 
         @Override
-        public void news(AdapterNews news) {
-            received.add("news");
+        public void adaptersChanged(AdapterChanges changes) {
+            received.add("adapters changed");
         }
     }
 }
