--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -46,7 +45,6 @@
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.platform.Ingress;
 import org.geraniumreach.platform.StoreClient;
-import org.geraniumreach.platform.StoredRows;
 import org.geraniumreach.platform.TargetClient;
 import org.geraniumreach.serving.retry.EjectionRules;
 import org.geraniumreach.serving.retry.RetryBudget;
@@ -63,18 +61,6 @@
     private static final Duration IDLE_CONNECTIONS = Duration.ofSeconds(12);
     private static final Duration SWEEP = Duration.ofMillis(500);
 
-    /** A change must be in force within 2 s, also where the connection to the store or the reader has gone silent. */
-    private static final FeedReader.Pace OPERATOR_PACE = new FeedReader.Pace(
-            Duration.ofMillis(1_200), Duration.ZERO, Duration.ofMillis(500), Duration.ofMillis(1_600));
-
-    /** Bounds how long a leaving target is still used; see docs/CAPACITY.md for the cost of shorter intervals. */
-    private static final FeedReader.Pace TARGET_PACE = new FeedReader.Pace(
-            Duration.ofMillis(1_200), Duration.ofMillis(800), Duration.ofMillis(500), Duration.ofMillis(1_500));
-
-    /** Changes of shares wake every reader; what an entry changes itself it knows at once. */
-    private static final FeedReader.Pace FLEET_PACE = new FeedReader.Pace(
-            Duration.ofSeconds(4), Duration.ofMillis(900), Duration.ofSeconds(1), Duration.ofMillis(4_500));
-
     private static final Ingress.Limits FIRST_LIMITS =
             new Ingress.Limits(16_384, 4 * 1024 * 1024, Duration.ofSeconds(75));
 
@@ -124,7 +110,7 @@
     private final TargetHealth health;
     private final RequestHandler requests;
     private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
-    private Map<StorePort.Table, FeedReader<?>> readers = Map.of();
+    private StoreFeeds feeds;
     private volatile boolean targetsKnown;
 
     /** Without the shares, every request of a limited account would be refused. */
@@ -285,7 +271,7 @@
         links.onQuota(
                 quotaLinks::onRequest,
                 response -> admission.onAnswer(response.getNumber(), QuotaLinks.answer(response)));
-        readFeeds();
+        startFeeds();
         leaseKeeper.renew();
         fleet.start();
         sweep();
@@ -324,28 +310,12 @@
         }
     }
 
-    private void readFeeds() {
+    private void startFeeds() {
         FeedReader.Context context = new FeedReader.Context(
                 store, timers, clock, new StoreClock(clock), new DomainRelay(settings.instance(), links));
-        FeedReader<StorePort.OperatorItem> operator = new FeedReader<>(
-                StorePort.Table.OPERATOR, StoredRows::operatorItem, this::operatorNews, watch, OPERATOR_PACE, context);
-        FeedReader<StorePort.TargetItem> targetRows = new FeedReader<>(
-                StorePort.Table.TARGETS, StoredRows::targetItem, this::targetNews, targetWatch, TARGET_PACE, context);
-        FeedReader<StorePort.RowChange> fleetRows = new FeedReader<>(
-                StorePort.Table.FLEET,
-                row -> Optional.of(StorePort.RowChange.of(TargetOwnership.TABLE, row)),
-                this::fleetChanged,
-                watch,
-                FLEET_PACE,
-                context);
-        readers = Map.of(
-                StorePort.Table.OPERATOR, operator,
-                StorePort.Table.TARGETS, targetRows,
-                StorePort.Table.FLEET, fleetRows);
-        links.onFeedUpdate(update -> readers.get(update.table()).onUpdate(update));
-        operator.read();
-        targetRows.read();
-        fleetRows.read();
+        feeds = new StoreFeeds(context, watch, targetWatch, this::operatorNews, this::targetNews, this::fleetChanged);
+        links.onFeedUpdate(feeds::onUpdate);
+        feeds.start();
     }
 
     private void operatorNews(StorePort.News<StorePort.OperatorItem> news) {
@@ -353,11 +323,7 @@
             if (item instanceof StorePort.OperatorItem.Configuration newer) {
                 configure(newer.configuration());
             } else if (item instanceof StorePort.OperatorItem.AdapterVersion named) {
-                desk.versions()
-                        .named(
-                                named.adapter(),
-                                named.version(),
-                                readers.get(StorePort.Table.OPERATOR).readAt());
+                desk.versions().named(named.adapter(), named.version(), feeds.operatorReadAt());
             } else if (item instanceof StorePort.OperatorItem.Unreadable bad) {
                 log.write(EventCode.ROW_UNREADABLE, bad.key(), Field.of("reason", bad.reason()));
             }
