--- a/standins/src/test/java/org/geraniumreach/standins/StandInsFixture.java
+++ b/standins/src/test/java/org/geraniumreach/standins/StandInsFixture.java
@@ -7,9 +7,14 @@
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
 
+import org.geraniumreach.model.table.RowKey;
+import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.ports.PlatformException;
+import org.geraniumreach.ports.TableService;
 import org.geraniumreach.standalone.PlatformClients;
 import org.geraniumreach.standalone.PlatformClients.EngineLimits;
 import org.geraniumreach.standins.engine.EngineSettings;
+import org.geraniumreach.standins.table.TablePart;
 
 /** Free ports, threads and settings that the tests of the stand-ins share. */
 final class StandInsFixture implements AutoCloseable {
@@ -17,9 +22,32 @@
     static final Duration LIMIT = Duration.ofMillis(500);
     static final EngineLimits ENGINE_LIMITS = new EngineLimits(LIMIT, Duration.ofSeconds(5), Duration.ofSeconds(2));
 
+    private static final Duration WARM_UP_LIMIT = Duration.ofSeconds(30);
+
+    static {
+        // The first call of a process loads the classes of client and server, which takes longer than the limit on a
+        // busy machine.
+        warmUp();
+    }
+
     final ScheduledExecutorService timer = Timers.create();
     final PlatformClients clients = PlatformClients.create(4);
 
+    private static void warmUp() {
+        ScheduledExecutorService timer = Timers.create();
+        try (PlatformClients clients = PlatformClients.create(1)) {
+            int port = freePort();
+            TablePart part = new TablePart(port, 0, 0, timer);
+            TableService table = clients.tableService(url(port), WARM_UP_LIMIT);
+            table.commit(Transaction.empty().withWrite(RowKey.of("warm", "up"), "0"));
+            part.server().close();
+        } catch (IOException | PlatformException failed) {
+            throw new ExceptionInInitializerError(failed);
+        } finally {
+            timer.shutdownNow();
+        }
+    }
+
     static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
