--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/QuotaAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/QuotaAdmission.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.Consumer;
 
@@ -52,12 +53,15 @@
     private final MonotonicClock clock;
     private final Random random;
     private final Map<Long, Pending> pending = new HashMap<>();
-    private final Map<Holder, Long> refusedUntil = new HashMap<>();
+    private final Map<Holder, Refused> refusals = new HashMap<>();
     private final long createdAt;
     private long numbers;
 
     private record Holder(String entry, AccountId account) {}
 
+    /** A holder's refusal: until when it is not asked again, and when it said that it has units, if it said so. */
+    private record Refused(long until, OptionalLong comeBackAt) {}
+
     /** A request whose units are asked for. */
     private final class Pending {
         private final Account account;
@@ -108,7 +112,7 @@
             return count == 0
                     && now - createdAt < STARTUP.toNanos()
                     && now - startedAt < LONGEST_LINK_WAIT.toNanos()
-                    && !quotas.otherHolders(account.id()).isEmpty();
+                    && !holders(account.id()).isEmpty();
         }
 
         private void askAgain() {
@@ -118,7 +122,7 @@
 
         private void onTimeout() {
             pending.remove(number);
-            refuse(asked, account.id(), LONGEST_REFUSAL);
+            refuse(asked, account.id(), Optional.empty());
             askNext();
         }
 
@@ -128,7 +132,7 @@
                 decided.accept(answer);
                 return;
             }
-            refuse(asked, account.id(), answer.delay().orElse(LONGEST_REFUSAL));
+            refuse(asked, account.id(), answer.delay());
             comeBack = sooner(comeBack, answer.delay());
             askNext();
         }
@@ -175,30 +179,47 @@
             }
             comeBack = own.delay();
         }
-        Pending request = new Pending(account, units, decided, holders(account.id()), comeBack);
+        Optional<Duration> soonest = comeBack(account.id(), comeBack);
+        Pending request = new Pending(account, units, decided, holders(account.id()), soonest);
         request.askNext();
         return request::cancel;
     }
 
     private Deque<String> holders(AccountId account) {
+        List<String> holders = new ArrayList<>(quotas.otherHolders(account));
+        holders.removeIf(entry -> refusal(entry, account).isPresent());
+        Collections.shuffle(holders, random);
+        return new ArrayDeque<>(holders);
+    }
+
+    private Optional<Refused> refusal(String entry, AccountId account) {
+        return Optional.ofNullable(refusals.get(new Holder(entry, account)))
+                .filter(refused -> refused.until() > clock.nanos());
+    }
+
+    /** Holders that are not asked because they have refused said when they have units. */
+    private Optional<Duration> comeBack(AccountId account, Optional<Duration> own) {
         long now = clock.nanos();
-        List<String> holders = new ArrayList<>();
+        Optional<Duration> soonest = own;
         for (String entry : quotas.otherHolders(account)) {
-            if (refusedUntil.getOrDefault(new Holder(entry, account), now) <= now) {
-                holders.add(entry);
+            OptionalLong at = refusal(entry, account).map(Refused::comeBackAt).orElse(OptionalLong.empty());
+            if (at.isPresent()) {
+                soonest = sooner(soonest, Optional.of(Duration.ofNanos(Math.max(0, at.getAsLong() - now))));
             }
         }
-        Collections.shuffle(holders, random);
-        return new ArrayDeque<>(holders);
+        return soonest;
     }
 
-    private void refuse(String entry, AccountId account, Duration delay) {
+    private void refuse(String entry, AccountId account, Optional<Duration> delay) {
         long now = clock.nanos();
-        if (refusedUntil.size() > MOST_REFUSALS) {
-            refusedUntil.values().removeIf(until -> until <= now);
+        if (refusals.size() > MOST_REFUSALS) {
+            refusals.values().removeIf(refused -> refused.until() <= now);
         }
-        Duration believed = delay.compareTo(LONGEST_REFUSAL) < 0 ? delay : LONGEST_REFUSAL;
-        refusedUntil.put(new Holder(entry, account), now + believed.toNanos());
+        Duration believed =
+                delay.filter(told -> told.compareTo(LONGEST_REFUSAL) < 0).orElse(LONGEST_REFUSAL);
+        OptionalLong comeBackAt =
+                delay.isPresent() ? OptionalLong.of(now + delay.get().toNanos()) : OptionalLong.empty();
+        refusals.put(new Holder(entry, account), new Refused(now + believed.toNanos(), comeBackAt));
     }
 
     private static Optional<Duration> sooner(Optional<Duration> one, Optional<Duration> other) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
@@ -76,6 +76,25 @@
         assertThat(decisions.get(0).admitted()).isTrue();
     }
 
+    /** Guards against requests that wait for links although the holders have refused. */
+    @Test
+    void aRequestIsRefusedAtOnceWhereAllHoldersHaveRefused() {
+        World world = new World(13, 33, RATE);
+        world.settle();
+        Entry restarted = new Entry("entry-new", world);
+        restarted.quotas.put("share/acme", world.row);
+        List<Quotas.Admission> decisions = new ArrayList<>();
+        for (int request = 0; request < 40; request++) {
+            restarted.admission.admit(world.account, 8_000, decisions::add);
+        }
+        world.time.pass(Duration.ofMillis(20));
+        assertThat(decisions).hasSize(40);
+        restarted.admission.admit(world.account, 8_000, decisions::add);
+        assertThat(decisions).hasSize(41);
+        assertThat(decisions.get(40).admitted()).isFalse();
+        assertThat(decisions.get(40).delay()).isPresent();
+    }
+
     /** Guards against requests that are kept waiting for what cannot come. */
     @Test
     void aRequestIsRefusedAtOnceWhereNoHolderCanBeReachedLater() {
