--- a/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
@@ -58,7 +58,7 @@
     private final DecisionLog log;
     private final Map<String, EntryRow> entries = new HashMap<>();
     private final long startedAt;
-    private int reachableEntries = 1;
+    private List<String> reachable = List.of();
     private boolean read;
     private boolean claiming;
     private boolean sharing;
@@ -189,7 +189,7 @@
         if (!read || stopped) {
             return;
         }
-        reachableEntries = reachable().size();
+        reachable = reachable();
         desk.refresh();
         claim();
         share();
@@ -219,19 +219,19 @@
             return;
         }
         Map<String, Long> abandoned = holdings.endedFor(Quotas.ABANDONED);
-        quotas.change(reachable(), abandoned).ifPresent(transaction -> {
+        quotas.change(reachable, abandoned).ifPresent(transaction -> {
             sharing = true;
             commit(transaction, decision -> shared(transaction, decision));
         });
     }
 
     private List<String> reachable() {
-        List<String> reachable = new ArrayList<>();
-        reachable.add(settings.instance());
+        List<String> found = new ArrayList<>();
+        found.add(settings.instance());
         entries.keySet().stream()
                 .filter(entry -> !entry.equals(settings.instance()) && links.isVisible(entry))
-                .forEach(reachable::add);
-        return reachable;
+                .forEach(found::add);
+        return found;
     }
 
     private void shared(Transaction transaction, Optional<StorePort.Decision> decision) {
@@ -281,6 +281,6 @@
 
     /** Gets the number of entries that can be spoken to, this one too, as of the last tick. */
     int entries() {
-        return reachableEntries;
+        return Math.max(1, reachable.size());
     }
 }
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -84,7 +84,7 @@
                 .setInstance(self)
                 .setRole("entry")
                 .setIncarnation(incarnation)
-                .setFailureDomain(settings.failureDomain().value())
+                .setFailureDomain(failureDomain)
                 .build();
         this.links = LinkNode.createOn(
                 LinkSettings.defaults()
@@ -136,9 +136,14 @@
 
     /** Sends a frame that entries of earlier versions do not know. */
     boolean sendCurrent(String entry, Frame frame) {
-        Optional<Peer> peer =
-                links.find(InstanceId.of(entry)).filter(found -> found.hello().getProtocolVersion() >= CURRENT_VERSION);
-        return peer.isPresent() && peer.get().send(frame);
+        return links.find(InstanceId.of(entry))
+                .filter(EntryLinks::isCurrent)
+                .filter(peer -> peer.send(frame))
+                .isPresent();
+    }
+
+    private static boolean isCurrent(Peer peer) {
+        return peer.hello().getProtocolVersion() >= CURRENT_VERSION;
     }
 
     void sendAll(Frame frame) {
@@ -161,7 +166,7 @@
     List<Peer> domainPeers() {
         return links.peers().stream()
                 .filter(peer -> peer.hello().getFailureDomain().equals(failureDomain))
-                .filter(peer -> peer.hello().getProtocolVersion() >= CURRENT_VERSION)
+                .filter(EntryLinks::isCurrent)
                 .toList();
     }
 
