Refuse requests that come between the last answer of a drain and the end of the process

Cause: an entry that has no open request gives its lease up, which takes up to 0.3 s, and ends; requests that came over open connections meanwhile were taken and cut. Ruled out: the time limit of the drain, 7.1 s, was not reached.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/DrainRule.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/DrainRule.java
@@ -18,10 +18,12 @@
     private static final Duration MARGIN = Duration.ofMillis(200);
 
     private final long begunAt;
+    private final Duration takesAll;
     private final Duration length;
 
-    private DrainRule(long begunAt, Duration length) {
+    private DrainRule(long begunAt, Duration takesAll, Duration length) {
         this.begunAt = begunAt;
+        this.takesAll = takesAll;
         this.length = length;
     }
 
@@ -33,7 +35,17 @@
      * @return the rule, not null
      */
     static DrainRule of(long begunAt, Duration length) {
-        return new DrainRule(begunAt, length);
+        return new DrainRule(begunAt, TAKES_ALL, length);
+    }
+
+    /**
+     * Makes the rule of an entry that takes nothing more.
+     *
+     * @param begunAt since when
+     * @return the rule, not null
+     */
+    static DrainRule closed(long begunAt) {
+        return new DrainRule(begunAt, Duration.ZERO, Duration.ZERO);
     }
 
     /**
@@ -45,7 +57,7 @@
      */
     boolean takes(Duration longest, long now) {
         Duration passed = Duration.ofNanos(now - begunAt);
-        if (passed.compareTo(TAKES_ALL) < 0) {
+        if (passed.compareTo(takesAll) < 0) {
             return true;
         }
         return passed.plus(longest).plus(MARGIN).compareTo(length) <= 0;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -129,6 +129,11 @@
         drain = Optional.of(DrainRule.of(services.clock().nanos(), length));
     }
 
+    /** Notes that the process ends as soon as the requests that it has taken are answered; those that still come are refused at once. */
+    public void close() {
+        drain = Optional.of(DrainRule.closed(services.clock().nanos()));
+    }
+
     private Cancellable refuse(GatewayRequest request, CallerAnswer answer, Refusal refusal) {
         services.log()
                 .write(
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/DrainRuleTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/DrainRuleTest.java
@@ -30,6 +30,18 @@
                 .isEqualTo(taken);
     }
 
+    /** Guards against requests that are read in the last moments of a process and cut when it ends. */
+    @Test
+    void aShortRequestIsRefusedAtOnceAfterTheLastOneHasEnded() {
+        RequestWorld world = new RequestWorld().route(RepeatRule.ONCE, 1).target("a");
+        world.drain(Duration.ofSeconds(7));
+        world.close();
+        RecordedAnswer answer = world.send();
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.header("Retry-After")).isNotEmpty();
+        assertThat(world.targets().sent()).isEmpty();
+    }
+
     // A caller lost its draft: the entry had been asked to end six seconds before, took the request over a connection
     // that the caller kept, and was gone before the target had answered. It says so at once now, and another entry
     // serves the caller.
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
@@ -247,6 +247,10 @@
         return book;
     }
 
+    public void close() {
+        desk.close();
+    }
+
     public Adapters adapters() {
         return adapters;
     }
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -413,6 +413,7 @@
         CountDownLatch told = new CountDownLatch(1);
         loop.execute(() -> leaseKeeper.release(told::countDown));
         try {
+        loop.execute(requests::close);
             boolean answered = told.await(RELEASE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
             log.write(
                     EventCode.HOLDER_CHANGED, settings.instance(), Field.of("holder", ""), Field.of("told", answered));
