Send nothing to evacuated failure domains, and little to targets that have not warmed up

Change, evacuations: the domain is emptied for 0.6 of the limit, counted from the last reading that did not show the row; its targets serve what only they hold, and nothing is loaded there. Then nothing is sent there, by no way: all ways lead through Placement. Change, cold targets: an entry sends a cold target no more than its part of the limit in 1.1 s; the parts are equal among the listed entries, with room for three that are not known yet. Another division, by owner, stands beside it. Ruled out: a smaller fixed part of the limit instead of room for unknown entries: one entry that does not know of a second sends 17, and the second 8 (limit 23). The property test found that; with one entry in twenty killed, stale lists and three added ones it holds now.

--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/cold/SendDivision.java
@@ -0,0 +1,22 @@
+package org.geraniumreach.gateway.cold;
+
+import org.geraniumreach.model.TargetId;
+
+/**
+ * Divides the requests that a target may get in a window among the entries.
+ *
+ * <p>Contract: the parts of all entries add up to no more than the limit as long as all of them know the same entries. Confined to the event
+ * loop.
+ */
+@FunctionalInterface
+public interface SendDivision {
+
+    /**
+     * Gets this entry's part.
+     *
+     * @param target the target, not null
+     * @param limit the requests that all entries together may send in a window, not negative
+     * @return the requests that this entry may send in a window, not negative
+     */
+    int part(TargetId target, int limit);
+}
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.IntSupplier;
-import java.util.function.Predicate;
 
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.FailureDomain;
@@ -35,8 +34,7 @@
     private final AdapterDemand demand;
     private final Map<String, ReadingSpeed> speeds = new HashMap<>();
     private final TargetRegistry book;
-    private final Predicate<Target> admitted;
-    private final Predicate<Target> orderable;
+    private final TargetConditions conditions;
     private final IntSupplier entries;
     private final FailureDomain here;
     private final PlacementSettings settings;
@@ -46,8 +44,7 @@
      * Makes a placement.
      *
      * @param book the targets, not null
-     * @param admitted tells whether a target is not left out after failures, not null
-     * @param orderable tells whether somebody can have adapters loaded at a target now, not null
+     * @param conditions tells which targets may be used now, not null
      * @param entries tells how many entries there are, not null
      * @param here this entry's failure domain, not null
      * @param settings what it goes by, not null
@@ -55,15 +52,13 @@
      */
     public Placement(
             TargetRegistry book,
-            Predicate<Target> admitted,
-            Predicate<Target> orderable,
+            TargetConditions conditions,
             IntSupplier entries,
             FailureDomain here,
             PlacementSettings settings,
             MonotonicClock clock) {
         this.book = Objects.requireNonNull(book, "book");
-        this.admitted = Objects.requireNonNull(admitted, "admitted");
-        this.orderable = Objects.requireNonNull(orderable, "orderable");
+        this.conditions = Objects.requireNonNull(conditions, "conditions");
         this.entries = Objects.requireNonNull(entries, "entries");
         this.here = Objects.requireNonNull(here, "here");
         this.settings = Objects.requireNonNull(settings, "settings");
@@ -82,10 +77,17 @@
         if (offering.isEmpty()) {
             return new PlacementDecision.Nowhere(PlacementDecision.Reason.NO_TARGET);
         }
-        List<Target> usable = usable(need, offering);
-        if (usable.isEmpty()) {
-            return new PlacementDecision.Nowhere(PlacementDecision.Reason.NONE_LEFT);
+        List<Target> left = offering.stream()
+                .filter(target -> target.takesWork() && !need.excluded().contains(target.id()))
+                .toList();
+        List<Target> open =
+                left.stream().filter(target -> !conditions.isEvacuated(target)).toList();
+        List<Target> sendable =
+                open.stream().filter(conditions.withinColdLimit()).toList();
+        if (sendable.isEmpty()) {
+            return new PlacementDecision.Nowhere(noneSendable(left, open));
         }
+        List<Target> usable = healthyIfAny(sendable);
         if (need.model().isEmpty()) {
             return leastLoaded(need, usable);
         }
@@ -98,18 +100,27 @@
         return need.adapter().isPresent() ? ofAdapter(need, holding) : byAffinity(need, holding);
     }
 
-    private List<Target> usable(PlacementRequest need, List<Target> offering) {
-        List<Target> live = offering.stream()
-                .filter(target -> target.takesWork() && !need.excluded().contains(target.id()))
-                .toList();
-        List<Target> healthy = live.stream().filter(admitted).toList();
-        return healthy.isEmpty() ? live : healthy;
+    private static PlacementDecision.Reason noneSendable(List<Target> left, List<Target> open) {
+        if (left.isEmpty()) {
+            return PlacementDecision.Reason.NONE_LEFT;
+        }
+        return open.isEmpty() ? PlacementDecision.Reason.EVACUATED : PlacementDecision.Reason.COLD;
+    }
+
+    private List<Target> healthyIfAny(List<Target> targets) {
+        List<Target> healthy = targets.stream().filter(conditions.healthy()).toList();
+        return healthy.isEmpty() ? targets : healthy;
+    }
+
+    private List<Target> stayingIfAny(List<Target> targets) {
+        List<Target> staying = targets.stream().filter(conditions::isStaying).toList();
+        return staying.isEmpty() ? targets : staying;
     }
 
     private PlacementDecision leastLoaded(PlacementRequest need, List<Target> usable) {
         Target best = null;
         double bestLoad = Double.MAX_VALUE;
-        for (Target target : order(need.affinity(), usable)) {
+        for (Target target : order(need.affinity(), stayingIfAny(usable))) {
             double load = relativeLoad(target);
             if (load < bestLoad) {
                 best = target;
@@ -127,7 +138,7 @@
     }
 
     private PlacementDecision byAffinity(PlacementRequest need, List<Target> holding) {
-        List<Target> order = order(need.affinity(), holding);
+        List<Target> order = order(need.affinity(), stayingIfAny(holding));
         return firstNotCrowded(order, need)
                 .<PlacementDecision>map(target -> send(target, order, need, Optional.empty()))
                 .orElseGet(() -> leastWait(order, need));
@@ -135,10 +146,11 @@
 
     private PlacementDecision ofAdapter(PlacementRequest need, List<Target> holding) {
         AdapterName adapter = need.adapter().get();
-        List<Target> order = order(adapter.toString(), holding);
-        List<Target> homes = order.subList(0, Math.min(order.size(), homes(need, order.size())));
+        List<Target> order = stayingFirst(order(adapter.toString(), holding));
+        List<Target> staying = stayingIfAny(order);
+        List<Target> homes = staying.subList(0, Math.min(staying.size(), homes(need, staying.size())));
         List<Target> residents = newestFirst(order, need);
-        Optional<Target> missingHome = loaderFor(need, order, homes, residents);
+        Optional<Target> missingHome = loaderFor(need, staying, homes, newestFirst(staying, need));
         List<Target> usableHomes = homes.stream().filter(residents::contains).toList();
         Optional<Target> roomy = leastWaiting(withRoom(usableHomes, need), need)
                 .filter(target -> !isCrowded(target, need))
@@ -160,10 +172,16 @@
                 : leastWait(residents, need);
     }
 
+    private List<Target> stayingFirst(List<Target> order) {
+        return order.stream()
+                .sorted(Comparator.comparing(target -> !conditions.isStaying(target)))
+                .toList();
+    }
+
     private PlacementDecision byLoad(PlacementRequest need, List<Target> order, List<Target> residents) {
         // Each load that is given up for one elsewhere has the adapter fetched twice.
         Optional<Target> asked = order.stream()
-                .filter(target -> need.loaders().contains(target.id()) && orderable.test(target))
+                .filter(target -> need.loaders().contains(target.id()) && conditions.canLoad(target))
                 .findFirst();
         if (asked.isPresent() && !residents.contains(asked.get())) {
             return new PlacementDecision.Load(asked.get());
@@ -179,7 +197,7 @@
         }
         // Where every target was slow once, waiting on at one that may still load is better than being sent away.
         return order.stream()
-                .filter(orderable)
+                .filter(conditions::canLoad)
                 .min(Comparator.comparingLong(target -> expectedWaitMillis(target, need)))
                 .<PlacementDecision>map(PlacementDecision.Load::new)
                 .orElseGet(() -> new PlacementDecision.Nowhere(PlacementDecision.Reason.NO_HOLDER));
@@ -242,7 +260,7 @@
     }
 
     private boolean canLoad(Target target, PlacementRequest need) {
-        return orderable.test(target) && !need.slowLoaders().contains(target.id());
+        return conditions.canLoad(target) && !need.slowLoaders().contains(target.id());
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
@@ -76,6 +76,10 @@
         NO_HOLDER,
         /** No target that is left holds the base model. */
         NO_MODEL,
+        /** Each target that is left stands in an evacuated failure domain. */
+        EVACUATED,
+        /** Each target that is left must warm up and gets nothing more now. */
+        COLD,
         /** Each target that is left was tried or is left out after failures. */
         NONE_LEFT
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
@@ -27,10 +27,15 @@
     /** A row is written each 1.2 s of what was so 0.2 s before, and is read within another 0.6 s. */
     static final Duration ROW_LAG = Duration.ofMillis(2_500);
 
+    /** How long sends are counted. */
+    public static final Duration SENDS_KEPT = Duration.ofSeconds(2);
+
     private final Map<AdapterName, Residence> adapters = new HashMap<>();
     private final Deque<Reading> reading = new ArrayDeque<>();
+    private final Deque<Long> sends = new ArrayDeque<>();
     private final Set<String> learntModels = new HashSet<>();
     private final int hash;
+    private final long joinedAt;
     private TargetDescription description;
     private int outstanding;
     private long promptTokensAhead;
@@ -49,6 +54,7 @@
     Target(TargetDescription description, long now) {
         this.description = Objects.requireNonNull(description, "description");
         this.hash = Rendezvous.hash(description.id().value());
+        this.joinedAt = now;
         adoptRow(description, now);
     }
 
@@ -61,6 +67,15 @@
         return hash;
     }
 
+    /**
+     * Gets when this entry first knew of this life.
+     *
+     * @return the time by the clock, in nanoseconds
+     */
+    public long joinedAt() {
+        return joinedAt;
+    }
+
     public TargetDescription description() {
         return description;
     }
@@ -171,12 +186,32 @@
      */
     public void sent(long promptTokens, long now) {
         outstanding++;
+        forgetSends(now);
+        sends.addLast(now);
         promptTokensAhead += promptTokens;
         if (promptTokens > 0) {
             reading.addLast(new Reading(promptTokens, now));
         }
     }
 
+    /**
+     * Counts the requests that this entry has sent lately.
+     *
+     * @param window the time until now within which they were sent, at most {@link #SENDS_KEPT}, not null
+     * @param now the time
+     * @return how many
+     */
+    public int sentWithin(Duration window, long now) {
+        forgetSends(now);
+        return (int) sends.stream().filter(at -> now - at < window.toNanos()).count();
+    }
+
+    private void forgetSends(long now) {
+        while (!sends.isEmpty() && now - sends.peekFirst() >= SENDS_KEPT.toNanos()) {
+            sends.removeFirst();
+        }
+    }
+
     /**
      * Tells after what time a prompt may be sent without making too much to read within a window.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetDescription.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetDescription.java
@@ -1,8 +1,10 @@
 package org.geraniumreach.gateway.placement;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.TargetId;
@@ -19,6 +21,7 @@
  * @param failureDomain where it stands
  * @param slots the requests that it runs together
  * @param draining whether it takes no new work
+ * @param coldFor how long it will not have warmed up, zero if it has, empty if it does not say
  * @param models the base models that it holds, by name, with the version held of each adapter by the adapter's name
  */
 public record TargetDescription(
@@ -29,6 +32,7 @@
         FailureDomain failureDomain,
         int slots,
         boolean draining,
+        Optional<Duration> coldFor,
         Map<String, Map<String, Long>> models) {
 
     public TargetDescription {
@@ -36,7 +40,11 @@
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(failureDomain, "failureDomain");
+        Objects.requireNonNull(coldFor, "coldFor");
         models = Map.copyOf(models);
+        if (coldFor.isPresent() && coldFor.get().isNegative()) {
+            throw new IllegalArgumentException("cold time below zero at target " + id + ": " + coldFor.get());
+        }
         if (slots < 1) {
             throw new IllegalArgumentException("no slots at target " + id + ": " + slots);
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/port/StorePort.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/StorePort.java
@@ -8,6 +8,7 @@
 import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
+import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
@@ -111,6 +112,20 @@
          */
         record AdapterVersion(AdapterName adapter, long version) implements OperatorItem {}
 
+        /**
+         * A failure domain whose targets are to get nothing.
+         *
+         * @param domain the domain
+         */
+        record Evacuation(FailureDomain domain) implements OperatorItem {}
+
+        /**
+         * A failure domain whose targets may be used again.
+         *
+         * @param domain the domain
+         */
+        record EvacuationEnded(FailureDomain domain) implements OperatorItem {}
+
         /**
          * A row that cannot be read.
          *
--- a/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Objects;
 
+import org.geraniumreach.gateway.cold.ColdTargets;
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.model.FailureDomain;
 
@@ -20,6 +21,8 @@
  * @param store the store's address
  * @param repeats how many second arrivals all entries together may cause
  * @param quotaTolerance how far all entries together may go beyond an account's rate
+ * @param coldTolerance how far all entries together may go beyond a cold target's rate
+ * @param evacuationLimit how long after the evacuation of a failure domain requests may still reach its targets
  * @param drainLimit how long the process may go on after it is asked to end
  */
 public record ProcessSettings(
@@ -31,6 +34,8 @@
         InetSocketAddress store,
         RepeatLimits repeats,
         Quotas.Tolerance quotaTolerance,
+        ColdTargets.Tolerance coldTolerance,
+        Duration evacuationLimit,
         Duration drainLimit) {
 
     public ProcessSettings {
@@ -41,6 +46,8 @@
         Objects.requireNonNull(links, "links");
         Objects.requireNonNull(store, "store");
         Objects.requireNonNull(repeats, "repeats");
+        Objects.requireNonNull(coldTolerance, "coldTolerance");
+        Objects.requireNonNull(evacuationLimit, "evacuationLimit");
         if (instance.isEmpty() || instance.indexOf(' ') >= 0) {
             throw new IllegalArgumentException("instance: a name without spaces is needed, not '" + instance + "'");
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -171,10 +171,13 @@
         }
     }
 
-    /** Nobody can order targets in the first moments after all entries have ended together; refused, all callers came back at once. */
+    /**
+     * Nobody can order targets in the first moments after all entries have ended together, and targets that warm up take another request within a
+     * second; refused, all callers came back at once.
+     */
     private void nowhere(PlacementDecision.Reason reason) {
-        boolean mayChange = reason == PlacementDecision.Reason.NO_HOLDER
-                && elapsed().compareTo(services.settings().holderWait()) < 0;
+        boolean isShort = reason == PlacementDecision.Reason.NO_HOLDER || reason == PlacementDecision.Reason.COLD;
+        boolean mayChange = isShort && elapsed().compareTo(services.settings().holderWait()) < 0;
         if (!mayChange) {
             giveUp(ResultCode.NO_TARGET, reason.name());
             return;
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/UsageReportsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/UsageReportsTest.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.geraniumreach.gateway.placement.Target;
@@ -28,7 +29,15 @@
         TargetRegistry book = new TargetRegistry(() -> 0);
         TargetId id = TargetId.of("t");
         book.put(new TargetDescription(
-                id, 1, "service", new InetSocketAddress(1), FailureDomain.of("domain"), 8, false, Map.of()));
+                id,
+                1,
+                "service",
+                new InetSocketAddress(1),
+                FailureDomain.of("domain"),
+                8,
+                false,
+                Optional.empty(),
+                Map.of()));
         return book.find(id).orElseThrow();
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/cold/ColdTargetsTest.java
@@ -0,0 +1,216 @@
+package org.geraniumreach.gateway.cold;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetDescription;
+import org.geraniumreach.gateway.placement.TargetRegistry;
+import org.geraniumreach.gateway.testing.VirtualTime;
+import org.geraniumreach.gateway.traffic.ServiceDefinition;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.TargetId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Plays entries that send as much as they may to a target that has not warmed up. */
+class ColdTargetsTest {
+
+    private static final TargetId ID = TargetId.of("t1");
+    private static final ColdTargets.Tolerance TOLERANCE = new ColdTargets.Tolerance(1.5, 5);
+    private static final int LIMIT = 23;
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final ServiceDefinition SERVICE = new ServiceDefinition(
+            "service", 100, new ServiceDefinition.ColdStart(Duration.ofSeconds(3), 12), Optional.empty());
+
+    private final VirtualTime time = new VirtualTime();
+    private final List<Long> sent = new ArrayList<>();
+
+    private static TargetDescription description(Optional<Duration> coldFor) {
+        return new TargetDescription(
+                ID,
+                1,
+                "service",
+                new InetSocketAddress("127.0.0.1", 9),
+                FailureDomain.of("here"),
+                64,
+                false,
+                coldFor,
+                Map.of());
+    }
+
+    /** One life of an entry's process. */
+    private final class Entry {
+        private final String name;
+        private final Set<String> known;
+        private final TargetRegistry registry = new TargetRegistry(time);
+        private final ColdTargets cold;
+
+        private Entry(String name, Set<String> known) {
+            this.name = name;
+            this.known = known;
+            this.cold = new ColdTargets(
+                    service -> Optional.of(SERVICE),
+                    TOLERANCE,
+                    new EqualDivision(name, () -> known),
+                    time,
+                    (event, id, fields) -> {});
+            registry.listen(cold);
+            tell(Duration.ofSeconds(30));
+        }
+
+        private void tell(Duration coldFor) {
+            registry.put(description(Optional.of(coldFor)));
+        }
+
+        private Target target() {
+            return registry.find(ID).orElseThrow();
+        }
+
+        private void sendAllThatItMay() {
+            while (cold.mayBeSent(target()) && sent.size() < 100_000) {
+                target().sent(0, time.nanos());
+                sent.add(time.nanos());
+            }
+        }
+    }
+
+    private int mostInASecond() {
+        int most = 0;
+        int first = 0;
+        for (int last = 0; last < sent.size(); last++) {
+            while (sent.get(last) - sent.get(first) >= SECOND.toNanos()) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    /** Guards against a cold target that gets more than it bears while entries are killed, frozen and added. */
+    @Property(tries = 200)
+    void allEntriesTogetherKeepToTheLimit(@ForAll long seed) {
+        Random random = new Random(seed);
+        Set<String> rows = new HashSet<>();
+        int count = 1 + random.nextInt(60);
+        for (int number = 0; number < count; number++) {
+            rows.add("entry" + number);
+        }
+        List<Entry> entries = new ArrayList<>();
+        rows.forEach(name -> entries.add(new Entry(name, new HashSet<>(rows))));
+        for (int step = 0; step < 400; step++) {
+            time.pass(Duration.ofMillis(1 + random.nextInt(60)));
+            if (random.nextInt(20) == 0) {
+                int killed = random.nextInt(entries.size());
+                entries.set(killed, new Entry(entries.get(killed).name, new HashSet<>(rows)));
+            }
+            if (random.nextInt(100) == 0 && rows.size() < count + 3) {
+                rows.add("added" + rows.size());
+                entries.add(new Entry("added" + (rows.size() - 1), new HashSet<>(rows)));
+            }
+            if (random.nextInt(30) == 0) {
+                entries.get(random.nextInt(entries.size())).known.addAll(rows);
+            }
+            boolean all = random.nextInt(4) == 0;
+            entries.stream().filter(entry -> all || random.nextInt(3) == 0).forEach(Entry::sendAllThatItMay);
+        }
+        assertThat(mostInASecond()).isLessThanOrEqualTo(LIMIT);
+    }
+
+    /** Guards against cold targets that get next to nothing from a few entries or from very many. */
+    @ParameterizedTest
+    @CsvSource({"1, 5", "4, 12", "6, 12", "20, 20", "21, 20", "340, 20"})
+    void entriesTogetherUseMostOfTheLimit(int count, int most) {
+        Set<String> rows = new HashSet<>();
+        for (int number = 0; number < count; number++) {
+            rows.add("entry" + number);
+        }
+        List<Entry> entries = rows.stream().map(name -> new Entry(name, rows)).toList();
+        time.pass(ColdTargets.WINDOW);
+        entries.forEach(Entry::sendAllThatItMay);
+        assertThat(sent).hasSize(most);
+    }
+
+    /** Guards against a restarted entry that spends its part again within the second. */
+    @Test
+    void aProcessThatHasJustStartedSendsNothing() {
+        Entry entry = new Entry("entry", Set.of("entry"));
+        entry.sendAllThatItMay();
+        assertThat(sent).isEmpty();
+    }
+
+    /** Guards against an entry that takes itself for the only one before it has read of the others. */
+    @Test
+    void anEntryThatDoesNotKnowTheOthersSendsNothing() {
+        Entry entry = new Entry("entry", Set.of());
+        time.pass(Duration.ofSeconds(5));
+        entry.sendAllThatItMay();
+        assertThat(sent).isEmpty();
+    }
+
+    /** Guards against sends from before a target became cold again that are not counted. */
+    @Test
+    void sendsFromBeforeATargetBecameColdCount() {
+        Entry entry = new Entry("entry", Set.of("entry"));
+        entry.tell(Duration.ZERO);
+        time.pass(Duration.ofSeconds(5));
+        for (int request = 0; request < 5; request++) {
+            assertThat(entry.cold.mayBeSent(entry.target())).isTrue();
+            entry.target().sent(0, time.nanos());
+        }
+        entry.tell(Duration.ofSeconds(3));
+        entry.sendAllThatItMay();
+        assertThat(sent).isEmpty();
+    }
+
+    @Test
+    void aTargetIsWarmAfterItsTimeOrWhenItSaysSo() {
+        Entry entry = new Entry("entry", Set.of("entry"));
+        entry.tell(Duration.ofMillis(500));
+        assertThat(entry.cold.isCold(entry.target())).isTrue();
+        time.pass(Duration.ofMillis(501));
+        assertThat(entry.cold.isCold(entry.target())).isFalse();
+        entry.tell(Duration.ofSeconds(2));
+        entry.tell(Duration.ZERO);
+        assertThat(entry.cold.isCold(entry.target())).isFalse();
+    }
+
+    /** Guards against a new target that does not tell whether it is cold and gets its usual load. */
+    @Test
+    void aNewTargetThatDoesNotSayIsTakenForCold() {
+        Entry entry = new Entry("entry", Set.of("entry"));
+        entry.registry.removed(ID);
+        entry.registry.put(new TargetDescription(
+                ID,
+                2,
+                "service",
+                new InetSocketAddress("127.0.0.1", 9),
+                FailureDomain.of("here"),
+                64,
+                false,
+                Optional.empty(),
+                Map.of()));
+        assertThat(entry.cold.isCold(entry.target())).isTrue();
+        time.pass(Duration.ofSeconds(4));
+        assertThat(entry.cold.isCold(entry.target())).isFalse();
+    }
+
+    /** Guards against two entries that both take themselves for the owner's part. */
+    @Test
+    void theOwnerAloneHasThePartWhereItIsNotDivided() {
+        assertThat(new OwnerDivision(target -> true).part(ID, 17)).isEqualTo(17);
+        assertThat(new OwnerDivision(target -> false).part(ID, 17)).isZero();
+    }
+}
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.geraniumreach.gateway.evacuation.Evacuations;
 import org.geraniumreach.gateway.testing.VirtualTime;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.FailureDomain;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -58,8 +60,7 @@
     private Placement placement() {
         return new Placement(
                 book,
-                target -> true,
-                target -> true,
+                TargetConditions.unrestricted(),
                 () -> entries,
                 FailureDomain.of("here"),
                 PlacementSettings.defaults(),
@@ -67,14 +68,19 @@
     }
 
     private void join(String name) {
+        join(name, FailureDomain.of("here"));
+    }
+
+    private void join(String name, FailureDomain domain) {
         book.put(new TargetDescription(
                 TargetId.of(name),
                 1,
                 "service",
                 new InetSocketAddress("127.0.0.1", 1),
-                FailureDomain.of("here"),
+                domain,
                 48,
                 false,
+                Optional.of(Duration.ZERO),
                 Map.of(MODEL, Map.of())));
     }
 
@@ -234,4 +240,81 @@
         }
         return homes;
     }
+
+    private Placement restricted(TargetConditions conditions) {
+        Placement placement =
+                new Placement(book, conditions, () -> 1, FailureDomain.of("here"), PlacementSettings.defaults(), time);
+        teach(placement, READ_IN_A_MILLI);
+        return placement;
+    }
+
+    private static TargetConditions evacuated(FailureDomain domain, Evacuations.Phase phase) {
+        return new TargetConditions(
+                target -> true,
+                target -> true,
+                asked -> asked.equals(domain) ? phase : Evacuations.Phase.IN_USE,
+                target -> true);
+    }
+
+    private static final FailureDomain AWAY = FailureDomain.of("away");
+
+    /** Guards against requests that reach an evacuated failure domain where its targets alone hold the adapter. */
+    @Test
+    void anAdapterThatOnlyAnEvacuatedDomainHoldsIsLoadedElsewhere() {
+        join("away", AWAY);
+        Target away = book.find(TargetId.of("away")).orElseThrow();
+        away.learnResident(ADAPTER, 1, time.nanos());
+        PlacementDecision decision =
+                restricted(evacuated(AWAY, Evacuations.Phase.EMPTY)).place(need(ADAPTER, "s"));
+        assertThat(decision).isInstanceOf(PlacementDecision.Load.class);
+        assertThat(((PlacementDecision.Load) decision).target().description().failureDomain())
+                .isNotEqualTo(AWAY);
+    }
+
+    /** Guards against callers that wait for a load elsewhere while their adapter may still be used where it is. */
+    @Test
+    void anAdapterIsServedWhereItIsAndLoadedElsewhereWhileItsDomainIsEmptied() {
+        join("away", AWAY);
+        Target away = book.find(TargetId.of("away")).orElseThrow();
+        away.learnResident(ADAPTER, 1, time.nanos());
+        PlacementDecision.Send send = (PlacementDecision.Send)
+                restricted(evacuated(AWAY, Evacuations.Phase.EMPTYING)).place(need(ADAPTER, "s"));
+        assertThat(send.target()).isSameAs(away);
+        assertThat(send.alsoLoad()).isPresent();
+        assertThat(send.alsoLoad().get().description().failureDomain()).isNotEqualTo(AWAY);
+    }
+
+    /** Guards against loads at targets that are about to get nothing more. */
+    @Test
+    void nothingIsLoadedInADomainThatIsEmptied() {
+        PlacementDecision decision = restricted(evacuated(FailureDomain.of("here"), Evacuations.Phase.EMPTYING))
+                .place(need(ADAPTER, "s"));
+        assertThat(decision).isEqualTo(new PlacementDecision.Nowhere(PlacementDecision.Reason.NO_HOLDER));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = PlacementDecision.Reason.class,
+            names = {"EVACUATED", "COLD"})
+    void theReasonIsToldWhereNoTargetMayBeSentAnything(PlacementDecision.Reason reason) {
+        boolean cold = reason == PlacementDecision.Reason.COLD;
+        TargetConditions conditions = new TargetConditions(
+                target -> true,
+                target -> true,
+                domain -> cold ? Evacuations.Phase.IN_USE : Evacuations.Phase.EMPTY,
+                target -> !cold);
+        assertThat(restricted(conditions).place(need(ADAPTER, "s"))).isEqualTo(new PlacementDecision.Nowhere(reason));
+    }
+
+    /** Guards against the usual load of a target that must warm up. */
+    @Test
+    void aColdTargetThatMayBeSentNothingMoreIsPassedOver() {
+        Target home = homeOf(ADAPTER);
+        home.learnResident(ADAPTER, 1, time.nanos());
+        TargetConditions conditions = new TargetConditions(
+                target -> true, target -> true, domain -> Evacuations.Phase.IN_USE, target -> target != home);
+        PlacementDecision decision = restricted(conditions).place(need(ADAPTER, "s"));
+        assertThat(decision).isInstanceOf(PlacementDecision.Load.class);
+        assertThat(((PlacementDecision.Load) decision).target()).isNotSameAs(home);
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetRegistryTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetRegistryTest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.geraniumreach.gateway.testing.VirtualTime;
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -29,6 +30,7 @@
                 FailureDomain.of("here"),
                 4,
                 draining,
+                Optional.empty(),
                 Map.of("base", Map.of("a1", 1L)));
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetUpdatesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetUpdatesTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.port.StorePort.TargetItem;
@@ -25,7 +26,15 @@
 
     private static TargetItem present() {
         return new TargetItem.Present(new TargetDescription(
-                ID, 1, "service", new InetSocketAddress("127.0.0.1", 9), FailureDomain.of("here"), 4, false, Map.of()));
+                ID,
+                1,
+                "service",
+                new InetSocketAddress("127.0.0.1", 9),
+                FailureDomain.of("here"),
+                4,
+                false,
+                Optional.empty(),
+                Map.of()));
     }
 
     private void take(boolean whole, TargetItem... items) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
@@ -12,9 +12,12 @@
 import java.util.SplittableRandom;
 
 import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.cold.ColdTargets;
+import org.geraniumreach.gateway.evacuation.Evacuations;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
 import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetConditions;
 import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.Cancellable;
@@ -61,6 +64,14 @@
     private final TargetHealth health = TargetHealth.create(EjectionRules.standard(), time, new SplittableRandom(1));
     private Optional<TrafficConfiguration> configuration = Optional.empty();
     private final RequestHandler desk;
+    private final Evacuations evacuations = new Evacuations(Duration.ofSeconds(5), time, (event, id, fields) -> {});
+    private final ColdTargets cold = new ColdTargets(
+            name -> configuration.flatMap(current -> current.service(name)),
+            new ColdTargets.Tolerance(1, 0),
+            (target, limit) -> limit,
+            time,
+            (event, id, fields) -> {});
+    private ServiceDefinition.ColdStart coldStart = ServiceDefinition.ColdStart.NONE;
     private int numbers;
     private boolean held = true;
 
@@ -119,8 +130,8 @@
     public RequestWorld() {
         Placement placement = new Placement(
                 book,
-                target -> health.admits(target.id()),
-                target -> held,
+                new TargetConditions(
+                        target -> health.admits(target.id()), target -> held, evacuations::phase, cold::mayBeSent),
                 () -> 1,
                 FailureDomain.of("here"),
                 PlacementSettings.defaults(),
@@ -169,7 +180,7 @@
                 List.of(route),
                 Map.of(KEY, account),
                 List.of(account),
-                List.of(new ServiceDefinition("service", 100, Optional.empty()))));
+                List.of(new ServiceDefinition("service", 100, coldStart, Optional.empty()))));
         return this;
     }
 
@@ -186,6 +197,7 @@
                 FailureDomain.of("here"),
                 SLOTS,
                 false,
+                Optional.of(Duration.ZERO),
                 models));
         health.add(TargetId.of(name));
         return this;
@@ -235,6 +247,10 @@
         desk.drain(length);
     }
 
+    public void close() {
+        desk.close();
+    }
+
     public VirtualTime time() {
         return time;
     }
@@ -247,10 +263,6 @@
         return book;
     }
 
-    public void close() {
-        desk.close();
-    }
-
     public Adapters adapters() {
         return adapters;
     }
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -55,6 +55,10 @@
     TARGET_JOINED(5012, Level.INFO, "A target is new, or has started again."),
     TARGET_LEFT(5013, Level.INFO, "A target is gone or takes no new work."),
     ADAPTER_VERSION_NAMED(5014, Level.INFO, "A newer version of an adapter is to be served."),
+    DOMAIN_EVACUATED(
+            5015, Level.INFO, "The operator has evacuated a failure domain; its targets get nothing more soon."),
+    DOMAIN_TAKEN_BACK(5016, Level.INFO, "The targets of an evacuated failure domain are used again."),
+    TARGET_COLD(5017, Level.INFO, "A target has not warmed up; it gets few requests."),
     LINK_OPENED(6001, Level.DEBUG, "A link to a peer is open."),
     LINK_LOST(6002, Level.WARN, "A link to a peer was lost or went silent."),
     FRAME_REFUSED(6003, Level.WARN, "A peer sent what is not a frame; the link was closed."),
--- a/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -279,6 +281,11 @@
         row.value().ifPresent(value -> holdings.seenLease(row.key(), row.version(), LeaseRenewer.released(value)));
     }
 
+    /** Gets the instances of all entries that have introduced themselves, whether they can be reached or not. */
+    Collection<String> known() {
+        return Collections.unmodifiableSet(entries.keySet());
+    }
+
     /** Gets the number of entries that can be spoken to, this one too, as of the last tick. */
     int entries() {
         return Math.max(1, reachable.size());
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -17,9 +17,13 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.adapter.TargetOwnership;
+import org.geraniumreach.gateway.cold.ColdTargets;
+import org.geraniumreach.gateway.cold.EqualDivision;
+import org.geraniumreach.gateway.evacuation.Evacuations;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
 import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetConditions;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.placement.TargetUpdates;
 import org.geraniumreach.gateway.port.DecisionLog;
@@ -108,6 +112,8 @@
     private final TargetClient targets = new TargetClient(connections);
     private final AdapterLoadCoordinator desk;
     private final TargetHealth health;
+    private final Evacuations evacuations;
+    private final ColdTargets cold;
     private final RequestHandler requests;
     private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
     private StoreFeeds feeds;
@@ -138,6 +144,13 @@
         this.admission = new QuotaAdmission(quotas, this::askForUnits, timers, clock, new Random());
         this.store = new StoreClient(connections, settings.store());
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
+        this.evacuations = new Evacuations(settings.evacuationLimit(), clock, log);
+        this.cold = new ColdTargets(
+                name -> configuration.flatMap(current -> current.service(name)),
+                settings.coldTolerance(),
+                new EqualDivision(settings.instance(), () -> fleet.known()),
+                clock,
+                log);
         this.desk = new AdapterLoadCoordinator(book, holdings, targets, timers, clock, log, () -> configuration);
         this.requests = new RequestHandler(services(), () -> configuration, random::nextDouble);
     }
@@ -145,8 +158,8 @@
     private ExchangeServices services() {
         Placement placement = new Placement(
                 book,
-                target -> health.admits(target.id()),
-                desk::isOrderable,
+                new TargetConditions(
+                        target -> health.admits(target.id()), desk::isOrderable, evacuations::phase, cold::mayBeSent),
                 () -> fleet.entries(),
                 settings.failureDomain(),
                 PlacementSettings.defaults(),
@@ -266,6 +279,7 @@
         });
         book.listen(desk);
         book.listen(new HealthMembers());
+        book.listen(cold);
         desk.start(links);
         quotaLinks = new QuotaLinks(quotas, links);
         links.onQuota(
@@ -318,7 +332,9 @@
         feeds.start();
     }
 
+    /** Evacuations first: a configuration may let requests go on that have waited for it. */
     private void operatorNews(StorePort.News<StorePort.OperatorItem> news) {
+        evacuations.onNews(news, feeds.operatorReadAt());
         for (StorePort.OperatorItem item : news.items()) {
             if (item instanceof StorePort.OperatorItem.Configuration newer) {
                 configure(newer.configuration());
@@ -397,7 +413,9 @@
             fleet.stop();
         });
         awaitQuiet(begun, longest);
+        loop.execute(requests::close);
         release();
+        awaitQuiet(begun, longest);
         log.write(EventCode.DRAINED, settings.instance(), Field.of("open", ingress.open()));
         lines.close();
     }
@@ -413,7 +431,6 @@
         CountDownLatch told = new CountDownLatch(1);
         loop.execute(() -> leaseKeeper.release(told::countDown));
         try {
-        loop.execute(requests::close);
             boolean answered = told.await(RELEASE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
             log.write(
                     EventCode.HOLDER_CHANGED, settings.instance(), Field.of("holder", ""), Field.of("told", answered));
--- a/node/src/main/java/org/geraniumreach/node/Rehearsal.java
+++ b/node/src/main/java/org/geraniumreach/node/Rehearsal.java
@@ -16,6 +16,7 @@
 import java.util.jar.JarFile;
 import java.util.stream.Stream;
 
+import org.geraniumreach.gateway.cold.ColdTargets;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.Quotas;
@@ -83,6 +84,8 @@
                 platform.address(),
                 new ProcessSettings.RepeatLimits(0, 0, Duration.ofSeconds(1)),
                 new Quotas.Tolerance(0, 0, Duration.ofSeconds(1)),
+                new ColdTargets.Tolerance(1, 0),
+                Duration.ofSeconds(5),
                 Duration.ofSeconds(1));
     }
 
--- a/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import org.geraniumreach.gateway.cold.ColdTargets;
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.Quotas;
@@ -71,6 +72,8 @@
                 free(),
                 new ProcessSettings.RepeatLimits(0, 0, Duration.ofSeconds(1)),
                 new Quotas.Tolerance(0, 0, Duration.ofSeconds(1)),
+                new ColdTargets.Tolerance(1, 0),
+                Duration.ofSeconds(5),
                 Duration.ofSeconds(1));
     }
 
