Remember the weight store's full speed through long busy times

Cause: the undisturbed time of a fetch was the shortest of the last 32 fetches. Where the weight store is busy for longer, all of these are slowed, so the windows grow until everybody's fetches take several times as long (the base delay of delay-based congestion control drifts). Found by: FetchWindowTest with four entries failed once in an unchanged place, median 818 ms against 750. Traced: its simulation told fetches that end in one step in the order of a hash set; of 400 orders 46 fail with four entries, none with 1, 2 and 6. The order is drawn from a seed now, 50 orders a case, and cases with 10 and 21 entries before a store of 24 are added: 3 of 6 cases failed before the change. Bounds unchanged. Change: the shortest time of each of the last 16 blocks of 32 fetches counts as well.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchTimes.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchTimes.java
@@ -1,7 +1,9 @@
 package org.geraniumreach.gateway.adapter;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.Optional;
 
 /**
@@ -23,7 +25,16 @@
 
     private static final double MOST_TAKE_AT_THE_MOST = 0.75;
 
+    /** Part of the same below which a shortest time of earlier fetches is left out; a fetch that is slowed several times is no load from memory. */
+    private static final double EARLIER_FROM_MEMORY = 0.15;
+
+    private static final int EARLIER_BLOCKS = 16;
+
     private final long[] nanos = new long[REMEMBERED];
+
+    /** The shortest time of each earlier block of fetches, the oldest first. */
+    private final Deque<Long> earlier = new ArrayDeque<>();
+
     private int count;
     private Optional<Duration> undisturbed = Optional.empty();
 
@@ -31,6 +42,17 @@
         nanos[count % REMEMBERED] = took.toNanos();
         count++;
         undisturbed = shortest();
+        if (count % REMEMBERED == 0) {
+            rememberBlock();
+        }
+    }
+
+    /** Guards against a weight store that is busy for long: the shortest of the last fetches alone would tell a slowed one. */
+    private void rememberBlock() {
+        if (earlier.size() == EARLIER_BLOCKS) {
+            earlier.removeFirst();
+        }
+        shortestOfRecent().ifPresent(shortest -> earlier.addLast(shortest.toNanos()));
     }
 
     /** Gets the shortest time that a fetch took, empty if none is known. */
@@ -39,9 +61,24 @@
     }
 
     private Optional<Duration> shortest() {
+        long least = (long) (mostTakeAtTheMost() * EARLIER_FROM_MEMORY);
+        Optional<Duration> recent = shortestOfRecent();
+        return earlier.stream()
+                .filter(each -> each >= least)
+                .map(Duration::ofNanos)
+                .min(Duration::compareTo)
+                .filter(before -> recent.isEmpty() || before.compareTo(recent.get()) < 0)
+                .or(() -> recent);
+    }
+
+    private long mostTakeAtTheMost() {
+        long[] sorted = sorted(Math.min(count, REMEMBERED));
+        return sorted[(int) ((sorted.length - 1) * MOST_TAKE_AT_THE_MOST)];
+    }
+
+    private Optional<Duration> shortestOfRecent() {
         long[] sorted = sorted(Math.min(count, REMEMBERED));
-        long longest = sorted[(int) ((sorted.length - 1) * MOST_TAKE_AT_THE_MOST)];
-        long least = (long) (longest * FROM_MEMORY);
+        long least = (long) (mostTakeAtTheMost() * FROM_MEMORY);
         return Arrays.stream(sorted)
                 .filter(each -> each >= least)
                 .mapToObj(Duration::ofNanos)
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/FetchWindowTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/FetchWindowTest.java
@@ -2,20 +2,23 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.Collections;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class FetchWindowTest {
 
     private static final Duration FULL_SPEED = Duration.ofMillis(250);
+    private static final int ORDERS = 50;
 
     @Test
     void fetchesBeyondTheWindowMustWait() {
@@ -55,22 +58,33 @@
         assertThat(window.isOpen()).isTrue();
     }
 
-    // Callers of rare adapters waited 1.4 s at the median, since 52 fetches of 13 targets shared what 8 have at full
-    // speed. Entries that share a weight store, each with its own window and more wishes than can be met, must keep it
-    // fully used, and a fetch below three times its least time.
+    /** Guards against fetches that are slowed for all callers because entries take a busy weight store's speed for its full speed. */
     @ParameterizedTest
-    @ValueSource(ints = {1, 2, 4, 6})
-    void entriesTogetherFetchAboutAsManyAsTheWeightStoreServesAtFullSpeed(int entries) {
-        SharedStore store = new SharedStore(entries);
-        store.play(20_000);
-        int before = store.times.size();
+    @CsvSource({"1, 8", "2, 8", "4, 8", "6, 8", "10, 24", "21, 24"})
+    void entriesTogetherFetchAboutAsManyAsTheWeightStoreServesAtFullSpeed(int entries, int atFullSpeed) {
+        for (int order = 0; order < ORDERS; order++) {
+            SharedStore store = new SharedStore(entries, atFullSpeed, order);
+            store.play(20_000);
+            int before = store.times.size();
+            store.play(20_000);
+            List<Long> times = store.times.subList(before, store.times.size()).stream()
+                    .sorted()
+                    .toList();
+            assertThat(times.get(times.size() / 2))
+                    .as("median in order %d", order)
+                    .isLessThan(3 * FULL_SPEED.toMillis());
+            double fullyUsed = 20_000.0 / FULL_SPEED.toMillis() * atFullSpeed;
+            assertThat((double) times.size()).isGreaterThan(0.9 * fullyUsed);
+        }
+    }
+
+    /** Guards against windows that all open at once when entries start together, so that no fetch ever shows the full speed. */
+    @Test
+    void manyEntriesThatStartTogetherHardlySlowTheWeightStore() {
+        SharedStore store = new SharedStore(21, 24, 0);
         store.play(20_000);
-        List<Long> times = store.times.subList(before, store.times.size()).stream()
-                .sorted()
-                .toList();
-        assertThat(times.get(times.size() / 2)).isLessThan(3 * FULL_SPEED.toMillis());
-        double fullyUsed = 20_000.0 / FULL_SPEED.toMillis() * SharedStore.AT_FULL_SPEED;
-        assertThat((double) times.size()).isGreaterThan(0.9 * fullyUsed);
+        List<Long> times = store.times.stream().sorted().toList();
+        assertThat(times.get(times.size() / 2)).isLessThan(2 * FULL_SPEED.toMillis());
     }
 
     // Callers whose adapters are ordered by one entry waited for seconds, while another entry had nine fetches under
@@ -79,7 +93,7 @@
     // Entries that come later must get about as much as the one that was there before.
     @Test
     void anEntryThatComesLaterGetsAboutAsManyFetchesAsTheOthers() {
-        SharedStore store = new SharedStore(1);
+        SharedStore store = new SharedStore(1, 8, 0);
         store.play(5_000);
         for (int later = 0; later < 4; later++) {
             store.windows.add(new FetchWindow());
@@ -111,12 +125,13 @@
 
     /** A weight store that several entries fetch from, as much as their windows let them. */
     private static final class SharedStore {
-        private static final int AT_FULL_SPEED = 8;
         private static final int STEP_MILLIS = 5;
 
         private final SplittableRandom random = new SplittableRandom(7);
+        private final Random order;
+        private final int atFullSpeed;
         private final List<FetchWindow> windows = new ArrayList<>();
-        private final Set<Fetch> underWay = new HashSet<>();
+        private final Set<Fetch> underWay = new LinkedHashSet<>();
         private final List<Long> times = new ArrayList<>();
         private long nowMillis;
 
@@ -131,7 +146,10 @@
             }
         }
 
-        private SharedStore(int entries) {
+        /** Fetches that end in the same step are told in an order of their own for each seed. */
+        private SharedStore(int entries, int atFullSpeed, long seed) {
+            this.atFullSpeed = atFullSpeed;
+            this.order = new Random(seed);
             for (int entry = 0; entry < entries; entry++) {
                 windows.add(new FetchWindow());
             }
@@ -140,10 +158,11 @@
         private void play(long millis) {
             for (long until = nowMillis + millis; nowMillis < until; nowMillis += STEP_MILLIS) {
                 windows.forEach(this::begin);
-                double speed = Math.min(1, (double) AT_FULL_SPEED / Math.max(1, underWay.size()));
+                double speed = Math.min(1, (double) atFullSpeed / Math.max(1, underWay.size()));
                 underWay.forEach(fetch -> fetch.leftMillis -= STEP_MILLIS * speed);
-                List<Fetch> done =
-                        underWay.stream().filter(fetch -> fetch.leftMillis <= 0).toList();
+                List<Fetch> done = new ArrayList<>(underWay);
+                done.removeIf(fetch -> fetch.leftMillis > 0);
+                Collections.shuffle(done, order);
                 done.forEach(this::end);
             }
         }
