Begin each fetch window at one

Cause: where many entries start together, two fetches each are more than the weight store serves at full speed, so no entry ever sees the full speed. Change: the first window is one.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchWindow.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchWindow.java
@@ -15,7 +15,7 @@
  */
 public final class FetchWindow {
 
-    private static final double FIRST = 2;
+    private static final double FIRST = 1;
     private static final double LEAST = 1;
 
     /** Keeps the window from growing without end where the weight store is never the limit. */
