Give a reading of the store up only when nothing of its answer comes any more

Cause: a whole reading that took over 500 ms was given up and made anew, for ever. Change: the time to the next part of the answer counts, not that to its end.

--- a/gateway/src/main/java/org/geraniumreach/gateway/port/StorePort.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/StorePort.java
@@ -192,10 +192,11 @@
      *
      * @param table the table, not null
      * @param position where the reader stands, not null
+     * @param progressed run each time that a part of the answer has come, not null
      * @param reply told of what was found, not null
      * @return calls it off, not null
      */
-    Cancellable read(Table table, Position position, Consumer<StoreReply<Page>> reply);
+    Cancellable read(Table table, Position position, Runnable progressed, Consumer<StoreReply<Page>> reply);
 
     /**
      * Commits a transaction.
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
@@ -55,7 +55,7 @@
      *
      * @param longPollWait how long the store may hold an answer back while there is nothing new
      * @param minimumInterval the time from one answer with changes to the next call
-     * @param timeout how long an answer may take beyond the long poll
+     * @param timeout how long nothing of an answer may come, beyond the long poll before its first part
      * @param followLimit the age of the latest reading from which on an entry that is no reader reads itself
      */
     public record Pace(Duration longPollWait, Duration minimumInterval, Duration timeout, Duration followLimit) {
@@ -117,14 +117,19 @@
     /** Reads the store now, and goes on from there. */
     public void read() {
         timer.cancel();
-        Duration limit = position.longPollWait().plus(pace.timeout());
         calling = true;
         calledAfter = position.version();
+        expectProgress(position.longPollWait().plus(pace.timeout()));
+        call = context.store().read(table, position, () -> expectProgress(pace.timeout()), this::onReply);
+    }
+
+    /** Guards against a large table that is never read over a slow link because each reading is given up and made anew. */
+    private void expectProgress(Duration limit) {
+        timer.cancel();
         timer = context.timers().after(limit, () -> {
             call.cancel();
-            onReply(new StoreReply.Unknown<>("no answer within " + limit.toMillis() + " ms"));
+            onReply(new StoreReply.Unknown<>("nothing of an answer for " + limit.toMillis() + " ms"));
         });
-        call = context.store().read(table, position, this::onReply);
     }
 
     /**
--- a/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
@@ -274,7 +274,7 @@
             }
         });
         answer.within(ANSWER_LIMIT, new StoreReply.Unknown<>("no answer to a reading"), timers);
-        answer.from(store.read(StorePort.Table.LEASES, StorePort.Position.beginning(), answer));
+        answer.from(store.read(StorePort.Table.LEASES, StorePort.Position.beginning(), () -> {}, answer));
     }
 
     private void sawLease(StorePort.StoredRow row) {
