Pace the prompts that all entries send to a target by its owner

Hypothesis: streams are late because prompts of several entries reach their target within one pause. An entry sees one request in a few seconds for each target, so its own pacing and its estimate of what is ahead know nothing of that. Change: an entry asks the target's owner for a prompt's turn; the owner spaces prompts so that reading takes three quarters of the target's time, with 100 ms at once. Who would be held back for more than two fifths of what is left of the objective goes elsewhere, and is sent without asking after three refusals. An owner that is gone or does not answer within 60 ms holds nothing up. To be measured; it goes if it does not measure better.

--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/pacing/PromptPacer.java
@@ -0,0 +1,33 @@
+package org.geraniumreach.gateway.pacing;
+
+import java.time.Duration;
+
+import org.geraniumreach.gateway.pacing.TargetAdmission.Decision;
+
+/**
+ * Spaces the prompts of all entries at one target (generic cell rate algorithm).
+ *
+ * <p>Intended for targets that read prompts between the tokens of running streams: prompts that come in a clump are read one after another, and all
+ * streams there pause for as long. Invariant: in any span of time, the prompts admitted take at most {@link #READING_PART} of it and
+ * {@link #BURST} to read, besides the last one. Confined to the event loop.
+ */
+final class PromptPacer {
+
+    /** Part of a target's time for reading; the rest is left to the tokens of its streams. */
+    static final double READING_PART = 0.75;
+
+    /** Reading time that may be sent at once. */
+    static final Duration BURST = Duration.ofMillis(100);
+
+    private long freeAt = Long.MIN_VALUE;
+
+    Decision admit(Duration reading, Duration longestDelay, long now) {
+        long start = Math.max(now, freeAt);
+        Duration delay = Duration.ofNanos(Math.max(0, start - now - BURST.toNanos()));
+        if (delay.compareTo(longestDelay) > 0) {
+            return Decision.SATURATED;
+        }
+        freeAt = start + (long) (reading.toNanos() / READING_PART);
+        return new Decision(true, delay);
+    }
+}
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -213,7 +213,8 @@
      * the home has the same adapter fetched somewhere else.
      */
     private boolean isFreeAfterLoad(Target target, PlacementRequest need) {
-        return expectedWaitMillis(target, need) <= need.objective().toMillis() * settings.loadElsewherePart();
+        return !need.saturated().contains(target.id())
+                && expectedWaitMillis(target, need) <= need.objective().toMillis() * settings.loadElsewherePart();
     }
 
     private Duration readingRoom(Target target, PlacementRequest need) {
@@ -234,6 +235,28 @@
         return speeds.computeIfAbsent(service, missing -> new ReadingSpeed());
     }
 
+    /**
+     * Gets the speed at which the targets of a service read prompts, as far as it was learnt.
+     *
+     * @param service the service, not null
+     * @return the tokens in a millisecond, above 0
+     */
+    public double readingSpeed(String service) {
+        return speed(service);
+    }
+
+    /**
+     * Queries whether a target that was selected before may still be sent a request.
+     *
+     * @param target the target, not null
+     * @return true if it may
+     */
+    public boolean isSendable(Target target) {
+        return target.takesWork()
+                && !conditions.isEvacuated(target)
+                && conditions.withinColdLimit().test(target);
+    }
+
     /**
      * Notes that a prompt was read that had nothing of this entry's ahead of it.
      *
@@ -343,7 +366,8 @@
     }
 
     private boolean isCrowded(Target target, PlacementRequest need) {
-        return expectedWaitMillis(target, need) > need.objective().toMillis() * settings.crowdedPart();
+        return need.saturated().contains(target.id())
+                || expectedWaitMillis(target, need) > need.objective().toMillis() * settings.crowdedPart();
     }
 
     private PlacementDecision send(
@@ -355,7 +379,8 @@
 
     private PlacementDecision leastWait(List<Target> targets, PlacementRequest need) {
         Target best = targets.stream()
-                .min(Comparator.comparingLong(target -> expectedWaitMillis(target, need)))
+                .min(Comparator.comparing((Target target) -> need.saturated().contains(target.id()))
+                        .thenComparing(target -> expectedWaitMillis(target, need)))
                 .orElseThrow();
         return new PlacementDecision.Send(
                 best, PlacementDecision.Reason.LEAST_WAIT, expectedWaitMillis(best, need), Optional.empty());
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementRequest.java
@@ -24,6 +24,7 @@
  * @param mayWait whether it may be held back for a moment, so that prompts do not reach a target in a clump
  * @param loaders the targets that were asked for a load and may still be in time with it
  * @param slowLoaders the targets at which a load was waited for in vain
+ * @param saturated the targets that have too much to read for it
  * @param excluded the targets not to be used
  */
 public record PlacementRequest(
@@ -38,6 +39,7 @@
         boolean mayWait,
         Set<TargetId> loaders,
         Set<TargetId> slowLoaders,
+        Set<TargetId> saturated,
         Set<TargetId> excluded) {
 
     public PlacementRequest {
@@ -48,6 +50,7 @@
         Objects.requireNonNull(objective, "objective");
         loaders = Set.copyOf(loaders);
         slowLoaders = Set.copyOf(slowLoaders);
+        saturated = Set.copyOf(saturated);
         excluded = Set.copyOf(excluded);
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.PlacementDecision;
 import org.geraniumreach.gateway.placement.PlacementRequest;
 import org.geraniumreach.gateway.placement.Target;
@@ -51,6 +52,7 @@
     private final Set<TargetId> avoided = new HashSet<>();
     private final Set<TargetId> mayHaveRun = new HashSet<>();
     private final LoadWait loadWait;
+    private final AdmissionAttempts turns = new AdmissionAttempts();
     private final AnswerRelay relay;
     private final ExchangeLog log;
     private final WaitClock waits = new WaitClock();
@@ -159,7 +161,7 @@
         PlacementDecision placed = services.placement().place(need());
         if (placed instanceof PlacementDecision.Send send) {
             adapterWait.cancel();
-            send(send);
+            awaitTurn(send);
         } else if (placed instanceof PlacementDecision.Load load) {
             awaitAdapter(load.target());
         } else if (placed instanceof PlacementDecision.Later later) {
@@ -205,6 +207,7 @@
                 elapsed().compareTo(services.settings().longestHold()) < 0,
                 loadWait.loaders(now),
                 loadWait.slowLoaders(now),
+                turns.saturated(),
                 avoided);
     }
 
@@ -224,6 +227,40 @@
                 .enqueue(target, adapter, Optional.of(route.objective().minus(elapsed())));
     }
 
+    private void awaitTurn(PlacementDecision.Send send) {
+        if (promptTokens() == 0 || !turns.mayAsk()) {
+            send(send);
+            return;
+        }
+        waits.waitsFor(WaitCause.ROOM, services.clock().nanos());
+        Duration longestDelay = turns.longestDelay(route.objective(), elapsed());
+        admission = services.admission()
+                .admit(send.target(), promptTokens(), longestDelay, decision -> onTurn(send, decision));
+    }
+
+    private void onTurn(PlacementDecision.Send send, TargetAdmission.Decision decision) {
+        if (ended) {
+            return;
+        }
+        if (!decision.admitted()) {
+            turns.refused(send.target().id());
+            place();
+        } else if (decision.delay().isZero()) {
+            sendIfStillPossible(send);
+        } else {
+            waitTimer = services.timers().after(decision.delay(), () -> sendIfStillPossible(send));
+        }
+    }
+
+    private void sendIfStillPossible(PlacementDecision.Send send) {
+        waits.goesOn(services.clock().nanos());
+        if (services.placement().isSendable(send.target())) {
+            send(send);
+        } else {
+            place();
+        }
+    }
+
     private void send(PlacementDecision.Send send) {
         loadWait.sent();
         Target target = send.target();
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.DecisionLog;
@@ -19,6 +20,7 @@
  * @param targets calls targets
  * @param adapters has adapters loaded
  * @param quotas admits by account
+ * @param admission decides when prompts may be sent to a target
  * @param repeats grants second arrivals, by service
  * @param health leaves failing targets out
  * @param timers runs actions later
@@ -33,6 +35,7 @@
         TargetPort targets,
         AdapterLoader adapters,
         QuotaAdmission quotas,
+        TargetAdmission admission,
         RepeatBudgets repeats,
         TargetHealth health,
         Timers timers,
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/OwnerAdmissionTest.java
@@ -0,0 +1,159 @@
+package org.geraniumreach.gateway.pacing;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.adapter.TargetOwnership;
+import org.geraniumreach.gateway.pacing.TargetAdmission.Decision;
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetDescription;
+import org.geraniumreach.gateway.placement.TargetRegistry;
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.testing.VirtualTime;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.TargetId;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.Transaction;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Two entries, the first of which owns the target. */
+class OwnerAdmissionTest {
+
+    private static final TargetId ID = TargetId.of("t1");
+    private static final long PROMPT = 1_500;
+    private static final double SPEED = 20;
+    private static final Duration LONGEST = Duration.ofMillis(300);
+    private static final Duration LINK_DELAY = Duration.ofMillis(2);
+
+    private final VirtualTime time = new VirtualTime();
+    private final Entry owner = new Entry("one", 1);
+    private final Entry other = new Entry("two", 1);
+    private final List<Decision> decisions = new ArrayList<>();
+    private boolean linkOpen = true;
+    private boolean answers = true;
+
+    private final class Entry {
+        private final TargetRegistry registry = new TargetRegistry(time);
+        private final TargetOwnership ownership;
+        private final OwnerAdmission admission;
+
+        private Entry(String name, long incarnation) {
+            Lease lease = new Lease(time, time::wallMillis);
+            lease.renewed(lease.sending());
+            ownership = new TargetOwnership(name, incarnation, lease, time);
+            admission = new OwnerAdmission(ownership, registry, service -> SPEED, this::ask, time, time);
+            registry.listen(admission);
+            registry.put(new TargetDescription(
+                    ID,
+                    1,
+                    "service",
+                    new InetSocketAddress("127.0.0.1", 9),
+                    FailureDomain.of("here"),
+                    64,
+                    false,
+                    Optional.empty(),
+                    Map.of()));
+        }
+
+        private boolean ask(String entry, long number, TargetId target, long promptTokens, Duration longestDelay) {
+            if (!linkOpen) {
+                return false;
+            }
+            if (answers) {
+                time.after(LINK_DELAY, () -> {
+                    Decision decision = owner.admission.decide(target, promptTokens, longestDelay);
+                    time.after(LINK_DELAY, () -> admission.onAnswer(number, decision));
+                });
+            }
+            return true;
+        }
+
+        private Target target() {
+            return registry.find(ID).orElseThrow();
+        }
+
+        private Cancellable send() {
+            return admission.admit(target(), PROMPT, LONGEST, decisions::add);
+        }
+    }
+
+    OwnerAdmissionTest() {
+        Transaction claim = owner.ownership
+                .claim(List.of(ID), List.of("one"), entry -> true)
+                .orElseThrow();
+        Transaction.Write write = claim.writes().get(0);
+        Row row = new Row(write.key(), 5, write.value().orElseThrow());
+        owner.ownership.put(write.key().key(), Optional.of(row));
+        other.ownership.put(write.key().key(), Optional.of(row));
+    }
+
+    /** Guards against clumps of prompts that no single entry sees. */
+    @Test
+    void promptsOfAllEntriesAreSpacedTogether() {
+        owner.send();
+        other.send();
+        other.send();
+        time.pass(Duration.ofMillis(10));
+        assertThat(decisions).hasSize(3);
+        assertThat(decisions.get(0)).isEqualTo(Decision.AT_ONCE);
+        assertThat(decisions.get(2).delay()).isGreaterThan(Duration.ofMillis(80));
+    }
+
+    /** Guards against requests that hang because an owner is cut off, gone or frozen. */
+    @Test
+    void whereNoOwnerAnswersAPromptIsSentSoon() {
+        answers = false;
+        other.send();
+        time.pass(Duration.ofMillis(70));
+        assertThat(decisions).containsExactly(Decision.AT_ONCE);
+        linkOpen = false;
+        other.send();
+        assertThat(decisions).containsExactly(Decision.AT_ONCE, Decision.AT_ONCE);
+    }
+
+    /** Guards against a second decision for one request, after its time was up or its caller had gone. */
+    @Test
+    void aLateAnswerOrOneAfterACancellationIsNotTold() {
+        other.send().cancel();
+        time.pass(Duration.ofSeconds(1));
+        assertThat(decisions).isEmpty();
+    }
+
+    @Test
+    void anEntryThatDoesNotOwnTheTargetHoldsNothingBack() {
+        for (int prompt = 0; prompt < 20; prompt++) {
+            assertThat(other.admission.decide(ID, PROMPT, LONGEST)).isEqualTo(Decision.AT_ONCE);
+        }
+        assertThat(owner.admission.decide(TargetId.of("unknown"), PROMPT, LONGEST))
+                .isEqualTo(Decision.AT_ONCE);
+    }
+
+    /** Guards against a target that starts anew and is taken to have its former life's prompts to read. */
+    @Test
+    void aNewLifeOfATargetBeginsWithNothingToRead() {
+        for (int prompt = 0; prompt < 6; prompt++) {
+            owner.send();
+        }
+        owner.registry.ended(owner.target());
+        owner.registry.put(new TargetDescription(
+                ID,
+                2,
+                "service",
+                new InetSocketAddress("127.0.0.1", 9),
+                FailureDomain.of("here"),
+                64,
+                false,
+                Optional.empty(),
+                Map.of()));
+        decisions.clear();
+        owner.send();
+        assertThat(decisions).containsExactly(Decision.AT_ONCE);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/PromptPacerTest.java
@@ -0,0 +1,83 @@
+package org.geraniumreach.gateway.pacing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.geraniumreach.gateway.pacing.TargetAdmission.Decision;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PromptPacerTest {
+
+    private static final Duration PROMPT = Duration.ofMillis(75);
+    private static final Duration LONGEST = Duration.ofMillis(300);
+    private static final Duration PAUSE = Duration.ofMillis(300);
+
+    /** Guards against streams that pause because prompts of several entries reach their target in a clump. */
+    @Test
+    void aClumpOfPromptsIsSpread() {
+        PromptPacer pacer = new PromptPacer();
+        List<Duration> delays = new ArrayList<>();
+        for (int prompt = 0; prompt < 4; prompt++) {
+            delays.add(pacer.admit(PROMPT, LONGEST, 0).delay());
+        }
+        assertThat(delays)
+                .containsExactly(Duration.ZERO, Duration.ZERO, Duration.ofMillis(100), Duration.ofMillis(200));
+    }
+
+    /** Guards against prompts that are held back for longer than reading them elsewhere would take. */
+    @Test
+    void aPromptThatWouldBeHeldBackForTooLongIsRefusedAndTakesNoTurn() {
+        PromptPacer pacer = new PromptPacer();
+        for (int prompt = 0; prompt < 5; prompt++) {
+            assertThat(pacer.admit(PROMPT, LONGEST, 0).admitted()).isTrue();
+        }
+        assertThat(pacer.admit(PROMPT, LONGEST, 0)).isEqualTo(Decision.SATURATED);
+        assertThat(pacer.admit(PROMPT, Duration.ofMillis(400), 0).delay()).isEqualTo(Duration.ofMillis(400));
+    }
+
+    @Test
+    void aTargetThatHasNothingToReadTakesAPromptAtOnce() {
+        PromptPacer pacer = new PromptPacer();
+        pacer.admit(Duration.ofSeconds(10), LONGEST, 0);
+        assertThat(pacer.admit(PROMPT, LONGEST, Duration.ofSeconds(14).toNanos()))
+                .isEqualTo(Decision.AT_ONCE);
+    }
+
+    /** Guards against a span in which a target has more to read than its streams can bear. */
+    @Property(tries = 200)
+    void noSpanHasMoreReadingThanItsPartAndTheBurst(@ForAll long seed) {
+        Random random = new Random(seed);
+        PromptPacer pacer = new PromptPacer();
+        List<long[]> sent = new ArrayList<>();
+        long now = 0;
+        for (int prompt = 0; prompt < 300; prompt++) {
+            now += random.nextInt(40) * 1_000_000L;
+            Duration reading = Duration.ofMillis(1 + random.nextInt(200));
+            Decision decision = pacer.admit(reading, LONGEST, now);
+            if (decision.admitted()) {
+                sent.add(new long[] {now + decision.delay().toNanos(), reading.toNanos()});
+            }
+        }
+        for (int first = 0; first < sent.size(); first++) {
+            long reading = 0;
+            for (int next = first; next < sent.size() && within(sent, first, next); next++) {
+                long before = reading;
+                reading += sent.get(next)[1];
+                long span = sent.get(next)[0] - sent.get(first)[0];
+                assertThat(before)
+                        .isLessThanOrEqualTo(
+                                (long) ((span + PromptPacer.BURST.toNanos()) * PromptPacer.READING_PART) + 1_000_000);
+            }
+        }
+    }
+
+    private static boolean within(List<long[]> sent, int first, int next) {
+        return sent.get(next)[0] - sent.get(first)[0] <= PAUSE.toNanos();
+    }
+}
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
@@ -101,6 +101,7 @@
                 false,
                 loaders,
                 Set.of(),
+                Set.of(),
                 Set.of());
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
@@ -14,6 +14,7 @@
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.cold.ColdTargets;
 import org.geraniumreach.gateway.evacuation.Evacuations;
+import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
 import org.geraniumreach.gateway.placement.Target;
@@ -72,6 +73,7 @@
             time,
             (event, id, fields) -> {});
     private ServiceDefinition.ColdStart coldStart = ServiceDefinition.ColdStart.NONE;
+    private TargetAdmission admission = TargetAdmission.unpaced();
     private int numbers;
     private boolean held = true;
 
@@ -143,6 +145,8 @@
                         targets,
                         adapters,
                         new QuotaAdmission(quotas, (entry, number, account, units) -> false, time, time, new Random(1)),
+                        (target, promptTokens, longestDelay, decided) ->
+                                admission.admit(target, promptTokens, longestDelay, decided),
                         new RepeatBudgets(() -> RetryBudget.create(time, 1, 0, RETRIES)),
                         health,
                         time,
@@ -247,6 +251,10 @@
         desk.drain(length);
     }
 
+    public void admitBy(TargetAdmission newAdmission) {
+        admission = newAdmission;
+    }
+
     public void close() {
         desk.close();
     }
--- a/messages/src/main/java/org/geraniumreach/messages/Frame.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Frame.java
@@ -76,6 +76,8 @@
     FEED_UPDATE(26),
     QUOTA_REQUEST(27),
     QUOTA_RESPONSE(28),
+    TARGET_ADMISSION_REQUEST(29),
+    TARGET_ADMISSION_RESPONSE(30),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -121,6 +123,8 @@
         case 26: return FEED_UPDATE;
         case 27: return QUOTA_REQUEST;
         case 28: return QUOTA_RESPONSE;
+        case 29: return TARGET_ADMISSION_REQUEST;
+        case 30: return TARGET_ADMISSION_RESPONSE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -1004,6 +1008,68 @@
     return org.geraniumreach.messages.QuotaResponse.getDefaultInstance();
   }
 
+  public static final int TARGET_ADMISSION_REQUEST_FIELD_NUMBER = 29;
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+   * @return Whether the targetAdmissionRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasTargetAdmissionRequest() {
+    return bodyCase_ == 29;
+  }
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+   * @return The targetAdmissionRequest.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetAdmissionRequest getTargetAdmissionRequest() {
+    if (bodyCase_ == 29) {
+       return (org.geraniumreach.messages.TargetAdmissionRequest) body_;
+    }
+    return org.geraniumreach.messages.TargetAdmissionRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetAdmissionRequestOrBuilder getTargetAdmissionRequestOrBuilder() {
+    if (bodyCase_ == 29) {
+       return (org.geraniumreach.messages.TargetAdmissionRequest) body_;
+    }
+    return org.geraniumreach.messages.TargetAdmissionRequest.getDefaultInstance();
+  }
+
+  public static final int TARGET_ADMISSION_RESPONSE_FIELD_NUMBER = 30;
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+   * @return Whether the targetAdmissionResponse field is set.
+   */
+  @java.lang.Override
+  public boolean hasTargetAdmissionResponse() {
+    return bodyCase_ == 30;
+  }
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+   * @return The targetAdmissionResponse.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetAdmissionResponse getTargetAdmissionResponse() {
+    if (bodyCase_ == 30) {
+       return (org.geraniumreach.messages.TargetAdmissionResponse) body_;
+    }
+    return org.geraniumreach.messages.TargetAdmissionResponse.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetAdmissionResponseOrBuilder getTargetAdmissionResponseOrBuilder() {
+    if (bodyCase_ == 30) {
+       return (org.geraniumreach.messages.TargetAdmissionResponse) body_;
+    }
+    return org.geraniumreach.messages.TargetAdmissionResponse.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1102,6 +1168,12 @@
     if (bodyCase_ == 28) {
       output.writeMessage(28, (org.geraniumreach.messages.QuotaResponse) body_);
     }
+    if (bodyCase_ == 29) {
+      output.writeMessage(29, (org.geraniumreach.messages.TargetAdmissionRequest) body_);
+    }
+    if (bodyCase_ == 30) {
+      output.writeMessage(30, (org.geraniumreach.messages.TargetAdmissionResponse) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1223,6 +1295,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(28, (org.geraniumreach.messages.QuotaResponse) body_);
     }
+    if (bodyCase_ == 29) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(29, (org.geraniumreach.messages.TargetAdmissionRequest) body_);
+    }
+    if (bodyCase_ == 30) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(30, (org.geraniumreach.messages.TargetAdmissionResponse) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1352,6 +1432,14 @@
         if (!getQuotaResponse()
             .equals(other.getQuotaResponse())) return false;
         break;
+      case 29:
+        if (!getTargetAdmissionRequest()
+            .equals(other.getTargetAdmissionRequest())) return false;
+        break;
+      case 30:
+        if (!getTargetAdmissionResponse()
+            .equals(other.getTargetAdmissionResponse())) return false;
+        break;
       case 0:
       default:
     }
@@ -1479,6 +1567,14 @@
         hash = (37 * hash) + QUOTA_RESPONSE_FIELD_NUMBER;
         hash = (53 * hash) + getQuotaResponse().hashCode();
         break;
+      case 29:
+        hash = (37 * hash) + TARGET_ADMISSION_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getTargetAdmissionRequest().hashCode();
+        break;
+      case 30:
+        hash = (37 * hash) + TARGET_ADMISSION_RESPONSE_FIELD_NUMBER;
+        hash = (53 * hash) + getTargetAdmissionResponse().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1697,6 +1793,12 @@
       if (quotaResponseBuilder_ != null) {
         quotaResponseBuilder_.clear();
       }
+      if (targetAdmissionRequestBuilder_ != null) {
+        targetAdmissionRequestBuilder_.clear();
+      }
+      if (targetAdmissionResponseBuilder_ != null) {
+        targetAdmissionResponseBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1850,6 +1952,14 @@
           quotaResponseBuilder_ != null) {
         result.body_ = quotaResponseBuilder_.build();
       }
+      if (bodyCase_ == 29 &&
+          targetAdmissionRequestBuilder_ != null) {
+        result.body_ = targetAdmissionRequestBuilder_.build();
+      }
+      if (bodyCase_ == 30 &&
+          targetAdmissionResponseBuilder_ != null) {
+        result.body_ = targetAdmissionResponseBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1977,6 +2087,14 @@
           mergeQuotaResponse(other.getQuotaResponse());
           break;
         }
+        case TARGET_ADMISSION_REQUEST: {
+          mergeTargetAdmissionRequest(other.getTargetAdmissionRequest());
+          break;
+        }
+        case TARGET_ADMISSION_RESPONSE: {
+          mergeTargetAdmissionResponse(other.getTargetAdmissionResponse());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -2203,6 +2321,20 @@
               bodyCase_ = 28;
               break;
             } // case 226
+            case 234: {
+              input.readMessage(
+                  getTargetAdmissionRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 29;
+              break;
+            } // case 234
+            case 242: {
+              input.readMessage(
+                  getTargetAdmissionResponseFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 30;
+              break;
+            } // case 242
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -6211,6 +6343,290 @@
       return quotaResponseBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetAdmissionRequest, org.geraniumreach.messages.TargetAdmissionRequest.Builder, org.geraniumreach.messages.TargetAdmissionRequestOrBuilder> targetAdmissionRequestBuilder_;
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+     * @return Whether the targetAdmissionRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasTargetAdmissionRequest() {
+      return bodyCase_ == 29;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+     * @return The targetAdmissionRequest.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetAdmissionRequest getTargetAdmissionRequest() {
+      if (targetAdmissionRequestBuilder_ == null) {
+        if (bodyCase_ == 29) {
+          return (org.geraniumreach.messages.TargetAdmissionRequest) body_;
+        }
+        return org.geraniumreach.messages.TargetAdmissionRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 29) {
+          return targetAdmissionRequestBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.TargetAdmissionRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+     */
+    public Builder setTargetAdmissionRequest(org.geraniumreach.messages.TargetAdmissionRequest value) {
+      if (targetAdmissionRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        targetAdmissionRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+     */
+    public Builder setTargetAdmissionRequest(
+        org.geraniumreach.messages.TargetAdmissionRequest.Builder builderForValue) {
+      if (targetAdmissionRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        targetAdmissionRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+     */
+    public Builder mergeTargetAdmissionRequest(org.geraniumreach.messages.TargetAdmissionRequest value) {
+      if (targetAdmissionRequestBuilder_ == null) {
+        if (bodyCase_ == 29 &&
+            body_ != org.geraniumreach.messages.TargetAdmissionRequest.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.TargetAdmissionRequest.newBuilder((org.geraniumreach.messages.TargetAdmissionRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 29) {
+          targetAdmissionRequestBuilder_.mergeFrom(value);
+        } else {
+          targetAdmissionRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+     */
+    public Builder clearTargetAdmissionRequest() {
+      if (targetAdmissionRequestBuilder_ == null) {
+        if (bodyCase_ == 29) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 29) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        targetAdmissionRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+     */
+    public org.geraniumreach.messages.TargetAdmissionRequest.Builder getTargetAdmissionRequestBuilder() {
+      return getTargetAdmissionRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetAdmissionRequestOrBuilder getTargetAdmissionRequestOrBuilder() {
+      if ((bodyCase_ == 29) && (targetAdmissionRequestBuilder_ != null)) {
+        return targetAdmissionRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 29) {
+          return (org.geraniumreach.messages.TargetAdmissionRequest) body_;
+        }
+        return org.geraniumreach.messages.TargetAdmissionRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetAdmissionRequest, org.geraniumreach.messages.TargetAdmissionRequest.Builder, org.geraniumreach.messages.TargetAdmissionRequestOrBuilder> 
+        getTargetAdmissionRequestFieldBuilder() {
+      if (targetAdmissionRequestBuilder_ == null) {
+        if (!(bodyCase_ == 29)) {
+          body_ = org.geraniumreach.messages.TargetAdmissionRequest.getDefaultInstance();
+        }
+        targetAdmissionRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.TargetAdmissionRequest, org.geraniumreach.messages.TargetAdmissionRequest.Builder, org.geraniumreach.messages.TargetAdmissionRequestOrBuilder>(
+                (org.geraniumreach.messages.TargetAdmissionRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 29;
+      onChanged();
+      return targetAdmissionRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetAdmissionResponse, org.geraniumreach.messages.TargetAdmissionResponse.Builder, org.geraniumreach.messages.TargetAdmissionResponseOrBuilder> targetAdmissionResponseBuilder_;
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+     * @return Whether the targetAdmissionResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasTargetAdmissionResponse() {
+      return bodyCase_ == 30;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+     * @return The targetAdmissionResponse.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetAdmissionResponse getTargetAdmissionResponse() {
+      if (targetAdmissionResponseBuilder_ == null) {
+        if (bodyCase_ == 30) {
+          return (org.geraniumreach.messages.TargetAdmissionResponse) body_;
+        }
+        return org.geraniumreach.messages.TargetAdmissionResponse.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 30) {
+          return targetAdmissionResponseBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.TargetAdmissionResponse.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+     */
+    public Builder setTargetAdmissionResponse(org.geraniumreach.messages.TargetAdmissionResponse value) {
+      if (targetAdmissionResponseBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        targetAdmissionResponseBuilder_.setMessage(value);
+      }
+      bodyCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+     */
+    public Builder setTargetAdmissionResponse(
+        org.geraniumreach.messages.TargetAdmissionResponse.Builder builderForValue) {
+      if (targetAdmissionResponseBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        targetAdmissionResponseBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+     */
+    public Builder mergeTargetAdmissionResponse(org.geraniumreach.messages.TargetAdmissionResponse value) {
+      if (targetAdmissionResponseBuilder_ == null) {
+        if (bodyCase_ == 30 &&
+            body_ != org.geraniumreach.messages.TargetAdmissionResponse.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.TargetAdmissionResponse.newBuilder((org.geraniumreach.messages.TargetAdmissionResponse) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 30) {
+          targetAdmissionResponseBuilder_.mergeFrom(value);
+        } else {
+          targetAdmissionResponseBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+     */
+    public Builder clearTargetAdmissionResponse() {
+      if (targetAdmissionResponseBuilder_ == null) {
+        if (bodyCase_ == 30) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 30) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        targetAdmissionResponseBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+     */
+    public org.geraniumreach.messages.TargetAdmissionResponse.Builder getTargetAdmissionResponseBuilder() {
+      return getTargetAdmissionResponseFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetAdmissionResponseOrBuilder getTargetAdmissionResponseOrBuilder() {
+      if ((bodyCase_ == 30) && (targetAdmissionResponseBuilder_ != null)) {
+        return targetAdmissionResponseBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 30) {
+          return (org.geraniumreach.messages.TargetAdmissionResponse) body_;
+        }
+        return org.geraniumreach.messages.TargetAdmissionResponse.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetAdmissionResponse, org.geraniumreach.messages.TargetAdmissionResponse.Builder, org.geraniumreach.messages.TargetAdmissionResponseOrBuilder> 
+        getTargetAdmissionResponseFieldBuilder() {
+      if (targetAdmissionResponseBuilder_ == null) {
+        if (!(bodyCase_ == 30)) {
+          body_ = org.geraniumreach.messages.TargetAdmissionResponse.getDefaultInstance();
+        }
+        targetAdmissionResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.TargetAdmissionResponse, org.geraniumreach.messages.TargetAdmissionResponse.Builder, org.geraniumreach.messages.TargetAdmissionResponseOrBuilder>(
+                (org.geraniumreach.messages.TargetAdmissionResponse) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 30;
+      onChanged();
+      return targetAdmissionResponseBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Frame)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
@@ -429,5 +429,35 @@
    */
   org.geraniumreach.messages.QuotaResponseOrBuilder getQuotaResponseOrBuilder();
 
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+   * @return Whether the targetAdmissionRequest field is set.
+   */
+  boolean hasTargetAdmissionRequest();
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+   * @return The targetAdmissionRequest.
+   */
+  org.geraniumreach.messages.TargetAdmissionRequest getTargetAdmissionRequest();
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionRequest target_admission_request = 29;</code>
+   */
+  org.geraniumreach.messages.TargetAdmissionRequestOrBuilder getTargetAdmissionRequestOrBuilder();
+
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+   * @return Whether the targetAdmissionResponse field is set.
+   */
+  boolean hasTargetAdmissionResponse();
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+   * @return The targetAdmissionResponse.
+   */
+  org.geraniumreach.messages.TargetAdmissionResponse getTargetAdmissionResponse();
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionResponse target_admission_response = 30;</code>
+   */
+  org.geraniumreach.messages.TargetAdmissionResponseOrBuilder getTargetAdmissionResponseOrBuilder();
+
   org.geraniumreach.messages.Frame.BodyCase getBodyCase();
 }
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -29,6 +29,8 @@
 import org.geraniumreach.messages.Hello;
 import org.geraniumreach.messages.QuotaRequest;
 import org.geraniumreach.messages.QuotaResponse;
+import org.geraniumreach.messages.TargetAdmissionRequest;
+import org.geraniumreach.messages.TargetAdmissionResponse;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.InstanceId;
 
@@ -40,11 +42,14 @@
  */
 final class EntryLinks implements FrameHandler, AutoCloseable {
 
-    private static final int PROTOCOL_VERSION = 2;
+    private static final int PROTOCOL_VERSION = 3;
 
     /** Entries of earlier versions close a link over a frame that they do not know, such as a feed update or a quota request. */
     private static final int CURRENT_VERSION = 2;
 
+    /** The version from which on entries pace prompts by the targets' owners. */
+    private static final int ADMISSION_VERSION = 3;
+
     /** Heartbeats are most of the frames between many entries; a lost entry's targets are taken over after its lease, much later. */
     private static final Duration PING_INTERVAL = Duration.ofSeconds(1);
 
@@ -62,6 +67,8 @@
     private Consumer<FeedUpdate> feedUpdates = update -> {};
     private BiConsumer<String, QuotaRequest> quotaRequests = (entry, request) -> {};
     private Consumer<QuotaResponse> quotaResponses = response -> {};
+    private BiConsumer<String, TargetAdmissionRequest> admissionRequests = (entry, request) -> {};
+    private Consumer<TargetAdmissionResponse> admissionResponses = response -> {};
 
     /** Is told of what other entries send. */
     interface Listener {
@@ -105,7 +112,9 @@
                         Frame.BodyCase.ADAPTER_CHANGES,
                         Frame.BodyCase.FEED_UPDATE,
                         Frame.BodyCase.QUOTA_REQUEST,
-                        Frame.BodyCase.QUOTA_RESPONSE),
+                        Frame.BodyCase.QUOTA_RESPONSE,
+                        Frame.BodyCase.TARGET_ADMISSION_REQUEST,
+                        Frame.BodyCase.TARGET_ADMISSION_RESPONSE),
                 entryLinks);
         entryLinks.links.listen(settings.links());
         return entryLinks;
@@ -142,6 +151,14 @@
                 .isPresent();
     }
 
+    /** Sends a frame of the pacing of prompts, which entries of version 2 do not know. */
+    boolean sendAdmission(String entry, Frame frame) {
+        return links.find(InstanceId.of(entry))
+                .filter(peer -> peer.hello().getProtocolVersion() >= ADMISSION_VERSION)
+                .filter(peer -> peer.send(frame))
+                .isPresent();
+    }
+
     private static boolean isCurrent(Peer peer) {
         return peer.hello().getProtocolVersion() >= CURRENT_VERSION;
     }
@@ -162,6 +179,13 @@
         quotaResponses = Objects.requireNonNull(responses, "responses");
     }
 
+    /** Sets who is told of requests for turns at targets, with the entry that sent them, and of their answers. */
+    void onTargetAdmission(
+            BiConsumer<String, TargetAdmissionRequest> requests, Consumer<TargetAdmissionResponse> responses) {
+        admissionRequests = Objects.requireNonNull(requests, "requests");
+        admissionResponses = Objects.requireNonNull(responses, "responses");
+    }
+
     /** Gets the open links to entries of this entry's failure domain that take feed updates. */
     List<Peer> domainPeers() {
         return links.peers().stream()
@@ -188,6 +212,10 @@
             quotaRequests.accept(peer.hello().getInstance(), frame.getQuotaRequest());
         } else if (frame.hasQuotaResponse()) {
             quotaResponses.accept(frame.getQuotaResponse());
+        } else if (frame.hasTargetAdmissionRequest()) {
+            admissionRequests.accept(peer.hello().getInstance(), frame.getTargetAdmissionRequest());
+        } else if (frame.hasTargetAdmissionResponse()) {
+            admissionResponses.accept(frame.getTargetAdmissionResponse());
         }
     }
 
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -20,6 +20,7 @@
 import org.geraniumreach.gateway.cold.ColdTargets;
 import org.geraniumreach.gateway.cold.EqualDivision;
 import org.geraniumreach.gateway.evacuation.Evacuations;
+import org.geraniumreach.gateway.pacing.OwnerAdmission;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
 import org.geraniumreach.gateway.placement.Target;
@@ -47,6 +48,7 @@
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
 import org.geraniumreach.platform.Ingress;
 import org.geraniumreach.platform.StoreClient;
 import org.geraniumreach.platform.TargetClient;
@@ -127,6 +129,8 @@
     private Ingress ingress;
     private EntryLinks links;
     private QuotaLinks quotaLinks;
+    private OwnerAdmission admissionOfTargets;
+    private TargetAdmissionLinks admissionLinks;
     private EntryDirectory fleet;
     private LeaseRenewer leaseKeeper;
 
@@ -164,12 +168,15 @@
                 settings.failureDomain(),
                 PlacementSettings.defaults(),
                 clock);
+        admissionOfTargets =
+                new OwnerAdmission(holdings, book, placement::readingSpeed, this::askForTurn, timers, clock);
         return new ExchangeServices(
                 placement,
                 book,
                 targets,
                 desk,
                 admission,
+                admissionOfTargets,
                 new RepeatBudgets(this::repeatBudget),
                 health,
                 timers,
@@ -184,6 +191,10 @@
         return quotaLinks != null && quotaLinks.ask(entry, number, account, units);
     }
 
+    private boolean askForTurn(String entry, long number, TargetId target, long promptTokens, Duration longestDelay) {
+        return admissionLinks != null && admissionLinks.ask(entry, number, target, promptTokens, longestDelay);
+    }
+
     private RetryBudget repeatBudget() {
         ProcessSettings.RepeatLimits repeats = settings.repeats();
         double size = Math.max(1, repeats.extra() * REPEAT_CAUTION / LIKELY_ENTRIES);
@@ -280,11 +291,13 @@
         book.listen(desk);
         book.listen(new HealthMembers());
         book.listen(cold);
+        book.listen(admissionOfTargets);
         desk.start(links);
         quotaLinks = new QuotaLinks(quotas, links);
         links.onQuota(
                 quotaLinks::onRequest,
                 response -> admission.onAnswer(response.getNumber(), QuotaLinks.answer(response)));
+        admissionLinks = new TargetAdmissionLinks(admissionOfTargets, links);
         startFeeds();
         leaseKeeper.renew();
         fleet.start();
--- a/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -23,6 +23,8 @@
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.messages.QuotaRequest;
 import org.geraniumreach.messages.QuotaResponse;
+import org.geraniumreach.messages.TargetAdmissionRequest;
+import org.geraniumreach.messages.TargetAdmissionResponse;
 import org.geraniumreach.model.FailureDomain;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -50,6 +52,9 @@
         two.onQuota(
                 (entry, request) -> received.add("quota request of " + entry),
                 response -> received.add("quota response " + response.getNumber()));
+        two.onTargetAdmission(
+                (entry, request) -> received.add("admission request of " + entry),
+                response -> received.add("admission response " + response.getNumber()));
         loops.submit(() -> one.keep(Map.of("two", second.links()))).sync();
         assertThat(received.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).startsWith("opened");
         assertThat(received.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).startsWith("opened");
@@ -99,6 +104,12 @@
                         .build(),
                 Frame.newBuilder()
                         .setQuotaResponse(QuotaResponse.getDefaultInstance())
+                        .build(),
+                Frame.newBuilder()
+                        .setTargetAdmissionRequest(TargetAdmissionRequest.getDefaultInstance())
+                        .build(),
+                Frame.newBuilder()
+                        .setTargetAdmissionResponse(TargetAdmissionResponse.getDefaultInstance())
                         .build());
     }
 
