Space prompts by the reading alone: learn it without the steps until the first part

Cause: the learnt speed holds a target's steps until the first part (11 to 13 tokens a millisecond where 19.2 are read), so spacing by it would use half of the reading time. So: part 0.8, 10 ms at once, sent by 0.65 of the objective. Placement goes by the former speed as before.

--- a/gateway/src/main/java/org/geraniumreach/gateway/pacing/PromptPacer.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/pacing/PromptPacer.java
@@ -14,10 +14,10 @@
 final class PromptPacer {
 
     /** Part of a target's time for reading; the rest is left to the tokens of its streams. */
-    static final double READING_PART = 0.75;
+    static final double READING_PART = 0.8;
 
-    /** Reading time that may be sent at once. */
-    static final Duration BURST = Duration.ofMillis(100);
+    /** Reading time that may be sent at once; covers turns that come a little early because answers take different times. */
+    static final Duration BURST = Duration.ofMillis(10);
 
     private long freeAt = Long.MIN_VALUE;
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -236,13 +236,13 @@
     }
 
     /**
-     * Gets the speed at which the targets of a service read prompts, as far as it was learnt.
+     * Gets the speed at which the targets of a service read prompts, without the steps until the first part, as far as it was learnt.
      *
      * @param service the service, not null
      * @return the tokens in a millisecond, above 0
      */
     public double readingSpeed(String service) {
-        return speed(service);
+        return learnt(service).netTokensPerMilli();
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/ReadingSpeed.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/ReadingSpeed.java
@@ -14,35 +14,65 @@
     /** Slower than most engines, so that a target seems crowded too soon rather than too late. */
     private static final double FIRST_TOKENS_PER_MILLI = 15;
 
-    private static final int REMEMBERED = 64;
-    private static final int ENOUGH = 8;
     private static final double QUANTILE = 0.75;
 
     /** Of a shorter prompt the time tells of the step and the way, not of the reading. */
     private static final long LEAST_TOKENS = 400;
 
+    private static final double OVERHEAD_QUANTILE = 0.25;
     private static final double NANOS_PER_MILLI = 1e6;
 
-    private final double[] speeds = new double[REMEMBERED];
-    private int count;
-    private double tokensPerMilli = FIRST_TOKENS_PER_MILLI;
+    private final RecentValues observed = new RecentValues();
+    private final RecentValues overheads = new RecentValues();
+    private final RecentValues netSpeeds = new RecentValues();
+
+    /** The last values that were measured. */
+    private static final class RecentValues {
+        private static final int REMEMBERED = 64;
+        private static final int ENOUGH = 8;
+
+        private final double[] values = new double[REMEMBERED];
+        private int count;
+
+        void add(double value) {
+            values[count % REMEMBERED] = value;
+            count++;
+        }
+
+        double quantile(double quantile, double fallback) {
+            if (count < ENOUGH) {
+                return fallback;
+            }
+            double[] sorted = Arrays.copyOf(values, Math.min(count, REMEMBERED));
+            Arrays.sort(sorted);
+            return sorted[(int) ((sorted.length - 1) * quantile)];
+        }
+    }
 
     /** Takes the time from the sending of a prompt, with nothing of this entry's ahead of it, to the first part of its answer. */
     void read(long tokens, Duration took) {
-        if (tokens < LEAST_TOKENS || took.isZero()) {
+        double millis = took.toNanos() / NANOS_PER_MILLI;
+        if (millis <= 0) {
             return;
         }
-        speeds[count % REMEMBERED] = tokens / (took.toNanos() / NANOS_PER_MILLI);
-        count++;
-        if (count < ENOUGH) {
+        if (tokens < LEAST_TOKENS) {
+            overheads.add(Math.max(0, millis - tokens / netTokensPerMilli()));
             return;
         }
-        double[] sorted = Arrays.copyOf(speeds, Math.min(count, REMEMBERED));
-        Arrays.sort(sorted);
-        tokensPerMilli = sorted[(int) ((sorted.length - 1) * QUANTILE)];
+        observed.add(tokens / millis);
+        double reading = millis - overheads.quantile(OVERHEAD_QUANTILE, 0);
+        if (reading > 0) {
+            netSpeeds.add(tokens / reading);
+        }
     }
 
+    /** Gets the speed that requests see, with the steps until their first part. */
     double tokensPerMilli() {
-        return tokensPerMilli;
+        return observed.quantile(QUANTILE, FIRST_TOKENS_PER_MILLI);
+    }
+
+    /** Gets the speed of the reading alone, without what a prompt of next to no tokens takes. */
+    double netTokensPerMilli() {
+        return netSpeeds.quantile(QUANTILE, FIRST_TOKENS_PER_MILLI);
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdmissionAttempts.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdmissionAttempts.java
@@ -15,10 +15,11 @@
 
     static final int MOST = 3;
 
-    /** Part of what is left of the objective for which a request may be held back at a target. */
-    private static final double DELAY_PART = 0.4;
+    /** Part of the objective by which a request is to be sent; the rest is for its own prompt. */
+    private static final double SENT_BY_PART = 0.65;
 
-    private static final Duration LEAST_DELAY = Duration.ofMillis(60);
+    /** Part of the objective for which a request may be held back in any case: one that is late already gains nothing by a clump. */
+    private static final double LEAST_DELAY_PART = 0.4;
 
     private final Set<TargetId> saturated = new HashSet<>();
     private int refusals;
@@ -28,8 +29,13 @@
     }
 
     Duration longestDelay(Duration objective, Duration elapsed) {
-        Duration part = Duration.ofNanos((long) (objective.minus(elapsed).toNanos() * DELAY_PART));
-        return part.compareTo(LEAST_DELAY) < 0 ? LEAST_DELAY : part;
+        Duration left = part(objective, SENT_BY_PART).minus(elapsed);
+        Duration least = part(objective, LEAST_DELAY_PART);
+        return left.compareTo(least) < 0 ? least : left;
+    }
+
+    private static Duration part(Duration duration, double part) {
+        return Duration.ofNanos((long) (duration.toNanos() * part));
     }
 
     void refused(TargetId target) {
