Hold a prompt back only where no target has room to read it

Cause: a request whose adapter's targets had room by this entry's own sends, but too much to read, was placed again after zero time, over and over until 0.35 s had passed. Change: it goes on at once, to the next way of placing it. The test fails before. Change: the owner declines such a request, and the entry asks the next target at once, two at most.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 import org.geraniumreach.gateway.traffic.AdapterName;
 
@@ -168,6 +169,18 @@
         loadQueue.enqueue(adapter, lateAt, now);
     }
 
+    /**
+     * Queries whether one more load request finds a slot before those that run have ended.
+     *
+     * @param adapter the adapter, not null
+     * @param now the time
+     * @return true if it does, or if the adapter is there, coming or asked for already
+     */
+    public boolean hasSlotFor(AdapterName adapter, long now) {
+        boolean known = resident.containsKey(adapter) || nextPoll.containsKey(adapter) || loadQueue.contains(adapter);
+        return known || places - occupied() + evictable(now).count() > loadQueue.size();
+    }
+
     /**
      * Notes that requests for an adapter were sent to the target.
      *
@@ -303,11 +316,14 @@
         if (!leaving.isEmpty()) {
             return Optional.empty();
         }
+        return evictable(now).min((one, other) -> Double.compare(evictionRank(one, now), evictionRank(other, now)));
+    }
+
+    private Stream<AdapterName> evictable(long now) {
         return resident.keySet().stream()
                 .filter(adapter -> !loadQueue.contains(adapter) && !nextPoll.containsKey(adapter))
                 .filter(adapter -> uses.isIdle(adapter, now, IDLE_BEFORE_EVICTION.toNanos()))
-                .filter(adapter -> !running.contains(adapter, now))
-                .min((one, other) -> Double.compare(evictionRank(one, now), evictionRank(other, now)));
+                .filter(adapter -> !running.contains(adapter, now));
     }
 
     /** An outdated version serves nobody, so it goes first. */
--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/LoadQueue.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/LoadQueue.java
@@ -95,6 +95,10 @@
         return adapters.containsAll(requests.keySet());
     }
 
+    int size() {
+        return requests.size();
+    }
+
     boolean isEmpty() {
         return requests.isEmpty();
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -158,7 +158,7 @@
         if (roomy.isPresent()) {
             return send(roomy.get(), order, need, missingHome);
         }
-        if (need.mayWait() && !residents.isEmpty()) {
+        if (need.mayWait() && !residents.isEmpty() && withRoom(residents, need).isEmpty()) {
             return later(residents, need);
         }
         Optional<Target> best = leastWaiting(usableHomes, need)
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
@@ -6,6 +6,7 @@
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.model.TargetId;
 
 /**
  * Has adapters loaded, by this entry or by the one that holds the target.
@@ -15,14 +16,24 @@
 public interface AdapterLoader {
 
     /**
-     * Asks that an adapter be loaded.
+     * Asks that an adapter be loaded. Where that may be declined, and is, waiting exchanges are told as of a change.
      *
      * @param target where, not null
      * @param adapter the adapter, not null
      * @param untilLate after what time the request that waits for it misses its objective, below zero if it has, empty if none
      *         waits, not null
+     * @param mayDecline whether the request may be declined because the target has no slot for it in time
      */
-    void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate);
+    void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate, boolean mayDecline);
+
+    /**
+     * Queries whether a target has declined to load an adapter lately.
+     *
+     * @param target the target, not null
+     * @param adapter the adapter, not null
+     * @return true if it has
+     */
+    boolean hasDeclined(TargetId target, AdapterName adapter);
 
     /**
      * Notes that a request for an adapter was sent.
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -195,6 +195,8 @@
     private PlacementRequest need() {
         long now = services.clock().nanos();
         Optional<AdapterName> adapter = adapter();
+        adapter.ifPresent(
+                wanted -> loadWait.noteDeclined(target -> services.adapters().hasDeclined(target, wanted)));
         return new PlacementRequest(
                 service,
                 request.generation().map(GatewayRequest.Generation::model),
@@ -224,7 +226,7 @@
         adapterWait = services.adapters().await(adapter, this::place);
         waitTimer = services.timers().after(services.settings().lookAgain(), this::place);
         services.adapters()
-                .enqueue(target, adapter, Optional.of(route.objective().minus(elapsed())));
+                .enqueue(target, adapter, Optional.of(route.objective().minus(elapsed())), loadWait.mayBeDeclined());
     }
 
     private void awaitTurn(PlacementDecision.Send send) {
@@ -272,7 +274,7 @@
         log.placed(send, progress(), account.map(this::units).orElse(0.0));
         sentAt = OptionalLong.of(services.clock().nanos());
         adapter().ifPresent(adapter -> send.alsoLoad()
-                .ifPresent(other -> services.adapters().enqueue(other, adapter, Optional.empty())));
+                .ifPresent(other -> services.adapters().enqueue(other, adapter, Optional.empty(), false)));
         Attempt started = new Attempt(services, target, request, new AttemptEvents(target));
         attempt = Optional.of(started);
         started.start(envelope(target), longestIdle(), silenceLimits());
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/LoadWait.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/LoadWait.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.geraniumreach.model.TargetId;
 
@@ -17,9 +18,13 @@
  */
 final class LoadWait {
 
+    /** Targets that may decline; beyond them, waiting at one is better than asking on. */
+    private static final int MOST_DECLINING = 2;
+
     private final Duration longest;
     private final Duration slowLoad;
     private final Map<TargetId, Long> askedAt = new HashMap<>();
+    private final Set<TargetId> declined = new HashSet<>();
     private OptionalLong since = OptionalLong.empty();
 
     LoadWait(Duration longest, Duration slowLoad) {
@@ -39,6 +44,15 @@
         askedAt.putIfAbsent(target, now);
     }
 
+    /** Notes which of the targets that were asked have declined. */
+    void noteDeclined(Predicate<TargetId> hasDeclined) {
+        askedAt.keySet().stream().filter(hasDeclined).forEach(declined::add);
+    }
+
+    boolean mayBeDeclined() {
+        return declined.size() < MOST_DECLINING;
+    }
+
     void sent() {
         since = OptionalLong.empty();
     }
@@ -48,7 +62,7 @@
         return asked(now, false);
     }
 
-    /** Gets those whose holder may be unable to order, or finds no idle place; another target may load meanwhile. */
+    /** Gets those that have declined, or whose owner may be unable to order; another target may load meanwhile. */
     Set<TargetId> slowLoaders(long now) {
         return asked(now, true);
     }
@@ -56,7 +70,8 @@
     private Set<TargetId> asked(long now, boolean slow) {
         Set<TargetId> targets = new HashSet<>();
         askedAt.forEach((target, at) -> {
-            if (now - at >= slowLoad.toNanos() == slow) {
+            boolean isSlow = declined.contains(target) || now - at >= slowLoad.toNanos();
+            if (isSlow == slow) {
                 targets.add(target);
             }
         });
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
@@ -307,6 +307,28 @@
         assertThat(restricted(conditions).place(need(ADAPTER, "s"))).isEqualTo(new PlacementDecision.Nowhere(reason));
     }
 
+    /** Guards against requests that are placed again and again although a target has room for their prompts. */
+    @Test
+    void aRequestIsNotHeldBackWhereTheTargetThatHoldsItsAdapterHasRoomButTooMuchToRead() {
+        Target home = homeOf(ADAPTER);
+        home.learnResident(ADAPTER, 1, time.nanos());
+        PlacementRequest need = new PlacementRequest(
+                "service",
+                Optional.of(MODEL),
+                Optional.of(ADAPTER),
+                0,
+                0,
+                "s",
+                PROMPT,
+                OBJECTIVE,
+                true,
+                Set.of(),
+                Set.of(),
+                Set.of(home.id()),
+                Set.of());
+        assertThat(one.place(need)).isNotInstanceOf(PlacementDecision.Later.class);
+    }
+
     /** Guards against the usual load of a target that must warm up. */
     @Test
     void aColdTargetThatMayBeSentNothingMoreIsPassedOver() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -1,10 +1,13 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.pacing.TargetAdmission.Decision;
+import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
@@ -203,6 +206,82 @@
         assertThat(answer.header("Retry-After")).isNotEmpty();
     }
 
+    /** Guards against requests that wait for a slot at one target while another has one. */
+    @Test
+    void aTargetThatDeclinesALoadIsPassedOverAtOnce() {
+        world.route(RepeatRule.RESUMABLE_STREAM, 2);
+        for (String name : List.of("a", "b", "c", "d")) {
+            world.target(name, Map.of("base", Map.of()));
+        }
+        world.adapters().decline("a", "b");
+        world.send(Optional.of(generation()));
+        assertThat(world.adapters().wanted()).hasSize(1);
+        assertThat(world.adapters().wanted().get(0)).matches("[cd] a7");
+    }
+
+    /** Guards against requests that are sent from target to target where all of them decline. */
+    @Test
+    void aRequestWaitsAtTheThirdTargetWhereTwoHaveDeclined() {
+        world.route(RepeatRule.RESUMABLE_STREAM, 2);
+        for (String name : List.of("a", "b", "c", "d")) {
+            world.target(name, Map.of("base", Map.of()));
+        }
+        world.adapters().decline("a", "b", "c", "d");
+        world.send(Optional.of(generation()));
+        assertThat(world.adapters().wanted()).hasSize(1);
+    }
+
+    /** Guards against prompts that are sent to a target that has too much to read for them. */
+    @Test
+    void aTargetThatHasTooMuchToReadIsPassedOver() {
+        world.route(RepeatRule.RESUMABLE_STREAM, 2);
+        for (String name : List.of("a", "b")) {
+            world.target(name, Map.of("base", Map.of("a7", 1L)));
+        }
+        List<String> asked = new ArrayList<>();
+        world.admitBy((target, promptTokens, longestDelay, decided) -> {
+            asked.add(target.id().value());
+            decided.accept(asked.size() == 1 ? Decision.SATURATED : new Decision(true, Duration.ofMillis(90)));
+            return Cancellable.NOTHING;
+        });
+        world.send(Optional.of(generation()));
+        assertThat(asked).doesNotHaveDuplicates().hasSize(2);
+        assertThat(world.targets().sent()).isEmpty();
+        world.time().pass(Duration.ofMillis(91));
+        assertThat(world.targets().last().target().id().value()).isEqualTo(asked.get(1));
+    }
+
+    /** Guards against requests that are never sent because all targets have too much to read. */
+    @Test
+    void aRequestIsSentWithoutATurnAfterThreeRefusals() {
+        world.route(RepeatRule.RESUMABLE_STREAM, 2).target("a", Map.of("base", Map.of("a7", 1L)));
+        world.admitBy((target, promptTokens, longestDelay, decided) -> {
+            decided.accept(Decision.SATURATED);
+            return Cancellable.NOTHING;
+        });
+        world.send(Optional.of(generation()));
+        assertThat(world.targets().sent()).hasSize(1);
+    }
+
+    /** Guards against a request that reaches a target which left while the request was held back. */
+    @Test
+    void aTargetThatLeavesWhileARequestIsHeldBackGetsItNot() {
+        world.route(RepeatRule.RESUMABLE_STREAM, 2);
+        for (String name : List.of("a", "b")) {
+            world.target(name, Map.of("base", Map.of("a7", 1L)));
+        }
+        List<Target> asked = new ArrayList<>();
+        world.admitBy((target, promptTokens, longestDelay, decided) -> {
+            asked.add(target);
+            decided.accept(new Decision(true, Duration.ofMillis(90)));
+            return Cancellable.NOTHING;
+        });
+        world.send(Optional.of(generation()));
+        world.book().removed(asked.get(0).id());
+        world.time().pass(Duration.ofMillis(200));
+        assertThat(world.targets().last().target()).isNotSameAs(asked.get(0));
+    }
+
     @Test
     void aRequestWaitsForItsAdapterAndIsSentOnceItIsThere() {
         world.route(RepeatRule.RESUMABLE_STREAM, 2).target("a", Map.of("base", Map.of()));
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterChanges.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterChanges.java
@@ -36,6 +36,8 @@
     loaded_ = java.util.Collections.emptyList();
     unloaded_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    declined_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -233,6 +235,59 @@
     return unloaded_.getByteString(index);
   }
 
+  public static final int DECLINED_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList declined_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * load requests of the receiver that cannot be met in time
+   * </pre>
+   *
+   * <code>repeated string declined = 7;</code>
+   * @return A list containing the declined.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getDeclinedList() {
+    return declined_;
+  }
+  /**
+   * <pre>
+   * load requests of the receiver that cannot be met in time
+   * </pre>
+   *
+   * <code>repeated string declined = 7;</code>
+   * @return The count of declined.
+   */
+  public int getDeclinedCount() {
+    return declined_.size();
+  }
+  /**
+   * <pre>
+   * load requests of the receiver that cannot be met in time
+   * </pre>
+   *
+   * <code>repeated string declined = 7;</code>
+   * @param index The index of the element to return.
+   * @return The declined at the given index.
+   */
+  public java.lang.String getDeclined(int index) {
+    return declined_.get(index);
+  }
+  /**
+   * <pre>
+   * load requests of the receiver that cannot be met in time
+   * </pre>
+   *
+   * <code>repeated string declined = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the declined at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getDeclinedBytes(int index) {
+    return declined_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -265,6 +320,9 @@
     for (int i = 0; i < unloaded_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, unloaded_.getRaw(i));
     }
+    for (int i = 0; i < declined_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, declined_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -300,6 +358,14 @@
       size += dataSize;
       size += 1 * getUnloadedList().size();
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < declined_.size(); i++) {
+        dataSize += computeStringSizeNoTag(declined_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getDeclinedList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -327,6 +393,8 @@
         .equals(other.getLoadedList())) return false;
     if (!getUnloadedList()
         .equals(other.getUnloadedList())) return false;
+    if (!getDeclinedList()
+        .equals(other.getDeclinedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -356,6 +424,10 @@
       hash = (37 * hash) + UNLOADED_FIELD_NUMBER;
       hash = (53 * hash) + getUnloadedList().hashCode();
     }
+    if (getDeclinedCount() > 0) {
+      hash = (37 * hash) + DECLINED_FIELD_NUMBER;
+      hash = (53 * hash) + getDeclinedList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -504,6 +576,8 @@
       bitField0_ = (bitField0_ & ~0x00000010);
       unloaded_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      declined_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -566,6 +640,10 @@
         unloaded_.makeImmutable();
         result.unloaded_ = unloaded_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        declined_.makeImmutable();
+        result.declined_ = declined_;
+      }
     }
 
     @java.lang.Override
@@ -632,6 +710,16 @@
         }
         onChanged();
       }
+      if (!other.declined_.isEmpty()) {
+        if (declined_.isEmpty()) {
+          declined_ = other.declined_;
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureDeclinedIsMutable();
+          declined_.addAll(other.declined_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -697,6 +785,12 @@
               unloaded_.add(s);
               break;
             } // case 50
+            case 58: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureDeclinedIsMutable();
+              declined_.add(s);
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1285,6 +1379,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList declined_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureDeclinedIsMutable() {
+      if (!declined_.isModifiable()) {
+        declined_ = new com.google.protobuf.LazyStringArrayList(declined_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <pre>
+     * load requests of the receiver that cannot be met in time
+     * </pre>
+     *
+     * <code>repeated string declined = 7;</code>
+     * @return A list containing the declined.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getDeclinedList() {
+      declined_.makeImmutable();
+      return declined_;
+    }
+    /**
+     * <pre>
+     * load requests of the receiver that cannot be met in time
+     * </pre>
+     *
+     * <code>repeated string declined = 7;</code>
+     * @return The count of declined.
+     */
+    public int getDeclinedCount() {
+      return declined_.size();
+    }
+    /**
+     * <pre>
+     * load requests of the receiver that cannot be met in time
+     * </pre>
+     *
+     * <code>repeated string declined = 7;</code>
+     * @param index The index of the element to return.
+     * @return The declined at the given index.
+     */
+    public java.lang.String getDeclined(int index) {
+      return declined_.get(index);
+    }
+    /**
+     * <pre>
+     * load requests of the receiver that cannot be met in time
+     * </pre>
+     *
+     * <code>repeated string declined = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the declined at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getDeclinedBytes(int index) {
+      return declined_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * load requests of the receiver that cannot be met in time
+     * </pre>
+     *
+     * <code>repeated string declined = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The declined to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDeclined(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureDeclinedIsMutable();
+      declined_.set(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * load requests of the receiver that cannot be met in time
+     * </pre>
+     *
+     * <code>repeated string declined = 7;</code>
+     * @param value The declined to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDeclined(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureDeclinedIsMutable();
+      declined_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * load requests of the receiver that cannot be met in time
+     * </pre>
+     *
+     * <code>repeated string declined = 7;</code>
+     * @param values The declined to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllDeclined(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureDeclinedIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, declined_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * load requests of the receiver that cannot be met in time
+     * </pre>
+     *
+     * <code>repeated string declined = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDeclined() {
+      declined_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000040);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * load requests of the receiver that cannot be met in time
+     * </pre>
+     *
+     * <code>repeated string declined = 7;</code>
+     * @param value The bytes of the declined to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDeclinedBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureDeclinedIsMutable();
+      declined_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterChanges)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterChangesOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterChangesOrBuilder.java
@@ -97,4 +97,45 @@
    */
   com.google.protobuf.ByteString
       getUnloadedBytes(int index);
+
+  /**
+   * <pre>
+   * load requests of the receiver that cannot be met in time
+   * </pre>
+   *
+   * <code>repeated string declined = 7;</code>
+   * @return A list containing the declined.
+   */
+  java.util.List<java.lang.String>
+      getDeclinedList();
+  /**
+   * <pre>
+   * load requests of the receiver that cannot be met in time
+   * </pre>
+   *
+   * <code>repeated string declined = 7;</code>
+   * @return The count of declined.
+   */
+  int getDeclinedCount();
+  /**
+   * <pre>
+   * load requests of the receiver that cannot be met in time
+   * </pre>
+   *
+   * <code>repeated string declined = 7;</code>
+   * @param index The index of the element to return.
+   * @return The declined at the given index.
+   */
+  java.lang.String getDeclined(int index);
+  /**
+   * <pre>
+   * load requests of the receiver that cannot be met in time
+   * </pre>
+   *
+   * <code>repeated string declined = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the declined at the given index.
+   */
+  com.google.protobuf.ByteString
+      getDeclinedBytes(int index);
 }
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequest.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequest.java
@@ -116,6 +116,21 @@
     return untilLateMillis_;
   }
 
+  public static final int MAY_DECLINE_FIELD_NUMBER = 4;
+  private boolean mayDecline_ = false;
+  /**
+   * <pre>
+   * whether the sender would rather ask another target than wait
+   * </pre>
+   *
+   * <code>bool may_decline = 4;</code>
+   * @return The mayDecline.
+   */
+  @java.lang.Override
+  public boolean getMayDecline() {
+    return mayDecline_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -139,6 +154,9 @@
     if (untilLateMillis_ != 0) {
       output.writeSInt32(3, untilLateMillis_);
     }
+    if (mayDecline_ != false) {
+      output.writeBool(4, mayDecline_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -159,6 +177,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeSInt32Size(3, untilLateMillis_);
     }
+    if (mayDecline_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, mayDecline_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -180,6 +202,8 @@
         != other.getWaitedFor()) return false;
     if (getUntilLateMillis()
         != other.getUntilLateMillis()) return false;
+    if (getMayDecline()
+        != other.getMayDecline()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -198,6 +222,9 @@
         getWaitedFor());
     hash = (37 * hash) + UNTIL_LATE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getUntilLateMillis();
+    hash = (37 * hash) + MAY_DECLINE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getMayDecline());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -336,6 +363,7 @@
       adapter_ = "";
       waitedFor_ = false;
       untilLateMillis_ = 0;
+      mayDecline_ = false;
       return this;
     }
 
@@ -378,6 +406,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.untilLateMillis_ = untilLateMillis_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.mayDecline_ = mayDecline_;
+      }
     }
 
     @java.lang.Override
@@ -403,6 +434,9 @@
       if (other.getUntilLateMillis() != 0) {
         setUntilLateMillis(other.getUntilLateMillis());
       }
+      if (other.getMayDecline() != false) {
+        setMayDecline(other.getMayDecline());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -444,6 +478,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              mayDecline_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -621,6 +660,50 @@
       return this;
     }
 
+    private boolean mayDecline_ ;
+    /**
+     * <pre>
+     * whether the sender would rather ask another target than wait
+     * </pre>
+     *
+     * <code>bool may_decline = 4;</code>
+     * @return The mayDecline.
+     */
+    @java.lang.Override
+    public boolean getMayDecline() {
+      return mayDecline_;
+    }
+    /**
+     * <pre>
+     * whether the sender would rather ask another target than wait
+     * </pre>
+     *
+     * <code>bool may_decline = 4;</code>
+     * @param value The mayDecline to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMayDecline(boolean value) {
+
+      mayDecline_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * whether the sender would rather ask another target than wait
+     * </pre>
+     *
+     * <code>bool may_decline = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMayDecline() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      mayDecline_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterLoadRequest)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequestOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequestOrBuilder.java
@@ -40,4 +40,14 @@
    * @return The untilLateMillis.
    */
   int getUntilLateMillis();
+
+  /**
+   * <pre>
+   * whether the sender would rather ask another target than wait
+   * </pre>
+   *
+   * <code>bool may_decline = 4;</code>
+   * @return The mayDecline.
+   */
+  boolean getMayDecline();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -328,32 +328,33 @@
       "\014\n\004used\030\004 \003(\t\022=\n\rload_requests\030\005 \003(\0132&.g" +
       "eraniumreach.link.AdapterLoadRequest\022\017\n\007" +
       "running\030\006 \003(\t\022\025\n\rtells_running\030\007 \001(\010J\004\010\003" +
-      "\020\004\"T\n\022AdapterLoadRequest\022\017\n\007adapter\030\001 \001(" +
+      "\020\004\"i\n\022AdapterLoadRequest\022\017\n\007adapter\030\001 \001(" +
       "\t\022\022\n\nwaited_for\030\002 \001(\010\022\031\n\021until_late_mill" +
-      "is\030\003 \001(\021\"\237\001\n\016AdapterChanges\022\016\n\006target\030\001 " +
-      "\001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\r\n\005model\030\003 \001(\t\022\025" +
-      "\n\rmodel_present\030\004 \001(\010\0221\n\006loaded\030\005 \003(\0132!." +
-      "geraniumreach.link.AdapterLoaded\022\020\n\010unlo" +
-      "aded\030\006 \003(\t\"1\n\rAdapterLoaded\022\017\n\007adapter\030\001" +
-      " \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\nFeedUpdate\0223\n\005" +
-      "table\030\001 \001(\0162$.geraniumreach.link.FeedUpd" +
-      "ate.Table\022\r\n\005after\030\002 \001(\003\022\017\n\007version\030\003 \001(" +
-      "\003\022\024\n\014store_millis\030\004 \001(\003\022+\n\004rows\030\005 \003(\0132\035." +
-      "geraniumreach.link.StoredRow\022\017\n\007failure\030" +
-      "\006 \001(\t\":\n\005Table\022\013\n\007UNKNOWN\020\000\022\014\n\010OPERATOR\020" +
-      "\001\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003\"I\n\tStoredRow\022\013" +
-      "\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\017\n\007removed\030" +
-      "\003 \001(\010\022\r\n\005value\030\004 \001(\t\">\n\014QuotaRequest\022\016\n\006" +
-      "number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\r\n\005units\030\003" +
-      " \001(\001\"Z\n\rQuotaResponse\022\016\n\006number\030\001 \001(\003\022\017\n" +
-      "\007granted\030\002 \001(\010\022\023\n\013delay_known\030\003 \001(\010\022\023\n\013d" +
-      "elay_nanos\030\004 \001(\003\"l\n\026TargetAdmissionReque" +
-      "st\022\016\n\006number\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\025\n\rpr" +
-      "ompt_tokens\030\003 \001(\003\022\033\n\023longest_delay_nanos" +
-      "\030\004 \001(\003\"P\n\027TargetAdmissionResponse\022\016\n\006num" +
-      "ber\030\001 \001(\003\022\020\n\010admitted\030\002 \001(\010\022\023\n\013delay_nan" +
-      "os\030\003 \001(\003B)\n\032org.geraniumreach.messagesB\t" +
-      "LinkProtoP\001b\006proto3"
+      "is\030\003 \001(\021\022\023\n\013may_decline\030\004 \001(\010\"\261\001\n\016Adapte" +
+      "rChanges\022\016\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002" +
+      " \001(\003\022\r\n\005model\030\003 \001(\t\022\025\n\rmodel_present\030\004 \001" +
+      "(\010\0221\n\006loaded\030\005 \003(\0132!.geraniumreach.link." +
+      "AdapterLoaded\022\020\n\010unloaded\030\006 \003(\t\022\020\n\010decli" +
+      "ned\030\007 \003(\t\"1\n\rAdapterLoaded\022\017\n\007adapter\030\001 " +
+      "\001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\nFeedUpdate\0223\n\005t" +
+      "able\030\001 \001(\0162$.geraniumreach.link.FeedUpda" +
+      "te.Table\022\r\n\005after\030\002 \001(\003\022\017\n\007version\030\003 \001(\003" +
+      "\022\024\n\014store_millis\030\004 \001(\003\022+\n\004rows\030\005 \003(\0132\035.g" +
+      "eraniumreach.link.StoredRow\022\017\n\007failure\030\006" +
+      " \001(\t\":\n\005Table\022\013\n\007UNKNOWN\020\000\022\014\n\010OPERATOR\020\001" +
+      "\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003\"I\n\tStoredRow\022\013\n" +
+      "\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\017\n\007removed\030\003" +
+      " \001(\010\022\r\n\005value\030\004 \001(\t\">\n\014QuotaRequest\022\016\n\006n" +
+      "umber\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\r\n\005units\030\003 " +
+      "\001(\001\"Z\n\rQuotaResponse\022\016\n\006number\030\001 \001(\003\022\017\n\007" +
+      "granted\030\002 \001(\010\022\023\n\013delay_known\030\003 \001(\010\022\023\n\013de" +
+      "lay_nanos\030\004 \001(\003\"l\n\026TargetAdmissionReques" +
+      "t\022\016\n\006number\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\025\n\rpro" +
+      "mpt_tokens\030\003 \001(\003\022\033\n\023longest_delay_nanos\030" +
+      "\004 \001(\003\"P\n\027TargetAdmissionResponse\022\016\n\006numb" +
+      "er\030\001 \001(\003\022\020\n\010admitted\030\002 \001(\010\022\023\n\013delay_nano" +
+      "s\030\003 \001(\003B)\n\032org.geraniumreach.messagesB\tL" +
+      "inkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -520,13 +521,13 @@
     internal_static_geraniumreach_link_AdapterLoadRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_AdapterLoadRequest_descriptor,
-        new java.lang.String[] { "Adapter", "WaitedFor", "UntilLateMillis", });
+        new java.lang.String[] { "Adapter", "WaitedFor", "UntilLateMillis", "MayDecline", });
     internal_static_geraniumreach_link_AdapterChanges_descriptor =
       getDescriptor().getMessageTypes().get(27);
     internal_static_geraniumreach_link_AdapterChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_AdapterChanges_descriptor,
-        new java.lang.String[] { "Target", "StartedAt", "Model", "ModelPresent", "Loaded", "Unloaded", });
+        new java.lang.String[] { "Target", "StartedAt", "Model", "ModelPresent", "Loaded", "Unloaded", "Declined", });
     internal_static_geraniumreach_link_AdapterLoaded_descriptor =
       getDescriptor().getMessageTypes().get(28);
     internal_static_geraniumreach_link_AdapterLoaded_fieldAccessorTable = new
--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -73,6 +73,7 @@
     private final NamedVersions versions;
     private final AdapterWaiters waiting = new AdapterWaiters();
     private final UsageReports usage = new UsageReports();
+    private final DeclinedLoads declines = new DeclinedLoads();
     private final Map<Target, Map<AdapterName, Long>> asked = new HashMap<>();
     private Optional<EntryLinks> links = Optional.empty();
 
@@ -302,9 +303,13 @@
     }
 
     @Override
-    public void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate) {
+    public void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate, boolean mayDecline) {
         Owned own = owned.get(target);
         long now = clock.nanos();
+        if (own != null && mayDecline && !own.slots.hasSlotFor(adapter, now)) {
+            declined(target.id(), adapter);
+            return;
+        }
         if (own != null) {
             own.slots.enqueue(adapter, lateAt(untilLate, now), now);
             poll(target);
@@ -316,6 +321,7 @@
             AdapterLoadRequest.Builder request = AdapterLoadRequest.newBuilder()
                     .setAdapter(adapter.adapter())
                     .setWaitedFor(untilLate.isPresent())
+                    .setMayDecline(mayDecline)
                     .setUntilLateMillis((int) untilLate.orElse(Duration.ZERO).toMillis());
             demand(target, adapter.baseModel(), AdapterDemand.newBuilder().addLoadRequests(request));
         }
@@ -447,11 +453,35 @@
         if (demand.getTellsRunning()) {
             slots.running(entry, adapters(demand.getModel(), demand.getRunningList()), now);
         }
-        demand.getLoadRequestsList()
-                .forEach(request -> slots.enqueue(adapter(demand, request), lateAt(untilLate(request), now), now));
+        AdapterChanges.Builder answer = AdapterChanges.newBuilder();
+        for (AdapterLoadRequest request : demand.getLoadRequestsList()) {
+            AdapterName adapter = adapter(demand, request);
+            if (request.getMayDecline() && !slots.hasSlotFor(adapter, now)) {
+                answer.addDeclined(adapter.adapter());
+            } else {
+                slots.enqueue(adapter, lateAt(untilLate(request), now), now);
+            }
+        }
+        if (answer.getDeclinedCount() > 0) {
+            answer.setTarget(demand.getTarget())
+                    .setStartedAt(target.get().description().startedAt())
+                    .setModel(demand.getModel());
+            links.ifPresent(open -> open.send(
+                    entry, Frame.newBuilder().setAdapterChanges(answer).build()));
+        }
         poll(target.get());
     }
 
+    private void declined(TargetId target, AdapterName adapter) {
+        declines.add(target, adapter, clock.nanos());
+        waiting.wake(adapter);
+    }
+
+    @Override
+    public boolean hasDeclined(TargetId target, AdapterName adapter) {
+        return declines.contains(target, adapter, clock.nanos());
+    }
+
     private static Set<AdapterName> adapters(String model, List<String> names) {
         return names.stream().map(name -> new AdapterName(model, name)).collect(Collectors.toUnmodifiableSet());
     }
@@ -478,6 +508,8 @@
         for (String gone : changes.getUnloadedList()) {
             target.get().learnAbsent(new AdapterName(changes.getModel(), gone), now);
         }
+        changes.getDeclinedList()
+                .forEach(name -> declined(target.get().id(), new AdapterName(changes.getModel(), name)));
         for (AdapterLoaded loaded : changes.getLoadedList()) {
             AdapterName adapter = new AdapterName(changes.getModel(), loaded.getAdapter());
             target.get().learnResident(adapter, loaded.getVersion(), now);
