Do a start's work on targets once, not once for each target

Cause: while a first reading joins the targets one by one, each join listed and sorted all targets of the service and looked through all targets for owned ones, which grows with the square: about a million steps at 1,000 targets, on an entry that has just started. A placement sorted objects by comparators. Change: the list of a service is made when it is asked for, a join looks at its own target, and ranks are sorted as numbers. No choice differs: equal scores keep the order of names.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -405,16 +406,19 @@
         return (long) (reading + queued);
     }
 
+    /** Ranks targets by rendezvous; equal scores keep the order of the list, which is that of the names. */
     private static List<Target> order(String key, List<Target> targets) {
-        List<Ranked> ranked = new ArrayList<>(targets.size());
         int hash = Rendezvous.hash(key);
-        for (Target target : targets) {
-            ranked.add(new Ranked(Rendezvous.score(hash, target.hash()), target));
+        long[] ranks = new long[targets.size()];
+        for (int index = 0; index < ranks.length; index++) {
+            int score = Rendezvous.score(hash, targets.get(index).hash());
+            ranks[index] = (long) ~score << Integer.SIZE | index;
         }
-        ranked.sort(Comparator.comparingInt(Ranked::rank).reversed().thenComparing(each -> each.target()
-                .id()));
-        return ranked.stream().map(Ranked::target).toList();
+        Arrays.sort(ranks);
+        List<Target> ranked = new ArrayList<>(ranks.length);
+        for (long rank : ranks) {
+            ranked.add(targets.get((int) rank));
+        }
+        return ranked;
     }
-
-    private record Ranked(int rank, Target target) {}
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
@@ -46,7 +46,9 @@
     private final Map<TargetId, Integer> lapsed = new HashMap<>();
 
     private final DepartedTargets departed = new DepartedTargets();
+    /** Made when asked for, since a first reading joins all targets one by one. */
     private final Map<String, List<Target>> byService = new HashMap<>();
+
     private final List<Listener> listeners = new ArrayList<>();
     private long storeBackAt = Long.MIN_VALUE;
     private boolean storeAway;
@@ -138,7 +140,7 @@
         }
         Target target = new Target(description, clock.nanos());
         targets.put(target.id(), target);
-        refresh(description.service());
+        byService.remove(description.service());
         listeners.forEach(listener -> listener.joined(target));
     }
 
@@ -221,16 +223,15 @@
         departed.left(target.description(), heartbeats);
         lapsed.remove(target.id());
         targets.remove(target.id());
-        refresh(target.description().service());
+        byService.remove(target.description().service());
         listeners.forEach(listener -> listener.left(target));
     }
 
-    private void refresh(String service) {
-        List<Target> offering = targets.values().stream()
+    private List<Target> list(String service) {
+        return targets.values().stream()
                 .filter(target -> target.description().service().equals(service))
                 .sorted(Comparator.comparing(Target::id))
                 .toList();
-        byService.put(service, offering);
     }
 
     /**
@@ -250,7 +251,7 @@
      * @return the targets in the order of their names, not null
      */
     public List<Target> ofService(String service) {
-        return byService.getOrDefault(service, List.of());
+        return byService.computeIfAbsent(service, this::list);
     }
 
     /**
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetRegistryTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetRegistryTest.java
@@ -201,4 +201,18 @@
         book.put(description(1, true));
         assertThat(book.find(ID).orElseThrow().takesWork()).isFalse();
     }
+
+    /** Guards against requests that see an older list of a service's targets. */
+    @Test
+    void theTargetsOfAServiceAreThoseOfTheMomentInTheOrderOfTheirNames() {
+        assertThat(book.ofService("service")).isEmpty();
+        book.put(description(1, false));
+        assertThat(book.ofService("service")).extracting(Target::id).containsExactly(ID);
+        book.put(description(2, false));
+        assertThat(book.ofService("service"))
+                .extracting(target -> target.description().startedAt())
+                .containsExactly(2L);
+        book.removed(ID);
+        assertThat(book.ofService("service")).isEmpty();
+    }
 }
--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -144,15 +144,17 @@
 
     /** Takes up the targets that this entry holds now, and lets go of those that it does not. */
     void refresh() {
-        for (Target target : registry.all()) {
-            boolean own = ownership.fence(target.id()).isPresent();
-            if (own && !owned.containsKey(target)) {
-                engine(target).ifPresent(engine -> takeUp(target, engine));
-            } else if (!own
-                    && owned.containsKey(target)
-                    && !ownership.holder(target.id()).equals(Optional.of(self))) {
-                letGo(target);
-            }
+        registry.all().forEach(this::refresh);
+    }
+
+    private void refresh(Target target) {
+        boolean own = ownership.fence(target.id()).isPresent();
+        if (own && !owned.containsKey(target)) {
+            engine(target).ifPresent(engine -> takeUp(target, engine));
+        } else if (!own
+                && owned.containsKey(target)
+                && !ownership.holder(target.id()).equals(Optional.of(self))) {
+            letGo(target);
         }
     }
 
@@ -411,7 +413,7 @@
                 target.id().value(),
                 Field.of("service", target.description().service()),
                 Field.of("startedAt", target.description().startedAt()));
-        refresh();
+        refresh(target);
     }
 
     @Override
