--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 
 import org.geraniumreach.gateway.adapter.AdapterSlots;
+import org.geraniumreach.gateway.adapter.DeclinedLoads;
 import org.geraniumreach.gateway.adapter.FetchWindow;
 import org.geraniumreach.gateway.adapter.Order;
 import org.geraniumreach.gateway.adapter.OrderResult;
