Send no orders to targets of an evacuated failure domain

The operator asks that nothing more be sent to these targets; the rule speaks of requests. What is due at an owned target there waits until the domain is taken back.

--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -44,14 +45,17 @@
 /**
  * Has adapters loaded: orders the targets that this entry holds, and asks the holders of the others.
  *
- * <p>Invariant: no order is sent to a target without the fence that the store gave this entry, asked for at the moment of the
- * sending. Confined to the event loop.
+ * <p>Invariants: no order is sent to a target without the fence that the store gave this entry, asked for at the moment of the
+ * sending; nothing is sent to a target that may not be called, and what is due there is taken up when it may. Confined to the event loop.
  */
 final class AdapterLoadCoordinator implements AdapterLoader, TargetRegistry.Listener, EntryLinks.Listener {
 
     /** Between two looks while load requests wait for a slot, for the weight store or for an adapter to be idle. */
     private static final Duration POLL_INTERVAL = Duration.ofMillis(12);
 
+    /** Between two looks at a target that nothing may be sent to. */
+    private static final Duration CLOSED_POLL_INTERVAL = Duration.ofMillis(500);
+
     private static final Duration SHORTEST_POLL_INTERVAL = Duration.ofMillis(1);
 
     /** Orders are answered within 10 ms; one that is not was lost, or is carried out late, and a copy of it does no harm. */
@@ -63,6 +67,7 @@
 
     private final TargetRegistry registry;
     private final TargetOwnership ownership;
+    private final Predicate<Target> mayBeCalled;
     private final TargetPort targets;
     private final Timers timers;
     private final MonotonicClock clock;
@@ -91,6 +96,7 @@
     AdapterLoadCoordinator(
             TargetRegistry registry,
             TargetOwnership ownership,
+            Predicate<Target> mayBeCalled,
             TargetPort targets,
             Timers timers,
             MonotonicClock clock,
@@ -98,6 +104,7 @@
             Supplier<Optional<TrafficConfiguration>> configuration) {
         this.registry = Objects.requireNonNull(registry, "registry");
         this.ownership = Objects.requireNonNull(ownership, "ownership");
+        this.mayBeCalled = Objects.requireNonNull(mayBeCalled, "mayBeCalled");
         this.targets = Objects.requireNonNull(targets, "targets");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -240,6 +247,10 @@
             return;
         }
         now.poll.cancel();
+        if (!mayBeCalled.test(target)) {
+            now.poll = timers.after(CLOSED_POLL_INTERVAL, () -> poll(target));
+            return;
+        }
         OptionalLong fence = ownership.fence(target.id());
         if (fence.isPresent()) {
             now.slots.next(clock.nanos()).ifPresent(step -> carryOut(target, now, step, fence.getAsLong()));
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -155,7 +155,8 @@
                 new EqualDivision(settings.instance(), () -> fleet.known()),
                 clock,
                 log);
-        this.desk = new AdapterLoadCoordinator(book, holdings, targets, timers, clock, log, () -> configuration);
+        this.desk = new AdapterLoadCoordinator(
+                book, holdings, this::mayBeCalled, targets, timers, clock, log, () -> configuration);
         this.requests = new RequestHandler(services(), () -> configuration, random::nextDouble);
     }
 
@@ -186,6 +187,10 @@
                 ExchangeSettings.defaults());
     }
 
+    private boolean mayBeCalled(Target target) {
+        return evacuations.phase(target.description().failureDomain()) != Evacuations.Phase.EMPTY;
+    }
+
     /** Nobody is asked before the links are open. */
     private boolean askForUnits(String entry, long number, AccountId account, double units) {
         return quotaLinks != null && quotaLinks.ask(entry, number, account, units);
--- a/node/src/test/java/org/geraniumreach/node/AdapterLoadCoordinatorTest.java
+++ b/node/src/test/java/org/geraniumreach/node/AdapterLoadCoordinatorTest.java
@@ -35,6 +35,7 @@
     private final AdapterLoadCoordinator desk = new AdapterLoadCoordinator(
             new TargetRegistry(clock),
             new TargetOwnership("one", 1, new Lease(clock, () -> now.get() / 1_000_000), clock),
+            target -> true,
             new NoTargets(),
             (delay, action) -> Cancellable.NOTHING,
             clock,
