--- a/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
@@ -38,25 +38,25 @@
  */
 final class EntryDirectory {
 
-    private static final Duration TICK = Duration.ofMillis(500);
-    private static final Duration ANSWER_LIMIT = Duration.ofMillis(1_500);
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(500);
+    private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_500);
 
     /** Leases are read only while an entry is out of sight, at a quarter of what one lasts. */
-    private static final Duration READ_LEASES = Duration.ofSeconds(2);
+    private static final Duration LEASE_READ_INTERVAL = Duration.ofSeconds(2);
 
     /** Entries that start together see each other's rows by then, and divide accounts' rates evenly. */
-    private static final Duration SETTLING = Duration.ofMillis(1_500);
+    private static final Duration SETTLING_TIME = Duration.ofMillis(1_500);
 
     private final ProcessSettings settings;
     private final long incarnation;
     private final StorePort store;
-    private final TargetOwnership holdings;
+    private final TargetOwnership ownership;
     private final Quotas quotas;
-    private final AdapterLoadCoordinator desk;
+    private final AdapterLoadCoordinator coordinator;
     private final EntryLinks links;
     private final Timers timers;
     private final MonotonicClock clock;
-    private final StoreAvailability watch;
+    private final StoreAvailability availability;
     private final DecisionLog log;
     private final Map<String, EntryRow> entries = new HashMap<>();
     private final long startedAt;
@@ -73,26 +73,26 @@
     /** What a table works with. */
     record Parts(
             StorePort store,
-            TargetOwnership holdings,
+            TargetOwnership ownership,
             Quotas quotas,
-            AdapterLoadCoordinator desk,
+            AdapterLoadCoordinator coordinator,
             EntryLinks links,
             Timers timers,
             MonotonicClock clock,
-            StoreAvailability watch,
+            StoreAvailability availability,
             DecisionLog log) {}
 
     EntryDirectory(ProcessSettings settings, long incarnation, Parts parts) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.incarnation = incarnation;
         this.store = parts.store();
-        this.holdings = parts.holdings();
+        this.ownership = parts.ownership();
         this.quotas = parts.quotas();
-        this.desk = parts.desk();
+        this.coordinator = parts.coordinator();
         this.links = parts.links();
         this.timers = parts.timers();
         this.clock = parts.clock();
-        this.watch = parts.watch();
+        this.availability = parts.availability();
         this.log = parts.log();
         this.startedAt = clock.nanos();
     }
@@ -124,28 +124,28 @@
     /** Tells of a decision of the store, or of none where nobody knows. */
     private void commit(Transaction transaction, Consumer<Optional<StorePort.Decision>> decided) {
         OneAnswer<StoreReply<StorePort.Decision>> answer = new OneAnswer<>(reply -> {
-            watch.record(reply);
+            availability.record(reply);
             boolean known = reply instanceof StoreReply.Value<StorePort.Decision>;
             decided.accept(
                     known ? Optional.of(((StoreReply.Value<StorePort.Decision>) reply).value()) : Optional.empty());
         });
-        answer.within(ANSWER_LIMIT, new StoreReply.Unknown<>("no answer to a transaction"), timers);
+        answer.within(STORE_TIMEOUT, new StoreReply.Unknown<>("no answer to a transaction"), timers);
         answer.from(store.commit(transaction, answer));
     }
 
     /** Takes the table's news. */
-    void took(StorePort.News<RowChange> news) {
+    void onNews(StorePort.News<RowChange> news) {
         read = true;
         for (RowChange change : news.items()) {
             put(change.key(), change.row());
         }
         keepLinks();
-        desk.refresh();
+        coordinator.refresh();
     }
 
     private void put(String key, Optional<Row> row) {
         if (TargetOwnership.isHolderRow(key)) {
-            holdings.put(key, row);
+            ownership.put(key, row);
         } else if (Quotas.isShareRow(key)) {
             quotas.put(key, row);
         } else if (EntryRow.isEntryRow(key)) {
@@ -181,7 +181,7 @@
         if (stopped) {
             return;
         }
-        timers.after(TICK, this::tick);
+        timers.after(TICK_INTERVAL, this::tick);
         introduce();
         act();
     }
@@ -192,7 +192,7 @@
             return;
         }
         reachable = reachable();
-        desk.refresh();
+        coordinator.refresh();
         claim();
         share();
         readLeases();
@@ -206,7 +206,7 @@
         if (!known.contains(settings.instance())) {
             known.add(settings.instance());
         }
-        holdings.claim(desk.needingOwner(), known, links::isVisible).ifPresent(transaction -> {
+        ownership.claim(coordinator.needingOwner(), known, links::isVisible).ifPresent(transaction -> {
             claiming = true;
             commit(transaction, decision -> {
                 claiming = false;
@@ -216,11 +216,11 @@
     }
 
     private void share() {
-        boolean settled = clock.nanos() - startedAt >= SETTLING.toNanos();
+        boolean settled = clock.nanos() - startedAt >= SETTLING_TIME.toNanos();
         if (sharing || !settled) {
             return;
         }
-        Map<String, Long> abandoned = holdings.endedFor(Quotas.ABANDONED);
+        Map<String, Long> abandoned = ownership.endedFor(Quotas.ABANDONED);
         quotas.change(reachable, abandoned).ifPresent(transaction -> {
             sharing = true;
             commit(transaction, decision -> shared(transaction, decision));
@@ -254,31 +254,31 @@
             RowKey key = write.key();
             put(key.key(), write.value().map(value -> new Row(key, version, value)));
         }
-        desk.refresh();
+        coordinator.refresh();
     }
 
     private void readLeases() {
         long now = clock.nanos();
-        boolean due = leasesReadAt == Long.MIN_VALUE || now - leasesReadAt >= READ_LEASES.toNanos();
-        List<TargetId> targets = desk.needingOwner();
-        if (readingLeases || !due || !holdings.wantsLeases(targets, links::isVisible)) {
+        boolean due = leasesReadAt == Long.MIN_VALUE || now - leasesReadAt >= LEASE_READ_INTERVAL.toNanos();
+        List<TargetId> targets = coordinator.needingOwner();
+        if (readingLeases || !due || !ownership.wantsLeases(targets, links::isVisible)) {
             return;
         }
         readingLeases = true;
         leasesReadAt = now;
         OneAnswer<StoreReply<StorePort.Page>> answer = new OneAnswer<>(reply -> {
             readingLeases = false;
-            watch.record(reply);
+            availability.record(reply);
             if (reply instanceof StoreReply.Value<StorePort.Page> value) {
                 value.value().rows().forEach(this::sawLease);
             }
         });
-        answer.within(ANSWER_LIMIT, new StoreReply.Unknown<>("no answer to a reading"), timers);
+        answer.within(STORE_TIMEOUT, new StoreReply.Unknown<>("no answer to a reading"), timers);
         answer.from(store.read(StorePort.Table.LEASES, StorePort.Position.beginning(), () -> {}, answer));
     }
 
     private void sawLease(StorePort.StoredRow row) {
-        row.value().ifPresent(value -> holdings.seenLease(row.key(), row.version(), LeaseRenewer.released(value)));
+        row.value().ifPresent(value -> ownership.seenLease(row.key(), row.version(), LeaseRenewer.released(value)));
     }
 
     /** Gets the instances of all entries that have introduced themselves, whether they can be reached or not. */
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -63,9 +63,9 @@
  */
 final class EntryProcess {
 
-    private static final Duration CONNECT_LIMIT = Duration.ofMillis(400);
-    private static final Duration IDLE_CONNECTIONS = Duration.ofSeconds(12);
-    private static final Duration SWEEP = Duration.ofMillis(500);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration IDLE_CONNECTION_TIMEOUT = Duration.ofSeconds(12);
+    private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
     private static final Ingress.Limits FIRST_LIMITS =
             new Ingress.Limits(16_384, 4 * 1024 * 1024, Duration.ofSeconds(75));
@@ -79,12 +79,12 @@
     private static final Duration LEAST_DRAIN = Duration.ofMillis(3_500);
     private static final Duration DRAIN_MARGIN = Duration.ofMillis(900);
     /** The store answers within 10 ms; without its answer others wait the lease out. */
-    private static final Duration RELEASE_LIMIT = Duration.ofMillis(300);
+    private static final Duration LEASE_RELEASE_TIMEOUT = Duration.ofMillis(300);
 
     /** Callers wait for an entry that starts; who reads metrics does not. */
     private static final Duration METRICS_DELAY = Duration.ofMillis(1_500);
 
-    private static final Duration DRAIN_LOOK = Duration.ofMillis(50);
+    private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
 
     private final ProcessSettings settings;
     private final JsonLog lines;
@@ -98,21 +98,21 @@
     private final AtomicBoolean draining = new AtomicBoolean();
     private final long incarnation = System.currentTimeMillis();
     private final SplittableRandom random = new SplittableRandom();
-    private final TargetRegistry book = new TargetRegistry(clock);
-    private final StoreAvailability watch;
+    private final TargetRegistry registry = new TargetRegistry(clock);
+    private final StoreAvailability storeAvailability;
 
     /** Of the targets' rows alone: while only writes fail, a row that is gone tells of a target that is gone. */
-    private final StoreAvailability targetWatch;
+    private final StoreAvailability targetRowsAvailability;
 
-    private final TargetUpdates targetNews;
+    private final TargetUpdates targetUpdates;
     private final Lease lease = new Lease(clock, System::currentTimeMillis);
-    private final TargetOwnership holdings;
+    private final TargetOwnership ownership;
     private final Quotas quotas;
     private final QuotaAdmission admission;
-    private final HttpConnections connections = new HttpConnections(loop, clock, CONNECT_LIMIT);
+    private final HttpConnections connections = new HttpConnections(loop, clock, CONNECT_TIMEOUT);
     private final StorePort store;
     private final TargetClient targets = new TargetClient(connections);
-    private final AdapterLoadCoordinator desk;
+    private final AdapterLoadCoordinator coordinator;
     private final TargetHealth health;
     private final Evacuations evacuations;
     private final ColdTargets cold;
@@ -125,14 +125,16 @@
     private volatile boolean sharesKnown;
 
     private volatile boolean admits;
+    private volatile int evacuatedRequests;
+    private volatile int coldTargets;
     private boolean wasReady;
     private Ingress ingress;
     private EntryLinks links;
     private QuotaLinks quotaLinks;
     private OwnerAdmission admissionOfTargets;
     private TargetAdmissionLinks admissionLinks;
-    private EntryDirectory fleet;
-    private LeaseRenewer leaseKeeper;
+    private EntryDirectory directory;
+    private LeaseRenewer leaseRenewer;
 
     EntryProcess(ProcessSettings settings, OptionalInt metricsPort, JsonLog lines) {
         this.settings = Objects.requireNonNull(settings, "settings");
@@ -140,10 +142,10 @@
         this.lines = Objects.requireNonNull(lines, "lines");
         this.metrics = new EntryMetrics(lines);
         this.log = metrics;
-        this.watch = new StoreAvailability(clock, log, "");
-        this.targetWatch = new StoreAvailability(clock, log, "targets");
-        this.targetNews = new TargetUpdates(book, log);
-        this.holdings = new TargetOwnership(settings.instance(), incarnation, lease, clock);
+        this.storeAvailability = new StoreAvailability(clock, log, "");
+        this.targetRowsAvailability = new StoreAvailability(clock, log, "targets");
+        this.targetUpdates = new TargetUpdates(registry, log);
+        this.ownership = new TargetOwnership(settings.instance(), incarnation, lease, clock);
         this.quotas = new Quotas(settings.instance(), lease, settings.quotaTolerance(), clock, log);
         this.admission = new QuotaAdmission(quotas, this::askForUnits, timers, clock, new Random());
         this.store = new StoreClient(connections, settings.store());
@@ -152,30 +154,33 @@
         this.cold = new ColdTargets(
                 name -> configuration.flatMap(current -> current.service(name)),
                 settings.coldTolerance(),
-                new EqualDivision(settings.instance(), () -> fleet.known()),
+                new EqualDivision(settings.instance(), () -> directory.known()),
                 clock,
                 log);
-        this.desk = new AdapterLoadCoordinator(
-                book, holdings, this::mayBeCalled, targets, timers, clock, log, () -> configuration);
+        this.coordinator = new AdapterLoadCoordinator(
+                registry, ownership, this::mayBeCalled, targets, timers, clock, log, () -> configuration);
         this.requests = new RequestHandler(services(), () -> configuration, random::nextDouble);
     }
 
     private ExchangeServices services() {
         Placement placement = new Placement(
-                book,
+                registry,
                 new TargetConditions(
-                        target -> health.admits(target.id()), desk::isOrderable, evacuations::phase, cold::mayBeSent),
-                () -> fleet.entries(),
+                        target -> health.admits(target.id()),
+                        coordinator::isOrderable,
+                        evacuations::phase,
+                        cold::mayBeSent),
+                () -> directory.entries(),
                 settings.failureDomain(),
                 PlacementSettings.defaults(),
                 clock);
         admissionOfTargets =
-                new OwnerAdmission(holdings, book, placement::readingSpeed, this::askForTurn, timers, clock);
+                new OwnerAdmission(ownership, registry, placement::readingSpeed, this::askForTurn, timers, clock);
         return new ExchangeServices(
                 placement,
-                book,
+                registry,
                 targets,
-                desk,
+                coordinator,
                 admission,
                 admissionOfTargets,
                 new RepeatBudgets(this::repeatBudget),
@@ -247,7 +252,7 @@
                 Field.of("failureDomain", settings.failureDomain().value()));
         ingress = Ingress.start(
                 settings.callers(), settings.readiness(), FIRST_LIMITS, requests::receive, this::isReady, loop, log);
-        links = EntryLinks.start(settings, incarnation, group, desk, log);
+        links = EntryLinks.start(settings, incarnation, group, coordinator, log);
         loop.execute(this::begin);
         if (metricsPort.isPresent()) {
             timers.after(METRICS_DELAY, () -> new DefaultThreadFactory("metrics", true)
@@ -262,6 +267,11 @@
         metrics.gauge("geraniumreach.configuration.version", "The version in force, 0 for none.", () -> configuration
                 .map(TrafficConfiguration::version)
                 .orElse(0L));
+        metrics.gauge(
+                "geraniumreach.evacuated.requests",
+                "Requests that run at targets of evacuated failure domains.",
+                () -> evacuatedRequests);
+        metrics.gauge("geraniumreach.cold.targets", "Targets that have not warmed up.", () -> coldTargets);
         metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> isReady() ? 1 : 0);
         metrics.gauge("geraniumreach.log.lines.dropped", "Lines that the log had no room for.", lines::droppedInAll);
         InetSocketAddress address = new InetSocketAddress(settings.callers().getAddress(), port);
@@ -276,36 +286,37 @@
     }
 
     private void begin() {
-        fleet = new EntryDirectory(
+        directory = new EntryDirectory(
                 settings,
                 incarnation,
-                new EntryDirectory.Parts(store, holdings, quotas, desk, links, timers, clock, watch, log));
-        leaseKeeper =
-                new LeaseRenewer(lease, store, timers, watch, settings.instance(), incarnation, this::leaseRenewed);
-        targetWatch.listen(new StoreAvailability.Listener() {
+                new EntryDirectory.Parts(
+                        store, ownership, quotas, coordinator, links, timers, clock, storeAvailability, log));
+        leaseRenewer = new LeaseRenewer(
+                lease, store, timers, storeAvailability, settings.instance(), incarnation, this::leaseRenewed);
+        targetRowsAvailability.listen(new StoreAvailability.Listener() {
             @Override
             public void lost() {
-                book.storeLost();
+                registry.storeLost();
             }
 
             @Override
             public void answersAgain() {
-                book.storeAnswers();
+                registry.storeAnswers();
             }
         });
-        book.listen(desk);
-        book.listen(new HealthMembers());
-        book.listen(cold);
-        book.listen(admissionOfTargets);
-        desk.start(links);
+        registry.listen(coordinator);
+        registry.listen(new HealthMembers());
+        registry.listen(cold);
+        registry.listen(admissionOfTargets);
+        coordinator.start(links);
         quotaLinks = new QuotaLinks(quotas, links);
         links.onQuota(
                 quotaLinks::onRequest,
                 response -> admission.onAnswer(response.getNumber(), QuotaLinks.answer(response)));
         admissionLinks = new TargetAdmissionLinks(admissionOfTargets, links);
         startFeeds();
-        leaseKeeper.renew();
-        fleet.start();
+        leaseRenewer.renew();
+        directory.start();
         sweep();
     }
 
@@ -331,7 +342,7 @@
     }
 
     private void leaseRenewed() {
-        fleet.act();
+        directory.act();
         admits = true;
         noteStart();
     }
@@ -345,19 +356,25 @@
     private void startFeeds() {
         FeedReader.Context context = new FeedReader.Context(
                 store, timers, clock, new StoreClock(clock), new DomainRelay(settings.instance(), links));
-        feeds = new StoreFeeds(context, watch, targetWatch, this::operatorNews, this::targetNews, this::fleetChanged);
+        feeds = new StoreFeeds(
+                context,
+                storeAvailability,
+                targetRowsAvailability,
+                this::onOperatorNews,
+                this::onTargetNews,
+                this::onDirectoryNews);
         links.onFeedUpdate(feeds::onUpdate);
         feeds.start();
     }
 
     /** Evacuations first: a configuration may let requests go on that have waited for it. */
-    private void operatorNews(StorePort.News<StorePort.OperatorItem> news) {
+    private void onOperatorNews(StorePort.News<StorePort.OperatorItem> news) {
         evacuations.onNews(news, feeds.operatorReadAt());
         for (StorePort.OperatorItem item : news.items()) {
             if (item instanceof StorePort.OperatorItem.Configuration newer) {
                 configure(newer.configuration());
             } else if (item instanceof StorePort.OperatorItem.AdapterVersion named) {
-                desk.versions().named(named.adapter(), named.version(), feeds.operatorReadAt());
+                coordinator.versions().named(named.adapter(), named.version(), feeds.operatorReadAt());
             } else if (item instanceof StorePort.OperatorItem.Unreadable bad) {
                 log.write(EventCode.ROW_UNREADABLE, bad.key(), Field.of("reason", bad.reason()));
             }
@@ -372,29 +389,39 @@
         configuration = Optional.of(newer);
         quotas.configure(newer.accounts(), newer.shortestObjective());
         ingress.limit(newer.limits().bodyBytes(), newer.limits().idleTime());
-        desk.refresh();
-        fleet.act();
+        coordinator.refresh();
+        directory.act();
         log.write(EventCode.CONFIGURATION_ADVANCED, "", Field.of("version", newer.version()));
         noteStart();
     }
 
-    private void targetNews(StorePort.News<StorePort.TargetItem> news) {
-        targetNews.took(news);
+    private void onTargetNews(StorePort.News<StorePort.TargetItem> news) {
+        targetUpdates.took(news);
         targetsKnown = true;
         noteStart();
     }
 
-    private void fleetChanged(StorePort.News<StorePort.RowChange> changes) {
-        fleet.took(changes);
+    private void onDirectoryNews(StorePort.News<StorePort.RowChange> changes) {
+        directory.onNews(changes);
         sharesKnown = true;
         noteStart();
     }
 
     private void sweep() {
         noteReadiness();
-        connections.closeIdle(IDLE_CONNECTIONS);
-        book.expire();
-        timers.after(SWEEP, this::sweep);
+        connections.closeIdle(IDLE_CONNECTION_TIMEOUT);
+        noteTargets();
+        registry.expire();
+        timers.after(SWEEP_INTERVAL, this::sweep);
+    }
+
+    /** Counted on the event loop for the thread that scrapes. */
+    private void noteTargets() {
+        evacuatedRequests = registry.all().stream()
+                .filter(target -> evacuations.phase(target.description().failureDomain()) != Evacuations.Phase.IN_USE)
+                .mapToInt(Target::outstanding)
+                .sum();
+        coldTargets = (int) registry.all().stream().filter(cold::isCold).count();
     }
 
     private void noteReadiness() {
@@ -428,7 +455,7 @@
         Duration longest = settings.drainLimit().minus(DRAIN_MARGIN);
         loop.execute(() -> {
             requests.drain(longest);
-            fleet.stop();
+            directory.stop();
         });
         awaitQuiet(begun, longest);
         loop.execute(requests::close);
@@ -447,9 +474,9 @@
      */
     private void release() {
         CountDownLatch told = new CountDownLatch(1);
-        loop.execute(() -> leaseKeeper.release(told::countDown));
+        loop.execute(() -> leaseRenewer.release(told::countDown));
         try {
-            boolean answered = told.await(RELEASE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+            boolean answered = told.await(LEASE_RELEASE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
             log.write(
                     EventCode.HOLDER_CHANGED, settings.instance(), Field.of("holder", ""), Field.of("told", answered));
         } catch (InterruptedException stopped) {
@@ -465,7 +492,7 @@
                 if (quiet || passed.compareTo(longest) >= 0) {
                     return;
                 }
-                Thread.sleep(DRAIN_LOOK.toMillis());
+                Thread.sleep(DRAIN_POLL_INTERVAL.toMillis());
             }
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
