--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -34,7 +34,7 @@
 
     private final AdapterDemand demand;
     private final Map<String, ReadingSpeed> speeds = new HashMap<>();
-    private final TargetRegistry book;
+    private final TargetRegistry registry;
     private final TargetConditions conditions;
     private final IntSupplier entries;
     private final FailureDomain here;
@@ -44,7 +44,7 @@
     /**
      * Makes a placement.
      *
-     * @param book the targets, not null
+     * @param registry the targets, not null
      * @param conditions tells which targets may be used now, not null
      * @param entries tells how many entries there are, not null
      * @param here this entry's failure domain, not null
@@ -52,13 +52,13 @@
      * @param clock the clock, not null
      */
     public Placement(
-            TargetRegistry book,
+            TargetRegistry registry,
             TargetConditions conditions,
             IntSupplier entries,
             FailureDomain here,
             PlacementSettings settings,
             MonotonicClock clock) {
-        this.book = Objects.requireNonNull(book, "book");
+        this.registry = Objects.requireNonNull(registry, "registry");
         this.conditions = Objects.requireNonNull(conditions, "conditions");
         this.entries = Objects.requireNonNull(entries, "entries");
         this.here = Objects.requireNonNull(here, "here");
@@ -74,7 +74,7 @@
      * @return the decision, not null
      */
     public PlacementDecision place(PlacementRequest need) {
-        List<Target> offering = book.ofService(need.service());
+        List<Target> offering = registry.ofService(need.service());
         if (offering.isEmpty()) {
             return new PlacementDecision.Nowhere(PlacementDecision.Reason.NO_TARGET);
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
@@ -80,7 +80,7 @@
     }
 
     /**
-     * Makes a book without targets.
+     * Makes a registry without targets.
      *
      * @param clock the clock, not null
      */
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetUpdates.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetUpdates.java
@@ -10,24 +10,24 @@
 import org.geraniumreach.model.EventCode;
 
 /**
- * Takes the news of the targets' rows into the book.
+ * Takes the news of the targets' rows into the registry.
  *
  * <p>Invariant: changes are taken in the order of the store, so that a row that went after its last heartbeat is gone. Confined to
  * the event loop.
  */
 public final class TargetUpdates {
 
-    private final TargetRegistry book;
+    private final TargetRegistry registry;
     private final DecisionLog log;
 
     /**
      * Makes a reader of news.
      *
-     * @param book the targets, not null
+     * @param registry the targets, not null
      * @param log takes decisions, not null
      */
-    public TargetUpdates(TargetRegistry book, DecisionLog log) {
-        this.book = Objects.requireNonNull(book, "book");
+    public TargetUpdates(TargetRegistry registry, DecisionLog log) {
+        this.registry = Objects.requireNonNull(registry, "registry");
         this.log = Objects.requireNonNull(log, "log");
     }
 
@@ -36,23 +36,23 @@
      *
      * @param news the news, all rows there are or those that changed, not null
      */
-    public void took(StorePort.News<StorePort.TargetItem> news) {
+    public void onNews(StorePort.News<StorePort.TargetItem> news) {
         if (news.whole()) {
-            tookAll(news);
+            onWholeNews(news);
             return;
         }
         for (StorePort.TargetItem item : news.items()) {
             if (item instanceof StorePort.TargetItem.Present row) {
-                book.put(row.description());
+                registry.put(row.description());
             } else if (item instanceof StorePort.TargetItem.Gone gone) {
-                book.removed(gone.target());
+                registry.removed(gone.target());
             } else if (item instanceof StorePort.TargetItem.Unreadable bad) {
                 unreadable(bad);
             }
         }
     }
 
-    private void tookAll(StorePort.News<StorePort.TargetItem> news) {
+    private void onWholeNews(StorePort.News<StorePort.TargetItem> news) {
         List<TargetDescription> present = new ArrayList<>();
         for (StorePort.TargetItem item : news.items()) {
             if (item instanceof StorePort.TargetItem.Present row) {
@@ -61,7 +61,7 @@
                 unreadable(bad);
             }
         }
-        book.replaceAll(present);
+        registry.replaceAll(present);
     }
 
     /** Another writer's row, or a damaged one, names no target; the others hold. */
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -335,7 +335,7 @@
                 avoided.add(target.id());
             }
             if (why == NotExecuted.ANOTHER_TARGET) {
-                services.book().ended(target);
+                services.registry().ended(target);
             }
             again("not executed: " + why);
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -16,7 +16,7 @@
  * What exchanges share.
  *
  * @param placement chooses targets
- * @param book the targets
+ * @param registry the targets
  * @param targets calls targets
  * @param adapters has adapters loaded
  * @param quotas admits by account
@@ -31,7 +31,7 @@
  */
 public record ExchangeServices(
         Placement placement,
-        TargetRegistry book,
+        TargetRegistry registry,
         TargetPort targets,
         AdapterLoader adapters,
         QuotaAdmission quotas,
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/UsageReportsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/UsageReportsTest.java
@@ -26,9 +26,9 @@
     private final Target target = target();
 
     private static Target target() {
-        TargetRegistry book = new TargetRegistry(() -> 0);
+        TargetRegistry registry = new TargetRegistry(() -> 0);
         TargetId id = TargetId.of("t");
-        book.put(new TargetDescription(
+        registry.put(new TargetDescription(
                 id,
                 1,
                 "service",
@@ -38,7 +38,7 @@
                 false,
                 Optional.empty(),
                 Map.of()));
-        return book.find(id).orElseThrow();
+        return registry.find(id).orElseThrow();
     }
 
     @Test
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
@@ -36,7 +36,7 @@
     private static final long LONG_READING = 9_600;
 
     private final VirtualTime time = new VirtualTime();
-    private final TargetRegistry book = new TargetRegistry(time);
+    private final TargetRegistry registry = new TargetRegistry(time);
     private int entries = 1;
     private final Placement one = placement();
     private final Placement other = placement();
@@ -53,13 +53,13 @@
         long tokens = 2_000;
         Duration took = Duration.ofNanos((long) (tokens / tokensPerMilli * 1e6));
         for (int prompt = 0; prompt < 100; prompt++) {
-            placement.promptRead(book.all().iterator().next(), tokens, took);
+            placement.promptRead(registry.all().iterator().next(), tokens, took);
         }
     }
 
     private Placement placement() {
         return new Placement(
-                book,
+                registry,
                 TargetConditions.unrestricted(),
                 () -> entries,
                 FailureDomain.of("here"),
@@ -72,7 +72,7 @@
     }
 
     private void join(String name, FailureDomain domain) {
-        book.put(new TargetDescription(
+        registry.put(new TargetDescription(
                 TargetId.of(name),
                 1,
                 "service",
@@ -110,7 +110,10 @@
     }
 
     private Target anotherThan(Target target) {
-        return book.all().stream().filter(each -> each != target).findFirst().orElseThrow();
+        return registry.all().stream()
+                .filter(each -> each != target)
+                .findFirst()
+                .orElseThrow();
     }
 
     @Test
@@ -243,8 +246,8 @@
     }
 
     private Placement restricted(TargetConditions conditions) {
-        Placement placement =
-                new Placement(book, conditions, () -> 1, FailureDomain.of("here"), PlacementSettings.defaults(), time);
+        Placement placement = new Placement(
+                registry, conditions, () -> 1, FailureDomain.of("here"), PlacementSettings.defaults(), time);
         teach(placement, READ_IN_A_MILLI);
         return placement;
     }
@@ -263,7 +266,7 @@
     @Test
     void anAdapterThatOnlyAnEvacuatedDomainHoldsIsLoadedElsewhere() {
         join("away", AWAY);
-        Target away = book.find(TargetId.of("away")).orElseThrow();
+        Target away = registry.find(TargetId.of("away")).orElseThrow();
         away.learnResident(ADAPTER, 1, time.nanos());
         PlacementDecision decision =
                 restricted(evacuated(AWAY, Evacuations.Phase.EMPTY)).place(need(ADAPTER, "s"));
@@ -276,7 +279,7 @@
     @Test
     void anAdapterIsServedWhereItIsAndLoadedElsewhereWhileItsDomainIsEmptied() {
         join("away", AWAY);
-        Target away = book.find(TargetId.of("away")).orElseThrow();
+        Target away = registry.find(TargetId.of("away")).orElseThrow();
         away.learnResident(ADAPTER, 1, time.nanos());
         PlacementDecision.Send send = (PlacementDecision.Send)
                 restricted(evacuated(AWAY, Evacuations.Phase.EMPTYING)).place(need(ADAPTER, "s"));
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetRegistryTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetRegistryTest.java
@@ -19,7 +19,7 @@
     private static final TargetId ID = TargetId.of("t");
 
     private final VirtualTime time = new VirtualTime();
-    private final TargetRegistry book = new TargetRegistry(time);
+    private final TargetRegistry registry = new TargetRegistry(time);
 
     private static TargetDescription description(long startedAt, boolean draining) {
         return new TargetDescription(
@@ -35,19 +35,19 @@
     }
 
     private void rowGoesJustAfterTheStoreIsBackAndOneHeartbeatComes() {
-        book.put(description(1, false));
-        book.storeLost();
+        registry.put(description(1, false));
+        registry.storeLost();
         time.pass(Duration.ofSeconds(7));
-        book.storeAnswers();
-        book.removed(ID);
-        book.put(description(1, false));
+        registry.storeAnswers();
+        registry.removed(ID);
+        registry.put(description(1, false));
     }
 
     @Test
     void aTargetWhoseRowIsGoneTakesNoWork() {
-        book.put(description(1, false));
-        book.removed(ID);
-        assertThat(book.find(ID)).isEmpty();
+        registry.put(description(1, false));
+        registry.removed(ID);
+        assertThat(registry.find(ID)).isEmpty();
     }
 
     // All targets would be lost at once: their rows lapse while the store is away, though they live. They are used
@@ -55,16 +55,16 @@
     // the store has been back for two seconds; one whose row is missing still is gone then.
     @Test
     void rowsThatLapseWhileTheStoreIsAwayAreBelievedForTwoMoreSeconds() {
-        book.put(description(1, false));
-        book.storeLost();
+        registry.put(description(1, false));
+        registry.storeLost();
         time.pass(Duration.ofSeconds(5));
-        book.removed(ID);
-        book.expire();
-        assertThat(book.find(ID)).isPresent();
-        book.storeAnswers();
+        registry.removed(ID);
+        registry.expire();
+        assertThat(registry.find(ID)).isPresent();
+        registry.storeAnswers();
         time.pass(TargetRegistry.RETURN_LIMIT);
-        book.expire();
-        assertThat(book.find(ID)).isEmpty();
+        registry.expire();
+        assertThat(registry.find(ID)).isEmpty();
     }
 
     // A request reached a target 2.7 s after it had left: the store turned one entry away for 7 s, the target's row
@@ -73,146 +73,146 @@
     void aLateHeartbeatAfterTheStoresReturnKeepsATargetForMomentsOnly() {
         rowGoesJustAfterTheStoreIsBackAndOneHeartbeatComes();
         time.pass(TargetRegistry.PROOF_LIMIT.minusMillis(1));
-        book.expire();
-        assertThat(book.find(ID)).isPresent();
+        registry.expire();
+        assertThat(registry.find(ID)).isPresent();
         time.pass(Duration.ofMillis(1));
-        book.expire();
-        assertThat(book.find(ID)).isEmpty();
+        registry.expire();
+        assertThat(registry.find(ID)).isEmpty();
     }
 
     @Test
     void aTargetThatWasLetGoOfAfterOneHeartbeatIsBackWithTheNext() {
         rowGoesJustAfterTheStoreIsBackAndOneHeartbeatComes();
         time.pass(TargetRegistry.PROOF_LIMIT);
-        book.expire();
-        book.put(description(1, false));
-        assertThat(book.find(ID)).isPresent();
+        registry.expire();
+        registry.put(description(1, false));
+        assertThat(registry.find(ID)).isPresent();
     }
 
     // Callers' answers are cut off: a target leaves, its row goes, and a heartbeat that was on its way puts the row
     // back for some seconds. It is the only one, so the target is not taken to be there.
     @Test
     void aLateHeartbeatOfATargetThatHasLeftDoesNotBringItBack() {
-        book.put(description(1, false));
-        book.removed(ID);
-        book.put(description(1, false));
-        assertThat(book.find(ID)).isEmpty();
-        book.removed(ID);
-        book.put(description(1, false));
-        assertThat(book.find(ID)).isEmpty();
+        registry.put(description(1, false));
+        registry.removed(ID);
+        registry.put(description(1, false));
+        assertThat(registry.find(ID)).isEmpty();
+        registry.removed(ID);
+        registry.put(description(1, false));
+        assertThat(registry.find(ID)).isEmpty();
     }
 
     // A target that was cut off from the store lives and writes its heartbeats again; without it the others are
     // crowded.
     @Test
     void aTargetThatWritesHeartbeatsAgainIsBack() {
-        book.put(description(1, false));
-        book.removed(ID);
-        book.put(description(1, false));
-        book.put(description(1, false));
-        assertThat(book.find(ID)).isPresent();
+        registry.put(description(1, false));
+        registry.removed(ID);
+        registry.put(description(1, false));
+        registry.put(description(1, false));
+        assertThat(registry.find(ID)).isPresent();
     }
 
     @Test
     void aTargetThatStartsAgainIsBackAtOnce() {
-        book.put(description(1, false));
-        book.removed(ID);
-        book.put(description(2, false));
-        assertThat(book.find(ID)).isPresent();
+        registry.put(description(1, false));
+        registry.removed(ID);
+        registry.put(description(2, false));
+        assertThat(registry.find(ID)).isPresent();
     }
 
     // Requests reach a target that drains: the heartbeat from before its draining is written after the one that told
     // of it.
     @Test
     void aLateHeartbeatDoesNotEndDraining() {
-        book.put(description(1, false));
-        book.put(description(1, true));
-        book.put(description(1, false));
-        assertThat(book.find(ID).orElseThrow().takesWork()).isFalse();
+        registry.put(description(1, false));
+        registry.put(description(1, true));
+        registry.put(description(1, false));
+        assertThat(registry.find(ID).orElseThrow().takesWork()).isFalse();
     }
 
     // A target that has left gets requests for seconds: one call of the store fails just as its row goes. No row lapses
     // within so short an absence, so the target is gone.
     @Test
     void aRowThatGoesAtAShortFailureOfTheStoreIsBelievedGone() {
-        book.put(description(1, false));
-        book.storeLost();
+        registry.put(description(1, false));
+        registry.storeLost();
         time.pass(Duration.ofMillis(300));
-        book.storeAnswers();
-        book.removed(ID);
-        assertThat(book.find(ID)).isEmpty();
+        registry.storeAnswers();
+        registry.removed(ID);
+        assertThat(registry.find(ID)).isEmpty();
     }
 
     // A target that lives writes a heartbeat each 1.2 s once it reaches the store again; its rows come and stay.
     @Test
     void aLapsedRowThatComesBackIsKept() {
-        book.put(description(1, false));
-        book.storeLost();
+        registry.put(description(1, false));
+        registry.storeLost();
         time.pass(Duration.ofSeconds(4));
-        book.replaceAll(List.of());
-        book.storeAnswers();
-        book.put(description(1, false));
+        registry.replaceAll(List.of());
+        registry.storeAnswers();
+        registry.put(description(1, false));
         time.pass(Duration.ofMillis(1_200));
-        book.expire();
-        assertThat(book.find(ID)).isPresent();
-        book.put(description(1, false));
+        registry.expire();
+        assertThat(registry.find(ID)).isPresent();
+        registry.put(description(1, false));
         time.pass(Duration.ofMillis(1_800));
-        book.expire();
-        assertThat(book.find(ID)).isPresent();
+        registry.expire();
+        assertThat(registry.find(ID)).isPresent();
     }
 
     // A caller's stream would be answered "not resident": the target has started again under its name and holds
     // nothing.
     @Test
     void aTargetThatStartedAgainHoldsNothingOfBefore() {
-        book.put(description(1, false));
-        Target before = book.find(ID).orElseThrow();
+        registry.put(description(1, false));
+        Target before = registry.find(ID).orElseThrow();
         before.learnResident(new AdapterName("base", "a9"), 1, time.nanos());
-        book.put(description(2, false));
-        assertThat(book.find(ID).orElseThrow().residentVersion(new AdapterName("base", "a9")))
+        registry.put(description(2, false));
+        assertThat(registry.find(ID).orElseThrow().residentVersion(new AdapterName("base", "a9")))
                 .isEmpty();
         assertThat(before.takesWork()).isFalse();
     }
 
     @Test
     void anOlderLifeThatIsReadLateChangesNothing() {
-        book.put(description(2, false));
-        book.put(description(1, false));
-        assertThat(book.find(ID).orElseThrow().description().startedAt()).isEqualTo(2);
+        registry.put(description(2, false));
+        registry.put(description(1, false));
+        assertThat(registry.find(ID).orElseThrow().description().startedAt()).isEqualTo(2);
     }
 
     @Test
     void whatWasLearntCountsAgainstARowOfAnOlderMoment() {
-        book.put(description(1, false));
-        Target target = book.find(ID).orElseThrow();
+        registry.put(description(1, false));
+        Target target = registry.find(ID).orElseThrow();
         AdapterName loaded = new AdapterName("base", "a2");
         target.learnResident(loaded, 1, time.nanos());
         target.learnAbsent(new AdapterName("base", "a1"), time.nanos());
-        book.put(description(1, false));
+        registry.put(description(1, false));
         assertThat(target.residents()).containsOnlyKeys(loaded);
         time.pass(Target.ROW_LAG);
-        book.put(description(1, false));
+        registry.put(description(1, false));
         assertThat(target.residents()).containsOnlyKeys(new AdapterName("base", "a1"));
     }
 
     @Test
     void aLeavingTargetTakesNoWork() {
-        book.put(description(1, false));
-        book.put(description(1, true));
-        assertThat(book.find(ID).orElseThrow().takesWork()).isFalse();
+        registry.put(description(1, false));
+        registry.put(description(1, true));
+        assertThat(registry.find(ID).orElseThrow().takesWork()).isFalse();
     }
 
     /** Guards against requests that see an older list of a service's targets. */
     @Test
     void theTargetsOfAServiceAreThoseOfTheMomentInTheOrderOfTheirNames() {
-        assertThat(book.ofService("service")).isEmpty();
-        book.put(description(1, false));
-        assertThat(book.ofService("service")).extracting(Target::id).containsExactly(ID);
-        book.put(description(2, false));
-        assertThat(book.ofService("service"))
+        assertThat(registry.ofService("service")).isEmpty();
+        registry.put(description(1, false));
+        assertThat(registry.ofService("service")).extracting(Target::id).containsExactly(ID);
+        registry.put(description(2, false));
+        assertThat(registry.ofService("service"))
                 .extracting(target -> target.description().startedAt())
                 .containsExactly(2L);
-        book.removed(ID);
-        assertThat(book.ofService("service")).isEmpty();
+        registry.removed(ID);
+        assertThat(registry.ofService("service")).isEmpty();
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetUpdatesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetUpdatesTest.java
@@ -20,9 +20,9 @@
 
     private static final TargetId ID = TargetId.of("t");
 
-    private final TargetRegistry book = new TargetRegistry(new VirtualTime());
+    private final TargetRegistry registry = new TargetRegistry(new VirtualTime());
     private final List<EventCode> logged = new ArrayList<>();
-    private final TargetUpdates news = new TargetUpdates(book, (event, subject, fields) -> logged.add(event));
+    private final TargetUpdates news = new TargetUpdates(registry, (event, subject, fields) -> logged.add(event));
 
     private static TargetItem present() {
         return new TargetItem.Present(new TargetDescription(
@@ -38,7 +38,7 @@
     }
 
     private void take(boolean whole, TargetItem... items) {
-        news.took(new StorePort.News<>(List.of(items), 1, whole));
+        news.onNews(new StorePort.News<>(List.of(items), 1, whole));
     }
 
     // Requests would go to a target that has left: its last heartbeat and its row's end come in one answer, and the
@@ -47,20 +47,20 @@
     void aRowThatGoesAfterAHeartbeatOfTheSameNewsIsGone() {
         take(true, present());
         take(false, present(), new TargetItem.Gone(ID));
-        assertThat(book.find(ID)).isEmpty();
+        assertThat(registry.find(ID)).isEmpty();
     }
 
     @Test
     void aTargetWithoutARowInWholeNewsIsGone() {
         take(true, present());
         take(true);
-        assertThat(book.find(ID)).isEmpty();
+        assertThat(registry.find(ID)).isEmpty();
     }
 
     @Test
     void aRowThatCannotBeReadIsLoggedAndLeavesTheOthers() {
         take(false, new TargetItem.Unreadable("odd", "no state"), present());
-        assertThat(book.find(ID)).isPresent();
+        assertThat(registry.find(ID)).isPresent();
         assertThat(logged).containsExactly(EventCode.ROW_UNREADABLE);
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -277,7 +277,7 @@
             return Cancellable.NOTHING;
         });
         world.send(Optional.of(generation()));
-        world.book().removed(asked.get(0).id());
+        world.registry().removed(asked.get(0).id());
         world.time().pass(Duration.ofMillis(200));
         assertThat(world.targets().last().target()).isNotSameAs(asked.get(0));
     }
@@ -288,7 +288,7 @@
         world.send(Optional.of(generation()));
         assertThat(world.adapters().wanted()).contains("a a7");
         assertThat(world.targets().sent()).isEmpty();
-        world.book()
+        world.registry()
                 .all()
                 .iterator()
                 .next()
@@ -315,7 +315,7 @@
         RecordedAnswer answer = world.send(Optional.of(generation()));
         world.time().pass(Duration.ofMillis(1_200));
         assertThat(answer.isOver()).isFalse();
-        world.book()
+        world.registry()
                 .all()
                 .iterator()
                 .next()
@@ -341,7 +341,7 @@
         world.targets().last().failed(true);
         assertThat(answer.isOver()).isFalse();
         assertThat(world.adapters().wanted()).contains("b a7");
-        world.book()
+        world.registry()
                 .find(TargetId.of("b"))
                 .orElseThrow()
                 .learnResident(ADAPTER, 1, world.time().nanos());
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestWorld.java
@@ -58,7 +58,7 @@
 
     private final VirtualTime time = new VirtualTime();
     private final FakeTargets targets = new FakeTargets();
-    private final TargetRegistry book = new TargetRegistry(time);
+    private final TargetRegistry registry = new TargetRegistry(time);
     private final Adapters adapters = new Adapters();
     private final List<OutcomeListener.Outcome> outcomes = new ArrayList<>();
     private final Lease lease = new Lease(time, time::wallMillis);
@@ -152,7 +152,7 @@
 
     public RequestWorld() {
         Placement placement = new Placement(
-                book,
+                registry,
                 new TargetConditions(
                         target -> health.admits(target.id()), target -> held, evacuations::phase, cold::mayBeSent),
                 () -> 1,
@@ -162,7 +162,7 @@
         this.desk = new RequestHandler(
                 new ExchangeServices(
                         placement,
-                        book,
+                        registry,
                         targets,
                         adapters,
                         new QuotaAdmission(quotas, (entry, number, account, units) -> false, time, time, new Random(1)),
@@ -214,7 +214,7 @@
     }
 
     public RequestWorld target(String name, Map<String, Map<String, Long>> models) {
-        book.put(new TargetDescription(
+        registry.put(new TargetDescription(
                 TargetId.of(name),
                 1,
                 "service",
@@ -288,8 +288,8 @@
         return targets;
     }
 
-    public TargetRegistry book() {
-        return book;
+    public TargetRegistry registry() {
+        return registry;
     }
 
     public Adapters adapters() {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -396,7 +396,7 @@
     }
 
     private void onTargetNews(StorePort.News<StorePort.TargetItem> news) {
-        targetUpdates.took(news);
+        targetUpdates.onNews(news);
         targetsKnown = true;
         noteStart();
     }
