--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -93,19 +93,27 @@
         }
     }
 
+    /**
+     * Which targets there are, and how they are called.
+     *
+     * @param registry the targets
+     * @param ownership who owns which
+     * @param mayBeCalled whether anything may be sent to a target now
+     * @param port calls them
+     */
+    record Targets(
+            TargetRegistry registry, TargetOwnership ownership, Predicate<Target> mayBeCalled, TargetPort port) {}
+
     AdapterLoadCoordinator(
-            TargetRegistry registry,
-            TargetOwnership ownership,
-            Predicate<Target> mayBeCalled,
-            TargetPort targets,
+            Targets targets,
             Timers timers,
             MonotonicClock clock,
             DecisionLog log,
             Supplier<Optional<TrafficConfiguration>> configuration) {
-        this.registry = Objects.requireNonNull(registry, "registry");
-        this.ownership = Objects.requireNonNull(ownership, "ownership");
-        this.mayBeCalled = Objects.requireNonNull(mayBeCalled, "mayBeCalled");
-        this.targets = Objects.requireNonNull(targets, "targets");
+        this.registry = Objects.requireNonNull(targets.registry(), "registry");
+        this.ownership = Objects.requireNonNull(targets.ownership(), "ownership");
+        this.mayBeCalled = Objects.requireNonNull(targets.mayBeCalled(), "mayBeCalled");
+        this.targets = Objects.requireNonNull(targets.port(), "targets");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.log = Objects.requireNonNull(log, "log");
--- /dev/null
+++ b/node/src/main/java/org/geraniumreach/node/EntryDrain.java
@@ -0,0 +1,81 @@
+package org.geraniumreach.node;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * The order in which an entry that is to end lets go of its callers and its targets.
+ *
+ * <p>Invariants: the lease is given up once no request is open or the time is up, since targets would have nobody to load adapters for the seconds
+ * in which its last order may still arrive, and at a restart of all entries in turn again and again; what comes meanwhile is refused and
+ * answered before the process ends. Confined to the thread that runs it.
+ */
+final class EntryDrain {
+
+    private static final Duration LEAST_TIME = Duration.ofMillis(3_500);
+
+    /** Left for the end of the process itself. */
+    private static final Duration MARGIN = Duration.ofMillis(900);
+
+    private static final Duration LEASE_RELEASE_TIMEOUT = Duration.ofMillis(300);
+
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
+
+    private final IntSupplier open;
+    private final Consumer<Runnable> release;
+    private final Duration longest;
+    private final MonotonicClock clock;
+
+    /**
+     * Creates a drain.
+     *
+     * @param open gives the number of open requests, not null
+     * @param release gives the lease up, and runs what it is given when the store has answered, not null
+     * @param limit after what time the process is killed, not null
+     * @param clock the clock, not null
+     */
+    EntryDrain(IntSupplier open, Consumer<Runnable> release, Duration limit, MonotonicClock clock) {
+        this.open = Objects.requireNonNull(open, "open");
+        this.release = Objects.requireNonNull(release, "release");
+        this.longest = limit.minus(MARGIN);
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /**
+     * Drains, and returns when the process may end.
+     *
+     * @param begin told at the beginning after what time it ends at the latest, not null
+     * @param close run when nothing more is to be taken, not null
+     */
+    void run(Consumer<Duration> begin, Runnable close) {
+        long begunAt = clock.nanos();
+        begin.accept(longest);
+        try {
+            awaitQuiet(begunAt);
+            close.run();
+            CountDownLatch released = new CountDownLatch(1);
+            release.accept(released::countDown);
+            released.await(LEASE_RELEASE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            awaitQuiet(begunAt);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void awaitQuiet(long begunAt) throws InterruptedException {
+        while (true) {
+            Duration passed = Duration.ofNanos(clock.nanos() - begunAt);
+            boolean quiet = open.getAsInt() == 0 && passed.compareTo(LEAST_TIME) >= 0;
+            if (quiet || passed.compareTo(longest) >= 0) {
+                return;
+            }
+            Thread.sleep(POLL_INTERVAL.toMillis());
+        }
+    }
+}
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -8,8 +8,6 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.channel.EventLoop;
@@ -76,16 +74,9 @@
     /** Entries among which the fixed part of the repeats is divided, until it is known how many there are. */
     private static final int LIKELY_ENTRIES = 6;
 
-    private static final Duration LEAST_DRAIN = Duration.ofMillis(3_500);
-    private static final Duration DRAIN_MARGIN = Duration.ofMillis(900);
-    /** The store answers within 10 ms; without its answer others wait the lease out. */
-    private static final Duration LEASE_RELEASE_TIMEOUT = Duration.ofMillis(300);
-
     /** Callers wait for an entry that starts; who reads metrics does not. */
     private static final Duration METRICS_DELAY = Duration.ofMillis(1_500);
 
-    private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
-
     private final ProcessSettings settings;
     private final JsonLog lines;
     private final EntryMetrics metrics;
@@ -158,7 +149,11 @@
                 clock,
                 log);
         this.coordinator = new AdapterLoadCoordinator(
-                registry, ownership, this::mayBeCalled, targets, timers, clock, log, () -> configuration);
+                new AdapterLoadCoordinator.Targets(registry, ownership, this::mayBeCalled, targets),
+                timers,
+                clock,
+                log,
+                () -> configuration);
         this.requests = new RequestHandler(services(), () -> configuration, random::nextDouble);
     }
 
@@ -451,51 +446,22 @@
         }
         log.write(EventCode.DRAINING, settings.instance(), Field.of("open", ingress.open()));
         ingress.drain();
-        long begun = clock.nanos();
-        Duration longest = settings.drainLimit().minus(DRAIN_MARGIN);
-        loop.execute(() -> {
-            requests.drain(longest);
-            directory.stop();
-        });
-        awaitQuiet(begun, longest);
-        loop.execute(requests::close);
-        release();
-        awaitQuiet(begun, longest);
+        new EntryDrain(ingress::open, this::release, settings.drainLimit(), clock)
+                .run(
+                        longest -> loop.execute(() -> {
+                            requests.drain(longest);
+                            directory.stop();
+                        }),
+                        () -> loop.execute(requests::close));
         log.write(EventCode.DRAINED, settings.instance(), Field.of("open", ingress.open()));
         lines.close();
     }
 
-    /**
-     * Gives up the right to order targets, at the very end.
-     *
-     * <p>Given up at the drain's beginning, targets had nobody to load adapters for the seconds in which a holder's last order may
-     * still arrive, and at a restart of all entries in turn again and again; an entry that is only restarted takes its targets up as it
-     * comes back.
-     */
-    private void release() {
-        CountDownLatch told = new CountDownLatch(1);
-        loop.execute(() -> leaseRenewer.release(told::countDown));
-        try {
-            boolean answered = told.await(LEASE_RELEASE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-            log.write(
-                    EventCode.HOLDER_CHANGED, settings.instance(), Field.of("holder", ""), Field.of("told", answered));
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void awaitQuiet(long begun, Duration longest) {
-        try {
-            while (true) {
-                Duration passed = Duration.ofNanos(clock.nanos() - begun);
-                boolean quiet = ingress.open() == 0 && passed.compareTo(LEAST_DRAIN) >= 0;
-                if (quiet || passed.compareTo(longest) >= 0) {
-                    return;
-                }
-                Thread.sleep(DRAIN_POLL_INTERVAL.toMillis());
-            }
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-        }
+    /** Gives up the right to order targets. */
+    private void release(Runnable released) {
+        loop.execute(() -> leaseRenewer.release(() -> {
+            log.write(EventCode.HOLDER_CHANGED, settings.instance(), Field.of("holder", ""));
+            released.run();
+        }));
     }
 }
--- a/node/src/test/java/org/geraniumreach/node/AdapterLoadCoordinatorTest.java
+++ b/node/src/test/java/org/geraniumreach/node/AdapterLoadCoordinatorTest.java
@@ -33,10 +33,11 @@
     private final AtomicLong now = new AtomicLong(BEGIN);
     private final MonotonicClock clock = now::get;
     private final AdapterLoadCoordinator desk = new AdapterLoadCoordinator(
-            new TargetRegistry(clock),
-            new TargetOwnership("one", 1, new Lease(clock, () -> now.get() / 1_000_000), clock),
-            target -> true,
-            new NoTargets(),
+            new AdapterLoadCoordinator.Targets(
+                    new TargetRegistry(clock),
+                    new TargetOwnership("one", 1, new Lease(clock, () -> now.get() / 1_000_000), clock),
+                    target -> true,
+                    new NoTargets()),
             (delay, action) -> Cancellable.NOTHING,
             clock,
             (event, id, fields) -> {},
--- a/node/src/test/java/org/geraniumreach/node/EvacuatedTargetCallsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EvacuatedTargetCallsTest.java
@@ -48,10 +48,7 @@
     private boolean evacuated;
 
     private final AdapterLoadCoordinator coordinator = new AdapterLoadCoordinator(
-            registry,
-            ownership,
-            target -> !evacuated,
-            calls,
+            new AdapterLoadCoordinator.Targets(registry, ownership, target -> !evacuated, calls),
             (delay, action) -> {
                 due.add(action);
                 return () -> due.remove(action);
