Wait for holders of a rate that start at the same moment

A request waited 0.6 s for a link, and a holder that did not answer within 150 ms counted as one that had refused for 500 ms. Change: in an entry's first four seconds a request waits up to 1.5 s, or 0.6 of its time, for a holder that can be reached and answers; silence is believed for 60 ms. An answer, also a refusal, ends the waiting as before. Tests fail before.

--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/QuotaAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/QuotaAdmission.java
@@ -42,10 +42,13 @@
     /** For so long after its creation, links to holders may still be on their way. */
     private static final Duration STARTUP = Duration.ofSeconds(4);
 
-    /** How long a request waits for a link to a holder, in that time. */
-    private static final Duration LONGEST_LINK_WAIT = Duration.ofMillis(600);
+    /** How long a request waits for a holder that can be reached and answers, in that time; callers leave a silent stream after two seconds. */
+    private static final Duration LONGEST_HOLDER_WAIT = Duration.ofMillis(1_500);
 
-    private static final Duration LINK_RETRY_INTERVAL = Duration.ofMillis(60);
+    /** Part of the caller's time for which it waits at the most. */
+    private static final double HOLDER_WAIT_PART = 0.6;
+
+    private static final Duration HOLDER_RETRY_INTERVAL = Duration.ofMillis(60);
 
     private final Quotas quotas;
     private final QuotaPeers peers;
@@ -59,13 +62,20 @@
 
     private record Holder(String entry, AccountId account) {}
 
-    /** A holder's refusal: until when it is not asked again, and when it said that it has units, if it said so. */
-    private record Refused(long until, OptionalLong comeBackAt) {}
+    /**
+     * A holder's refusal.
+     *
+     * @param until until when it is not asked again
+     * @param comeBackAt when it said that it has units, empty if it did not say
+     * @param silent whether it did not answer at all
+     */
+    private record Refused(long until, OptionalLong comeBackAt, boolean silent) {}
 
     /** A request whose units are asked for. */
     private final class Pending {
         private final Account account;
         private final double units;
+        private final Duration longestWait;
         private final Consumer<Quotas.Admission> decided;
         private final long startedAt = clock.nanos();
         private Deque<String> holders;
@@ -74,15 +84,18 @@
         private long number;
         private String asked = "";
         private int count;
+        private boolean answered;
 
         private Pending(
                 Account account,
                 double units,
+                Duration longestWait,
                 Consumer<Quotas.Admission> decided,
                 Deque<String> holders,
                 Optional<Duration> comeBack) {
             this.account = account;
             this.units = units;
+            this.longestWait = longestWait;
             this.decided = decided;
             this.holders = holders;
             this.comeBack = comeBack;
@@ -99,35 +112,37 @@
                     return;
                 }
             }
-            if (mayGetLink()) {
-                timeout = timers.after(LINK_RETRY_INTERVAL, this::askAgain);
+            if (mayGetHolder()) {
+                timeout = timers.after(HOLDER_RETRY_INTERVAL, this::askAgain);
                 return;
             }
             decided.accept(new Quotas.Admission(false, comeBack));
         }
 
-        /** Guards against refusals within the rate by an entry that has just started again. */
-        private boolean mayGetLink() {
+        /** Guards against refusals within the rate by an entry that has started, whose holders have started with it. */
+        private boolean mayGetHolder() {
             long now = clock.nanos();
-            return count == 0
+            return !answered
                     && now - createdAt < STARTUP.toNanos()
-                    && now - startedAt < LONGEST_LINK_WAIT.toNanos()
-                    && !holders(account.id()).isEmpty();
+                    && now - startedAt < longestWait.toNanos()
+                    && hasHolderThatHasNotRefused(account.id());
         }
 
         private void askAgain() {
+            count = 0;
             holders = holders(account.id());
             askNext();
         }
 
         private void onTimeout() {
             pending.remove(number);
-            refuse(asked, account.id(), Optional.empty());
+            noteSilence(asked, account.id());
             askNext();
         }
 
         private void onAnswer(Quotas.Admission answer) {
             timeout.cancel();
+            answered = true;
             if (answer.admitted()) {
                 decided.accept(answer);
                 return;
@@ -166,10 +181,11 @@
      *
      * @param account the account, not null
      * @param units the units
+     * @param patience how long the request may take, not null
      * @param decided told whether the request is admitted, at once if nobody need be asked, not null
      * @return calls it off, not null
      */
-    public Cancellable admit(Account account, double units, Consumer<Quotas.Admission> decided) {
+    public Cancellable admit(Account account, double units, Duration patience, Consumer<Quotas.Admission> decided) {
         Optional<Duration> comeBack = Optional.empty();
         if (!account.isLimited() || quotas.hasShare(account.id())) {
             Quotas.Admission own = quotas.admit(account, units);
@@ -180,11 +196,21 @@
             comeBack = own.delay();
         }
         Optional<Duration> soonest = comeBack(account.id(), comeBack);
-        Pending request = new Pending(account, units, decided, holders(account.id()), soonest);
+        Pending request = new Pending(account, units, longestWait(patience), decided, holders(account.id()), soonest);
         request.askNext();
         return request::cancel;
     }
 
+    private static Duration longestWait(Duration patience) {
+        Duration part = Duration.ofNanos((long) (patience.toNanos() * HOLDER_WAIT_PART));
+        return part.compareTo(LONGEST_HOLDER_WAIT) < 0 ? part : LONGEST_HOLDER_WAIT;
+    }
+
+    private boolean hasHolderThatHasNotRefused(AccountId account) {
+        return quotas.otherHolders(account).stream()
+                .anyMatch(entry -> refusal(entry, account).map(Refused::silent).orElse(true));
+    }
+
     private Deque<String> holders(AccountId account) {
         List<String> holders = new ArrayList<>(quotas.otherHolders(account));
         holders.removeIf(entry -> refusal(entry, account).isPresent());
@@ -210,16 +236,28 @@
         return soonest;
     }
 
-    private void refuse(String entry, AccountId account, Optional<Duration> delay) {
+    /** In the first seconds, holders that start as well answer soon. */
+    private void noteSilence(String entry, AccountId account) {
+        long now = clock.nanos();
+        Duration believed = now - createdAt < STARTUP.toNanos() ? HOLDER_RETRY_INTERVAL : LONGEST_REFUSAL;
+        note(entry, account, new Refused(now + believed.toNanos(), OptionalLong.empty(), true));
+    }
+
+    private void note(String entry, AccountId account, Refused refused) {
         long now = clock.nanos();
         if (refusals.size() > MOST_REFUSALS) {
-            refusals.values().removeIf(refused -> refused.until() <= now);
+            refusals.values().removeIf(each -> each.until() <= now);
         }
+        refusals.put(new Holder(entry, account), refused);
+    }
+
+    private void refuse(String entry, AccountId account, Optional<Duration> delay) {
+        long now = clock.nanos();
         Duration believed =
                 delay.filter(told -> told.compareTo(LONGEST_REFUSAL) < 0).orElse(LONGEST_REFUSAL);
         OptionalLong comeBackAt =
                 delay.isPresent() ? OptionalLong.of(now + delay.get().toNanos()) : OptionalLong.empty();
-        refusals.put(new Holder(entry, account), new Refused(now + believed.toNanos(), comeBackAt));
+        note(entry, account, new Refused(now + believed.toNanos(), comeBackAt, false));
     }
 
     private static Optional<Duration> sooner(Optional<Duration> one, Optional<Duration> other) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -108,7 +108,7 @@
             return;
         }
         waits.waitsFor(WaitCause.RATE, services.clock().nanos());
-        admission = services.quotas().admit(account.get(), units(account.get()), this::onAdmission);
+        admission = services.quotas().admit(account.get(), units(account.get()), limit, this::onAdmission);
     }
 
     private void onAdmission(Quotas.Admission decision) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
@@ -36,6 +36,7 @@
     private static final Quotas.Tolerance TOLERANCE = new Quotas.Tolerance(0.1, 11_000, Duration.ofSeconds(8));
     private static final Duration OBJECTIVE = Duration.ofMillis(500);
     private static final double MEAN_UNITS = 1_600;
+    private static final Duration PATIENCE = Duration.ofSeconds(15);
     private static final Duration LINK_DELAY = Duration.ofMillis(2);
 
     /** Guards against requests refused within the rate because each of many entries has a share smaller than a request. */
@@ -67,7 +68,7 @@
         restarted.quotas.put("share/acme", world.row);
         world.linksOpen = false;
         List<Quotas.Admission> decisions = new ArrayList<>();
-        restarted.admission.admit(world.account, 1_000, decisions::add);
+        restarted.admission.admit(world.account, 1_000, PATIENCE, decisions::add);
         world.time.pass(Duration.ofMillis(300));
         assertThat(decisions).isEmpty();
         world.linksOpen = true;
@@ -76,6 +77,37 @@
         assertThat(decisions.get(0).admitted()).isTrue();
     }
 
+    /** Guards against refusals within the rate where holders have started at the same moment and do not answer yet. */
+    @Test
+    void aRequestWaitsForHoldersThatStartAsWell() {
+        World world = new World(10, 33, RATE);
+        world.settle();
+        Entry restarted = new Entry("entry-new", world);
+        restarted.quotas.put("share/acme", world.row);
+        world.allSilent = true;
+        List<Quotas.Admission> decisions = new ArrayList<>();
+        restarted.admission.admit(world.account, 1_000, PATIENCE, decisions::add);
+        world.time.pass(Duration.ofMillis(900));
+        assertThat(decisions).isEmpty();
+        world.allSilent = false;
+        world.time.pass(Duration.ofMillis(300));
+        assertThat(decisions).extracting(Quotas.Admission::admitted).containsExactly(true);
+    }
+
+    /** Guards against a short request that is kept waiting for holders until its caller has left. */
+    @Test
+    void aShortRequestIsRefusedWhileItsCallerCanStillComeBack() {
+        World world = new World(10, 33, RATE);
+        world.settle();
+        Entry restarted = new Entry("entry-new", world);
+        restarted.quotas.put("share/acme", world.row);
+        world.allSilent = true;
+        List<Quotas.Admission> decisions = new ArrayList<>();
+        restarted.admission.admit(world.account, 1_000, Duration.ofMillis(800), decisions::add);
+        world.time.pass(Duration.ofMillis(700));
+        assertThat(decisions).extracting(Quotas.Admission::admitted).containsExactly(false);
+    }
+
     /** Guards against requests that wait for links although the holders have refused. */
     @Test
     void aRequestIsRefusedAtOnceWhereAllHoldersHaveRefused() {
@@ -85,11 +117,11 @@
         restarted.quotas.put("share/acme", world.row);
         List<Quotas.Admission> decisions = new ArrayList<>();
         for (int request = 0; request < 40; request++) {
-            restarted.admission.admit(world.account, 8_000, decisions::add);
+            restarted.admission.admit(world.account, 8_000, PATIENCE, decisions::add);
         }
         world.time.pass(Duration.ofMillis(20));
         assertThat(decisions).hasSize(40);
-        restarted.admission.admit(world.account, 8_000, decisions::add);
+        restarted.admission.admit(world.account, 8_000, PATIENCE, decisions::add);
         assertThat(decisions).hasSize(41);
         assertThat(decisions.get(40).admitted()).isFalse();
         assertThat(decisions.get(40).delay()).isPresent();
@@ -105,7 +137,7 @@
         world.time.pass(Duration.ofSeconds(4));
         world.linksOpen = false;
         List<Quotas.Admission> decisions = new ArrayList<>();
-        entry.admission.admit(world.account, 1_000, decisions::add);
+        entry.admission.admit(world.account, 1_000, PATIENCE, decisions::add);
         assertThat(decisions).hasSize(1);
         assertThat(decisions.get(0).admitted()).isFalse();
     }
@@ -181,6 +213,7 @@
         private int asked;
         private int refused;
         private String silent = "";
+        private boolean allSilent;
         private String unseen = "";
         private boolean linksOpen = true;
         private Set<String> cutOff = Set.of();
@@ -211,7 +244,7 @@
             if (!sees(from.name, to) || !linksOpen) {
                 return false;
             }
-            if (to.equals(silent) || isLost()) {
+            if (allSilent || to.equals(silent) || isLost()) {
                 return true;
             }
             time.after(LINK_DELAY, () -> {
@@ -254,7 +287,8 @@
             double units = Math.min(8_000, 300 - Math.log(1 - random.nextDouble()) * (MEAN_UNITS - 300));
             long began = time.nanos();
             Entry entry = entries.get(random.nextInt(entries.size()));
-            Cancellable call = entry.admission.admit(account, units, decision -> decided(began, units, decision));
+            Cancellable call =
+                    entry.admission.admit(account, units, PATIENCE, decision -> decided(began, units, decision));
             if (lossPart > 0 && random.nextInt(20) == 0) {
                 time.after(Duration.ofMillis(3), call::cancel);
             }
