--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/TargetOwnership.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/TargetOwnership.java
@@ -11,12 +11,12 @@
 import java.util.OptionalLong;
 import java.util.function.Predicate;
 
+import org.geraniumreach.gateway.capacity.EntryCapacity;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
-import org.geraniumreach.serving.routing.Rendezvous;
 
 /**
  * Which entry may order which target.
@@ -52,6 +52,7 @@
     private final Map<TargetId, Held> rows = new HashMap<>();
     private final Map<String, SeenLease> leases = new HashMap<>();
     private final Map<TargetId, Long> claimableSince = new HashMap<>();
+    private EntryCapacity capacity = EntryCapacity.alike();
 
     private record Held(HolderRow row, long version) {}
 
@@ -72,6 +73,15 @@
         this.clock = Objects.requireNonNull(clock, "clock");
     }
 
+    /**
+     * Sets the capacities by which owners are selected.
+     *
+     * @param newCapacity the capacities, not null
+     */
+    public void weigh(EntryCapacity newCapacity) {
+        capacity = Objects.requireNonNull(newCapacity, "newCapacity");
+    }
+
     /**
      * Gets this entry's instance.
      *
@@ -235,9 +245,9 @@
         return ended;
     }
 
-    private static List<String> order(TargetId target, List<String> entries) {
+    private List<String> order(TargetId target, List<String> entries) {
         return entries.stream()
-                .sorted(Comparator.comparingInt((String entry) -> Rendezvous.hash(target.value() + ' ' + entry))
+                .sorted(Comparator.comparingDouble((String entry) -> capacity.rank(target.value(), entry))
                         .thenComparing(Comparator.naturalOrder()))
                 .toList();
     }
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** How much work each entry can take beside the others. */
+package org.geraniumreach.gateway.capacity;
--- a/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
@@ -23,6 +23,7 @@
  * @param quotaTolerance how far all entries together may go beyond an account's rate
  * @param coldTolerance how far all entries together may go beyond a cold target's rate
  * @param evacuationLimit how long after the evacuation of a failure domain requests may still reach its targets
+ * @param capacity the processor cores that the process has, a fraction if it has a share of one
  * @param drainLimit how long the process may go on after it is asked to end
  */
 public record ProcessSettings(
@@ -36,6 +37,7 @@
         Quotas.Tolerance quotaTolerance,
         ColdTargets.Tolerance coldTolerance,
         Duration evacuationLimit,
+        double capacity,
         Duration drainLimit) {
 
     public ProcessSettings {
@@ -48,6 +50,9 @@
         Objects.requireNonNull(repeats, "repeats");
         Objects.requireNonNull(coldTolerance, "coldTolerance");
         Objects.requireNonNull(evacuationLimit, "evacuationLimit");
+        if (!(capacity > 0)) {
+            throw new IllegalArgumentException("capacity not above zero: " + capacity);
+        }
         if (instance.isEmpty() || instance.indexOf(' ') >= 0) {
             throw new IllegalArgumentException("instance: a name without spaces is needed, not '" + instance + "'");
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -11,6 +11,7 @@
 
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.adapter.TargetOwnership;
+import org.geraniumreach.gateway.capacity.EntryCapacity;
 import org.geraniumreach.gateway.meter.DemandRate;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
@@ -48,6 +49,7 @@
     private final Map<AccountId, State> states = new HashMap<>();
     private final Tolerance tolerance;
     private final DecisionLog log;
+    private EntryCapacity entryCapacity = EntryCapacity.alike();
     private Map<AccountId, Account> accounts = Map.of();
     private Duration longestWait = Duration.ZERO;
 
@@ -130,6 +132,15 @@
         return key.startsWith(PREFIX);
     }
 
+    /**
+     * Sets the capacities by which the holders of rates are selected.
+     *
+     * @param newCapacity the capacities, not null
+     */
+    public void weigh(EntryCapacity newCapacity) {
+        entryCapacity = Objects.requireNonNull(newCapacity, "newCapacity");
+    }
+
     /**
      * Sets the accounts that exist, with their rates.
      *
@@ -253,7 +264,7 @@
     }
 
     private Optional<ShareRow> change(ShareRow row, Account account, State state, Collection<String> entries) {
-        if (ShareHolders.isHolder(account.id(), self, entries)) {
+        if (ShareHolders.isHolder(account.id(), self, entries, entryCapacity)) {
             double demand = state.demand.at(clock.nanos()) / account.unitsPerSecond();
             return SharePolicy.change(row, self, holders(row, entries), demand);
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/ShareHolders.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/ShareHolders.java
@@ -2,8 +2,8 @@
 
 import java.util.Collection;
 
+import org.geraniumreach.gateway.capacity.EntryCapacity;
 import org.geraniumreach.model.AccountId;
-import org.geraniumreach.serving.routing.Rendezvous;
 
 /**
  * Selects the entries among which an account's rate is divided.
@@ -23,21 +23,16 @@
         return Math.min(MOST, Math.max(1, entries));
     }
 
-    static boolean isHolder(AccountId account, String self, Collection<String> entries) {
-        long own = rank(account, self);
+    static boolean isHolder(AccountId account, String self, Collection<String> entries, EntryCapacity capacity) {
+        double own = capacity.rank(account.value(), self);
         long ahead = entries.stream()
                 .filter(entry -> !entry.equals(self))
-                .filter(entry -> isAhead(account, entry, own, self))
+                .filter(entry -> isAhead(capacity.rank(account.value(), entry), entry, own, self))
                 .count();
         return ahead < MOST;
     }
 
-    private static boolean isAhead(AccountId account, String entry, long own, String self) {
-        long rank = rank(account, entry);
+    private static boolean isAhead(double rank, String entry, double own, String self) {
         return rank == own ? entry.compareTo(self) < 0 : rank < own;
     }
-
-    private static long rank(AccountId account, String entry) {
-        return Rendezvous.hash(account.value() + ' ' + entry);
-    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/ReaderSelection.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/ReaderSelection.java
@@ -3,7 +3,7 @@
 import java.util.Collection;
 import java.util.Objects;
 
-import org.geraniumreach.serving.routing.Rendezvous;
+import org.geraniumreach.gateway.capacity.EntryCapacity;
 
 /**
  * Selects the entries of a failure domain that read the store for all of them.
@@ -16,6 +16,8 @@
     /** With two, the loss of one is no gap for the others. */
     static final int READERS = 2;
 
+    private static final String DUTY = "reader";
+
     private ReaderSelection() {}
 
     /**
@@ -23,16 +25,18 @@
      *
      * @param self the entry, not null
      * @param others the entries of its failure domain that it has links with, not null
+     * @param capacity the entries' capacities, since a reader passes on what it reads, not null
      * @return true if it is
      */
-    public static boolean isReader(String self, Collection<String> others) {
+    public static boolean isReader(String self, Collection<String> others, EntryCapacity capacity) {
         Objects.requireNonNull(others, "others");
-        long ahead = others.stream().filter(other -> isAhead(other, self)).count();
+        long ahead =
+                others.stream().filter(other -> isAhead(other, self, capacity)).count();
         return ahead < READERS;
     }
 
-    private static boolean isAhead(String one, String other) {
-        int order = Integer.compare(Rendezvous.hash(one), Rendezvous.hash(other));
+    private static boolean isAhead(String one, String other, EntryCapacity capacity) {
+        int order = Double.compare(capacity.rank(DUTY, one), capacity.rank(DUTY, other));
         return order == 0 ? one.compareTo(other) < 0 : order < 0;
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/ShareHoldersTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/ShareHoldersTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 
+import org.geraniumreach.gateway.capacity.EntryCapacity;
 import org.geraniumreach.model.AccountId;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -17,7 +18,7 @@
         List<String> entries =
                 IntStream.range(0, count).mapToObj(number -> "entry-" + number).toList();
         long holders = entries.stream()
-                .filter(entry -> ShareHolders.isHolder(AccountId.of("acme"), entry, entries))
+                .filter(entry -> ShareHolders.isHolder(AccountId.of("acme"), entry, entries, EntryCapacity.alike()))
                 .count();
         assertThat(holders).isEqualTo(Math.min(2, count));
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/store/ReaderSelectionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/store/ReaderSelectionTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 
+import org.geraniumreach.gateway.capacity.EntryCapacity;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -21,7 +22,7 @@
                 .filter(self -> {
                     List<String> others = new ArrayList<>(entries);
                     others.remove(self);
-                    return ReaderSelection.isReader(self, others);
+                    return ReaderSelection.isReader(self, others, EntryCapacity.alike());
                 })
                 .toList();
     }
@@ -44,6 +45,22 @@
     /** Guards against nobody reading when links are missing: who sees nobody reads. */
     @Test
     void anEntryWithoutLinksReads() {
-        assertThat(ReaderSelection.isReader("entry-1", List.of())).isTrue();
+        assertThat(ReaderSelection.isReader("entry-1", List.of(), EntryCapacity.alike()))
+                .isTrue();
+    }
+
+    /** Guards against readers that cannot pass on what they read because their processors or links are the weakest. */
+    @Test
+    void entriesOfTheGreatestCapacityReadMostOften() {
+        List<String> entries = entries(12);
+        EntryCapacity capacity = entry -> entry.equals("entry-1") || entry.equals("entry-2") ? 1_000 : 1;
+        List<String> readers = entries.stream()
+                .filter(self -> {
+                    List<String> others = new ArrayList<>(entries);
+                    others.remove(self);
+                    return ReaderSelection.isReader(self, others, capacity);
+                })
+                .toList();
+        assertThat(readers).containsExactlyInAnyOrder("entry-1", "entry-2");
     }
 }
--- a/node/src/main/java/org/geraniumreach/node/DomainRelay.java
+++ b/node/src/main/java/org/geraniumreach/node/DomainRelay.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.geraniumreach.gateway.capacity.EntryCapacity;
 import org.geraniumreach.gateway.store.FeedRelay;
 import org.geraniumreach.gateway.store.FeedUpdate;
 import org.geraniumreach.gateway.store.ReaderSelection;
@@ -18,8 +19,10 @@
 
     private final String self;
     private final EntryLinks links;
+    private final EntryCapacity capacity;
 
-    DomainRelay(String self, EntryLinks links) {
+    DomainRelay(String self, EntryLinks links, EntryCapacity capacity) {
+        this.capacity = Objects.requireNonNull(capacity, "capacity");
         this.self = Objects.requireNonNull(self, "self");
         this.links = Objects.requireNonNull(links, "links");
     }
@@ -29,7 +32,7 @@
         List<String> others = links.domainPeers().stream()
                 .map(peer -> peer.hello().getInstance())
                 .toList();
-        return ReaderSelection.isReader(self, others);
+        return ReaderSelection.isReader(self, others, capacity);
     }
 
     @Override
--- a/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
@@ -59,6 +59,7 @@
     private final StoreAvailability availability;
     private final DecisionLog log;
     private final Map<String, EntryRow> entries = new HashMap<>();
+    private final Map<String, Double> capacities = new HashMap<>();
     private final long startedAt;
     private List<String> reachable = List.of();
     private boolean read;
@@ -114,7 +115,10 @@
         Transaction transaction = Transaction.empty()
                 .withWrite(
                         EntryRow.key(TargetOwnership.TABLE, settings.instance()),
-                        new EntryRow(settings.links(), incarnation).toText());
+                        new EntryRow(settings.links(), incarnation).toText())
+                .withWrite(
+                        CapacityRow.key(TargetOwnership.TABLE, settings.instance()),
+                        CapacityRow.toText(settings.capacity()));
         commit(transaction, committed -> {
             introducing = false;
             introduced = committed.isPresent();
@@ -150,6 +154,8 @@
             quotas.put(key, row);
         } else if (EntryRow.isEntryRow(key)) {
             putEntry(EntryRow.instance(key), row);
+        } else if (CapacityRow.isCapacityRow(key)) {
+            putCapacity(CapacityRow.instance(key), row);
         }
     }
 
@@ -167,6 +173,20 @@
                 Field.of("incarnation", parsed.get().incarnation()));
     }
 
+    private void putCapacity(String instance, Optional<Row> row) {
+        Optional<Double> capacity = row.flatMap(present -> CapacityRow.parse(present.value()));
+        if (capacity.isPresent()) {
+            capacities.put(instance, capacity.get());
+        } else {
+            capacities.remove(instance);
+        }
+    }
+
+    /** Gets an entry's capacity in processor cores, 1 if it has not said. */
+    double capacity(String instance) {
+        return capacities.getOrDefault(instance, 1.0);
+    }
+
     private void keepLinks() {
         Map<String, InetSocketAddress> others = new HashMap<>();
         entries.forEach((instance, row) -> {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -311,6 +311,8 @@
         admissionLinks = new TargetAdmissionLinks(admissionOfTargets, links);
         startFeeds();
         leaseRenewer.renew();
+        ownership.weigh(directory::capacity);
+        quotas.weigh(directory::capacity);
         directory.start();
         sweep();
     }
@@ -350,7 +352,11 @@
 
     private void startFeeds() {
         FeedReader.Context context = new FeedReader.Context(
-                store, timers, clock, new StoreClock(clock), new DomainRelay(settings.instance(), links));
+                store,
+                timers,
+                clock,
+                new StoreClock(clock),
+                new DomainRelay(settings.instance(), links, directory::capacity));
         feeds = new StoreFeeds(
                 context,
                 storeAvailability,
--- a/node/src/main/java/org/geraniumreach/node/Rehearsal.java
+++ b/node/src/main/java/org/geraniumreach/node/Rehearsal.java
@@ -86,6 +86,7 @@
                 new Quotas.Tolerance(0, 0, Duration.ofSeconds(1)),
                 new ColdTargets.Tolerance(1, 0),
                 Duration.ofSeconds(5),
+                1,
                 Duration.ofSeconds(1));
     }
 
--- a/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -79,6 +79,7 @@
                 new Quotas.Tolerance(0, 0, Duration.ofSeconds(1)),
                 new ColdTargets.Tolerance(1, 0),
                 Duration.ofSeconds(5),
+                1,
                 Duration.ofSeconds(1));
     }
 
