Mend what a reading of the whole change found: work done twice, twins, and a log line that was lost

No behaviour is meant to change but for the log. Placement sorts nothing while no domain is emptied, and asks for room once. FetchTimes sorts once a fetch. One way to enqueue or decline a load, one to send a frame to entries of a version on. The outcome of a lease's release is logged also where the store does not answer, as it was before EntryDrain. Left: OwnerDivision is not wired, it stands as the way compared with EqualDivision; QuotaAdmission and OwnerAdmission keep pending asks alike, but retry and time out differently.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchTimes.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/FetchTimes.java
@@ -5,6 +5,9 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 /**
  * How long the last fetches took.
@@ -41,18 +44,23 @@
     void add(Duration took) {
         nanos[count % REMEMBERED] = took.toNanos();
         count++;
-        undisturbed = shortest();
+        long[] recent = sorted(Math.min(count, REMEMBERED));
+        long mostTakeAtTheMost = recent[(int) ((recent.length - 1) * MOST_TAKE_AT_THE_MOST)];
+        Optional<Duration> shortest = shortestFrom(Arrays.stream(recent), mostTakeAtTheMost * FROM_MEMORY);
+        undisturbed = shorter(
+                shortest,
+                shortestFrom(earlier.stream().mapToLong(Long::longValue), mostTakeAtTheMost * EARLIER_FROM_MEMORY));
         if (count % REMEMBERED == 0) {
-            rememberBlock();
+            shortest.ifPresent(this::rememberBlock);
         }
     }
 
     /** Guards against a weight store that is busy for long: the shortest of the last fetches alone would tell a slowed one. */
-    private void rememberBlock() {
+    private void rememberBlock(Duration shortest) {
         if (earlier.size() == EARLIER_BLOCKS) {
             earlier.removeFirst();
         }
-        shortestOfRecent().ifPresent(shortest -> earlier.addLast(shortest.toNanos()));
+        earlier.addLast(shortest.toNanos());
     }
 
     /** Gets the shortest time that a fetch took, empty if none is known. */
@@ -60,29 +68,13 @@
         return undisturbed;
     }
 
-    private Optional<Duration> shortest() {
-        long least = (long) (mostTakeAtTheMost() * EARLIER_FROM_MEMORY);
-        Optional<Duration> recent = shortestOfRecent();
-        return earlier.stream()
-                .filter(each -> each >= least)
-                .map(Duration::ofNanos)
-                .min(Duration::compareTo)
-                .filter(before -> recent.isEmpty() || before.compareTo(recent.get()) < 0)
-                .or(() -> recent);
+    private static Optional<Duration> shortestFrom(LongStream nanos, double least) {
+        OptionalLong shortest = nanos.filter(each -> each >= (long) least).min();
+        return shortest.isPresent() ? Optional.of(Duration.ofNanos(shortest.getAsLong())) : Optional.empty();
     }
 
-    private long mostTakeAtTheMost() {
-        long[] sorted = sorted(Math.min(count, REMEMBERED));
-        return sorted[(int) ((sorted.length - 1) * MOST_TAKE_AT_THE_MOST)];
-    }
-
-    private Optional<Duration> shortestOfRecent() {
-        long[] sorted = sorted(Math.min(count, REMEMBERED));
-        long least = (long) (mostTakeAtTheMost() * FROM_MEMORY);
-        return Arrays.stream(sorted)
-                .filter(each -> each >= least)
-                .mapToObj(Duration::ofNanos)
-                .findFirst();
+    private static Optional<Duration> shorter(Optional<Duration> one, Optional<Duration> other) {
+        return Stream.of(one, other).flatMap(Optional::stream).min(Duration::compareTo);
     }
 
     /** Tells how many times the undisturbed time the last fetches took, 1 if nothing is known. */
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -5,11 +5,13 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.IntSupplier;
 
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -147,19 +149,21 @@
 
     private PlacementDecision ofAdapter(PlacementRequest need, List<Target> holding) {
         AdapterName adapter = need.adapter().get();
-        List<Target> order = stayingFirst(order(adapter.toString(), holding));
-        List<Target> staying = stayingIfAny(order);
+        List<Target> ranked = order(adapter.toString(), holding);
+        List<Target> staying = stayingIfAny(ranked);
+        List<Target> order = withOthersLast(staying, ranked);
         List<Target> homes = staying.subList(0, Math.min(staying.size(), homes(need, staying.size())));
         List<Target> residents = newestFirst(order, need);
         Optional<Target> missingHome = loaderFor(need, staying, homes, newestFirst(staying, need));
         List<Target> usableHomes = homes.stream().filter(residents::contains).toList();
+        List<Target> residentsWithRoom = withRoom(residents, need);
         Optional<Target> roomy = leastWaiting(withRoom(usableHomes, need), need)
                 .filter(target -> !isCrowded(target, need))
-                .or(() -> firstNotCrowded(withRoom(residents, need), need));
+                .or(() -> firstNotCrowded(residentsWithRoom, need));
         if (roomy.isPresent()) {
             return send(roomy.get(), order, need, missingHome);
         }
-        if (need.mayWait() && !residents.isEmpty() && withRoom(residents, need).isEmpty()) {
+        if (need.mayWait() && !residents.isEmpty() && residentsWithRoom.isEmpty()) {
             return later(residents, need);
         }
         Optional<Target> best = leastWaiting(usableHomes, need)
@@ -173,10 +177,13 @@
                 : leastWait(residents, need);
     }
 
-    private List<Target> stayingFirst(List<Target> order) {
-        return order.stream()
-                .sorted(Comparator.comparing(target -> !conditions.isStaying(target)))
-                .toList();
+    private static List<Target> withOthersLast(List<Target> first, List<Target> all) {
+        if (first.size() == all.size()) {
+            return all;
+        }
+        Set<Target> together = new LinkedHashSet<>(first);
+        together.addAll(all);
+        return List.copyOf(together);
     }
 
     private PlacementDecision byLoad(PlacementRequest need, List<Target> order, List<Target> residents) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/ReadingSpeed.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/ReadingSpeed.java
@@ -22,30 +22,38 @@
     private static final double OVERHEAD_QUANTILE = 0.25;
     private static final double NANOS_PER_MILLI = 1e6;
 
-    private final RecentValues observed = new RecentValues();
-    private final RecentValues overheads = new RecentValues();
-    private final RecentValues netSpeeds = new RecentValues();
+    private final RecentQuantile observed = new RecentQuantile(QUANTILE, FIRST_TOKENS_PER_MILLI);
+    private final RecentQuantile overhead = new RecentQuantile(OVERHEAD_QUANTILE, 0);
+    private final RecentQuantile net = new RecentQuantile(QUANTILE, FIRST_TOKENS_PER_MILLI);
 
-    /** The last values that were measured. */
-    private static final class RecentValues {
+    /** A quantile of the last values that were measured, worked out when one is added: it is asked for far more often. */
+    private static final class RecentQuantile {
         private static final int REMEMBERED = 64;
         private static final int ENOUGH = 8;
 
+        private final double quantile;
         private final double[] values = new double[REMEMBERED];
         private int count;
+        private double current;
+
+        RecentQuantile(double quantile, double first) {
+            this.quantile = quantile;
+            this.current = first;
+        }
 
         void add(double value) {
             values[count % REMEMBERED] = value;
             count++;
-        }
-
-        double quantile(double quantile, double fallback) {
             if (count < ENOUGH) {
-                return fallback;
+                return;
             }
             double[] sorted = Arrays.copyOf(values, Math.min(count, REMEMBERED));
             Arrays.sort(sorted);
-            return sorted[(int) ((sorted.length - 1) * quantile)];
+            current = sorted[(int) ((sorted.length - 1) * quantile)];
+        }
+
+        double get() {
+            return current;
         }
     }
 
@@ -56,23 +64,23 @@
             return;
         }
         if (tokens < LEAST_TOKENS) {
-            overheads.add(Math.max(0, millis - tokens / netTokensPerMilli()));
+            overhead.add(Math.max(0, millis - tokens / netTokensPerMilli()));
             return;
         }
         observed.add(tokens / millis);
-        double reading = millis - overheads.quantile(OVERHEAD_QUANTILE, 0);
+        double reading = millis - overhead.get();
         if (reading > 0) {
-            netSpeeds.add(tokens / reading);
+            net.add(tokens / reading);
         }
     }
 
     /** Gets the speed that requests see, with the steps until their first part. */
     double tokensPerMilli() {
-        return observed.quantile(QUANTILE, FIRST_TOKENS_PER_MILLI);
+        return observed.get();
     }
 
     /** Gets the speed of the reading alone, without what a prompt of next to no tokens takes. */
     double netTokensPerMilli() {
-        return netSpeeds.quantile(QUANTILE, FIRST_TOKENS_PER_MILLI);
+        return net.get();
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/cold/ColdTargetsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/cold/ColdTargetsTest.java
@@ -38,10 +38,10 @@
     private final VirtualTime time = new VirtualTime();
     private final List<Long> sent = new ArrayList<>();
 
-    private static TargetDescription description(Optional<Duration> coldFor) {
+    private static TargetDescription description(long startedAt, Optional<Duration> coldFor) {
         return new TargetDescription(
                 ID,
-                1,
+                startedAt,
                 "service",
                 new InetSocketAddress("127.0.0.1", 9),
                 FailureDomain.of("here"),
@@ -72,7 +72,7 @@
         }
 
         private void tell(Duration coldFor) {
-            registry.put(description(Optional.of(coldFor)));
+            registry.put(description(1, Optional.of(coldFor)));
         }
 
         private Target target() {
@@ -192,16 +192,7 @@
     void aNewTargetThatDoesNotSayIsTakenForCold() {
         Entry entry = new Entry("entry", Set.of("entry"));
         entry.registry.removed(ID);
-        entry.registry.put(new TargetDescription(
-                ID,
-                2,
-                "service",
-                new InetSocketAddress("127.0.0.1", 9),
-                FailureDomain.of("here"),
-                64,
-                false,
-                Optional.empty(),
-                Map.of()));
+        entry.registry.put(description(2, Optional.empty()));
         assertThat(entry.cold.isCold(entry.target())).isTrue();
         time.pass(Duration.ofSeconds(4));
         assertThat(entry.cold.isCold(entry.target())).isFalse();
--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/OwnerAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/OwnerAdmissionTest.java
@@ -39,6 +39,19 @@
     private boolean linkOpen = true;
     private boolean answers = true;
 
+    private static TargetDescription description(long startedAt) {
+        return new TargetDescription(
+                ID,
+                startedAt,
+                "service",
+                new InetSocketAddress("127.0.0.1", 9),
+                FailureDomain.of("here"),
+                64,
+                false,
+                Optional.empty(),
+                Map.of());
+    }
+
     private final class Entry {
         private final TargetRegistry registry = new TargetRegistry(time);
         private final TargetOwnership ownership;
@@ -50,16 +63,7 @@
             ownership = new TargetOwnership(name, incarnation, lease, time);
             admission = new OwnerAdmission(ownership, registry, service -> SPEED, this::ask, time, time);
             registry.listen(admission);
-            registry.put(new TargetDescription(
-                    ID,
-                    1,
-                    "service",
-                    new InetSocketAddress("127.0.0.1", 9),
-                    FailureDomain.of("here"),
-                    64,
-                    false,
-                    Optional.empty(),
-                    Map.of()));
+            registry.put(description(1));
         }
 
         private boolean ask(String entry, long number, TargetId target, long promptTokens, Duration longestDelay) {
@@ -142,16 +146,7 @@
             owner.send();
         }
         owner.registry.ended(owner.target());
-        owner.registry.put(new TargetDescription(
-                ID,
-                2,
-                "service",
-                new InetSocketAddress("127.0.0.1", 9),
-                FailureDomain.of("here"),
-                64,
-                false,
-                Optional.empty(),
-                Map.of()));
+        owner.registry.put(description(2));
         decisions.clear();
         owner.send();
         assertThat(decisions).containsExactly(Decision.AT_ONCE);
--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -328,13 +328,12 @@
     public void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate, boolean mayDecline) {
         Owned own = owned.get(target);
         long now = clock.nanos();
-        if (own != null && mayDecline && !own.slots.hasSlotFor(adapter, now)) {
-            declined(target.id(), adapter);
-            return;
-        }
         if (own != null) {
-            own.slots.enqueue(adapter, lateAt(untilLate, now), now);
-            poll(target);
+            if (enqueueUnlessDeclined(own.slots, adapter, untilLate, mayDecline)) {
+                poll(target);
+            } else {
+                declined(target.id(), adapter);
+            }
             return;
         }
         Map<AdapterName, Long> recent = asked.computeIfAbsent(target, missing -> new LinkedHashMap<>());
@@ -349,6 +348,17 @@
         }
     }
 
+    /** Enqueues a load request, or tells that it is declined because all slots are in use. */
+    private boolean enqueueUnlessDeclined(
+            AdapterSlots slots, AdapterName adapter, Optional<Duration> untilLate, boolean mayDecline) {
+        long now = clock.nanos();
+        if (mayDecline && !slots.hasSlotFor(adapter, now)) {
+            return false;
+        }
+        slots.enqueue(adapter, lateAt(untilLate, now), now);
+        return true;
+    }
+
     private static OptionalLong lateAt(Optional<Duration> untilLate, long now) {
         return untilLate.isEmpty()
                 ? OptionalLong.empty()
@@ -478,10 +488,8 @@
         AdapterChanges.Builder answer = AdapterChanges.newBuilder();
         for (AdapterLoadRequest request : demand.getLoadRequestsList()) {
             AdapterName adapter = adapter(demand, request);
-            if (request.getMayDecline() && !slots.hasSlotFor(adapter, now)) {
+            if (!enqueueUnlessDeclined(slots, adapter, untilLate(request), request.getMayDecline())) {
                 answer.addDeclined(adapter.adapter());
-            } else {
-                slots.enqueue(adapter, lateAt(untilLate(request), now), now);
             }
         }
         if (answer.getDeclinedCount() > 0) {
--- a/node/src/main/java/org/geraniumreach/node/EntryDrain.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryDrain.java
@@ -52,16 +52,17 @@
      *
      * @param begin told at the beginning after what time it ends at the latest, not null
      * @param close run when nothing more is to be taken, not null
+     * @param released told whether the store has answered the release in time, not null
      */
-    void run(Consumer<Duration> begin, Runnable close) {
+    void run(Consumer<Duration> begin, Runnable close, Consumer<Boolean> released) {
         long begunAt = clock.nanos();
         begin.accept(longest);
         try {
             awaitQuiet(begunAt);
             close.run();
-            CountDownLatch released = new CountDownLatch(1);
-            release.accept(released::countDown);
-            released.await(LEASE_RELEASE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            CountDownLatch answered = new CountDownLatch(1);
+            release.accept(answered::countDown);
+            released.accept(answered.await(LEASE_RELEASE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS));
             awaitQuiet(begunAt);
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -145,22 +145,23 @@
 
     /** Sends a frame that entries of earlier versions do not know. */
     boolean sendCurrent(String entry, Frame frame) {
-        return links.find(InstanceId.of(entry))
-                .filter(EntryLinks::isCurrent)
-                .filter(peer -> peer.send(frame))
-                .isPresent();
+        return sendSince(CURRENT_VERSION, entry, frame);
     }
 
     /** Sends a frame of the pacing of prompts, which entries of version 2 do not know. */
     boolean sendAdmission(String entry, Frame frame) {
+        return sendSince(ADMISSION_VERSION, entry, frame);
+    }
+
+    private boolean sendSince(int version, String entry, Frame frame) {
         return links.find(InstanceId.of(entry))
-                .filter(peer -> peer.hello().getProtocolVersion() >= ADMISSION_VERSION)
+                .filter(peer -> isSince(version, peer))
                 .filter(peer -> peer.send(frame))
                 .isPresent();
     }
 
-    private static boolean isCurrent(Peer peer) {
-        return peer.hello().getProtocolVersion() >= CURRENT_VERSION;
+    private static boolean isSince(int version, Peer peer) {
+        return peer.hello().getProtocolVersion() >= version;
     }
 
     void sendAll(Frame frame) {
@@ -190,7 +191,7 @@
     List<Peer> domainPeers() {
         return links.peers().stream()
                 .filter(peer -> peer.hello().getFailureDomain().equals(failureDomain))
-                .filter(EntryLinks::isCurrent)
+                .filter(peer -> isSince(CURRENT_VERSION, peer))
                 .toList();
     }
 
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -458,16 +458,18 @@
                             requests.drain(longest);
                             directory.stop();
                         }),
-                        () -> loop.execute(requests::close));
+                        () -> loop.execute(requests::close),
+                        told -> log.write(
+                                EventCode.HOLDER_CHANGED,
+                                settings.instance(),
+                                Field.of("holder", ""),
+                                Field.of("told", told)));
         log.write(EventCode.DRAINED, settings.instance(), Field.of("open", ingress.open()));
         lines.close();
     }
 
     /** Gives up the right to order targets. */
     private void release(Runnable released) {
-        loop.execute(() -> leaseRenewer.release(() -> {
-            log.write(EventCode.HOLDER_CHANGED, settings.instance(), Field.of("holder", ""));
-            released.run();
-        }));
+        loop.execute(() -> leaseRenewer.release(released));
     }
 }
--- a/node/src/test/java/org/geraniumreach/node/EntryDrainTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryDrainTest.java
@@ -43,7 +43,8 @@
                 },
                 LIMIT,
                 fast);
-        drain.run(longest -> events.add("began"), () -> events.add("closed"));
+        drain.run(longest -> events.add("began"), () -> events.add("closed"), answered -> assertThat(answered)
+                .isTrue());
         assertThat(events).containsExactly("began", "closed", "released", "answered");
         assertThat(open).hasValue(0);
     }
