Add a failing test of a target that names a limit for all entries together

Three entries, two targets and a store on loopback; callers send 30 requests a second to all entries in turn. From 1.5 s after one target began to name its limit, all calls that reach it are counted, orders and reports too.

--- /dev/null
+++ b/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
@@ -0,0 +1,67 @@
+package org.geraniumreach.node;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Runs entries before targets that name the requests a second that they take from all entries together. */
+class LimitedTargetTest {
+
+    private static final int ENTRIES = 3;
+    private static final int REQUESTS_PER_SECOND = 30;
+    private static final Duration WINDOW = Duration.ofSeconds(4);
+
+    /** By then each entry has relayed an answer that names the limit. */
+    private static final Duration LEARNING_TIME = Duration.ofMillis(1_500);
+
+    private final FakePlatform platform;
+
+    LimitedTargetTest() throws Exception {
+        platform = new FakePlatform();
+    }
+
+    @AfterEach
+    void close() {
+        platform.close();
+    }
+
+    private static int maximumInWindow(List<FakePlatform.Arrival> arrivals, long from) {
+        List<Long> times = arrivals.stream()
+                .map(FakePlatform.Arrival::nanos)
+                .filter(nanos -> nanos >= from)
+                .sorted()
+                .toList();
+        int maximum = 0;
+        int first = 0;
+        for (int last = 0; last < times.size(); last++) {
+            while (times.get(last) - times.get(first) >= WINDOW.toNanos()) {
+                first++;
+            }
+            maximum = Math.max(maximum, last - first + 1);
+        }
+        return maximum;
+    }
+
+    /** Guards against each entry sending on to a target that has named a limit for all entries together. */
+    @ParameterizedTest
+    @CsvSource({"engines, /chat/x, 1.0, 11", "plain, /book/x, 1.7, 15"})
+    void allEntriesTogetherKeepToTheNamedLimit(String service, String path, String limit, int allowed)
+            throws Exception {
+        FakePlatform.FakeTarget one = platform.addTarget("one", service);
+        FakePlatform.FakeTarget two = platform.addTarget("two", service);
+        FakeFleet fleet = new FakeFleet(platform, ENTRIES);
+        fleet.awaitReady(path);
+        FakePlatform.FakeTarget limited = one.arrivals().size() > two.arrivals().size() ? one : two;
+        limited.behave(FakePlatform.Behavior.healthyWith("Server-Limit", limit));
+        fleet.sendFor(LEARNING_TIME, REQUESTS_PER_SECOND, path);
+        long limitKnownAt = System.nanoTime();
+        fleet.sendFor(Duration.ofSeconds(6), REQUESTS_PER_SECOND, path);
+        assertThat(maximumInWindow(limited.arrivals(), limitKnownAt)).isBetween(1, allowed);
+        assertThat(fleet.results()).extracting(FakeFleet.Result::status).containsOnly(200);
+    }
+}
