Decode and log the request limit that a target names

TargetLimits keeps it by incarnation and writes TARGET_LIMITED and TARGET_LIMIT_ENDED with the age of the observation.

A limit ends only by an answer to a request that was sent after the last answer that named one: answers on different connections overtake each other. Answers that ran nothing do not end it. No decision uses the limit yet.

--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/TargetLimits.java
@@ -0,0 +1,159 @@
+package org.geraniumreach.gateway.limit;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetRegistry;
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.port.TargetCallObserver;
+import org.geraniumreach.gateway.port.TargetSignals;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * The limits that targets name in their answers, as far as this entry knows them.
+ *
+ * <p>Invariants: a limit never expires by itself. It ends only by an answer without a limit to a request that was sent after the last
+ * answer with one, since answers on different connections may overtake each other, or by such an answer to another entry that is newer by
+ * {@link #REMOTE_END_MARGIN}. Confined to the event loop.
+ */
+public final class TargetLimits implements TargetCallObserver, TargetRegistry.Listener {
+
+    /** Messages between entries are not delayed for longer, since a link that is silent for this long is closed. */
+    static final Duration REMOTE_END_MARGIN = Duration.ofSeconds(3);
+
+    private final MonotonicClock clock;
+    private final DecisionLog log;
+    private final Map<Target, NamedLimit> limits = new HashMap<>();
+    private ChangeListener changeListener = (target, report) -> {};
+
+    /** A limit, or its absence, and when the target answered so. */
+    private record NamedLimit(Optional<RequestRate> rate, long observedAt) {}
+
+    /** Receives the limits that begin or end by an answer to this entry. */
+    @FunctionalInterface
+    public interface ChangeListener {
+
+        /**
+         * Called when a limit has begun or ended.
+         *
+         * @param target the target, not null
+         * @param report what is known now, not null
+         */
+        void onChanged(Target target, LimitReport report);
+    }
+
+    /**
+     * Creates an instance without limits.
+     *
+     * @param clock the clock, not null
+     * @param log receives the limits that begin or end, not null
+     */
+    public TargetLimits(MonotonicClock clock, DecisionLog log) {
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.log = Objects.requireNonNull(log, "log");
+    }
+
+    /**
+     * Sets the listener of changes.
+     *
+     * @param listener the listener, not null
+     */
+    public void setChangeListener(ChangeListener listener) {
+        changeListener = Objects.requireNonNull(listener, "listener");
+    }
+
+    /**
+     * Gets the limit of a target.
+     *
+     * @param target the target, not null
+     * @return the limit, or empty if none is known
+     */
+    public Optional<RequestRate> limit(Target target) {
+        return Optional.ofNullable(limits.get(target)).flatMap(NamedLimit::rate);
+    }
+
+    /**
+     * Gets what is known of the limit of a target, for another entry.
+     *
+     * @param target the target, not null
+     * @return the report, or empty if the target has never named a limit
+     */
+    public Optional<LimitReport> report(Target target) {
+        return Optional.ofNullable(limits.get(target))
+                .map(limit -> new LimitReport(
+                        limit.rate(), Duration.ofNanos(Math.max(0, clock.nanos() - limit.observedAt()))));
+    }
+
+    @Override
+    public Consumer<TargetSignals> onCall(Target target) {
+        long sentAt = clock.nanos();
+        return signals -> onSignals(target, signals, sentAt);
+    }
+
+    private void onSignals(Target target, TargetSignals signals, long sentAt) {
+        if (target.hasLeft()) {
+            return;
+        }
+        NamedLimit known = limits.get(target);
+        boolean ends = known != null && signals.fromExecutedRequest() && sentAt >= known.observedAt();
+        if (signals.requestLimit().isPresent()) {
+            update(target, new NamedLimit(signals.requestLimit(), clock.nanos()), true);
+        } else if (ends) {
+            update(target, new NamedLimit(Optional.empty(), sentAt), true);
+        }
+    }
+
+    /**
+     * Applies what another entry knows of the limit of a target.
+     *
+     * @param target the target, not null
+     * @param report the report, not null
+     */
+    public void onReport(Target target, LimitReport report) {
+        long observedAt = clock.nanos() - report.age().toNanos();
+        NamedLimit known = limits.get(target);
+        Duration margin = report.rate().isPresent() ? Duration.ZERO : REMOTE_END_MARGIN;
+        if (known == null || observedAt > known.observedAt() + margin.toNanos()) {
+            update(target, new NamedLimit(report.rate(), observedAt), false);
+        }
+    }
+
+    private void update(Target target, NamedLimit newer, boolean observedDirectly) {
+        Optional<RequestRate> previous = limit(target);
+        limits.put(target, newer);
+        if (previous.equals(newer.rate())) {
+            return;
+        }
+        log.write(
+                newer.rate().isPresent() ? EventCode.TARGET_LIMITED : EventCode.TARGET_LIMIT_ENDED,
+                target.id().value(),
+                Field.of("perSecond", newer.rate().map(RequestRate::perSecond).orElse(0.0)),
+                Field.of("observedDirectly", observedDirectly),
+                Field.of("ageMillis", (clock.nanos() - newer.observedAt()) / 1_000_000));
+        if (observedDirectly && previous.isPresent() != newer.rate().isPresent()) {
+            changeListener.onChanged(target, report(target).orElseThrow());
+        }
+    }
+
+    @Override
+    public void onJoined(Target target) {
+        // A new incarnation has named no limit.
+    }
+
+    @Override
+    public void onChanged(Target target) {
+        // Limits are named in answers only.
+    }
+
+    @Override
+    public void onLeft(Target target) {
+        limits.remove(target);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetSignals.java
@@ -0,0 +1,21 @@
+package org.geraniumreach.gateway.port;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.limit.RequestRate;
+
+/**
+ * What an answer of a target says of the target itself.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param requestLimit the requests that the target takes from all entries together, empty if the answer names no limit
+ * @param fromExecutedRequest whether the target ran a caller's request; other answers may leave out a limit that is still in force
+ */
+public record TargetSignals(Optional<RequestRate> requestLimit, boolean fromExecutedRequest) {
+
+    public TargetSignals {
+        Objects.requireNonNull(requestLimit, "requestLimit");
+    }
+}
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -59,6 +59,8 @@
             5015, Level.INFO, "The operator has evacuated a failure domain; its targets get nothing more soon."),
     DOMAIN_TAKEN_BACK(5016, Level.INFO, "The targets of an evacuated failure domain are used again."),
     TARGET_COLD(5017, Level.INFO, "A target has not warmed up; it gets few requests."),
+    TARGET_LIMITED(5018, Level.INFO, "A target names how many requests it takes from all entries together."),
+    TARGET_LIMIT_ENDED(5019, Level.INFO, "A target names no limit any more."),
     LINK_OPENED(6001, Level.DEBUG, "A link to a peer is open."),
     LINK_LOST(6002, Level.WARN, "A link to a peer was lost or went silent."),
     FRAME_REFUSED(6003, Level.WARN, "A peer sent what is not a frame; the link was closed."),
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -18,6 +18,7 @@
 import org.geraniumreach.gateway.cold.ColdStartLimiter;
 import org.geraniumreach.gateway.cold.EqualDivision;
 import org.geraniumreach.gateway.evacuation.Evacuations;
+import org.geraniumreach.gateway.limit.TargetLimits;
 import org.geraniumreach.gateway.pacing.OwnerAdmission;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
@@ -102,7 +103,8 @@
     private final QuotaAdmission quotaAdmission;
     private final HttpConnections connections = new HttpConnections(loop, clock, CONNECT_TIMEOUT);
     private final StorePort store;
-    private final TargetClient targets = new TargetClient(connections);
+    private final TargetLimits targetLimits;
+    private final TargetClient targets;
     private final AdapterLoadCoordinator coordinator;
     private final TargetHealth health;
     private final Evacuations evacuations;
@@ -140,6 +142,8 @@
         this.quotas = new Quotas(settings.instance(), lease, settings.quotaTolerance(), clock, log);
         this.quotaAdmission = new QuotaAdmission(quotas, this::requestUnits, timers, clock, new Random());
         this.store = new StoreClient(connections, settings.storeAddress());
+        this.targetLimits = new TargetLimits(clock, log);
+        this.targets = new TargetClient(connections, targetLimits);
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.evacuations = new Evacuations(settings.evacuationLimit(), clock, log);
         this.coldStartLimiter = new ColdStartLimiter(
@@ -310,6 +314,7 @@
         registry.addListener(coordinator);
         registry.addListener(new HealthUpdater());
         registry.addListener(coldStartLimiter);
+        registry.addListener(targetLimits);
         registry.addListener(ownerAdmission);
         coordinator.start(links);
         quotaLinks = new QuotaLinks(quotas, links);
