--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -0,0 +1,288 @@
+package org.geraniumreach.gateway.limit;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.geraniumreach.gateway.adapter.TargetOwnership;
+import org.geraniumreach.gateway.cold.LimitDivision;
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.placement.TargetRegistry;
+import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.PendingAnswers;
+import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.TargetId;
+
+/**
+ * Keeps the calls of all entries to a limited target within the target's limit, through the target's owner.
+ *
+ * <p>Intended for any number of entries, each of which sends few requests to the target. Ownership is exclusive, so the limit holds however
+ * much the entries' views of one another differ. Entries that cannot reach the owner divide a few calls among themselves, which are
+ * part of what a target tolerates beyond its limit.
+ *
+ * <p>Invariants: an entry that knows of a limit sends no request without the owner's permission or a part of those few calls. A
+ * permission is used at once. Confined to the event loop.
+ */
+public final class LimitAdmission implements RequestLimiter, TargetRegistry.Listener {
+
+    /** Longer than the span over which targets count, since calls take different times to arrive. */
+    static final Duration WINDOW = Duration.ofMillis(4_500);
+
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(60);
+
+    /** Time after which an entry without a permission asks again; a target without an owner gets one within this time. */
+    private static final Duration OWNER_RETRY_INTERVAL = Duration.ofMillis(500);
+
+    /** Seconds of the limit, and further calls, that all entries together send within a window without the owner. */
+    private static final double UNOWNED_SECONDS = 1;
+
+    private static final double UNOWNED_EXTRA_CALLS = 3;
+
+    private static final int LONGEST_WAIT_INTERVALS = 2;
+    private static final Duration MINIMUM_RETRY_AFTER = Duration.ofMillis(1);
+
+    private final TargetLimits limits;
+    private final TargetOwnership ownership;
+    private final TargetRegistry registry;
+    private final LimitDivision division;
+    private final LimitPeers peers;
+    private final MonotonicClock clock;
+    private final PendingAnswers<Optional<Decision>> pendingAnswers;
+    private final Map<Target, LimitedCalls> calls = new HashMap<>();
+
+    /** The calls to one limited target. */
+    private static final class LimitedCalls {
+        private final Deque<Long> unownedSends = new ArrayDeque<>();
+        private Optional<LimitBucket> bucket = Optional.empty();
+        private Optional<Refusal> refusal = Optional.empty();
+
+        private LimitBucket bucket(RequestRate rate, long now) {
+            if (bucket.isEmpty()) {
+                bucket = Optional.of(new LimitBucket(rate, now));
+            }
+            return bucket.get();
+        }
+    }
+
+    private record Refusal(long at, Duration retryAfter) {
+
+        /** Gets the time at which to ask again; a limit that has been raised since shortens the wait. */
+        private long until(RequestRate rate) {
+            long longest = LONGEST_WAIT_INTERVALS * rate.interval().toNanos();
+            return at + Math.min(retryAfter.toNanos(), Math.max(longest, OWNER_RETRY_INTERVAL.toNanos()));
+        }
+    }
+
+    /**
+     * Creates an admission without pending requests.
+     *
+     * @param limits the limits that targets have named, not null
+     * @param ownership the owners of the targets, not null
+     * @param registry the targets, not null
+     * @param division divides the calls that are sent without the owner, not null
+     * @param peers sends requests to the other entries, not null
+     * @param timers runs actions later, not null
+     * @param clock the clock, not null
+     */
+    public LimitAdmission(
+            TargetLimits limits,
+            TargetOwnership ownership,
+            TargetRegistry registry,
+            LimitDivision division,
+            LimitPeers peers,
+            Timers timers,
+            MonotonicClock clock) {
+        this.limits = Objects.requireNonNull(limits, "limits");
+        this.ownership = Objects.requireNonNull(ownership, "ownership");
+        this.registry = Objects.requireNonNull(registry, "registry");
+        this.division = Objects.requireNonNull(division, "division");
+        this.peers = Objects.requireNonNull(peers, "peers");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.pendingAnswers = new PendingAnswers<>(timers);
+    }
+
+    @Override
+    public Cancellable admit(Target target, Consumer<Decision> callback) {
+        Optional<RequestRate> rate = limits.limit(target);
+        if (rate.isEmpty()) {
+            callback.accept(Decision.ADMITTED);
+            return Cancellable.NOOP;
+        }
+        Duration wait = timeUntilAvailable(target);
+        if (!wait.isZero()) {
+            callback.accept(Decision.refused(wait));
+            return Cancellable.NOOP;
+        }
+        if (isOwned(target)) {
+            complete(target, Optional.of(takeAsOwner(target, rate.get())), callback);
+            return Cancellable.NOOP;
+        }
+        long number = pendingAnswers.nextNumber();
+        Optional<String> owner = ownership.holder(target.id()).filter(entry -> !entry.equals(ownership.self()));
+        LimitReport known = limits.report(target).orElseThrow();
+        if (owner.isEmpty() || !peers.requestCall(owner.get(), number, target, known)) {
+            complete(target, Optional.empty(), callback);
+            return Cancellable.NOOP;
+        }
+        return pendingAnswers.add(
+                number, ANSWER_TIMEOUT, Optional.empty(), answer -> complete(target, answer, callback));
+    }
+
+    private boolean isOwned(Target target) {
+        return ownership.fence(target.id()).isPresent();
+    }
+
+    private LimitedCalls callsTo(Target target) {
+        return calls.computeIfAbsent(target, missing -> new LimitedCalls());
+    }
+
+    private Decision takeAsOwner(Target target, RequestRate rate) {
+        long now = clock.nanos();
+        LimitBucket bucket = callsTo(target).bucket(rate, now);
+        Duration wait = bucket.untilFree(rate, now);
+        if (!wait.isZero()) {
+            return Decision.refused(wait);
+        }
+        bucket.take(rate, now);
+        return Decision.ADMITTED;
+    }
+
+    /** Completes a request with the owner's answer, or without it if there is none. */
+    private void complete(Target target, Optional<Decision> answer, Consumer<Decision> callback) {
+        Decision decision = answer.orElseGet(() -> takeWithoutOwner(target));
+        if (!decision.admitted()) {
+            onRefused(target, decision, answer.isPresent());
+        }
+        callback.accept(decision);
+    }
+
+    private void onRefused(Target target, Decision refusal, boolean byOwner) {
+        Duration wait =
+                refusal.retryAfter().compareTo(MINIMUM_RETRY_AFTER) < 0 ? MINIMUM_RETRY_AFTER : refusal.retryAfter();
+        callsTo(target).refusal = Optional.of(new Refusal(clock.nanos(), wait));
+        limits.logReached(target, byOwner, wait);
+    }
+
+    private Decision takeWithoutOwner(Target target) {
+        Optional<RequestRate> rate = limits.limit(target);
+        if (rate.isEmpty()) {
+            return Decision.ADMITTED;
+        }
+        long now = clock.nanos();
+        Deque<Long> sends = callsTo(target).unownedSends;
+        while (!sends.isEmpty() && now - sends.peekFirst() >= WINDOW.toNanos()) {
+            sends.removeFirst();
+        }
+        int total = (int) (rate.get().perSecond() * UNOWNED_SECONDS + UNOWNED_EXTRA_CALLS);
+        if (sends.size() >= division.share(target.id(), total)) {
+            return Decision.refused(OWNER_RETRY_INTERVAL);
+        }
+        sends.addLast(now);
+        return Decision.ADMITTED;
+    }
+
+    /**
+     * Decides on a request of another entry.
+     *
+     * @param id the target, not null
+     * @param startedAt the start of the target's incarnation
+     * @param known what the other entry knows of the limit, not null
+     * @return the decision, or empty if this entry does not own the target
+     */
+    public Optional<Decision> decideForPeer(TargetId id, long startedAt, LimitReport known) {
+        Optional<Target> target = registry.find(id)
+                .filter(found -> found.description().startedAt() == startedAt)
+                .filter(this::isOwned);
+        target.ifPresent(owned -> limits.onReport(owned, known));
+        return target.map(owned ->
+                limits.limit(owned).map(rate -> takeAsOwner(owned, rate)).orElse(Decision.ADMITTED));
+    }
+
+    /**
+     * Processes the answer of another entry; ignored if the request has timed out or been cancelled.
+     *
+     * @param number the number of the request
+     * @param answer the decision, empty if the other entry does not own the target, not null
+     */
+    public void onAnswer(long number, Optional<Decision> answer) {
+        pendingAnswers.complete(number, answer);
+    }
+
+    /**
+     * Gets the time until a target may take another request of this entry.
+     *
+     * @param target the target, not null
+     * @return the time, zero if it may take one now, not null
+     */
+    public Duration timeUntilAvailable(Target target) {
+        Optional<Refusal> refusal = Optional.ofNullable(calls.get(target)).flatMap(limited -> limited.refusal);
+        if (refusal.isEmpty()) {
+            return Duration.ZERO;
+        }
+        return limits.limit(target)
+                .map(rate -> Duration.ofNanos(Math.max(0, refusal.get().until(rate) - clock.nanos())))
+                .orElse(Duration.ZERO);
+    }
+
+    /**
+     * Queries whether a target has named a limit.
+     *
+     * @param target the target, not null
+     * @return true if it has
+     */
+    public boolean isLimited(Target target) {
+        return limits.limit(target).isPresent();
+    }
+
+    /**
+     * Queries whether this entry may send an order, or read a report, at a target that it owns.
+     *
+     * <p>Orders may be sent one call ahead of the limit, since requests would otherwise starve them.
+     *
+     * @param target the target, not null
+     * @return true if it may
+     */
+    public boolean mayOrder(Target target) {
+        return limits.limit(target)
+                .map(rate -> {
+                    Duration debt = rate.interval().multipliedBy(LimitBucket.MAXIMUM_DEBT);
+                    return callsTo(target)
+                                    .bucket(rate, clock.nanos())
+                                    .untilFree(rate, clock.nanos())
+                                    .compareTo(debt)
+                            < 0;
+                })
+                .orElse(true);
+    }
+
+    /**
+     * Records that an order was sent to, or a report read from, a target that this entry owns.
+     *
+     * @param target the target, not null
+     */
+    public void onOrderSent(Target target) {
+        limits.limit(target)
+                .ifPresent(rate -> callsTo(target).bucket(rate, clock.nanos()).take(rate, clock.nanos()));
+    }
+
+    @Override
+    public void onJoined(Target target) {
+        // Calls are counted from the first limited one.
+    }
+
+    @Override
+    public void onChanged(Target target) {
+        // Limits do not depend on the target's row.
+    }
+
+    @Override
+    public void onLeft(Target target) {
+        calls.remove(target);
+    }
+}
--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/TargetLimits.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/TargetLimits.java
@@ -134,14 +134,36 @@
         log.write(
                 newer.rate().isPresent() ? EventCode.TARGET_LIMITED : EventCode.TARGET_LIMIT_ENDED,
                 target.id().value(),
-                Field.of("perSecond", newer.rate().map(RequestRate::perSecond).orElse(0.0)),
+                Field.of("perSecond", perSecond(newer.rate())),
                 Field.of("observedDirectly", observedDirectly),
-                Field.of("ageMillis", (clock.nanos() - newer.observedAt()) / 1_000_000));
+                Field.of("ageMillis", ageMillis(newer.observedAt())));
         if (observedDirectly && previous.isPresent() != newer.rate().isPresent()) {
             changeListener.onChanged(target, report(target).orElseThrow());
         }
     }
 
+    /** Logs that a request is not sent, with the limit, its age and the decider. */
+    void logReached(Target target, boolean byOwner, Duration retryAfter) {
+        Optional<NamedLimit> known = Optional.ofNullable(limits.get(target));
+        log.write(
+                EventCode.TARGET_LIMIT_REACHED,
+                target.id().value(),
+                Field.of("perSecond", perSecond(known.flatMap(NamedLimit::rate))),
+                Field.of(
+                        "ageMillis",
+                        known.map(limit -> ageMillis(limit.observedAt())).orElse(0L)),
+                Field.of("byOwner", byOwner),
+                Field.of("retryAfterMillis", retryAfter.toMillis()));
+    }
+
+    private static double perSecond(Optional<RequestRate> rate) {
+        return rate.map(RequestRate::perSecond).orElse(0.0);
+    }
+
+    private long ageMillis(long observedAt) {
+        return (clock.nanos() - observedAt) / 1_000_000;
+    }
+
     @Override
     public void onJoined(Target target) {
         // A new incarnation has named no limit.
--- a/gateway/src/main/java/org/geraniumreach/gateway/pacing/OwnerAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/pacing/OwnerAdmission.java
@@ -12,6 +12,7 @@
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.PendingAnswers;
 import org.geraniumreach.gateway.port.Timers;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.TargetId;
@@ -32,13 +33,9 @@
     private final TargetRegistry registry;
     private final ToDoubleFunction<String> tokensPerMilli;
     private final TargetAdmissionPeers peers;
-    private final Timers timers;
     private final MonotonicClock clock;
     private final Map<Target, PromptPacer> pacers = new HashMap<>();
-    private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
-    private long lastRequestNumber;
-
-    private record PendingRequest(Consumer<Decision> callback, Cancellable timeout) {}
+    private final PendingAnswers<Decision> pendingAnswers;
 
     /**
      * Creates an admission without pending requests.
@@ -61,8 +58,8 @@
         this.registry = Objects.requireNonNull(registry, "registry");
         this.tokensPerMilli = Objects.requireNonNull(tokensPerMilli, "tokensPerMilli");
         this.peers = Objects.requireNonNull(peers, "peers");
-        this.timers = Objects.requireNonNull(timers, "timers");
         this.clock = Objects.requireNonNull(clock, "clock");
+        this.pendingAnswers = new PendingAnswers<>(timers);
     }
 
     @Override
@@ -71,7 +68,7 @@
             callback.accept(admitLocally(target, promptTokens, maxDelay));
             return Cancellable.NOOP;
         }
-        long number = ++lastRequestNumber;
+        long number = pendingAnswers.nextNumber();
         Optional<String> owner = ownership.holder(target.id()).filter(entry -> !entry.equals(ownership.self()));
         boolean sent =
                 owner.isPresent() && peers.requestAdmission(owner.get(), number, target.id(), promptTokens, maxDelay);
@@ -79,16 +76,7 @@
             callback.accept(Decision.IMMEDIATE);
             return Cancellable.NOOP;
         }
-        Cancellable timeout = timers.schedule(ANSWER_TIMEOUT, () -> onAnswer(number, Decision.IMMEDIATE));
-        pendingRequests.put(number, new PendingRequest(callback, timeout));
-        return () -> cancel(number);
-    }
-
-    private void cancel(long number) {
-        PendingRequest request = pendingRequests.remove(number);
-        if (request != null) {
-            request.timeout().cancel();
-        }
+        return pendingAnswers.add(number, ANSWER_TIMEOUT, Decision.IMMEDIATE, callback);
     }
 
     private boolean isOwned(Target target) {
@@ -124,11 +112,7 @@
      * @param decision the decision, not null
      */
     public void onAnswer(long number, Decision decision) {
-        PendingRequest request = pendingRequests.remove(number);
-        if (request != null) {
-            request.timeout().cancel();
-            request.callback().accept(decision);
-        }
+        pendingAnswers.complete(number, decision);
     }
 
     @Override
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -93,7 +93,14 @@
         if (sendable.isEmpty()) {
             return new PlacementDecision.Unplaceable(reasonNoneSendable(remaining, notEvacuated));
         }
-        List<Target> usable = healthyIfAny(sendable);
+        List<Target> available =
+                sendable.stream().filter(conditions::isAvailable).toList();
+        if (available.isEmpty()) {
+            return sendable.size() < notEvacuated.size()
+                    ? new PlacementDecision.Unplaceable(PlacementDecision.Reason.COLD)
+                    : new PlacementDecision.Unplaceable(PlacementDecision.Reason.LIMITED, untilAvailable(sendable));
+        }
+        List<Target> usable = healthyIfAny(available);
         if (request.model().isEmpty()) {
             return placeOnLeastLoaded(request, usable);
         }
@@ -113,6 +120,10 @@
         return notEvacuated.isEmpty() ? PlacementDecision.Reason.EVACUATED : PlacementDecision.Reason.COLD;
     }
 
+    private Optional<Duration> untilAvailable(List<Target> targets) {
+        return targets.stream().map(conditions.timeUntilAvailable()).min(Comparator.naturalOrder());
+    }
+
     private List<Target> healthyIfAny(List<Target> targets) {
         List<Target> healthy = targets.stream().filter(conditions.healthy()).toList();
         return healthy.isEmpty() ? targets : healthy;
@@ -202,7 +213,9 @@
                 .filter(target -> !residents.contains(target)
                         && canLoad(target, request)
                         && isFreeWithinLoadTime(target, request))
-                .min(Comparator.comparing(target -> holdsOlderVersion(target, request)));
+                .min(Comparator.comparing(
+                                (Target target) -> conditions.limited().test(target))
+                        .thenComparing(target -> holdsOlderVersion(target, request)));
         if (loadable.isPresent()) {
             return new PlacementDecision.Load(loadable.get());
         }
@@ -326,8 +339,10 @@
         }
         List<Target> candidates = newestResident ? homes : order;
         return candidates.stream()
-                .filter(target ->
-                        !residents.contains(target) && canLoad(target, request) && !holdsOlderVersion(target, request))
+                .filter(target -> !residents.contains(target)
+                        && canLoad(target, request)
+                        && !conditions.limited().test(target)
+                        && !holdsOlderVersion(target, request))
                 .findFirst();
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
@@ -57,8 +57,19 @@
      * No target can take the request.
      *
      * @param reason the reason
+     * @param retryAfter the time after which a target takes requests again, empty if unknown
      */
-    record Unplaceable(Reason reason) implements PlacementDecision {}
+    record Unplaceable(Reason reason, Optional<Duration> retryAfter) implements PlacementDecision {
+
+        public Unplaceable {
+            Objects.requireNonNull(reason, "reason");
+            Objects.requireNonNull(retryAfter, "retryAfter");
+        }
+
+        Unplaceable(Reason reason) {
+            this(reason, Optional.empty());
+        }
+    }
 
     /** The reason for a decision. */
     enum Reason {
@@ -80,6 +91,8 @@
         EVACUATED,
         /** All remaining targets are warming up and have reached their request limit. */
         COLD,
+        /** All remaining targets take requests again only later, as they have asked for. */
+        LIMITED,
         /** All targets of the service are excluded for this request, draining or leaving. */
         NONE_LEFT
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetConditions.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetConditions.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.gateway.placement;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -16,18 +17,24 @@
  * @param loadable whether an entry can order adapter loads at a target at the moment
  * @param evacuationPhase the evacuation phase of a failure domain
  * @param withinColdLimit whether a target that may be warming up can take one more request
+ * @param timeUntilAvailable the time until a target takes another request of this entry, zero if it takes one now
+ * @param limited whether a target names a limit on its requests
  */
 public record TargetConditions(
         Predicate<Target> healthy,
         Predicate<Target> loadable,
         Function<FailureDomain, Evacuations.Phase> evacuationPhase,
-        Predicate<Target> withinColdLimit) {
+        Predicate<Target> withinColdLimit,
+        Function<Target, Duration> timeUntilAvailable,
+        Predicate<Target> limited) {
 
     public TargetConditions {
         Objects.requireNonNull(healthy, "healthy");
         Objects.requireNonNull(loadable, "loadable");
         Objects.requireNonNull(evacuationPhase, "evacuationPhase");
         Objects.requireNonNull(withinColdLimit, "withinColdLimit");
+        Objects.requireNonNull(timeUntilAvailable, "timeUntilAvailable");
+        Objects.requireNonNull(limited, "limited");
     }
 
     /**
@@ -36,7 +43,13 @@
      * @return the conditions, not null
      */
     public static TargetConditions unrestricted() {
-        return new TargetConditions(target -> true, target -> true, domain -> Evacuations.Phase.IN_USE, target -> true);
+        return new TargetConditions(
+                target -> true,
+                target -> true,
+                domain -> Evacuations.Phase.IN_USE,
+                target -> true,
+                target -> Duration.ZERO,
+                target -> false);
     }
 
     boolean isEvacuated(Target target) {
@@ -51,6 +64,10 @@
         return isInUse(target) && loadable.test(target);
     }
 
+    boolean isAvailable(Target target) {
+        return timeUntilAvailable.apply(target).isZero();
+    }
+
     private Evacuations.Phase phase(Target target) {
         return evacuationPhase.apply(target.description().failureDomain());
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.geraniumreach.gateway.limit.RequestLimiter;
 import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.PlacementDecision;
 import org.geraniumreach.gateway.placement.PlacementRequest;
@@ -169,7 +170,7 @@
             waitClock.startWait(WaitCause.PREFILL_CAPACITY, services.clock().nanos());
             waitTimer = services.timers().schedule(defer.delay(), this::place);
         } else if (decision instanceof PlacementDecision.Unplaceable unplaceable) {
-            onUnplaceable(unplaceable.reason());
+            onUnplaceable(unplaceable);
         }
     }
 
@@ -178,7 +179,15 @@
      * can order loads, and targets that are warming up take another request within a second; refused callers would
      * all retry at the same time.
      */
-    private void onUnplaceable(PlacementDecision.Reason reason) {
+    private void onUnplaceable(PlacementDecision.Unplaceable unplaceable) {
+        PlacementDecision.Reason reason = unplaceable.reason();
+        if (reason == PlacementDecision.Reason.LIMITED) {
+            giveUp(
+                    ResultCode.OVERLOADED,
+                    reason.name(),
+                    unplaceable.retryAfter().orElse(DEFAULT_RETRY_AFTER));
+            return;
+        }
         boolean isTransient = reason == PlacementDecision.Reason.NO_HOLDER || reason == PlacementDecision.Reason.COLD;
         boolean mayRetry =
                 isTransient && elapsed().compareTo(services.settings().placementRetryPeriod()) < 0;
@@ -237,7 +246,7 @@
 
     private void requestTargetAdmission(PlacementDecision.Send send) {
         if (promptTokens() == 0 || !admissionAttempts.mayAttempt()) {
-            send(send);
+            requestCall(send);
             return;
         }
         waitClock.startWait(WaitCause.PREFILL_CAPACITY, services.clock().nanos());
@@ -263,6 +272,22 @@
     private void sendIfStillSendable(PlacementDecision.Send send) {
         waitClock.stopWait(services.clock().nanos());
         if (services.placement().isSendable(send.target())) {
+            requestCall(send);
+        } else {
+            place();
+        }
+    }
+
+    /** Asks last, so that a request that has waited for anything else keeps to a limit that became known meanwhile. */
+    private void requestCall(PlacementDecision.Send send) {
+        pendingAdmission = services.limiter().admit(send.target(), decision -> onCallDecision(send, decision));
+    }
+
+    private void onCallDecision(PlacementDecision.Send send, RequestLimiter.Decision decision) {
+        if (ended) {
+            return;
+        }
+        if (decision.admitted() && services.placement().isSendable(send.target())) {
             send(send);
         } else {
             place();
@@ -418,6 +443,10 @@
 
     /** Ends the exchange at once without a complete answer, reporting what is known about whether the request ran. */
     private void giveUp(ResultCode notRunCode, String reason) {
+        giveUp(notRunCode, reason, DEFAULT_RETRY_AFTER);
+    }
+
+    private void giveUp(ResultCode notRunCode, String reason, Duration retryAfter) {
         if (ended) {
             return;
         }
@@ -434,7 +463,7 @@
         }
         if (possiblyRunTargets.isEmpty()) {
             refuse(Refusal.withRetryAfter(
-                    notRunCode.httpStatus() == 503 ? notRunCode : ResultCode.NOT_RUN, reason, DEFAULT_RETRY_AFTER));
+                    notRunCode.httpStatus() == 503 ? notRunCode : ResultCode.NOT_RUN, reason, retryAfter));
             return;
         }
         logEnd(EventCode.OUTCOME_UNKNOWN, ResultCode.OUTCOME_UNKNOWN, reason);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import org.geraniumreach.gateway.limit.RequestLimiter;
 import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.TargetRegistry;
@@ -21,6 +22,7 @@
  * @param adapters orders adapter loads
  * @param quotas admits requests under the rates of client accounts
  * @param admission decides when prompts may be sent to a target
+ * @param limiter decides whether requests may be sent to targets that limit them
  * @param retryBudgets limits repeated sends, by service
  * @param health ejects failing targets
  * @param timers schedules actions
@@ -36,6 +38,7 @@
         AdapterLoader adapters,
         QuotaAdmission quotas,
         TargetAdmission admission,
+        RequestLimiter limiter,
         RetryBudgets retryBudgets,
         TargetHealth health,
         Timers timers,
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
@@ -258,7 +258,9 @@
                 target -> true,
                 target -> true,
                 queried -> queried.equals(domain) ? phase : Evacuations.Phase.IN_USE,
-                target -> true);
+                target -> true,
+                target -> Duration.ZERO,
+                target -> false);
     }
 
     private static final FailureDomain OTHER_DOMAIN = FailureDomain.of("away");
@@ -307,7 +309,9 @@
                 target -> true,
                 target -> true,
                 domain -> cold ? Evacuations.Phase.IN_USE : Evacuations.Phase.DRAINED,
-                target -> !cold);
+                target -> !cold,
+                target -> Duration.ZERO,
+                target -> false);
         assertThat(restricted(conditions).place(request(ADAPTER, "s")))
                 .isEqualTo(new PlacementDecision.Unplaceable(reason));
     }
@@ -340,7 +344,12 @@
         Target home = loadTarget(ADAPTER);
         home.learnResident(ADAPTER, 1, time.nanos());
         TargetConditions conditions = new TargetConditions(
-                target -> true, target -> true, domain -> Evacuations.Phase.IN_USE, target -> target != home);
+                target -> true,
+                target -> true,
+                domain -> Evacuations.Phase.IN_USE,
+                target -> target != home,
+                target -> Duration.ZERO,
+                target -> false);
         PlacementDecision decision = restricted(conditions).place(request(ADAPTER, "s"));
         assertThat(decision).isInstanceOf(PlacementDecision.Load.class);
         assertThat(((PlacementDecision.Load) decision).target()).isNotSameAs(home);
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.limit.RequestLimiter;
 import org.geraniumreach.gateway.pacing.TargetAdmission.Decision;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
@@ -431,4 +432,69 @@
         assertThat(answer.status()).isEqualTo(503);
         assertThat(answer.header("Retry-After")).isNotEmpty();
     }
+
+    /** Refuses the first request, whose target then takes no other for a second. */
+    private RequestLimiter refusingFirst(List<Target> asked) {
+        return (target, onDecision) -> {
+            asked.add(target);
+            if (asked.size() == 1) {
+                world.limitTarget(target.id().value(), Duration.ofSeconds(1));
+                onDecision.accept(RequestLimiter.Decision.refused(Duration.ofSeconds(1)));
+            } else {
+                onDecision.accept(RequestLimiter.Decision.ADMITTED);
+            }
+            return Cancellable.NOOP;
+        };
+    }
+
+    // Guards against sending a request that waited for its prompt's turn to a target that has named a limit meanwhile.
+    @Test
+    void aRequestThatWaitedIsSentElsewhereIfItsTargetIsLimitedByThen() {
+        world.startWithRoute(RetryPolicy.AT_MOST_ONCE, 1)
+                .addTarget("a", Map.of("base", Map.of("a7", 1L)))
+                .addTarget("b", Map.of("base", Map.of("a7", 1L)));
+        world.setTargetAdmission((target, promptTokens, longestDelay, onDecision) -> {
+            onDecision.accept(new Decision(true, Duration.ofMillis(100)));
+            return Cancellable.NOOP;
+        });
+        List<Target> asked = new ArrayList<>();
+        world.setLimiter(refusingFirst(asked));
+        world.send(Optional.of(generation()));
+        assertThat(asked).isEmpty();
+        world.time().advance(Duration.ofMillis(250));
+        assertThat(asked).hasSize(2);
+        assertThat(world.targets().sentRequests()).hasSize(1);
+        assertThat(world.targets().lastRequest().target()).isNotSameAs(asked.get(0));
+    }
+
+    // Guards against retries that do not count against a target's limit.
+    @Test
+    void aRetryAsksForPermissionAsWell() {
+        world.startWithRoute(RetryPolicy.IDEMPOTENT, 3)
+                .addTarget("a")
+                .addTarget("b")
+                .addTarget("c");
+        world.send();
+        List<Target> asked = new ArrayList<>();
+        world.setLimiter(refusingFirst(asked));
+        world.targets().lastRequest().answerNotExecuted(NotExecuted.SHED);
+        assertThat(asked).hasSize(2);
+        assertThat(world.targets().sentRequests()).hasSize(2);
+        assertThat(world.targets().lastRequest().target())
+                .isSameAs(asked.get(1))
+                .isNotSameAs(asked.get(0));
+    }
+
+    // Guards against callers who wait, or are told a guessed time, where all targets have named limits that are used
+    // up.
+    @Test
+    void aRequestThatNoTargetTakesNowIsRejectedAtOnceWithTheShortestTime() {
+        world.startWithRoute(RetryPolicy.AT_MOST_ONCE, 1).addTarget("a").addTarget("b");
+        world.limitTarget("a", Duration.ofSeconds(3));
+        world.limitTarget("b", Duration.ofMillis(1_500));
+        RecordedAnswer answer = world.send();
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.header("Retry-After")).isEqualTo("1.50");
+        assertThat(world.targets().sentRequests()).isEmpty();
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,7 @@
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.cold.ColdStartLimiter;
 import org.geraniumreach.gateway.evacuation.Evacuations;
+import org.geraniumreach.gateway.limit.RequestLimiter;
 import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
@@ -76,6 +78,8 @@
             (event, id, fields) -> {});
     private ServiceDefinition.ColdStart coldStart = ServiceDefinition.ColdStart.NONE;
     private TargetAdmission admission = TargetAdmission.unpaced();
+    private final Map<TargetId, Duration> timesUntilAvailable = new HashMap<>();
+    private RequestLimiter limiter = RequestLimiter.unlimited();
     private int requestCount;
     private boolean targetsHeld = true;
 
@@ -157,7 +161,9 @@
                         target -> health.admits(target.id()),
                         target -> targetsHeld,
                         evacuations::phase,
-                        cold::maySendTo),
+                        cold::maySendTo,
+                        target -> timesUntilAvailable.getOrDefault(target.id(), Duration.ZERO),
+                        target -> timesUntilAvailable.containsKey(target.id())),
                 () -> 1,
                 FailureDomain.of("here"),
                 PlacementSettings.defaults(),
@@ -171,6 +177,7 @@
                         new QuotaAdmission(quotas, (entry, number, account, units) -> false, time, time, new Random(1)),
                         (target, promptTokens, longestDelay, onDecision) ->
                                 admission.admit(target, promptTokens, longestDelay, onDecision),
+                        (target, onDecision) -> limiter.admit(target, onDecision),
                         new RetryBudgets(() -> RetryBudget.create(time, 1, 0, RETRY_LIMIT)),
                         health,
                         time,
@@ -279,6 +286,16 @@
         admission = newAdmission;
     }
 
+    /** Sets the decisions on requests to targets that name a limit. */
+    public void setLimiter(RequestLimiter newLimiter) {
+        limiter = newLimiter;
+    }
+
+    /** Sets the time until a target that names a limit takes another request, zero if it takes one now. */
+    public void limitTarget(String target, Duration untilAvailable) {
+        timesUntilAvailable.put(TargetId.of(target), untilAvailable);
+    }
+
     public void close() {
         handler.close();
     }
--- a/messages/src/main/java/org/geraniumreach/messages/Frame.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Frame.java
@@ -78,6 +78,9 @@
     QUOTA_RESPONSE(28),
     TARGET_ADMISSION_REQUEST(29),
     TARGET_ADMISSION_RESPONSE(30),
+    TARGET_LIMIT_REQUEST(31),
+    TARGET_LIMIT_RESPONSE(32),
+    TARGET_LIMIT_UPDATE(33),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -125,6 +128,9 @@
         case 28: return QUOTA_RESPONSE;
         case 29: return TARGET_ADMISSION_REQUEST;
         case 30: return TARGET_ADMISSION_RESPONSE;
+        case 31: return TARGET_LIMIT_REQUEST;
+        case 32: return TARGET_LIMIT_RESPONSE;
+        case 33: return TARGET_LIMIT_UPDATE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -1070,6 +1076,99 @@
     return org.geraniumreach.messages.TargetAdmissionResponse.getDefaultInstance();
   }
 
+  public static final int TARGET_LIMIT_REQUEST_FIELD_NUMBER = 31;
+  /**
+   * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+   * @return Whether the targetLimitRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasTargetLimitRequest() {
+    return bodyCase_ == 31;
+  }
+  /**
+   * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+   * @return The targetLimitRequest.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetLimitRequest getTargetLimitRequest() {
+    if (bodyCase_ == 31) {
+       return (org.geraniumreach.messages.TargetLimitRequest) body_;
+    }
+    return org.geraniumreach.messages.TargetLimitRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetLimitRequestOrBuilder getTargetLimitRequestOrBuilder() {
+    if (bodyCase_ == 31) {
+       return (org.geraniumreach.messages.TargetLimitRequest) body_;
+    }
+    return org.geraniumreach.messages.TargetLimitRequest.getDefaultInstance();
+  }
+
+  public static final int TARGET_LIMIT_RESPONSE_FIELD_NUMBER = 32;
+  /**
+   * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+   * @return Whether the targetLimitResponse field is set.
+   */
+  @java.lang.Override
+  public boolean hasTargetLimitResponse() {
+    return bodyCase_ == 32;
+  }
+  /**
+   * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+   * @return The targetLimitResponse.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetLimitResponse getTargetLimitResponse() {
+    if (bodyCase_ == 32) {
+       return (org.geraniumreach.messages.TargetLimitResponse) body_;
+    }
+    return org.geraniumreach.messages.TargetLimitResponse.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetLimitResponseOrBuilder getTargetLimitResponseOrBuilder() {
+    if (bodyCase_ == 32) {
+       return (org.geraniumreach.messages.TargetLimitResponse) body_;
+    }
+    return org.geraniumreach.messages.TargetLimitResponse.getDefaultInstance();
+  }
+
+  public static final int TARGET_LIMIT_UPDATE_FIELD_NUMBER = 33;
+  /**
+   * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+   * @return Whether the targetLimitUpdate field is set.
+   */
+  @java.lang.Override
+  public boolean hasTargetLimitUpdate() {
+    return bodyCase_ == 33;
+  }
+  /**
+   * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+   * @return The targetLimitUpdate.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetLimitUpdate getTargetLimitUpdate() {
+    if (bodyCase_ == 33) {
+       return (org.geraniumreach.messages.TargetLimitUpdate) body_;
+    }
+    return org.geraniumreach.messages.TargetLimitUpdate.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetLimitUpdateOrBuilder getTargetLimitUpdateOrBuilder() {
+    if (bodyCase_ == 33) {
+       return (org.geraniumreach.messages.TargetLimitUpdate) body_;
+    }
+    return org.geraniumreach.messages.TargetLimitUpdate.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1174,6 +1273,15 @@
     if (bodyCase_ == 30) {
       output.writeMessage(30, (org.geraniumreach.messages.TargetAdmissionResponse) body_);
     }
+    if (bodyCase_ == 31) {
+      output.writeMessage(31, (org.geraniumreach.messages.TargetLimitRequest) body_);
+    }
+    if (bodyCase_ == 32) {
+      output.writeMessage(32, (org.geraniumreach.messages.TargetLimitResponse) body_);
+    }
+    if (bodyCase_ == 33) {
+      output.writeMessage(33, (org.geraniumreach.messages.TargetLimitUpdate) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1303,6 +1411,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(30, (org.geraniumreach.messages.TargetAdmissionResponse) body_);
     }
+    if (bodyCase_ == 31) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(31, (org.geraniumreach.messages.TargetLimitRequest) body_);
+    }
+    if (bodyCase_ == 32) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(32, (org.geraniumreach.messages.TargetLimitResponse) body_);
+    }
+    if (bodyCase_ == 33) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(33, (org.geraniumreach.messages.TargetLimitUpdate) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1440,6 +1560,18 @@
         if (!getTargetAdmissionResponse()
             .equals(other.getTargetAdmissionResponse())) return false;
         break;
+      case 31:
+        if (!getTargetLimitRequest()
+            .equals(other.getTargetLimitRequest())) return false;
+        break;
+      case 32:
+        if (!getTargetLimitResponse()
+            .equals(other.getTargetLimitResponse())) return false;
+        break;
+      case 33:
+        if (!getTargetLimitUpdate()
+            .equals(other.getTargetLimitUpdate())) return false;
+        break;
       case 0:
       default:
     }
@@ -1575,6 +1707,18 @@
         hash = (37 * hash) + TARGET_ADMISSION_RESPONSE_FIELD_NUMBER;
         hash = (53 * hash) + getTargetAdmissionResponse().hashCode();
         break;
+      case 31:
+        hash = (37 * hash) + TARGET_LIMIT_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getTargetLimitRequest().hashCode();
+        break;
+      case 32:
+        hash = (37 * hash) + TARGET_LIMIT_RESPONSE_FIELD_NUMBER;
+        hash = (53 * hash) + getTargetLimitResponse().hashCode();
+        break;
+      case 33:
+        hash = (37 * hash) + TARGET_LIMIT_UPDATE_FIELD_NUMBER;
+        hash = (53 * hash) + getTargetLimitUpdate().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1709,6 +1853,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
+      bitField1_ = 0;
       if (helloBuilder_ != null) {
         helloBuilder_.clear();
       }
@@ -1799,6 +1944,15 @@
       if (targetAdmissionResponseBuilder_ != null) {
         targetAdmissionResponseBuilder_.clear();
       }
+      if (targetLimitRequestBuilder_ != null) {
+        targetLimitRequestBuilder_.clear();
+      }
+      if (targetLimitResponseBuilder_ != null) {
+        targetLimitResponseBuilder_.clear();
+      }
+      if (targetLimitUpdateBuilder_ != null) {
+        targetLimitUpdateBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1828,6 +1982,7 @@
     public org.geraniumreach.messages.Frame buildPartial() {
       org.geraniumreach.messages.Frame result = new org.geraniumreach.messages.Frame(this);
       if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField1_ != 0) { buildPartial1(result); }
       buildPartialOneofs(result);
       onBuilt();
       return result;
@@ -1837,6 +1992,10 @@
       int from_bitField0_ = bitField0_;
     }
 
+    private void buildPartial1(org.geraniumreach.messages.Frame result) {
+      int from_bitField1_ = bitField1_;
+    }
+
     private void buildPartialOneofs(org.geraniumreach.messages.Frame result) {
       result.bodyCase_ = bodyCase_;
       result.body_ = this.body_;
@@ -1960,6 +2119,18 @@
           targetAdmissionResponseBuilder_ != null) {
         result.body_ = targetAdmissionResponseBuilder_.build();
       }
+      if (bodyCase_ == 31 &&
+          targetLimitRequestBuilder_ != null) {
+        result.body_ = targetLimitRequestBuilder_.build();
+      }
+      if (bodyCase_ == 32 &&
+          targetLimitResponseBuilder_ != null) {
+        result.body_ = targetLimitResponseBuilder_.build();
+      }
+      if (bodyCase_ == 33 &&
+          targetLimitUpdateBuilder_ != null) {
+        result.body_ = targetLimitUpdateBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -2095,6 +2266,18 @@
           mergeTargetAdmissionResponse(other.getTargetAdmissionResponse());
           break;
         }
+        case TARGET_LIMIT_REQUEST: {
+          mergeTargetLimitRequest(other.getTargetLimitRequest());
+          break;
+        }
+        case TARGET_LIMIT_RESPONSE: {
+          mergeTargetLimitResponse(other.getTargetLimitResponse());
+          break;
+        }
+        case TARGET_LIMIT_UPDATE: {
+          mergeTargetLimitUpdate(other.getTargetLimitUpdate());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -2335,6 +2518,27 @@
               bodyCase_ = 30;
               break;
             } // case 242
+            case 250: {
+              input.readMessage(
+                  getTargetLimitRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 31;
+              break;
+            } // case 250
+            case 258: {
+              input.readMessage(
+                  getTargetLimitResponseFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 32;
+              break;
+            } // case 258
+            case 266: {
+              input.readMessage(
+                  getTargetLimitUpdateFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 33;
+              break;
+            } // case 266
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2366,6 +2570,7 @@
     }
 
     private int bitField0_;
+    private int bitField1_;
 
     private com.google.protobuf.SingleFieldBuilder<
         org.geraniumreach.messages.Hello, org.geraniumreach.messages.Hello.Builder, org.geraniumreach.messages.HelloOrBuilder> helloBuilder_;
@@ -6627,6 +6832,432 @@
       return targetAdmissionResponseBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetLimitRequest, org.geraniumreach.messages.TargetLimitRequest.Builder, org.geraniumreach.messages.TargetLimitRequestOrBuilder> targetLimitRequestBuilder_;
+    /**
+     * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+     * @return Whether the targetLimitRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasTargetLimitRequest() {
+      return bodyCase_ == 31;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+     * @return The targetLimitRequest.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetLimitRequest getTargetLimitRequest() {
+      if (targetLimitRequestBuilder_ == null) {
+        if (bodyCase_ == 31) {
+          return (org.geraniumreach.messages.TargetLimitRequest) body_;
+        }
+        return org.geraniumreach.messages.TargetLimitRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 31) {
+          return targetLimitRequestBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.TargetLimitRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+     */
+    public Builder setTargetLimitRequest(org.geraniumreach.messages.TargetLimitRequest value) {
+      if (targetLimitRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        targetLimitRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+     */
+    public Builder setTargetLimitRequest(
+        org.geraniumreach.messages.TargetLimitRequest.Builder builderForValue) {
+      if (targetLimitRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        targetLimitRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+     */
+    public Builder mergeTargetLimitRequest(org.geraniumreach.messages.TargetLimitRequest value) {
+      if (targetLimitRequestBuilder_ == null) {
+        if (bodyCase_ == 31 &&
+            body_ != org.geraniumreach.messages.TargetLimitRequest.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.TargetLimitRequest.newBuilder((org.geraniumreach.messages.TargetLimitRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 31) {
+          targetLimitRequestBuilder_.mergeFrom(value);
+        } else {
+          targetLimitRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+     */
+    public Builder clearTargetLimitRequest() {
+      if (targetLimitRequestBuilder_ == null) {
+        if (bodyCase_ == 31) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 31) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        targetLimitRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+     */
+    public org.geraniumreach.messages.TargetLimitRequest.Builder getTargetLimitRequestBuilder() {
+      return getTargetLimitRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetLimitRequestOrBuilder getTargetLimitRequestOrBuilder() {
+      if ((bodyCase_ == 31) && (targetLimitRequestBuilder_ != null)) {
+        return targetLimitRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 31) {
+          return (org.geraniumreach.messages.TargetLimitRequest) body_;
+        }
+        return org.geraniumreach.messages.TargetLimitRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetLimitRequest, org.geraniumreach.messages.TargetLimitRequest.Builder, org.geraniumreach.messages.TargetLimitRequestOrBuilder> 
+        getTargetLimitRequestFieldBuilder() {
+      if (targetLimitRequestBuilder_ == null) {
+        if (!(bodyCase_ == 31)) {
+          body_ = org.geraniumreach.messages.TargetLimitRequest.getDefaultInstance();
+        }
+        targetLimitRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.TargetLimitRequest, org.geraniumreach.messages.TargetLimitRequest.Builder, org.geraniumreach.messages.TargetLimitRequestOrBuilder>(
+                (org.geraniumreach.messages.TargetLimitRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 31;
+      onChanged();
+      return targetLimitRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetLimitResponse, org.geraniumreach.messages.TargetLimitResponse.Builder, org.geraniumreach.messages.TargetLimitResponseOrBuilder> targetLimitResponseBuilder_;
+    /**
+     * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+     * @return Whether the targetLimitResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasTargetLimitResponse() {
+      return bodyCase_ == 32;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+     * @return The targetLimitResponse.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetLimitResponse getTargetLimitResponse() {
+      if (targetLimitResponseBuilder_ == null) {
+        if (bodyCase_ == 32) {
+          return (org.geraniumreach.messages.TargetLimitResponse) body_;
+        }
+        return org.geraniumreach.messages.TargetLimitResponse.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 32) {
+          return targetLimitResponseBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.TargetLimitResponse.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+     */
+    public Builder setTargetLimitResponse(org.geraniumreach.messages.TargetLimitResponse value) {
+      if (targetLimitResponseBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        targetLimitResponseBuilder_.setMessage(value);
+      }
+      bodyCase_ = 32;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+     */
+    public Builder setTargetLimitResponse(
+        org.geraniumreach.messages.TargetLimitResponse.Builder builderForValue) {
+      if (targetLimitResponseBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        targetLimitResponseBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 32;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+     */
+    public Builder mergeTargetLimitResponse(org.geraniumreach.messages.TargetLimitResponse value) {
+      if (targetLimitResponseBuilder_ == null) {
+        if (bodyCase_ == 32 &&
+            body_ != org.geraniumreach.messages.TargetLimitResponse.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.TargetLimitResponse.newBuilder((org.geraniumreach.messages.TargetLimitResponse) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 32) {
+          targetLimitResponseBuilder_.mergeFrom(value);
+        } else {
+          targetLimitResponseBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 32;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+     */
+    public Builder clearTargetLimitResponse() {
+      if (targetLimitResponseBuilder_ == null) {
+        if (bodyCase_ == 32) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 32) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        targetLimitResponseBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+     */
+    public org.geraniumreach.messages.TargetLimitResponse.Builder getTargetLimitResponseBuilder() {
+      return getTargetLimitResponseFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetLimitResponseOrBuilder getTargetLimitResponseOrBuilder() {
+      if ((bodyCase_ == 32) && (targetLimitResponseBuilder_ != null)) {
+        return targetLimitResponseBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 32) {
+          return (org.geraniumreach.messages.TargetLimitResponse) body_;
+        }
+        return org.geraniumreach.messages.TargetLimitResponse.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetLimitResponse, org.geraniumreach.messages.TargetLimitResponse.Builder, org.geraniumreach.messages.TargetLimitResponseOrBuilder> 
+        getTargetLimitResponseFieldBuilder() {
+      if (targetLimitResponseBuilder_ == null) {
+        if (!(bodyCase_ == 32)) {
+          body_ = org.geraniumreach.messages.TargetLimitResponse.getDefaultInstance();
+        }
+        targetLimitResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.TargetLimitResponse, org.geraniumreach.messages.TargetLimitResponse.Builder, org.geraniumreach.messages.TargetLimitResponseOrBuilder>(
+                (org.geraniumreach.messages.TargetLimitResponse) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 32;
+      onChanged();
+      return targetLimitResponseBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetLimitUpdate, org.geraniumreach.messages.TargetLimitUpdate.Builder, org.geraniumreach.messages.TargetLimitUpdateOrBuilder> targetLimitUpdateBuilder_;
+    /**
+     * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+     * @return Whether the targetLimitUpdate field is set.
+     */
+    @java.lang.Override
+    public boolean hasTargetLimitUpdate() {
+      return bodyCase_ == 33;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+     * @return The targetLimitUpdate.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetLimitUpdate getTargetLimitUpdate() {
+      if (targetLimitUpdateBuilder_ == null) {
+        if (bodyCase_ == 33) {
+          return (org.geraniumreach.messages.TargetLimitUpdate) body_;
+        }
+        return org.geraniumreach.messages.TargetLimitUpdate.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 33) {
+          return targetLimitUpdateBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.TargetLimitUpdate.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+     */
+    public Builder setTargetLimitUpdate(org.geraniumreach.messages.TargetLimitUpdate value) {
+      if (targetLimitUpdateBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        targetLimitUpdateBuilder_.setMessage(value);
+      }
+      bodyCase_ = 33;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+     */
+    public Builder setTargetLimitUpdate(
+        org.geraniumreach.messages.TargetLimitUpdate.Builder builderForValue) {
+      if (targetLimitUpdateBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        targetLimitUpdateBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 33;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+     */
+    public Builder mergeTargetLimitUpdate(org.geraniumreach.messages.TargetLimitUpdate value) {
+      if (targetLimitUpdateBuilder_ == null) {
+        if (bodyCase_ == 33 &&
+            body_ != org.geraniumreach.messages.TargetLimitUpdate.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.TargetLimitUpdate.newBuilder((org.geraniumreach.messages.TargetLimitUpdate) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 33) {
+          targetLimitUpdateBuilder_.mergeFrom(value);
+        } else {
+          targetLimitUpdateBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 33;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+     */
+    public Builder clearTargetLimitUpdate() {
+      if (targetLimitUpdateBuilder_ == null) {
+        if (bodyCase_ == 33) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 33) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        targetLimitUpdateBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+     */
+    public org.geraniumreach.messages.TargetLimitUpdate.Builder getTargetLimitUpdateBuilder() {
+      return getTargetLimitUpdateFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetLimitUpdateOrBuilder getTargetLimitUpdateOrBuilder() {
+      if ((bodyCase_ == 33) && (targetLimitUpdateBuilder_ != null)) {
+        return targetLimitUpdateBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 33) {
+          return (org.geraniumreach.messages.TargetLimitUpdate) body_;
+        }
+        return org.geraniumreach.messages.TargetLimitUpdate.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetLimitUpdate, org.geraniumreach.messages.TargetLimitUpdate.Builder, org.geraniumreach.messages.TargetLimitUpdateOrBuilder> 
+        getTargetLimitUpdateFieldBuilder() {
+      if (targetLimitUpdateBuilder_ == null) {
+        if (!(bodyCase_ == 33)) {
+          body_ = org.geraniumreach.messages.TargetLimitUpdate.getDefaultInstance();
+        }
+        targetLimitUpdateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.TargetLimitUpdate, org.geraniumreach.messages.TargetLimitUpdate.Builder, org.geraniumreach.messages.TargetLimitUpdateOrBuilder>(
+                (org.geraniumreach.messages.TargetLimitUpdate) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 33;
+      onChanged();
+      return targetLimitUpdateBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Frame)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
@@ -459,5 +459,50 @@
    */
   org.geraniumreach.messages.TargetAdmissionResponseOrBuilder getTargetAdmissionResponseOrBuilder();
 
+  /**
+   * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+   * @return Whether the targetLimitRequest field is set.
+   */
+  boolean hasTargetLimitRequest();
+  /**
+   * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+   * @return The targetLimitRequest.
+   */
+  org.geraniumreach.messages.TargetLimitRequest getTargetLimitRequest();
+  /**
+   * <code>.geraniumreach.link.TargetLimitRequest target_limit_request = 31;</code>
+   */
+  org.geraniumreach.messages.TargetLimitRequestOrBuilder getTargetLimitRequestOrBuilder();
+
+  /**
+   * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+   * @return Whether the targetLimitResponse field is set.
+   */
+  boolean hasTargetLimitResponse();
+  /**
+   * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+   * @return The targetLimitResponse.
+   */
+  org.geraniumreach.messages.TargetLimitResponse getTargetLimitResponse();
+  /**
+   * <code>.geraniumreach.link.TargetLimitResponse target_limit_response = 32;</code>
+   */
+  org.geraniumreach.messages.TargetLimitResponseOrBuilder getTargetLimitResponseOrBuilder();
+
+  /**
+   * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+   * @return Whether the targetLimitUpdate field is set.
+   */
+  boolean hasTargetLimitUpdate();
+  /**
+   * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+   * @return The targetLimitUpdate.
+   */
+  org.geraniumreach.messages.TargetLimitUpdate getTargetLimitUpdate();
+  /**
+   * <code>.geraniumreach.link.TargetLimitUpdate target_limit_update = 33;</code>
+   */
+  org.geraniumreach.messages.TargetLimitUpdateOrBuilder getTargetLimitUpdateOrBuilder();
+
   org.geraniumreach.messages.Frame.BodyCase getBodyCase();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -200,6 +200,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_geraniumreach_link_TargetAdmissionResponse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_TargetLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_TargetLimit_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_TargetLimitRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_TargetLimitRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_TargetLimitResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_TargetLimitResponse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_TargetLimitUpdate_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_TargetLimitUpdate_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -209,7 +229,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nlink.proto\022\022geraniumreach.link\"\323\014\n\005Fra" +
+      "\n\nlink.proto\022\022geraniumreach.link\"\253\016\n\005Fra" +
       "me\022*\n\005hello\030\001 \001(\0132\031.geraniumreach.link.H" +
       "elloH\000\022(\n\004ping\030\002 \001(\0132\030.geraniumreach.lin" +
       "k.PingH\000\022(\n\004pong\030\003 \001(\0132\030.geraniumreach.l" +
@@ -250,111 +270,128 @@
       ".geraniumreach.link.TargetAdmissionReque" +
       "stH\000\022P\n\031target_admission_response\030\036 \001(\0132" +
       "+.geraniumreach.link.TargetAdmissionResp" +
-      "onseH\000B\006\n\004body\"\237\001\n\005Hello\022\030\n\020protocol_ver" +
-      "sion\030\001 \001(\r\022\020\n\010instance\030\002 \001(\t\022\014\n\004role\030\003 \001" +
-      "(\t\022\023\n\013incarnation\030\004 \001(\003\022\026\n\016failure_domai" +
-      "n\030\005 \001(\t\022\016\n\006target\030\006 \001(\t\022\r\n\005fence\030\007 \001(\003\022\020" +
-      "\n\010revision\030\010 \001(\003\"\026\n\004Ping\022\016\n\006number\030\001 \001(\003" +
-      "\"\026\n\004Pong\022\016\n\006number\030\001 \001(\003\"\364\002\n\003Run\022\017\n\007atte" +
-      "mpt\030\001 \001(\t\022\034\n\024deadline_left_millis\030\002 \001(\003\022" +
-      "\017\n\007account\030\003 \001(\t\022\022\n\nkey_digest\030\004 \001(\014\022\017\n\007" +
-      "adapter\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\017\n\007servic" +
-      "e\030\007 \001(\t\022\021\n\toperation\030\010 \001(\t\022\014\n\004body\030\t \001(\014" +
-      "\022\026\n\016maximum_tokens\030\n \001(\005\022\020\n\010priority\030\013 \001" +
-      "(\005\022\022\n\nrepeatable\030\014 \001(\010\022\035\n\025companion_inca" +
-      "rnation\030\r \001(\003\022\020\n\010revision\030\016 \001(\003\022\025\n\rpromp" +
-      "t_tokens\030\017 \001(\003\022\025\n\rprefix_digest\030\020 \001(\014\022\016\n" +
-      "\006credit\030\021 \001(\005\022\030\n\020not_after_millis\030\022 \001(\003\"" +
-      ":\n\010Accepted\022\017\n\007attempt\030\001 \001(\t\022\035\n\025companio" +
-      "n_incarnation\030\002 \001(\003\"K\n\005Chunk\022\017\n\007attempt\030" +
-      "\001 \001(\t\022\020\n\010sequence\030\002 \001(\003\022\017\n\007payload\030\003 \001(\014" +
-      "\022\016\n\006tokens\030\004 \001(\005\"\316\001\n\003End\022\017\n\007attempt\030\001 \001(" +
-      "\t\022\r\n\005count\030\002 \001(\003\022\025\n\rprompt_tokens\030\003 \001(\005\022" +
-      "\030\n\020generated_tokens\030\004 \001(\005\022\017\n\007adapter\030\005 \001" +
-      "(\t\022\017\n\007version\030\006 \001(\t\022\025\n\rfinish_reason\030\007 \001" +
-      "(\t\022\024\n\014queue_micros\030\010 \001(\003\022\023\n\013load_micros\030" +
-      "\t \001(\003\022\022\n\nprefix_hit\030\n \001(\010\"b\n\007Refused\022\017\n\007" +
-      "attempt\030\001 \001(\t\022\014\n\004code\030\002 \001(\005\022\017\n\007message\030\003" +
-      " \001(\t\022\013\n\003ran\030\004 \001(\005\022\032\n\022retry_after_millis\030" +
-      "\005 \001(\003\"\\\n\006Cancel\022\017\n\007attempt\030\001 \001(\t\022\016\n\006reas" +
-      "on\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\035\n\025companio" +
-      "n_incarnation\030\004 \001(\003\"\354\001\n\006Resume\022\017\n\007attemp" +
-      "t\030\001 \001(\t\022\025\n\rnext_sequence\030\002 \001(\003\022\016\n\006credit" +
-      "\030\003 \001(\005\022\022\n\nage_millis\030\004 \001(\003\022\035\n\025companion_" +
-      "incarnation\030\005 \001(\003\022\017\n\007account\030\006 \001(\t\022\022\n\nke" +
-      "y_digest\030\007 \001(\014\022\017\n\007adapter\030\010 \001(\t\022\017\n\007versi" +
-      "on\030\t \001(\t\022\022\n\nrepeatable\030\n \001(\010\022\034\n\024deadline" +
-      "_left_millis\030\013 \001(\003\"E\n\013Acknowledge\022\017\n\007att" +
-      "empt\030\001 \001(\t\022\025\n\rnext_sequence\030\002 \001(\003\022\016\n\006cre" +
-      "dit\030\003 \001(\005\"J\n\004Seal\022\017\n\007attempt\030\001 \001(\t\022\035\n\025co" +
-      "mpanion_incarnation\030\002 \001(\003\022\022\n\nage_millis\030" +
-      "\003 \001(\003\"G\n\006Sealed\022\017\n\007attempt\030\001 \001(\t\022\r\n\005stat" +
-      "e\030\002 \001(\005\022\035\n\025companion_incarnation\030\003 \001(\003\"\252" +
-      "\002\n\006Status\022\020\n\010sequence\030\001 \001(\003\022\016\n\006target\030\002 " +
-      "\001(\t\022\017\n\007running\030\003 \001(\005\022\016\n\006queued\030\004 \001(\005\022\025\n\r" +
-      "queued_tokens\030\005 \001(\003\022\031\n\021concurrency_limit" +
-      "\030\006 \001(\005\022\r\n\005slots\030\007 \001(\005\022\020\n\010complete\030\010 \001(\010\022" +
-      "\020\n\010resident\030\t \003(\t\022\017\n\007removed\030\n \003(\t\022\017\n\007lo" +
-      "ading\030\013 \003(\t\022\032\n\022engine_incarnation\030\014 \001(\003\022" +
-      "\020\n\010draining\030\r \001(\010\022\r\n\005fence\030\016 \001(\003\022\031\n\021toke" +
-      "ns_per_second\030\017 \001(\001\"P\n\021ConfigurationNews" +
-      "\022-\n\007entries\030\001 \003(\0132\034.geraniumreach.link.L" +
-      "ogEntry\022\014\n\004head\030\002 \001(\003\"l\n\010LogEntry\022\020\n\010rev" +
-      "ision\030\001 \001(\003\022\021\n\toperation\030\002 \001(\t\022\014\n\004kind\030\003" +
-      " \001(\t\022\014\n\004name\030\004 \001(\t\022\021\n\twithdrawn\030\005 \001(\010\022\014\n" +
-      "\004body\030\006 \001(\t\"(\n\017SnapshotRequest\022\025\n\rhave_r" +
-      "evision\030\001 \001(\003\"m\n\014SnapshotPart\022\020\n\010revisio" +
-      "n\030\001 \001(\003\022\r\n\005index\030\002 \001(\005\022\r\n\005parts\030\003 \001(\005\022-\n" +
-      "\007entries\030\004 \003(\0132\034.geraniumreach.link.LogE" +
-      "ntry\"\250\001\n\013LoanRequest\022\016\n\006number\030\001 \001(\003\022\017\n\007" +
-      "account\030\002 \001(\t\022\025\n\rtokens_wanted\030\003 \001(\003\022\024\n\014" +
-      "share_wanted\030\004 \001(\003\022\027\n\017duration_millis\030\005 " +
-      "\001(\003\022\016\n\006demand\030\006 \001(\003\022\022\n\nshare_held\030\007 \001(\003\022" +
-      "\016\n\006holder\030\010 \001(\t\"e\n\nLoanAnswer\022\016\n\006number\030" +
-      "\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\003\022\r" +
-      "\n\005share\030\004 \001(\003\022\027\n\017duration_millis\030\005 \001(\003\"\205" +
-      "\002\n\tFreshness\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarn" +
-      "ation\030\002 \001(\003\022\020\n\010revision\030\003 \001(\003\022\034\n\024confirm" +
-      "ed_age_millis\030\004 \001(\003\022\027\n\017store_reachable\030\005" +
-      " \001(\010\022\r\n\005heard\030\006 \003(\t\022\030\n\020heard_age_millis\030" +
-      "\007 \003(\003\022\030\n\020highest_revision\030\010 \001(\003\022\r\n\005stamp" +
-      "\030\t \001(\003\022\016\n\006echoes\030\n \001(\010\022\014\n\004echo\030\013 \001(\003\022\030\n\020" +
-      "echo_held_millis\030\014 \001(\003\"U\n\010LoadNews\022\016\n\006ta" +
-      "rget\030\001 \001(\t\022\022\n\nin_transit\030\002 \001(\005\022\017\n\007waitin" +
-      "g\030\003 \001(\005\022\024\n\014waiting_work\030\004 \001(\003\"\035\n\nShareMo" +
-      "ved\022\017\n\007account\030\001 \001(\t\"0\n\007Leaving\022\020\n\010insta" +
-      "nce\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\"\251\001\n\rAdapt" +
-      "erDemand\022\016\n\006target\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022" +
-      "\014\n\004used\030\004 \003(\t\022=\n\rload_requests\030\005 \003(\0132&.g" +
-      "eraniumreach.link.AdapterLoadRequest\022\017\n\007" +
-      "running\030\006 \003(\t\022\025\n\rtells_running\030\007 \001(\010J\004\010\003" +
-      "\020\004\"i\n\022AdapterLoadRequest\022\017\n\007adapter\030\001 \001(" +
-      "\t\022\022\n\nwaited_for\030\002 \001(\010\022\031\n\021until_late_mill" +
-      "is\030\003 \001(\021\022\023\n\013may_decline\030\004 \001(\010\"\261\001\n\016Adapte" +
-      "rChanges\022\016\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002" +
-      " \001(\003\022\r\n\005model\030\003 \001(\t\022\025\n\rmodel_present\030\004 \001" +
-      "(\010\0221\n\006loaded\030\005 \003(\0132!.geraniumreach.link." +
-      "AdapterLoaded\022\020\n\010unloaded\030\006 \003(\t\022\020\n\010decli" +
-      "ned\030\007 \003(\t\"1\n\rAdapterLoaded\022\017\n\007adapter\030\001 " +
-      "\001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\nFeedUpdate\0223\n\005t" +
-      "able\030\001 \001(\0162$.geraniumreach.link.FeedUpda" +
-      "te.Table\022\r\n\005after\030\002 \001(\003\022\017\n\007version\030\003 \001(\003" +
-      "\022\024\n\014store_millis\030\004 \001(\003\022+\n\004rows\030\005 \003(\0132\035.g" +
-      "eraniumreach.link.StoredRow\022\017\n\007failure\030\006" +
-      " \001(\t\":\n\005Table\022\013\n\007UNKNOWN\020\000\022\014\n\010OPERATOR\020\001" +
-      "\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003\"I\n\tStoredRow\022\013\n" +
-      "\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\017\n\007removed\030\003" +
-      " \001(\010\022\r\n\005value\030\004 \001(\t\">\n\014QuotaRequest\022\016\n\006n" +
-      "umber\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\r\n\005units\030\003 " +
-      "\001(\001\"Z\n\rQuotaResponse\022\016\n\006number\030\001 \001(\003\022\017\n\007" +
-      "granted\030\002 \001(\010\022\023\n\013delay_known\030\003 \001(\010\022\023\n\013de" +
-      "lay_nanos\030\004 \001(\003\"l\n\026TargetAdmissionReques" +
-      "t\022\016\n\006number\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\025\n\rpro" +
-      "mpt_tokens\030\003 \001(\003\022\033\n\023longest_delay_nanos\030" +
-      "\004 \001(\003\"P\n\027TargetAdmissionResponse\022\016\n\006numb" +
-      "er\030\001 \001(\003\022\020\n\010admitted\030\002 \001(\010\022\023\n\013delay_nano" +
-      "s\030\003 \001(\003B)\n\032org.geraniumreach.messagesB\tL" +
-      "inkProtoP\001b\006proto3"
+      "onseH\000\022F\n\024target_limit_request\030\037 \001(\0132&.g" +
+      "eraniumreach.link.TargetLimitRequestH\000\022H" +
+      "\n\025target_limit_response\030  \001(\0132\'.geranium" +
+      "reach.link.TargetLimitResponseH\000\022D\n\023targ" +
+      "et_limit_update\030! \001(\0132%.geraniumreach.li" +
+      "nk.TargetLimitUpdateH\000B\006\n\004body\"\237\001\n\005Hello" +
+      "\022\030\n\020protocol_version\030\001 \001(\r\022\020\n\010instance\030\002" +
+      " \001(\t\022\014\n\004role\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022" +
+      "\026\n\016failure_domain\030\005 \001(\t\022\016\n\006target\030\006 \001(\t\022" +
+      "\r\n\005fence\030\007 \001(\003\022\020\n\010revision\030\010 \001(\003\"\026\n\004Ping" +
+      "\022\016\n\006number\030\001 \001(\003\"\026\n\004Pong\022\016\n\006number\030\001 \001(\003" +
+      "\"\364\002\n\003Run\022\017\n\007attempt\030\001 \001(\t\022\034\n\024deadline_le" +
+      "ft_millis\030\002 \001(\003\022\017\n\007account\030\003 \001(\t\022\022\n\nkey_" +
+      "digest\030\004 \001(\014\022\017\n\007adapter\030\005 \001(\t\022\017\n\007version" +
+      "\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\021\n\toperation\030\010 \001" +
+      "(\t\022\014\n\004body\030\t \001(\014\022\026\n\016maximum_tokens\030\n \001(\005" +
+      "\022\020\n\010priority\030\013 \001(\005\022\022\n\nrepeatable\030\014 \001(\010\022\035" +
+      "\n\025companion_incarnation\030\r \001(\003\022\020\n\010revisio" +
+      "n\030\016 \001(\003\022\025\n\rprompt_tokens\030\017 \001(\003\022\025\n\rprefix" +
+      "_digest\030\020 \001(\014\022\016\n\006credit\030\021 \001(\005\022\030\n\020not_aft" +
+      "er_millis\030\022 \001(\003\":\n\010Accepted\022\017\n\007attempt\030\001" +
+      " \001(\t\022\035\n\025companion_incarnation\030\002 \001(\003\"K\n\005C" +
+      "hunk\022\017\n\007attempt\030\001 \001(\t\022\020\n\010sequence\030\002 \001(\003\022" +
+      "\017\n\007payload\030\003 \001(\014\022\016\n\006tokens\030\004 \001(\005\"\316\001\n\003End" +
+      "\022\017\n\007attempt\030\001 \001(\t\022\r\n\005count\030\002 \001(\003\022\025\n\rprom" +
+      "pt_tokens\030\003 \001(\005\022\030\n\020generated_tokens\030\004 \001(" +
+      "\005\022\017\n\007adapter\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\025\n\rf" +
+      "inish_reason\030\007 \001(\t\022\024\n\014queue_micros\030\010 \001(\003" +
+      "\022\023\n\013load_micros\030\t \001(\003\022\022\n\nprefix_hit\030\n \001(" +
+      "\010\"b\n\007Refused\022\017\n\007attempt\030\001 \001(\t\022\014\n\004code\030\002 " +
+      "\001(\005\022\017\n\007message\030\003 \001(\t\022\013\n\003ran\030\004 \001(\005\022\032\n\022ret" +
+      "ry_after_millis\030\005 \001(\003\"\\\n\006Cancel\022\017\n\007attem" +
+      "pt\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\022\n\nage_millis\030\003" +
+      " \001(\003\022\035\n\025companion_incarnation\030\004 \001(\003\"\354\001\n\006" +
+      "Resume\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_sequence" +
+      "\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022\n\nage_millis\030\004 \001" +
+      "(\003\022\035\n\025companion_incarnation\030\005 \001(\003\022\017\n\007acc" +
+      "ount\030\006 \001(\t\022\022\n\nkey_digest\030\007 \001(\014\022\017\n\007adapte" +
+      "r\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\022\n\nrepeatable\030\n" +
+      " \001(\010\022\034\n\024deadline_left_millis\030\013 \001(\003\"E\n\013Ac" +
+      "knowledge\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_seque" +
+      "nce\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\"J\n\004Seal\022\017\n\007att" +
+      "empt\030\001 \001(\t\022\035\n\025companion_incarnation\030\002 \001(" +
+      "\003\022\022\n\nage_millis\030\003 \001(\003\"G\n\006Sealed\022\017\n\007attem" +
+      "pt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022\035\n\025companion_inc" +
+      "arnation\030\003 \001(\003\"\252\002\n\006Status\022\020\n\010sequence\030\001 " +
+      "\001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007running\030\003 \001(\005\022\016\n\006" +
+      "queued\030\004 \001(\005\022\025\n\rqueued_tokens\030\005 \001(\003\022\031\n\021c" +
+      "oncurrency_limit\030\006 \001(\005\022\r\n\005slots\030\007 \001(\005\022\020\n" +
+      "\010complete\030\010 \001(\010\022\020\n\010resident\030\t \003(\t\022\017\n\007rem" +
+      "oved\030\n \003(\t\022\017\n\007loading\030\013 \003(\t\022\032\n\022engine_in" +
+      "carnation\030\014 \001(\003\022\020\n\010draining\030\r \001(\010\022\r\n\005fen" +
+      "ce\030\016 \001(\003\022\031\n\021tokens_per_second\030\017 \001(\001\"P\n\021C" +
+      "onfigurationNews\022-\n\007entries\030\001 \003(\0132\034.gera" +
+      "niumreach.link.LogEntry\022\014\n\004head\030\002 \001(\003\"l\n" +
+      "\010LogEntry\022\020\n\010revision\030\001 \001(\003\022\021\n\toperation" +
+      "\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004name\030\004 \001(\t\022\021\n\twi" +
+      "thdrawn\030\005 \001(\010\022\014\n\004body\030\006 \001(\t\"(\n\017SnapshotR" +
+      "equest\022\025\n\rhave_revision\030\001 \001(\003\"m\n\014Snapsho" +
+      "tPart\022\020\n\010revision\030\001 \001(\003\022\r\n\005index\030\002 \001(\005\022\r" +
+      "\n\005parts\030\003 \001(\005\022-\n\007entries\030\004 \003(\0132\034.geraniu" +
+      "mreach.link.LogEntry\"\250\001\n\013LoanRequest\022\016\n\006" +
+      "number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\025\n\rtokens_" +
+      "wanted\030\003 \001(\003\022\024\n\014share_wanted\030\004 \001(\003\022\027\n\017du" +
+      "ration_millis\030\005 \001(\003\022\016\n\006demand\030\006 \001(\003\022\022\n\ns" +
+      "hare_held\030\007 \001(\003\022\016\n\006holder\030\010 \001(\t\"e\n\nLoanA" +
+      "nswer\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\016" +
+      "\n\006tokens\030\003 \001(\003\022\r\n\005share\030\004 \001(\003\022\027\n\017duratio" +
+      "n_millis\030\005 \001(\003\"\205\002\n\tFreshness\022\020\n\010instance" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010revision\030" +
+      "\003 \001(\003\022\034\n\024confirmed_age_millis\030\004 \001(\003\022\027\n\017s" +
+      "tore_reachable\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\022\030\n\020h" +
+      "eard_age_millis\030\007 \003(\003\022\030\n\020highest_revisio" +
+      "n\030\010 \001(\003\022\r\n\005stamp\030\t \001(\003\022\016\n\006echoes\030\n \001(\010\022\014" +
+      "\n\004echo\030\013 \001(\003\022\030\n\020echo_held_millis\030\014 \001(\003\"U" +
+      "\n\010LoadNews\022\016\n\006target\030\001 \001(\t\022\022\n\nin_transit" +
+      "\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014waiting_work\030" +
+      "\004 \001(\003\"\035\n\nShareMoved\022\017\n\007account\030\001 \001(\t\"0\n\007" +
+      "Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation" +
+      "\030\002 \001(\003\"\251\001\n\rAdapterDemand\022\016\n\006target\030\001 \001(\t" +
+      "\022\r\n\005model\030\002 \001(\t\022\014\n\004used\030\004 \003(\t\022=\n\rload_re" +
+      "quests\030\005 \003(\0132&.geraniumreach.link.Adapte" +
+      "rLoadRequest\022\017\n\007running\030\006 \003(\t\022\025\n\rtells_r" +
+      "unning\030\007 \001(\010J\004\010\003\020\004\"i\n\022AdapterLoadRequest" +
+      "\022\017\n\007adapter\030\001 \001(\t\022\022\n\nwaited_for\030\002 \001(\010\022\031\n" +
+      "\021until_late_millis\030\003 \001(\021\022\023\n\013may_decline\030" +
+      "\004 \001(\010\"\261\001\n\016AdapterChanges\022\016\n\006target\030\001 \001(\t" +
+      "\022\022\n\nstarted_at\030\002 \001(\003\022\r\n\005model\030\003 \001(\t\022\025\n\rm" +
+      "odel_present\030\004 \001(\010\0221\n\006loaded\030\005 \003(\0132!.ger" +
+      "aniumreach.link.AdapterLoaded\022\020\n\010unloade" +
+      "d\030\006 \003(\t\022\020\n\010declined\030\007 \003(\t\"1\n\rAdapterLoad" +
+      "ed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n" +
+      "\nFeedUpdate\0223\n\005table\030\001 \001(\0162$.geraniumrea" +
+      "ch.link.FeedUpdate.Table\022\r\n\005after\030\002 \001(\003\022" +
+      "\017\n\007version\030\003 \001(\003\022\024\n\014store_millis\030\004 \001(\003\022+" +
+      "\n\004rows\030\005 \003(\0132\035.geraniumreach.link.Stored" +
+      "Row\022\017\n\007failure\030\006 \001(\t\":\n\005Table\022\013\n\007UNKNOWN" +
+      "\020\000\022\014\n\010OPERATOR\020\001\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003" +
+      "\"I\n\tStoredRow\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 " +
+      "\001(\003\022\017\n\007removed\030\003 \001(\010\022\r\n\005value\030\004 \001(\t\">\n\014Q" +
+      "uotaRequest\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002" +
+      " \001(\t\022\r\n\005units\030\003 \001(\001\"Z\n\rQuotaResponse\022\016\n\006" +
+      "number\030\001 \001(\003\022\017\n\007granted\030\002 \001(\010\022\023\n\013delay_k" +
+      "nown\030\003 \001(\010\022\023\n\013delay_nanos\030\004 \001(\003\"l\n\026Targe" +
+      "tAdmissionRequest\022\016\n\006number\030\001 \001(\003\022\016\n\006tar" +
+      "get\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\003\022\033\n\023long" +
+      "est_delay_nanos\030\004 \001(\003\"P\n\027TargetAdmission" +
+      "Response\022\016\n\006number\030\001 \001(\003\022\020\n\010admitted\030\002 \001" +
+      "(\010\022\023\n\013delay_nanos\030\003 \001(\003\"r\n\013TargetLimit\022\016" +
+      "\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\017\n\007li" +
+      "mited\030\003 \001(\010\022\033\n\023requests_per_second\030\004 \001(\001" +
+      "\022\021\n\tage_nanos\030\005 \001(\003\"T\n\022TargetLimitReques" +
+      "t\022\016\n\006number\030\001 \001(\003\022.\n\005known\030\002 \001(\0132\037.geran" +
+      "iumreach.link.TargetLimit\"\272\001\n\023TargetLimi" +
+      "tResponse\022\016\n\006number\030\001 \001(\003\022B\n\010decision\030\002 " +
+      "\001(\01620.geraniumreach.link.TargetLimitResp" +
+      "onse.Decision\022\031\n\021retry_after_nanos\030\003 \001(\003" +
+      "\"4\n\010Decision\022\r\n\tNOT_OWNER\020\000\022\014\n\010ADMITTED\020" +
+      "\001\022\013\n\007REFUSED\020\002\"C\n\021TargetLimitUpdate\022.\n\005k" +
+      "nown\030\001 \001(\0132\037.geraniumreach.link.TargetLi" +
+      "mitB)\n\032org.geraniumreach.messagesB\tLinkP" +
+      "rotoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -365,7 +402,7 @@
     internal_static_geraniumreach_link_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Run", "Accepted", "Chunk", "End", "Refused", "Cancel", "Resume", "Acknowledge", "Seal", "Sealed", "Status", "ConfigurationNews", "SnapshotRequest", "SnapshotPart", "LoanRequest", "LoanAnswer", "Freshness", "LoadNews", "Leaving", "ShareMoved", "AdapterDemand", "AdapterChanges", "FeedUpdate", "QuotaRequest", "QuotaResponse", "TargetAdmissionRequest", "TargetAdmissionResponse", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Run", "Accepted", "Chunk", "End", "Refused", "Cancel", "Resume", "Acknowledge", "Seal", "Sealed", "Status", "ConfigurationNews", "SnapshotRequest", "SnapshotPart", "LoanRequest", "LoanAnswer", "Freshness", "LoadNews", "Leaving", "ShareMoved", "AdapterDemand", "AdapterChanges", "FeedUpdate", "QuotaRequest", "QuotaResponse", "TargetAdmissionRequest", "TargetAdmissionResponse", "TargetLimitRequest", "TargetLimitResponse", "TargetLimitUpdate", "Body", });
     internal_static_geraniumreach_link_Hello_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_geraniumreach_link_Hello_fieldAccessorTable = new
@@ -570,6 +607,30 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetAdmissionResponse_descriptor,
         new java.lang.String[] { "Number", "Admitted", "DelayNanos", });
+    internal_static_geraniumreach_link_TargetLimit_descriptor =
+      getDescriptor().getMessageTypes().get(35);
+    internal_static_geraniumreach_link_TargetLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_TargetLimit_descriptor,
+        new java.lang.String[] { "Target", "StartedAt", "Limited", "RequestsPerSecond", "AgeNanos", });
+    internal_static_geraniumreach_link_TargetLimitRequest_descriptor =
+      getDescriptor().getMessageTypes().get(36);
+    internal_static_geraniumreach_link_TargetLimitRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_TargetLimitRequest_descriptor,
+        new java.lang.String[] { "Number", "Known", });
+    internal_static_geraniumreach_link_TargetLimitResponse_descriptor =
+      getDescriptor().getMessageTypes().get(37);
+    internal_static_geraniumreach_link_TargetLimitResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_TargetLimitResponse_descriptor,
+        new java.lang.String[] { "Number", "Decision", "RetryAfterNanos", });
+    internal_static_geraniumreach_link_TargetLimitUpdate_descriptor =
+      getDescriptor().getMessageTypes().get(38);
+    internal_static_geraniumreach_link_TargetLimitUpdate_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_TargetLimitUpdate_descriptor,
+        new java.lang.String[] { "Known", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -54,7 +55,7 @@
     private static final Duration POLL_INTERVAL = Duration.ofMillis(12);
 
     /** Polling interval of a target that may not be called. */
-    private static final Duration EVACUATED_POLL_INTERVAL = Duration.ofMillis(500);
+    private static final Duration UNCALLABLE_POLL_INTERVAL = Duration.ofMillis(500);
 
     private static final Duration MIN_POLL_INTERVAL = Duration.ofMillis(1);
 
@@ -68,6 +69,8 @@
     private final TargetRegistry registry;
     private final TargetOwnership ownership;
     private final Predicate<Target> mayBeCalled;
+    private final Consumer<Target> onCall;
+    private final Predicate<Target> needsOwner;
     private final TargetPort targets;
     private final Timers timers;
     private final MonotonicClock clock;
@@ -99,10 +102,17 @@
      * @param registry the known targets
      * @param ownership the owners of the targets
      * @param mayBeCalled whether a target may be called now
+     * @param onCall called before each call
+     * @param needsOwner whether a target needs an owner even if it serves no models
      * @param port sends calls to targets
      */
     record TargetAccess(
-            TargetRegistry registry, TargetOwnership ownership, Predicate<Target> mayBeCalled, TargetPort port) {}
+            TargetRegistry registry,
+            TargetOwnership ownership,
+            Predicate<Target> mayBeCalled,
+            Consumer<Target> onCall,
+            Predicate<Target> needsOwner,
+            TargetPort port) {}
 
     AdapterLoadCoordinator(
             TargetAccess targets,
@@ -113,6 +123,8 @@
         this.registry = Objects.requireNonNull(targets.registry(), "registry");
         this.ownership = Objects.requireNonNull(targets.ownership(), "ownership");
         this.mayBeCalled = Objects.requireNonNull(targets.mayBeCalled(), "mayBeCalled");
+        this.onCall = Objects.requireNonNull(targets.onCall(), "onCall");
+        this.needsOwner = Objects.requireNonNull(targets.needsOwner(), "needsOwner");
         this.targets = Objects.requireNonNull(targets.port(), "targets");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -139,11 +151,11 @@
                 .isPresent();
     }
 
-    /** Gets the targets that serve models, each of which needs an owner. */
+    /** Gets the targets that need an owner: those that serve models, and those whose limit the owner has to keep. */
     List<TargetId> targetsNeedingOwner() {
         List<TargetId> ids = new ArrayList<>();
         for (Target target : registry.all()) {
-            if (findEngine(target).isPresent()) {
+            if (findEngine(target).isPresent() || needsOwner.test(target)) {
                 ids.add(target.id());
             }
         }
@@ -256,7 +268,7 @@
         }
         owned.pollTimer.cancel();
         if (!mayBeCalled.test(target)) {
-            owned.pollTimer = timers.schedule(EVACUATED_POLL_INTERVAL, () -> poll(target));
+            owned.pollTimer = timers.schedule(UNCALLABLE_POLL_INTERVAL, () -> poll(target));
             return;
         }
         OptionalLong fence = ownership.fence(target.id());
@@ -274,6 +286,7 @@
     }
 
     private void execute(Target target, OwnedTarget owned, AdapterSlots.Call call, long fence) {
+        onCall.accept(target);
         if (call instanceof AdapterSlots.Call.SendOrder send) {
             sendOrder(target, owned, send, fence);
         } else {
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -31,6 +31,9 @@
 import org.geraniumreach.messages.QuotaResponse;
 import org.geraniumreach.messages.TargetAdmissionRequest;
 import org.geraniumreach.messages.TargetAdmissionResponse;
+import org.geraniumreach.messages.TargetLimit;
+import org.geraniumreach.messages.TargetLimitRequest;
+import org.geraniumreach.messages.TargetLimitResponse;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.InstanceId;
 
@@ -42,7 +45,7 @@
  */
 final class EntryLinks implements FrameHandler, AutoCloseable {
 
-    private static final int PROTOCOL_VERSION = 3;
+    private static final int PROTOCOL_VERSION = 4;
 
     /** The first version with feed updates and quota requests; entries of earlier versions close the link on an unknown frame. */
     private static final int FEED_AND_QUOTA_VERSION = 2;
@@ -50,6 +53,9 @@
     /** The first version in which the owners of targets pace prompts. */
     private static final int ADMISSION_VERSION = 3;
 
+    /** The first version in which the owners of targets keep the requests of all entries within the targets' limits. */
+    private static final int LIMIT_VERSION = 4;
+
     /**
      * Long, since heartbeats are most of the frames between many entries, and the targets of a lost entry are taken over only after
      * its lease has expired, which takes much longer.
@@ -72,6 +78,8 @@
     private Consumer<QuotaResponse> quotaResponses = response -> {};
     private BiConsumer<String, TargetAdmissionRequest> admissionRequests = (entry, request) -> {};
     private Consumer<TargetAdmissionResponse> admissionResponses = response -> {};
+    private LimitHandler limitHandler =
+            new LimitHandler(entry -> {}, (entry, request) -> {}, response -> {}, known -> {});
 
     /** Receives the adapter messages of other entries. */
     interface Listener {
@@ -83,6 +91,20 @@
         void onAdapterChanges(AdapterChanges changes);
     }
 
+    /**
+     * The handlers of messages about targets that name a limit.
+     *
+     * @param onLinkOpened called when a link to an entry that knows these messages has opened
+     * @param onRequest receives requests with the sending entry
+     * @param onResponse receives responses
+     * @param onUpdate receives what other entries know
+     */
+    record LimitHandler(
+            Consumer<String> onLinkOpened,
+            BiConsumer<String, TargetLimitRequest> onRequest,
+            Consumer<TargetLimitResponse> onResponse,
+            Consumer<TargetLimit> onUpdate) {}
+
     private EntryLinks(
             ProcessSettings settings, long incarnation, EventLoopGroup loops, Listener listener, DecisionLog log) {
         this.self = settings.instance();
@@ -117,7 +139,10 @@
                         Frame.BodyCase.QUOTA_REQUEST,
                         Frame.BodyCase.QUOTA_RESPONSE,
                         Frame.BodyCase.TARGET_ADMISSION_REQUEST,
-                        Frame.BodyCase.TARGET_ADMISSION_RESPONSE),
+                        Frame.BodyCase.TARGET_ADMISSION_RESPONSE,
+                        Frame.BodyCase.TARGET_LIMIT_REQUEST,
+                        Frame.BodyCase.TARGET_LIMIT_RESPONSE,
+                        Frame.BodyCase.TARGET_LIMIT_UPDATE),
                 entryLinks);
         entryLinks.linkNode.listen(settings.linkAddress());
         return entryLinks;
@@ -158,6 +183,18 @@
         return sendIfVersionAtLeast(ADMISSION_VERSION, entry, frame);
     }
 
+    /** Sends a frame about targets that name a limit; not sent to entries whose version does not know it. */
+    boolean sendLimit(String entry, Frame frame) {
+        return sendIfVersionAtLeast(LIMIT_VERSION, entry, frame);
+    }
+
+    /** Sends a frame about targets that name a limit to all entries whose version knows it. */
+    void sendLimitToAll(Frame frame) {
+        linkNode.peers().stream()
+                .filter(peer -> isVersionAtLeast(LIMIT_VERSION, peer))
+                .forEach(peer -> peer.send(frame));
+    }
+
     private boolean sendIfVersionAtLeast(int version, String entry, Frame frame) {
         return linkNode.find(InstanceId.of(entry))
                 .filter(peer -> isVersionAtLeast(version, peer))
@@ -192,6 +229,11 @@
         admissionResponses = Objects.requireNonNull(responses, "responses");
     }
 
+    /** Sets the handlers of messages about targets that name a limit. */
+    void onLimit(LimitHandler handler) {
+        limitHandler = Objects.requireNonNull(handler, "handler");
+    }
+
     /** Gets the connected entries of this entry's failure domain that support feed updates. */
     List<Peer> domainPeers() {
         return linkNode.peers().stream()
@@ -204,6 +246,9 @@
     public void onOpened(Peer peer) {
         log.write(EventCode.LINK_OPENED, peer.hello().getInstance());
         listener.onLinkOpened(peer.hello().getInstance());
+        if (isVersionAtLeast(LIMIT_VERSION, peer)) {
+            limitHandler.onLinkOpened().accept(peer.hello().getInstance());
+        }
     }
 
     @Override
@@ -222,6 +267,12 @@
             admissionRequests.accept(peer.hello().getInstance(), frame.getTargetAdmissionRequest());
         } else if (frame.hasTargetAdmissionResponse()) {
             admissionResponses.accept(frame.getTargetAdmissionResponse());
+        } else if (frame.hasTargetLimitRequest()) {
+            limitHandler.onRequest().accept(peer.hello().getInstance(), frame.getTargetLimitRequest());
+        } else if (frame.hasTargetLimitResponse()) {
+            limitHandler.onResponse().accept(frame.getTargetLimitResponse());
+        } else if (frame.hasTargetLimitUpdate()) {
+            limitHandler.onUpdate().accept(frame.getTargetLimitUpdate().getKnown());
         }
     }
 
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -17,7 +17,10 @@
 import org.geraniumreach.gateway.adapter.TargetOwnership;
 import org.geraniumreach.gateway.cold.ColdStartLimiter;
 import org.geraniumreach.gateway.cold.EqualDivision;
+import org.geraniumreach.gateway.cold.LimitDivision;
 import org.geraniumreach.gateway.evacuation.Evacuations;
+import org.geraniumreach.gateway.limit.LimitAdmission;
+import org.geraniumreach.gateway.limit.LimitReport;
 import org.geraniumreach.gateway.limit.TargetLimits;
 import org.geraniumreach.gateway.pacing.OwnerAdmission;
 import org.geraniumreach.gateway.placement.Placement;
@@ -104,6 +107,7 @@
     private final HttpConnections connections = new HttpConnections(loop, clock, CONNECT_TIMEOUT);
     private final StorePort store;
     private final TargetLimits targetLimits;
+    private final LimitAdmission limitAdmission;
     private final TargetClient targets;
     private final AdapterLoadCoordinator coordinator;
     private final TargetHealth health;
@@ -120,12 +124,14 @@
     private volatile boolean leaseObtained;
     private volatile int evacuatedRequests;
     private volatile int coldTargets;
+    private volatile int limitedTargets;
     private boolean wasReady;
     private Ingress ingress;
     private EntryLinks links;
     private QuotaLinks quotaLinks;
     private OwnerAdmission ownerAdmission;
     private TargetAdmissionLinks targetAdmissionLinks;
+    private TargetLimitLinks targetLimitLinks;
     private EntryDirectory directory;
     private LeaseRenewer leaseRenewer;
 
@@ -146,14 +152,23 @@
         this.targets = new TargetClient(connections, targetLimits);
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.evacuations = new Evacuations(settings.evacuationLimit(), clock, log);
+        LimitDivision equalDivision = new EqualDivision(settings.instance(), () -> directory.knownInstances());
         this.coldStartLimiter = new ColdStartLimiter(
                 name -> configuration.flatMap(current -> current.service(name)),
                 settings.coldTolerance(),
-                new EqualDivision(settings.instance(), () -> directory.knownInstances()),
+                equalDivision,
                 clock,
                 log);
+        this.limitAdmission =
+                new LimitAdmission(targetLimits, ownership, registry, equalDivision, this::requestCall, timers, clock);
         this.coordinator = new AdapterLoadCoordinator(
-                new AdapterLoadCoordinator.TargetAccess(registry, ownership, this::mayBeCalled, targets),
+                new AdapterLoadCoordinator.TargetAccess(
+                        registry,
+                        ownership,
+                        this::mayBeCalled,
+                        limitAdmission::onOrderSent,
+                        limitAdmission::isLimited,
+                        targets),
                 timers,
                 clock,
                 log,
@@ -168,7 +183,9 @@
                         target -> health.admits(target.id()),
                         coordinator::canReceiveOrders,
                         evacuations::phase,
-                        coldStartLimiter::maySendTo),
+                        coldStartLimiter::maySendTo,
+                        limitAdmission::timeUntilAvailable,
+                        limitAdmission::isLimited),
                 () -> directory.reachableEntryCount(),
                 settings.failureDomain(),
                 PlacementSettings.defaults(),
@@ -182,6 +199,7 @@
                 coordinator,
                 quotaAdmission,
                 ownerAdmission,
+                limitAdmission,
                 new RetryBudgets(this::createRetryBudget),
                 health,
                 timers,
@@ -192,7 +210,8 @@
     }
 
     private boolean mayBeCalled(Target target) {
-        return evacuations.phase(target.description().failureDomain()) != Evacuations.Phase.DRAINED;
+        return evacuations.phase(target.description().failureDomain()) != Evacuations.Phase.DRAINED
+                && limitAdmission.mayOrder(target);
     }
 
     /** Sends a quota request to another entry; none is sent before the links have been started. */
@@ -205,6 +224,10 @@
                 && targetAdmissionLinks.requestAdmission(entry, number, target, promptTokens, maxDelay);
     }
 
+    private boolean requestCall(String owner, long number, Target target, LimitReport known) {
+        return targetLimitLinks != null && targetLimitLinks.requestCall(owner, number, target, known);
+    }
+
     private RetryBudget createRetryBudget() {
         ProcessSettings.RepeatLimits limits = settings.repeatLimits();
         double size = Math.max(1, limits.extra() * RETRY_BUDGET_FRACTION / ASSUMED_ENTRY_COUNT);
@@ -278,6 +301,8 @@
                 "Requests that run at targets of evacuated failure domains.",
                 () -> evacuatedRequests);
         metrics.gauge("geraniumreach.cold.targets", "Targets that have not warmed up.", () -> coldTargets);
+        metrics.gauge(
+                "geraniumreach.limited.targets", "Targets that name a limit on their requests.", () -> limitedTargets);
         metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> isReady() ? 1 : 0);
         metrics.gauge("geraniumreach.log.lines.dropped", "Lines that the log had no room for.", jsonLog::totalDropped);
         InetSocketAddress address =
@@ -315,6 +340,7 @@
         registry.addListener(new HealthUpdater());
         registry.addListener(coldStartLimiter);
         registry.addListener(targetLimits);
+        registry.addListener(limitAdmission);
         registry.addListener(ownerAdmission);
         coordinator.start(links);
         quotaLinks = new QuotaLinks(quotas, links);
@@ -322,6 +348,7 @@
                 quotaLinks::onRequest,
                 response -> quotaAdmission.onAnswer(response.getNumber(), QuotaLinks.toAdmission(response)));
         targetAdmissionLinks = new TargetAdmissionLinks(ownerAdmission, links);
+        targetLimitLinks = new TargetLimitLinks(targetLimits, limitAdmission, registry, links);
         startFeeds();
         leaseRenewer.renew();
         ownership.setCapacity(directory::capacity);
@@ -437,6 +464,8 @@
                 .sum();
         coldTargets =
                 (int) registry.all().stream().filter(coldStartLimiter::isCold).count();
+        limitedTargets =
+                (int) registry.all().stream().filter(limitAdmission::isLimited).count();
     }
 
     private void logReadinessChange() {
--- a/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -25,6 +25,9 @@
 import org.geraniumreach.messages.QuotaResponse;
 import org.geraniumreach.messages.TargetAdmissionRequest;
 import org.geraniumreach.messages.TargetAdmissionResponse;
+import org.geraniumreach.messages.TargetLimitRequest;
+import org.geraniumreach.messages.TargetLimitResponse;
+import org.geraniumreach.messages.TargetLimitUpdate;
 import org.geraniumreach.model.FailureDomain;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -55,6 +58,11 @@
         secondLinks.onTargetAdmission(
                 (entry, request) -> received.add("admission request of " + entry),
                 response -> received.add("admission response " + response.getNumber()));
+        secondLinks.onLimit(new EntryLinks.LimitHandler(
+                entry -> {},
+                (entry, request) -> received.add("limit request of " + entry),
+                response -> received.add("limit response " + response.getNumber()),
+                known -> received.add("limit of " + known.getTarget())));
         loops.submit(() -> firstLinks.setOtherEntries(Map.of("two", secondSettings.linkAddress())))
                 .sync();
         assertThat(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).startsWith("opened");
@@ -112,6 +120,15 @@
                         .build(),
                 Frame.newBuilder()
                         .setTargetAdmissionResponse(TargetAdmissionResponse.getDefaultInstance())
+                        .build(),
+                Frame.newBuilder()
+                        .setTargetLimitRequest(TargetLimitRequest.getDefaultInstance())
+                        .build(),
+                Frame.newBuilder()
+                        .setTargetLimitResponse(TargetLimitResponse.getDefaultInstance())
+                        .build(),
+                Frame.newBuilder()
+                        .setTargetLimitUpdate(TargetLimitUpdate.getDefaultInstance())
                         .build());
     }
 
--- a/node/src/test/java/org/geraniumreach/node/EvacuatedTargetCallsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EvacuatedTargetCallsTest.java
@@ -48,7 +48,8 @@
     private boolean evacuated;
 
     private final AdapterLoadCoordinator coordinator = new AdapterLoadCoordinator(
-            new AdapterLoadCoordinator.TargetAccess(registry, ownership, target -> !evacuated, calls),
+            new AdapterLoadCoordinator.TargetAccess(
+                    registry, ownership, target -> !evacuated, target -> {}, target -> false, calls),
             (delay, action) -> {
                 scheduled.add(action);
                 return () -> scheduled.remove(action);
--- a/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
+++ b/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
@@ -19,6 +19,9 @@
     /** By then each entry has relayed an answer that names the limit. */
     private static final Duration LEARNING_TIME = Duration.ofMillis(1_500);
 
+    /** Far below the time that callers wait. */
+    private static final Duration REJECTION_TIME = Duration.ofMillis(800);
+
     private final FakePlatform platform;
 
     LimitedTargetTest() throws Exception {
@@ -64,4 +67,28 @@
         assertThat(maximumInWindow(limited.arrivals(), limitKnownAt)).isBetween(1, allowed);
         assertThat(fleet.results()).extracting(FakeFleet.Result::status).containsOnly(200);
     }
+
+    /** Guards against callers who wait in vain where no target can take them, and who are not told when to return. */
+    @ParameterizedTest
+    @CsvSource({"engines, /chat/x", "plain, /book/x"})
+    void callersAreRejectedAtOnceWithATimeToReturnIfAllTargetsAreLimited(String service, String path) throws Exception {
+        FakePlatform.FakeTarget one = platform.addTarget("one", service);
+        FakePlatform.FakeTarget two = platform.addTarget("two", service);
+        FakeFleet fleet = new FakeFleet(platform, ENTRIES);
+        fleet.awaitReady(path);
+        one.behave(FakePlatform.Behavior.healthyWith("Server-Limit", "2"));
+        two.behave(FakePlatform.Behavior.healthyWith("Server-Limit", "2"));
+        fleet.sendFor(LEARNING_TIME, REQUESTS_PER_SECOND, path);
+        fleet.results().clear();
+        fleet.sendFor(Duration.ofSeconds(5), REQUESTS_PER_SECOND, path);
+        List<FakeFleet.Result> rejected = fleet.results().stream()
+                .filter(result -> result.status() != 200)
+                .toList();
+        assertThat(fleet.results()).extracting(FakeFleet.Result::status).contains(200);
+        assertThat(rejected).extracting(FakeFleet.Result::status).containsOnly(503);
+        assertThat(rejected).extracting(FakeFleet.Result::retryAfter).doesNotContain("");
+        assertThat(rejected)
+                .extracting(FakeFleet.Result::elapsed)
+                .allMatch(elapsed -> elapsed.compareTo(REJECTION_TIME) < 0);
+    }
 }
