--- a/node/src/test/java/org/geraniumreach/node/FakeFleet.java
+++ b/node/src/test/java/org/geraniumreach/node/FakeFleet.java
@@ -114,7 +114,7 @@
         HttpRequest.Builder request = HttpRequest.newBuilder(
                         URI.create("http://" + address.getAddress().getHostAddress() + ":" + address.getPort() + path))
                 .timeout(CALLER_TIMEOUT)
-                .header("X-Attempt-Id", "request-" + number)
+                .header("X-Attempt-Id", "entry-" + entry + "-request-" + number)
                 .header("X-Deadline-Ms", Long.toString(CALLER_TIMEOUT.toMillis()))
                 .header("Authorization", "Bearer " + FakePlatform.KEY)
                 .POST(HttpRequest.BodyPublishers.ofString("hi"));
