Keep a target's limit while its row lapses and returns

Cause: the limit was kept by registration, so an entry that had been told of it forgot it when the target's row expired and the same incarnation wrote its row again; the target had not ceased to name it.

--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/TargetLimits.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/TargetLimits.java
@@ -1,14 +1,12 @@
 package org.geraniumreach.gateway.limit;
 
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import org.geraniumreach.gateway.placement.IncarnationMap;
 import org.geraniumreach.gateway.placement.Target;
-import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.TargetCallObserver;
@@ -23,14 +21,14 @@
  * answer with one, since answers on different connections may overtake each other, or by such an answer to another entry that is newer by
  * {@link #REMOTE_END_MARGIN}. Confined to the event loop.
  */
-public final class TargetLimits implements TargetCallObserver, TargetRegistry.Listener {
+public final class TargetLimits implements TargetCallObserver {
 
     /** Messages between entries are not delayed for longer, since a link that is silent for this long is closed. */
     static final Duration REMOTE_END_MARGIN = Duration.ofSeconds(3);
 
     private final MonotonicClock clock;
     private final DecisionLog log;
-    private final Map<Target, NamedLimit> limits = new HashMap<>();
+    private final IncarnationMap<NamedLimit> limits = new IncarnationMap<>();
     private ChangeListener changeListener = (target, report) -> {};
 
     /** A limit, or its absence, and when the target answered so. */
@@ -76,7 +74,7 @@
      * @return the limit, or empty if none is known
      */
     public Optional<RequestRate> limit(Target target) {
-        return Optional.ofNullable(limits.get(target)).flatMap(NamedLimit::rate);
+        return limits.get(target).flatMap(NamedLimit::rate);
     }
 
     /**
@@ -86,7 +84,7 @@
      * @return the report, or empty if the target has never named a limit
      */
     public Optional<LimitReport> report(Target target) {
-        return Optional.ofNullable(limits.get(target))
+        return limits.get(target)
                 .map(limit -> new LimitReport(
                         limit.rate(), Duration.ofNanos(Math.max(0, clock.nanos() - limit.observedAt()))));
     }
@@ -98,11 +96,10 @@
     }
 
     private void onSignals(Target target, TargetSignals signals, long sentAt) {
-        if (target.hasLeft()) {
-            return;
-        }
-        NamedLimit known = limits.get(target);
-        boolean ends = known != null && signals.fromExecutedRequest() && sentAt >= known.observedAt();
+        boolean ends = signals.fromExecutedRequest()
+                && limits.get(target)
+                        .filter(known -> sentAt >= known.observedAt())
+                        .isPresent();
         if (signals.requestLimit().isPresent()) {
             update(target, new NamedLimit(signals.requestLimit(), clock.nanos()), true);
         } else if (ends) {
@@ -118,9 +115,11 @@
      */
     public void onReport(Target target, LimitReport report) {
         long observedAt = clock.nanos() - report.age().toNanos();
-        NamedLimit known = limits.get(target);
         Duration margin = report.rate().isPresent() ? Duration.ZERO : REMOTE_END_MARGIN;
-        if (known == null || observedAt > known.observedAt() + margin.toNanos()) {
+        boolean isNewer = limits.get(target)
+                .map(known -> observedAt > known.observedAt() + margin.toNanos())
+                .orElse(true);
+        if (isNewer) {
             update(target, new NamedLimit(report.rate(), observedAt), false);
         }
     }
@@ -144,7 +143,7 @@
 
     /** Logs that a request is not sent, with the limit, its age and the decider. */
     void logReached(Target target, boolean byOwner, Duration retryAfter) {
-        Optional<NamedLimit> known = Optional.ofNullable(limits.get(target));
+        Optional<NamedLimit> known = limits.get(target);
         log.write(
                 EventCode.TARGET_LIMIT_REACHED,
                 target.id().value(),
@@ -163,19 +162,4 @@
     private long ageMillis(long observedAt) {
         return (clock.nanos() - observedAt) / 1_000_000;
     }
-
-    @Override
-    public void onJoined(Target target) {
-        // A new incarnation has named no limit.
-    }
-
-    @Override
-    public void onChanged(Target target) {
-        // Limits are named in answers only.
-    }
-
-    @Override
-    public void onLeft(Target target) {
-        limits.remove(target);
-    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
@@ -45,7 +45,6 @@
     private int outstandingAtReport;
     private long reportedAt = Long.MIN_VALUE;
     private boolean leaving;
-    private boolean left;
 
     /** A prompt that was sent to the target. */
     private record SentPrompt(long tokens, long sentAt) {}
@@ -171,21 +170,6 @@
         leaving = true;
     }
 
-    /**
-     * Queries whether this incarnation is no longer registered; answers may still arrive from it.
-     *
-     * @return true if it has left
-     */
-    public boolean hasLeft() {
-        return left;
-    }
-
-    /** Marks the target as no longer registered; it accepts no new requests. */
-    void markLeft() {
-        left = true;
-        leaving = true;
-    }
-
     /**
      * Queries whether new requests may be sent to the target.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
@@ -222,7 +222,7 @@
     }
 
     private void remove(Target target, int heartbeats) {
-        target.markLeft();
+        target.markLeaving();
         departedTargets.recordDeparture(target.description(), heartbeats);
         lapsedHeartbeats.remove(target.id());
         targets.remove(target.id());
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -339,7 +339,6 @@
         registry.addListener(coordinator);
         registry.addListener(new HealthUpdater());
         registry.addListener(coldStartLimiter);
-        registry.addListener(targetLimits);
         registry.addListener(limitAdmission);
         registry.addListener(ownerAdmission);
         coordinator.start(links);
