--- a/gateway/src/main/java/org/geraniumreach/gateway/port/TargetCallObserver.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetCallObserver.java
@@ -20,6 +20,16 @@
      */
     Consumer<TargetSignals> onCall(Target target);
 
+    /**
+     * Combines this observer with another one.
+     *
+     * @param other the observer that is called after this one, not null
+     * @return the combined observer, not null
+     */
+    default TargetCallObserver andThen(TargetCallObserver other) {
+        return target -> onCall(target).andThen(other.onCall(target));
+    }
+
     /**
      * Returns an observer that ignores all calls.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/port/TargetSignals.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetSignals.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.gateway.port;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -11,11 +12,13 @@
  * <p>Immutable and safe for use by several threads.
  *
  * @param requestLimit the requests that the target takes from all entries together, empty if the answer names no limit
+ * @param rest the time for which the target wants nothing from this entry, empty if the answer names none
  * @param fromExecutedRequest whether the target ran a caller's request; other answers may leave out a limit that is still in force
  */
-public record TargetSignals(Optional<RequestRate> requestLimit, boolean fromExecutedRequest) {
+public record TargetSignals(Optional<RequestRate> requestLimit, Optional<Duration> rest, boolean fromExecutedRequest) {
 
     public TargetSignals {
         Objects.requireNonNull(requestLimit, "requestLimit");
+        Objects.requireNonNull(rest, "rest");
     }
 }
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -41,6 +41,7 @@
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.gateway.request.RequestHandler;
 import org.geraniumreach.gateway.request.RetryBudgets;
+import org.geraniumreach.gateway.rest.RestingTargets;
 import org.geraniumreach.gateway.store.FeedReader;
 import org.geraniumreach.gateway.store.LeaseRenewer;
 import org.geraniumreach.gateway.store.StoreAvailability;
@@ -108,6 +109,7 @@
     private final StorePort store;
     private final TargetLimits targetLimits;
     private final LimitAdmission limitAdmission;
+    private final RestingTargets restingTargets;
     private final TargetClient targets;
     private final AdapterLoadCoordinator coordinator;
     private final TargetHealth health;
@@ -149,7 +151,8 @@
         this.quotaAdmission = new QuotaAdmission(quotas, this::requestUnits, timers, clock, new Random());
         this.store = new StoreClient(connections, settings.storeAddress());
         this.targetLimits = new TargetLimits(clock, log);
-        this.targets = new TargetClient(connections, targetLimits);
+        this.restingTargets = new RestingTargets(clock, log);
+        this.targets = new TargetClient(connections, targetLimits.andThen(restingTargets));
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.evacuations = new Evacuations(settings.evacuationLimit(), clock, log);
         LimitDivision equalDivision = new EqualDivision(settings.instance(), () -> directory.knownInstances());
