Leave a target alone for the time that it has asked this entry for

Cause: the time was not read, and a refusal excluded the target for that one request. The class of the fault is an instruction of a target that was taken for a fact about one request.

Change: placement leaves a resting target out, a request that waited for anything is placed again before it is sent, and the owner sends the target no orders and reads no reports. If no other target is left, the caller is rejected at once with the time.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -290,7 +290,8 @@
     public boolean isSendable(Target target) {
         return target.acceptsRequests()
                 && !conditions.isEvacuated(target)
-                && conditions.withinColdLimit().test(target);
+                && conditions.withinColdLimit().test(target)
+                && conditions.isAvailable(target);
     }
 
     /**
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -497,4 +497,23 @@
         assertThat(answer.header("Retry-After")).isEqualTo("1.50");
         assertThat(world.targets().sentRequests()).isEmpty();
     }
+
+    // Guards against sending a request that waited for its prompt's turn to a target that has asked for rest meanwhile.
+    @Test
+    void aRequestThatWaitedIsSentElsewhereIfItsTargetRestsByThen() {
+        world.startWithRoute(RetryPolicy.AT_MOST_ONCE, 1)
+                .addTarget("a", Map.of("base", Map.of("a7", 1L)))
+                .addTarget("b", Map.of("base", Map.of("a7", 1L)));
+        List<Target> admitted = new ArrayList<>();
+        world.setTargetAdmission((target, promptTokens, longestDelay, onDecision) -> {
+            admitted.add(target);
+            onDecision.accept(new Decision(true, Duration.ofMillis(100)));
+            return Cancellable.NOOP;
+        });
+        world.send(Optional.of(generation()));
+        world.limitTarget(admitted.get(0).id().value(), Duration.ofSeconds(3));
+        world.time().advance(Duration.ofMillis(250));
+        assertThat(world.targets().sentRequests()).hasSize(1);
+        assertThat(world.targets().lastRequest().target()).isNotSameAs(admitted.get(0));
+    }
 }
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -187,7 +187,7 @@
                         coordinator::canReceiveOrders,
                         evacuations::phase,
                         coldStartLimiter::maySendTo,
-                        limitAdmission::timeUntilAvailable,
+                        this::timeUntilAvailable,
                         limitAdmission::isLimited),
                 () -> directory.reachableEntryCount(),
                 settings.failureDomain(),
@@ -214,9 +214,16 @@
 
     private boolean mayBeCalled(Target target) {
         return evacuations.phase(target.description().failureDomain()) != Evacuations.Phase.DRAINED
+                && restingTargets.timeUntilRested(target).isZero()
                 && limitAdmission.mayOrder(target);
     }
 
+    private Duration timeUntilAvailable(Target target) {
+        Duration rest = restingTargets.timeUntilRested(target);
+        Duration limitWait = limitAdmission.timeUntilAvailable(target);
+        return rest.compareTo(limitWait) > 0 ? rest : limitWait;
+    }
+
     /** Sends a quota request to another entry; none is sent before the links have been started. */
     private boolean requestUnits(String entry, long number, AccountId account, double units) {
         return quotaLinks != null && quotaLinks.requestUnits(entry, number, account, units);
