Send nothing more to a target that says in its answers that it leaves

What callers saw: requests that reached a target on its way out ran into its end.

Cause: leaving was learnt from the target's row alone, which lags, and which an entry that cannot reach the store does not see at all; the target's own word was not read.

Change: any answer of a target that says so, to a request, an order or a report, takes the incarnation out of use at once, for good, also if its row says that it is ready, or lapses and returns.

--- a/gateway/src/main/java/org/geraniumreach/gateway/port/TargetSignals.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetSignals.java
@@ -13,9 +13,11 @@
  *
  * @param requestLimit the requests that the target takes from all entries together, empty if the answer names no limit
  * @param rest the time for which the target wants nothing from this entry, empty if the answer names none
+ * @param leaving whether the target says that it is about to end
  * @param fromExecutedRequest whether the target ran a caller's request; other answers may leave out a limit that is still in force
  */
-public record TargetSignals(Optional<RequestRate> requestLimit, Optional<Duration> rest, boolean fromExecutedRequest) {
+public record TargetSignals(
+        Optional<RequestRate> requestLimit, Optional<Duration> rest, boolean leaving, boolean fromExecutedRequest) {
 
     public TargetSignals {
         Objects.requireNonNull(requestLimit, "requestLimit");
--- a/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
@@ -135,7 +135,7 @@
                 if (named.isPresent() && toldAt.isEmpty()) {
                     toldAt = Optional.of(time.nanos());
                 }
-                signals.accept(new TargetSignals(named, Optional.empty(), true));
+                signals.accept(new TargetSignals(named, Optional.empty(), false, true));
             });
         }
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/limit/TargetLimitsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/limit/TargetLimitsTest.java
@@ -25,8 +25,8 @@
 class TargetLimitsTest {
 
     private static final Optional<RequestRate> TWO = Optional.of(new RequestRate(2));
-    private static final TargetSignals LIMITED = new TargetSignals(TWO, Optional.empty(), true);
-    private static final TargetSignals UNLIMITED = new TargetSignals(Optional.empty(), Optional.empty(), true);
+    private static final TargetSignals LIMITED = new TargetSignals(TWO, Optional.empty(), false, true);
+    private static final TargetSignals UNLIMITED = new TargetSignals(Optional.empty(), Optional.empty(), false, true);
     private static final Duration MILLISECOND = Duration.ofMillis(1);
 
     private final VirtualTime time = new VirtualTime();
@@ -86,7 +86,7 @@
     @Test
     void anAnswerThatRanNothingDoesNotEndALimit() {
         call(LIMITED);
-        call(new TargetSignals(Optional.empty(), Optional.empty(), false));
+        call(new TargetSignals(Optional.empty(), Optional.empty(), false, false));
         assertThat(limits.limit(target())).isEqualTo(TWO);
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/AnnouncedDeparturesTest.java
@@ -0,0 +1,87 @@
+package org.geraniumreach.gateway.placement;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.port.TargetSignals;
+import org.geraniumreach.gateway.testing.VirtualTime;
+import org.geraniumreach.model.EventCode;
+import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.TargetId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AnnouncedDeparturesTest {
+
+    private static final TargetId ID = TargetId.of("t1");
+
+    private final TargetRegistry registry = new TargetRegistry(new VirtualTime());
+    private final List<EventCode> events = new ArrayList<>();
+    private final AnnouncedDepartures departures = new AnnouncedDepartures((event, id, fields) -> events.add(event));
+
+    AnnouncedDeparturesTest() {
+        registry.addListener(departures);
+        writeRow(1);
+    }
+
+    private void writeRow(long startedAt) {
+        registry.put(new TargetDescription(
+                ID,
+                startedAt,
+                "service",
+                new InetSocketAddress("127.0.0.1", 9),
+                FailureDomain.of("here"),
+                64,
+                false,
+                Optional.empty(),
+                Map.of()));
+    }
+
+    private Target target() {
+        return registry.find(ID).orElseThrow();
+    }
+
+    private void answer(boolean leaving) {
+        departures.onCall(target()).accept(new TargetSignals(Optional.empty(), Optional.empty(), leaving, true));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aTargetThatSaysThatItLeavesGetsNoNewRequests(boolean leaving) {
+        answer(leaving);
+        assertThat(target().acceptsRequests()).isEqualTo(!leaving);
+    }
+
+    // Guards against using the target again after a heartbeat that it wrote before, or an answer that overtook.
+    @Test
+    void laterRowsAndAnswersDoNotBringItBack() {
+        answer(true);
+        writeRow(1);
+        answer(false);
+        assertThat(target().acceptsRequests()).isFalse();
+        assertThat(events).containsExactly(EventCode.TARGET_LEAVING);
+    }
+
+    // Guards against using the target again when its row lapses and returns.
+    @Test
+    void theSameIncarnationStaysOutIfItsRowReturns() {
+        answer(true);
+        registry.onRowRemoved(ID);
+        writeRow(1);
+        writeRow(1);
+        assertThat(target().acceptsRequests()).isFalse();
+    }
+
+    @Test
+    void aRestartedTargetIsUsed() {
+        answer(true);
+        writeRow(2);
+        assertThat(target().acceptsRequests()).isTrue();
+    }
+}
--- a/gateway/src/test/java/org/geraniumreach/gateway/rest/RestingTargetsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/rest/RestingTargetsTest.java
@@ -44,7 +44,7 @@
 
     private void refuse(Target target, long restMillis) {
         resting.onCall(target)
-                .accept(new TargetSignals(Optional.empty(), Optional.of(Duration.ofMillis(restMillis)), false));
+                .accept(new TargetSignals(Optional.empty(), Optional.of(Duration.ofMillis(restMillis)), false, false));
     }
 
     @Test
@@ -63,7 +63,7 @@
         Target target = join(1);
         refuse(target, 3_000);
         refuse(target, 1_000);
-        resting.onCall(target).accept(new TargetSignals(Optional.empty(), Optional.empty(), true));
+        resting.onCall(target).accept(new TargetSignals(Optional.empty(), Optional.empty(), false, true));
         assertThat(resting.timeUntilRested(target)).isEqualTo(Duration.ofSeconds(3));
     }
 
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -23,6 +23,7 @@
 import org.geraniumreach.gateway.limit.LimitReport;
 import org.geraniumreach.gateway.limit.TargetLimits;
 import org.geraniumreach.gateway.pacing.OwnerAdmission;
+import org.geraniumreach.gateway.placement.AnnouncedDepartures;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
 import org.geraniumreach.gateway.placement.Target;
@@ -110,6 +111,7 @@
     private final TargetLimits targetLimits;
     private final LimitAdmission limitAdmission;
     private final RestingTargets restingTargets;
+    private final AnnouncedDepartures announcedDepartures;
     private final TargetClient targets;
     private final AdapterLoadCoordinator coordinator;
     private final TargetHealth health;
@@ -152,7 +154,9 @@
         this.store = new StoreClient(connections, settings.storeAddress());
         this.targetLimits = new TargetLimits(clock, log);
         this.restingTargets = new RestingTargets(clock, log);
-        this.targets = new TargetClient(connections, targetLimits.andThen(restingTargets));
+        this.announcedDepartures = new AnnouncedDepartures(log);
+        this.targets = new TargetClient(
+                connections, targetLimits.andThen(restingTargets).andThen(announcedDepartures));
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.evacuations = new Evacuations(settings.evacuationLimit(), clock, log);
         LimitDivision equalDivision = new EqualDivision(settings.instance(), () -> directory.knownInstances());
@@ -350,6 +354,7 @@
         registry.addListener(new HealthUpdater());
         registry.addListener(coldStartLimiter);
         registry.addListener(limitAdmission);
+        registry.addListener(announcedDepartures);
         registry.addListener(ownerAdmission);
         coordinator.start(links);
         quotaLinks = new QuotaLinks(quotas, links);
