Tell callers when the target that refused them takes requests again

A request whose last target had just refused it was told to come back after 0.7 s, though the target had asked for longer; the time now counts the targets that this request may not use any more. A permission may take 100 ms to come, and lookups are free while no target has said anything. The names of the two new headers stay in platform/ (PlatformBoundaryTest).

--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -34,7 +34,8 @@
     /** Longer than the span over which targets count, since calls take different times to arrive. */
     static final Duration WINDOW = Duration.ofMillis(4_500);
 
-    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(60);
+    /** A permission that comes later is lost, and the target then gets less than it takes. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(100);
 
     /** Time after which an entry without a permission asks again; a target without an owner gets one within this time. */
     private static final Duration OWNER_RETRY_INTERVAL = Duration.ofMillis(500);
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/IncarnationMap.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/IncarnationMap.java
@@ -45,7 +45,8 @@
      * @return the value, or empty if there is none
      */
     public Optional<V> get(Target target) {
-        return Optional.ofNullable(values.get(Incarnation.of(target)));
+        // Usually there are none, and each placement asks for all targets.
+        return values.isEmpty() ? Optional.empty() : Optional.ofNullable(values.get(Incarnation.of(target)));
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -91,14 +91,15 @@
         List<Target> sendable =
                 notEvacuated.stream().filter(conditions.withinColdLimit()).toList();
         if (sendable.isEmpty()) {
-            return new PlacementDecision.Unplaceable(reasonNoneSendable(remaining, notEvacuated));
+            return new PlacementDecision.Unplaceable(
+                    reasonNoneSendable(remaining, notEvacuated), untilAvailable(offered));
         }
         List<Target> available =
                 sendable.stream().filter(conditions::isAvailable).toList();
         if (available.isEmpty()) {
             return sendable.size() < notEvacuated.size()
                     ? new PlacementDecision.Unplaceable(PlacementDecision.Reason.COLD)
-                    : new PlacementDecision.Unplaceable(PlacementDecision.Reason.LIMITED, untilAvailable(sendable));
+                    : new PlacementDecision.Unplaceable(PlacementDecision.Reason.LIMITED, untilAvailable(offered));
         }
         List<Target> usable = healthyIfAny(available);
         if (request.model().isEmpty()) {
@@ -120,8 +121,13 @@
         return notEvacuated.isEmpty() ? PlacementDecision.Reason.EVACUATED : PlacementDecision.Reason.COLD;
     }
 
+    /** Gets the time until a target takes requests again; empty if one takes them now, or if none ever will. */
     private Optional<Duration> untilAvailable(List<Target> targets) {
-        return targets.stream().map(conditions.timeUntilAvailable()).min(Comparator.naturalOrder());
+        return targets.stream()
+                .filter(Target::acceptsRequests)
+                .map(conditions.timeUntilAvailable())
+                .min(Comparator.naturalOrder())
+                .filter(wait -> !wait.isZero());
     }
 
     private List<Target> healthyIfAny(List<Target> targets) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -181,18 +181,12 @@
      */
     private void onUnplaceable(PlacementDecision.Unplaceable unplaceable) {
         PlacementDecision.Reason reason = unplaceable.reason();
-        if (reason == PlacementDecision.Reason.LIMITED) {
-            giveUp(
-                    ResultCode.OVERLOADED,
-                    reason.name(),
-                    unplaceable.retryAfter().orElse(DEFAULT_RETRY_AFTER));
-            return;
-        }
         boolean isTransient = reason == PlacementDecision.Reason.NO_HOLDER || reason == PlacementDecision.Reason.COLD;
         boolean mayRetry =
                 isTransient && elapsed().compareTo(services.settings().placementRetryPeriod()) < 0;
         if (!mayRetry) {
-            giveUp(ResultCode.NO_TARGET, reason.name());
+            ResultCode code = reason == PlacementDecision.Reason.LIMITED ? ResultCode.OVERLOADED : ResultCode.NO_TARGET;
+            giveUp(code, reason.name(), unplaceable.retryAfter().orElse(DEFAULT_RETRY_AFTER));
             return;
         }
         waitClock.startWait(WaitCause.ADAPTER, services.clock().nanos());
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -516,4 +516,15 @@
         assertThat(world.targets().sentRequests()).hasSize(1);
         assertThat(world.targets().lastRequest().target()).isNotSameAs(admitted.get(0));
     }
+
+    // Guards against callers who return too early, since the target that has just refused them was not counted.
+    @Test
+    void aRequestThatItsLastTargetHasRefusedIsRejectedWithTheTimeThatTheTargetAskedFor() {
+        world.startWithRoute(RetryPolicy.AT_MOST_ONCE, 1).addTarget("a");
+        RecordedAnswer answer = world.send();
+        world.limitTarget("a", Duration.ofSeconds(3));
+        world.targets().lastRequest().answerNotExecuted(NotExecuted.SHED);
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.header("Retry-After")).isEqualTo("3.00");
+    }
 }
--- a/node/src/test/java/org/geraniumreach/node/PlatformBoundaryTest.java
+++ b/node/src/test/java/org/geraniumreach/node/PlatformBoundaryTest.java
@@ -44,6 +44,8 @@
                 "cold_remaining_ms",
                 "fencing_token",
                 "model_load",
+                "Server-Limit",
+                "Server-Leaving",
                 "tombstone"
             })
     void noMainSourceOutsidePlatformFolderContainsPlatformTerm(String term) throws IOException {
