Let adapters be loaded at limited targets, and ask for permission before the load

Cause: two of the same change. Orders and reports counted against the limit, so with a limit of 1 or 2 a second an adapter took seconds to load; and a request asked for permission after its load, so callers waited for adapters at targets that then had nothing left for them.

Change: only requests count. The share without the owner shrinks, so that held permissions stay within what a target tolerates.

--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -20,18 +20,18 @@
 import org.geraniumreach.model.TargetId;
 
 /**
- * Keeps the calls of all entries to a limited target within the target's limit, through the target's owner.
+ * Keeps the requests of all entries to a limited target within the target's limit, through the target's owner.
  *
  * <p>Intended for any number of entries, each of which sends few requests to the target. Ownership is exclusive, so the limit holds however
- * much the entries' views of one another differ. Entries that cannot reach the owner divide a few calls among themselves, which are
+ * much the entries' views of one another differ. Entries that cannot reach the owner divide a few requests among themselves, which are
  * part of what a target tolerates beyond its limit.
  *
- * <p>Invariants: an entry that knows of a limit sends no request without the owner's permission or a part of those few calls. A
- * permission is used at once. Confined to the event loop.
+ * <p>Invariants: an entry that knows of a limit sends no request without the owner's permission or a part of those few. A
+ * permission is used within {@link #PERMISSION_TIME}. Confined to the event loop.
  */
 public final class LimitAdmission implements RequestLimiter, TargetRegistry.Listener {
 
-    /** Longer than the span over which targets count, since calls take different times to arrive. */
+    /** Longer than the span over which targets count, since requests take different times to arrive. */
     static final Duration WINDOW = Duration.ofMillis(4_500);
 
     /** A permission that comes later is lost, and the target then gets less than it takes. */
@@ -40,10 +40,13 @@
     /** Time after which an entry without a permission asks again; a target without an owner gets one within this time. */
     private static final Duration OWNER_RETRY_INTERVAL = Duration.ofMillis(500);
 
-    /** Seconds of the limit, and further calls, that all entries together send within a window without the owner. */
-    private static final double UNOWNED_SECONDS = 1;
+    /** How long a permission may be held while the request's adapter is loaded. */
+    private static final Duration PERMISSION_TIME = Duration.ofSeconds(1);
 
-    private static final double UNOWNED_EXTRA_CALLS = 3;
+    /** Seconds of the limit, and further requests, that all entries together send within a window without the owner. */
+    private static final double UNOWNED_SECONDS = 0.5;
+
+    private static final double UNOWNED_EXTRA_REQUESTS = 3;
 
     private static final int LONGEST_WAIT_INTERVALS = 2;
     private static final Duration MINIMUM_RETRY_AFTER = Duration.ofMillis(1);
@@ -55,10 +58,10 @@
     private final LimitPeers peers;
     private final MonotonicClock clock;
     private final PendingAnswers<Optional<Decision>> pendingAnswers;
-    private final Map<Target, LimitedCalls> calls = new HashMap<>();
+    private final Map<Target, LimitedRequests> requests = new HashMap<>();
 
-    /** The calls to one limited target. */
-    private static final class LimitedCalls {
+    /** The requests to one limited target. */
+    private static final class LimitedRequests {
         private final Deque<Long> unownedSends = new ArrayDeque<>();
         private Optional<LimitBucket> bucket = Optional.empty();
         private Optional<Refusal> refusal = Optional.empty();
@@ -86,7 +89,7 @@
      * @param limits the limits that targets have named, not null
      * @param ownership the owners of the targets, not null
      * @param registry the targets, not null
-     * @param division divides the calls that are sent without the owner, not null
+     * @param division divides the requests that are sent without the owner, not null
      * @param peers sends requests to the other entries, not null
      * @param timers runs actions later, not null
      * @param clock the clock, not null
@@ -112,7 +115,7 @@
     public Cancellable admit(Target target, Consumer<Decision> callback) {
         Optional<RequestRate> rate = limits.limit(target);
         if (rate.isEmpty()) {
-            callback.accept(Decision.ADMITTED);
+            callback.accept(Decision.UNLIMITED);
             return Cancellable.NOOP;
         }
         Duration wait = timeUntilAvailable(target);
@@ -139,19 +142,19 @@
         return ownership.fence(target.id()).isPresent();
     }
 
-    private LimitedCalls callsTo(Target target) {
-        return calls.computeIfAbsent(target, missing -> new LimitedCalls());
+    private LimitedRequests requestsTo(Target target) {
+        return requests.computeIfAbsent(target, missing -> new LimitedRequests());
     }
 
     private Decision takeAsOwner(Target target, RequestRate rate) {
         long now = clock.nanos();
-        LimitBucket bucket = callsTo(target).bucket(rate, now);
+        LimitBucket bucket = requestsTo(target).bucket(rate, now);
         Duration wait = bucket.untilFree(rate, now);
         if (!wait.isZero()) {
             return Decision.refused(wait);
         }
         bucket.take(rate, now);
-        return Decision.ADMITTED;
+        return Decision.permitted(PERMISSION_TIME);
     }
 
     /** Completes a request with the owner's answer, or without it if there is none. */
@@ -166,26 +169,26 @@
     private void onRefused(Target target, Decision refusal, boolean byOwner) {
         Duration wait =
                 refusal.retryAfter().compareTo(MINIMUM_RETRY_AFTER) < 0 ? MINIMUM_RETRY_AFTER : refusal.retryAfter();
-        callsTo(target).refusal = Optional.of(new Refusal(clock.nanos(), wait));
+        requestsTo(target).refusal = Optional.of(new Refusal(clock.nanos(), wait));
         limits.logReached(target, byOwner, wait);
     }
 
     private Decision takeWithoutOwner(Target target) {
         Optional<RequestRate> rate = limits.limit(target);
         if (rate.isEmpty()) {
-            return Decision.ADMITTED;
+            return Decision.UNLIMITED;
         }
         long now = clock.nanos();
-        Deque<Long> sends = callsTo(target).unownedSends;
+        Deque<Long> sends = requestsTo(target).unownedSends;
         while (!sends.isEmpty() && now - sends.peekFirst() >= WINDOW.toNanos()) {
             sends.removeFirst();
         }
-        int total = (int) (rate.get().perSecond() * UNOWNED_SECONDS + UNOWNED_EXTRA_CALLS);
+        int total = (int) (rate.get().perSecond() * UNOWNED_SECONDS + UNOWNED_EXTRA_REQUESTS);
         if (sends.size() >= division.share(target.id(), total)) {
             return Decision.refused(OWNER_RETRY_INTERVAL);
         }
         sends.addLast(now);
-        return Decision.ADMITTED;
+        return Decision.permitted(PERMISSION_TIME);
     }
 
     /**
@@ -202,7 +205,7 @@
                 .filter(this::isOwned);
         target.ifPresent(owned -> limits.onReport(owned, known));
         return target.map(owned ->
-                limits.limit(owned).map(rate -> takeAsOwner(owned, rate)).orElse(Decision.ADMITTED));
+                limits.limit(owned).map(rate -> takeAsOwner(owned, rate)).orElse(Decision.UNLIMITED));
     }
 
     /**
@@ -222,7 +225,7 @@
      * @return the time, zero if it may take one now, not null
      */
     public Duration timeUntilAvailable(Target target) {
-        Optional<Refusal> refusal = Optional.ofNullable(calls.get(target)).flatMap(limited -> limited.refusal);
+        Optional<Refusal> refusal = Optional.ofNullable(requests.get(target)).flatMap(limited -> limited.refusal);
         if (refusal.isEmpty()) {
             return Duration.ZERO;
         }
@@ -241,40 +244,9 @@
         return limits.limit(target).isPresent();
     }
 
-    /**
-     * Queries whether this entry may send an order, or read a report, at a target that it owns.
-     *
-     * <p>Orders may be sent one call ahead of the limit, since requests would otherwise starve them.
-     *
-     * @param target the target, not null
-     * @return true if it may
-     */
-    public boolean mayOrder(Target target) {
-        return limits.limit(target)
-                .map(rate -> {
-                    Duration debt = rate.interval().multipliedBy(LimitBucket.MAXIMUM_DEBT);
-                    return callsTo(target)
-                                    .bucket(rate, clock.nanos())
-                                    .untilFree(rate, clock.nanos())
-                                    .compareTo(debt)
-                            < 0;
-                })
-                .orElse(true);
-    }
-
-    /**
-     * Records that an order was sent to, or a report read from, a target that this entry owns.
-     *
-     * @param target the target, not null
-     */
-    public void onOrderSent(Target target) {
-        limits.limit(target)
-                .ifPresent(rate -> callsTo(target).bucket(rate, clock.nanos()).take(rate, clock.nanos()));
-    }
-
     @Override
     public void onJoined(Target target) {
-        // Calls are counted from the first limited one.
+        // Requests are counted from the first limited one.
     }
 
     @Override
@@ -284,6 +256,6 @@
 
     @Override
     public void onLeft(Target target) {
-        calls.remove(target);
+        requests.remove(target);
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/RequestLimiter.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/RequestLimiter.java
@@ -8,7 +8,7 @@
 import org.geraniumreach.gateway.port.Cancellable;
 
 /**
- * Decides whether a request may be sent to a target now.
+ * Decides whether a request may be sent to a target.
  *
  * <p>Contract: the callback is called once, during the call or later, and never after a cancellation. Confined to the event loop.
  */
@@ -16,7 +16,7 @@
 public interface RequestLimiter {
 
     /**
-     * Requests the admission of a request that is sent as soon as it is admitted.
+     * Requests the admission of a request.
      *
      * @param target the target, not null
      * @param callback receives the decision, not null
@@ -29,14 +29,16 @@
      *
      * @param admitted whether the request may be sent
      * @param retryAfter the time until the target takes another request, zero if admitted
+     * @param validFor the time within which an admitted request has to be sent, zero if it has to be sent at once
      */
-    record Decision(boolean admitted, Duration retryAfter) {
+    record Decision(boolean admitted, Duration retryAfter, Duration validFor) {
 
-        /** The request may be sent. */
-        public static final Decision ADMITTED = new Decision(true, Duration.ZERO);
+        /** The request may be sent now, since the target names no limit. */
+        public static final Decision UNLIMITED = new Decision(true, Duration.ZERO, Duration.ZERO);
 
         public Decision {
             Objects.requireNonNull(retryAfter, "retryAfter");
+            Objects.requireNonNull(validFor, "validFor");
         }
 
         /**
@@ -46,7 +48,17 @@
          * @return the decision, not null
          */
         public static Decision refused(Duration retryAfter) {
-            return new Decision(false, retryAfter);
+            return new Decision(false, retryAfter, Duration.ZERO);
+        }
+
+        /**
+         * Obtains a permission for one request to a limited target.
+         *
+         * @param validFor the time within which the request has to be sent, not null
+         * @return the decision, not null
+         */
+        public static Decision permitted(Duration validFor) {
+            return new Decision(true, Duration.ZERO, validFor);
         }
     }
 
@@ -57,7 +69,7 @@
      */
     static RequestLimiter unlimited() {
         return (target, callback) -> {
-            callback.accept(Decision.ADMITTED);
+            callback.accept(Decision.UNLIMITED);
             return Cancellable.NOOP;
         };
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -95,7 +95,7 @@
                     reasonNoneSendable(remaining, notEvacuated), untilAvailable(offered));
         }
         List<Target> available =
-                sendable.stream().filter(conditions::isAvailable).toList();
+                sendable.stream().filter(target -> isAvailable(target, request)).toList();
         if (available.isEmpty()) {
             return sendable.size() < notEvacuated.size()
                     ? new PlacementDecision.Unplaceable(PlacementDecision.Reason.COLD)
@@ -121,11 +121,17 @@
         return notEvacuated.isEmpty() ? PlacementDecision.Reason.EVACUATED : PlacementDecision.Reason.COLD;
     }
 
+    private boolean isAvailable(Target target, PlacementRequest request) {
+        boolean permitted =
+                request.permittedTarget().filter(target.id()::equals).isPresent();
+        return !conditions.isResting(target) && (permitted || conditions.isWithinLimit(target));
+    }
+
     /** Gets the time until a target takes requests again; empty if one takes them now, or if none ever will. */
     private Optional<Duration> untilAvailable(List<Target> targets) {
         return targets.stream()
                 .filter(Target::acceptsRequests)
-                .map(conditions.timeUntilAvailable())
+                .map(conditions::timeUntilAvailable)
                 .min(Comparator.naturalOrder())
                 .filter(wait -> !wait.isZero());
     }
@@ -297,7 +303,7 @@
         return target.acceptsRequests()
                 && !conditions.isEvacuated(target)
                 && conditions.withinColdLimit().test(target)
-                && conditions.isAvailable(target);
+                && !conditions.isResting(target);
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementRequest.java
@@ -26,6 +26,7 @@
  * @param slowLoadingTargets the targets that declined the load or have not completed it in time
  * @param saturatedTargets the targets that refused the prompt because too many others are pending
  * @param excludedTargets the targets that must not be used
+ * @param permittedTarget the target that names a limit and for which the request has a permission, empty if it has none
  */
 public record PlacementRequest(
         String service,
@@ -40,7 +41,8 @@
         Set<TargetId> loadingTargets,
         Set<TargetId> slowLoadingTargets,
         Set<TargetId> saturatedTargets,
-        Set<TargetId> excludedTargets) {
+        Set<TargetId> excludedTargets,
+        Optional<TargetId> permittedTarget) {
 
     public PlacementRequest {
         Objects.requireNonNull(service, "service");
@@ -52,5 +54,6 @@
         slowLoadingTargets = Set.copyOf(slowLoadingTargets);
         saturatedTargets = Set.copyOf(saturatedTargets);
         excludedTargets = Set.copyOf(excludedTargets);
+        Objects.requireNonNull(permittedTarget, "permittedTarget");
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetConditions.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetConditions.java
@@ -17,7 +17,8 @@
  * @param loadable whether an entry can order adapter loads at a target at the moment
  * @param evacuationPhase the evacuation phase of a failure domain
  * @param withinColdLimit whether a target that may be warming up can take one more request
- * @param timeUntilAvailable the time until a target takes another request of this entry, zero if it takes one now
+ * @param restTime the time for which a target wants nothing from this entry, zero if it may be called
+ * @param limitWait the time until a target's limit may leave another request for this entry, zero if it may now
  * @param limited whether a target names a limit on its requests
  */
 public record TargetConditions(
@@ -25,7 +26,8 @@
         Predicate<Target> loadable,
         Function<FailureDomain, Evacuations.Phase> evacuationPhase,
         Predicate<Target> withinColdLimit,
-        Function<Target, Duration> timeUntilAvailable,
+        Function<Target, Duration> restTime,
+        Function<Target, Duration> limitWait,
         Predicate<Target> limited) {
 
     public TargetConditions {
@@ -33,7 +35,8 @@
         Objects.requireNonNull(loadable, "loadable");
         Objects.requireNonNull(evacuationPhase, "evacuationPhase");
         Objects.requireNonNull(withinColdLimit, "withinColdLimit");
-        Objects.requireNonNull(timeUntilAvailable, "timeUntilAvailable");
+        Objects.requireNonNull(restTime, "restTime");
+        Objects.requireNonNull(limitWait, "limitWait");
         Objects.requireNonNull(limited, "limited");
     }
 
@@ -49,6 +52,7 @@
                 domain -> Evacuations.Phase.IN_USE,
                 target -> true,
                 target -> Duration.ZERO,
+                target -> Duration.ZERO,
                 target -> false);
     }
 
@@ -64,8 +68,18 @@
         return isInUse(target) && loadable.test(target);
     }
 
-    boolean isAvailable(Target target) {
-        return timeUntilAvailable.apply(target).isZero();
+    boolean isResting(Target target) {
+        return !restTime.apply(target).isZero();
+    }
+
+    boolean isWithinLimit(Target target) {
+        return limitWait.apply(target).isZero();
+    }
+
+    Duration timeUntilAvailable(Target target) {
+        Duration rest = restTime.apply(target);
+        Duration wait = limitWait.apply(target);
+        return rest.compareTo(wait) > 0 ? rest : wait;
     }
 
     private Evacuations.Phase phase(Target target) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -63,11 +63,15 @@
     private Cancellable adapterWait = Cancellable.NOOP;
     private Optional<Attempt> attempt = Optional.empty();
 
+    private Optional<Permission> permission = Optional.empty();
     private OptionalLong lastSentAt = OptionalLong.empty();
     private int sends;
     private boolean admitted;
     private boolean ended;
 
+    /** A permission for one request to a target that names a limit. */
+    private record Permission(Target target, long validUntil) {}
+
     Exchange(
             ExchangeServices services,
             ReceivedRequest received,
@@ -164,7 +168,8 @@
             adapterWait.cancel();
             requestTargetAdmission(send);
         } else if (decision instanceof PlacementDecision.Load load) {
-            awaitAdapter(load.target());
+            adapterWait.cancel();
+            requestCall(load.target(), () -> awaitAdapter(load.target()));
         } else if (decision instanceof PlacementDecision.Defer defer) {
             adapterWait.cancel();
             waitClock.startWait(WaitCause.PREFILL_CAPACITY, services.clock().nanos());
@@ -215,7 +220,8 @@
                 loadWait.loadingTargets(now),
                 loadWait.slowLoadingTargets(now),
                 admissionAttempts.saturatedTargets(),
-                excludedTargets);
+                excludedTargets,
+                permission.map(Permission::target).filter(this::holdsPermission).map(Target::id));
     }
 
     private void awaitAdapter(Target target) {
@@ -274,18 +280,46 @@
 
     /** Asks last, so that a request that has waited for anything else keeps to a limit that became known meanwhile. */
     private void requestCall(PlacementDecision.Send send) {
-        pendingAdmission = services.limiter().admit(send.target(), decision -> onCallDecision(send, decision));
+        requestCall(send.target(), () -> {
+            permission = Optional.empty();
+            send(send);
+        });
+    }
+
+    /**
+     * Runs an action once a request may be sent to a target, or places this request again. A request asks before its
+     * adapter is loaded too: where nothing is left of a target's limit, it would wait for the load in vain.
+     */
+    private void requestCall(Target target, Runnable action) {
+        if (holdsPermission(target)) {
+            action.run();
+            return;
+        }
+        Cancellable pending = services.limiter().admit(target, decision -> onCallDecision(target, decision, action));
+        if (pending != Cancellable.NOOP) {
+            pendingAdmission = pending;
+        }
+    }
+
+    private boolean holdsPermission(Target target) {
+        return permission
+                .filter(held -> held.target() == target && services.clock().nanos() < held.validUntil())
+                .isPresent();
     }
 
-    private void onCallDecision(PlacementDecision.Send send, RequestLimiter.Decision decision) {
+    private void onCallDecision(Target target, RequestLimiter.Decision decision, Runnable action) {
         if (ended) {
             return;
         }
-        if (decision.admitted() && services.placement().isSendable(send.target())) {
-            send(send);
-        } else {
+        if (!decision.admitted() || !services.placement().isSendable(target)) {
             place();
+            return;
         }
+        permission = decision.validFor().isZero()
+                ? Optional.empty()
+                : Optional.of(new Permission(
+                        target, services.clock().nanos() + decision.validFor().toNanos()));
+        action.run();
     }
 
     private void send(PlacementDecision.Send send) {
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -383,15 +383,15 @@
       "mited\030\003 \001(\010\022\033\n\023requests_per_second\030\004 \001(\001" +
       "\022\021\n\tage_nanos\030\005 \001(\003\"T\n\022TargetLimitReques" +
       "t\022\016\n\006number\030\001 \001(\003\022.\n\005known\030\002 \001(\0132\037.geran" +
-      "iumreach.link.TargetLimit\"\272\001\n\023TargetLimi" +
+      "iumreach.link.TargetLimit\"\323\001\n\023TargetLimi" +
       "tResponse\022\016\n\006number\030\001 \001(\003\022B\n\010decision\030\002 " +
       "\001(\01620.geraniumreach.link.TargetLimitResp" +
       "onse.Decision\022\031\n\021retry_after_nanos\030\003 \001(\003" +
-      "\"4\n\010Decision\022\r\n\tNOT_OWNER\020\000\022\014\n\010ADMITTED\020" +
-      "\001\022\013\n\007REFUSED\020\002\"C\n\021TargetLimitUpdate\022.\n\005k" +
-      "nown\030\001 \001(\0132\037.geraniumreach.link.TargetLi" +
-      "mitB)\n\032org.geraniumreach.messagesB\tLinkP" +
-      "rotoP\001b\006proto3"
+      "\022\027\n\017valid_for_nanos\030\004 \001(\003\"4\n\010Decision\022\r\n" +
+      "\tNOT_OWNER\020\000\022\014\n\010ADMITTED\020\001\022\013\n\007REFUSED\020\002\"" +
+      "C\n\021TargetLimitUpdate\022.\n\005known\030\001 \001(\0132\037.ge" +
+      "raniumreach.link.TargetLimitB)\n\032org.gera" +
+      "niumreach.messagesB\tLinkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -624,7 +624,7 @@
     internal_static_geraniumreach_link_TargetLimitResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetLimitResponse_descriptor,
-        new java.lang.String[] { "Number", "Decision", "RetryAfterNanos", });
+        new java.lang.String[] { "Number", "Decision", "RetryAfterNanos", "ValidForNanos", });
     internal_static_geraniumreach_link_TargetLimitUpdate_descriptor =
       getDescriptor().getMessageTypes().get(38);
     internal_static_geraniumreach_link_TargetLimitUpdate_fieldAccessorTable = new
--- a/messages/src/main/java/org/geraniumreach/messages/TargetLimitResponse.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetLimitResponse.java
@@ -213,6 +213,21 @@
     return retryAfterNanos_;
   }
 
+  public static final int VALID_FOR_NANOS_FIELD_NUMBER = 4;
+  private long validForNanos_ = 0L;
+  /**
+   * <pre>
+   * admitted: the time within which to send it, 0 for at once
+   * </pre>
+   *
+   * <code>int64 valid_for_nanos = 4;</code>
+   * @return The validForNanos.
+   */
+  @java.lang.Override
+  public long getValidForNanos() {
+    return validForNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -236,6 +251,9 @@
     if (retryAfterNanos_ != 0L) {
       output.writeInt64(3, retryAfterNanos_);
     }
+    if (validForNanos_ != 0L) {
+      output.writeInt64(4, validForNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -257,6 +275,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, retryAfterNanos_);
     }
+    if (validForNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, validForNanos_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -277,6 +299,8 @@
     if (decision_ != other.decision_) return false;
     if (getRetryAfterNanos()
         != other.getRetryAfterNanos()) return false;
+    if (getValidForNanos()
+        != other.getValidForNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -296,6 +320,9 @@
     hash = (37 * hash) + RETRY_AFTER_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRetryAfterNanos());
+    hash = (37 * hash) + VALID_FOR_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getValidForNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -430,6 +457,7 @@
       number_ = 0L;
       decision_ = 0;
       retryAfterNanos_ = 0L;
+      validForNanos_ = 0L;
       return this;
     }
 
@@ -472,6 +500,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.retryAfterNanos_ = retryAfterNanos_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.validForNanos_ = validForNanos_;
+      }
     }
 
     @java.lang.Override
@@ -495,6 +526,9 @@
       if (other.getRetryAfterNanos() != 0L) {
         setRetryAfterNanos(other.getRetryAfterNanos());
       }
+      if (other.getValidForNanos() != 0L) {
+        setValidForNanos(other.getValidForNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -536,6 +570,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              validForNanos_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -682,6 +721,50 @@
       return this;
     }
 
+    private long validForNanos_ ;
+    /**
+     * <pre>
+     * admitted: the time within which to send it, 0 for at once
+     * </pre>
+     *
+     * <code>int64 valid_for_nanos = 4;</code>
+     * @return The validForNanos.
+     */
+    @java.lang.Override
+    public long getValidForNanos() {
+      return validForNanos_;
+    }
+    /**
+     * <pre>
+     * admitted: the time within which to send it, 0 for at once
+     * </pre>
+     *
+     * <code>int64 valid_for_nanos = 4;</code>
+     * @param value The validForNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setValidForNanos(long value) {
+
+      validForNanos_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * admitted: the time within which to send it, 0 for at once
+     * </pre>
+     *
+     * <code>int64 valid_for_nanos = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearValidForNanos() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      validForNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.TargetLimitResponse)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/TargetLimitResponseOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetLimitResponseOrBuilder.java
@@ -35,4 +35,14 @@
    * @return The retryAfterNanos.
    */
   long getRetryAfterNanos();
+
+  /**
+   * <pre>
+   * admitted: the time within which to send it, 0 for at once
+   * </pre>
+   *
+   * <code>int64 valid_for_nanos = 4;</code>
+   * @return The validForNanos.
+   */
+  long getValidForNanos();
 }
--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -69,7 +68,6 @@
     private final TargetRegistry registry;
     private final TargetOwnership ownership;
     private final Predicate<Target> mayBeCalled;
-    private final Consumer<Target> onCall;
     private final Predicate<Target> needsOwner;
     private final TargetPort targets;
     private final Timers timers;
@@ -102,7 +100,6 @@
      * @param registry the known targets
      * @param ownership the owners of the targets
      * @param mayBeCalled whether a target may be called now
-     * @param onCall called before each call
      * @param needsOwner whether a target needs an owner even if it serves no models
      * @param port sends calls to targets
      */
@@ -110,7 +107,6 @@
             TargetRegistry registry,
             TargetOwnership ownership,
             Predicate<Target> mayBeCalled,
-            Consumer<Target> onCall,
             Predicate<Target> needsOwner,
             TargetPort port) {}
 
@@ -123,7 +119,6 @@
         this.registry = Objects.requireNonNull(targets.registry(), "registry");
         this.ownership = Objects.requireNonNull(targets.ownership(), "ownership");
         this.mayBeCalled = Objects.requireNonNull(targets.mayBeCalled(), "mayBeCalled");
-        this.onCall = Objects.requireNonNull(targets.onCall(), "onCall");
         this.needsOwner = Objects.requireNonNull(targets.needsOwner(), "needsOwner");
         this.targets = Objects.requireNonNull(targets.port(), "targets");
         this.timers = Objects.requireNonNull(timers, "timers");
@@ -286,7 +281,6 @@
     }
 
     private void execute(Target target, OwnedTarget owned, AdapterSlots.Call call, long fence) {
-        onCall.accept(target);
         if (call instanceof AdapterSlots.Call.SendOrder send) {
             sendOrder(target, owned, send, fence);
         } else {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -170,12 +170,7 @@
                 new LimitAdmission(targetLimits, ownership, registry, equalDivision, this::requestCall, timers, clock);
         this.coordinator = new AdapterLoadCoordinator(
                 new AdapterLoadCoordinator.TargetAccess(
-                        registry,
-                        ownership,
-                        this::mayBeCalled,
-                        limitAdmission::onOrderSent,
-                        limitAdmission::isLimited,
-                        targets),
+                        registry, ownership, this::mayBeCalled, limitAdmission::isLimited, targets),
                 timers,
                 clock,
                 log,
@@ -191,7 +186,8 @@
                         coordinator::canReceiveOrders,
                         evacuations::phase,
                         coldStartLimiter::maySendTo,
-                        this::timeUntilAvailable,
+                        restingTargets::timeUntilRested,
+                        limitAdmission::timeUntilAvailable,
                         limitAdmission::isLimited),
                 () -> directory.reachableEntryCount(),
                 settings.failureDomain(),
@@ -218,14 +214,7 @@
 
     private boolean mayBeCalled(Target target) {
         return evacuations.phase(target.description().failureDomain()) != Evacuations.Phase.DRAINED
-                && restingTargets.timeUntilRested(target).isZero()
-                && limitAdmission.mayOrder(target);
-    }
-
-    private Duration timeUntilAvailable(Target target) {
-        Duration rest = restingTargets.timeUntilRested(target);
-        Duration limitWait = limitAdmission.timeUntilAvailable(target);
-        return rest.compareTo(limitWait) > 0 ? rest : limitWait;
+                && restingTargets.timeUntilRested(target).isZero();
     }
 
     /** Sends a quota request to another entry; none is sent before the links have been started. */
--- a/node/src/main/java/org/geraniumreach/node/TargetLimitLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/TargetLimitLinks.java
@@ -65,6 +65,8 @@
                 .setDecision(toMessage(decision))
                 .setRetryAfterNanos(
                         decision.map(Decision::retryAfter).orElse(Duration.ZERO).toNanos())
+                .setValidForNanos(
+                        decision.map(Decision::validFor).orElse(Duration.ZERO).toNanos())
                 .build();
         links.sendLimit(
                 entry, Frame.newBuilder().setTargetLimitResponse(response).build());
@@ -116,7 +118,8 @@
 
     private static Optional<Decision> toDecision(TargetLimitResponse response) {
         return switch (response.getDecision()) {
-            case ADMITTED -> Optional.of(Decision.ADMITTED);
+            case ADMITTED -> Optional.of(
+                    Decision.permitted(Duration.ofNanos(Math.max(0, response.getValidForNanos()))));
             case REFUSED -> Optional.of(Decision.refused(Duration.ofNanos(Math.max(0, response.getRetryAfterNanos()))));
             default -> Optional.empty();
         };
--- a/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
+++ b/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
@@ -1,9 +1,13 @@
 package org.geraniumreach.node;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -22,6 +26,9 @@
     /** Far below the time that callers wait. */
     private static final Duration REJECTION_TIME = Duration.ofMillis(800);
 
+    /** Callers leave a stream that has not begun by then. */
+    private static final Duration CALLERS_LEAVE_AFTER = Duration.ofSeconds(2);
+
     private final FakePlatform platform;
 
     LimitedTargetTest() throws Exception {
@@ -91,4 +98,29 @@
                 .extracting(FakeFleet.Result::elapsed)
                 .allMatch(elapsed -> elapsed.compareTo(REJECTION_TIME) < 0);
     }
+
+    /** Guards against callers who wait for the load of an adapter at targets that then have no request left for them. */
+    @Test
+    void callersWhoseAdapterIsNotLoadedAreServedOrRejectedSoonIfAllTargetsAreLimited() throws Exception {
+        List<FakePlatform.FakeTarget> targets = new ArrayList<>();
+        for (int number = 0; number < ENTRIES; number++) {
+            targets.add(platform.addTarget("target-" + number, "engines"));
+        }
+        FakeFleet fleet = new FakeFleet(platform, ENTRIES);
+        fleet.awaitReady("/chat/x");
+        targets.forEach(target -> target.behave(FakePlatform.Behavior.healthyWith("Server-Limit", "2")));
+        fleet.sendFor(LEARNING_TIME, REQUESTS_PER_SECOND, "/chat/x");
+        fleet.setAdapterCount(6);
+        fleet.sendFor(Duration.ofSeconds(3), REQUESTS_PER_SECOND, "/chat/x");
+        fleet.results().clear();
+        fleet.sendFor(Duration.ofSeconds(6), REQUESTS_PER_SECOND, "/chat/x");
+        Map<Integer, Long> counts = fleet.results().stream()
+                .collect(Collectors.groupingBy(FakeFleet.Result::status, Collectors.counting()));
+        assertThat(counts.keySet()).containsExactlyInAnyOrder(200, 503);
+        // The targets take 36 requests in this time, and nearly all adapters are loaded by then.
+        assertThat(counts.get(200)).isGreaterThanOrEqualTo(24);
+        assertThat(fleet.results())
+                .extracting(FakeFleet.Result::elapsed)
+                .allMatch(elapsed -> elapsed.compareTo(CALLERS_LEAVE_AFTER) < 0);
+    }
 }
