Leave a target of the project's own path alone while it asks for rest

A companion read no Retry-After from its target's 503, so it sent the next attempt at once, and the entry's caller was told nothing of the time.

Change: the HTTP clients of engines and plain services report the time with the failure, and the companion refuses attempts meanwhile as not run, with the time that is left, so that entries try another target. Loads of adapters are not held back.

A test with an engine is not written.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
@@ -60,6 +60,7 @@
     private final AdapterLoader adapterLoader;
     private final Object dispatchLock = new Object();
     private final InheritedStreams inheritedStreams;
+    private final TargetRest rest;
 
     /**
      * The services that the runner works with.
@@ -110,6 +111,7 @@
         this.adapterLoader =
                 new AdapterLoader(engine, residency, queue, engineMonitor, authorization, lifecycle, clock);
         this.inheritedStreams = new InheritedStreams(engineMonitor.streams());
+        this.rest = new TargetRest(clock);
     }
 
     /**
@@ -232,6 +234,13 @@
 
     private void send(QueuedRequest<CompanionAttempt> request, Pin pin, long incarnation) {
         AttemptStream stream = newStream(request, pin, incarnation);
+        Optional<ServingException> resting = rest.refusal();
+        if (resting.isPresent()) {
+            release(stream, 0, 0);
+            lifecycle.refuse(stream.attempt(), resting.get());
+            dispatch();
+            return;
+        }
         if (!engineMonitor.refreshIfStale()) {
             release(stream, 0, 0);
             refuse(stream, ResultCode.TARGET_FAILED, ExecutionStatus.NO, "the engine does not answer");
@@ -337,6 +346,7 @@
 
     @Override
     public void onNotStarted(AttemptStream stream, PlatformException failure) {
+        rest.onFailed(failure);
         switch (failure.reason()) {
             case NOT_RESIDENT -> {
                 engineMonitor.invalidate();
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/ServiceRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/ServiceRunner.java
@@ -33,6 +33,7 @@
     private final MonotonicClock clock;
     private final ExecutorService callExecutor;
     private final Runnable onChange;
+    private final TargetRest rest;
 
     ServiceRunner(
             PlainService service,
@@ -49,6 +50,7 @@
         this.clock = clock;
         this.callExecutor = callExecutor;
         this.onChange = onChange;
+        this.rest = new TargetRest(clock);
     }
 
     @Override
@@ -101,6 +103,11 @@
                     ServingException.notRun(ResultCode.FENCED, "this companion may not give the target orders"));
             return;
         }
+        Optional<ServingException> resting = rest.refusal();
+        if (resting.isPresent()) {
+            lifecycle.refuse(attempt, resting.get());
+            return;
+        }
         if (!lifecycle.start(attempt)) {
             return;
         }
@@ -135,6 +142,7 @@
         boolean isNotRun = failure.effect() == PlatformException.Effect.NONE;
         ResultCode code = isNotRun ? ResultCode.TARGET_FAILED : ResultCode.OUTCOME_UNKNOWN;
         ExecutionStatus executionStatus = isNotRun ? ExecutionStatus.NO : ExecutionStatus.UNKNOWN;
+        rest.onFailed(failure);
         lifecycle.refuse(attempt, ServingException.of(code, executionStatus, failure.getMessage()));
     }
 
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/ServiceCompanionTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/ServiceCompanionTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -22,6 +23,8 @@
 
 class ServiceCompanionTest {
 
+    private static final Duration REST = Duration.ofSeconds(30);
+
     private final List<AttemptId> calls = new CopyOnWriteArrayList<>();
 
     private PlainService answering(String answer) {
@@ -61,6 +64,24 @@
         }
     }
 
+    // Guards against calls to a service that has refused one and asked for rest.
+    @Test
+    void aServiceThatHasAskedForRestIsNotCalledMeanwhile() throws IOException {
+        PlainService resting = (attempt, account, operation, body) -> {
+            calls.add(attempt);
+            throw new PlatformException(Effect.NONE, "busy", null).withRetryAfter(REST);
+        };
+        try (CompanionFixture fixture = CompanionFixture.ofService(resting)) {
+            RecordedAnswer first = fixture.send(fixture.booking().build());
+            CompanionFixture.await(first::isEnded);
+            RecordedAnswer second = fixture.send(fixture.booking().build());
+            CompanionFixture.await(second::isEnded);
+            assertThat(second.refusal()).contains(ResultCode.OVERLOADED);
+            assertThat(second.executionStatus()).contains(ExecutionStatus.NO);
+            assertThat(calls).hasSize(1);
+        }
+    }
+
     @Test
     void bookingRunsOnceAndIsAnsweredWhenItsLinkBreaks() throws IOException {
         // The link breaks while the service processes a booking. The entry requests the answer over a new link; the
--- a/ports/src/main/java/org/geraniumreach/ports/PlatformException.java
+++ b/ports/src/main/java/org/geraniumreach/ports/PlatformException.java
@@ -1,6 +1,8 @@
 package org.geraniumreach.ports;
 
+import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Thrown if a call to the platform or to a target fails or gets no answer.
@@ -42,6 +44,7 @@
 
     private final Effect effect;
     private final Reason reason;
+    private final transient Optional<Duration> retryAfter;
 
     /**
      * Creates an exception with the most likely reason for its effect: FAILED for NONE, else NO_ANSWER.
@@ -63,9 +66,26 @@
      * @param cause the underlying failure, may be null
      */
     public PlatformException(Effect effect, Reason reason, String message, Throwable cause) {
+        this(effect, reason, message, cause, Optional.empty());
+    }
+
+    private PlatformException(
+            Effect effect, Reason reason, String message, Throwable cause, Optional<Duration> retryAfter) {
         super(message, cause);
         this.effect = Objects.requireNonNull(effect, "effect");
         this.reason = Objects.requireNonNull(reason, "reason");
+        this.retryAfter = retryAfter;
+    }
+
+    /**
+     * Creates a copy with the time for which the server wants no calls.
+     *
+     * @param delay the time, not null
+     * @return the copy, not null
+     */
+    public PlatformException withRetryAfter(Duration delay) {
+        return new PlatformException(
+                effect, reason, getMessage(), getCause(), Optional.of(Objects.requireNonNull(delay, "delay")));
     }
 
     public Effect effect() {
@@ -75,4 +95,13 @@
     public Reason reason() {
         return reason;
     }
+
+    /**
+     * Gets the time for which the server wants no calls.
+     *
+     * @return the time, or empty if the server has named none
+     */
+    public Optional<Duration> retryAfter() {
+        return retryAfter;
+    }
 }
--- a/standalone/src/main/java/org/geraniumreach/standalone/HttpEngineStream.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpEngineStream.java
@@ -96,8 +96,7 @@
             return;
         }
         if (response.statusCode() != 200) {
-            reader.fail(
-                    failureMapper.apply(HttpTransport.errorAnswer(request, response.statusCode(), response.body())));
+            reader.fail(failureMapper.apply(HttpTransport.errorAnswer(request, response)));
             return;
         }
         reader.fail(new PlatformException(Effect.UNKNOWN, Reason.NO_ANSWER, "stream ended without its end", null));
--- a/standalone/src/main/java/org/geraniumreach/standalone/HttpTransport.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpTransport.java
@@ -9,6 +9,8 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
@@ -43,6 +45,8 @@
     private static final int STATUS_OK = 200;
     private static final int STATUS_CLIENT_ERROR = 400;
     private static final int STATUS_SERVER_ERROR = 500;
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final long MAXIMUM_RETRY_AFTER_SECONDS = 3_600;
 
     static {
         // Servers close idle connections. A call sent while the server closes its connection has an unknown outcome,
@@ -93,7 +97,7 @@
                 pool.sendAsync(request, response -> new LimitedBodySubscriber(maximumAnswerBytes));
         HttpResponse<byte[]> response = await(request, pool, future);
         if (response.statusCode() != STATUS_OK) {
-            throw errorAnswer(request, response.statusCode(), response.body());
+            throw errorAnswer(request, response);
         }
         return response.body();
     }
@@ -157,22 +161,39 @@
      * effect and any other status an unknown effect.
      *
      * @param request the request
-     * @param status the HTTP status
-     * @param body the response body
+     * @param response the response
      * @return the failure
      */
-    static PlatformException errorAnswer(HttpRequest request, int status, byte[] body) {
-        JsonNode answer = readError(body);
+    static PlatformException errorAnswer(HttpRequest request, HttpResponse<byte[]> response) {
+        int status = response.statusCode();
+        JsonNode answer = readError(response.body());
         boolean rejected = status >= STATUS_CLIENT_ERROR && status < STATUS_SERVER_ERROR;
         String effect = answer.path("effect").asText();
         boolean noEffect = "none".equals(effect) || rejected && !"unknown".equals(effect);
         String message =
                 "status " + status + ", " + answer.path("message").asText("no message") + ": " + describe(request);
-        return new PlatformException(
+        PlatformException failure = new PlatformException(
                 noEffect ? Effect.NONE : Effect.UNKNOWN,
                 reason(answer.path("reason").asText()),
                 message,
                 null);
+        return retryAfter(response).map(failure::withRetryAfter).orElse(failure);
+    }
+
+    /** Reads the seconds for which an unavailable server wants no calls; a date is ignored. */
+    private static Optional<Duration> retryAfter(HttpResponse<?> response) {
+        if (response.statusCode() != STATUS_UNAVAILABLE) {
+            return Optional.empty();
+        }
+        OptionalLong seconds;
+        try {
+            seconds = response.headers().firstValueAsLong("Retry-After");
+        } catch (NumberFormatException date) {
+            return Optional.empty();
+        }
+        return seconds.isPresent() && seconds.getAsLong() > 0
+                ? Optional.of(Duration.ofSeconds(Math.min(seconds.getAsLong(), MAXIMUM_RETRY_AFTER_SECONDS)))
+                : Optional.empty();
     }
 
     private static JsonNode readError(byte[] body) {
