--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -225,6 +225,10 @@
      * @return the time, zero if it may take one now, not null
      */
     public Duration timeUntilAvailable(Target target) {
+        // Usually no target names a limit, and each placement asks for all targets.
+        if (requests.isEmpty()) {
+            return Duration.ZERO;
+        }
         Optional<Refusal> refusal = Optional.ofNullable(requests.get(target)).flatMap(limited -> limited.refusal);
         if (refusal.isEmpty()) {
             return Duration.ZERO;
--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitBucket.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitBucket.java
@@ -11,7 +11,7 @@
 final class LimitBucket {
 
     /** Unused time that may be used later, so that callers who come in clumps can use the whole rate. */
-    static final Duration BURST = Duration.ofMillis(500);
+    static final Duration BURST = Duration.ofMillis(200);
 
     private static final Duration MAXIMUM_FIRST_WAIT = Duration.ofSeconds(1);
 
