Share what the tests of targets repeat, and let listeners leave out what they ignore

TestTargets describes a plain target, FakePlatform names the busiest one, and the methods of TargetRegistry.Listener do nothing by default. No behaviour changes; all assertions stay.

--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -248,16 +248,6 @@
         return limits.limit(target).isPresent();
     }
 
-    @Override
-    public void onJoined(Target target) {
-        // Requests are counted from the first limited one.
-    }
-
-    @Override
-    public void onChanged(Target target) {
-        // Limits do not depend on the target's row.
-    }
-
     @Override
     public void onLeft(Target target) {
         requests.remove(target);
--- a/gateway/src/main/java/org/geraniumreach/gateway/pacing/OwnerAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/pacing/OwnerAdmission.java
@@ -115,16 +115,6 @@
         pendingAnswers.complete(number, decision);
     }
 
-    @Override
-    public void onJoined(Target target) {
-        // The pacer is created with the first prompt.
-    }
-
-    @Override
-    public void onChanged(Target target) {
-        // The pacer does not depend on the target's row.
-    }
-
     @Override
     public void onLeft(Target target) {
         pacers.remove(target);
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/AnnouncedDepartures.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/AnnouncedDepartures.java
@@ -53,14 +53,4 @@
             target.markLeaving();
         }
     }
-
-    @Override
-    public void onChanged(Target target) {
-        // A row that says that the target is ready may have been written before the answer.
-    }
-
-    @Override
-    public void onLeft(Target target) {
-        // The row of the same incarnation may return.
-    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
@@ -56,7 +56,7 @@
     private boolean storeUnavailable;
     private long storeUnavailableSince;
 
-    /** Receives changes of the known targets. */
+    /** Receives changes of the known targets; each method does nothing by default. */
     public interface Listener {
 
         /**
@@ -64,21 +64,21 @@
          *
          * @param target the target, not null
          */
-        void onJoined(Target target);
+        default void onJoined(Target target) {}
 
         /**
          * Called when a target was removed, together with everything that it held.
          *
          * @param target the target, not null
          */
-        void onLeft(Target target);
+        default void onLeft(Target target) {}
 
         /**
          * Called when the row of a known target was updated.
          *
          * @param target the target, not null
          */
-        void onChanged(Target target);
+        default void onChanged(Target target) {}
     }
 
     /**
--- a/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
@@ -1,6 +1,5 @@
 package org.geraniumreach.gateway.limit;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -19,11 +18,10 @@
 import org.geraniumreach.gateway.cold.EqualDivision;
 import org.geraniumreach.gateway.limit.RequestLimiter.Decision;
 import org.geraniumreach.gateway.placement.Target;
-import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.TargetSignals;
+import org.geraniumreach.gateway.testing.TestTargets;
 import org.geraniumreach.gateway.testing.VirtualTime;
-import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.RowKey;
@@ -85,16 +83,7 @@
                     time,
                     time);
             registry.addListener(admission);
-            registry.put(new TargetDescription(
-                    ID,
-                    1,
-                    "service",
-                    new InetSocketAddress("127.0.0.1", 9),
-                    FailureDomain.of("here"),
-                    64,
-                    false,
-                    Optional.empty(),
-                    Map.of()));
+            registry.put(TestTargets.describe(ID, 1));
             holderRow.ifPresent(row -> ownership.updateHolder(row.key().key(), Optional.of(row)));
         }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/limit/TargetLimitsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/limit/TargetLimitsTest.java
@@ -1,20 +1,17 @@
 package org.geraniumreach.gateway.limit;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.placement.Target;
-import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.TargetSignals;
+import org.geraniumreach.gateway.testing.TestTargets;
 import org.geraniumreach.gateway.testing.VirtualTime;
 import org.geraniumreach.model.EventCode;
-import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.TargetId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -41,16 +38,7 @@
     }
 
     private void put(long startedAt) {
-        registry.put(new TargetDescription(
-                TargetId.of("t1"),
-                startedAt,
-                "service",
-                new InetSocketAddress("127.0.0.1", 9),
-                FailureDomain.of("here"),
-                64,
-                false,
-                Optional.empty(),
-                Map.of()));
+        registry.put(TestTargets.describe(TargetId.of("t1"), startedAt));
     }
 
     private Target target() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/AnnouncedDeparturesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/AnnouncedDeparturesTest.java
@@ -1,15 +1,13 @@
 package org.geraniumreach.gateway.placement;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.geraniumreach.gateway.port.TargetSignals;
+import org.geraniumreach.gateway.testing.TestTargets;
 import org.geraniumreach.gateway.testing.VirtualTime;
 import org.geraniumreach.model.EventCode;
-import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.TargetId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,16 +29,7 @@
     }
 
     private void writeRow(long startedAt) {
-        registry.put(new TargetDescription(
-                ID,
-                startedAt,
-                "service",
-                new InetSocketAddress("127.0.0.1", 9),
-                FailureDomain.of("here"),
-                64,
-                false,
-                Optional.empty(),
-                Map.of()));
+        registry.put(TestTargets.describe(ID, startedAt));
     }
 
     private Target target() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/rest/RestingTargetsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/rest/RestingTargetsTest.java
@@ -1,16 +1,13 @@
 package org.geraniumreach.gateway.rest;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 
 import org.geraniumreach.gateway.placement.Target;
-import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.TargetSignals;
+import org.geraniumreach.gateway.testing.TestTargets;
 import org.geraniumreach.gateway.testing.VirtualTime;
-import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.TargetId;
 import org.junit.jupiter.api.Test;
 
@@ -30,16 +27,7 @@
     }
 
     private void writeRow(long startedAt) {
-        registry.put(new TargetDescription(
-                ID,
-                startedAt,
-                "service",
-                new InetSocketAddress("127.0.0.1", 9),
-                FailureDomain.of("here"),
-                64,
-                false,
-                Optional.empty(),
-                Map.of()));
+        registry.put(TestTargets.describe(ID, startedAt));
     }
 
     private void refuse(Target target, long restMillis) {
--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -462,11 +462,6 @@
         recentLoadRequests.remove(target);
     }
 
-    @Override
-    public void onChanged(Target target) {
-        // The target itself already has the models of its row.
-    }
-
     @Override
     public void onLinkOpened(String entry) {
         ownedTargets.forEach((target, owned) -> {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -374,11 +374,6 @@
             health.remove(target.id());
             connections.closeIdleTo(target.description().address());
         }
-
-        @Override
-        public void onChanged(Target target) {
-            // A changed row does not affect the recorded failures.
-        }
     }
 
     private void onLeaseRenewed() {
--- a/node/src/test/java/org/geraniumreach/node/FakePlatform.java
+++ b/node/src/test/java/org/geraniumreach/node/FakePlatform.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -200,6 +201,13 @@
         server.start();
     }
 
+    /** Gets the target that most calls have reached; that is the home of the requests' adapter. */
+    FakeTarget busiestTarget() {
+        return targets.values().stream()
+                .max(Comparator.comparingInt(target -> target.arrivals().size()))
+                .orElseThrow();
+    }
+
     InetSocketAddress address() {
         return store.getAddress();
     }
--- a/node/src/test/java/org/geraniumreach/node/LeavingTargetTest.java
+++ b/node/src/test/java/org/geraniumreach/node/LeavingTargetTest.java
@@ -32,11 +32,11 @@
     @ParameterizedTest
     @CsvSource({"engines, /chat/x", "plain, /book/x"})
     void noRequestReachesATargetThatHasSaidThatItLeaves(String service, String path) throws Exception {
-        FakePlatform.FakeTarget one = platform.addTarget("one", service);
-        FakePlatform.FakeTarget two = platform.addTarget("two", service);
+        platform.addTarget("one", service);
+        platform.addTarget("two", service);
         FakeFleet fleet = new FakeFleet(platform, ENTRIES);
         fleet.awaitReady(path);
-        FakePlatform.FakeTarget leaving = one.arrivals().size() > two.arrivals().size() ? one : two;
+        FakePlatform.FakeTarget leaving = platform.busiestTarget();
         leaving.behave(FakePlatform.Behavior.healthyWith("Server-Leaving", "1"));
         fleet.sendFor(DRAIN_TIME, REQUESTS_PER_SECOND, path);
         long drained = System.nanoTime();
--- a/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
+++ b/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
@@ -62,11 +62,11 @@
     @CsvSource({"engines, /chat/x, 1.0, 11", "plain, /book/x, 1.7, 15"})
     void allEntriesTogetherKeepToTheNamedLimit(String service, String path, String limit, int allowed)
             throws Exception {
-        FakePlatform.FakeTarget one = platform.addTarget("one", service);
-        FakePlatform.FakeTarget two = platform.addTarget("two", service);
+        platform.addTarget("one", service);
+        platform.addTarget("two", service);
         FakeFleet fleet = new FakeFleet(platform, ENTRIES);
         fleet.awaitReady(path);
-        FakePlatform.FakeTarget limited = one.arrivals().size() > two.arrivals().size() ? one : two;
+        FakePlatform.FakeTarget limited = platform.busiestTarget();
         limited.behave(FakePlatform.Behavior.healthyWith("Server-Limit", limit));
         fleet.sendFor(LEARNING_TIME, REQUESTS_PER_SECOND, path);
         long limitKnownAt = System.nanoTime();
--- a/node/src/test/java/org/geraniumreach/node/RestingTargetTest.java
+++ b/node/src/test/java/org/geraniumreach/node/RestingTargetTest.java
@@ -43,11 +43,11 @@
     @CsvSource({"engines, /chat/x, 3", "plain, /book/x, 3.0"})
     void anEntryLeavesATargetAloneForTheTimeThatItAskedFor(String service, String path, String retryAfter)
             throws Exception {
-        FakePlatform.FakeTarget one = platform.addTarget("one", service);
-        FakePlatform.FakeTarget two = platform.addTarget("two", service);
+        platform.addTarget("one", service);
+        platform.addTarget("two", service);
         FakeFleet fleet = new FakeFleet(platform, ENTRIES);
         fleet.awaitReady(path);
-        FakePlatform.FakeTarget resting = one.arrivals().size() > two.arrivals().size() ? one : two;
+        FakePlatform.FakeTarget resting = platform.busiestTarget();
         long start = System.nanoTime();
         resting.behave(new FakePlatform.Behavior(503, Map.of("Retry-After", retryAfter)));
         fleet.sendFor(Duration.ofSeconds(5), REQUESTS_PER_SECOND, path);
