Log limits that cannot be read instead of dropping them silently

An answer with a malformed limit was ignored without a line, as was another entry's malformed report. The first is TARGET_HEAD_MALFORMED now, the second a fault of the system.

--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -64,6 +64,7 @@
     TARGET_LIMIT_REACHED(5020, Level.DEBUG, "A request may not be sent to a target now, since its limit is reached."),
     TARGET_RESTING(5021, Level.INFO, "A target has refused a call and asked for rest; it gets nothing meanwhile."),
     TARGET_LEAVING(5022, Level.INFO, "A target has said in an answer that it leaves; it gets no new requests."),
+    TARGET_HEAD_MALFORMED(5023, Level.WARN, "A target's answer has a head that cannot be read in part; it is ignored."),
     LINK_OPENED(6001, Level.DEBUG, "A link to a peer is open."),
     LINK_LOST(6002, Level.WARN, "A link to a peer was lost or went silent."),
     FRAME_REFUSED(6003, Level.WARN, "A peer sent what is not a frame; the link was closed."),
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -156,7 +156,10 @@
         this.restingTargets = new RestingTargets(clock, log);
         this.announcedDepartures = new AnnouncedDepartures(log);
         this.targets = new TargetClient(
-                connections, targetLimits.andThen(restingTargets).andThen(announcedDepartures));
+                connections,
+                targetLimits.andThen(restingTargets).andThen(announcedDepartures),
+                (target, reason) ->
+                        log.write(EventCode.TARGET_HEAD_MALFORMED, target.value(), Field.of("reason", reason)));
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.evacuations = new Evacuations(settings.evacuationLimit(), clock, log);
         LimitDivision equalDivision = new EqualDivision(settings.instance(), () -> directory.knownInstances());
@@ -351,7 +354,7 @@
                 quotaLinks::onRequest,
                 response -> quotaAdmission.onAnswer(response.getNumber(), QuotaLinks.toAdmission(response)));
         targetAdmissionLinks = new TargetAdmissionLinks(ownerAdmission, links);
-        targetLimitLinks = new TargetLimitLinks(targetLimits, limitAdmission, registry, links);
+        targetLimitLinks = new TargetLimitLinks(targetLimits, limitAdmission, registry, links, log);
         startFeeds();
         leaseRenewer.renew();
         ownership.setCapacity(directory::capacity);
--- a/node/src/main/java/org/geraniumreach/node/TargetLimitLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/TargetLimitLinks.java
@@ -11,11 +11,14 @@
 import org.geraniumreach.gateway.limit.TargetLimits;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetRegistry;
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.messages.TargetLimit;
 import org.geraniumreach.messages.TargetLimitRequest;
 import org.geraniumreach.messages.TargetLimitResponse;
 import org.geraniumreach.messages.TargetLimitUpdate;
+import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.TargetId;
 
 /**
@@ -29,12 +32,15 @@
     private final LimitAdmission admission;
     private final TargetRegistry registry;
     private final EntryLinks links;
+    private final DecisionLog log;
 
-    TargetLimitLinks(TargetLimits limits, LimitAdmission admission, TargetRegistry registry, EntryLinks links) {
+    TargetLimitLinks(
+            TargetLimits limits, LimitAdmission admission, TargetRegistry registry, EntryLinks links, DecisionLog log) {
         this.limits = Objects.requireNonNull(limits, "limits");
         this.admission = Objects.requireNonNull(admission, "admission");
         this.registry = Objects.requireNonNull(registry, "registry");
         this.links = Objects.requireNonNull(links, "links");
+        this.log = Objects.requireNonNull(log, "log");
         limits.setChangeListener((target, report) -> links.sendLimitToAll(toUpdate(target, report)));
         links.onLimit(new EntryLinks.LimitHandler(this::sendAll, this::onRequest, this::onResponse, this::onUpdate));
     }
@@ -100,12 +106,13 @@
     }
 
     /** Converts a message; empty if it is malformed. */
-    private static Optional<LimitReport> toReport(TargetLimit known) {
+    private Optional<LimitReport> toReport(TargetLimit known) {
         try {
             Optional<RequestRate> rate =
                     known.getLimited() ? Optional.of(new RequestRate(known.getRequestsPerSecond())) : Optional.empty();
             return Optional.of(new LimitReport(rate, Duration.ofNanos(known.getAgeNanos())));
         } catch (IllegalArgumentException malformed) {
+            log.write(EventCode.UNEXPECTED_FAILURE, known.getTarget(), Field.of("reason", malformed.getMessage()));
             return Optional.empty();
         }
     }
