--- a/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/process/ProcessSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Set;
 
 import org.geraniumreach.gateway.cold.ColdStartLimiter;
 import org.geraniumreach.gateway.quota.Quotas;
@@ -25,6 +26,7 @@
  * @param evacuationLimit the time after the evacuation of a failure domain within which requests may still reach its targets
  * @param capacity the processor cores of the process, above 0, fractions allowed
  * @param drainLimit the longest time from the request to stop until the process ends
+ * @param features the optional features that the deployment asks for
  */
 public record ProcessSettings(
         String instance,
@@ -38,7 +40,14 @@
         ColdStartLimiter.Tolerance coldTolerance,
         Duration evacuationLimit,
         double capacity,
-        Duration drainLimit) {
+        Duration drainLimit,
+        Set<Feature> features) {
+
+    /** A feature that is in effect only in deployments that ask for it. */
+    public enum Feature {
+        /** Requests that compete for a target's capacity are ordered by urgency and by their client account's share. */
+        ORDERED_ADMISSION
+    }
 
     public ProcessSettings {
         Objects.requireNonNull(instance, "instance");
@@ -50,6 +59,7 @@
         Objects.requireNonNull(repeatLimits, "repeatLimits");
         Objects.requireNonNull(coldTolerance, "coldTolerance");
         Objects.requireNonNull(evacuationLimit, "evacuationLimit");
+        features = Set.copyOf(features);
         if (!(capacity > 0)) {
             throw new IllegalArgumentException("capacity not above zero: " + capacity);
         }
@@ -58,6 +68,16 @@
         }
     }
 
+    /**
+     * Queries whether the deployment asks for a feature.
+     *
+     * @param feature the feature, not null
+     * @return true if it does
+     */
+    public boolean hasFeature(Feature feature) {
+        return features.contains(feature);
+    }
+
     /**
      * Limits on the repeated requests that a service may receive within a window.
      *
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequest.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequest.java
@@ -32,6 +32,7 @@
   }
   private AdapterLoadRequest() {
     adapter_ = "";
+    account_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -131,6 +132,83 @@
     return mayDecline_;
   }
 
+  public static final int URGENCY_FIELD_NUMBER = 5;
+  private int urgency_ = 0;
+  /**
+   * <pre>
+   * of the waiting request, 0 to 9, 0 first
+   * </pre>
+   *
+   * <code>int32 urgency = 5;</code>
+   * @return The urgency.
+   */
+  @java.lang.Override
+  public int getUrgency() {
+    return urgency_;
+  }
+
+  public static final int ACCOUNT_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object account_ = "";
+  /**
+   * <pre>
+   * of the waiting request, empty for none
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The account.
+   */
+  @java.lang.Override
+  public java.lang.String getAccount() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      account_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * of the waiting request, empty for none
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The bytes for account.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAccountBytes() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      account_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ACCOUNT_WEIGHT_FIELD_NUMBER = 7;
+  private double accountWeight_ = 0D;
+  /**
+   * <pre>
+   * 0 for the mean of all accounts
+   * </pre>
+   *
+   * <code>double account_weight = 7;</code>
+   * @return The accountWeight.
+   */
+  @java.lang.Override
+  public double getAccountWeight() {
+    return accountWeight_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -157,6 +235,15 @@
     if (mayDecline_ != false) {
       output.writeBool(4, mayDecline_);
     }
+    if (urgency_ != 0) {
+      output.writeInt32(5, urgency_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, account_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(accountWeight_) != 0) {
+      output.writeDouble(7, accountWeight_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -181,6 +268,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, mayDecline_);
     }
+    if (urgency_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(5, urgency_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, account_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(accountWeight_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(7, accountWeight_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -204,6 +302,13 @@
         != other.getUntilLateMillis()) return false;
     if (getMayDecline()
         != other.getMayDecline()) return false;
+    if (getUrgency()
+        != other.getUrgency()) return false;
+    if (!getAccount()
+        .equals(other.getAccount())) return false;
+    if (java.lang.Double.doubleToLongBits(getAccountWeight())
+        != java.lang.Double.doubleToLongBits(
+            other.getAccountWeight())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -225,6 +330,13 @@
     hash = (37 * hash) + MAY_DECLINE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getMayDecline());
+    hash = (37 * hash) + URGENCY_FIELD_NUMBER;
+    hash = (53 * hash) + getUrgency();
+    hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+    hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + ACCOUNT_WEIGHT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getAccountWeight()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -364,6 +476,9 @@
       waitedFor_ = false;
       untilLateMillis_ = 0;
       mayDecline_ = false;
+      urgency_ = 0;
+      account_ = "";
+      accountWeight_ = 0D;
       return this;
     }
 
@@ -409,6 +524,15 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.mayDecline_ = mayDecline_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.urgency_ = urgency_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.account_ = account_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.accountWeight_ = accountWeight_;
+      }
     }
 
     @java.lang.Override
@@ -437,6 +561,17 @@
       if (other.getMayDecline() != false) {
         setMayDecline(other.getMayDecline());
       }
+      if (other.getUrgency() != 0) {
+        setUrgency(other.getUrgency());
+      }
+      if (!other.getAccount().isEmpty()) {
+        account_ = other.account_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (other.getAccountWeight() != 0D) {
+        setAccountWeight(other.getAccountWeight());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -483,6 +618,21 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              urgency_ = input.readInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 50: {
+              account_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 57: {
+              accountWeight_ = input.readDouble();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 57
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -704,6 +854,186 @@
       return this;
     }
 
+    private int urgency_ ;
+    /**
+     * <pre>
+     * of the waiting request, 0 to 9, 0 first
+     * </pre>
+     *
+     * <code>int32 urgency = 5;</code>
+     * @return The urgency.
+     */
+    @java.lang.Override
+    public int getUrgency() {
+      return urgency_;
+    }
+    /**
+     * <pre>
+     * of the waiting request, 0 to 9, 0 first
+     * </pre>
+     *
+     * <code>int32 urgency = 5;</code>
+     * @param value The urgency to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUrgency(int value) {
+
+      urgency_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * of the waiting request, 0 to 9, 0 first
+     * </pre>
+     *
+     * <code>int32 urgency = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUrgency() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      urgency_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object account_ = "";
+    /**
+     * <pre>
+     * of the waiting request, empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @return The account.
+     */
+    public java.lang.String getAccount() {
+      java.lang.Object ref = account_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        account_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * of the waiting request, empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @return The bytes for account.
+     */
+    public com.google.protobuf.ByteString
+        getAccountBytes() {
+      java.lang.Object ref = account_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        account_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * of the waiting request, empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @param value The account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccount(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      account_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * of the waiting request, empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccount() {
+      account_ = getDefaultInstance().getAccount();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * of the waiting request, empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @param value The bytes for account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      account_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private double accountWeight_ ;
+    /**
+     * <pre>
+     * 0 for the mean of all accounts
+     * </pre>
+     *
+     * <code>double account_weight = 7;</code>
+     * @return The accountWeight.
+     */
+    @java.lang.Override
+    public double getAccountWeight() {
+      return accountWeight_;
+    }
+    /**
+     * <pre>
+     * 0 for the mean of all accounts
+     * </pre>
+     *
+     * <code>double account_weight = 7;</code>
+     * @param value The accountWeight to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountWeight(double value) {
+
+      accountWeight_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * 0 for the mean of all accounts
+     * </pre>
+     *
+     * <code>double account_weight = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccountWeight() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      accountWeight_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.AdapterLoadRequest)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequestOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequestOrBuilder.java
@@ -50,4 +50,44 @@
    * @return The mayDecline.
    */
   boolean getMayDecline();
+
+  /**
+   * <pre>
+   * of the waiting request, 0 to 9, 0 first
+   * </pre>
+   *
+   * <code>int32 urgency = 5;</code>
+   * @return The urgency.
+   */
+  int getUrgency();
+
+  /**
+   * <pre>
+   * of the waiting request, empty for none
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The account.
+   */
+  java.lang.String getAccount();
+  /**
+   * <pre>
+   * of the waiting request, empty for none
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The bytes for account.
+   */
+  com.google.protobuf.ByteString
+      getAccountBytes();
+
+  /**
+   * <pre>
+   * 0 for the mean of all accounts
+   * </pre>
+   *
+   * <code>double account_weight = 7;</code>
+   * @return The accountWeight.
+   */
+  double getAccountWeight();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/Frame.java
+++ b/messages/src/main/java/org/geraniumreach/messages/Frame.java
@@ -81,6 +81,9 @@
     TARGET_LIMIT_REQUEST(31),
     TARGET_LIMIT_RESPONSE(32),
     TARGET_LIMIT_UPDATE(33),
+    TARGET_ADMISSION_END(34),
+    TARGET_SPEED_UPDATE(35),
+    TARGET_SPEED_SAMPLES(36),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -131,6 +134,9 @@
         case 31: return TARGET_LIMIT_REQUEST;
         case 32: return TARGET_LIMIT_RESPONSE;
         case 33: return TARGET_LIMIT_UPDATE;
+        case 34: return TARGET_ADMISSION_END;
+        case 35: return TARGET_SPEED_UPDATE;
+        case 36: return TARGET_SPEED_SAMPLES;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -1169,6 +1175,99 @@
     return org.geraniumreach.messages.TargetLimitUpdate.getDefaultInstance();
   }
 
+  public static final int TARGET_ADMISSION_END_FIELD_NUMBER = 34;
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+   * @return Whether the targetAdmissionEnd field is set.
+   */
+  @java.lang.Override
+  public boolean hasTargetAdmissionEnd() {
+    return bodyCase_ == 34;
+  }
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+   * @return The targetAdmissionEnd.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetAdmissionEnd getTargetAdmissionEnd() {
+    if (bodyCase_ == 34) {
+       return (org.geraniumreach.messages.TargetAdmissionEnd) body_;
+    }
+    return org.geraniumreach.messages.TargetAdmissionEnd.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetAdmissionEndOrBuilder getTargetAdmissionEndOrBuilder() {
+    if (bodyCase_ == 34) {
+       return (org.geraniumreach.messages.TargetAdmissionEnd) body_;
+    }
+    return org.geraniumreach.messages.TargetAdmissionEnd.getDefaultInstance();
+  }
+
+  public static final int TARGET_SPEED_UPDATE_FIELD_NUMBER = 35;
+  /**
+   * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+   * @return Whether the targetSpeedUpdate field is set.
+   */
+  @java.lang.Override
+  public boolean hasTargetSpeedUpdate() {
+    return bodyCase_ == 35;
+  }
+  /**
+   * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+   * @return The targetSpeedUpdate.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetSpeedUpdate getTargetSpeedUpdate() {
+    if (bodyCase_ == 35) {
+       return (org.geraniumreach.messages.TargetSpeedUpdate) body_;
+    }
+    return org.geraniumreach.messages.TargetSpeedUpdate.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetSpeedUpdateOrBuilder getTargetSpeedUpdateOrBuilder() {
+    if (bodyCase_ == 35) {
+       return (org.geraniumreach.messages.TargetSpeedUpdate) body_;
+    }
+    return org.geraniumreach.messages.TargetSpeedUpdate.getDefaultInstance();
+  }
+
+  public static final int TARGET_SPEED_SAMPLES_FIELD_NUMBER = 36;
+  /**
+   * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+   * @return Whether the targetSpeedSamples field is set.
+   */
+  @java.lang.Override
+  public boolean hasTargetSpeedSamples() {
+    return bodyCase_ == 36;
+  }
+  /**
+   * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+   * @return The targetSpeedSamples.
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetSpeedSamples getTargetSpeedSamples() {
+    if (bodyCase_ == 36) {
+       return (org.geraniumreach.messages.TargetSpeedSamples) body_;
+    }
+    return org.geraniumreach.messages.TargetSpeedSamples.getDefaultInstance();
+  }
+  /**
+   * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+   */
+  @java.lang.Override
+  public org.geraniumreach.messages.TargetSpeedSamplesOrBuilder getTargetSpeedSamplesOrBuilder() {
+    if (bodyCase_ == 36) {
+       return (org.geraniumreach.messages.TargetSpeedSamples) body_;
+    }
+    return org.geraniumreach.messages.TargetSpeedSamples.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1282,6 +1381,15 @@
     if (bodyCase_ == 33) {
       output.writeMessage(33, (org.geraniumreach.messages.TargetLimitUpdate) body_);
     }
+    if (bodyCase_ == 34) {
+      output.writeMessage(34, (org.geraniumreach.messages.TargetAdmissionEnd) body_);
+    }
+    if (bodyCase_ == 35) {
+      output.writeMessage(35, (org.geraniumreach.messages.TargetSpeedUpdate) body_);
+    }
+    if (bodyCase_ == 36) {
+      output.writeMessage(36, (org.geraniumreach.messages.TargetSpeedSamples) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1423,6 +1531,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(33, (org.geraniumreach.messages.TargetLimitUpdate) body_);
     }
+    if (bodyCase_ == 34) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(34, (org.geraniumreach.messages.TargetAdmissionEnd) body_);
+    }
+    if (bodyCase_ == 35) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(35, (org.geraniumreach.messages.TargetSpeedUpdate) body_);
+    }
+    if (bodyCase_ == 36) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(36, (org.geraniumreach.messages.TargetSpeedSamples) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1572,6 +1692,18 @@
         if (!getTargetLimitUpdate()
             .equals(other.getTargetLimitUpdate())) return false;
         break;
+      case 34:
+        if (!getTargetAdmissionEnd()
+            .equals(other.getTargetAdmissionEnd())) return false;
+        break;
+      case 35:
+        if (!getTargetSpeedUpdate()
+            .equals(other.getTargetSpeedUpdate())) return false;
+        break;
+      case 36:
+        if (!getTargetSpeedSamples()
+            .equals(other.getTargetSpeedSamples())) return false;
+        break;
       case 0:
       default:
     }
@@ -1719,6 +1851,18 @@
         hash = (37 * hash) + TARGET_LIMIT_UPDATE_FIELD_NUMBER;
         hash = (53 * hash) + getTargetLimitUpdate().hashCode();
         break;
+      case 34:
+        hash = (37 * hash) + TARGET_ADMISSION_END_FIELD_NUMBER;
+        hash = (53 * hash) + getTargetAdmissionEnd().hashCode();
+        break;
+      case 35:
+        hash = (37 * hash) + TARGET_SPEED_UPDATE_FIELD_NUMBER;
+        hash = (53 * hash) + getTargetSpeedUpdate().hashCode();
+        break;
+      case 36:
+        hash = (37 * hash) + TARGET_SPEED_SAMPLES_FIELD_NUMBER;
+        hash = (53 * hash) + getTargetSpeedSamples().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1953,6 +2097,15 @@
       if (targetLimitUpdateBuilder_ != null) {
         targetLimitUpdateBuilder_.clear();
       }
+      if (targetAdmissionEndBuilder_ != null) {
+        targetAdmissionEndBuilder_.clear();
+      }
+      if (targetSpeedUpdateBuilder_ != null) {
+        targetSpeedUpdateBuilder_.clear();
+      }
+      if (targetSpeedSamplesBuilder_ != null) {
+        targetSpeedSamplesBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -2131,6 +2284,18 @@
           targetLimitUpdateBuilder_ != null) {
         result.body_ = targetLimitUpdateBuilder_.build();
       }
+      if (bodyCase_ == 34 &&
+          targetAdmissionEndBuilder_ != null) {
+        result.body_ = targetAdmissionEndBuilder_.build();
+      }
+      if (bodyCase_ == 35 &&
+          targetSpeedUpdateBuilder_ != null) {
+        result.body_ = targetSpeedUpdateBuilder_.build();
+      }
+      if (bodyCase_ == 36 &&
+          targetSpeedSamplesBuilder_ != null) {
+        result.body_ = targetSpeedSamplesBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -2278,6 +2443,18 @@
           mergeTargetLimitUpdate(other.getTargetLimitUpdate());
           break;
         }
+        case TARGET_ADMISSION_END: {
+          mergeTargetAdmissionEnd(other.getTargetAdmissionEnd());
+          break;
+        }
+        case TARGET_SPEED_UPDATE: {
+          mergeTargetSpeedUpdate(other.getTargetSpeedUpdate());
+          break;
+        }
+        case TARGET_SPEED_SAMPLES: {
+          mergeTargetSpeedSamples(other.getTargetSpeedSamples());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -2539,6 +2716,27 @@
               bodyCase_ = 33;
               break;
             } // case 266
+            case 274: {
+              input.readMessage(
+                  getTargetAdmissionEndFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 34;
+              break;
+            } // case 274
+            case 282: {
+              input.readMessage(
+                  getTargetSpeedUpdateFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 35;
+              break;
+            } // case 282
+            case 290: {
+              input.readMessage(
+                  getTargetSpeedSamplesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 36;
+              break;
+            } // case 290
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -7258,6 +7456,432 @@
       return targetLimitUpdateBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetAdmissionEnd, org.geraniumreach.messages.TargetAdmissionEnd.Builder, org.geraniumreach.messages.TargetAdmissionEndOrBuilder> targetAdmissionEndBuilder_;
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+     * @return Whether the targetAdmissionEnd field is set.
+     */
+    @java.lang.Override
+    public boolean hasTargetAdmissionEnd() {
+      return bodyCase_ == 34;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+     * @return The targetAdmissionEnd.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetAdmissionEnd getTargetAdmissionEnd() {
+      if (targetAdmissionEndBuilder_ == null) {
+        if (bodyCase_ == 34) {
+          return (org.geraniumreach.messages.TargetAdmissionEnd) body_;
+        }
+        return org.geraniumreach.messages.TargetAdmissionEnd.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 34) {
+          return targetAdmissionEndBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.TargetAdmissionEnd.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+     */
+    public Builder setTargetAdmissionEnd(org.geraniumreach.messages.TargetAdmissionEnd value) {
+      if (targetAdmissionEndBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        targetAdmissionEndBuilder_.setMessage(value);
+      }
+      bodyCase_ = 34;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+     */
+    public Builder setTargetAdmissionEnd(
+        org.geraniumreach.messages.TargetAdmissionEnd.Builder builderForValue) {
+      if (targetAdmissionEndBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        targetAdmissionEndBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 34;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+     */
+    public Builder mergeTargetAdmissionEnd(org.geraniumreach.messages.TargetAdmissionEnd value) {
+      if (targetAdmissionEndBuilder_ == null) {
+        if (bodyCase_ == 34 &&
+            body_ != org.geraniumreach.messages.TargetAdmissionEnd.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.TargetAdmissionEnd.newBuilder((org.geraniumreach.messages.TargetAdmissionEnd) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 34) {
+          targetAdmissionEndBuilder_.mergeFrom(value);
+        } else {
+          targetAdmissionEndBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 34;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+     */
+    public Builder clearTargetAdmissionEnd() {
+      if (targetAdmissionEndBuilder_ == null) {
+        if (bodyCase_ == 34) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 34) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        targetAdmissionEndBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+     */
+    public org.geraniumreach.messages.TargetAdmissionEnd.Builder getTargetAdmissionEndBuilder() {
+      return getTargetAdmissionEndFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetAdmissionEndOrBuilder getTargetAdmissionEndOrBuilder() {
+      if ((bodyCase_ == 34) && (targetAdmissionEndBuilder_ != null)) {
+        return targetAdmissionEndBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 34) {
+          return (org.geraniumreach.messages.TargetAdmissionEnd) body_;
+        }
+        return org.geraniumreach.messages.TargetAdmissionEnd.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetAdmissionEnd, org.geraniumreach.messages.TargetAdmissionEnd.Builder, org.geraniumreach.messages.TargetAdmissionEndOrBuilder> 
+        getTargetAdmissionEndFieldBuilder() {
+      if (targetAdmissionEndBuilder_ == null) {
+        if (!(bodyCase_ == 34)) {
+          body_ = org.geraniumreach.messages.TargetAdmissionEnd.getDefaultInstance();
+        }
+        targetAdmissionEndBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.TargetAdmissionEnd, org.geraniumreach.messages.TargetAdmissionEnd.Builder, org.geraniumreach.messages.TargetAdmissionEndOrBuilder>(
+                (org.geraniumreach.messages.TargetAdmissionEnd) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 34;
+      onChanged();
+      return targetAdmissionEndBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetSpeedUpdate, org.geraniumreach.messages.TargetSpeedUpdate.Builder, org.geraniumreach.messages.TargetSpeedUpdateOrBuilder> targetSpeedUpdateBuilder_;
+    /**
+     * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+     * @return Whether the targetSpeedUpdate field is set.
+     */
+    @java.lang.Override
+    public boolean hasTargetSpeedUpdate() {
+      return bodyCase_ == 35;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+     * @return The targetSpeedUpdate.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetSpeedUpdate getTargetSpeedUpdate() {
+      if (targetSpeedUpdateBuilder_ == null) {
+        if (bodyCase_ == 35) {
+          return (org.geraniumreach.messages.TargetSpeedUpdate) body_;
+        }
+        return org.geraniumreach.messages.TargetSpeedUpdate.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 35) {
+          return targetSpeedUpdateBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.TargetSpeedUpdate.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+     */
+    public Builder setTargetSpeedUpdate(org.geraniumreach.messages.TargetSpeedUpdate value) {
+      if (targetSpeedUpdateBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        targetSpeedUpdateBuilder_.setMessage(value);
+      }
+      bodyCase_ = 35;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+     */
+    public Builder setTargetSpeedUpdate(
+        org.geraniumreach.messages.TargetSpeedUpdate.Builder builderForValue) {
+      if (targetSpeedUpdateBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        targetSpeedUpdateBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 35;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+     */
+    public Builder mergeTargetSpeedUpdate(org.geraniumreach.messages.TargetSpeedUpdate value) {
+      if (targetSpeedUpdateBuilder_ == null) {
+        if (bodyCase_ == 35 &&
+            body_ != org.geraniumreach.messages.TargetSpeedUpdate.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.TargetSpeedUpdate.newBuilder((org.geraniumreach.messages.TargetSpeedUpdate) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 35) {
+          targetSpeedUpdateBuilder_.mergeFrom(value);
+        } else {
+          targetSpeedUpdateBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 35;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+     */
+    public Builder clearTargetSpeedUpdate() {
+      if (targetSpeedUpdateBuilder_ == null) {
+        if (bodyCase_ == 35) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 35) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        targetSpeedUpdateBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+     */
+    public org.geraniumreach.messages.TargetSpeedUpdate.Builder getTargetSpeedUpdateBuilder() {
+      return getTargetSpeedUpdateFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetSpeedUpdateOrBuilder getTargetSpeedUpdateOrBuilder() {
+      if ((bodyCase_ == 35) && (targetSpeedUpdateBuilder_ != null)) {
+        return targetSpeedUpdateBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 35) {
+          return (org.geraniumreach.messages.TargetSpeedUpdate) body_;
+        }
+        return org.geraniumreach.messages.TargetSpeedUpdate.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetSpeedUpdate, org.geraniumreach.messages.TargetSpeedUpdate.Builder, org.geraniumreach.messages.TargetSpeedUpdateOrBuilder> 
+        getTargetSpeedUpdateFieldBuilder() {
+      if (targetSpeedUpdateBuilder_ == null) {
+        if (!(bodyCase_ == 35)) {
+          body_ = org.geraniumreach.messages.TargetSpeedUpdate.getDefaultInstance();
+        }
+        targetSpeedUpdateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.TargetSpeedUpdate, org.geraniumreach.messages.TargetSpeedUpdate.Builder, org.geraniumreach.messages.TargetSpeedUpdateOrBuilder>(
+                (org.geraniumreach.messages.TargetSpeedUpdate) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 35;
+      onChanged();
+      return targetSpeedUpdateBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetSpeedSamples, org.geraniumreach.messages.TargetSpeedSamples.Builder, org.geraniumreach.messages.TargetSpeedSamplesOrBuilder> targetSpeedSamplesBuilder_;
+    /**
+     * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+     * @return Whether the targetSpeedSamples field is set.
+     */
+    @java.lang.Override
+    public boolean hasTargetSpeedSamples() {
+      return bodyCase_ == 36;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+     * @return The targetSpeedSamples.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetSpeedSamples getTargetSpeedSamples() {
+      if (targetSpeedSamplesBuilder_ == null) {
+        if (bodyCase_ == 36) {
+          return (org.geraniumreach.messages.TargetSpeedSamples) body_;
+        }
+        return org.geraniumreach.messages.TargetSpeedSamples.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 36) {
+          return targetSpeedSamplesBuilder_.getMessage();
+        }
+        return org.geraniumreach.messages.TargetSpeedSamples.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+     */
+    public Builder setTargetSpeedSamples(org.geraniumreach.messages.TargetSpeedSamples value) {
+      if (targetSpeedSamplesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        targetSpeedSamplesBuilder_.setMessage(value);
+      }
+      bodyCase_ = 36;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+     */
+    public Builder setTargetSpeedSamples(
+        org.geraniumreach.messages.TargetSpeedSamples.Builder builderForValue) {
+      if (targetSpeedSamplesBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        targetSpeedSamplesBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 36;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+     */
+    public Builder mergeTargetSpeedSamples(org.geraniumreach.messages.TargetSpeedSamples value) {
+      if (targetSpeedSamplesBuilder_ == null) {
+        if (bodyCase_ == 36 &&
+            body_ != org.geraniumreach.messages.TargetSpeedSamples.getDefaultInstance()) {
+          body_ = org.geraniumreach.messages.TargetSpeedSamples.newBuilder((org.geraniumreach.messages.TargetSpeedSamples) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 36) {
+          targetSpeedSamplesBuilder_.mergeFrom(value);
+        } else {
+          targetSpeedSamplesBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 36;
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+     */
+    public Builder clearTargetSpeedSamples() {
+      if (targetSpeedSamplesBuilder_ == null) {
+        if (bodyCase_ == 36) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 36) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        targetSpeedSamplesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+     */
+    public org.geraniumreach.messages.TargetSpeedSamples.Builder getTargetSpeedSamplesBuilder() {
+      return getTargetSpeedSamplesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetSpeedSamplesOrBuilder getTargetSpeedSamplesOrBuilder() {
+      if ((bodyCase_ == 36) && (targetSpeedSamplesBuilder_ != null)) {
+        return targetSpeedSamplesBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 36) {
+          return (org.geraniumreach.messages.TargetSpeedSamples) body_;
+        }
+        return org.geraniumreach.messages.TargetSpeedSamples.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.geraniumreach.messages.TargetSpeedSamples, org.geraniumreach.messages.TargetSpeedSamples.Builder, org.geraniumreach.messages.TargetSpeedSamplesOrBuilder> 
+        getTargetSpeedSamplesFieldBuilder() {
+      if (targetSpeedSamplesBuilder_ == null) {
+        if (!(bodyCase_ == 36)) {
+          body_ = org.geraniumreach.messages.TargetSpeedSamples.getDefaultInstance();
+        }
+        targetSpeedSamplesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.geraniumreach.messages.TargetSpeedSamples, org.geraniumreach.messages.TargetSpeedSamples.Builder, org.geraniumreach.messages.TargetSpeedSamplesOrBuilder>(
+                (org.geraniumreach.messages.TargetSpeedSamples) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 36;
+      onChanged();
+      return targetSpeedSamplesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.Frame)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/FrameOrBuilder.java
@@ -504,5 +504,50 @@
    */
   org.geraniumreach.messages.TargetLimitUpdateOrBuilder getTargetLimitUpdateOrBuilder();
 
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+   * @return Whether the targetAdmissionEnd field is set.
+   */
+  boolean hasTargetAdmissionEnd();
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+   * @return The targetAdmissionEnd.
+   */
+  org.geraniumreach.messages.TargetAdmissionEnd getTargetAdmissionEnd();
+  /**
+   * <code>.geraniumreach.link.TargetAdmissionEnd target_admission_end = 34;</code>
+   */
+  org.geraniumreach.messages.TargetAdmissionEndOrBuilder getTargetAdmissionEndOrBuilder();
+
+  /**
+   * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+   * @return Whether the targetSpeedUpdate field is set.
+   */
+  boolean hasTargetSpeedUpdate();
+  /**
+   * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+   * @return The targetSpeedUpdate.
+   */
+  org.geraniumreach.messages.TargetSpeedUpdate getTargetSpeedUpdate();
+  /**
+   * <code>.geraniumreach.link.TargetSpeedUpdate target_speed_update = 35;</code>
+   */
+  org.geraniumreach.messages.TargetSpeedUpdateOrBuilder getTargetSpeedUpdateOrBuilder();
+
+  /**
+   * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+   * @return Whether the targetSpeedSamples field is set.
+   */
+  boolean hasTargetSpeedSamples();
+  /**
+   * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+   * @return The targetSpeedSamples.
+   */
+  org.geraniumreach.messages.TargetSpeedSamples getTargetSpeedSamples();
+  /**
+   * <code>.geraniumreach.link.TargetSpeedSamples target_speed_samples = 36;</code>
+   */
+  org.geraniumreach.messages.TargetSpeedSamplesOrBuilder getTargetSpeedSamplesOrBuilder();
+
   org.geraniumreach.messages.Frame.BodyCase getBodyCase();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -200,6 +200,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_geraniumreach_link_TargetAdmissionResponse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_TargetAdmissionEnd_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_TargetAdmissionEnd_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_TargetSpeedUpdate_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_TargetSpeedUpdate_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_TargetSpeedSamples_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_TargetSpeedSamples_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_geraniumreach_link_TargetSpeedSample_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_geraniumreach_link_TargetSpeedSample_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_geraniumreach_link_TargetLimit_descriptor;
   static final 
@@ -229,7 +249,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nlink.proto\022\022geraniumreach.link\"\253\016\n\005Fra" +
+      "\n\nlink.proto\022\022geraniumreach.link\"\201\020\n\005Fra" +
       "me\022*\n\005hello\030\001 \001(\0132\031.geraniumreach.link.H" +
       "elloH\000\022(\n\004ping\030\002 \001(\0132\030.geraniumreach.lin" +
       "k.PingH\000\022(\n\004pong\030\003 \001(\0132\030.geraniumreach.l" +
@@ -275,123 +295,151 @@
       "\n\025target_limit_response\030  \001(\0132\'.geranium" +
       "reach.link.TargetLimitResponseH\000\022D\n\023targ" +
       "et_limit_update\030! \001(\0132%.geraniumreach.li" +
-      "nk.TargetLimitUpdateH\000B\006\n\004body\"\237\001\n\005Hello" +
-      "\022\030\n\020protocol_version\030\001 \001(\r\022\020\n\010instance\030\002" +
-      " \001(\t\022\014\n\004role\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022" +
-      "\026\n\016failure_domain\030\005 \001(\t\022\016\n\006target\030\006 \001(\t\022" +
-      "\r\n\005fence\030\007 \001(\003\022\020\n\010revision\030\010 \001(\003\"\026\n\004Ping" +
-      "\022\016\n\006number\030\001 \001(\003\"\026\n\004Pong\022\016\n\006number\030\001 \001(\003" +
-      "\"\364\002\n\003Run\022\017\n\007attempt\030\001 \001(\t\022\034\n\024deadline_le" +
-      "ft_millis\030\002 \001(\003\022\017\n\007account\030\003 \001(\t\022\022\n\nkey_" +
-      "digest\030\004 \001(\014\022\017\n\007adapter\030\005 \001(\t\022\017\n\007version" +
-      "\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\021\n\toperation\030\010 \001" +
-      "(\t\022\014\n\004body\030\t \001(\014\022\026\n\016maximum_tokens\030\n \001(\005" +
-      "\022\020\n\010priority\030\013 \001(\005\022\022\n\nrepeatable\030\014 \001(\010\022\035" +
-      "\n\025companion_incarnation\030\r \001(\003\022\020\n\010revisio" +
-      "n\030\016 \001(\003\022\025\n\rprompt_tokens\030\017 \001(\003\022\025\n\rprefix" +
-      "_digest\030\020 \001(\014\022\016\n\006credit\030\021 \001(\005\022\030\n\020not_aft" +
-      "er_millis\030\022 \001(\003\":\n\010Accepted\022\017\n\007attempt\030\001" +
-      " \001(\t\022\035\n\025companion_incarnation\030\002 \001(\003\"K\n\005C" +
-      "hunk\022\017\n\007attempt\030\001 \001(\t\022\020\n\010sequence\030\002 \001(\003\022" +
-      "\017\n\007payload\030\003 \001(\014\022\016\n\006tokens\030\004 \001(\005\"\316\001\n\003End" +
-      "\022\017\n\007attempt\030\001 \001(\t\022\r\n\005count\030\002 \001(\003\022\025\n\rprom" +
-      "pt_tokens\030\003 \001(\005\022\030\n\020generated_tokens\030\004 \001(" +
-      "\005\022\017\n\007adapter\030\005 \001(\t\022\017\n\007version\030\006 \001(\t\022\025\n\rf" +
-      "inish_reason\030\007 \001(\t\022\024\n\014queue_micros\030\010 \001(\003" +
-      "\022\023\n\013load_micros\030\t \001(\003\022\022\n\nprefix_hit\030\n \001(" +
-      "\010\"b\n\007Refused\022\017\n\007attempt\030\001 \001(\t\022\014\n\004code\030\002 " +
-      "\001(\005\022\017\n\007message\030\003 \001(\t\022\013\n\003ran\030\004 \001(\005\022\032\n\022ret" +
-      "ry_after_millis\030\005 \001(\003\"\\\n\006Cancel\022\017\n\007attem" +
-      "pt\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\022\n\nage_millis\030\003" +
-      " \001(\003\022\035\n\025companion_incarnation\030\004 \001(\003\"\354\001\n\006" +
-      "Resume\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_sequence" +
-      "\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022\n\nage_millis\030\004 \001" +
-      "(\003\022\035\n\025companion_incarnation\030\005 \001(\003\022\017\n\007acc" +
-      "ount\030\006 \001(\t\022\022\n\nkey_digest\030\007 \001(\014\022\017\n\007adapte" +
-      "r\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\022\n\nrepeatable\030\n" +
-      " \001(\010\022\034\n\024deadline_left_millis\030\013 \001(\003\"E\n\013Ac" +
-      "knowledge\022\017\n\007attempt\030\001 \001(\t\022\025\n\rnext_seque" +
-      "nce\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\"J\n\004Seal\022\017\n\007att" +
-      "empt\030\001 \001(\t\022\035\n\025companion_incarnation\030\002 \001(" +
-      "\003\022\022\n\nage_millis\030\003 \001(\003\"G\n\006Sealed\022\017\n\007attem" +
-      "pt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022\035\n\025companion_inc" +
-      "arnation\030\003 \001(\003\"\252\002\n\006Status\022\020\n\010sequence\030\001 " +
-      "\001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007running\030\003 \001(\005\022\016\n\006" +
-      "queued\030\004 \001(\005\022\025\n\rqueued_tokens\030\005 \001(\003\022\031\n\021c" +
-      "oncurrency_limit\030\006 \001(\005\022\r\n\005slots\030\007 \001(\005\022\020\n" +
-      "\010complete\030\010 \001(\010\022\020\n\010resident\030\t \003(\t\022\017\n\007rem" +
-      "oved\030\n \003(\t\022\017\n\007loading\030\013 \003(\t\022\032\n\022engine_in" +
-      "carnation\030\014 \001(\003\022\020\n\010draining\030\r \001(\010\022\r\n\005fen" +
-      "ce\030\016 \001(\003\022\031\n\021tokens_per_second\030\017 \001(\001\"P\n\021C" +
-      "onfigurationNews\022-\n\007entries\030\001 \003(\0132\034.gera" +
-      "niumreach.link.LogEntry\022\014\n\004head\030\002 \001(\003\"l\n" +
-      "\010LogEntry\022\020\n\010revision\030\001 \001(\003\022\021\n\toperation" +
-      "\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004name\030\004 \001(\t\022\021\n\twi" +
-      "thdrawn\030\005 \001(\010\022\014\n\004body\030\006 \001(\t\"(\n\017SnapshotR" +
-      "equest\022\025\n\rhave_revision\030\001 \001(\003\"m\n\014Snapsho" +
-      "tPart\022\020\n\010revision\030\001 \001(\003\022\r\n\005index\030\002 \001(\005\022\r" +
-      "\n\005parts\030\003 \001(\005\022-\n\007entries\030\004 \003(\0132\034.geraniu" +
-      "mreach.link.LogEntry\"\250\001\n\013LoanRequest\022\016\n\006" +
-      "number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\025\n\rtokens_" +
-      "wanted\030\003 \001(\003\022\024\n\014share_wanted\030\004 \001(\003\022\027\n\017du" +
-      "ration_millis\030\005 \001(\003\022\016\n\006demand\030\006 \001(\003\022\022\n\ns" +
-      "hare_held\030\007 \001(\003\022\016\n\006holder\030\010 \001(\t\"e\n\nLoanA" +
-      "nswer\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\016" +
-      "\n\006tokens\030\003 \001(\003\022\r\n\005share\030\004 \001(\003\022\027\n\017duratio" +
-      "n_millis\030\005 \001(\003\"\205\002\n\tFreshness\022\020\n\010instance" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\020\n\010revision\030" +
-      "\003 \001(\003\022\034\n\024confirmed_age_millis\030\004 \001(\003\022\027\n\017s" +
-      "tore_reachable\030\005 \001(\010\022\r\n\005heard\030\006 \003(\t\022\030\n\020h" +
-      "eard_age_millis\030\007 \003(\003\022\030\n\020highest_revisio" +
-      "n\030\010 \001(\003\022\r\n\005stamp\030\t \001(\003\022\016\n\006echoes\030\n \001(\010\022\014" +
-      "\n\004echo\030\013 \001(\003\022\030\n\020echo_held_millis\030\014 \001(\003\"U" +
-      "\n\010LoadNews\022\016\n\006target\030\001 \001(\t\022\022\n\nin_transit" +
-      "\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\024\n\014waiting_work\030" +
-      "\004 \001(\003\"\035\n\nShareMoved\022\017\n\007account\030\001 \001(\t\"0\n\007" +
-      "Leaving\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation" +
-      "\030\002 \001(\003\"\251\001\n\rAdapterDemand\022\016\n\006target\030\001 \001(\t" +
-      "\022\r\n\005model\030\002 \001(\t\022\014\n\004used\030\004 \003(\t\022=\n\rload_re" +
-      "quests\030\005 \003(\0132&.geraniumreach.link.Adapte" +
-      "rLoadRequest\022\017\n\007running\030\006 \003(\t\022\025\n\rtells_r" +
-      "unning\030\007 \001(\010J\004\010\003\020\004\"i\n\022AdapterLoadRequest" +
-      "\022\017\n\007adapter\030\001 \001(\t\022\022\n\nwaited_for\030\002 \001(\010\022\031\n" +
-      "\021until_late_millis\030\003 \001(\021\022\023\n\013may_decline\030" +
-      "\004 \001(\010\"\261\001\n\016AdapterChanges\022\016\n\006target\030\001 \001(\t" +
-      "\022\022\n\nstarted_at\030\002 \001(\003\022\r\n\005model\030\003 \001(\t\022\025\n\rm" +
-      "odel_present\030\004 \001(\010\0221\n\006loaded\030\005 \003(\0132!.ger" +
-      "aniumreach.link.AdapterLoaded\022\020\n\010unloade" +
-      "d\030\006 \003(\t\022\020\n\010declined\030\007 \003(\t\"1\n\rAdapterLoad" +
-      "ed\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n" +
-      "\nFeedUpdate\0223\n\005table\030\001 \001(\0162$.geraniumrea" +
-      "ch.link.FeedUpdate.Table\022\r\n\005after\030\002 \001(\003\022" +
-      "\017\n\007version\030\003 \001(\003\022\024\n\014store_millis\030\004 \001(\003\022+" +
-      "\n\004rows\030\005 \003(\0132\035.geraniumreach.link.Stored" +
-      "Row\022\017\n\007failure\030\006 \001(\t\":\n\005Table\022\013\n\007UNKNOWN" +
-      "\020\000\022\014\n\010OPERATOR\020\001\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003" +
-      "\"I\n\tStoredRow\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 " +
-      "\001(\003\022\017\n\007removed\030\003 \001(\010\022\r\n\005value\030\004 \001(\t\">\n\014Q" +
-      "uotaRequest\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002" +
-      " \001(\t\022\r\n\005units\030\003 \001(\001\"Z\n\rQuotaResponse\022\016\n\006" +
-      "number\030\001 \001(\003\022\017\n\007granted\030\002 \001(\010\022\023\n\013delay_k" +
-      "nown\030\003 \001(\010\022\023\n\013delay_nanos\030\004 \001(\003\"l\n\026Targe" +
-      "tAdmissionRequest\022\016\n\006number\030\001 \001(\003\022\016\n\006tar" +
-      "get\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\003\022\033\n\023long" +
-      "est_delay_nanos\030\004 \001(\003\"P\n\027TargetAdmission" +
-      "Response\022\016\n\006number\030\001 \001(\003\022\020\n\010admitted\030\002 \001" +
-      "(\010\022\023\n\013delay_nanos\030\003 \001(\003\"r\n\013TargetLimit\022\016" +
-      "\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\017\n\007li" +
-      "mited\030\003 \001(\010\022\033\n\023requests_per_second\030\004 \001(\001" +
-      "\022\021\n\tage_nanos\030\005 \001(\003\"T\n\022TargetLimitReques" +
-      "t\022\016\n\006number\030\001 \001(\003\022.\n\005known\030\002 \001(\0132\037.geran" +
-      "iumreach.link.TargetLimit\"\323\001\n\023TargetLimi" +
-      "tResponse\022\016\n\006number\030\001 \001(\003\022B\n\010decision\030\002 " +
-      "\001(\01620.geraniumreach.link.TargetLimitResp" +
-      "onse.Decision\022\031\n\021retry_after_nanos\030\003 \001(\003" +
-      "\022\027\n\017valid_for_nanos\030\004 \001(\003\"4\n\010Decision\022\r\n" +
-      "\tNOT_OWNER\020\000\022\014\n\010ADMITTED\020\001\022\013\n\007REFUSED\020\002\"" +
-      "C\n\021TargetLimitUpdate\022.\n\005known\030\001 \001(\0132\037.ge" +
-      "raniumreach.link.TargetLimitB)\n\032org.gera" +
-      "niumreach.messagesB\tLinkProtoP\001b\006proto3"
+      "nk.TargetLimitUpdateH\000\022F\n\024target_admissi" +
+      "on_end\030\" \001(\0132&.geraniumreach.link.Target" +
+      "AdmissionEndH\000\022D\n\023target_speed_update\030# " +
+      "\001(\0132%.geraniumreach.link.TargetSpeedUpda" +
+      "teH\000\022F\n\024target_speed_samples\030$ \001(\0132&.ger" +
+      "aniumreach.link.TargetSpeedSamplesH\000B\006\n\004" +
+      "body\"\237\001\n\005Hello\022\030\n\020protocol_version\030\001 \001(\r" +
+      "\022\020\n\010instance\030\002 \001(\t\022\014\n\004role\030\003 \001(\t\022\023\n\013inca" +
+      "rnation\030\004 \001(\003\022\026\n\016failure_domain\030\005 \001(\t\022\016\n" +
+      "\006target\030\006 \001(\t\022\r\n\005fence\030\007 \001(\003\022\020\n\010revision" +
+      "\030\010 \001(\003\"\026\n\004Ping\022\016\n\006number\030\001 \001(\003\"\026\n\004Pong\022\016" +
+      "\n\006number\030\001 \001(\003\"\364\002\n\003Run\022\017\n\007attempt\030\001 \001(\t\022" +
+      "\034\n\024deadline_left_millis\030\002 \001(\003\022\017\n\007account" +
+      "\030\003 \001(\t\022\022\n\nkey_digest\030\004 \001(\014\022\017\n\007adapter\030\005 " +
+      "\001(\t\022\017\n\007version\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\021\n" +
+      "\toperation\030\010 \001(\t\022\014\n\004body\030\t \001(\014\022\026\n\016maximu" +
+      "m_tokens\030\n \001(\005\022\020\n\010priority\030\013 \001(\005\022\022\n\nrepe" +
+      "atable\030\014 \001(\010\022\035\n\025companion_incarnation\030\r " +
+      "\001(\003\022\020\n\010revision\030\016 \001(\003\022\025\n\rprompt_tokens\030\017" +
+      " \001(\003\022\025\n\rprefix_digest\030\020 \001(\014\022\016\n\006credit\030\021 " +
+      "\001(\005\022\030\n\020not_after_millis\030\022 \001(\003\":\n\010Accepte" +
+      "d\022\017\n\007attempt\030\001 \001(\t\022\035\n\025companion_incarnat" +
+      "ion\030\002 \001(\003\"K\n\005Chunk\022\017\n\007attempt\030\001 \001(\t\022\020\n\010s" +
+      "equence\030\002 \001(\003\022\017\n\007payload\030\003 \001(\014\022\016\n\006tokens" +
+      "\030\004 \001(\005\"\316\001\n\003End\022\017\n\007attempt\030\001 \001(\t\022\r\n\005count" +
+      "\030\002 \001(\003\022\025\n\rprompt_tokens\030\003 \001(\005\022\030\n\020generat" +
+      "ed_tokens\030\004 \001(\005\022\017\n\007adapter\030\005 \001(\t\022\017\n\007vers" +
+      "ion\030\006 \001(\t\022\025\n\rfinish_reason\030\007 \001(\t\022\024\n\014queu" +
+      "e_micros\030\010 \001(\003\022\023\n\013load_micros\030\t \001(\003\022\022\n\np" +
+      "refix_hit\030\n \001(\010\"b\n\007Refused\022\017\n\007attempt\030\001 " +
+      "\001(\t\022\014\n\004code\030\002 \001(\005\022\017\n\007message\030\003 \001(\t\022\013\n\003ra" +
+      "n\030\004 \001(\005\022\032\n\022retry_after_millis\030\005 \001(\003\"\\\n\006C" +
+      "ancel\022\017\n\007attempt\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\022" +
+      "\n\nage_millis\030\003 \001(\003\022\035\n\025companion_incarnat" +
+      "ion\030\004 \001(\003\"\354\001\n\006Resume\022\017\n\007attempt\030\001 \001(\t\022\025\n" +
+      "\rnext_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\022\022\n\n" +
+      "age_millis\030\004 \001(\003\022\035\n\025companion_incarnatio" +
+      "n\030\005 \001(\003\022\017\n\007account\030\006 \001(\t\022\022\n\nkey_digest\030\007" +
+      " \001(\014\022\017\n\007adapter\030\010 \001(\t\022\017\n\007version\030\t \001(\t\022\022" +
+      "\n\nrepeatable\030\n \001(\010\022\034\n\024deadline_left_mill" +
+      "is\030\013 \001(\003\"E\n\013Acknowledge\022\017\n\007attempt\030\001 \001(\t" +
+      "\022\025\n\rnext_sequence\030\002 \001(\003\022\016\n\006credit\030\003 \001(\005\"" +
+      "J\n\004Seal\022\017\n\007attempt\030\001 \001(\t\022\035\n\025companion_in" +
+      "carnation\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\"G\n\006S" +
+      "ealed\022\017\n\007attempt\030\001 \001(\t\022\r\n\005state\030\002 \001(\005\022\035\n" +
+      "\025companion_incarnation\030\003 \001(\003\"\252\002\n\006Status\022" +
+      "\020\n\010sequence\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022\017\n\007run" +
+      "ning\030\003 \001(\005\022\016\n\006queued\030\004 \001(\005\022\025\n\rqueued_tok" +
+      "ens\030\005 \001(\003\022\031\n\021concurrency_limit\030\006 \001(\005\022\r\n\005" +
+      "slots\030\007 \001(\005\022\020\n\010complete\030\010 \001(\010\022\020\n\010residen" +
+      "t\030\t \003(\t\022\017\n\007removed\030\n \003(\t\022\017\n\007loading\030\013 \003(" +
+      "\t\022\032\n\022engine_incarnation\030\014 \001(\003\022\020\n\010drainin" +
+      "g\030\r \001(\010\022\r\n\005fence\030\016 \001(\003\022\031\n\021tokens_per_sec" +
+      "ond\030\017 \001(\001\"P\n\021ConfigurationNews\022-\n\007entrie" +
+      "s\030\001 \003(\0132\034.geraniumreach.link.LogEntry\022\014\n" +
+      "\004head\030\002 \001(\003\"l\n\010LogEntry\022\020\n\010revision\030\001 \001(" +
+      "\003\022\021\n\toperation\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\014\n\004na" +
+      "me\030\004 \001(\t\022\021\n\twithdrawn\030\005 \001(\010\022\014\n\004body\030\006 \001(" +
+      "\t\"(\n\017SnapshotRequest\022\025\n\rhave_revision\030\001 " +
+      "\001(\003\"m\n\014SnapshotPart\022\020\n\010revision\030\001 \001(\003\022\r\n" +
+      "\005index\030\002 \001(\005\022\r\n\005parts\030\003 \001(\005\022-\n\007entries\030\004" +
+      " \003(\0132\034.geraniumreach.link.LogEntry\"\250\001\n\013L" +
+      "oanRequest\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 " +
+      "\001(\t\022\025\n\rtokens_wanted\030\003 \001(\003\022\024\n\014share_want" +
+      "ed\030\004 \001(\003\022\027\n\017duration_millis\030\005 \001(\003\022\016\n\006dem" +
+      "and\030\006 \001(\003\022\022\n\nshare_held\030\007 \001(\003\022\016\n\006holder\030" +
+      "\010 \001(\t\"e\n\nLoanAnswer\022\016\n\006number\030\001 \001(\003\022\017\n\007a" +
+      "ccount\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\003\022\r\n\005share\030\004 " +
+      "\001(\003\022\027\n\017duration_millis\030\005 \001(\003\"\205\002\n\tFreshne" +
+      "ss\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
+      "\003\022\020\n\010revision\030\003 \001(\003\022\034\n\024confirmed_age_mil" +
+      "lis\030\004 \001(\003\022\027\n\017store_reachable\030\005 \001(\010\022\r\n\005he" +
+      "ard\030\006 \003(\t\022\030\n\020heard_age_millis\030\007 \003(\003\022\030\n\020h" +
+      "ighest_revision\030\010 \001(\003\022\r\n\005stamp\030\t \001(\003\022\016\n\006" +
+      "echoes\030\n \001(\010\022\014\n\004echo\030\013 \001(\003\022\030\n\020echo_held_" +
+      "millis\030\014 \001(\003\"U\n\010LoadNews\022\016\n\006target\030\001 \001(\t" +
+      "\022\022\n\nin_transit\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\024\n" +
+      "\014waiting_work\030\004 \001(\003\"\035\n\nShareMoved\022\017\n\007acc" +
+      "ount\030\001 \001(\t\"0\n\007Leaving\022\020\n\010instance\030\001 \001(\t\022" +
+      "\023\n\013incarnation\030\002 \001(\003\"\251\001\n\rAdapterDemand\022\016" +
+      "\n\006target\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\014\n\004used\030\004 " +
+      "\003(\t\022=\n\rload_requests\030\005 \003(\0132&.geraniumrea" +
+      "ch.link.AdapterLoadRequest\022\017\n\007running\030\006 " +
+      "\003(\t\022\025\n\rtells_running\030\007 \001(\010J\004\010\003\020\004\"\243\001\n\022Ada" +
+      "pterLoadRequest\022\017\n\007adapter\030\001 \001(\t\022\022\n\nwait" +
+      "ed_for\030\002 \001(\010\022\031\n\021until_late_millis\030\003 \001(\021\022" +
+      "\023\n\013may_decline\030\004 \001(\010\022\017\n\007urgency\030\005 \001(\005\022\017\n" +
+      "\007account\030\006 \001(\t\022\026\n\016account_weight\030\007 \001(\001\"\261" +
+      "\001\n\016AdapterChanges\022\016\n\006target\030\001 \001(\t\022\022\n\nsta" +
+      "rted_at\030\002 \001(\003\022\r\n\005model\030\003 \001(\t\022\025\n\rmodel_pr" +
+      "esent\030\004 \001(\010\0221\n\006loaded\030\005 \003(\0132!.geraniumre" +
+      "ach.link.AdapterLoaded\022\020\n\010unloaded\030\006 \003(\t" +
+      "\022\020\n\010declined\030\007 \003(\t\"1\n\rAdapterLoaded\022\017\n\007a" +
+      "dapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\nFeedUp" +
+      "date\0223\n\005table\030\001 \001(\0162$.geraniumreach.link" +
+      ".FeedUpdate.Table\022\r\n\005after\030\002 \001(\003\022\017\n\007vers" +
+      "ion\030\003 \001(\003\022\024\n\014store_millis\030\004 \001(\003\022+\n\004rows\030" +
+      "\005 \003(\0132\035.geraniumreach.link.StoredRow\022\017\n\007" +
+      "failure\030\006 \001(\t\":\n\005Table\022\013\n\007UNKNOWN\020\000\022\014\n\010O" +
+      "PERATOR\020\001\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003\"I\n\tSto" +
+      "redRow\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\017\n\007" +
+      "removed\030\003 \001(\010\022\r\n\005value\030\004 \001(\t\">\n\014QuotaReq" +
+      "uest\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\r\n" +
+      "\005units\030\003 \001(\001\"Z\n\rQuotaResponse\022\016\n\006number\030" +
+      "\001 \001(\003\022\017\n\007granted\030\002 \001(\010\022\023\n\013delay_known\030\003 " +
+      "\001(\010\022\023\n\013delay_nanos\030\004 \001(\003\"\354\001\n\026TargetAdmis" +
+      "sionRequest\022\016\n\006number\030\001 \001(\003\022\016\n\006target\030\002 " +
+      "\001(\t\022\025\n\rprompt_tokens\030\003 \001(\003\022\033\n\023longest_de" +
+      "lay_nanos\030\004 \001(\003\022\017\n\007urgency\030\005 \001(\005\022\017\n\007acco" +
+      "unt\030\006 \001(\t\022\026\n\016account_weight\030\007 \001(\001\022\025\n\rout" +
+      "put_tokens\030\010 \001(\003\022\034\n\024objective_left_nanos" +
+      "\030\t \001(\003\022\017\n\007ordered\030\n \001(\010\"\371\002\n\027TargetAdmiss" +
+      "ionResponse\022\016\n\006number\030\001 \001(\003\022\020\n\010admitted\030" +
+      "\002 \001(\010\022\023\n\013delay_nanos\030\003 \001(\003\022D\n\007outcome\030\004 " +
+      "\001(\01623.geraniumreach.link.TargetAdmission" +
+      "Response.Outcome\022\031\n\021retry_after_nanos\030\005 " +
+      "\001(\003\022B\n\006reason\030\006 \001(\01622.geraniumreach.link" +
+      ".TargetAdmissionResponse.Reason\"B\n\007Outco" +
+      "me\022\017\n\013UNSPECIFIED\020\000\022\014\n\010ADMITTED\020\001\022\n\n\006QUE" +
+      "UED\020\002\022\014\n\010REJECTED\020\003\">\n\006Reason\022\010\n\004NONE\020\000\022" +
+      "\013\n\007NO_TIME\020\001\022\016\n\nQUEUE_FULL\020\002\022\r\n\tDISPLACE" +
+      "D\020\003\"4\n\022TargetAdmissionEnd\022\016\n\006number\030\001 \001(" +
+      "\003\022\016\n\006target\030\002 \001(\t\"N\n\021TargetSpeedUpdate\022\016" +
+      "\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\025\n\rre" +
+      "lative_rate\030\003 \001(\001\"\236\001\n\022TargetSpeedSamples" +
+      "\022\016\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\0226\n\007" +
+      "samples\030\003 \003(\0132%.geraniumreach.link.Targe" +
+      "tSpeedSample\022\020\n\010slowdown\030\004 \001(\001\022\032\n\022slowdo" +
+      "wn_age_nanos\030\005 \001(\003\"W\n\021TargetSpeedSample\022" +
+      "\025\n\rprompt_tokens\030\001 \001(\003\022\031\n\021first_event_na" +
+      "nos\030\002 \001(\003\022\020\n\010slowdown\030\003 \001(\001\"r\n\013TargetLim" +
+      "it\022\016\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\017" +
+      "\n\007limited\030\003 \001(\010\022\033\n\023requests_per_second\030\004" +
+      " \001(\001\022\021\n\tage_nanos\030\005 \001(\003\"T\n\022TargetLimitRe" +
+      "quest\022\016\n\006number\030\001 \001(\003\022.\n\005known\030\002 \001(\0132\037.g" +
+      "eraniumreach.link.TargetLimit\"\323\001\n\023Target" +
+      "LimitResponse\022\016\n\006number\030\001 \001(\003\022B\n\010decisio" +
+      "n\030\002 \001(\01620.geraniumreach.link.TargetLimit" +
+      "Response.Decision\022\031\n\021retry_after_nanos\030\003" +
+      " \001(\003\022\027\n\017valid_for_nanos\030\004 \001(\003\"4\n\010Decisio" +
+      "n\022\r\n\tNOT_OWNER\020\000\022\014\n\010ADMITTED\020\001\022\013\n\007REFUSE" +
+      "D\020\002\"C\n\021TargetLimitUpdate\022.\n\005known\030\001 \001(\0132" +
+      "\037.geraniumreach.link.TargetLimitB)\n\032org." +
+      "geraniumreach.messagesB\tLinkProtoP\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -402,7 +450,7 @@
     internal_static_geraniumreach_link_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Run", "Accepted", "Chunk", "End", "Refused", "Cancel", "Resume", "Acknowledge", "Seal", "Sealed", "Status", "ConfigurationNews", "SnapshotRequest", "SnapshotPart", "LoanRequest", "LoanAnswer", "Freshness", "LoadNews", "Leaving", "ShareMoved", "AdapterDemand", "AdapterChanges", "FeedUpdate", "QuotaRequest", "QuotaResponse", "TargetAdmissionRequest", "TargetAdmissionResponse", "TargetLimitRequest", "TargetLimitResponse", "TargetLimitUpdate", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Run", "Accepted", "Chunk", "End", "Refused", "Cancel", "Resume", "Acknowledge", "Seal", "Sealed", "Status", "ConfigurationNews", "SnapshotRequest", "SnapshotPart", "LoanRequest", "LoanAnswer", "Freshness", "LoadNews", "Leaving", "ShareMoved", "AdapterDemand", "AdapterChanges", "FeedUpdate", "QuotaRequest", "QuotaResponse", "TargetAdmissionRequest", "TargetAdmissionResponse", "TargetLimitRequest", "TargetLimitResponse", "TargetLimitUpdate", "TargetAdmissionEnd", "TargetSpeedUpdate", "TargetSpeedSamples", "Body", });
     internal_static_geraniumreach_link_Hello_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_geraniumreach_link_Hello_fieldAccessorTable = new
@@ -558,7 +606,7 @@
     internal_static_geraniumreach_link_AdapterLoadRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_AdapterLoadRequest_descriptor,
-        new java.lang.String[] { "Adapter", "WaitedFor", "UntilLateMillis", "MayDecline", });
+        new java.lang.String[] { "Adapter", "WaitedFor", "UntilLateMillis", "MayDecline", "Urgency", "Account", "AccountWeight", });
     internal_static_geraniumreach_link_AdapterChanges_descriptor =
       getDescriptor().getMessageTypes().get(27);
     internal_static_geraniumreach_link_AdapterChanges_fieldAccessorTable = new
@@ -600,33 +648,57 @@
     internal_static_geraniumreach_link_TargetAdmissionRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetAdmissionRequest_descriptor,
-        new java.lang.String[] { "Number", "Target", "PromptTokens", "LongestDelayNanos", });
+        new java.lang.String[] { "Number", "Target", "PromptTokens", "LongestDelayNanos", "Urgency", "Account", "AccountWeight", "OutputTokens", "ObjectiveLeftNanos", "Ordered", });
     internal_static_geraniumreach_link_TargetAdmissionResponse_descriptor =
       getDescriptor().getMessageTypes().get(34);
     internal_static_geraniumreach_link_TargetAdmissionResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetAdmissionResponse_descriptor,
-        new java.lang.String[] { "Number", "Admitted", "DelayNanos", });
-    internal_static_geraniumreach_link_TargetLimit_descriptor =
+        new java.lang.String[] { "Number", "Admitted", "DelayNanos", "Outcome", "RetryAfterNanos", "Reason", });
+    internal_static_geraniumreach_link_TargetAdmissionEnd_descriptor =
       getDescriptor().getMessageTypes().get(35);
+    internal_static_geraniumreach_link_TargetAdmissionEnd_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_TargetAdmissionEnd_descriptor,
+        new java.lang.String[] { "Number", "Target", });
+    internal_static_geraniumreach_link_TargetSpeedUpdate_descriptor =
+      getDescriptor().getMessageTypes().get(36);
+    internal_static_geraniumreach_link_TargetSpeedUpdate_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_TargetSpeedUpdate_descriptor,
+        new java.lang.String[] { "Target", "StartedAt", "RelativeRate", });
+    internal_static_geraniumreach_link_TargetSpeedSamples_descriptor =
+      getDescriptor().getMessageTypes().get(37);
+    internal_static_geraniumreach_link_TargetSpeedSamples_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_TargetSpeedSamples_descriptor,
+        new java.lang.String[] { "Target", "StartedAt", "Samples", "Slowdown", "SlowdownAgeNanos", });
+    internal_static_geraniumreach_link_TargetSpeedSample_descriptor =
+      getDescriptor().getMessageTypes().get(38);
+    internal_static_geraniumreach_link_TargetSpeedSample_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_geraniumreach_link_TargetSpeedSample_descriptor,
+        new java.lang.String[] { "PromptTokens", "FirstEventNanos", "Slowdown", });
+    internal_static_geraniumreach_link_TargetLimit_descriptor =
+      getDescriptor().getMessageTypes().get(39);
     internal_static_geraniumreach_link_TargetLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetLimit_descriptor,
         new java.lang.String[] { "Target", "StartedAt", "Limited", "RequestsPerSecond", "AgeNanos", });
     internal_static_geraniumreach_link_TargetLimitRequest_descriptor =
-      getDescriptor().getMessageTypes().get(36);
+      getDescriptor().getMessageTypes().get(40);
     internal_static_geraniumreach_link_TargetLimitRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetLimitRequest_descriptor,
         new java.lang.String[] { "Number", "Known", });
     internal_static_geraniumreach_link_TargetLimitResponse_descriptor =
-      getDescriptor().getMessageTypes().get(37);
+      getDescriptor().getMessageTypes().get(41);
     internal_static_geraniumreach_link_TargetLimitResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetLimitResponse_descriptor,
         new java.lang.String[] { "Number", "Decision", "RetryAfterNanos", "ValidForNanos", });
     internal_static_geraniumreach_link_TargetLimitUpdate_descriptor =
-      getDescriptor().getMessageTypes().get(38);
+      getDescriptor().getMessageTypes().get(42);
     internal_static_geraniumreach_link_TargetLimitUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetLimitUpdate_descriptor,
--- a/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionRequest.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionRequest.java
@@ -33,6 +33,7 @@
   }
   private TargetAdmissionRequest() {
     target_ = "";
+    account_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -124,6 +125,128 @@
     return longestDelayNanos_;
   }
 
+  public static final int URGENCY_FIELD_NUMBER = 5;
+  private int urgency_ = 0;
+  /**
+   * <pre>
+   * 0 to 9, 0 first
+   * </pre>
+   *
+   * <code>int32 urgency = 5;</code>
+   * @return The urgency.
+   */
+  @java.lang.Override
+  public int getUrgency() {
+    return urgency_;
+  }
+
+  public static final int ACCOUNT_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object account_ = "";
+  /**
+   * <pre>
+   * empty for none
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The account.
+   */
+  @java.lang.Override
+  public java.lang.String getAccount() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      account_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * empty for none
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The bytes for account.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAccountBytes() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      account_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ACCOUNT_WEIGHT_FIELD_NUMBER = 7;
+  private double accountWeight_ = 0D;
+  /**
+   * <pre>
+   * 0 for the mean of all accounts
+   * </pre>
+   *
+   * <code>double account_weight = 7;</code>
+   * @return The accountWeight.
+   */
+  @java.lang.Override
+  public double getAccountWeight() {
+    return accountWeight_;
+  }
+
+  public static final int OUTPUT_TOKENS_FIELD_NUMBER = 8;
+  private long outputTokens_ = 0L;
+  /**
+   * <pre>
+   * expected tokens to generate
+   * </pre>
+   *
+   * <code>int64 output_tokens = 8;</code>
+   * @return The outputTokens.
+   */
+  @java.lang.Override
+  public long getOutputTokens() {
+    return outputTokens_;
+  }
+
+  public static final int OBJECTIVE_LEFT_NANOS_FIELD_NUMBER = 9;
+  private long objectiveLeftNanos_ = 0L;
+  /**
+   * <pre>
+   * time until the first event misses its objective, below zero if it has
+   * </pre>
+   *
+   * <code>int64 objective_left_nanos = 9;</code>
+   * @return The objectiveLeftNanos.
+   */
+  @java.lang.Override
+  public long getObjectiveLeftNanos() {
+    return objectiveLeftNanos_;
+  }
+
+  public static final int ORDERED_FIELD_NUMBER = 10;
+  private boolean ordered_ = false;
+  /**
+   * <pre>
+   * whether the sender supports queued admissions
+   * </pre>
+   *
+   * <code>bool ordered = 10;</code>
+   * @return The ordered.
+   */
+  @java.lang.Override
+  public boolean getOrdered() {
+    return ordered_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -150,6 +273,24 @@
     if (longestDelayNanos_ != 0L) {
       output.writeInt64(4, longestDelayNanos_);
     }
+    if (urgency_ != 0) {
+      output.writeInt32(5, urgency_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, account_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(accountWeight_) != 0) {
+      output.writeDouble(7, accountWeight_);
+    }
+    if (outputTokens_ != 0L) {
+      output.writeInt64(8, outputTokens_);
+    }
+    if (objectiveLeftNanos_ != 0L) {
+      output.writeInt64(9, objectiveLeftNanos_);
+    }
+    if (ordered_ != false) {
+      output.writeBool(10, ordered_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -174,6 +315,29 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(4, longestDelayNanos_);
     }
+    if (urgency_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(5, urgency_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, account_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(accountWeight_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(7, accountWeight_);
+    }
+    if (outputTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, outputTokens_);
+    }
+    if (objectiveLeftNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(9, objectiveLeftNanos_);
+    }
+    if (ordered_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, ordered_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -197,6 +361,19 @@
         != other.getPromptTokens()) return false;
     if (getLongestDelayNanos()
         != other.getLongestDelayNanos()) return false;
+    if (getUrgency()
+        != other.getUrgency()) return false;
+    if (!getAccount()
+        .equals(other.getAccount())) return false;
+    if (java.lang.Double.doubleToLongBits(getAccountWeight())
+        != java.lang.Double.doubleToLongBits(
+            other.getAccountWeight())) return false;
+    if (getOutputTokens()
+        != other.getOutputTokens()) return false;
+    if (getObjectiveLeftNanos()
+        != other.getObjectiveLeftNanos()) return false;
+    if (getOrdered()
+        != other.getOrdered()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -219,6 +396,22 @@
     hash = (37 * hash) + LONGEST_DELAY_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLongestDelayNanos());
+    hash = (37 * hash) + URGENCY_FIELD_NUMBER;
+    hash = (53 * hash) + getUrgency();
+    hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+    hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + ACCOUNT_WEIGHT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getAccountWeight()));
+    hash = (37 * hash) + OUTPUT_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getOutputTokens());
+    hash = (37 * hash) + OBJECTIVE_LEFT_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getObjectiveLeftNanos());
+    hash = (37 * hash) + ORDERED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getOrdered());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -359,6 +552,12 @@
       target_ = "";
       promptTokens_ = 0L;
       longestDelayNanos_ = 0L;
+      urgency_ = 0;
+      account_ = "";
+      accountWeight_ = 0D;
+      outputTokens_ = 0L;
+      objectiveLeftNanos_ = 0L;
+      ordered_ = false;
       return this;
     }
 
@@ -404,6 +603,24 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.longestDelayNanos_ = longestDelayNanos_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.urgency_ = urgency_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.account_ = account_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.accountWeight_ = accountWeight_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.outputTokens_ = outputTokens_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.objectiveLeftNanos_ = objectiveLeftNanos_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.ordered_ = ordered_;
+      }
     }
 
     @java.lang.Override
@@ -432,6 +649,26 @@
       if (other.getLongestDelayNanos() != 0L) {
         setLongestDelayNanos(other.getLongestDelayNanos());
       }
+      if (other.getUrgency() != 0) {
+        setUrgency(other.getUrgency());
+      }
+      if (!other.getAccount().isEmpty()) {
+        account_ = other.account_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (other.getAccountWeight() != 0D) {
+        setAccountWeight(other.getAccountWeight());
+      }
+      if (other.getOutputTokens() != 0L) {
+        setOutputTokens(other.getOutputTokens());
+      }
+      if (other.getObjectiveLeftNanos() != 0L) {
+        setObjectiveLeftNanos(other.getObjectiveLeftNanos());
+      }
+      if (other.getOrdered() != false) {
+        setOrdered(other.getOrdered());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -478,6 +715,36 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              urgency_ = input.readInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 50: {
+              account_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 57: {
+              accountWeight_ = input.readDouble();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 57
+            case 64: {
+              outputTokens_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              objectiveLeftNanos_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              ordered_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -675,6 +942,318 @@
       return this;
     }
 
+    private int urgency_ ;
+    /**
+     * <pre>
+     * 0 to 9, 0 first
+     * </pre>
+     *
+     * <code>int32 urgency = 5;</code>
+     * @return The urgency.
+     */
+    @java.lang.Override
+    public int getUrgency() {
+      return urgency_;
+    }
+    /**
+     * <pre>
+     * 0 to 9, 0 first
+     * </pre>
+     *
+     * <code>int32 urgency = 5;</code>
+     * @param value The urgency to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUrgency(int value) {
+
+      urgency_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * 0 to 9, 0 first
+     * </pre>
+     *
+     * <code>int32 urgency = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUrgency() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      urgency_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object account_ = "";
+    /**
+     * <pre>
+     * empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @return The account.
+     */
+    public java.lang.String getAccount() {
+      java.lang.Object ref = account_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        account_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @return The bytes for account.
+     */
+    public com.google.protobuf.ByteString
+        getAccountBytes() {
+      java.lang.Object ref = account_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        account_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @param value The account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccount(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      account_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccount() {
+      account_ = getDefaultInstance().getAccount();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * empty for none
+     * </pre>
+     *
+     * <code>string account = 6;</code>
+     * @param value The bytes for account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      account_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private double accountWeight_ ;
+    /**
+     * <pre>
+     * 0 for the mean of all accounts
+     * </pre>
+     *
+     * <code>double account_weight = 7;</code>
+     * @return The accountWeight.
+     */
+    @java.lang.Override
+    public double getAccountWeight() {
+      return accountWeight_;
+    }
+    /**
+     * <pre>
+     * 0 for the mean of all accounts
+     * </pre>
+     *
+     * <code>double account_weight = 7;</code>
+     * @param value The accountWeight to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountWeight(double value) {
+
+      accountWeight_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * 0 for the mean of all accounts
+     * </pre>
+     *
+     * <code>double account_weight = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccountWeight() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      accountWeight_ = 0D;
+      onChanged();
+      return this;
+    }
+
+    private long outputTokens_ ;
+    /**
+     * <pre>
+     * expected tokens to generate
+     * </pre>
+     *
+     * <code>int64 output_tokens = 8;</code>
+     * @return The outputTokens.
+     */
+    @java.lang.Override
+    public long getOutputTokens() {
+      return outputTokens_;
+    }
+    /**
+     * <pre>
+     * expected tokens to generate
+     * </pre>
+     *
+     * <code>int64 output_tokens = 8;</code>
+     * @param value The outputTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOutputTokens(long value) {
+
+      outputTokens_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * expected tokens to generate
+     * </pre>
+     *
+     * <code>int64 output_tokens = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOutputTokens() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      outputTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long objectiveLeftNanos_ ;
+    /**
+     * <pre>
+     * time until the first event misses its objective, below zero if it has
+     * </pre>
+     *
+     * <code>int64 objective_left_nanos = 9;</code>
+     * @return The objectiveLeftNanos.
+     */
+    @java.lang.Override
+    public long getObjectiveLeftNanos() {
+      return objectiveLeftNanos_;
+    }
+    /**
+     * <pre>
+     * time until the first event misses its objective, below zero if it has
+     * </pre>
+     *
+     * <code>int64 objective_left_nanos = 9;</code>
+     * @param value The objectiveLeftNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setObjectiveLeftNanos(long value) {
+
+      objectiveLeftNanos_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * time until the first event misses its objective, below zero if it has
+     * </pre>
+     *
+     * <code>int64 objective_left_nanos = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearObjectiveLeftNanos() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      objectiveLeftNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean ordered_ ;
+    /**
+     * <pre>
+     * whether the sender supports queued admissions
+     * </pre>
+     *
+     * <code>bool ordered = 10;</code>
+     * @return The ordered.
+     */
+    @java.lang.Override
+    public boolean getOrdered() {
+      return ordered_;
+    }
+    /**
+     * <pre>
+     * whether the sender supports queued admissions
+     * </pre>
+     *
+     * <code>bool ordered = 10;</code>
+     * @param value The ordered to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrdered(boolean value) {
+
+      ordered_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * whether the sender supports queued admissions
+     * </pre>
+     *
+     * <code>bool ordered = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrdered() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      ordered_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.TargetAdmissionRequest)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionRequestOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionRequestOrBuilder.java
@@ -42,4 +42,74 @@
    * @return The longestDelayNanos.
    */
   long getLongestDelayNanos();
+
+  /**
+   * <pre>
+   * 0 to 9, 0 first
+   * </pre>
+   *
+   * <code>int32 urgency = 5;</code>
+   * @return The urgency.
+   */
+  int getUrgency();
+
+  /**
+   * <pre>
+   * empty for none
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The account.
+   */
+  java.lang.String getAccount();
+  /**
+   * <pre>
+   * empty for none
+   * </pre>
+   *
+   * <code>string account = 6;</code>
+   * @return The bytes for account.
+   */
+  com.google.protobuf.ByteString
+      getAccountBytes();
+
+  /**
+   * <pre>
+   * 0 for the mean of all accounts
+   * </pre>
+   *
+   * <code>double account_weight = 7;</code>
+   * @return The accountWeight.
+   */
+  double getAccountWeight();
+
+  /**
+   * <pre>
+   * expected tokens to generate
+   * </pre>
+   *
+   * <code>int64 output_tokens = 8;</code>
+   * @return The outputTokens.
+   */
+  long getOutputTokens();
+
+  /**
+   * <pre>
+   * time until the first event misses its objective, below zero if it has
+   * </pre>
+   *
+   * <code>int64 objective_left_nanos = 9;</code>
+   * @return The objectiveLeftNanos.
+   */
+  long getObjectiveLeftNanos();
+
+  /**
+   * <pre>
+   * whether the sender supports queued admissions
+   * </pre>
+   *
+   * <code>bool ordered = 10;</code>
+   * @return The ordered.
+   */
+  boolean getOrdered();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionResponse.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionResponse.java
@@ -27,6 +27,8 @@
     super(builder);
   }
   private TargetAdmissionResponse() {
+    outcome_ = 0;
+    reason_ = 0;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -42,6 +44,276 @@
             org.geraniumreach.messages.TargetAdmissionResponse.class, org.geraniumreach.messages.TargetAdmissionResponse.Builder.class);
   }
 
+  /**
+   * Protobuf enum {@code geraniumreach.link.TargetAdmissionResponse.Outcome}
+   */
+  public enum Outcome
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>UNSPECIFIED = 0;</code>
+     */
+    UNSPECIFIED(0),
+    /**
+     * <code>ADMITTED = 1;</code>
+     */
+    ADMITTED(1),
+    /**
+     * <code>QUEUED = 2;</code>
+     */
+    QUEUED(2),
+    /**
+     * <code>REJECTED = 3;</code>
+     */
+    REJECTED(3),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        Outcome.class.getName());
+    }
+    /**
+     * <code>UNSPECIFIED = 0;</code>
+     */
+    public static final int UNSPECIFIED_VALUE = 0;
+    /**
+     * <code>ADMITTED = 1;</code>
+     */
+    public static final int ADMITTED_VALUE = 1;
+    /**
+     * <code>QUEUED = 2;</code>
+     */
+    public static final int QUEUED_VALUE = 2;
+    /**
+     * <code>REJECTED = 3;</code>
+     */
+    public static final int REJECTED_VALUE = 3;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static Outcome valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static Outcome forNumber(int value) {
+      switch (value) {
+        case 0: return UNSPECIFIED;
+        case 1: return ADMITTED;
+        case 2: return QUEUED;
+        case 3: return REJECTED;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<Outcome>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        Outcome> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<Outcome>() {
+            public Outcome findValueByNumber(int number) {
+              return Outcome.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValues().get(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return org.geraniumreach.messages.TargetAdmissionResponse.getDescriptor().getEnumTypes().get(0);
+    }
+
+    private static final Outcome[] VALUES = values();
+
+    public static Outcome valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private Outcome(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:geraniumreach.link.TargetAdmissionResponse.Outcome)
+  }
+
+  /**
+   * Protobuf enum {@code geraniumreach.link.TargetAdmissionResponse.Reason}
+   */
+  public enum Reason
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>NONE = 0;</code>
+     */
+    NONE(0),
+    /**
+     * <code>NO_TIME = 1;</code>
+     */
+    NO_TIME(1),
+    /**
+     * <code>QUEUE_FULL = 2;</code>
+     */
+    QUEUE_FULL(2),
+    /**
+     * <code>DISPLACED = 3;</code>
+     */
+    DISPLACED(3),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        Reason.class.getName());
+    }
+    /**
+     * <code>NONE = 0;</code>
+     */
+    public static final int NONE_VALUE = 0;
+    /**
+     * <code>NO_TIME = 1;</code>
+     */
+    public static final int NO_TIME_VALUE = 1;
+    /**
+     * <code>QUEUE_FULL = 2;</code>
+     */
+    public static final int QUEUE_FULL_VALUE = 2;
+    /**
+     * <code>DISPLACED = 3;</code>
+     */
+    public static final int DISPLACED_VALUE = 3;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static Reason valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static Reason forNumber(int value) {
+      switch (value) {
+        case 0: return NONE;
+        case 1: return NO_TIME;
+        case 2: return QUEUE_FULL;
+        case 3: return DISPLACED;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<Reason>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        Reason> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<Reason>() {
+            public Reason findValueByNumber(int number) {
+              return Reason.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValues().get(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return org.geraniumreach.messages.TargetAdmissionResponse.getDescriptor().getEnumTypes().get(1);
+    }
+
+    private static final Reason[] VALUES = values();
+
+    public static Reason valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private Reason(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:geraniumreach.link.TargetAdmissionResponse.Reason)
+  }
+
   public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_ = 0L;
   /**
@@ -68,7 +340,7 @@
   private long delayNanos_ = 0L;
   /**
    * <pre>
-   * admitted: how long to hold the prompt back
+   * admitted: how long to hold the prompt back; queued: the expected delay
    * </pre>
    *
    * <code>int64 delay_nanos = 3;</code>
@@ -79,6 +351,73 @@
     return delayNanos_;
   }
 
+  public static final int OUTCOME_FIELD_NUMBER = 4;
+  private int outcome_ = 0;
+  /**
+   * <pre>
+   * set if the request was ordered; a queued request gets a second response
+   * </pre>
+   *
+   * <code>.geraniumreach.link.TargetAdmissionResponse.Outcome outcome = 4;</code>
+   * @return The enum numeric value on the wire for outcome.
+   */
+  @java.lang.Override public int getOutcomeValue() {
+    return outcome_;
+  }
+  /**
+   * <pre>
+   * set if the request was ordered; a queued request gets a second response
+   * </pre>
+   *
+   * <code>.geraniumreach.link.TargetAdmissionResponse.Outcome outcome = 4;</code>
+   * @return The outcome.
+   */
+  @java.lang.Override public org.geraniumreach.messages.TargetAdmissionResponse.Outcome getOutcome() {
+    org.geraniumreach.messages.TargetAdmissionResponse.Outcome result = org.geraniumreach.messages.TargetAdmissionResponse.Outcome.forNumber(outcome_);
+    return result == null ? org.geraniumreach.messages.TargetAdmissionResponse.Outcome.UNRECOGNIZED : result;
+  }
+
+  public static final int RETRY_AFTER_NANOS_FIELD_NUMBER = 5;
+  private long retryAfterNanos_ = 0L;
+  /**
+   * <pre>
+   * rejected: the time until capacity is expected
+   * </pre>
+   *
+   * <code>int64 retry_after_nanos = 5;</code>
+   * @return The retryAfterNanos.
+   */
+  @java.lang.Override
+  public long getRetryAfterNanos() {
+    return retryAfterNanos_;
+  }
+
+  public static final int REASON_FIELD_NUMBER = 6;
+  private int reason_ = 0;
+  /**
+   * <pre>
+   * rejected: why
+   * </pre>
+   *
+   * <code>.geraniumreach.link.TargetAdmissionResponse.Reason reason = 6;</code>
+   * @return The enum numeric value on the wire for reason.
+   */
+  @java.lang.Override public int getReasonValue() {
+    return reason_;
+  }
+  /**
+   * <pre>
+   * rejected: why
+   * </pre>
+   *
+   * <code>.geraniumreach.link.TargetAdmissionResponse.Reason reason = 6;</code>
+   * @return The reason.
+   */
+  @java.lang.Override public org.geraniumreach.messages.TargetAdmissionResponse.Reason getReason() {
+    org.geraniumreach.messages.TargetAdmissionResponse.Reason result = org.geraniumreach.messages.TargetAdmissionResponse.Reason.forNumber(reason_);
+    return result == null ? org.geraniumreach.messages.TargetAdmissionResponse.Reason.UNRECOGNIZED : result;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -102,6 +441,15 @@
     if (delayNanos_ != 0L) {
       output.writeInt64(3, delayNanos_);
     }
+    if (outcome_ != org.geraniumreach.messages.TargetAdmissionResponse.Outcome.UNSPECIFIED.getNumber()) {
+      output.writeEnum(4, outcome_);
+    }
+    if (retryAfterNanos_ != 0L) {
+      output.writeInt64(5, retryAfterNanos_);
+    }
+    if (reason_ != org.geraniumreach.messages.TargetAdmissionResponse.Reason.NONE.getNumber()) {
+      output.writeEnum(6, reason_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -123,6 +471,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, delayNanos_);
     }
+    if (outcome_ != org.geraniumreach.messages.TargetAdmissionResponse.Outcome.UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(4, outcome_);
+    }
+    if (retryAfterNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, retryAfterNanos_);
+    }
+    if (reason_ != org.geraniumreach.messages.TargetAdmissionResponse.Reason.NONE.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(6, reason_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -144,6 +504,10 @@
         != other.getAdmitted()) return false;
     if (getDelayNanos()
         != other.getDelayNanos()) return false;
+    if (outcome_ != other.outcome_) return false;
+    if (getRetryAfterNanos()
+        != other.getRetryAfterNanos()) return false;
+    if (reason_ != other.reason_) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -164,6 +528,13 @@
     hash = (37 * hash) + DELAY_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getDelayNanos());
+    hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
+    hash = (53 * hash) + outcome_;
+    hash = (37 * hash) + RETRY_AFTER_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetryAfterNanos());
+    hash = (37 * hash) + REASON_FIELD_NUMBER;
+    hash = (53 * hash) + reason_;
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -298,6 +669,9 @@
       number_ = 0L;
       admitted_ = false;
       delayNanos_ = 0L;
+      outcome_ = 0;
+      retryAfterNanos_ = 0L;
+      reason_ = 0;
       return this;
     }
 
@@ -340,6 +714,15 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.delayNanos_ = delayNanos_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.outcome_ = outcome_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.retryAfterNanos_ = retryAfterNanos_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.reason_ = reason_;
+      }
     }
 
     @java.lang.Override
@@ -363,6 +746,15 @@
       if (other.getDelayNanos() != 0L) {
         setDelayNanos(other.getDelayNanos());
       }
+      if (other.outcome_ != 0) {
+        setOutcomeValue(other.getOutcomeValue());
+      }
+      if (other.getRetryAfterNanos() != 0L) {
+        setRetryAfterNanos(other.getRetryAfterNanos());
+      }
+      if (other.reason_ != 0) {
+        setReasonValue(other.getReasonValue());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -404,6 +796,21 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              outcome_ = input.readEnum();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              retryAfterNanos_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              reason_ = input.readEnum();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -488,7 +895,7 @@
     private long delayNanos_ ;
     /**
      * <pre>
-     * admitted: how long to hold the prompt back
+     * admitted: how long to hold the prompt back; queued: the expected delay
      * </pre>
      *
      * <code>int64 delay_nanos = 3;</code>
@@ -500,7 +907,7 @@
     }
     /**
      * <pre>
-     * admitted: how long to hold the prompt back
+     * admitted: how long to hold the prompt back; queued: the expected delay
      * </pre>
      *
      * <code>int64 delay_nanos = 3;</code>
@@ -516,7 +923,7 @@
     }
     /**
      * <pre>
-     * admitted: how long to hold the prompt back
+     * admitted: how long to hold the prompt back; queued: the expected delay
      * </pre>
      *
      * <code>int64 delay_nanos = 3;</code>
@@ -529,6 +936,196 @@
       return this;
     }
 
+    private int outcome_ = 0;
+    /**
+     * <pre>
+     * set if the request was ordered; a queued request gets a second response
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Outcome outcome = 4;</code>
+     * @return The enum numeric value on the wire for outcome.
+     */
+    @java.lang.Override public int getOutcomeValue() {
+      return outcome_;
+    }
+    /**
+     * <pre>
+     * set if the request was ordered; a queued request gets a second response
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Outcome outcome = 4;</code>
+     * @param value The enum numeric value on the wire for outcome to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOutcomeValue(int value) {
+      outcome_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * set if the request was ordered; a queued request gets a second response
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Outcome outcome = 4;</code>
+     * @return The outcome.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetAdmissionResponse.Outcome getOutcome() {
+      org.geraniumreach.messages.TargetAdmissionResponse.Outcome result = org.geraniumreach.messages.TargetAdmissionResponse.Outcome.forNumber(outcome_);
+      return result == null ? org.geraniumreach.messages.TargetAdmissionResponse.Outcome.UNRECOGNIZED : result;
+    }
+    /**
+     * <pre>
+     * set if the request was ordered; a queued request gets a second response
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Outcome outcome = 4;</code>
+     * @param value The outcome to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOutcome(org.geraniumreach.messages.TargetAdmissionResponse.Outcome value) {
+      if (value == null) {
+        throw new NullPointerException();
+      }
+      bitField0_ |= 0x00000008;
+      outcome_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * set if the request was ordered; a queued request gets a second response
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Outcome outcome = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOutcome() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      outcome_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long retryAfterNanos_ ;
+    /**
+     * <pre>
+     * rejected: the time until capacity is expected
+     * </pre>
+     *
+     * <code>int64 retry_after_nanos = 5;</code>
+     * @return The retryAfterNanos.
+     */
+    @java.lang.Override
+    public long getRetryAfterNanos() {
+      return retryAfterNanos_;
+    }
+    /**
+     * <pre>
+     * rejected: the time until capacity is expected
+     * </pre>
+     *
+     * <code>int64 retry_after_nanos = 5;</code>
+     * @param value The retryAfterNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetryAfterNanos(long value) {
+
+      retryAfterNanos_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * rejected: the time until capacity is expected
+     * </pre>
+     *
+     * <code>int64 retry_after_nanos = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetryAfterNanos() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      retryAfterNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int reason_ = 0;
+    /**
+     * <pre>
+     * rejected: why
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Reason reason = 6;</code>
+     * @return The enum numeric value on the wire for reason.
+     */
+    @java.lang.Override public int getReasonValue() {
+      return reason_;
+    }
+    /**
+     * <pre>
+     * rejected: why
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Reason reason = 6;</code>
+     * @param value The enum numeric value on the wire for reason to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReasonValue(int value) {
+      reason_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * rejected: why
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Reason reason = 6;</code>
+     * @return The reason.
+     */
+    @java.lang.Override
+    public org.geraniumreach.messages.TargetAdmissionResponse.Reason getReason() {
+      org.geraniumreach.messages.TargetAdmissionResponse.Reason result = org.geraniumreach.messages.TargetAdmissionResponse.Reason.forNumber(reason_);
+      return result == null ? org.geraniumreach.messages.TargetAdmissionResponse.Reason.UNRECOGNIZED : result;
+    }
+    /**
+     * <pre>
+     * rejected: why
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Reason reason = 6;</code>
+     * @param value The reason to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReason(org.geraniumreach.messages.TargetAdmissionResponse.Reason value) {
+      if (value == null) {
+        throw new NullPointerException();
+      }
+      bitField0_ |= 0x00000020;
+      reason_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * rejected: why
+     * </pre>
+     *
+     * <code>.geraniumreach.link.TargetAdmissionResponse.Reason reason = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReason() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      reason_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.TargetAdmissionResponse)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionResponseOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionResponseOrBuilder.java
@@ -23,11 +23,59 @@
 
   /**
    * <pre>
-   * admitted: how long to hold the prompt back
+   * admitted: how long to hold the prompt back; queued: the expected delay
    * </pre>
    *
    * <code>int64 delay_nanos = 3;</code>
    * @return The delayNanos.
    */
   long getDelayNanos();
+
+  /**
+   * <pre>
+   * set if the request was ordered; a queued request gets a second response
+   * </pre>
+   *
+   * <code>.geraniumreach.link.TargetAdmissionResponse.Outcome outcome = 4;</code>
+   * @return The enum numeric value on the wire for outcome.
+   */
+  int getOutcomeValue();
+  /**
+   * <pre>
+   * set if the request was ordered; a queued request gets a second response
+   * </pre>
+   *
+   * <code>.geraniumreach.link.TargetAdmissionResponse.Outcome outcome = 4;</code>
+   * @return The outcome.
+   */
+  org.geraniumreach.messages.TargetAdmissionResponse.Outcome getOutcome();
+
+  /**
+   * <pre>
+   * rejected: the time until capacity is expected
+   * </pre>
+   *
+   * <code>int64 retry_after_nanos = 5;</code>
+   * @return The retryAfterNanos.
+   */
+  long getRetryAfterNanos();
+
+  /**
+   * <pre>
+   * rejected: why
+   * </pre>
+   *
+   * <code>.geraniumreach.link.TargetAdmissionResponse.Reason reason = 6;</code>
+   * @return The enum numeric value on the wire for reason.
+   */
+  int getReasonValue();
+  /**
+   * <pre>
+   * rejected: why
+   * </pre>
+   *
+   * <code>.geraniumreach.link.TargetAdmissionResponse.Reason reason = 6;</code>
+   * @return The reason.
+   */
+  org.geraniumreach.messages.TargetAdmissionResponse.Reason getReason();
 }
--- a/node/src/main/java/org/geraniumreach/node/Rehearsal.java
+++ b/node/src/main/java/org/geraniumreach/node/Rehearsal.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
 import java.util.stream.Stream;
@@ -87,7 +88,8 @@
                 new ColdStartLimiter.Tolerance(1, 0),
                 Duration.ofSeconds(5),
                 1,
-                Duration.ofSeconds(1));
+                Duration.ofSeconds(1),
+                Set.of());
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
--- a/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -89,7 +90,8 @@
                 new ColdStartLimiter.Tolerance(1, 0),
                 Duration.ofSeconds(5),
                 1,
-                Duration.ofSeconds(1));
+                Duration.ofSeconds(1),
+                Set.of());
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
--- a/node/src/test/java/org/geraniumreach/node/FakeFleet.java
+++ b/node/src/test/java/org/geraniumreach/node/FakeFleet.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -60,7 +61,8 @@
                 new ColdStartLimiter.Tolerance(1, 0),
                 Duration.ofSeconds(5),
                 1,
-                Duration.ofSeconds(1));
+                Duration.ofSeconds(1),
+                Set.of());
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
