Decode the slowdown that targets report in the load header

Targets of some deployments report in a fourth figure of X-Server-Load how long work takes at present. A figure that is no number, not above 0 or above 10,000 is dropped and logged as 4014; the counts and the request are not affected.

mvn verify -pl platform,model -am -Dtest='TargetAnswerDecoderTest,EventCodeTest': passes.

--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -41,6 +41,8 @@
     CALLER_GONE(4011, Level.INFO, "A caller went away before its answer was whole."),
     REQUEST_ANSWERED(4012, Level.INFO, "A target's answer was passed on whole."),
     REQUEST_UNREADABLE(4013, Level.INFO, "A caller's message is no request that can be read."),
+    TARGET_SLOWDOWN_MALFORMED(
+            4014, Level.WARN, "A target's answer reports a slowdown that makes no sense; it is ignored."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
@@ -65,6 +67,7 @@
     TARGET_RESTING(5021, Level.INFO, "A target has refused a call and asked for rest; it gets nothing meanwhile."),
     TARGET_LEAVING(5022, Level.INFO, "A target has said in an answer that it leaves; it gets no new requests."),
     TARGET_HEAD_MALFORMED(5023, Level.WARN, "A target's answer has a head that cannot be read in part; it is ignored."),
+    TARGET_SPEED_CHANGED(5024, Level.INFO, "The owner of a target has learnt another prefill rate of it."),
     LINK_OPENED(6001, Level.DEBUG, "A link to a peer is open."),
     LINK_LOST(6002, Level.WARN, "A link to a peer was lost or went silent."),
     FRAME_REFUSED(6003, Level.WARN, "A peer sent what is not a frame; the link was closed."),
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -159,7 +159,9 @@
                 connections,
                 targetLimits.andThen(restingTargets).andThen(announcedDepartures),
                 (target, reason) ->
-                        log.write(EventCode.TARGET_HEAD_MALFORMED, target.value(), Field.of("reason", reason)));
+                        log.write(EventCode.TARGET_HEAD_MALFORMED, target.value(), Field.of("reason", reason)),
+                (target, reason) ->
+                        log.write(EventCode.TARGET_SLOWDOWN_MALFORMED, target.value(), Field.of("reason", reason)));
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.evacuations = new Evacuations(settings.evacuationLimit(), clock, log);
         LimitDivision equalDivision = new EqualDivision(settings.instance(), () -> directory.knownInstances());
