Exchange the speeds of targets between entries

Entries had no way to tell a target's owner how long its prompts take, nor owners to tell the entries how fast their targets are. Attempts pass on the prefill times of prompts that this entry sent alone. Owners repeat their published rates when a link opens.

--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -10,7 +10,11 @@
 import org.geraniumreach.gateway.pacing.TargetAdmission.Decision;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.Slowdown;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.port.TargetLoad;
+import org.geraniumreach.gateway.speed.PrefillSample;
+import org.geraniumreach.gateway.testing.FakeTargets;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -231,6 +235,35 @@
         assertThat(world.adapters().enqueuedLoads()).hasSize(1);
     }
 
+    /** Guards against learning the speed of a target from prompts that waited behind others of this entry. */
+    @Test
+    void thePrefillTimeOfAPromptThatWasAloneIsPassedOnWithTheSlowdown() {
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, 2).addTarget("a", Map.of("base", Map.of("a7", 1L)));
+        world.send(Optional.of(generation()));
+        FakeTargets.SentRequest alone = world.targets().lastRequest();
+        world.send(Optional.of(generation()));
+        FakeTargets.SentRequest behind = world.targets().lastRequest();
+        world.time().advance(Duration.ofMillis(40));
+        Optional<Slowdown> slowdown = Optional.of(new Slowdown(2.5));
+        for (FakeTargets.SentRequest request : List.of(alone, behind)) {
+            request.answerHead(200, true, new TargetLoad(Optional.empty(), slowdown));
+            request.answerPart("id: 0\n\n");
+            request.answerPart("id: 1\n\n");
+        }
+        assertThat(world.prefills()).containsExactly(new PrefillSample(100, Duration.ofMillis(40), slowdown));
+    }
+
+    /** Guards against a request that fails because its target answered within the resolution of the clock. */
+    @Test
+    void aPromptWithoutAPrefillTimeIsNotPassedOn() {
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, 2).addTarget("a", Map.of("base", Map.of("a7", 1L)));
+        world.send(Optional.of(generation()));
+        world.targets().lastRequest().answerHead(200, true);
+        world.targets().lastRequest().answerPart("id: 0\n\n");
+        assertThat(world.prefills()).isEmpty();
+        assertThat(world.targets().lastRequest().isOpen()).isTrue();
+    }
+
     /** Guards against prompts that are sent to a target whose admission refused them. */
     @Test
     void aSaturatedTargetIsPassedOver() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
@@ -62,10 +62,14 @@
         }
 
         public void answerHead(int status, boolean stream) {
+            answerHead(status, stream, NO_LOAD);
+        }
+
+        public void answerHead(int status, boolean stream, TargetLoad load) {
             listener.onHead(
                     new TargetAnswerHead(
                             status, List.of(new Header("Seal", target.id().value())), stream),
-                    NO_LOAD);
+                    load);
         }
 
         public void answerPart(String text) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -35,6 +35,7 @@
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.gateway.request.RequestHandler;
 import org.geraniumreach.gateway.request.RetryBudgets;
+import org.geraniumreach.gateway.speed.PrefillSample;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.CallerLimits;
@@ -63,6 +64,7 @@
     private final TargetRegistry registry = new TargetRegistry(time);
     private final FakeAdapterLoader adapters = new FakeAdapterLoader();
     private final List<OutcomeListener.Outcome> outcomes = new ArrayList<>();
+    private final List<PrefillSample> prefills = new ArrayList<>();
     private final Lease lease = new Lease(time, time::wallMillis);
     private final Quotas quotas = new Quotas(
             "one", lease, new Quotas.Tolerance(0, 0, Duration.ofSeconds(1)), time, (event, id, fields) -> {});
@@ -180,6 +182,7 @@
                         (target, promptTokens, longestDelay, onDecision) ->
                                 admission.admit(target, promptTokens, longestDelay, onDecision),
                         (target, onDecision) -> limiter.admit(target, onDecision),
+                        (target, sample) -> prefills.add(sample),
                         new RetryBudgets(() -> RetryBudget.create(time, 1, 0, RETRY_LIMIT)),
                         health,
                         time,
@@ -323,6 +326,11 @@
         return adapters;
     }
 
+    /** Returns the prefill times that were passed on. */
+    public List<PrefillSample> prefills() {
+        return prefills;
+    }
+
     public List<OutcomeListener.Outcome> outcomes() {
         return outcomes;
     }
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -34,6 +34,8 @@
 import org.geraniumreach.messages.TargetLimit;
 import org.geraniumreach.messages.TargetLimitRequest;
 import org.geraniumreach.messages.TargetLimitResponse;
+import org.geraniumreach.messages.TargetSpeedSamples;
+import org.geraniumreach.messages.TargetSpeedUpdate;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.InstanceId;
 
@@ -45,7 +47,7 @@
  */
 final class EntryLinks implements FrameHandler, AutoCloseable {
 
-    private static final int PROTOCOL_VERSION = 4;
+    private static final int PROTOCOL_VERSION = 5;
 
     /** The first version with feed updates and quota requests; entries of earlier versions close the link on an unknown frame. */
     private static final int FEED_AND_QUOTA_VERSION = 2;
@@ -56,6 +58,9 @@
     /** The first version in which the owners of targets keep the requests of all entries within the targets' limits. */
     private static final int LIMIT_VERSION = 4;
 
+    /** The first version in which the owners of targets learn their speeds from all entries. */
+    private static final int SPEED_VERSION = 5;
+
     /**
      * Long, since heartbeats are most of the frames between many entries, and the targets of a lost entry are taken over only after
      * its lease has expired, which takes much longer.
@@ -81,6 +86,8 @@
     private LimitHandler limitHandler =
             new LimitHandler(entry -> {}, (entry, request) -> {}, response -> {}, known -> {});
 
+    private SpeedHandler speedHandler = new SpeedHandler(entry -> {}, update -> {}, samples -> {});
+
     /** Receives the adapter messages of other entries. */
     interface Listener {
 
@@ -105,6 +112,18 @@
             Consumer<TargetLimitResponse> onResponse,
             Consumer<TargetLimit> onUpdate) {}
 
+    /**
+     * The handlers of messages about the speeds of targets.
+     *
+     * @param onLinkOpened called when a link to an entry that knows these messages has opened
+     * @param onUpdate receives the rates that the owners of targets publish
+     * @param onSamples receives what other entries have observed
+     */
+    record SpeedHandler(
+            Consumer<String> onLinkOpened,
+            Consumer<TargetSpeedUpdate> onUpdate,
+            Consumer<TargetSpeedSamples> onSamples) {}
+
     private EntryLinks(
             ProcessSettings settings, long incarnation, EventLoopGroup loops, Listener listener, DecisionLog log) {
         this.self = settings.instance();
@@ -142,7 +161,9 @@
                         Frame.BodyCase.TARGET_ADMISSION_RESPONSE,
                         Frame.BodyCase.TARGET_LIMIT_REQUEST,
                         Frame.BodyCase.TARGET_LIMIT_RESPONSE,
-                        Frame.BodyCase.TARGET_LIMIT_UPDATE),
+                        Frame.BodyCase.TARGET_LIMIT_UPDATE,
+                        Frame.BodyCase.TARGET_SPEED_UPDATE,
+                        Frame.BodyCase.TARGET_SPEED_SAMPLES),
                 entryLinks);
         entryLinks.linkNode.listen(settings.linkAddress());
         return entryLinks;
@@ -195,6 +216,18 @@
                 .forEach(peer -> peer.send(frame));
     }
 
+    /** Sends a frame about the speed of a target; not sent to entries whose version does not know it. */
+    boolean sendSpeed(String entry, Frame frame) {
+        return sendIfVersionAtLeast(SPEED_VERSION, entry, frame);
+    }
+
+    /** Sends a frame about the speed of a target to all entries whose version knows it. */
+    void sendSpeedToAll(Frame frame) {
+        linkNode.peers().stream()
+                .filter(peer -> isVersionAtLeast(SPEED_VERSION, peer))
+                .forEach(peer -> peer.send(frame));
+    }
+
     private boolean sendIfVersionAtLeast(int version, String entry, Frame frame) {
         return linkNode.find(InstanceId.of(entry))
                 .filter(peer -> isVersionAtLeast(version, peer))
@@ -234,6 +267,11 @@
         limitHandler = Objects.requireNonNull(handler, "handler");
     }
 
+    /** Sets the handlers of messages about the speeds of targets. */
+    void onSpeed(SpeedHandler handler) {
+        speedHandler = Objects.requireNonNull(handler, "handler");
+    }
+
     /** Gets the connected entries of this entry's failure domain that support feed updates. */
     List<Peer> domainPeers() {
         return linkNode.peers().stream()
@@ -249,6 +287,9 @@
         if (isVersionAtLeast(LIMIT_VERSION, peer)) {
             limitHandler.onLinkOpened().accept(peer.hello().getInstance());
         }
+        if (isVersionAtLeast(SPEED_VERSION, peer)) {
+            speedHandler.onLinkOpened().accept(peer.hello().getInstance());
+        }
     }
 
     @Override
@@ -273,6 +314,10 @@
             limitHandler.onResponse().accept(frame.getTargetLimitResponse());
         } else if (frame.hasTargetLimitUpdate()) {
             limitHandler.onUpdate().accept(frame.getTargetLimitUpdate().getKnown());
+        } else if (frame.hasTargetSpeedUpdate()) {
+            speedHandler.onUpdate().accept(frame.getTargetSpeedUpdate());
+        } else if (frame.hasTargetSpeedSamples()) {
+            speedHandler.onSamples().accept(frame.getTargetSpeedSamples());
         }
     }
 
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.DoubleSummaryStatistics;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.ToDoubleFunction;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -43,6 +45,7 @@
 import org.geraniumreach.gateway.request.RequestHandler;
 import org.geraniumreach.gateway.request.RetryBudgets;
 import org.geraniumreach.gateway.rest.RestingTargets;
+import org.geraniumreach.gateway.speed.LearntTargetSpeeds;
 import org.geraniumreach.gateway.store.FeedReader;
 import org.geraniumreach.gateway.store.LeaseRenewer;
 import org.geraniumreach.gateway.store.StoreAvailability;
@@ -112,6 +115,7 @@
     private final LimitAdmission limitAdmission;
     private final RestingTargets restingTargets;
     private final AnnouncedDepartures announcedDepartures;
+    private final LearntTargetSpeeds targetSpeeds;
     private final TargetClient targets;
     private final AdapterLoadCoordinator coordinator;
     private final TargetHealth health;
@@ -129,6 +133,7 @@
     private volatile int evacuatedRequests;
     private volatile int coldTargets;
     private volatile int limitedTargets;
+    private volatile DoubleSummaryStatistics knownTargetRates = new DoubleSummaryStatistics();
     private boolean wasReady;
     private Ingress ingress;
     private EntryLinks links;
@@ -155,9 +160,19 @@
         this.targetLimits = new TargetLimits(clock, log);
         this.restingTargets = new RestingTargets(clock, log);
         this.announcedDepartures = new AnnouncedDepartures(log);
+        this.targetSpeeds = new LearntTargetSpeeds(
+                ownership,
+                registry,
+                settings.hasFeature(ProcessSettings.Feature.ORDERED_ADMISSION),
+                timers,
+                clock,
+                log);
         this.targets = new TargetClient(
                 connections,
-                targetLimits.andThen(restingTargets).andThen(announcedDepartures),
+                targetLimits
+                        .andThen(restingTargets)
+                        .andThen(announcedDepartures)
+                        .andThen(targetSpeeds),
                 (target, reason) ->
                         log.write(EventCode.TARGET_HEAD_MALFORMED, target.value(), Field.of("reason", reason)),
                 (target, reason) ->
@@ -208,6 +223,7 @@
                 quotaAdmission,
                 ownerAdmission,
                 limitAdmission,
+                targetSpeeds,
                 new RetryBudgets(this::createRetryBudget),
                 health,
                 timers,
@@ -311,6 +327,16 @@
         metrics.gauge("geraniumreach.cold.targets", "Targets that have not warmed up.", () -> coldTargets);
         metrics.gauge(
                 "geraniumreach.limited.targets", "Targets that name a limit on their requests.", () -> limitedTargets);
+        metrics.gauge(
+                "geraniumreach.known.speed.targets", "Targets with a known speed.", () -> knownTargetRates.getCount());
+        metrics.gauge(
+                "geraniumreach.lowest.target.rate",
+                "The lowest prefill rate of a target with a known speed, relative to its service.",
+                () -> knownTargetRate(DoubleSummaryStatistics::getMin));
+        metrics.gauge(
+                "geraniumreach.highest.target.rate",
+                "The highest prefill rate of a target with a known speed, relative to its service.",
+                () -> knownTargetRate(DoubleSummaryStatistics::getMax));
         metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> isReady() ? 1 : 0);
         metrics.gauge("geraniumreach.log.lines.dropped", "Lines that the log had no room for.", jsonLog::totalDropped);
         InetSocketAddress address =
@@ -350,6 +376,7 @@
         registry.addListener(limitAdmission);
         registry.addListener(announcedDepartures);
         registry.addListener(ownerAdmission);
+        registry.addListener(targetSpeeds);
         coordinator.start(links);
         quotaLinks = new QuotaLinks(quotas, links);
         links.onQuota(
@@ -357,6 +384,7 @@
                 response -> quotaAdmission.onAnswer(response.getNumber(), QuotaLinks.toAdmission(response)));
         targetAdmissionLinks = new TargetAdmissionLinks(ownerAdmission, links);
         targetLimitLinks = new TargetLimitLinks(targetLimits, limitAdmission, registry, links, log);
+        TargetSpeedLinks.connect(targetSpeeds, links, log);
         startFeeds();
         leaseRenewer.renew();
         ownership.setCapacity(directory::capacity);
@@ -469,6 +497,13 @@
                 (int) registry.all().stream().filter(coldStartLimiter::isCold).count();
         limitedTargets =
                 (int) registry.all().stream().filter(limitAdmission::isLimited).count();
+        knownTargetRates = targetSpeeds.knownRates();
+    }
+
+    /** Gets a relative rate for the metrics; 1 while no target has a known speed. */
+    private double knownTargetRate(ToDoubleFunction<DoubleSummaryStatistics> statistic) {
+        DoubleSummaryStatistics rates = knownTargetRates;
+        return rates.getCount() == 0 ? 1 : statistic.applyAsDouble(rates);
     }
 
     private void logReadinessChange() {
--- a/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -29,6 +29,8 @@
 import org.geraniumreach.messages.TargetLimitRequest;
 import org.geraniumreach.messages.TargetLimitResponse;
 import org.geraniumreach.messages.TargetLimitUpdate;
+import org.geraniumreach.messages.TargetSpeedSamples;
+import org.geraniumreach.messages.TargetSpeedUpdate;
 import org.geraniumreach.model.FailureDomain;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -64,6 +66,10 @@
                 (entry, request) -> received.add("limit request of " + entry),
                 response -> received.add("limit response " + response.getNumber()),
                 known -> received.add("limit of " + known.getTarget())));
+        secondLinks.onSpeed(new EntryLinks.SpeedHandler(
+                entry -> {},
+                update -> received.add("speed of " + update.getTarget()),
+                samples -> received.add("samples of " + samples.getTarget())));
         loops.submit(() -> firstLinks.setOtherEntries(Map.of("two", secondSettings.linkAddress())))
                 .sync();
         assertThat(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).startsWith("opened");
@@ -131,6 +137,12 @@
                         .build(),
                 Frame.newBuilder()
                         .setTargetLimitUpdate(TargetLimitUpdate.getDefaultInstance())
+                        .build(),
+                Frame.newBuilder()
+                        .setTargetSpeedUpdate(TargetSpeedUpdate.getDefaultInstance())
+                        .build(),
+                Frame.newBuilder()
+                        .setTargetSpeedSamples(TargetSpeedSamples.getDefaultInstance())
                         .build());
     }
 
