Accept the answer to a loan request until the loan would end

An entry without a share of an account depends on a loan for each request. When the lender answered after loan-answer-limit (100 ms), the borrower refused all waiting requests at once with OUT_OF_BUDGET, refused further ones during the back-off, and dropped the late answer, although the lender had set the tokens aside. On a busy machine an account far below its rate was refused this way.

The answer limit now only says when the next entry is asked. A late answer is accepted until the end of the loan, requests wait for it at most longest-wait, and an entry with an unanswered request is not asked again. A request to an entry that is no longer linked is dropped.

--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/AccountBudget.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/AccountBudget.java
@@ -73,7 +73,10 @@
         this.bucket = new TokenBucket(policy.clockDriftPartsPerMillion(), now);
         this.demand = new DemandMeter(now);
         this.firstClaimDeadline = now + policy.longestWait().toNanos();
-        this.loanRequester = new LoanRequester(random, policy.loanAnswerLimit().toNanos());
+        this.loanRequester = new LoanRequester(
+                random,
+                policy.loanAnswerLimit().toNanos(),
+                policy.loanDuration().toNanos());
     }
 
     /**
@@ -100,6 +103,7 @@
     public synchronized void setPeersAndHolderRow(List<InstanceId> newPeers, Optional<RowKey> newHolderRow) {
         peers = List.copyOf(newPeers);
         holderRow = newHolderRow;
+        loanRequester.retainLenders(peers);
     }
 
     /**
@@ -266,9 +270,10 @@
      */
     public synchronized BudgetStep onLoanAnswered(InstanceId peer, Loan loan) {
         long now = advance();
-        if (loanRequester.acceptAnswer(peer, loan)) {
+        OptionalLong requestedAt = loanRequester.acceptAnswer(peer, loan);
+        if (requestedAt.isPresent()) {
             // The lender measures the duration from after it received the request, so the loan ends here first.
-            long expiresAt = loanRequester.requestedAt() + loan.duration().toNanos();
+            long expiresAt = requestedAt.getAsLong() + loan.duration().toNanos();
             if (now < expiresAt) {
                 loansTaken.add(loan.parts(), expiresAt);
                 resize(now);
@@ -325,11 +330,9 @@
             loanRequester.endRound();
             return new BudgetStep(actions, OptionalLong.empty());
         }
-        if (!loanRequester.isPending()) {
-            loanRequester
-                    .nextLender(peers, now)
-                    .ifPresent(peer -> actions.add(new BudgetAction.RequestLoan(peer, loanRequest(now))));
-        }
+        loanRequester
+                .nextLender(peers, now)
+                .ifPresent(peer -> actions.add(new BudgetAction.RequestLoan(peer, loanRequest(now))));
         refuseUnservable(actions, now);
         return new BudgetStep(actions, wakeAt(now));
     }
@@ -370,7 +373,7 @@
         long spendableParts = spendableOwnParts(now);
         // A new entry or client account has no share until its claim has completed. Its first requests wait for the
         // claim; otherwise they would be refused although the account is within its rate.
-        boolean mayReceiveBudget = loanRequester.isPending() || now < firstClaimDeadline;
+        boolean mayReceiveBudget = loanRequester.mayReceiveLoan() || now < firstClaimDeadline;
         for (WaitQueue.Unservable unservable :
                 waitQueue.removeUnservable((waiter, cumulativeTokens) -> now < waiter.deadline()
                         && (mayReceiveBudget
@@ -406,10 +409,7 @@
         if (waitQueue.isEmpty()) {
             return OptionalLong.empty();
         }
-        long wakeTime = waitQueue.earliestDeadline();
-        if (loanRequester.isPending()) {
-            wakeTime = Math.min(wakeTime, loanRequester.answerDeadline());
-        }
+        long wakeTime = Math.min(waitQueue.earliestDeadline(), loanRequester.nextTimeout(now));
         wakeTime = Math.min(wakeTime, Math.min(loansGiven.nextExpiry(), loansTaken.nextExpiry()));
         WaitQueue.Waiter head = waitQueue.head().orElseThrow();
         wakeTime = now < firstClaimDeadline ? Math.min(wakeTime, firstClaimDeadline) : wakeTime;
