Hand over a minimum share from an entry whose bucket is full

A handover gave only parts that hold no tokens. The first entry to claim an account has a full bucket, so as long as the account used little, that entry kept the whole share (1.0), and each request at the other entries depended on a loan.

A recipient that holds less than a sixteenth of what both entries hold now gets that sixteenth in any case; the tokens of these parts are lost, at most once for each recipient. The stored row of the recipient decides, so repeated requests do not repeat it.

--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/AccountBudget.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/AccountBudget.java
@@ -130,11 +130,13 @@
      * Withdraws own parts that are to be handed over.
      *
      * @param parts the parts requested
-     * @return the parts withdrawn, fewer than requested if not enough are idle
+     * @param guaranteedParts the parts to withdraw even if they hold tokens, which are then lost; otherwise an entry with
+     *     a full bucket would never hand over anything
+     * @return the parts withdrawn, fewer than requested if not enough are idle or unlent
      */
-    public synchronized long withdraw(long parts) {
+    public synchronized long withdraw(long parts, long guaranteedParts) {
         long now = advance();
-        long withdrawn = Math.min(parts, idleParts());
+        long withdrawn = Math.min(parts, Math.max(idleParts(), Math.min(guaranteedParts, unlentParts())));
         ownParts -= withdrawn;
         resize(now);
         return withdrawn;
--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/DemandSharing.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/DemandSharing.java
@@ -22,6 +22,11 @@
 
     private DemandSharing() {}
 
+    /** Gets the parts that each of two entries keeps of those that both hold. */
+    static long minimumParts(long totalParts) {
+        return totalParts / MIN_KEPT_DIVISOR;
+    }
+
     static Decision decide(LenderState lender, BorrowRequest request) {
         if (lender.hasWaitingRequests()) {
             return Decision.NONE;
@@ -41,7 +46,7 @@
         long totalParts = lender.parts() + request.heldParts();
         double borrowerFraction = (request.tokensPerSecondDemanded() + 1.0)
                 / (request.tokensPerSecondDemanded() + lender.tokensPerSecondDemanded() + 2.0);
-        long minimumParts = totalParts / MIN_KEPT_DIVISOR;
+        long minimumParts = minimumParts(totalParts);
         long borrowerTarget =
                 Math.min(Math.max((long) (totalParts * borrowerFraction), minimumParts), totalParts - minimumParts);
         long handoverParts = borrowerTarget - request.heldParts();
--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/EntryBudget.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/EntryBudget.java
@@ -56,9 +56,9 @@
         this.shareManager = new ShareManager(self, policy, leaseValidity, clock, this::withdraw);
     }
 
-    private long withdraw(AccountId account, long parts) {
+    private long withdraw(AccountId account, long parts, long guaranteedParts) {
         AccountBudget budget = accounts.get(account);
-        return budget == null ? parts : budget.withdraw(parts);
+        return budget == null ? parts : budget.withdraw(parts, guaranteedParts);
     }
 
     private AccountBudget budget(AccountId account) {
--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/ShareManager.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/ShareManager.java
@@ -74,9 +74,10 @@
          *
          * @param account the client account, not null
          * @param parts the parts requested
+         * @param guaranteedParts the parts to withdraw even if they hold tokens, which are then lost
          * @return the parts withdrawn, which are not spent afterwards
          */
-        long withdraw(AccountId account, long parts);
+        long withdraw(AccountId account, long parts, long guaranteedParts);
     }
 
     /** The last known content of this entry's row. */
@@ -405,10 +406,11 @@
         ShareTransfer adjusted = transfer;
         if (transfer.kind() == ShareTransfer.Kind.HANDOVER && found.isPresent()) {
             AccountId account = transfer.account().orElseThrow();
+            long parts = Math.min(transfer.parts(), usableParts(account));
             adjusted = ShareTransfer.handover(
                     account,
                     transfer.other(),
-                    withdrawal.withdraw(account, Math.min(transfer.parts(), usableParts(account))));
+                    withdrawal.withdraw(account, parts, partsBelowMinimum(account, found.get())));
         }
         Optional<ShareTransfer.Plan> plan = adjusted.plan(currentShares(), found);
         if (plan.isEmpty()) {
@@ -418,6 +420,14 @@
         preparedCommit = commit(plan.get().transaction(), plan.get().sharesAfter(), Optional.of(adjusted), plan, now);
     }
 
+    /** Gets the parts that a recipient lacks to hold its minimum share. */
+    private long partsBelowMinimum(AccountId account, Row recipient) {
+        long recipientParts = HolderRow.read(recipient.value())
+                .map(row -> row.shares().parts(account))
+                .orElse(0L);
+        return Math.max(0, DemandSharing.minimumParts(usableParts(account) + recipientParts) - recipientParts);
+    }
+
     private boolean isStillDeparted(Optional<Row> found) {
         return found.isPresent()
                 && departedHolders.departedRows(clock.nanos()).stream()
--- a/coordination/src/test/java/org/geraniumreach/coordination/budget/BudgetSimulation.java
+++ b/coordination/src/test/java/org/geraniumreach/coordination/budget/BudgetSimulation.java
@@ -103,6 +103,10 @@
         return entries.get(choice % entries.size());
     }
 
+    long ownParts(int choice) {
+        return entry(choice).budget.ownParts(SimulatedEntry.ACCOUNT);
+    }
+
     List<InstanceId> peersOf(SimulatedEntry self) {
         return entries.stream()
                 .filter(entry -> !entry.dead)
