--- a/coordination/src/main/java/org/geraniumreach/coordination/budget/BudgetPolicy.java
+++ b/coordination/src/main/java/org/geraniumreach/coordination/budget/BudgetPolicy.java
@@ -16,7 +16,7 @@
  * @param listLag the maximum lag of the instance list
  * @param quarantine how long a holder must be absent before its shares are taken over
  * @param loanDuration the duration of a loan
- * @param loanAnswerLimit the timeout of a loan request
+ * @param loanAnswerLimit how long a loan request goes unanswered before the next entry is asked
  * @param longestWait the maximum time for which a request waits for budget
  * @param scanInterval the interval between scans of the rows in the table service
  * @param clockDriftPartsPerMillion the maximum drift of a clock
--- a/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetSettings.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/budget/BudgetSettings.java
@@ -19,7 +19,7 @@
  * @param listLag the maximum lag of the instance list
  * @param quarantine how long a holder must be absent before its shares are reclaimed
  * @param loanDuration the duration of a loan
- * @param loanAnswerLimit the timeout of a loan request
+ * @param loanAnswerLimit how long a loan request goes unanswered before the next entry is asked
  * @param longestWait the maximum time that a request waits for budget
  * @param scanInterval the interval between scans for shares without a holder
  * @param clockDriftPartsPerMillion the maximum drift of a clock, in parts per million
@@ -39,7 +39,10 @@
                         about = "How long an entry must be gone before its shares are taken back.")
                 Duration quarantine,
         @Setting(value = "2s", least = "50ms", about = "How long a loan between entries lasts.") Duration loanDuration,
-        @Setting(value = "100ms", least = "1ms", about = "How long an answer to a loan request is waited for.")
+        @Setting(
+                        value = "100ms",
+                        least = "1ms",
+                        about = "How long a loan request goes unanswered before the next entry is asked.")
                 Duration loanAnswerLimit,
         @Setting(value = "2s", least = "0ms", about = "How long a request may wait for budget that is certain to come.")
                 Duration longestWait,
