Divide limits by any key, in a package of their own

EqualDivision and LimitDivision were tied to targets, and the retries of a service are to be divided among the entries in the same way. The key is a string now, which for targets is the id that was hashed before, so their shares do not change. The three classes move from gateway.cold to gateway.division. ColdStartLimiterTest passes the id's value instead of the id; its checks are the same.

mvn -o -B -q verify -pl gateway -am -Dtest='ColdStart*Test,LimitAdmission*Test' passes.

--- a/gateway/src/main/java/org/geraniumreach/gateway/cold/ColdStartLimiter.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/cold/ColdStartLimiter.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.function.Function;
 
+import org.geraniumreach.gateway.division.LimitDivision;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.DecisionLog;
@@ -148,6 +149,6 @@
             return OptionalInt.empty();
         }
         int limit = tolerance.limit(service.get().coldStart().requestsPerSecond());
-        return OptionalInt.of(division.share(target.id(), limit));
+        return OptionalInt.of(division.share(target.id().value(), limit));
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/cold/EqualDivision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/division/EqualDivision.java
@@ -1,16 +1,15 @@
-package org.geraniumreach.gateway.cold;
+package org.geraniumreach.gateway.division;
 
 import java.util.Collection;
 import java.util.Objects;
 import java.util.function.Supplier;
 
-import org.geraniumreach.model.TargetId;
 import org.geraniumreach.serving.routing.Rendezvous;
 
 /**
- * Divides the limit equally among all entries, or, if there are more entries than requests, gives one request each to some of them.
+ * Divides the limit equally among all entries, or, if there are more entries than the limit, gives one each to some of them.
  *
- * <p>Intended for requests that are spread evenly over the entries. Invariant: a share each for {@link #UNKNOWN_ENTRIES_RESERVE} entries that may
+ * <p>Intended for work that is spread evenly over the entries. Invariant: a share each for {@link #UNKNOWN_ENTRIES_RESERVE} entries that may
  * have been added is left unused; an entry that is not listed itself has no share. Confined to the event loop.
  */
 public final class EqualDivision implements LimitDivision {
@@ -25,7 +24,7 @@
      * Creates a division.
      *
      * @param self this entry's instance, not null
-     * @param entries supplies the instances of all entries that may send requests, reachable or not, not null
+     * @param entries supplies the instances of all entries that may use a share, reachable or not, not null
      */
     public EqualDivision(String self, Supplier<? extends Collection<String>> entries) {
         this.self = Objects.requireNonNull(self, "self");
@@ -33,7 +32,7 @@
     }
 
     @Override
-    public int share(TargetId target, int limit) {
+    public int share(String key, int limit) {
         Collection<String> known = entries.get();
         if (!known.contains(self)) {
             return 0;
@@ -42,13 +41,13 @@
         if (share > 0) {
             return share;
         }
-        long ownScore = score(target, self);
+        long ownScore = score(key, self);
         long ahead =
-                known.stream().filter(entry -> score(target, entry) < ownScore).count();
+                known.stream().filter(entry -> score(key, entry) < ownScore).count();
         return ahead < limit - UNKNOWN_ENTRIES_RESERVE ? 1 : 0;
     }
 
-    private static long score(TargetId target, String entry) {
-        return Rendezvous.score(Rendezvous.hash(target.value()), Rendezvous.hash(entry));
+    private static long score(String key, String entry) {
+        return Rendezvous.score(Rendezvous.hash(key), Rendezvous.hash(entry));
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/cold/OwnerOnlyDivision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/division/OwnerOnlyDivision.java
@@ -1,10 +1,8 @@
-package org.geraniumreach.gateway.cold;
+package org.geraniumreach.gateway.division;
 
 import java.util.Objects;
 import java.util.function.Predicate;
 
-import org.geraniumreach.model.TargetId;
-
 /**
  * Gives the whole limit to the target's owner.
  *
@@ -13,19 +11,19 @@
  */
 public final class OwnerOnlyDivision implements LimitDivision {
 
-    private final Predicate<TargetId> isOwned;
+    private final Predicate<String> isOwned;
 
     /**
      * Creates a division.
      *
-     * @param isOwned whether this entry owns a target, not null
+     * @param isOwned whether this entry owns the target with an id, not null
      */
-    public OwnerOnlyDivision(Predicate<TargetId> isOwned) {
+    public OwnerOnlyDivision(Predicate<String> isOwned) {
         this.isOwned = Objects.requireNonNull(isOwned, "isOwned");
     }
 
     @Override
-    public int share(TargetId target, int limit) {
-        return isOwned.test(target) ? limit : 0;
+    public int share(String key, int limit) {
+        return isOwned.test(key) ? limit : 0;
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -10,7 +10,7 @@
 import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.adapter.TargetOwnership;
-import org.geraniumreach.gateway.cold.LimitDivision;
+import org.geraniumreach.gateway.division.LimitDivision;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.Cancellable;
@@ -184,7 +184,7 @@
             sends.removeFirst();
         }
         int total = (int) (rate.get().perSecond() * UNOWNED_SECONDS + UNOWNED_EXTRA_REQUESTS);
-        if (sends.size() >= division.share(target.id(), total)) {
+        if (sends.size() >= division.share(target.id().value(), total)) {
             return Decision.refused(OWNER_RETRY_INTERVAL);
         }
         sends.addLast(now);
--- a/gateway/src/test/java/org/geraniumreach/gateway/cold/ColdStartLimiterTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/cold/ColdStartLimiterTest.java
@@ -12,6 +12,8 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.geraniumreach.gateway.division.EqualDivision;
+import org.geraniumreach.gateway.division.OwnerOnlyDivision;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.placement.TargetRegistry;
@@ -201,7 +203,7 @@
     /** Guards against two entries that both use the whole limit. */
     @Test
     void ownerOnlyDivisionGivesTheWholeLimitToTheOwner() {
-        assertThat(new OwnerOnlyDivision(target -> true).share(ID, 17)).isEqualTo(17);
-        assertThat(new OwnerOnlyDivision(target -> false).share(ID, 17)).isZero();
+        assertThat(new OwnerOnlyDivision(target -> true).share(ID.value(), 17)).isEqualTo(17);
+        assertThat(new OwnerOnlyDivision(target -> false).share(ID.value(), 17)).isZero();
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
@@ -15,7 +15,7 @@
 import net.jqwik.api.Property;
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.adapter.TargetOwnership;
-import org.geraniumreach.gateway.cold.EqualDivision;
+import org.geraniumreach.gateway.division.EqualDivision;
 import org.geraniumreach.gateway.limit.RequestLimiter.Decision;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetRegistry;
