Limit retries by a sliding window and by the entries that are known

Each entry had a bucket of the fixed retries divided by an assumed count of 6 entries, so that 29 entries together exceeded the limit of the service. gateway.retry counts the requests and retries of each service within the window of the settings, and takes this entry's part of the fixed retries from EqualDivision. A process has no part in its first window and the 2 s after it; a part that has grown counts after a window, since entries that have left may have used theirs. A retry is granted only if the remaining time exceeds what the target is expected to need: the placement's estimate for prompts, the mean time of the service's answers otherwise. Denials are logged as RETRY_DENIED (4016).

mvn -o -B -q test -pl node -am -Dtest='RetryBudgetsTest,ExchangeTest,EventCodeTest' passes. Not run: the whole verify of node with the linter, and the same test with the old bucket.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -18,6 +18,7 @@
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.quota.Quotas;
+import org.geraniumreach.gateway.retry.RetryDecision;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.Route;
@@ -39,6 +40,7 @@
     private static final int URGENCY_STEPS_PER_ACCOUNT_PRIORITY = 3;
     private static final int MAXIMUM_ROUTE_PRIORITY = 2;
     private static final int LOWEST_URGENCY = 9;
+    private static final int LOWEST_SERVER_ERROR = 500;
 
     private final ExchangeServices services;
     private final GatewayRequest request;
@@ -161,6 +163,10 @@
             return;
         }
         PlacementDecision decision = services.placement().place(placementRequest());
+        boolean hasTarget = !(decision instanceof PlacementDecision.Unplaceable);
+        if (hasTarget && !isSendAllowed(decision)) {
+            return;
+        }
         if (decision instanceof PlacementDecision.Send send) {
             adapterWait.cancel();
             requestTargetAdmission(send);
@@ -308,10 +314,12 @@
     private void send(PlacementDecision.Send send) {
         loadWait.reset();
         Target target = send.target();
-        if (sends > 0 && !services.retryBudgets().tryRetry(service)) {
-            giveUp(ResultCode.OVERLOADED, "no second arrival is allowed now");
+        if (!isSendAllowed(send)) {
             return;
         }
+        if (sends > 0) {
+            services.retryBudgets().recordRetry(service);
+        }
         sends++;
         log.logPlaced(send, progress(), account.map(this::quotaUnits).orElse(0.0));
         lastSentAt = OptionalLong.of(services.clock().nanos());
@@ -322,6 +330,34 @@
         newAttempt.start(envelope(target), maximumIdle(), silenceLimits());
     }
 
+    /**
+     * Ends the exchange if sending the request would be a retry that is not allowed now or that is not answered in time.
+     *
+     * <p>Asked when the request is placed, so that it does not wait in vain, and again when it is sent.
+     */
+    private boolean isSendAllowed(PlacementDecision placed) {
+        if (sends == 0) {
+            return true;
+        }
+        RetryDecision retry = services.retryBudgets().decide(service, remaining(), expectedWait(placed));
+        if (!retry.granted()) {
+            log.logRetryDenied(retry);
+            giveUp(ResultCode.OVERLOADED, "no retry is allowed now: " + retry.result());
+        }
+        return retry.granted();
+    }
+
+    /** Gets the expected time to the first part; placement does not estimate it for requests without a prompt. */
+    private Optional<Duration> expectedWait(PlacementDecision placed) {
+        if (promptTokens() == 0) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                placed instanceof PlacementDecision.Send send
+                        ? Duration.ofMillis(send.expectedWaitMillis())
+                        : Duration.ZERO);
+    }
+
     private TargetPort.RequestMetadata envelope(Target target) {
         OptionalLong version = adapter()
                 .filter(adapter -> services.adapters().namedVersion(adapter) > 0)
@@ -418,6 +454,7 @@
                 services.health().onSuccess(target.id());
             }
             relay.finish();
+            recordAnswerTime();
             finish(OutcomeListener.Kind.ANSWERED, relay.status());
         }
 
@@ -439,6 +476,14 @@
         }
     }
 
+    private void recordAnswerTime() {
+        boolean isPlainSuccess = promptTokens() == 0 && relay.status() < LOWEST_SERVER_ERROR;
+        if (isPlainSuccess && sends == 1) {
+            relay.timeToFirstPart(lastSentAt.orElse(startedAt))
+                    .ifPresent(time -> services.retryBudgets().recordAnswer(service, time));
+        }
+    }
+
     private boolean mayRunAgain() {
         return route.retryPolicy().allowsRerun() && possiblyRunTargets.size() < route.maximumTargets();
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -8,6 +8,7 @@
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.retry.RetryDecision;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.EventCode;
@@ -97,6 +98,19 @@
                 Field.of("lastEvent", lastEventNumber));
     }
 
+    void logRetryDenied(RetryDecision decision) {
+        log.write(
+                EventCode.RETRY_DENIED,
+                id,
+                Field.of("result", decision.result()),
+                Field.of("service", service),
+                Field.of("windowRequests", decision.requests()),
+                Field.of("windowRetries", decision.retries()),
+                Field.of("extraRetries", decision.extraRetries()),
+                Field.of("remainingMillis", decision.remaining().toMillis()),
+                Field.of("neededMillis", decision.needed().toMillis()));
+    }
+
     void logEnded(EventCode event, ResultCode code, String reason, Progress progress) {
         log.write(
                 event,
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -10,6 +10,7 @@
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.port.Timers;
 import org.geraniumreach.gateway.quota.QuotaAdmission;
+import org.geraniumreach.gateway.retry.RetryBudgets;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.serving.retry.TargetHealth;
 
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/RetryBudgets.java
@@ -0,0 +1,88 @@
+package org.geraniumreach.gateway.retry;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.division.LimitDivision;
+import org.geraniumreach.gateway.process.ProcessSettings.RepeatLimits;
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * The retry budgets of all services.
+ *
+ * <p>Create it when the process starts. Confined to the event loop.
+ */
+public final class RetryBudgets {
+
+    private final RepeatLimits limits;
+    private final LimitDivision division;
+    private final MonotonicClock clock;
+    private final long startedAt;
+    private final Map<String, ServiceRetryBudget> budgets = new HashMap<>();
+
+    /**
+     * Creates an empty set of budgets.
+     *
+     * @param limits the limits for all entries together, by service, not null
+     * @param division divides the fixed retries among the entries, not null
+     * @param clock the clock, not null
+     */
+    public RetryBudgets(RepeatLimits limits, LimitDivision division, MonotonicClock clock) {
+        this.limits = Objects.requireNonNull(limits, "limits");
+        this.division = Objects.requireNonNull(division, "division");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.startedAt = clock.nanos();
+    }
+
+    private ServiceRetryBudget budgetOf(String service) {
+        return budgets.computeIfAbsent(
+                service, missing -> new ServiceRetryBudget(limits, () -> share(service), startedAt, clock));
+    }
+
+    private int share(String service) {
+        return division.share(service, ServiceRetryBudget.dividedExtra(limits));
+    }
+
+    /**
+     * Records a caller's request, which allows a fraction of a retry within the window.
+     *
+     * @param service the service, not null
+     */
+    public void recordRequest(String service) {
+        budgetOf(service).recordRequest();
+    }
+
+    /**
+     * Records that a request is sent once more.
+     *
+     * @param service the service, not null
+     */
+    public void recordRetry(String service) {
+        budgetOf(service).recordRetry();
+    }
+
+    /**
+     * Records the time that a target took to answer a request without a prompt that was sent once.
+     *
+     * @param service the service, not null
+     * @param time the time from sending the request to the first part of its answer, not null
+     */
+    public void recordAnswer(String service, Duration time) {
+        budgetOf(service).recordAnswer(time);
+    }
+
+    /**
+     * Decides whether a request may be sent once more, without recording it as sent.
+     *
+     * @param service the service, not null
+     * @param remaining the remaining time of the request, not null
+     * @param estimate the time that the target is expected to need, empty for the mean time of the service's answers, not null
+     * @return the decision, not null
+     */
+    public RetryDecision decide(String service, Duration remaining, Optional<Duration> estimate) {
+        return budgetOf(service).decide(remaining, estimate);
+    }
+}
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -18,6 +18,7 @@
 import org.geraniumreach.model.TargetId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -560,4 +561,57 @@
         assertThat(asked).hasSize(1);
         assertThat(world.targets().sentRequests()).hasSize(1);
     }
+
+    private static RequestHarness harnessWithTwoTargets(double retryRatio) {
+        return new RequestHarness(retryRatio)
+                .startWithRoute(RetryPolicy.IDEMPOTENT, 2)
+                .addTarget("a")
+                .addTarget("b");
+    }
+
+    // Guards against callers who wait for an answer that a rejected request will not get, and against answers that say
+    // "not run" of a request that may have run.
+    @ParameterizedTest
+    @CsvSource({"false, 503", "true, 502"})
+    void aRequestThatMayNotBeRetriedEndsAtOnce(boolean mayHaveRun, int expectedStatus) {
+        RequestHarness withoutRetries = harnessWithTwoTargets(0);
+        RecordedAnswer answer = withoutRetries.send();
+        withoutRetries.targets().lastRequest().fail(mayHaveRun);
+        assertThat(withoutRetries.targets().sentRequests()).hasSize(1);
+        assertThat(answer.status()).isEqualTo(expectedStatus);
+        assertThat(withoutRetries.loggedEvents()).contains("RETRY_DENIED NO_BUDGET");
+    }
+
+    // Guards against retries whose answer comes after the caller's time, which take capacity from others. The route
+    // allows 10 s.
+    @ParameterizedTest
+    @CsvSource({"2000, 7000, 2", "2000, 9000, 1"})
+    void aPlainRequestIsRetriedOnlyIfItsTargetAnswersInTime(long answerMillis, long rejectedAtMillis, int sends) {
+        world.startWithRoute(RetryPolicy.AT_MOST_ONCE, 1).addTarget("a").addTarget("b");
+        world.send();
+        world.time().advance(Duration.ofMillis(answerMillis));
+        world.targets().lastRequest().answerHead(200, false);
+        world.targets().lastRequest().answerPart("yes");
+        world.targets().lastRequest().endAnswer();
+        RecordedAnswer answer = world.send();
+        world.time().advance(Duration.ofMillis(rejectedAtMillis));
+        world.targets().lastRequest().answerNotExecuted(NotExecuted.SHED);
+        assertThat(world.targets().sentRequests()).hasSize(1 + sends);
+        assertThat(answer.isEnded()).isEqualTo(sends == 1);
+        assertThat(world.loggedEvents().contains("RETRY_DENIED NO_TIME")).isEqualTo(sends == 1);
+    }
+
+    // Guards against prompts that are sent once more to a target that cannot prefill them within the caller's time.
+    @ParameterizedTest
+    @CsvSource({"9000, 2", "9995, 1"})
+    void aPromptIsRetriedOnlyIfItsTargetAnswersInTime(long rejectedAtMillis, int sends) {
+        world.startWithRoute(RetryPolicy.AT_MOST_ONCE, 1)
+                .addTarget("a", Map.of("base", Map.of("a7", 1L)))
+                .addTarget("b", Map.of("base", Map.of("a7", 1L)));
+        RecordedAnswer answer = world.send(Optional.of(generation()));
+        world.time().advance(Duration.ofMillis(rejectedAtMillis));
+        world.targets().lastRequest().answerNotExecuted(NotExecuted.SHED);
+        assertThat(world.targets().sentRequests()).hasSize(sends);
+        assertThat(answer.isEnded()).isEqualTo(sends == 1);
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -26,6 +27,8 @@
 import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.gateway.request.AdapterLoader;
@@ -34,7 +37,7 @@
 import org.geraniumreach.gateway.request.GatewayRequest;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.gateway.request.RequestHandler;
-import org.geraniumreach.gateway.request.RetryBudgets;
+import org.geraniumreach.gateway.retry.RetryBudgets;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.CallerLimits;
@@ -43,10 +46,10 @@
 import org.geraniumreach.gateway.traffic.ServiceDefinition;
 import org.geraniumreach.gateway.traffic.TrafficConfiguration;
 import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.serving.retry.EjectionRules;
-import org.geraniumreach.serving.retry.RetryBudget;
 import org.geraniumreach.serving.retry.TargetHealth;
 
 /** Runs an entry's request handling with time, targets and callers controlled by a test. */
@@ -56,7 +59,8 @@
     public static final String KEY = "a-key";
     public static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final int SLOTS_PER_TARGET = 8;
-    private static final int RETRY_LIMIT = 100;
+    private static final int RETRIES_PER_REQUEST = 100;
+    private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
 
     private final VirtualTime time = new VirtualTime();
     private final FakeTargets targets = new FakeTargets();
@@ -81,6 +85,7 @@
     private final Map<TargetId, Duration> restTimes = new HashMap<>();
     private final Map<TargetId, Duration> limitWaits = new HashMap<>();
     private RequestLimiter limiter = RequestLimiter.unlimited();
+    private final List<String> loggedEvents = new ArrayList<>();
     private int requestCount;
     private boolean targetsHeld = true;
 
@@ -156,6 +161,11 @@
     }
 
     public RequestHarness() {
+        this(RETRIES_PER_REQUEST);
+    }
+
+    /** Creates a harness that allows a number of retries for each request. */
+    public RequestHarness(double retryRatio) {
         Placement placement = new Placement(
                 registry,
                 new TargetConditions(
@@ -180,17 +190,32 @@
                         (target, promptTokens, longestDelay, onDecision) ->
                                 admission.admit(target, promptTokens, longestDelay, onDecision),
                         (target, onDecision) -> limiter.admit(target, onDecision),
-                        new RetryBudgets(() -> RetryBudget.create(time, 1, 0, RETRY_LIMIT)),
+                        new RetryBudgets(
+                                new ProcessSettings.RepeatLimits(retryRatio, 0, RETRY_WINDOW), (key, limit) -> 0, time),
                         health,
                         time,
                         time,
-                        (event, id, fields) -> {},
+                        this::recordEvent,
                         outcomes::add,
                         ExchangeSettings.defaults()),
                 () -> configuration,
                 () -> 0);
     }
 
+    private void recordEvent(EventCode event, String subject, DecisionLog.Field... fields) {
+        String result = Arrays.stream(fields)
+                .filter(field -> field.name().equals("result"))
+                .map(field -> " " + field.value())
+                .findFirst()
+                .orElse("");
+        loggedEvents.add(event + result);
+    }
+
+    /** Returns the names of the logged events, each followed by its result if it has one. */
+    public List<String> loggedEvents() {
+        return loggedEvents;
+    }
+
     /** Sets a configuration with one route, and starts the entry. */
     public RequestHarness startWithRoute(RetryPolicy retryPolicy, int maximumTargets) {
         configure(retryPolicy, maximumTargets);
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -41,8 +41,8 @@
 import org.geraniumreach.gateway.request.ExchangeSettings;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.gateway.request.RequestHandler;
-import org.geraniumreach.gateway.request.RetryBudgets;
 import org.geraniumreach.gateway.rest.RestingTargets;
+import org.geraniumreach.gateway.retry.RetryBudgets;
 import org.geraniumreach.gateway.store.FeedReader;
 import org.geraniumreach.gateway.store.LeaseRenewer;
 import org.geraniumreach.gateway.store.StoreAvailability;
@@ -57,7 +57,6 @@
 import org.geraniumreach.platform.StoreClient;
 import org.geraniumreach.platform.TargetClient;
 import org.geraniumreach.serving.retry.EjectionRules;
-import org.geraniumreach.serving.retry.RetryBudget;
 import org.geraniumreach.serving.retry.TargetHealth;
 
 /**
@@ -74,12 +73,6 @@
     private static final Ingress.Limits INITIAL_LIMITS =
             new Ingress.Limits(16_384, 4 * 1024 * 1024, Duration.ofSeconds(75));
 
-    /** Fraction of the repeats allowed for all entries that is given out; the rest covers entries that join and leave. */
-    private static final double RETRY_BUDGET_FRACTION = 0.75;
-
-    /** Number of entries that share the fixed part of the repeats while the actual number is unknown. */
-    private static final int ASSUMED_ENTRY_COUNT = 6;
-
     /** Serving callers has priority at the start; metrics can wait. */
     private static final Duration METRICS_START_DELAY = Duration.ofMillis(1_500);
 
@@ -117,6 +110,7 @@
     private final TargetHealth health;
     private final Evacuations evacuations;
     private final ColdStartLimiter coldStartLimiter;
+    private final RetryBudgets retryBudgets;
     private final RequestHandler requests;
     private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
     private StoreFeeds feeds;
@@ -169,6 +163,7 @@
                 equalDivision,
                 clock,
                 log);
+        this.retryBudgets = new RetryBudgets(settings.repeatLimits(), equalDivision, clock);
         this.limitAdmission =
                 new LimitAdmission(targetLimits, ownership, registry, equalDivision, this::requestCall, timers, clock);
         this.coordinator = new AdapterLoadCoordinator(
@@ -206,7 +201,7 @@
                 quotaAdmission,
                 ownerAdmission,
                 limitAdmission,
-                new RetryBudgets(this::createRetryBudget),
+                retryBudgets,
                 health,
                 timers,
                 clock,
@@ -234,12 +229,6 @@
         return targetLimitLinks != null && targetLimitLinks.requestCall(owner, number, target, known);
     }
 
-    private RetryBudget createRetryBudget() {
-        ProcessSettings.RepeatLimits limits = settings.repeatLimits();
-        double size = Math.max(1, limits.extra() * RETRY_BUDGET_FRACTION / ASSUMED_ENTRY_COUNT);
-        return RetryBudget.create(clock, limits.ratio() * RETRY_BUDGET_FRACTION, 0, size);
-    }
-
     private void onRequestEnded(OutcomeListener.Outcome outcome) {
         metrics.onRequestEnded(outcome);
         if (outcome.kind() == OutcomeListener.Kind.ANSWERED) {
