--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -43,6 +43,7 @@
     REQUEST_UNREADABLE(4013, Level.INFO, "A caller's message is no request that can be read."),
     TARGET_SLOWDOWN_MALFORMED(
             4014, Level.WARN, "A target's answer reports a slowdown that makes no sense; it is ignored."),
+    RETRY_DENIED(4016, Level.INFO, "A request may not be sent once more, and ends."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
