Place and pace prompts by the speed of each target

Cause: every target received prompts at the mean prefill rate of its service, so that the slow ones caused most pauses within streams.

Change: expected waits, prefill windows, home targets, plain services and the owner's pacer use the relative rate and the slowdown where they are known. Ranking, waits, homes and plain services move out of Placement.

--- a/gateway/src/main/java/org/geraniumreach/gateway/pacing/OwnerAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/pacing/OwnerAdmission.java
@@ -14,6 +14,8 @@
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.PendingAnswers;
 import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.gateway.speed.TargetSpeed;
+import org.geraniumreach.gateway.speed.TargetSpeeds;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.TargetId;
 
@@ -32,13 +34,14 @@
     private final TargetOwnership ownership;
     private final TargetRegistry registry;
     private final ToDoubleFunction<String> tokensPerMilli;
+    private final TargetSpeeds speeds;
     private final TargetAdmissionPeers peers;
     private final MonotonicClock clock;
     private final Map<Target, PromptPacer> pacers = new HashMap<>();
     private final PendingAnswers<Decision> pendingAnswers;
 
     /**
-     * Creates an admission without pending requests.
+     * Creates an admission without pending requests that treats all targets as equally fast.
      *
      * @param ownership the owners of the targets, not null
      * @param registry the targets, not null
@@ -54,9 +57,32 @@
             TargetAdmissionPeers peers,
             Timers timers,
             MonotonicClock clock) {
+        this(ownership, registry, tokensPerMilli, TargetSpeeds.uniform(), peers, timers, clock);
+    }
+
+    /**
+     * Creates an admission without pending requests.
+     *
+     * @param ownership the owners of the targets, not null
+     * @param registry the targets, not null
+     * @param tokensPerMilli the prompt tokens that an average target of a service reads per millisecond, not null
+     * @param speeds the speeds of the targets, not null
+     * @param peers sends requests to the other entries, not null
+     * @param timers runs actions later, not null
+     * @param clock the clock, not null
+     */
+    public OwnerAdmission(
+            TargetOwnership ownership,
+            TargetRegistry registry,
+            ToDoubleFunction<String> tokensPerMilli,
+            TargetSpeeds speeds,
+            TargetAdmissionPeers peers,
+            Timers timers,
+            MonotonicClock clock) {
         this.ownership = Objects.requireNonNull(ownership, "ownership");
         this.registry = Objects.requireNonNull(registry, "registry");
         this.tokensPerMilli = Objects.requireNonNull(tokensPerMilli, "tokensPerMilli");
+        this.speeds = Objects.requireNonNull(speeds, "speeds");
         this.peers = Objects.requireNonNull(peers, "peers");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.pendingAnswers = new PendingAnswers<>(timers);
@@ -84,10 +110,12 @@
     }
 
     private Decision admitLocally(Target target, long promptTokens, Duration maxDelay) {
-        double millis =
-                promptTokens / tokensPerMilli.applyAsDouble(target.description().service());
-        Duration readingTime = Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
-        return pacers.computeIfAbsent(target, missing -> new PromptPacer()).admit(readingTime, maxDelay, clock.nanos());
+        TargetSpeed speed = speeds.speedOf(target);
+        double tokensPerMilliNow =
+                tokensPerMilli.applyAsDouble(target.description().service()) * speed.currentRate();
+        Duration readingTime = Duration.ofNanos((long) (promptTokens / tokensPerMilliNow * NANOS_PER_MILLI));
+        return pacers.computeIfAbsent(target, missing -> new PromptPacer())
+                .admit(readingTime, ReadingFraction.of(speed), maxDelay, clock.nanos());
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -1,23 +1,19 @@
 package org.geraniumreach.gateway.placement;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
 
+import org.geraniumreach.gateway.speed.TargetSpeeds;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.MonotonicClock;
-import org.geraniumreach.serving.routing.Rendezvous;
 
 /**
  * Selects targets for requests.
@@ -30,22 +26,20 @@
  */
 public final class Placement {
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     /** Waits within one bucket count as equal; the session then decides, since a target may still cache its prompt. */
     private static final long WAIT_BUCKET_MILLIS = 40;
 
-    private final AdapterDemand demand;
-    private final Map<String, PrefillRate> prefillRates = new HashMap<>();
     private final TargetRegistry registry;
     private final TargetConditions conditions;
-    private final IntSupplier entryCount;
-    private final FailureDomain ownFailureDomain;
+    private final TargetSpeeds speeds;
     private final PlacementSettings settings;
-    private final MonotonicClock clock;
+    private final TargetRanking ranking;
+    private final WaitEstimate waits;
+    private final AdapterHomes adapterHomes;
+    private final LeastCompletion leastCompletion;
 
     /**
-     * Creates a placement.
+     * Creates a placement that treats all targets as equally fast.
      *
      * @param registry the known targets, not null
      * @param conditions the external restrictions on the use of targets, not null
@@ -61,13 +55,40 @@
             FailureDomain ownFailureDomain,
             PlacementSettings settings,
             MonotonicClock clock) {
+        this(
+                registry,
+                conditions,
+                TargetSpeeds.uniform(),
+                new EntryContext(entryCount, ownFailureDomain, () -> 0),
+                settings,
+                clock);
+    }
+
+    /**
+     * Creates a placement.
+     *
+     * @param registry the known targets, not null
+     * @param conditions the external restrictions on the use of targets, not null
+     * @param speeds the speeds of the targets, not null
+     * @param entry what is known about this entry, not null
+     * @param settings the thresholds, not null
+     * @param clock the monotonic clock, not null
+     */
+    public Placement(
+            TargetRegistry registry,
+            TargetConditions conditions,
+            TargetSpeeds speeds,
+            EntryContext entry,
+            PlacementSettings settings,
+            MonotonicClock clock) {
         this.registry = Objects.requireNonNull(registry, "registry");
         this.conditions = Objects.requireNonNull(conditions, "conditions");
-        this.entryCount = Objects.requireNonNull(entryCount, "entryCount");
-        this.ownFailureDomain = Objects.requireNonNull(ownFailureDomain, "ownFailureDomain");
+        this.speeds = Objects.requireNonNull(speeds, "speeds");
         this.settings = Objects.requireNonNull(settings, "settings");
-        this.clock = Objects.requireNonNull(clock, "clock");
-        this.demand = new AdapterDemand(clock.nanos());
+        this.ranking = new TargetRanking(speeds);
+        this.waits = new WaitEstimate(speeds, settings, clock);
+        this.adapterHomes = new AdapterHomes(entry.entryCount(), speeds, settings, clock);
+        this.leastCompletion = new LeastCompletion(speeds, entry, settings, clock);
     }
 
     /**
@@ -147,27 +168,13 @@
     }
 
     private PlacementDecision placeOnLeastLoaded(PlacementRequest request, List<Target> usable) {
-        Target best = null;
-        double bestLoad = Double.MAX_VALUE;
-        for (Target target : rank(request.affinityKey(), inUseIfAny(usable))) {
-            double load = relativeLoad(target);
-            if (load < bestLoad) {
-                best = target;
-                bestLoad = load;
-            }
-        }
-        return new PlacementDecision.Send(best, PlacementDecision.Reason.LEAST_LOAD, 0, Optional.empty());
-    }
-
-    /** Adds a tenth of a request to targets in other failure domains, which only decides between idle targets. */
-    private double relativeLoad(Target target) {
-        double load = target.load(clock.nanos(), settings.reportLifetime());
-        double domainPenalty = target.description().failureDomain().equals(ownFailureDomain) ? 0 : 0.1;
-        return (load + domainPenalty) / target.description().slots();
+        Target target = leastCompletion.select(ranking.rank(request.affinityKey(), inUseIfAny(usable)));
+        return new PlacementDecision.Send(
+                target, PlacementDecision.Reason.LEAST_LOAD, 0, Optional.empty(), speeds.speedOf(target));
     }
 
     private PlacementDecision placeByAffinity(PlacementRequest request, List<Target> holding) {
-        List<Target> ranked = rank(request.affinityKey(), inUseIfAny(holding));
+        List<Target> ranked = ranking.rank(request.affinityKey(), inUseIfAny(holding));
         return findFirstNotOverloaded(ranked, request)
                 .<PlacementDecision>map(target -> send(target, ranked, request, Optional.empty()))
                 .orElseGet(() -> sendWithMinimumWait(ranked, request));
@@ -175,14 +182,15 @@
 
     private PlacementDecision placeByAdapter(PlacementRequest request, List<Target> holding) {
         AdapterName adapter = request.adapter().get();
-        List<Target> ranked = rank(adapter.toString(), holding);
+        List<Target> ranked = ranking.rank(adapter.toString(), holding);
         List<Target> inUse = inUseIfAny(ranked);
         List<Target> order = withRemainingLast(inUse, ranked);
-        List<Target> homes = inUse.subList(0, Math.min(inUse.size(), homeCount(request, inUse.size())));
+        AdapterHomes.Homes homes = adapterHomes.find(request, inUse, waits.tokensPerSecond(request.service()));
         List<Target> residents = newestVersionResidents(order, request);
         Optional<Target> missingHome =
                 findAdditionalHome(request, inUse, homes, newestVersionResidents(inUse, request));
-        List<Target> usableHomes = homes.stream().filter(residents::contains).toList();
+        List<Target> usableHomes =
+                homes.targets().stream().filter(residents::contains).toList();
         List<Target> residentsWithoutDelay = withoutPrefillDelay(residents, request);
         Optional<Target> immediate = findMinimumWait(withoutPrefillDelay(usableHomes, request), request)
                 .filter(target -> !isOverloaded(target, request))
@@ -253,36 +261,14 @@
      * Returns whether the prompts pending at a target will be processed by the time a load elsewhere completes.
      *
      * <p>Entries estimate a target's load differently, and each one that passes over the home would fetch the same
-     * adapter elsewhere.
+     * adapter elsewhere. A momentary slowdown may have ended by the time a load completes, so it does not count.
      */
     private boolean isFreeWithinLoadTime(Target target, PlacementRequest request) {
         return !request.saturatedTargets().contains(target.id())
-                && expectedWaitMillis(target, request)
+                && waits.usualMillis(target, request)
                         <= request.objective().toMillis() * settings.loadElsewhereWaitFraction();
     }
 
-    private Duration prefillDelay(Target target, PlacementRequest request) {
-        return target.prefillDelay(
-                request.promptTokens(),
-                prefillTokensPerWindow(request.service()),
-                settings.prefillWindow(),
-                clock.nanos());
-    }
-
-    private long prefillTokensPerWindow(String service) {
-        double tokensPerWindow =
-                prefillTokensPerMilli(service) * settings.prefillWindow().toMillis();
-        return (long) (tokensPerWindow * settings.prefillWindowFraction());
-    }
-
-    private double prefillTokensPerMilli(String service) {
-        return prefillRate(service).tokensPerMilli();
-    }
-
-    private PrefillRate prefillRate(String service) {
-        return prefillRates.computeIfAbsent(service, missing -> new PrefillRate());
-    }
-
     /**
      * Gets the estimated prefill rate of the targets of a service, without the fixed overhead before the first part.
      *
@@ -290,7 +276,7 @@
      * @return the tokens per millisecond, above 0; the initial estimate until enough prompts were recorded
      */
     public double netPrefillTokensPerMilli(String service) {
-        return prefillRate(service).netTokensPerMilli();
+        return waits.netTokensPerMilli(service);
     }
 
     /**
@@ -314,18 +300,18 @@
      * @param timeToFirstPart the time from sending the prompt to the first part of its answer, not null
      */
     public void recordPrefill(Target target, long promptTokens, Duration timeToFirstPart) {
-        prefillRate(target.description().service()).record(promptTokens, timeToFirstPart);
+        waits.recordPrefill(target, promptTokens, timeToFirstPart);
     }
 
     private List<Target> withoutPrefillDelay(List<Target> targets, PlacementRequest request) {
         return targets.stream()
-                .filter(target -> prefillDelay(target, request).isZero())
+                .filter(target -> waits.prefillDelay(target, request).isZero())
                 .toList();
     }
 
     private PlacementDecision defer(List<Target> targets, PlacementRequest request) {
         Duration delay = targets.stream()
-                .map(target -> prefillDelay(target, request))
+                .map(target -> waits.prefillDelay(target, request))
                 .min(Comparator.naturalOrder())
                 .orElseThrow();
         return new PlacementDecision.Defer(delay);
@@ -338,19 +324,19 @@
     /**
      * Finds a target at which the adapter, or its newest version, should be loaded for future requests.
      *
-     * <p>Nothing is loaded while as many targets hold the adapter as it should have homes, even if they are not its
+     * <p>Nothing is loaded while targets as fast as its homes should be hold the adapter, even if they are not its
      * homes. When targets join or leave, the homes of many adapters change, and loading all of these again would
      * overload the weight store. A newer version replaces an older one at a target only after the requests running
      * there have ended, and blocks all other loads there until then; so it is loaded where no version is resident.
      */
     private Optional<Target> findAdditionalHome(
-            PlacementRequest request, List<Target> order, List<Target> homes, List<Target> residents) {
+            PlacementRequest request, List<Target> order, AdapterHomes.Homes homes, List<Target> residents) {
         boolean newestResident =
                 residents.stream().anyMatch(target -> residentVersion(target, request) >= request.newestVersion());
-        if (newestResident && residents.size() >= homes.size()) {
+        if (newestResident && adapterHomes.suffice(residents, homes)) {
             return Optional.empty();
         }
-        List<Target> candidates = newestResident ? homes : order;
+        List<Target> candidates = newestResident ? homes.targets() : order;
         return candidates.stream()
                 .filter(target -> !residents.contains(target)
                         && canLoad(target, request)
@@ -368,25 +354,8 @@
         return target.residentVersion(request.adapter().get()).orElse(0);
     }
 
-    /**
-     * Computes at how many targets an adapter should be resident.
-     *
-     * <p>One adapter may receive a fifth of all requests, more than one target can prefill without stalling its
-     * streams. The share that one home takes depends on the utilization of all targets: under light load a second
-     * home wastes a load and a slot; under heavy load it prevents stalls of the home's other streams.
-     */
-    private int homeCount(PlacementRequest request, int targetCount) {
-        long now = clock.nanos();
-        int entries = Math.max(1, entryCount.getAsInt());
-        double tokensPerSecond = prefillTokensPerMilli(request.service()) * MILLIS_PER_SECOND;
-        double utilization = demand.totalTokensPerSecond(now) * entries / (tokensPerSecond * targetCount);
-        double share = settings.prefillShare().at(utilization);
-        double demandPerEntry = demand.otherTokensPerSecond(request.adapter().get(), request.promptTokens(), now);
-        return Math.max(1, (int) Math.ceil(demandPerEntry * entries / (tokensPerSecond * share)));
-    }
-
     private Optional<Target> findMinimumWait(List<Target> targets, PlacementRequest request) {
-        List<Target> bySession = rank(request.affinityKey(), targets);
+        List<Target> bySession = ranking.rank(request.affinityKey(), targets);
         return bySession.stream()
                 .min(Comparator.comparingLong(target -> expectedWaitMillis(target, request) / WAIT_BUCKET_MILLIS));
     }
@@ -398,7 +367,7 @@
      * @param promptTokens the tokens of its prompt
      */
     public void recordRequest(AdapterName adapter, long promptTokens) {
-        demand.recordRequest(adapter, promptTokens, clock.nanos());
+        adapterHomes.recordRequest(adapter, promptTokens);
     }
 
     /**
@@ -433,7 +402,8 @@
             Target target, List<Target> order, PlacementRequest request, Optional<Target> alsoLoad) {
         PlacementDecision.Reason reason =
                 order.get(0) == target ? PlacementDecision.Reason.HOME : PlacementDecision.Reason.RESIDENT;
-        return new PlacementDecision.Send(target, reason, expectedWaitMillis(target, request), alsoLoad);
+        return new PlacementDecision.Send(
+                target, reason, expectedWaitMillis(target, request), alsoLoad, speeds.speedOf(target));
     }
 
     private PlacementDecision sendWithMinimumWait(List<Target> targets, PlacementRequest request) {
@@ -443,7 +413,11 @@
                         .thenComparing(target -> expectedWaitMillis(target, request)))
                 .orElseThrow();
         return new PlacementDecision.Send(
-                best, PlacementDecision.Reason.LEAST_WAIT, expectedWaitMillis(best, request), Optional.empty());
+                best,
+                PlacementDecision.Reason.LEAST_WAIT,
+                expectedWaitMillis(best, request),
+                Optional.empty(),
+                speeds.speedOf(best));
     }
 
     /**
@@ -456,29 +430,6 @@
      * @return the estimated wait in milliseconds
      */
     public long expectedWaitMillis(Target target, PlacementRequest request) {
-        long now = clock.nanos();
-        int load = target.load(now, settings.reportLifetime());
-        double loadFactor = target.outstanding() > 0 ? Math.max(1.0, (double) load / target.outstanding()) : 1.0;
-        double prefill = (target.pendingPromptTokens() * loadFactor + request.promptTokens())
-                / prefillTokensPerMilli(request.service());
-        double queued = target.waiting(now, settings.reportLifetime())
-                * (double) settings.slotReleaseInterval().toMillis();
-        return (long) (prefill + queued);
-    }
-
-    /** Ranks targets by rendezvous hashing; equal scores keep the order of the list, which is sorted by name. */
-    private static List<Target> rank(String key, List<Target> targets) {
-        int hash = Rendezvous.hash(key);
-        long[] ranks = new long[targets.size()];
-        for (int index = 0; index < ranks.length; index++) {
-            int score = Rendezvous.score(hash, targets.get(index).hash());
-            ranks[index] = (long) ~score << Integer.SIZE | index;
-        }
-        Arrays.sort(ranks);
-        List<Target> ranked = new ArrayList<>(ranks.length);
-        for (long rank : ranks) {
-            ranked.add(targets.get((int) rank));
-        }
-        return ranked;
+        return waits.currentMillis(target, request);
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
@@ -4,6 +4,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.speed.TargetSpeed;
+
 /**
  * The decision of a {@link Placement} for one request.
  *
@@ -18,14 +20,16 @@
      * @param reason why the target was selected
      * @param expectedWaitMillis the expected time to the first part, 0 if it was not estimated
      * @param alsoLoad another target at which to load the adapter for future requests, empty for none
+     * @param speed the speed of the target that was assumed
      */
-    record Send(Target target, Reason reason, long expectedWaitMillis, Optional<Target> alsoLoad)
+    record Send(Target target, Reason reason, long expectedWaitMillis, Optional<Target> alsoLoad, TargetSpeed speed)
             implements PlacementDecision {
 
         public Send {
             Objects.requireNonNull(target, "target");
             Objects.requireNonNull(reason, "reason");
             Objects.requireNonNull(alsoLoad, "alsoLoad");
+            Objects.requireNonNull(speed, "speed");
         }
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.geraniumreach.gateway.placement.PlacementDecision;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.speed.TargetSpeed;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.EventCode;
@@ -57,26 +59,32 @@
 
     void logPlaced(PlacementDecision.Send send, Progress progress, double units) {
         Target target = send.target();
+        Stream<Field> fields = Stream.of(
+                Field.of("target", target.id().value()),
+                Field.of("reason", send.reason()),
+                Field.of("adapter", adapter),
+                Field.of("arrival", progress.sends()),
+                Field.of("account", account),
+                Field.of("units", units),
+                Field.of("expectedWaitMillis", send.expectedWaitMillis()),
+                Field.of("outstanding", target.outstanding()),
+                Field.of("reported", target.reportedLoad()),
+                Field.of(
+                        "reportAgeMillis",
+                        target.reportAge(clock.nanos()).map(Duration::toMillis).orElse(-1L)),
+                Field.of("waitedMillis", progress.elapsed().toMillis()));
         log.write(
                 EventCode.REQUEST_PLACED,
                 id,
                 progress.waits()
                         .appendTo(
-                                Field.of("target", target.id().value()),
-                                Field.of("reason", send.reason()),
-                                Field.of("adapter", adapter),
-                                Field.of("arrival", progress.sends()),
-                                Field.of("account", account),
-                                Field.of("units", units),
-                                Field.of("expectedWaitMillis", send.expectedWaitMillis()),
-                                Field.of("outstanding", target.outstanding()),
-                                Field.of("reported", target.reportedLoad()),
-                                Field.of(
-                                        "reportAgeMillis",
-                                        target.reportAge(clock.nanos())
-                                                .map(Duration::toMillis)
-                                                .orElse(-1L)),
-                                Field.of("waitedMillis", progress.elapsed().toMillis())));
+                                Stream.concat(fields, speedFields(send.speed())).toArray(Field[]::new)));
+    }
+
+    private static Stream<Field> speedFields(TargetSpeed speed) {
+        return speed.known()
+                ? Stream.of(Field.of("relativeRate", speed.relativeRate()), Field.of("slowdown", speed.slowdown()))
+                : Stream.empty();
     }
 
     void logNotExecuted(Target target, NotExecuted reason) {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -24,6 +24,7 @@
 import org.geraniumreach.gateway.limit.TargetLimits;
 import org.geraniumreach.gateway.pacing.OwnerAdmission;
 import org.geraniumreach.gateway.placement.AnnouncedDepartures;
+import org.geraniumreach.gateway.placement.EntryContext;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
 import org.geraniumreach.gateway.placement.Target;
@@ -43,6 +44,7 @@
 import org.geraniumreach.gateway.request.RequestHandler;
 import org.geraniumreach.gateway.request.RetryBudgets;
 import org.geraniumreach.gateway.rest.RestingTargets;
+import org.geraniumreach.gateway.speed.TargetSpeeds;
 import org.geraniumreach.gateway.store.FeedReader;
 import org.geraniumreach.gateway.store.LeaseRenewer;
 import org.geraniumreach.gateway.store.StoreAvailability;
@@ -96,6 +98,7 @@
     private final long incarnation = System.currentTimeMillis();
     private final SplittableRandom random = new SplittableRandom();
     private final TargetRegistry registry = new TargetRegistry(clock);
+    private final TargetSpeeds targetSpeeds = TargetSpeeds.uniform();
     private final StoreAvailability storeAvailability;
 
     /** Availability of the targets' rows alone: while only writes fail, a missing row still means that the target has left. */
@@ -192,12 +195,18 @@
                         restingTargets::timeUntilRested,
                         limitAdmission::timeUntilAvailable,
                         limitAdmission::isLimited),
-                () -> directory.reachableEntryCount(),
-                settings.failureDomain(),
+                targetSpeeds,
+                new EntryContext(() -> directory.reachableEntryCount(), settings.failureDomain(), random::nextDouble),
                 PlacementSettings.defaults(),
                 clock);
         ownerAdmission = new OwnerAdmission(
-                ownership, registry, placement::netPrefillTokensPerMilli, this::requestAdmission, timers, clock);
+                ownership,
+                registry,
+                placement::netPrefillTokensPerMilli,
+                targetSpeeds,
+                this::requestAdmission,
+                timers,
+                clock);
         return new ExchangeServices(
                 placement,
                 registry,
