--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/UnevenTargetsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/UnevenTargetsTest.java
@@ -192,7 +192,6 @@
         int calls = 4_000;
         for (int call = 0; call < calls; call++) {
             int entry = random.nextInt(entries.size());
-            TargetRegistry registry = registries.get(entry);
             PlacementDecision.Send send =
                     (PlacementDecision.Send) entries.get(entry).place(request(Optional.empty(), "c" + call, 0));
             Target target = send.target();
