--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -26,6 +26,7 @@
 import org.geraniumreach.gateway.limit.TargetLimits;
 import org.geraniumreach.gateway.pacing.OwnerAdmission;
 import org.geraniumreach.gateway.placement.AnnouncedDepartures;
+import org.geraniumreach.gateway.placement.EntryContext;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
 import org.geraniumreach.gateway.placement.Target;
@@ -204,12 +205,18 @@
                         restingTargets::timeUntilRested,
                         limitAdmission::timeUntilAvailable,
                         limitAdmission::isLimited),
-                () -> directory.reachableEntryCount(),
-                settings.failureDomain(),
+                targetSpeeds,
+                new EntryContext(() -> directory.reachableEntryCount(), settings.failureDomain(), random::nextDouble),
                 PlacementSettings.defaults(),
                 clock);
         ownerAdmission = new OwnerAdmission(
-                ownership, registry, placement::netPrefillTokensPerMilli, this::requestAdmission, timers, clock);
+                ownership,
+                registry,
+                placement::netPrefillTokensPerMilli,
+                targetSpeeds,
+                this::requestAdmission,
+                timers,
+                clock);
         return new ExchangeServices(
                 placement,
                 registry,
