Learn the speeds of targets from the intervals between stream events

The time to the first event is dominated by the processor time of the entries that send and observe, and by cached prompts.

Change: a sample is the lower quartile of a stream's event intervals, which depends on the target alone. The owner compares it with the mean pace of the service as it sees it.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerRelay.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -27,6 +28,7 @@
     private final MonotonicClock clock;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private EventSplitter splitter = new EventSplitter();
+    private EventPace pace = new EventPace();
     private Optional<TargetAnswerHead> head = Optional.empty();
     private boolean begun;
     private boolean attemptIsStream;
@@ -45,6 +47,7 @@
     boolean onHead(TargetAnswerHead newHead) {
         attemptIsStream = newHead.isSuccess() && newHead.eventStream();
         splitter = new EventSplitter();
+        pace = new EventPace();
         if (begun) {
             return attemptIsStream;
         }
@@ -59,7 +62,9 @@
             body.writeBytes(part);
             return body.size() <= MAXIMUM_BUFFERED_BYTES;
         }
-        for (EventSplitter.Event event : splitter.split(part)) {
+        List<EventSplitter.Event> events = splitter.split(part);
+        pace.onEvents(events.size(), clock.nanos());
+        for (EventSplitter.Event event : events) {
             if (!acceptNextEvent(event)) {
                 return false;
             }
@@ -104,6 +109,11 @@
         return Duration.ofNanos(maximumPauseNanos);
     }
 
+    /** Gets the usual interval between the events of the last attempt, empty if it had too few events. */
+    Optional<Duration> eventInterval() {
+        return pace.usualInterval();
+    }
+
     /** Queries whether the attempt that has just ended left no incomplete event. */
     boolean isComplete() {
         return !attemptIsStream || !splitter.hasIncompleteEvent();
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -5,12 +5,10 @@
 
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
-import org.geraniumreach.gateway.port.Slowdown;
 import org.geraniumreach.gateway.port.TargetAnswerHead;
 import org.geraniumreach.gateway.port.TargetAnswerListener;
 import org.geraniumreach.gateway.port.TargetLoad;
 import org.geraniumreach.gateway.port.TargetPort;
-import org.geraniumreach.gateway.speed.PrefillSample;
 import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
@@ -31,7 +29,6 @@
     private SilenceLimits silenceLimits = SilenceLimits.NONE;
     private boolean prefillEnded;
     private boolean noPromptPending;
-    private Optional<Slowdown> slowdown = Optional.empty();
     private long sentAt;
     private boolean ended;
 
@@ -121,9 +118,6 @@
         if (!prefillEnded && noPromptPending && promptTokens > 0) {
             Duration timeToFirstPart = Duration.ofNanos(services.clock().nanos() - sentAt);
             services.placement().recordPrefill(target, promptTokens, timeToFirstPart);
-            if (!timeToFirstPart.isZero() && !timeToFirstPart.isNegative()) {
-                services.prefills().onPrefill(target, new PrefillSample(promptTokens, timeToFirstPart, slowdown));
-            }
         }
     }
 
@@ -135,7 +129,6 @@
     }
 
     private void recordLoad(TargetLoad load) {
-        slowdown = load.slowdown();
         load.requestCounts()
                 .ifPresent(figures -> target.onLoadReport(
                         figures.running(), figures.waiting(), services.clock().nanos()));
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -19,6 +19,7 @@
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.gateway.retry.RetryDecision;
+import org.geraniumreach.gateway.speed.PaceSample;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.Route;
@@ -438,6 +439,7 @@
         @Override
         public void onEnd() {
             attempt = Optional.empty();
+            relay.eventInterval().ifPresent(interval -> services.paces().onStream(target, new PaceSample(interval)));
             if (!relay.isComplete()) {
                 onFailed(true, "the stream ended within an event");
                 return;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -11,7 +11,7 @@
 import org.geraniumreach.gateway.port.Timers;
 import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.gateway.retry.RetryBudgets;
-import org.geraniumreach.gateway.speed.PrefillObserver;
+import org.geraniumreach.gateway.speed.PaceObserver;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.serving.retry.TargetHealth;
 
@@ -25,7 +25,7 @@
  * @param quotas admits requests under the rates of client accounts
  * @param admission decides when prompts may be sent to a target
  * @param limiter decides whether requests may be sent to targets that limit them
- * @param prefills receives the prefill times of prompts
+ * @param paces receives the paces of streams
  * @param retryBudgets limits repeated sends, by service
  * @param health ejects failing targets
  * @param timers schedules actions
@@ -42,7 +42,7 @@
         QuotaAdmission quotas,
         TargetAdmission admission,
         RequestLimiter limiter,
-        PrefillObserver prefills,
+        PaceObserver paces,
         RetryBudgets retryBudgets,
         TargetHealth health,
         Timers timers,
--- a/gateway/src/main/java/org/geraniumreach/gateway/speed/LearntRate.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/speed/LearntRate.java
@@ -7,7 +7,7 @@
 /**
  * Learns the relative rate of one target from the samples of all entries.
  *
- * <p>Intended for a few samples a second, of which a minority includes waiting behind prompts of other entries. The rate is the median of
+ * <p>Intended for a few samples a second, of which a minority was taken while the target was slowed down. The rate is the median of
  * recent samples and of a prior, in steps of {@link #STEP}. It moves to another step only if the median has left the middle of the present
  * one by {@link #HYSTERESIS_STEPS}, since each change moves home targets of adapters.
  *
@@ -37,7 +37,7 @@
     private final double priorRate;
     private int step;
 
-    private record Recorded(PrefillSample sample, long at) {}
+    private record Recorded(PaceSample sample, long at) {}
 
     /** Creates a rate that starts from the step nearest to a rate above 0, which the prior assumes too. */
     LearntRate(double startingRate) {
@@ -45,7 +45,7 @@
         this.priorRate = rate();
     }
 
-    void add(PrefillSample sample, long now) {
+    void add(PaceSample sample, long now) {
         samples.addLast(new Recorded(sample, now));
         if (samples.size() > MAXIMUM_SAMPLES) {
             samples.removeFirst();
@@ -55,14 +55,12 @@
     /**
      * Updates the rate from the samples.
      *
-     * @param service the times at a target of mean speed
+     * @param meanEventsPerMilli the pace at a target of mean speed
      * @return whether the rate has changed
      */
-    boolean update(ServicePrefill.Fit service) {
-        DoubleStream observed = samples.stream()
-                .mapToDouble(
-                        recorded -> service.expectedMillis(recorded.sample().promptTokens())
-                                / recorded.sample().usualMillis());
+    boolean update(double meanEventsPerMilli) {
+        DoubleStream observed =
+                samples.stream().mapToDouble(recorded -> recorded.sample().eventsPerMilli() / meanEventsPerMilli);
         int remainingPrior = Math.max(0, PRIOR_SAMPLES - samples.size() / SAMPLES_PER_PRIOR);
         DoubleStream prior = DoubleStream.generate(() -> priorRate).limit(remainingPrior);
         double median = Quantiles.median(DoubleStream.concat(observed, prior));
--- a/gateway/src/main/java/org/geraniumreach/gateway/speed/LearntTargetSpeeds.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/speed/LearntTargetSpeeds.java
@@ -35,7 +35,7 @@
 /**
  * Learns the speeds of targets together with the other entries.
  *
- * <p>Intended for tens of entries, each of which sends about one prompt in four seconds to each target and cannot learn its rate alone.
+ * <p>Intended for tens of entries, each of which relays about one stream in four seconds from each target and cannot learn its rate alone.
  * Entries send their observations to the target's owner, which learns the relative rate and publishes it to all entries.
  *
  * <p>Invariants: nothing is learnt or sent for a service until one of its targets has reported a slowdown, unless the deployment asks for
@@ -43,7 +43,7 @@
  * incarnation of a target is unknown. Confined to the event loop.
  */
 public final class LearntTargetSpeeds
-        implements TargetSpeeds, PrefillObserver, TargetCallObserver, TargetRegistry.Listener {
+        implements TargetSpeeds, PaceObserver, TargetCallObserver, TargetRegistry.Listener {
 
     /** Half the time after which a slowdown tells little; at the intended load most reports hold one sample. */
     static final Duration REPORT_DELAY = Duration.ofMillis(200);
@@ -65,7 +65,7 @@
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final Set<String> reportingServices = new HashSet<>();
-    private final Map<String, ServicePrefill> services = new HashMap<>();
+    private final Map<String, ServicePace> services = new HashMap<>();
     private final IncarnationMap<Knowledge> known = new IncarnationMap<>();
     private final Map<TargetId, EarlyUpdate> earlyUpdates = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -83,7 +83,7 @@
     /** What is known of one incarnation of a target, and what its owner has not been told yet. */
     private static final class Knowledge {
         private final SlowdownEstimate slowdown = new SlowdownEstimate();
-        private final Deque<PrefillSample> unsentSamples = new ArrayDeque<>();
+        private final Deque<PaceSample> unsentSamples = new ArrayDeque<>();
         private boolean slowdownUnsent;
         private Optional<Cancellable> reportTimer = Optional.empty();
         private OptionalDouble publishedRate = OptionalDouble.empty();
@@ -94,7 +94,7 @@
             return publishedRate.isPresent() || slowdown.isObserved();
         }
 
-        private void addUnsent(PrefillSample sample) {
+        private void addUnsent(PaceSample sample) {
             unsentSamples.addLast(sample);
             if (unsentSamples.size() > MAXIMUM_REPORTED_SAMPLES) {
                 unsentSamples.removeFirst();
@@ -185,14 +185,11 @@
     }
 
     @Override
-    public void onPrefill(Target target, PrefillSample sample) {
+    public void onStream(Target target, PaceSample sample) {
         if (!isInEffect(target)) {
             return;
         }
         service(target).add(target, sample);
-        if (sample.promptTokens() < ServicePrefill.MINIMUM_PROMPT_TOKENS) {
-            return;
-        }
         if (isOwned(target)) {
             learn(target, List.of(sample));
             return;
@@ -206,8 +203,8 @@
         }
     }
 
-    private ServicePrefill service(Target target) {
-        return services.computeIfAbsent(target.description().service(), missing -> new ServicePrefill());
+    private ServicePace service(Target target) {
+        return services.computeIfAbsent(target.description().service(), missing -> new ServicePace());
     }
 
     private void scheduleReport(Target target) {
@@ -222,7 +219,7 @@
         Knowledge knowledge = knowledge(target);
         knowledge.reportTimer.ifPresent(Cancellable::cancel);
         knowledge.reportTimer = Optional.empty();
-        List<PrefillSample> samples = List.copyOf(knowledge.unsentSamples);
+        List<PaceSample> samples = List.copyOf(knowledge.unsentSamples);
         if (isOwned(target)) {
             knowledge.unsentSamples.clear();
             learn(target, samples);
@@ -261,17 +258,8 @@
                             target,
                             figure.slowdown(),
                             clock.nanos() - figure.age().toNanos()));
-            boolean reported = report.samples().stream()
-                    .anyMatch(sample -> sample.slowdown().isPresent());
-            if (reported) {
-                reportingServices.add(target.description().service());
-            }
             if (isInEffect(target) && isOwned(target)) {
-                learn(
-                        target,
-                        report.samples().stream()
-                                .filter(sample -> sample.promptTokens() >= ServicePrefill.MINIMUM_PROMPT_TOKENS)
-                                .toList());
+                learn(target, report.samples());
             }
         });
     }
@@ -280,7 +268,7 @@
         return registry.find(id).filter(target -> target.description().startedAt() == startedAt);
     }
 
-    private void learn(Target target, List<PrefillSample> samples) {
+    private void learn(Target target, List<PaceSample> samples) {
         if (samples.isEmpty()) {
             return;
         }
@@ -292,10 +280,11 @@
         LearntRate learnt = knowledge.learntRate.get();
         samples.forEach(sample -> learnt.add(sample, now));
         if (mayPublish(knowledge, now)) {
-            service(target)
-                    .fit(registry.findByService(target.description().service()), this::publishedRate)
-                    .filter(learnt::update)
-                    .ifPresent(changed -> publish(target, knowledge, learnt, now));
+            OptionalDouble meanPace = service(target)
+                    .eventsPerMilli(registry.findByService(target.description().service()), this::publishedRate);
+            if (meanPace.isPresent() && learnt.update(meanPace.getAsDouble())) {
+                publish(target, knowledge, learnt, now);
+            }
         }
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/speed/SpeedReport.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/speed/SpeedReport.java
@@ -12,10 +12,10 @@
  *
  * <p>Immutable and safe for use by several threads.
  *
- * @param samples the prefill times
+ * @param samples the paces of streams
  * @param figure the last slowdown that the target has reported to the entry, empty if none is new
  */
-public record SpeedReport(List<PrefillSample> samples, Optional<Figure> figure) {
+public record SpeedReport(List<PaceSample> samples, Optional<Figure> figure) {
 
     /**
      * A reported slowdown.
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -423,23 +423,22 @@
       "\022\016\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\0226\n\007" +
       "samples\030\003 \003(\0132%.geraniumreach.link.Targe" +
       "tSpeedSample\022\020\n\010slowdown\030\004 \001(\001\022\032\n\022slowdo" +
-      "wn_age_nanos\030\005 \001(\003\"W\n\021TargetSpeedSample\022" +
-      "\025\n\rprompt_tokens\030\001 \001(\003\022\031\n\021first_event_na" +
-      "nos\030\002 \001(\003\022\020\n\010slowdown\030\003 \001(\001\"r\n\013TargetLim" +
-      "it\022\016\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\017" +
-      "\n\007limited\030\003 \001(\010\022\033\n\023requests_per_second\030\004" +
-      " \001(\001\022\021\n\tage_nanos\030\005 \001(\003\"T\n\022TargetLimitRe" +
-      "quest\022\016\n\006number\030\001 \001(\003\022.\n\005known\030\002 \001(\0132\037.g" +
-      "eraniumreach.link.TargetLimit\"\323\001\n\023Target" +
-      "LimitResponse\022\016\n\006number\030\001 \001(\003\022B\n\010decisio" +
-      "n\030\002 \001(\01620.geraniumreach.link.TargetLimit" +
-      "Response.Decision\022\031\n\021retry_after_nanos\030\003" +
-      " \001(\003\022\027\n\017valid_for_nanos\030\004 \001(\003\"4\n\010Decisio" +
-      "n\022\r\n\tNOT_OWNER\020\000\022\014\n\010ADMITTED\020\001\022\013\n\007REFUSE" +
-      "D\020\002\"C\n\021TargetLimitUpdate\022.\n\005known\030\001 \001(\0132" +
-      "\037.geraniumreach.link.TargetLimitB)\n\032org." +
-      "geraniumreach.messagesB\tLinkProtoP\001b\006pro" +
-      "to3"
+      "wn_age_nanos\030\005 \001(\003\"1\n\021TargetSpeedSample\022" +
+      "\034\n\024event_interval_nanos\030\001 \001(\003\"r\n\013TargetL" +
+      "imit\022\016\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003" +
+      "\022\017\n\007limited\030\003 \001(\010\022\033\n\023requests_per_second" +
+      "\030\004 \001(\001\022\021\n\tage_nanos\030\005 \001(\003\"T\n\022TargetLimit" +
+      "Request\022\016\n\006number\030\001 \001(\003\022.\n\005known\030\002 \001(\0132\037" +
+      ".geraniumreach.link.TargetLimit\"\323\001\n\023Targ" +
+      "etLimitResponse\022\016\n\006number\030\001 \001(\003\022B\n\010decis" +
+      "ion\030\002 \001(\01620.geraniumreach.link.TargetLim" +
+      "itResponse.Decision\022\031\n\021retry_after_nanos" +
+      "\030\003 \001(\003\022\027\n\017valid_for_nanos\030\004 \001(\003\"4\n\010Decis" +
+      "ion\022\r\n\tNOT_OWNER\020\000\022\014\n\010ADMITTED\020\001\022\013\n\007REFU" +
+      "SED\020\002\"C\n\021TargetLimitUpdate\022.\n\005known\030\001 \001(" +
+      "\0132\037.geraniumreach.link.TargetLimitB)\n\032or" +
+      "g.geraniumreach.messagesB\tLinkProtoP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -678,7 +677,7 @@
     internal_static_geraniumreach_link_TargetSpeedSample_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetSpeedSample_descriptor,
-        new java.lang.String[] { "PromptTokens", "FirstEventNanos", "Slowdown", });
+        new java.lang.String[] { "EventIntervalNanos", });
     internal_static_geraniumreach_link_TargetLimit_descriptor =
       getDescriptor().getMessageTypes().get(39);
     internal_static_geraniumreach_link_TargetLimit_fieldAccessorTable = new
--- a/messages/src/main/java/org/geraniumreach/messages/TargetSpeedSample.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetSpeedSample.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A prompt that was sent while its sender had no other pending at the target.
+ * The pace of one stream.
  * </pre>
  *
  * Protobuf type {@code geraniumreach.link.TargetSpeedSample}
@@ -46,45 +46,19 @@
             org.geraniumreach.messages.TargetSpeedSample.class, org.geraniumreach.messages.TargetSpeedSample.Builder.class);
   }
 
-  public static final int PROMPT_TOKENS_FIELD_NUMBER = 1;
-  private long promptTokens_ = 0L;
-  /**
-   * <code>int64 prompt_tokens = 1;</code>
-   * @return The promptTokens.
-   */
-  @java.lang.Override
-  public long getPromptTokens() {
-    return promptTokens_;
-  }
-
-  public static final int FIRST_EVENT_NANOS_FIELD_NUMBER = 2;
-  private long firstEventNanos_ = 0L;
+  public static final int EVENT_INTERVAL_NANOS_FIELD_NUMBER = 1;
+  private long eventIntervalNanos_ = 0L;
   /**
    * <pre>
-   * from sending the prompt to the first event
+   * the usual time between two events, above 0
    * </pre>
    *
-   * <code>int64 first_event_nanos = 2;</code>
-   * @return The firstEventNanos.
+   * <code>int64 event_interval_nanos = 1;</code>
+   * @return The eventIntervalNanos.
    */
   @java.lang.Override
-  public long getFirstEventNanos() {
-    return firstEventNanos_;
-  }
-
-  public static final int SLOWDOWN_FIELD_NUMBER = 3;
-  private double slowdown_ = 0D;
-  /**
-   * <pre>
-   * the slowdown reported in its answer, 0 if none
-   * </pre>
-   *
-   * <code>double slowdown = 3;</code>
-   * @return The slowdown.
-   */
-  @java.lang.Override
-  public double getSlowdown() {
-    return slowdown_;
+  public long getEventIntervalNanos() {
+    return eventIntervalNanos_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -101,14 +75,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (promptTokens_ != 0L) {
-      output.writeInt64(1, promptTokens_);
-    }
-    if (firstEventNanos_ != 0L) {
-      output.writeInt64(2, firstEventNanos_);
-    }
-    if (java.lang.Double.doubleToRawLongBits(slowdown_) != 0) {
-      output.writeDouble(3, slowdown_);
+    if (eventIntervalNanos_ != 0L) {
+      output.writeInt64(1, eventIntervalNanos_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -119,17 +87,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (promptTokens_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, promptTokens_);
-    }
-    if (firstEventNanos_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, firstEventNanos_);
-    }
-    if (java.lang.Double.doubleToRawLongBits(slowdown_) != 0) {
+    if (eventIntervalNanos_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(3, slowdown_);
+        .computeInt64Size(1, eventIntervalNanos_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -146,13 +106,8 @@
     }
     org.geraniumreach.messages.TargetSpeedSample other = (org.geraniumreach.messages.TargetSpeedSample) obj;
 
-    if (getPromptTokens()
-        != other.getPromptTokens()) return false;
-    if (getFirstEventNanos()
-        != other.getFirstEventNanos()) return false;
-    if (java.lang.Double.doubleToLongBits(getSlowdown())
-        != java.lang.Double.doubleToLongBits(
-            other.getSlowdown())) return false;
+    if (getEventIntervalNanos()
+        != other.getEventIntervalNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -164,15 +119,9 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
+    hash = (37 * hash) + EVENT_INTERVAL_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getPromptTokens());
-    hash = (37 * hash) + FIRST_EVENT_NANOS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getFirstEventNanos());
-    hash = (37 * hash) + SLOWDOWN_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getSlowdown()));
+        getEventIntervalNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -272,7 +221,7 @@
   }
   /**
    * <pre>
-   * A prompt that was sent while its sender had no other pending at the target.
+   * The pace of one stream.
    * </pre>
    *
    * Protobuf type {@code geraniumreach.link.TargetSpeedSample}
@@ -308,9 +257,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      promptTokens_ = 0L;
-      firstEventNanos_ = 0L;
-      slowdown_ = 0D;
+      eventIntervalNanos_ = 0L;
       return this;
     }
 
@@ -345,13 +292,7 @@
     private void buildPartial0(org.geraniumreach.messages.TargetSpeedSample result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.promptTokens_ = promptTokens_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.firstEventNanos_ = firstEventNanos_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.slowdown_ = slowdown_;
+        result.eventIntervalNanos_ = eventIntervalNanos_;
       }
     }
 
@@ -367,14 +308,8 @@
 
     public Builder mergeFrom(org.geraniumreach.messages.TargetSpeedSample other) {
       if (other == org.geraniumreach.messages.TargetSpeedSample.getDefaultInstance()) return this;
-      if (other.getPromptTokens() != 0L) {
-        setPromptTokens(other.getPromptTokens());
-      }
-      if (other.getFirstEventNanos() != 0L) {
-        setFirstEventNanos(other.getFirstEventNanos());
-      }
-      if (other.getSlowdown() != 0D) {
-        setSlowdown(other.getSlowdown());
+      if (other.getEventIntervalNanos() != 0L) {
+        setEventIntervalNanos(other.getEventIntervalNanos());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -403,20 +338,10 @@
               done = true;
               break;
             case 8: {
-              promptTokens_ = input.readInt64();
+              eventIntervalNanos_ = input.readInt64();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
-            case 16: {
-              firstEventNanos_ = input.readInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 25: {
-              slowdown_ = input.readDouble();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 25
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -434,122 +359,46 @@
     }
     private int bitField0_;
 
-    private long promptTokens_ ;
-    /**
-     * <code>int64 prompt_tokens = 1;</code>
-     * @return The promptTokens.
-     */
-    @java.lang.Override
-    public long getPromptTokens() {
-      return promptTokens_;
-    }
-    /**
-     * <code>int64 prompt_tokens = 1;</code>
-     * @param value The promptTokens to set.
-     * @return This builder for chaining.
-     */
-    public Builder setPromptTokens(long value) {
-
-      promptTokens_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 prompt_tokens = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearPromptTokens() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      promptTokens_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private long firstEventNanos_ ;
-    /**
-     * <pre>
-     * from sending the prompt to the first event
-     * </pre>
-     *
-     * <code>int64 first_event_nanos = 2;</code>
-     * @return The firstEventNanos.
-     */
-    @java.lang.Override
-    public long getFirstEventNanos() {
-      return firstEventNanos_;
-    }
-    /**
-     * <pre>
-     * from sending the prompt to the first event
-     * </pre>
-     *
-     * <code>int64 first_event_nanos = 2;</code>
-     * @param value The firstEventNanos to set.
-     * @return This builder for chaining.
-     */
-    public Builder setFirstEventNanos(long value) {
-
-      firstEventNanos_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
+    private long eventIntervalNanos_ ;
     /**
      * <pre>
-     * from sending the prompt to the first event
+     * the usual time between two events, above 0
      * </pre>
      *
-     * <code>int64 first_event_nanos = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearFirstEventNanos() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      firstEventNanos_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private double slowdown_ ;
-    /**
-     * <pre>
-     * the slowdown reported in its answer, 0 if none
-     * </pre>
-     *
-     * <code>double slowdown = 3;</code>
-     * @return The slowdown.
+     * <code>int64 event_interval_nanos = 1;</code>
+     * @return The eventIntervalNanos.
      */
     @java.lang.Override
-    public double getSlowdown() {
-      return slowdown_;
+    public long getEventIntervalNanos() {
+      return eventIntervalNanos_;
     }
     /**
      * <pre>
-     * the slowdown reported in its answer, 0 if none
+     * the usual time between two events, above 0
      * </pre>
      *
-     * <code>double slowdown = 3;</code>
-     * @param value The slowdown to set.
+     * <code>int64 event_interval_nanos = 1;</code>
+     * @param value The eventIntervalNanos to set.
      * @return This builder for chaining.
      */
-    public Builder setSlowdown(double value) {
+    public Builder setEventIntervalNanos(long value) {
 
-      slowdown_ = value;
-      bitField0_ |= 0x00000004;
+      eventIntervalNanos_ = value;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * the slowdown reported in its answer, 0 if none
+     * the usual time between two events, above 0
      * </pre>
      *
-     * <code>double slowdown = 3;</code>
+     * <code>int64 event_interval_nanos = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearSlowdown() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      slowdown_ = 0D;
+    public Builder clearEventIntervalNanos() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      eventIntervalNanos_ = 0L;
       onChanged();
       return this;
     }
--- a/messages/src/main/java/org/geraniumreach/messages/TargetSpeedSampleOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetSpeedSampleOrBuilder.java
@@ -9,29 +9,13 @@
     // @@protoc_insertion_point(interface_extends:geraniumreach.link.TargetSpeedSample)
     com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <code>int64 prompt_tokens = 1;</code>
-   * @return The promptTokens.
-   */
-  long getPromptTokens();
-
-  /**
-   * <pre>
-   * from sending the prompt to the first event
-   * </pre>
-   *
-   * <code>int64 first_event_nanos = 2;</code>
-   * @return The firstEventNanos.
-   */
-  long getFirstEventNanos();
-
   /**
    * <pre>
-   * the slowdown reported in its answer, 0 if none
+   * the usual time between two events, above 0
    * </pre>
    *
-   * <code>double slowdown = 3;</code>
-   * @return The slowdown.
+   * <code>int64 event_interval_nanos = 1;</code>
+   * @return The eventIntervalNanos.
    */
-  double getSlowdown();
+  long getEventIntervalNanos();
 }
--- a/node/src/main/java/org/geraniumreach/node/TargetSpeedLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/TargetSpeedLinks.java
@@ -9,7 +9,7 @@
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.Slowdown;
 import org.geraniumreach.gateway.speed.LearntTargetSpeeds;
-import org.geraniumreach.gateway.speed.PrefillSample;
+import org.geraniumreach.gateway.speed.PaceSample;
 import org.geraniumreach.gateway.speed.SpeedPeers;
 import org.geraniumreach.gateway.speed.SpeedReport;
 import org.geraniumreach.messages.Frame;
@@ -98,9 +98,7 @@
                         report.figure().map(figure -> figure.age().toNanos()).orElse(0L));
         report.samples()
                 .forEach(sample -> samples.addSamples(TargetSpeedSample.newBuilder()
-                        .setPromptTokens(sample.promptTokens())
-                        .setFirstEventNanos(sample.timeToFirstEvent().toNanos())
-                        .setSlowdown(toFactor(sample.slowdown()))));
+                        .setEventIntervalNanos(sample.eventInterval().toNanos())));
         return Frame.newBuilder().setTargetSpeedSamples(samples).build();
     }
 
@@ -124,11 +122,8 @@
         }
     }
 
-    private static PrefillSample toSample(TargetSpeedSample sample) {
-        return new PrefillSample(
-                sample.getPromptTokens(),
-                Duration.ofNanos(sample.getFirstEventNanos()),
-                toSlowdown(sample.getSlowdown()));
+    private static PaceSample toSample(TargetSpeedSample sample) {
+        return new PaceSample(Duration.ofNanos(sample.getEventIntervalNanos()));
     }
 
     private static Optional<Slowdown> toSlowdown(double factor) {
