Close the connections of callers before a draining entry exits

After its drain an entry kept reading requests until the process was gone, up to 0.3 s later; such a request got no answer. A request also stopped counting as open before its answer was passed to the connection.

EntryDrainTest passes its callers through the new interface EntryDrain.Callers; its checks are the same.

--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -496,7 +496,7 @@
         }
         log.write(EventCode.DRAINING, settings.instance(), Field.of("open", ingress.openRequests()));
         ingress.drain();
-        new EntryDrain(ingress::openRequests, this::releaseLease, settings.drainLimit(), clock)
+        new EntryDrain(new IngressCallers(ingress), this::releaseLease, settings.drainLimit(), clock)
                 .run(
                         maxDuration -> loop.execute(() -> {
                             requests.drain(maxDuration);
--- a/node/src/test/java/org/geraniumreach/node/EntryDrainTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryDrainTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.geraniumreach.model.MonotonicClock;
@@ -28,13 +29,21 @@
             }
         };
         EntryDrain drain = new EntryDrain(
-                () -> {
-                    int count = open.get();
-                    if (count > 0) {
-                        events.add("answered");
-                        open.decrementAndGet();
+                new EntryDrain.Callers() {
+                    @Override
+                    public int openRequests() {
+                        int count = open.get();
+                        if (count > 0) {
+                            events.add("answered");
+                            open.decrementAndGet();
+                        }
+                        return count;
+                    }
+
+                    @Override
+                    public CompletableFuture<Integer> closeIdleConnections() {
+                        return CompletableFuture.completedFuture(openRequests());
                     }
-                    return count;
                 },
                 onReleased -> {
                     events.add("released");
