Move the waits of an exchange into a chain of steps

Exchange held the waits for the account's rate, the adapter's load, the prompt's turn, a limited target's permission and the next placement beside the attempts and the answer, in 554 lines. The waits are now steps of a class each, run by SendSteps; what a request has learnt from its attempts to be placed is in PlacementState, and its fixed properties are in RoutedRequest. Exchange has 331 lines.

One fault goes with it: a pending decision that a synchronous refusal had started is no longer forgotten, and is cancelled with the request.

mvn -o -B -q verify -pl gateway -am -Dtest='Exchange*Test,*Admission*Test': green, tests unchanged.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -3,23 +3,18 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 
-import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.PlacementDecision;
-import org.geraniumreach.gateway.placement.PlacementRequest;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.CallerAnswer;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerHead;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.port.TargetPort;
-import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.gateway.traffic.Account;
-import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.Route;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.ResultCode;
@@ -35,34 +30,17 @@
  */
 final class Exchange {
 
-    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(700);
-    private static final int URGENCY_STEPS_PER_ACCOUNT_PRIORITY = 3;
-    private static final int MAXIMUM_ROUTE_PRIORITY = 2;
-    private static final int LOWEST_URGENCY = 9;
-
     private final ExchangeServices services;
-    private final GatewayRequest request;
+    private final RoutedRequest request;
     private final Route route;
-    private final String service;
-    private final Optional<Account> account;
     private final CallerAnswer answer;
     private final Consumer<Exchange> onEnd;
-    private final long startedAt;
-    private final Duration timeLimit;
-    private final Set<TargetId> excludedTargets = new HashSet<>();
     private final Set<TargetId> possiblyRunTargets = new HashSet<>();
-    private final LoadWait loadWait;
-    private final SendPermission permission;
-    private final AdmissionAttempts admissionAttempts = new AdmissionAttempts();
+    private final SendSteps steps;
     private final AnswerRelay relay;
     private final ExchangeLog log;
-    private final WaitClock waitClock = new WaitClock();
     private Cancellable deadlineTimer = Cancellable.NOOP;
-    private Cancellable pendingAdmission = Cancellable.NOOP;
-    private Cancellable waitTimer = Cancellable.NOOP;
-    private Cancellable adapterWait = Cancellable.NOOP;
     private Optional<Attempt> attempt = Optional.empty();
-
     private OptionalLong lastSentAt = OptionalLong.empty();
     private int sends;
     private boolean admitted;
@@ -76,274 +54,76 @@
             Optional<Account> account,
             Consumer<Exchange> onEnd) {
         this.services = services;
-        this.request = received.request();
+        this.request = new RoutedRequest(received, route, service, account, services.clock());
         this.route = route;
-        this.service = service;
-        this.account = account;
         this.answer = received.answer();
         this.onEnd = onEnd;
-        this.startedAt = received.receivedAt();
-        this.timeLimit = route.effectiveTimeout(request.callerTimeout());
-        ExchangeSettings settings = services.settings();
-        this.loadWait =
-                new LoadWait(settings.loadWaitLimit(timeLimit, route.latencyObjective()), settings.slowLoadThreshold());
-        this.permission = new SendPermission(services.limiter(), services.clock());
-        this.relay = new AnswerRelay(answer, request.lastEvent(), services.clock());
-        this.log = new ExchangeLog(services.log(), services.clock(), request, service, account.map(Account::id));
+        this.steps = new SendSteps(services, request, new StepResults());
+        this.relay = new AnswerRelay(answer, received.request().lastEvent(), services.clock());
+        this.log = new ExchangeLog(
+                services.log(), services.clock(), received.request(), service, account.map(Account::id));
     }
 
     void start() {
-        deadlineTimer = services.timers().schedule(remaining(), this::onDeadline);
-        requestQuota();
+        deadlineTimer = services.timers().schedule(request.remaining(), this::onDeadline);
+        steps.start();
     }
 
-    private Duration elapsed() {
-        return Duration.ofNanos(services.clock().nanos() - startedAt);
-    }
-
-    private Duration remaining() {
-        return timeLimit.minus(elapsed());
-    }
+    /** Handles the results of the steps before the request is sent. */
+    private final class StepResults implements SendSteps.Listener {
 
-    private void requestQuota() {
-        if (account.isEmpty()) {
-            onAdmitted();
-            return;
+        @Override
+        public void onAdmitted() {
+            admitted = true;
         }
-        waitClock.startWait(WaitCause.RATE, services.clock().nanos());
-        pendingAdmission =
-                services.quotas().admit(account.get(), quotaUnits(account.get()), timeLimit, this::onQuotaDecision);
-    }
 
-    private void onQuotaDecision(Quotas.Admission decision) {
-        if (ended) {
-            return;
-        }
-        if (!decision.admitted()) {
+        @Override
+        public void onAboveRate(Duration retryAfter) {
             refuse(Refusal.withRetryAfter(
-                    ResultCode.OUT_OF_BUDGET,
-                    "the client account is above its rate",
-                    decision.delay().orElse(DEFAULT_RETRY_AFTER)));
-            return;
-        }
-        Duration delay = decision.delay().orElse(Duration.ZERO);
-        if (delay.isZero()) {
-            onAdmitted();
-        } else {
-            waitTimer = services.timers().schedule(delay, this::onAdmitted);
-        }
-    }
-
-    private double quotaUnits(Account charged) {
-        if (!charged.countsTokens()) {
-            return 1;
+                    ResultCode.OUT_OF_BUDGET, "the client account is above its rate", retryAfter));
         }
-        return request.generation().map(GatewayRequest.Generation::quotaTokens).orElse(charged.defaultUnits());
-    }
-
-    private void onAdmitted() {
-        admitted = true;
-        adapter().ifPresent(adapter -> services.placement().recordRequest(adapter, promptTokens()));
-        place();
-    }
-
-    private Optional<AdapterName> adapter() {
-        return request.generation().flatMap(GatewayRequest.Generation::adapter);
-    }
-
-    private void place() {
-        if (ended || attempt.isPresent()) {
-            return;
-        }
-        waitTimer.cancel();
-        waitClock.stopWait(services.clock().nanos());
-        if (remaining().compareTo(services.settings().minimumRemaining()) < 0) {
-            return;
-        }
-        PlacementDecision decision = services.placement().place(placementRequest());
-        if (decision instanceof PlacementDecision.Send send) {
-            adapterWait.cancel();
-            requestTargetAdmission(send);
-        } else if (decision instanceof PlacementDecision.Load load) {
-            adapterWait.cancel();
-            requestPermission(load.target(), () -> awaitAdapter(load.target()));
-        } else if (decision instanceof PlacementDecision.Defer defer) {
-            adapterWait.cancel();
-            waitClock.startWait(WaitCause.PREFILL_CAPACITY, services.clock().nanos());
-            waitTimer = services.timers().schedule(defer.delay(), this::place);
-        } else if (decision instanceof PlacementDecision.Unplaceable unplaceable) {
-            onUnplaceable(unplaceable);
-        }
-    }
-
-    /**
-     * Retries placement for a while instead of refusing the request. Just after a restart of all entries none of them
-     * can order loads, and targets that are warming up take another request within a second; refused callers would
-     * all retry at the same time.
-     */
-    private void onUnplaceable(PlacementDecision.Unplaceable unplaceable) {
-        PlacementDecision.Reason reason = unplaceable.reason();
-        boolean isTransient = reason == PlacementDecision.Reason.NO_HOLDER || reason == PlacementDecision.Reason.COLD;
-        boolean mayRetry =
-                isTransient && elapsed().compareTo(services.settings().placementRetryPeriod()) < 0;
-        if (!mayRetry) {
-            ResultCode code = reason == PlacementDecision.Reason.LIMITED ? ResultCode.OVERLOADED : ResultCode.NO_TARGET;
-            giveUp(code, reason.name(), unplaceable.retryAfter().orElse(DEFAULT_RETRY_AFTER));
-            return;
-        }
-        waitClock.startWait(WaitCause.ADAPTER, services.clock().nanos());
-        waitTimer = services.timers().schedule(services.settings().placementRetryInterval(), this::place);
-    }
 
-    private long promptTokens() {
-        return request.generation().map(GatewayRequest.Generation::promptTokens).orElse(0L);
-    }
-
-    private PlacementRequest placementRequest() {
-        long now = services.clock().nanos();
-        Optional<AdapterName> adapter = adapter();
-        adapter.ifPresent(required ->
-                loadWait.recordDeclined(target -> services.adapters().hasDeclined(target, required)));
-        return new PlacementRequest(
-                service,
-                request.generation().map(GatewayRequest.Generation::model),
-                adapter,
-                adapter.map(services.adapters()::minimumVersion).orElse(0L),
-                adapter.map(services.adapters()::namedVersion).orElse(0L),
-                request.affinityKey(),
-                promptTokens(),
-                route.latencyObjective(),
-                elapsed().compareTo(services.settings().maximumDeferral()) < 0,
-                loadWait.loadingTargets(now),
-                loadWait.slowLoadingTargets(now),
-                admissionAttempts.saturatedTargets(),
-                excludedTargets,
-                permission.target());
-    }
-
-    private void awaitAdapter(Target target) {
-        AdapterName adapter = adapter().orElseThrow();
-        long now = services.clock().nanos();
-        if (!loadWait.startOrContinue(now)) {
-            giveUp(ResultCode.LOAD_FAILED, "the adapter is not loaded in time");
-            return;
-        }
-        loadWait.recordRequest(target.id(), now);
-        waitClock.startWait(WaitCause.ADAPTER, now);
-        adapterWait.cancel();
-        adapterWait = services.adapters().await(adapter, this::place);
-        waitTimer = services.timers().schedule(services.settings().placementRetryInterval(), this::place);
-        services.adapters()
-                .enqueue(
-                        target,
-                        adapter,
-                        Optional.of(route.latencyObjective().minus(elapsed())),
-                        loadWait.mayBeDeclined());
-    }
-
-    private void requestTargetAdmission(PlacementDecision.Send send) {
-        if (promptTokens() == 0 || !admissionAttempts.mayAttempt()) {
-            requestPermission(send);
-            return;
-        }
-        waitClock.startWait(WaitCause.PREFILL_CAPACITY, services.clock().nanos());
-        Duration maximumDelay = admissionAttempts.maximumDelay(route.latencyObjective(), elapsed());
-        pendingAdmission = services.admission()
-                .admit(send.target(), promptTokens(), maximumDelay, decision -> onTargetAdmission(send, decision));
-    }
-
-    private void onTargetAdmission(PlacementDecision.Send send, TargetAdmission.Decision decision) {
-        if (ended) {
-            return;
-        }
-        if (!decision.admitted()) {
-            admissionAttempts.recordRefusal(send.target().id());
-            place();
-        } else if (decision.delay().isZero()) {
-            sendIfStillSendable(send);
-        } else {
-            waitTimer = services.timers().schedule(decision.delay(), () -> sendIfStillSendable(send));
-        }
-    }
-
-    private void sendIfStillSendable(PlacementDecision.Send send) {
-        waitClock.stopWait(services.clock().nanos());
-        if (services.placement().isSendable(send.target())) {
-            requestPermission(send);
-        } else {
-            place();
-        }
-    }
-
-    /** Asks last, so that a request that has waited for anything else keeps to a limit that became known meanwhile. */
-    private void requestPermission(PlacementDecision.Send send) {
-        requestPermission(send.target(), () -> {
-            permission.use();
+        @Override
+        public void onSendable(PlacementDecision.Send send) {
             send(send);
-        });
-    }
-
-    /**
-     * Runs an action once a request may be sent to a target, or places this request again. A request asks before its
-     * adapter is loaded too: where nothing is left of a target's limit, it would wait for the load in vain.
-     */
-    private void requestPermission(Target target, Runnable action) {
-        Cancellable pending = permission.request(target, permitted -> onPermissionDecided(target, permitted, action));
-        if (pending != Cancellable.NOOP) {
-            pendingAdmission = pending;
         }
-    }
 
-    private void onPermissionDecided(Target target, boolean permitted, Runnable action) {
-        if (ended) {
-            return;
-        }
-        if (permitted && services.placement().isSendable(target)) {
-            action.run();
-        } else {
-            place();
+        @Override
+        public void onUnplaceable(ResultCode code, String reason, Duration retryAfter) {
+            giveUp(code, reason, retryAfter);
         }
     }
 
     private void send(PlacementDecision.Send send) {
-        loadWait.reset();
         Target target = send.target();
-        if (sends > 0 && !services.retryBudgets().tryRetry(service)) {
+        if (sends > 0 && !services.retryBudgets().tryRetry(request.service())) {
             giveUp(ResultCode.OVERLOADED, "no second arrival is allowed now");
             return;
         }
         sends++;
-        log.logPlaced(send, progress(), account.map(this::quotaUnits).orElse(0.0));
+        log.logPlaced(
+                send, progress(), request.account().map(request::quotaUnits).orElse(0.0));
         lastSentAt = OptionalLong.of(services.clock().nanos());
-        adapter().ifPresent(adapter -> send.alsoLoad()
+        request.adapter().ifPresent(adapter -> send.alsoLoad()
                 .ifPresent(other -> services.adapters().enqueue(other, adapter, Optional.empty(), false)));
-        Attempt newAttempt = new Attempt(services, target, request, new AttemptEvents(target));
+        Attempt newAttempt = new Attempt(services, target, request.request(), new AttemptEvents(target));
         attempt = Optional.of(newAttempt);
         newAttempt.start(envelope(target), maximumIdle(), silenceLimits());
     }
 
     private TargetPort.RequestMetadata envelope(Target target) {
-        OptionalLong version = adapter()
+        OptionalLong version = request.adapter()
                 .filter(adapter -> services.adapters().namedVersion(adapter) > 0)
                 .map(target::residentVersion)
                 .orElse(OptionalLong.empty());
         return new TargetPort.RequestMetadata(
-                account.map(charged -> charged.id().value()),
-                remaining(),
-                urgency(),
+                request.account().map(charged -> charged.id().value()),
+                request.remaining(),
+                request.urgency(),
                 version,
                 relay.resumeAfterNumber());
     }
 
-    private int urgency() {
-        int accountPriority =
-                account.map(Account::priority).orElse(OptionalInt.empty()).orElse(1);
-        return Math.min(
-                LOWEST_URGENCY,
-                accountPriority * URGENCY_STEPS_PER_ACCOUNT_PRIORITY
-                        + Math.min(MAXIMUM_ROUTE_PRIORITY, route.priority()));
-    }
-
     private Duration maximumIdle() {
         return route.retryPolicy().allowsRerun()
                 ? services.settings().maximumIdleForRepeatable()
@@ -360,7 +140,7 @@
                     Optional.of(services.settings().nextEventTimeout()));
         }
         Duration limit = Duration.ofNanos(
-                (long) (remaining().toNanos() * services.settings().silenceTimeFraction()));
+                (long) (request.remaining().toNanos() * services.settings().silenceTimeFraction()));
         return new Attempt.SilenceLimits(Optional.of(limit), Optional.empty());
     }
 
@@ -377,11 +157,11 @@
             attempt = Optional.empty();
             log.logNotExecuted(target, reason);
             if (reason == NotExecuted.NOT_RESIDENT) {
-                adapter()
+                request.adapter()
                         .ifPresent(adapter ->
                                 target.learnAbsent(adapter, services.clock().nanos()));
             } else {
-                excludedTargets.add(target.id());
+                steps.state().exclude(target.id());
             }
             if (reason == NotExecuted.ANOTHER_TARGET) {
                 services.registry().removeEnded(target);
@@ -409,7 +189,7 @@
             if (relay.isServerErrorPending()) {
                 services.health().onFailure(target.id());
                 possiblyRunTargets.add(target.id());
-                excludedTargets.add(target.id());
+                steps.state().exclude(target.id());
                 if (mayRunAgain()) {
                     retryOrGiveUp("the target failed");
                     return;
@@ -425,7 +205,7 @@
         public void onFailed(boolean mayHaveRun, String reason) {
             attempt = Optional.empty();
             services.health().onFailure(target.id());
-            excludedTargets.add(target.id());
+            steps.state().exclude(target.id());
             log.logAttemptFailed(target, mayHaveRun, reason, relay.lastEventNumber());
             if (mayHaveRun) {
                 possiblyRunTargets.add(target.id());
@@ -444,9 +224,9 @@
     }
 
     private void retryOrGiveUp(String reason) {
-        boolean hasTimeLeft = remaining().compareTo(services.settings().minimumRemaining()) > 0;
+        boolean hasTimeLeft = request.remaining().compareTo(services.settings().minimumRemaining()) > 0;
         if (hasTimeLeft && sends < services.settings().maximumSends()) {
-            place();
+            steps.place();
             return;
         }
         giveUp(ResultCode.OVERLOADED, reason);
@@ -454,7 +234,7 @@
 
     /** Ends the exchange at once without a complete answer, reporting what is known about whether the request ran. */
     private void giveUp(ResultCode notRunCode, String reason) {
-        giveUp(notRunCode, reason, DEFAULT_RETRY_AFTER);
+        giveUp(notRunCode, reason, Refusal.DEFAULT_RETRY_AFTER);
     }
 
     private void giveUp(ResultCode notRunCode, String reason, Duration retryAfter) {
@@ -490,8 +270,7 @@
     }
 
     private ExchangeLog.Progress progress() {
-        return new ExchangeLog.Progress(
-                admitted, sends, elapsed(), waitClock.snapshot(services.clock().nanos()));
+        return new ExchangeLog.Progress(admitted, sends, request.elapsed(), steps.waits());
     }
 
     private void logEnd(EventCode event, ResultCode code, String reason) {
@@ -523,7 +302,7 @@
         }
         attempt.ifPresent(Attempt::cancel);
         attempt = Optional.empty();
-        log.logCallerGone(sends, elapsed());
+        log.logCallerGone(sends, request.elapsed());
         finish(OutcomeListener.Kind.CALLER_GONE, 0);
     }
 
@@ -533,22 +312,20 @@
         }
         ended = true;
         deadlineTimer.cancel();
-        pendingAdmission.cancel();
-        waitTimer.cancel();
-        adapterWait.cancel();
+        steps.close();
         services.outcomes()
                 .onOutcome(new OutcomeListener.Outcome(
-                        request.id(),
+                        request.request().id(),
                         route,
-                        account.map(Account::id),
+                        request.account().map(Account::id),
                         kind,
                         status,
                         sends,
-                        relay.timeToFirstPart(startedAt),
+                        relay.timeToFirstPart(request.receivedAt()),
                         lastSentAt.isEmpty() ? Optional.empty() : relay.timeToFirstPart(lastSentAt.getAsLong()),
-                        waitClock.snapshot(services.clock().nanos()),
+                        steps.waits(),
                         relay.maximumPause(),
-                        elapsed()));
+                        request.elapsed()));
         onEnd.accept(this);
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
@@ -0,0 +1,74 @@
+package org.geraniumreach.gateway.request;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import org.geraniumreach.gateway.placement.PlacementRequest;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.model.TargetId;
+
+/**
+ * What one request has learnt from its attempts to be placed.
+ *
+ * <p>Confined to the event loop.
+ */
+final class PlacementState {
+
+    private final ExchangeServices services;
+    private final RoutedRequest request;
+    private final Set<TargetId> excludedTargets = new HashSet<>();
+    private final LoadWait loadWait;
+    private final SendPermission permission;
+    private final AdmissionAttempts admissionAttempts = new AdmissionAttempts();
+
+    PlacementState(ExchangeServices services, RoutedRequest request) {
+        this.services = services;
+        this.request = request;
+        ExchangeSettings settings = services.settings();
+        this.loadWait = new LoadWait(
+                settings.loadWaitLimit(request.timeLimit(), request.route().latencyObjective()),
+                settings.slowLoadThreshold());
+        this.permission = new SendPermission(services.limiter(), services.clock());
+    }
+
+    /** Excludes a target from all further attempts. */
+    void exclude(TargetId target) {
+        excludedTargets.add(target);
+    }
+
+    LoadWait loadWait() {
+        return loadWait;
+    }
+
+    SendPermission permission() {
+        return permission;
+    }
+
+    AdmissionAttempts admissionAttempts() {
+        return admissionAttempts;
+    }
+
+    /** Creates the request for the next placement. */
+    PlacementRequest nextPlacement() {
+        long now = services.clock().nanos();
+        Optional<AdapterName> adapter = request.adapter();
+        adapter.ifPresent(required ->
+                loadWait.recordDeclined(target -> services.adapters().hasDeclined(target, required)));
+        return new PlacementRequest(
+                request.service(),
+                request.request().generation().map(GatewayRequest.Generation::model),
+                adapter,
+                adapter.map(services.adapters()::minimumVersion).orElse(0L),
+                adapter.map(services.adapters()::namedVersion).orElse(0L),
+                request.request().affinityKey(),
+                request.promptTokens(),
+                request.route().latencyObjective(),
+                request.elapsed().compareTo(services.settings().maximumDeferral()) < 0,
+                loadWait.loadingTargets(now),
+                loadWait.slowLoadingTargets(now),
+                admissionAttempts.saturatedTargets(),
+                excludedTargets,
+                permission.target());
+    }
+}
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Refusal.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Refusal.java
@@ -23,6 +23,9 @@
  */
 public record Refusal(ResultCode code, String message, Optional<Duration> retryAfter) {
 
+    /** The delay after which callers retry if nothing is known about when it would help. */
+    static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(700);
+
     private static final Duration MINIMUM_RETRY_AFTER = Duration.ofMillis(100);
     private static final double NANOS_PER_SECOND = 1e9;
 
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RoutedRequest.java
@@ -0,0 +1,104 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import org.geraniumreach.gateway.traffic.Account;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.gateway.traffic.Route;
+import org.geraniumreach.model.MonotonicClock;
+
+/**
+ * A received request with its route, its service, the client account that is charged, and its time limit.
+ *
+ * <p>Immutable; confined to the event loop like its exchange.
+ */
+final class RoutedRequest {
+
+    private static final int URGENCY_STEPS_PER_ACCOUNT_PRIORITY = 3;
+    private static final int MAXIMUM_ROUTE_PRIORITY = 2;
+    private static final int LOWEST_URGENCY = 9;
+
+    private final GatewayRequest request;
+    private final Route route;
+    private final String service;
+    private final Optional<Account> account;
+    private final long receivedAt;
+    private final Duration timeLimit;
+    private final MonotonicClock clock;
+
+    RoutedRequest(
+            ReceivedRequest received, Route route, String service, Optional<Account> account, MonotonicClock clock) {
+        this.request = received.request();
+        this.route = route;
+        this.service = service;
+        this.account = account;
+        this.receivedAt = received.receivedAt();
+        this.timeLimit = route.effectiveTimeout(request.callerTimeout());
+        this.clock = clock;
+    }
+
+    GatewayRequest request() {
+        return request;
+    }
+
+    Route route() {
+        return route;
+    }
+
+    String service() {
+        return service;
+    }
+
+    Optional<Account> account() {
+        return account;
+    }
+
+    long receivedAt() {
+        return receivedAt;
+    }
+
+    Duration timeLimit() {
+        return timeLimit;
+    }
+
+    Duration elapsed() {
+        return Duration.ofNanos(clock.nanos() - receivedAt);
+    }
+
+    Duration remaining() {
+        return timeLimit.minus(elapsed());
+    }
+
+    /** Gets the time left until the first part misses the objective, negative if it has. */
+    Duration objectiveLeft() {
+        return route.latencyObjective().minus(elapsed());
+    }
+
+    Optional<AdapterName> adapter() {
+        return request.generation().flatMap(GatewayRequest.Generation::adapter);
+    }
+
+    long promptTokens() {
+        return request.generation().map(GatewayRequest.Generation::promptTokens).orElse(0L);
+    }
+
+    /** Gets the units that are charged to an account for the request. */
+    double quotaUnits(Account charged) {
+        if (!charged.countsTokens()) {
+            return 1;
+        }
+        return request.generation().map(GatewayRequest.Generation::quotaTokens).orElse(charged.defaultUnits());
+    }
+
+    /** Gets the urgency that targets are told, 0 for the most urgent requests. */
+    int urgency() {
+        int accountPriority =
+                account.map(Account::priority).orElse(OptionalInt.empty()).orElse(1);
+        return Math.min(
+                LOWEST_URGENCY,
+                accountPriority * URGENCY_STEPS_PER_ACCOUNT_PRIORITY
+                        + Math.min(MAXIMUM_ROUTE_PRIORITY, route.priority()));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
@@ -0,0 +1,170 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+
+import org.geraniumreach.gateway.placement.PlacementDecision;
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.model.ResultCode;
+
+/**
+ * The steps that a request passes before it is sent: its account's rate, the placement, and what the selected target
+ * requires, which is the adapter's load or the prompt's turn, and a permission if it names a limit.
+ *
+ * <p>Invariant: nothing is reported unless the request is being placed, so at most once for each call of {@link #start}
+ * or {@link #place}, and never after {@link #close}. Confined to the event loop.
+ */
+final class SendSteps {
+
+    private final ExchangeServices services;
+    private final RoutedRequest request;
+    private final Listener listener;
+    private final PendingWaits waits;
+    private final PlacementState state;
+    private final QuotaStep quotaStep;
+    private final PacedAdmissionStep admissionStep;
+    private final PermissionStep permissionStep;
+    private final AdapterLoadStep loadStep;
+    private boolean placing;
+
+    /** Receives the result of the steps. */
+    interface Listener {
+
+        /** Called once the request is within its account's rate. */
+        void onAdmitted();
+
+        /** Called if the request is above its account's rate, with the time after which to retry. */
+        void onAboveRate(Duration retryAfter);
+
+        /** Called when the request may be sent to a target. */
+        void onSendable(PlacementDecision.Send send);
+
+        /** Called if the request cannot be sent to any target. */
+        void onUnplaceable(ResultCode code, String reason, Duration retryAfter);
+    }
+
+    SendSteps(ExchangeServices services, RoutedRequest request, Listener listener) {
+        this.services = services;
+        this.request = request;
+        this.listener = listener;
+        this.waits = new PendingWaits(services.timers(), services.clock());
+        this.state = new PlacementState(services, request);
+        this.quotaStep = new QuotaStep(services, request, waits);
+        this.admissionStep = new PacedAdmissionStep(services, request, state.admissionAttempts(), waits);
+        this.permissionStep = new PermissionStep(services, state.permission(), waits);
+        this.loadStep = new AdapterLoadStep(services, request, state.loadWait(), waits);
+    }
+
+    PlacementState state() {
+        return state;
+    }
+
+    Waits waits() {
+        return waits.snapshot();
+    }
+
+    /** Runs all steps. */
+    void start() {
+        placing = true;
+        quotaStep.run(ifPlacing(this::onAdmitted), retryAfter -> ifPlacing(() -> listener.onAboveRate(retryAfter))
+                .run());
+    }
+
+    /** Runs the steps from the placement on, after an attempt that has ended. */
+    void place() {
+        placing = true;
+        placeNow();
+    }
+
+    /** Ends all waits. */
+    void close() {
+        placing = false;
+        waits.cancelAll();
+    }
+
+    /** Guards a callback, since cancelled registrations may still be notified of a change in progress. */
+    private Runnable ifPlacing(Runnable action) {
+        return () -> {
+            if (placing) {
+                action.run();
+            }
+        };
+    }
+
+    private void onAdmitted() {
+        listener.onAdmitted();
+        request.adapter().ifPresent(adapter -> services.placement().recordRequest(adapter, request.promptTokens()));
+        placeNow();
+    }
+
+    private void placeNow() {
+        waits.cancelTimer();
+        waits.stop();
+        if (request.remaining().compareTo(services.settings().minimumRemaining()) < 0) {
+            return;
+        }
+        PlacementDecision decision = services.placement().place(state.nextPlacement());
+        if (decision instanceof PlacementDecision.Unplaceable unplaceable) {
+            onUnplaceable(unplaceable);
+            return;
+        }
+        waits.cancelAdapterChange();
+        if (decision instanceof PlacementDecision.Send send) {
+            admissionStep.run(send, ifPlacing(() -> requestPermissionToSend(send)), placeAgain());
+        } else if (decision instanceof PlacementDecision.Load load) {
+            requestPermissionToLoad(load.target());
+        } else if (decision instanceof PlacementDecision.Defer defer) {
+            waits.start(WaitCause.PREFILL_CAPACITY);
+            waits.schedule(defer.delay(), placeAgain());
+        }
+    }
+
+    private Runnable placeAgain() {
+        return ifPlacing(this::placeNow);
+    }
+
+    /** Asks last, so that a request that has waited for anything else keeps to a limit that became known meanwhile. */
+    private void requestPermissionToSend(PlacementDecision.Send send) {
+        permissionStep.run(
+                send.target(),
+                ifPlacing(() -> {
+                    state.permission().use();
+                    state.loadWait().reset();
+                    placing = false;
+                    listener.onSendable(send);
+                }),
+                placeAgain());
+    }
+
+    /** Asks before the load: where nothing is left of a target's limit, the request would wait for the load in vain. */
+    private void requestPermissionToLoad(Target target) {
+        permissionStep.run(
+                target,
+                ifPlacing(() -> loadStep.run(
+                        target,
+                        placeAgain(),
+                        () -> listener.onUnplaceable(
+                                ResultCode.LOAD_FAILED,
+                                "the adapter is not loaded in time",
+                                Refusal.DEFAULT_RETRY_AFTER))),
+                placeAgain());
+    }
+
+    /**
+     * Retries placement for a while instead of refusing the request. Just after a restart of all entries none of them
+     * can order loads, and targets that are warming up take another request within a second; refused callers would
+     * all retry at the same time.
+     */
+    private void onUnplaceable(PlacementDecision.Unplaceable unplaceable) {
+        PlacementDecision.Reason reason = unplaceable.reason();
+        boolean isTransient = reason == PlacementDecision.Reason.NO_HOLDER || reason == PlacementDecision.Reason.COLD;
+        boolean mayRetry =
+                isTransient && request.elapsed().compareTo(services.settings().placementRetryPeriod()) < 0;
+        if (!mayRetry) {
+            ResultCode code = reason == PlacementDecision.Reason.LIMITED ? ResultCode.OVERLOADED : ResultCode.NO_TARGET;
+            listener.onUnplaceable(code, reason.name(), unplaceable.retryAfter().orElse(Refusal.DEFAULT_RETRY_AFTER));
+            return;
+        }
+        waits.start(WaitCause.ADAPTER);
+        waits.schedule(services.settings().placementRetryInterval(), placeAgain());
+    }
+}
