Name the caller's request in admission requests, and tell whether less urgent ones wait

An owner's log line about a decision needs the id of the caller's request. A rejected request may wait at its last target only if less urgent ones wait there, which only the owner knows. A load request's urgency has to tell 0, the most urgent, from an entry that orders nothing. All three fields are compatible with entries that do not know them.

--- a/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequest.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequest.java
@@ -48,6 +48,7 @@
             org.geraniumreach.messages.AdapterLoadRequest.class, org.geraniumreach.messages.AdapterLoadRequest.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ADAPTER_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object adapter_ = "";
@@ -136,10 +137,22 @@
   private int urgency_ = 0;
   /**
    * <pre>
-   * of the waiting request, 0 to 9, 0 first
+   * of the waiting request, 0 to 9, 0 first; not set if the sender orders nothing
    * </pre>
    *
-   * <code>int32 urgency = 5;</code>
+   * <code>optional int32 urgency = 5;</code>
+   * @return Whether the urgency field is set.
+   */
+  @java.lang.Override
+  public boolean hasUrgency() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * of the waiting request, 0 to 9, 0 first; not set if the sender orders nothing
+   * </pre>
+   *
+   * <code>optional int32 urgency = 5;</code>
    * @return The urgency.
    */
   @java.lang.Override
@@ -235,7 +248,7 @@
     if (mayDecline_ != false) {
       output.writeBool(4, mayDecline_);
     }
-    if (urgency_ != 0) {
+    if (((bitField0_ & 0x00000001) != 0)) {
       output.writeInt32(5, urgency_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
@@ -268,7 +281,7 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, mayDecline_);
     }
-    if (urgency_ != 0) {
+    if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(5, urgency_);
     }
@@ -302,8 +315,11 @@
         != other.getUntilLateMillis()) return false;
     if (getMayDecline()
         != other.getMayDecline()) return false;
-    if (getUrgency()
-        != other.getUrgency()) return false;
+    if (hasUrgency() != other.hasUrgency()) return false;
+    if (hasUrgency()) {
+      if (getUrgency()
+          != other.getUrgency()) return false;
+    }
     if (!getAccount()
         .equals(other.getAccount())) return false;
     if (java.lang.Double.doubleToLongBits(getAccountWeight())
@@ -330,8 +346,10 @@
     hash = (37 * hash) + MAY_DECLINE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getMayDecline());
-    hash = (37 * hash) + URGENCY_FIELD_NUMBER;
-    hash = (53 * hash) + getUrgency();
+    if (hasUrgency()) {
+      hash = (37 * hash) + URGENCY_FIELD_NUMBER;
+      hash = (53 * hash) + getUrgency();
+    }
     hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
     hash = (53 * hash) + getAccount().hashCode();
     hash = (37 * hash) + ACCOUNT_WEIGHT_FIELD_NUMBER;
@@ -524,8 +542,10 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.mayDecline_ = mayDecline_;
       }
+      int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.urgency_ = urgency_;
+        to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.account_ = account_;
@@ -533,6 +553,7 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.accountWeight_ = accountWeight_;
       }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -561,7 +582,7 @@
       if (other.getMayDecline() != false) {
         setMayDecline(other.getMayDecline());
       }
-      if (other.getUrgency() != 0) {
+      if (other.hasUrgency()) {
         setUrgency(other.getUrgency());
       }
       if (!other.getAccount().isEmpty()) {
@@ -857,10 +878,22 @@
     private int urgency_ ;
     /**
      * <pre>
-     * of the waiting request, 0 to 9, 0 first
+     * of the waiting request, 0 to 9, 0 first; not set if the sender orders nothing
+     * </pre>
+     *
+     * <code>optional int32 urgency = 5;</code>
+     * @return Whether the urgency field is set.
+     */
+    @java.lang.Override
+    public boolean hasUrgency() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <pre>
+     * of the waiting request, 0 to 9, 0 first; not set if the sender orders nothing
      * </pre>
      *
-     * <code>int32 urgency = 5;</code>
+     * <code>optional int32 urgency = 5;</code>
      * @return The urgency.
      */
     @java.lang.Override
@@ -869,10 +902,10 @@
     }
     /**
      * <pre>
-     * of the waiting request, 0 to 9, 0 first
+     * of the waiting request, 0 to 9, 0 first; not set if the sender orders nothing
      * </pre>
      *
-     * <code>int32 urgency = 5;</code>
+     * <code>optional int32 urgency = 5;</code>
      * @param value The urgency to set.
      * @return This builder for chaining.
      */
@@ -885,10 +918,10 @@
     }
     /**
      * <pre>
-     * of the waiting request, 0 to 9, 0 first
+     * of the waiting request, 0 to 9, 0 first; not set if the sender orders nothing
      * </pre>
      *
-     * <code>int32 urgency = 5;</code>
+     * <code>optional int32 urgency = 5;</code>
      * @return This builder for chaining.
      */
     public Builder clearUrgency() {
--- a/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequestOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/AdapterLoadRequestOrBuilder.java
@@ -53,10 +53,19 @@
 
   /**
    * <pre>
-   * of the waiting request, 0 to 9, 0 first
+   * of the waiting request, 0 to 9, 0 first; not set if the sender orders nothing
    * </pre>
    *
-   * <code>int32 urgency = 5;</code>
+   * <code>optional int32 urgency = 5;</code>
+   * @return Whether the urgency field is set.
+   */
+  boolean hasUrgency();
+  /**
+   * <pre>
+   * of the waiting request, 0 to 9, 0 first; not set if the sender orders nothing
+   * </pre>
+   *
+   * <code>optional int32 urgency = 5;</code>
    * @return The urgency.
    */
   int getUrgency();
--- a/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
+++ b/messages/src/main/java/org/geraniumreach/messages/LinkProto.java
@@ -378,68 +378,69 @@
       "\n\006target\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\014\n\004used\030\004 " +
       "\003(\t\022=\n\rload_requests\030\005 \003(\0132&.geraniumrea" +
       "ch.link.AdapterLoadRequest\022\017\n\007running\030\006 " +
-      "\003(\t\022\025\n\rtells_running\030\007 \001(\010J\004\010\003\020\004\"\243\001\n\022Ada" +
+      "\003(\t\022\025\n\rtells_running\030\007 \001(\010J\004\010\003\020\004\"\264\001\n\022Ada" +
       "pterLoadRequest\022\017\n\007adapter\030\001 \001(\t\022\022\n\nwait" +
       "ed_for\030\002 \001(\010\022\031\n\021until_late_millis\030\003 \001(\021\022" +
-      "\023\n\013may_decline\030\004 \001(\010\022\017\n\007urgency\030\005 \001(\005\022\017\n" +
-      "\007account\030\006 \001(\t\022\026\n\016account_weight\030\007 \001(\001\"\261" +
-      "\001\n\016AdapterChanges\022\016\n\006target\030\001 \001(\t\022\022\n\nsta" +
-      "rted_at\030\002 \001(\003\022\r\n\005model\030\003 \001(\t\022\025\n\rmodel_pr" +
-      "esent\030\004 \001(\010\0221\n\006loaded\030\005 \003(\0132!.geraniumre" +
-      "ach.link.AdapterLoaded\022\020\n\010unloaded\030\006 \003(\t" +
-      "\022\020\n\010declined\030\007 \003(\t\"1\n\rAdapterLoaded\022\017\n\007a" +
-      "dapter\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\"\361\001\n\nFeedUp" +
-      "date\0223\n\005table\030\001 \001(\0162$.geraniumreach.link" +
-      ".FeedUpdate.Table\022\r\n\005after\030\002 \001(\003\022\017\n\007vers" +
-      "ion\030\003 \001(\003\022\024\n\014store_millis\030\004 \001(\003\022+\n\004rows\030" +
-      "\005 \003(\0132\035.geraniumreach.link.StoredRow\022\017\n\007" +
-      "failure\030\006 \001(\t\":\n\005Table\022\013\n\007UNKNOWN\020\000\022\014\n\010O" +
-      "PERATOR\020\001\022\013\n\007TARGETS\020\002\022\t\n\005FLEET\020\003\"I\n\tSto" +
-      "redRow\022\013\n\003key\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\017\n\007" +
-      "removed\030\003 \001(\010\022\r\n\005value\030\004 \001(\t\">\n\014QuotaReq" +
-      "uest\022\016\n\006number\030\001 \001(\003\022\017\n\007account\030\002 \001(\t\022\r\n" +
-      "\005units\030\003 \001(\001\"Z\n\rQuotaResponse\022\016\n\006number\030" +
-      "\001 \001(\003\022\017\n\007granted\030\002 \001(\010\022\023\n\013delay_known\030\003 " +
-      "\001(\010\022\023\n\013delay_nanos\030\004 \001(\003\"\354\001\n\026TargetAdmis" +
-      "sionRequest\022\016\n\006number\030\001 \001(\003\022\016\n\006target\030\002 " +
-      "\001(\t\022\025\n\rprompt_tokens\030\003 \001(\003\022\033\n\023longest_de" +
-      "lay_nanos\030\004 \001(\003\022\017\n\007urgency\030\005 \001(\005\022\017\n\007acco" +
-      "unt\030\006 \001(\t\022\026\n\016account_weight\030\007 \001(\001\022\025\n\rout" +
-      "put_tokens\030\010 \001(\003\022\034\n\024objective_left_nanos" +
-      "\030\t \001(\003\022\017\n\007ordered\030\n \001(\010\"\371\002\n\027TargetAdmiss" +
-      "ionResponse\022\016\n\006number\030\001 \001(\003\022\020\n\010admitted\030" +
-      "\002 \001(\010\022\023\n\013delay_nanos\030\003 \001(\003\022D\n\007outcome\030\004 " +
-      "\001(\01623.geraniumreach.link.TargetAdmission" +
-      "Response.Outcome\022\031\n\021retry_after_nanos\030\005 " +
-      "\001(\003\022B\n\006reason\030\006 \001(\01622.geraniumreach.link" +
-      ".TargetAdmissionResponse.Reason\"B\n\007Outco" +
-      "me\022\017\n\013UNSPECIFIED\020\000\022\014\n\010ADMITTED\020\001\022\n\n\006QUE" +
-      "UED\020\002\022\014\n\010REJECTED\020\003\">\n\006Reason\022\010\n\004NONE\020\000\022" +
-      "\013\n\007NO_TIME\020\001\022\016\n\nQUEUE_FULL\020\002\022\r\n\tDISPLACE" +
-      "D\020\003\"4\n\022TargetAdmissionEnd\022\016\n\006number\030\001 \001(" +
-      "\003\022\016\n\006target\030\002 \001(\t\"N\n\021TargetSpeedUpdate\022\016" +
-      "\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\025\n\rre" +
-      "lative_rate\030\003 \001(\001\"\236\001\n\022TargetSpeedSamples" +
-      "\022\016\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\0226\n\007" +
-      "samples\030\003 \003(\0132%.geraniumreach.link.Targe" +
-      "tSpeedSample\022\020\n\010slowdown\030\004 \001(\001\022\032\n\022slowdo" +
-      "wn_age_nanos\030\005 \001(\003\"W\n\021TargetSpeedSample\022" +
-      "\025\n\rprompt_tokens\030\001 \001(\003\022\031\n\021first_event_na" +
-      "nos\030\002 \001(\003\022\020\n\010slowdown\030\003 \001(\001\"r\n\013TargetLim" +
-      "it\022\016\n\006target\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\017" +
-      "\n\007limited\030\003 \001(\010\022\033\n\023requests_per_second\030\004" +
-      " \001(\001\022\021\n\tage_nanos\030\005 \001(\003\"T\n\022TargetLimitRe" +
-      "quest\022\016\n\006number\030\001 \001(\003\022.\n\005known\030\002 \001(\0132\037.g" +
-      "eraniumreach.link.TargetLimit\"\323\001\n\023Target" +
-      "LimitResponse\022\016\n\006number\030\001 \001(\003\022B\n\010decisio" +
-      "n\030\002 \001(\01620.geraniumreach.link.TargetLimit" +
-      "Response.Decision\022\031\n\021retry_after_nanos\030\003" +
-      " \001(\003\022\027\n\017valid_for_nanos\030\004 \001(\003\"4\n\010Decisio" +
-      "n\022\r\n\tNOT_OWNER\020\000\022\014\n\010ADMITTED\020\001\022\013\n\007REFUSE" +
-      "D\020\002\"C\n\021TargetLimitUpdate\022.\n\005known\030\001 \001(\0132" +
-      "\037.geraniumreach.link.TargetLimitB)\n\032org." +
-      "geraniumreach.messagesB\tLinkProtoP\001b\006pro" +
-      "to3"
+      "\023\n\013may_decline\030\004 \001(\010\022\024\n\007urgency\030\005 \001(\005H\000\210" +
+      "\001\001\022\017\n\007account\030\006 \001(\t\022\026\n\016account_weight\030\007 " +
+      "\001(\001B\n\n\010_urgency\"\261\001\n\016AdapterChanges\022\016\n\006ta" +
+      "rget\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\r\n\005model\030" +
+      "\003 \001(\t\022\025\n\rmodel_present\030\004 \001(\010\0221\n\006loaded\030\005" +
+      " \003(\0132!.geraniumreach.link.AdapterLoaded\022" +
+      "\020\n\010unloaded\030\006 \003(\t\022\020\n\010declined\030\007 \003(\t\"1\n\rA" +
+      "dapterLoaded\022\017\n\007adapter\030\001 \001(\t\022\017\n\007version" +
+      "\030\002 \001(\003\"\361\001\n\nFeedUpdate\0223\n\005table\030\001 \001(\0162$.g" +
+      "eraniumreach.link.FeedUpdate.Table\022\r\n\005af" +
+      "ter\030\002 \001(\003\022\017\n\007version\030\003 \001(\003\022\024\n\014store_mill" +
+      "is\030\004 \001(\003\022+\n\004rows\030\005 \003(\0132\035.geraniumreach.l" +
+      "ink.StoredRow\022\017\n\007failure\030\006 \001(\t\":\n\005Table\022" +
+      "\013\n\007UNKNOWN\020\000\022\014\n\010OPERATOR\020\001\022\013\n\007TARGETS\020\002\022" +
+      "\t\n\005FLEET\020\003\"I\n\tStoredRow\022\013\n\003key\030\001 \001(\t\022\017\n\007" +
+      "version\030\002 \001(\003\022\017\n\007removed\030\003 \001(\010\022\r\n\005value\030" +
+      "\004 \001(\t\">\n\014QuotaRequest\022\016\n\006number\030\001 \001(\003\022\017\n" +
+      "\007account\030\002 \001(\t\022\r\n\005units\030\003 \001(\001\"Z\n\rQuotaRe" +
+      "sponse\022\016\n\006number\030\001 \001(\003\022\017\n\007granted\030\002 \001(\010\022" +
+      "\023\n\013delay_known\030\003 \001(\010\022\023\n\013delay_nanos\030\004 \001(" +
+      "\003\"\375\001\n\026TargetAdmissionRequest\022\016\n\006number\030\001" +
+      " \001(\003\022\016\n\006target\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 " +
+      "\001(\003\022\033\n\023longest_delay_nanos\030\004 \001(\003\022\017\n\007urge" +
+      "ncy\030\005 \001(\005\022\017\n\007account\030\006 \001(\t\022\026\n\016account_we" +
+      "ight\030\007 \001(\001\022\025\n\routput_tokens\030\010 \001(\003\022\034\n\024obj" +
+      "ective_left_nanos\030\t \001(\003\022\017\n\007ordered\030\n \001(\010" +
+      "\022\017\n\007request\030\013 \001(\t\"\223\003\n\027TargetAdmissionRes" +
+      "ponse\022\016\n\006number\030\001 \001(\003\022\020\n\010admitted\030\002 \001(\010\022" +
+      "\023\n\013delay_nanos\030\003 \001(\003\022D\n\007outcome\030\004 \001(\01623." +
+      "geraniumreach.link.TargetAdmissionRespon" +
+      "se.Outcome\022\031\n\021retry_after_nanos\030\005 \001(\003\022B\n" +
+      "\006reason\030\006 \001(\01622.geraniumreach.link.Targe" +
+      "tAdmissionResponse.Reason\022\030\n\020less_urgent" +
+      "_wait\030\007 \001(\010\"B\n\007Outcome\022\017\n\013UNSPECIFIED\020\000\022" +
+      "\014\n\010ADMITTED\020\001\022\n\n\006QUEUED\020\002\022\014\n\010REJECTED\020\003\"" +
+      ">\n\006Reason\022\010\n\004NONE\020\000\022\013\n\007NO_TIME\020\001\022\016\n\nQUEU" +
+      "E_FULL\020\002\022\r\n\tDISPLACED\020\003\"4\n\022TargetAdmissi" +
+      "onEnd\022\016\n\006number\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\"N\n" +
+      "\021TargetSpeedUpdate\022\016\n\006target\030\001 \001(\t\022\022\n\nst" +
+      "arted_at\030\002 \001(\003\022\025\n\rrelative_rate\030\003 \001(\001\"\236\001" +
+      "\n\022TargetSpeedSamples\022\016\n\006target\030\001 \001(\t\022\022\n\n" +
+      "started_at\030\002 \001(\003\0226\n\007samples\030\003 \003(\0132%.gera" +
+      "niumreach.link.TargetSpeedSample\022\020\n\010slow" +
+      "down\030\004 \001(\001\022\032\n\022slowdown_age_nanos\030\005 \001(\003\"W" +
+      "\n\021TargetSpeedSample\022\025\n\rprompt_tokens\030\001 \001" +
+      "(\003\022\031\n\021first_event_nanos\030\002 \001(\003\022\020\n\010slowdow" +
+      "n\030\003 \001(\001\"r\n\013TargetLimit\022\016\n\006target\030\001 \001(\t\022\022" +
+      "\n\nstarted_at\030\002 \001(\003\022\017\n\007limited\030\003 \001(\010\022\033\n\023r" +
+      "equests_per_second\030\004 \001(\001\022\021\n\tage_nanos\030\005 " +
+      "\001(\003\"T\n\022TargetLimitRequest\022\016\n\006number\030\001 \001(" +
+      "\003\022.\n\005known\030\002 \001(\0132\037.geraniumreach.link.Ta" +
+      "rgetLimit\"\323\001\n\023TargetLimitResponse\022\016\n\006num" +
+      "ber\030\001 \001(\003\022B\n\010decision\030\002 \001(\01620.geraniumre" +
+      "ach.link.TargetLimitResponse.Decision\022\031\n" +
+      "\021retry_after_nanos\030\003 \001(\003\022\027\n\017valid_for_na" +
+      "nos\030\004 \001(\003\"4\n\010Decision\022\r\n\tNOT_OWNER\020\000\022\014\n\010" +
+      "ADMITTED\020\001\022\013\n\007REFUSED\020\002\"C\n\021TargetLimitUp" +
+      "date\022.\n\005known\030\001 \001(\0132\037.geraniumreach.link" +
+      ".TargetLimitB)\n\032org.geraniumreach.messag" +
+      "esB\tLinkProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -648,13 +649,13 @@
     internal_static_geraniumreach_link_TargetAdmissionRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetAdmissionRequest_descriptor,
-        new java.lang.String[] { "Number", "Target", "PromptTokens", "LongestDelayNanos", "Urgency", "Account", "AccountWeight", "OutputTokens", "ObjectiveLeftNanos", "Ordered", });
+        new java.lang.String[] { "Number", "Target", "PromptTokens", "LongestDelayNanos", "Urgency", "Account", "AccountWeight", "OutputTokens", "ObjectiveLeftNanos", "Ordered", "Request", });
     internal_static_geraniumreach_link_TargetAdmissionResponse_descriptor =
       getDescriptor().getMessageTypes().get(34);
     internal_static_geraniumreach_link_TargetAdmissionResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_geraniumreach_link_TargetAdmissionResponse_descriptor,
-        new java.lang.String[] { "Number", "Admitted", "DelayNanos", "Outcome", "RetryAfterNanos", "Reason", });
+        new java.lang.String[] { "Number", "Admitted", "DelayNanos", "Outcome", "RetryAfterNanos", "Reason", "LessUrgentWait", });
     internal_static_geraniumreach_link_TargetAdmissionEnd_descriptor =
       getDescriptor().getMessageTypes().get(35);
     internal_static_geraniumreach_link_TargetAdmissionEnd_fieldAccessorTable = new
--- a/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionRequest.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionRequest.java
@@ -34,6 +34,7 @@
   private TargetAdmissionRequest() {
     target_ = "";
     account_ = "";
+    request_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -247,6 +248,53 @@
     return ordered_;
   }
 
+  public static final int REQUEST_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object request_ = "";
+  /**
+   * <pre>
+   * the id of the caller's request, for the log
+   * </pre>
+   *
+   * <code>string request = 11;</code>
+   * @return The request.
+   */
+  @java.lang.Override
+  public java.lang.String getRequest() {
+    java.lang.Object ref = request_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      request_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * the id of the caller's request, for the log
+   * </pre>
+   *
+   * <code>string request = 11;</code>
+   * @return The bytes for request.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRequestBytes() {
+    java.lang.Object ref = request_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      request_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -291,6 +339,9 @@
     if (ordered_ != false) {
       output.writeBool(10, ordered_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 11, request_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -338,6 +389,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(10, ordered_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(11, request_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -374,6 +428,8 @@
         != other.getObjectiveLeftNanos()) return false;
     if (getOrdered()
         != other.getOrdered()) return false;
+    if (!getRequest()
+        .equals(other.getRequest())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -412,6 +468,8 @@
     hash = (37 * hash) + ORDERED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getOrdered());
+    hash = (37 * hash) + REQUEST_FIELD_NUMBER;
+    hash = (53 * hash) + getRequest().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -558,6 +616,7 @@
       outputTokens_ = 0L;
       objectiveLeftNanos_ = 0L;
       ordered_ = false;
+      request_ = "";
       return this;
     }
 
@@ -621,6 +680,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.ordered_ = ordered_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.request_ = request_;
+      }
     }
 
     @java.lang.Override
@@ -669,6 +731,11 @@
       if (other.getOrdered() != false) {
         setOrdered(other.getOrdered());
       }
+      if (!other.getRequest().isEmpty()) {
+        request_ = other.request_;
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -745,6 +812,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 90: {
+              request_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1254,6 +1326,98 @@
       return this;
     }
 
+    private java.lang.Object request_ = "";
+    /**
+     * <pre>
+     * the id of the caller's request, for the log
+     * </pre>
+     *
+     * <code>string request = 11;</code>
+     * @return The request.
+     */
+    public java.lang.String getRequest() {
+      java.lang.Object ref = request_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        request_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the id of the caller's request, for the log
+     * </pre>
+     *
+     * <code>string request = 11;</code>
+     * @return The bytes for request.
+     */
+    public com.google.protobuf.ByteString
+        getRequestBytes() {
+      java.lang.Object ref = request_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        request_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the id of the caller's request, for the log
+     * </pre>
+     *
+     * <code>string request = 11;</code>
+     * @param value The request to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequest(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      request_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the id of the caller's request, for the log
+     * </pre>
+     *
+     * <code>string request = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequest() {
+      request_ = getDefaultInstance().getRequest();
+      bitField0_ = (bitField0_ & ~0x00000400);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the id of the caller's request, for the log
+     * </pre>
+     *
+     * <code>string request = 11;</code>
+     * @param value The bytes for request to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      request_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.TargetAdmissionRequest)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionRequestOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionRequestOrBuilder.java
@@ -112,4 +112,24 @@
    * @return The ordered.
    */
   boolean getOrdered();
+
+  /**
+   * <pre>
+   * the id of the caller's request, for the log
+   * </pre>
+   *
+   * <code>string request = 11;</code>
+   * @return The request.
+   */
+  java.lang.String getRequest();
+  /**
+   * <pre>
+   * the id of the caller's request, for the log
+   * </pre>
+   *
+   * <code>string request = 11;</code>
+   * @return The bytes for request.
+   */
+  com.google.protobuf.ByteString
+      getRequestBytes();
 }
--- a/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionResponse.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionResponse.java
@@ -418,6 +418,21 @@
     return result == null ? org.geraniumreach.messages.TargetAdmissionResponse.Reason.UNRECOGNIZED : result;
   }
 
+  public static final int LESS_URGENT_WAIT_FIELD_NUMBER = 7;
+  private boolean lessUrgentWait_ = false;
+  /**
+   * <pre>
+   * rejected: whether requests wait that are less urgent
+   * </pre>
+   *
+   * <code>bool less_urgent_wait = 7;</code>
+   * @return The lessUrgentWait.
+   */
+  @java.lang.Override
+  public boolean getLessUrgentWait() {
+    return lessUrgentWait_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -450,6 +465,9 @@
     if (reason_ != org.geraniumreach.messages.TargetAdmissionResponse.Reason.NONE.getNumber()) {
       output.writeEnum(6, reason_);
     }
+    if (lessUrgentWait_ != false) {
+      output.writeBool(7, lessUrgentWait_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -483,6 +501,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeEnumSize(6, reason_);
     }
+    if (lessUrgentWait_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, lessUrgentWait_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -508,6 +530,8 @@
     if (getRetryAfterNanos()
         != other.getRetryAfterNanos()) return false;
     if (reason_ != other.reason_) return false;
+    if (getLessUrgentWait()
+        != other.getLessUrgentWait()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -535,6 +559,9 @@
         getRetryAfterNanos());
     hash = (37 * hash) + REASON_FIELD_NUMBER;
     hash = (53 * hash) + reason_;
+    hash = (37 * hash) + LESS_URGENT_WAIT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLessUrgentWait());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -672,6 +699,7 @@
       outcome_ = 0;
       retryAfterNanos_ = 0L;
       reason_ = 0;
+      lessUrgentWait_ = false;
       return this;
     }
 
@@ -723,6 +751,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.reason_ = reason_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.lessUrgentWait_ = lessUrgentWait_;
+      }
     }
 
     @java.lang.Override
@@ -755,6 +786,9 @@
       if (other.reason_ != 0) {
         setReasonValue(other.getReasonValue());
       }
+      if (other.getLessUrgentWait() != false) {
+        setLessUrgentWait(other.getLessUrgentWait());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -811,6 +845,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              lessUrgentWait_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1126,6 +1165,50 @@
       return this;
     }
 
+    private boolean lessUrgentWait_ ;
+    /**
+     * <pre>
+     * rejected: whether requests wait that are less urgent
+     * </pre>
+     *
+     * <code>bool less_urgent_wait = 7;</code>
+     * @return The lessUrgentWait.
+     */
+    @java.lang.Override
+    public boolean getLessUrgentWait() {
+      return lessUrgentWait_;
+    }
+    /**
+     * <pre>
+     * rejected: whether requests wait that are less urgent
+     * </pre>
+     *
+     * <code>bool less_urgent_wait = 7;</code>
+     * @param value The lessUrgentWait to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLessUrgentWait(boolean value) {
+
+      lessUrgentWait_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * rejected: whether requests wait that are less urgent
+     * </pre>
+     *
+     * <code>bool less_urgent_wait = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLessUrgentWait() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      lessUrgentWait_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:geraniumreach.link.TargetAdmissionResponse)
   }
 
--- a/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionResponseOrBuilder.java
+++ b/messages/src/main/java/org/geraniumreach/messages/TargetAdmissionResponseOrBuilder.java
@@ -78,4 +78,14 @@
    * @return The reason.
    */
   org.geraniumreach.messages.TargetAdmissionResponse.Reason getReason();
+
+  /**
+   * <pre>
+   * rejected: whether requests wait that are less urgent
+   * </pre>
+   *
+   * <code>bool less_urgent_wait = 7;</code>
+   * @return The lessUrgentWait.
+   */
+  boolean getLessUrgentWait();
 }
