--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.stream.Stream;
 
+import org.geraniumreach.gateway.priority.RequestPriority;
 import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
@@ -162,6 +163,18 @@
      * @param now the current time, in nanoseconds
      */
     public void enqueue(AdapterName adapter, OptionalLong deadline, long now) {
+        enqueue(adapter, deadline, Optional.empty(), now);
+    }
+
+    /**
+     * Requests the load of an adapter, or notifies the listener if it is loaded already.
+     *
+     * @param adapter the adapter, not null
+     * @param deadline when the waiting request misses its objective, empty if none waits, not null
+     * @param priority the priority of the waiting request, empty if loads are not ordered by priority, not null
+     * @param now the current time, in nanoseconds
+     */
+    public void enqueue(AdapterName adapter, OptionalLong deadline, Optional<RequestPriority> priority, long now) {
         frequency.recordUses(adapter, 1, now);
         if (isLoaded(adapter)) {
             listener.onAdapterLoaded(adapter, resident.get(adapter));
