Order admission and adapter loads by urgency and account usage

Both followed arrival or deadlines only. PromptPacer computes its earliest start separately, so that the queue shares its rule.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
@@ -180,7 +180,7 @@
             listener.onAdapterLoaded(adapter, resident.get(adapter));
             return;
         }
-        loadQueue.enqueue(adapter, deadline, now);
+        loadQueue.enqueue(adapter, deadline, priority, now);
     }
 
     /**
@@ -305,6 +305,7 @@
                 continue;
             }
             if (resident.containsKey(adapter) || occupiedSlots() < slots) {
+                loadQueue.recordStart(adapter, now);
                 return orderCall(Order.Operation.LOAD, Optional.of(adapter));
             }
             return evictionVictim(now).flatMap(idle -> orderCall(Order.Operation.UNLOAD, Optional.of(idle)));
--- a/gateway/src/main/java/org/geraniumreach/gateway/pacing/PromptPacer.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/pacing/PromptPacer.java
@@ -11,23 +11,53 @@
  * any span of time, all admitted prompts but the last one take at most {@link #READING_FRACTION} of the span and {@link #BURST} to read. Confined to
  * the event loop.
  */
-final class PromptPacer {
+public final class PromptPacer {
 
     /** Fraction of a target's time for reading prompts; the rest is left for generating tokens. */
-    static final double READING_FRACTION = 0.8;
+    public static final double READING_FRACTION = 0.8;
 
     /** Reading time that may be sent early; covers the varying delays of the owner's answers. */
-    static final Duration BURST = Duration.ofMillis(10);
+    public static final Duration BURST = Duration.ofMillis(10);
 
     private long nextFreeAt = Long.MIN_VALUE;
 
     Decision admit(Duration readingTime, Duration maxDelay, long now) {
-        long start = Math.max(now, nextFreeAt);
-        Duration delay = Duration.ofNanos(Math.max(0, start - now - BURST.toNanos()));
+        Duration delay = Duration.ofNanos(earliestStart(now) - now);
         if (delay.compareTo(maxDelay) > 0) {
             return Decision.SATURATED;
         }
-        nextFreeAt = start + (long) (readingTime.toNanos() / READING_FRACTION);
+        recordPrompt(readingTime, now);
         return new Decision(true, delay);
     }
+
+    /**
+     * Computes when the next prompt may be sent.
+     *
+     * @param now the current time, in nanoseconds
+     * @return the time, in nanoseconds, not before the current time
+     */
+    public long earliestStart(long now) {
+        return Math.max(now, Math.max(now, nextFreeAt) - BURST.toNanos());
+    }
+
+    /**
+     * Counts a prompt that is sent at its earliest start.
+     *
+     * @param readingTime the time that the target takes to read it, not null
+     * @param now the current time, in nanoseconds
+     */
+    public void recordPrompt(Duration readingTime, long now) {
+        nextFreeAt = Math.max(now, nextFreeAt) + (long) (readingTime.toNanos() / READING_FRACTION);
+    }
+
+    /**
+     * Creates a pacer in the same state, for foreseeing later starts.
+     *
+     * @return the pacer, not null
+     */
+    public PromptPacer copy() {
+        PromptPacer copy = new PromptPacer();
+        copy.nextFreeAt = nextFreeAt;
+        return copy;
+    }
 }
