Decode the size of the KV cache and the caller's length hint

The longest timeout of a service's routes bounds how long an admission whose end is lost is remembered.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/GatewayRequest.java
@@ -52,6 +52,7 @@
      * @param adapter the adapter, empty for the base model alone
      * @param promptTokens the tokens of the prompt
      * @param maximumTokens the maximum number of tokens to generate
+     * @param lengthHint the caller's estimate of the tokens to generate, which may be far off, empty if it gave none
      * @param promptParts the parts of the prompt in order; the last one is specific to the request or its session
      */
     public record Generation(
@@ -59,13 +60,33 @@
             Optional<AdapterName> adapter,
             long promptTokens,
             long maximumTokens,
+            OptionalLong lengthHint,
             List<PromptPart> promptParts) {
 
         public Generation {
             Objects.requireNonNull(model, "model");
+            Objects.requireNonNull(lengthHint, "lengthHint");
             promptParts = List.copyOf(promptParts);
         }
 
+        /**
+         * Creates an instance without a length hint.
+         *
+         * @param model the base model
+         * @param adapter the adapter, empty for the base model alone
+         * @param promptTokens the tokens of the prompt
+         * @param maximumTokens the maximum number of tokens to generate
+         * @param promptParts the parts of the prompt in order
+         */
+        public Generation(
+                String model,
+                Optional<AdapterName> adapter,
+                long promptTokens,
+                long maximumTokens,
+                List<PromptPart> promptParts) {
+            this(model, adapter, promptTokens, maximumTokens, OptionalLong.empty(), promptParts);
+        }
+
         /**
          * Gets the tokens that are counted for the client account.
          *
--- a/gateway/src/main/java/org/geraniumreach/gateway/traffic/ServiceDefinition.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/traffic/ServiceDefinition.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The definition of a service that targets offer.
@@ -47,12 +48,25 @@
      *
      * @param adapterSlots the number of adapters that fit beside the base model
      * @param batchSize the number of requests that run in one batch
+     * @param kvCacheTokens the number of tokens that fit into the KV cache, above 0, empty if unknown
      * @param models the names of the base models
      */
-    public record Engine(int adapterSlots, int batchSize, List<String> models) {
+    public record Engine(int adapterSlots, int batchSize, OptionalLong kvCacheTokens, List<String> models) {
 
         public Engine {
+            Objects.requireNonNull(kvCacheTokens, "kvCacheTokens");
             models = List.copyOf(models);
         }
+
+        /**
+         * Creates an instance with a KV cache of unknown size.
+         *
+         * @param adapterSlots the number of adapters that fit beside the base model
+         * @param batchSize the number of requests that run in one batch
+         * @param models the names of the base models
+         */
+        public Engine(int adapterSlots, int batchSize, List<String> models) {
+            this(adapterSlots, batchSize, OptionalLong.empty(), models);
+        }
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/traffic/TrafficConfiguration.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/traffic/TrafficConfiguration.java
@@ -123,6 +123,21 @@
                 .orElse(Duration.ZERO);
     }
 
+    /**
+     * Gets the longest timeout of the routes whose requests a service may run.
+     *
+     * @param service the service's name, not null
+     * @return the timeout, empty if no route leads to the service, not null
+     */
+    public Optional<Duration> longestTimeout(String service) {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(route -> route.destinations().stream()
+                        .anyMatch(destination -> destination.service().equals(service)))
+                .map(Route::timeout)
+                .max(Comparator.naturalOrder());
+    }
+
     /**
      * Finds the account that holds a key.
      *
