--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -269,6 +269,21 @@
                 clock.nanos());
     }
 
+    /**
+     * Computes the delay after which a prompt is within the bound on the tokens that this entry sends to a target in a window.
+     *
+     * @param target the target, not null
+     * @param promptTokens the tokens of the prompt
+     * @return the delay, zero if the prompt may be sent now, not null
+     */
+    public Duration ownPrefillDelay(Target target, long promptTokens) {
+        return target.prefillDelay(
+                promptTokens,
+                prefillTokensPerWindow(target.description().service()),
+                settings.prefillWindow(),
+                clock.nanos());
+    }
+
     private long prefillTokensPerWindow(String service) {
         double tokensPerWindow =
                 prefillTokensPerMilli(service) * settings.prefillWindow().toMillis();
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -41,6 +41,7 @@
     CALLER_GONE(4011, Level.INFO, "A caller went away before its answer was whole."),
     REQUEST_ANSWERED(4012, Level.INFO, "A target's answer was passed on whole."),
     REQUEST_UNREADABLE(4013, Level.INFO, "A caller's message is no request that can be read."),
+    ADMISSION_DECIDED(4015, Level.DEBUG, "The owner of a target has decided on a request for its turn there."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
