Send prompts in the order that their targets' owners keep

With the contract, a step of its own waits for the owner's admission, holds it until the request has ended or is placed again, and refuses a request that three owners, or all that can take it, have rejected, with the shortest time to return. If less urgent requests wait at the last target and the caller's time suffices, the request waits there once. Loads of adapters carry the request's priority. The expected output is the caller's hint, else the mean of the route. Without the contract the steps are those of before.

Trial: without the end of an admission before the next placement, aRequestThatWaitsForItsAdapterHoldsNoAdmission fails.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
@@ -5,6 +5,7 @@
 
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.priority.RequestPriority;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.TargetId;
 
@@ -27,6 +28,26 @@
      */
     void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate, boolean mayDecline);
 
+    /**
+     * Requests the load of an adapter at a target, as {@link #enqueue(Target, AdapterName, Optional, boolean)} does, with the priority
+     * of the waiting request.
+     *
+     * @param target the target, not null
+     * @param adapter the adapter, not null
+     * @param untilLate the time until the waiting request misses its objective, negative if it has, empty if no request
+     *         waits, not null
+     * @param mayDecline whether the load may be declined because the target has no slot for it in time
+     * @param priority the priority of the waiting request, not null
+     */
+    default void enqueue(
+            Target target,
+            AdapterName adapter,
+            Optional<Duration> untilLate,
+            boolean mayDecline,
+            RequestPriority priority) {
+        enqueue(target, adapter, untilLate, mayDecline);
+    }
+
     /**
      * Queries whether a target has recently declined to load an adapter.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -34,6 +34,7 @@
     private final RoutedRequest request;
     private final Route route;
     private final CallerAnswer answer;
+    private final OutputLengths outputLengths;
     private final Consumer<Exchange> onEnd;
     private final Set<TargetId> possiblyRunTargets = new HashSet<>();
     private final SendSteps steps;
@@ -52,9 +53,17 @@
             Route route,
             String service,
             Optional<Account> account,
+            OutputLengths outputLengths,
             Consumer<Exchange> onEnd) {
         this.services = services;
-        this.request = new RoutedRequest(received, route, service, account, services.clock());
+        this.request = new RoutedRequest(
+                received,
+                route,
+                service,
+                account,
+                outputLengths.expectedTokens(route, received.request().generation()),
+                services.clock());
+        this.outputLengths = outputLengths;
         this.route = route;
         this.answer = received.answer();
         this.onEnd = onEnd;
@@ -196,6 +205,7 @@
                 }
             } else {
                 services.health().onSuccess(target.id());
+                outputLengths.recordEvents(route, relay.lastEventNumber());
             }
             relay.finish();
             finish(OutcomeListener.Kind.ANSWERED, relay.status());
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/PacedAdmissionStep.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/PacedAdmissionStep.java
@@ -10,7 +10,7 @@
  *
  * <p>Confined to the event loop.
  */
-final class PacedAdmissionStep {
+final class PacedAdmissionStep implements AdmissionStep {
 
     private final ExchangeServices services;
     private final RoutedRequest request;
@@ -25,16 +25,10 @@
         this.waits = waits;
     }
 
-    /**
-     * Runs the step.
-     *
-     * @param send the selected target
-     * @param next run once the prompt may be sent to the target
-     * @param placeAgain run if it may not
-     */
-    void run(PlacementDecision.Send send, Runnable next, Runnable placeAgain) {
+    @Override
+    public void run(PlacementDecision.Send send, Results results) {
         if (request.promptTokens() == 0 || !attempts.mayAttempt()) {
-            next.run();
+            results.onAdmitted();
             return;
         }
         waits.start(WaitCause.PREFILL_CAPACITY);
@@ -44,27 +38,26 @@
                         send.target(),
                         request.promptTokens(),
                         maximumDelay,
-                        decision -> onDecision(send, decision, next, placeAgain)));
+                        decision -> onDecision(send, decision, results)));
     }
 
-    private void onDecision(
-            PlacementDecision.Send send, TargetAdmission.Decision decision, Runnable next, Runnable placeAgain) {
+    private void onDecision(PlacementDecision.Send send, TargetAdmission.Decision decision, Results results) {
         if (!decision.admitted()) {
             attempts.recordRefusal(send.target().id());
-            placeAgain.run();
+            results.onPlaceAgain();
         } else if (decision.delay().isZero()) {
-            sendIfStillSendable(send, next, placeAgain);
+            sendIfStillSendable(send, results);
         } else {
-            waits.schedule(decision.delay(), () -> sendIfStillSendable(send, next, placeAgain));
+            waits.schedule(decision.delay(), () -> sendIfStillSendable(send, results));
         }
     }
 
-    private void sendIfStillSendable(PlacementDecision.Send send, Runnable next, Runnable placeAgain) {
+    private void sendIfStillSendable(PlacementDecision.Send send, Results results) {
         waits.stop();
         if (services.placement().isSendable(send.target())) {
-            next.run();
+            results.onAdmitted();
         } else {
-            placeAgain.run();
+            results.onPlaceAgain();
         }
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
@@ -64,11 +64,17 @@
                 request.request().affinityKey(),
                 request.promptTokens(),
                 request.route().latencyObjective(),
-                request.elapsed().compareTo(services.settings().maximumDeferral()) < 0,
+                mayBeDeferred(),
                 loadWait.loadingTargets(now),
                 loadWait.slowLoadingTargets(now),
                 admissionAttempts.saturatedTargets(),
                 excludedTargets,
                 permission.target());
     }
+
+    /** Where targets' owners order requests, this entry's own bound must not delay urgent ones. */
+    private boolean mayBeDeferred() {
+        return !services.admission().isOrdered()
+                && request.elapsed().compareTo(services.settings().maximumDeferral()) < 0;
+    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -31,6 +31,7 @@
     private final Supplier<Optional<TrafficConfiguration>> configuration;
     private final DoubleSupplier serviceDraw;
     private final Set<Exchange> openExchanges = new HashSet<>();
+    private final OutputLengths outputLengths = new OutputLengths();
     private final StartupQueue startupQueue;
     private Optional<DrainRule> drainRule = Optional.empty();
 
@@ -125,6 +126,7 @@
                 route.get(),
                 service,
                 requiresKey ? account : Optional.empty(),
+                outputLengths,
                 openExchanges::remove);
         openExchanges.add(exchange);
         exchange.start();
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RoutedRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RoutedRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import org.geraniumreach.gateway.priority.RequestPriority;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.Route;
@@ -26,16 +27,23 @@
     private final Optional<Account> account;
     private final long receivedAt;
     private final Duration timeLimit;
+    private final long expectedOutputTokens;
     private final MonotonicClock clock;
 
     RoutedRequest(
-            ReceivedRequest received, Route route, String service, Optional<Account> account, MonotonicClock clock) {
+            ReceivedRequest received,
+            Route route,
+            String service,
+            Optional<Account> account,
+            long expectedOutputTokens,
+            MonotonicClock clock) {
         this.request = received.request();
         this.route = route;
         this.service = service;
         this.account = account;
         this.receivedAt = received.receivedAt();
         this.timeLimit = route.effectiveTimeout(request.callerTimeout());
+        this.expectedOutputTokens = expectedOutputTokens;
         this.clock = clock;
     }
 
@@ -84,6 +92,10 @@
         return request.generation().map(GatewayRequest.Generation::promptTokens).orElse(0L);
     }
 
+    long expectedOutputTokens() {
+        return expectedOutputTokens;
+    }
+
     /** Gets the units that are charged to an account for the request. */
     double quotaUnits(Account charged) {
         if (!charged.countsTokens()) {
@@ -101,4 +113,12 @@
                 accountPriority * URGENCY_STEPS_PER_ACCOUNT_PRIORITY
                         + Math.min(MAXIMUM_ROUTE_PRIORITY, route.priority()));
     }
+
+    /** Gets what the order of the request depends on besides its time; accounts weigh as much as their configured rates. */
+    RequestPriority priority() {
+        return new RequestPriority(
+                urgency(),
+                account.map(Account::id),
+                account.map(Account::unitsPerSecond).orElse(0.0));
+    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
@@ -21,7 +21,7 @@
     private final PendingWaits waits;
     private final PlacementState state;
     private final QuotaStep quotaStep;
-    private final PacedAdmissionStep admissionStep;
+    private final AdmissionStep admissionStep;
     private final PermissionStep permissionStep;
     private final AdapterLoadStep loadStep;
     private boolean placing;
@@ -49,7 +49,9 @@
         this.waits = new PendingWaits(services.timers(), services.clock());
         this.state = new PlacementState(services, request);
         this.quotaStep = new QuotaStep(services, request, waits);
-        this.admissionStep = new PacedAdmissionStep(services, request, state.admissionAttempts(), waits);
+        this.admissionStep = services.admission().isOrdered()
+                ? new OrderedAdmissionStep(services, request, state.admissionAttempts(), waits)
+                : new PacedAdmissionStep(services, request, state.admissionAttempts(), waits);
         this.permissionStep = new PermissionStep(services, state.permission(), waits);
         this.loadStep = new AdapterLoadStep(services, request, state.loadWait(), waits);
     }
@@ -75,10 +77,11 @@
         placeNow();
     }
 
-    /** Ends all waits. */
+    /** Ends all waits, and the admission under which the request was sent. */
     void close() {
         placing = false;
         waits.cancelAll();
+        admissionStep.end();
     }
 
     /** Guards a callback, since cancelled registrations may still be notified of a change in progress. */
@@ -99,6 +102,7 @@
     private void placeNow() {
         waits.cancelTimer();
         waits.stop();
+        admissionStep.end();
         if (request.remaining().compareTo(services.settings().minimumRemaining()) < 0) {
             return;
         }
@@ -109,7 +113,7 @@
         }
         waits.cancelAdapterChange();
         if (decision instanceof PlacementDecision.Send send) {
-            admissionStep.run(send, ifPlacing(() -> requestPermissionToSend(send)), placeAgain());
+            admissionStep.run(send, new AdmissionResults(send));
         } else if (decision instanceof PlacementDecision.Load load) {
             requestPermissionToLoad(load.target());
         } else if (decision instanceof PlacementDecision.Defer defer) {
@@ -118,6 +122,30 @@
         }
     }
 
+    /** Handles the result of the prompt's admission. */
+    private final class AdmissionResults implements AdmissionStep.Results {
+        private final PlacementDecision.Send send;
+
+        private AdmissionResults(PlacementDecision.Send send) {
+            this.send = send;
+        }
+
+        @Override
+        public void onAdmitted() {
+            ifPlacing(() -> requestPermissionToSend(send)).run();
+        }
+
+        @Override
+        public void onPlaceAgain() {
+            placeAgain().run();
+        }
+
+        @Override
+        public void onRejected(ResultCode code, String reason, Duration retryAfter) {
+            ifPlacing(() -> listener.onUnplaceable(code, reason, retryAfter)).run();
+        }
+    }
+
     private Runnable placeAgain() {
         return ifPlacing(this::placeNow);
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -13,8 +13,10 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.admission.AdmissionRequest;
 import org.geraniumreach.gateway.cold.ColdStartLimiter;
 import org.geraniumreach.gateway.evacuation.Evacuations;
 import org.geraniumreach.gateway.limit.RequestLimiter;
@@ -54,6 +56,10 @@
 
     public static final String HOST = "bookings.example";
     public static final String KEY = "a-key";
+
+    /** The key of an account whose requests are more urgent than those of {@link #KEY}. */
+    public static final String URGENT_KEY = "urgent-key";
+
     public static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final int SLOTS_PER_TARGET = 8;
     private static final int RETRY_LIMIT = 100;
@@ -155,6 +161,26 @@
         }
     }
 
+    /** Passes requests to the admission that a test has set last. */
+    private final class ReplaceableAdmission implements TargetAdmission {
+
+        @Override
+        public Cancellable admit(Target target, long promptTokens, Duration maxDelay, Consumer<Decision> callback) {
+            return admission.admit(target, promptTokens, maxDelay, callback);
+        }
+
+        @Override
+        public boolean isOrdered() {
+            return admission.isOrdered();
+        }
+
+        @Override
+        public Admission request(
+                Target target, String requestId, AdmissionRequest request, Consumer<Decision> callback) {
+            return admission.request(target, requestId, request, callback);
+        }
+    }
+
     public RequestHarness() {
         Placement placement = new Placement(
                 registry,
@@ -177,8 +203,7 @@
                         targets,
                         adapters,
                         new QuotaAdmission(quotas, (entry, number, account, units) -> false, time, time, new Random(1)),
-                        (target, promptTokens, longestDelay, onDecision) ->
-                                admission.admit(target, promptTokens, longestDelay, onDecision),
+                        new ReplaceableAdmission(),
                         (target, onDecision) -> limiter.admit(target, onDecision),
                         new RetryBudgets(() -> RetryBudget.create(time, 1, 0, RETRY_LIMIT)),
                         health,
@@ -200,6 +225,7 @@
     /** Sets a configuration with one route. */
     public RequestHarness configure(RetryPolicy retryPolicy, int maximumTargets) {
         Account account = new Account(AccountId.of("acme"), 0, 0, true, 200, OptionalInt.of(1));
+        Account urgent = new Account(AccountId.of("urgent"), 0, 0, true, 200, OptionalInt.of(0));
         Route route = new Route(
                 "the-route",
                 HOST,
@@ -215,8 +241,8 @@
                 1,
                 new CallerLimits(16_384, 1_000_000, Duration.ofSeconds(3), Duration.ofSeconds(15)),
                 List.of(route),
-                Map.of(KEY, account),
-                List.of(account),
+                Map.of(KEY, account, URGENT_KEY, urgent),
+                List.of(account, urgent),
                 List.of(new ServiceDefinition("service", 100, coldStart, Optional.empty()))));
         return this;
     }
