Exchange ordered admissions and the priorities of adapter loads over the links

Protocol version 5: ordered requests, their responses and TargetAdmissionEnd. Entries of version 4 get the request of before and no ends; entries whose settings do not name the contract answer at once, and both are taken as before. An owner uses the priority of a load request only if the sender gave one; an entry asks again at once for an adapter that a more urgent request waits for.

EntryLinksTest has the new frame in its list; FakeFleet takes features for each entry.

--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -29,6 +29,7 @@
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.gateway.priority.RequestPriority;
 import org.geraniumreach.gateway.request.AdapterLoader;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.ServiceDefinition;
@@ -81,8 +82,12 @@
     private final AdapterWaiters waiters = new AdapterWaiters();
     private final UsageReports usageReports = new UsageReports();
     private final DeclinedLoads declinedLoads = new DeclinedLoads();
-    private final Map<Target, Map<AdapterName, Long>> recentLoadRequests = new HashMap<>();
+    private final Map<Target, Map<AdapterName, SentDemand>> recentLoadRequests = new HashMap<>();
     private Optional<EntryLinks> links = Optional.empty();
+    private boolean ordersLoads;
+
+    /** A load request that was sent to a target's owner. */
+    private record SentDemand(LoadDemand demand, long at) {}
 
     /** A target that this entry owns. */
     private static final class OwnedTarget {
@@ -134,6 +139,11 @@
         timers.schedule(UsageReports.CHECK_INTERVAL, this::reportUsage);
     }
 
+    /** Lets loads at the targets of this entry be ordered by the priority of the requests that wait for them. */
+    void orderLoads() {
+        ordersLoads = true;
+    }
+
     /** Checks whether this entry or a connected owner can have adapters loaded at a target now. */
     boolean canReceiveOrders(Target target) {
         if (ownership.fence(target.id()).isPresent()) {
@@ -333,37 +343,51 @@
 
     @Override
     public void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate, boolean mayDecline) {
+        enqueue(target, adapter, new LoadDemand(untilLate, Optional.empty(), mayDecline));
+    }
+
+    @Override
+    public void enqueue(
+            Target target,
+            AdapterName adapter,
+            Optional<Duration> untilLate,
+            boolean mayDecline,
+            RequestPriority priority) {
+        enqueue(target, adapter, new LoadDemand(untilLate, Optional.of(priority), mayDecline));
+    }
+
+    private void enqueue(Target target, AdapterName adapter, LoadDemand demand) {
         OwnedTarget owned = ownedTargets.get(target);
         long now = clock.nanos();
         if (owned != null) {
-            if (tryEnqueue(owned.slots, adapter, untilLate, mayDecline)) {
+            if (tryEnqueue(owned.slots, adapter, demand)) {
                 poll(target);
             } else {
                 onDeclined(target.id(), adapter);
             }
             return;
         }
-        Map<AdapterName, Long> recentTimes =
+        Map<AdapterName, SentDemand> recent =
                 recentLoadRequests.computeIfAbsent(target, missing -> new LinkedHashMap<>());
-        recentTimes.values().removeIf(sentAt -> now - sentAt > LOAD_REQUEST_INTERVAL.toNanos());
-        if (recentTimes.putIfAbsent(adapter, now) == null) {
-            AdapterLoadRequest.Builder request = AdapterLoadRequest.newBuilder()
-                    .setAdapter(adapter.adapter())
-                    .setWaitedFor(untilLate.isPresent())
-                    .setMayDecline(mayDecline)
-                    .setUntilLateMillis((int) untilLate.orElse(Duration.ZERO).toMillis());
-            sendDemand(target, adapter.baseModel(), AdapterDemand.newBuilder().addLoadRequests(request));
+        recent.values().removeIf(sent -> now - sent.at() > LOAD_REQUEST_INTERVAL.toNanos());
+        SentDemand previous = recent.get(adapter);
+        if (previous == null || demand.isMoreUrgentThan(previous.demand())) {
+            recent.remove(adapter);
+            recent.put(adapter, new SentDemand(demand, now));
+            sendDemand(
+                    target,
+                    adapter.baseModel(),
+                    AdapterDemand.newBuilder().addLoadRequests(demand.toMessage(adapter.adapter())));
         }
     }
 
     /** Enqueues a load request; returns false if it is declined because the target has no slot for it. */
-    private boolean tryEnqueue(
-            AdapterSlots slots, AdapterName adapter, Optional<Duration> untilLate, boolean mayDecline) {
+    private boolean tryEnqueue(AdapterSlots slots, AdapterName adapter, LoadDemand demand) {
         long now = clock.nanos();
-        if (mayDecline && !slots.hasSlotFor(adapter, now)) {
+        if (demand.mayDecline() && !slots.hasSlotFor(adapter, now)) {
             return false;
         }
-        slots.enqueue(adapter, deadlineNanos(untilLate, now), now);
+        slots.enqueue(adapter, deadlineNanos(demand.untilLate(), now), demand.priority(), now);
         return true;
     }
 
@@ -492,7 +516,7 @@
         AdapterChanges.Builder response = AdapterChanges.newBuilder();
         for (AdapterLoadRequest request : demand.getLoadRequestsList()) {
             AdapterName adapter = toAdapterName(demand, request);
-            if (!tryEnqueue(slots, adapter, untilLate(request), request.getMayDecline())) {
+            if (!tryEnqueue(slots, adapter, LoadDemand.fromMessage(request, ordersLoads))) {
                 response.addDeclined(adapter.adapter());
             }
         }
@@ -524,10 +548,6 @@
         return new AdapterName(demand.getModel(), request.getAdapter());
     }
 
-    private static Optional<Duration> untilLate(AdapterLoadRequest request) {
-        return request.getWaitedFor() ? Optional.of(Duration.ofMillis(request.getUntilLateMillis())) : Optional.empty();
-    }
-
     @Override
     public void onAdapterChanges(AdapterChanges changes) {
         Optional<Target> target = registry.find(TargetId.of(changes.getTarget()))
--- a/node/src/main/java/org/geraniumreach/node/EntryLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryLinks.java
@@ -29,6 +29,7 @@
 import org.geraniumreach.messages.Hello;
 import org.geraniumreach.messages.QuotaRequest;
 import org.geraniumreach.messages.QuotaResponse;
+import org.geraniumreach.messages.TargetAdmissionEnd;
 import org.geraniumreach.messages.TargetAdmissionRequest;
 import org.geraniumreach.messages.TargetAdmissionResponse;
 import org.geraniumreach.messages.TargetLimit;
@@ -45,7 +46,7 @@
  */
 final class EntryLinks implements FrameHandler, AutoCloseable {
 
-    private static final int PROTOCOL_VERSION = 4;
+    private static final int PROTOCOL_VERSION = 5;
 
     /** The first version with feed updates and quota requests; entries of earlier versions close the link on an unknown frame. */
     private static final int FEED_AND_QUOTA_VERSION = 2;
@@ -56,6 +57,9 @@
     /** The first version in which the owners of targets keep the requests of all entries within the targets' limits. */
     private static final int LIMIT_VERSION = 4;
 
+    /** The first version in which the owners of targets order the requests of all entries. */
+    private static final int ADMISSION_ORDER_VERSION = 5;
+
     /**
      * Long, since heartbeats are most of the frames between many entries, and the targets of a lost entry are taken over only after
      * its lease has expired, which takes much longer.
@@ -78,6 +82,8 @@
     private Consumer<QuotaResponse> quotaResponses = response -> {};
     private BiConsumer<String, TargetAdmissionRequest> admissionRequests = (entry, request) -> {};
     private Consumer<TargetAdmissionResponse> admissionResponses = response -> {};
+    private OrderedAdmissionHandler orderedAdmissionHandler =
+            new OrderedAdmissionHandler((entry, response) -> {}, (entry, end) -> {}, entry -> {});
     private LimitHandler limitHandler =
             new LimitHandler(entry -> {}, (entry, request) -> {}, response -> {}, known -> {});
 
@@ -105,6 +111,18 @@
             Consumer<TargetLimitResponse> onResponse,
             Consumer<TargetLimit> onUpdate) {}
 
+    /**
+     * The handlers of messages about ordered admission.
+     *
+     * @param onResponse receives all admission responses with the sending entry
+     * @param onEnd receives the ends of requests with the sending entry
+     * @param onLinkClosed called when the link to an entry has closed
+     */
+    record OrderedAdmissionHandler(
+            BiConsumer<String, TargetAdmissionResponse> onResponse,
+            BiConsumer<String, TargetAdmissionEnd> onEnd,
+            Consumer<String> onLinkClosed) {}
+
     private EntryLinks(
             ProcessSettings settings, long incarnation, EventLoopGroup loops, Listener listener, DecisionLog log) {
         this.self = settings.instance();
@@ -140,6 +158,7 @@
                         Frame.BodyCase.QUOTA_RESPONSE,
                         Frame.BodyCase.TARGET_ADMISSION_REQUEST,
                         Frame.BodyCase.TARGET_ADMISSION_RESPONSE,
+                        Frame.BodyCase.TARGET_ADMISSION_END,
                         Frame.BodyCase.TARGET_LIMIT_REQUEST,
                         Frame.BodyCase.TARGET_LIMIT_RESPONSE,
                         Frame.BodyCase.TARGET_LIMIT_UPDATE),
@@ -183,6 +202,18 @@
         return sendIfVersionAtLeast(ADMISSION_VERSION, entry, frame);
     }
 
+    /** Checks whether a link is open to an entry whose version orders the requests for targets. */
+    boolean ordersAdmissions(String entry) {
+        return linkNode.find(InstanceId.of(entry))
+                .filter(peer -> isVersionAtLeast(ADMISSION_ORDER_VERSION, peer))
+                .isPresent();
+    }
+
+    /** Sends the end of an admission; not sent to entries whose version does not know it. */
+    boolean sendAdmissionEnd(String entry, Frame frame) {
+        return sendIfVersionAtLeast(ADMISSION_ORDER_VERSION, entry, frame);
+    }
+
     /** Sends a frame about targets that name a limit; not sent to entries whose version does not know it. */
     boolean sendLimit(String entry, Frame frame) {
         return sendIfVersionAtLeast(LIMIT_VERSION, entry, frame);
@@ -229,6 +260,11 @@
         admissionResponses = Objects.requireNonNull(responses, "responses");
     }
 
+    /** Sets the handlers of messages about ordered admission. */
+    void onOrderedAdmission(OrderedAdmissionHandler handler) {
+        orderedAdmissionHandler = Objects.requireNonNull(handler, "handler");
+    }
+
     /** Sets the handlers of messages about targets that name a limit. */
     void onLimit(LimitHandler handler) {
         limitHandler = Objects.requireNonNull(handler, "handler");
@@ -267,6 +303,9 @@
             admissionRequests.accept(peer.hello().getInstance(), frame.getTargetAdmissionRequest());
         } else if (frame.hasTargetAdmissionResponse()) {
             admissionResponses.accept(frame.getTargetAdmissionResponse());
+            orderedAdmissionHandler.onResponse().accept(peer.hello().getInstance(), frame.getTargetAdmissionResponse());
+        } else if (frame.hasTargetAdmissionEnd()) {
+            orderedAdmissionHandler.onEnd().accept(peer.hello().getInstance(), frame.getTargetAdmissionEnd());
         } else if (frame.hasTargetLimitRequest()) {
             limitHandler.onRequest().accept(peer.hello().getInstance(), frame.getTargetLimitRequest());
         } else if (frame.hasTargetLimitResponse()) {
@@ -278,7 +317,8 @@
 
     @Override
     public void onClosed(Peer peer, String reason) {
-        // The link node has logged the loss, and requests that are still waiting are sent again.
+        // The link node has logged the loss. Other requests that are still waiting are sent again.
+        orderedAdmissionHandler.onLinkClosed().accept(peer.hello().getInstance());
     }
 
     @Override
--- a/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
@@ -10,6 +10,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
+import org.geraniumreach.gateway.admission.AdmissionResult;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.model.EventCode;
@@ -20,7 +21,7 @@
  *
  * <p>Counts each log line, even if the log drops it, by its event and the result in its fields, such as the code of a refusal or the
  * result of an order. Invariant: the number of series is bounded by the number of events, by the number of results, which are enum
- * constants, and by {@link ProcessMeters#MAX_ACCOUNT_LABELS}. Safe for use by several threads.
+ * constants, by the ten urgencies, and by {@link ProcessMeters#MAX_ACCOUNT_LABELS}. Safe for use by several threads.
  */
 final class EntryMetrics implements DecisionLog {
 
@@ -44,6 +45,7 @@
     private final DecisionLog log;
     private final ProcessMeters meters = new ProcessMeters();
     private final Map<EventCode, Map<String, Counter>> eventCounters = new EnumMap<>(EventCode.class);
+    private final Map<Integer, Map<AdmissionResult, Counter>> admissionCounters = new HashMap<>();
     private final Map<String, RequestMeters> requestMeters = new HashMap<>();
 
     /** The meters of one client account's requests. */
@@ -133,6 +135,20 @@
         }
     }
 
+    /** Records the decision of this entry on a request for its turn at a target. */
+    synchronized void onAdmissionDecided(int urgency, AdmissionResult result) {
+        admissionCounters
+                .computeIfAbsent(urgency, missing -> new EnumMap<>(AdmissionResult.class))
+                .computeIfAbsent(result, missing -> meters.registry()
+                        .counter(
+                                "geraniumreach.admission.decisions",
+                                "urgency",
+                                String.valueOf(urgency),
+                                "result",
+                                result.name()))
+                .increment();
+    }
+
     /** Adds a gauge, whose value is read on the scraping thread. */
     void gauge(String name, String description, DoubleSupplier value) {
         meters.gauge(name, description, value);
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -23,6 +23,7 @@
 import org.geraniumreach.gateway.limit.LimitReport;
 import org.geraniumreach.gateway.limit.TargetLimits;
 import org.geraniumreach.gateway.pacing.OwnerAdmission;
+import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.AnnouncedDepartures;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
@@ -129,12 +130,14 @@
     private volatile int evacuatedRequests;
     private volatile int coldTargets;
     private volatile int limitedTargets;
+    private volatile int waitingAdmissions;
     private boolean wasReady;
     private Ingress ingress;
     private EntryLinks links;
     private QuotaLinks quotaLinks;
     private OwnerAdmission ownerAdmission;
     private TargetAdmissionLinks targetAdmissionLinks;
+    private Optional<OrderedAdmissions> orderedAdmissions = Optional.empty();
     private TargetLimitLinks targetLimitLinks;
     private EntryDirectory directory;
     private LeaseRenewer leaseRenewer;
@@ -198,13 +201,19 @@
                 clock);
         ownerAdmission = new OwnerAdmission(
                 ownership, registry, placement::netPrefillTokensPerMilli, this::requestAdmission, timers, clock);
+        if (settings.hasFeature(ProcessSettings.Feature.ORDERED_ADMISSION)) {
+            orderedAdmissions = Optional.of(createOrderedAdmissions(placement));
+            coordinator.orderLoads();
+        }
         return new ExchangeServices(
                 placement,
                 registry,
                 targets,
                 coordinator,
                 quotaAdmission,
-                ownerAdmission,
+                orderedAdmissions
+                        .<TargetAdmission>map(OrderedAdmissions::admission)
+                        .orElse(ownerAdmission),
                 limitAdmission,
                 new RetryBudgets(this::createRetryBudget),
                 health,
@@ -215,6 +224,13 @@
                 ExchangeSettings.defaults());
     }
 
+    private OrderedAdmissions createOrderedAdmissions(Placement placement) {
+        return new OrderedAdmissions(
+                new OrderedAdmissions.Dependencies(
+                        ownership, registry, placement, () -> configuration, ownerAdmission, timers, clock, log),
+                metrics::onAdmissionDecided);
+    }
+
     private boolean mayBeCalled(Target target) {
         return evacuations.phase(target.description().failureDomain()) != Evacuations.Phase.DRAINED
                 && restingTargets.timeUntilRested(target).isZero();
@@ -309,6 +325,10 @@
         metrics.gauge("geraniumreach.cold.targets", "Targets that have not warmed up.", () -> coldTargets);
         metrics.gauge(
                 "geraniumreach.limited.targets", "Targets that name a limit on their requests.", () -> limitedTargets);
+        metrics.gauge(
+                "geraniumreach.admission.waiting",
+                "Requests that wait for their turn at the targets of this entry.",
+                () -> waitingAdmissions);
         metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> isReady() ? 1 : 0);
         metrics.gauge("geraniumreach.log.lines.dropped", "Lines that the log had no room for.", jsonLog::totalDropped);
         InetSocketAddress address =
@@ -354,6 +374,10 @@
                 quotaLinks::onRequest,
                 response -> quotaAdmission.onAnswer(response.getNumber(), QuotaLinks.toAdmission(response)));
         targetAdmissionLinks = new TargetAdmissionLinks(ownerAdmission, links);
+        orderedAdmissions.ifPresent(ordered -> {
+            registry.addListener(ordered.queues());
+            ordered.start(targetAdmissionLinks, links);
+        });
         targetLimitLinks = new TargetLimitLinks(targetLimits, limitAdmission, registry, links, log);
         startFeeds();
         leaseRenewer.renew();
@@ -465,6 +489,8 @@
                 .sum();
         coldTargets =
                 (int) registry.all().stream().filter(coldStartLimiter::isCold).count();
+        waitingAdmissions =
+                orderedAdmissions.map(ordered -> ordered.queues().waiting()).orElse(0);
         limitedTargets =
                 (int) registry.all().stream().filter(limitAdmission::isLimited).count();
     }
--- a/node/src/main/java/org/geraniumreach/node/TargetAdmissionLinks.java
+++ b/node/src/main/java/org/geraniumreach/node/TargetAdmissionLinks.java
@@ -38,7 +38,8 @@
                 entry, Frame.newBuilder().setTargetAdmissionRequest(request).build());
     }
 
-    private void onRequest(String entry, TargetAdmissionRequest request) {
+    /** Answers the request of an entry at once. */
+    void onRequest(String entry, TargetAdmissionRequest request) {
         Decision decision = admission.decideForPeer(
                 TargetId.of(request.getTarget()),
                 request.getPromptTokens(),
@@ -53,9 +54,12 @@
     }
 
     private void onResponse(TargetAdmissionResponse response) {
-        Decision decision = response.getAdmitted()
+        admission.onAnswer(response.getNumber(), toDecision(response));
+    }
+
+    static Decision toDecision(TargetAdmissionResponse response) {
+        return response.getAdmitted()
                 ? new Decision(true, Duration.ofNanos(Math.max(0, response.getDelayNanos())))
                 : Decision.SATURATED;
-        admission.onAnswer(response.getNumber(), decision);
     }
 }
--- a/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -24,6 +24,7 @@
 import org.geraniumreach.messages.Frame;
 import org.geraniumreach.messages.QuotaRequest;
 import org.geraniumreach.messages.QuotaResponse;
+import org.geraniumreach.messages.TargetAdmissionEnd;
 import org.geraniumreach.messages.TargetAdmissionRequest;
 import org.geraniumreach.messages.TargetAdmissionResponse;
 import org.geraniumreach.messages.TargetLimitRequest;
@@ -59,6 +60,10 @@
         secondLinks.onTargetAdmission(
                 (entry, request) -> received.add("admission request of " + entry),
                 response -> received.add("admission response " + response.getNumber()));
+        secondLinks.onOrderedAdmission(new EntryLinks.OrderedAdmissionHandler(
+                (entry, response) -> received.add("ordered response of " + entry),
+                (entry, end) -> received.add("admission end of " + entry),
+                entry -> {}));
         secondLinks.onLimit(new EntryLinks.LimitHandler(
                 entry -> {},
                 (entry, request) -> received.add("limit request of " + entry),
@@ -123,6 +128,9 @@
                 Frame.newBuilder()
                         .setTargetAdmissionResponse(TargetAdmissionResponse.getDefaultInstance())
                         .build(),
+                Frame.newBuilder()
+                        .setTargetAdmissionEnd(TargetAdmissionEnd.getDefaultInstance())
+                        .build(),
                 Frame.newBuilder()
                         .setTargetLimitRequest(TargetLimitRequest.getDefaultInstance())
                         .build(),
--- a/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.admission.AdmissionResult;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.gateway.request.Waits;
@@ -79,6 +80,16 @@
                 .contains("geraniumreach_room_wait_seconds_bucket{account=\"acme\",le=\"0.1\"} 1");
     }
 
+    @Test
+    void admissionsAreCountedByUrgencyAndResult() {
+        metrics.onAdmissionDecided(4, AdmissionResult.REJECTED_NO_TIME);
+        metrics.onAdmissionDecided(4, AdmissionResult.REJECTED_NO_TIME);
+        metrics.onAdmissionDecided(0, AdmissionResult.ADMITTED);
+        assertThat(metrics.scrape())
+                .contains("geraniumreach_admission_decisions_total{result=\"REJECTED_NO_TIME\",urgency=\"4\"} 2.0")
+                .contains("geraniumreach_admission_decisions_total{result=\"ADMITTED\",urgency=\"0\"} 1.0");
+    }
+
     // Guards against an unbounded number of series, which would cost operators all metrics: each client account has
     // about forty.
     @Test
--- a/node/src/test/java/org/geraniumreach/node/FakeFleet.java
+++ b/node/src/test/java/org/geraniumreach/node/FakeFleet.java
@@ -11,6 +11,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.Random;
@@ -41,14 +42,20 @@
     record Result(int status, Duration elapsed, String retryAfter) {}
 
     FakeFleet(FakePlatform platform, int entryCount) throws IOException {
-        for (int entry = 0; entry < entryCount; entry++) {
-            settings.add(settings("entry-" + entry, platform));
+        this(platform, Collections.nCopies(entryCount, Set.of()));
+    }
+
+    /** Starts an entry for each set of features that its settings ask for. */
+    FakeFleet(FakePlatform platform, List<Set<ProcessSettings.Feature>> features) throws IOException {
+        for (int entry = 0; entry < features.size(); entry++) {
+            settings.add(settings("entry-" + entry, platform, features.get(entry)));
             JsonLog log = JsonLog.start(OutputStream.nullOutputStream(), System::currentTimeMillis);
             new EntryProcess(settings.get(entry), OptionalInt.empty(), log).start();
         }
     }
 
-    private static ProcessSettings settings(String instance, FakePlatform platform) throws IOException {
+    private static ProcessSettings settings(
+            String instance, FakePlatform platform, Set<ProcessSettings.Feature> features) throws IOException {
         return new ProcessSettings(
                 instance,
                 FailureDomain.of("loopback"),
@@ -62,7 +69,7 @@
                 Duration.ofSeconds(5),
                 1,
                 Duration.ofSeconds(1),
-                Set.of());
+                features);
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
