--- a/gateway/src/main/java/org/geraniumreach/gateway/admission/AdmissionQueue.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/admission/AdmissionQueue.java
@@ -43,6 +43,12 @@
     /** The prefill time that is kept for less urgent classes, about that of a prompt of three times the mean length. */
     private static final double MAXIMUM_CREDIT_MILLIS = 200;
 
+    /**
+     * The fraction of its prefill time that a rejected request counts as usage. Without it an account that repeats at once would be present
+     * whenever capacity becomes free, and would get more than one that returns at its time.
+     */
+    private static final double REJECTION_COST = 0.05;
+
     /** Used to order by prompt tokens if the rate is unknown. */
     private static final double DEFAULT_TOKENS_PER_MILLI = 1;
 
@@ -118,6 +124,7 @@
         if (capacity.isAdmitted(id)) {
             return new Admitted();
         }
+        displaced.removeIf(outcome -> outcome.id() == id);
         Waiting offered = waiting.computeIfAbsent(id, missing -> new Waiting(id, request, now));
         Plan plan = plan(now);
         if (plan.hopeless.contains(offered)) {
@@ -151,7 +158,8 @@
         List<Candidate<Waiting>> candidates = new ArrayList<>();
         for (Waiting request : waiting.values()) {
             double prefillMillis = orderingMillis(request.request());
-            boolean inTime = now + (long) (prefillMillis * NANOS_PER_MILLI) <= request.deadline();
+            double prefillNanos = Math.min(prefillMillis * NANOS_PER_MILLI, LONGEST_TIME.toNanos());
+            boolean inTime = now + (long) prefillNanos <= request.deadline();
             candidates.add(
                     new Candidate<>(request, request.request().priority(), inTime, request.deadline(), prefillMillis));
         }
@@ -199,9 +207,10 @@
     }
 
     private Rejected reject(AdmissionRequest request, Reason reason, Plan plan, long now) {
+        order.usage().add(request.priority(), REJECTION_COST * orderingMillis(request), now);
         long spacing = (long) (demand(request).prefillTime().toNanos() / PromptPacer.READING_FRACTION);
         Duration retryAfter =
-                retryTimes.assign(request.urgency(), plan.readyAt[request.urgency()], Duration.ofNanos(spacing), now);
+                retryTimes.assign(request.priority(), plan.readyAt[request.urgency()], Duration.ofNanos(spacing), now);
         return new Rejected(retryAfter, reason);
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/priority/PriorityOrder.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/priority/PriorityOrder.java
@@ -1,10 +1,12 @@
 package org.geraniumreach.gateway.priority;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
 import org.geraniumreach.model.AccountId;
@@ -118,29 +120,53 @@
     public static final class Selection<T> {
 
         private final PriorityOrder order;
-        private final List<Candidate<T>> left;
-        private final Map<Optional<AccountId>, Double> accountUsage = new HashMap<>();
+        private final List<Entry<T>> left = new ArrayList<>();
         private final double[] classUsage = new double[CLASSES];
-        private final Comparator<Candidate<T>> comparator;
         private double credit;
 
         private Selection(PriorityOrder order, List<Candidate<T>> candidates, long now) {
             this.order = order;
-            this.left = new ArrayList<>(candidates);
             this.credit = order.credit;
             for (int urgency = 0; urgency < CLASSES; urgency++) {
                 classUsage[urgency] = order.classUsage.get(urgency).at(now);
             }
+            Map<Optional<AccountId>, ForeseenUsage> accounts = new HashMap<>();
             for (Candidate<T> candidate : candidates) {
-                accountUsage.computeIfAbsent(
+                ForeseenUsage usage = accounts.computeIfAbsent(
                         candidate.priority().account(),
-                        account -> order.usage.relativeUsage(candidate.priority(), now));
+                        account -> new ForeseenUsage(order.usage.relativeUsage(candidate.priority(), now)));
+                left.add(new Entry<>(candidate, usage));
+            }
+        }
+
+        /** The usage of an account over its weight after the foreseen starts. */
+        private static final class ForeseenUsage {
+
+            private double value;
+
+            private ForeseenUsage(double value) {
+                this.value = value;
+            }
+        }
+
+        private record Entry<T>(Candidate<T> candidate, ForeseenUsage usage) {
+
+            private int urgency() {
+                return candidate.urgency();
+            }
+
+            private boolean precedes(Entry<T> other) {
+                if (urgency() != other.urgency()) {
+                    return urgency() < other.urgency();
+                }
+                if (candidate.inTime() != other.candidate.inTime()) {
+                    return candidate.inTime();
+                }
+                if (usage.value != other.usage.value) {
+                    return usage.value < other.usage.value;
+                }
+                return candidate.deadline() < other.candidate.deadline();
             }
-            this.comparator = Comparator.<Candidate<T>>comparingInt(Candidate::urgency)
-                    .thenComparing(candidate -> !candidate.inTime())
-                    .thenComparingDouble(
-                            candidate -> accountUsage.get(candidate.priority().account()))
-                    .thenComparingLong(Candidate::deadline);
         }
 
         /**
@@ -149,30 +175,26 @@
          * @return the candidate, empty if none is left, not null
          */
         public Optional<Candidate<T>> next() {
-            List<Optional<Candidate<T>>> firstOfClass = firstOfEachClass();
-            Optional<Candidate<T>> mostUrgent =
-                    firstOfClass.stream().flatMap(Optional::stream).findFirst();
+            List<Entry<T>> firstOfClass = firstOfEachClass();
             return firstOfClass.stream()
-                    .flatMap(Optional::stream)
                     .skip(1)
-                    .min(Comparator.comparingDouble(candidate -> classUsage[candidate.urgency()]))
-                    .filter(candidate -> credit >= Math.min(order.maximumCredit, candidate.cost()) - TOLERANCE)
-                    .or(() -> mostUrgent);
+                    .min(Comparator.comparingDouble(entry -> classUsage[entry.urgency()]))
+                    .filter(entry -> credit
+                            >= Math.min(order.maximumCredit, entry.candidate().cost()) - TOLERANCE)
+                    .or(() -> firstOfClass.stream().findFirst())
+                    .map(Entry::candidate);
         }
 
-        private List<Optional<Candidate<T>>> firstOfEachClass() {
-            List<Optional<Candidate<T>>> first = new ArrayList<>();
-            for (int urgency = 0; urgency < CLASSES; urgency++) {
-                first.add(Optional.empty());
-            }
-            for (Candidate<T> candidate : left) {
-                boolean precedes = first.get(candidate.urgency())
-                        .map(other -> comparator.compare(candidate, other) < 0)
-                        .orElse(true);
-                if (precedes) {
-                    first.set(candidate.urgency(), Optional.of(candidate));
+        /** Returns the first of each class that waits, the most urgent class first. */
+        private List<Entry<T>> firstOfEachClass() {
+            List<Entry<T>> first = new ArrayList<>(Collections.nCopies(CLASSES, null));
+            for (Entry<T> entry : left) {
+                Entry<T> other = first.get(entry.urgency());
+                if (other == null || entry.precedes(other)) {
+                    first.set(entry.urgency(), entry);
                 }
             }
+            first.removeIf(Objects::isNull);
             return first;
         }
 
@@ -182,7 +204,9 @@
          * @return the candidate, empty if none is left, not null
          */
         public Optional<Candidate<T>> first() {
-            return left.stream().min(comparator);
+            return left.stream()
+                    .reduce((first, other) -> other.precedes(first) ? other : first)
+                    .map(Entry::candidate);
         }
 
         /**
@@ -191,23 +215,23 @@
          * @return the candidate, empty if none is left, not null
          */
         public Optional<Candidate<T>> last() {
-            return left.stream().max(comparator);
+            return left.stream()
+                    .reduce((last, other) -> other.precedes(last) ? last : other)
+                    .map(Entry::candidate);
         }
 
         /**
          * Foresees the start of a candidate.
          *
-         * @param candidate the candidate, not null
+         * @param candidate the candidate, one of those that are left, not null
          */
         public void start(Candidate<T> candidate) {
-            int mostUrgent = first().map(Candidate::urgency).orElse(candidate.urgency());
-            drop(candidate);
+            int mostUrgent = left.stream().mapToInt(Entry::urgency).min().orElse(candidate.urgency());
             credit = order.creditAfter(candidate, mostUrgent, credit);
             classUsage[candidate.urgency()] += candidate.cost();
-            accountUsage.merge(
-                    candidate.priority().account(),
-                    candidate.cost() / order.usage.weight(candidate.priority()),
-                    Double::sum);
+            remove(candidate)
+                    .ifPresent(entry ->
+                            entry.usage().value += candidate.cost() / order.usage.weight(candidate.priority()));
         }
 
         /**
@@ -216,7 +240,16 @@
          * @param candidate the candidate, not null
          */
         public void drop(Candidate<T> candidate) {
-            left.remove(candidate);
+            remove(candidate);
+        }
+
+        private Optional<Entry<T>> remove(Candidate<T> candidate) {
+            for (int index = 0; index < left.size(); index++) {
+                if (left.get(index).candidate() == candidate) {
+                    return Optional.of(left.remove(index));
+                }
+            }
+            return Optional.empty();
         }
     }
 }
