--- a/gateway/src/main/java/org/geraniumreach/gateway/pacing/PromptPacer.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/pacing/PromptPacer.java
@@ -11,13 +11,13 @@
  * any span of time, all admitted prompts but the last one take at most the reading fraction of the span and {@link #BURST} to read. The schedule is in
  * time, so a target that slows down gets the next prompts at its pace at once. Confined to the event loop.
  */
-final class PromptPacer {
+public final class PromptPacer {
 
     /** Fraction of the time of a target of unknown speed for reading prompts; the rest is left for generating tokens. */
-    static final double READING_FRACTION = 0.8;
+    public static final double READING_FRACTION = 0.8;
 
     /** Reading time that may be sent early; covers the varying delays of the owner's answers. */
-    static final Duration BURST = Duration.ofMillis(10);
+    public static final Duration BURST = Duration.ofMillis(10);
 
     private long nextFreeAt = Long.MIN_VALUE;
 
@@ -26,12 +26,46 @@
     }
 
     Decision admit(Duration readingTime, double readingFraction, Duration maxDelay, long now) {
-        long start = Math.max(now, nextFreeAt);
-        Duration delay = Duration.ofNanos(Math.max(0, start - now - BURST.toNanos()));
+        Duration delay = Duration.ofNanos(earliestStart(now) - now);
         if (delay.compareTo(maxDelay) > 0) {
             return Decision.SATURATED;
         }
-        nextFreeAt = start + (long) (readingTime.toNanos() / readingFraction);
+        recordPrompt(readingTime, readingFraction, now);
         return new Decision(true, delay);
     }
+
+    /**
+     * Computes when the next prompt may be sent.
+     *
+     * @param now the current time, in nanoseconds
+     * @return the time, in nanoseconds, not before the current time
+     */
+    public long earliestStart(long now) {
+        return Math.max(now, Math.max(now, nextFreeAt) - BURST.toNanos());
+    }
+
+    /**
+     * Counts a prompt that is sent at its earliest start.
+     *
+     * @param readingTime the time that the target takes to read it, not null
+     * @param now the current time, in nanoseconds
+     */
+    public void recordPrompt(Duration readingTime, long now) {
+        recordPrompt(readingTime, READING_FRACTION, now);
+    }
+
+    private void recordPrompt(Duration readingTime, double readingFraction, long now) {
+        nextFreeAt = Math.max(now, nextFreeAt) + (long) (readingTime.toNanos() / readingFraction);
+    }
+
+    /**
+     * Creates a pacer in the same state, for foreseeing later starts.
+     *
+     * @return the pacer, not null
+     */
+    public PromptPacer copy() {
+        PromptPacer copy = new PromptPacer();
+        copy.nextFreeAt = nextFreeAt;
+        return copy;
+    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -269,6 +269,17 @@
                         <= request.objective().toMillis() * settings.loadElsewhereWaitFraction();
     }
 
+    /**
+     * Computes the delay after which a prompt is within the bound on the tokens that this entry sends to a target in a window.
+     *
+     * @param target the target, not null
+     * @param promptTokens the tokens of the prompt
+     * @return the delay, zero if the prompt may be sent now, not null
+     */
+    public Duration ownPrefillDelay(Target target, long promptTokens) {
+        return waits.prefillDelay(target, promptTokens);
+    }
+
     /**
      * Gets the estimated prefill rate of the targets of a service, without the fixed overhead before the first part.
      *
@@ -305,13 +316,14 @@
 
     private List<Target> withoutPrefillDelay(List<Target> targets, PlacementRequest request) {
         return targets.stream()
-                .filter(target -> waits.prefillDelay(target, request).isZero())
+                .filter(target ->
+                        waits.prefillDelay(target, request.promptTokens()).isZero())
                 .toList();
     }
 
     private PlacementDecision defer(List<Target> targets, PlacementRequest request) {
         Duration delay = targets.stream()
-                .map(target -> waits.prefillDelay(target, request))
+                .map(target -> waits.prefillDelay(target, request.promptTokens()))
                 .min(Comparator.naturalOrder())
                 .orElseThrow();
         return new PlacementDecision.Defer(delay);
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/WaitEstimate.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/WaitEstimate.java
@@ -72,13 +72,13 @@
     }
 
     /** Computes the delay after which this entry may send a prompt, so that its prompts use only a part of the target's current prefill rate. */
-    Duration prefillDelay(Target target, PlacementRequest request) {
+    Duration prefillDelay(Target target, long promptTokens) {
         TargetSpeed speed = speeds.speedOf(target);
-        double tokensPerWindow = prefillRate(request.service()).tokensPerMilli()
+        double tokensPerWindow = prefillRate(target.description().service()).tokensPerMilli()
                 * speed.currentRate()
                 * settings.prefillWindow().toMillis();
         return target.prefillDelay(
-                request.promptTokens(),
+                promptTokens,
                 (long) (tokensPerWindow * settings.prefillWindowFraction()),
                 settings.prefillWindow(),
                 clock.nanos());
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -25,6 +25,7 @@
 import org.geraniumreach.gateway.limit.LimitReport;
 import org.geraniumreach.gateway.limit.TargetLimits;
 import org.geraniumreach.gateway.pacing.OwnerAdmission;
+import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.AnnouncedDepartures;
 import org.geraniumreach.gateway.placement.EntryContext;
 import org.geraniumreach.gateway.placement.Placement;
@@ -129,12 +130,14 @@
     private volatile int coldTargets;
     private volatile int limitedTargets;
     private volatile DoubleSummaryStatistics knownTargetRates = new DoubleSummaryStatistics();
+    private volatile int waitingAdmissions;
     private boolean wasReady;
     private Ingress ingress;
     private EntryLinks links;
     private QuotaLinks quotaLinks;
     private OwnerAdmission ownerAdmission;
     private TargetAdmissionLinks targetAdmissionLinks;
+    private Optional<OrderedAdmissions> orderedAdmissions = Optional.empty();
     private TargetLimitLinks targetLimitLinks;
     private EntryDirectory directory;
     private LeaseRenewer leaseRenewer;
@@ -217,13 +220,19 @@
                 this::requestAdmission,
                 timers,
                 clock);
+        if (settings.hasFeature(ProcessSettings.Feature.ORDERED_ADMISSION)) {
+            orderedAdmissions = Optional.of(createOrderedAdmissions(placement));
+            coordinator.orderLoads();
+        }
         return new ExchangeServices(
                 placement,
                 registry,
                 targets,
                 coordinator,
                 quotaAdmission,
-                ownerAdmission,
+                orderedAdmissions
+                        .<TargetAdmission>map(OrderedAdmissions::admission)
+                        .orElse(ownerAdmission),
                 limitAdmission,
                 targetSpeeds,
                 retryBudgets,
@@ -235,6 +244,21 @@
                 ExchangeSettings.defaults());
     }
 
+    private OrderedAdmissions createOrderedAdmissions(Placement placement) {
+        return new OrderedAdmissions(
+                new OrderedAdmissions.Dependencies(
+                        ownership,
+                        registry,
+                        placement,
+                        targetSpeeds,
+                        () -> configuration,
+                        ownerAdmission,
+                        timers,
+                        clock,
+                        log),
+                metrics::onAdmissionDecided);
+    }
+
     private boolean mayBeCalled(Target target) {
         return evacuations.phase(target.description().failureDomain()) != Evacuations.Phase.DRAINED
                 && restingTargets.timeUntilRested(target).isZero();
@@ -333,6 +357,10 @@
                 "geraniumreach.highest.target.rate",
                 "The highest prefill rate of a target with a known speed, relative to its service.",
                 () -> knownTargetRate(DoubleSummaryStatistics::getMax));
+        metrics.gauge(
+                "geraniumreach.admission.waiting",
+                "Requests that wait for their turn at the targets of this entry.",
+                () -> waitingAdmissions);
         metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> isReady() ? 1 : 0);
         metrics.gauge("geraniumreach.log.lines.dropped", "Lines that the log had no room for.", jsonLog::totalDropped);
         InetSocketAddress address =
@@ -379,6 +407,10 @@
                 quotaLinks::onRequest,
                 response -> quotaAdmission.onAnswer(response.getNumber(), QuotaLinks.toAdmission(response)));
         targetAdmissionLinks = new TargetAdmissionLinks(ownerAdmission, links);
+        orderedAdmissions.ifPresent(ordered -> {
+            registry.addListener(ordered.queues());
+            ordered.start(targetAdmissionLinks, links);
+        });
         targetLimitLinks = new TargetLimitLinks(targetLimits, limitAdmission, registry, links, log);
         TargetSpeedLinks.connect(targetSpeeds, links, log);
         startFeeds();
@@ -491,6 +523,8 @@
                 .sum();
         coldTargets =
                 (int) registry.all().stream().filter(coldStartLimiter::isCold).count();
+        waitingAdmissions =
+                orderedAdmissions.map(ordered -> ordered.queues().waiting()).orElse(0);
         limitedTargets =
                 (int) registry.all().stream().filter(limitAdmission::isLimited).count();
         knownTargetRates = targetSpeeds.knownRates();
