Pass the priority of waiting requests to adapter loads

AdapterLoadStep requested loads without a priority. The enqueue method with a priority had no caller, so that the urgency of AdapterLoadRequest was never set and LoadQueue always ordered loads as without the contract "pressure".

Loads are now requested with the priority of the request where targets' owners order requests, and as before elsewhere.

The harness records priorities.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoadStep.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoadStep.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.gateway.request;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import org.geraniumreach.gateway.placement.Target;
@@ -43,6 +44,17 @@
         waits.cancelAdapterChange();
         waits.setAdapterChange(services.adapters().await(adapter, placeAgain));
         waits.schedule(services.settings().placementRetryInterval(), placeAgain);
-        services.adapters().enqueue(target, adapter, Optional.of(request.objectiveLeft()), loadWait.mayBeDeclined());
+        requestLoad(target, adapter);
+    }
+
+    /** Requests the load, with the priority of the request only where targets' owners order requests. */
+    private void requestLoad(Target target, AdapterName adapter) {
+        Optional<Duration> untilLate = Optional.of(request.objectiveLeft());
+        boolean mayDecline = loadWait.mayBeDeclined();
+        if (services.admission().isOrdered()) {
+            services.adapters().enqueue(target, adapter, untilLate, mayDecline, request.priority());
+        } else {
+            services.adapters().enqueue(target, adapter, untilLate, mayDecline);
+        }
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/OrderedExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/OrderedExchangeTest.java
@@ -15,6 +15,7 @@
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.priority.RequestPriority;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -293,4 +294,30 @@
         assertThat(owners.asked).hasSize(1);
         assertThat(owners.last().ends).isEqualTo(1);
     }
+
+    /** Guards against owners that order adapter loads without the priorities of the requests that wait for them. */
+    @Test
+    void loadsAreRequestedWithThePriorityOfTheRequest() {
+        world.addTarget("a", Map.of("base", Map.of()));
+        world.receive(new RecordedAnswer(), RequestHarness.URGENT_KEY, Optional.of(generation()));
+        world.receive(new RecordedAnswer(), RequestHarness.KEY, Optional.of(generation()));
+        assertThat(world.adapters().enqueuedLoads()).containsExactly("a a7", "a a7");
+        assertThat(world.adapters().priorities())
+                .extracting(priority -> priority.account().orElseThrow().value())
+                .containsExactly("urgent", "acme");
+        assertThat(world.adapters().priorities())
+                .extracting(RequestPriority::urgency)
+                .isSorted()
+                .doesNotHaveDuplicates();
+    }
+
+    /** Guards against priorities of loads in deployments whose requests are not ordered. */
+    @Test
+    void loadsAreRequestedWithoutPriorityIfRequestsAreNotOrdered() {
+        world.setTargetAdmission(TargetAdmission.unpaced());
+        world.addTarget("a", Map.of("base", Map.of()));
+        world.send(Optional.of(generation()));
+        assertThat(world.adapters().enqueuedLoads()).containsExactly("a a7");
+        assertThat(world.adapters().priorities()).isEmpty();
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -30,6 +30,7 @@
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.priority.RequestPriority;
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.gateway.quota.Quotas;
@@ -100,6 +101,7 @@
     /** Records enqueued adapter loads and reports versions set by a test. */
     public static final class FakeAdapterLoader implements AdapterLoader {
         private final List<String> enqueuedLoads = new ArrayList<>();
+        private final List<RequestPriority> priorities = new ArrayList<>();
         private final List<Runnable> waiters = new ArrayList<>();
         private final Set<TargetId> declining = new HashSet<>();
         private final Set<TargetId> declined = new HashSet<>();
@@ -116,6 +118,17 @@
             enqueuedLoads.add(target.id().value() + ' ' + adapter.adapter());
         }
 
+        @Override
+        public void enqueue(
+                Target target,
+                AdapterName adapter,
+                Optional<Duration> untilLate,
+                boolean mayDecline,
+                RequestPriority priority) {
+            priorities.add(priority);
+            enqueue(target, adapter, untilLate, mayDecline);
+        }
+
         @Override
         public boolean hasDeclined(TargetId target, AdapterName adapter) {
             return declined.contains(target);
@@ -158,6 +171,11 @@
             return enqueuedLoads;
         }
 
+        /** Returns the priorities of the load requests that had one. */
+        public List<RequestPriority> priorities() {
+            return priorities;
+        }
+
         public void setVersions(long newNamedVersion, long newRequiredVersion) {
             namedVersion = newNamedVersion;
             requiredVersion = newRequiredVersion;
