Bound the prefill time that is counted for one prompt

Callers state the number of tokens of a prompt. It also used up the credit of the less urgent classes for good.

One prompt now counts as 10 s at most. The rate is also read once for each decision instead of twice or more for each waiting request.

AdmissionQueueTest: 22 tests pass, the property with 300 tries included. aPromptOfAnImpossibleLengthDoesNotBlockTheTarget and theRateIsReadOnceForEachDecision fail without the change. AdmissionLoadTest passes unchanged.

--- a/gateway/src/main/java/org/geraniumreach/gateway/admission/AdmissionQueue.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/admission/AdmissionQueue.java
@@ -52,6 +52,12 @@
     /** Used to order by prompt tokens if the rate is unknown. */
     private static final double DEFAULT_TOKENS_PER_MILLI = 1;
 
+    /**
+     * The longest prefill time that is counted for one prompt, about that of a full KV cache. Callers state the number of tokens, and a wrong
+     * number must not keep all others from the target for longer.
+     */
+    private static final double MAXIMUM_PREFILL_MILLIS = 10_000;
+
     /** Longer times would overflow sums of times in nanoseconds. */
     private static final Duration LONGEST_TIME = Duration.ofDays(1);
 
@@ -68,6 +74,7 @@
     private final List<Outcome> displaced = new ArrayList<>();
     private boolean changed;
     private long updatedAt;
+    private double rate;
 
     private record Waiting(long id, AdmissionRequest request, long arrivedAt) {
 
@@ -152,14 +159,14 @@
         capacity.forgetExpired(now);
         changed = true;
         updatedAt = now;
+        rate = tokensPerMilli.getAsDouble();
     }
 
     private Selection<Waiting> selection(long now) {
         List<Candidate<Waiting>> candidates = new ArrayList<>();
         for (Waiting request : waiting.values()) {
             double prefillMillis = orderingMillis(request.request());
-            double prefillNanos = Math.min(prefillMillis * NANOS_PER_MILLI, LONGEST_TIME.toNanos());
-            boolean inTime = now + (long) prefillNanos <= request.deadline();
+            boolean inTime = now + (long) (prefillMillis * NANOS_PER_MILLI) <= request.deadline();
             candidates.add(
                     new Candidate<>(request, request.request().priority(), inTime, request.deadline(), prefillMillis));
         }
@@ -167,19 +174,18 @@
     }
 
     private double orderingMillis(AdmissionRequest request) {
-        double rate = tokensPerMilli.getAsDouble();
-        return request.promptTokens() / (isKnown(rate) ? rate : DEFAULT_TOKENS_PER_MILLI);
+        return Math.min(
+                request.promptTokens() / (isRateKnown() ? rate : DEFAULT_TOKENS_PER_MILLI), MAXIMUM_PREFILL_MILLIS);
     }
 
     private Demand demand(AdmissionRequest request) {
-        double rate = tokensPerMilli.getAsDouble();
-        long nanos = isKnown(rate) ? (long) (request.promptTokens() / rate * NANOS_PER_MILLI) : 0;
+        long nanos = isRateKnown() ? (long) (orderingMillis(request) * NANOS_PER_MILLI) : 0;
         return new Demand(
-                Duration.ofNanos(Math.min(nanos, LONGEST_TIME.toNanos())),
+                Duration.ofNanos(nanos),
                 Math.min(request.promptTokens(), MAXIMUM_TOKENS) + Math.min(request.outputTokens(), MAXIMUM_TOKENS));
     }
 
-    private static boolean isKnown(double rate) {
+    private boolean isRateKnown() {
         return rate > 0 && Double.isFinite(rate);
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/admission/AdmissionQueueTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/admission/AdmissionQueueTest.java
@@ -154,6 +154,33 @@
         assertThat(times).isSorted().allMatch(time -> time.compareTo(RetryTimes.LONGEST) <= 0);
     }
 
+    /** Guards against a target that rejects all prompts for days after a caller has stated a wrong number of tokens. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000_000_000_000L, Long.MAX_VALUE})
+    void aPromptOfAnImpossibleLengthDoesNotBlockTheTarget(long promptTokens) {
+        queue.offer(1, request(0, "a", promptTokens, LONG), 0);
+        assertThat(queue.offer(2, request(0, "b"), 0)).isInstanceOf(Queued.class);
+        assertThat(admittedUntil(queue, LONG.toNanos())).containsExactly(2L);
+    }
+
+    /** Guards against reading the rate, which is estimated, once for each of the requests that wait. */
+    @Test
+    void theRateIsReadOnceForEachDecision() {
+        int[] reads = {0};
+        AdmissionQueue counting =
+                new AdmissionQueue(new AdmissionSettings(OptionalInt.empty(), OptionalLong.empty(), LIFETIME), () -> {
+                    reads[0]++;
+                    return TOKENS_PER_MILLI;
+                });
+        for (long id = 0; id < 50; id++) {
+            counting.offer(id, request(1, "a" + id, 100, LONG), 0);
+        }
+        reads[0] = 0;
+        counting.offer(50, request(1, "b", 100, LONG), 0);
+        counting.poll(0);
+        assertThat(reads[0]).isEqualTo(2);
+    }
+
     @Test
     void aRequestLargerThanTheMemoryIsAdmittedAlone() {
         AdmissionQueue small = queue(OptionalInt.empty(), OptionalLong.of(1_000));
