Release requests that end before their admission is delivered

A poll may admit several requests, and delivers the admissions one after the other. If one of the listeners ended a request whose admission was not delivered yet, the request was withdrawn as a waiting one, which has no effect on an admitted one. It occupied its slot and memory until the admitted lifetime was over.

A request that ends is now both withdrawn and ended; each is ignored where it does not apply.

TargetQueuesTest: 7 tests pass. aRequestThatEndsBeforeItsAdmissionIsDeliveredOccupiesNothing fails without the change.

--- a/gateway/src/main/java/org/geraniumreach/gateway/admission/TargetQueues.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/admission/TargetQueues.java
@@ -315,13 +315,12 @@
         }
     }
 
+    /** Releases a request whose admission may have been decided but not yet delivered. */
     private static void release(OwnedQueue owned, Ticket ticket, long now) {
         ticket.renewalTimer.cancel();
-        if (owned.waiting.remove(ticket.id) != null) {
-            owned.queue.withdraw(ticket.id, now);
-        } else {
-            owned.queue.end(ticket.id, now);
-        }
+        owned.waiting.remove(ticket.id);
+        owned.queue.withdraw(ticket.id, now);
+        owned.queue.end(ticket.id, now);
     }
 
     /**
--- a/gateway/src/test/java/org/geraniumreach/gateway/admission/TargetQueuesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/admission/TargetQueuesTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import org.geraniumreach.gateway.adapter.Lease;
@@ -173,4 +174,37 @@
         offer("two", 3, 4, Duration.ofSeconds(1));
         assertThat(lastIsAdmitted()).isFalse();
     }
+
+    /** Guards against memory that stays occupied for a request that ends while another one's admission is delivered. */
+    @Test
+    void aRequestThatEndsBeforeItsAdmissionIsDeliveredOccupiesNothing() {
+        TargetQueues shared = new TargetQueues(
+                ownership,
+                registry,
+                new TargetQueues.Capacity(
+                        target -> 0,
+                        target -> new AdmissionSettings(OptionalInt.empty(), OptionalLong.of(100), LIFETIME)),
+                time,
+                time,
+                this::log,
+                (urgency, result) -> {});
+        offerTokens(shared, 1, 100, responses::add);
+        offerTokens(shared, 2, 50, response -> {
+            if (response.decision() instanceof AdmissionDecision.Admitted) {
+                shared.end(new RequestKey("two", 3), ID);
+            }
+        });
+        offerTokens(shared, 3, 50, responses::add);
+        shared.end(new RequestKey("two", 1), ID);
+        offerTokens(shared, 4, 50, responses::add);
+        assertThat(lastIsAdmitted()).isTrue();
+    }
+
+    private static void offerTokens(
+            TargetQueues queues, long number, long tokens, Consumer<AdmissionResponse> listener) {
+        Duration second = Duration.ofSeconds(1);
+        AdmissionRequest request =
+                new AdmissionRequest(4, Optional.of(AccountId.of("acme")), 1, 0, tokens, second, second);
+        queues.offer(new RequestKey("two", number), "request-" + number, ID, request, listener);
+    }
 }
