Count the time in an owner's queue towards the maximum delay

A request whose owner was lost while it waited could be delayed by its entry's own bound for its whole maximum delay once more. A request that waits for as long as its caller does then reached its deadline unsent.

The latest time is now fixed when the admission is requested. In addition, a request that another one's callback has ended while the loss of a link is processed is no longer decided.

--- a/gateway/src/main/java/org/geraniumreach/gateway/pacing/OrderedAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/pacing/OrderedAdmission.java
@@ -141,6 +141,7 @@
     public void onLinkClosed(String entry) {
         List.copyOf(pendingRequests.values()).stream()
                 .filter(pending -> pending.owner.filter(entry::equals).isPresent())
+                .filter(pending -> !pending.closed)
                 .forEach(PendingRequest::keepToOwnBound);
     }
 
@@ -150,6 +151,7 @@
         private final Target target;
         private final AdmissionRequest request;
         private final Consumer<Decision> callback;
+        private final long latestAt;
         private Optional<String> owner = Optional.empty();
         private Cancellable timer = Cancellable.NOOP;
         private boolean closed;
@@ -159,6 +161,7 @@
             this.target = target;
             this.request = request;
             this.callback = callback;
+            this.latestAt = clock.nanos() + request.maximumDelay().toNanos();
         }
 
         private RequestKey key() {
@@ -210,21 +213,21 @@
             callback.accept(decision);
         }
 
-        /** Waits until the prompt is within this entry's own bound, at most for the request's maximum delay. */
+        /** Waits until the prompt is within this entry's own bound, at most for what is left of the request's maximum delay. */
         private void keepToOwnBound() {
             pendingRequests.remove(number);
             timer.cancel();
-            awaitOwnBound(clock.nanos() + request.maximumDelay().toNanos());
+            awaitOwnBound();
         }
 
-        private void awaitOwnBound(long latestAt) {
+        private void awaitOwnBound() {
             Duration latest = Duration.ofNanos(Math.max(0, latestAt - clock.nanos()));
             Duration bound = ownBound.delay(target, request.promptTokens());
             Duration delay = bound.compareTo(latest) < 0 ? bound : latest;
             if (delay.isZero()) {
                 callback.accept(Decision.IMMEDIATE);
             } else {
-                timer = timers.schedule(delay, () -> awaitOwnBound(latestAt));
+                timer = timers.schedule(delay, this::awaitOwnBound);
             }
         }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/OrderedAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/OrderedAdmissionTest.java
@@ -240,6 +240,36 @@
         assertThat(decided).containsExactly("a admitted");
     }
 
+    /** Guards against requests that wait at their owner and then as long again, and are sent after their deadline. */
+    @Test
+    void theTimeSpentInTheOwnersQueueCountsTowardsTheMaximumDelay() {
+        ownDelay = () -> OWN_DELAY;
+        owner.request("running", NORMAL);
+        other.request("a", NORMAL);
+        time.advance(MAX_DELAY.dividedBy(2));
+        cutLinks();
+        assertThat(decided).containsExactly("running admitted");
+        time.advance(MAX_DELAY.dividedBy(2));
+        assertThat(decided).containsExactly("running admitted", "a admitted");
+    }
+
+    /** Guards against a decision on a request that ends while others learn of the loss of the link. */
+    @Test
+    void aRequestThatEndsDuringTheLossOfTheLinkIsNotDecided() {
+        owner.request("running", NORMAL);
+        settle();
+        List<Admission> second = new ArrayList<>();
+        AdmissionRequest request =
+                new AdmissionRequest(NORMAL, Optional.empty(), 0, PROMPT_TOKENS, 100, Duration.ofSeconds(1), MAX_DELAY);
+        other.admission.request(
+                other.target(), "a", request, decision -> second.get(0).end());
+        second.add(other.request("b", NORMAL));
+        settle();
+        cutLinks();
+        time.advance(MAX_DELAY);
+        assertThat(decided).containsExactly("running admitted");
+    }
+
     /** Guards against queued requests that hang because their owner has ended without closing its links. */
     @Test
     void aQueuedRequestKeepsToTheOwnBoundIfTheOwnerIsLost() {
