Do not limit engines whose batch size is not configured

An engine without "slots" in the configuration was decoded with a batch size of 1, and ordered admission then admitted one request at a time to each of its targets. With 0 or below, the bounds of the queue threw an exception, and requests waited until their deadline.

The batch size is now empty if it is missing or not above 0, and then does not limit. Nothing else uses it.

--- a/gateway/src/main/java/org/geraniumreach/gateway/traffic/ServiceDefinition.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/traffic/ServiceDefinition.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -47,13 +48,14 @@
      * The properties of a model engine.
      *
      * @param adapterSlots the number of adapters that fit beside the base model
-     * @param batchSize the number of requests that run in one batch
+     * @param batchSize the number of requests that run in one batch, above 0, empty if unknown
      * @param kvCacheTokens the number of tokens that fit into the KV cache, above 0, empty if unknown
      * @param models the names of the base models
      */
-    public record Engine(int adapterSlots, int batchSize, OptionalLong kvCacheTokens, List<String> models) {
+    public record Engine(int adapterSlots, OptionalInt batchSize, OptionalLong kvCacheTokens, List<String> models) {
 
         public Engine {
+            Objects.requireNonNull(batchSize, "batchSize");
             Objects.requireNonNull(kvCacheTokens, "kvCacheTokens");
             models = List.copyOf(models);
         }
@@ -62,11 +64,11 @@
          * Creates an instance with a KV cache of unknown size.
          *
          * @param adapterSlots the number of adapters that fit beside the base model
-         * @param batchSize the number of requests that run in one batch
+         * @param batchSize the number of requests that run in one batch, above 0
          * @param models the names of the base models
          */
         public Engine(int adapterSlots, int batchSize, List<String> models) {
-            this(adapterSlots, batchSize, OptionalLong.empty(), models);
+            this(adapterSlots, OptionalInt.of(batchSize), OptionalLong.empty(), models);
         }
     }
 }
--- a/node/src/main/java/org/geraniumreach/node/OrderedAdmissions.java
+++ b/node/src/main/java/org/geraniumreach/node/OrderedAdmissions.java
@@ -85,7 +85,7 @@
         Optional<ServiceDefinition.Engine> engine =
                 current.flatMap(known -> known.service(service)).flatMap(ServiceDefinition::engine);
         return new AdmissionSettings(
-                engine.map(known -> OptionalInt.of(known.batchSize())).orElse(OptionalInt.empty()),
+                engine.map(ServiceDefinition.Engine::batchSize).orElse(OptionalInt.empty()),
                 engine.map(ServiceDefinition.Engine::kvCacheTokens).orElse(OptionalLong.empty()),
                 current.flatMap(known -> known.longestTimeout(service)).orElse(DEFAULT_ADMITTED_LIFETIME));
     }
