Move PromptPacer to the package of ordered admission

gateway.admission used PromptPacer of gateway.pacing, which uses gateway.admission, and each package depended on the other.

PromptPacer is now in gateway.admission and returns the delay, empty if it would be too long, instead of a decision of gateway.pacing. OwnerAdmission converts it. PromptPacerTest moves with it; it and PacedStreamsTest check the same delays and refusals as before.

--- a/gateway/src/main/java/org/geraniumreach/gateway/admission/AdmissionQueue.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/admission/AdmissionQueue.java
@@ -19,7 +19,6 @@
 import org.geraniumreach.gateway.admission.AdmissionDecision.Reason;
 import org.geraniumreach.gateway.admission.AdmissionDecision.Rejected;
 import org.geraniumreach.gateway.admission.TargetCapacity.Demand;
-import org.geraniumreach.gateway.pacing.PromptPacer;
 import org.geraniumreach.gateway.priority.PriorityOrder;
 import org.geraniumreach.gateway.priority.PriorityOrder.Candidate;
 import org.geraniumreach.gateway.priority.PriorityOrder.Selection;
--- a/gateway/src/main/java/org/geraniumreach/gateway/pacing/PromptPacer.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/admission/PromptPacer.java
@@ -1,8 +1,7 @@
-package org.geraniumreach.gateway.pacing;
+package org.geraniumreach.gateway.admission;
 
 import java.time.Duration;
-
-import org.geraniumreach.gateway.pacing.TargetAdmission.Decision;
+import java.util.Optional;
 
 /**
  * Spaces the prompts of all entries at one target by the generic cell rate algorithm.
@@ -21,17 +20,22 @@
 
     private long nextFreeAt = Long.MIN_VALUE;
 
-    Decision admit(Duration readingTime, Duration maxDelay, long now) {
-        return admit(readingTime, READING_FRACTION, maxDelay, now);
-    }
-
-    Decision admit(Duration readingTime, double readingFraction, Duration maxDelay, long now) {
+    /**
+     * Counts a prompt unless it would be delayed for too long.
+     *
+     * @param readingTime the time that the target takes to read it, not null
+     * @param readingFraction the fraction of the target's time that may be spent on reading prompts, above 0
+     * @param maxDelay the longest time that the prompt may be delayed, not null
+     * @param now the current time, in nanoseconds
+     * @return the delay, empty if it would be too long, not null
+     */
+    public Optional<Duration> admit(Duration readingTime, double readingFraction, Duration maxDelay, long now) {
         Duration delay = Duration.ofNanos(earliestStart(now) - now);
         if (delay.compareTo(maxDelay) > 0) {
-            return Decision.SATURATED;
+            return Optional.empty();
         }
         recordPrompt(readingTime, readingFraction, now);
-        return new Decision(true, delay);
+        return Optional.of(delay);
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/admission/TargetCapacity.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/admission/TargetCapacity.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.OptionalLong;
 
-import org.geraniumreach.gateway.pacing.PromptPacer;
-
 /**
  * The prefill time, the slots and the memory of one target, and the admitted requests that use them.
  *
--- a/gateway/src/main/java/org/geraniumreach/gateway/pacing/OwnerAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/pacing/OwnerAdmission.java
@@ -9,6 +9,7 @@
 import java.util.function.ToDoubleFunction;
 
 import org.geraniumreach.gateway.adapter.TargetOwnership;
+import org.geraniumreach.gateway.admission.PromptPacer;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.Cancellable;
@@ -115,7 +116,9 @@
                 tokensPerMilli.applyAsDouble(target.description().service()) * speed.currentRate();
         Duration readingTime = Duration.ofNanos((long) (promptTokens / tokensPerMilliNow * NANOS_PER_MILLI));
         return pacers.computeIfAbsent(target, missing -> new PromptPacer())
-                .admit(readingTime, ReadingFraction.of(speed), maxDelay, clock.nanos());
+                .admit(readingTime, ReadingFraction.of(speed), maxDelay, clock.nanos())
+                .map(delay -> new Decision(true, delay))
+                .orElse(Decision.SATURATED);
     }
 
     /**
--- a/gateway/src/test/java/org/geraniumreach/gateway/admission/AdmissionQueueTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/admission/AdmissionQueueTest.java
@@ -18,7 +18,6 @@
 import org.geraniumreach.gateway.admission.AdmissionDecision.Queued;
 import org.geraniumreach.gateway.admission.AdmissionDecision.Reason;
 import org.geraniumreach.gateway.admission.AdmissionDecision.Rejected;
-import org.geraniumreach.gateway.pacing.PromptPacer;
 import org.geraniumreach.gateway.priority.PriorityOrder;
 import org.geraniumreach.model.AccountId;
 import org.junit.jupiter.api.Test;
--- a/gateway/src/test/java/org/geraniumreach/gateway/admission/AdmissionSimulation.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/admission/AdmissionSimulation.java
@@ -17,7 +17,6 @@
 import org.geraniumreach.gateway.admission.AdmissionDecision.Admitted;
 import org.geraniumreach.gateway.admission.AdmissionDecision.Queued;
 import org.geraniumreach.gateway.admission.AdmissionDecision.Rejected;
-import org.geraniumreach.gateway.pacing.PromptPacer;
 import org.geraniumreach.model.AccountId;
 
 /**
--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/PromptPacerTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/admission/PromptPacerTest.java
@@ -1,13 +1,13 @@
-package org.geraniumreach.gateway.pacing;
+package org.geraniumreach.gateway.admission;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.geraniumreach.gateway.pacing.TargetAdmission.Decision;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -18,13 +18,17 @@
     private static final Duration MAX_DELAY = Duration.ofMillis(300);
     private static final Duration MAX_SPAN = Duration.ofMillis(300);
 
+    private static Optional<Duration> admit(PromptPacer pacer, Duration readingTime, Duration maxDelay, long now) {
+        return pacer.admit(readingTime, PromptPacer.READING_FRACTION, maxDelay, now);
+    }
+
     /** Guards against streams that pause because prompts of several entries reach their target in a burst. */
     @Test
     void aBurstOfPromptsIsSpread() {
         PromptPacer pacer = new PromptPacer();
         List<Duration> delays = new ArrayList<>();
         for (int prompt = 0; prompt < 4; prompt++) {
-            delays.add(pacer.admit(READING_TIME, MAX_DELAY, 0).delay());
+            delays.add(admit(pacer, READING_TIME, MAX_DELAY, 0).orElseThrow());
         }
         assertThat(delays).extracting(Duration::toMillis).containsExactly(0L, 83L, 177L, 271L);
     }
@@ -34,19 +38,21 @@
     void aPromptThatWouldBeDelayedTooLongIsRefusedAndUsesNoReadingTime() {
         PromptPacer pacer = new PromptPacer();
         for (int prompt = 0; prompt < 4; prompt++) {
-            assertThat(pacer.admit(READING_TIME, MAX_DELAY, 0).admitted()).isTrue();
+            assertThat(admit(pacer, READING_TIME, MAX_DELAY, 0)).isPresent();
         }
-        assertThat(pacer.admit(READING_TIME, MAX_DELAY, 0)).isEqualTo(Decision.SATURATED);
-        assertThat(pacer.admit(READING_TIME, Duration.ofMillis(400), 0).delay().toMillis())
+        assertThat(admit(pacer, READING_TIME, MAX_DELAY, 0)).isEmpty();
+        assertThat(admit(pacer, READING_TIME, Duration.ofMillis(400), 0)
+                        .orElseThrow()
+                        .toMillis())
                 .isEqualTo(365);
     }
 
     @Test
     void anIdleTargetAdmitsAPromptAtOnce() {
         PromptPacer pacer = new PromptPacer();
-        pacer.admit(Duration.ofSeconds(10), MAX_DELAY, 0);
-        assertThat(pacer.admit(READING_TIME, MAX_DELAY, Duration.ofSeconds(14).toNanos()))
-                .isEqualTo(Decision.IMMEDIATE);
+        admit(pacer, Duration.ofSeconds(10), MAX_DELAY, 0);
+        assertThat(admit(pacer, READING_TIME, MAX_DELAY, Duration.ofSeconds(14).toNanos()))
+                .hasValue(Duration.ZERO);
     }
 
     /** Guards against a time span in which a target spends too much time reading prompts. */
@@ -59,9 +65,9 @@
         for (int prompt = 0; prompt < 300; prompt++) {
             now += random.nextInt(40) * 1_000_000L;
             Duration reading = Duration.ofMillis(1 + random.nextInt(200));
-            Decision decision = pacer.admit(reading, MAX_DELAY, now);
-            if (decision.admitted()) {
-                sent.add(new long[] {now + decision.delay().toNanos(), reading.toNanos()});
+            Optional<Duration> delay = admit(pacer, reading, MAX_DELAY, now);
+            if (delay.isPresent()) {
+                sent.add(new long[] {now + delay.get().toNanos(), reading.toNanos()});
             }
         }
         for (int first = 0; first < sent.size(); first++) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/PacedStreamsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/PacedStreamsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 
+import org.geraniumreach.gateway.admission.PromptPacer;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -59,7 +60,8 @@
         PromptPacer pacer = new PromptPacer();
         for (EngineModel.Stream stream : streams) {
             long now = (long) (stream.arrivedAt() * NANOS_PER_MILLI);
-            Duration delay = pacer.admit(stream.readingTime(), MAX_DELAY, now).delay();
+            Duration delay = pacer.admit(stream.readingTime(), PromptPacer.READING_FRACTION, MAX_DELAY, now)
+                    .orElse(Duration.ZERO);
             stream.sendAt(stream.arrivedAt() + delay.toNanos() / NANOS_PER_MILLI);
         }
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/ReadingFractionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/ReadingFractionTest.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.gateway.pacing;
 
+import org.geraniumreach.gateway.admission.PromptPacer;
 import org.geraniumreach.gateway.speed.TargetSpeed;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
