Keep the smaller share of retries for a window after a time without requests

Cause: the shares of a window were known only from the times of requests and decisions. An entry that had no request of a service for a window used a share that had just grown at once, although the entries that had left may have used theirs.

Change: a new share counts together with the one before it. EqualDivision hashes the key once and stops counting at the number of shares, since an entry asks up to ten times a second for each service and there may be hundreds of entries.

--- a/gateway/src/main/java/org/geraniumreach/gateway/division/EqualDivision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/division/EqualDivision.java
@@ -41,13 +41,18 @@
         if (share > 0) {
             return share;
         }
-        long ownScore = score(key, self);
-        long ahead =
-                known.stream().filter(entry -> score(key, entry) < ownScore).count();
-        return ahead < limit - UNKNOWN_ENTRIES_RESERVE ? 1 : 0;
+        int given = Math.max(0, limit - UNKNOWN_ENTRIES_RESERVE);
+        int keyHash = Rendezvous.hash(key);
+        long ownScore = score(keyHash, self);
+        // Counts no further than needed: an entry asks several times a second, and there may be hundreds of entries.
+        long ahead = known.stream()
+                .filter(entry -> score(keyHash, entry) < ownScore)
+                .limit(given)
+                .count();
+        return ahead < given ? 1 : 0;
     }
 
-    private static long score(String key, String entry) {
-        return Rendezvous.score(Rendezvous.hash(key), Rendezvous.hash(entry));
+    private static long score(int keyHash, String entry) {
+        return Rendezvous.score(keyHash, Rendezvous.hash(entry));
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/SlidingWindow.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/SlidingWindow.java
@@ -24,6 +24,7 @@
     private final int[] retries = new int[RETRY_SLOTS];
     private final int[] smallestShares = new int[RETRY_SLOTS];
     private long currentSlot;
+    private int lastShare = NO_SHARE;
 
     SlidingWindow(Duration length, long now) {
         this.slotNanos = Math.max(1, length.toNanos() / SLOTS_PER_WINDOW);
@@ -56,9 +57,11 @@
         retries[advance(now)]++;
     }
 
+    /** Adds a share, and the last one before it, which may have applied until now if no share was added for a while. */
     void addShare(int share, long now) {
         int index = advance(now);
-        smallestShares[index] = Math.min(smallestShares[index], share);
+        smallestShares[index] = Math.min(smallestShares[index], Math.min(share, lastShare));
+        lastShare = share;
     }
 
     /** Queries whether a share was added in the current slot. */
--- a/gateway/src/test/java/org/geraniumreach/gateway/retry/RetryBudgetsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/retry/RetryBudgetsTest.java
@@ -374,4 +374,18 @@
                         .result())
                 .isEqualTo(expected);
     }
+
+    /** Guards against an entry that uses the parts of entries that left while it had no requests, although these were used. */
+    @Test
+    void aPartThatGrewWithoutRequestsCountsAfterAWindow() {
+        startEntries(6);
+        Entry entry = entries.get("entry0");
+        time.advance(Duration.ofMinutes(1));
+        assertThat(entry.retryAtMost(8)).isEqualTo(8);
+        time.advance(Duration.ofMinutes(1));
+        entry.known.removeIf(name -> !name.equals("entry0"));
+        assertThat(entry.retryAtMost(18)).isEqualTo(8);
+        time.advance(WINDOW.plusSeconds(1));
+        assertThat(entry.retryAtMost(18)).isEqualTo(18);
+    }
 }
