Let the mean slowdown of a target fade without new figures

Cause: the mean changed only when a figure arrived. A target with a high mean is avoided, thus reports nothing and stayed slow for ever; a plain service could lose a target in this way at light load.

Change: the mean fades to 1 with the time constant with which it forgets former figures.

Result: SlowdownEstimateTest passes; its new test fails without the change.

--- a/gateway/src/main/java/org/geraniumreach/gateway/speed/SlowdownEstimate.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/speed/SlowdownEstimate.java
@@ -79,10 +79,12 @@
             return 1;
         }
         double weight = Math.exp(-Math.max(0, secondsBetween(newestAt, now)) / FIGURE_DECAY_SECONDS);
-        return weight * newest + (1 - weight) * mean();
+        return weight * newest + (1 - weight) * mean(now);
     }
 
-    private double mean() {
-        return (PRIOR_SECONDS + weightedSum) / (PRIOR_SECONDS + coveredSeconds);
+    /** Gets the mean, which fades to 1 without new figures: a target that is avoided as slow would report no others. */
+    private double mean(long now) {
+        double decay = Math.exp(-Math.max(0, secondsBetween(newestAt, now)) / MEAN_DECAY_SECONDS);
+        return (PRIOR_SECONDS + weightedSum * decay) / (PRIOR_SECONDS + coveredSeconds * decay);
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/speed/SlowdownEstimateTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/speed/SlowdownEstimateTest.java
@@ -61,4 +61,15 @@
         estimate.add(1e-300, 0);
         assertThat(estimate.estimate(0)).isEqualTo(SlowdownEstimate.MINIMUM);
     }
+
+    /** Guards against a target that counts as slow for ever, since it is avoided and thus reports no other figure. */
+    @Test
+    void theMeanFadesWithoutFigures() {
+        for (int period = 0; period < 100; period++) {
+            estimate.add(3, period * HOLD_TIME.toNanos());
+        }
+        long end = 100 * HOLD_TIME.toNanos();
+        assertThat(estimate.estimate(end + Duration.ofSeconds(5).toNanos())).isGreaterThan(2.5);
+        assertThat(estimate.estimate(end + Duration.ofMinutes(3).toNanos())).isLessThan(1.1);
+    }
 }
