Ignore streams that outlast the row of their target, and rank without slowdowns

Cause: a stream that ended after its target had left added a sample that nothing removed. The samples accumulated with each restart of a target, and samples of departed targets, taken at rate 1, distorted the reference of all other rates.

Change: streams of targets that have left are not learnt from. Ranking and homes ask for the relative rate alone, which needs no estimate of the slowdown for each target of the service.

Result: LearntTargetSpeedsTest passes; the test of departed targets fails without the change.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/AdapterHomes.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/AdapterHomes.java
@@ -79,6 +79,6 @@
     }
 
     private double relativeRate(Target target) {
-        return speeds.speedOf(target).relativeRate();
+        return speeds.relativeRateOf(target);
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRanking.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRanking.java
@@ -37,7 +37,7 @@
     }
 
     private double weight(Target target) {
-        return speeds.speedOf(target).relativeRate();
+        return speeds.relativeRateOf(target);
     }
 
     private static List<Target> rankUnweighted(int hash, List<Target> targets) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/WaitEstimate.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/WaitEstimate.java
@@ -57,7 +57,7 @@
 
     /** Estimates the time until the first part at the target's usual rate, which a momentary slowdown does not change. */
     long usualMillis(Target target, PlacementRequest request) {
-        return millisAtRate(target, request, speeds.speedOf(target).relativeRate());
+        return millisAtRate(target, request, speeds.relativeRateOf(target));
     }
 
     private long millisAtRate(Target target, PlacementRequest request, double rate) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/speed/LearntTargetSpeeds.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/speed/LearntTargetSpeeds.java
@@ -148,6 +148,11 @@
                 .orElse(TargetSpeed.UNKNOWN);
     }
 
+    @Override
+    public double relativeRateOf(Target target) {
+        return isInEffect(target) ? publishedRate(target) : 1;
+    }
+
     private boolean isInEffect(Target target) {
         return alwaysInEffect || reportingServices.contains(target.description().service());
     }
@@ -186,7 +191,9 @@
 
     @Override
     public void onStream(Target target, PaceSample sample) {
-        if (!isInEffect(target)) {
+        // Streams may outlast the row of their target; samples that arrive after onLeft would be kept for ever.
+        boolean present = find(target.id(), target.description().startedAt()).isPresent();
+        if (!present || !isInEffect(target)) {
             return;
         }
         service(target).add(target, sample);
--- a/gateway/src/main/java/org/geraniumreach/gateway/speed/TargetSpeeds.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/speed/TargetSpeeds.java
@@ -18,6 +18,16 @@
      */
     TargetSpeed speedOf(Target target);
 
+    /**
+     * Estimates the relative rate of a target, which costs less than its whole speed.
+     *
+     * @param target the target, not null
+     * @return the relative rate, above 0, 1 without observations
+     */
+    default double relativeRateOf(Target target) {
+        return speedOf(target).relativeRate();
+    }
+
     /**
      * Obtains estimates that treat all targets as equally fast.
      *
--- a/gateway/src/test/java/org/geraniumreach/gateway/speed/LearntTargetSpeedsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/speed/LearntTargetSpeedsTest.java
@@ -445,4 +445,34 @@
         assertThat(reports).isZero();
         assertThat(other.speed(targets.get(0)).slowdown()).isGreaterThan(1.5);
     }
+
+    /** Guards against samples of departed targets that are kept for ever and distort the rates of the others. */
+    @Test
+    void streamsThatOutlastTheRowOfTheirTargetAreIgnored() {
+        alwaysInEffect = true;
+        start(1, 2, 1);
+        Entry entry = entries.get("entry0");
+        Target departed = entry.target(targets.get(0));
+        Target remaining = entry.target(targets.get(1));
+        entry.registry.removeEnded(departed);
+        for (int stream = 0; stream < 64; stream++) {
+            entry.speeds.onStream(departed, new PaceSample(Duration.ofMillis(330)));
+            entry.speeds.onStream(remaining, new PaceSample(Duration.ofMillis(33)));
+            time.advance(Duration.ofMillis(100));
+        }
+        assertThat(entry.speed(targets.get(1)).relativeRate()).isEqualTo(1);
+    }
+
+    /** Guards against a ranking by other rates than those that the waits are estimated with. */
+    @Test
+    void theRelativeRateIsThatOfTheSpeed() {
+        start(3, 6, 0.6, 1, 1.6);
+        Entry entry = entries.get("entry0");
+        targets.forEach(
+                id -> assertThat(entry.speeds.relativeRateOf(entry.target(id))).isEqualTo(1));
+        run(Duration.ofSeconds(30));
+        assertThat(speedChanges).isPositive();
+        targets.forEach(id -> assertThat(entry.speeds.relativeRateOf(entry.target(id)))
+                .isEqualTo(entry.speed(id).relativeRate()));
+    }
 }
