--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/OwnerAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/OwnerAdmissionTest.java
@@ -14,12 +14,15 @@
 import org.geraniumreach.gateway.placement.TargetDescription;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.speed.TargetSpeed;
 import org.geraniumreach.gateway.testing.VirtualTime;
 import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.Transaction;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -36,6 +39,7 @@
     private final Entry owner = new Entry("one", 1);
     private final Entry other = new Entry("two", 1);
     private final List<Decision> decisions = new ArrayList<>();
+    private TargetSpeed speed = TargetSpeed.UNKNOWN;
     private boolean linkOpen = true;
     private boolean ownerAnswers = true;
 
@@ -61,8 +65,8 @@
             Lease lease = new Lease(time, time::wallMillis);
             lease.onRenewed(lease.startRenewal());
             ownership = new TargetOwnership(name, incarnation, lease, time);
-            admission =
-                    new OwnerAdmission(ownership, registry, service -> TOKENS_PER_MILLI, this::sendToOwner, time, time);
+            admission = new OwnerAdmission(
+                    ownership, registry, service -> TOKENS_PER_MILLI, target -> speed, this::sendToOwner, time, time);
             registry.addListener(admission);
             registry.put(description(1));
         }
@@ -153,4 +157,42 @@
         owner.send();
         assertThat(decisions).containsExactly(Decision.IMMEDIATE);
     }
+
+    /**
+     * Guards against pacing by the mean speed of the service. A prompt takes 75 ms at that speed; 4 steps of 8.2 ms at the target's speed
+     * are left in each 300 ms, and 10 ms may be sent early.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 1, 74", "2, 1, 30", "1, 2, 182", "0.5, 1, 182", "2, 2, 74"})
+    void promptsArePacedByTheSpeedOfTheTarget(double relativeRate, double slowdown, long delayMillis) {
+        speed = new TargetSpeed(relativeRate, slowdown, true);
+        owner.send();
+        other.send();
+        time.advance(LINK_DELAY.multipliedBy(2));
+        assertThat(decisions).hasSize(2).allMatch(Decision::admitted);
+        assertThat(decisions.get(0)).isEqualTo(Decision.IMMEDIATE);
+        assertThat(decisions.get(1).delay()).isCloseTo(Duration.ofMillis(delayMillis), Duration.ofMillis(4));
+    }
+
+    /** Guards against prompts that wait for a target whose present slowdown leaves no time for them. */
+    @Test
+    void aTargetThatIsSlowedDownIsSaturatedByOnePrompt() {
+        speed = new TargetSpeed(0.5, 2, true);
+        owner.send();
+        owner.send();
+        assertThat(decisions).containsExactly(Decision.IMMEDIATE, Decision.SATURATED);
+    }
+
+    /** Guards against prompts sent at a slowdown that has ended. */
+    @Test
+    void thePaceFollowsTheSlowdownFromOnePromptToTheNext() {
+        speed = new TargetSpeed(1, 4, true);
+        owner.send();
+        time.advance(Duration.ofSeconds(1));
+        speed = new TargetSpeed(1, 1, true);
+        owner.send();
+        owner.send();
+        assertThat(decisions.get(1)).isEqualTo(Decision.IMMEDIATE);
+        assertThat(decisions.get(2).delay()).isCloseTo(Duration.ofMillis(74), Duration.ofMillis(4));
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -12,6 +12,7 @@
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.speed.PaceSample;
+import org.geraniumreach.gateway.speed.TargetSpeed;
 import org.geraniumreach.gateway.testing.FakeTargets;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
@@ -647,4 +648,18 @@
         assertThat(world.targets().sentRequests()).hasSize(sends);
         assertThat(answer.isEnded()).isEqualTo(sends == 1);
     }
+
+    // Guards against placements that cannot be explained from the log because the assumed speed is missing.
+    @Test
+    void theAssumedSpeedOfTheTargetIsLogged() {
+        world.startWithRoute(RetryPolicy.IDEMPOTENT, 1).addTarget("a");
+        world.send();
+        world.setSpeeds(target -> new TargetSpeed(1.15, 2.5, true));
+        world.send();
+        assertThat(world.placedFields()).hasSize(2);
+        assertThat(world.placedFields().get(0)).doesNotContainKeys("relativeRate", "slowdown");
+        assertThat(world.placedFields().get(1))
+                .containsEntry("relativeRate", 1.15)
+                .containsEntry("slowdown", 2.5);
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import org.geraniumreach.gateway.adapter.Lease;
 import org.geraniumreach.gateway.admission.AdmissionRequest;
@@ -22,6 +23,7 @@
 import org.geraniumreach.gateway.evacuation.Evacuations;
 import org.geraniumreach.gateway.limit.RequestLimiter;
 import org.geraniumreach.gateway.pacing.TargetAdmission;
+import org.geraniumreach.gateway.placement.EntryContext;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
 import org.geraniumreach.gateway.placement.Target;
@@ -41,6 +43,7 @@
 import org.geraniumreach.gateway.request.RequestHandler;
 import org.geraniumreach.gateway.retry.RetryBudgets;
 import org.geraniumreach.gateway.speed.PaceSample;
+import org.geraniumreach.gateway.speed.TargetSpeeds;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.CallerLimits;
@@ -94,6 +97,8 @@
     private final Map<TargetId, Duration> limitWaits = new HashMap<>();
     private RequestLimiter limiter = RequestLimiter.unlimited();
     private final List<String> loggedEvents = new ArrayList<>();
+    private final List<Map<String, Object>> placedFields = new ArrayList<>();
+    private TargetSpeeds speeds = TargetSpeeds.uniform();
     private int requestCount;
     private boolean targetsHeld = true;
 
@@ -204,8 +209,8 @@
                         target -> restTimes.getOrDefault(target.id(), Duration.ZERO),
                         target -> limitWaits.getOrDefault(target.id(), Duration.ZERO),
                         target -> limitWaits.containsKey(target.id())),
-                () -> 1,
-                FailureDomain.of("here"),
+                target -> speeds.speedOf(target),
+                new EntryContext(() -> 1, FailureDomain.of("here"), () -> 0),
                 PlacementSettings.defaults(),
                 time);
         this.handler = new RequestHandler(
@@ -237,6 +242,20 @@
                 .findFirst()
                 .orElse("");
         loggedEvents.add(event + result);
+        if (event == EventCode.REQUEST_PLACED) {
+            placedFields.add(
+                    Arrays.stream(fields).collect(Collectors.toMap(DecisionLog.Field::name, DecisionLog.Field::value)));
+        }
+    }
+
+    /** Returns the fields of the log line of each placed request. */
+    public List<Map<String, Object>> placedFields() {
+        return placedFields;
+    }
+
+    /** Sets the speeds of the targets, which are unknown otherwise. */
+    public void setSpeeds(TargetSpeeds newSpeeds) {
+        speeds = newSpeeds;
     }
 
     /** Returns the names of the logged events, each followed by its result if it has one. */
