--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/FleetModel.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/FleetModel.java
@@ -186,7 +186,7 @@
         private final double relativeRate;
         private final NavigableSet<Double> slowPeriods = new TreeSet<>();
         private final Map<AdapterName, Boolean> adapters = new LinkedHashMap<>(16, 0.75f, true);
-        private final Set<AdapterName> pendingLoads = new HashSet<>();
+        private final Map<AdapterName, List<Runnable>> pendingLoads = new HashMap<>();
         private final EngineModel model;
         private boolean stepping;
 
@@ -224,16 +224,20 @@
             }
         }
 
-        private void load(AdapterName adapter) {
-            if (adapters.containsKey(adapter) || pendingLoads.contains(adapter)) {
+        private void load(AdapterName adapter, Runnable onLoaded) {
+            if (adapters.containsKey(adapter)) {
+                time.schedule(RETRY_INTERVAL, onLoaded);
                 return;
             }
-            pendingLoads.add(adapter);
-            time.schedule(LOAD_TIME, () -> onLoaded(adapter));
+            if (!pendingLoads.containsKey(adapter)) {
+                pendingLoads.put(adapter, new ArrayList<>());
+                time.schedule(LOAD_TIME, () -> onLoaded(adapter));
+            }
+            pendingLoads.get(adapter).add(onLoaded);
         }
 
         private void onLoaded(AdapterName adapter) {
-            pendingLoads.remove(adapter);
+            List<Runnable> waiting = pendingLoads.remove(adapter);
             loads++;
             adapters.put(adapter, true);
             entries.forEach(entry -> entry.target(id).learnResident(adapter, 1, time.nanos()));
@@ -242,6 +246,7 @@
                 adapters.remove(evicted);
                 entries.forEach(entry -> entry.target(id).learnAbsent(evicted, time.nanos()));
             }
+            waiting.forEach(Runnable::run);
         }
     }
 
@@ -285,14 +290,44 @@
             if (!speedsKnown) {
                 return TargetSpeeds.uniform();
             }
-            double mean = 1 + (Engine.SLOWDOWN - 1) * Engine.SLOW_FRACTION;
-            return target -> {
-                Engine engine = engine(target);
-                double seconds = millis() / 1_000 + phases[engine.number];
-                double age = seconds - Math.floor(seconds);
-                double figure = engine.slowdownAt(millis() - age * 1_000);
-                return new TargetSpeed(engine.relativeRate, mean + (figure - mean) * Math.exp(-age / 0.4), true);
-            };
+            return new KnownSpeeds(phases);
+        }
+    }
+
+    /** The speeds as one entry knows them. A placement asks for the same speeds many times. */
+    private final class KnownSpeeds implements TargetSpeeds {
+        private static final double MEAN_SLOWDOWN = 1 + (Engine.SLOWDOWN - 1) * Engine.SLOW_FRACTION;
+
+        private final double[] phases;
+        private final TargetSpeed[] speeds = new TargetSpeed[TARGETS];
+        private final long[] estimatedAt = new long[TARGETS];
+
+        private KnownSpeeds(double[] phases) {
+            this.phases = phases;
+        }
+
+        @Override
+        public TargetSpeed speedOf(Target target) {
+            Engine engine = engine(target);
+            int number = engine.number;
+            if (speeds[number] == null || estimatedAt[number] != time.nanos()) {
+                speeds[number] = estimate(engine);
+                estimatedAt[number] = time.nanos();
+            }
+            return speeds[number];
+        }
+
+        private TargetSpeed estimate(Engine engine) {
+            double seconds = millis() / 1_000 + phases[engine.number];
+            double age = seconds - Math.floor(seconds);
+            double figure = engine.slowdownAt(millis() - age * 1_000);
+            double slowdown = MEAN_SLOWDOWN + (figure - MEAN_SLOWDOWN) * Math.exp(-age / 0.4);
+            return new TargetSpeed(engine.relativeRate, slowdown, true);
+        }
+
+        @Override
+        public double relativeRateOf(Target target) {
+            return engine(target).relativeRate;
         }
     }
 
@@ -338,12 +373,11 @@
                     Optional.empty());
             PlacementDecision decision = entry.placement.place(request);
             if (decision instanceof PlacementDecision.Send send) {
-                send.alsoLoad().ifPresent(target -> engine(target).load(adapter));
+                send.alsoLoad().ifPresent(target -> engine(target).load(adapter, () -> {}));
                 requestAdmission(send.target());
             } else if (decision instanceof PlacementDecision.Load load) {
                 loading.add(load.target().id());
-                engine(load.target()).load(adapter);
-                time.schedule(Duration.ofMillis(20), this::place);
+                engine(load.target()).load(adapter, this::place);
             } else if (decision instanceof PlacementDecision.Defer defer) {
                 time.schedule(defer.delay(), this::place);
             } else {
