--- a/node/src/main/java/org/geraniumreach/node/OrderedAdmissions.java
+++ b/node/src/main/java/org/geraniumreach/node/OrderedAdmissions.java
@@ -35,6 +35,12 @@
     /** Lifetime of admitted requests of a service that no configured route leads to. */
     private static final Duration DEFAULT_ADMITTED_LIFETIME = Duration.ofSeconds(30);
 
+    /**
+     * Fraction of a target's prefill rate that is given out. Prompts of entries with a fraction of a core arrive up to 100 ms after their
+     * admission, together with later ones, and a target that is given its full rate then pauses its streams.
+     */
+    private static final double USED_RATE_FRACTION = 0.83;
+
     private final Dependencies dependencies;
     private final TargetQueues queues;
     private final OrderedAdmission admission;
@@ -76,7 +82,8 @@
         return dependencies
                         .placement()
                         .netPrefillTokensPerMilli(target.description().service())
-                * dependencies.speeds().speedOf(target).currentRate();
+                * dependencies.speeds().speedOf(target).currentRate()
+                * USED_RATE_FRACTION;
     }
 
     private AdmissionSettings settings(Target target) {
