Log each retry with the cause of the failure before it

The log of a granted retry named neither its cause nor the figures of the budget, so that a burst of rejections could not be told from requests that were abandoned in silence.

mvn -o -B verify -pl gateway,node -am with the tests of exchanges, metrics, events and retry budgets passes.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -9,6 +9,7 @@
 import org.geraniumreach.gateway.port.TargetAnswerListener;
 import org.geraniumreach.gateway.port.TargetLoad;
 import org.geraniumreach.gateway.port.TargetPort;
+import org.geraniumreach.gateway.retry.FailureCause;
 import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
@@ -53,7 +54,7 @@
 
         void onEnd();
 
-        void onFailed(boolean mayHaveRun, String reason);
+        void onFailed(FailureCause cause, String reason);
     }
 
     Attempt(ExchangeServices services, Target target, GatewayRequest request, Listener listener) {
@@ -90,7 +91,7 @@
         if (!ended) {
             call.cancel();
             finish();
-            listener.onFailed(true, "the target is silent");
+            listener.onFailed(FailureCause.SILENT, "the target is silent");
         }
     }
 
@@ -171,7 +172,7 @@
     private void reject(String reason) {
         call.cancel();
         finish();
-        listener.onFailed(true, reason);
+        listener.onFailed(FailureCause.BROKEN, reason);
     }
 
     @Override
@@ -189,6 +190,6 @@
             return;
         }
         finish();
-        listener.onFailed(mayHaveRun, reason);
+        listener.onFailed(FailureCause.ofFailedCall(mayHaveRun), reason);
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -14,6 +14,7 @@
 import org.geraniumreach.gateway.port.TargetAnswerHead;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.port.TargetPort;
+import org.geraniumreach.gateway.retry.FailureCause;
 import org.geraniumreach.gateway.retry.RetryDecision;
 import org.geraniumreach.gateway.speed.PaceSample;
 import org.geraniumreach.gateway.stream.Recording;
@@ -54,6 +55,7 @@
     private Optional<Target> firstTarget = Optional.empty();
     private long firstTargetSentAt;
     private int sends;
+    private Optional<FailureCause> lastFailure = Optional.empty();
     private boolean admitted;
     private boolean ended;
 
@@ -125,7 +127,9 @@
             return;
         }
         if (sends > 0) {
+            RetryDecision granted = decideRetry(send);
             services.retryBudgets().recordRetry(request.service());
+            log.logRetried(granted, lastFailure, progress());
         }
         sends++;
         log.logPlaced(
@@ -169,15 +173,18 @@
         if (sends == 0) {
             return true;
         }
-        RetryDecision retry =
-                services.retryBudgets().decide(request.service(), request.remaining(), expectedWait(placed));
+        RetryDecision retry = decideRetry(placed);
         if (!retry.granted()) {
-            log.logRetryDenied(retry);
+            log.logRetryDenied(retry, lastFailure, progress());
             giveUp(ResultCode.OVERLOADED, "no retry is allowed now: " + retry.result());
         }
         return retry.granted();
     }
 
+    private RetryDecision decideRetry(PlacementDecision placed) {
+        return services.retryBudgets().decide(request.service(), request.remaining(), expectedWait(placed));
+    }
+
     /** Gets the expected time to the first part; placement does not estimate it for requests without a prompt. */
     private Optional<Duration> expectedWait(PlacementDecision placed) {
         if (request.promptTokens() == 0) {
@@ -255,7 +262,7 @@
             if (reason == NotExecuted.ANOTHER_TARGET) {
                 services.registry().removeEnded(target);
             }
-            retryOrGiveUp("not executed: " + reason);
+            retryOrGiveUp(FailureCause.of(reason), "not executed: " + reason);
         }
 
         @Override
@@ -280,7 +287,7 @@
             Exchange.this.attempt = Optional.empty();
             relay.eventInterval().ifPresent(interval -> services.paces().onStream(target, new PaceSample(interval)));
             if (!relay.isComplete()) {
-                onFailed(true, "the stream ended within an event");
+                onFailed(FailureCause.BROKEN, "the stream ended within an event");
                 return;
             }
             if (relay.isServerErrorPending()) {
@@ -288,7 +295,7 @@
                 possiblyRunTargets.add(target.id());
                 steps.state().exclude(target.id());
                 if (mayRunAgain()) {
-                    retryOrGiveUp("the target failed");
+                    retryOrGiveUp(FailureCause.SERVER_ERROR, "the target failed");
                     return;
                 }
             } else {
@@ -301,12 +308,12 @@
         }
 
         @Override
-        public void onFailed(boolean mayHaveRun, String reason) {
+        public void onFailed(FailureCause cause, String reason) {
             Exchange.this.attempt = Optional.empty();
             services.health().onFailure(target.id());
             steps.state().exclude(target.id());
-            log.logAttemptFailed(target, mayHaveRun, reason, relay.lastEventNumber());
-            if (mayHaveRun) {
+            log.logAttemptFailed(target, cause, reason, relay.lastEventNumber());
+            if (cause.mayHaveRun()) {
                 possiblyRunTargets.add(target.id());
             }
             relay.discardAttempt();
@@ -314,8 +321,8 @@
                 giveUp(ResultCode.STREAM_ORIGIN_UNKNOWN, "the target has started again with another software version");
                 return;
             }
-            if (!mayHaveRun || mayRunAgain()) {
-                retryOrGiveUp(reason);
+            if (!cause.mayHaveRun() || mayRunAgain()) {
+                retryOrGiveUp(cause, reason);
                 return;
             }
             giveUp(ResultCode.OUTCOME_UNKNOWN, reason);
@@ -340,7 +347,8 @@
         return route.retryPolicy().allowsRerun() && possiblyRunTargets.size() < route.maximumTargets();
     }
 
-    private void retryOrGiveUp(String reason) {
+    private void retryOrGiveUp(FailureCause cause, String reason) {
+        lastFailure = Optional.of(cause);
         boolean hasTimeLeft = request.remaining().compareTo(services.settings().minimumRemaining()) > 0;
         if (hasTimeLeft && sends < services.settings().maximumSends()) {
             steps.place();
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Stream;
@@ -10,6 +11,7 @@
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.retry.FailureCause;
 import org.geraniumreach.gateway.retry.RetryDecision;
 import org.geraniumreach.gateway.speed.TargetSpeed;
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -110,27 +112,42 @@
                 Field.of("reason", reason));
     }
 
-    void logAttemptFailed(Target target, boolean mayHaveRun, String reason, long lastEventNumber) {
+    void logAttemptFailed(Target target, FailureCause cause, String reason, long lastEventNumber) {
         log.write(
                 EventCode.ATTEMPT_FAILED,
                 id,
                 Field.of("target", target.id().value()),
-                Field.of("mayHaveRun", mayHaveRun),
+                Field.of("mayHaveRun", cause.mayHaveRun()),
+                Field.of("cause", cause),
                 Field.of("reason", reason),
                 Field.of("lastEvent", lastEventNumber));
     }
 
-    void logRetryDenied(RetryDecision decision) {
+    void logRetried(RetryDecision decision, Optional<FailureCause> lastFailure, Progress progress) {
+        log.write(EventCode.ATTEMPT_RETRIED, id, retryFields(decision, lastFailure, progress));
+    }
+
+    void logRetryDenied(RetryDecision decision, Optional<FailureCause> lastFailure, Progress progress) {
         log.write(
                 EventCode.RETRY_DENIED,
                 id,
-                Field.of("result", decision.result()),
+                Stream.concat(
+                                Stream.of(Field.of("result", decision.result())),
+                                Arrays.stream(retryFields(decision, lastFailure, progress)))
+                        .toArray(Field[]::new));
+    }
+
+    private Field[] retryFields(RetryDecision decision, Optional<FailureCause> lastFailure, Progress progress) {
+        Stream<Field> cause = lastFailure.stream().map(failure -> Field.of("cause", failure));
+        Stream<Field> figures = Stream.of(
                 Field.of("service", service),
+                Field.of("arrival", progress.sends() + 1),
                 Field.of("windowRequests", decision.requests()),
                 Field.of("windowRetries", decision.retries()),
                 Field.of("extraRetries", decision.extraRetries()),
                 Field.of("remainingMillis", decision.remaining().toMillis()),
                 Field.of("neededMillis", decision.needed().toMillis()));
+        return Stream.concat(cause, figures).toArray(Field[]::new);
     }
 
     void logEnded(EventCode event, ResultCode code, String reason, Progress progress) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
@@ -6,6 +6,7 @@
 
 import org.geraniumreach.gateway.port.TargetAnswerHead;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.retry.FailureCause;
 import org.geraniumreach.gateway.stream.Recording;
 
 /**
@@ -76,7 +77,7 @@
         if (!listener.onPart(part)) {
             held.clear();
             progress.cancel();
-            listener.onFailed(true, "the events do not follow on one another");
+            listener.onFailed(FailureCause.BROKEN, "the events do not follow on one another");
         }
     }
 
@@ -86,7 +87,7 @@
     }
 
     @Override
-    public void onFailed(boolean mayHaveRun, String reason) {
-        passOrHold(() -> listener.onFailed(mayHaveRun, reason));
+    public void onFailed(FailureCause cause, String reason) {
+        passOrHold(() -> listener.onFailed(cause, reason));
     }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeRetryTest.java
@@ -0,0 +1,51 @@
+package org.geraniumreach.gateway.request;
+
+import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.retry.FailureCause;
+import org.geraniumreach.gateway.testing.FakeTargets;
+import org.geraniumreach.gateway.testing.RequestHarness;
+import org.geraniumreach.gateway.traffic.RetryPolicy;
+import org.geraniumreach.model.EventCode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Sends requests once more after the failures of a target. */
+class ExchangeRetryTest {
+
+    private final RequestHarness world = new RequestHarness();
+
+    private void fail(FailureCause cause) {
+        FakeTargets.SentRequest sent = world.targets().lastRequest();
+        switch (cause) {
+            case NOT_SENT -> sent.fail(false);
+            case BROKEN -> sent.fail(true);
+            case SILENT -> world.time().advance(RequestHarness.TIMEOUT.dividedBy(2));
+            case REJECTED -> sent.answerNotExecuted(NotExecuted.SHED);
+            case NOT_RESIDENT -> sent.answerNotExecuted(NotExecuted.NOT_RESIDENT);
+            case ANOTHER_TARGET -> sent.answerNotExecuted(NotExecuted.ANOTHER_TARGET);
+            case INVALID -> sent.answerNotExecuted(NotExecuted.INVALID);
+            case SERVER_ERROR -> {
+                sent.answerHead(500, false);
+                sent.endAnswer();
+            }
+            default -> throw new IllegalArgumentException("unknown cause: " + cause);
+        }
+    }
+
+    /** Guards against retries in the log whose cause cannot be told. */
+    @ParameterizedTest
+    @EnumSource(FailureCause.class)
+    void aRetryIsLoggedWithTheCauseOfTheFailureBefore(FailureCause cause) {
+        world.startWithRoute(RetryPolicy.IDEMPOTENT, 2).addTarget("a").addTarget("b");
+        world.send();
+        fail(cause);
+        assertThat(world.loggedFields(EventCode.ATTEMPT_RETRIED))
+                .singleElement()
+                .satisfies(fields -> assertThat(fields)
+                        .containsEntry("cause", cause)
+                        .containsEntry("arrival", 2)
+                        .containsEntry("windowRequests", 1));
+    }
+}
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -18,6 +18,7 @@
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
+import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.TargetId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -671,9 +672,9 @@
         world.send();
         world.setSpeeds(target -> new TargetSpeed(1.15, 2.5, true));
         world.send();
-        assertThat(world.placedFields()).hasSize(2);
-        assertThat(world.placedFields().get(0)).doesNotContainKeys("relativeRate", "slowdown");
-        assertThat(world.placedFields().get(1))
+        assertThat(world.loggedFields(EventCode.REQUEST_PLACED)).hasSize(2);
+        assertThat(world.loggedFields(EventCode.REQUEST_PLACED).get(0)).doesNotContainKeys("relativeRate", "slowdown");
+        assertThat(world.loggedFields(EventCode.REQUEST_PLACED).get(1))
                 .containsEntry("relativeRate", 1.15)
                 .containsEntry("slowdown", 2.5);
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -101,7 +102,7 @@
     private final Map<TargetId, Duration> limitWaits = new HashMap<>();
     private RequestLimiter limiter = RequestLimiter.unlimited();
     private final List<String> loggedEvents = new ArrayList<>();
-    private final List<Map<String, Object>> placedFields = new ArrayList<>();
+    private final Map<EventCode, List<Map<String, Object>>> loggedFields = new EnumMap<>(EventCode.class);
     private TargetSpeeds speeds = TargetSpeeds.uniform();
     private final ServiceVersions versions = new ServiceVersions(
             registry, () -> OptionalLong.of(time.nanos()), time, time::wallMillis, (event, id, fields) -> {});
@@ -268,15 +269,15 @@
                 .findFirst()
                 .orElse("");
         loggedEvents.add(event + result);
-        if (event == EventCode.REQUEST_PLACED) {
-            placedFields.add(
-                    Arrays.stream(fields).collect(Collectors.toMap(DecisionLog.Field::name, DecisionLog.Field::value)));
-        }
+        loggedFields
+                .computeIfAbsent(event, missing -> new ArrayList<>())
+                .add(Arrays.stream(fields)
+                        .collect(Collectors.toMap(DecisionLog.Field::name, DecisionLog.Field::value)));
     }
 
-    /** Returns the fields of the log line of each placed request. */
-    public List<Map<String, Object>> placedFields() {
-        return placedFields;
+    /** Returns the fields of each log line of an event. */
+    public List<Map<String, Object>> loggedFields(EventCode event) {
+        return loggedFields.getOrDefault(event, List.of());
     }
 
     /** Sets the speeds of the targets, which are unknown otherwise. */
--- a/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.DoubleSupplier;
@@ -42,6 +43,9 @@
         Duration.ofMillis(10_000)
     };
 
+    /** The fields whose value labels the counter of a log line; the first one in the line does. */
+    private static final List<String> RESULT_FIELDS = List.of("code", "result", "cause");
+
     private final DecisionLog log;
     private final ProcessMeters meters = new ProcessMeters();
     private final Map<EventCode, Map<String, Counter>> eventCounters = new EnumMap<>(EventCode.class);
@@ -100,8 +104,7 @@
 
     private static String resultLabel(Field... fields) {
         for (Field field : fields) {
-            boolean isResult = field.name().equals("code") || field.name().equals("result");
-            if (isResult && field.value() instanceof Enum<?> value) {
+            if (RESULT_FIELDS.contains(field.name()) && field.value() instanceof Enum<?> value) {
                 return value.name();
             }
         }
--- a/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
@@ -15,6 +15,8 @@
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.gateway.request.Waits;
+import org.geraniumreach.gateway.retry.FailureCause;
+import org.geraniumreach.gateway.retry.RetryDecision;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
 import org.geraniumreach.gateway.traffic.Route;
 import org.geraniumreach.model.AccountId;
@@ -22,6 +24,8 @@
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.process.ProcessMeters;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -56,6 +60,21 @@
                 Duration.ofSeconds(1));
     }
 
+    /** Guards against retries whose cause an operator cannot tell from the metrics. */
+    @ParameterizedTest
+    @EnumSource(FailureCause.class)
+    void retriesAreCountedByTheCauseOfTheFailureBefore(FailureCause cause) {
+        metrics.write(EventCode.ATTEMPT_RETRIED, "id", Field.of("cause", cause), Field.of("service", "plain"));
+        metrics.write(
+                EventCode.RETRY_DENIED,
+                "id",
+                Field.of("result", RetryDecision.Result.NO_BUDGET),
+                Field.of("cause", cause));
+        assertThat(metrics.scrape())
+                .contains("geraniumreach_events_total{event=\"ATTEMPT_RETRIED\",result=\"" + cause + "\"} 1.0")
+                .contains("geraniumreach_events_total{event=\"RETRY_DENIED\",result=\"NO_BUDGET\"} 1.0");
+    }
+
     @Test
     void refusalsAreCountedByResultCode() {
         metrics.write(EventCode.REQUEST_REFUSED, "a", Field.of("code", ResultCode.OUT_OF_BUDGET));
