Reproduce retries that arrive together when paused targets wake

Entries as processes before targets behind a relay that holds all bytes back, as a stopped process does: each window of the pause allows retries anew, and all of them arrive when the targets wake, with the abandoned first attempts.

--- a/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
@@ -6,16 +6,22 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
+import org.geraniumreach.gateway.process.ProcessSettings;
+
 /** Entries as processes before one {@link FakePlatform}. Safe for use by several threads. */
 final class EntryProcesses implements AutoCloseable {
 
     private static final long EXIT_TIMEOUT_SECONDS = 20;
 
+    private static final ProcessSettings.RepeatLimits AMPLE_RETRIES =
+            new ProcessSettings.RepeatLimits(1, 1_000, Duration.ofSeconds(10));
+
     private final List<Entry> entries = new ArrayList<>();
     private final Path directory;
 
@@ -27,7 +33,7 @@
         private volatile Process process;
         private volatile long disturbedAt;
 
-        private Entry(int number, FakePlatform platform) throws IOException {
+        private Entry(int number, FakePlatform platform, ProcessSettings.RepeatLimits retries) throws IOException {
             this.number = number;
             this.settings = directory.resolve("entry-" + number + ".json");
             Files.writeString(
@@ -37,13 +43,16 @@
                             "{\"node\":\"entry-%d\",\"zone\":\"loopback\",\"ip\":\"127.0.0.1\","
                                     + "\"listen\":{\"front\":\"127.0.0.1:%d\",\"readiness\":\"127.0.0.1:%d\"},"
                                     + "\"internal_ports\":[%d,0],\"platform\":{\"address\":\"127.0.0.1:%d\"},"
-                                    + "\"bounds\":{\"grace_s\":2,\"retry_budget\":1,\"budget_extra\":1000,\"budget_window_s\":10,"
+                                    + "\"bounds\":{\"grace_s\":2,\"retry_budget\":%s,\"budget_extra\":%s,\"budget_window_s\":%d,"
                                     + "\"quota_window_s\":1}}",
                             number,
                             callers.getPort(),
                             freeAddress().getPort(),
                             freeAddress().getPort(),
-                            platform.address().getPort()));
+                            platform.address().getPort(),
+                            retries.ratio(),
+                            retries.extra(),
+                            retries.window().toSeconds()));
             start();
         }
 
@@ -101,9 +110,14 @@
     }
 
     EntryProcesses(FakePlatform platform, int count, Path directory) throws IOException {
+        this(platform, count, directory, AMPLE_RETRIES);
+    }
+
+    EntryProcesses(FakePlatform platform, int count, Path directory, ProcessSettings.RepeatLimits retries)
+            throws IOException {
         this.directory = directory;
         for (int number = 0; number < count; number++) {
-            entries.add(new Entry(number, platform));
+            entries.add(new Entry(number, platform, retries));
         }
     }
 
--- a/node/src/test/java/org/geraniumreach/node/FakePlatform.java
+++ b/node/src/test/java/org/geraniumreach/node/FakePlatform.java
@@ -50,6 +50,8 @@
             {"version":1,
              "routes":[{"name":"chat","host":"127.0.0.1","prefix":"/chat/","route_type":"streaming","timeout_ms":5000,
                         "target_latency_ms":800,"priority":1,"service":"engines","max_attempts":2,"resumable":true},
+                       {"name":"look","host":"127.0.0.1","prefix":"/look/","route_type":"idempotent","timeout_ms":5000,
+                        "target_latency_ms":300,"service":"plain","max_attempts":2},
                        {"name":"book","host":"127.0.0.1","prefix":"/book/","route_type":"non_idempotent","timeout_ms":5000,
                         "target_latency_ms":300,"service":"plain","max_attempts":1}],
              "services":[{"name":"engines","max_connections":300,
@@ -107,6 +109,7 @@
         private final Set<String> loading = ConcurrentHashMap.newKeySet();
         private final AtomicInteger acceptedOrders = new AtomicInteger();
         private final String service;
+        private volatile InetSocketAddress address;
         private volatile String softwareVersion;
         private volatile long startedAt = 1;
         private volatile Behavior behavior = Behavior.HEALTHY;
@@ -117,6 +120,7 @@
             this.service = service;
             this.softwareVersion = softwareVersion;
             this.server = open();
+            this.address = server.getAddress();
             resident.add("a1");
             serve(server, this::answer);
             writeRow("ready");
@@ -131,7 +135,17 @@
                     String.format(
                             "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"loopback\",\"version\":\"%s\",\"slots\":64,"
                                     + "\"state\":\"%s\",\"sequence\":0,\"born\":%d,\"models\":%s}",
-                            service, HOST, server.getAddress().getPort(), softwareVersion, state, startedAt, models));
+                            service, HOST, address.getPort(), softwareVersion, state, startedAt, models));
+        }
+
+        InetSocketAddress address() {
+            return address;
+        }
+
+        /** Writes a row with the address of a relay to this target, so that entries reach it only through the relay. */
+        void reachThrough(InetSocketAddress relay) {
+            address = relay;
+            writeRow("ready");
         }
 
         String softwareVersion() {
--- /dev/null
+++ b/node/src/test/java/org/geraniumreach/node/RetryArrivalTest.java
@@ -0,0 +1,123 @@
+package org.geraniumreach.node;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.geraniumreach.gateway.process.ProcessSettings.RepeatLimits;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Runs entries as processes before targets that are paused or reject requests, and counts the retries that arrive. */
+class RetryArrivalTest {
+
+    private static final RepeatLimits LIMITS = new RepeatLimits(0.2, 12, Duration.ofSeconds(3));
+
+    /** The limits of a fleet of about twenty entries. */
+    private static final RepeatLimits FLEET_LIMITS = new RepeatLimits(0.2, 82, Duration.ofSeconds(10));
+
+    /** By then the entries know each other and have their parts of the fixed retries. */
+    private static final Duration START_TIME = Duration.ofSeconds(9);
+
+    /** More than three windows, each of which allows retries anew. */
+    private static final Duration PAUSE = Duration.ofSeconds(10);
+
+    private static final int TARGETS = 6;
+    private static final int REQUESTS_PER_SECOND = 60;
+
+    private final List<FakePlatform.FakeTarget> targets = new ArrayList<>();
+    private final List<PausableRelay> relays = new ArrayList<>();
+    private final FakePlatform platform;
+
+    @TempDir
+    private Path directory;
+
+    RetryArrivalTest() throws Exception {
+        platform = new FakePlatform();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (PausableRelay relay : relays) {
+            relay.close();
+        }
+        platform.close();
+    }
+
+    private void addTargets(String service, int count) throws Exception {
+        for (int number = 0; number < count; number++) {
+            targets.add(platform.addTarget("target-" + number, service));
+        }
+    }
+
+    private void relayTo(FakePlatform.FakeTarget target) throws Exception {
+        PausableRelay relay = new PausableRelay(target.address());
+        relays.add(relay);
+        target.reachThrough(relay.address());
+    }
+
+    private static EntryCallers callers(EntryProcesses entries, String path) {
+        List<InetSocketAddress> addresses =
+                entries.entries().stream().map(EntryProcesses.Entry::address).toList();
+        return new EntryCallers(() -> addresses, path);
+    }
+
+    private RetryArrivals arrivals(RepeatLimits limits, EntryCallers callers) {
+        List<FakePlatform.Arrival> arrivals =
+                targets.stream().flatMap(target -> target.arrivals().stream()).toList();
+        return new RetryArrivals(limits, callers.sentAt(), arrivals);
+    }
+
+    private void assertWithinLimit(RepeatLimits limits, EntryCallers callers) {
+        RetryArrivals arrivals = arrivals(limits, callers);
+        RetryArrivals.Window worst = arrivals.worstWindow();
+        System.out.printf(
+                "%d retries arrived, %d in the worst window, %d are allowed; answers by status %s%n",
+                arrivals.total(), worst.retries(), worst.allowed(), callers.statuses());
+        assertThat(arrivals.total()).isPositive();
+        assertThat(worst.retries()).isLessThanOrEqualTo(worst.allowed());
+    }
+
+    /** Guards against abandoned requests that arrive together with later retries when a paused target wakes. */
+    @ParameterizedTest
+    @CsvSource({"engines, /chat/x, 3", "engines, /chat/x, 6", "plain, /look/x, 6"})
+    void retriesThatArriveWhenPausedTargetsWakeStayWithinTheLimit(String service, String path, int paused)
+            throws Exception {
+        addTargets(service, TARGETS);
+        for (FakePlatform.FakeTarget target : targets.subList(0, paused)) {
+            relayTo(target);
+        }
+        try (EntryProcesses entries = new EntryProcesses(platform, 4, directory, LIMITS)) {
+            Thread.sleep(START_TIME.toMillis());
+            EntryCallers callers = callers(entries, path);
+            callers.sendFor(LIMITS.window(), REQUESTS_PER_SECOND);
+            relays.forEach(PausableRelay::pause);
+            callers.sendFor(PAUSE, REQUESTS_PER_SECOND);
+            relays.forEach(PausableRelay::resume);
+            callers.sendFor(LIMITS.window(), REQUESTS_PER_SECOND);
+            assertWithinLimit(LIMITS, callers);
+        }
+    }
+
+    /** Guards against entries that each use a budget meant for a few, when all targets reject at once. */
+    @Test
+    void retriesOfManyEntriesStayWithinTheLimitWhenAllTargetsReject() throws Exception {
+        addTargets("plain", 3);
+        try (EntryProcesses entries = new EntryProcesses(platform, 14, directory, FLEET_LIMITS)) {
+            Thread.sleep(START_TIME.toMillis());
+            EntryCallers callers = callers(entries, "/book/x");
+            callers.sendFor(Duration.ofSeconds(4), REQUESTS_PER_SECOND / 2);
+            targets.forEach(target -> target.behave(new FakePlatform.Behavior(503, Map.of())));
+            callers.sendFor(Duration.ofSeconds(4), REQUESTS_PER_SECOND / 2);
+            assertWithinLimit(FLEET_LIMITS, callers);
+        }
+    }
+}
