Reset the connection of a cancelled call

A reset discards what has not reached the server's machine.

HttpConnectionsTest.aCancelledCallResetsItsConnection failed before (the server saw the end of the stream) and passes.

--- a/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.httpclient;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 
 /**
  * A call that was sent and has not ended, failed or been cancelled yet.
@@ -63,7 +64,10 @@
             return;
         }
         ended = true;
-        if (channel != null) {
+        if (channel != null && channel.isOpen()) {
+            // Resets the connection, so that what has not reached the server's machine is discarded instead of
+            // delivered later.
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
         }
     }
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -14,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.Future;
 import org.geraniumreach.model.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +24,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /** Tests the client against a server that writes exactly the bytes given by each test. */
 class HttpConnectionsTest {
@@ -56,8 +59,12 @@
     }
 
     private void call() {
+        group.next().execute(this::send);
+    }
+
+    private HttpCall send() {
         HttpCallRequest request = new HttpCallRequest("GET", "/x", List.of(), new byte[0]);
-        group.next().execute(() -> connections.send(address(), request, MAX_IDLE_TIME, new OutcomeRecorder()));
+        return connections.send(address(), request, MAX_IDLE_TIME, new OutcomeRecorder());
     }
 
     private final class OutcomeRecorder implements HttpResponseListener {
@@ -206,4 +213,17 @@
         readRequest();
         assertThat(connections.openedCount()).isEqualTo(2);
     }
+
+    /** Guards against cancelled requests that are delivered later, as an orderly close would still transmit what was written. */
+    @Test
+    void aCancelledCallResetsItsConnection() throws Exception {
+        Future<HttpCall> sent = group.next().submit(this::send);
+        accept();
+        readRequest();
+        group.next().submit(sent.get()::cancel).sync();
+        assertThatThrownBy(() -> accepted.getInputStream().read())
+                .isInstanceOf(SocketException.class)
+                .hasMessageContaining("reset");
+        assertThat(outcomes).isEmpty();
+    }
 }
