Count a retry until its request cannot arrive any more

Callers' requests were sent once more within the limit, yet targets got more retries than allowed when they woke from a pause: the budget counted a retry for a window after its sending, whereas the limit counts arrivals, and every window of the pause allowed retries anew. The abandoned first sending then arrived as well, behind the others.

A retry now counts until a window after the moment from which no sending of its request can arrive: its targets have answered or broken the connection, have answered a later call, or 60 s have passed. A sending whose connection was not opened does not count, and the one after it is no retry.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -10,6 +10,7 @@
 import org.geraniumreach.gateway.port.TargetLoad;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.retry.FailureCause;
+import org.geraniumreach.gateway.retry.Sending;
 import org.geraniumreach.gateway.traffic.AdapterName;
 
 /**
@@ -22,6 +23,7 @@
 
     private final ExchangeServices services;
     private final Target target;
+    private final Sending sending;
     private final GatewayRequest request;
     private final Listener listener;
     private final long promptTokens;
@@ -57,9 +59,10 @@
         void onFailed(FailureCause cause, String reason);
     }
 
-    Attempt(ExchangeServices services, Target target, GatewayRequest request, Listener listener) {
+    Attempt(ExchangeServices services, Target target, Sending sending, GatewayRequest request, Listener listener) {
         this.services = services;
         this.target = target;
+        this.sending = sending;
         this.request = request;
         this.listener = listener;
         this.promptTokens = request.generation()
@@ -89,8 +92,7 @@
 
     private void onSilence() {
         if (!ended) {
-            call.cancel();
-            finish();
+            abandon();
             listener.onFailed(FailureCause.SILENT, "the target is silent");
         }
     }
@@ -98,11 +100,16 @@
     /** Cancels the attempt; the target notices that the connection is closed. */
     void cancel() {
         if (!ended) {
-            call.cancel();
-            finish();
+            abandon();
         }
     }
 
+    private void abandon() {
+        call.cancel();
+        sending.onAbandoned();
+        finish();
+    }
+
     private void finish() {
         ended = true;
         silenceTimer.cancel();
@@ -141,6 +148,7 @@
             return;
         }
         recordLoad(load);
+        sending.onArrived();
         finish();
         listener.onNotExecuted(reason);
     }
@@ -151,6 +159,7 @@
             return;
         }
         recordLoad(load);
+        sending.onArrived();
         if (!listener.onHead(head)) {
             reject("the head does not fit what was sent before");
         }
@@ -170,8 +179,7 @@
     }
 
     private void reject(String reason) {
-        call.cancel();
-        finish();
+        abandon();
         listener.onFailed(FailureCause.BROKEN, reason);
     }
 
@@ -189,6 +197,11 @@
         if (ended) {
             return;
         }
+        if (mayHaveRun) {
+            sending.onArrived();
+        } else {
+            sending.onNotSent();
+        }
         finish();
         listener.onFailed(FailureCause.ofFailedCall(mayHaveRun), reason);
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -15,6 +15,7 @@
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.retry.FailureCause;
+import org.geraniumreach.gateway.retry.RequestArrivals;
 import org.geraniumreach.gateway.retry.RetryDecision;
 import org.geraniumreach.gateway.speed.PaceSample;
 import org.geraniumreach.gateway.stream.Recording;
@@ -49,6 +50,7 @@
     private final SendSteps steps;
     private final AnswerRelay relay;
     private final ExchangeLog log;
+    private final RequestArrivals arrivals;
     private Cancellable deadlineTimer = Cancellable.NOOP;
     private Optional<Attempt> attempt = Optional.empty();
     private OptionalLong lastSentAt = OptionalLong.empty();
@@ -81,6 +83,7 @@
         this.onEnd = onEnd;
         this.steps = new SendSteps(services, request, new StepResults());
         choice.requiredVersion().ifPresent(steps.state()::requireVersion);
+        this.arrivals = services.retryBudgets().receive(choice.service());
         this.relay = new AnswerRelay(answer, received.request().lastEvent(), services.clock());
         this.log = new ExchangeLog(
                 services.log(), services.clock(), received.request(), choice.service(), account.map(Account::id));
@@ -126,10 +129,8 @@
         if (!isSendAllowed(send)) {
             return;
         }
-        if (sends > 0) {
-            RetryDecision granted = decideRetry(send);
-            services.retryBudgets().recordRetry(request.service());
-            log.logRetried(granted, lastFailure, progress());
+        if (arrivals.mayHaveArrived()) {
+            log.logRetried(decideRetry(send), lastFailure, progress());
         }
         sends++;
         log.logPlaced(
@@ -142,6 +143,7 @@
         Attempt newAttempt = new Attempt(
                 services,
                 target,
+                arrivals.send(target),
                 request.request(),
                 recording.isConfirmed() ? events : new HeldEvents(events, recording, events));
         events.attempt = newAttempt;
@@ -170,7 +172,7 @@
      * <p>Asked when the request is placed, so that it does not wait in vain, and again when it is sent.
      */
     private boolean isSendAllowed(PlacementDecision placed) {
-        if (sends == 0) {
+        if (!arrivals.mayHaveArrived()) {
             return true;
         }
         RetryDecision retry = decideRetry(placed);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -144,6 +144,7 @@
                 Field.of("arrival", progress.sends() + 1),
                 Field.of("windowRequests", decision.requests()),
                 Field.of("windowRetries", decision.retries()),
+                Field.of("unresolvedRetries", decision.unresolvedRetries()),
                 Field.of("extraRetries", decision.extraRetries()),
                 Field.of("remainingMillis", decision.remaining().toMillis()),
                 Field.of("neededMillis", decision.needed().toMillis()));
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -148,7 +148,6 @@
     }
 
     private Cancellable start(ReceivedRequest received, Route route, Optional<Account> account, ServiceChoice choice) {
-        services.retryBudgets().recordRequest(choice.service());
         Exchange exchange =
                 new Exchange(services, received, route, choice, account, outputLengths, openExchanges::remove);
         openExchanges.add(exchange);
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/RetryBudgets.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/RetryBudgets.java
@@ -5,8 +5,12 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.division.LimitDivision;
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.port.TargetCallObserver;
+import org.geraniumreach.gateway.port.TargetSignals;
 import org.geraniumreach.gateway.process.ProcessSettings.RepeatLimits;
 import org.geraniumreach.model.MonotonicClock;
 
@@ -15,12 +19,13 @@
  *
  * <p>Create it when the process starts. Confined to the event loop.
  */
-public final class RetryBudgets {
+public final class RetryBudgets implements TargetCallObserver {
 
     private final RepeatLimits limits;
     private final LimitDivision division;
     private final MonotonicClock clock;
     private final long startedAt;
+    private final AbandonedSendings abandonedSendings;
     private final Map<String, ServiceRetryBudget> budgets = new HashMap<>();
 
     /**
@@ -35,6 +40,7 @@
         this.division = Objects.requireNonNull(division, "division");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.startedAt = clock.nanos();
+        this.abandonedSendings = new AbandonedSendings(clock);
     }
 
     private ServiceRetryBudget budgetOf(String service) {
@@ -50,18 +56,19 @@
      * Records a caller's request, which allows a fraction of a retry within the window.
      *
      * @param service the service, not null
+     * @return records what is sent of the request, not null
      */
-    public void recordRequest(String service) {
-        budgetOf(service).recordRequest();
+    public RequestArrivals receive(String service) {
+        ServiceRetryBudget budget = budgetOf(service);
+        budget.recordRequest();
+        return new RequestArrivals(budget, abandonedSendings);
     }
 
-    /**
-     * Records that a request is sent once more.
-     *
-     * @param service the service, not null
-     */
-    public void recordRetry(String service) {
-        budgetOf(service).recordRetry();
+    /** Notes that an answer shows that the target is not paused, so that what was sent to it before has arrived. */
+    @Override
+    public Consumer<TargetSignals> onCall(Target target) {
+        long sentAt = clock.nanos();
+        return signals -> abandonedSendings.onAnswered(target, sentAt);
     }
 
     /**
@@ -83,6 +90,7 @@
      * @return the decision, not null
      */
     public RetryDecision decide(String service, Duration remaining, Optional<Duration> estimate) {
+        abandonedSendings.expire();
         return budgetOf(service).decide(remaining, estimate);
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/RetryDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/RetryDecision.java
@@ -10,13 +10,20 @@
  *
  * @param result whether the retry is granted, and if not, why
  * @param requests the requests of the service that this entry received within the window
- * @param retries the retries that this entry made within the window
+ * @param retries the retries of this entry that may have arrived within the window, but not later
+ * @param unresolvedRetries the retries of this entry that may still arrive
  * @param extraRetries this entry's part of the retries that are allowed regardless of requests
  * @param remaining the remaining time of the request
  * @param needed the time that the target is expected to need
  */
 public record RetryDecision(
-        Result result, int requests, int retries, int extraRetries, Duration remaining, Duration needed) {
+        Result result,
+        int requests,
+        int retries,
+        int unresolvedRetries,
+        int extraRetries,
+        Duration remaining,
+        Duration needed) {
 
     /** The result of a decision. */
     public enum Result {
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/ServiceRetryBudget.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/ServiceRetryBudget.java
@@ -14,8 +14,8 @@
  * <p>Intended for up to a few hundred entries that receive similar numbers of requests, each with bursts in which every request is rejected
  * once, and for entries that join, leave and restart.
  *
- * <p>Invariants: within a window this entry makes at most {@link #GIVEN_FRACTION} of the ratio times the requests that it received in the window
- * before its last retry, and its share of the fixed retries on top. A share that has grown counts only after it has been known for a window,
+ * <p>Invariants: the retries that may arrive within a window, whenever they were sent, are at most {@link #GIVEN_FRACTION} of the ratio times the
+ * requests that this entry received in the window before its last retry, and its share of the fixed retries on top. A share that has grown counts only after it has been known for a window,
  * since the entries that have left may have used theirs. The first window has no share, since the process's former incarnation may have used
  * it. Confined to the event loop.
  */
@@ -39,6 +39,7 @@
     private final MonotonicClock clock;
     private final SlidingWindow window;
     private Optional<Double> answerNanos = Optional.empty();
+    private int unresolvedRetries;
 
     /**
      * Creates a budget that has granted nothing.
@@ -70,8 +71,14 @@
         }
     }
 
-    void recordRetry() {
-        window.addRetry(clock.nanos());
+    /** Counts retries that cannot arrive later than now. */
+    void addRetries(int count) {
+        window.addRetries(count, clock.nanos());
+    }
+
+    /** Counts retries that may still arrive, or takes them back if the count is negative. */
+    void addUnresolvedRetries(int count) {
+        unresolvedRetries += count;
     }
 
     /** Records the time from sending a request to the first part of its answer. */
@@ -97,9 +104,10 @@
         int requests = window.requests(now);
         int retries = window.retries(now);
         return new RetryDecision(
-                result(requests, retries, usableShare, remaining.compareTo(needed) > 0),
+                result(requests, retries + unresolvedRetries, usableShare, remaining.compareTo(needed) > 0),
                 requests,
                 retries,
+                unresolvedRetries,
                 usableShare,
                 remaining,
                 needed);
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/SlidingWindow.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/SlidingWindow.java
@@ -53,8 +53,8 @@
         requests[advance(now)]++;
     }
 
-    void addRetry(long now) {
-        retries[advance(now)]++;
+    void addRetries(int count, long now) {
+        retries[advance(now)] += count;
     }
 
     /** Adds a share, and the last one before it, which may have applied until now if no share was added for a while. */
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -171,26 +171,27 @@
                 timers,
                 clock,
                 log);
+        LimitDivision equalDivision = new EqualDivision(settings.instance(), () -> directory.knownInstances());
+        this.retryBudgets = new RetryBudgets(settings.repeatLimits(), equalDivision, clock);
         this.targets = new TargetClient(
                 connections,
                 targetLimits
                         .andThen(restingTargets)
                         .andThen(announcedDepartures)
-                        .andThen(targetSpeeds),
+                        .andThen(targetSpeeds)
+                        .andThen(retryBudgets),
                 (target, reason) ->
                         log.write(EventCode.TARGET_HEAD_MALFORMED, target.value(), Field.of("reason", reason)),
                 (target, reason) ->
                         log.write(EventCode.TARGET_SLOWDOWN_MALFORMED, target.value(), Field.of("reason", reason)));
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
         this.evacuations = new Evacuations(settings.evacuationLimit(), clock, log);
-        LimitDivision equalDivision = new EqualDivision(settings.instance(), () -> directory.knownInstances());
         this.coldStartLimiter = new ColdStartLimiter(
                 name -> configuration.flatMap(current -> current.service(name)),
                 settings.coldTolerance(),
                 equalDivision,
                 clock,
                 log);
-        this.retryBudgets = new RetryBudgets(settings.repeatLimits(), equalDivision, clock);
         this.versions = new ServiceVersions(
                 registry,
                 () -> feeds == null ? OptionalLong.empty() : feeds.targetsReadAt(),
