Read what has arrived before giving up silent targets after a suspension

The timers of all waiting requests fell due together when an entry went on after a suspension, so that it abandoned each target and sent a burst of retries, although answers and the departures of callers were there to be read. A timer that fires late restarts once for a short time.

ExchangeRetryTest.whatHasArrivedDuringASuspensionIsReadBeforeARetry failed before for both cases (two sendings instead of one) and passes.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -21,6 +21,11 @@
  */
 final class Attempt implements TargetAnswerListener {
 
+    /** Timers of a process that runs are hardly later than this, even on a busy machine. */
+    private static final Duration MAXIMUM_TIMER_DELAY = Duration.ofMillis(250);
+
+    private static final Duration READING_TIME = Duration.ofMillis(200);
+
     private final ExchangeServices services;
     private final Target target;
     private final Sending sending;
@@ -86,8 +91,22 @@
 
     private void restartSilenceTimer(Optional<Duration> limit) {
         silenceTimer.cancel();
-        silenceTimer = limit.map(delay -> services.timers().schedule(delay, this::onSilence))
-                .orElse(Cancellable.NOOP);
+        silenceTimer = limit.map(this::startSilenceTimer).orElse(Cancellable.NOOP);
+    }
+
+    private Cancellable startSilenceTimer(Duration limit) {
+        long dueAt = services.clock().nanos() + limit.toNanos();
+        return services.timers().schedule(limit, () -> onSilenceTimer(dueAt));
+    }
+
+    /** Reads first what has arrived while the process was suspended; otherwise all waiting requests would be retried as soon as it goes on. */
+    private void onSilenceTimer(long dueAt) {
+        boolean wasSuspended = services.clock().nanos() - dueAt > MAXIMUM_TIMER_DELAY.toNanos();
+        if (ended || !wasSuspended) {
+            onSilence();
+            return;
+        }
+        silenceTimer = services.timers().schedule(READING_TIME, this::onSilence);
     }
 
     private void onSilence() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeRetryTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeRetryTest.java
@@ -1,14 +1,20 @@
 package org.geraniumreach.gateway.request;
 
+import java.time.Duration;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.retry.FailureCause;
 import org.geraniumreach.gateway.testing.FakeTargets;
+import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
 import org.geraniumreach.model.EventCode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -67,4 +73,33 @@
         assertThat(withoutRetries.targets().sentRequests()).hasSize(2);
         assertThat(withoutRetries.loggedFields(EventCode.RETRY_DENIED)).hasSize(1);
     }
+
+    /** Guards against a burst of retries, also for callers who have gone, when an entry goes on after a suspension. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void whatHasArrivedDuringASuspensionIsReadBeforeARetry(boolean callerHasGone) {
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, 2).addTarget("a").addTarget("b");
+        RecordedAnswer answer = new RecordedAnswer();
+        Cancellable request = world.receive(answer, RequestHarness.KEY, Optional.empty());
+        world.time().suspend(Duration.ofSeconds(6));
+        if (callerHasGone) {
+            request.cancel();
+        } else {
+            world.targets().lastRequest().answerHead(200, true);
+            world.targets().lastRequest().answerPart("id: 1\ndata: x\n\n");
+        }
+        world.time().advance(Duration.ofSeconds(1));
+        assertThat(world.targets().sentRequests()).hasSize(1);
+        assertThat(world.targets().lastRequest().isCancelled()).isEqualTo(callerHasGone);
+    }
+
+    /** Guards against a target that stays silent for ever after a suspension of the entry. */
+    @Test
+    void aTargetThatIsStillSilentAfterASuspensionIsGivenUp() {
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, 2).addTarget("a").addTarget("b");
+        world.send();
+        world.time().suspend(Duration.ofSeconds(6));
+        world.time().advance(Duration.ofSeconds(1));
+        assertThat(world.targets().sentRequests()).hasSize(2);
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/VirtualTime.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/VirtualTime.java
@@ -66,4 +66,10 @@
         }
         now = until;
     }
+
+    /** Advances the time as if the process were suspended: actions that become due run late, at its end. */
+    public void suspend(Duration duration) {
+        now += duration.toNanos();
+        advance(Duration.ZERO);
+    }
 }
