--- a/node/src/test/java/org/geraniumreach/node/RetryArrivalTest.java
+++ b/node/src/test/java/org/geraniumreach/node/RetryArrivalTest.java
@@ -6,6 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 
 import org.geraniumreach.gateway.process.ProcessSettings.RepeatLimits;
 import org.junit.jupiter.api.AfterEach;
@@ -13,6 +16,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -33,6 +37,9 @@
     private static final int TARGETS = 6;
     private static final int REQUESTS_PER_SECOND = 60;
 
+    private static final Duration SUSPENSION_TIME = Duration.ofSeconds(2);
+
+    private final ExecutorService executor = Executors.newSingleThreadExecutor();
     private final List<FakePlatform.FakeTarget> targets = new ArrayList<>();
     private final List<PausableRelay> relays = new ArrayList<>();
     private final FakePlatform platform;
@@ -50,6 +57,7 @@
             relay.close();
         }
         platform.close();
+        executor.shutdownNow();
     }
 
     private void addTargets(String service, int count) throws Exception {
@@ -107,6 +115,54 @@
         }
     }
 
+    /** What happens to entries while targets are paused. */
+    private enum Disturbance {
+        RESTART {
+            @Override
+            void disturb(EntryProcesses.Entry entry) throws Exception {
+                entry.kill();
+                entry.start();
+            }
+        },
+        SUSPENSION {
+            @Override
+            void disturb(EntryProcesses.Entry entry) throws Exception {
+                entry.signal("STOP");
+                Thread.sleep(SUSPENSION_TIME.toMillis());
+                entry.signal("CONT");
+            }
+        };
+
+        abstract void disturb(EntryProcesses.Entry entry) throws Exception;
+    }
+
+    /** Guards against retries of a former process or from before a suspension that arrive with those of the entry that goes on. */
+    @ParameterizedTest
+    @EnumSource(Disturbance.class)
+    void retriesOfDisturbedEntriesStayWithinTheLimit(Disturbance disturbance) throws Exception {
+        addTargets("engines", TARGETS);
+        for (FakePlatform.FakeTarget target : targets) {
+            relayTo(target);
+        }
+        try (EntryProcesses entries = new EntryProcesses(platform, 4, directory, LIMITS)) {
+            Thread.sleep(START_TIME.toMillis());
+            EntryCallers callers = callers(entries, "/chat/x");
+            callers.sendFor(LIMITS.window(), REQUESTS_PER_SECOND);
+            relays.forEach(PausableRelay::pause);
+            Future<?> disturbing = executor.submit(() -> {
+                for (EntryProcesses.Entry entry : entries.entries()) {
+                    disturbance.disturb(entry);
+                }
+                return null;
+            });
+            callers.sendFor(PAUSE, REQUESTS_PER_SECOND);
+            disturbing.get();
+            relays.forEach(PausableRelay::resume);
+            callers.sendFor(LIMITS.window(), REQUESTS_PER_SECOND);
+            assertWithinLimit(LIMITS, callers);
+        }
+    }
+
     /** Guards against entries that each use a budget meant for a few, when all targets reject at once. */
     @Test
     void retriesOfManyEntriesStayWithinTheLimitWhenAllTargetsReject() throws Exception {
