Send nothing more to a limited target that may be paused

The requests to a target that names a limit were kept within it when they were sent, so that those of a pause arrived together when the target woke: the class of the retries that arrive late. A target at which this entry has abandoned a request, and that has answered nothing since, counts as unavailable while it names a limit.

--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.geraniumreach.gateway.adapter.TargetOwnership;
 import org.geraniumreach.gateway.division.LimitDivision;
@@ -27,7 +28,8 @@
  * part of what a target tolerates beyond its limit.
  *
  * <p>Invariants: an entry that knows of a limit sends no request without the owner's permission or a part of those few. A
- * permission is used within {@link #PERMISSION_TIME}. Confined to the event loop.
+ * permission is used within {@link #PERMISSION_TIME}. A target that may be paused gets nothing more, since all that it was sent would arrive
+ * together. Confined to the event loop.
  */
 public final class LimitAdmission implements RequestLimiter, TargetRegistry.Listener {
 
@@ -56,10 +58,27 @@
     private final TargetRegistry registry;
     private final LimitDivision division;
     private final LimitPeers peers;
+    private final Predicate<Target> mayHoldRequests;
     private final MonotonicClock clock;
     private final PendingAnswers<Optional<Decision>> pendingAnswers;
     private final Map<Target, LimitedRequests> requests = new HashMap<>();
 
+    /**
+     * What is known of the targets besides their limits.
+     *
+     * @param ownership the owners of the targets
+     * @param registry the targets
+     * @param mayHoldRequests whether requests of this entry that were abandoned may still arrive at a target
+     */
+    public record KnownTargets(TargetOwnership ownership, TargetRegistry registry, Predicate<Target> mayHoldRequests) {
+
+        public KnownTargets {
+            Objects.requireNonNull(ownership, "ownership");
+            Objects.requireNonNull(registry, "registry");
+            Objects.requireNonNull(mayHoldRequests, "mayHoldRequests");
+        }
+    }
+
     /** The requests to one limited target. */
     private static final class LimitedRequests {
         private final Deque<Long> unownedSends = new ArrayDeque<>();
@@ -87,8 +106,7 @@
      * Creates an admission without pending requests.
      *
      * @param limits the limits that targets have named, not null
-     * @param ownership the owners of the targets, not null
-     * @param registry the targets, not null
+     * @param targets what is known of the targets otherwise, not null
      * @param division divides the requests that are sent without the owner, not null
      * @param peers sends requests to the other entries, not null
      * @param timers runs actions later, not null
@@ -96,15 +114,15 @@
      */
     public LimitAdmission(
             TargetLimits limits,
-            TargetOwnership ownership,
-            TargetRegistry registry,
+            KnownTargets targets,
             LimitDivision division,
             LimitPeers peers,
             Timers timers,
             MonotonicClock clock) {
         this.limits = Objects.requireNonNull(limits, "limits");
-        this.ownership = Objects.requireNonNull(ownership, "ownership");
-        this.registry = Objects.requireNonNull(registry, "registry");
+        this.ownership = targets.ownership();
+        this.registry = targets.registry();
+        this.mayHoldRequests = targets.mayHoldRequests();
         this.division = Objects.requireNonNull(division, "division");
         this.peers = Objects.requireNonNull(peers, "peers");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -225,6 +243,9 @@
      * @return the time, zero if it may take one now, not null
      */
     public Duration timeUntilAvailable(Target target) {
+        if (mayHoldRequests.test(target) && isLimited(target)) {
+            return OWNER_RETRY_INTERVAL;
+        }
         // Usually no target names a limit, and each placement asks for all targets.
         if (requests.isEmpty()) {
             return Duration.ZERO;
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/AbandonedSendings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/AbandonedSendings.java
@@ -68,6 +68,12 @@
         sendings.values().removeIf(Deque::isEmpty);
     }
 
+    /** Queries whether a sending may still reach a target. */
+    boolean mayReach(Target target) {
+        expire();
+        return sendings.containsKey(target.id());
+    }
+
     private static void resolve(Deque<Sending> ofTarget, long latestSentAt) {
         // Requests are abandoned after different times, so that those sent first need not come first.
         for (Iterator<Sending> each = ofTarget.iterator(); each.hasNext(); ) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/RetryBudgets.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/RetryBudgets.java
@@ -81,6 +81,16 @@
         budgetOf(service).recordAnswer(time);
     }
 
+    /**
+     * Queries whether a request that this entry has abandoned may still arrive at a target, which has answered nothing since.
+     *
+     * @param target the target, not null
+     * @return true if a request may still arrive
+     */
+    public boolean mayStillReach(Target target) {
+        return abandonedSendings.mayReach(target);
+    }
+
     /**
      * Decides whether a request may be sent once more, without recording it as sent.
      *
--- a/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
@@ -54,6 +54,7 @@
     private final List<Long> arrivals = new ArrayList<>();
     private Optional<Row> holderRow = Optional.empty();
     private Random holding = new Random(2);
+    private boolean paused;
     private long nextVersion = 5;
     private long nextIncarnation = 1;
     private Optional<RequestRate> limit = Optional.empty();
@@ -76,8 +77,7 @@
             this.ownership = new TargetOwnership(name, incarnation, lease, time);
             this.admission = new LimitAdmission(
                     limits,
-                    ownership,
-                    registry,
+                    new LimitAdmission.KnownTargets(ownership, registry, target -> paused),
                     new EqualDivision(name, () -> knownEntries),
                     this::requestCall,
                     time,
@@ -345,4 +345,19 @@
         sendFor(Duration.ofSeconds(5));
         assertThat(arrivals).hasSizeGreaterThan(30);
     }
+
+    /** Guards against requests that add up at a paused target, and arrive together when it wakes. */
+    @Test
+    void aTargetThatMayBePausedGetsNothingMoreWhileItNamesALimit() {
+        startEntries(1);
+        Entry entry = entries.get("entry0");
+        paused = true;
+        assertThat(entry.admission.timeUntilAvailable(entry.target())).isZero();
+        limit(2);
+        entry.send();
+        time.advance(ANSWER_DELAY);
+        assertThat(entry.admission.timeUntilAvailable(entry.target())).isPositive();
+        paused = false;
+        assertThat(entry.admission.timeUntilAvailable(entry.target())).isZero();
+    }
 }
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -199,8 +199,13 @@
                 System::currentTimeMillis,
                 log);
         this.streams = new ResumableStreams(versions, timers, clock, log);
-        this.limitAdmission =
-                new LimitAdmission(targetLimits, ownership, registry, equalDivision, this::requestCall, timers, clock);
+        this.limitAdmission = new LimitAdmission(
+                targetLimits,
+                new LimitAdmission.KnownTargets(ownership, registry, retryBudgets::mayStillReach),
+                equalDivision,
+                this::requestCall,
+                timers,
+                clock);
         this.coordinator = new AdapterLoadCoordinator(
                 new AdapterLoadCoordinator.TargetAccess(
                         registry, ownership, this::mayBeCalled, limitAdmission::isLimited, targets),
--- a/node/src/test/java/org/geraniumreach/node/FakePlatform.java
+++ b/node/src/test/java/org/geraniumreach/node/FakePlatform.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -307,6 +308,10 @@
                 .orElseThrow();
     }
 
+    Collection<FakeTarget> targets() {
+        return targets.values();
+    }
+
     InetSocketAddress address() {
         return store.getAddress();
     }
--- a/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
+++ b/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
@@ -29,6 +29,9 @@
     /** Callers leave a stream that has not begun by then. */
     private static final Duration CALLERS_LEAVE_AFTER = Duration.ofSeconds(2);
 
+    /** Half as much again as the limit, and five requests more, in four seconds. */
+    private static final int ALLOWED_AT_TWO_A_SECOND = 17;
+
     private final FakePlatform platform;
 
     LimitedTargetTest() throws Exception {
@@ -75,6 +78,36 @@
         assertThat(fleet.results()).extracting(FakeFleet.Result::status).containsOnly(200);
     }
 
+    /** Guards against requests that are sent within the limit, but arrive together when a paused target wakes. */
+    @Test
+    void requestsThatArriveWhenALimitedTargetWakesKeepToTheLimit() throws Exception {
+        platform.addTarget("one", "engines");
+        platform.addTarget("two", "engines");
+        List<PausableRelay> relays = new ArrayList<>();
+        for (FakePlatform.FakeTarget target : platform.targets()) {
+            PausableRelay relay = new PausableRelay(target.address());
+            relays.add(relay);
+            target.reachThrough(relay.address());
+            target.behave(FakePlatform.Behavior.healthyWith("Server-Limit", "2"));
+        }
+        FakeFleet fleet = new FakeFleet(platform, ENTRIES);
+        fleet.awaitReady("/chat/x");
+        fleet.sendFor(LEARNING_TIME, REQUESTS_PER_SECOND, "/chat/x");
+        long limitKnownAt = System.nanoTime();
+        relays.forEach(PausableRelay::pause);
+        fleet.sendFor(Duration.ofSeconds(12), REQUESTS_PER_SECOND, "/chat/x");
+        relays.forEach(PausableRelay::resume);
+        fleet.sendFor(WINDOW, REQUESTS_PER_SECOND, "/chat/x");
+        for (FakePlatform.FakeTarget target : platform.targets()) {
+            int arrived = maximumInWindow(target.arrivals(), limitKnownAt);
+            System.out.printf("%d calls arrived in a window, %d are allowed%n", arrived, ALLOWED_AT_TWO_A_SECOND);
+            assertThat(arrived).isBetween(1, ALLOWED_AT_TWO_A_SECOND);
+        }
+        for (PausableRelay relay : relays) {
+            relay.close();
+        }
+    }
+
     /** Guards against callers who wait in vain where no target can take them, and who are not told when to return. */
     @ParameterizedTest
     @CsvSource({"engines, /chat/x", "plain, /book/x"})
