Retry a stream that has not begun at the version that other entries know

An entry that was frozen may know only the first of two records of a stream whose first target failed before its first event. It would take the stream up at the version of that target, although another one began it. Once the first record has been sent to others, the request stays at its software version as long as that has another target.

ResumedStreamTest.aStreamThatHasNotBegunStaysAtTheVersionThatOtherEntriesKnowIfItCan fails without the change and passes.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -140,6 +140,10 @@
                 .ifPresent(other -> services.adapters().enqueue(other, adapter, Optional.empty(), false)));
         AttemptEvents events = new AttemptEvents(target);
         Recording recording = recordOrigin(target);
+        if (recording.isSentToOthers()) {
+            // Another entry may miss a later record, and would take the stream up at the version of this one.
+            steps.state().preferVersion(target.description().softwareVersion());
+        }
         Attempt newAttempt = new Attempt(
                 services,
                 target,
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
@@ -24,6 +24,7 @@
     private final SendPermission permission;
     private final AdmissionAttempts admissionAttempts = new AdmissionAttempts();
     private Optional<SoftwareVersion> requiredVersion = Optional.empty();
+    private Optional<SoftwareVersion> preferredVersion = Optional.empty();
 
     PlacementState(ExchangeServices services, RoutedRequest request) {
         this.services = services;
@@ -45,6 +46,22 @@
         requiredVersion = Optional.of(version);
     }
 
+    /** Allows only targets of a software version from now on, as long as there is one. */
+    void preferVersion(SoftwareVersion version) {
+        preferredVersion = Optional.of(version);
+    }
+
+    private Optional<SoftwareVersion> versionOfNextTarget() {
+        return requiredVersion.or(() -> preferredVersion.filter(this::hasTargetLeft));
+    }
+
+    private boolean hasTargetLeft(SoftwareVersion version) {
+        return services.registry().findByService(request.service()).stream()
+                .anyMatch(target -> target.acceptsRequests()
+                        && target.description().softwareVersion().equals(version)
+                        && !excludedTargets.contains(target.id()));
+    }
+
     LoadWait loadWait() {
         return loadWait;
     }
@@ -77,7 +94,7 @@
                 loadWait.slowLoadingTargets(now),
                 admissionAttempts.saturatedTargets(),
                 excludedTargets,
-                requiredVersion,
+                versionOfNextTarget(),
                 heldVersions(),
                 permission.target());
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/stream/Recording.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/stream/Recording.java
@@ -12,6 +12,7 @@
 
     private final List<Runnable> waiters = new ArrayList<>(1);
     private boolean confirmed;
+    private boolean sentToOthers;
 
     Recording() {}
 
@@ -35,6 +36,19 @@
         return confirmed;
     }
 
+    /**
+     * Queries whether other entries may keep the origin.
+     *
+     * @return false if only this entry knows it
+     */
+    public boolean isSentToOthers() {
+        return sentToOthers;
+    }
+
+    void setSentToOthers() {
+        sentToOthers = true;
+    }
+
     /**
      * Runs an action once events may reach the caller, at once if they may already.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/stream/ResumableStreams.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/stream/ResumableStreams.java
@@ -137,6 +137,7 @@
             long number = pendingRecordings.nextNumber();
             if (peers.sendRecords(entry, number, List.of(stream))) {
                 sent++;
+                recording.setSentToOthers();
                 unanswered[0]++;
                 pendingRecordings.add(number, RECORDING_TIMEOUT, false, recorded -> {
                     unanswered[0]--;
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ResumedStreamTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ResumedStreamTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -129,6 +130,29 @@
                 .containsOnly(ONE);
     }
 
+    /** Guards against an entry that knows only of the first target that was tried, and takes the stream up at that one's version. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aStreamThatHasNotBegunStaysAtTheVersionThatOtherEntriesKnowIfItCan(boolean sameVersionIsLeft) {
+        world.streams().setPeers(new SilentPeer());
+        world.addTarget("one", ONE, Map.of());
+        List<String> others = List.of("two", "two-b", "two-c", "two-d", "two-e");
+        others.forEach(name -> {
+            world.addTarget(name, TWO, Map.of());
+            world.restTarget(name, Duration.ofSeconds(1));
+        });
+        world.send();
+        if (sameVersionIsLeft) {
+            world.addTarget("one-again", ONE, Map.of());
+        }
+        others.forEach(name -> world.restTarget(name, Duration.ZERO));
+        world.targets().lastRequest().fail(true);
+        assertThat(world.targets().sentRequests())
+                .hasSize(2)
+                .extracting(sent -> sent.target().description().softwareVersion())
+                .containsExactly(ONE, sameVersionIsLeft ? ONE : TWO);
+    }
+
     /** Guards against a caller who waits longer than entries have to answer, or who is not told to return. */
     @Test
     void aCallerIsRefusedSoonIfOtherEntriesDoNotAnswer() {
