--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -243,7 +243,7 @@
      * @return the time, zero if it may take one now, not null
      */
     public Duration timeUntilAvailable(Target target) {
-        if (mayHoldRequests.test(target) && isLimited(target)) {
+        if (isLimited(target) && mayHoldRequests.test(target)) {
             return OWNER_RETRY_INTERVAL;
         }
         // Usually no target names a limit, and each placement asks for all targets.
