Keep a silent attempt until another target takes the request over

Callers saw answers break off, or got 502, while their targets were sound: an attempt that was silent for 1.2 or 1.5 s was cancelled at once, and only then was it decided whether the request may be sent once more. All requests of a target fall silent together, so the budget of retries is used up within milliseconds, and whoever gets nothing of it was ended; so was a request without a second target, or one whose adapter was not loaded elsewhere within 1.8 s.

A silence starts the placement now while the attempt goes on. The attempt is cancelled when the request is sent to another target, so that two never work on it; a part that arrives before ends the placement; and if no other target may take over, the request stays until its deadline.

A silence of a whole target is no failure any more, unless it lasts for two seconds more: new requests avoid the target at once, and come back with its first sign, where it was ejected for two seconds and recovered for ten before. A target that answers other requests fails as before. ATTEMPT_SILENT (4024) and ATTEMPT_KEPT (4025) tell of both decisions.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
@@ -39,6 +39,7 @@
     private final long joinedAt;
     private TargetDescription description;
     private long lastRowAt;
+    private long lastSignAt;
     private int outstanding;
     private long pendingPromptTokens;
     private int reportedRunning;
@@ -57,6 +58,7 @@
         this.description = Objects.requireNonNull(description, "description");
         this.hash = Rendezvous.hash(description.id().value());
         this.joinedAt = now;
+        this.lastSignAt = now;
         applyRow(description, now);
     }
 
@@ -91,6 +93,24 @@
         return lastRowAt - ROW_LAG.toNanos();
     }
 
+    /**
+     * Records that the target has sent a part of an answer.
+     *
+     * @param now the time of the monotonic clock, in nanoseconds
+     */
+    public void recordSign(long now) {
+        lastSignAt = now;
+    }
+
+    /**
+     * Gets the time of the last part of an answer, or of the discovery if there was none.
+     *
+     * @return the time of the monotonic clock, in nanoseconds
+     */
+    public long lastSignAt() {
+        return lastSignAt;
+    }
+
     /** Applies a newer row; a late heartbeat written before the target began to drain does not end its draining. */
     void update(TargetDescription newer, long now) {
         leaving |= description.draining();
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdmissionStep.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdmissionStep.java
@@ -20,9 +20,14 @@
      */
     void run(PlacementDecision.Send send, Results results);
 
-    /** Ends the wait and what was admitted; called before the request is placed again, and when it has ended. */
+    /** Ends the wait and what was admitted, unless it was handed over. */
     default void end() {}
 
+    /** Hands over what was admitted to the attempt that is sent under it, and with which it ends. */
+    default HeldAdmission handOver() {
+        return new HeldAdmission();
+    }
+
     /** Receives the result of the step. */
     interface Results {
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -17,8 +17,8 @@
 /**
  * One attempt to run a request at one target.
  *
- * <p>Invariant: the target's counters are incremented once when the attempt starts and decremented once when it ends,
- * for any outcome. Confined to the event loop.
+ * <p>Invariants: the target's counters are incremented once when the attempt starts and decremented once when it ends,
+ * for any outcome. A silence does not end the attempt. Confined to the event loop.
  */
 final class Attempt implements TargetAnswerListener {
 
@@ -31,6 +31,7 @@
     private final Target target;
     private final Sending sending;
     private final SentRun run;
+    private final HeldAdmission admission;
     private final GatewayRequest request;
     private final Listener listener;
     private final long promptTokens;
@@ -40,10 +41,13 @@
     private boolean prefillEnded;
     private boolean noPromptPending;
     private long sentAt;
+    private long lastSignAt;
+    private boolean silent;
+    private boolean targetSilent;
     private boolean ended;
 
     /**
-     * The silence after which an attempt fails, empty for no limit.
+     * The silence after which an attempt counts as silent, empty for no limit.
      *
      * @param beforeFirstPart the limit before the first part
      * @param betweenParts the limit between two parts
@@ -52,9 +56,23 @@
         static final SilenceLimits NONE = new SilenceLimits(Optional.empty(), Optional.empty());
     }
 
+    /**
+     * A silence that exceeds the limit.
+     *
+     * @param length the time since the last part, or since the request was sent
+     * @param ofWholeTarget whether the target has not answered other requests either when the limit was exceeded first
+     */
+    record Silence(Duration length, boolean ofWholeTarget) {}
+
     /** Receives the events of an attempt; returning false for a head or part ends the attempt as failed. */
     interface Listener {
 
+        /** Called each time that the target has sent nothing for as long as the limit; the attempt goes on. */
+        void onSilent(Silence silence);
+
+        /** Called when a part arrives after a silence. */
+        void onResumed();
+
         void onNotExecuted(NotExecuted reason);
 
         boolean onHead(TargetAnswerHead head);
@@ -71,12 +89,14 @@
             Target target,
             Sending sending,
             SentRun run,
+            HeldAdmission admission,
             GatewayRequest request,
             Listener listener) {
         this.services = services;
         this.target = target;
         this.sending = sending;
         this.run = run;
+        this.admission = admission;
         this.request = request;
         this.listener = listener;
         this.promptTokens = request.generation()
@@ -91,6 +111,7 @@
     void start(TargetPort.RequestMetadata envelope, Duration maximumIdle, SilenceLimits limits) {
         silenceLimits = limits;
         sentAt = services.clock().nanos();
+        lastSignAt = sentAt;
         noPromptPending = target.pendingPromptTokens() == 0;
         target.onRequestSent(promptTokens, sentAt);
         adapter().ifPresent(adapter -> services.adapters().onRequestSent(target, adapter));
@@ -105,23 +126,37 @@
 
     private Cancellable startSilenceTimer(Duration limit) {
         long dueAt = services.clock().nanos() + limit.toNanos();
-        return services.timers().schedule(limit, () -> onSilenceTimer(dueAt));
+        return services.timers().schedule(limit, () -> onSilenceTimer(limit, dueAt));
     }
 
     /** Reads first what has arrived while the process was suspended; otherwise all waiting requests would be retried as soon as it goes on. */
-    private void onSilenceTimer(long dueAt) {
+    private void onSilenceTimer(Duration limit, long dueAt) {
         boolean wasSuspended = services.clock().nanos() - dueAt > MAXIMUM_TIMER_DELAY.toNanos();
         if (ended || !wasSuspended) {
-            onSilence();
+            onSilence(limit);
             return;
         }
-        silenceTimer = services.timers().schedule(READING_TIME, this::onSilence);
+        silenceTimer = services.timers().schedule(READING_TIME, () -> onSilence(limit));
     }
 
-    private void onSilence() {
-        if (!ended) {
-            abandon();
-            listener.onFailed(FailureCause.SILENT, "the target is silent");
+    private void onSilence(Duration limit) {
+        if (ended) {
+            return;
+        }
+        if (!silent) {
+            silent = true;
+            targetSilent = services.silences().onSilence(target);
+        }
+        silenceTimer = startSilenceTimer(limit);
+        listener.onSilent(new Silence(Duration.ofNanos(services.clock().nanos() - lastSignAt), targetSilent));
+    }
+
+    private void onPartSign(long now) {
+        lastSignAt = now;
+        services.silences().onSign(target, now);
+        if (silent) {
+            silent = false;
+            listener.onResumed();
         }
     }
 
@@ -141,6 +176,7 @@
     private void finish() {
         ended = true;
         silenceTimer.cancel();
+        admission.end();
         endPrefill();
         target.onRequestEnded();
         adapter().ifPresent(adapter -> services.adapters().onRequestEnded(target, adapter));
@@ -176,6 +212,7 @@
             return;
         }
         recordLoad(load);
+        services.silences().onSign(target, services.clock().nanos());
         sending.onArrived();
         run.onNotExecuted();
         finish();
@@ -188,6 +225,7 @@
             return;
         }
         recordLoad(load);
+        services.silences().onSign(target, services.clock().nanos());
         sending.onArrived();
         if (!listener.onHead(head)) {
             reject("the head does not fit what was sent before");
@@ -199,7 +237,9 @@
         if (ended) {
             return;
         }
-        run.onPart(services.clock().nanos());
+        long now = services.clock().nanos();
+        run.onPart(now);
+        onPartSign(now);
         recordPrefillRate();
         endPrefill();
         restartSilenceTimer(silenceLimits.betweenParts());
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -31,7 +31,8 @@
 /**
  * Carries one request from its admission to its single final answer.
  *
- * <p>Invariants: at most one attempt is in progress. After an attempt that a target may have begun, another is made
+ * <p>Invariants: at most one attempt is in progress. A silent attempt goes on until the request can be sent to another
+ * target, and is cancelled then. After an attempt that a target may have begun, another is made
  * only if the request may run again, and on no more targets than the route allows. "Not run" is answered only if no
  * target may have begun the request. A stream is resumed only after the last complete event sent to the caller, at the
  * software version that began it, under the head of its first target. An interrupted answer is aborted, never ended
@@ -126,7 +127,7 @@
 
         @Override
         public void onUnplaceable(ResultCode code, String reason, Duration retryAfter) {
-            giveUp(code, reason, Optional.of(retryAfter));
+            giveUpUnlessAtTarget(reason, () -> giveUp(code, reason, Optional.of(retryAfter)));
         }
     }
 
@@ -142,6 +143,7 @@
             return;
         }
         verdict.grounds().ifPresent(grounds -> log.logSuspectDecided(verdict.result(), grounds));
+        attempt.ifPresent(this::replace);
         retry.ifPresent(decision -> log.logRetried(decision, lastFailure, progress()));
         sends++;
         log.logPlaced(
@@ -160,6 +162,7 @@
                 target,
                 arrivals.send(target),
                 services.crashes().onSent(target, request::identity),
+                steps.handOverAdmission(),
                 request.request(),
                 recording.isConfirmed() ? events : new HeldEvents(events, recording, events));
         events.attempt = newAttempt;
@@ -167,6 +170,23 @@
         newAttempt.start(envelope(target), maximumIdle(), silenceLimits());
     }
 
+    /** Cancels a silent attempt as the request is sent to another target. */
+    private void replace(Attempt silent) {
+        abandonAttempt();
+        relay.discardAttempt();
+        log.logAttemptFailed(silent.target(), FailureCause.SILENT, "the target is silent", relay.lastEventNumber());
+    }
+
+    /** Ends the request, or leaves it at a silent target, which may still answer it. */
+    private void giveUpUnlessAtTarget(String reason, Runnable giveUp) {
+        if (attempt.isEmpty()) {
+            giveUp.run();
+            return;
+        }
+        steps.stop();
+        log.logAttemptKept(attempt.get().target(), reason, progress());
+    }
+
     /** Places a request again that has come under suspicion while it waited for its turn. */
     private void sendLater(Verdict verdict) {
         if (verdict.result() == Verdict.Result.HELD) {
@@ -179,11 +199,13 @@
     /** Ends the exchange since the request may not be sent; callers are invited to return only if it is not yet known whether it may be. */
     private void stop(Verdict verdict) {
         verdict.grounds().ifPresent(grounds -> log.logSuspectDecided(verdict.result(), grounds));
-        if (verdict.result() == Verdict.Result.HELD) {
-            giveUp(ResultCode.OVERLOADED, "a request under suspicion is tried elsewhere");
-            return;
-        }
-        giveUp(ResultCode.SUSPECTED, "targets have ended under this request or a part of its prompt", Optional.empty());
+        boolean held = verdict.result() == Verdict.Result.HELD;
+        ResultCode code = held ? ResultCode.OVERLOADED : ResultCode.SUSPECTED;
+        String reason = held
+                ? "a request under suspicion is tried elsewhere"
+                : "targets have ended under this request or a part of its prompt";
+        Optional<Duration> retryAfter = held ? Optional.of(Refusal.DEFAULT_RETRY_AFTER) : Optional.empty();
+        giveUpUnlessAtTarget(reason, () -> giveUp(code, reason, retryAfter));
     }
 
     /** Records what is about to begin a stream; one that goes on is known already. */
@@ -210,7 +232,7 @@
     }
 
     /**
-     * Ends the exchange if a retry is not allowed now or is not answered in time.
+     * Ends the exchange if a retry is not allowed now or is not answered in time, unless a target may still answer.
      *
      * <p>Asked when the request is placed, so that it does not wait in vain, and again when it is sent.
      */
@@ -218,7 +240,8 @@
         Optional<RetryDecision> denied = retry.filter(decision -> !decision.granted());
         denied.ifPresent(decision -> {
             log.logRetryDenied(decision, lastFailure, progress());
-            giveUp(ResultCode.OVERLOADED, "no retry is allowed now: " + decision.result());
+            String reason = "no retry is allowed now: " + decision.result();
+            giveUpUnlessAtTarget(reason, () -> giveUp(ResultCode.OVERLOADED, reason));
         });
         return denied.isEmpty();
     }
@@ -286,6 +309,28 @@
             attempt.cancel();
         }
 
+        @Override
+        public void onSilent(Attempt.Silence silence) {
+            log.logAttemptSilent(target, silence, progress());
+            if (steps.isPlacing()) {
+                return;
+            }
+            steps.state().exclude(target.id());
+            lastFailure = Optional.of(FailureCause.SILENT);
+            Optional<String> obstacle = findObstacleToReplacement();
+            if (obstacle.isPresent()) {
+                log.logAttemptKept(target, obstacle.get(), progress());
+            } else {
+                steps.place();
+            }
+        }
+
+        @Override
+        public void onResumed() {
+            steps.stop();
+            steps.state().include(target.id());
+        }
+
         @Override
         public void onNotExecuted(NotExecuted reason) {
             Exchange.this.attempt = Optional.empty();
@@ -381,6 +426,19 @@
         }
     }
 
+    /** Finds what forbids that another target takes the request over; a retry and a place are decided on later. */
+    private Optional<String> findObstacleToReplacement() {
+        if (request.remaining().compareTo(services.settings().minimumRemaining()) <= 0) {
+            return Optional.of("the time is nearly up");
+        }
+        if (sends >= services.settings().maximumSends()) {
+            return Optional.of("the request has been sent too often");
+        }
+        return relay.isBegun() && !isOriginCertain()
+                ? Optional.of("the software version that began the stream is not certain")
+                : Optional.empty();
+    }
+
     private boolean mayRunAgain() {
         return route.retryPolicy().allowsRerun() && possiblyRunTargets.size() < route.maximumTargets();
     }
@@ -501,7 +559,7 @@
         }
         ended = true;
         deadlineTimer.cancel();
-        steps.close();
+        steps.stop();
         services.outcomes()
                 .onOutcome(new OutcomeListener.Outcome(
                         request.request().id(),
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -136,6 +136,29 @@
                 Field.of("lastEvent", lastEventNumber));
     }
 
+    void logAttemptSilent(Target target, Attempt.Silence silence, Progress progress) {
+        log.write(
+                EventCode.ATTEMPT_SILENT,
+                id,
+                Field.of("target", target.id().value()),
+                Field.of("silentMillis", silence.length().toMillis()),
+                Field.of("targetSilent", silence.ofWholeTarget()),
+                Field.of(
+                        "targetSilentMillis",
+                        Duration.ofNanos(clock.nanos() - target.lastSignAt()).toMillis()),
+                Field.of("lastEvent", progress.lastEvent()));
+    }
+
+    void logAttemptKept(Target target, String reason, Progress progress) {
+        log.write(
+                EventCode.ATTEMPT_KEPT,
+                id,
+                Field.of("target", target.id().value()),
+                Field.of("reason", reason),
+                Field.of("lastEvent", progress.lastEvent()),
+                Field.of("afterMillis", progress.elapsed().toMillis()));
+    }
+
     void logRetried(RetryDecision decision, Optional<FailureCause> lastFailure, Progress progress) {
         log.write(EventCode.ATTEMPT_RETRIED, id, retryFields(decision, lastFailure, progress));
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -12,6 +12,7 @@
 import org.geraniumreach.gateway.port.Timers;
 import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.gateway.retry.RetryBudgets;
+import org.geraniumreach.gateway.silence.SilentTargets;
 import org.geraniumreach.gateway.speed.PaceObserver;
 import org.geraniumreach.gateway.stream.ResumableStreams;
 import org.geraniumreach.model.MonotonicClock;
@@ -32,6 +33,7 @@
  * @param streams the origins of the streams that callers may take up again
  * @param retryBudgets limits repeated sends, by service
  * @param health ejects failing targets
+ * @param silences the targets that send nothing
  * @param timers schedules actions
  * @param clock the monotonic clock
  * @param log the decision log
@@ -51,6 +53,7 @@
         ResumableStreams streams,
         RetryBudgets retryBudgets,
         TargetHealth health,
+        SilentTargets silences,
         Timers timers,
         MonotonicClock clock,
         DecisionLog log,
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
@@ -54,6 +54,16 @@
         }
     }
 
+    @Override
+    public void onSilent(Attempt.Silence silence) {
+        listener.onSilent(silence);
+    }
+
+    @Override
+    public void onResumed() {
+        listener.onResumed();
+    }
+
     @Override
     public void onNotExecuted(NotExecuted reason) {
         passOrHold(() -> listener.onNotExecuted(reason));
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/OrderedAdmissionStep.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OrderedAdmissionStep.java
@@ -13,8 +13,8 @@
 /**
  * Waits for the admission of a prompt in the order that the owner of its target keeps.
  *
- * <p>Invariants: a prompt that owners have rejected is sent only once one of them has admitted it. An admission is ended
- * before another is requested. Confined to the event loop.
+ * <p>Invariants: a prompt that owners have rejected is sent only once one of them has admitted it. An admission that
+ * was not handed over is ended before another is requested. Confined to the event loop.
  */
 final class OrderedAdmissionStep implements AdmissionStep {
 
@@ -123,8 +123,13 @@
 
     @Override
     public void end() {
-        HeldAdmission ended = held;
+        handOver().end();
+    }
+
+    @Override
+    public HeldAdmission handOver() {
+        HeldAdmission handedOver = held;
         held = new HeldAdmission();
-        ended.end();
+        return handedOver;
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
@@ -37,11 +37,16 @@
         this.permission = new SendPermission(services.limiter(), services.clock());
     }
 
-    /** Excludes a target from all further attempts. */
+    /** Excludes a target from further attempts. */
     void exclude(TargetId target) {
         excludedTargets.add(target);
     }
 
+    /** Allows attempts at a target again. */
+    void include(TargetId target) {
+        excludedTargets.remove(target);
+    }
+
     /** Allows only targets of a software version from now on. */
     void requireVersion(SoftwareVersion version) {
         requiredVersion = Optional.of(version);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
@@ -12,7 +12,7 @@
  * requires, which is the adapter's load or the prompt's turn, and a permission if it names a limit.
  *
  * <p>Invariant: nothing is reported unless the request is being placed, so at most once for each call of {@link #start}
- * or {@link #place}, and never after {@link #close}. Confined to the event loop.
+ * or {@link #place}, and never after {@link #stop}. Confined to the event loop.
  */
 final class SendSteps {
 
@@ -37,7 +37,7 @@
         /** Called if the request is above its account's rate, with the time after which to retry. */
         void onAboveRate(Duration retryAfter);
 
-        /** Returns whether the request may be sent as it was placed; if not, it has been ended. */
+        /** Returns whether the request may be sent as it was placed; if not, the steps have been stopped. */
         boolean isSendAllowed(PlacementDecision placed);
 
         /** Called when the request may be sent to a target. */
@@ -80,19 +80,31 @@
                 .run());
     }
 
-    /** Runs the steps from the placement on, after an attempt that has ended. */
+    /** Runs the steps from the placement on, after an attempt that has ended, or beside one that is silent. */
     void place() {
         placing = true;
         placeNow();
     }
 
-    /** Ends all waits, and the admission under which the request was sent. */
-    void close() {
+    /** Queries whether the request is being placed. */
+    boolean isPlacing() {
+        return placing;
+    }
+
+    /** Ends all waits, and what was admitted but not handed over. */
+    void stop() {
         placing = false;
         waits.cancelAll();
+        waits.stop();
+        state.loadWait().reset();
         admissionStep.end();
     }
 
+    /** Hands over the admission under which the request is sent. */
+    HeldAdmission handOverAdmission() {
+        return admissionStep.handOver();
+    }
+
     /** Guards a callback, since cancelled registrations may still be notified of a change in progress. */
     private Runnable ifPlacing(Runnable action) {
         return () -> {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -51,6 +51,7 @@
 import org.geraniumreach.gateway.request.RequestHandler;
 import org.geraniumreach.gateway.rest.RestingTargets;
 import org.geraniumreach.gateway.retry.RetryBudgets;
+import org.geraniumreach.gateway.silence.SilentTargets;
 import org.geraniumreach.gateway.speed.LearntTargetSpeeds;
 import org.geraniumreach.gateway.store.FeedReader;
 import org.geraniumreach.gateway.store.LeaseRenewer;
@@ -122,6 +123,7 @@
     private final TargetClient targets;
     private final AdapterLoadCoordinator coordinator;
     private final TargetHealth health;
+    private final SilentTargets silences;
     private final Evacuations evacuations;
     private final ColdStartLimiter coldStartLimiter;
     private final RetryBudgets retryBudgets;
@@ -197,6 +199,7 @@
                 (target, reason) ->
                         log.write(EventCode.TARGET_SLOWDOWN_MALFORMED, target.value(), Field.of("reason", reason)));
         this.health = TargetHealth.create(EjectionRules.standard(), clock, random);
+        this.silences = new SilentTargets(health, timers, clock);
         this.evacuations = new Evacuations(settings.evacuationLimit(), clock, log);
         this.coldStartLimiter =
                 new ColdStartLimiter(this::findService, settings.coldTolerance(), equalDivision, clock, log);
@@ -233,7 +236,7 @@
         Placement placement = new Placement(
                 registry,
                 new TargetConditions(
-                        target -> health.admits(target.id()),
+                        target -> health.admits(target.id()) && !silences.isSilent(target),
                         coordinator::canReceiveOrders,
                         evacuations::phase,
                         coldStartLimiter::maySendTo,
@@ -271,6 +274,7 @@
                 streams,
                 retryBudgets,
                 health,
+                silences,
                 timers,
                 clock,
                 log,
@@ -461,6 +465,7 @@
         });
         registry.addListener(coordinator);
         registry.addListener(new HealthUpdater());
+        registry.addListener(silences);
         registry.addListener(coldStartLimiter);
         registry.addListener(limitAdmission);
         registry.addListener(announcedDepartures);
