Cancel a silent attempt only once another target has taken the request over

If the successor cannot be reached or refuses the request, it stays at its target; if its target goes on meanwhile, the successor is cancelled. The transport reports when a request is sent (onSent), so that an attempt whose connection was not opened counts neither as a retry nor as a target that may have run the request. Where the successor has another software version, the silent attempt is cancelled at once, since the stream's origin is recorded anew.

ExchangeTest waits for the overlap to see the cancellation.

--- a/gateway/src/main/java/org/geraniumreach/gateway/port/TargetAnswerListener.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetAnswerListener.java
@@ -8,6 +8,9 @@
  */
 public interface TargetAnswerListener {
 
+    /** Called when the request is being sent over an open connection; before, it cannot have reached the target. */
+    default void onSent() {}
+
     /**
      * Called if the target has not run the request and will not run it.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -42,6 +42,7 @@
     private boolean noPromptPending;
     private long sentAt;
     private long lastSignAt;
+    private boolean sent;
     private boolean silent;
     private boolean targetSilent;
     private boolean ended;
@@ -67,6 +68,9 @@
     /** Receives the events of an attempt; returning false for a head or part ends the attempt as failed. */
     interface Listener {
 
+        /** Called when the request is being sent over an open connection. */
+        void onSent();
+
         /** Called each time that the target has sent nothing for as long as the limit; the attempt goes on. */
         void onSilent(Silence silence);
 
@@ -169,10 +173,19 @@
 
     private void abandon() {
         call.cancel();
-        sending.onAbandoned();
+        if (sent) {
+            sending.onAbandoned();
+        } else {
+            sending.onNotSent();
+        }
         finish();
     }
 
+    /** Queries whether the request may have reached the target. */
+    boolean isSent() {
+        return sent;
+    }
+
     private void finish() {
         ended = true;
         silenceTimer.cancel();
@@ -206,6 +219,14 @@
                         figures.running(), figures.waiting(), services.clock().nanos()));
     }
 
+    @Override
+    public void onSent() {
+        if (!ended) {
+            sent = true;
+            listener.onSent();
+        }
+    }
+
     @Override
     public void onNotExecuted(NotExecuted reason, TargetLoad load) {
         if (ended) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -31,8 +31,8 @@
 /**
  * Carries one request from its admission to its single final answer.
  *
- * <p>Invariants: at most one attempt is in progress. A silent attempt goes on until the request can be sent to another
- * target, and is cancelled then. After an attempt that a target may have begun, another is made
+ * <p>Invariants: at most one attempt is in progress, and beside it a silent one until another target has taken the
+ * request over. An answer consists of the parts of one attempt at a time. After an attempt that a target may have begun, another is made
  * only if the request may run again, and on no more targets than the route allows. "Not run" is answered only if no
  * target may have begun the request. A stream is resumed only after the last complete event sent to the caller, at the
  * software version that began it, under the head of its first target. An interrupted answer is aborted, never ended
@@ -54,7 +54,7 @@
     private final ExchangeLog log;
     private final RequestArrivals arrivals;
     private Cancellable deadlineTimer = Cancellable.NOOP;
-    private Optional<Attempt> attempt = Optional.empty();
+    private final RunningAttempts attempts;
     private OptionalLong lastSentAt = OptionalLong.empty();
     private Optional<Target> firstTarget = Optional.empty();
     private long firstTargetSentAt;
@@ -85,6 +85,7 @@
         this.onEnd = onEnd;
         this.steps = new SendSteps(services, request, new StepResults());
         choice.requiredVersion().ifPresent(steps.state()::requireVersion);
+        this.attempts = new RunningAttempts(services.timers(), this::onReplaced);
         this.arrivals = services.retryBudgets().receive(choice.service());
         this.relay = new AnswerRelay(answer, received.request().lastEvent(), services.clock());
         this.log = new ExchangeLog(
@@ -143,7 +144,6 @@
             return;
         }
         verdict.grounds().ifPresent(grounds -> log.logSuspectDecided(verdict.result(), grounds));
-        attempt.ifPresent(this::replace);
         retry.ifPresent(decision -> log.logRetried(decision, lastFailure, progress()));
         sends++;
         log.logPlaced(
@@ -166,25 +166,49 @@
                 request.request(),
                 recording.isConfirmed() ? events : new HeldEvents(events, recording, events));
         events.attempt = newAttempt;
-        attempt = Optional.of(newAttempt);
+        startBesidePredecessor(newAttempt);
         newAttempt.start(envelope(target), maximumIdle(), silenceLimits());
     }
 
-    /** Cancels a silent attempt as the request is sent to another target. */
-    private void replace(Attempt silent) {
-        abandonAttempt();
+    /** Makes an attempt the current one, and keeps a silent one beside it until the other target has taken the request over. */
+    private void startBesidePredecessor(Attempt next) {
+        Optional<Attempt> silent = attempts.current();
+        silent.ifPresent(attempt -> possiblyRunTargets.add(attempt.target().id()));
+        attempts.add(next);
+        // The record of the stream's origin names the version of the new target from now on.
+        silent.filter(attempt -> !attempt.target()
+                        .description()
+                        .softwareVersion()
+                        .equals(next.target().description().softwareVersion()))
+                .ifPresent(attempt -> attempts.endOverlap());
+    }
+
+    private void onReplaced(Attempt silent) {
         relay.discardAttempt();
         log.logAttemptFailed(silent.target(), FailureCause.SILENT, "the target is silent", relay.lastEventNumber());
     }
 
+    /** Finds another target for a request whose current attempt is silent. */
+    private void seekReplacement(FailureCause cause) {
+        Target silent = attempts.current().orElseThrow().target();
+        lastFailure = Optional.of(cause);
+        steps.state().exclude(silent.id());
+        Optional<String> obstacle = findObstacleToReplacement(silent);
+        if (obstacle.isPresent()) {
+            log.logAttemptKept(silent, obstacle.get(), progress());
+        } else {
+            steps.place();
+        }
+    }
+
     /** Ends the request, or leaves it at a silent target, which may still answer it. */
     private void giveUpUnlessAtTarget(String reason, Runnable giveUp) {
-        if (attempt.isEmpty()) {
+        if (attempts.current().isEmpty()) {
             giveUp.run();
             return;
         }
         steps.stop();
-        log.logAttemptKept(attempt.get().target(), reason, progress());
+        log.logAttemptKept(attempts.current().get().target(), reason, progress());
     }
 
     /** Places a request again that has come under suspicion while it waited for its turn. */
@@ -301,7 +325,7 @@
 
         @Override
         public boolean isAwaited() {
-            return Exchange.this.attempt.filter(current -> current == attempt).isPresent();
+            return attempts.contains(attempt);
         }
 
         @Override
@@ -309,32 +333,41 @@
             attempt.cancel();
         }
 
+        /** Leaves the request at this attempt's target, which goes on although another was taking the request over. */
+        private void takeBack() {
+            if (attempts.isPredecessor(attempt)) {
+                addIfSent(attempts.takeBack());
+                log.logAttemptKept(target, "the target goes on", progress());
+            }
+        }
+
+        @Override
+        public void onSent() {
+            attempts.onSent(attempt);
+        }
+
         @Override
         public void onSilent(Attempt.Silence silence) {
-            log.logAttemptSilent(target, silence, progress());
-            if (steps.isPlacing()) {
+            if (attempts.isPredecessor(attempt)) {
                 return;
             }
-            steps.state().exclude(target.id());
-            lastFailure = Optional.of(FailureCause.SILENT);
-            Optional<String> obstacle = findObstacleToReplacement();
-            if (obstacle.isPresent()) {
-                log.logAttemptKept(target, obstacle.get(), progress());
-            } else {
-                steps.place();
+            log.logAttemptSilent(target, silence, progress());
+            if (!steps.isPlacing()) {
+                seekReplacement(FailureCause.SILENT);
             }
         }
 
         @Override
         public void onResumed() {
+            takeBack();
             steps.stop();
             steps.state().include(target.id());
         }
 
         @Override
         public void onNotExecuted(NotExecuted reason) {
-            Exchange.this.attempt = Optional.empty();
             log.logNotExecuted(target, reason);
+            possiblyRunTargets.remove(target.id());
             if (reason == NotExecuted.NOT_RESIDENT) {
                 request.adapter()
                         .ifPresent(adapter ->
@@ -345,16 +378,31 @@
             if (reason == NotExecuted.ANOTHER_TARGET) {
                 services.registry().removeEnded(target);
             }
-            retryOrGiveUp(FailureCause.of(reason), "not executed: " + reason);
+            if (!isAtAnotherTarget(FailureCause.of(reason))) {
+                retryOrGiveUp(FailureCause.of(reason), "not executed: " + reason);
+            }
+        }
+
+        /** Ends this attempt; returns whether the request goes on at the silent target, or at the one that takes it over. */
+        private boolean isAtAnotherTarget(FailureCause cause) {
+            boolean replaced = attempts.isPredecessor(attempt);
+            attempts.remove(attempt);
+            if (!replaced && attempts.current().isPresent()) {
+                seekReplacement(cause);
+            }
+            return attempts.current().isPresent();
         }
 
         @Override
         public boolean onHead(TargetAnswerHead head) {
+            takeBack();
+            attempts.endOverlap();
             return relay.onHead(head);
         }
 
         @Override
         public boolean onPart(byte[] part) {
+            takeBack();
             boolean wasBegun = relay.isBegun();
             boolean accepted = relay.onPart(part);
             if (!wasBegun && relay.isBegun()) {
@@ -367,7 +415,8 @@
 
         @Override
         public void onEnd() {
-            Exchange.this.attempt = Optional.empty();
+            takeBack();
+            attempts.remove(attempt);
             relay.eventInterval().ifPresent(interval -> services.paces().onStream(target, new PaceSample(interval)));
             if (!relay.isComplete()) {
                 onFailed(FailureCause.BROKEN, "the stream ended within an event");
@@ -392,13 +441,15 @@
 
         @Override
         public void onFailed(FailureCause cause, String reason) {
-            Exchange.this.attempt = Optional.empty();
             services.health().onFailure(target.id());
             steps.state().exclude(target.id());
             log.logAttemptFailed(target, cause, reason, relay.lastEventNumber());
             if (cause.mayHaveRun()) {
                 possiblyRunTargets.add(target.id());
             }
+            if (isAtAnotherTarget(cause)) {
+                return;
+            }
             relay.discardAttempt();
             if (relay.isBegun() && !isOriginCertain()) {
                 giveUp(ResultCode.STREAM_ORIGIN_UNKNOWN, "the target has started again with another software version");
@@ -427,7 +478,11 @@
     }
 
     /** Finds what forbids that another target takes the request over; a retry and a place are decided on later. */
-    private Optional<String> findObstacleToReplacement() {
+    private Optional<String> findObstacleToReplacement(Target silent) {
+        int targets = possiblyRunTargets.size() + (possiblyRunTargets.contains(silent.id()) ? 0 : 1);
+        if (targets >= route.maximumTargets()) {
+            return Optional.of("no more targets may run the request");
+        }
         if (request.remaining().compareTo(services.settings().minimumRemaining()) <= 0) {
             return Optional.of("the time is nearly up");
         }
@@ -516,11 +571,13 @@
     }
 
     private void abandonAttempt() {
-        attempt.ifPresent(running -> {
-            possiblyRunTargets.add(running.target().id());
-            running.cancel();
-        });
-        attempt = Optional.empty();
+        attempts.cancelAll().forEach(this::addIfSent);
+    }
+
+    private void addIfSent(Attempt cancelled) {
+        if (cancelled.isSent()) {
+            possiblyRunTargets.add(cancelled.target().id());
+        }
     }
 
     /** Stops the request, wherever it is on its way, if it is refused now and its answer has not begun. */
@@ -540,8 +597,7 @@
         if (ended) {
             return;
         }
-        attempt.ifPresent(Attempt::cancel);
-        attempt = Optional.empty();
+        attempts.cancelAll();
         log.logCallerGone(sends, request.elapsed());
         finish(OutcomeListener.Kind.CALLER_GONE, 0);
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
@@ -54,6 +54,11 @@
         }
     }
 
+    @Override
+    public void onSent() {
+        listener.onSent();
+    }
+
     @Override
     public void onSilent(Attempt.Silence silence) {
         listener.onSilent(silence);
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -183,6 +183,8 @@
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, 2).addTarget("a").addTarget("b");
         world.send();
         world.time().advance(ExchangeSettings.defaults().firstEventTimeout().plusMillis(1));
+        assertThat(world.targets().sentRequests()).hasSize(2);
+        world.time().advance(RunningAttempts.OVERLAP);
         assertThat(world.targets().sentRequests().get(0).isCancelled()).isTrue();
         assertThat(world.targets().openRequests()).hasSize(1);
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
@@ -7,12 +7,14 @@
 import java.util.OptionalLong;
 import java.util.stream.Stream;
 
+import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.testing.FakeTargets.SentRequest;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
 import org.geraniumreach.model.EventCode;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -112,6 +114,54 @@
         assertThat(answer.isComplete()).isTrue();
     }
 
+    /** Guards against an answer that ends since the target that was to take it over is silent as well, or refuses it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anAnswerGoesOnAtItsTargetIfNoOtherTakesItOver(boolean connected) {
+        RequestHarness world = new RequestHarness(AMPLE_RETRIES);
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a")
+                .addTarget("b");
+        RecordedAnswer answer = world.send();
+        SentRequest first = world.targets().lastRequest();
+        first.answerHead(200, true);
+        first.answerPart("id: 1\ndata: x\n\n");
+        world.targets().setConnecting(connected);
+        world.time().advance(Duration.ofMillis(1_201));
+        SentRequest second = world.targets().lastRequest();
+        assertThat(second).isNotSameAs(first);
+        if (connected) {
+            second.answerNotExecuted(NotExecuted.SHED);
+        } else {
+            world.time().advance(Duration.ofMillis(400));
+            second.fail(false);
+        }
+        first.answerPart("id: 2\ndata: y\n\n");
+        first.endAnswer();
+        assertThat(answer.isComplete()).isTrue();
+        assertThat(answer.text()).isEqualTo("id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+    }
+
+    /** Guards against an answer that is begun anew elsewhere although its target goes on, and against events of both. */
+    @Test
+    void aTargetThatGoesOnKeepsItsRequest() {
+        RequestHarness world = new RequestHarness(AMPLE_RETRIES);
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a")
+                .addTarget("b");
+        RecordedAnswer answer = world.send();
+        SentRequest first = world.targets().lastRequest();
+        first.answerHead(200, true);
+        first.answerPart("id: 1\ndata: x\n\n");
+        world.time().advance(Duration.ofMillis(1_300));
+        SentRequest second = world.targets().lastRequest();
+        first.answerPart("id: 2\ndata: y\n\n");
+        assertThat(second.isCancelled()).isTrue();
+        first.endAnswer();
+        assertThat(answer.isComplete()).isTrue();
+        assertThat(world.openExchanges()).isZero();
+    }
+
     /** Guards against a silent target that is given up while another one is loading what the request needs. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
@@ -25,6 +25,7 @@
 
     private final List<SentRequest> sentRequests = new ArrayList<>();
     private final Set<TargetId> endedTargets = new HashSet<>();
+    private boolean connecting = true;
 
     /** A request sent to a target. */
     public static final class SentRequest {
@@ -96,6 +97,9 @@
             TargetAnswerListener listener) {
         SentRequest sentRequest = new SentRequest(target, metadata, listener);
         sentRequests.add(sentRequest);
+        if (connecting) {
+            listener.onSent();
+        }
         return () -> sentRequest.cancelled = true;
     }
 
@@ -104,6 +108,11 @@
         onResult.accept(endedTargets.contains(target.id()));
     }
 
+    /** Sets whether connections to targets are opened, so that requests are sent. */
+    public void setConnecting(boolean newConnecting) {
+        connecting = newConnecting;
+    }
+
     /** Makes checks find that a target has ended. */
     public void endTarget(String target) {
         endedTargets.add(TargetId.of(target));
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -130,6 +130,7 @@
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         }
         channel.writeAndFlush(message);
+        newCall.onSent();
     }
 
     private static boolean isBodiless(String method) {
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
@@ -3,11 +3,14 @@
 /**
  * Receives the response to a call.
  *
- * <p>Contract: called on the event loop with the head, any number of parts, then the end or a failure. A failure may come at any
+ * <p>Contract: called on the event loop when the request is being sent, with the head, any number of parts, then the end or a failure. A failure may come at any
  * time and is the last call. There are no calls after {@link HttpCall#cancel}.
  */
 public interface HttpResponseListener {
 
+    /** Called when the request is being sent over an open connection. */
+    default void onSent() {}
+
     /**
      * Called when the status line and headers have been received.
      *
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
@@ -40,6 +40,12 @@
         channel = newChannel;
     }
 
+    void onSent() {
+        if (!ended) {
+            listener.onSent();
+        }
+    }
+
     void onHead(HttpResponseHead head) {
         if (!ended) {
             listener.onHead(head);
