--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
@@ -0,0 +1,177 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.geraniumreach.gateway.limit.RequestLimiter;
+import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.testing.FakeTargets.SentRequest;
+import org.geraniumreach.gateway.testing.RecordedAnswer;
+import org.geraniumreach.gateway.testing.RequestHarness;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.gateway.traffic.RetryPolicy;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Replaces silent attempts by others, which fail as well. */
+class ReplacedAttemptTest {
+
+    private static final int MAXIMUM_TARGETS = 3;
+    private static final double NO_RETRIES = 0;
+    private static final double AMPLE_RETRIES = 100;
+    private static final Duration NEXT_EVENT_TIMEOUT =
+            ExchangeSettings.defaults().nextEventTimeout();
+    private static final Duration FIRST_EVENT_TIMEOUT =
+            ExchangeSettings.defaults().firstEventTimeout();
+    private static final String EVENT = "id: 1\ndata: x\n\n";
+    private static final GatewayRequest.Generation GENERATION = new GatewayRequest.Generation(
+            "base", Optional.of(new AdapterName("base", "a7")), 100, 50, OptionalLong.empty(), List.of());
+
+    private final RequestHarness world = new RequestHarness(AMPLE_RETRIES);
+
+    /** How a target takes nothing of a request. */
+    private enum Untaken {
+        NOT_SENT {
+            @Override
+            void answer(SentRequest sent) {
+                sent.fail(false);
+            }
+        },
+        NOT_RESIDENT {
+            @Override
+            void answer(SentRequest sent) {
+                sent.answerNotExecuted(NotExecuted.NOT_RESIDENT);
+            }
+        },
+        ANOTHER_TARGET {
+            @Override
+            void answer(SentRequest sent) {
+                sent.answerNotExecuted(NotExecuted.ANOTHER_TARGET);
+            }
+        };
+
+        abstract void answer(SentRequest sent);
+    }
+
+    private static void begin(SentRequest sent) {
+        sent.answerHead(200, true);
+        sent.answerPart(EVENT);
+    }
+
+    /** Guards against an answer that ends since the target that was to take it over takes nothing. */
+    @ParameterizedTest
+    @EnumSource
+    void anAnswerOutlivesATargetThatDoesNotTakeItOver(Untaken untaken) {
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a", Map.of("base", Map.of("a7", 1L)))
+                .addTarget("b", Map.of("base", Map.of("a7", 1L)));
+        RecordedAnswer answer = world.send(Optional.of(GENERATION));
+        begin(world.targets().lastRequest());
+        world.time().advance(NEXT_EVENT_TIMEOUT.plusMillis(100));
+        assertThat(world.targets().sentRequests()).hasSize(2);
+        untaken.answer(world.targets().lastRequest());
+        world.time().advance(Duration.ofSeconds(3));
+        assertThat(answer.isEnded()).isFalse();
+        assertThat(world.targets().openRequests()).hasSize(1);
+    }
+
+    /** Guards against an answer that leaves its silent target for one that is silent as well. */
+    @Test
+    void anAnswerIsNotMovedToATargetThatIsKnownToBeSilent() {
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a")
+                .addTarget("b");
+        world.send();
+        begin(world.targets().lastRequest());
+        world.send();
+        begin(world.targets().lastRequest());
+        List<SentRequest> sent = List.copyOf(world.targets().sentRequests());
+        assertThat(sent).extracting(SentRequest::target).doesNotHaveDuplicates();
+        world.time().advance(NEXT_EVENT_TIMEOUT.plusMillis(500));
+        assertThat(sent).noneMatch(SentRequest::isCancelled);
+    }
+
+    /** Guards against a target that hangs requests and is never ejected, since it has answered another one. */
+    @Test
+    void requestsThatHangOnCountAsFailuresAfterAnotherIsAnswered() {
+        int hangs = 6;
+        RequestHarness withoutRetries = new RequestHarness(NO_RETRIES);
+        withoutRetries
+                .startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a");
+        for (int request = 0; request < hangs; request++) {
+            withoutRetries.send();
+        }
+        withoutRetries.time().advance(Duration.ofSeconds(1));
+        withoutRetries.send();
+        SentRequest answered = withoutRetries.targets().lastRequest();
+        withoutRetries.addTarget("b").addTarget("c");
+        withoutRetries.time().advance(FIRST_EVENT_TIMEOUT.minusMillis(900));
+        answered.answerHead(200, true);
+        for (int event = 1; event <= 10; event++) {
+            answered.answerPart("id: " + event + "\ndata: x\n\n");
+            withoutRetries.time().advance(Duration.ofMillis(240));
+        }
+        int sentBefore = withoutRetries.targets().sentRequests().size();
+        assertThat(sentBefore).isEqualTo(hangs + 1);
+        for (int request = 0; request < 5 * hangs; request++) {
+            withoutRetries.send();
+        }
+        assertThat(withoutRetries.targets().sentRequests().subList(sentBefore, sentBefore + 5 * hangs))
+                .noneMatch(sent -> sent.target() == answered.target());
+    }
+
+    /** Guards against a request that waits for its turn at a target, and is sent though the target has fallen silent meanwhile. */
+    @Test
+    void aRequestIsNotSentToATargetThatFellSilentWhileItWaited() {
+        List<Runnable> decisions = new ArrayList<>();
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a")
+                .addTarget("b");
+        world.send();
+        begin(world.targets().lastRequest());
+        world.time().advance(Duration.ofMillis(50));
+        world.send();
+        SentRequest atSilent = world.targets().lastRequest();
+        begin(atSilent);
+        world.setLimiter((target, callback) -> {
+            decisions.add(() -> callback.accept(RequestLimiter.Decision.UNLIMITED));
+            return () -> {};
+        });
+        world.time().advance(NEXT_EVENT_TIMEOUT.minusMillis(25));
+        world.addTarget("c");
+        world.time().advance(Duration.ofMillis(50));
+        List.copyOf(decisions).forEach(Runnable::run);
+        List<SentRequest> sent = world.targets().sentRequests();
+        assertThat(sent.subList(2, sent.size())).noneMatch(each -> each.target() == atSilent.target());
+    }
+
+    /** Guards against two decisions that one request waits for, of which one is made for nothing. */
+    @Test
+    void aSilentAttemptThatFailsLeavesNoOldDecisionPending() {
+        AtomicInteger pending = new AtomicInteger();
+        List<Runnable> decisions = new ArrayList<>();
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS).addTarget("a");
+        world.send();
+        SentRequest sent = world.targets().lastRequest();
+        begin(sent);
+        world.addTarget("b");
+        world.setLimiter((target, callback) -> {
+            pending.incrementAndGet();
+            decisions.add(() -> callback.accept(RequestLimiter.Decision.UNLIMITED));
+            return pending::decrementAndGet;
+        });
+        world.time().advance(NEXT_EVENT_TIMEOUT.plusMillis(100));
+        assertThat(pending).hasValue(1);
+        sent.fail(true);
+        assertThat(pending).hasValue(1);
+    }
+}
