Check that hanging requests count while the first ejection lasts

The test asked 4.0 s after the requests were sent, when the ejection of the code before (from 1.5 to 3.5 s) is over as well; it asks after 3.4 s now.

--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
@@ -118,7 +118,7 @@
         answered.answerHead(200, true);
         for (int event = 1; event <= 10; event++) {
             answered.answerPart("id: " + event + "\ndata: x\n\n");
-            withoutRetries.time().advance(Duration.ofMillis(240));
+            withoutRetries.time().advance(Duration.ofMillis(180));
         }
         int sentBefore = withoutRetries.targets().sentRequests().size();
         assertThat(sentBefore).isEqualTo(hangs + 1);
