Test that an outdated rejection does not end an answer

A rejection by a target's owner, made while a request was placed beside its silent attempt, is kept for good: when the attempt breaks off seconds later, the owner is not asked again and the answer ends.

--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
@@ -7,8 +7,14 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
+import org.geraniumreach.gateway.admission.AdmissionDecision.Reason;
+import org.geraniumreach.gateway.admission.AdmissionRequest;
 import org.geraniumreach.gateway.limit.RequestLimiter;
+import org.geraniumreach.gateway.pacing.TargetAdmission;
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.testing.FakeTargets.SentRequest;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
@@ -174,4 +180,51 @@
         sent.fail(true);
         assertThat(pending).hasValue(1);
     }
+
+    /** Lets the owners of all targets reject prompts, as long as a test wants. */
+    private static final class RejectingOwners implements TargetAdmission {
+        private boolean rejecting;
+
+        @Override
+        public Cancellable admit(Target target, long tokens, Duration maximumDelay, Consumer<Decision> callback) {
+            throw new UnsupportedOperationException("requests are ordered here");
+        }
+
+        @Override
+        public boolean isOrdered() {
+            return true;
+        }
+
+        @Override
+        public Admission request(Target target, String id, AdmissionRequest request, Consumer<Decision> callback) {
+            callback.accept(
+                    rejecting
+                            ? Decision.rejected(new Rejection(Duration.ofMillis(500), Reason.QUEUE_FULL, false))
+                            : Decision.IMMEDIATE);
+            return () -> {};
+        }
+    }
+
+    /** Guards against an answer that ends for a rejection that was made while its target was silent, and is outdated. */
+    @Test
+    void anOwnerThatRejectedASilentAnswerIsAskedAgainLater() {
+        RejectingOwners owners = new RejectingOwners();
+        world.setTargetAdmission(owners);
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a", Map.of("base", Map.of("a7", 1L)));
+        RecordedAnswer answer = world.send(Optional.of(GENERATION));
+        SentRequest sent = world.targets().lastRequest();
+        begin(sent);
+        world.addTarget("b", Map.of("base", Map.of("a7", 1L)));
+        owners.rejecting = true;
+        world.time().advance(NEXT_EVENT_TIMEOUT.plusMillis(100));
+        assertThat(sent.isCancelled()).isFalse();
+        owners.rejecting = false;
+        sent.answerPart("id: 2\ndata: y\n\n");
+        world.time().advance(Duration.ofSeconds(1));
+        sent.fail(true);
+        world.time().advance(Duration.ofSeconds(1));
+        assertThat(answer.isEnded()).isFalse();
+        assertThat(world.targets().openRequests()).hasSize(1);
+    }
 }
