Test that the end of a replaced attempt's admission lets no retry through uncounted

The retry is decided on before the old attempt is cancelled and counted after; the cancel ends an admission, which may admit and send another request at once. Two retries are sent where one is allowed.

--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
@@ -33,6 +33,7 @@
     private static final int MAXIMUM_TARGETS = 3;
     private static final double NO_RETRIES = 0;
     private static final double AMPLE_RETRIES = 100;
+    private static final double RATIO_OF_ONE_RETRY_FOR_TWO_REQUESTS = 1;
     private static final Duration NEXT_EVENT_TIMEOUT =
             ExchangeSettings.defaults().nextEventTimeout();
     private static final Duration FIRST_EVENT_TIMEOUT =
@@ -227,4 +228,59 @@
         assertThat(answer.isEnded()).isFalse();
         assertThat(world.targets().openRequests()).hasSize(1);
     }
+
+    /** Lets prompts wait at their targets, and admits the last one as the admission of the first ends. */
+    private static final class LinkedAdmissions implements TargetAdmission {
+        private final List<Consumer<Decision>> waiting = new ArrayList<>();
+        private boolean holding;
+        private boolean firstRequested;
+
+        @Override
+        public Cancellable admit(Target target, long tokens, Duration maximumDelay, Consumer<Decision> callback) {
+            throw new UnsupportedOperationException("requests are ordered here");
+        }
+
+        @Override
+        public boolean isOrdered() {
+            return true;
+        }
+
+        @Override
+        public Admission request(Target target, String id, AdmissionRequest request, Consumer<Decision> callback) {
+            boolean first = !firstRequested;
+            firstRequested = true;
+            if (holding) {
+                waiting.add(callback);
+            } else {
+                callback.accept(Decision.IMMEDIATE);
+            }
+            return () -> {
+                if (first && waiting.size() > 1) {
+                    waiting.remove(waiting.size() - 1).accept(Decision.IMMEDIATE);
+                }
+            };
+        }
+    }
+
+    /** Guards against more retries than are allowed, where the end of one request's admission lets another one be sent. */
+    @Test
+    void aRetryCountsBeforeTheEndOfTheOldAdmissionAllowsAnother() {
+        RequestHarness withOneRetry = new RequestHarness(RATIO_OF_ONE_RETRY_FOR_TWO_REQUESTS);
+        LinkedAdmissions admissions = new LinkedAdmissions();
+        withOneRetry.setTargetAdmission(admissions);
+        Map<String, Map<String, Long>> models = Map.of("base", Map.of("a7", 1L));
+        withOneRetry
+                .startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a", models);
+        withOneRetry.send(Optional.of(GENERATION));
+        begin(withOneRetry.targets().lastRequest());
+        withOneRetry.send(Optional.of(GENERATION));
+        begin(withOneRetry.targets().lastRequest());
+        admissions.holding = true;
+        withOneRetry.addTarget("b", models);
+        withOneRetry.time().advance(NEXT_EVENT_TIMEOUT.plusMillis(10));
+        assertThat(admissions.waiting).hasSize(2);
+        admissions.waiting.get(0).accept(TargetAdmission.Decision.IMMEDIATE);
+        assertThat(withOneRetry.targets().sentRequests()).hasSize(3);
+    }
 }
