Count the silences of targets as they are, and not those of this process

A request that hangs on reports its silence again, until it has counted once; SilenceTimer lets this process read first, for attempts and targets alike; silences are kept by incarnation; and a call that was not sent counts like a silence. The head of an answer is progress, too: a target that went on with the head alone lost its request to another.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
@@ -94,7 +94,7 @@
     }
 
     /**
-     * Records that the target has sent a part of an answer.
+     * Records that the target has sent something.
      *
      * @param now the time of the monotonic clock, in nanoseconds
      */
@@ -103,7 +103,7 @@
     }
 
     /**
-     * Gets the time of the last part of an answer, or of the discovery if there was none.
+     * Gets the time at which the target has sent something, or of the first request that waits for one, if that was sent later.
      *
      * @return the time of the monotonic clock, in nanoseconds
      */
@@ -217,6 +217,9 @@
      * @param now the current time
      */
     public void onRequestSent(long promptTokens, long now) {
+        if (outstanding == 0) {
+            lastSignAt = now;
+        }
         outstanding++;
         discardOldSends(now);
         sendTimes.addLast(now);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -18,15 +18,11 @@
  * One attempt to run a request at one target.
  *
  * <p>Invariants: the target's counters are incremented once when the attempt starts and decremented once when it ends,
- * for any outcome. A silence does not end the attempt. Confined to the event loop.
+ * for any outcome. The admission under which the request was sent ends with the
+ * attempt. A silence does not end it. Confined to the event loop.
  */
 final class Attempt implements TargetAnswerListener {
 
-    /** Timers of a process that runs are hardly later than this, even on a busy machine. */
-    private static final Duration MAXIMUM_TIMER_DELAY = Duration.ofMillis(250);
-
-    private static final Duration READING_TIME = Duration.ofMillis(200);
-
     private final ExchangeServices services;
     private final Target target;
     private final Sending sending;
@@ -44,7 +40,7 @@
     private long lastSignAt;
     private boolean sent;
     private boolean silent;
-    private boolean targetSilent;
+    private boolean failureCounted;
     private boolean ended;
 
     /**
@@ -61,7 +57,7 @@
      * A silence that exceeds the limit.
      *
      * @param length the time since the last part, or since the request was sent
-     * @param ofWholeTarget whether the target has not answered other requests either when the limit was exceeded first
+     * @param ofWholeTarget whether the target has not answered other requests either
      */
     record Silence(Duration length, boolean ofWholeTarget) {}
 
@@ -74,7 +70,7 @@
         /** Called each time that the target has sent nothing for as long as the limit; the attempt goes on. */
         void onSilent(Silence silence);
 
-        /** Called when a part arrives after a silence. */
+        /** Called when the answer goes on after a silence. */
         void onResumed();
 
         void onNotExecuted(NotExecuted reason);
@@ -129,35 +125,27 @@
     }
 
     private Cancellable startSilenceTimer(Duration limit) {
-        long dueAt = services.clock().nanos() + limit.toNanos();
-        return services.timers().schedule(limit, () -> onSilenceTimer(limit, dueAt));
-    }
-
-    /** Reads first what has arrived while the process was suspended; otherwise all waiting requests would be retried as soon as it goes on. */
-    private void onSilenceTimer(Duration limit, long dueAt) {
-        boolean wasSuspended = services.clock().nanos() - dueAt > MAXIMUM_TIMER_DELAY.toNanos();
-        if (ended || !wasSuspended) {
-            onSilence(limit);
-            return;
-        }
-        silenceTimer = services.timers().schedule(READING_TIME, () -> onSilence(limit));
+        return services.silences().timer().schedule(limit, () -> onSilence(limit));
     }
 
     private void onSilence(Duration limit) {
         if (ended) {
             return;
         }
-        if (!silent) {
-            silent = true;
-            targetSilent = services.silences().onSilence(target);
-        }
+        silent = true;
+        boolean targetSilent = !failureCounted && services.silences().onSilence(target, request.id());
+        failureCounted |= !targetSilent;
         silenceTimer = startSilenceTimer(limit);
         listener.onSilent(new Silence(Duration.ofNanos(services.clock().nanos() - lastSignAt), targetSilent));
     }
 
-    private void onPartSign(long now) {
-        lastSignAt = now;
-        services.silences().onSign(target, now);
+    private void onSign() {
+        lastSignAt = services.clock().nanos();
+        services.silences().onSign(target, lastSignAt);
+    }
+
+    private void onProgress() {
+        onSign();
         if (silent) {
             silent = false;
             listener.onResumed();
@@ -233,7 +221,7 @@
             return;
         }
         recordLoad(load);
-        services.silences().onSign(target, services.clock().nanos());
+        onSign();
         sending.onArrived();
         run.onNotExecuted();
         finish();
@@ -246,7 +234,8 @@
             return;
         }
         recordLoad(load);
-        services.silences().onSign(target, services.clock().nanos());
+        onProgress();
+        restartSilenceTimer(silenceLimits.beforeFirstPart());
         sending.onArrived();
         if (!listener.onHead(head)) {
             reject("the head does not fit what was sent before");
@@ -258,9 +247,8 @@
         if (ended) {
             return;
         }
-        long now = services.clock().nanos();
-        run.onPart(now);
-        onPartSign(now);
+        onProgress();
+        run.onPart(lastSignAt);
         recordPrefillRate();
         endPrefill();
         restartSilenceTimer(silenceLimits.betweenParts());
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -383,6 +383,15 @@
             }
         }
 
+        /** Counts a failure; a target that stands still accepts no connection either. */
+        private void recordFailure(FailureCause cause) {
+            if (cause == FailureCause.NOT_SENT) {
+                services.silences().onSilence(target, request.request().id());
+            } else {
+                services.health().onFailure(target.id());
+            }
+        }
+
         /** Ends this attempt; returns whether the request goes on at the silent target, or at the one that takes it over. */
         private boolean isAtAnotherTarget(FailureCause cause) {
             boolean replaced = attempts.isPredecessor(attempt);
@@ -441,7 +450,7 @@
 
         @Override
         public void onFailed(FailureCause cause, String reason) {
-            services.health().onFailure(target.id());
+            recordFailure(cause);
             steps.state().exclude(target.id());
             log.logAttemptFailed(target, cause, reason, relay.lastEventNumber());
             if (cause.mayHaveRun()) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeSettings.java
@@ -15,10 +15,10 @@
  * @param placementRetryInterval the interval at which a waiting request is placed again
  * @param slowLoadThreshold how long to wait for a load at one target before another target is asked
  * @param maximumDeferral how long after receipt a request may be deferred to avoid bursts of prompts
- * @param firstEventTimeout the silence before the first event after which a resumable stream moves to another target
- * @param nextEventTimeout the silence between events after which a resumable stream moves to another target
- * @param silenceTimeFraction the fraction of the remaining time after which a silent idempotent request is sent
- *         elsewhere
+ * @param firstEventTimeout the silence before the first event after which another target is sought for a resumable stream
+ * @param nextEventTimeout the silence between events after which another target is sought for a resumable stream
+ * @param silenceTimeFraction the fraction of the remaining time after which another target is sought for a silent
+ *         idempotent request
  * @param maximumIdleForSingleRun the maximum idle time of a connection that is reused for a request that may run only
  *         once
  * @param maximumIdleForRepeatable the maximum idle time of a connection that is reused for any other request
--- a/gateway/src/main/java/org/geraniumreach/gateway/silence/SilentTargets.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/silence/SilentTargets.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
 
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.TargetRegistry;
@@ -24,21 +27,21 @@
  */
 public final class SilentTargets implements TargetRegistry.Listener {
 
-    /** Several times the interval at which a busy target sends parts, also while it prefills a long prompt. */
+    /** Several times the interval at which a target with several requests sends parts. One that has a single request may prefill as long. */
     static final Duration MINIMUM_SILENCE = Duration.ofMillis(700);
 
-    /** Longer than a sound target stands still. */
+    /** Longer than most sound targets stand still; a lost one is ejected then. */
     static final Duration MAXIMUM_SILENCE = Duration.ofSeconds(2);
 
     private final TargetHealth health;
-    private final Timers timers;
+    private final SilenceTimer timer;
     private final MonotonicClock clock;
-    private final Map<TargetId, Silence> silences = new HashMap<>();
+    private final Map<Target, Silence> silences = new HashMap<>();
 
     /** The silence of one target. */
     private static final class Silence {
         private Cancellable end = Cancellable.NOOP;
-        private int failures;
+        private final Set<String> requests = new HashSet<>();
     }
 
     /**
@@ -50,36 +53,53 @@
      */
     public SilentTargets(TargetHealth health, Timers timers, MonotonicClock clock) {
         this.health = Objects.requireNonNull(health, "health");
-        this.timers = Objects.requireNonNull(timers, "timers");
+        this.timer = new SilenceTimer(timers, clock);
         this.clock = Objects.requireNonNull(clock, "clock");
     }
 
     /**
-     * Records that a request has waited for a part of its answer for too long.
+     * Gets the timer for limits on the silence of targets.
+     *
+     * @return the timer, not null
+     */
+    public SilenceTimer timer() {
+        return timer;
+    }
+
+    /**
+     * Records that a request has waited for a part of its answer for too long, or still waits.
      *
      * @param target the target, not null
+     * @param request the id of the request, not null
      * @return true if the target is silent as a whole, false if it answers other requests
      */
-    public boolean onSilence(Target target) {
-        if (clock.nanos() - target.lastSignAt() < MINIMUM_SILENCE.toNanos()) {
+    public boolean onSilence(Target target, String request) {
+        if (!isWithoutSign(target)) {
             health.onFailure(target.id());
             return false;
         }
-        silences.computeIfAbsent(target.id(), missing -> start(target)).failures++;
+        silences.computeIfAbsent(target, this::start).requests.add(request);
         return true;
     }
 
+    /**
+     * Queries whether requests wait at a target that has sent nothing of late, and which may be silent.
+     *
+     * @param target the target, not null
+     * @return true if it may be
+     */
+    public boolean isWithoutSign(Target target) {
+        return target.outstanding() > 0 && clock.nanos() - target.lastSignAt() >= MINIMUM_SILENCE.toNanos();
+    }
+
     private Silence start(Target target) {
         Silence silence = new Silence();
-        silence.end = timers.schedule(MAXIMUM_SILENCE, () -> end(target.id()));
+        silence.end = timer.schedule(MAXIMUM_SILENCE, () -> end(target));
         return silence;
     }
 
-    private void end(TargetId target) {
-        Silence ended = silences.remove(target);
-        for (int failure = 0; failure < ended.failures; failure++) {
-            health.onFailure(target);
-        }
+    private void end(Target target) {
+        silences.remove(target).requests.forEach(request -> health.onFailure(target.id()));
     }
 
     /**
@@ -102,23 +122,28 @@
      * @return true if it is
      */
     public boolean isSilent(Target target) {
-        return silences.containsKey(target.id());
+        return silences.containsKey(target);
     }
 
+    /** Forgets the silence of an ended incarnation. */
     @Override
     public void onJoined(Target target) {
-        forget(target);
+        forgetId(target.id());
     }
 
     @Override
     public void onLeft(Target target) {
-        forget(target);
+        forgetId(target.id());
+    }
+
+    private void forgetId(TargetId id) {
+        silences.keySet().stream()
+                .filter(target -> target.id().equals(id))
+                .toList()
+                .forEach(this::forget);
     }
 
     private void forget(Target target) {
-        Silence forgotten = silences.remove(target.id());
-        if (forgotten != null) {
-            forgotten.end.cancel();
-        }
+        Optional.ofNullable(silences.remove(target)).ifPresent(forgotten -> forgotten.end.cancel());
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
@@ -162,6 +162,25 @@
         assertThat(world.openExchanges()).isZero();
     }
 
+    /** Guards against a successor that is cancelled since its silent predecessor refuses the request. */
+    @Test
+    void aSilentTargetThatRefusesLeavesTheRequestToItsSuccessor() {
+        RequestHarness world = new RequestHarness(AMPLE_RETRIES);
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a")
+                .addTarget("b");
+        RecordedAnswer answer = world.send();
+        SentRequest first = world.targets().lastRequest();
+        world.time().advance(Duration.ofMillis(1_501));
+        SentRequest second = world.targets().lastRequest();
+        first.answerNotExecuted(NotExecuted.SHED);
+        assertThat(second.isOpen()).isTrue();
+        second.answerHead(200, true);
+        second.endAnswer();
+        assertThat(answer.isComplete()).isTrue();
+        assertThat(world.targets().sentRequests()).hasSize(2);
+    }
+
     /** Guards against a silent target that is given up while another one is loading what the request needs. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/gateway/src/test/java/org/geraniumreach/gateway/silence/SilentTargetsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/silence/SilentTargetsTest.java
@@ -51,9 +51,10 @@
         put("c", 1);
         Target target = put("a", 1);
         registry.addListener(silences);
+        target.onRequestSent(0, time.nanos());
         time.advance(SilentTargets.MINIMUM_SILENCE);
         for (int request = 0; request < requests; request++) {
-            assertThat(silences.onSilence(target)).isTrue();
+            assertThat(silences.onSilence(target, "request-" + request)).isTrue();
         }
         return target;
     }
@@ -82,7 +83,7 @@
         Target restarted = put("a", 2);
         assertThat(restarted).isNotSameAs(ended);
         time.advance(SilentTargets.MINIMUM_SILENCE);
-        silences.onSilence(ended);
+        silences.onSilence(ended, "request");
         assertThat(silences.isSilent(restarted)).isFalse();
     }
 }
