Keep a request at its silent target if the other one has sent nothing of late either

An answer was moved from one silent target to another that this entry knew to be silent, or that fell silent while the request waited for its turn there: placement falls back to such targets if there are no others, which is right for new requests only.

A silent request is placed only at a target that answers, which is asked again when it is about to be sent.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
@@ -75,6 +75,18 @@
         }
     }
 
+    /**
+     * Gets the target that is to run the request or to load its adapter.
+     *
+     * @return the target, empty if none was selected, not null
+     */
+    default Optional<Target> selectedTarget() {
+        if (this instanceof Send send) {
+            return Optional.of(send.target());
+        }
+        return this instanceof Load load ? Optional.of(load.target()) : Optional.empty();
+    }
+
     /** The reason for a decision. */
     enum Reason {
         /** The target ranks first in the order that all entries agree on. */
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -113,6 +113,10 @@
 
         @Override
         public boolean isSendAllowed(PlacementDecision placed) {
+            if (placed.selectedTarget().filter(Exchange.this::isSilentToo).isPresent()) {
+                giveUpUnlessAtTarget("the other target is silent as well", () -> {});
+                return false;
+            }
             return isGranted(decideRetry(placed));
         }
 
@@ -134,6 +138,10 @@
 
     private void send(PlacementDecision.Send send) {
         Target target = send.target();
+        if (isSilentToo(target)) {
+            steps.place();
+            return;
+        }
         Optional<RetryDecision> retry = decideRetry(send);
         if (!isGranted(retry)) {
             return;
@@ -211,6 +219,11 @@
         log.logAttemptKept(attempts.current().get().target(), reason, progress());
     }
 
+    /** Queries whether a request would leave its silent target for another one that is silent. */
+    private boolean isSilentToo(Target other) {
+        return attempts.current().isPresent() && services.silences().isWithoutSign(other);
+    }
+
     /** Places a request again that has come under suspicion while it waited for its turn. */
     private void sendLater(Verdict verdict) {
         if (verdict.result() == Verdict.Result.HELD) {
