Forget what a request learnt while it was placed in vain

An attempt that failed while another target was sought left the decision that the search was waiting for pending, so that a second one was made for nothing. A rejection by a target's owner was kept for good: when the answer broke off seconds later, the owner was not asked again, and the answer ended.

A new placement cancels all waits, and when a search is stopped its refusals and load requests are forgotten.

ReplacedAttemptTest: aSilentAttemptThatFailsLeavesNoOldDecisionPending and anOwnerThatRejectedASilentAnswerIsAskedAgainLater failed on, and pass now, as does the whole class.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdmissionAttempts.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdmissionAttempts.java
@@ -35,6 +35,15 @@
     private int refusals;
     private boolean hasWaitedLast;
 
+    /** Forgets all refusals, which say nothing about a later placement. */
+    void forget() {
+        saturatedTargets.clear();
+        rejections.clear();
+        lastRejection = Optional.empty();
+        refusals = 0;
+        hasWaitedLast = false;
+    }
+
     boolean mayAttempt() {
         return refusals < MAXIMUM_REFUSALS;
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/LoadWait.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/LoadWait.java
@@ -57,6 +57,13 @@
         startedAt = OptionalLong.empty();
     }
 
+    /** Forgets also at which targets the load was requested; a later placement may find them otherwise. */
+    void forget() {
+        reset();
+        requestedAt.clear();
+        declined.clear();
+    }
+
     /** Gets the requested targets that may still complete the load in time. */
     Set<TargetId> loadingTargets(long now) {
         return requestedTargets(now, false);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
@@ -82,6 +82,7 @@
 
     /** Runs the steps from the placement on, after an attempt that has ended, or beside one that is silent. */
     void place() {
+        waits.cancelAll();
         placing = true;
         placeNow();
     }
@@ -96,7 +97,8 @@
         placing = false;
         waits.cancelAll();
         waits.stop();
-        state.loadWait().reset();
+        state.loadWait().forget();
+        state.admissionAttempts().forget();
         admissionStep.end();
     }
 
