Log why a caller's connection ends with an unanswered request

Callers saw connections that closed without an answer, and no line of any log named them: a close by the accept limit, within a head, by the HTTP library, after a failed write and at the exit of the process left none, and the line of a body that broke off did not name its request.

OpenConnections now sees all bytes that are received and reports the end of each connection with its cause; Ingress writes one line (4026) if a request was arriving or was read and not answered, unless another line tells the cause.

--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -1,14 +1,17 @@
 package org.geraniumreach.httpserver;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
+import org.geraniumreach.model.MonotonicClock;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Closeable;
@@ -18,6 +21,7 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.server.AddOn;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.nio.NIOConnection;
@@ -27,44 +31,104 @@
 /**
  * The open connections of a listener that is served by one selector thread.
  *
- * <p>Invariant: connections are closed on the selector thread, which also reads the requests, so no request is read from a
- * connection between the check that it is idle and its close. Safe for use by several threads.
+ * <p>Invariants: idle connections are closed on the selector thread, which also reads the requests, so no request is read from a
+ * connection between the check that it is idle and its close; the end of each connection is reported once, with its cause. Safe for
+ * use by several threads.
  */
 public final class OpenConnections extends BaseFilter implements AddOn {
 
-    private final Set<NIOConnection> connections = ConcurrentHashMap.newKeySet();
+    private final Map<Connection<?>, ReceivedBytes> connections = new ConcurrentHashMap<>();
     private final BooleanSupplier accepts;
+    private final Consumer<ConnectionEnd> onClosed;
+    private final MonotonicClock clock = MonotonicClock.system();
     private volatile Optional<SelectorRunner> selectorThread = Optional.empty();
 
     /**
      * Creates an instance without connections.
      *
      * @param accepts decides on each new connection, called on the selector thread; one that is not accepted is closed unread, not null
+     * @param onClosed receives the end of each connection, called on any thread, not null
      */
-    public OpenConnections(BooleanSupplier accepts) {
+    public OpenConnections(BooleanSupplier accepts, Consumer<ConnectionEnd> onClosed) {
         this.accepts = Objects.requireNonNull(accepts, "accepts");
+        this.onClosed = Objects.requireNonNull(onClosed, "onClosed");
     }
 
+    /** Adds the filter before those that parse requests, so that it sees all bytes that are received. */
     @Override
     public void setup(NetworkListener listener, FilterChainBuilder filters) {
-        filters.add(this);
+        filters.add(filters.indexOfType(TransportFilter.class) + 1, this);
     }
 
     @Override
     @SuppressWarnings("deprecation") // Grizzly itself requires the deprecated interface as a type bound.
     public NextAction handleAccept(FilterChainContext context) throws IOException {
         NIOConnection connection = (NIOConnection) context.getConnection();
+        ReceivedBytes received = new ReceivedBytes(clock);
+        connections.put(connection, received);
+        connection.addCloseListener((CloseListener<Closeable, CloseType>) (closed, type) -> onClosed(connection, type));
         if (!accepts.getAsBoolean()) {
+            received.setCause(CloseCause.NOT_ACCEPTED);
             connection.closeSilently();
             return context.getStopAction();
         }
         selectorThread = Optional.of(connection.getSelectorRunner());
-        connections.add(connection);
-        connection.addCloseListener(
-                (CloseListener<Closeable, CloseType>) (closed, type) -> connections.remove(connection));
         return context.getInvokeAction();
     }
 
+    @Override
+    public NextAction handleRead(FilterChainContext context) throws IOException {
+        Buffer bytes = context.getMessage();
+        find(context.getConnection()).ifPresent(received -> received.onBytes(bytes.remaining()));
+        return context.getInvokeAction();
+    }
+
+    private Optional<ReceivedBytes> find(Connection<?> connection) {
+        return Optional.ofNullable(connections.get(connection));
+    }
+
+    private void onClosed(Connection<?> connection, CloseType type) {
+        ReceivedBytes received = connections.remove(connection);
+        if (received != null) {
+            onClosed.accept(received.end(connection, type));
+        }
+    }
+
+    /**
+     * Records that all that has been received belongs to requests that were read.
+     *
+     * @param connection the connection, not null
+     */
+    public void onRequestRead(Connection<?> connection) {
+        find(connection).ifPresent(ReceivedBytes::onRequestRead);
+    }
+
+    /**
+     * Records why a connection is about to be closed; the first cause counts.
+     *
+     * @param connection the connection, not null
+     * @param cause the cause, not null
+     */
+    public void setCause(Connection<?> connection, CloseCause cause) {
+        find(connection).ifPresent(received -> received.setCause(cause));
+    }
+
+    /**
+     * Closes a connection at once, discarding what has not been sent.
+     *
+     * @param connection the connection, not null
+     * @param cause the cause, not null
+     */
+    public void terminate(Connection<?> connection, CloseCause cause) {
+        setCause(connection, cause);
+        connection.terminateSilently();
+    }
+
+    /** Closes all connections at once, because the process exits. */
+    public void terminateAll() {
+        connections.keySet().forEach(connection -> terminate(connection, CloseCause.EXIT));
+    }
+
     /**
      * Closes the connections that are idle, after everything written to them has been sent.
      *
@@ -82,7 +146,7 @@
         selectorHandler.execute(
                 runner,
                 () -> {
-                    connections.stream().filter(idle).forEach(Connection::closeSilently);
+                    connections.forEach((connection, received) -> closeIfIdle(connection, received, idle));
                     remaining.complete(connections.size());
                     return true;
                 },
@@ -94,4 +158,11 @@
                 });
         return remaining;
     }
+
+    private static void closeIfIdle(Connection<?> connection, ReceivedBytes received, Predicate<Connection<?>> idle) {
+        if (idle.test(connection)) {
+            received.setCause(CloseCause.DRAIN);
+            connection.closeSilently();
+        }
+    }
 }
--- /dev/null
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
@@ -0,0 +1,47 @@
+package org.geraniumreach.httpserver;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.geraniumreach.model.MonotonicClock;
+import org.glassfish.grizzly.CloseType;
+import org.glassfish.grizzly.Connection;
+
+/**
+ * What has been received on one connection, and why it is closed.
+ *
+ * <p>Invariant: the first cause that is set is kept. Bytes of a further request that arrive together with the end of the request before count as part
+ * of that one. Safe for use by several threads.
+ */
+final class ReceivedBytes {
+
+    private final MonotonicClock clock;
+    private long total;
+    private long lastAt;
+    private boolean receiving;
+    private Optional<CloseCause> cause = Optional.empty();
+
+    ReceivedBytes(MonotonicClock clock) {
+        this.clock = clock;
+        this.lastAt = clock.nanos();
+    }
+
+    synchronized void onBytes(int count) {
+        total += count;
+        lastAt = clock.nanos();
+        receiving = true;
+    }
+
+    synchronized void onRequestRead() {
+        receiving = false;
+    }
+
+    synchronized void setCause(CloseCause newCause) {
+        cause = cause.or(() -> Optional.of(newCause));
+    }
+
+    synchronized ConnectionEnd end(Connection<?> connection, CloseType type) {
+        CloseCause known = cause.orElse(type == CloseType.REMOTELY ? CloseCause.CALLER : CloseCause.LIBRARY);
+        return new ConnectionEnd(connection, known, receiving, total, Duration.ofNanos(clock.nanos() - lastAt));
+    }
+}
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -66,6 +66,10 @@
     CONNECTIONS_UNLIMITED(4023, Level.INFO, "All new connections are accepted again."),
     ATTEMPT_SILENT(4024, Level.INFO, "A target has sent nothing of an answer for a while; another may take it over."),
     ATTEMPT_KEPT(4025, Level.INFO, "A request stays at its silent target, since no other may take it over now."),
+    CONNECTION_CLOSED(
+            4026,
+            Level.INFO,
+            "A caller's connection was closed on which a request was arriving or had no whole answer."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -655,6 +655,7 @@
                                 Field.of("holder", ""),
                                 Field.of("told", answered)));
         log.write(EventCode.DRAINED, settings.instance(), Field.of("open", ingress.openRequests()));
+        ingress.terminateConnections();
         jsonLog.close();
     }
 
