Read a request that is arriving when a drain closes idle connections

At the end of a drain a connection counted as idle unless the head of a request had been read whole. A request whose head had come in part, or that was in the socket and not yet read, was cut off: its caller got neither an answer nor a refusal.

A connection on which bytes of a request have come within the last 500 ms, or wait in the socket, is now left open; the request is read, answered or refused, and its answer closes the connection. A caller that stops within a request does not delay the drain for longer.

--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -1,6 +1,8 @@
 package org.geraniumreach.httpserver;
 
 import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -37,6 +39,9 @@
  */
 public final class OpenConnections extends BaseFilter implements AddOn {
 
+    /** A caller that pauses for longer within a request does not delay a drain. */
+    private static final Duration RECEIVE_TIMEOUT = Duration.ofMillis(500);
+
     private final Map<Connection<?>, ReceivedBytes> connections = new ConcurrentHashMap<>();
     private final BooleanSupplier accepts;
     private final Consumer<ConnectionEnd> onClosed;
@@ -132,6 +137,8 @@
     /**
      * Closes the connections that are idle, after everything written to them has been sent.
      *
+     * <p>A connection on which a request has begun to arrive is not idle, also if none of it has been read.
+     *
      * @param idle whether no request of a connection is being read or answered, called on the selector thread, not null
      * @return completed on the selector thread with the number of connections that are still open, not null
      */
@@ -160,9 +167,18 @@
     }
 
     private static void closeIfIdle(Connection<?> connection, ReceivedBytes received, Predicate<Connection<?>> idle) {
-        if (idle.test(connection)) {
+        if (idle.test(connection) && !received.isReceivingWithin(RECEIVE_TIMEOUT) && !hasUnreadBytes(connection)) {
             received.setCause(CloseCause.DRAIN);
             connection.closeSilently();
         }
     }
+
+    private static boolean hasUnreadBytes(Connection<?> connection) {
+        try {
+            SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
+            return channel.socket().getInputStream().available() > 0;
+        } catch (IOException closed) {
+            return false;
+        }
+    }
 }
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
@@ -40,6 +40,11 @@
         cause = cause.or(() -> Optional.of(newCause));
     }
 
+    /** Queries whether a request is being received whose last byte came within the given time. */
+    synchronized boolean isReceivingWithin(Duration time) {
+        return receiving && clock.nanos() - lastAt < time.toNanos();
+    }
+
     synchronized ConnectionEnd end(Connection<?> connection, CloseType type) {
         CloseCause known = cause.orElse(type == CloseType.REMOTELY ? CloseCause.CALLER : CloseCause.LIBRARY);
         return new ConnectionEnd(connection, known, receiving, total, Duration.ofNanos(clock.nanos() - lastAt));
