End the open requests of an entry before its process exits

Requests that waited in the entry, which any other could have served, were reset as well.

When the time is up, RequestHandler now ends all requests: those that no target can have begun, held and searching ones too, are refused (503, DRAINING, with Retry-After); those that a target may have run are cancelled there and get 502 (OUTCOME_UNKNOWN); a stream that has begun breaks off. Each leaves its usual line, and DRAIN_CUT (1006) their number. What an attempt has received so far is discarded first, so that a part of an error answer is never passed on as a whole one. A caller that leaves while its request is held, or its stream's origin is searched for, now leaves a line as well (4011).

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -536,6 +536,15 @@
         stop(verdict);
     }
 
+    /** Ends the request at once, because this entry cannot go on with it. */
+    void abandon(Refusal notRun) {
+        if (attempt.isPresent()) {
+            abandonAttempt();
+            relay.discardAttempt();
+        }
+        giveUp(notRun.code(), notRun.message(), notRun.retryAfter());
+    }
+
     void onCallerGone() {
         if (ended) {
             return;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -5,7 +5,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import org.geraniumreach.gateway.port.CallerAnswer;
@@ -28,10 +30,14 @@
 
     private static final Duration UNCONFIGURED_RETRY_AFTER = Duration.ofMillis(500);
 
+    private static final Refusal EXITING =
+            Refusal.withRetryAfter(ResultCode.DRAINING, "this entry exits", Duration.ZERO);
+
     private final ExchangeServices services;
     private final Supplier<Optional<TrafficConfiguration>> configuration;
     private final DoubleSupplier serviceDraw;
     private final Set<Exchange> openExchanges = new HashSet<>();
+    private final Set<WaitingRequest> waitingRequests = new HashSet<>();
     private final OutputLengths outputLengths = new OutputLengths();
     private final StartupQueue startupQueue;
     private final StreamResumption resumption;
@@ -69,18 +75,50 @@
         if (startupQueue.isEnded()) {
             return handle(received);
         }
-        ReplaceableCancellable replaceable = new ReplaceableCancellable();
-        replaceable.current = startupQueue.hold(request.callerTimeout(), () -> replaceable.current = handle(received));
-        return replaceable;
+        return await(received, next -> startupQueue.hold(request.callerTimeout(), () -> next.accept(handle(received))));
+    }
+
+    /**
+     * Waits until a request can go on.
+     *
+     * @param start starts the wait and passes on what goes on after it, possibly at once, not null
+     * @return the wait, or what goes on after it, not null
+     */
+    private Cancellable await(ReceivedRequest received, Function<Consumer<Cancellable>, Cancellable> start) {
+        WaitingRequest waiting = new WaitingRequest(received);
+        waitingRequests.add(waiting);
+        Cancellable wait = start.apply(waiting::end);
+        if (waitingRequests.contains(waiting)) {
+            waiting.current = wait;
+        }
+        return waiting;
     }
 
-    /** Cancels the request in its current stage. */
-    private static final class ReplaceableCancellable implements Cancellable {
+    /** A request that waits before an exchange can start, and then the handle that cancels its exchange. */
+    private final class WaitingRequest implements Cancellable {
+        private final ReceivedRequest received;
         private Cancellable current = Cancellable.NOOP;
-        private boolean replaced;
+
+        private WaitingRequest(ReceivedRequest received) {
+            this.received = received;
+        }
+
+        private void end(Cancellable next) {
+            waitingRequests.remove(this);
+            current = next;
+        }
+
+        private void refuseAtExit() {
+            waitingRequests.remove(this);
+            current.cancel();
+            refuse(received.request(), received.answer(), EXITING);
+        }
 
         @Override
         public void cancel() {
+            if (waitingRequests.remove(this)) {
+                services.log().write(EventCode.CALLER_GONE, received.request().id(), Field.of("arrivals", 0));
+            }
             current.cancel();
         }
     }
@@ -135,17 +173,16 @@
         if (!StreamResumption.isResumption(request, route)) {
             return start(received, route, account, ServiceChoice.anyVersion(service));
         }
-        ReplaceableCancellable replaceable = new ReplaceableCancellable();
-        Cancellable search = resumption.decide(request, route, account, service, decision -> {
-            replaceable.current = decision.origin()
-                    .map(origin -> start(received, route, account, ServiceChoice.of(origin)))
-                    .orElseGet(() -> refuse(request, received.answer(), decision.refusal()));
-            replaceable.replaced = true;
-        });
-        if (!replaceable.replaced) {
-            replaceable.current = search;
-        }
-        return replaceable;
+        return await(
+                received,
+                next -> resumption.decide(
+                        request,
+                        route,
+                        account,
+                        service,
+                        decision -> next.accept(decision.origin()
+                                .map(origin -> start(received, route, account, ServiceChoice.of(origin)))
+                                .orElseGet(() -> refuse(request, received.answer(), decision.refusal())))));
     }
 
     private Cancellable start(ReceivedRequest received, Route route, Optional<Account> account, ServiceChoice choice) {
@@ -170,6 +207,18 @@
         drainRule = Optional.of(DrainRule.closed(services.clock().nanos()));
     }
 
+    /**
+     * Ends all requests, because the process exits now.
+     *
+     * <p>Those that no target can have begun are refused; of the others their callers learn that the outcome is unknown, unless their
+     * answers have begun, which break off.
+     */
+    public void endOpenRequests() {
+        close();
+        Set.copyOf(waitingRequests).forEach(WaitingRequest::refuseAtExit);
+        Set.copyOf(openExchanges).forEach(exchange -> exchange.abandon(EXITING));
+    }
+
     private Cancellable refuse(GatewayRequest request, CallerAnswer answer, Refusal refusal) {
         services.log()
                 .write(
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -461,6 +461,11 @@
         handler.close();
     }
 
+    /** Ends all requests, as at the exit of the process. */
+    public void endOpenRequests() {
+        handler.endOpenRequests();
+    }
+
     public VirtualTime time() {
         return time;
     }
--- a/node/src/main/java/org/geraniumreach/node/EntryDrain.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryDrain.java
@@ -12,7 +12,8 @@
 import org.geraniumreach.model.MonotonicClock;
 
 /**
- * Drains an entry before its process exits: waits for open requests, then releases the lease and closes the connections of callers.
+ * Drains an entry before its process exits: waits for open requests, ends those that remain when the time is up, then releases the lease and
+ * closes the connections of callers.
  *
  * <p>Invariants: the lease is released only when no request is open or the time is up, because after a release nobody can load adapters
  * at the entry's targets for the seconds in which its last order may still arrive, and a rolling restart would repeat that for each
@@ -39,6 +40,8 @@
     private final Consumer<Runnable> releaseLease;
     private final Duration maxDuration;
     private final MonotonicClock clock;
+    private long startedAt;
+    private boolean requestsEnded;
 
     /** The requests and connections of callers. */
     interface Callers {
@@ -70,42 +73,55 @@
      *
      * @param onStart called first, with the maximum duration of the drain, not null
      * @param stopAccepting called before the lease is released, to refuse further requests, not null
+     * @param endRequests called when the time is up, to end the requests that are still open, not null
      * @param onReleased called with whether the store has answered the release in time, not null
      */
-    void run(Consumer<Duration> onStart, Runnable stopAccepting, Consumer<Boolean> onReleased) {
-        long startedAt = clock.nanos();
+    void run(Consumer<Duration> onStart, Runnable stopAccepting, Runnable endRequests, Consumer<Boolean> onReleased) {
+        startedAt = clock.nanos();
         onStart.accept(maxDuration);
         try {
-            awaitIdle(startedAt);
+            awaitIdle();
             stopAccepting.run();
+            endRequestsIfTimeIsUp(endRequests);
             callers.closeIdleConnections();
             CountDownLatch answered = new CountDownLatch(1);
             releaseLease.accept(answered::countDown);
             onReleased.accept(answered.await(LEASE_RELEASE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS));
-            awaitConnectionsClosed(startedAt);
+            awaitConnectionsClosed(endRequests);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private void awaitIdle(long startedAt) throws InterruptedException {
+    private void awaitIdle() throws InterruptedException {
         while (true) {
-            Duration elapsed = elapsedSince(startedAt);
-            boolean idle = callers.openRequests() == 0 && elapsed.compareTo(MIN_DRAIN_TIME) >= 0;
-            if (idle || elapsed.compareTo(maxDuration) >= 0) {
+            boolean idle = callers.openRequests() == 0 && elapsed().compareTo(MIN_DRAIN_TIME) >= 0;
+            if (idle || isTimeUp()) {
                 return;
             }
             Thread.sleep(POLL_INTERVAL.toMillis());
         }
     }
 
-    private Duration elapsedSince(long startedAt) {
+    private void endRequestsIfTimeIsUp(Runnable endRequests) {
+        if (!requestsEnded && isTimeUp()) {
+            requestsEnded = true;
+            endRequests.run();
+        }
+    }
+
+    private boolean isTimeUp() {
+        return elapsed().compareTo(maxDuration) >= 0;
+    }
+
+    private Duration elapsed() {
         return Duration.ofNanos(clock.nanos() - startedAt);
     }
 
-    private void awaitConnectionsClosed(long startedAt) throws InterruptedException {
+    private void awaitConnectionsClosed(Runnable endRequests) throws InterruptedException {
         Duration limit = maxDuration.plus(CLOSE_TIMEOUT);
-        while (!areConnectionsClosed() && elapsedSince(startedAt).compareTo(limit) < 0) {
+        while (!areConnectionsClosed() && elapsed().compareTo(limit) < 0) {
+            endRequestsIfTimeIsUp(endRequests);
             Thread.sleep(CLOSE_POLL_INTERVAL.toMillis());
         }
     }
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -649,6 +649,7 @@
                             directory.stop();
                         }),
                         () -> loop.execute(requests::close),
+                        this::endOpenRequests,
                         answered -> log.write(
                                 EventCode.HOLDER_CHANGED,
                                 settings.instance(),
@@ -659,6 +660,11 @@
         jsonLog.close();
     }
 
+    private void endOpenRequests() {
+        log.write(EventCode.DRAIN_CUT, settings.instance(), Field.of("open", ingress.openRequests()));
+        loop.execute(requests::endOpenRequests);
+    }
+
     /** Releases the lease, and with it the right to send orders to targets. */
     private void releaseLease(Runnable released) {
         loop.execute(() -> leaseRenewer.release(released));
--- a/node/src/test/java/org/geraniumreach/node/EntryDrainCallersTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryDrainCallersTest.java
@@ -72,7 +72,7 @@
             ingress.drain();
             MonotonicClock fastClock = () -> System.nanoTime() * CLOCK_SPEED;
             EntryDrain drain = new EntryDrain(new IngressCallers(ingress), Runnable::run, KILL_TIMEOUT, fastClock);
-            drain.run(maxDuration -> {}, () -> {}, released -> {});
+            drain.run(maxDuration -> {}, () -> {}, () -> {}, released -> {});
             drained = true;
             assertThat(ingress.closeIdleConnections().get()).isZero();
             Thread.sleep(EXIT_TIME.toMillis());
--- a/node/src/test/java/org/geraniumreach/node/EntryDrainTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryDrainTest.java
@@ -52,9 +52,39 @@
                 },
                 KILL_TIMEOUT,
                 fastClock);
-        drain.run(maxDuration -> events.add("began"), () -> events.add("closed"), answered -> assertThat(answered)
-                .isTrue());
+        drain.run(
+                maxDuration -> events.add("began"),
+                () -> events.add("closed"),
+                () -> events.add("cut"),
+                answered -> assertThat(answered).isTrue());
         assertThat(events).containsExactly("began", "closed", "released", "answered");
         assertThat(open).hasValue(0);
     }
+
+    /** Guards against a process that exits with open requests which got no answer. */
+    @Test
+    void requestsThatAreOpenWhenTheTimeIsUpAreEndedOnceAndBeforeTheLeaseIsReleased() {
+        List<String> events = new ArrayList<>();
+        AtomicInteger open = new AtomicInteger(1);
+        EntryDrain drain = new EntryDrain(
+                new EntryDrain.Callers() {
+                    @Override
+                    public int openRequests() {
+                        return open.get();
+                    }
+
+                    @Override
+                    public CompletableFuture<Integer> closeIdleConnections() {
+                        return CompletableFuture.completedFuture(open.get());
+                    }
+                },
+                onReleased -> {
+                    events.add("released");
+                    onReleased.run();
+                },
+                Duration.ofMillis(1_200),
+                MonotonicClock.system());
+        drain.run(maxDuration -> {}, () -> events.add("closed"), () -> events.add("ended"), released -> {});
+        assertThat(events).containsExactly("closed", "ended", "released");
+    }
 }
