Report the connections that an exit closes before the log is closed

The library may report a close later, on its selector thread, while the process closes its log right after it has closed the connections; the lines of requests that were left unanswered could be missing. The ends are now reported before the connections are closed.

--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -129,9 +129,13 @@
         connection.terminateSilently();
     }
 
-    /** Closes all connections at once, because the process exits. */
+    /** Closes all connections at once, because the process exits; their ends have been reported when this returns. */
     public void terminateAll() {
-        connections.keySet().forEach(connection -> terminate(connection, CloseCause.EXIT));
+        connections.forEach((connection, received) -> {
+            received.setCause(CloseCause.EXIT);
+            onClosed(connection, CloseType.LOCALLY);
+            connection.terminateSilently();
+        });
     }
 
     /**
