--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -649,15 +649,22 @@
                             directory.stop();
                         }),
                         () -> loop.execute(requests::close),
+                        this::endOpenRequests,
                         answered -> log.write(
                                 EventCode.HOLDER_CHANGED,
                                 settings.instance(),
                                 Field.of("holder", ""),
                                 Field.of("told", answered)));
         log.write(EventCode.DRAINED, settings.instance(), Field.of("open", ingress.openRequests()));
+        ingress.terminateConnections();
         jsonLog.close();
     }
 
+    private void endOpenRequests() {
+        log.write(EventCode.DRAIN_CUT, settings.instance(), Field.of("open", ingress.openRequests()));
+        loop.execute(requests::endOpenRequests);
+    }
+
     /** Releases the lease, and with it the right to send orders to targets. */
     private void releaseLease(Runnable released) {
         loop.execute(() -> leaseRenewer.release(released));
