Don't take an unconfirmed fencing token for a superseded one

What callers saw: after a pause of its companion of over 2 s, a sound target was lost to them for good. Every further request to it was refused with FENCED, and with NO_TARGET once the entries knew, until the companion was started again.

Cause: at a target that checks no fencing tokens, a companion that finds a gap of more than the order limit (2 s) between two ticks sends no order until it has read its token again. A load in that time failed with the reason FENCED, as a load that the engine refuses for a newer token does, and AdapterLoader took both for the takeover by another companion. That is never taken back: the companion acted on a suspicion that the next read of the table would have disproved.

Only an engine's refusal counts as a takeover now. A load that may not be ordered refuses its waiting requests as not run, with FENCED, and calls nothing.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/AdapterLoader.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/AdapterLoader.java
@@ -70,17 +70,22 @@
             EventLog.write(EventCode.ADAPTER_LOADED, "{}", command.adapter());
         } catch (PlatformException failure) {
             onFailed(command, failure);
+        } catch (UnauthorizedOrderException unauthorized) {
+            refuseWaiters(command, ResultCode.FENCED, unauthorized.getMessage());
         }
     }
 
-    private CommandFence authorizedOrder() throws PlatformException {
-        return authorization
-                .authorize(clock.nanos())
-                .orElseThrow(() -> new PlatformException(
-                        PlatformException.Effect.NONE,
-                        PlatformException.Reason.FENCED,
-                        "this companion may not give the target orders",
-                        null));
+    /** Thrown if no order may be sent; the engine has not been called. */
+    private static final class UnauthorizedOrderException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        private UnauthorizedOrderException() {
+            super("this companion may not give the target orders");
+        }
+    }
+
+    private CommandFence authorizedOrder() throws UnauthorizedOrderException {
+        return authorization.authorize(clock.nanos()).orElseThrow(UnauthorizedOrderException::new);
     }
 
     private void onFailed(AdapterLoadCommand command, PlatformException failure) {
@@ -88,14 +93,17 @@
         if (failure.reason() == PlatformException.Reason.FENCED) {
             authorization.onFencedOut();
         }
+        refuseWaiters(
+                command,
+                ResultCode.LOAD_FAILED,
+                "the load of " + command.adapter() + " failed: " + failure.getMessage());
+    }
+
+    private void refuseWaiters(AdapterLoadCommand command, ResultCode code, String message) {
         engineMonitor.invalidate();
         for (AttemptId waiter : residency.onLoadFailed(command)) {
             queue.remove(waiter)
-                    .ifPresent(request -> lifecycle.refuse(
-                            request.payload(),
-                            ServingException.notRun(
-                                    ResultCode.LOAD_FAILED,
-                                    "the load of " + command.adapter() + " failed: " + failure.getMessage())));
+                    .ifPresent(request -> lifecycle.refuse(request.payload(), ServingException.notRun(code, message)));
         }
     }
 
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 
 import com.google.protobuf.ByteString;
@@ -39,6 +40,7 @@
     private final PlainService service;
     private final CompanionSettings settings;
     private final MonotonicClock clock = MonotonicClock.system();
+    private final AtomicLong pausedNanos = new AtomicLong();
     private final LinkNode entryLinks;
     private final LinkAttempts linkAttempts;
     private LinkNode companionLinks;
@@ -81,7 +83,7 @@
                 table,
                 Optional.ofNullable(engine),
                 Optional.ofNullable(service),
-                clock,
+                () -> clock.nanos() + pausedNanos.get(),
                 InstantSource.system());
     }
 
@@ -93,6 +95,11 @@
         startCompanion();
     }
 
+    /** Advances the companion's clock, as it finds it after a pause of the process. */
+    void pauseCompanion(Duration pause) {
+        pausedNanos.addAndGet(pause.toNanos());
+    }
+
     LinkNode companionLinks() {
         return companionLinks;
     }
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeTable.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeTable.java
@@ -12,18 +12,35 @@
 import org.geraniumreach.ports.PlatformException.Effect;
 import org.geraniumreach.ports.TableService;
 
-/** An in-memory table service that can lose the answer to a write that took effect. */
+/** An in-memory table service that can hold reads and lose the answer to a write that took effect. */
 final class FakeTable implements TableService {
 
     private final Map<RowKey, Row> rows = new HashMap<>();
     private boolean losesNextAnswer;
+    private boolean holdsReads;
 
     synchronized void loseNextAnswer() {
         losesNextAnswer = true;
     }
 
+    synchronized void holdReads(boolean holds) {
+        holdsReads = holds;
+        notifyAll();
+    }
+
     @Override
-    public synchronized Optional<Row> read(RowKey key) {
+    public synchronized Optional<Row> read(RowKey key) throws PlatformException {
+        while (holdsReads) {
+            try {
+                wait();
+            } catch (InterruptedException stopped) {
+                throw new PlatformException(Effect.NONE, "interrupted", stopped);
+            }
+        }
+        return find(key);
+    }
+
+    private Optional<Row> find(RowKey key) {
         return Optional.ofNullable(rows.get(key));
     }
 
@@ -35,13 +52,13 @@
     @Override
     public synchronized boolean commit(Transaction transaction) throws PlatformException {
         for (Transaction.Condition condition : transaction.conditions()) {
-            long version = read(condition.key()).map(Row::version).orElse(Transaction.ABSENT_VERSION);
+            long version = find(condition.key()).map(Row::version).orElse(Transaction.ABSENT_VERSION);
             if (version != condition.version()) {
                 return false;
             }
         }
         for (Transaction.Write write : transaction.writes()) {
-            long version = read(write.key()).map(Row::version).orElse(0L);
+            long version = find(write.key()).map(Row::version).orElse(0L);
             rows.put(
                     write.key(), new Row(write.key(), version + 1, write.value().orElseThrow()));
         }
