Let requests wait while a paused companion reads its fencing token

What callers saw: generations and calls of plain services that reached a companion in a pause of over 2 s, or just after it, were refused with FENCED as soon as it went on, although the companion and its target were sound. Callers without a second target got the refusal; a call with an idempotency key ended with it.

Cause: after a gap between two ticks the companion must read its token again before it orders a target that checks none. That takes one read of the table, but what arrived before its end was refused, a whole pause's requests at once.

OrderAuthorization now tells "unconfirmed" from "refused": requests and loads stay in the queue until the first read that began after the gap has ended. They go on if the token is still the companion's, and are refused as not run, with FENCED, if it is not or cannot be read; that takes at most the time limits of the read under way and of the next one. No order is sent earlier than before. FENCE_READ_AFTER_PAUSE (4032) tells of the outcome.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
@@ -203,13 +203,16 @@
         dispatch();
     }
 
-    /** Sends the requests whose adapters are resident, and starts loads. */
+    /** Sends the requests whose adapters are resident, and starts loads; while no order may be sent, refuses them. */
     private void dispatch() {
         List<Runnable> actions = new ArrayList<>();
         synchronized (dispatchLock) {
-            takeRequests(actions);
-            if (inheritedStreams.isEmpty()) {
-                residency.startLoads().forEach(command -> actions.add(() -> loadExecutor.execute(() -> load(command))));
+            OrderAuthorization.State orders = authorization.state(clock.nanos());
+            if (orders == OrderAuthorization.State.AUTHORIZED) {
+                takeRequests(actions);
+                startLoads(actions);
+            } else if (orders == OrderAuthorization.State.REFUSED) {
+                refuseRequests(actions);
             }
         }
         actions.forEach(Runnable::run);
@@ -232,6 +235,27 @@
         }
     }
 
+    private void startLoads(List<Runnable> actions) {
+        if (inheritedStreams.isEmpty()) {
+            residency.startLoads().forEach(command -> actions.add(() -> loadExecutor.execute(() -> load(command))));
+        }
+    }
+
+    private void refuseRequests(List<Runnable> actions) {
+        Optional<QueuedRequest<CompanionAttempt>> next = queue.take(adapter -> true);
+        while (next.isPresent()) {
+            QueuedRequest<CompanionAttempt> request = next.get();
+            queue.onFinished(request.attempt(), 0, 0);
+            residency.cancel(request.attempt());
+            actions.add(() -> lifecycle.refuse(request.payload(), unauthorized()));
+            next = queue.take(adapter -> true);
+        }
+    }
+
+    private static ServingException unauthorized() {
+        return ServingException.notRun(ResultCode.FENCED, "this companion may not give the target orders");
+    }
+
     private void send(QueuedRequest<CompanionAttempt> request, Pin pin, long incarnation) {
         AttemptStream stream = newStream(request, pin, incarnation);
         Optional<ServingException> resting = rest.refusal();
@@ -252,8 +276,7 @@
         }
         Optional<CommandFence> order = authorization.authorize(clock.nanos());
         if (order.isEmpty()) {
-            release(stream, 0, 0);
-            refuse(stream, ResultCode.FENCED, ExecutionStatus.NO, "this companion may not give the target orders");
+            requeue(stream);
             return;
         }
         running.put(request.attempt(), stream);
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/OrderAuthorization.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/OrderAuthorization.java
@@ -10,9 +10,9 @@
  *
  * <p>Targets that check fencing tokens refuse orders of a previous companion themselves. Other targets do not: a
  * companion that was frozen could continue after its successor has started. The freeze is detected by the gap between
- * two ticks. After a gap longer than the order limit no order is authorized until the fencing token was read again. As
- * a successor waits for the order limit before its first order, an order authorized before the freeze and one of the
- * successor are never both carried out.
+ * two ticks. After a gap longer than the order limit no order is authorized until the fencing token was read again; work
+ * waits until the first read since the gap has ended. As a successor waits for the order limit before its first order,
+ * an order authorized before the freeze and one of the successor are never both carried out.
  *
  * <p>Invariant: after {@link #onFencedOut} no order is authorized. Safe for use by several threads, under its own lock;
  * times are nanoseconds of one monotonic clock.
@@ -24,6 +24,8 @@
     private long fence;
     private boolean isFencedOut;
     private boolean mustConfirmFence = true;
+    private boolean hasConfirmationFailed;
+    private long unconfirmedSince;
     private long lastTickAt;
 
     OrderAuthorization(boolean targetChecksFence, Duration orderLimit) {
@@ -31,6 +33,16 @@
         this.orderLimit = orderLimit;
     }
 
+    /** Whether orders may be sent. */
+    enum State {
+        /** Orders may be sent. */
+        AUTHORIZED,
+        /** The fencing token is being read after a gap; work waits. */
+        UNCONFIRMED,
+        /** No order may be sent; work is refused. */
+        REFUSED
+    }
+
     /**
      * Records that this companion has acquired its fencing token.
      *
@@ -56,6 +68,8 @@
     private void detectGap(long now) {
         if (now - lastTickAt > orderLimit.toNanos()) {
             mustConfirmFence = true;
+            hasConfirmationFailed = false;
+            unconfirmedSince = now;
         }
     }
 
@@ -73,6 +87,15 @@
         }
     }
 
+    /**
+     * Records that the fencing token could not be read.
+     *
+     * @param askedAt when the read was started
+     */
+    synchronized void onConfirmationFailed(long askedAt) {
+        hasConfirmationFailed |= askedAt - unconfirmedSince >= 0;
+    }
+
     /** Records that a newer companion has taken the target over. */
     synchronized void onFencedOut() {
         isFencedOut = true;
@@ -93,10 +116,23 @@
      * @return the token and validity to send with the order, or empty if no order may be sent
      */
     synchronized Optional<CommandFence> authorize(long now) {
+        return state(now) == State.AUTHORIZED ? Optional.of(new CommandFence(fence, orderLimit)) : Optional.empty();
+    }
+
+    /**
+     * Queries whether orders may be sent.
+     *
+     * @param now the current time
+     * @return the state, not null
+     */
+    synchronized State state(long now) {
         detectGap(now);
-        if (fence == 0 || isFencedOut || mustConfirmFence && !targetChecksFence) {
-            return Optional.empty();
+        if (fence == 0 || isFencedOut) {
+            return State.REFUSED;
+        }
+        if (targetChecksFence || !mustConfirmFence) {
+            return State.AUTHORIZED;
         }
-        return Optional.of(new CommandFence(fence, orderLimit));
+        return hasConfirmationFailed ? State.REFUSED : State.UNCONFIRMED;
     }
 }
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/ServiceRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/ServiceRunner.java
@@ -78,13 +78,19 @@
     }
 
     private void dispatch() {
+        if (authorization.state(clock.nanos()) != OrderAuthorization.State.UNCONFIRMED) {
+            takeRequests();
+        }
+        onChange.run();
+    }
+
+    private void takeRequests() {
         Optional<QueuedRequest<CompanionAttempt>> next = queue.take(adapter -> true);
         while (next.isPresent()) {
             CompanionAttempt attempt = next.get().payload();
             callExecutor.execute(() -> runAndRelease(attempt));
             next = queue.take(adapter -> true);
         }
-        onChange.run();
     }
 
     private void runAndRelease(CompanionAttempt attempt) {
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/TargetTakeover.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/TargetTakeover.java
@@ -27,6 +27,7 @@
 
     private static final int SEND_THREADS = 8;
     private static final long RETRY_DELAY_MILLIS = 200;
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final Duration FLEET_REPORT_VALIDITY = Duration.ofSeconds(5);
 
     private final CompanionSettings settings;
@@ -223,6 +224,14 @@
             return;
         }
         long askedAt = clock.nanos();
+        boolean isAwaited = authorization.state(askedAt) == OrderAuthorization.State.UNCONFIRMED;
+        readFence(askedAt);
+        if (isAwaited) {
+            endWait(askedAt);
+        }
+    }
+
+    private void readFence(long askedAt) {
         try {
             Optional<FencingTokenStore.FencingToken> fence = tokenStore.read();
             if (fence.isEmpty() || fence.get().isOwn()) {
@@ -240,7 +249,24 @@
         } catch (PlatformException failure) {
             // The companion keeps its target while the table service is unavailable; a companion that was frozen sends
             // no orders until the token can be read again.
-            return;
+            authorization.onConfirmationFailed(askedAt);
+        }
+    }
+
+    /** Lets the work that has waited for the fencing token go on, or be refused. */
+    private void endWait(long askedAt) {
+        long now = clock.nanos();
+        TargetRunner waiting = runner;
+        int requests = waiting == null ? 0 : waiting.unfinishedCount();
+        EventLog.write(
+                EventCode.FENCE_READ_AFTER_PAUSE,
+                "{}: orders {} after {} ms, {} requests running or waiting",
+                dependencies.target(),
+                authorization.state(now),
+                (now - askedAt) / NANOS_PER_MILLI,
+                requests);
+        if (waiting != null) {
+            waiting.tick();
         }
     }
 
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
@@ -134,6 +134,10 @@
         return new CompanionFixture(engine, null, CompanionSettings.defaults(), false);
     }
 
+    static CompanionFixture ofServiceThatChecksNoFence(PlainService service) throws IOException {
+        return new CompanionFixture(null, service, CompanionSettings.defaults(), false);
+    }
+
     static CompanionFixture ofService(PlainService service) throws IOException {
         CompanionFixture fixture = new CompanionFixture(null, service, CompanionSettings.defaults(), true);
         await(() -> fixture.companion.reasonNotReady().isEmpty());
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeTable.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/FakeTable.java
@@ -12,12 +12,13 @@
 import org.geraniumreach.ports.PlatformException.Effect;
 import org.geraniumreach.ports.TableService;
 
-/** An in-memory table service that can hold reads and lose the answer to a write that took effect. */
+/** An in-memory table service that can hold or fail reads, and lose the answer to a write that took effect. */
 final class FakeTable implements TableService {
 
     private final Map<RowKey, Row> rows = new HashMap<>();
     private boolean losesNextAnswer;
     private boolean holdsReads;
+    private boolean failsReads;
 
     synchronized void loseNextAnswer() {
         losesNextAnswer = true;
@@ -28,6 +29,10 @@
         notifyAll();
     }
 
+    synchronized void failReads(boolean fails) {
+        failsReads = fails;
+    }
+
     @Override
     public synchronized Optional<Row> read(RowKey key) throws PlatformException {
         while (holdsReads) {
@@ -37,6 +42,9 @@
                 throw new PlatformException(Effect.NONE, "interrupted", stopped);
             }
         }
+        if (failsReads) {
+            throw new PlatformException(Effect.NONE, "the table is down", null);
+        }
         return find(key);
     }
 
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/OrderAuthorizationTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/OrderAuthorizationTest.java
@@ -43,6 +43,19 @@
         assertThat(authorization.authorize(AFTER_LIMIT_NANOS + 4)).isPresent();
     }
 
+    /** Guards against work refused after a freeze on a read that began before it. */
+    @ParameterizedTest
+    @CsvSource({"1, UNCONFIRMED", "2999999999, UNCONFIRMED", "3000000000, REFUSED", "3000000001, REFUSED"})
+    void workWaitsUntilAReadSinceTheFreezeHasFailed(long askedAt, OrderAuthorization.State expected) {
+        OrderAuthorization authorization = withFence(false);
+        authorization.tick(AFTER_LIMIT_NANOS);
+        assertThat(authorization.state(AFTER_LIMIT_NANOS + 2)).isEqualTo(OrderAuthorization.State.UNCONFIRMED);
+        authorization.onConfirmationFailed(askedAt);
+        assertThat(authorization.state(AFTER_LIMIT_NANOS + 2)).isEqualTo(expected);
+        authorization.onFenceConfirmed(AFTER_LIMIT_NANOS + 2, AFTER_LIMIT_NANOS + 3);
+        assertThat(authorization.state(AFTER_LIMIT_NANOS + 4)).isEqualTo(OrderAuthorization.State.AUTHORIZED);
+    }
+
     @Test
     void fenceReadBegunBeforeTheFreezeConfirmsNothing() {
         OrderAuthorization authorization = withFence(false);
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -66,6 +66,8 @@
     CONNECTIONS_UNLIMITED(4023, Level.INFO, "All new connections are accepted again."),
     ATTEMPT_SILENT(4024, Level.INFO, "A target has sent nothing of an answer for a while; another may take it over."),
     ATTEMPT_KEPT(4025, Level.INFO, "A request stays at its silent target, since no other may take it over now."),
+    FENCE_READ_AFTER_PAUSE(
+            4032, Level.INFO, "A paused companion has read its fence; its requests go on or are refused."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
