--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 
 import com.google.protobuf.ByteString;
@@ -39,6 +40,7 @@
     private final PlainService service;
     private final CompanionSettings settings;
     private final MonotonicClock clock = MonotonicClock.system();
+    private final AtomicLong pausedNanos = new AtomicLong();
     private final LinkNode entryLinks;
     private final LinkAttempts linkAttempts;
     private LinkNode companionLinks;
@@ -81,7 +83,7 @@
                 table,
                 Optional.ofNullable(engine),
                 Optional.ofNullable(service),
-                clock,
+                () -> clock.nanos() + pausedNanos.get(),
                 InstantSource.system());
     }
 
@@ -93,6 +95,11 @@
         startCompanion();
     }
 
+    /** Advances the companion's clock, as it finds it after a pause of the process. */
+    void pauseCompanion(Duration pause) {
+        pausedNanos.addAndGet(pause.toNanos());
+    }
+
     LinkNode companionLinks() {
         return companionLinks;
     }
@@ -127,6 +134,10 @@
         return new CompanionFixture(engine, null, CompanionSettings.defaults(), false);
     }
 
+    static CompanionFixture ofServiceThatChecksNoFence(PlainService service) throws IOException {
+        return new CompanionFixture(null, service, CompanionSettings.defaults(), false);
+    }
+
     static CompanionFixture ofService(PlainService service) throws IOException {
         CompanionFixture fixture = new CompanionFixture(null, service, CompanionSettings.defaults(), true);
         await(() -> fixture.companion.reasonNotReady().isEmpty());
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -617,7 +617,7 @@
 
     /** Ends the request at once, because this entry cannot go on with it. */
     void abandon(Refusal notRun) {
-        if (attempt.isPresent()) {
+        if (attempts.current().isPresent()) {
             abandonAttempt();
             relay.discardAttempt();
         }
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -70,6 +70,8 @@
             4026,
             Level.INFO,
             "A caller's connection was closed on which a request was arriving or had no whole answer."),
+    FENCE_READ_AFTER_PAUSE(
+            4032, Level.INFO, "A paused companion has read its fence; its requests go on or are refused."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
