Wait for the holders of an account's rate before a request counts as above it

Callers within their rate got 429 while the entries that hold their account's rate were silent for a moment: a holder that did not answer within 150 ms counted like one that had refused, and was not asked again for 0.5 s, so that the requests of that time were refused without a question. It was the same for an account of a new configuration until the first share was committed: nobody holds its rate yet, and the request was refused at once. Entries waited only in the first 4 s after their start.

A request is refused only once a holder, or this entry's own share, has said so. After 150 ms the next holder is asked too, and the first answer that grants counts. If nobody answers, the request waits for 1.5 s or 0.6 of its time at most, as it did during startup, and is not asked for twice, since the holder grants all that it was asked for when it goes on. A holder that cannot be reached still refuses at once, and one refusal still decides.

--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/QuotaAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/QuotaAdmission.java
@@ -25,14 +25,15 @@
  *
  * <p>Invariants: the units of an admitted request are taken from one holder; units whose grant is lost or arrives too late are
  * wasted, never spent twice. A holder that has refused is not asked again while its refusal is remembered, which
- * ends at the latest when it expects to have units. Confined to the event loop.
+ * ends at the latest when it expects to have units. A request is not refused while it is unknown whether its account is above
+ * its rate, for at most {@link #MAX_HOLDER_WAIT}. Confined to the event loop.
  */
 public final class QuotaAdmission {
 
     /** Holders asked for one request. If none of them admits it, the account is taken to be above its rate. */
     private static final int MAX_HOLDERS_ASKED = 2;
 
-    /** Holders answer within a few milliseconds; one that is stopped or cut off never answers. */
+    /** Time after which another holder is asked too; the answer of the first one still counts. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(150);
 
     /** Shares move between entries, so a refusal does not count for longer. */
@@ -44,7 +45,7 @@
     /** For this long after the start, links to holders may still be missing. */
     private static final Duration STARTUP_PERIOD = Duration.ofSeconds(4);
 
-    /** How long a request waits for a reachable holder during startup; callers abandon a silent stream after two seconds. */
+    /** How long a request waits for a holder that answers; callers abandon a silent stream after two seconds. */
     private static final Duration MAX_HOLDER_WAIT = Duration.ofMillis(1_500);
 
     /** Part of a request's timeout that may be spent waiting for a holder. */
@@ -80,37 +81,32 @@
         private final Duration maxWait;
         private final Consumer<Quotas.Admission> onDecision;
         private final long startedAt = clock.nanos();
-        private Deque<String> candidates;
-        private Optional<Duration> retryDelay;
+        private final Map<Long, String> unanswered = new HashMap<>();
+        private Deque<String> candidates = new ArrayDeque<>();
+        private Optional<Duration> retryDelay = Optional.empty();
         private Cancellable timeout = Cancellable.NOOP;
-        private long number;
-        private String askedHolder = "";
         private int askedCount;
+        private OptionalLong awaitedNumber = OptionalLong.empty();
+        private boolean ownShareAsked;
         private boolean answered;
 
-        private PendingRequest(
-                Account account,
-                double units,
-                Duration maxWait,
-                Consumer<Quotas.Admission> onDecision,
-                Deque<String> candidates,
-                Optional<Duration> retryDelay) {
+        private PendingRequest(Account account, double units, Duration maxWait, Consumer<Quotas.Admission> onDecision) {
             this.account = account;
             this.units = units;
             this.maxWait = maxWait;
             this.onDecision = onDecision;
-            this.candidates = candidates;
-            this.retryDelay = retryDelay;
         }
 
         private void askNext() {
             while (askedCount < MAX_HOLDERS_ASKED && !candidates.isEmpty()) {
-                askedHolder = candidates.poll();
-                number = ++lastRequestNumber;
-                if (peers.requestUnits(askedHolder, number, account.id(), units)) {
+                String holder = candidates.poll();
+                long number = ++lastRequestNumber;
+                if (peers.requestUnits(holder, number, account.id(), units)) {
                     askedCount++;
+                    awaitedNumber = OptionalLong.of(number);
+                    unanswered.put(number, holder);
                     pending.put(number, this);
-                    timeout = timers.schedule(ANSWER_TIMEOUT, this::onTimeout);
+                    timeout = timers.schedule(ANSWER_TIMEOUT, () -> onTimeout(holder));
                     return;
                 }
             }
@@ -118,45 +114,94 @@
                 timeout = timers.schedule(HOLDER_RETRY_INTERVAL, this::retry);
                 return;
             }
-            onDecision.accept(new Quotas.Admission(false, retryDelay));
+            decide(new Quotas.Admission(false, retryDelay));
         }
 
-        /** Prevents refusals within the rate by an entry that has just started, while the holders are still starting too. */
         private boolean mayWaitForHolder() {
             long now = clock.nanos();
-            return !answered
-                    && now - createdAt < STARTUP_PERIOD.toNanos()
-                    && now - startedAt < maxWait.toNanos()
-                    && hasHolderWithoutRefusal(account.id());
+            return !answered && now - startedAt < maxWait.toNanos() && mayHolderAnswer();
+        }
+
+        /** Prevents refusals within the rate while holders are starting or silent, and before a new account's rate is divided. */
+        private boolean mayHolderAnswer() {
+            if (isStartup()) {
+                return hasHolderWithoutRefusal(account.id());
+            }
+            if (quotas.hasShare(account.id())) {
+                return false;
+            }
+            return !unanswered.isEmpty()
+                    || quotas.otherHolders(account.id()).isEmpty()
+                    || hasSilentHolder(account.id());
+        }
+
+        private void start() {
+            if (!admitsFromOwnShare()) {
+                candidates = candidates(account.id());
+                retryDelay = soonestRetryDelay(account.id(), retryDelay);
+                askNext();
+            }
+        }
+
+        private boolean admitsFromOwnShare() {
+            boolean decidesAlone = !account.isLimited() || quotas.hasShare(account.id());
+            if (ownShareAsked || !decidesAlone) {
+                return false;
+            }
+            ownShareAsked = true;
+            Quotas.Admission own = quotas.admit(account, units);
+            retryDelay = own.delay();
+            if (own.admitted()) {
+                decide(own);
+            }
+            return own.admitted();
         }
 
         private void retry() {
+            if (admitsFromOwnShare()) {
+                return;
+            }
             askedCount = 0;
             candidates = candidates(account.id());
+            if (!isStartup()) {
+                // The holder grants all that it was asked for once it goes on.
+                candidates.removeAll(unanswered.values());
+            }
             askNext();
         }
 
-        private void onTimeout() {
-            pending.remove(number);
-            recordTimeout(askedHolder, account.id());
+        private void onTimeout(String holder) {
+            awaitedNumber = OptionalLong.empty();
+            recordTimeout(holder, account.id());
             askNext();
         }
 
-        private void onAnswer(Quotas.Admission answer) {
-            timeout.cancel();
+        private void onAnswer(long number, Quotas.Admission answer) {
             answered = true;
+            String holder = unanswered.remove(number);
+            removeTimeout(holder, account.id());
             if (answer.admitted()) {
-                onDecision.accept(answer);
+                decide(answer);
                 return;
             }
-            recordRefusal(askedHolder, account.id(), answer.delay());
+            recordRefusal(holder, account.id(), answer.delay());
             retryDelay = shorter(retryDelay, answer.delay());
-            askNext();
+            boolean awaitsAnother = awaitedNumber.isPresent() && awaitedNumber.getAsLong() != number;
+            if (!awaitsAnother) {
+                timeout.cancel();
+                awaitedNumber = OptionalLong.empty();
+                askNext();
+            }
+        }
+
+        private void decide(Quotas.Admission decision) {
+            cancel();
+            onDecision.accept(decision);
         }
 
         private void cancel() {
             timeout.cancel();
-            pending.remove(number);
+            pending.keySet().removeAll(unanswered.keySet());
         }
     }
 
@@ -189,22 +234,15 @@
      */
     public Cancellable admit(
             Account account, double units, Duration requestTimeout, Consumer<Quotas.Admission> onDecision) {
-        Optional<Duration> retryDelay = Optional.empty();
-        if (!account.isLimited() || quotas.hasShare(account.id())) {
-            Quotas.Admission own = quotas.admit(account, units);
-            if (own.admitted()) {
-                onDecision.accept(own);
-                return Cancellable.NOOP;
-            }
-            retryDelay = own.delay();
-        }
-        Optional<Duration> soonest = soonestRetryDelay(account.id(), retryDelay);
-        PendingRequest request = new PendingRequest(
-                account, units, maxWait(requestTimeout), onDecision, candidates(account.id()), soonest);
-        request.askNext();
+        PendingRequest request = new PendingRequest(account, units, maxWait(requestTimeout), onDecision);
+        request.start();
         return request::cancel;
     }
 
+    private boolean isStartup() {
+        return clock.nanos() - createdAt < STARTUP_PERIOD.toNanos();
+    }
+
     private static Duration maxWait(Duration requestTimeout) {
         Duration part = Duration.ofNanos((long) (requestTimeout.toNanos() * HOLDER_WAIT_RATIO));
         return part.compareTo(MAX_HOLDER_WAIT) < 0 ? part : MAX_HOLDER_WAIT;
@@ -216,6 +254,12 @@
                         entry -> refusal(entry, account).map(Refusal::timedOut).orElse(true));
     }
 
+    private boolean hasSilentHolder(AccountId account) {
+        return quotas.otherHolders(account).stream()
+                .anyMatch(entry ->
+                        refusal(entry, account).filter(Refusal::timedOut).isPresent());
+    }
+
     private Deque<String> candidates(AccountId account) {
         List<String> holders = new ArrayList<>(quotas.otherHolders(account));
         holders.removeIf(entry -> refusal(entry, account).isPresent());
@@ -244,10 +288,14 @@
     /** During startup a holder that timed out is soon asked again, since it may be starting too. */
     private void recordTimeout(String entry, AccountId account) {
         long now = clock.nanos();
-        Duration validity = now - createdAt < STARTUP_PERIOD.toNanos() ? HOLDER_RETRY_INTERVAL : MAX_REFUSAL_VALIDITY;
+        Duration validity = isStartup() ? HOLDER_RETRY_INTERVAL : MAX_REFUSAL_VALIDITY;
         storeRefusal(entry, account, new Refusal(now + validity.toNanos(), OptionalLong.empty(), true));
     }
 
+    private void removeTimeout(String entry, AccountId account) {
+        refusals.computeIfPresent(new HolderKey(entry, account), (key, refused) -> refused.timedOut() ? null : refused);
+    }
+
     private void storeRefusal(String entry, AccountId account, Refusal refused) {
         long now = clock.nanos();
         if (refusals.size() > REFUSAL_PURGE_THRESHOLD) {
@@ -281,7 +329,7 @@
     public void onAnswer(long number, Quotas.Admission answer) {
         PendingRequest request = pending.remove(number);
         if (request != null) {
-            request.onAnswer(answer);
+            request.onAnswer(number, answer);
         }
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -142,6 +143,60 @@
         assertThat(decisions.get(0).admitted()).isFalse();
     }
 
+    /** Guards against refusals within the rate because the holders fall silent for a while and go on. */
+    @ParameterizedTest
+    @ValueSource(longs = {200, 500, 1_000, 1_400})
+    void requestsWaitForHoldersThatFallSilent(long silentMillis) {
+        EntrySimulation simulation = new EntrySimulation(14, 33, UNITS_PER_SECOND);
+        simulation.distributeShares();
+        SimulatedEntry entry = new SimulatedEntry("entry-new", simulation);
+        entry.quotas.applyRow("share/acme", simulation.row);
+        simulation.time.advance(Duration.ofSeconds(4));
+        simulation.silenceAll(Duration.ofMillis(silentMillis));
+        List<Quotas.Admission> decisions = new ArrayList<>();
+        for (int request = 0; request < 10; request++) {
+            entry.admission.admit(simulation.account, 1_000, REQUEST_TIMEOUT, decisions::add);
+            simulation.time.advance(Duration.ofMillis(silentMillis / 10));
+        }
+        simulation.time.advance(Duration.ofMillis(100));
+        assertThat(decisions).hasSize(10).extracting(Quotas.Admission::admitted).containsOnly(true);
+    }
+
+    /** Guards against a request that waits for a silent holder until its caller has given up. */
+    @ParameterizedTest
+    @CsvSource({"15000, 1700", "800, 700"})
+    void requestIsRefusedInTimeIfNoHolderAnswers(long timeoutMillis, long latestMillis) {
+        EntrySimulation simulation = new EntrySimulation(15, 33, UNITS_PER_SECOND);
+        simulation.distributeShares();
+        SimulatedEntry entry = new SimulatedEntry("entry-new", simulation);
+        entry.quotas.applyRow("share/acme", simulation.row);
+        simulation.time.advance(Duration.ofSeconds(4));
+        simulation.allUnresponsive = true;
+        List<Quotas.Admission> decisions = new ArrayList<>();
+        entry.admission.admit(simulation.account, 1_000, Duration.ofMillis(timeoutMillis), decisions::add);
+        simulation.time.advance(Duration.ofMillis(latestMillis));
+        assertThat(decisions).extracting(Quotas.Admission::admitted).containsExactly(false);
+    }
+
+    /** Guards against refusals within the rate because a new configuration's account has no shares yet. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void requestOfANewAccountWaitsUntilItsRateIsDivided(boolean becomesHolder) {
+        EntrySimulation simulation = new EntrySimulation(16, 1, UNITS_PER_SECOND);
+        SimulatedEntry holder = simulation.entries.get(0);
+        SimulatedEntry entry = becomesHolder ? holder : new SimulatedEntry("entry-new", simulation);
+        simulation.time.advance(Duration.ofSeconds(4));
+        List<Quotas.Admission> decisions = new ArrayList<>();
+        entry.admission.admit(simulation.account, 1_000, REQUEST_TIMEOUT, decisions::add);
+        simulation.time.advance(Duration.ofMillis(300));
+        assertThat(decisions).isEmpty();
+        simulation.renewLeases();
+        simulation.updateShare(holder);
+        entry.quotas.applyRow("share/acme", simulation.row);
+        simulation.time.advance(Duration.ofMillis(100));
+        assertThat(decisions).extracting(Quotas.Admission::admitted).containsExactly(true);
+    }
+
     /** Guards against refusing all requests at entries that are cut off from the others for a long time. */
     @Test
     void partitionedEntriesGetTheirOwnShares() {
@@ -215,6 +270,7 @@
         private int refusedCount;
         private String unresponsiveEntry = "";
         private boolean allUnresponsive;
+        private long silentUntil;
         private String hiddenEntry = "";
         private boolean linksOpen = true;
         private Set<String> partitionedEntries = Set.of();
@@ -237,6 +293,16 @@
             time.advance(Duration.ofSeconds(2));
         }
 
+        /** Lets all entries answer what they are asked only after a time. */
+        private void silenceAll(Duration length) {
+            silentUntil = time.nanos() + length.toNanos();
+        }
+
+        private Duration deliveryDelay() {
+            Duration silence = Duration.ofNanos(Math.max(0, silentUntil - time.nanos()));
+            return LINK_DELAY.plus(silence);
+        }
+
         private void renewLeases() {
             entries.forEach(entry -> entry.lease.onRenewed(entry.lease.startRenewal()));
         }
@@ -248,7 +314,7 @@
             if (allUnresponsive || to.equals(unresponsiveEntry) || isLost()) {
                 return true;
             }
-            time.schedule(LINK_DELAY, () -> {
+            time.schedule(deliveryDelay(), () -> {
                 Quotas.Admission answer = byName.get(to).quotas.admitForPeer(ACCOUNT_ID, units);
                 if (!isLost()) {
                     time.schedule(LINK_DELAY, () -> from.admission.onAnswer(number, answer));
