--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -19,6 +19,7 @@
 import java.util.stream.Collectors;
 
 import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.adapter.TargetOwnership;
 import org.geraniumreach.gateway.admission.AdmissionRequest;
 import org.geraniumreach.gateway.cold.ColdStartLimiter;
 import org.geraniumreach.gateway.crash.CrashGuard;
@@ -38,6 +39,7 @@
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.gateway.quota.Quotas;
+import org.geraniumreach.gateway.quota.ShareRow;
 import org.geraniumreach.gateway.request.AdapterLoader;
 import org.geraniumreach.gateway.request.ExchangeServices;
 import org.geraniumreach.gateway.request.ExchangeSettings;
@@ -62,6 +64,8 @@
 import org.geraniumreach.model.FailureDomain;
 import org.geraniumreach.model.SoftwareVersion;
 import org.geraniumreach.model.TargetId;
+import org.geraniumreach.model.table.Row;
+import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.serving.retry.EjectionRules;
 import org.geraniumreach.serving.retry.TargetHealth;
 
@@ -332,6 +336,20 @@
         return this;
     }
 
+    /** Puts a configuration in force as an entry does, while requests may be under way. */
+    public RequestHarness putInForce(TrafficConfiguration newer) {
+        configuration = Optional.of(newer);
+        quotas.configure(newer.accounts(), newer.shortestObjective());
+        return this;
+    }
+
+    /** Gives this entry the whole rate of an account. */
+    public void takeWholeRate(AccountId account) {
+        lease.onRenewed(lease.startRenewal());
+        RowKey key = RowKey.of(TargetOwnership.FLEET_TABLE, "share/" + account.value());
+        quotas.applyRow(key.key(), Optional.of(new Row(key, 1, "one " + ShareRow.TOTAL_PARTS + " 0\n")));
+    }
+
     public ResumableStreams streams() {
         return streams;
     }
@@ -354,10 +372,20 @@
 
     public RequestHarness addTarget(
             String name, long startedAt, SoftwareVersion version, Map<String, Map<String, Long>> models) {
+        return addTarget("service", name, startedAt, version, models);
+    }
+
+    /** Adds a target of a service. */
+    public RequestHarness addTarget(
+            String service,
+            String name,
+            long startedAt,
+            SoftwareVersion version,
+            Map<String, Map<String, Long>> models) {
         registry.put(new TargetDescription(
                 TargetId.of(name),
                 startedAt,
-                "service",
+                service,
                 version,
                 new InetSocketAddress("127.0.0.1", 1),
                 FailureDomain.of("here"),
