Split the store and the reading of messages out of node's test support

FakeStore holds the rows and can be slow, HttpMessages reads messages for targets and callers with connections of their own, and entries as processes have a grace that a test chooses. No test changes.

--- a/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
@@ -20,6 +20,8 @@
     private static final ProcessSettings.RepeatLimits AMPLE_RETRIES =
             new ProcessSettings.RepeatLimits(1, 1_000, Duration.ofSeconds(10));
 
+    private static final Duration DEFAULT_GRACE = Duration.ofSeconds(2);
+
     private final List<Entry> entries = new ArrayList<>();
     private final Path directory;
 
@@ -31,7 +33,8 @@
         private volatile Process process;
         private volatile long disturbedAt;
 
-        private Entry(int number, FakePlatform platform, ProcessSettings.RepeatLimits retries) throws IOException {
+        private Entry(int number, FakePlatform platform, ProcessSettings.RepeatLimits retries, Duration grace)
+                throws IOException {
             this.number = number;
             this.settings = directory.resolve("entry-" + number + ".json");
             Files.writeString(
@@ -41,13 +44,14 @@
                             "{\"node\":\"entry-%d\",\"zone\":\"loopback\",\"ip\":\"127.0.0.1\","
                                     + "\"listen\":{\"front\":\"127.0.0.1:%d\",\"readiness\":\"127.0.0.1:%d\"},"
                                     + "\"internal_ports\":[%d,0],\"platform\":{\"address\":\"127.0.0.1:%d\"},"
-                                    + "\"bounds\":{\"grace_s\":2,\"retry_budget\":%s,\"budget_extra\":%s,\"budget_window_s\":%d,"
+                                    + "\"bounds\":{\"grace_s\":%d,\"retry_budget\":%s,\"budget_extra\":%s,\"budget_window_s\":%d,"
                                     + "\"quota_window_s\":1}}",
                             number,
                             callers.getPort(),
                             FreeAddresses.next().getPort(),
                             FreeAddresses.next().getPort(),
                             platform.address().getPort(),
+                            grace.toSeconds(),
                             retries.ratio(),
                             retries.extra(),
                             retries.window().toSeconds()));
@@ -69,8 +73,7 @@
                             "--settings",
                             settings.toString())
                     .redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.appendTo(
-                            directory.resolve("entry-" + number + ".log").toFile()))
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
                     .start();
             disturb();
         }
@@ -89,6 +92,10 @@
             disturb();
         }
 
+        boolean isAlive() {
+            return process.isAlive();
+        }
+
         void awaitExit() throws InterruptedException {
             process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         }
@@ -97,6 +104,11 @@
             return callers;
         }
 
+        /** Gets the file that the log of all processes of this entry is appended to. */
+        Path log() {
+            return directory.resolve("entry-" + number + ".log");
+        }
+
         long processId() {
             return process.pid();
         }
@@ -117,9 +129,15 @@
 
     EntryProcesses(FakePlatform platform, int count, Path directory, ProcessSettings.RepeatLimits retries)
             throws IOException {
+        this(platform, count, directory, retries, DEFAULT_GRACE);
+    }
+
+    EntryProcesses(
+            FakePlatform platform, int count, Path directory, ProcessSettings.RepeatLimits retries, Duration grace)
+            throws IOException {
         this.directory = directory;
         for (int number = 0; number < count; number++) {
-            entries.add(new Entry(number, platform, retries));
+            entries.add(new Entry(number, platform, retries, grace));
         }
     }
 
--- a/node/src/test/java/org/geraniumreach/node/FakePlatform.java
+++ b/node/src/test/java/org/geraniumreach/node/FakePlatform.java
@@ -8,13 +8,11 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -28,8 +26,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 
@@ -43,7 +39,6 @@
     static final String KEY = "a-key";
     private static final String HOST = "127.0.0.1";
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final long POLL_MILLIS = 50;
     private static final long LOAD_MILLIS = 250;
     private static final int DEFAULT_MAXIMUM_CONNECTIONS = 300;
     private static final String DEFAULT_SOFTWARE_VERSION = "v1";
@@ -66,14 +61,9 @@
             """;
 
     private final ExecutorService executor = Executors.newCachedThreadPool();
-    private final HttpServer store;
-    private final Map<String, Map<String, StoredRow>> tables = new HashMap<>();
+    private final HttpServer storeServer;
+    private final FakeStore store = new FakeStore();
     private final Map<String, FakeTarget> targets = new ConcurrentHashMap<>();
-    private volatile boolean storeAvailable = true;
-    private long version;
-
-    /** A stored row, whose value is empty once it has been removed. */
-    private record StoredRow(Optional<byte[]> value, long version) {}
 
     /** A call that reached a target. */
     record Arrival(long nanos, String path, Optional<String> requestId) {
@@ -147,9 +137,10 @@
         }
 
         private void writeRow(String state) {
-            String models =
-                    service.equals("engines") ? "[{\"name\":\"base\",\"version\":1,\"adapters\":[\"a1@1\"]}]" : "[]";
-            put(
+            String models = service.startsWith("engines")
+                    ? "[{\"name\":\"base\",\"version\":1,\"adapters\":[\"a1@1\"]}]"
+                    : "[]";
+            store.put(
                     "servers",
                     name,
                     String.format(
@@ -203,7 +194,7 @@
 
         /** Removes the target's row and stops answering. */
         void leave() {
-            remove("servers", name);
+            store.remove("servers", name);
             server.stop(0);
             targets.remove(name);
         }
@@ -325,9 +316,9 @@
     }
 
     FakePlatform() throws IOException {
-        store = open();
-        put("op", "config", CONFIGURATION);
-        serve(store, this::answerStore);
+        storeServer = open();
+        configure(CONFIGURATION);
+        serve(storeServer, store::answer);
     }
 
     private static HttpServer open() throws IOException {
@@ -356,7 +347,7 @@
     }
 
     InetSocketAddress address() {
-        return store.getAddress();
+        return storeServer.getAddress();
     }
 
     FakeTarget addTarget(String name, String service) throws IOException {
@@ -372,30 +363,25 @@
     /** Sets the number of connections that a target accepts from all entries together. */
     void limitConnections(int maximumConnections) {
         String limit = "\"max_connections\":";
-        put("op", "config", CONFIGURATION.replace(limit + DEFAULT_MAXIMUM_CONNECTIONS, limit + maximumConnections));
-    }
-
-    /** Sets whether the store answers; if not, it refuses all calls. */
-    void setStoreAvailable(boolean available) {
-        storeAvailable = available;
+        configure(CONFIGURATION.replace(limit + DEFAULT_MAXIMUM_CONNECTIONS, limit + maximumConnections));
     }
 
-    private synchronized long put(String table, String key, String value) {
-        return put(table, key, value.getBytes(StandardCharsets.UTF_8));
+    /** Replaces the configuration. */
+    void configure(String configuration) {
+        store.put("op", "config", configuration);
     }
 
-    private synchronized long put(String table, String key, byte[] value) {
-        version++;
-        tables.computeIfAbsent(table, unused -> new TreeMap<>()).put(key, new StoredRow(Optional.of(value), version));
-        return version;
+    /** Sets the time by which the store delays its answers. */
+    void delayStore(long millis) {
+        store.delay(millis);
     }
 
-    private synchronized void remove(String table, String key) {
-        version++;
-        tables.get(table).put(key, new StoredRow(Optional.empty(), version));
+    /** Sets whether the store answers; if not, it refuses all calls. */
+    void setStoreAvailable(boolean available) {
+        store.setAvailable(available);
     }
 
-    private static void respond(HttpExchange exchange, int status, String type, String body) throws IOException {
+    static void respond(HttpExchange exchange, int status, String type, String body) throws IOException {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         exchange.getResponseHeaders().set("Content-Type", type);
         exchange.sendResponseHeaders(status, bytes.length);
@@ -404,32 +390,7 @@
         }
     }
 
-    private void answerStore(HttpExchange exchange) throws IOException {
-        if (!storeAvailable) {
-            respond(exchange, 503, "text/plain", "the store is away");
-            return;
-        }
-        String path = exchange.getRequestURI().getPath();
-        Map<String, String> query = query(exchange);
-        if (path.equals("/-/rows-tx")) {
-            commit(exchange, MAPPER.readTree(exchange.getRequestBody().readAllBytes()));
-            return;
-        }
-        if (path.equals("/-/rows-feed")) {
-            pause(POLL_MILLIS);
-        }
-        long after = path.equals("/-/rows-feed") ? Long.parseLong(query.get("after")) : 0;
-        respond(exchange, 200, "application/json", rows(query.get("table"), after));
-    }
-
-    private static Map<String, String> query(HttpExchange exchange) {
-        return Optional.ofNullable(exchange.getRequestURI().getQuery()).stream()
-                .flatMap(query -> Arrays.stream(query.split("&")))
-                .map(pair -> pair.split("=", 2))
-                .collect(Collectors.toMap(pair -> pair[0], pair -> pair.length > 1 ? pair[1] : ""));
-    }
-
-    private static void pause(long millis) {
+    static void pause(long millis) {
         try {
             Thread.sleep(millis);
         } catch (InterruptedException interrupted) {
@@ -437,46 +398,10 @@
         }
     }
 
-    private synchronized String rows(String table, long after) {
-        ObjectNode page = MAPPER.createObjectNode().put("ver", version).put("now_ms", System.nanoTime() / 1_000_000);
-        ArrayNode rows = page.putArray("rows");
-        tables.getOrDefault(table, Map.of()).forEach((key, row) -> {
-            boolean isRead = row.version() > after && (after > 0 || row.value().isPresent());
-            if (isRead) {
-                ObjectNode read =
-                        rows.addObject().put("table", table).put("key", key).put("ver", row.version());
-                row.value().ifPresentOrElse(value -> read.put("value", value), () -> read.put("tombstone", true));
-            }
-        });
-        return page.toString();
-    }
-
-    private synchronized void commit(HttpExchange exchange, JsonNode transaction) throws IOException {
-        for (JsonNode condition : transaction.path("expected_rev")) {
-            StoredRow row = tables.getOrDefault(condition.path("table").asText(), Map.of())
-                    .get(condition.path("key").asText());
-            long current = row == null || row.value().isEmpty() ? 0 : row.version();
-            if (condition.path("ver").asLong() != current) {
-                respond(exchange, 412, "application/json", "{\"ver\":" + version + ",\"rows\":[]}");
-                return;
-            }
-        }
-        for (JsonNode row : transaction.path("puts")) {
-            put(
-                    row.path("table").asText(),
-                    row.path("key").asText(),
-                    row.path("value").binaryValue());
-        }
-        for (JsonNode row : transaction.path("remove")) {
-            remove(row.path("table").asText(), row.path("key").asText());
-        }
-        respond(exchange, 200, "application/json", "{\"ver\":" + version + "}");
-    }
-
     @Override
     public void close() {
         targets.values().forEach(target -> target.server.stop(0));
-        store.stop(0);
+        storeServer.stop(0);
         executor.shutdownNow();
     }
 }
--- a/node/src/test/java/org/geraniumreach/node/UnframedTarget.java
+++ b/node/src/test/java/org/geraniumreach/node/UnframedTarget.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -74,14 +73,9 @@
     private void answer(Socket client) {
         try (client) {
             InputStream in = client.getInputStream();
-            String path = readLine(in).split(" ")[1];
-            Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-            for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
-                headers.put(
-                        line.substring(0, line.indexOf(':')),
-                        line.substring(line.indexOf(':') + 1).trim());
-            }
-            in.readNBytes(Integer.parseInt(headers.getOrDefault("Content-Length", "0")));
+            String path = HttpMessages.readLine(in).split(" ")[1];
+            Map<String, String> headers = HttpMessages.readHeaders(in);
+            HttpMessages.readBody(in, headers);
             OutputStream out = client.getOutputStream();
             if (path.startsWith("/-/")) {
                 out.write(("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + REPORT)
@@ -106,19 +100,6 @@
         }
     }
 
-    private static String readLine(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int read = in.read(); read != '\n'; read = in.read()) {
-            if (read < 0) {
-                throw new IOException("the connection ends within a line");
-            }
-            if (read != '\r') {
-                line.append((char) read);
-            }
-        }
-        return line.toString();
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
