Give each request an outcome also if handling it fails

A callback that threw left its request open for good: the event loop logged a library's message without an id, a timer kept the failure in its future where nobody looks, and the caller waited until it gave up. If the deadline's own callback failed, nothing ended the request.

RequestHandler ends an exchange that is still open 0.1 s after its deadline, and breaks its answer off if even that fails. A failure of a callback of a target's connection is still reported as one of the target, by the HTTP client.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -545,6 +545,17 @@
         giveUp(notRun.code(), notRun.message(), notRun.retryAfter());
     }
 
+    /** Breaks the answer off, without regard to anything else. */
+    void abort() {
+        ended = true;
+        answer.abort();
+        steps.stop();
+    }
+
+    String requestId() {
+        return request.request().id();
+    }
+
     void onCallerGone() {
         if (ended) {
             return;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -1,7 +1,9 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +15,7 @@
 import org.geraniumreach.gateway.port.CallerAnswer;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
+import org.geraniumreach.gateway.port.UnexpectedFailure;
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
 import org.geraniumreach.gateway.traffic.Route;
@@ -23,7 +26,8 @@
 /**
  * Receives requests of callers, finds their route and client account, and starts an exchange or refuses them.
  *
- * <p>Invariant: an entry without a configuration asks callers to retry and never reports that something does not exist.
+ * <p>Invariants: an entry without a configuration asks callers to retry and never reports that something does not exist; each request has an
+ * outcome, at the latest at its deadline, also if handling it fails.
  * Confined to the event loop.
  */
 public final class RequestHandler {
@@ -33,10 +37,16 @@
     private static final Refusal EXITING =
             Refusal.withRetryAfter(ResultCode.DRAINING, "this entry exits", Duration.ZERO);
 
+    private static final Refusal FAILED = Refusal.withRetryAfter(
+            ResultCode.NOT_RUN, "this entry has failed to handle the request", Refusal.DEFAULT_RETRY_AFTER);
+
+    /** An exchange ends by itself at its deadline; later than this it has failed to. */
+    private static final Duration OVERDUE_MARGIN = Duration.ofMillis(100);
+
     private final ExchangeServices services;
     private final Supplier<Optional<TrafficConfiguration>> configuration;
     private final DoubleSupplier serviceDraw;
-    private final Set<Exchange> openExchanges = new HashSet<>();
+    private final Map<Exchange, Cancellable> openExchanges = new HashMap<>();
     private final Set<WaitingRequest> waitingRequests = new HashSet<>();
     private final OutputLengths outputLengths = new OutputLengths();
     private final StartupQueue startupQueue;
@@ -59,7 +69,7 @@
         this.serviceDraw = Objects.requireNonNull(serviceDraw, "serviceDraw");
         this.startupQueue = new StartupQueue(services.timers());
         this.resumption = new StreamResumption(services);
-        services.crashes().onRefused(() -> Set.copyOf(openExchanges).forEach(Exchange::onRefusalsChanged));
+        services.crashes().onRefused(() -> Set.copyOf(openExchanges.keySet()).forEach(Exchange::onRefusalsChanged));
     }
 
     /**
@@ -129,6 +139,15 @@
     }
 
     private Cancellable handle(ReceivedRequest received) {
+        try {
+            return admit(received);
+        } catch (RuntimeException failure) {
+            UnexpectedFailure.log(services.log(), received.request().id(), failure);
+            return refuse(received.request(), received.answer(), FAILED);
+        }
+    }
+
+    private Cancellable admit(ReceivedRequest received) {
         GatewayRequest request = received.request();
         CallerAnswer answer = received.answer();
         Optional<TrafficConfiguration> current = configuration.get();
@@ -186,13 +205,47 @@
     }
 
     private Cancellable start(ReceivedRequest received, Route route, Optional<Account> account, ServiceChoice choice) {
-        Exchange exchange =
-                new Exchange(services, received, route, choice, account, outputLengths, openExchanges::remove);
-        openExchanges.add(exchange);
-        exchange.start();
+        Exchange exchange = new Exchange(services, received, route, choice, account, outputLengths, this::onEnded);
+        Duration overdue =
+                route.effectiveTimeout(received.request().callerTimeout()).plus(OVERDUE_MARGIN);
+        openExchanges.put(exchange, services.timers().schedule(overdue, () -> onOverdue(exchange)));
+        try {
+            exchange.start();
+        } catch (RuntimeException failure) {
+            UnexpectedFailure.log(services.log(), received.request().id(), failure);
+            abandon(exchange, FAILED);
+        }
         return exchange::onCallerGone;
     }
 
+    private void onEnded(Exchange exchange) {
+        Cancellable overdueTimer = openExchanges.remove(exchange);
+        if (overdueTimer != null) {
+            overdueTimer.cancel();
+        }
+    }
+
+    private void onOverdue(Exchange exchange) {
+        services.log()
+                .write(
+                        EventCode.UNEXPECTED_FAILURE,
+                        exchange.requestId(),
+                        Field.of("reason", "the request has no outcome at its deadline"));
+        abandon(exchange, FAILED);
+    }
+
+    /** Ends an exchange, whatever state a failure may have left it in. */
+    private void abandon(Exchange exchange, Refusal notRun) {
+        try {
+            exchange.abandon(notRun);
+        } catch (RuntimeException failure) {
+            UnexpectedFailure.log(services.log(), exchange.requestId(), failure);
+            exchange.abort();
+        } finally {
+            onEnded(exchange);
+        }
+    }
+
     /**
      * Starts draining because the process is about to exit.
      *
@@ -216,7 +269,7 @@
     public void endOpenRequests() {
         close();
         Set.copyOf(waitingRequests).forEach(WaitingRequest::refuseAtExit);
-        Set.copyOf(openExchanges).forEach(exchange -> exchange.abandon(EXITING));
+        Set.copyOf(openExchanges.keySet()).forEach(exchange -> abandon(exchange, EXITING));
     }
 
     private Cancellable refuse(GatewayRequest request, CallerAnswer answer, Refusal refusal) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
@@ -25,6 +25,8 @@
 
     private final List<SentRequest> sentRequests = new ArrayList<>();
     private final Set<TargetId> endedTargets = new HashSet<>();
+    private Optional<RuntimeException> sendFailure = Optional.empty();
+    private Optional<RuntimeException> cancelFailure = Optional.empty();
 
     /** A request sent to a target. */
     public static final class SentRequest {
@@ -96,7 +98,25 @@
             TargetAnswerListener listener) {
         SentRequest sentRequest = new SentRequest(target, metadata, listener);
         sentRequests.add(sentRequest);
-        return () -> sentRequest.cancelled = true;
+        sendFailure.ifPresent(failure -> {
+            throw failure;
+        });
+        return () -> {
+            sentRequest.cancelled = true;
+            cancelFailure.ifPresent(failure -> {
+                throw failure;
+            });
+        };
+    }
+
+    /** Makes all further calls fail once their request has been sent. */
+    public void failSends(RuntimeException failure) {
+        sendFailure = Optional.of(failure);
+    }
+
+    /** Makes the cancellation of calls fail. */
+    public void failCancellations(RuntimeException failure) {
+        cancelFailure = Optional.of(failure);
     }
 
     @Override
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -97,7 +97,7 @@
     private final MonotonicClock clock = MonotonicClock.system();
     private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop", true));
     private final EventLoop loop = group.next();
-    private final Timers timers = new EventLoopTimers(loop);
+    private final Timers timers;
     private final AtomicBoolean draining = new AtomicBoolean();
     private final long incarnation = System.currentTimeMillis();
     private final SplittableRandom random = new SplittableRandom();
@@ -165,6 +165,7 @@
         this.jsonLog = Objects.requireNonNull(lines, "lines");
         this.metrics = new EntryMetrics(lines);
         this.log = metrics;
+        this.timers = new EventLoopTimers(loop, log);
         this.storeAvailability = new StoreAvailability(clock, log, "");
         this.targetRowsAvailability = new StoreAvailability(clock, log, "targets");
         this.targetUpdates = new TargetUpdates(registry, log);
--- a/node/src/test/java/org/geraniumreach/node/OrderedAdmissionLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/OrderedAdmissionLinksTest.java
@@ -66,7 +66,7 @@
 
     private final MonotonicClock clock = MonotonicClock.system();
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
-    private final Timers timers = new EventLoopTimers(loops.next());
+    private final Timers timers = new EventLoopTimers(loops.next(), (event, subject, fields) -> {});
     private final BlockingQueue<Frame> receivedByOwner = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> opened = new LinkedBlockingQueue<>();
     private final BlockingQueue<Decision> decisions = new LinkedBlockingQueue<>();
