--- a/httpserver/src/main/java/org/geraniumreach/httpserver/CloseCause.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/CloseCause.java
@@ -15,6 +15,9 @@
     /** An answer was aborted, or was the last one of its connection. */
     ANSWER,
 
+    /** The caller reads its answer too slowly. */
+    SLOW_READER,
+
     /** A part of an answer could not be written. */
     WRITE_FAILED,
 
