Count a drain from the signal, not from when the event loop learns of it

Requests are taken without regard to their time for 2.5 s of a drain, and later only if they must end before the process does. Both were counted from when the event loop had time for the start of the drain, so that a busy entry took requests too late, which it then cut off.

The new test of DrainRuleTest fails before (the request is sent, no answer instead of 503); now DrainRuleTest passes, 9 of 9.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -249,10 +249,11 @@
     /**
      * Starts draining because the process is about to exit.
      *
-     * @param drainTime the time until the process exits, not null
+     * @param startedAt when the process was told to stop, in nanoseconds of the clock
+     * @param drainTime the time from then until the process exits, not null
      */
-    public void drain(Duration drainTime) {
-        drainRule = Optional.of(DrainRule.of(services.clock().nanos(), drainTime));
+    public void drain(long startedAt, Duration drainTime) {
+        drainRule = Optional.of(DrainRule.of(startedAt, drainTime));
     }
 
     /** Refuses all further requests, because the process exits once the admitted ones are answered. */
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/DrainRuleTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/DrainRuleTest.java
@@ -56,4 +56,14 @@
         assertThat(answer.header("Retry-After")).isNotEmpty();
         assertThat(world.targets().sentRequests()).isEmpty();
     }
+
+    /** Guards against requests that are admitted too late in a drain of which a busy event loop has learnt late. */
+    @Test
+    void aDrainCountsFromTheSignalAndNotFromWhenTheEventLoopLearnsOfIt() {
+        RequestHarness world =
+                new RequestHarness().startWithRoute(RetryPolicy.AT_MOST_ONCE, 1).addTarget("a");
+        world.drain(Duration.ofSeconds(3), Duration.ofMillis(2_600));
+        assertThat(world.send().status()).isEqualTo(503);
+        assertThat(world.targets().sentRequests()).isEmpty();
+    }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -435,7 +435,12 @@
     }
 
     public void drain(Duration length) {
-        handler.drain(length);
+        drain(length, Duration.ZERO);
+    }
+
+    /** Starts a drain of which the event loop learns late. */
+    public void drain(Duration length, Duration delay) {
+        handler.drain(time.nanos() - delay.toNanos(), length);
     }
 
     public void setTargetAdmission(TargetAdmission newAdmission) {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -643,10 +643,11 @@
         }
         log.write(EventCode.DRAINING, settings.instance(), Field.of("open", ingress.openRequests()));
         ingress.drain();
+        long startedAt = clock.nanos();
         new EntryDrain(new IngressCallers(ingress), this::releaseLease, settings.drainLimit(), clock)
                 .run(
                         maxDuration -> loop.execute(() -> {
-                            requests.drain(maxDuration);
+                            requests.drain(startedAt, maxDuration);
                             directory.stop();
                         }),
                         () -> loop.execute(requests::close),
