Take the shares of many accounts in several transactions

All changes of an entry's shares were proposed as one transaction, while the store accepts 100 conditions and writes. An entry that has to change its shares of more than 50 accounts at once, as after a start or a configuration with many new accounts, would have each of its transactions refused, and would never hold a share: callers of these accounts get 429 for good.

A transaction changes at most 20 shares, and the next one goes on with the accounts that were not looked at.

--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -41,6 +41,9 @@
     /** Part of the shortest objective that a request may spend waiting for units; the rest is left to its target. */
     private static final double WAIT_RATIO = 0.4;
 
+    /** The store accepts 100 conditions and writes; a change has one of each, and a condition for each abandoned share. */
+    private static final int MAX_CHANGES_PER_TRANSACTION = 20;
+
     private static final String KEY_PREFIX = "share/";
 
     private final String self;
@@ -52,6 +55,8 @@
     private final ShareHolders shareHolders;
     private EntryCapacity entryCapacity = EntryCapacity.uniform();
     private Map<AccountId, Account> accounts = Map.of();
+    private List<Account> limitedAccounts = List.of();
+    private int nextAccount;
     private Duration maxWait = Duration.ZERO;
 
     private static final class AccountState {
@@ -155,6 +160,8 @@
      */
     public void configure(Map<AccountId, Account> newAccounts, Duration shortestObjective) {
         accounts = Map.copyOf(newAccounts);
+        limitedAccounts = accounts.values().stream().filter(Account::isLimited).toList();
+        nextAccount = limitedAccounts.isEmpty() ? 0 : nextAccount % limitedAccounts.size();
         maxWait = Duration.ofNanos((long) (shortestObjective.toNanos() * WAIT_RATIO));
         shareHolders.retainAccounts(accounts.keySet());
         accounts.keySet().forEach(this::resize);
@@ -226,7 +233,8 @@
     }
 
     /**
-     * Proposes a transaction that adapts this entry's shares to its demand. Decreases take effect at once.
+     * Proposes a transaction that adapts this entry's shares to its demand. Decreases take effect at once. If more shares are to be
+     * changed than fit into a transaction, the next one goes on with the others.
      *
      * @param entries the instances of all entries, including this one, not null
      * @param abandoned the entries whose shares may be taken over, with the versions of their leases, not null
@@ -235,10 +243,11 @@
     public Optional<Transaction> proposeTransaction(Collection<String> entries, Map<String, Long> abandoned) {
         shareHolders.setEntries(entries, entryCapacity);
         Transaction transaction = Transaction.empty();
-        for (Account account : accounts.values()) {
-            if (account.isLimited()) {
-                transaction = addChange(transaction, account, entries, abandoned);
-            }
+        for (int examined = 0;
+                examined < limitedAccounts.size() && transaction.writes().size() < MAX_CHANGES_PER_TRANSACTION;
+                examined++) {
+            transaction = addChange(transaction, limitedAccounts.get(nextAccount), entries, abandoned);
+            nextAccount = (nextAccount + 1) % limitedAccounts.size();
         }
         return transaction.writes().isEmpty() ? Optional.empty() : Optional.of(transaction);
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -34,6 +36,11 @@
     private static final Quotas.Tolerance TOLERANCE = new Quotas.Tolerance(0.1, 11_000, Duration.ofSeconds(8));
     private static final Duration LATENCY_OBJECTIVE = Duration.ofMillis(1_000);
     private static final Duration MAX_WAIT = Duration.ofMillis(400);
+    private static final int MANY_ACCOUNTS = 300;
+
+    /** The store refuses transactions with more conditions and writes. */
+    private static final int MAXIMUM_TRANSACTION_ROWS = 100;
+
     private static final List<String> ENTRY_NAMES = List.of("entry0", "entry1", "entry2", "entry3");
 
     // Guards against two entries spending the same part of a rate. Entries change their shares as demand moves,
@@ -123,6 +130,31 @@
         assertThat(longPart).isGreaterThan(shortPart / 2);
     }
 
+    /** Guards against an entry that never gets shares since the store refuses a transaction with too many rows. */
+    @Test
+    void sharesOfManyAccountsAreTakenInTransactionsThatTheStoreAccepts() {
+        VirtualTime time = new VirtualTime();
+        Quotas quotas =
+                new Quotas("entry0", new Lease(time, time::wallMillis), TOLERANCE, time, (event, id, fields) -> {});
+        Map<AccountId, Account> accounts = IntStream.range(0, MANY_ACCOUNTS)
+                .mapToObj(number -> AccountId.of("acme" + number))
+                .collect(Collectors.toMap(id -> id, id -> new Account(id, 10, 10, true, 200, OptionalInt.empty())));
+        quotas.configure(accounts, LATENCY_OBJECTIVE);
+        long version = 0;
+        Optional<Transaction> change = quotas.proposeTransaction(List.of("entry0", "entry1"), Map.of());
+        while (change.isPresent()) {
+            assertThat(change.get().conditions().size() + change.get().writes().size())
+                    .isLessThanOrEqualTo(MAXIMUM_TRANSACTION_ROWS);
+            version++;
+            for (Transaction.Write write : change.get().writes()) {
+                Row row = new Row(write.key(), version, write.value().orElseThrow());
+                quotas.applyRow(write.key().key(), Optional.of(row));
+            }
+            change = quotas.proposeTransaction(List.of("entry0", "entry1"), Map.of());
+        }
+        assertThat(accounts.keySet()).allMatch(quotas::hasShare);
+    }
+
     /** An account that asks an entry holding its whole rate for six times that rate; half of the units are for long requests. */
     private static final class Overload {
         private static final int SHORT_REQUEST_UNITS = 200;
