Rank each entry once for a target without an owner

While targets have no owner, as after the start of many entries or the loss of their owners, each entry sorted all entries for each of these targets twice a second on its event loop, and ranked both sides of each comparison.

An entry only needs the number of entries that rank before it, so each is ranked once. It is the same count that the holders of shares are selected by, and stands in EntryCapacity for both.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/TargetOwnership.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/TargetOwnership.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -191,16 +190,19 @@
         }
         long now = clock.nanos();
         claimableSince.keySet().retainAll(targets);
+        List<String> candidates = entries.stream()
+                .filter(entry -> entry.equals(self) || reachable.test(entry))
+                .toList();
         List<TargetId> claimed = new ArrayList<>();
         for (TargetId target : targets) {
-            if (isClaimable(target, entries, reachable, now) && claimed.size() < MAX_CLAIMS) {
+            if (isClaimable(target, candidates, now) && claimed.size() < MAX_CLAIMS) {
                 claimed.add(target);
             }
         }
         return claimed.isEmpty() ? Optional.empty() : Optional.of(claimTransaction(claimed));
     }
 
-    private boolean isClaimable(TargetId target, List<String> entries, Predicate<String> reachable, long now) {
+    private boolean isClaimable(TargetId target, List<String> candidates, long now) {
         VersionedRow holder = holderRows.get(target);
         if (holder != null && holder.row().node().equals(self)) {
             return !isOwn(holder.row());
@@ -210,10 +212,7 @@
             return false;
         }
         long since = claimableSince.computeIfAbsent(target, missing -> now);
-        List<String> candidates = entries.stream()
-                .filter(entry -> entry.equals(self) || reachable.test(entry))
-                .toList();
-        int rank = entriesByRank(target, candidates).indexOf(self);
+        int rank = capacity.countAhead(target.value(), self, candidates);
         return now - since >= rank * CLAIM_STAGGER.toNanos();
     }
 
@@ -247,13 +246,6 @@
         return ended;
     }
 
-    private List<String> entriesByRank(TargetId target, List<String> entries) {
-        return entries.stream()
-                .sorted(Comparator.comparingDouble((String entry) -> capacity.rank(target.value(), entry))
-                        .thenComparing(Comparator.naturalOrder()))
-                .toList();
-    }
-
     private Transaction claimTransaction(List<TargetId> targets) {
         Transaction transaction = Transaction.empty();
         List<String> formerOwners = new ArrayList<>();
--- a/gateway/src/main/java/org/geraniumreach/gateway/capacity/EntryCapacity.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/capacity/EntryCapacity.java
@@ -1,5 +1,7 @@
 package org.geraniumreach.gateway.capacity;
 
+import java.util.Collection;
+
 import org.geraniumreach.serving.routing.Rendezvous;
 
 /**
@@ -40,4 +42,23 @@
         double unsignedHash = (double) Rendezvous.hash(task + ' ' + entry) - Integer.MIN_VALUE;
         return -Math.log((range - unsignedHash - 0.5) / range) / of(entry);
     }
+
+    /**
+     * Counts the entries that rank before an entry for a task; those of equal rank are ordered by name.
+     *
+     * @param task the task's name, not null
+     * @param entry the entry's instance, not null
+     * @param entries the instances of all entries, which may include this one, not null
+     * @return the number, 0 if the entry is the first choice
+     */
+    default int countAhead(String task, String entry, Collection<String> entries) {
+        double own = rank(task, entry);
+        return (int) entries.stream()
+                .filter(other -> !other.equals(entry))
+                .filter(other -> {
+                    double rank = rank(task, other);
+                    return rank == own ? other.compareTo(entry) < 0 : rank < own;
+                })
+                .count();
+    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/ShareHolders.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/ShareHolders.java
@@ -83,14 +83,6 @@
     }
 
     private int countAhead(AccountId account, Collection<String> entries, EntryCapacity ofEntries) {
-        double own = capacity.rank(account.value(), self);
-        return (int) entries.stream()
-                .filter(entry -> !entry.equals(self))
-                .filter(entry -> ranksBefore(ofEntries.rank(account.value(), entry), entry, own))
-                .count();
-    }
-
-    private boolean ranksBefore(double rank, String entry, double own) {
-        return rank == own ? entry.compareTo(self) < 0 : rank < own;
+        return ofEntries.countAhead(account.value(), self, entries);
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/TargetOwnershipTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/TargetOwnershipTest.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 
 import org.geraniumreach.gateway.testing.VirtualTime;
 import org.geraniumreach.model.TargetId;
@@ -23,6 +25,8 @@
     private static final List<String> ENTRIES = List.of("one", "two");
     private static final String KEY = "holder/t";
     private static final long INCARNATION = 5;
+    private static final int MANY_TARGETS = 200;
+    private static final int MANY_ENTRIES = 340;
 
     private final VirtualTime time = new VirtualTime();
     private final Lease lease = new Lease(time, time::wallMillis);
@@ -49,6 +53,25 @@
                         RowKey.of(TargetOwnership.FLEET_TABLE, KEY), Transaction.ABSENT_VERSION));
     }
 
+    /** Guards against an event loop that stands still while the owners of many targets are selected among many entries. */
+    @Test
+    void entriesAreRankedOnceForEachTargetWithoutOwner() {
+        AtomicLong ranked = new AtomicLong();
+        ownership.setCapacity(entry -> {
+            ranked.incrementAndGet();
+            return 1;
+        });
+        renew();
+        List<TargetId> targets = IntStream.range(0, MANY_TARGETS)
+                .mapToObj(number -> TargetId.of("t" + number))
+                .toList();
+        List<String> entries = IntStream.range(0, MANY_ENTRIES)
+                .mapToObj(number -> number == 0 ? "one" : "entry" + number)
+                .toList();
+        ownership.claim(targets, entries, entry -> true);
+        assertThat(ranked.get()).isLessThanOrEqualTo((long) MANY_TARGETS * MANY_ENTRIES);
+    }
+
     @Test
     void theRowsVersionIsTheFencingToken() {
         renew();
