Test answers of targets whose rows lapse

A target that stands still for three seconds may miss so many heartbeats that its row is removed. Its answers are passed on all the same when it goes on, for each retry policy, begun or not, with and without a budget of retries, and it is used again after its second heartbeat. RequestHarness forgets the silences of targets that leave, as an entry does.

--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -246,6 +246,7 @@
                 new EntryContext(() -> 1, FailureDomain.of("here"), () -> 0),
                 PlacementSettings.defaults(),
                 time);
+        registry.addListener(silences);
         registry.addListener(streams);
         this.handler = new RequestHandler(
                 new ExchangeServices(
