Count a cancelled attempt before it is cancelled, and never pass on part of its answer

If the cancellation of an attempt fails, the request counted as not sent, and its caller was told that it had not run; the attempts are recorded first now and removed after their cancellation.

An answer that was abandoned for a refusal of its request could pass on a part of a server error as a whole one, since what had been received was only discarded where the process exits. It is discarded with the attempt now. Found by reading, not reproduced.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -593,7 +593,13 @@
     }
 
     private void abandonAttempt() {
-        attempts.cancelAll().forEach(this::addIfSent);
+        if (attempts.current().isEmpty()) {
+            return;
+        }
+        attempts.all().forEach(this::addIfSent);
+        attempts.cancelAll();
+        // What has been received of an answer must not be taken for a whole one.
+        relay.discardAttempt();
     }
 
     private void addIfSent(Attempt cancelled) {
@@ -617,10 +623,7 @@
 
     /** Ends the request at once, because this entry cannot go on with it. */
     void abandon(Refusal notRun) {
-        if (attempts.current().isPresent()) {
-            abandonAttempt();
-            relay.discardAttempt();
-        }
+        abandonAttempt();
         giveUp(notRun.code(), notRun.message(), notRun.retryAfter());
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RunningAttempts.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RunningAttempts.java
@@ -1,11 +1,11 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.Timers;
@@ -97,15 +97,16 @@
         predecessor = Optional.empty();
     }
 
-    /** Cancels and removes all attempts, and returns them. */
-    List<Attempt> cancelAll() {
+    /** Gets all attempts that have not ended. */
+    List<Attempt> all() {
+        return Stream.concat(predecessor.stream(), current.stream()).toList();
+    }
+
+    /** Cancels and removes all attempts. */
+    void cancelAll() {
         overlapEnd.cancel();
-        List<Attempt> cancelled = new ArrayList<>();
-        predecessor.ifPresent(cancelled::add);
-        current.ifPresent(cancelled::add);
+        all().forEach(Attempt::cancel);
         predecessor = Optional.empty();
         current = Optional.empty();
-        cancelled.forEach(Attempt::cancel);
-        return cancelled;
     }
 }
