Send a request back to its silent engine when no other may take it

What callers saw: while the engine of a target stood still for 3 s and went on, generations that waited for it ended with 502 TARGET_FAILED ("the engine does not answer", not run) after 2 s of their 30 or 60 s.

Cause: before a companion sends a request it reads the state of the engine. A read without an answer within 2 s (callLimit) refused all requests that waited for it at once. The entry then asked for a retry and a second target only after the first had let the request go; without one, or with the retry budget used up, the request ended, though nothing of it had run and its engine was sound.

The companion tells a silent engine (no answer) from one that cannot be reached, and says then when to ask again. The entry decides: if another target can run the request and a retry is allowed, it moves as before. If not, it goes back to its companion until its deadline (ATTEMPT_RETURNED, 4033). Requests that have run or may have run, overloaded targets and ended engines are not asked again. A silent target that no other can replace is not ejected, since it would refuse new requests for seconds after it has gone on; one that can be replaced is ejected as before.

--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineMonitor.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineMonitor.java
@@ -28,6 +28,7 @@
     private boolean isViewValid;
     private long refreshedAt;
     private boolean isReachable = true;
+    private Result lastFailure = Result.UNREACHABLE;
     private long failedAt;
     private volatile long incarnation;
     private volatile Set<AttemptId> streams = Set.of();
@@ -39,19 +40,38 @@
         this.maxAgeNanos = maxAge.toNanos();
     }
 
+    /** What is known of the engine after a read. */
+    enum Result {
+        /** Its state is known. */
+        CURRENT,
+        /** It has left the read without an answer and may only stand still. */
+        SILENT,
+        /** It cannot be reached or has answered with an error. */
+        UNREACHABLE
+    }
+
     /**
      * Reads the engine's state if the known state is older than the maximum age; blocks during the read.
      *
      * @return false if the engine does not answer
      */
     boolean refreshIfStale() {
+        return readIfStale() == Result.CURRENT;
+    }
+
+    /**
+     * Reads the engine's state if the known state is older than the maximum age; blocks during the read.
+     *
+     * @return the result, not null
+     */
+    Result readIfStale() {
         long arrivedAt = clock.nanos();
         synchronized (this) {
             if (isViewValid && clock.nanos() - refreshedAt <= maxAgeNanos) {
-                return true;
+                return Result.CURRENT;
             }
             if (!isReachable && failedAt - arrivedAt >= 0) {
-                return false;
+                return lastFailure;
             }
             return refresh();
         }
@@ -65,19 +85,20 @@
         isViewValid = false;
     }
 
-    private boolean refresh() {
+    private Result refresh() {
         long askedAt = clock.nanos();
         try {
             apply(engine.state(), askedAt);
-            return true;
+            return Result.CURRENT;
         } catch (PlatformException failure) {
             if (isReachable) {
                 EventLog.write(EventCode.ENGINE_UNREACHABLE, "{}", failure.getMessage());
             }
             isReachable = false;
+            lastFailure = failure.reason() == PlatformException.Reason.NO_ANSWER ? Result.SILENT : Result.UNREACHABLE;
             isViewValid = false;
             failedAt = clock.nanos();
-            return false;
+            return lastFailure;
         }
     }
 
--- a/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/companion/EngineRunner.java
@@ -42,6 +42,7 @@
 
     private static final int MAX_REQUEUES = 3;
     private static final long RETRY_DELAY_MILLIS = 200;
+    private static final Duration SILENT_ENGINE_RETRY_AFTER = Duration.ofMillis(200);
 
     private final ModelEngine engine;
     private final Residency residency;
@@ -265,9 +266,11 @@
             dispatch();
             return;
         }
-        if (!engineMonitor.refreshIfStale()) {
+        EngineMonitor.Result read = engineMonitor.readIfStale();
+        if (read != EngineMonitor.Result.CURRENT) {
             release(stream, 0, 0);
-            refuse(stream, ResultCode.TARGET_FAILED, ExecutionStatus.NO, "the engine does not answer");
+            lifecycle.refuse(stream.attempt(), unansweredRead(read));
+            dispatch();
             return;
         }
         if (engineMonitor.incarnation() != incarnation) {
@@ -287,6 +290,11 @@
         generate(stream, order.get());
     }
 
+    private static ServingException unansweredRead(EngineMonitor.Result read) {
+        ServingException refusal = ServingException.notRun(ResultCode.TARGET_FAILED, "the engine does not answer");
+        return read == EngineMonitor.Result.SILENT ? refusal.withRetryAfter(SILENT_ENGINE_RETRY_AFTER) : refusal;
+    }
+
     private AttemptStream newStream(QueuedRequest<CompanionAttempt> request, Pin pin, long incarnation) {
         long arrivedAt = request.payload().arrivedAt();
         long now = clock.nanos();
--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/GenerationCall.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/GenerationCall.java
@@ -60,6 +60,7 @@
     private Optional<Attempt> current = Optional.empty();
     private Optional<ScheduledFuture<?>> tickTask = Optional.empty();
     private Optional<ServingException> lastFailure = Optional.empty();
+    private Optional<Route> lastRoute = Optional.empty();
     private boolean mayHaveRun;
     private Optional<ScheduledFuture<?>> deadlineTask = Optional.empty();
     private int failures;
@@ -132,6 +133,10 @@
     private void send() {
         Optional<Route> route = dependencies.fleet().route(routeRequest());
         if (route.isEmpty()) {
+            if (lastFailure.filter(RefusalClassifier::mayReturn).isPresent()) {
+                returnTo(lastRoute.orElseThrow());
+                return;
+            }
             // After a failed attempt, that failure is reported to the caller, since it says more than that no other
             // target is available.
             fail(lastFailure.orElseGet(
@@ -139,9 +144,13 @@
                             .withRetryAfter(NO_TARGET_RETRY_AFTER)));
             return;
         }
-        triedTargets.add(route.get().target());
-        Attempt attempt = new Attempt(
-                route.get(), dependencies.fleet().recordSent(route.get().target()));
+        sendTo(route.get());
+    }
+
+    private void sendTo(Route route) {
+        triedTargets.add(route.target());
+        lastRoute = Optional.of(route);
+        Attempt attempt = new Attempt(route, dependencies.fleet().recordSent(route.target()));
         current = Optional.of(attempt);
         attempt.start();
     }
@@ -261,12 +270,19 @@
         }
 
         private void onFailure(ServingException failure, boolean targetFailure, boolean retryable) {
-            if (targetFailure) {
+            boolean isKept = RefusalClassifier.mayReturn(failure) && !hasOtherTarget();
+            // A silent target that is ejected while no other can run the request would get no new ones when it goes on.
+            if (targetFailure && !isKept) {
                 dependencies.fleet().recordFailure(route.target());
             }
             synchronized (GenerationCall.this) {
-                if (isCurrent()) {
-                    failures++;
+                if (!isCurrent()) {
+                    return;
+                }
+                lastFailure = Optional.of(failure);
+                if (isKept) {
+                    returnTo(route);
+                } else {
                     retryOrFail(failure, retryable);
                 }
             }
@@ -281,16 +297,45 @@
         return ran == 0 ? ExecutionStatus.NO : ExecutionStatus.UNKNOWN;
     }
 
+    private synchronized boolean hasOtherTarget() {
+        return dependencies.fleet().route(routeRequest()).isPresent();
+    }
+
+    /** Sends the request to the target that has just refused it as not run, after the refusal's delay. */
+    private void returnTo(Route route) {
+        Duration delay = lastFailure.flatMap(ServingException::retryAfter).orElseThrow();
+        EventLog.write(
+                EventCode.ATTEMPT_RETURNED,
+                "{} {} to {} in {} ms, {} ms left",
+                caller.id(),
+                adapter,
+                route.target(),
+                delay.toMillis(),
+                remainingTime().toMillis());
+        current = Optional.empty();
+        dependencies.timer().schedule(() -> sendAgainTo(route), delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private synchronized void sendAgainTo(Route route) {
+        if (!ended) {
+            sendTo(route);
+        }
+    }
+
     private void retryOrFail(ServingException failure, boolean retryable) {
-        lastFailure = Optional.of(failure);
         mayHaveRun |= failure.executionStatus() != ExecutionStatus.NO;
         RetryPolicy.FailedAttempt attempt = new RetryPolicy.FailedAttempt(
-                true, failure.executionStatus(), sink.hasSentParts(), failures, remainingTime());
+                true, failure.executionStatus(), sink.hasSentParts(), failures + 1, remainingTime());
         Optional<Duration> delay = retryable ? dependencies.retryPolicy().decide(attempt) : Optional.empty();
         if (delay.isEmpty()) {
-            fail(failure);
+            if (RefusalClassifier.mayReturn(failure)) {
+                returnTo(lastRoute.orElseThrow());
+            } else {
+                fail(failure);
+            }
             return;
         }
+        failures++;
         EventLog.write(EventCode.ATTEMPT_RETRIED, "{} {} after {}", caller.id(), adapter, failure.code());
         current = Optional.empty();
         sink.restart();
--- a/daemon/src/main/java/org/geraniumreach/daemon/entry/RefusalClassifier.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/entry/RefusalClassifier.java
@@ -3,10 +3,12 @@
 import java.util.EnumSet;
 import java.util.Set;
 
+import org.geraniumreach.model.ExecutionStatus;
 import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.ServingException;
 
 /**
- * Classifies the result codes of refusals: whether the target failed, and whether a retry may succeed.
+ * Classifies refusals: whether the target failed, whether a retry may succeed, and whether it may at the same target.
  *
  * <p>Stateless and safe for use by several threads.
  */
@@ -48,4 +50,16 @@
     static boolean isRetryable(ResultCode code) {
         return !NOT_RETRYABLE.contains(code);
     }
+
+    /**
+     * Queries whether a request may go back to the target that refused it: its engine is silent, and may go on.
+     *
+     * @param refusal the refusal, not null
+     * @return true if it may, after the refusal's delay
+     */
+    static boolean mayReturn(ServingException refusal) {
+        return refusal.code() == ResultCode.TARGET_FAILED
+                && refusal.executionStatus() == ExecutionStatus.NO
+                && refusal.retryAfter().isPresent();
+    }
 }
--- a/integration/src/test/java/org/geraniumreach/integration/StandIns.java
+++ b/integration/src/test/java/org/geraniumreach/integration/StandIns.java
@@ -25,6 +25,7 @@
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final List<JavaProcess> processes = new ArrayList<>();
+    private JavaProcess engineProcess;
     private final int platformPort;
     private final int engineAdministrationPort;
     private final int serviceAdministrationPort;
@@ -71,8 +72,9 @@
                 "--weights",
                 "http://127.0.0.1:" + (platformPort + WEIGHTS_PORT_OFFSET)));
         engineArguments.addAll(List.of(engineOptions));
-        processes.add(JavaProcess.start(
-                "standins", MAIN_CLASS, directory.resolve("engines.log"), engineArguments.toArray(String[]::new)));
+        engineProcess = JavaProcess.start(
+                "standins", MAIN_CLASS, directory.resolve("engines.log"), engineArguments.toArray(String[]::new));
+        processes.add(engineProcess);
         processes.add(JavaProcess.start(
                 "standins",
                 MAIN_CLASS,
@@ -125,6 +127,11 @@
         post(engineAdministrationPort, "/admin/restart?part=engine-" + enginePort(engine), "{}");
     }
 
+    /** Gets the process that runs all engines. */
+    JavaProcess engineProcess() {
+        return engineProcess;
+    }
+
     /** Returns the number of runs of the plain service whose request contains a text. */
     long countServiceRunsContaining(String text) throws IOException, InterruptedException {
         long runs = 0;
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -68,6 +68,8 @@
     ATTEMPT_KEPT(4025, Level.INFO, "A request stays at its silent target, since no other may take it over now."),
     FENCE_READ_AFTER_PAUSE(
             4032, Level.INFO, "A paused companion has read its fence; its requests go on or are refused."),
+    ATTEMPT_RETURNED(
+            4033, Level.INFO, "A request that has not run goes back to its silent target; no other may take it."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
