--- a/node/src/test/java/org/geraniumreach/node/KeptCaller.java
+++ b/node/src/test/java/org/geraniumreach/node/KeptCaller.java
@@ -113,6 +113,10 @@
         return read(socket, id, path, sentAt);
     }
 
+    boolean isConnected() {
+        return connection.isPresent();
+    }
+
     private Socket connect() throws IOException {
         Socket socket = new Socket(entry.getAddress(), entry.getPort());
         socket.setTcpNoDelay(true);
