--- a/node/src/main/java/org/geraniumreach/node/Main.java
+++ b/node/src/main/java/org/geraniumreach/node/Main.java
@@ -58,6 +58,8 @@
      * @param arguments the command line, not null
      */
     public static void main(String[] arguments) {
+        // Without a handler the signal ends the process, and the entry installs its own only when it serves.
+        Signals.onReload(() -> {});
         // Otherwise Netty searches for three logging libraries that are not on the class path, which delays each start.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         System.exit(new Main().run(arguments));
@@ -82,10 +84,9 @@
             return rehearse(log);
         }
         try {
-            ProcessSettings settings = SettingsFile.read(file == null ? SettingsFile.path() : file);
-            return command == Command.CHECK
-                    ? 0
-                    : serve(settings, metricsPort == null ? OptionalInt.empty() : OptionalInt.of(metricsPort), log);
+            Path settingsFile = file == null ? SettingsFile.path() : file;
+            ProcessSettings settings = SettingsFile.read(settingsFile);
+            return command == Command.CHECK ? 0 : serve(settings, settingsFile, log);
         } catch (DocumentException invalid) {
             log.write(EventCode.SETTINGS_INVALID, "", Field.of("reason", invalid.getMessage()));
             log.close();
@@ -105,11 +106,12 @@
         }
     }
 
-    private static int serve(ProcessSettings settings, OptionalInt metricsPort, JsonLog log) {
-        EntryProcess process = new EntryProcess(settings, metricsPort, log);
+    private int serve(ProcessSettings settings, Path settingsFile, JsonLog log) {
+        EntryProcess process = new EntryProcess(
+                settings, metricsPort == null ? OptionalInt.empty() : OptionalInt.of(metricsPort), log);
         CountDownLatch endSignal = new CountDownLatch(1);
         Signals.onTerminate(endSignal::countDown);
-        Signals.onReload(() -> reload(log));
+        Signals.onReload(() -> reload(settingsFile, log));
         try {
             process.start();
         } catch (IOException unavailable) {
@@ -127,9 +129,9 @@
     }
 
     /** Only validates the file: the configuration comes from the store, and changes of the file take effect at a restart. */
-    private static void reload(JsonLog log) {
+    private static void reload(Path settingsFile, JsonLog log) {
         try {
-            SettingsFile.read(SettingsFile.path());
+            SettingsFile.read(settingsFile);
             log.write(EventCode.SETTINGS_READ, "");
         } catch (DocumentException invalid) {
             log.write(EventCode.SETTINGS_INVALID, "", Field.of("reason", invalid.getMessage()));
