Look for a request's model before leaving out ejected and silent targets

Requests were refused with NO_MODEL although their target was there: targets that are ejected or silent were left out first, as long as the service has others, also if none of the others holds the model. A model that one target holds was not served during a silence of that target.

SilentTargetTest.aRequestIsSentToTheOnlyTargetWithItsModelAlsoIfThatIsSilent failed before and passes now, with the tests of placement, exchanges and admission.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -127,16 +127,16 @@
                     ? new PlacementDecision.Unplaceable(PlacementDecision.Reason.COLD)
                     : new PlacementDecision.Unplaceable(PlacementDecision.Reason.LIMITED, untilAvailable(offered));
         }
-        List<Target> usable = healthyIfAny(available);
         if (request.model().isEmpty()) {
-            return placeOnLeastLoaded(request, usable);
+            return placeOnLeastLoaded(request, healthyIfAny(available));
         }
-        List<Target> holding = usable.stream()
+        List<Target> allHolding = available.stream()
                 .filter(target -> target.holdsModel(request.model().get()))
                 .toList();
-        if (holding.isEmpty()) {
+        if (allHolding.isEmpty()) {
             return new PlacementDecision.Unplaceable(PlacementDecision.Reason.NO_MODEL);
         }
+        List<Target> holding = healthyIfAny(allHolding);
         return request.adapter().isPresent() ? placeByAdapter(request, holding) : placeByAffinity(request, holding);
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
@@ -162,6 +162,20 @@
         assertThat(world.openExchanges()).isZero();
     }
 
+    /** Guards against requests that are refused since the only target with their model is silent while others are not. */
+    @Test
+    void aRequestIsSentToTheOnlyTargetWithItsModelAlsoIfThatIsSilent() {
+        RequestHarness world = new RequestHarness(NO_RETRIES);
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
+                .addTarget("a", Map.of("base", Map.of("a7", 1L)))
+                .addTarget("b");
+        world.send(Optional.of(GENERATION));
+        world.time().advance(Duration.ofMillis(1_600));
+        world.send(Optional.of(GENERATION));
+        world.time().advance(Duration.ofMillis(200));
+        assertThat(world.targets().sentRequests()).hasSize(2);
+    }
+
     /** Guards against a successor that is cancelled since its silent predecessor refuses the request. */
     @Test
     void aSilentTargetThatRefusesLeavesTheRequestToItsSuccessor() {
