Send nothing more to a limited target that is silent

Cause: a limited target got nothing more once this entry had abandoned a request there. Since silent attempts are kept, their requests are abandoned seconds later, at their deadlines, and until then further ones are sent at the rate of the limit. A target that is silent now counts like one that may hold abandoned requests.

--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -58,7 +58,7 @@
     private final TargetRegistry registry;
     private final LimitDivision division;
     private final LimitPeers peers;
-    private final Predicate<Target> mayHoldRequests;
+    private final Predicate<Target> mayAccumulate;
     private final MonotonicClock clock;
     private final PendingAnswers<Optional<Decision>> pendingAnswers;
     private final Map<Target, LimitedRequests> requests = new HashMap<>();
@@ -68,14 +68,14 @@
      *
      * @param ownership the owners of the targets
      * @param registry the targets
-     * @param mayHoldRequests whether requests of this entry that were abandoned may still arrive at a target
+     * @param mayAccumulate whether requests of this entry have not arrived at a target and may arrive together with another one
      */
-    public record KnownTargets(TargetOwnership ownership, TargetRegistry registry, Predicate<Target> mayHoldRequests) {
+    public record KnownTargets(TargetOwnership ownership, TargetRegistry registry, Predicate<Target> mayAccumulate) {
 
         public KnownTargets {
             Objects.requireNonNull(ownership, "ownership");
             Objects.requireNonNull(registry, "registry");
-            Objects.requireNonNull(mayHoldRequests, "mayHoldRequests");
+            Objects.requireNonNull(mayAccumulate, "mayAccumulate");
         }
     }
 
@@ -122,7 +122,7 @@
         this.limits = Objects.requireNonNull(limits, "limits");
         this.ownership = targets.ownership();
         this.registry = targets.registry();
-        this.mayHoldRequests = targets.mayHoldRequests();
+        this.mayAccumulate = targets.mayAccumulate();
         this.division = Objects.requireNonNull(division, "division");
         this.peers = Objects.requireNonNull(peers, "peers");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -243,7 +243,7 @@
      * @return the time, zero if it may take one now, not null
      */
     public Duration timeUntilAvailable(Target target) {
-        if (isLimited(target) && mayHoldRequests.test(target)) {
+        if (isLimited(target) && mayAccumulate.test(target)) {
             return OWNER_RETRY_INTERVAL;
         }
         // Usually no target names a limit, and each placement asks for all targets.
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -214,7 +214,7 @@
         this.crashes = new CrashGuard(targets, timers, clock, random::nextDouble, log);
         this.limitAdmission = new LimitAdmission(
                 targetLimits,
-                new LimitAdmission.KnownTargets(ownership, registry, retryBudgets::mayStillReach),
+                new LimitAdmission.KnownTargets(ownership, registry, this::mayAccumulateRequests),
                 equalDivision,
                 this::requestCall,
                 timers,
@@ -303,6 +303,10 @@
                 && restingTargets.timeUntilRested(target).isZero();
     }
 
+    private boolean mayAccumulateRequests(Target target) {
+        return silences.isSilent(target) || retryBudgets.mayStillReach(target);
+    }
+
     /** Sends a quota request to another entry; none is sent before the links have been started. */
     private boolean requestUnits(String entry, long number, AccountId account, double units) {
         return quotaLinks != null && quotaLinks.requestUnits(entry, number, account, units);
--- a/node/src/test/java/org/geraniumreach/node/FakeFleet.java
+++ b/node/src/test/java/org/geraniumreach/node/FakeFleet.java
@@ -31,6 +31,7 @@
     private final List<Result> results = new CopyOnWriteArrayList<>();
     private final Random random = new Random(1);
     private int adapterCount = 1;
+    private Duration callerTimeout = CALLER_TIMEOUT;
     private final AtomicInteger requestCount = new AtomicInteger();
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -88,6 +89,11 @@
         adapterCount = newAdapterCount;
     }
 
+    /** Sets how long callers wait from now on. */
+    void setCallerTimeout(Duration timeout) {
+        callerTimeout = timeout;
+    }
+
     /** Sends requests at a rate to all entries in turn, without waiting for their answers. */
     void sendFor(Duration duration, int requestsPerSecond, String path) throws InterruptedException {
         long end = System.nanoTime() + duration.toNanos();
@@ -120,7 +126,7 @@
         int number = requestCount.incrementAndGet();
         String id = "entry-" + entry + "-request-" + number;
         String model = "base/a" + (1 + random.nextInt(adapterCount));
-        return CallerRequests.post(address(entry), path, id, CALLER_TIMEOUT, "hi", model)
+        return CallerRequests.post(address(entry), path, id, callerTimeout, "hi", model)
                 .build();
     }
 
--- a/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
+++ b/node/src/test/java/org/geraniumreach/node/LimitedTargetTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -79,8 +80,9 @@
     }
 
     /** Guards against requests that are sent within the limit, but arrive together when a paused target wakes. */
-    @Test
-    void requestsThatArriveWhenALimitedTargetWakesKeepToTheLimit() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {5, 20})
+    void requestsThatArriveWhenALimitedTargetWakesKeepToTheLimit(int callerTimeoutSeconds) throws Exception {
         platform.addTarget("one", "engines");
         platform.addTarget("two", "engines");
         List<PausableRelay> relays = new ArrayList<>();
@@ -92,6 +94,7 @@
         }
         FakeFleet fleet = new FakeFleet(platform, ENTRIES);
         fleet.awaitReady("/chat/x");
+        fleet.setCallerTimeout(Duration.ofSeconds(callerTimeoutSeconds));
         fleet.sendFor(LEARNING_TIME, REQUESTS_PER_SECOND, "/chat/x");
         long limitKnownAt = System.nanoTime();
         relays.forEach(PausableRelay::pause);
