Split the end, the history and the terms of an exchange from it

Exchange had 679 lines and four jobs beside that of leading a request from one attempt to the next: where the request may have run and what follows from it, what a sending carries and how long its target may be silent, the final answer, and the report of the outcome.

RunHistory, SendTerms, FinalAnswer and OutcomeReport take these over. None of them knows the exchange; the final answer returns how it ended. AttemptEvents stays an inner class, since it decides over nearly all that the exchange holds and would need as many references back. No behaviour is changed.

Exchange now has 549 lines.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -1,10 +1,7 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.crash.Verdict;
@@ -14,7 +11,6 @@
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerHead;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
-import org.geraniumreach.gateway.port.TargetPort;
 import org.geraniumreach.gateway.retry.FailureCause;
 import org.geraniumreach.gateway.retry.RequestArrivals;
 import org.geraniumreach.gateway.retry.RetryDecision;
@@ -24,41 +20,35 @@
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
 import org.geraniumreach.gateway.traffic.Route;
-import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.ResultCode;
-import org.geraniumreach.model.TargetId;
 
 /**
  * Carries one request from its admission to its single final answer.
  *
  * <p>Invariants: at most one attempt is in progress, and beside it a silent one until another target has taken the
- * request over. An answer consists of the parts of one attempt at a time. After an attempt that a target may have begun, another is made
- * only if the request may run again, and on no more targets than the route allows. "Not run" is answered only if no
- * target may have begun the request. A stream is resumed only after the last complete event sent to the caller, at the
- * software version that began it, under the head of its first target. An interrupted answer is aborted, never ended
- * normally. Confined to the event loop.
+ * request over. An answer consists of the parts of one attempt at a time. After an attempt that a target may have begun,
+ * another is made only if the request may run again, and on no more targets than the route allows. A stream is resumed
+ * only after the last complete event sent to the caller, at the software version that began it, under the head of its
+ * first target. Confined to the event loop.
  */
 final class Exchange {
 
-    private static final int LOWEST_SERVER_ERROR = 500;
-
     private final ExchangeServices services;
     private final RoutedRequest request;
     private final Route route;
     private final CallerAnswer answer;
     private final OutputLengths outputLengths;
     private final Consumer<Exchange> onEnd;
-    private final Set<TargetId> possiblyRunTargets = new HashSet<>();
+    private final RunHistory history;
+    private final SendTerms terms;
     private final SendSteps steps;
     private final AnswerRelay relay;
     private final ExchangeLog log;
+    private final FinalAnswer finalAnswer;
+    private final OutcomeReport report;
     private final RequestArrivals arrivals;
     private Cancellable deadlineTimer = Cancellable.NOOP;
     private final RunningAttempts attempts;
-    private OptionalLong lastSentAt = OptionalLong.empty();
-    private Optional<Target> firstTarget = Optional.empty();
-    private long firstTargetSentAt;
-    private int sends;
     private Optional<FailureCause> lastFailure = Optional.empty();
     private boolean admitted;
     private boolean ended;
@@ -83,6 +73,8 @@
         this.route = route;
         this.answer = received.answer();
         this.onEnd = onEnd;
+        this.history = new RunHistory(services, request);
+        this.terms = new SendTerms(services, request, history);
         this.steps = new SendSteps(services, request, new StepResults());
         choice.requiredVersion().ifPresent(steps.state()::requireVersion);
         this.attempts = new RunningAttempts(services.timers(), this::onReplaced);
@@ -90,6 +82,8 @@
         this.relay = new AnswerRelay(answer, received.request().lastEvent(), services.clock());
         this.log = new ExchangeLog(
                 services.log(), services.clock(), received.request(), choice.service(), account.map(Account::id));
+        this.finalAnswer = new FinalAnswer(answer, relay, history, log);
+        this.report = new OutcomeReport(services, request, history, relay);
     }
 
     void start() {
@@ -153,10 +147,9 @@
         }
         verdict.grounds().ifPresent(grounds -> log.logSuspectDecided(verdict.result(), grounds));
         retry.ifPresent(decision -> log.logRetried(decision, lastFailure, progress()));
-        sends++;
+        history.onSend();
         log.logPlaced(
                 send, progress(), request.account().map(request::quotaUnits).orElse(0.0));
-        lastSentAt = OptionalLong.of(services.clock().nanos());
         request.adapter().ifPresent(adapter -> send.alsoLoad()
                 .ifPresent(other -> services.adapters().enqueue(other, adapter, Optional.empty(), false)));
         AttemptEvents events = new AttemptEvents(target);
@@ -175,13 +168,13 @@
                 recording.isConfirmed() ? events : new HeldEvents(events, recording, events));
         events.attempt = newAttempt;
         startBesidePredecessor(newAttempt);
-        newAttempt.start(envelope(target), maximumIdle(), silenceLimits());
+        newAttempt.start(terms.metadata(target, relay.resumeAfterNumber()), terms.maximumIdle(), terms.silenceLimits());
     }
 
     /** Makes an attempt the current one, and keeps a silent one beside it until the other target has taken the request over. */
     private void startBesidePredecessor(Attempt next) {
         Optional<Attempt> silent = attempts.current();
-        silent.ifPresent(attempt -> possiblyRunTargets.add(attempt.target().id()));
+        silent.ifPresent(attempt -> history.onPossiblyRun(attempt.target()));
         attempts.add(next);
         // The record of the stream's origin names the version of the new target from now on.
         silent.filter(attempt -> !attempt.target()
@@ -201,7 +194,7 @@
         Target silent = attempts.current().orElseThrow().target();
         lastFailure = Optional.of(cause);
         steps.state().exclude(silent.id());
-        Optional<String> obstacle = findObstacleToReplacement(silent);
+        Optional<String> obstacle = history.findObstacleToReplacement(silent);
         if (obstacle.isPresent()) {
             log.logAttemptKept(silent, obstacle.get(), progress());
         } else {
@@ -294,39 +287,6 @@
                         : Duration.ZERO);
     }
 
-    private TargetPort.RequestMetadata envelope(Target target) {
-        OptionalLong version = request.adapter()
-                .filter(adapter -> services.adapters().namedVersion(adapter) > 0)
-                .map(target::residentVersion)
-                .orElse(OptionalLong.empty());
-        return new TargetPort.RequestMetadata(
-                request.account().map(charged -> charged.id().value()),
-                request.remaining(),
-                request.urgency(),
-                version,
-                relay.resumeAfterNumber());
-    }
-
-    private Duration maximumIdle() {
-        return route.retryPolicy().allowsRerun()
-                ? services.settings().maximumIdleForRepeatable()
-                : services.settings().maximumIdleForSingleRun();
-    }
-
-    private Attempt.SilenceLimits silenceLimits() {
-        if (!route.retryPolicy().allowsRerun() || possiblyRunTargets.size() + 1 >= route.maximumTargets()) {
-            return Attempt.SilenceLimits.NONE;
-        }
-        if (route.retryPolicy().isStream()) {
-            return new Attempt.SilenceLimits(
-                    Optional.of(services.settings().firstEventTimeout()),
-                    Optional.of(services.settings().nextEventTimeout()));
-        }
-        Duration limit = Duration.ofNanos(
-                (long) (request.remaining().toNanos() * services.settings().silenceTimeFraction()));
-        return new Attempt.SilenceLimits(Optional.of(limit), Optional.empty());
-    }
-
     /** Handles the events of one attempt. */
     private final class AttemptEvents implements Attempt.Listener, HeldEvents.Progress {
         private final Target target;
@@ -380,7 +340,7 @@
         @Override
         public void onNotExecuted(NotExecuted reason) {
             log.logNotExecuted(target, reason);
-            possiblyRunTargets.remove(target.id());
+            history.onNotExecuted(target);
             if (reason == NotExecuted.NOT_RESIDENT) {
                 request.adapter()
                         .ifPresent(adapter ->
@@ -428,8 +388,7 @@
             boolean wasBegun = relay.isBegun();
             boolean accepted = relay.onPart(part);
             if (!wasBegun && relay.isBegun()) {
-                firstTarget = Optional.of(target);
-                firstTargetSentAt = lastSentAt.orElseThrow();
+                history.onStreamBegun(target);
                 steps.state().requireVersion(target.description().softwareVersion());
             }
             return accepted;
@@ -446,9 +405,9 @@
             }
             if (relay.isServerErrorPending()) {
                 services.health().onFailure(target.id());
-                possiblyRunTargets.add(target.id());
+                history.onPossiblyRun(target);
                 steps.state().exclude(target.id());
-                if (mayRunAgain()) {
+                if (history.mayRunAgain()) {
                     retryOrGiveUp(FailureCause.SERVER_ERROR, "the target failed");
                     return;
                 }
@@ -456,9 +415,9 @@
                 services.health().onSuccess(target.id());
                 outputLengths.recordEvents(route, relay.lastEventNumber());
             }
-            relay.finish();
-            recordAnswerTime();
-            finish(OutcomeListener.Kind.ANSWERED, relay.status());
+            FinalAnswer.End end = finalAnswer.complete();
+            report.recordAnswerTime();
+            finish(end);
         }
 
         @Override
@@ -467,17 +426,17 @@
             steps.state().exclude(target.id());
             log.logAttemptFailed(target, cause, reason, relay.lastEventNumber());
             if (cause.mayHaveRun()) {
-                possiblyRunTargets.add(target.id());
+                history.onPossiblyRun(target);
             }
             if (isAtAnotherTarget(cause)) {
                 return;
             }
             relay.discardAttempt();
-            if (relay.isBegun() && !isOriginCertain()) {
+            if (!history.isOriginCertain()) {
                 giveUp(ResultCode.STREAM_ORIGIN_UNKNOWN, "the target has started again with another software version");
                 return;
             }
-            if (!cause.mayHaveRun() || mayRunAgain()) {
+            if (!cause.mayHaveRun() || history.mayRunAgain()) {
                 retryOrGiveUp(cause, reason);
                 return;
             }
@@ -485,45 +444,9 @@
         }
     }
 
-    private boolean isOriginCertain() {
-        return firstTarget
-                .filter(target -> !services.streams().isCertain(target, firstTargetSentAt))
-                .isEmpty();
-    }
-
-    private void recordAnswerTime() {
-        boolean isPlainSuccess = request.promptTokens() == 0 && relay.status() < LOWEST_SERVER_ERROR;
-        if (isPlainSuccess && sends == 1) {
-            relay.timeToFirstPart(lastSentAt.orElse(request.receivedAt()))
-                    .ifPresent(time -> services.retryBudgets().recordAnswer(request.service(), time));
-        }
-    }
-
-    /** Finds what forbids that another target takes the request over; a retry and a place are decided on later. */
-    private Optional<String> findObstacleToReplacement(Target silent) {
-        int targets = possiblyRunTargets.size() + (possiblyRunTargets.contains(silent.id()) ? 0 : 1);
-        if (targets >= route.maximumTargets()) {
-            return Optional.of("no more targets may run the request");
-        }
-        if (request.remaining().compareTo(services.settings().minimumRemaining()) <= 0) {
-            return Optional.of("the time is nearly up");
-        }
-        if (sends >= services.settings().maximumSends()) {
-            return Optional.of("the request has been sent too often");
-        }
-        return relay.isBegun() && !isOriginCertain()
-                ? Optional.of("the software version that began the stream is not certain")
-                : Optional.empty();
-    }
-
-    private boolean mayRunAgain() {
-        return route.retryPolicy().allowsRerun() && possiblyRunTargets.size() < route.maximumTargets();
-    }
-
     private void retryOrGiveUp(FailureCause cause, String reason) {
         lastFailure = Optional.of(cause);
-        boolean hasTimeLeft = request.remaining().compareTo(services.settings().minimumRemaining()) > 0;
-        if (hasTimeLeft && sends < services.settings().maximumSends()) {
+        if (history.maySendAgain()) {
             steps.place();
             return;
         }
@@ -536,45 +459,18 @@
     }
 
     private void giveUp(ResultCode notRunCode, String reason, Optional<Duration> retryAfter) {
-        if (ended) {
-            return;
-        }
-        if (relay.isBegun()) {
-            logEnd(EventCode.REQUEST_FAILED, ResultCode.ANSWER_INTERRUPTED, reason);
-            answer.abort();
-            finish(OutcomeListener.Kind.CUT, relay.status());
-            return;
-        }
-        if (relay.isServerErrorPending()) {
-            relay.finish();
-            finish(OutcomeListener.Kind.ANSWERED, relay.status());
-            return;
-        }
-        if (possiblyRunTargets.isEmpty()) {
-            ResultCode code = notRunCode.httpStatus() == 503 ? notRunCode : ResultCode.NOT_RUN;
-            refuse(retryAfter
-                    .map(delay -> Refusal.withRetryAfter(code, reason, delay))
-                    .orElseGet(() -> Refusal.of(code, reason)));
-            return;
+        if (!ended) {
+            finish(finalAnswer.giveUp(notRunCode, reason, retryAfter, progress()));
         }
-        logEnd(EventCode.OUTCOME_UNKNOWN, ResultCode.OUTCOME_UNKNOWN, reason);
-        Refusal.of(ResultCode.OUTCOME_UNKNOWN, "a target may have run the request")
-                .send(answer);
-        finish(OutcomeListener.Kind.FAILED, ResultCode.OUTCOME_UNKNOWN.httpStatus());
     }
 
     private void refuse(Refusal refusal) {
-        logEnd(EventCode.REQUEST_REFUSED, refusal.code(), refusal.message());
-        refusal.send(answer);
-        finish(OutcomeListener.Kind.REFUSED, refusal.code().httpStatus());
+        finish(finalAnswer.refuse(refusal, progress()));
     }
 
     private ExchangeLog.Progress progress() {
-        return new ExchangeLog.Progress(admitted, sends, request.elapsed(), steps.waits(), relay.lastEventNumber());
-    }
-
-    private void logEnd(EventCode event, ResultCode code, String reason) {
-        log.logEnded(event, code, reason, progress());
+        return new ExchangeLog.Progress(
+                admitted, history.sends(), request.elapsed(), steps.waits(), relay.lastEventNumber());
     }
 
     private void onDeadline() {
@@ -582,14 +478,7 @@
             return;
         }
         abandonAttempt();
-        if (relay.isBegun() || possiblyRunTargets.isEmpty()) {
-            giveUp(ResultCode.NOT_RUN, "the time is up");
-            return;
-        }
-        logEnd(EventCode.REQUEST_FAILED, ResultCode.DEADLINE_EXCEEDED, "the time is up");
-        Refusal.of(ResultCode.DEADLINE_EXCEEDED, "the time for the request is up")
-                .send(answer);
-        finish(OutcomeListener.Kind.FAILED, ResultCode.DEADLINE_EXCEEDED.httpStatus());
+        finish(finalAnswer.expire(progress()));
     }
 
     private void abandonAttempt() {
@@ -604,7 +493,7 @@
 
     private void addIfSent(Attempt cancelled) {
         if (cancelled.isSent()) {
-            possiblyRunTargets.add(cancelled.target().id());
+            history.onPossiblyRun(cancelled.target());
         }
     }
 
@@ -643,37 +532,18 @@
             return;
         }
         attempts.cancelAll();
-        log.logCallerGone(sends, request.elapsed());
-        finish(OutcomeListener.Kind.CALLER_GONE, 0);
-    }
-
-    /** Gets the time from the last sending to the first part, empty if an answer went on after it had begun. */
-    private Optional<Duration> timeToFirstPartAfterSend() {
-        return lastSentAt.isEmpty()
-                ? Optional.empty()
-                : relay.timeToFirstPart(lastSentAt.getAsLong()).filter(time -> !time.isNegative());
+        log.logCallerGone(history.sends(), request.elapsed());
+        finish(new FinalAnswer.End(OutcomeListener.Kind.CALLER_GONE, 0));
     }
 
-    private void finish(OutcomeListener.Kind kind, int status) {
+    private void finish(FinalAnswer.End end) {
         if (ended) {
             return;
         }
         ended = true;
         deadlineTimer.cancel();
         steps.stop();
-        services.outcomes()
-                .onOutcome(new OutcomeListener.Outcome(
-                        request.request().id(),
-                        route,
-                        request.account().map(Account::id),
-                        kind,
-                        status,
-                        sends,
-                        relay.timeToFirstPart(request.receivedAt()),
-                        timeToFirstPartAfterSend(),
-                        steps.waits(),
-                        relay.maximumPause(),
-                        request.elapsed()));
+        report.report(end, steps.waits());
         onEnd.accept(this);
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendTerms.java
@@ -0,0 +1,66 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.geraniumreach.gateway.placement.Target;
+import org.geraniumreach.gateway.port.TargetPort;
+import org.geraniumreach.gateway.traffic.RetryPolicy;
+
+/**
+ * What one request carries when it is sent to a target, and how long the target may be silent.
+ *
+ * <p>The results are those of the moment, since they depend on the remaining time and on the earlier attempts. Confined
+ * to the event loop.
+ */
+final class SendTerms {
+
+    private final ExchangeServices services;
+    private final RoutedRequest request;
+    private final RunHistory history;
+    private final RetryPolicy retryPolicy;
+
+    SendTerms(ExchangeServices services, RoutedRequest request, RunHistory history) {
+        this.services = services;
+        this.request = request;
+        this.history = history;
+        this.retryPolicy = request.route().retryPolicy();
+    }
+
+    /** Gets what the target is told about the request, with the event number after which to resume, empty for none. */
+    TargetPort.RequestMetadata metadata(Target target, OptionalLong resumeAfterNumber) {
+        OptionalLong version = request.adapter()
+                .filter(adapter -> services.adapters().namedVersion(adapter) > 0)
+                .map(target::residentVersion)
+                .orElse(OptionalLong.empty());
+        return new TargetPort.RequestMetadata(
+                request.account().map(charged -> charged.id().value()),
+                request.remaining(),
+                request.urgency(),
+                version,
+                resumeAfterNumber);
+    }
+
+    /** Gets the time without data after which the connection to the target is closed. */
+    Duration maximumIdle() {
+        return retryPolicy.allowsRerun()
+                ? services.settings().maximumIdleForRepeatable()
+                : services.settings().maximumIdleForSingleRun();
+    }
+
+    /** Gets the silence after which another target may take the request over. */
+    Attempt.SilenceLimits silenceLimits() {
+        if (!history.mayRunBesideNext()) {
+            return Attempt.SilenceLimits.NONE;
+        }
+        if (retryPolicy.isStream()) {
+            return new Attempt.SilenceLimits(
+                    Optional.of(services.settings().firstEventTimeout()),
+                    Optional.of(services.settings().nextEventTimeout()));
+        }
+        Duration limit = Duration.ofNanos(
+                (long) (request.remaining().toNanos() * services.settings().silenceTimeFraction()));
+        return new Attempt.SilenceLimits(Optional.of(limit), Optional.empty());
+    }
+}
