Let each placement decision name its selected target

selectedTarget tested the class of the decision from outside. Each record now answers by itself, and a further one cannot be added without an answer. No behaviour is changed.

Tests of the request package: 1281 run, none failed, as before.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
@@ -13,6 +13,13 @@
  */
 public sealed interface PlacementDecision {
 
+    /**
+     * Gets the target that is to run the request or to load its adapter.
+     *
+     * @return the target, empty if none was selected, not null
+     */
+    Optional<Target> selectedTarget();
+
     /**
      * Send the request to a target.
      *
@@ -31,6 +38,11 @@
             Objects.requireNonNull(alsoLoad, "alsoLoad");
             Objects.requireNonNull(speed, "speed");
         }
+
+        @Override
+        public Optional<Target> selectedTarget() {
+            return Optional.of(target);
+        }
     }
 
     /**
@@ -43,6 +55,11 @@
         public Load {
             Objects.requireNonNull(target, "target");
         }
+
+        @Override
+        public Optional<Target> selectedTarget() {
+            return Optional.of(target);
+        }
     }
 
     /**
@@ -55,6 +72,11 @@
         public Defer {
             Objects.requireNonNull(delay, "delay");
         }
+
+        @Override
+        public Optional<Target> selectedTarget() {
+            return Optional.empty();
+        }
     }
 
     /**
@@ -73,18 +95,11 @@
         Unplaceable(Reason reason) {
             this(reason, Optional.empty());
         }
-    }
 
-    /**
-     * Gets the target that is to run the request or to load its adapter.
-     *
-     * @return the target, empty if none was selected, not null
-     */
-    default Optional<Target> selectedTarget() {
-        if (this instanceof Send send) {
-            return Optional.of(send.target());
+        @Override
+        public Optional<Target> selectedTarget() {
+            return Optional.empty();
         }
-        return this instanceof Load load ? Optional.of(load.target()) : Optional.empty();
     }
 
     /** The reason for a decision. */
