Share the fixtures of streams that have begun and of owners

Six test classes repeated how a target begins a stream and then sends nothing more, and four how the owners of targets order requests, of which two could reject them. BegunStream, OrderedOwners and FakeOwners in gateway.testing hold one copy each. No check is changed.

--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -13,6 +13,7 @@
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.speed.PaceSample;
 import org.geraniumreach.gateway.speed.TargetSpeed;
+import org.geraniumreach.gateway.testing.BegunStream;
 import org.geraniumreach.gateway.testing.FakeTargets;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
@@ -139,9 +140,7 @@
     @Test
     void anAnswerThatWentOnHasNoTimeFromItsLastSendToItsFirstPart() {
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, 2).addTarget("a").addTarget("b");
-        world.send();
-        world.targets().lastRequest().answerHead(200, true);
-        world.targets().lastRequest().answerPart("id: 1\ndata: x\n\n");
+        BegunStream.start(world);
         world.time().advance(Duration.ofMillis(50));
         world.targets().lastRequest().fail(true);
         world.targets().lastRequest().answerHead(200, true);
@@ -154,9 +153,7 @@
     @Test
     void aSingleRunStreamIsAbortedIfItsTargetFails() {
         world.startWithRoute(RetryPolicy.AT_MOST_ONCE_STREAM, 2).addTarget("a").addTarget("b");
-        RecordedAnswer answer = world.send();
-        world.targets().lastRequest().answerHead(200, true);
-        world.targets().lastRequest().answerPart("id: 1\ndata: x\n\n");
+        RecordedAnswer answer = BegunStream.start(world).answer();
         world.targets().lastRequest().fail(true);
         assertThat(answer.isAborted()).isTrue();
         assertThat(world.targets().sentRequests()).hasSize(1);
@@ -167,9 +164,7 @@
     @ValueSource(strings = {"id: 1\ndata: x\n\n", "id: 3\ndata: z\n\n"})
     void anEventOutOfSequenceIsNotRelayed(String event) {
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, 2).addTarget("a").addTarget("b");
-        RecordedAnswer answer = world.send();
-        world.targets().lastRequest().answerHead(200, true);
-        world.targets().lastRequest().answerPart("id: 1\ndata: x\n\n");
+        RecordedAnswer answer = BegunStream.start(world).answer();
         world.targets().lastRequest().fail(true);
         world.targets().lastRequest().answerHead(200, true);
         world.targets().lastRequest().answerPart(event);
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExitingEntryTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExitingEntryTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.testing.BegunStream;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -81,9 +82,7 @@
     @Test
     void aStreamThatHasBegunIsAborted() {
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, 2).addTarget("a").addTarget("b");
-        RecordedAnswer answer = world.send();
-        world.targets().lastRequest().answerHead(200, true);
-        world.targets().lastRequest().answerPart("id: 1\ndata: x\n\n");
+        RecordedAnswer answer = BegunStream.start(world).answer();
         world.endOpenRequests();
         assertThat(answer.isAborted()).isTrue();
         assertThat(world.targets().lastRequest().isCancelled()).isTrue();
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/InterruptedStreamVersionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/InterruptedStreamVersionTest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.testing.BegunStream;
 import org.geraniumreach.gateway.testing.FakeTargets.SentRequest;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
@@ -25,8 +26,7 @@
 
     private void beginAndFail() {
         SentRequest first = world.targets().lastRequest();
-        first.answerHead(200, true);
-        first.answerPart("id: 1\ndata: x\n\n");
+        BegunStream.begin(first);
         first.fail(true);
     }
 
@@ -65,15 +65,13 @@
     @Test
     void anAnswerEndsIfItsTargetMayHaveChangedItsVersion() {
         world.addTarget("first", FIRST, Map.of());
-        RecordedAnswer answer = world.send();
-        SentRequest first = world.targets().lastRequest();
-        first.answerHead(200, true);
-        first.answerPart("id: 1\ndata: x\n\n");
+        BegunStream stream = BegunStream.start(world);
+        SentRequest first = stream.sent();
         world.addTarget("same", FIRST, Map.of());
         world.registry().onRowRemoved(first.target().id());
         world.addTarget("first", 2, SoftwareVersion.of("v2"), Map.of());
         first.fail(true);
-        assertThat(answer.isAborted()).isTrue();
+        assertThat(stream.answer().isAborted()).isTrue();
         assertThat(world.targets().sentRequests()).hasSize(1);
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/OrderedExchangeFuzzTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/OrderedExchangeFuzzTest.java
@@ -13,11 +13,11 @@
 import net.jqwik.api.Property;
 import org.geraniumreach.gateway.admission.AdmissionDecision.Reason;
 import org.geraniumreach.gateway.admission.AdmissionRequest;
-import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.testing.FakeTargets;
+import org.geraniumreach.gateway.testing.OrderedOwners;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -48,7 +48,7 @@
     }
 
     /** One run of random steps, checked by an oracle. */
-    private static final class RandomRun implements TargetAdmission {
+    private static final class RandomRun implements OrderedOwners {
         private final SplittableRandom random;
         private final RetryPolicy rule;
         private final RequestHarness world = new RequestHarness();
@@ -80,16 +80,6 @@
             this.rule = rule;
         }
 
-        @Override
-        public Cancellable admit(Target target, long promptTokens, Duration maxDelay, Consumer<Decision> callback) {
-            throw new UnsupportedOperationException("requests are ordered here");
-        }
-
-        @Override
-        public boolean isOrdered() {
-            return true;
-        }
-
         @Override
         public Admission request(
                 Target target, String requestId, AdmissionRequest request, Consumer<Decision> callback) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/OrderedExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/OrderedExchangeTest.java
@@ -2,20 +2,19 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.admission.AdmissionDecision.Reason;
 import org.geraniumreach.gateway.admission.AdmissionRequest;
 import org.geraniumreach.gateway.pacing.TargetAdmission;
-import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.priority.RequestPriority;
+import org.geraniumreach.gateway.testing.FakeOwners;
+import org.geraniumreach.gateway.testing.OrderedOwners;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -33,59 +32,13 @@
     private static final Duration SHORT_RETRY = Duration.ofMillis(900);
 
     private final RequestHarness world = new RequestHarness();
-    private final Owners owners = new Owners();
+    private final FakeOwners owners = new FakeOwners();
 
     OrderedExchangeTest() {
         world.setTargetAdmission(owners);
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, 2);
     }
 
-    /** Records the requests for admission, and answers those for which an answer is set at once. */
-    private static class Owners implements TargetAdmission {
-        private final List<Asked> asked = new ArrayList<>();
-        private final Map<String, Decision> answers = new HashMap<>();
-
-        private static final class Asked {
-            private final Target target;
-            private final AdmissionRequest request;
-            private final Consumer<Decision> callback;
-            private int ends;
-
-            private Asked(Target target, AdmissionRequest request, Consumer<Decision> callback) {
-                this.target = target;
-                this.request = request;
-                this.callback = callback;
-            }
-        }
-
-        @Override
-        public Cancellable admit(Target target, long promptTokens, Duration maxDelay, Consumer<Decision> callback) {
-            throw new UnsupportedOperationException("requests are ordered here");
-        }
-
-        @Override
-        public boolean isOrdered() {
-            return true;
-        }
-
-        @Override
-        public Admission request(
-                Target target, String requestId, AdmissionRequest request, Consumer<Decision> callback) {
-            Asked added = new Asked(target, request, callback);
-            asked.add(added);
-            Optional.ofNullable(answers.get(target.id().value())).ifPresent(callback);
-            return () -> added.ends++;
-        }
-
-        private Asked last() {
-            return asked.get(asked.size() - 1);
-        }
-
-        private void reject(String target, Duration retryAfter, Reason reason, boolean lessUrgentWait) {
-            answers.put(target, Decision.rejected(new Rejection(retryAfter, reason, lessUrgentWait)));
-        }
-    }
-
     private static GatewayRequest.Generation generation() {
         return generation(OptionalLong.empty());
     }
@@ -108,13 +61,13 @@
         world.time().advance(Duration.ofMillis(1));
         world.receive(new RecordedAnswer(), RequestHarness.URGENT_KEY, Optional.of(generation()));
         world.send(Optional.of(generation()));
-        AdmissionRequest urgent = owners.asked.get(0).request;
-        AdmissionRequest normal = owners.asked.get(1).request;
+        AdmissionRequest urgent = owners.asked().get(0).request();
+        AdmissionRequest normal = owners.asked().get(1).request();
         assertThat(urgent.urgency()).isLessThan(normal.urgency());
         assertThat(urgent.account()).map(Object::toString).hasValue("urgent");
         assertThat(normal.promptTokens()).isEqualTo(100);
         assertThat(normal.objectiveLeft()).isEqualTo(Duration.ofMillis(800));
-        owners.last().callback.accept(TargetAdmission.Decision.IMMEDIATE);
+        owners.last().admit();
         assertThat(world.targets().lastRequest().metadata().urgency()).isEqualTo(normal.urgency());
     }
 
@@ -124,7 +77,7 @@
     void theExpectedLengthIsTheHintWithinTheStatedMaximum(Long hint, long expected) {
         addResidents("a");
         world.send(Optional.of(generation(hint == null ? OptionalLong.empty() : OptionalLong.of(hint))));
-        assertThat(owners.last().request.outputTokens()).isEqualTo(expected);
+        assertThat(owners.last().request().outputTokens()).isEqualTo(expected);
     }
 
     /** Guards against sending a request that waits, and against an order that the entry does not keep to. */
@@ -134,8 +87,8 @@
         world.send(Optional.of(generation()));
         world.receive(new RecordedAnswer(), RequestHarness.URGENT_KEY, Optional.of(generation()));
         assertThat(world.targets().sentRequests()).isEmpty();
-        owners.asked.get(1).callback.accept(TargetAdmission.Decision.IMMEDIATE);
-        owners.asked.get(0).callback.accept(TargetAdmission.Decision.IMMEDIATE);
+        owners.asked().get(1).admit();
+        owners.asked().get(0).admit();
         assertThat(world.targets().sentRequests())
                 .extracting(sent -> sent.metadata().urgency())
                 .isSorted()
@@ -150,15 +103,17 @@
             owners.reject(target, Duration.ofSeconds(2), Reason.DISPLACED, false);
         }
         world.send(Optional.of(generation()));
-        String second = owners.asked.get(1).target.id().value();
-        owners.asked.clear();
+        String second = owners.asked().get(1).target().id().value();
+        owners.asked().clear();
         owners.reject(second, SHORT_RETRY, Reason.QUEUE_FULL, false);
         RecordedAnswer answer = world.send(Optional.of(generation()));
         assertThat(answer.status()).isEqualTo(503);
         assertThat(answer.header("Retry-After")).isEqualTo("0.90");
         assertThat(answer.text()).contains("OVERLOADED");
-        assertThat(owners.asked).hasSize(3);
-        assertThat(owners.asked).extracting(asked -> asked.target.id().value()).doesNotHaveDuplicates();
+        assertThat(owners.asked()).hasSize(3);
+        assertThat(owners.asked())
+                .extracting(asked -> asked.target().id().value())
+                .doesNotHaveDuplicates();
         assertThat(world.targets().sentRequests()).isEmpty();
     }
 
@@ -170,7 +125,7 @@
         owners.reject("a", SHORT_RETRY, reason, false);
         RecordedAnswer answer = world.send(Optional.of(generation()));
         assertThat(answer.status()).isEqualTo(503);
-        assertThat(owners.asked).hasSize(1);
+        assertThat(owners.asked()).hasSize(1);
         assertThat(world.openExchanges()).isZero();
     }
 
@@ -180,24 +135,20 @@
         addResidents("a");
         owners.reject("a", SHORT_RETRY, Reason.NO_TIME, true);
         List<Duration> maximumDelays = new ArrayList<>();
-        world.setTargetAdmission(new Owners() {
-            @Override
-            public Admission request(
-                    Target target, String requestId, AdmissionRequest request, Consumer<Decision> callback) {
-                maximumDelays.add(request.maximumDelay());
-                if (maximumDelays.size() == 1) {
-                    return owners.request(target, requestId, request, callback);
-                }
-                owners.answers.clear();
-                return owners.request(target, requestId, request, callback);
+        OrderedOwners rejectingOnce = (target, requestId, request, callback) -> {
+            maximumDelays.add(request.maximumDelay());
+            if (maximumDelays.size() > 1) {
+                owners.clearDecisions();
             }
-        });
+            return owners.request(target, requestId, request, callback);
+        };
+        world.setTargetAdmission(rejectingOnce);
         RecordedAnswer answer = world.send(Optional.of(generation()));
         assertThat(maximumDelays).hasSize(2);
         assertThat(maximumDelays.get(1)).isGreaterThan(Duration.ofSeconds(9));
         world.time().advance(Duration.ofSeconds(2));
         assertThat(answer.isEnded()).isFalse();
-        owners.last().callback.accept(TargetAdmission.Decision.IMMEDIATE);
+        owners.last().admit();
         assertThat(world.targets().sentRequests()).hasSize(1);
     }
 
@@ -218,14 +169,14 @@
         owners.reject("a", SHORT_RETRY, Reason.NO_TIME, true);
         RecordedAnswer answer = world.send(Optional.of(generation()));
         assertThat(answer.status()).isEqualTo(503);
-        assertThat(owners.asked).hasSize(2);
+        assertThat(owners.asked()).hasSize(2);
     }
 
     /** Guards against requests that are refused only because owners of an earlier version would pace them. */
     @Test
     void aRequestThatOnlyPacingOwnersHaveRefusedIsSent() {
         addResidents("a");
-        owners.answers.put("a", TargetAdmission.Decision.SATURATED);
+        owners.decide("a", TargetAdmission.Decision.SATURATED);
         world.send(Optional.of(generation()));
         assertThat(world.targets().sentRequests()).hasSize(1);
     }
@@ -249,8 +200,8 @@
         Cancellable caller = world.receive(answer, RequestHarness.KEY, Optional.of(generation()));
         boolean queued = end == End.CALLER_GONE_WHILE_QUEUED || end == End.TIME_UP_WHILE_QUEUED;
         if (!queued) {
-            owners.last().callback.accept(TargetAdmission.Decision.IMMEDIATE);
-            assertThat(owners.last().ends).isZero();
+            owners.last().admit();
+            assertThat(owners.last().ends()).isZero();
         }
         switch (end) {
             case ANSWERED -> {
@@ -264,7 +215,7 @@
             default -> caller.cancel();
         }
         world.time().advance(RequestHarness.TIMEOUT.plusMillis(1));
-        assertThat(owners.asked).extracting(asked -> asked.ends).containsOnly(1);
+        assertThat(owners.asked()).extracting(FakeOwners.Asked::ends).containsOnly(1);
         assertThat(world.targets().sentRequests()).hasSize(queued ? 0 : 1);
         assertThat(world.openExchanges()).isZero();
     }
@@ -274,12 +225,12 @@
     void aRequestThatIsSentElsewhereEndsItsFirstAdmission() {
         addResidents("a", "b");
         world.send(Optional.of(generation()));
-        owners.last().callback.accept(TargetAdmission.Decision.IMMEDIATE);
+        owners.last().admit();
         world.targets().lastRequest().answerNotExecuted(NotExecuted.SHED);
-        assertThat(owners.asked).hasSize(2);
-        assertThat(owners.asked.get(0).ends).isEqualTo(1);
-        owners.last().callback.accept(TargetAdmission.Decision.IMMEDIATE);
-        assertThat(owners.last().ends).isZero();
+        assertThat(owners.asked()).hasSize(2);
+        assertThat(owners.asked().get(0).ends()).isEqualTo(1);
+        owners.last().admit();
+        assertThat(owners.last().ends()).isZero();
         assertThat(world.targets().openRequests()).hasSize(1);
     }
 
@@ -288,11 +239,11 @@
     void aRequestThatWaitsForItsAdapterHoldsNoAdmission() {
         addResidents("a");
         world.send(Optional.of(generation()));
-        owners.last().callback.accept(TargetAdmission.Decision.IMMEDIATE);
+        owners.last().admit();
         world.targets().lastRequest().answerNotExecuted(NotExecuted.NOT_RESIDENT);
         assertThat(world.adapters().enqueuedLoads()).contains("a a7");
-        assertThat(owners.asked).hasSize(1);
-        assertThat(owners.last().ends).isEqualTo(1);
+        assertThat(owners.asked()).hasSize(1);
+        assertThat(owners.last().ends()).isEqualTo(1);
     }
 
     /** Guards against owners that order adapter loads without the priorities of the requests that wait for them. */
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
@@ -14,9 +14,11 @@
 import org.geraniumreach.gateway.limit.RequestLimiter;
 import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.Target;
-import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.testing.BegunStream;
+import org.geraniumreach.gateway.testing.FakeOwners;
 import org.geraniumreach.gateway.testing.FakeTargets.SentRequest;
+import org.geraniumreach.gateway.testing.OrderedOwners;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
@@ -38,7 +40,6 @@
             ExchangeSettings.defaults().nextEventTimeout();
     private static final Duration FIRST_EVENT_TIMEOUT =
             ExchangeSettings.defaults().firstEventTimeout();
-    private static final String EVENT = "id: 1\ndata: x\n\n";
     private static final GatewayRequest.Generation GENERATION = new GatewayRequest.Generation(
             "base", Optional.of(new AdapterName("base", "a7")), 100, 50, OptionalLong.empty(), List.of());
 
@@ -68,11 +69,6 @@
         abstract void answer(SentRequest sent);
     }
 
-    private static void begin(SentRequest sent) {
-        sent.answerHead(200, true);
-        sent.answerPart(EVENT);
-    }
-
     /** Guards against an answer that ends since the target that was to take it over takes nothing. */
     @ParameterizedTest
     @EnumSource
@@ -80,8 +76,8 @@
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
                 .addTarget("a", Map.of("base", Map.of("a7", 1L)))
                 .addTarget("b", Map.of("base", Map.of("a7", 1L)));
-        RecordedAnswer answer = world.send(Optional.of(GENERATION));
-        begin(world.targets().lastRequest());
+        RecordedAnswer answer =
+                BegunStream.start(world, Optional.of(GENERATION)).answer();
         world.time().advance(NEXT_EVENT_TIMEOUT.plusMillis(100));
         assertThat(world.targets().sentRequests()).hasSize(2);
         untaken.answer(world.targets().lastRequest());
@@ -96,10 +92,8 @@
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
                 .addTarget("a")
                 .addTarget("b");
-        world.send();
-        begin(world.targets().lastRequest());
-        world.send();
-        begin(world.targets().lastRequest());
+        BegunStream.start(world);
+        BegunStream.start(world);
         List<SentRequest> sent = List.copyOf(world.targets().sentRequests());
         assertThat(sent).extracting(SentRequest::target).doesNotHaveDuplicates();
         world.time().advance(NEXT_EVENT_TIMEOUT.plusMillis(500));
@@ -143,12 +137,9 @@
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
                 .addTarget("a")
                 .addTarget("b");
-        world.send();
-        begin(world.targets().lastRequest());
+        BegunStream.start(world);
         world.time().advance(Duration.ofMillis(50));
-        world.send();
-        SentRequest atSilent = world.targets().lastRequest();
-        begin(atSilent);
+        SentRequest atSilent = BegunStream.start(world).sent();
         world.setLimiter((target, callback) -> {
             decisions.add(() -> callback.accept(RequestLimiter.Decision.UNLIMITED));
             return () -> {};
@@ -167,9 +158,7 @@
         AtomicInteger pending = new AtomicInteger();
         List<Runnable> decisions = new ArrayList<>();
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS).addTarget("a");
-        world.send();
-        SentRequest sent = world.targets().lastRequest();
-        begin(sent);
+        SentRequest sent = BegunStream.start(world).sent();
         world.addTarget("b");
         world.setLimiter((target, callback) -> {
             pending.incrementAndGet();
@@ -182,69 +171,37 @@
         assertThat(pending).hasValue(1);
     }
 
-    /** Lets the owners of all targets reject prompts, as long as a test wants. */
-    private static final class RejectingOwners implements TargetAdmission {
-        private boolean rejecting;
-
-        @Override
-        public Cancellable admit(Target target, long tokens, Duration maximumDelay, Consumer<Decision> callback) {
-            throw new UnsupportedOperationException("requests are ordered here");
-        }
-
-        @Override
-        public boolean isOrdered() {
-            return true;
-        }
-
-        @Override
-        public Admission request(Target target, String id, AdmissionRequest request, Consumer<Decision> callback) {
-            callback.accept(
-                    rejecting
-                            ? Decision.rejected(new Rejection(Duration.ofMillis(500), Reason.QUEUE_FULL, false))
-                            : Decision.IMMEDIATE);
-            return () -> {};
-        }
-    }
-
     /** Guards against an answer that ends for a rejection that was made while its target was silent, and is outdated. */
     @Test
     void anOwnerThatRejectedASilentAnswerIsAskedAgainLater() {
-        RejectingOwners owners = new RejectingOwners();
+        FakeOwners owners = new FakeOwners();
+        owners.decide("a", TargetAdmission.Decision.IMMEDIATE);
         world.setTargetAdmission(owners);
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
                 .addTarget("a", Map.of("base", Map.of("a7", 1L)));
-        RecordedAnswer answer = world.send(Optional.of(GENERATION));
-        SentRequest sent = world.targets().lastRequest();
-        begin(sent);
+        BegunStream stream = BegunStream.start(world, Optional.of(GENERATION));
+        SentRequest sent = stream.sent();
         world.addTarget("b", Map.of("base", Map.of("a7", 1L)));
-        owners.rejecting = true;
+        owners.reject("a", Duration.ofMillis(500), Reason.QUEUE_FULL, false);
+        owners.reject("b", Duration.ofMillis(500), Reason.QUEUE_FULL, false);
         world.time().advance(NEXT_EVENT_TIMEOUT.plusMillis(100));
         assertThat(sent.isCancelled()).isFalse();
-        owners.rejecting = false;
+        owners.decide("a", TargetAdmission.Decision.IMMEDIATE);
+        owners.decide("b", TargetAdmission.Decision.IMMEDIATE);
         sent.answerPart("id: 2\ndata: y\n\n");
         world.time().advance(Duration.ofSeconds(1));
         sent.fail(true);
         world.time().advance(Duration.ofSeconds(1));
-        assertThat(answer.isEnded()).isFalse();
+        assertThat(stream.answer().isEnded()).isFalse();
         assertThat(world.targets().openRequests()).hasSize(1);
     }
 
     /** Lets prompts wait at their targets, and admits the last one as the admission of the first ends. */
-    private static final class LinkedAdmissions implements TargetAdmission {
+    private static final class LinkedAdmissions implements OrderedOwners {
         private final List<Consumer<Decision>> waiting = new ArrayList<>();
         private boolean holding;
         private boolean firstRequested;
 
-        @Override
-        public Cancellable admit(Target target, long tokens, Duration maximumDelay, Consumer<Decision> callback) {
-            throw new UnsupportedOperationException("requests are ordered here");
-        }
-
-        @Override
-        public boolean isOrdered() {
-            return true;
-        }
-
         @Override
         public Admission request(Target target, String id, AdmissionRequest request, Consumer<Decision> callback) {
             boolean first = !firstRequested;
@@ -272,10 +229,8 @@
         withOneRetry
                 .startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
                 .addTarget("a", models);
-        withOneRetry.send(Optional.of(GENERATION));
-        begin(withOneRetry.targets().lastRequest());
-        withOneRetry.send(Optional.of(GENERATION));
-        begin(withOneRetry.targets().lastRequest());
+        BegunStream.start(withOneRetry, Optional.of(GENERATION));
+        BegunStream.start(withOneRetry, Optional.of(GENERATION));
         admissions.holding = true;
         withOneRetry.addTarget("b", models);
         withOneRetry.time().advance(NEXT_EVENT_TIMEOUT.plusMillis(10));
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ResumedStreamTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ResumedStreamTest.java
@@ -12,6 +12,7 @@
 import org.geraniumreach.gateway.stream.StreamOrigin;
 import org.geraniumreach.gateway.stream.StreamPeers;
 import org.geraniumreach.gateway.stream.StreamRecord;
+import org.geraniumreach.gateway.testing.BegunStream;
 import org.geraniumreach.gateway.testing.FakeTargets.SentRequest;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
@@ -63,8 +64,7 @@
         world.send();
         world.addTarget("two", TWO, Map.of());
         SentRequest first = world.targets().lastRequest();
-        first.answerHead(200, true);
-        first.answerPart("id: 1\ndata: x\n\n");
+        BegunStream.begin(first);
     }
 
     /** Guards against a stream that goes on without knowledge of what began it. */
@@ -195,12 +195,10 @@
         SilentPeer peer = new SilentPeer();
         world.streams().setPeers(peer);
         world.addTarget("one", ONE, Map.of());
-        RecordedAnswer answer = world.send();
-        SentRequest sent = world.targets().lastRequest();
-        sent.answerHead(200, true);
-        sent.answerPart("id: 1\ndata: x\n\n");
-        sent.answerPart("id: 2\ndata: y\n\n");
-        sent.endAnswer();
+        BegunStream stream = BegunStream.start(world);
+        RecordedAnswer answer = stream.answer();
+        stream.sent().answerPart("id: 2\ndata: y\n\n");
+        stream.sent().endAnswer();
         assertThat(answer.headCount()).isZero();
         if (recorded) {
             world.streams().onRecorded(peer.lastRecording);
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
@@ -8,6 +8,7 @@
 import java.util.stream.Stream;
 
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.testing.BegunStream;
 import org.geraniumreach.gateway.testing.FakeTargets.SentRequest;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
@@ -122,10 +123,8 @@
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
                 .addTarget("a")
                 .addTarget("b");
-        RecordedAnswer answer = world.send();
-        SentRequest first = world.targets().lastRequest();
-        first.answerHead(200, true);
-        first.answerPart("id: 1\ndata: x\n\n");
+        BegunStream stream = BegunStream.start(world);
+        SentRequest first = stream.sent();
         world.targets().setConnecting(connected);
         world.time().advance(Duration.ofMillis(1_201));
         SentRequest second = world.targets().lastRequest();
@@ -138,8 +137,8 @@
         }
         first.answerPart("id: 2\ndata: y\n\n");
         first.endAnswer();
-        assertThat(answer.isComplete()).isTrue();
-        assertThat(answer.text()).isEqualTo("id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+        assertThat(stream.answer().isComplete()).isTrue();
+        assertThat(stream.answer().text()).isEqualTo("id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
     }
 
     /** Guards against an answer that is begun anew elsewhere although its target goes on, and against events of both. */
@@ -149,16 +148,14 @@
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
                 .addTarget("a")
                 .addTarget("b");
-        RecordedAnswer answer = world.send();
-        SentRequest first = world.targets().lastRequest();
-        first.answerHead(200, true);
-        first.answerPart("id: 1\ndata: x\n\n");
+        BegunStream stream = BegunStream.start(world);
+        SentRequest first = stream.sent();
         world.time().advance(Duration.ofMillis(1_300));
         SentRequest second = world.targets().lastRequest();
         first.answerPart("id: 2\ndata: y\n\n");
         assertThat(second.isCancelled()).isTrue();
         first.endAnswer();
-        assertThat(answer.isComplete()).isTrue();
+        assertThat(stream.answer().isComplete()).isTrue();
         assertThat(world.openExchanges()).isZero();
     }
 
@@ -204,21 +201,19 @@
         world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
                 .addTarget("a", Map.of("base", Map.of("a7", 1L)))
                 .addTarget("b", Map.of("base", Map.of()));
-        RecordedAnswer answer = world.send(Optional.of(GENERATION));
-        SentRequest sent = world.targets().lastRequest();
-        sent.answerHead(200, true);
-        sent.answerPart("id: 1\ndata: x\n\n");
+        BegunStream stream = BegunStream.start(world, Optional.of(GENERATION));
+        SentRequest sent = stream.sent();
         world.time().advance(Duration.ofSeconds(2));
         assertThat(sent.isCancelled()).isFalse();
         assertThat(world.adapters().enqueuedLoads()).contains("b a7");
         if (targetGoesOn) {
             sent.answerPart("id: 2\ndata: y\n\n");
             sent.endAnswer();
-            assertThat(answer.isComplete()).isTrue();
+            assertThat(stream.answer().isComplete()).isTrue();
             assertThat(world.openExchanges()).isZero();
         } else {
             world.time().advance(Duration.ofSeconds(4));
-            assertThat(answer.isEnded()).isFalse();
+            assertThat(stream.answer().isEnded()).isFalse();
             assertThat(world.loggedFields(EventCode.REQUEST_FAILED)).isEmpty();
         }
     }
