Share how a second companion takes a target over in tests

CompanionPauseTest and CompanionTakeoverTest repeated it; CompanionFixture holds it once. A test that wrapped the platform's exception in an error passes it on instead and fails as before. No check is changed.

--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionFixture.java
@@ -23,11 +23,13 @@
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.record.RecordKind;
 import org.geraniumreach.ports.PlainService;
+import org.geraniumreach.ports.PlatformException;
 
 /** An entry and a companion connected over loopback, with a fake target, table and configuration. */
 final class CompanionFixture implements AutoCloseable {
 
     static final InstanceId COMPANION = InstanceId.of("companion-1");
+    private static final TargetId TARGET = TargetId.of("target-1");
     static final String SECRET = "secret-1";
     static final long FIRST_INCARNATION = 7;
     private static final Duration AWAIT_LIMIT = Duration.ofSeconds(30);
@@ -77,7 +79,7 @@
         return new CompanionDependencies(
                 COMPANION,
                 incarnationNumber,
-                TargetId.of("target-1"),
+                TARGET,
                 links,
                 configuration,
                 table,
@@ -95,6 +97,11 @@
         startCompanion();
     }
 
+    /** Lets a second companion take the target over, while the first one still runs and is linked. */
+    void takeTargetOver() throws PlatformException {
+        new FencingTokenStore(table, TARGET, COMPANION, FIRST_INCARNATION + 1).acquire();
+    }
+
     /** Advances the companion's clock, as it finds it after a pause of the process. */
     void pauseCompanion(Duration pause) {
         pausedNanos.addAndGet(pause.toNanos());
@@ -168,7 +175,7 @@
         String targetFields = isEngine ? "\"baseModel\":\"m\",\"slots\":2," : "\"service\":\"job-cards\",";
         configuration.put(
                 RecordKind.TARGET,
-                "target-1",
+                TARGET.value(),
                 "{\"schemaVersion\":1,\"failureDomain\":\"d1\"," + targetFields + "\"checksFence\":" + checksFence
                         + "}");
     }
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionPauseTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionPauseTest.java
@@ -6,7 +6,6 @@
 import org.geraniumreach.messages.Run;
 import org.geraniumreach.model.ExecutionStatus;
 import org.geraniumreach.model.ResultCode;
-import org.geraniumreach.model.TargetId;
 import org.geraniumreach.ports.PlainService;
 import org.geraniumreach.ports.PlatformException;
 import org.junit.jupiter.api.Test;
@@ -103,12 +102,7 @@
     void companionReplacedDuringItsPauseSendsNothing() throws IOException, PlatformException {
         try (CompanionFixture fixture = engineFixture()) {
             assertThat(isServed(fixture, "a")).isTrue();
-            new FencingTokenStore(
-                            fixture.table,
-                            TargetId.of("target-1"),
-                            CompanionFixture.COMPANION,
-                            CompanionFixture.FIRST_INCARNATION + 1)
-                    .acquire();
+            fixture.takeTargetOver();
             fixture.pauseCompanion(PAUSE);
             RecordedAnswer answer = fixture.send(fixture.generation("a", 3).build());
             CompanionFixture.await(answer::isEnded);
--- a/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionTakeoverTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/companion/CompanionTakeoverTest.java
@@ -10,7 +10,6 @@
 import org.geraniumreach.model.AttemptId;
 import org.geraniumreach.model.ExecutionStatus;
 import org.geraniumreach.model.ResultCode;
-import org.geraniumreach.model.TargetId;
 import org.geraniumreach.ports.ModelEngine.Generation;
 import org.geraniumreach.ports.PlatformException;
 import org.junit.jupiter.api.Test;
@@ -62,25 +61,18 @@
     }
 
     @Test
-    void replacedCompanionRefusesNewWork() throws IOException {
+    void replacedCompanionRefusesNewWork() throws IOException, PlatformException {
         // A second companion takes the target over while the first one still runs and is linked. The first one reads
         // the newer fencing token and refuses new work as not run, although the target has not received the newer
         // token.
         try (CompanionFixture fixture = CompanionFixture.ofEngine(new FakeEngine(2))) {
-            new FencingTokenStore(
-                            fixture.table,
-                            TargetId.of("target-1"),
-                            CompanionFixture.COMPANION,
-                            CompanionFixture.FIRST_INCARNATION + 1)
-                    .acquire();
+            fixture.takeTargetOver();
             CompanionFixture.await(() -> fixture.companion.reasonNotReady().isPresent());
             RecordedAnswer answer = fixture.send(fixture.generation("a", 10).build());
             CompanionFixture.await(answer::isEnded);
             assertThat(answer.refusal()).contains(ResultCode.FENCED);
             assertThat(answer.executionStatus()).contains(ExecutionStatus.NO);
             assertThat(fixture.engine.started()).isEmpty();
-        } catch (PlatformException unexpected) {
-            throw new AssertionError(unexpected);
         }
     }
 
