Discard what a silent target has sent once it is lost

Callers could get part of a target's failure answer as a whole one, for example status 500 with an empty body.

Cause: a silent attempt that had answered with the head of a server error and then failed while another target was taking its request over left its head behind. If the other target then refused the request and no target was left, the answer was completed with that head.

ReplacedAttemptTest.partOfAFailureIsNotCompletedOnceItsTargetIsLost: 500 with no body, and with "part of a fail" for a stream, before; 502 now.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -409,7 +409,10 @@
         private boolean isAtAnotherTarget(FailureCause cause) {
             boolean replaced = attempts.isPredecessor(attempt);
             attempts.remove(attempt);
-            if (!replaced && attempts.current().isPresent()) {
+            if (replaced) {
+                // What has been received of its answer must not be taken for a whole one if no other follows.
+                relay.discardAttempt();
+            } else if (attempts.current().isPresent()) {
                 seekReplacement(cause);
             }
             return attempts.current().isPresent();
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -38,6 +39,8 @@
             ExchangeSettings.defaults().nextEventTimeout();
     private static final Duration FIRST_EVENT_TIMEOUT =
             ExchangeSettings.defaults().firstEventTimeout();
+    private static final Duration IDEMPOTENT_TIMEOUT = Duration.ofNanos((long)
+            (RequestHarness.TIMEOUT.toNanos() * ExchangeSettings.defaults().silenceTimeFraction()));
     private static final String EVENT = "id: 1\ndata: x\n\n";
     private static final GatewayRequest.Generation GENERATION = new GatewayRequest.Generation(
             "base", Optional.of(new AdapterName("base", "a7")), 100, 50, OptionalLong.empty(), List.of());
@@ -283,4 +286,26 @@
         admissions.waiting.get(0).accept(TargetAdmission.Decision.IMMEDIATE);
         assertThat(withOneRetry.targets().sentRequests()).hasSize(3);
     }
+
+    /** Guards against part of a silent target's answer that the caller takes for a whole one. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void partOfAFailureIsNotCompletedOnceItsTargetIsLost(boolean stream) {
+        world.startWithRoute(stream ? RetryPolicy.RESUMABLE_STREAM : RetryPolicy.IDEMPOTENT, MAXIMUM_TARGETS)
+                .addTarget("a")
+                .addTarget("b");
+        RecordedAnswer answer = world.send();
+        SentRequest first = world.targets().lastRequest();
+        first.answerHead(500, false);
+        if (stream) {
+            first.answerPart("part of a fail");
+        }
+        world.time().advance(stream ? NEXT_EVENT_TIMEOUT.plusMillis(1) : IDEMPOTENT_TIMEOUT.plusMillis(1));
+        SentRequest second = world.targets().lastRequest();
+        assertThat(second).isNotSameAs(first);
+        first.fail(true);
+        second.answerNotExecuted(NotExecuted.SHED);
+        assertThat(answer.isEnded()).isTrue();
+        assertThat(answer.status()).isEqualTo(502);
+    }
 }
