Keep a silent attempt until a target of another version has taken it over

During a release a request could end with 502 although its target was sound and silent for a while only.

Cause: a silent attempt was cancelled as soon as the request was sent to a target of another software version, before that one had taken it. The record of a stream's origin requires that; requests without such a record need not do so, and are kept like others now. Streams that have not begun still are.

ReplacedAttemptTest.aRequestOutlivesATargetOfAnotherVersionThatDoesNotTakeItOver: the first attempt was cancelled and the answer was 502 with a target that sheds the request before, 200 now for three ways of not taking it.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -183,8 +183,9 @@
         Optional<Attempt> silent = attempts.current();
         silent.ifPresent(attempt -> possiblyRunTargets.add(attempt.target().id()));
         attempts.add(next);
-        // The record of the stream's origin names the version of the new target from now on.
-        silent.filter(attempt -> !attempt.target()
+        // The record of a stream's origin names the version of the new target from now on.
+        silent.filter(attempt -> beginsStream())
+                .filter(attempt -> !attempt.target()
                         .description()
                         .softwareVersion()
                         .equals(next.target().description().softwareVersion()))
@@ -247,10 +248,7 @@
 
     /** Records what is about to begin a stream; one that goes on is known already. */
     private Recording recordOrigin(Target target) {
-        boolean begins = route.retryPolicy() == RetryPolicy.RESUMABLE_STREAM
-                && !relay.isBegun()
-                && !StreamResumption.isResumption(request.request(), route);
-        return begins
+        return beginsStream()
                 ? StreamKey.of(
                                 request.account().map(Account::id),
                                 request.request().id())
@@ -260,6 +258,12 @@
                 : Recording.confirmed();
     }
 
+    private boolean beginsStream() {
+        return route.retryPolicy() == RetryPolicy.RESUMABLE_STREAM
+                && !relay.isBegun()
+                && !StreamResumption.isResumption(request.request(), route);
+    }
+
     /** Decides on sending the request as it was placed; empty if that is no retry. */
     private Optional<RetryDecision> decideRetry(PlacementDecision placed) {
         return arrivals.mayHaveArrived()
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
@@ -21,6 +21,7 @@
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
+import org.geraniumreach.model.SoftwareVersion;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -308,4 +309,24 @@
         assertThat(answer.isEnded()).isTrue();
         assertThat(answer.status()).isEqualTo(502);
     }
+
+    /** Guards against a request that leaves its silent target for one of another version before that has taken it. */
+    @ParameterizedTest
+    @EnumSource
+    void aRequestOutlivesATargetOfAnotherVersionThatDoesNotTakeItOver(Untaken untaken) {
+        world.startWithRoute(RetryPolicy.IDEMPOTENT, MAXIMUM_TARGETS)
+                .addTarget("a", SoftwareVersion.of("v1"), Map.of());
+        RecordedAnswer answer = world.send();
+        SentRequest first = world.targets().lastRequest();
+        world.addTarget("b", SoftwareVersion.of("v2"), Map.of());
+        world.time().advance(IDEMPOTENT_TIMEOUT.plusMillis(1));
+        SentRequest second = world.targets().lastRequest();
+        assertThat(second).isNotSameAs(first);
+        untaken.answer(second);
+        first.answerHead(200, false);
+        first.answerPart("whole");
+        first.endAnswer();
+        assertThat(answer.isComplete()).isTrue();
+        assertThat(answer.status()).isEqualTo(200);
+    }
 }
