Pass over a target without a sign when a silent answer is moved

An answer stayed at its lost target for 1.2 s longer, or for good, although a sound target was free.

Cause: placement chose a target at which a request had waited for 0.7 s, such as one that prefills, and the search for another target ended there. Such targets are left out now if another one of the same software version needs no load.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
@@ -31,6 +31,15 @@
             Objects.requireNonNull(alsoLoad, "alsoLoad");
             Objects.requireNonNull(speed, "speed");
         }
+
+        /**
+         * Returns this decision without the load for future requests.
+         *
+         * @return the decision, not null
+         */
+        public Send withoutLoad() {
+            return new Send(target, reason, expectedWaitMillis, Optional.empty(), speed);
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -111,6 +111,11 @@
                     ResultCode.OUT_OF_BUDGET, "the client account is above its rate", retryAfter));
         }
 
+        @Override
+        public boolean isAvoided(Target target) {
+            return isSilentToo(target);
+        }
+
         @Override
         public boolean isSendAllowed(PlacementDecision placed) {
             if (placed.selectedTarget().filter(Exchange.this::isSilentToo).isPresent()) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
@@ -3,8 +3,10 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.geraniumreach.gateway.placement.PlacementRequest;
+import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.placement.VersionRule;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
@@ -71,6 +73,19 @@
 
     /** Creates the request for the next placement. */
     PlacementRequest nextPlacement() {
+        return nextPlacement(excludedTargets);
+    }
+
+    /** Creates the request for a placement that also excludes some targets for this once. */
+    PlacementRequest nextPlacementWithout(Predicate<Target> avoided) {
+        Set<TargetId> excluded = new HashSet<>(excludedTargets);
+        services.registry().findByService(request.service()).stream()
+                .filter(avoided)
+                .forEach(target -> excluded.add(target.id()));
+        return nextPlacement(excluded);
+    }
+
+    private PlacementRequest nextPlacement(Set<TargetId> excluded) {
         long now = services.clock().nanos();
         Optional<AdapterName> adapter = request.adapter();
         adapter.ifPresent(required ->
@@ -88,7 +103,7 @@
                 loadWait.loadingTargets(now),
                 loadWait.slowLoadingTargets(now),
                 admissionAttempts.saturatedTargets(),
-                excludedTargets,
+                excluded,
                 new VersionRule(requiredVersion, preferredVersion, heldVersions()),
                 permission.target());
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import org.geraniumreach.gateway.crash.Verdict;
 import org.geraniumreach.gateway.placement.PlacementDecision;
@@ -37,6 +38,9 @@
         /** Called if the request is above its account's rate, with the time after which to retry. */
         void onAboveRate(Duration retryAfter);
 
+        /** Returns whether the request should rather be sent to any other target. */
+        boolean isAvoided(Target target);
+
         /** Returns whether the request may be sent as it was placed; if not, the steps have been stopped. */
         boolean isSendAllowed(PlacementDecision placed);
 
@@ -133,7 +137,7 @@
     }
 
     private void placeUnsuspected() {
-        PlacementDecision decision = services.placement().place(state.nextPlacement());
+        PlacementDecision decision = choosePlacement();
         if (decision instanceof PlacementDecision.Unplaceable unplaceable) {
             onUnplaceable(unplaceable);
             return;
@@ -152,6 +156,23 @@
         }
     }
 
+    /** Passes over an avoided target only for one of its version that needs no load; others are not worth what they cost. */
+    private PlacementDecision choosePlacement() {
+        PlacementDecision first = services.placement().place(state.nextPlacement());
+        Optional<Target> avoided = first.selectedTarget().filter(listener::isAvoided);
+        if (avoided.isEmpty()) {
+            return first;
+        }
+        PlacementDecision other = services.placement().place(state.nextPlacementWithout(listener::isAvoided));
+        return other instanceof PlacementDecision.Send send && isSameVersion(send.target(), avoided.get())
+                ? send.withoutLoad()
+                : first;
+    }
+
+    private static boolean isSameVersion(Target one, Target other) {
+        return one.description().softwareVersion().equals(other.description().softwareVersion());
+    }
+
     /** Handles the result of the prompt's admission. */
     private final class AdmissionResults implements AdmissionStep.Results {
         private final PlacementDecision.Send send;
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
@@ -329,4 +329,24 @@
         assertThat(answer.isComplete()).isTrue();
         assertThat(answer.status()).isEqualTo(200);
     }
+
+    /** Guards against an answer that stays at a lost target, since another one that was chosen first has sent nothing of late either. */
+    @ParameterizedTest
+    @ValueSource(strings = {"c", "d", "e", "f", "g", "h"})
+    void anAnswerPassesOverATargetWithoutASignForOneThatIsFree(String free) {
+        Map<String, Map<String, Long>> models = Map.of("base", Map.of("a7", 1L));
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS).addTarget("a", models);
+        world.send(Optional.of(GENERATION));
+        begin(world.targets().lastRequest());
+        world.time().advance(Duration.ofMillis(300));
+        world.addTarget("b", models);
+        world.restTarget("a", Duration.ofSeconds(1));
+        world.send(Optional.of(GENERATION));
+        world.restTarget("a", Duration.ZERO);
+        world.addTarget(free, models);
+        world.time().advance(NEXT_EVENT_TIMEOUT.minusMillis(299));
+        assertThat(world.targets().sentRequests())
+                .extracting(sent -> sent.target().id().value())
+                .containsExactly("a", "b", free);
+    }
 }
