--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -35,6 +35,7 @@
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.priority.RequestPriority;
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.QuotaAdmission;
@@ -383,15 +384,31 @@
             long startedAt,
             SoftwareVersion version,
             Map<String, Map<String, Long>> models) {
+        return putTarget(service, name, startedAt, version, FailureDomain.of("here"), false, models);
+    }
+
+    /** Adds a target without models, or replaces its row. */
+    public RequestHarness putTarget(String name, FailureDomain domain, boolean draining) {
+        return putTarget("service", name, 1, SoftwareVersion.of("v1"), domain, draining, Map.of());
+    }
+
+    private RequestHarness putTarget(
+            String service,
+            String name,
+            long startedAt,
+            SoftwareVersion version,
+            FailureDomain domain,
+            boolean draining,
+            Map<String, Map<String, Long>> models) {
         registry.put(new TargetDescription(
                 TargetId.of(name),
                 startedAt,
                 service,
                 version,
                 new InetSocketAddress("127.0.0.1", 1),
-                FailureDomain.of("here"),
+                domain,
                 SLOTS_PER_TARGET,
-                false,
+                draining,
                 Optional.of(Duration.ZERO),
                 models));
         health.add(TargetId.of(name));
@@ -457,6 +474,13 @@
         targetsHeld = newTargetsHeld;
     }
 
+    /** Evacuates a failure domain, as the operator does. */
+    public void evacuate(FailureDomain domain) {
+        StorePort.OperatorItem evacuation = new StorePort.OperatorItem.Evacuation(domain);
+        evacuations.onOperatorItems(
+                new StorePort.TableUpdate<>(List.of(evacuation), 1, false), OptionalLong.of(time.nanos()));
+    }
+
     /** Ends the startup phase, so that requests are handled. */
     public RequestHarness start() {
         handler.onStarted();
