Count each request that is under way as a trial of a limited target

A second trial could be sent to a target that may be paused, beside the first one.

Cause: only the last sending was taken for the trial, so that one which was permitted earlier and did not leave hid the one before; and a sending to an idle target counted as a sign of it.

RequestArrivalsTest: another trial was allowed in both cases before, none now.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Target.java
@@ -40,6 +40,7 @@
     private TargetDescription description;
     private long lastRowAt;
     private long lastSignAt;
+    private long lastHeardAt;
     private int outstanding;
     private long pendingPromptTokens;
     private int reportedRunning;
@@ -59,6 +60,7 @@
         this.hash = Rendezvous.hash(description.id().value());
         this.joinedAt = now;
         this.lastSignAt = now;
+        this.lastHeardAt = now;
         applyRow(description, now);
     }
 
@@ -100,6 +102,16 @@
      */
     public void recordSign(long now) {
         lastSignAt = now;
+        lastHeardAt = now;
+    }
+
+    /**
+     * Gets the time at which the target has sent something, or at which this entry discovered it, whatever has been sent to it since.
+     *
+     * @return the time of the monotonic clock, in nanoseconds
+     */
+    public long lastHeardAt() {
+        return lastHeardAt;
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/AbandonedSendings.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/AbandonedSendings.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -31,11 +33,16 @@
     private final MonotonicClock clock;
     private final Map<TargetId, TargetSendings> sendings = new HashMap<>();
 
-    /** The abandoned sendings to one target, and the last one since, whose answer resolves them. */
+    /** The abandoned sendings to one target, and those since, whose answers resolve them. */
     private static final class TargetSendings {
         private final Deque<Sending> abandoned = new ArrayDeque<>();
+        private final List<Sending> trials = new ArrayList<>();
         private long lastAbandonedAt;
-        private Optional<Sending> trial = Optional.empty();
+
+        private boolean isTried() {
+            trials.removeIf(sending -> !sending.isUnderWay());
+            return !trials.isEmpty();
+        }
     }
 
     AbandonedSendings(MonotonicClock clock) {
@@ -54,8 +61,7 @@
 
     /** Records a sending that begins. */
     void onSent(Sending sending) {
-        Optional.ofNullable(sendings.get(sending.target().id()))
-                .ifPresent(ofTarget -> ofTarget.trial = Optional.of(sending));
+        Optional.ofNullable(sendings.get(sending.target().id())).ifPresent(ofTarget -> ofTarget.trials.add(sending));
     }
 
     /** Resolves what was sent to a target before a call that it has answered. */
@@ -94,9 +100,8 @@
 
     /** A target that has run since is unlikely to be paused; if its link is down all the same, the trial finds that out alone. */
     private static boolean mayTry(Target target, TargetSendings ofTarget) {
-        boolean tried = ofTarget.trial.filter(Sending::isUnderWay).isPresent();
-        return !tried
-                && (target.lastSignAt() - ofTarget.lastAbandonedAt > 0
+        return !ofTarget.isTried()
+                && (target.lastHeardAt() - ofTarget.lastAbandonedAt > 0
                         || target.confirmedAt() - ofTarget.lastAbandonedAt > 0);
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/retry/RequestArrivalsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/retry/RequestArrivalsTest.java
@@ -166,4 +166,26 @@
         harness.registry().put(first.description());
         assertThat(budgets.mayAccumulate(first)).isTrue();
     }
+
+    /** Guards against a second trial, where a request that was permitted earlier is sent beside the first one and does not leave. */
+    @Test
+    void aRequestThatIsNotSentBesideATrialAllowsNoOther() {
+        budgets.receive(SERVICE).send(first).onAbandoned();
+        recordSign();
+        budgets.receive(SERVICE).send(first);
+        budgets.receive(SERVICE).send(first).onNotSent();
+        assertThat(budgets.mayAccumulate(first)).isTrue();
+    }
+
+    /** Guards against a trial at a target of which nothing is known but that a request was to be sent there. */
+    @Test
+    void aRequestThatIsNotSentIsNoSignOfItsTarget() {
+        budgets.receive(SERVICE).send(first).onAbandoned();
+        time.advance(Duration.ofMillis(1));
+        Sending permitted = budgets.receive(SERVICE).send(first);
+        first.onRequestSent(0, time.nanos());
+        permitted.onNotSent();
+        first.onRequestEnded();
+        assertThat(budgets.mayAccumulate(first)).isTrue();
+    }
 }
