Bound the requests that a limited target may hold unanswered

Requests that are sent within a limit arrived together when a paused target woke, if the entries had not noticed the pause: those of routes whose requests are awaited until their deadlines, and those of other entries while the owner sends none itself.

Cause: the owner knew of a pause only by its own silent or abandoned requests. It counts the permitted requests now since any entry has heard from the target, as they tell when they ask, or since its row was certainly written. Two seconds of the limit and four more leave room for those of the next four seconds.

LimitAdmissionTest.requestsThatAPausedTargetHoldsKeepToTheLimitWhenItWakes, 30 s of pause: 69, 17, 34, 68, 68 and 681 requests arrived within 4 s before, where 17, 8, 11, 17, 17 and 125 are allowed; none above that now.

--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -29,7 +29,8 @@
  *
  * <p>Invariants: an entry that knows of a limit sends no request without the owner's permission or a part of those few. A
  * permission is used within {@link #PERMISSION_TIME}. A target that may be paused gets nothing more, since all that it was sent would arrive
- * together; its owner permits nothing to other entries either. Confined to the event loop.
+ * together; its owner permits nothing to other entries either, and only a few requests to all of them together since a target certainly ran.
+ * Confined to the event loop.
  */
 public final class LimitAdmission implements RequestLimiter, TargetRegistry.Listener {
 
@@ -50,6 +51,11 @@
 
     private static final double UNOWNED_EXTRA_REQUESTS = 4;
 
+    /** Together with the requests of the next window, those that have arrived at once keep to the limit if a paused target wakes. */
+    private static final double UNANSWERED_SECONDS = 2;
+
+    private static final int UNANSWERED_EXTRA_REQUESTS = 4;
+
     private static final int LONGEST_WAIT_INTERVALS = 2;
     private static final Duration MINIMUM_RETRY_AFTER = Duration.ofMillis(1);
 
@@ -82,6 +88,7 @@
     /** The requests to one limited target. */
     private static final class LimitedRequests {
         private final Deque<Long> unownedSends = new ArrayDeque<>();
+        private final Deque<Long> unansweredPermits = new ArrayDeque<>();
         private Optional<LimitBucket> bucket = Optional.empty();
         private Optional<Refusal> refusal = Optional.empty();
 
@@ -166,15 +173,31 @@
 
     private Decision takeAsOwner(Target target, RequestRate rate) {
         long now = clock.nanos();
-        LimitBucket bucket = requestsTo(target).bucket(rate, now);
+        LimitedRequests requestsToTarget = requestsTo(target);
+        LimitBucket bucket = requestsToTarget.bucket(rate, now);
         Duration wait = bucket.untilFree(rate, now);
         if (!wait.isZero()) {
             return Decision.refused(wait);
         }
+        if (countUnanswered(target, requestsToTarget.unansweredPermits, now)
+                >= rate.perSecond() * UNANSWERED_SECONDS + UNANSWERED_EXTRA_REQUESTS) {
+            return Decision.refused(OWNER_RETRY_INTERVAL);
+        }
         bucket.take(rate, now);
+        requestsToTarget.unansweredPermits.addLast(now);
         return Decision.permitted(PERMISSION_TIME);
     }
 
+    /** Counts the permitted requests since the target certainly ran; any entry may have heard from it. */
+    private int countUnanswered(Target target, Deque<Long> permits, long now) {
+        long answeredAt = now - limits.report(target).orElseThrow().age().toNanos();
+        while (!permits.isEmpty()
+                && (permits.peekFirst() - answeredAt <= 0 || permits.peekFirst() - target.confirmedAt() <= 0)) {
+            permits.removeFirst();
+        }
+        return permits.size();
+    }
+
     /** Completes a request with the owner's answer, or without it if there is none. */
     private void complete(Target target, Optional<Decision> answer, Consumer<Decision> callback) {
         Decision decision = answer.orElseGet(() -> takeWithoutOwner(target));
--- a/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
@@ -55,6 +55,8 @@
     private Optional<Row> holderRow = Optional.empty();
     private Random holding = new Random(2);
     private boolean paused;
+    private Optional<List<Runnable>> heldAnswers = Optional.empty();
+    private final Set<String> idle = new HashSet<>();
     private long nextVersion = 5;
     private long nextIncarnation = 1;
     private Optional<RequestRate> limit = Optional.empty();
@@ -103,7 +105,7 @@
         }
 
         private void trySend() {
-            if (!admission.timeUntilAvailable(target()).isZero()) {
+            if (idle.contains(name) || !admission.timeUntilAvailable(target()).isZero()) {
                 return;
             }
             admission.admit(target(), decision -> {
@@ -128,12 +130,13 @@
             }
             Optional<RequestRate> named = limit;
             Consumer<TargetSignals> signals = limits.onCall(target());
-            time.schedule(ANSWER_DELAY, () -> {
+            Runnable answer = () -> {
                 if (named.isPresent() && toldAt.isEmpty()) {
                     toldAt = Optional.of(time.nanos());
                 }
                 signals.accept(new TargetSignals(named, Optional.empty(), false, true));
-            });
+            };
+            heldAnswers.ifPresentOrElse(held -> held.add(answer), () -> time.schedule(ANSWER_DELAY, answer));
         }
     }
 
@@ -380,4 +383,27 @@
         assertThat(owner.admission.decideForPeer(owner.target().id(), 1, known))
                 .hasValueSatisfying(decision -> assertThat(decision.admitted()).isTrue());
     }
+
+    /** Guards against requests that add up at a paused target whose entries have not noticed, such as an owner that sends none itself. */
+    @ParameterizedTest
+    @CsvSource({"1, 2, false", "3, 0.5, true", "21, 1, true", "21, 2, true", "100, 2, false", "21, 20, true"})
+    void requestsThatAPausedTargetHoldsKeepToTheLimitWhenItWakes(int count, double perSecond, boolean ownerIsIdle) {
+        startEntries(count);
+        limit(perSecond);
+        sendFor(Duration.ofSeconds(20));
+        if (ownerIsIdle) {
+            idle.add("entry0");
+        }
+        List<Runnable> held = new ArrayList<>();
+        heldAnswers = Optional.of(held);
+        sendFor(Duration.ofSeconds(30));
+        heldAnswers = Optional.empty();
+        held.forEach(answer -> time.schedule(ANSWER_DELAY, answer));
+        arrivals.clear();
+        sendFor(RULE_WINDOW);
+        assertThat(held.size() + arrivals.size()).isLessThanOrEqualTo(allowed(perSecond));
+        arrivals.clear();
+        sendFor(Duration.ofSeconds(10));
+        assertThat(arrivals.size()).isGreaterThanOrEqualTo((int) (10 * perSecond * 0.9) - 1);
+    }
 }
