--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementDecision.java
@@ -43,6 +43,15 @@
         public Optional<Target> selectedTarget() {
             return Optional.of(target);
         }
+
+        /**
+         * Returns this decision without the load for future requests.
+         *
+         * @return the decision, not null
+         */
+        public Send withoutLoad() {
+            return new Send(target, reason, expectedWaitMillis, Optional.empty(), speed);
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -105,6 +105,11 @@
                     ResultCode.OUT_OF_BUDGET, "the client account is above its rate", retryAfter));
         }
 
+        @Override
+        public boolean isAvoided(Target target) {
+            return isSilentToo(target);
+        }
+
         @Override
         public boolean isSendAllowed(PlacementDecision placed) {
             if (placed.selectedTarget().filter(Exchange.this::isSilentToo).isPresent()) {
@@ -176,8 +181,9 @@
         Optional<Attempt> silent = attempts.current();
         silent.ifPresent(attempt -> history.onPossiblyRun(attempt.target()));
         attempts.add(next);
-        // The record of the stream's origin names the version of the new target from now on.
-        silent.filter(attempt -> !attempt.target()
+        // The record of a stream's origin names the version of the new target from now on.
+        silent.filter(attempt -> beginsStream())
+                .filter(attempt -> !attempt.target()
                         .description()
                         .softwareVersion()
                         .equals(next.target().description().softwareVersion()))
@@ -240,10 +246,7 @@
 
     /** Records what is about to begin a stream; one that goes on is known already. */
     private Recording recordOrigin(Target target) {
-        boolean begins = route.retryPolicy() == RetryPolicy.RESUMABLE_STREAM
-                && !relay.isBegun()
-                && !StreamResumption.isResumption(request.request(), route);
-        return begins
+        return beginsStream()
                 ? StreamKey.of(
                                 request.account().map(Account::id),
                                 request.request().id())
@@ -253,6 +256,12 @@
                 : Recording.confirmed();
     }
 
+    private boolean beginsStream() {
+        return route.retryPolicy() == RetryPolicy.RESUMABLE_STREAM
+                && !relay.isBegun()
+                && !StreamResumption.isResumption(request.request(), route);
+    }
+
     /** Decides on sending the request as it was placed; empty if that is no retry. */
     private Optional<RetryDecision> decideRetry(PlacementDecision placed) {
         return arrivals.mayHaveArrived()
@@ -369,7 +378,10 @@
         private boolean isAtAnotherTarget(FailureCause cause) {
             boolean replaced = attempts.isPredecessor(attempt);
             attempts.remove(attempt);
-            if (!replaced && attempts.current().isPresent()) {
+            if (replaced) {
+                // What has been received of its answer must not be taken for a whole one if no other follows.
+                relay.discardAttempt();
+            } else if (attempts.current().isPresent()) {
                 seekReplacement(cause);
             }
             return attempts.current().isPresent();
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ReplacedAttemptTest.java
@@ -23,9 +23,11 @@
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
+import org.geraniumreach.model.SoftwareVersion;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -40,6 +42,8 @@
             ExchangeSettings.defaults().nextEventTimeout();
     private static final Duration FIRST_EVENT_TIMEOUT =
             ExchangeSettings.defaults().firstEventTimeout();
+    private static final Duration IDEMPOTENT_TIMEOUT = Duration.ofNanos((long)
+            (RequestHarness.TIMEOUT.toNanos() * ExchangeSettings.defaults().silenceTimeFraction()));
     private static final GatewayRequest.Generation GENERATION = new GatewayRequest.Generation(
             "base", Optional.of(new AdapterName("base", "a7")), 100, 50, OptionalLong.empty(), List.of());
 
@@ -238,4 +242,66 @@
         admissions.waiting.get(0).accept(TargetAdmission.Decision.IMMEDIATE);
         assertThat(withOneRetry.targets().sentRequests()).hasSize(3);
     }
+
+    /** Guards against part of a silent target's answer that the caller takes for a whole one. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void partOfAFailureIsNotCompletedOnceItsTargetIsLost(boolean stream) {
+        world.startWithRoute(stream ? RetryPolicy.RESUMABLE_STREAM : RetryPolicy.IDEMPOTENT, MAXIMUM_TARGETS)
+                .addTarget("a")
+                .addTarget("b");
+        RecordedAnswer answer = world.send();
+        SentRequest first = world.targets().lastRequest();
+        first.answerHead(500, false);
+        if (stream) {
+            first.answerPart("part of a fail");
+        }
+        world.time().advance(stream ? NEXT_EVENT_TIMEOUT.plusMillis(1) : IDEMPOTENT_TIMEOUT.plusMillis(1));
+        SentRequest second = world.targets().lastRequest();
+        assertThat(second).isNotSameAs(first);
+        first.fail(true);
+        second.answerNotExecuted(NotExecuted.SHED);
+        assertThat(answer.isEnded()).isTrue();
+        assertThat(answer.status()).isEqualTo(502);
+    }
+
+    /** Guards against a request that leaves its silent target for one of another version before that has taken it. */
+    @ParameterizedTest
+    @EnumSource
+    void aRequestOutlivesATargetOfAnotherVersionThatDoesNotTakeItOver(Untaken untaken) {
+        world.startWithRoute(RetryPolicy.IDEMPOTENT, MAXIMUM_TARGETS)
+                .addTarget("a", SoftwareVersion.of("v1"), Map.of());
+        RecordedAnswer answer = world.send();
+        SentRequest first = world.targets().lastRequest();
+        world.addTarget("b", SoftwareVersion.of("v2"), Map.of());
+        world.time().advance(IDEMPOTENT_TIMEOUT.plusMillis(1));
+        SentRequest second = world.targets().lastRequest();
+        assertThat(second).isNotSameAs(first);
+        untaken.answer(second);
+        first.answerHead(200, false);
+        first.answerPart("whole");
+        first.endAnswer();
+        assertThat(answer.isComplete()).isTrue();
+        assertThat(answer.status()).isEqualTo(200);
+    }
+
+    /** Guards against an answer that stays at a lost target, since another one that was chosen first has sent nothing of late either. */
+    @ParameterizedTest
+    @ValueSource(strings = {"c", "d", "e", "f", "g", "h"})
+    void anAnswerPassesOverATargetWithoutASignForOneThatIsFree(String free) {
+        Map<String, Map<String, Long>> models = Map.of("base", Map.of("a7", 1L));
+        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS).addTarget("a", models);
+        world.send(Optional.of(GENERATION));
+        BegunStream.begin(world.targets().lastRequest());
+        world.time().advance(Duration.ofMillis(300));
+        world.addTarget("b", models);
+        world.restTarget("a", Duration.ofSeconds(1));
+        world.send(Optional.of(GENERATION));
+        world.restTarget("a", Duration.ZERO);
+        world.addTarget(free, models);
+        world.time().advance(NEXT_EVENT_TIMEOUT.minusMillis(299));
+        assertThat(world.targets().sentRequests())
+                .extracting(sent -> sent.target().id().value())
+                .containsExactly("a", "b", free);
+    }
 }
