Read a body on in however many parts it arrives

A request whose body arrived in more than two reads of the selector thread (64 KB each, or three small parts) was never read whole: no answer, no refusal and no line, until its caller left or the process ended.

Cause: Grizzly disables reading when it passes a further part of a suspended request to its read handler, and enables it again only for the first of them if the handler runs on the selector thread, as with these listeners. Change: BodyReader enables reading itself after it has asked for the next part.

--- a/httpserver/src/main/java/org/geraniumreach/httpserver/BodyReader.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/BodyReader.java
@@ -6,6 +6,8 @@
 
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.ReadHandler;
 import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.Request;
@@ -20,6 +22,7 @@
 
     private static final int BUFFER_BYTES = 8_192;
 
+    private final Connection<?> connection;
     private final NIOInputStream input;
     private final long maxBytes;
     private final Consumer<byte[]> onBody;
@@ -28,7 +31,12 @@
     private boolean ended;
 
     private BodyReader(
-            NIOInputStream input, long maxBytes, Consumer<byte[]> onBody, Consumer<ServingException> onRefused) {
+            Connection<?> connection,
+            NIOInputStream input,
+            long maxBytes,
+            Consumer<byte[]> onBody,
+            Consumer<ServingException> onRefused) {
+        this.connection = connection;
         this.input = input;
         this.maxBytes = maxBytes;
         this.onBody = onBody;
@@ -50,7 +58,8 @@
             return;
         }
         NIOInputStream input = request.getNIOInputStream();
-        input.notifyAvailable(new BodyReader(input, maxBytes, onBody, onRefused));
+        Connection<?> connection = request.getRequest().getConnection();
+        input.notifyAvailable(new BodyReader(connection, input, maxBytes, onBody, onRefused));
     }
 
     @Override
@@ -58,6 +67,8 @@
         readAvailable();
         if (!ended) {
             input.notifyAvailable(this);
+            // Grizzly stops reading when it has passed on the second part of a body on the selector thread.
+            connection.enableIOEvent(IOEvent.READ);
         }
     }
 
