Log a refused request once while its body still arrives

The rest of the body of a request that was refused early counted as a further request: its connection left a second line (4026) beside 4013. The caller that still sends the body gets the whole refusal, before and now.

Before: the test saw REQUEST_UNREADABLE and CONNECTION_CLOSED.

--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -108,6 +108,15 @@
         find(connection).ifPresent(ReceivedBytes::onRequestRead);
     }
 
+    /**
+     * Records that a request was refused, perhaps before all of it had been received; what follows belongs to no further request.
+     *
+     * @param connection the connection, which is closed after the refusal, not null
+     */
+    public void onRequestRefused(Connection<?> connection) {
+        find(connection).ifPresent(ReceivedBytes::onRequestRefused);
+    }
+
     /**
      * Records why a connection is about to be closed; the first cause counts.
      *
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
@@ -19,6 +19,7 @@
     private long total;
     private long lastAt;
     private boolean receiving;
+    private boolean refused;
     private Optional<CloseCause> cause = Optional.empty();
 
     ReceivedBytes(MonotonicClock clock) {
@@ -29,13 +30,18 @@
     synchronized void onBytes(int count) {
         total += count;
         lastAt = clock.nanos();
-        receiving = true;
+        receiving = !refused;
     }
 
     synchronized void onRequestRead() {
         receiving = false;
     }
 
+    synchronized void onRequestRefused() {
+        receiving = false;
+        refused = true;
+    }
+
     synchronized void setCause(CloseCause newCause) {
         cause = cause.or(() -> Optional.of(newCause));
     }
