Reuse a connection only after the whole body has been written

A server that answered before it had read the body, and kept the connection, was sent the next call behind the rest of that body. If it never read the rest, that call was lost although it counted as sent. The connection is now closed instead.

--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -10,6 +10,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -44,6 +45,7 @@
     private Channel channel;
     private InetSocketAddress address;
     private PendingCall call;
+    private ChannelFuture written;
     private boolean keepAlive;
     private boolean reset;
     private boolean informational;
@@ -129,7 +131,7 @@
         if (request.body().length > 0 || !isBodiless(request.method())) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         }
-        channel.writeAndFlush(message);
+        written = channel.writeAndFlush(message);
         newCall.onSent();
     }
 
@@ -218,7 +220,8 @@
         PendingCall ended = call;
         call = null;
         boolean cancelled = ended.isEnded();
-        if (!cancelled && keepAlive && channel.isActive()) {
+        // A server that has answered early may never read the rest of the body, nor a call sent after it.
+        if (!cancelled && keepAlive && written.isSuccess() && channel.isActive()) {
             connections.onIdle(this, ended.maxIdleConnections());
         } else {
             channel.close();
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -33,6 +33,7 @@
 
     private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(10);
     private static final long TIMEOUT_SECONDS = 10;
+    private static final int BYTES_BEYOND_ALL_BUFFERS = 16 * 1024 * 1024;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final HttpConnections connections =
@@ -66,7 +67,10 @@
     }
 
     private HttpCall send() {
-        HttpCallRequest request = new HttpCallRequest("GET", "/x", List.of(), new byte[0]);
+        return send(new HttpCallRequest("GET", "/x", List.of(), new byte[0]));
+    }
+
+    private HttpCall send(HttpCallRequest request) {
         return connections.send(
                 address(),
                 request,
@@ -262,7 +266,7 @@
     /** Guards against cancelled requests that are delivered later, as an orderly close would still transmit what was written. */
     @Test
     void aCancelledCallResetsItsConnection() throws Exception {
-        Future<HttpCall> sent = group.next().submit(this::send);
+        Future<HttpCall> sent = group.next().submit(() -> send());
         accept();
         readRequest();
         group.next().submit(sent.get()::cancel).sync();
@@ -271,4 +275,26 @@
                 .hasMessageContaining("reset");
         assertThat(outcomes).isEmpty();
     }
+
+    private void callWithBodyBeyondAllBuffers() {
+        HttpCallRequest request = new HttpCallRequest("POST", "/x", List.of(), new byte[BYTES_BEYOND_ALL_BUFFERS]);
+        group.next().execute(() -> send(request));
+    }
+
+    /** Guards against a call that is sent after the rest of a body which a server that has answered early may never read. */
+    @Test
+    void aConnectionWhoseServerAnswersBeforeTheBodyIsWrittenIsNotReused() throws Exception {
+        callWithBodyBeyondAllBuffers();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly");
+        assertThat(nextOutcome()).isEqualTo("200 early");
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(nextOutcome()).isEqualTo("200 ok");
+        assertThat(connections.openedCount()).isEqualTo(2);
+        assertThat(outcomes).isEmpty();
+    }
 }
