Show that an answer before the end of a body is lost when its target closes

A target that refuses a request before it has read a long body, and closes the connection, is taken for one that broke off: the outcome of the refused request counts as unknown. Suspected: the failed write of the body closes the channel before what was received is read.

--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -297,4 +297,16 @@
         assertThat(connections.openedCount()).isEqualTo(2);
         assertThat(outcomes).isEmpty();
     }
+
+    /** Guards against an answer that is lost since its server closes the connection without reading the rest of the body. */
+    @Test
+    void anAnswerBeforeTheBodyIsWrittenIsReceivedThoughTheServerCloses() throws Exception {
+        callWithBodyBeyondAllBuffers();
+        accept();
+        readRequest();
+        write("HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbusy");
+        accepted.close();
+        assertThat(nextOutcome()).isEqualTo("503 busy");
+        assertThat(outcomes).isEmpty();
+    }
 }
