Test requests sent ahead and bodies half read at a signal to end

An entry as a process: a request sent ahead is left unread with one line, a body that goes on after SIGTERM is read and answered once, a body that stalls ends with one line at the exit. ExitingEntryProcessTest passes.

--- a/node/src/test/java/org/geraniumreach/node/ExitingEntryProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/ExitingEntryProcessTest.java
@@ -24,6 +24,7 @@
     private static final Duration START_TIME = Duration.ofSeconds(6);
     private static final Duration RUNNING_TIME = Duration.ofMillis(500);
     private static final Duration PAUSE_WITHIN_REQUEST = Duration.ofMillis(200);
+    private static final int LONG_BODY_BYTES = 1_000;
     private static final int SOCKET_TIMEOUT_MILLIS = 15_000;
     private static final FakePlatform.Generation LONG_STREAM =
             new FakePlatform.Generation(100, 100, OptionalInt.empty());
@@ -111,4 +112,50 @@
                     .containsPattern("\"name\":\"DRAINED\",\"id\":\"entry-0\",\"open\":0");
         }
     }
+
+    /** Guards against requests sent ahead, and long bodies half read, that a signal to end leaves without one outcome and one line. */
+    @Test
+    void requestsSentAheadAndBodiesHalfReadAtTheSignalEndOnce() throws Exception {
+        try (FakePlatform platform = new FakePlatform()) {
+            platform.addTarget("books", "plain").generate(LATE_EVENT);
+            try (EntryProcesses entries = new EntryProcesses(platform, 1, directory)) {
+                Thread.sleep(START_TIME.toMillis());
+                EntryProcesses.Entry entry = entries.entries().get(0);
+                try (Socket ahead = connect(entry.address());
+                        Socket resumed = connect(entry.address());
+                        Socket stalled = connect(entry.address())) {
+                    ahead.getOutputStream().write(request("/book/x", "first"));
+                    Thread.sleep(PAUSE_WITHIN_REQUEST.toMillis());
+                    ahead.getOutputStream().write(request("/book/x", "second"));
+                    byte[] body = longRequest("resumed");
+                    resumed.getOutputStream().write(body, 0, body.length / 2);
+                    stalled.getOutputStream().write(longRequest("stalled"), 0, body.length / 2);
+                    Thread.sleep(RUNNING_TIME.toMillis());
+                    entry.signal("TERM");
+                    Thread.sleep(RUNNING_TIME.toMillis());
+                    resumed.getOutputStream().write(body, body.length / 2, body.length - body.length / 2);
+                    CompletableFuture<String> aheadAnswer = readAll(ahead);
+                    CompletableFuture<String> resumedAnswer = readAll(resumed);
+                    entry.awaitExit();
+                    assertThat(aheadAnswer.join().split("HTTP/1.1 ", -1)).hasSize(2);
+                    assertThat(resumedAnswer.join()).startsWith("HTTP/1.1 502");
+                }
+            }
+            assertThat(ends("first")).singleElement().asString().contains("\"event\":4003");
+            assertThat(ends("second")).isEmpty();
+            assertThat(Files.readAllLines(directory.resolve("entry-0.log")))
+                    .filteredOn(line -> line.contains("\"event\":4026"))
+                    .satisfiesExactlyInAnyOrder(
+                            line -> assertThat(line).contains("\"cause\":\"ANSWER\""),
+                            line -> assertThat(line).contains("\"cause\":\"EXIT\"", "\"id\":\"stalled\""));
+            assertThat(ends("resumed")).singleElement().asString().contains("\"event\":4003");
+            assertThat(ends("stalled")).singleElement().asString().contains("\"cause\":\"EXIT\"");
+        }
+    }
+
+    private static byte[] longRequest(String id) {
+        String head = new String(request("/book/x", id), StandardCharsets.US_ASCII)
+                .replace("Content-Length: 2\r\n", "Content-Length: " + LONG_BODY_BYTES + "\r\n");
+        return (head + "x".repeat(LONG_BODY_BYTES - 2)).getBytes(StandardCharsets.US_ASCII);
+    }
 }
