Let the owner of a limited target permit requests while it holds its own back

One caller that left its request at the owner's entry could reject the callers of all entries at a limited target for 3.6 s, although the target was sound. The owner permitted nothing while requests of its own might add up. It bounds the requests that all entries together may have unanswered since, which holds the limit by itself, so this refusal is no longer needed.

--- a/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/limit/LimitAdmission.java
@@ -28,9 +28,9 @@
  * part of what a target tolerates beyond its limit.
  *
  * <p>Invariants: an entry that knows of a limit sends no request without the owner's permission or a part of those few. A
- * permission is used within {@link #PERMISSION_TIME}. A target that may be paused gets nothing more, since all that it was sent would arrive
- * together; its owner permits nothing to other entries either, and only a few requests to all of them together since a target certainly ran.
- * Confined to the event loop.
+ * permission is used within {@link #PERMISSION_TIME}. A target that may be paused gets nothing more from an entry, since all that it was
+ * sent would arrive together; the owner permits only a few requests to all entries together since a target certainly ran. Confined to the event
+ * loop.
  */
 public final class LimitAdmission implements RequestLimiter, TargetRegistry.Listener {
 
@@ -245,14 +245,8 @@
                 .filter(found -> found.description().startedAt() == startedAt)
                 .filter(this::isOwned);
         target.ifPresent(owned -> limits.onReport(owned, known));
-        return target.map(this::decideAsOwner);
-    }
-
-    private Decision decideAsOwner(Target owned) {
-        if (mayBePaused(owned)) {
-            return Decision.refused(OWNER_RETRY_INTERVAL);
-        }
-        return limits.limit(owned).map(rate -> takeAsOwner(owned, rate)).orElse(Decision.UNLIMITED);
+        return target.map(owned ->
+                limits.limit(owned).map(rate -> takeAsOwner(owned, rate)).orElse(Decision.UNLIMITED));
     }
 
     /**
@@ -272,7 +266,7 @@
      * @return the time, zero if it may take one now, not null
      */
     public Duration timeUntilAvailable(Target target) {
-        if (mayBePaused(target)) {
+        if (isLimited(target) && mayAccumulate.test(target)) {
             return OWNER_RETRY_INTERVAL;
         }
         // Usually no target names a limit, and each placement asks for all targets.
@@ -288,10 +282,6 @@
                 .orElse(Duration.ZERO);
     }
 
-    private boolean mayBePaused(Target target) {
-        return isLimited(target) && mayAccumulate.test(target);
-    }
-
     /**
      * Queries whether a target has named a limit.
      *
