Wait until the entry is ready in the tests of its exit

In a run of the whole script at a load of about 30 both tests failed: the entry had no configuration 6 s after its start and refused the request whose end they look at.

--- a/node/src/test/java/org/geraniumreach/node/ExitingEntryProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/ExitingEntryProcessTest.java
@@ -84,6 +84,7 @@
             platform.addTarget("books", "plain").generate(LATE_EVENT);
             try (EntryProcesses entries = new EntryProcesses(platform, 1, directory)) {
                 Thread.sleep(START_TIME.toMillis());
+                entries.awaitReady();
                 EntryProcesses.Entry entry = entries.entries().get(0);
                 try (Socket stream = connect(entry.address());
                         Socket booking = connect(entry.address());
@@ -120,6 +121,7 @@
             platform.addTarget("books", "plain").generate(LATE_EVENT);
             try (EntryProcesses entries = new EntryProcesses(platform, 1, directory)) {
                 Thread.sleep(START_TIME.toMillis());
+                entries.awaitReady();
                 EntryProcesses.Entry entry = entries.entries().get(0);
                 try (Socket ahead = connect(entry.address());
                         Socket resumed = connect(entry.address());
