--- a/node/src/test/java/org/geraniumreach/node/ConcentratedConnectionsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/ConcentratedConnectionsTest.java
@@ -123,6 +123,7 @@
         }
         try (EntryProcesses entries = new EntryProcesses(platform, ENTRIES, directory)) {
             Thread.sleep(START_TIME.toMillis());
+            entries.awaitReady();
             Result usual = send(
                     USUAL_RATE,
                     number -> entries.entries().get(number % ENTRIES).address());
--- a/node/src/test/java/org/geraniumreach/node/RetryArrivalTest.java
+++ b/node/src/test/java/org/geraniumreach/node/RetryArrivalTest.java
@@ -117,6 +117,7 @@
         }
         try (EntryProcesses entries = new EntryProcesses(platform, 4, directory, LIMITS)) {
             Thread.sleep(START_TIME.toMillis());
+            entries.awaitReady();
             EntryCallers callers = callers(entries, path);
             callers.sendFor(LIMITS.window(), REQUESTS_PER_SECOND);
             relays.forEach(PausableRelay::pause);
@@ -158,6 +159,7 @@
         }
         try (EntryProcesses entries = new EntryProcesses(platform, 4, directory, LIMITS)) {
             Thread.sleep(START_TIME.toMillis());
+            entries.awaitReady();
             EntryCallers callers = callers(entries, "/chat/x");
             callers.sendFor(LIMITS.window(), REQUESTS_PER_SECOND);
             relays.forEach(PausableRelay::pause);
@@ -181,6 +183,7 @@
         addTargets("plain", 3);
         try (EntryProcesses entries = new EntryProcesses(platform, 14, directory, FLEET_LIMITS)) {
             Thread.sleep(START_TIME.toMillis());
+            entries.awaitReady();
             EntryCallers callers = callers(entries, "/book/x");
             callers.sendFor(Duration.ofSeconds(4), REQUESTS_PER_SECOND / 2);
             targets.forEach(target -> target.behave(new FakePlatform.Behavior(503, Map.of())));
