--- a/review/standins/LateExtraAnswer.java
+++ b/review/standins/LateExtraAnswer.java
@@ -78,7 +78,7 @@
         for (int index = 0; index < ZONES.length; index++) {
             workers.add(new LedgerWorker("i-worker" + (index + 1), ip, WORK_MILLIS, runs, record));
         }
-        Threads.start("heartbeats", () -> beat(store, workers));
+        Threads.start("heartbeats", () -> LedgerWorker.beat(store, workers, ZONES, SERVICE));
         try (EntryProgram entry = EntryProgram.start(repository, folder, "edge-guj-west-a-1", ip, store.address())) {
             record.write("process " + entry.processId() + " of an entry started");
             if (!entry.awaitReady()) {
@@ -114,15 +114,6 @@
                 + " extra answers beside " + (worker.answers() - answersBefore));
     }
 
-    private static void beat(StoreStandIn store, List<LedgerWorker> workers) throws InterruptedException {
-        while (true) {
-            for (int index = 0; index < workers.size(); index++) {
-                store.put("servers", "i-worker" + (index + 1), workers.get(index).row(ZONES[index], SERVICE));
-            }
-            Thread.sleep(1_200);
-        }
-    }
-
     /** Sends request after request on a kept connection, and waits as told after a refusal. */
     private void call(InetSocketAddress front, int caller) throws InterruptedException {
         int count = 0;
--- a/review/standins/LedgerWorker.java
+++ b/review/standins/LedgerWorker.java
@@ -4,6 +4,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.Semaphore;
@@ -21,6 +23,7 @@
     private static final int SLOTS = 6;
     private static final int QUEUE = 24;
     private static final int KEEP_ALIVE_SECONDS = 30;
+    private static final long HEARTBEAT_MILLIS = 1_200;
 
     private final String id;
     private final ServerSocket socket;
@@ -72,6 +75,18 @@
                 .formatted(service, address.getAddress().getHostAddress(), address.getPort(), zone, SLOTS, born);
     }
 
+    /** Writes the rows of workers to the store, again and again. */
+    static void beat(StoreStandIn store, List<LedgerWorker> workers, String[] zones, String service)
+            throws InterruptedException {
+        while (true) {
+            for (int index = 0; index < workers.size(); index++) {
+                LedgerWorker worker = workers.get(index);
+                store.put("servers", worker.id, worker.row(zones[index], service));
+            }
+            Thread.sleep(HEARTBEAT_MILLIS);
+        }
+    }
+
     private void accept() throws IOException {
         while (true) {
             Socket connection = socket.accept();
@@ -105,7 +120,7 @@
     }
 
     private static String firstLines(byte[] answer) {
-        String text = new String(answer, java.nio.charset.StandardCharsets.ISO_8859_1);
+        String text = new String(answer, StandardCharsets.ISO_8859_1);
         return text.substring(0, text.indexOf("\r\n\r\n")).replace("\r\n", " | ");
     }
 
