--- a/review/standins/EntryProgram.java
+++ b/review/standins/EntryProgram.java
@@ -29,10 +29,17 @@
     /** Starts an entry with settings like those of the site's edge machines. */
     static EntryProgram start(Path repository, Path folder, String node, InetAddress ip, InetSocketAddress store)
             throws IOException {
+        return start(repository, folder, node, "guj-west-a", ip, store);
+    }
+
+    /** Starts an entry in a zone. */
+    static EntryProgram start(
+            Path repository, Path folder, String node, String zone, InetAddress ip, InetSocketAddress store)
+            throws IOException {
         InetSocketAddress front = new InetSocketAddress(ip, freePort(ip));
         InetSocketAddress readiness = new InetSocketAddress(ip, freePort(ip));
         Path settings = folder.resolve(node + ".json");
-        Files.writeString(settings, settings(node, ip, front, readiness, freePort(ip), store));
+        Files.writeString(settings, settings(node, zone, ip, front, readiness, freePort(ip), store));
         Matcher command = RUN.matcher(Files.readString(repository.resolve("deploy/system.toml")));
         if (!command.find()) {
             throw new IOException("the deploy file has no run command");
@@ -59,6 +66,7 @@
 
     private static String settings(
             String node,
+            String zone,
             InetAddress ip,
             InetSocketAddress front,
             InetSocketAddress readiness,
@@ -66,7 +74,7 @@
             InetSocketAddress store) {
         return """
                 {"node": "%s", "role": "entry", "machine_class": "edge", "serves": ["edge"], "ip": "%s",
-                 "zone": "guj-west-a", "region": "guj-west", "zones": {"guj-west-a": "guj-west", "guj-west-b": "guj-west", "guj-west-c": "guj-west"},
+                 "zone": "%s", "region": "guj-west", "zones": {"guj-west-a": "guj-west", "guj-west-b": "guj-west", "guj-west-c": "guj-west"},
                  "listen": {"front": "%s", "readiness": "%s"}, "internal_ports": [%d, %d], "seeds": [],
                  "bootstrap": true, "count_in_tolerance": false,
                  "limits": {"cpu_share": 0.57, "cores": 1, "memory_mb": 430, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0},
@@ -88,6 +96,7 @@
                 .formatted(
                         node,
                         ip.getHostAddress(),
+                        zone,
                         text(front),
                         text(readiness),
                         linkPort,
@@ -130,6 +139,11 @@
         return process.pid();
     }
 
+    /** Sends the process a signal. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     /** Kills the process that this object has started. */
     @Override
     public void close() throws InterruptedException {
