--- a/review/standins/LargeBodiesBurst.java
+++ b/review/standins/LargeBodiesBurst.java
@@ -21,7 +21,7 @@
  */
 public final class LargeBodiesBurst {
 
-    private static final int CALLERS = 14;
+    private static final int CALLERS = 16;
     private static final double BURST_FACTOR = 2.4;
     private static final long CALM_MILLIS = 8_000;
     private static final long BURST_MILLIS = 4_500;
