--- a/review/standins/LateExtraAnswer.java
+++ b/review/standins/LateExtraAnswer.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One of three workers of a service sends extra answers late, while callers ask for somewhat more than the service can take.
+ * One of three workers of a service at a time sends extra answers late, while callers ask for somewhat more than the service can take.
  *
  * <p>Checks TWICE and REFUSED for the requests, all of which go to a route that isn't idempotent.
  */
@@ -26,7 +26,7 @@
     private static final long CALM_MILLIS = 3_000;
     private static final long FAULT_MILLIS = 5_000;
     private static final long PAUSE_MILLIS = 1_000;
-    private static final int WINDOWS = 6;
+    private static final int WINDOWS = 9;
 
     /** The faulty worker repeats one answer of 34, which is below 0.03 of them. */
     private static final int EXTRA_EVERY = 34;
@@ -91,7 +91,7 @@
             }
             Thread.sleep(CALM_MILLIS);
             for (int window = 0; window < WINDOWS; window++) {
-                garbleOnce(workers.get(0), trouble);
+                garbleOnce(workers.get(window % workers.size()), trouble);
                 Thread.sleep(PAUSE_MILLIS);
             }
             ended = true;
@@ -110,7 +110,7 @@
         worker.setExtraEvery(trouble ? EXTRA_EVERY : 0);
         Thread.sleep(FAULT_MILLIS);
         worker.setExtraEvery(0);
-        record.write("in " + FAULT_MILLIS + " ms the first worker has sent " + (worker.extras() - extrasBefore)
+        record.write("in " + FAULT_MILLIS + " ms the faulty worker has sent " + (worker.extras() - extrasBefore)
                 + " extra answers beside " + (worker.answers() - answersBefore));
     }
 
