--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseHead.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseHead.java
@@ -33,4 +33,17 @@
         }
         return Optional.empty();
     }
+
+    /**
+     * Gets all headers with the given name.
+     *
+     * @param name the name, compared without regard to case, not null
+     * @return their values, in the order received, not null
+     */
+    public List<String> allHeaders(String name) {
+        return headers.stream()
+                .filter(header -> header.hasName(name))
+                .map(Header::value)
+                .toList();
+    }
 }
