Reset a connection that has received the answer to another call

Callers' streams ran on two targets at once, and requests failed one after another on a connection. An answer with another id failed the attempt but not its call: the call went on receiving, and once that answer was whole the connection counted as idle, while the answer to the call was still to come. The target went on with a request that was sent elsewhere, and the next call on the connection got the wrong answer too. Orders and reports took whatever came: a late copy of a request's answer counted as an adapter that is loaded.

The listener of a call now decides on its head. A response to another call fails the call, and resets its connection, so that the target stops. So that a copy of the answer to one of them is not taken for the answer to the next, such a call goes over a connection whose last call was a request; orders and requests in turn need no new connections.

--- /dev/null
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HeadDecision.java
@@ -0,0 +1,58 @@
+package org.geraniumreach.httpclient;
+
+import java.util.Objects;
+
+/**
+ * A listener's decision on a response whose head has arrived.
+ *
+ * <p>Immutable and safe for use by several threads.
+ */
+public sealed interface HeadDecision {
+
+    /** The body is to be received. */
+    record Receive() implements HeadDecision {}
+
+    /** The call has ended with the head: the listener is not called again, and the body is discarded. */
+    record DiscardBody() implements HeadDecision {}
+
+    /**
+     * The response does not belong to the call, whose own response may still come: the call fails, and its connection is reset, so
+     * that no other call gets that response and the server stops its work.
+     *
+     * @param reason the reason, for logging
+     */
+    record Reject(String reason) implements HeadDecision {
+
+        public Reject {
+            Objects.requireNonNull(reason, "reason");
+        }
+    }
+
+    /**
+     * Obtains the decision to receive the body.
+     *
+     * @return the decision, not null
+     */
+    static HeadDecision receive() {
+        return new Receive();
+    }
+
+    /**
+     * Obtains the decision to discard the body.
+     *
+     * @return the decision, not null
+     */
+    static HeadDecision discardBody() {
+        return new DiscardBody();
+    }
+
+    /**
+     * Obtains the decision that the response does not belong to the call.
+     *
+     * @param reason the reason, for logging, not null
+     * @return the decision, not null
+     */
+    static HeadDecision reject(String reason) {
+        return new Reject(reason);
+    }
+}
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -45,6 +45,7 @@
     private Channel channel;
     private InetSocketAddress address;
     private PendingCall call;
+    private ResponseMatching lastMatching = ResponseMatching.BY_LISTENER;
     private ChannelFuture written;
     private boolean keepAlive;
     private boolean reset;
@@ -109,12 +110,18 @@
         return channel.isActive() && withinTimeout && idleNanos <= maxIdleTime.toNanos();
     }
 
+    /** Queries whether a surplus response to the last call cannot be taken for the response to a call that is matched in a way. */
+    boolean isSafeFor(ResponseMatching matching) {
+        return matching != ResponseMatching.NONE || lastMatching == ResponseMatching.BY_LISTENER;
+    }
+
     void close() {
         channel.close();
     }
 
     void send(PendingCall newCall) {
         call = newCall;
+        lastMatching = newCall.reuse().matching();
         newCall.setChannel(channel);
         HttpCallRequest request = newCall.request();
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
@@ -219,10 +226,9 @@
         }
         PendingCall ended = call;
         call = null;
-        boolean cancelled = ended.isEnded();
         // A server that has answered early may never read the rest of the body, nor a call sent after it.
-        if (!cancelled && keepAlive && written.isSuccess() && channel.isActive()) {
-            connections.onIdle(this, ended.maxIdleConnections());
+        if (!ended.isCancelled() && keepAlive && written.isSuccess() && channel.isActive()) {
+            connections.onIdle(this, ended.reuse().maxIdleConnections());
         } else {
             channel.close();
         }
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -24,7 +24,8 @@
  * A pool of connections to any number of addresses.
  *
  * <p>Invariants: a connection carries one call at a time. A connection is not reused if it failed, if the server is about to close
- * it, or if it received bytes while no call was waiting for a response. No more connections to an address are idle than its last call allows.
+ * it, if it received bytes while no call was waiting for a response, or if the response to its last call could be taken for that to
+ * the next one. No more connections to an address are idle than its last call allows.
  * Confined to its event loop.
  */
 public final class HttpConnections {
@@ -68,9 +69,9 @@
      */
     public HttpCall send(
             InetSocketAddress address, HttpCallRequest request, ConnectionReuse reuse, HttpResponseListener listener) {
-        PendingCall call = new PendingCall(request, reuse.maxIdleConnections(), listener);
+        PendingCall call = new PendingCall(request, reuse, listener);
         Optional<HttpConnection> reused = Optional.ofNullable(idleConnections.get(address))
-                .flatMap(idle -> idle.takeUsable(clock.nanos(), reuse.maxIdleTime()));
+                .flatMap(idle -> idle.takeUsable(clock.nanos(), reuse));
         if (reused.isPresent()) {
             reused.get().send(call);
             return call;
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
@@ -4,7 +4,7 @@
  * Receives the response to a call.
  *
  * <p>Contract: called on the event loop when the request is being sent, with the head, any number of parts, then the end or a failure. A failure may come at any
- * time and is the last call. There are no calls after {@link HttpCall#cancel}.
+ * time and is the last call. There are no calls after {@link HttpCall#cancel}, nor after a head whose body is discarded.
  */
 public interface HttpResponseListener {
 
@@ -15,8 +15,9 @@
      * Called when the status line and headers have been received.
      *
      * @param head the head, not null
+     * @return what to do with the rest of the response, not null
      */
-    void onHead(HttpResponseHead head);
+    HeadDecision onHead(HttpResponseHead head);
 
     /**
      * Called for each part of the body.
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/IdleConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/IdleConnections.java
@@ -3,13 +3,14 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.Optional;
 import java.util.function.IntSupplier;
 
 /**
  * The idle connections to one address, in the order in which they became idle.
  *
- * <p>Invariant: the newest connection is reused first, so that those that are not needed stay idle and are closed. Confined to the event loop.
+ * <p>Invariant: the newest connection that is safe for a call is reused first, so that those that are not needed stay idle and are closed. Confined to the event loop.
  */
 final class IdleConnections {
 
@@ -26,12 +27,19 @@
         connections.remove(connection);
     }
 
-    Optional<HttpConnection> takeUsable(long nowNanos, Duration maxIdleTime) {
-        HttpConnection newest = connections.peekLast();
-        if (newest == null || !newest.isUsable(nowNanos, maxIdleTime)) {
-            return Optional.empty();
+    Optional<HttpConnection> takeUsable(long nowNanos, ConnectionReuse reuse) {
+        Iterator<HttpConnection> newestFirst = connections.descendingIterator();
+        while (newestFirst.hasNext()) {
+            HttpConnection connection = newestFirst.next();
+            if (connection.isSafeFor(reuse.matching())) {
+                if (!connection.isUsable(nowNanos, reuse.maxIdleTime())) {
+                    return Optional.empty();
+                }
+                newestFirst.remove();
+                return Optional.of(connection);
+            }
         }
-        return Optional.of(connections.pollLast());
+        return Optional.empty();
     }
 
     /** Closes the oldest connections beyond the maximum, and returns their number. */
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
@@ -1,26 +1,26 @@
 package org.geraniumreach.httpclient;
 
-import java.util.function.IntSupplier;
-
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 
 /**
  * A call that was sent and has not ended, failed or been cancelled yet.
  *
- * <p>Invariant: the listener is not called after the end, a failure or a cancellation. Confined to the event loop.
+ * <p>Invariants: the listener is not called after the end, a failure or a cancellation. A call that is cancelled or whose response
+ * is rejected resets its connection. Confined to the event loop.
  */
 final class PendingCall implements HttpCall {
 
     private final HttpCallRequest request;
-    private final IntSupplier maxIdleConnections;
+    private final ConnectionReuse reuse;
     private final HttpResponseListener listener;
     private Channel channel;
     private boolean ended;
+    private boolean cancelled;
 
-    PendingCall(HttpCallRequest request, IntSupplier maxIdleConnections, HttpResponseListener listener) {
+    PendingCall(HttpCallRequest request, ConnectionReuse reuse, HttpResponseListener listener) {
         this.request = request;
-        this.maxIdleConnections = maxIdleConnections;
+        this.reuse = reuse;
         this.listener = listener;
     }
 
@@ -28,14 +28,18 @@
         return request;
     }
 
-    IntSupplier maxIdleConnections() {
-        return maxIdleConnections;
+    ConnectionReuse reuse() {
+        return reuse;
     }
 
     boolean isEnded() {
         return ended;
     }
 
+    boolean isCancelled() {
+        return cancelled;
+    }
+
     void setChannel(Channel newChannel) {
         channel = newChannel;
     }
@@ -47,8 +51,15 @@
     }
 
     void onHead(HttpResponseHead head) {
-        if (!ended) {
-            listener.onHead(head);
+        if (ended) {
+            return;
+        }
+        HeadDecision decision = listener.onHead(head);
+        if (decision instanceof HeadDecision.DiscardBody) {
+            ended = true;
+        } else if (decision instanceof HeadDecision.Reject reject) {
+            reset();
+            fail(CallFailure.BROKEN, reject.reason());
         }
     }
 
@@ -74,13 +85,16 @@
 
     @Override
     public void cancel() {
-        if (ended) {
-            return;
+        if (!ended) {
+            ended = true;
+            reset();
         }
-        ended = true;
+    }
+
+    /** Resets the connection, so that what has not reached the server's machine is discarded instead of delivered later. */
+    private void reset() {
+        cancelled = true;
         if (channel != null && channel.isOpen()) {
-            // Resets the connection, so that what has not reached the server's machine is discarded instead of
-            // delivered later.
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
         }
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -42,6 +42,7 @@
     private ServerSocket server;
     private Socket accepted;
     private volatile int maxIdleConnections = Integer.MAX_VALUE;
+    private volatile HeadDecision headDecision = HeadDecision.receive();
 
     @BeforeEach
     void listen() throws IOException {
@@ -74,7 +75,7 @@
         return connections.send(
                 address(),
                 request,
-                new ConnectionReuse(MAX_IDLE_TIME, () -> maxIdleConnections),
+                new ConnectionReuse(MAX_IDLE_TIME, () -> maxIdleConnections, ResponseMatching.BY_LISTENER),
                 new OutcomeRecorder());
     }
 
@@ -82,8 +83,9 @@
         private final StringBuilder body = new StringBuilder();
 
         @Override
-        public void onHead(HttpResponseHead head) {
+        public HeadDecision onHead(HttpResponseHead head) {
             body.append(head.status()).append(' ');
+            return headDecision;
         }
 
         @Override
@@ -309,4 +311,56 @@
         assertThat(nextOutcome()).isEqualTo("503 busy");
         assertThat(outcomes).isEmpty();
     }
+
+    /**
+     * Guards against a connection that is used again while the answer to a call is still to come, so that each further call gets the
+     * answer to the one before it.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 5\r\n\r\nextra",
+                "Transfer-Encoding: chunked\r\n\r\n5\r\nextra\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n5\r\nextra\r\n",
+                "Content-Length: 9\r\n\r\nextra",
+                "Content-Length: 0\r\n\r\n",
+                "\r\nextra"
+            })
+    void aConnectionWithAnAnswerToAnotherCallIsResetAtOnce(String framingAndBody) throws Exception {
+        headDecision = HeadDecision.reject("the answer is to another call");
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\n" + framingAndBody);
+        assertThat(nextOutcome()).isEqualTo("BROKEN");
+        assertThatThrownBy(() -> accepted.getInputStream().read())
+                .isInstanceOf(SocketException.class)
+                .hasMessageContaining("reset");
+        headDecision = HeadDecision.receive();
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(nextOutcome()).isEqualTo("200 ok");
+        assertThat(outcomes).isEmpty();
+    }
+
+    /** Guards against a new connection after each answer whose body is not wanted. */
+    @Test
+    void aConnectionIsReusedAfterADiscardedBody() throws Exception {
+        headDecision = HeadDecision.discardBody();
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy");
+        while (group.next().submit(connections::idleCount).get() == 0) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        headDecision = HeadDecision.receive();
+        call();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(nextOutcome()).isEqualTo("200 ok");
+        assertThat(outcomes).isEmpty();
+    }
 }
