Reuse a connection only after all bytes read with an answer were seen

A call that is sent as another one ends could get surplus bytes that had been read together with the end of that other answer: the connection became idle before the rest of the bytes was decoded. A request that may run once then ended with an unknown outcome for nothing.

A call now ends, and its connection becomes idle, once everything that was read has been decoded and nothing is left over.

--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -15,12 +15,14 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -42,9 +44,11 @@
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
     private final HttpConnections connections;
+    private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private InetSocketAddress address;
     private PendingCall call;
+    private PendingCall completedCall;
     private ResponseMatching lastMatching = ResponseMatching.BY_LISTENER;
     private ChannelFuture written;
     private boolean keepAlive;
@@ -63,7 +67,8 @@
         channel.pipeline()
                 .addLast(
                         connection.new UnexpectedBytesHandler(),
-                        new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                        connection.decoder,
+                        new HttpRequestEncoder(),
                         connection);
     }
 
@@ -81,6 +86,29 @@
         }
     }
 
+    /** Decodes responses, and shows whether bytes are left of which no message has been decoded. */
+    private final class ResponseDecoder extends HttpResponseDecoder {
+
+        private ResponseDecoder() {
+            super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage response) {
+            boolean toHead = call != null && call.request().method().equals(HttpMethod.HEAD.name());
+            return toHead && !isInformational(response) || super.isContentAlwaysEmpty(response);
+        }
+
+        private boolean hasRemainingBytes() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
+    private static boolean isInformational(HttpMessage response) {
+        return response instanceof HttpResponse answer
+                && answer.status().codeClass().equals(HttpStatusClass.INFORMATIONAL);
+    }
+
     static HttpConnection of(Channel channel) {
         return channel.pipeline().get(HttpConnection.class);
     }
@@ -165,7 +193,7 @@
     }
 
     private void onHead(HttpResponse response) {
-        if (response.status().codeClass().equals(HttpStatusClass.INFORMATIONAL)) {
+        if (isInformational(response)) {
             informational = true;
             return;
         }
@@ -215,19 +243,30 @@
             call.onPart(ByteBufUtil.getBytes(content.content()));
         }
         if (content instanceof LastHttpContent && call != null) {
+            completedCall = call;
+            call = null;
+        }
+    }
+
+    /** Ends a completed call after all bytes that were read with its last ones, so that no other call gets surplus ones. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (completedCall != null) {
             complete();
         }
+        context.fireChannelReadComplete();
     }
 
     private void complete() {
+        PendingCall ended = completedCall;
+        completedCall = null;
         if (reset) {
-            failCall("reset");
+            ended.fail(CallFailure.BROKEN, "reset");
             return;
         }
-        PendingCall ended = call;
-        call = null;
         // A server that has answered early may never read the rest of the body, nor a call sent after it.
-        if (!ended.isCancelled() && keepAlive && written.isSuccess() && channel.isActive()) {
+        boolean reusable = !ended.isCancelled() && keepAlive && written.isSuccess();
+        if (reusable && !decoder.hasRemainingBytes() && channel.isActive()) {
             connections.onIdle(this, ended.reuse().maxIdleConnections());
         } else {
             channel.close();
@@ -253,6 +292,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (completedCall != null) {
+            complete();
+        }
         if (address != null) {
             connections.onClosed(this);
         }
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -79,7 +79,7 @@
                 new OutcomeRecorder());
     }
 
-    private final class OutcomeRecorder implements HttpResponseListener {
+    private class OutcomeRecorder implements HttpResponseListener {
         private final StringBuilder body = new StringBuilder();
 
         @Override
@@ -363,4 +363,48 @@
         assertThat(nextOutcome()).isEqualTo("200 ok");
         assertThat(outcomes).isEmpty();
     }
+
+    /** Guards against sending a call, when another ends, on a connection whose surplus bytes are read but not yet seen. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold",
+                "HTTP/1.1 200 OK\r\nContent-Le",
+                "not a response"
+            })
+    void aCallThatIsSentAsAnotherEndsDoesNotGetBytesReadWithItsAnswer(String surplus) throws Exception {
+        group.next()
+                .execute(() -> connections.send(
+                        address(),
+                        new HttpCallRequest("GET", "/x", List.of(), new byte[0]),
+                        new ConnectionReuse(MAX_IDLE_TIME, () -> maxIdleConnections, ResponseMatching.BY_ORDER),
+                        new OutcomeRecorder() {
+                            @Override
+                            public void onEnd() {
+                                super.onEnd();
+                                send();
+                            }
+                        }));
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + surplus);
+        assertThat(nextOutcome()).isEqualTo("200 ok");
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew");
+        assertThat(nextOutcome()).isEqualTo("200 new");
+    }
+
+    @Test
+    void anAnswerToHeadHasNoBodyWhateverItsLength() throws Exception {
+        group.next().execute(() -> send(new HttpCallRequest("HEAD", "/x", List.of(), new byte[0])));
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+        assertThat(nextOutcome()).isEqualTo("200 ");
+        call();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(nextOutcome()).isEqualTo("200 ok");
+    }
 }
