Read the owners again before acting on a lease that has lapsed

Targets got orders of two entries in turn. An entry that was frozen and then turned away by the store was replaced as the owner of its targets. Once the store answered it again, it renewed its lease, which made the rows valid that it had read before, and ordered loads with its old token until its feed of the entries' table came round, up to some seconds later. The same held for what else an owner decides: paces, permissions and limits of its targets.

A renewal shows that the entry is alive, not that it still owns anything. A lease now has a term, which begins with the first renewal after a lapse. A row counts only if it was written, or its table read, at the version of that renewal or later. The entry reads the table at once, without a long poll, and logs 5027. A claim that requires an unchanged lease cannot be committed after that version, so a row of then is that of the owner.

Two older tests said that the token is valid as soon as the lease is renewed, which is the fault; they ask now that the owners be read.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/Lease.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/Lease.java
@@ -1,7 +1,10 @@
 package org.geraniumreach.gateway.adapter;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
+import java.util.function.BooleanSupplier;
 
 import org.geraniumreach.gateway.clock.ClockOffset;
 import org.geraniumreach.gateway.clock.WallClock;
@@ -12,7 +15,8 @@
  *
  * <p>Invariants: the lease runs from the moment before the acknowledged renewal was sent. The monotonic clock of a frozen process
  * may stop while time passes elsewhere, so the lease is also invalid once the monotonic clock and the time of day have diverged
- * since then. A step of the time of day alone makes it invalid only until the next renewal. Confined to the event loop.
+ * since then. A step of the time of day alone makes it invalid only until the next renewal. A lease that is valid again after a lapse
+ * does not show that this entry still owns what it owned before; see {@link LeaseTerm}. Confined to the event loop.
  */
 public final class Lease {
 
@@ -24,6 +28,7 @@
 
     private final MonotonicClock clock;
     private final ClockOffset clockOffset;
+    private final List<LeaseTerm> terms = new ArrayList<>();
     private boolean renewed;
     private boolean released;
     private long renewedAt;
@@ -57,12 +62,26 @@
         return new RenewalStart(clock.nanos(), clockOffset.millis());
     }
 
+    /**
+     * Starts to track the terms in which this lease is renewed without a lapse.
+     *
+     * @param unbroken whether the lease has not lapsed at the current time, not null
+     * @return the term, not null
+     */
+    public LeaseTerm trackTerm(BooleanSupplier unbroken) {
+        LeaseTerm term = new LeaseTerm(Objects.requireNonNull(unbroken, "unbroken"));
+        terms.add(term);
+        return term;
+    }
+
     /**
      * Renews the lease after a renewal has been acknowledged.
      *
      * @param start the time before the renewal was sent, not null
+     * @param version the store's version of the renewal
      */
-    public void onRenewed(RenewalStart start) {
+    public void onRenewed(RenewalStart start, long version) {
+        terms.forEach(term -> term.onRenewing(version));
         renewed = true;
         renewedAt = start.nanos();
         offsetMillis = start.offsetMillis();
--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/TargetOwnership.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/TargetOwnership.java
@@ -21,7 +21,8 @@
  * Tracks which entry owns each target, and claims targets for this entry.
  *
  * <p>Invariants: an entry sends orders to a target only with a fencing token that the store has issued to the current incarnation of
- * its process, and only while its lease is valid. A target of another entry is claimed only after that entry's lease has been
+ * its process, and only while its lease is valid. After a lapse of the lease it sends none until it has read again who owns the
+ * target. A target of another entry is claimed only after that entry's lease has been
  * observed unchanged for the lease time plus a {@link Lease#HANDOVER_GAP}, by a transaction that requires it to be still unchanged;
  * by then the former owner has stopped sending orders. Confined to the event loop.
  */
@@ -47,6 +48,7 @@
     private final String self;
     private final long incarnation;
     private final Lease lease;
+    private final LeaseTerm term;
     private final MonotonicClock clock;
     private final Map<TargetId, VersionedRow> holderRows = new HashMap<>();
     private final Map<String, ObservedLease> observedLeases = new HashMap<>();
@@ -69,6 +71,7 @@
         this.self = Objects.requireNonNull(self, "self");
         this.incarnation = incarnation;
         this.lease = Objects.requireNonNull(lease, "lease");
+        this.term = lease.trackTerm(lease::isValid);
         this.clock = Objects.requireNonNull(clock, "clock");
     }
 
@@ -81,6 +84,15 @@
         capacity = Objects.requireNonNull(newCapacity, "newCapacity");
     }
 
+    /**
+     * Gets the term in which this entry acts as an owner.
+     *
+     * @return the term, not null
+     */
+    public LeaseTerm term() {
+        return term;
+    }
+
     /**
      * Returns this entry's instance.
      *
@@ -151,7 +163,8 @@
      */
     public OptionalLong fence(TargetId target) {
         VersionedRow holder = holderRows.get(target);
-        if (holder == null || !isOwn(holder.row()) || !lease.isValid()) {
+        boolean owned = holder != null && isOwn(holder.row()) && term.covers(holder.version());
+        if (!owned || !lease.isValid()) {
             return OptionalLong.empty();
         }
         return OptionalLong.of(holder.version());
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
@@ -45,6 +45,8 @@
     private final Context context;
     private StorePort.Position position = StorePort.Position.start();
     private Optional<Long> requestedAfter = Optional.empty();
+    private long requiredVersion = Long.MIN_VALUE;
+    private Runnable onRequiredVersionRead = () -> {};
     private OptionalLong readAt = OptionalLong.empty();
     private Cancellable call = Cancellable.NOOP;
     private Cancellable timer = Cancellable.NOOP;
@@ -124,6 +126,36 @@
         call = context.store().read(table, position, () -> restartTimeout(timing.timeout()), this::onReply);
     }
 
+    /**
+     * Reads up to a version without a long poll, in place of one that may be in progress.
+     *
+     * @param version the version of a change that the store has acknowledged
+     * @param onRead run once the table has been read up to that version, at once if it has been already, not null
+     */
+    public void readUpTo(long version, Runnable onRead) {
+        if (version() >= version) {
+            onRead.run();
+            return;
+        }
+        requiredVersion = version;
+        onRequiredVersionRead = Objects.requireNonNull(onRead, "onRead");
+        boolean inLongPoll = callInFlight && !position.longPollWait().isZero();
+        position = new StorePort.Position(position.version(), Duration.ZERO);
+        if (inLongPoll || !callInFlight) {
+            call.cancel();
+            read();
+        }
+    }
+
+    /**
+     * Gets the version up to which the table is known.
+     *
+     * @return the version, {@link Long#MIN_VALUE} before the first reading
+     */
+    public long version() {
+        return position.version().orElse(Long.MIN_VALUE);
+    }
+
     /** Each part restarts the timeout: with one for the whole answer, a large table could never be read over a slow link. */
     private void restartTimeout(Duration limit) {
         timer.cancel();
@@ -196,7 +228,7 @@
     }
 
     private boolean applyPage(StorePort.Page page) {
-        long knownVersion = position.version().orElse(Long.MIN_VALUE);
+        long knownVersion = version();
         List<T> items = new ArrayList<>();
         for (StorePort.StoredRow row : page.rows()) {
             if (page.snapshot() || row.version() > knownVersion) {
@@ -204,13 +236,20 @@
             }
         }
         long newVersion = Math.max(knownVersion, page.version());
-        position = new StorePort.Position(Optional.of(newVersion), timing.longPollWait());
+        boolean required = newVersion >= requiredVersion;
+        position = new StorePort.Position(Optional.of(newVersion), required ? timing.longPollWait() : Duration.ZERO);
         boolean changed = page.snapshot() || !items.isEmpty();
         if (changed) {
             listener.accept(new StorePort.TableUpdate<>(items, newVersion, page.snapshot()));
         }
         long readingTime = context.storeClock().toLocalNanos(page.storeMillis());
         readAt = OptionalLong.of(Math.max(readingTime, readAt.orElse(readingTime)));
+        if (required) {
+            requiredVersion = Long.MIN_VALUE;
+            Runnable onRead = onRequiredVersionRead;
+            onRequiredVersionRead = () -> {};
+            onRead.run();
+        }
         return changed;
     }
 
@@ -268,6 +307,10 @@
     }
 
     private void scheduleNext(Duration delay) {
+        if (version() < requiredVersion) {
+            schedule(INITIAL_RETRY_DELAY);
+            return;
+        }
         if (context.relay().isReader() || !isFresh(timing.maxReadingAge())) {
             schedule(delay);
             return;
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/LeaseRenewer.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/LeaseRenewer.java
@@ -99,8 +99,8 @@
             return;
         }
         availability.record(reply);
-        if (reply instanceof StoreReply.Value<StorePort.CommitResult>) {
-            lease.onRenewed(sending);
+        if (reply instanceof StoreReply.Value<StorePort.CommitResult> value) {
+            lease.onRenewed(sending, value.value().version());
             timer = timers.schedule(RENEWAL_INTERVAL, this::renew);
             onRenewed.run();
             return;
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/TargetOwnershipTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/TargetOwnershipTest.java
@@ -33,7 +33,11 @@
     private final TargetOwnership ownership = new TargetOwnership("one", INCARNATION, lease, time);
 
     private void renew() {
-        lease.onRenewed(lease.startRenewal());
+        renew(0);
+    }
+
+    private void renew(long version) {
+        lease.onRenewed(lease.startRenewal(), version);
     }
 
     private void putHolder(String node, long incarnation, long version) {
@@ -157,20 +161,53 @@
     // An owner that resumes after a freeze must not send orders, since another may have claimed its target. Its
     // monotonic clock has stopped meanwhile; the time of day has not.
     @Test
-    void anOwnerThatWasFrozenHasNoFencingTokenUntilItRenews() {
-        renew();
+    void anOwnerThatWasFrozenHasNoFencingTokenUntilItHasReadTheOwnersAgain() {
+        assertNoFenceUntilOwnersAreRead(() -> time.stepWallClock(Duration.ofSeconds(6)));
+    }
+
+    @Test
+    void anOwnerThatDoesNotRenewLosesItsFencingTokenUntilItHasReadTheOwnersAgain() {
+        assertNoFenceUntilOwnersAreRead(() -> time.advance(Lease.DURATION));
+    }
+
+    private void assertNoFenceUntilOwnersAreRead(Runnable lapse) {
+        AtomicLong tableVersion = new AtomicLong(45);
+        ownership.term().setTableVersion(tableVersion::get);
+        renew(40);
         putHolder("one", INCARNATION, 41);
-        time.stepWallClock(Duration.ofSeconds(6));
+        lapse.run();
         assertThat(ownership.fence(TARGET)).isEmpty();
-        renew();
+        renew(50);
+        assertThat(ownership.fence(TARGET)).isEmpty();
+        renew(55);
+        tableVersion.set(49);
+        assertThat(ownership.fence(TARGET)).isEmpty();
+        tableVersion.set(50);
         assertThat(ownership.fence(TARGET)).hasValue(41);
     }
 
+    /** Guards against waiting for a reading of what the store has just acknowledged. */
     @Test
-    void anOwnerThatDoesNotRenewLosesItsFencingToken() {
-        renew();
+    void aTargetClaimedAfterALapseIsOwnedAtOnce() {
+        renew(40);
+        time.advance(Lease.DURATION);
+        renew(50);
+        putHolder("one", INCARNATION, 51);
+        assertThat(ownership.fence(TARGET)).hasValue(51);
+    }
+
+    /** Guards against a reading that was made before a second lapse. */
+    @Test
+    void aSecondLapseRequiresAnotherReading() {
+        AtomicLong tableVersion = new AtomicLong(50);
+        ownership.term().setTableVersion(tableVersion::get);
+        renew(40);
         putHolder("one", INCARNATION, 41);
         time.advance(Lease.DURATION);
+        renew(50);
+        assertThat(ownership.fence(TARGET)).hasValue(41);
+        time.advance(Lease.DURATION);
+        renew(60);
         assertThat(ownership.fence(TARGET)).isEmpty();
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/admission/TargetQueuesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/admission/TargetQueuesTest.java
@@ -53,7 +53,7 @@
             (urgency, result) -> observed.add(urgency + " " + result));
 
     TargetQueuesTest() {
-        lease.onRenewed(lease.startRenewal());
+        lease.onRenewed(lease.startRenewal(), 0);
         registry.addListener(queues);
         registry.put(new TargetDescription(
                 ID,
--- a/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/limit/LimitAdmissionTest.java
@@ -146,7 +146,7 @@
 
     private Entry start(String name, Set<String> knownEntries) {
         Entry entry = new Entry(name, knownEntries);
-        entry.lease.onRenewed(entry.lease.startRenewal());
+        entry.lease.onRenewed(entry.lease.startRenewal(), 0);
         names.add(name);
         entries.put(name, entry);
         return entry;
@@ -178,7 +178,7 @@
         long end = time.nanos() + duration.toNanos();
         while (time.nanos() < end) {
             entries.values().forEach(entry -> {
-                entry.lease.onRenewed(entry.lease.startRenewal());
+                entry.lease.onRenewed(entry.lease.startRenewal(), 0);
                 if (random.nextInt(4) > 0) {
                     entry.trySend();
                 }
@@ -297,7 +297,7 @@
         Entry owner = start("entry0");
         setOwner(owner);
         time.advance(Duration.ofSeconds(1));
-        owner.lease.onRenewed(owner.lease.startRenewal());
+        owner.lease.onRenewed(owner.lease.startRenewal(), 0);
         entries.get("entry1").trySend();
         time.advance(Duration.ofMillis(10));
         assertThat(owner.admission.isLimited(owner.target())).isTrue();
--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/FleetModel.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/FleetModel.java
@@ -106,7 +106,7 @@
 
     private TargetOwnership ownershipOfAll() {
         Lease lease = new Lease(time, time::wallMillis);
-        lease.onRenewed(lease.startRenewal());
+        lease.onRenewed(lease.startRenewal(), 0);
         TargetOwnership ownership = new TargetOwnership("owner", 1, lease, time);
         for (Engine engine : engines) {
             ownership.claim(List.of(engine.id), List.of("owner"), entry -> true).ifPresent(claim -> {
@@ -121,7 +121,7 @@
 
     private void renew(Lease lease) {
         time.schedule(RETRY_INTERVAL, () -> {
-            lease.onRenewed(lease.startRenewal());
+            lease.onRenewed(lease.startRenewal(), 0);
             renew(lease);
         });
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/OrderedAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/OrderedAdmissionTest.java
@@ -71,7 +71,7 @@
         private Entry(String name) {
             this.name = name;
             Lease lease = new Lease(time, time::wallMillis);
-            lease.onRenewed(lease.startRenewal());
+            lease.onRenewed(lease.startRenewal(), 0);
             ownership = new TargetOwnership(name, 1, lease, time);
             queues = new TargetQueues(
                     ownership,
@@ -180,7 +180,7 @@
 
     private Lease leaseInForce() {
         Lease lease = new Lease(time, time::wallMillis);
-        lease.onRenewed(lease.startRenewal());
+        lease.onRenewed(lease.startRenewal(), 0);
         return lease;
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/OwnerAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/OwnerAdmissionTest.java
@@ -65,7 +65,7 @@
 
         private Entry(String name, long incarnation) {
             Lease lease = new Lease(time, time::wallMillis);
-            lease.onRenewed(lease.startRenewal());
+            lease.onRenewed(lease.startRenewal(), 0);
             ownership = new TargetOwnership(name, incarnation, lease, time);
             admission = new OwnerAdmission(
                     ownership, registry, service -> TOKENS_PER_MILLI, target -> speed, this::sendToOwner, time, time);
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotaAdmissionTest.java
@@ -304,7 +304,7 @@
         }
 
         private void renewLeases() {
-            entries.forEach(entry -> entry.lease.onRenewed(entry.lease.startRenewal()));
+            entries.forEach(entry -> entry.lease.onRenewed(entry.lease.startRenewal(), 0));
         }
 
         private boolean deliverUnitRequest(SimulatedEntry from, String to, long number, double units) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
@@ -174,7 +174,7 @@
 
         private Overload(Duration shortestObjective) {
             Lease lease = new Lease(time, time::wallMillis);
-            lease.onRenewed(lease.startRenewal());
+            lease.onRenewed(lease.startRenewal(), 0);
             quotas = new Quotas("one", lease, TOLERANCE, time, (event, id, fields) -> {});
             quotas.configure(Map.of(ACCOUNT_ID, ACCOUNT), shortestObjective);
             ShareRow all = ShareRow.empty().with("one", new ShareRow.Share(ShareRow.TOTAL_PARTS, 0));
@@ -242,7 +242,7 @@
         }
 
         private void distributeShares() {
-            entries.forEach(entry -> entry.lease.onRenewed(entry.lease.startRenewal()));
+            entries.forEach(entry -> entry.lease.onRenewed(entry.lease.startRenewal(), 0));
             entries.forEach(entry -> updateShare(entry, 2));
         }
 
@@ -255,7 +255,7 @@
                     entries.forEach(
                             entry -> entry.unitsPerSecond = random.nextInt(3) * UNITS_PER_SECOND * random.nextDouble());
                 }
-                entries.forEach(entry -> entry.lease.onRenewed(entry.lease.startRenewal()));
+                entries.forEach(entry -> entry.lease.onRenewed(entry.lease.startRenewal(), 0));
                 entries.forEach(this::sendRequests);
                 updateShare(entries.get(random.nextInt(entries.size())), random.nextInt(4));
                 if (random.nextInt(3) == 0) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/speed/LearntTargetSpeedsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/speed/LearntTargetSpeedsTest.java
@@ -89,7 +89,7 @@
         }
 
         private void renewLease() {
-            lease.onRenewed(lease.startRenewal());
+            lease.onRenewed(lease.startRenewal(), 0);
             time.schedule(Duration.ofSeconds(2), this::renewLease);
         }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/store/FeedReaderTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/store/FeedReaderTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.port.Cancellable;
@@ -90,6 +91,50 @@
         reply(pageReply("a", 7));
     }
 
+    /** Guards against an owner that waits for the end of a long poll before it knows what it owns. */
+    @Test
+    void aReadingUpToAVersionTakesThePlaceOfALongPoll() {
+        reply(pageReply("a", 7));
+        time.advance(Duration.ofMillis(200));
+        AtomicInteger read = new AtomicInteger();
+        reader.readUpTo(9, read::incrementAndGet);
+        assertThat(cancelledCalls).isEqualTo(1);
+        assertThat(requestedPositions.get(2)).isEqualTo(new StorePort.Position(Optional.of(7L), Duration.ZERO));
+        assertThat(read).hasValue(0);
+        reply(new StoreReply.Value<>(emptyPage(9)));
+        assertThat(read).hasValue(1);
+        time.advance(Duration.ZERO);
+        assertThat(requestedPositions.get(3).longPollWait()).isEqualTo(TIMING.longPollWait());
+    }
+
+    /** Guards against an answer that was sent before the change, or that holds only the first of the rows. */
+    @Test
+    void aReadingUpToAVersionGoesOnUntilItIsReached() {
+        reply(pageReply("a", 7));
+        time.advance(Duration.ofMillis(200));
+        AtomicInteger read = new AtomicInteger();
+        reader.readUpTo(9, read::incrementAndGet);
+        reply(pageReply("b", 8));
+        assertThat(read).hasValue(0);
+        time.advance(Duration.ofMillis(200));
+        reply(new StoreReply.Unknown<>("no answer"));
+        time.advance(Duration.ofMillis(600));
+        assertThat(requestedPositions.get(4)).isEqualTo(new StorePort.Position(Optional.of(8L), Duration.ZERO));
+        reply(new StoreReply.Value<>(emptyPage(9)));
+        assertThat(read).hasValue(1);
+    }
+
+    @Test
+    void aVersionThatIsKnownOrComesAsAnUpdateIsNotRead() {
+        becomeFollower();
+        AtomicInteger read = new AtomicInteger();
+        reader.readUpTo(7, read::incrementAndGet);
+        assertThat(read).hasValue(1);
+        reader.readUpTo(9, read::incrementAndGet);
+        deliverUpdate(7, emptyPage(9));
+        assertThat(read).hasValue(2);
+    }
+
     @Test
     void continuesFromTheLastVersion() {
         reply(pageReply("a", 7));
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -347,7 +347,7 @@
 
     /** Gives this entry the whole rate of an account. */
     public void takeWholeRate(AccountId account) {
-        lease.onRenewed(lease.startRenewal());
+        lease.onRenewed(lease.startRenewal(), 0);
         RowKey key = RowKey.of(TargetOwnership.FLEET_TABLE, "share/" + account.value());
         quotas.applyRow(key.key(), Optional.of(new Row(key, 1, "one " + ShareRow.TOTAL_PARTS + " 0\n")));
     }
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -101,6 +101,7 @@
     TARGET_SPEED_CHANGED(5024, Level.INFO, "The owner of a target has learnt another prefill rate of it."),
     SOFTWARE_VERSIONS_CHANGED(5025, Level.INFO, "The list of a service's software versions has changed."),
     TARGET_ENDED(5026, Level.WARN, "A target has ended while requests had not been answered there."),
+    LEASE_RESUMED(5027, Level.INFO, "The lease is renewed after a lapse; what this entry owns is read again."),
     LINK_OPENED(6001, Level.DEBUG, "A link to a peer is open."),
     LINK_LOST(6002, Level.WARN, "A link to a peer was lost or went silent."),
     FRAME_REFUSED(6003, Level.WARN, "A peer sent what is not a frame; the link was closed."),
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -517,7 +517,21 @@
 
     private void onLeaseRenewed() {
         directory.reconcile();
+        long required = ownership.term().startVersion();
+        if (feeds.fleetVersion() < required) {
+            log.write(
+                    EventCode.LEASE_RESUMED,
+                    settings.instance(),
+                    Field.of("version", required),
+                    Field.of("known", feeds.fleetVersion()));
+        }
+        feeds.readFleetUpTo(required, this::onOwnersKnown);
+    }
+
+    /** Acts on what this entry owns, which is known as of the latest time at which it may have lost it. */
+    private void onOwnersKnown() {
         leaseObtained = true;
+        directory.reconcile();
         notifyIfStarted();
     }
 
@@ -541,6 +555,7 @@
                 this::onOperatorUpdate,
                 this::onTargetUpdate,
                 this::onFleetUpdate);
+        ownership.term().setTableVersion(feeds::fleetVersion);
         links.onFeedUpdate(feeds::onUpdate);
         feeds.start();
     }
--- a/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
+++ b/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
@@ -91,6 +91,21 @@
         fleet.read();
     }
 
+    /**
+     * Reads the entries' table up to the version of a change that the store has acknowledged.
+     *
+     * @param version the version
+     * @param onRead run once the table is known up to that version, at once if it is already
+     */
+    void readFleetUpTo(long version, Runnable onRead) {
+        fleet.readUpTo(version, onRead);
+    }
+
+    /** Gets the version up to which the entries' table is known, {@link Long#MIN_VALUE} before the first reading. */
+    long fleetVersion() {
+        return fleet.version();
+    }
+
     /** Applies an update that another entry has read. */
     void onUpdate(FeedUpdate update) {
         Optional.ofNullable(readers.get(update.table())).ifPresent(reader -> reader.onUpdate(update));
--- a/node/src/test/java/org/geraniumreach/node/EvacuatedTargetCallsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EvacuatedTargetCallsTest.java
@@ -88,7 +88,7 @@
     }
 
     private void joinOwnedTarget() {
-        lease.onRenewed(lease.startRenewal());
+        lease.onRenewed(lease.startRenewal(), 0);
         registry.addListener(coordinator);
         Transaction claim =
                 ownership.claim(List.of(ID), List.of("one"), entry -> true).orElseThrow();
--- a/node/src/test/java/org/geraniumreach/node/OrderedAdmissionLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/OrderedAdmissionLinksTest.java
@@ -78,7 +78,7 @@
 
     private Lease leaseInForce() {
         Lease lease = new Lease(clock, System::currentTimeMillis);
-        lease.onRenewed(lease.startRenewal());
+        lease.onRenewed(lease.startRenewal(), 0);
         return lease;
     }
 
--- a/node/src/test/java/org/geraniumreach/node/TargetSpeedLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/TargetSpeedLinksTest.java
@@ -81,7 +81,7 @@
         private Node(String name) throws Exception {
             settings = settings(name);
             Lease lease = new Lease(MonotonicClock.system(), System::currentTimeMillis);
-            lease.onRenewed(lease.startRenewal());
+            lease.onRenewed(lease.startRenewal(), 0);
             TargetOwnership ownership = new TargetOwnership(name, INCARNATION, lease, MonotonicClock.system());
             RowKey key = RowKey.of(TargetOwnership.FLEET_TABLE, "holder/" + ID.value());
             ownership.updateHolder(key.key(), Optional.of(new Row(key, 1, new HolderRow(OWNER, INCARNATION).toText())));
