Spend a share after a long lapse only once its row has been read again

Shares of an account's rate may be taken over 30 s after the last renewal of their entry's lease. An entry that renewed its lease later than that spent its old share at once, beside the entry that had taken it over, until its feed showed the new row. A started entry did the same with the share of the process before it.

Shares have a term of their own, which lapses 25 s after the last renewal, as their validity does; a row counts once it was read in the term. Readiness and the requests held at a start wait for that reading.

QuotasTest: two of the five cases fail without the check of the term.

--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/Quotas.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 
 import org.geraniumreach.gateway.adapter.Lease;
+import org.geraniumreach.gateway.adapter.LeaseTerm;
 import org.geraniumreach.gateway.adapter.TargetOwnership;
 import org.geraniumreach.gateway.capacity.EntryCapacity;
 import org.geraniumreach.gateway.meter.DemandRate;
@@ -28,7 +29,8 @@
  *
  * <p>Invariants: an increase of a share takes effect once the store has acknowledged it, a decrease before it is sent. A share is
  * valid for {@link #SHARE_VALIDITY} after the last renewal of this entry's lease, and other entries take it over only after the
- * lease has not changed for {@link #SHARE_TAKEOVER_DELAY}, so no part of a rate is spent twice. Confined to the event loop.
+ * lease has not changed for {@link #SHARE_TAKEOVER_DELAY}, so no part of a rate is spent twice. After a longer time without a
+ * renewal, and after a start, a share is spent only once its row has been read again. Confined to the event loop.
  */
 public final class Quotas {
 
@@ -48,6 +50,7 @@
 
     private final String self;
     private final Lease lease;
+    private final LeaseTerm term;
     private final MonotonicClock clock;
     private final Map<AccountId, AccountState> states = new HashMap<>();
     private final Tolerance tolerance;
@@ -124,6 +127,7 @@
         this.self = Objects.requireNonNull(self, "self");
         this.shareHolders = new ShareHolders(self);
         this.lease = Objects.requireNonNull(lease, "lease");
+        this.term = lease.trackTerm(() -> lease.wasRenewedWithin(SHARE_VALIDITY));
         this.log = Objects.requireNonNull(log, "log");
         this.tolerance = Objects.requireNonNull(tolerance, "tolerance");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -139,6 +143,15 @@
         return key.startsWith(KEY_PREFIX);
     }
 
+    /**
+     * Gets the term in which this entry spends its shares.
+     *
+     * @return the term, not null
+     */
+    public LeaseTerm term() {
+        return term;
+    }
+
     /**
      * Sets the entries' capacities, by which the holders of shares are selected.
      *
@@ -225,7 +238,7 @@
         AccountState state = state(account.id());
         long now = clock.nanos();
         state.demand.add(units, now);
-        if (!lease.wasRenewedWithin(SHARE_VALIDITY)) {
+        if (!lease.wasRenewedWithin(SHARE_VALIDITY) || !term.covers(state.version)) {
             return new Admission(false, Optional.empty());
         }
         AccountBucket.Reservation reservation = state.bucket.reserve(units, now, maxWait);
--- a/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/quota/QuotasTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -23,6 +24,7 @@
 import org.geraniumreach.model.table.Transaction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -205,6 +207,33 @@
         }
     }
 
+    /** Guards against spending a share twice: at the entry that has taken it over, and at one that renews its lease after all. */
+    @ParameterizedTest
+    @CsvSource({
+        "20000, true, true",
+        "26000, false, false",
+        "26000, true, true",
+        "40000, false, false",
+        "40000, true, true"
+    })
+    void aShareIsSpentAfterALongLapseOnlyOnceItsRowIsReadAgain(long lapseMillis, boolean read, boolean admitted) {
+        VirtualTime time = new VirtualTime();
+        Lease lease = new Lease(time, time::wallMillis);
+        Quotas quotas = new Quotas("one", lease, TOLERANCE, time, (event, id, fields) -> {});
+        AtomicLong tableVersion = new AtomicLong(10);
+        quotas.term().setTableVersion(tableVersion::get);
+        quotas.configure(Map.of(ACCOUNT_ID, ACCOUNT), LATENCY_OBJECTIVE);
+        lease.onRenewed(lease.startRenewal(), 10);
+        RowKey key = RowKey.of(TargetOwnership.FLEET_TABLE, "share/acme");
+        ShareRow all = ShareRow.empty().with("one", new ShareRow.Share(ShareRow.TOTAL_PARTS, 0));
+        quotas.applyRow(key.key(), Optional.of(new Row(key, 11, all.toText())));
+        assertThat(quotas.admit(ACCOUNT, 1).admitted()).isTrue();
+        time.advance(Duration.ofMillis(lapseMillis));
+        lease.onRenewed(lease.startRenewal(), 20);
+        tableVersion.set(read ? 20 : 19);
+        assertThat(quotas.admit(ACCOUNT, 1).admitted()).isEqualTo(admitted);
+    }
+
     private static final class SimulatedEntry {
         private final Lease lease;
         private final Quotas quotas;
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -517,7 +517,8 @@
 
     private void onLeaseRenewed() {
         directory.reconcile();
-        long required = ownership.term().startVersion();
+        long required =
+                Math.max(ownership.term().startVersion(), quotas.term().startVersion());
         if (feeds.fleetVersion() < required) {
             log.write(
                     EventCode.LEASE_RESUMED,
@@ -556,6 +557,7 @@
                 this::onTargetUpdate,
                 this::onFleetUpdate);
         ownership.term().setTableVersion(feeds::fleetVersion);
+        quotas.term().setTableVersion(feeds::fleetVersion);
         links.onFeedUpdate(feeds::onUpdate);
         feeds.start();
     }
