Stop reading answers of targets and of the store that do not end

A target whose answer did not end was read for ever: behind a rejection, the call had ended and nothing watched its connection, which took 16 MB a second until the target stopped. Informational heads were read until the deadline, an answer could fill 16 MB of the heap of 160 MB, and an event or a page of the store had no bound at all. Events without numbers occupied the event loop so that deadlines came a second late.

The rest of an answer whose call has ended is discarded up to 64 KB or for half a second, so that short rejections keep their connection. Events that are held back take 256 KB, and 10,000 events in a row may have no number. Frames of our own link had a bound before.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerRelay.java
@@ -1,7 +1,7 @@
 package org.geraniumreach.gateway.request;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -14,19 +14,26 @@
  * Relays the answers of one request's attempts to the caller as a single answer.
  *
  * <p>Invariants: an answer that is not a stream is relayed only once it is complete. Of a stream only complete events
- * are relayed, each number once and in order, under the head of the first target whose event was relayed. Confined to
- * the event loop.
+ * are relayed, each number once and in order, under the head of the first target whose event was relayed. What is held of
+ * an answer is granted by the memory that all answers share. Confined to the event loop.
  */
 final class AnswerRelay {
 
-    private static final int MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024;
-
     /** The number of the first event of a stream; a stream that begins with a higher number is missing events. */
     private static final long FIRST_EVENT_NUMBER = 1;
 
+    /**
+     * The most events in a row that have no number, such as comments that keep a connection open; a target that sends them without
+     * end would occupy the event loop until the request's deadline.
+     */
+    private static final int MAX_UNNUMBERED_EVENTS = 10_000;
+
     private final CallerAnswer answer;
     private final MonotonicClock clock;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private final AnswerMemory memory;
+    private final List<byte[]> body = new ArrayList<>();
+    private long heldBytes;
+    private int unnumberedEvents;
     private EventSplitter splitter = new EventSplitter();
     private EventPace pace = new EventPace();
     private Optional<TargetAnswerHead> head = Optional.empty();
@@ -37,8 +44,9 @@
     private OptionalLong lastPartAt = OptionalLong.empty();
     private long maximumPauseNanos;
 
-    AnswerRelay(CallerAnswer answer, OptionalLong lastEventNumber, MonotonicClock clock) {
+    AnswerRelay(CallerAnswer answer, OptionalLong lastEventNumber, AnswerMemory memory, MonotonicClock clock) {
         this.answer = answer;
+        this.memory = memory;
         this.lastEventNumber = lastEventNumber;
         this.clock = clock;
     }
@@ -48,10 +56,10 @@
         attemptIsStream = newHead.isSuccess() && newHead.eventStream();
         splitter = new EventSplitter();
         pace = new EventPace();
+        release();
         if (begun) {
             return attemptIsStream;
         }
-        body.reset();
         head = Optional.of(newHead);
         return true;
     }
@@ -59,10 +67,13 @@
     /** Handles a part of an attempt's body; returns false if it cannot continue the answer sent so far. */
     boolean onPart(byte[] part) {
         if (!attemptIsStream) {
-            body.writeBytes(part);
-            return body.size() <= MAXIMUM_BUFFERED_BYTES;
+            body.add(part);
+            return hold(heldBytes + part.length);
         }
         List<EventSplitter.Event> events = splitter.split(part);
+        if (!hold(splitter.pendingBytes())) {
+            return false;
+        }
         pace.onEvents(events.size(), clock.nanos());
         for (EventSplitter.Event event : events) {
             if (!acceptNextEvent(event)) {
@@ -75,10 +86,30 @@
         return true;
     }
 
+    /** Holds a number of bytes instead of those held so far; returns false if there is no memory for them. */
+    private boolean hold(long bytes) {
+        if (bytes > heldBytes && !memory.tryHold(heldBytes, bytes - heldBytes)) {
+            return false;
+        }
+        if (bytes < heldBytes) {
+            memory.release(heldBytes - bytes);
+        }
+        heldBytes = bytes;
+        return true;
+    }
+
+    /** Discards what is held of an answer, as it is not relayed any more. */
+    void release() {
+        body.clear();
+        hold(0);
+    }
+
     private boolean acceptNextEvent(EventSplitter.Event event) {
         if (event.number().isEmpty()) {
-            return true;
+            unnumberedEvents++;
+            return unnumberedEvents <= MAX_UNNUMBERED_EVENTS;
         }
+        unnumberedEvents = 0;
         long number = event.number().getAsLong();
         boolean isNext =
                 lastEventNumber.isPresent() ? number == lastEventNumber.getAsLong() + 1 : number <= FIRST_EVENT_NUMBER;
@@ -123,17 +154,18 @@
     void discardAttempt() {
         if (!begun) {
             head = Optional.empty();
-            body.reset();
         }
+        release();
         splitter = new EventSplitter();
     }
 
     /** Completes the answer with the result of the last attempt. */
     void finish() {
         beginIfNeeded();
-        if (!attemptIsStream && body.size() > 0) {
-            answer.writePart(body.toByteArray());
+        if (!attemptIsStream) {
+            body.forEach(answer::writePart);
         }
+        release();
         answer.end();
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -253,7 +253,7 @@
         endPrefill();
         restartSilenceTimer(silenceLimits.betweenParts());
         if (!listener.onPart(part)) {
-            reject("the events do not follow on one another");
+            reject("the answer is too long, or its events do not follow on one another");
         }
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/EventSplitter.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/EventSplitter.java
@@ -58,6 +58,11 @@
         events.add(new Event(event, number(event)));
     }
 
+    /** Gets the number of bytes of the incomplete event. */
+    int pendingBytes() {
+        return pending.size();
+    }
+
     /** Queries whether bytes of an incomplete event are pending. */
     boolean hasIncompleteEvent() {
         return pending.size() > 0;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -79,7 +79,7 @@
         choice.requiredVersion().ifPresent(steps.state()::requireVersion);
         this.attempts = new RunningAttempts(services.timers(), this::onReplaced);
         this.arrivals = services.retryBudgets().receive(choice.service());
-        this.relay = new AnswerRelay(answer, received.request().lastEvent(), services.clock());
+        this.relay = new AnswerRelay(answer, received.request().lastEvent(), services.answerMemory(), services.clock());
         this.log = new ExchangeLog(
                 services.log(), services.clock(), received.request(), choice.service(), account.map(Account::id));
         this.finalAnswer = new FinalAnswer(answer, relay, history, log);
@@ -533,6 +533,7 @@
         ended = true;
         answer.abort();
         steps.stop();
+        relay.release();
     }
 
     String requestId() {
@@ -555,6 +556,7 @@
         ended = true;
         deadlineTimer.cancel();
         steps.stop();
+        relay.release();
         report.report(end, steps.waits());
         onEnd.accept(this);
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -38,6 +38,7 @@
  * @param clock the monotonic clock
  * @param log the decision log
  * @param outcomes receives the outcome of each exchange
+ * @param answerMemory limits what is held of targets' answers
  * @param settings the timeouts and limits
  */
 public record ExchangeServices(
@@ -58,11 +59,13 @@
         MonotonicClock clock,
         DecisionLog log,
         OutcomeListener outcomes,
+        AnswerMemory answerMemory,
         ExchangeSettings settings) {
 
     public ExchangeServices {
         Objects.requireNonNull(placement, "placement");
         Objects.requireNonNull(streams, "streams");
+        Objects.requireNonNull(answerMemory, "answerMemory");
         Objects.requireNonNull(settings, "settings");
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
@@ -17,10 +17,14 @@
  */
 final class HeldEvents implements Attempt.Listener {
 
+    /** Many times what a target generates until the origin is recorded. */
+    private static final int MAX_HELD_BYTES = 256 * 1024;
+
     private final Attempt.Listener listener;
     private final Recording recording;
     private final Progress progress;
     private final Deque<Runnable> held = new ArrayDeque<>();
+    private int heldBytes;
 
     /** The attempt that the events belong to. */
     interface Progress {
@@ -84,8 +88,9 @@
         if (recording.isConfirmed()) {
             return listener.onPart(part);
         }
+        heldBytes += part.length;
         held.addLast(() -> passPart(part));
-        return true;
+        return heldBytes <= MAX_HELD_BYTES;
     }
 
     private void passPart(byte[] part) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -42,6 +42,7 @@
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.gateway.quota.ShareRow;
 import org.geraniumreach.gateway.request.AdapterLoader;
+import org.geraniumreach.gateway.request.AnswerMemory;
 import org.geraniumreach.gateway.request.ExchangeServices;
 import org.geraniumreach.gateway.request.ExchangeSettings;
 import org.geraniumreach.gateway.request.GatewayRequest;
@@ -90,6 +91,7 @@
     private final FakeAdapterLoader adapters = new FakeAdapterLoader();
     private final List<OutcomeListener.Outcome> outcomes = new ArrayList<>();
     private final List<PaceSample> paces = new ArrayList<>();
+    private final AnswerMemory answerMemory = AnswerMemory.ofHeap(160 * 1024 * 1024);
     private final Lease lease = new Lease(time, time::wallMillis);
     private final Quotas quotas = new Quotas(
             "one", lease, new Quotas.Tolerance(0, 0, Duration.ofSeconds(1)), time, (event, id, fields) -> {});
@@ -269,6 +271,7 @@
                         time,
                         this::recordEvent,
                         outcomes::add,
+                        answerMemory,
                         ExchangeSettings.defaults()),
                 () -> configuration,
                 () -> 0);
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -41,6 +43,14 @@
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
+
+    /** Servers send one before most of their responses, if any. */
+    private static final int MAX_INFORMATIONAL_RESPONSES = 8;
+
+    /** The longest body that is discarded so that its connection can be used again. */
+    private static final int MAX_DISCARDED_BYTES = 65_536;
+
+    private static final Duration MAX_DISCARD_TIME = Duration.ofMillis(500);
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
     private final HttpConnections connections;
@@ -54,6 +64,9 @@
     private boolean keepAlive;
     private boolean reset;
     private boolean informational;
+    private int informationalResponses;
+    private int discardedBytes;
+    private Future<?> discardTimeout;
     private long idleSinceNanos;
     private OptionalLong keepAliveTimeoutSeconds = OptionalLong.empty();
 
@@ -150,6 +163,8 @@
     void send(PendingCall newCall) {
         call = newCall;
         lastMatching = newCall.reuse().matching();
+        informationalResponses = 0;
+        discardedBytes = 0;
         newCall.setChannel(channel);
         HttpCallRequest request = newCall.request();
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
@@ -195,6 +210,10 @@
     private void onHead(HttpResponse response) {
         if (isInformational(response)) {
             informational = true;
+            informationalResponses++;
+            if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+                failCall("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses");
+            }
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(response) && isFramed(response);
@@ -205,6 +224,10 @@
         }
         HttpResponseStatus status = response.status();
         call.onHead(new HttpResponseHead(status.code(), headers));
+        if (call.isEnded() && !call.isCancelled()) {
+            discardTimeout =
+                    channel.eventLoop().schedule(this::close, MAX_DISCARD_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        }
     }
 
     private static boolean isFramed(HttpResponse response) {
@@ -239,7 +262,9 @@
             informational = !(content instanceof LastHttpContent);
             return;
         }
-        if (content.content().isReadable()) {
+        if (call.isEnded()) {
+            discard(content.content().readableBytes());
+        } else if (content.content().isReadable()) {
             call.onPart(ByteBufUtil.getBytes(content.content()));
         }
         if (content instanceof LastHttpContent && call != null) {
@@ -248,6 +273,14 @@
         }
     }
 
+    /** Closes the connection of a call that has ended before its response, unless the rest of the response is short. */
+    private void discard(int bytes) {
+        discardedBytes += bytes;
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            channel.close();
+        }
+    }
+
     /** Ends a completed call after all bytes that were read with its last ones, so that no other call gets surplus ones. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
@@ -260,6 +293,7 @@
     private void complete() {
         PendingCall ended = completedCall;
         completedCall = null;
+        cancelDiscardTimeout();
         if (reset) {
             ended.fail(CallFailure.BROKEN, "reset");
             return;
@@ -274,7 +308,15 @@
         ended.complete();
     }
 
+    private void cancelDiscardTimeout() {
+        if (discardTimeout != null) {
+            discardTimeout.cancel(false);
+            discardTimeout = null;
+        }
+    }
+
     private void failCall(String reason) {
+        cancelDiscardTimeout();
         PendingCall failed = call;
         call = null;
         channel.close();
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
@@ -19,6 +19,15 @@
      */
     HeadDecision onHead(HttpResponseHead head);
 
+    /**
+     * Gets the length of the longest body that this listener takes. A longer one fails the call, and its connection is reset.
+     *
+     * @return the length in bytes, not negative
+     */
+    default long maxBodyBytes() {
+        return Long.MAX_VALUE;
+    }
+
     /**
      * Called for each part of the body.
      *
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
@@ -15,6 +15,7 @@
     private final ConnectionReuse reuse;
     private final HttpResponseListener listener;
     private Channel channel;
+    private long bodyBytes;
     private boolean ended;
     private boolean cancelled;
 
@@ -58,15 +59,25 @@
         if (decision instanceof HeadDecision.DiscardBody) {
             ended = true;
         } else if (decision instanceof HeadDecision.Reject reject) {
-            reset();
-            fail(CallFailure.BROKEN, reject.reason());
+            reject(reject.reason());
         }
     }
 
+    private void reject(String reason) {
+        reset();
+        fail(CallFailure.BROKEN, reason);
+    }
+
     void onPart(byte[] part) {
-        if (!ended) {
-            listener.onPart(part);
+        if (ended) {
+            return;
+        }
+        bodyBytes += part.length;
+        if (bodyBytes > listener.maxBodyBytes()) {
+            reject("a body of more than " + listener.maxBodyBytes() + " bytes");
+            return;
         }
+        listener.onPart(part);
     }
 
     void complete() {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -45,6 +45,7 @@
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.gateway.quota.Quotas;
+import org.geraniumreach.gateway.request.AnswerMemory;
 import org.geraniumreach.gateway.request.ExchangeServices;
 import org.geraniumreach.gateway.request.ExchangeSettings;
 import org.geraniumreach.gateway.request.OutcomeListener;
@@ -108,6 +109,8 @@
     private final StoreAvailability targetRowsAvailability;
 
     private final TargetUpdates targetUpdates;
+    private final AnswerMemory answerMemory =
+            AnswerMemory.ofHeap(Runtime.getRuntime().maxMemory());
     private final Lease lease = new Lease(clock, System::currentTimeMillis);
     private final TargetOwnership ownership;
     private final Quotas quotas;
@@ -280,6 +283,7 @@
                 clock,
                 log,
                 this::onRequestEnded,
+                answerMemory,
                 ExchangeSettings.defaults());
     }
 
@@ -408,6 +412,10 @@
                 "geraniumreach.known.streams",
                 "Streams whose beginning software version is known here.",
                 () -> knownStreams);
+        metrics.gauge(
+                "geraniumreach.answer.bytes",
+                "Bytes of targets' answers that are held until they are whole.",
+                answerMemory::heldBytes);
         metrics.gauge(
                 "geraniumreach.refused.suspects",
                 "Requests and prompt parts that are refused because targets have ended under them.",
@@ -517,14 +525,13 @@
 
     private void onLeaseRenewed() {
         directory.reconcile();
-        long required =
-                Math.max(ownership.term().startVersion(), quotas.term().startVersion());
+        long required = Math.max(ownership.term().startVersion(), quotas.term().startVersion());
         if (feeds.fleetVersion() < required) {
             log.write(
                     EventCode.LEASE_RESUMED,
                     settings.instance(),
                     Field.of("version", required),
-                    Field.of("known", feeds.fleetVersion()));
+                    Field.of("known", Math.max(0, feeds.fleetVersion())));
         }
         feeds.readFleetUpTo(required, this::onOwnersKnown);
     }
