Close the connection of a refused request that does not end

A caller that went on sending the body of a request that had been refused, in chunks or with a length above the limit, kept its connection and the selector thread busy without end, as the library discards the rest of a body before it closes.

The rest is read for a second, so that a caller that is still sending can see the refusal, then the connection is closed.

EndlessRequestTest: two of its ten cases, body in chunks and with a length, fail without the change; heads, blank lines, extensions, trailers and bytes behind a request were bounded before.

--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -34,7 +34,8 @@
  * The open connections of a listener that is served by one selector thread.
  *
  * <p>Invariants: idle connections are closed on the selector thread, which also reads the requests, so no request is read from a
- * connection between the check that it is idle and its close; the end of each connection is reported once, with its cause. Safe for
+ * connection between the check that it is idle and its close; the end of each connection is reported once, with its cause. What follows
+ * a refused request is discarded for a limited time. Safe for
  * use by several threads.
  */
 public final class OpenConnections extends BaseFilter implements AddOn {
@@ -42,6 +43,12 @@
     /** A caller that pauses for longer within a request does not delay a drain. */
     private static final Duration RECEIVE_TIMEOUT = Duration.ofMillis(500);
 
+    /**
+     * How long the rest of a refused request is read, since a caller may lose the refusal if its connection is closed while it is
+     * still sending.
+     */
+    private static final Duration MAX_REFUSED_READ_TIME = Duration.ofSeconds(1);
+
     private final Map<Connection<?>, ReceivedBytes> connections = new ConcurrentHashMap<>();
     private final BooleanSupplier accepts;
     private final Consumer<ConnectionEnd> onClosed;
@@ -84,7 +91,14 @@
     @Override
     public NextAction handleRead(FilterChainContext context) throws IOException {
         Buffer bytes = context.getMessage();
-        find(context.getConnection()).ifPresent(received -> received.onBytes(bytes.remaining()));
+        Connection<?> connection = context.getConnection();
+        Optional<ReceivedBytes> known = find(connection);
+        known.ifPresent(received -> received.onBytes(bytes.remaining()));
+        if (known.filter(received -> received.isRefusedFor(MAX_REFUSED_READ_TIME))
+                .isPresent()) {
+            terminate(connection, CloseCause.ANSWER);
+            return context.getStopAction();
+        }
         return context.getInvokeAction();
     }
 
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
@@ -20,6 +20,7 @@
     private long lastAt;
     private boolean receiving;
     private boolean refused;
+    private long refusedAt;
     private Optional<CloseCause> cause = Optional.empty();
 
     ReceivedBytes(MonotonicClock clock) {
@@ -39,7 +40,15 @@
 
     synchronized void onRequestRefused() {
         receiving = false;
-        refused = true;
+        if (!refused) {
+            refused = true;
+            refusedAt = clock.nanos();
+        }
+    }
+
+    /** Queries whether a request was refused longer ago than the given time. */
+    synchronized boolean isRefusedFor(Duration time) {
+        return refused && clock.nanos() - refusedAt > time.toNanos();
     }
 
     synchronized void setCause(CloseCause newCause) {
