Let orders follow one another on a connection of a sound target

The restriction now begins with the first extra answer of a target, found on any of its connections, and holds for a minute. So a sound target costs nothing. The first extra answer of a target may still be taken for that to an order, if it is a copy of the answer to another order; the number of accepted orders that each order names keeps the next one from being carried out on a wrong assumption, and the real answer that follows closes the connection.

--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -92,7 +92,7 @@
         public void channelRead(ChannelHandlerContext context, Object bytes) {
             if (call == null) {
                 ReferenceCountUtil.release(bytes);
-                channel.close();
+                closeAfterSurplus();
                 return;
             }
             context.fireChannelRead(bytes);
@@ -151,9 +151,9 @@
         return channel.isActive() && withinTimeout && idleNanos <= maxIdleTime.toNanos();
     }
 
-    /** Queries whether a surplus response to the last call cannot be taken for the response to a call that is matched in a way. */
-    boolean isSafeFor(ResponseMatching matching) {
-        return matching != ResponseMatching.NONE || lastMatching == ResponseMatching.BY_LISTENER;
+    /** Queries whether a surplus response to the last call would show as such to the listener of the next one. */
+    boolean wasMatchedByListener() {
+        return lastMatching == ResponseMatching.BY_LISTENER;
     }
 
     void close() {
@@ -192,7 +192,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (call == null) {
-            channel.close();
+            closeAfterSurplus();
             return;
         }
         if (message.decoderResult().isFailure()) {
@@ -224,6 +224,9 @@
         }
         HttpResponseStatus status = response.status();
         call.onHead(new HttpResponseHead(status.code(), headers));
+        if (call.isRejected()) {
+            connections.onSurplusResponse(address);
+        }
         if (call.isEnded() && !call.isCancelled()) {
             discardTimeout =
                     channel.eventLoop().schedule(this::close, MAX_DISCARD_TIME.toMillis(), TimeUnit.MILLISECONDS);
@@ -273,6 +276,13 @@
         }
     }
 
+    private void closeAfterSurplus() {
+        if (address != null) {
+            connections.onSurplusResponse(address);
+        }
+        channel.close();
+    }
+
     /** Closes the connection of a call that has ended before its response, unless the rest of the response is short. */
     private void discard(int bytes) {
         discardedBytes += bytes;
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -30,9 +30,13 @@
  */
 public final class HttpConnections {
 
+    /** A server that has sent a surplus response may send more of them for so long. */
+    private static final Duration SURPLUS_MEMORY = Duration.ofMinutes(1);
+
     private final MonotonicClock clock;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, IdleConnections> idleConnections = new HashMap<>();
+    private final Map<InetSocketAddress, Long> surplusResponseAt = new HashMap<>();
     private long openedCount;
     private long excessCount;
 
@@ -70,8 +74,9 @@
     public HttpCall send(
             InetSocketAddress address, HttpCallRequest request, ConnectionReuse reuse, HttpResponseListener listener) {
         PendingCall call = new PendingCall(request, reuse, listener);
+        boolean matchedOnly = reuse.matching() == ResponseMatching.NONE && hasSentSurplus(address);
         Optional<HttpConnection> reused = Optional.ofNullable(idleConnections.get(address))
-                .flatMap(idle -> idle.takeUsable(clock.nanos(), reuse));
+                .flatMap(idle -> idle.takeUsable(clock.nanos(), reuse.maxIdleTime(), matchedOnly));
         if (reused.isPresent()) {
             reused.get().send(call);
             return call;
@@ -110,6 +115,17 @@
         });
     }
 
+    private boolean hasSentSurplus(InetSocketAddress address) {
+        Long at = surplusResponseAt.get(address);
+        return at != null && clock.nanos() - at < SURPLUS_MEMORY.toNanos();
+    }
+
+    void onSurplusResponse(InetSocketAddress address) {
+        long now = clock.nanos();
+        surplusResponseAt.values().removeIf(at -> now - at >= SURPLUS_MEMORY.toNanos());
+        surplusResponseAt.put(address, now);
+    }
+
     void onIdle(HttpConnection connection, IntSupplier maxIdleConnections) {
         connection.setIdleSinceNanos(clock.nanos());
         IdleConnections idle = idleConnections.computeIfAbsent(connection.address(), unused -> new IdleConnections());
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/IdleConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/IdleConnections.java
@@ -27,12 +27,13 @@
         connections.remove(connection);
     }
 
-    Optional<HttpConnection> takeUsable(long nowNanos, ConnectionReuse reuse) {
+    /** Takes the newest connection if it is usable, of those whose last call was matched by its listener if only they may be used. */
+    Optional<HttpConnection> takeUsable(long nowNanos, Duration maxIdleTime, boolean matchedOnly) {
         Iterator<HttpConnection> newestFirst = connections.descendingIterator();
         while (newestFirst.hasNext()) {
             HttpConnection connection = newestFirst.next();
-            if (connection.isSafeFor(reuse.matching())) {
-                if (!connection.isUsable(nowNanos, reuse.maxIdleTime())) {
+            if (!matchedOnly || connection.wasMatchedByListener()) {
+                if (!connection.isUsable(nowNanos, maxIdleTime)) {
                     return Optional.empty();
                 }
                 newestFirst.remove();
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
@@ -18,6 +18,7 @@
     private long bodyBytes;
     private boolean ended;
     private boolean cancelled;
+    private boolean rejected;
 
     PendingCall(HttpCallRequest request, ConnectionReuse reuse, HttpResponseListener listener) {
         this.request = request;
@@ -37,6 +38,11 @@
         return ended;
     }
 
+    /** Queries whether the listener has found the response to belong to another call. */
+    boolean isRejected() {
+        return rejected;
+    }
+
     boolean isCancelled() {
         return cancelled;
     }
@@ -59,6 +65,7 @@
         if (decision instanceof HeadDecision.DiscardBody) {
             ended = true;
         } else if (decision instanceof HeadDecision.Reject reject) {
+            rejected = true;
             reject(reject.reason());
         }
     }
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/ResponseMatching.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/ResponseMatching.java
@@ -7,8 +7,9 @@
     /** The server sends exactly one response to each call, so that any response on the connection is the call's. */
     BY_ORDER,
     /**
-     * Nothing in a response tells to which call it belongs, although the server may send surplus ones: a call uses only a new
-     * connection, or one whose last call was matched by its listener, which shows a surplus response of that call as such.
+     * Nothing in a response tells to which call it belongs, although the server may send surplus ones. Once it has sent one, calls
+     * use only new connections for a while, or those whose last call was matched by its listener, since a surplus response to that
+     * call shows as such.
      */
     NONE
 }
