--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeFuzzTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeFuzzTest.java
@@ -86,6 +86,7 @@
             assertThat(answer.isEnded() || callerGone).isTrue();
             assertThat(world.targets().openRequests()).isEmpty();
             assertThat(world.openExchanges()).isZero();
+            assertThat(world.answerMemory().heldBytes()).isZero();
         }
 
         private void step(Cancellable caller) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -81,6 +81,7 @@
     public static final String URGENT_KEY = "urgent-key";
 
     public static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final long HEAP_BYTES = 160 * 1024 * 1024;
     private static final int SLOTS_PER_TARGET = 8;
     private static final int RETRIES_PER_REQUEST = 100;
     private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
@@ -91,7 +92,7 @@
     private final FakeAdapterLoader adapters = new FakeAdapterLoader();
     private final List<OutcomeListener.Outcome> outcomes = new ArrayList<>();
     private final List<PaceSample> paces = new ArrayList<>();
-    private final AnswerMemory answerMemory = AnswerMemory.ofHeap(160 * 1024 * 1024);
+    private final AnswerMemory answerMemory = AnswerMemory.ofHeap(HEAP_BYTES);
     private final Lease lease = new Lease(time, time::wallMillis);
     private final Quotas quotas = new Quotas(
             "one", lease, new Quotas.Tolerance(0, 0, Duration.ofSeconds(1)), time, (event, id, fields) -> {});
@@ -290,6 +291,11 @@
                         .collect(Collectors.toMap(DecisionLog.Field::name, DecisionLog.Field::value)));
     }
 
+    /** Returns the memory that the answers of all requests share. */
+    public AnswerMemory answerMemory() {
+        return answerMemory;
+    }
+
     /** Returns the fields of each log line of an event. */
     public List<Map<String, Object>> loggedFields(EventCode event) {
         return loggedFields.getOrDefault(event, List.of());
