--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HeadDecision.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HeadDecision.java
@@ -16,8 +16,8 @@
     record DiscardBody() implements HeadDecision {}
 
     /**
-     * The response does not belong to the call, whose own response may still come: the call fails, and its connection is reset, so
-     * that no other call gets that response and the server stops its work.
+     * The response cannot be the one to the call, or cannot be used: the call fails, and its connection is reset, so that no other
+     * call gets what still comes on it and the server stops its work.
      *
      * @param reason the reason, for logging
      */
@@ -47,7 +47,7 @@
     }
 
     /**
-     * Obtains the decision that the response does not belong to the call.
+     * Obtains the decision not to use the response.
      *
      * @param reason the reason, for logging, not null
      * @return the decision, not null
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -44,7 +44,7 @@
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
-    /** Servers send one before most of their responses, if any. */
+    /** More than a server sends before a response; an endless series of them would be read until the caller gives up. */
     private static final int MAX_INFORMATIONAL_RESPONSES = 8;
 
     /** The longest body that is discarded so that its connection can be used again. */
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
@@ -38,7 +38,7 @@
         return ended;
     }
 
-    /** Queries whether the listener has found the response to belong to another call. */
+    /** Queries whether the listener has rejected the response. */
     boolean isRejected() {
         return rejected;
     }
