Let the targets of the process tests repeat the id in their rejections

RetryArrivalTest failed since its targets rejected requests without the request's id, which the protocol does not allow and which counts as an unknown outcome now: no request was sent again, so nothing was counted.

--- a/node/src/test/java/org/geraniumreach/node/FakePlatform.java
+++ b/node/src/test/java/org/geraniumreach/node/FakePlatform.java
@@ -226,6 +226,7 @@
             arrivals.add(new Arrival(System.nanoTime(), path, id));
             byte[] body = exchange.getRequestBody().readAllBytes();
             exchange.getResponseHeaders().set("X-Instance-Id", name);
+            id.ifPresent(requestId -> exchange.getResponseHeaders().set("X-Attempt-Id", requestId));
             current.headers().forEach(exchange.getResponseHeaders()::set);
             if (path.equals("/-/report")) {
                 respond(exchange, 200, "application/json", report());
@@ -237,7 +238,6 @@
                 exchange.getResponseHeaders().set("X-Not-Executed", "1");
                 respond(exchange, current.status(), "text/plain", "no");
             } else {
-                exchange.getResponseHeaders().set("X-Attempt-Id", id.orElse(""));
                 exchange.getResponseHeaders().set("X-Server-Seal", name);
                 if (endingRequests.test(FakeRequest.of(exchange, body))) {
                     end();
