--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -407,4 +407,19 @@
         write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
         assertThat(nextOutcome()).isEqualTo("200 ok");
     }
+
+    /** Guards against writing the rest of a long body to a server whose early answer was to another call. */
+    @Test
+    void aConnectionIsResetThoughTheBodyOfItsCallIsNotWritten() throws Exception {
+        headDecision = HeadDecision.reject("the answer is to another call");
+        callWithBodyBeyondAllBuffers();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+        assertThat(nextOutcome()).isEqualTo("BROKEN");
+        assertThatThrownBy(() -> accepted.getInputStream().skipNBytes(BYTES_BEYOND_ALL_BUFFERS))
+                .isInstanceOf(SocketException.class)
+                .hasMessageContaining("reset");
+        assertThat(outcomes).isEmpty();
+    }
 }
