Start fewer entries in the tests of bytes without end

Entries of FakeFleet run on until their JVM ends, and each case started one: 34 of them went on beside the tests that followed. The cases share one entry now. KilledEntriesProcessTest waits until its streams have begun; on a loaded machine those of the old version had not when it left.

Seen in a run of the whole script at load 24: KilledEntriesProcessTest, once, and OrderedAdmissionFleetTest, once, with answers after up to 1.4 s where 0.8 are allowed.

--- a/node/src/test/java/org/geraniumreach/node/EndlessAnswerTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EndlessAnswerTest.java
@@ -12,13 +12,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Closes connections on which a target sends bytes that do not end. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class EndlessAnswerTest {
 
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(2);
@@ -32,21 +35,31 @@
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final AtomicInteger requests = new AtomicInteger();
-    private final FakePlatform platform;
-    private final EndlessTarget target;
+    private FakePlatform platform;
+    private EndlessTarget plain;
+    private EndlessTarget engine;
+    private FakeFleet fleet;
 
-    EndlessAnswerTest() throws Exception {
+    @BeforeAll
+    void start() throws Exception {
         platform = new FakePlatform();
-        target = new EndlessTarget();
+        plain = new EndlessTarget();
+        engine = new EndlessTarget();
+        platform.addTarget("one", "plain").reachThrough(plain.address());
+        platform.addTarget("two", "engines").reachThrough(engine.address());
+        fleet = new FakeFleet(platform, 1);
+        fleet.awaitReady("/look/x");
+        fleet.awaitReady("/chat/x");
     }
 
-    @AfterEach
+    @AfterAll
     void close() throws Exception {
-        target.close();
+        plain.close();
+        engine.close();
         platform.close();
     }
 
-    private CompletableFuture<HttpResponse<byte[]>> call(FakeFleet fleet, String path) {
+    private CompletableFuture<HttpResponse<byte[]>> call(String path) {
         String id = "endless-" + requests.incrementAndGet();
         HttpRequest request = CallerRequests.post(fleet.address(0), path, id, CALLER_TIMEOUT, "hi", "base")
                 .timeout(CALLER_TIMEOUT.plusSeconds(2))
@@ -58,7 +71,7 @@
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
     void aConnectionOnWhichATargetSendsWithoutEndIsClosed(EndlessTarget.Endless endless) throws Exception {
-        check(endless, "/look/x", "plain");
+        check(endless, "/look/x", plain);
     }
 
     @ParameterizedTest
@@ -66,27 +79,25 @@
             mode = EnumSource.Mode.INCLUDE,
             names = {"INFORMATIONAL_HEADS", "CHUNKS", "NO_LENGTH", "REJECTION", "OTHER_REQUEST", "EVENT", "EVENTS"})
     void aConnectionOnWhichAnEngineSendsWithoutEndIsClosed(EndlessTarget.Endless endless) throws Exception {
-        check(endless, "/chat/x", "engines");
+        check(endless, "/chat/x", engine);
     }
 
-    private void check(EndlessTarget.Endless endless, String path, String service) throws Exception {
-        platform.addTarget("one", service).reachThrough(target.address());
-        FakeFleet fleet = new FakeFleet(platform, 1);
-        fleet.awaitReady(path);
+    private void check(EndlessTarget.Endless endless, String path, EndlessTarget target) throws Exception {
+        target.answered().clear();
         target.setEndless(endless);
         List<CompletableFuture<HttpResponse<byte[]>>> calls = new ArrayList<>();
         for (int call = 0; call < CONCURRENT_CALLS; call++) {
-            calls.add(call(fleet, path));
+            calls.add(call(path));
         }
         for (CompletableFuture<HttpResponse<byte[]>> call : calls) {
             awaitEnd(call);
         }
-        awaitClosed();
+        awaitClosed(target);
         assertThat(target.answered()).isNotEmpty();
         assertThat(target.answered())
                 .allSatisfy(answer -> assertThat(answer.millis()).isLessThan(LONGEST_ANSWER_MILLIS));
         target.setEndless(EndlessTarget.Endless.NONE);
-        assertThat(serves(fleet, path)).isTrue();
+        assertThat(serves(path)).isTrue();
     }
 
     private static void awaitEnd(CompletableFuture<HttpResponse<byte[]>> call) {
@@ -97,7 +108,7 @@
         }
     }
 
-    private void awaitClosed() throws InterruptedException {
+    private static void awaitClosed(EndlessTarget target) throws InterruptedException {
         long until = System.nanoTime() + CALLER_TIMEOUT.toNanos();
         while (target.unended() > 0 && System.nanoTime() < until) {
             TimeUnit.MILLISECONDS.sleep(10);
@@ -106,11 +117,11 @@
     }
 
     /** A target that has failed is left out for a while. */
-    private boolean serves(FakeFleet fleet, String path) throws InterruptedException {
+    private boolean serves(String path) throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         while (System.nanoTime() < until) {
             try {
-                if (call(fleet, path).join().statusCode() == 200) {
+                if (call(path).join().statusCode() == 200) {
                     return true;
                 }
             } catch (CompletionException broken) {
--- a/node/src/test/java/org/geraniumreach/node/EndlessRequestTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EndlessRequestTest.java
@@ -8,28 +8,38 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
-import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Closes connections on which a caller sends bytes that do not end. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class EndlessRequestTest {
 
     private static final int PIECE_BYTES = 16_384;
     private static final long LONGEST_MILLIS = 2_000;
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(3);
 
-    private final FakePlatform platform;
+    private final AtomicInteger requests = new AtomicInteger();
+    private FakePlatform platform;
+    private FakeFleet fleet;
 
-    EndlessRequestTest() throws Exception {
+    @BeforeAll
+    void start() throws Exception {
         platform = new FakePlatform();
+        platform.addTarget("one", "plain");
+        fleet = new FakeFleet(platform, 1);
+        fleet.awaitReady("/look/x");
     }
 
-    @AfterEach
-    void close() throws Exception {
+    @AfterAll
+    void close() {
         platform.close();
     }
 
@@ -48,9 +58,6 @@
         "'not a request at all\r\n', x"
     })
     void aConnectionOnWhichACallerSendsWithoutEndIsClosed(String beginning, String repeated) throws Exception {
-        platform.addTarget("one", "plain");
-        FakeFleet fleet = new FakeFleet(platform, 1);
-        fleet.awaitReady("/look/x");
         String headers = "Host: 127.0.0.1\r\nX-Attempt-Id: e1\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer "
                 + FakePlatform.KEY + "\r\n";
         try (Socket socket =
@@ -61,7 +68,13 @@
         }
         HttpResponse<String> answer = HttpClient.newHttpClient()
                 .send(
-                        CallerRequests.post(fleet.address(0), "/look/x", "e2", CALLER_TIMEOUT, "hi", "base")
+                        CallerRequests.post(
+                                        fleet.address(0),
+                                        "/look/x",
+                                        "after-" + requests.incrementAndGet(),
+                                        CALLER_TIMEOUT,
+                                        "hi",
+                                        "base")
                                 .build(),
                         HttpResponse.BodyHandlers.ofString());
         assertThat(answer.statusCode()).isEqualTo(200);
--- a/node/src/test/java/org/geraniumreach/node/KilledEntriesProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/KilledEntriesProcessTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
@@ -23,13 +24,14 @@
     private static final String PATH = "/chat/x";
     private static final int ENTRIES = 3;
     private static final int STREAMS = 24;
-    private static final int EVENTS = 40;
+    private static final int EVENTS = 100;
     private static final long EVENT_INTERVAL_MILLIS = 50;
 
     /** By then, entries know the versions that may begin streams. */
     private static final long ADOPTION_MILLIS = 4_000;
 
-    private static final long BEFORE_KILL_MILLIS = 700;
+    /** The streams take longer by as much again. */
+    private static final long BEGIN_MILLIS = 2_500;
 
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -78,6 +80,14 @@
         }
     }
 
+    /** Waits until the streams have begun; a loaded machine may take most of the time for the first events. */
+    private static void awaitBegun(List<StreamCaller> callers) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BEGIN_MILLIS);
+        while (!callers.stream().allMatch(StreamCaller::hasBegun) && System.nanoTime() < until) {
+            Thread.sleep(10);
+        }
+    }
+
     /** Guards against a caller's text that is joined from two software versions, with nothing that shows it. */
     @ParameterizedTest
     @EnumSource(OldVersion.class)
@@ -95,7 +105,7 @@
                 entries.awaitReady();
                 Thread.sleep(ADOPTION_MILLIS);
                 final List<Future<Void>> broken = run(callers, entries, 0);
-                Thread.sleep(BEFORE_KILL_MILLIS);
+                awaitBegun(callers);
                 leave(oldVersion == OldVersion.LEAVES_BEFORE_THE_KILL);
                 for (EntryProcesses.Entry entry : entries.entries()) {
                     entry.kill();
--- a/node/src/test/java/org/geraniumreach/node/StreamCaller.java
+++ b/node/src/test/java/org/geraniumreach/node/StreamCaller.java
@@ -14,9 +14,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 
-/** A caller that reads one stream of events, and may take it up again with further attempts. Confined to one thread. */
+/** A caller that reads one stream of events, and may take it up again with further attempts. Confined to one thread, except that any may query whether it has begun. */
 final class StreamCaller {
 
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(10);
@@ -25,7 +26,7 @@
     private final String id;
     private final String path;
     private final int eventCount;
-    private final List<String> writers = new ArrayList<>();
+    private final List<String> writers = new CopyOnWriteArrayList<>();
     private final List<Integer> statuses = new ArrayList<>();
     private final HttpClient client;
     private String account = FakePlatform.KEY;
