Log on what grounds a request is written to a target, and why the event loop was late

REQUEST_PLACED names its grounds (FIRST, NOT_SENT, REJECTED with the target, MAY_RUN_AGAIN), ATTEMPT_NOT_EXECUTED the time since the placement and the number of writes to that target.

RunHistory keeps each run instead of a set of targets for this. A rejection no longer erases an earlier run at the same target, after which the final answer could say "not run".

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -25,8 +25,9 @@
 
     private final ExchangeServices services;
     private final Target target;
+    private final RunHistory.Run run;
     private final Sending sending;
-    private final SentRun run;
+    private final SentRun crashRun;
     private final HeldAdmission admission;
     private final GatewayRequest request;
     private final Listener listener;
@@ -86,16 +87,17 @@
 
     Attempt(
             ExchangeServices services,
-            Target target,
+            RunHistory.Run run,
             Sending sending,
-            SentRun run,
+            SentRun crashRun,
             HeldAdmission admission,
             GatewayRequest request,
             Listener listener) {
         this.services = services;
-        this.target = target;
+        this.target = run.target();
         this.sending = sending;
         this.run = run;
+        this.crashRun = crashRun;
         this.admission = admission;
         this.request = request;
         this.listener = listener;
@@ -108,6 +110,15 @@
         return target;
     }
 
+    RunHistory.Run run() {
+        return run;
+    }
+
+    /** Gets the time since the attempt was started. */
+    Duration sinceStart() {
+        return Duration.ofNanos(services.clock().nanos() - sentAt);
+    }
+
     void start(TargetPort.RequestMetadata envelope, Duration maximumIdle, SilenceLimits limits) {
         silenceLimits = limits;
         sentAt = services.clock().nanos();
@@ -169,13 +180,9 @@
         finish();
     }
 
-    /** Queries whether the request may have reached the target. */
-    boolean isSent() {
-        return sent;
-    }
-
     private void finish() {
         ended = true;
+        run.onEnded();
         silenceTimer.cancel();
         admission.end();
         endPrefill();
@@ -211,6 +218,7 @@
     public void onSent() {
         if (!ended) {
             sent = true;
+            run.onWritten();
             listener.onSent();
         }
     }
@@ -224,6 +232,7 @@
         onSign();
         sending.onArrived();
         run.onNotExecuted();
+        crashRun.onNotExecuted();
         finish();
         listener.onNotExecuted(reason);
     }
@@ -248,7 +257,7 @@
             return;
         }
         onProgress();
-        run.onPart(lastSignAt);
+        crashRun.onPart(lastSignAt);
         recordPrefillRate();
         endPrefill();
         restartSilenceTimer(silenceLimits.betweenParts());
@@ -267,7 +276,7 @@
         if (ended) {
             return;
         }
-        run.onComplete();
+        crashRun.onComplete();
         finish();
         listener.onEnd();
     }
@@ -279,9 +288,10 @@
         }
         if (mayHaveRun) {
             sending.onArrived();
-            run.onBroken();
+            crashRun.onBroken();
         } else {
             run.onNotExecuted();
+            crashRun.onNotExecuted();
             sending.onNotSent();
         }
         finish();
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -152,9 +152,13 @@
         }
         verdict.grounds().ifPresent(grounds -> log.logSuspectDecided(verdict.result(), grounds));
         retry.ifPresent(decision -> log.logRetried(decision, lastFailure, progress()));
-        history.onSend();
+        WriteDecision grounds = history.decide(target, attempts.current().map(Attempt::run));
+        RunHistory.Run run = history.onSend(target);
         log.logPlaced(
-                send, progress(), request.account().map(request::quotaUnits).orElse(0.0));
+                send,
+                grounds,
+                progress(),
+                request.account().map(request::quotaUnits).orElse(0.0));
         request.adapter().ifPresent(adapter -> send.alsoLoad()
                 .ifPresent(other -> services.adapters().enqueue(other, adapter, Optional.empty(), false)));
         AttemptEvents events = new AttemptEvents(target);
@@ -165,7 +169,7 @@
         }
         Attempt newAttempt = new Attempt(
                 services,
-                target,
+                run,
                 arrivals.send(target),
                 services.crashes().onSent(target, request::identity),
                 steps.handOverAdmission(),
@@ -179,7 +183,6 @@
     /** Makes an attempt the current one, and keeps a silent one beside it until the other target has taken the request over. */
     private void startBesidePredecessor(Attempt next) {
         Optional<Attempt> silent = attempts.current();
-        silent.ifPresent(attempt -> history.onPossiblyRun(attempt.target()));
         attempts.add(next);
         // The record of a stream's origin names the version of the new target from now on.
         silent.filter(attempt -> beginsStream())
@@ -200,7 +203,7 @@
         Target silent = attempts.current().orElseThrow().target();
         lastFailure = Optional.of(cause);
         steps.state().exclude(silent.id());
-        Optional<String> obstacle = history.findObstacleToReplacement(silent);
+        Optional<String> obstacle = history.findObstacleToReplacement();
         if (obstacle.isPresent()) {
             log.logAttemptKept(silent, obstacle.get(), progress());
         } else {
@@ -318,7 +321,7 @@
         /** Leaves the request at this attempt's target, which goes on although another was taking the request over. */
         private void takeBack() {
             if (attempts.isPredecessor(attempt)) {
-                addIfSent(attempts.takeBack());
+                attempts.takeBack();
                 log.logAttemptKept(target, "the target goes on", progress());
             }
         }
@@ -348,8 +351,7 @@
 
         @Override
         public void onNotExecuted(NotExecuted reason) {
-            log.logNotExecuted(target, reason);
-            history.onNotExecuted(target);
+            log.logNotExecuted(target, reason, attempt.sinceStart(), history.writesTo(target));
             if (reason == NotExecuted.NOT_RESIDENT) {
                 request.adapter()
                         .ifPresent(adapter ->
@@ -417,7 +419,6 @@
             }
             if (relay.isServerErrorPending()) {
                 services.health().onFailure(target.id());
-                history.onPossiblyRun(target);
                 steps.state().exclude(target.id());
                 if (history.mayRunAgain()) {
                     retryOrGiveUp(FailureCause.SERVER_ERROR, "the target failed");
@@ -437,9 +438,6 @@
             recordFailure(cause);
             steps.state().exclude(target.id());
             log.logAttemptFailed(target, cause, reason, relay.lastEventNumber());
-            if (cause.mayHaveRun()) {
-                history.onPossiblyRun(target);
-            }
             if (isAtAnotherTarget(cause)) {
                 return;
             }
@@ -497,18 +495,11 @@
         if (attempts.current().isEmpty()) {
             return;
         }
-        attempts.all().forEach(this::addIfSent);
         attempts.cancelAll();
         // What has been received of an answer must not be taken for a whole one.
         relay.discardAttempt();
     }
 
-    private void addIfSent(Attempt cancelled) {
-        if (cancelled.isSent()) {
-            history.onPossiblyRun(cancelled.target());
-        }
-    }
-
     /** Stops the request, wherever it is on its way, if it is refused now and its answer has not begun. */
     void onRefusalsChanged() {
         if (ended || relay.isBegun()) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -20,6 +20,7 @@
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.TargetId;
 
 /**
  * Writes the decisions of one exchange to the log, with the values that led to them.
@@ -65,7 +66,7 @@
         this.firstAttempt = request.firstAttempt().orElse("");
     }
 
-    void logPlaced(PlacementDecision.Send send, Progress progress, double units) {
+    void logPlaced(PlacementDecision.Send send, WriteDecision grounds, Progress progress, double units) {
         Target target = send.target();
         Stream<Field> fields = Stream.of(
                 Field.of("target", target.id().value()),
@@ -75,6 +76,8 @@
                 Field.of("reason", send.reason()),
                 Field.of("adapter", adapter),
                 Field.of("arrival", progress.sends()),
+                Field.of("grounds", grounds.result()),
+                Field.of("rejectedBy", grounds.rejectedBy().map(TargetId::value).orElse("")),
                 Field.of("account", account),
                 Field.of("units", units),
                 Field.of("expectedWaitMillis", send.expectedWaitMillis()),
@@ -117,12 +120,15 @@
                 Field.of("retryInMillis", grounds.retryIn().toMillis()));
     }
 
-    void logNotExecuted(Target target, NotExecuted reason) {
+    /** Logs a rejection; one that comes at once after a further write to the same target may be a copy of the one before. */
+    void logNotExecuted(Target target, NotExecuted reason, Duration sinceStart, int writes) {
         log.write(
                 EventCode.ATTEMPT_NOT_EXECUTED,
                 id,
                 Field.of("target", target.id().value()),
-                Field.of("reason", reason));
+                Field.of("reason", reason),
+                Field.of("afterMillis", sinceStart.toMillis()),
+                Field.of("writesToTarget", writes));
     }
 
     void logAttemptFailed(Target target, FailureCause cause, String reason, long lastEventNumber) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
@@ -1,9 +1,11 @@
 package org.geraniumreach.gateway.request;
 
-import java.util.HashSet;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.traffic.Route;
@@ -12,18 +14,71 @@
 /**
  * Where one request has been sent and may have run, and whether it may be sent and run again after that.
  *
- * <p>Invariant: a target that may have begun the request counts until it reports that it has not executed it. Confined
- * to the event loop.
+ * <p>Each write to a target requires a permission of {@link #decide}, so that this class alone keeps the promise of a route.
+ *
+ * <p>Invariants: no request is written while an earlier run of it is open, or once it has ended. After a run that may have begun it is
+ * written again only if its route allows that, and then to no more targets than the route allows. A run may have begun until its own
+ * target reports that it has not executed it; a later rejection by the same target does not count for an earlier run. Confined to the
+ * event loop.
  */
 final class RunHistory {
 
     private final ExchangeServices services;
     private final RoutedRequest request;
     private final Route route;
-    private final Set<TargetId> possiblyRunTargets = new HashSet<>();
+    private final List<Run> runs = new ArrayList<>();
     private Optional<Beginning> beginning = Optional.empty();
     private OptionalLong lastSentAt = OptionalLong.empty();
-    private int sends;
+    private boolean ended;
+
+    /** What is known of a run. */
+    private enum RunState {
+        NOT_WRITTEN,
+        OPEN,
+        MAY_HAVE_RUN,
+        NOT_EXECUTED
+    }
+
+    /** One sending of the request. Confined to the event loop. */
+    static final class Run {
+        private final Target target;
+        private RunState state = RunState.NOT_WRITTEN;
+
+        private Run(Target target) {
+            this.target = target;
+        }
+
+        Target target() {
+            return target;
+        }
+
+        /** Called when the request is about to be written. */
+        void onWritten() {
+            state = RunState.OPEN;
+        }
+
+        /** Called if the target has not executed the request and never will, or cannot have received it. */
+        void onNotExecuted() {
+            if (isWritten()) {
+                state = RunState.NOT_EXECUTED;
+            }
+        }
+
+        /** Called if this entry does not wait for the target any more, which may have begun the request if that was written. */
+        void onEnded() {
+            if (state == RunState.OPEN) {
+                state = RunState.MAY_HAVE_RUN;
+            }
+        }
+
+        private boolean isWritten() {
+            return state != RunState.NOT_WRITTEN;
+        }
+
+        private boolean mayHaveBegun() {
+            return state == RunState.OPEN || state == RunState.MAY_HAVE_RUN;
+        }
+    }
 
     /** The target that began the stream, and when the request was sent to it. */
     private record Beginning(Target target, long sentAt) {}
@@ -35,19 +90,68 @@
     }
 
     /** Called when the request is about to be sent to a target. */
-    void onSend() {
-        sends++;
+    Run onSend(Target target) {
+        Run run = new Run(target);
+        runs.add(run);
         lastSentAt = OptionalLong.of(services.clock().nanos());
+        return run;
+    }
+
+    /** Called when the request has its final answer. */
+    void onEnded() {
+        ended = true;
+    }
+
+    /**
+     * Decides whether the request may be written to a target.
+     *
+     * @param target the target
+     * @param ending the run that ends before the write, empty if none does
+     */
+    WriteDecision decide(Target target, Optional<Run> ending) {
+        if (ended) {
+            return WriteDecision.forbidden(WriteDecision.Result.REQUEST_ENDED);
+        }
+        Predicate<Run> isEnding = run -> ending.filter(other -> other == run).isPresent();
+        if (runs.stream().anyMatch(run -> run.state == RunState.OPEN && !isEnding.test(run))) {
+            return WriteDecision.forbidden(WriteDecision.Result.RUN_OPEN);
+        }
+        if (runs.stream().anyMatch(Run::mayHaveBegun)) {
+            return decideOnFurtherRun(target);
+        }
+        return runs.stream()
+                .filter(Run::isWritten)
+                .reduce((earlier, later) -> later)
+                .map(rejected -> WriteDecision.permittedAfter(WriteDecision.Result.REJECTED, rejected.target.id()))
+                .orElseGet(() -> WriteDecision.permitted(
+                        runs.isEmpty() ? WriteDecision.Result.FIRST : WriteDecision.Result.NOT_SENT));
+    }
+
+    private WriteDecision decideOnFurtherRun(Target target) {
+        if (!route.retryPolicy().allowsRerun()) {
+            return WriteDecision.forbidden(WriteDecision.Result.MAY_HAVE_RUN);
+        }
+        long targets = Stream.concat(possiblyRunTargets(), Stream.of(target.id()))
+                .distinct()
+                .count();
+        return targets <= route.maximumTargets()
+                ? WriteDecision.permitted(WriteDecision.Result.MAY_RUN_AGAIN)
+                : WriteDecision.forbidden(WriteDecision.Result.TOO_MANY_TARGETS);
+    }
+
+    /** Gets the number of times that the request was written to a target. */
+    int writesTo(Target target) {
+        return (int) runs.stream()
+                .filter(run -> run.isWritten() && run.target.id().equals(target.id()))
+                .count();
     }
 
-    /** Called if a target may have begun the request. */
-    void onPossiblyRun(Target target) {
-        possiblyRunTargets.add(target.id());
+    private Stream<TargetId> possiblyRunTargets() {
+        return runs.stream().filter(Run::mayHaveBegun).map(run -> run.target.id());
     }
 
-    /** Called if a target has reported that it has not executed the request. */
-    void onNotExecuted(Target target) {
-        possiblyRunTargets.remove(target.id());
+    private long possiblyRunCount() {
+        return possiblyRunTargets().distinct().count();
     }
 
     /** Called when the answer to the caller has begun with an event of the target that the request was sent to last. */
@@ -57,7 +161,7 @@
 
     /** Gets the number of times that the request was sent. */
     int sends() {
-        return sends;
+        return runs.size();
     }
 
     /** Gets the time at which the request was last sent, empty if it was not sent. */
@@ -66,17 +170,17 @@
     }
 
     boolean mayHaveRun() {
-        return !possiblyRunTargets.isEmpty();
+        return runs.stream().anyMatch(Run::mayHaveBegun);
     }
 
     /** Queries whether the route allows a further run after an attempt that has ended. */
     boolean mayRunAgain() {
-        return route.retryPolicy().allowsRerun() && possiblyRunTargets.size() < route.maximumTargets();
+        return route.retryPolicy().allowsRerun() && possiblyRunCount() < route.maximumTargets();
     }
 
     /** Queries whether the route allows a further run beside the attempt that is about to start. */
     boolean mayRunBesideNext() {
-        return route.retryPolicy().allowsRerun() && possiblyRunTargets.size() + 1 < route.maximumTargets();
+        return route.retryPolicy().allowsRerun() && possiblyRunCount() + 1 < route.maximumTargets();
     }
 
     /** Queries whether enough time and sends are left for a further attempt. */
@@ -92,9 +196,8 @@
     }
 
     /** Finds what forbids that another target takes the request over; a retry and a place are decided on later. */
-    Optional<String> findObstacleToReplacement(Target silent) {
-        int targets = possiblyRunTargets.size() + (possiblyRunTargets.contains(silent.id()) ? 0 : 1);
-        if (targets >= route.maximumTargets()) {
+    Optional<String> findObstacleToReplacement() {
+        if (possiblyRunCount() >= route.maximumTargets()) {
             return Optional.of("no more targets may run the request");
         }
         if (!hasTimeLeft()) {
@@ -113,6 +216,6 @@
     }
 
     private boolean hasSendsLeft() {
-        return sends < services.settings().maximumSends();
+        return sends() < services.settings().maximumSends();
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RunningAttempts.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RunningAttempts.java
@@ -80,12 +80,11 @@
         });
     }
 
-    /** Cancels the current attempt and makes its predecessor the current one again; returns the cancelled one. */
-    Attempt takeBack() {
+    /** Cancels the current attempt and makes its predecessor the current one again. */
+    void takeBack() {
         Attempt cancelled = current.orElseThrow();
         cancelled.cancel();
         remove(cancelled);
-        return cancelled;
     }
 
     /** Removes an attempt that has ended; the predecessor of the current one becomes the current one again. */
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -15,6 +15,7 @@
     DRAIN_CUT(1006, Level.WARN, "The drain ended by its deadline or a second signal, and work was cut off."),
     SETTINGS_INVALID(1007, Level.ERROR, "The settings are wrong."),
     SETTINGS_READ(1008, Level.INFO, "The settings were read again."),
+    LOOP_DELAYED(1009, Level.WARN, "The event loop has run a timer late; requests were not handled meanwhile."),
     CONFIGURATION_ADVANCED(2001, Level.INFO, "A newer configuration is in force."),
     RECORD_UNREADABLE(2002, Level.WARN, "A record cannot be read, and is as if withdrawn."),
     SUBMISSION_ACCEPTED(2003, Level.INFO, "An operator's submission was accepted."),
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -1,6 +1,8 @@
 package org.geraniumreach.node;
 
 import java.io.IOException;
+import java.lang.management.GarbageCollectorMXBean;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.DoubleSummaryStatistics;
@@ -13,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.ToDoubleFunction;
 
+import com.sun.management.OperatingSystemMXBean;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -134,6 +137,7 @@
     private final ResumableStreams streams;
     private final CrashGuard crashes;
     private final RequestHandler requests;
+    private final LoopDelayMonitor loopDelays;
     private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
     private StoreFeeds feeds;
     private volatile boolean targetsKnown;
@@ -230,6 +234,8 @@
                 log,
                 () -> configuration);
         this.requests = new RequestHandler(services(), () -> configuration, random::nextDouble);
+        this.loopDelays = new LoopDelayMonitor(
+                SWEEP_INTERVAL, EntryProcess::collectionMillis, EntryProcess::processorNanos, clock, log);
     }
 
     private Optional<ServiceDefinition> findService(String name) {
@@ -610,6 +616,7 @@
     }
 
     private void sweep() {
+        loopDelays.onTimer();
         logReadinessChange();
         connections.closeIdleLongerThan(IDLE_CONNECTION_TIMEOUT);
         updateTargetGauges();
@@ -623,6 +630,18 @@
         timers.schedule(SWEEP_INTERVAL, this::sweep);
     }
 
+    private static long collectionMillis() {
+        return ManagementFactory.getGarbageCollectorMXBeans().stream()
+                .mapToLong(GarbageCollectorMXBean::getCollectionTime)
+                .sum();
+    }
+
+    private static long processorNanos() {
+        return ManagementFactory.getOperatingSystemMXBean() instanceof OperatingSystemMXBean system
+                ? system.getProcessCpuTime()
+                : 0;
+    }
+
     /** Computes the gauges on the event loop; the scraping thread reads the results. */
     private void updateTargetGauges() {
         evacuatedRequests = registry.all().stream()
