Write a request to the same target again only on a new connection

What callers saw: a request that may run once runs twice, or is answered 503 "not run" and has run.

Cause: a target that does not hold a request's adapter rejects it with 421; the adapter is loaded and the request is sent there again. A target may send a copy of the rejection late, where the next answer on that connection is expected. It bears the id of the request, so that comparing ids does not show that it belongs to the earlier write. If the second write used the same connection, the copy counted as the rejection of that write, and the request was written once more, or refused, while the target ran it.

A request that was written to a target before goes there on a new connection, which can carry no copy of an earlier answer. A reuse of zero idle time did not exclude a connection that became idle at the same moment; it opens a new one now.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -177,7 +177,8 @@
                 recording.isConfirmed() ? events : new HeldEvents(events, recording, events));
         events.attempt = newAttempt;
         startBesidePredecessor(newAttempt);
-        newAttempt.start(terms.metadata(target, relay.resumeAfterNumber()), terms.maximumIdle(), terms.silenceLimits());
+        newAttempt.start(
+                terms.metadata(target, relay.resumeAfterNumber()), terms.maximumIdle(target), terms.silenceLimits());
     }
 
     /** Makes an attempt the current one, and keeps a silent one beside it until the other target has taken the request over. */
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/SendTerms.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendTerms.java
@@ -42,8 +42,14 @@
                 resumeAfterNumber);
     }
 
-    /** Gets the time without data after which the connection to the target is closed. */
-    Duration maximumIdle() {
+    /**
+     * Gets the longest time for which a connection may have been idle that the request is sent on. A request that was written to the target
+     * before needs a new connection: a late copy of the first answer bears the same id, and would be taken for the next one.
+     */
+    Duration maximumIdle(Target target) {
+        if (history.writesTo(target) > 0) {
+            return Duration.ZERO;
+        }
         return retryPolicy.allowsRerun()
                 ? services.settings().maximumIdleForRepeatable()
                 : services.settings().maximumIdleForSingleRun();
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/ConnectionReuse.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/ConnectionReuse.java
@@ -21,6 +21,10 @@
         Objects.requireNonNull(matching, "matching");
     }
 
+    boolean isAllowed() {
+        return !maxIdleTime.isZero();
+    }
+
     /**
      * Reuses connections of which any number may be kept, to a server that sends exactly one response to each call.
      *
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -76,6 +76,7 @@
         PendingCall call = new PendingCall(request, reuse, listener);
         boolean matchedOnly = reuse.matching() == ResponseMatching.NONE && hasSentSurplus(address);
         Optional<HttpConnection> reused = Optional.ofNullable(idleConnections.get(address))
+                .filter(idle -> reuse.isAllowed())
                 .flatMap(idle -> idle.takeUsable(clock.nanos(), reuse.maxIdleTime(), matchedOnly));
         if (reused.isPresent()) {
             reused.get().send(call);
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -33,6 +33,7 @@
 
     private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(10);
     private static final long TIMEOUT_SECONDS = 10;
+    private static final HttpCallRequest GET = new HttpCallRequest("GET", "/x", List.of(), new byte[0]);
     private static final int BYTES_BEYOND_ALL_BUFFERS = 16 * 1024 * 1024;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -68,7 +69,7 @@
     }
 
     private HttpCall send() {
-        return send(new HttpCallRequest("GET", "/x", List.of(), new byte[0]));
+        return send(GET);
     }
 
     private HttpCall send(HttpCallRequest request) {
@@ -198,6 +199,22 @@
     }
 
     // Guards against giving the next call a surplus response that the server sent on the idle connection.
+    /** Guards against a call that needs a new connection, and is sent on one that has become idle at the same moment. */
+    @Test
+    void aCallWithoutReuseOpensAConnectionThoughNoTimeHasPassed() throws Exception {
+        HttpConnections withoutTime = new HttpConnections(group.next(), () -> 0, Duration.ofSeconds(2));
+        for (Duration maxIdleTime : List.of(MAX_IDLE_TIME, Duration.ZERO)) {
+            ConnectionReuse reuse =
+                    new ConnectionReuse(maxIdleTime, () -> maxIdleConnections, ResponseMatching.BY_LISTENER);
+            group.next().execute(() -> withoutTime.send(address(), GET, reuse, new OutcomeRecorder()));
+            accept();
+            readRequest();
+            write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            assertThat(nextOutcome()).isEqualTo("200 ok");
+        }
+        assertThat(withoutTime.openedCount()).isEqualTo(2);
+    }
+
     @Test
     void aConnectionWithSurplusBytesIsNotReused() throws Exception {
         call();
--- /dev/null
+++ b/node/src/test/java/org/geraniumreach/node/ScriptedTarget.java
@@ -0,0 +1,100 @@
+package org.geraniumreach.node;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A target that answers each request byte by byte as its script tells, and carries out all orders at once. Safe for use by several threads. */
+final class ScriptedTarget implements AutoCloseable {
+
+    private static final int BACKLOG = 200;
+    private static final String REPORT =
+            "{\"stage\":\"both\",\"models\":[{\"name\":\"base\",\"version\":1,\"adapters\":[\"a1@1\"]}],"
+                    + "\"busy\":false,\"sequence\":0,\"queued\":0,\"running\":0}";
+
+    private final ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    private final ExecutorService executor = Executors.newCachedThreadPool();
+    private final AtomicInteger connections = new AtomicInteger();
+    private final Script script;
+
+    /** Answers a request; an exception closes its connection. */
+    @FunctionalInterface
+    interface Script {
+        void answer(Call call) throws IOException, InterruptedException;
+    }
+
+    /**
+     * A request that a target has read.
+     *
+     * @param id the id of the request
+     * @param headers the headers
+     * @param connection the number of its connection
+     * @param client the connection
+     */
+    record Call(String id, Map<String, String> headers, int connection, Socket client) {
+
+        void write(String text) throws IOException {
+            OutputStream out = client.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+    }
+
+    ScriptedTarget(Script script) throws IOException {
+        this.script = script;
+        executor.execute(this::accept);
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket client = listener.accept();
+                int connection = connections.incrementAndGet();
+                executor.execute(() -> serve(client, connection));
+            }
+        } catch (IOException closed) {
+            executor.shutdown();
+        }
+    }
+
+    private void serve(Socket client, int connection) {
+        try (client) {
+            client.setTcpNoDelay(true);
+            InputStream in = client.getInputStream();
+            while (!client.isClosed()) {
+                String path = HttpMessages.readLine(in).split(" ")[1];
+                Map<String, String> headers = HttpMessages.readHeaders(in);
+                HttpMessages.readBody(in, headers);
+                Call call = new Call(headers.getOrDefault("X-Attempt-Id", ""), headers, connection, client);
+                if (path.startsWith("/-/")) {
+                    call.write("HTTP/1.1 200 OK\r\nContent-Length: " + REPORT.length() + "\r\n\r\n" + REPORT);
+                } else {
+                    script.answer(call);
+                }
+            }
+        } catch (IOException | RuntimeException closed) {
+            // The entry or the script has closed the connection.
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        executor.shutdownNow();
+    }
+}
