End a silent attempt before its request is written to another target

What callers and operators saw: a target worked on a request for over 400 ms after another one had begun it.

Cause: two attempts of one request were open by design, and only a timer and the answers of the two targets ended one of them. An event loop that stands still runs no timer, and a first target that went on in time was kept, whatever it had left.

The request is written to the other target only once its connection is open, and the silent attempt is cancelled first, in the same step: HttpResponseListener.onSending is asked before the write. While the connection is being opened the first target may still go on, and keeps the request then. If the other target rejects the request, it may go back to the first one. No timer is involved, so that lateness of the event loop cannot break the order.

--- a/gateway/src/main/java/org/geraniumreach/gateway/port/TargetAnswerListener.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetAnswerListener.java
@@ -3,13 +3,19 @@
 /**
  * Receives a target's answer to one request.
  *
- * <p>Contract: either {@link #onNotExecuted} or {@link #onFailed} alone; or a head, any number of parts, then {@link #onEnd} or
+ * <p>Contract: {@link #onSending} if a connection is open, possibly from within the call; then either {@link #onNotExecuted} or {@link #onFailed} alone; or a head, any number of parts, then {@link #onEnd} or
  * {@link #onFailed}.
  */
 public interface TargetAnswerListener {
 
-    /** Called when the request is being sent over an open connection; before, it cannot have reached the target. */
-    default void onSent() {}
+    /**
+     * Called just before the request is written to an open connection; before, it cannot have reached the target.
+     *
+     * @return whether it may be written; if not, there are no further calls
+     */
+    default boolean onSending() {
+        return true;
+    }
 
     /**
      * Called if the target has not run the request and will not run it.
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -65,8 +65,11 @@
     /** Receives the events of an attempt; returning false for a head or part ends the attempt as failed. */
     interface Listener {
 
-        /** Called when the request is being sent over an open connection. */
-        void onSent();
+        /** Called just before the request is written to an open connection; returns whether it may be. */
+        boolean maySend();
+
+        /** Called when the attempt has ended since its request may not be written. */
+        void onForbidden();
 
         /** Called each time that the target has sent nothing for as long as the limit; the attempt goes on. */
         void onSilent(Silence silence);
@@ -127,7 +130,9 @@
         target.onRequestSent(promptTokens, sentAt);
         adapter().ifPresent(adapter -> services.adapters().onRequestSent(target, adapter));
         call = services.targets().send(target, request, envelope, maximumIdle, this);
-        restartSilenceTimer(silenceLimits.beforeFirstPart());
+        if (!ended) {
+            restartSilenceTimer(silenceLimits.beforeFirstPart());
+        }
     }
 
     private void restartSilenceTimer(Optional<Duration> limit) {
@@ -215,12 +220,20 @@
     }
 
     @Override
-    public void onSent() {
-        if (!ended) {
-            sent = true;
-            run.onWritten();
-            listener.onSent();
+    public boolean onSending() {
+        if (ended) {
+            return false;
+        }
+        if (!listener.maySend()) {
+            sending.onNotSent();
+            crashRun.onNotExecuted();
+            finish();
+            listener.onForbidden();
+            return false;
         }
+        sent = true;
+        run.onWritten();
+        return true;
     }
 
     @Override
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -25,9 +25,8 @@
 /**
  * Carries one request from its admission to its single final answer.
  *
- * <p>Invariants: at most one attempt is in progress, and beside it a silent one until another target has taken the
- * request over. An answer consists of the parts of one attempt at a time. After an attempt that a target may have begun,
- * another is made only if the request may run again, and on no more targets than the route allows. A stream is resumed
+ * <p>Invariants: at most one target works on the request; a silent attempt ends before the request is written to another one.
+ * An answer consists of the parts of one attempt at a time. After an attempt that a target may have begun, another is made only if the request may run again, and on no more targets than the route allows. A stream is resumed
  * only after the last complete event sent to the caller, at the software version that began it, under the head of its
  * first target. Confined to the event loop.
  */
@@ -50,6 +49,7 @@
     private Cancellable deadlineTimer = Cancellable.NOOP;
     private final RunningAttempts attempts;
     private Optional<FailureCause> lastFailure = Optional.empty();
+    private Optional<Target> leftTarget = Optional.empty();
     private boolean admitted;
     private boolean ended;
 
@@ -77,7 +77,7 @@
         this.terms = new SendTerms(services, request, history);
         this.steps = new SendSteps(services, request, new StepResults());
         choice.requiredVersion().ifPresent(steps.state()::requireVersion);
-        this.attempts = new RunningAttempts(services.timers(), this::onReplaced);
+        this.attempts = new RunningAttempts(this::onReplaced);
         this.arrivals = services.retryBudgets().receive(choice.service());
         this.relay = new AnswerRelay(answer, received.request().lastEvent(), services.answerMemory(), services.clock());
         this.log = new ExchangeLog(
@@ -153,6 +153,13 @@
         verdict.grounds().ifPresent(grounds -> log.logSuspectDecided(verdict.result(), grounds));
         retry.ifPresent(decision -> log.logRetried(decision, lastFailure, progress()));
         WriteDecision grounds = history.decide(target, attempts.current().map(Attempt::run));
+        if (!grounds.isPermitted()) {
+            log.logWriteForbidden(target, grounds);
+            giveUpUnlessAtTarget(
+                    "the request may not be written again",
+                    () -> giveUp(ResultCode.OUTCOME_UNKNOWN, "the request may not be written again"));
+            return;
+        }
         RunHistory.Run run = history.onSend(target);
         log.logPlaced(
                 send,
@@ -176,13 +183,13 @@
                 request.request(),
                 recording.isConfirmed() ? events : new HeldEvents(events, recording, events));
         events.attempt = newAttempt;
-        startBesidePredecessor(newAttempt);
+        addAttempt(newAttempt);
         newAttempt.start(
                 terms.metadata(target, relay.resumeAfterNumber()), terms.maximumIdle(target), terms.silenceLimits());
     }
 
-    /** Makes an attempt the current one, and keeps a silent one beside it until the other target has taken the request over. */
-    private void startBesidePredecessor(Attempt next) {
+    /** Makes an attempt the current one, and keeps a silent one until the request can be written to the other target. */
+    private void addAttempt(Attempt next) {
         Optional<Attempt> silent = attempts.current();
         attempts.add(next);
         // The record of a stream's origin names the version of the new target from now on.
@@ -191,14 +198,21 @@
                         .description()
                         .softwareVersion()
                         .equals(next.target().description().softwareVersion()))
-                .ifPresent(attempt -> attempts.endOverlap());
+                .ifPresent(attempt -> attempts.endPredecessor());
     }
 
     private void onReplaced(Attempt silent) {
+        leftTarget = Optional.of(silent.target());
         relay.discardAttempt();
         log.logAttemptFailed(silent.target(), FailureCause.SILENT, "the target is silent", relay.lastEventNumber());
     }
 
+    /** Allows the silent target again that the request was taken from, since the target that was to take it over has rejected it. */
+    private void includeLeftTarget() {
+        leftTarget.ifPresent(target -> steps.state().include(target.id()));
+        leftTarget = Optional.empty();
+    }
+
     /** Finds another target for a request whose current attempt is silent. */
     private void seekReplacement(FailureCause cause) {
         Target silent = attempts.current().orElseThrow().target();
@@ -328,8 +342,19 @@
         }
 
         @Override
-        public void onSent() {
-            attempts.onSent(attempt);
+        public boolean maySend() {
+            attempts.endPredecessor();
+            WriteDecision decision = history.decide(target, Optional.empty());
+            if (!decision.isPermitted()) {
+                log.logWriteForbidden(target, decision);
+            }
+            return decision.isPermitted();
+        }
+
+        @Override
+        public void onForbidden() {
+            attempts.remove(attempt);
+            giveUp(ResultCode.OUTCOME_UNKNOWN, "the request may not be written again");
         }
 
         @Override
@@ -364,6 +389,7 @@
                 services.registry().removeEnded(target);
             }
             if (!isAtAnotherTarget(FailureCause.of(reason))) {
+                includeLeftTarget();
                 retryOrGiveUp(FailureCause.of(reason), "not executed: " + reason);
             }
         }
@@ -393,7 +419,6 @@
         @Override
         public boolean onHead(TargetAnswerHead head) {
             takeBack();
-            attempts.endOverlap();
             return relay.onHead(head);
         }
 
@@ -546,6 +571,7 @@
             return;
         }
         ended = true;
+        history.onEnded();
         deadlineTimer.cancel();
         steps.stop();
         relay.release();
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -120,6 +120,14 @@
                 Field.of("retryInMillis", grounds.retryIn().toMillis()));
     }
 
+    void logWriteForbidden(Target target, WriteDecision decision) {
+        log.write(
+                EventCode.WRITE_FORBIDDEN,
+                id,
+                Field.of("target", target.id().value()),
+                Field.of("result", decision.result()));
+    }
+
     /** Logs a rejection; one that comes at once after a further write to the same target may be a copy of the one before. */
     void logNotExecuted(Target target, NotExecuted reason, Duration sinceStart, int writes) {
         log.write(
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/HeldEvents.java
@@ -59,8 +59,14 @@
     }
 
     @Override
-    public void onSent() {
-        listener.onSent();
+    public boolean maySend() {
+        return listener.maySend();
+    }
+
+    @Override
+    public void onForbidden() {
+        held.clear();
+        listener.onForbidden();
     }
 
     @Override
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RunningAttempts.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RunningAttempts.java
@@ -1,40 +1,29 @@
 package org.geraniumreach.gateway.request;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
-import org.geraniumreach.gateway.port.Cancellable;
-import org.geraniumreach.gateway.port.Timers;
-
 /**
- * The attempts of one request that have not ended: the current one, and while another target is taking the request over, its silent predecessor.
+ * The attempts of one request that have not ended: the current one, and while that waits for its connection, its silent predecessor.
  *
- * <p>Invariant: the predecessor is cancelled when the answer of the current attempt begins, and at the latest {@link #OVERLAP} after the request
- * was sent to the other target, so that two targets do not work on a request for longer. Confined to the event loop.
+ * <p>Invariant: the predecessor is cancelled before the request is written to the other target, so that at most one target works on the
+ * request, however late timers run. Confined to the event loop.
  */
 final class RunningAttempts {
 
-    /** Targets refuse a request within a few milliseconds; above 400 ms, two targets would count as working on it. */
-    static final Duration OVERLAP = Duration.ofMillis(200);
-
-    private final Timers timers;
     private final Consumer<Attempt> onReplaced;
     private Optional<Attempt> current = Optional.empty();
     private Optional<Attempt> predecessor = Optional.empty();
-    private Cancellable overlapEnd = Cancellable.NOOP;
 
     /**
      * Creates an instance without attempts.
      *
-     * @param timers schedules the end of the overlap, not null
      * @param onReplaced receives a predecessor that has been cancelled, not null
      */
-    RunningAttempts(Timers timers, Consumer<Attempt> onReplaced) {
-        this.timers = Objects.requireNonNull(timers, "timers");
+    RunningAttempts(Consumer<Attempt> onReplaced) {
         this.onReplaced = Objects.requireNonNull(onReplaced, "onReplaced");
     }
 
@@ -56,22 +45,13 @@
 
     /** Makes a new attempt the current one, and the attempt that was current its predecessor. */
     void add(Attempt next) {
-        endOverlap();
+        endPredecessor();
         predecessor = current;
         current = Optional.of(next);
     }
 
-    /** Called when an attempt's request is being sent, so that its target may begin at any time. */
-    void onSent(Attempt sent) {
-        if (isIn(current, sent) && predecessor.isPresent()) {
-            overlapEnd.cancel();
-            overlapEnd = timers.schedule(OVERLAP, this::endOverlap);
-        }
-    }
-
     /** Cancels the predecessor, if there is one. */
-    void endOverlap() {
-        overlapEnd.cancel();
+    void endPredecessor() {
         Optional<Attempt> replaced = predecessor;
         predecessor = Optional.empty();
         replaced.ifPresent(attempt -> {
@@ -89,7 +69,6 @@
 
     /** Removes an attempt that has ended; the predecessor of the current one becomes the current one again. */
     void remove(Attempt ended) {
-        overlapEnd.cancel();
         if (isIn(current, ended)) {
             current = predecessor;
         }
@@ -103,7 +82,6 @@
 
     /** Cancels and removes all attempts. */
     void cancelAll() {
-        overlapEnd.cancel();
         all().forEach(Attempt::cancel);
         predecessor = Optional.empty();
         current = Optional.empty();
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -160,12 +160,17 @@
         channel.close();
     }
 
+    /** Sends a call, unless its listener does not permit it; then the connection is closed. */
     void send(PendingCall newCall) {
+        newCall.setChannel(channel);
+        if (!newCall.startSending()) {
+            channel.close();
+            return;
+        }
         call = newCall;
         lastMatching = newCall.reuse().matching();
         informationalResponses = 0;
         discardedBytes = 0;
-        newCall.setChannel(channel);
         HttpCallRequest request = newCall.request();
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -182,7 +187,6 @@
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         }
         written = channel.writeAndFlush(message);
-        newCall.onSent();
     }
 
     private static boolean isBodiless(String method) {
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
@@ -3,13 +3,19 @@
 /**
  * Receives the response to a call.
  *
- * <p>Contract: called on the event loop when the request is being sent, with the head, any number of parts, then the end or a failure. A failure may come at any
+ * <p>Contract: called on the event loop before the request is written, with the head, any number of parts, then the end or a failure. A failure may come at any
  * time and is the last call. There are no calls after {@link HttpCall#cancel}, nor after a head whose body is discarded.
  */
 public interface HttpResponseListener {
 
-    /** Called when the request is being sent over an open connection. */
-    default void onSent() {}
+    /**
+     * Called just before the request is written to an open connection.
+     *
+     * @return whether it may be written; if not, its connection is closed and there are no further calls
+     */
+    default boolean onSending() {
+        return true;
+    }
 
     /**
      * Called when the status line and headers have been received.
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
@@ -51,10 +51,12 @@
         channel = newChannel;
     }
 
-    void onSent() {
-        if (!ended) {
-            listener.onSent();
+    /** Queries whether the request may be written now; a call that may not has ended. */
+    boolean startSending() {
+        if (!ended && !listener.onSending()) {
+            ended = true;
         }
+        return !ended;
     }
 
     void onHead(HttpResponseHead head) {
