Test answers that their target cuts off anywhere, also within the head

Another operator's targets stopped in the middle of their answer's head and closed, and callers got a 200 with an empty or short body that looked whole.

--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -176,6 +176,30 @@
         assertThat(nextOutcome()).isEqualTo("BROKEN");
     }
 
+    /** Guards against a response that is cut off anywhere, also within its head, and is taken for a whole one. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 12\r\n\r\nhello, hello",
+                "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSeal: s\r\n\r\n5;x=y\r\nhello\r\n0\r\nTrailer: t\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno",
+                "HTTP/1.1 200 OK\r\nFolded: a\r\n b\r\nContent-Length: 0\r\n\r\n"
+            })
+    void aResponseThatIsCutOffAnywhereIsBroken(String response) throws Exception {
+        for (int length = 0; length < response.length(); length++) {
+            for (boolean cutByReset : new boolean[] {false, true}) {
+                call();
+                accept();
+                readRequest();
+                write(response.substring(0, length));
+                accepted.setSoLinger(cutByReset, 0);
+                accepted.close();
+                assertThat(nextOutcome()).as("cut after %d bytes", length).isEqualTo(CallFailure.BROKEN.name());
+            }
+        }
+    }
+
     @Test
     void aCallOnARefusedConnectionIsNotSent() throws Exception {
         server.close();
