Refuse a single-run request that comes again under its id

A request that may run once only ran once for each time that it came to an entry, also if its caller sent it again under the same id, which names one attempt.

An entry knows the ids of single-run requests until their time is up, and answers a repeated one with an unknown outcome unless the first was refused.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -20,6 +20,7 @@
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
 import org.geraniumreach.gateway.traffic.Route;
+import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.ResultCode;
 
 /**
@@ -557,6 +558,14 @@
         return request.request().id();
     }
 
+    Optional<AccountId> accountId() {
+        return request.account().map(Account::id);
+    }
+
+    boolean mayHaveRun() {
+        return history.mayHaveRun();
+    }
+
     void onCallerGone() {
         if (ended) {
             return;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -34,6 +34,10 @@
 
     private static final Duration UNCONFIGURED_RETRY_AFTER = Duration.ofMillis(500);
 
+    /** Beside the first run or after it nothing more is known than that there may be one. */
+    private static final Refusal REPEATED =
+            Refusal.of(ResultCode.OUTCOME_UNKNOWN, "a request with this id has come before and may have run");
+
     private static final Refusal EXITING =
             Refusal.withRetryAfter(ResultCode.DRAINING, "this entry exits", Duration.ZERO);
 
@@ -51,6 +55,7 @@
     private final OutputLengths outputLengths = new OutputLengths();
     private final StartupQueue startupQueue;
     private final StreamResumption resumption;
+    private final SingleRunRequests singleRuns;
     private Optional<DrainRule> drainRule = Optional.empty();
 
     /**
@@ -69,6 +74,7 @@
         this.serviceDraw = Objects.requireNonNull(serviceDraw, "serviceDraw");
         this.startupQueue = new StartupQueue(services.timers());
         this.resumption = new StreamResumption(services);
+        this.singleRuns = new SingleRunRequests(services.clock());
         services.crashes().onRefused(() -> Set.copyOf(openExchanges.keySet()).forEach(Exchange::onRefusalsChanged));
     }
 
@@ -205,10 +211,15 @@
     }
 
     private Cancellable start(ReceivedRequest received, Route route, Optional<Account> account, ServiceChoice choice) {
+        GatewayRequest request = received.request();
+        Duration timeLimit = route.effectiveTimeout(request.callerTimeout());
+        if (!route.retryPolicy().allowsRerun()
+                && !singleRuns.tryBegin(account.map(Account::id), request.id(), timeLimit)) {
+            return refuse(request, received.answer(), REPEATED);
+        }
         Exchange exchange = new Exchange(services, received, route, choice, account, outputLengths, this::onEnded);
-        Duration overdue =
-                route.effectiveTimeout(received.request().callerTimeout()).plus(OVERDUE_MARGIN);
-        openExchanges.put(exchange, services.timers().schedule(overdue, () -> onOverdue(exchange)));
+        openExchanges.put(
+                exchange, services.timers().schedule(timeLimit.plus(OVERDUE_MARGIN), () -> onOverdue(exchange)));
         try {
             exchange.start();
         } catch (RuntimeException failure) {
@@ -219,6 +230,9 @@
     }
 
     private void onEnded(Exchange exchange) {
+        if (!exchange.mayHaveRun()) {
+            singleRuns.onEndedWithoutRun(exchange.accountId(), exchange.requestId());
+        }
         Cancellable overdueTimer = openExchanges.remove(exchange);
         if (overdueTimer != null) {
             overdueTimer.cancel();
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -440,6 +440,13 @@
         return receive(answer, key, generation, "request-" + requestCount, OptionalLong.empty(), Optional.empty());
     }
 
+    /** Sends a request under an id, and returns the recorded answer. */
+    public RecordedAnswer send(String key, String id) {
+        RecordedAnswer answer = new RecordedAnswer();
+        receive(answer, key, Optional.empty(), id, OptionalLong.empty(), Optional.empty());
+        return answer;
+    }
+
     /** Sends a request that takes up a stream, and returns the recorded answer. */
     public RecordedAnswer resume(String key, long lastEvent, Optional<String> firstAttempt) {
         RecordedAnswer answer = new RecordedAnswer();
