Hold a new software version until no entry can take the old one for the only one

Cause: a new version begins streams only after it has been known for 2.5 s, but did so at once if no other version accepted requests. An entry with rows younger than 2.5 s may still count on the old version as the only one then, and its targets may still answer.

The new version is held for that time in this case, too, unless the entry has seen no other version for as long. It is held no longer if the list of versions cannot be written, so that such a service is without new resumable streams for 2.5 s and one interval of reading at most.

--- a/gateway/src/main/java/org/geraniumreach/gateway/stream/ServiceVersions.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/stream/ServiceVersions.java
@@ -36,7 +36,7 @@
  *
  * <p>Intended for services that have one version for days and several during a release. The versions of a service are listed
  * in the store. A version that is not the first one begins streams only after it has been listed and known for {@link
- * #ADOPTION_DELAY}, and a service counts as having one version only while the targets' rows that show it are younger than
+ * #ADOPTION_DELAY}, or known for as long if no other version is left, and a service counts as having one version only while the targets' rows that show it are younger than
  * that. So an entry that does not know of a new version yet cannot take its streams for those of the old one, and an entry
  * that has just started learns from the list of versions that have left.
  *
@@ -202,34 +202,49 @@
     }
 
     /**
-     * Gets the versions of a service that may not begin streams yet. While no other version accepts requests, there are none.
+     * Gets the versions of a service that may not begin streams yet. If that leaves none that accepts requests, those may that this entry has
+     * known for {@link #ADOPTION_DELAY}, and all if it has not seen another version for as long.
      *
      * @param service the service, not null
      * @return the versions, not null
      */
     public Set<SoftwareVersion> heldVersions(String service) {
         KnownRow known = rows.get(service);
-        if (known == null || targetVersions(service).size() < 2) {
+        if (known == null || isFirstAlone(service, known.row())) {
             return Set.of();
         }
         Set<SoftwareVersion> accepting = new HashSet<>();
         registry.findByService(service).stream()
                 .filter(Target::acceptsRequests)
                 .forEach(target -> accepting.add(versionOf(target)));
-        if (accepting.size() < 2) {
-            return Set.of();
-        }
         Set<SoftwareVersion> held = new HashSet<>(accepting);
         held.removeIf(version -> isAdopted(service, version, known.row()));
-        return held.size() < accepting.size() ? held : Set.of();
+        if (held.size() == accepting.size()) {
+            held.removeIf(version -> hasBeenKnown(service, version) || !hasOtherBeenPresent(service, version));
+        }
+        return held;
+    }
+
+    private boolean isFirstAlone(String service, VersionRow row) {
+        return !row.versions().isEmpty() && Set.of(row.versions().get(0)).containsAll(targetVersions(service));
     }
 
     private boolean isAdopted(String service, SoftwareVersion version, VersionRow row) {
         int index = row.versions().indexOf(version);
-        return index == 0
-                || index > 0
-                        && clock.nanos() - firstSeen.get(new ServiceVersion(service, version))
-                                >= ADOPTION_DELAY.toNanos();
+        return index == 0 || index > 0 && hasBeenKnown(service, version);
+    }
+
+    /** Queries whether an entry that does not know a version, and has rows that are as recent as they must be, can exist no more. */
+    private boolean hasBeenKnown(String service, SoftwareVersion version) {
+        Long seenAt = firstSeen.get(new ServiceVersion(service, version));
+        return seenAt != null && clock.nanos() - seenAt >= ADOPTION_DELAY.toNanos();
+    }
+
+    private boolean hasOtherBeenPresent(String service, SoftwareVersion version) {
+        return lastPresent.entrySet().stream()
+                .filter(present -> present.getKey().service().equals(service)
+                        && !present.getKey().version().equals(version))
+                .anyMatch(present -> clock.nanos() - present.getValue() < MAXIMUM_ROW_AGE.toNanos());
     }
 
     /**
