Follow the tables of the store beside rows that cannot be read

What operators would see: another writer leaves one odd row in the entries' table, and all entries stop to follow that table, or their periodic work fails each time, without a line in the log. A row of the operator's table with a blank name did the same.

Cause: a row that could not be decoded was expected as one type of exception by each decoder. Any other one left the callback of the page, whose reader had ended its call and not yet scheduled the next one; the HTTP client took the exception for a failure of a call that had ended, and logged nothing. A row of an entry without a name was accepted, and made each use of the links fail. An entry's row with a text that is no address was looked up by its name, which blocks the event loop.

Names in rows of the entries' table are checked where they are read, whole numbers must fit, and an address must be one. Each change of an unreadable row writes one line of bounded length; a gauge tells how many there are.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/HolderRow.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/HolderRow.java
@@ -3,6 +3,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.geraniumreach.model.Names;
+
 /**
  * A stored row that names the entry that owns a target; the row's version is the owner's fencing token.
  *
@@ -34,7 +36,7 @@
      */
     public static Optional<HolderRow> parse(String text) {
         String[] fields = text.split(" ");
-        if (fields.length != 2 || fields[0].isEmpty() || !fields[1].matches("-?\\d{1,18}")) {
+        if (fields.length != 2 || !Names.isName(fields[0]) || !fields[1].matches("-?\\d{1,18}")) {
             return Optional.empty();
         }
         return Optional.of(new HolderRow(fields[0], Long.parseLong(fields[1])));
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetUpdates.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetUpdates.java
@@ -4,10 +4,8 @@
 import java.util.List;
 import java.util.Objects;
 
-import org.geraniumreach.gateway.port.DecisionLog;
-import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.StorePort;
-import org.geraniumreach.model.EventCode;
+import org.geraniumreach.gateway.store.UnreadableRows;
 
 /**
  * Applies changes of the target rows in the store to the registry.
@@ -18,17 +16,17 @@
 public final class TargetUpdates {
 
     private final TargetRegistry registry;
-    private final DecisionLog log;
+    private final UnreadableRows unreadableRows;
 
     /**
      * Creates an updater of a registry.
      *
      * @param registry the registry to update, not null
-     * @param log the decision log, not null
+     * @param unreadableRows records the rows that cannot be read, not null
      */
-    public TargetUpdates(TargetRegistry registry, DecisionLog log) {
+    public TargetUpdates(TargetRegistry registry, UnreadableRows unreadableRows) {
         this.registry = Objects.requireNonNull(registry, "registry");
-        this.log = Objects.requireNonNull(log, "log");
+        this.unreadableRows = Objects.requireNonNull(unreadableRows, "unreadableRows");
     }
 
     /**
@@ -66,6 +64,6 @@
 
     /** A damaged row, or one of another writer, is logged and skipped; the other rows are applied. */
     private void logUnreadable(StorePort.TargetItem.Unreadable unreadable) {
-        log.write(EventCode.ROW_UNREADABLE, unreadable.key(), Field.of("reason", unreadable.reason()));
+        unreadableRows.record(StorePort.Table.TARGETS, unreadable.key(), unreadable.reason());
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/quota/ShareRow.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/quota/ShareRow.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.geraniumreach.model.Names;
+
 /**
  * The stored row of one account: the parts of its rate that each entry has, and the additional parts that it wants.
  *
@@ -133,7 +135,9 @@
         try {
             for (String line : text.lines().toList()) {
                 String[] words = line.split(" ");
-                shares.put(words[0], new Share(Integer.parseInt(words[1]), Integer.parseInt(words[2])));
+                shares.put(
+                        Names.requireName("instance", words[0]),
+                        new Share(Integer.parseInt(words[1]), Integer.parseInt(words[2])));
             }
             return Optional.of(new ShareRow(shares));
         } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException unreadable) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
@@ -10,9 +10,11 @@
 import java.util.function.Function;
 
 import org.geraniumreach.gateway.port.Cancellable;
+import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.port.StoreReply;
 import org.geraniumreach.gateway.port.Timers;
+import org.geraniumreach.gateway.port.UnexpectedFailure;
 import org.geraniumreach.model.MonotonicClock;
 
 /**
@@ -79,9 +81,17 @@
      * @param clock the steady clock
      * @param storeClock converts times of the store's clock
      * @param relay publishes updates to other entries
+     * @param unreadable records the rows that cannot be read
+     * @param log receives the log entries
      */
     public record Context(
-            StorePort store, Timers timers, MonotonicClock clock, StoreClock storeClock, FeedRelay relay) {
+            StorePort store,
+            Timers timers,
+            MonotonicClock clock,
+            StoreClock storeClock,
+            FeedRelay relay,
+            UnreadableRows unreadable,
+            DecisionLog log) {
 
         public Context {
             Objects.requireNonNull(store, "store");
@@ -89,6 +99,8 @@
             Objects.requireNonNull(clock, "clock");
             Objects.requireNonNull(storeClock, "storeClock");
             Objects.requireNonNull(relay, "relay");
+            Objects.requireNonNull(unreadable, "unreadable");
+            Objects.requireNonNull(log, "log");
         }
     }
 
@@ -227,12 +239,32 @@
         context.relay().publish(new FeedUpdate.Unreachable(table, reason));
     }
 
+    /** Decodes a row; one that cannot be decoded must not keep the others from being followed. */
+    private Optional<T> decode(StorePort.StoredRow row) {
+        context.unreadable().forget(table, row.key());
+        try {
+            return decoder.apply(row);
+        } catch (RuntimeException undecodable) {
+            context.unreadable().record(table, row.key(), undecodable.toString());
+            return Optional.empty();
+        }
+    }
+
+    /** Passes an update on; the table is followed further if that fails. */
+    private void notifyListener(StorePort.TableUpdate<T> update) {
+        try {
+            listener.accept(update);
+        } catch (RuntimeException failure) {
+            UnexpectedFailure.log(context.log(), table.name(), failure);
+        }
+    }
+
     private boolean applyPage(StorePort.Page page) {
         long knownVersion = version();
         List<T> items = new ArrayList<>();
         for (StorePort.StoredRow row : page.rows()) {
             if (page.snapshot() || row.version() > knownVersion) {
-                decoder.apply(row).ifPresent(items::add);
+                decode(row).ifPresent(items::add);
             }
         }
         long newVersion = Math.max(knownVersion, page.version());
@@ -240,7 +272,7 @@
         position = new StorePort.Position(Optional.of(newVersion), required ? timing.longPollWait() : Duration.ZERO);
         boolean changed = page.snapshot() || !items.isEmpty();
         if (changed) {
-            listener.accept(new StorePort.TableUpdate<>(items, newVersion, page.snapshot()));
+            notifyListener(new StorePort.TableUpdate<>(items, newVersion, page.snapshot()));
         }
         long readingTime = context.storeClock().toLocalNanos(page.storeMillis());
         readAt = OptionalLong.of(Math.max(readingTime, readAt.orElse(readingTime)));
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/OwnerFleet.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/OwnerFleet.java
@@ -21,6 +21,7 @@
 import org.geraniumreach.gateway.store.LeaseRenewer;
 import org.geraniumreach.gateway.store.StoreAvailability;
 import org.geraniumreach.gateway.store.StoreClock;
+import org.geraniumreach.gateway.store.UnreadableRows;
 import org.geraniumreach.gateway.testing.VirtualTime;
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.table.Row;
@@ -194,7 +195,13 @@
                     availability,
                     FLEET_TIMING,
                     new FeedReader.Context(
-                            this, this::schedule, this::nanos, new StoreClock(this::nanos), new NoRelay()));
+                            this,
+                            this::schedule,
+                            this::nanos,
+                            new StoreClock(this::nanos),
+                            new NoRelay(),
+                            new UnreadableRows((event, id, fields) -> {}),
+                            (event, id, fields) -> {}));
             this.ownership.term().setTableVersion(feed::version);
             this.renewer = new LeaseRenewer(lease, this, this::schedule, availability, name, 1, this::onRenewed);
         }
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetUpdatesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/TargetUpdatesTest.java
@@ -8,6 +8,7 @@
 
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.port.StorePort.TargetItem;
+import org.geraniumreach.gateway.store.UnreadableRows;
 import org.geraniumreach.gateway.testing.VirtualTime;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.FailureDomain;
@@ -23,7 +24,8 @@
 
     private final TargetRegistry registry = new TargetRegistry(new VirtualTime());
     private final List<EventCode> logged = new ArrayList<>();
-    private final TargetUpdates updates = new TargetUpdates(registry, (event, subject, fields) -> logged.add(event));
+    private final TargetUpdates updates =
+            new TargetUpdates(registry, new UnreadableRows((event, subject, fields) -> logged.add(event)));
 
     private static TargetItem present() {
         return new TargetItem.Present(new TargetDescription(
--- a/gateway/src/test/java/org/geraniumreach/gateway/store/FeedReaderTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/store/FeedReaderTest.java
@@ -6,11 +6,13 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.port.StoreReply;
 import org.geraniumreach.gateway.testing.VirtualTime;
+import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.table.Transaction;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,6 +34,10 @@
     private final List<String> receivedItems = new ArrayList<>();
     private final List<FeedUpdate> published = new ArrayList<>();
     private final StoreAvailability availability = new StoreAvailability(time, (event, id, fields) -> {}, "");
+    private final List<EventCode> logged = new ArrayList<>();
+    private final UnreadableRows unreadable = new UnreadableRows((event, id, fields) -> logged.add(event));
+    private Function<StorePort.StoredRow, Optional<String>> decoder = StorePort.StoredRow::value;
+    private Runnable afterItems = () -> {};
     private FeedReader<String> reader;
     private boolean isReader = true;
     private Runnable onProgress = () -> {};
@@ -52,11 +58,21 @@
         };
         reader = new FeedReader<>(
                 TABLE,
-                StorePort.StoredRow::value,
-                changes -> receivedItems.addAll(changes.items()),
+                row -> decoder.apply(row),
+                changes -> {
+                    receivedItems.addAll(changes.items());
+                    afterItems.run();
+                },
                 availability,
                 TIMING,
-                new FeedReader.Context(new RecordingStore(), time, time, new StoreClock(time), relay));
+                new FeedReader.Context(
+                        new RecordingStore(),
+                        time,
+                        time,
+                        new StoreClock(time),
+                        relay,
+                        unreadable,
+                        (event, id, fields) -> logged.add(event)));
         reader.read();
     }
 
@@ -135,6 +151,46 @@
         assertThat(read).hasValue(2);
     }
 
+    /** Guards against a row that cannot be decoded, after which the table is not followed any more. */
+    @Test
+    void aRowThatCannotBeDecodedIsLeftOutUntilItChanges() {
+        decoder = row -> {
+            if (row.key().equals("odd") && row.version() == 8) {
+                throw new IllegalStateException("odd");
+            }
+            return row.value();
+        };
+        reply(pageReply("a", 7));
+        time.advance(Duration.ofMillis(200));
+        reply(new StoreReply.Value<>(new StorePort.Page(
+                List.of(
+                        new StorePort.StoredRow("odd", 8, Optional.of("odd")),
+                        new StorePort.StoredRow("b", 8, Optional.of("b"))),
+                8,
+                false,
+                storeMillis())));
+        assertThat(unreadable.count()).isEqualTo(1);
+        assertThat(logged).containsExactly(EventCode.ROW_UNREADABLE);
+        time.advance(Duration.ofMillis(200));
+        reply(pageReply("odd", 9));
+        assertThat(receivedItems).containsExactly("a", "b", "odd");
+        assertThat(unreadable.count()).isZero();
+    }
+
+    /** Guards against a failure to apply an update, after which the table is not followed any more. */
+    @Test
+    void aTableIsFollowedAfterAnUpdateThatCannotBeApplied() {
+        afterItems = () -> {
+            throw new IllegalStateException("cannot be applied");
+        };
+        reply(pageReply("a", 7));
+        time.advance(Duration.ofMillis(200));
+        assertThat(logged).containsExactly(EventCode.UNEXPECTED_FAILURE);
+        afterItems = () -> {};
+        reply(pageReply("b", 8));
+        assertThat(receivedItems).containsExactly("a", "b");
+    }
+
     @Test
     void continuesFromTheLastVersion() {
         reply(pageReply("a", 7));
--- a/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryDirectory.java
@@ -23,6 +23,7 @@
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.gateway.store.LeaseRenewer;
 import org.geraniumreach.gateway.store.StoreAvailability;
+import org.geraniumreach.gateway.store.UnreadableRows;
 import org.geraniumreach.gateway.stream.ServiceVersions;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
@@ -60,6 +61,7 @@
     private final Timers timers;
     private final MonotonicClock clock;
     private final StoreAvailability availability;
+    private final UnreadableRows unreadableRows;
     private final DecisionLog log;
     private final Map<String, EntryRow> entryRows = new HashMap<>();
     private final Map<String, Double> capacities = new HashMap<>();
@@ -88,6 +90,7 @@
             Timers timers,
             MonotonicClock clock,
             StoreAvailability availability,
+            UnreadableRows unreadableRows,
             DecisionLog log) {}
 
     EntryDirectory(ProcessSettings settings, long incarnation, Dependencies dependencies) {
@@ -103,6 +106,7 @@
         this.timers = dependencies.timers();
         this.clock = dependencies.clock();
         this.availability = dependencies.availability();
+        this.unreadableRows = dependencies.unreadableRows();
         this.log = dependencies.log();
         this.startedAt = clock.nanos();
     }
@@ -161,12 +165,21 @@
     void onTableUpdate(StorePort.TableUpdate<RowChange> update) {
         tableRead = true;
         for (RowChange change : update.items()) {
-            applyRow(change.key(), change.row());
+            tryApplyRow(change.key(), change.row());
         }
         updateLinks();
         coordinator.refresh();
     }
 
+    /** Applies a row, which may be one of another writer. */
+    private void tryApplyRow(String key, Optional<Row> row) {
+        try {
+            applyRow(key, row);
+        } catch (IllegalArgumentException unreadable) {
+            unreadableRows.record(StorePort.Table.FLEET, key, String.valueOf(unreadable.getMessage()));
+        }
+    }
+
     private void applyRow(String key, Optional<Row> row) {
         if (TargetOwnership.isHolderRow(key)) {
             ownership.updateHolder(key, row);
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -61,6 +61,7 @@
 import org.geraniumreach.gateway.store.LeaseRenewer;
 import org.geraniumreach.gateway.store.StoreAvailability;
 import org.geraniumreach.gateway.store.StoreClock;
+import org.geraniumreach.gateway.store.UnreadableRows;
 import org.geraniumreach.gateway.stream.ResumableStreams;
 import org.geraniumreach.gateway.stream.ServiceVersions;
 import org.geraniumreach.gateway.traffic.ServiceDefinition;
@@ -111,6 +112,7 @@
     /** Availability of the targets' rows alone: while only writes fail, a missing row still means that the target has left. */
     private final StoreAvailability targetRowsAvailability;
 
+    private final UnreadableRows unreadableRows;
     private final TargetUpdates targetUpdates;
     private final AnswerMemory answerMemory =
             AnswerMemory.ofHeap(Runtime.getRuntime().maxMemory());
@@ -175,7 +177,8 @@
         this.timers = new EventLoopTimers(loop, log);
         this.storeAvailability = new StoreAvailability(clock, log, "");
         this.targetRowsAvailability = new StoreAvailability(clock, log, "targets");
-        this.targetUpdates = new TargetUpdates(registry, log);
+        this.unreadableRows = new UnreadableRows(log);
+        this.targetUpdates = new TargetUpdates(registry, unreadableRows);
         this.ownership = new TargetOwnership(settings.instance(), incarnation, lease, clock);
         this.quotas = new Quotas(settings.instance(), lease, settings.quotaTolerance(), clock, log);
         this.quotaAdmission = new QuotaAdmission(quotas, this::requestUnits, timers, clock, new Random());
@@ -390,6 +393,7 @@
     /** Starts the metrics server; a failure is only logged, since callers can be served without it and monitoring notices its absence. */
     private void serveMetrics(int port) {
         metrics.gauge("geraniumreach.requests.open", "Requests read or answered now.", () -> ingress.openRequests());
+        metrics.gauge("geraniumreach.rows.unreadable", "Rows of the store that cannot be read.", unreadableRows::count);
         metrics.gauge("geraniumreach.configuration.version", "The version in force, 0 for none.", () -> configuration
                 .map(TrafficConfiguration::version)
                 .orElse(0L));
@@ -468,6 +472,7 @@
                         timers,
                         clock,
                         storeAvailability,
+                        unreadableRows,
                         log));
         leaseRenewer = new LeaseRenewer(
                 lease, store, timers, storeAvailability, settings.instance(), incarnation, this::onLeaseRenewed);
@@ -561,7 +566,9 @@
                 timers,
                 clock,
                 new StoreClock(clock),
-                new DomainRelay(settings.instance(), links, directory::capacity));
+                new DomainRelay(settings.instance(), links, directory::capacity),
+                unreadableRows,
+                log);
         feeds = new StoreFeeds(
                 context,
                 storeAvailability,
@@ -584,7 +591,7 @@
             } else if (item instanceof StorePort.OperatorItem.AdapterVersion named) {
                 coordinator.versions().update(named.adapter(), named.version(), feeds.operatorReadAt());
             } else if (item instanceof StorePort.OperatorItem.Unreadable unreadable) {
-                log.write(EventCode.ROW_UNREADABLE, unreadable.key(), Field.of("reason", unreadable.reason()));
+                unreadableRows.record(StorePort.Table.OPERATOR, unreadable.key(), unreadable.reason());
             }
         }
     }
--- a/node/src/main/java/org/geraniumreach/node/EntryRow.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryRow.java
@@ -6,6 +6,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import io.netty.util.NetUtil;
+import org.geraniumreach.model.InstanceId;
 import org.geraniumreach.model.table.RowKey;
 
 /**
@@ -32,8 +34,13 @@
         return RowKey.of(table, PREFIX + instance);
     }
 
+    /**
+     * Gets the entry that a row is about.
+     *
+     * @throws IllegalArgumentException if the key names none
+     */
     static String instance(String key) {
-        return key.substring(PREFIX.length());
+        return InstanceId.of(key.substring(PREFIX.length())).value();
     }
 
     String toText() {
@@ -44,7 +51,8 @@
     static Optional<EntryRow> parse(String text) {
         String[] words = text.split(" ");
         try {
-            boolean isAddress = words.length == 3 && words[0].matches("[0-9.]{7,15}");
+            // The address of a text that is no address would be looked up by its name.
+            boolean isAddress = words.length == 3 && NetUtil.isValidIpV4Address(words[0]);
             return isAddress
                     ? Optional.of(new EntryRow(
                             new InetSocketAddress(InetAddress.getByName(words[0]), Integer.parseInt(words[1])),
--- a/node/src/main/java/org/geraniumreach/node/SuspectRows.java
+++ b/node/src/main/java/org/geraniumreach/node/SuspectRows.java
@@ -37,6 +37,9 @@
 
     private static final char SEPARATOR = ' ';
 
+    /** Longer than any refusal lasts. */
+    private static final Duration MAXIMUM_AGE = Duration.ofDays(1);
+
     private final CrashGuard guard;
     private final SuspectMessages messages;
     private final LongSupplier wallClockMillis;
@@ -112,7 +115,8 @@
             long writtenAt = Long.parseLong(text.substring(0, Math.max(0, separator)));
             SuspectUpdates message =
                     SuspectUpdates.parseFrom(Base64.getDecoder().decode(text.substring(separator + 1)));
-            Duration age = Duration.ofMillis(Math.max(0, wallClockMillis.getAsLong() - writtenAt));
+            Duration age = Duration.ofMillis(
+                    Math.max(0, Math.min(wallClockMillis.getAsLong() - writtenAt, MAXIMUM_AGE.toMillis())));
             return messages.fromMessage(message, age);
         } catch (IllegalArgumentException | InvalidProtocolBufferException malformed) {
             return List.of();
--- a/node/src/test/java/org/geraniumreach/node/FakePlatform.java
+++ b/node/src/test/java/org/geraniumreach/node/FakePlatform.java
@@ -366,6 +366,11 @@
         configure(CONFIGURATION.replace(limit + DEFAULT_MAXIMUM_CONNECTIONS, limit + maximumConnections));
     }
 
+    /** Writes a row of any table, as another writer may. */
+    void putRow(String table, String key, String value) {
+        store.put(table, key, value);
+    }
+
     /** Replaces the configuration. */
     void configure(String configuration) {
         store.put("op", "config", configuration);
