Write a request once if the connection to its silent target opens late

An attempt can count as silent while its connection is being opened, if its request has little time. If that connection opened while the one to the next target was being opened as well, the attempt cancelled itself and was recorded as an open run that was never written, so that the request could not be written to the other target either. The attempt whose connection opens first keeps the request now, and the other one is cancelled.

HttpConnectionsTest holds that a call that is cancelled, or not permitted, as its connection opens is not written.

--- a/gateway/src/main/java/org/geraniumreach/gateway/port/TargetAnswerListener.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetAnswerListener.java
@@ -3,8 +3,8 @@
 /**
  * Receives a target's answer to one request.
  *
- * <p>Contract: {@link #onSending} if a connection is open, possibly from within the call; then either {@link #onNotExecuted} or {@link #onFailed} alone; or a head, any number of parts, then {@link #onEnd} or
- * {@link #onFailed}.
+ * <p>Contract: {@link #onSending} once a connection is open, possibly from within the call that sends the request; then either
+ * {@link #onNotExecuted} or {@link #onFailed} alone; or a head, any number of parts, then {@link #onEnd} or {@link #onFailed}.
  */
 public interface TargetAnswerListener {
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -27,8 +27,9 @@
  * Carries one request from its admission to its single final answer.
  *
  * <p>Invariants: at most one target works on the request; a silent attempt ends before the request is written to another one.
- * An answer consists of the parts of one attempt at a time. After an attempt that a target may have begun, another is made only if the request may run again, and on no more targets than the route allows. A stream is resumed
- * only after the last complete event sent to the caller, at the software version that began it, under the head of its
+ * An answer consists of the parts of one attempt at a time. After an attempt that a target may have begun, another is made only
+ * if the request may run again, and on no more targets than the route allows. A stream is resumed only after the last complete
+ * event sent to the caller, at the software version that began it, under the head of its
  * first target. Confined to the event loop.
  */
 final class Exchange {
@@ -344,7 +345,7 @@
 
         @Override
         public boolean maySend() {
-            attempts.endPredecessor();
+            attempts.keepOnly(attempt);
             WriteDecision decision = history.decide(target, Optional.empty());
             if (!decision.isPermitted()) {
                 log.logWriteForbidden(target, decision);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RunningAttempts.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RunningAttempts.java
@@ -9,8 +9,8 @@
 /**
  * The attempts of one request that have not ended: the current one, and while that waits for its connection, its silent predecessor.
  *
- * <p>Invariant: the predecessor is cancelled before the request is written to the other target, so that at most one target works on the
- * request, however late timers run. Confined to the event loop.
+ * <p>Invariant: one of them is cancelled before the request is written for the other, so that at most one target works on the request,
+ * however late timers run. Confined to the event loop.
  */
 final class RunningAttempts {
 
@@ -60,6 +60,15 @@
         });
     }
 
+    /** Cancels the other attempt, if there is one, since the request is about to be written for the given one. */
+    void keepOnly(Attempt kept) {
+        if (isPredecessor(kept)) {
+            takeBack();
+        } else {
+            endPredecessor();
+        }
+    }
+
     /** Cancels the current attempt and makes its predecessor the current one again. */
     void takeBack() {
         Attempt cancelled = current.orElseThrow();
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
@@ -196,6 +196,30 @@
         assertThat(world.openExchanges()).isZero();
     }
 
+    /** Guards against a request that two targets get, or none, if the connections to both are opened late. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aRequestIsWrittenToTheTargetThatIsReachedFirst(boolean silentIsReachedFirst) {
+        RequestHarness world = new RequestHarness(AMPLE_RETRIES);
+        world.startWithRoute(RetryPolicy.IDEMPOTENT, MAXIMUM_TARGETS)
+                .addTarget("a")
+                .addTarget("b");
+        world.targets().setConnecting(false);
+        RecordedAnswer answer = world.send();
+        world.time().advance(RequestHarness.TIMEOUT.dividedBy(2));
+        List<SentRequest> sent = world.targets().sentRequests();
+        assertThat(sent).hasSizeGreaterThanOrEqualTo(2);
+        List<SentRequest> open = world.targets().openRequests();
+        SentRequest reached = open.get(silentIsReachedFirst ? 0 : open.size() - 1);
+        reached.connect();
+        List.copyOf(sent).forEach(SentRequest::connect);
+        assertThat(sent).filteredOn(SentRequest::isWritten).containsExactly(reached);
+        reached.answerHead(200, false);
+        reached.answerPart("whole");
+        reached.endAnswer();
+        assertThat(answer.isComplete()).isTrue();
+    }
+
     /** Guards against events of two targets in one answer. */
     @Test
     void aTargetThatGoesOnAfterTheOtherHasTheRequestIsNotHeard() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
@@ -63,11 +63,14 @@
 
         /** Opens the connection, so that the request is written if it may be. */
         public void connect() {
+            if (written || !isOpen()) {
+                return;
+            }
             boolean permitted = listener.onSending();
             workingBeside = sentRequests.stream()
                     .filter(sent -> sent != this && sent.written && sent.isOpen())
                     .count();
-            written = permitted;
+            written = permitted && isOpen();
             ended |= !permitted;
         }
 
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -223,6 +224,34 @@
     }
 
     // Guards against giving the next call a surplus response that the server sent on the idle connection.
+    /** Guards against a request that is written though its call has been cancelled or is not permitted any more. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aCallThatEndsAsItsConnectionOpensIsNotWritten(boolean cancelled) throws Exception {
+        group.next().execute(() -> {
+            HttpCall call = connections.send(
+                    address(),
+                    GET,
+                    new ConnectionReuse(MAX_IDLE_TIME, () -> maxIdleConnections, ResponseMatching.BY_LISTENER),
+                    new OutcomeRecorder() {
+                        @Override
+                        public boolean onSending() {
+                            return cancelled;
+                        }
+                    });
+            if (cancelled) {
+                call.cancel();
+            }
+        });
+        try {
+            accept();
+            assertThat(accepted.getInputStream().read()).isEqualTo(-1);
+        } catch (SocketException | SocketTimeoutException neverOpened) {
+            assertThat(cancelled).isTrue();
+        }
+        assertThat(outcomes).isEmpty();
+    }
+
     /** Guards against a call that needs a new connection, and is sent on one that has become idle at the same moment. */
     @Test
     void aCallWithoutReuseOpensAConnectionThoughNoTimeHasPassed() throws Exception {
