Answer quickly whether versions are held when the only one left is adopted

Each placement of a resumable stream asks. After a release the list names the old version for five minutes, and the quick answer was given only for the first one listed.

--- a/gateway/src/main/java/org/geraniumreach/gateway/stream/ServiceVersions.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/stream/ServiceVersions.java
@@ -36,7 +36,8 @@
  *
  * <p>Intended for services that have one version for days and several during a release. The versions of a service are listed
  * in the store. A version that is not the first one begins streams only after it has been listed and known for {@link
- * #ADOPTION_DELAY}, or known for as long if no other version is left, and a service counts as having one version only while the targets' rows that show it are younger than
+ * #ADOPTION_DELAY}, or known for as long if no other version is left. A service counts as having one version only while the
+ * targets' rows that show it are younger than
  * that. So an entry that does not know of a new version yet cannot take its streams for those of the old one, and an entry
  * that has just started learns from the list of versions that have left.
  *
@@ -210,7 +211,7 @@
      */
     public Set<SoftwareVersion> heldVersions(String service) {
         KnownRow known = rows.get(service);
-        if (known == null || isFirstAlone(service, known.row())) {
+        if (known == null || isOnlyAdopted(service, known.row())) {
             return Set.of();
         }
         Set<SoftwareVersion> accepting = new HashSet<>();
@@ -225,8 +226,10 @@
         return held;
     }
 
-    private boolean isFirstAlone(String service, VersionRow row) {
-        return !row.versions().isEmpty() && Set.of(row.versions().get(0)).containsAll(targetVersions(service));
+    /** Queries the usual case quickly, as each placement asks. */
+    private boolean isOnlyAdopted(String service, VersionRow row) {
+        Set<SoftwareVersion> present = targetVersions(service);
+        return present.size() == 1 && isAdopted(service, present.iterator().next(), row);
     }
 
     private boolean isAdopted(String service, SoftwareVersion version, VersionRow row) {
