--- a/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/SilentTargetTest.java
@@ -47,6 +47,13 @@
                         .map(millis -> Arguments.of(policy, place, millis))));
     }
 
+    private static RequestHarness twoTargets(RetryPolicy policy) {
+        return new RequestHarness(AMPLE_RETRIES)
+                .startWithRoute(policy, MAXIMUM_TARGETS)
+                .addTarget("a")
+                .addTarget("b");
+    }
+
     private static void answer(SentRequest sent, Place place, boolean stream, Runnable silence) {
         pauseAt(Place.BEFORE_HEAD, place, silence);
         sent.answerHead(200, stream);
@@ -135,10 +142,7 @@
     /** Guards against an answer that ends since the target that was to take it over cannot be reached. */
     @Test
     void anAnswerGoesOnAtItsTargetIfNoOtherCanBeReached() {
-        RequestHarness world = new RequestHarness(AMPLE_RETRIES);
-        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
-                .addTarget("a")
-                .addTarget("b");
+        RequestHarness world = twoTargets(RetryPolicy.RESUMABLE_STREAM);
         BegunStream stream = BegunStream.start(world);
         SentRequest first = stream.sent();
         world.targets().setConnecting(false);
@@ -156,10 +160,7 @@
     /** Guards against an answer that ends since the target that was to take it over refuses it. */
     @Test
     void anAnswerReturnsToItsTargetIfTheOtherRefusesIt() {
-        RequestHarness world = new RequestHarness(AMPLE_RETRIES);
-        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
-                .addTarget("a")
-                .addTarget("b");
+        RequestHarness world = twoTargets(RetryPolicy.RESUMABLE_STREAM);
         BegunStream stream = BegunStream.start(world);
         SentRequest first = stream.sent();
         world.time().advance(Duration.ofMillis(1_201));
@@ -179,10 +180,7 @@
     /** Guards against an answer that is begun anew elsewhere although its target goes on before the other one could begin it. */
     @Test
     void aTargetThatGoesOnBeforeTheOtherIsReachedKeepsItsRequest() {
-        RequestHarness world = new RequestHarness(AMPLE_RETRIES);
-        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
-                .addTarget("a")
-                .addTarget("b");
+        RequestHarness world = twoTargets(RetryPolicy.RESUMABLE_STREAM);
         BegunStream stream = BegunStream.start(world);
         SentRequest first = stream.sent();
         world.targets().setConnecting(false);
@@ -200,10 +198,7 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aRequestIsWrittenToTheTargetThatIsReachedFirst(boolean silentIsReachedFirst) {
-        RequestHarness world = new RequestHarness(AMPLE_RETRIES);
-        world.startWithRoute(RetryPolicy.IDEMPOTENT, MAXIMUM_TARGETS)
-                .addTarget("a")
-                .addTarget("b");
+        RequestHarness world = twoTargets(RetryPolicy.IDEMPOTENT);
         world.targets().setConnecting(false);
         RecordedAnswer answer = world.send();
         world.time().advance(RequestHarness.TIMEOUT.dividedBy(2));
@@ -223,10 +218,7 @@
     /** Guards against events of two targets in one answer. */
     @Test
     void aTargetThatGoesOnAfterTheOtherHasTheRequestIsNotHeard() {
-        RequestHarness world = new RequestHarness(AMPLE_RETRIES);
-        world.startWithRoute(RetryPolicy.RESUMABLE_STREAM, MAXIMUM_TARGETS)
-                .addTarget("a")
-                .addTarget("b");
+        RequestHarness world = twoTargets(RetryPolicy.RESUMABLE_STREAM);
         BegunStream stream = BegunStream.start(world);
         SentRequest first = stream.sent();
         world.time().advance(Duration.ofMillis(1_201));
--- a/gateway/src/test/java/org/geraniumreach/gateway/stream/OutOfStepEntryTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/stream/OutOfStepEntryTest.java
@@ -83,14 +83,7 @@
     void aStreamNeverGoesOnAtAnotherVersionAtAnEntryOutOfStep(
             int entries, Disturbance disturbance, boolean cutFromEntries, OldVersion old) {
         for (long beforeMillis = 0; beforeMillis <= 3_000; beforeMillis += 250) {
-            begun.clear();
-            SimulatedEntries world = new SimulatedEntries(entries);
-            put(world, OLD);
-            world.advance(Duration.ofSeconds(5).plusMillis(7));
-            if (cutFromEntries) {
-                cut(world);
-            }
-            disturbance.begin.accept(world.entry(OUT_OF_STEP));
+            SimulatedEntries world = disturbedWorld(entries, disturbance, cutFromEntries);
             if (old == OldVersion.LEAVES_BEFORE) {
                 remove(world, OLD);
             }
@@ -118,14 +111,7 @@
     void aStreamNeverGoesOnAtAnotherVersionAtAnEntryThatGoesOn(
             int entries, Disturbance disturbance, boolean cutFromEntries, OldVersion old) {
         for (long sinceNewMillis = 0; sinceNewMillis <= 2_500; sinceNewMillis += 100) {
-            begun.clear();
-            SimulatedEntries world = new SimulatedEntries(entries);
-            put(world, OLD);
-            world.advance(Duration.ofSeconds(5).plusMillis(7));
-            if (cutFromEntries) {
-                cut(world);
-            }
-            disturbance.begin.accept(world.entry(OUT_OF_STEP));
+            SimulatedEntries world = disturbedWorld(entries, disturbance, cutFromEntries);
             if (old != OldVersion.STAYS) {
                 remove(world, OLD);
             }
@@ -139,6 +125,18 @@
         }
     }
 
+    private SimulatedEntries disturbedWorld(int entries, Disturbance disturbance, boolean cutFromEntries) {
+        begun.clear();
+        SimulatedEntries world = new SimulatedEntries(entries);
+        put(world, OLD);
+        world.advance(Duration.ofSeconds(5).plusMillis(7));
+        if (cutFromEntries) {
+            cut(world);
+        }
+        disturbance.begin.accept(world.entry(OUT_OF_STEP));
+        return world;
+    }
+
     private void beginAtOthers(SimulatedEntries world, int number) {
         for (SimulatedEntries.Entry entry : world.readyEntries()) {
             if (entry == world.entry(OUT_OF_STEP)) {
