--- a/node/src/test/java/org/geraniumreach/node/ScriptedTarget.java
+++ b/node/src/test/java/org/geraniumreach/node/ScriptedTarget.java
@@ -9,6 +9,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -21,7 +23,8 @@
             "{\"stage\":\"both\",\"models\":[{\"name\":\"base\",\"version\":1,\"adapters\":[\"a1@1\"]}],"
                     + "\"busy\":false,\"sequence\":0,\"queued\":0,\"running\":0}";
 
-    private final ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    private final ServerSocket listener;
+    private final Set<Socket> clients = ConcurrentHashMap.newKeySet();
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final AtomicInteger connections = new AtomicInteger();
     private final Script script;
@@ -50,6 +53,14 @@
     }
 
     ScriptedTarget(Script script) throws IOException {
+        this(0, script);
+    }
+
+    /** Starts a target at a port, 0 for any. */
+    ScriptedTarget(int port, Script script) throws IOException {
+        this.listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
         this.script = script;
         executor.execute(this::accept);
     }
@@ -71,6 +82,7 @@
     }
 
     private void serve(Socket client, int connection) {
+        clients.add(client);
         try (client) {
             client.setTcpNoDelay(true);
             InputStream in = client.getInputStream();
@@ -89,12 +101,17 @@
             // The entry or the script has closed the connection.
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
+        } finally {
+            clients.remove(client);
         }
     }
 
     @Override
     public void close() throws IOException {
         listener.close();
+        for (Socket client : clients) {
+            client.close();
+        }
         executor.shutdownNow();
     }
 }
