--- a/tools/generate-messages.sh
+++ b/tools/generate-messages.sh
@@ -3,8 +3,16 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 version=$(sed -n 's:.*<protobuf.version>\(.*\)</protobuf.version>.*:\1:p' pom.xml)
-mvn -B -q dependency:copy -Dartifact="com.google.protobuf:protoc:${version}:exe:linux-x86_64" -DoutputDirectory="$PWD/messages/target"
-compiler="messages/target/protoc-${version}-linux-x86_64.exe"
+case "$(uname -m)" in
+  aarch64 | arm64) machine=linux-aarch_64 ;;
+  x86_64 | amd64) machine=linux-x86_64 ;;
+  *)
+    echo "there is no compiler of messages for $(uname -m)" >&2
+    exit 1
+    ;;
+esac
+mvn -B -q dependency:copy -Dartifact="com.google.protobuf:protoc:${version}:exe:${machine}" -DoutputDirectory="$PWD/messages/target"
+compiler="messages/target/protoc-${version}-${machine}.exe"
 chmod +x "$compiler"
 rm -rf messages/src/main/java/org/geraniumreach/messages
 mkdir -p messages/src/main/java
