--- a/node/src/test/java/org/geraniumreach/node/CutAnswerTest.java
+++ b/node/src/test/java/org/geraniumreach/node/CutAnswerTest.java
@@ -19,7 +19,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Cuts a target's answers off after each of their bytes, and answers whole if the request comes again. */
+/** Cuts a target's answers off after every third of their bytes, and answers whole if the request comes again. */
 class CutAnswerTest {
 
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(4);
