Log and measure how long requests wait before the event loop takes them up

A request counted as new when the event loop took it up, so nothing told whether it had waited unread, in the queue of the event loop or at all. The selector now notes when each selection starts: what is ready in one was not when the one before started, so the bytes came after that. 4008, 4011, 4001, 4002 and 4003 name both waits, and two histograms measure them. Decisions are as before.

Waits in the queue of new connections beyond one selection do not show yet, since one connection is accepted in each.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -82,8 +82,7 @@
         this.attempts = new RunningAttempts(this::onReplaced);
         this.arrivals = services.retryBudgets().receive(choice.service());
         this.relay = new AnswerRelay(answer, received.request().lastEvent(), services.answerMemory(), services.clock());
-        this.log = new ExchangeLog(
-                services.log(), services.clock(), received.request(), choice.service(), account.map(Account::id));
+        this.log = new ExchangeLog(services.log(), services.clock(), request);
         this.finalAnswer = new FinalAnswer(answer, relay, history, log);
         this.report = new OutcomeReport(services, request, history, relay);
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -15,6 +15,7 @@
 import org.geraniumreach.gateway.retry.FailureCause;
 import org.geraniumreach.gateway.retry.RetryDecision;
 import org.geraniumreach.gateway.speed.TargetSpeed;
+import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.EventCode;
@@ -36,6 +37,8 @@
     private final String account;
     private final String adapter;
     private final String firstAttempt;
+    private final Duration unread;
+    private final Duration queued;
 
     /**
      * The progress of an exchange.
@@ -48,17 +51,15 @@
      */
     record Progress(boolean admitted, int sends, Duration elapsed, Waits waits, long lastEvent) {}
 
-    ExchangeLog(
-            DecisionLog log,
-            MonotonicClock clock,
-            GatewayRequest request,
-            String service,
-            Optional<AccountId> account) {
+    ExchangeLog(DecisionLog log, MonotonicClock clock, RoutedRequest routed) {
+        GatewayRequest request = routed.request();
         this.log = log;
         this.clock = clock;
         this.id = request.id();
-        this.service = service;
-        this.account = account.map(AccountId::value).orElse("");
+        this.service = routed.service();
+        this.account = routed.account().map(Account::id).map(AccountId::value).orElse("");
+        this.unread = routed.arrival().unread();
+        this.queued = routed.queued();
         this.adapter = request.generation()
                 .flatMap(GatewayRequest.Generation::adapter)
                 .map(AdapterName::adapter)
@@ -86,7 +87,9 @@
                 Field.of(
                         "reportAgeMillis",
                         target.reportAge(clock.nanos()).map(Duration::toMillis).orElse(-1L)),
-                Field.of("waitedMillis", progress.elapsed().toMillis()));
+                Field.of("waitedMillis", progress.elapsed().toMillis()),
+                Field.of("unreadMillis", unread.toMillis()),
+                Field.of("queuedMillis", queued.toMillis()));
         log.write(
                 EventCode.REQUEST_PLACED,
                 id,
@@ -214,10 +217,18 @@
                                 Field.of("service", service),
                                 Field.of("adapter", adapter),
                                 Field.of("arrivals", progress.sends()),
-                                Field.of("afterMillis", progress.elapsed().toMillis())));
+                                Field.of("afterMillis", progress.elapsed().toMillis()),
+                                Field.of("unreadMillis", unread.toMillis()),
+                                Field.of("queuedMillis", queued.toMillis())));
     }
 
     void logCallerGone(int sends, Duration elapsed) {
-        log.write(EventCode.CALLER_GONE, id, Field.of("arrivals", sends), Field.of("afterMillis", elapsed.toMillis()));
+        log.write(
+                EventCode.CALLER_GONE,
+                id,
+                Field.of("arrivals", sends),
+                Field.of("afterMillis", elapsed.toMillis()),
+                Field.of("unreadMillis", unread.toMillis()),
+                Field.of("queuedMillis", queued.toMillis()));
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ReceivedRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ReceivedRequest.java
@@ -5,18 +5,20 @@
 import org.geraniumreach.gateway.port.CallerAnswer;
 
 /**
- * A request together with its answer and time of receipt.
+ * A request together with its answer and the times of its receipt.
  *
  * <p>Immutable; the answer is confined to the event loop.
  *
  * @param request the request
+ * @param arrival when the request came
  * @param answer the answer to write to
- * @param receivedAt the time of receipt by the monotonic clock, in nanoseconds, from which the caller's timeout runs
+ * @param takenAt the time at which the event loop took the request up, in nanoseconds of the monotonic clock
  */
-record ReceivedRequest(GatewayRequest request, CallerAnswer answer, long receivedAt) {
+record ReceivedRequest(GatewayRequest request, Arrival arrival, CallerAnswer answer, long takenAt) {
 
     ReceivedRequest {
         Objects.requireNonNull(request, "request");
+        Objects.requireNonNull(arrival, "arrival");
         Objects.requireNonNull(answer, "answer");
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -82,12 +82,13 @@
      * Receives a request.
      *
      * @param request the request, not null
+     * @param arrival when the request came, not null
      * @param answer the answer to write to, not null
      * @return the pending request, cancelled when the caller disconnects, not null
      */
-    public Cancellable receive(GatewayRequest request, CallerAnswer answer) {
+    public Cancellable receive(GatewayRequest request, Arrival arrival, CallerAnswer answer) {
         ReceivedRequest received =
-                new ReceivedRequest(request, answer, services.clock().nanos());
+                new ReceivedRequest(request, arrival, answer, services.clock().nanos());
         if (startupQueue.isEnded()) {
             return handle(received);
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RoutedRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RoutedRequest.java
@@ -26,7 +26,8 @@
     private final Route route;
     private final String service;
     private final Optional<Account> account;
-    private final long receivedAt;
+    private final Arrival arrival;
+    private final long takenAt;
     private final Duration timeLimit;
     private final long expectedOutputTokens;
     private final MonotonicClock clock;
@@ -43,7 +44,8 @@
         this.route = route;
         this.service = service;
         this.account = account;
-        this.receivedAt = received.receivedAt();
+        this.arrival = received.arrival();
+        this.takenAt = received.takenAt();
         this.timeLimit = route.effectiveTimeout(request.callerTimeout());
         this.expectedOutputTokens = expectedOutputTokens;
         this.clock = clock;
@@ -73,8 +75,17 @@
         return account;
     }
 
+    Arrival arrival() {
+        return arrival;
+    }
+
+    /** Gets the time for which the request waited for the event loop after it had been read. */
+    Duration queued() {
+        return arrival.sinceRead(takenAt);
+    }
+
     long receivedAt() {
-        return receivedAt;
+        return takenAt;
     }
 
     Duration timeLimit() {
@@ -82,7 +93,7 @@
     }
 
     Duration elapsed() {
-        return Duration.ofNanos(clock.nanos() - receivedAt);
+        return Duration.ofNanos(clock.nanos() - takenAt);
     }
 
     Duration remaining() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -43,6 +43,7 @@
 import org.geraniumreach.gateway.quota.ShareRow;
 import org.geraniumreach.gateway.request.AdapterLoader;
 import org.geraniumreach.gateway.request.AnswerMemory;
+import org.geraniumreach.gateway.request.Arrival;
 import org.geraniumreach.gateway.request.ExchangeServices;
 import org.geraniumreach.gateway.request.ExchangeSettings;
 import org.geraniumreach.gateway.request.GatewayRequest;
@@ -482,6 +483,7 @@
                         generation,
                         lastEvent,
                         firstAttempt),
+                Arrival.at(time.nanos()),
                 answer);
     }
 
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -53,6 +53,7 @@
     private final BooleanSupplier accepts;
     private final Consumer<ConnectionEnd> onClosed;
     private final MonotonicClock clock = MonotonicClock.system();
+    private final ReadyConnections ready = new ReadyConnections(clock);
     private volatile Optional<SelectorRunner> selectorThread = Optional.empty();
 
     /**
@@ -70,13 +71,14 @@
     @Override
     public void setup(NetworkListener listener, FilterChainBuilder filters) {
         filters.add(filters.indexOfType(TransportFilter.class) + 1, this);
+        listener.getTransport().setSelectorHandler(ready);
     }
 
     @Override
     @SuppressWarnings("deprecation") // Grizzly itself requires the deprecated interface as a type bound.
     public NextAction handleAccept(FilterChainContext context) throws IOException {
         NIOConnection connection = (NIOConnection) context.getConnection();
-        ReceivedBytes received = new ReceivedBytes(clock);
+        ReceivedBytes received = new ReceivedBytes(clock, ready.readySince(), ready.selections());
         connections.put(connection, received);
         connection.addCloseListener((CloseListener<Closeable, CloseType>) (closed, type) -> onClosed(connection, type));
         if (!accepts.getAsBoolean()) {
@@ -93,7 +95,7 @@
         Buffer bytes = context.getMessage();
         Connection<?> connection = context.getConnection();
         Optional<ReceivedBytes> known = find(connection);
-        known.ifPresent(received -> received.onBytes(bytes.remaining()));
+        known.ifPresent(received -> received.onBytes(bytes.remaining(), ready.readySince(), ready.selections()));
         if (known.filter(received -> received.isRefusedFor(MAX_REFUSED_READ_TIME))
                 .isPresent()) {
             terminate(connection, CloseCause.ANSWER);
@@ -113,6 +115,17 @@
         }
     }
 
+    /**
+     * Gets the earliest time at which the request that is being read can have begun to arrive. It may have waited since, in the queue of
+     * new connections or unread.
+     *
+     * @param connection the connection, not null
+     * @return the time in nanoseconds of the system's monotonic clock, now if the connection has been closed
+     */
+    public long arrivedAt(Connection<?> connection) {
+        return find(connection).map(ReceivedBytes::arrivedAt).orElseGet(clock::nanos);
+    }
+
     /**
      * Records that all that has been received belongs to requests that were read.
      *
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
@@ -10,12 +10,17 @@
 /**
  * What has been received on one connection, and why it is closed.
  *
- * <p>Invariant: the first cause that is set is kept. Bytes of a further request that arrive together with the end of the request before count as part
- * of that one. Safe for use by several threads.
+ * <p>Invariants: the first cause that is set is kept. Bytes of a further request that arrive together with the end of the request before count as part
+ * of that one. A request is never taken for younger than it is. Safe for use by several threads.
  */
 final class ReceivedBytes {
 
+    /** A new connection is selected at the latest so many selections after it was accepted. */
+    private static final int SELECTIONS_UNTIL_WATCHED = 2;
+
     private final MonotonicClock clock;
+    private final long acceptedIn;
+    private long arrivedAt;
     private long total;
     private long lastAt;
     private boolean receiving;
@@ -23,17 +28,42 @@
     private long refusedAt;
     private Optional<CloseCause> cause = Optional.empty();
 
-    ReceivedBytes(MonotonicClock clock) {
+    /**
+     * Creates an instance for a connection on which nothing has been received.
+     *
+     * @param clock the clock, not null
+     * @param readySince the earliest time at which the connection can have been opened
+     * @param selection the number of the selection in which it is accepted
+     */
+    ReceivedBytes(MonotonicClock clock, long readySince, long selection) {
         this.clock = clock;
         this.lastAt = clock.nanos();
+        this.arrivedAt = readySince;
+        this.acceptedIn = selection;
     }
 
-    synchronized void onBytes(int count) {
+    /**
+     * Records received bytes.
+     *
+     * @param count the number of bytes
+     * @param readySince the earliest time at which they can have arrived on a connection that was watched
+     * @param selection the number of the selection in which they are read
+     */
+    synchronized void onBytes(int count, long readySince, long selection) {
+        boolean arrivedUnwatched = total == 0 && selection - acceptedIn <= SELECTIONS_UNTIL_WATCHED;
+        if (!receiving && !arrivedUnwatched) {
+            arrivedAt = readySince;
+        }
         total += count;
         lastAt = clock.nanos();
         receiving = !refused;
     }
 
+    /** Gets the earliest time at which the request that was received last can have begun to arrive, in nanoseconds of the clock. */
+    synchronized long arrivedAt() {
+        return arrivedAt;
+    }
+
     synchronized void onRequestRead() {
         receiving = false;
     }
--- a/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
@@ -13,6 +13,7 @@
 import io.micrometer.core.instrument.Timer;
 import org.geraniumreach.gateway.admission.AdmissionResult;
 import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.request.Arrival;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.process.ProcessMeters;
@@ -51,6 +52,10 @@
     private final Map<EventCode, Map<String, Counter>> eventCounters = new EnumMap<>(EventCode.class);
     private final Map<Integer, Map<AdmissionResult, Counter>> admissionCounters = new HashMap<>();
     private final Map<String, RequestMeters> requestMeters = new HashMap<>();
+    private final Timer unreadWait =
+            timer("geraniumreach.unread.wait", "Longest possible wait of a request until it was read.");
+    private final Timer loopWait =
+            timer("geraniumreach.loop.wait", "Wait of a request that was read for the event loop.");
 
     /** The meters of one client account's requests. */
     private static final class RequestMeters {
@@ -92,6 +97,13 @@
         }
     }
 
+    private Timer timer(String name, String description) {
+        return Timer.builder(name)
+                .description(description)
+                .serviceLevelObjectives(BUCKET_BOUNDS)
+                .register(meters.registry());
+    }
+
     EntryMetrics(DecisionLog log) {
         this.log = Objects.requireNonNull(log, "log");
     }
@@ -119,6 +131,12 @@
                 .increment();
     }
 
+    /** Records how long a request has waited until the event loop takes it up. */
+    void onRequestTaken(Arrival arrival, long now) {
+        unreadWait.record(arrival.unread());
+        loopWait.record(arrival.sinceRead(now));
+    }
+
     /** Records the outcome and the times of a request. */
     synchronized void onRequestEnded(OutcomeListener.Outcome outcome) {
         String account =
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -41,6 +41,8 @@
 import org.geraniumreach.gateway.placement.TargetConditions;
 import org.geraniumreach.gateway.placement.TargetRegistry;
 import org.geraniumreach.gateway.placement.TargetUpdates;
+import org.geraniumreach.gateway.port.CallerAnswer;
+import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.port.StorePort;
@@ -49,8 +51,10 @@
 import org.geraniumreach.gateway.quota.QuotaAdmission;
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.gateway.request.AnswerMemory;
+import org.geraniumreach.gateway.request.Arrival;
 import org.geraniumreach.gateway.request.ExchangeServices;
 import org.geraniumreach.gateway.request.ExchangeSettings;
+import org.geraniumreach.gateway.request.GatewayRequest;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.gateway.request.RequestHandler;
 import org.geraniumreach.gateway.rest.RestingTargets;
@@ -367,6 +371,11 @@
         }
     }
 
+    private Cancellable receive(GatewayRequest request, Arrival arrival, CallerAnswer answer) {
+        metrics.onRequestTaken(arrival, clock.nanos());
+        return requests.receive(request, arrival, answer);
+    }
+
     void start() throws IOException {
         log.write(
                 EventCode.STARTING,
@@ -376,7 +385,7 @@
         ingress = Ingress.start(
                 new Ingress.Endpoints(settings.callerAddress(), settings.readinessAddress()),
                 INITIAL_LIMITS,
-                requests::receive,
+                this::receive,
                 acceptLimiter,
                 this::isReady,
                 loop,
--- a/node/src/test/java/org/geraniumreach/node/EntryDrainCallersTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryDrainCallersTest.java
@@ -19,6 +19,7 @@
 import org.geraniumreach.gateway.port.CallerAnswer;
 import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.request.Arrival;
 import org.geraniumreach.gateway.request.GatewayRequest;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.platform.Ingress;
@@ -86,7 +87,7 @@
         assertThat(answered).containsAll(read);
     }
 
-    private Cancellable receive(GatewayRequest request, CallerAnswer answer) {
+    private Cancellable receive(GatewayRequest request, Arrival arrival, CallerAnswer answer) {
         (drained ? readAfterDrain : read).add(request.id());
         loop.schedule(
                 () -> {
