Accept all connections that wait before anything is read

One connection was accepted in each selection, so that others waited in the queue of the system for as many selections, each of which reads and decodes requests; nothing told how long, and their requests counted as new when they were accepted. All that wait are accepted first now, so a connection that is accepted was opened after the start of the selection before, and the limit on new connections sees all of them when it closes some unread.

--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -78,6 +78,7 @@
     @SuppressWarnings("deprecation") // Grizzly itself requires the deprecated interface as a type bound.
     public NextAction handleAccept(FilterChainContext context) throws IOException {
         NIOConnection connection = (NIOConnection) context.getConnection();
+        ready.onAccepted();
         ReceivedBytes received = new ReceivedBytes(clock, ready.readySince(), ready.selections());
         connections.put(connection, received);
         connection.addCloseListener((CloseListener<Closeable, CloseType>) (closed, type) -> onClosed(connection, type));
