Count the time of a request from when it can have come

What callers saw: requests that reached a target over a second after their callers' time was up, and requests that were held as much longer than their route's timeout.

Cause: the time of a request ran from when the event loop took it up. Whatever it had waited before, in the queue of new connections, unread, or between the thread that reads and the event loop, was given to it anew: to its deadline, its route's timeout, the deadline that its target is told, and what waits are bounded by. Within the request nothing asked again before a write whether time was left; that was left to a timer, which is as late as the event loop.

Now the time runs from the start of the selection before the one in which the request was found, before which it cannot have come. What a request has waited once it is read is measured from its reading.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -155,10 +155,7 @@
         retry.ifPresent(decision -> log.logRetried(decision, lastFailure, progress()));
         WriteDecision grounds = history.decide(target, attempts.current().map(Attempt::run));
         if (!grounds.isPermitted()) {
-            log.logWriteForbidden(target, grounds);
-            giveUpUnlessAtTarget(
-                    "the request may not be written again",
-                    () -> giveUp(ResultCode.OUTCOME_UNKNOWN, "the request may not be written again"));
+            onWriteForbidden(target, grounds);
             return;
         }
         RunHistory.Run run = history.onSend(target);
@@ -189,6 +186,19 @@
                 terms.metadata(target, relay.resumeAfterNumber()), terms.maximumIdle(target), terms.silenceLimits());
     }
 
+    /** Ends the request, or leaves it at a silent target, if it may not be written to another one. */
+    private void onWriteForbidden(Target target, WriteDecision decision) {
+        if (decision.result() == WriteDecision.Result.TIME_UP) {
+            log.logWriteOmitted(target, decision, request.remaining());
+            onDeadline();
+            return;
+        }
+        log.logWriteForbidden(target, decision);
+        giveUpUnlessAtTarget(
+                "the request may not be written again",
+                () -> giveUp(ResultCode.OUTCOME_UNKNOWN, "the request may not be written again"));
+    }
+
     /** Makes an attempt the current one, and keeps a silent one until the request can be written to the other target. */
     private void addAttempt(Attempt next) {
         Optional<Attempt> silent = attempts.current();
@@ -319,6 +329,7 @@
     private final class AttemptEvents implements Attempt.Listener, HeldEvents.Progress {
         private final Target target;
         private Attempt attempt;
+        private Optional<WriteDecision> forbidden = Optional.empty();
 
         private AttemptEvents(Target target) {
             this.target = target;
@@ -346,16 +357,14 @@
         public boolean maySend() {
             attempts.keepOnly(attempt);
             WriteDecision decision = history.decide(target, Optional.empty());
-            if (!decision.isPermitted()) {
-                log.logWriteForbidden(target, decision);
-            }
+            forbidden = Optional.of(decision).filter(result -> !result.isPermitted());
             return decision.isPermitted();
         }
 
         @Override
         public void onForbidden() {
             attempts.remove(attempt);
-            giveUp(ResultCode.OUTCOME_UNKNOWN, "the request may not be written again");
+            onWriteForbidden(target, forbidden.orElseThrow());
         }
 
         @Override
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -45,7 +45,7 @@
      *
      * @param admitted whether it was admitted under its account's rate
      * @param sends the number of times that it was sent to a target
-     * @param elapsed the time since its receipt
+     * @param elapsed the time since it was read
      * @param waits the time spent waiting, by cause
      * @param lastEvent the number of the last event that the caller has, 0 if it has none
      */
@@ -131,6 +131,17 @@
                 Field.of("result", decision.result()));
     }
 
+    void logWriteOmitted(Target target, WriteDecision decision, Duration remaining) {
+        log.write(
+                EventCode.WRITE_OMITTED,
+                id,
+                Field.of("target", target.id().value()),
+                Field.of("result", decision.result()),
+                Field.of("remainingMillis", remaining.toMillis()),
+                Field.of("unreadMillis", unread.toMillis()),
+                Field.of("queuedMillis", queued.toMillis()));
+    }
+
     /** Logs a rejection; one that comes at once after a further write to the same target may be a copy of the one before. */
     void logNotExecuted(Target target, NotExecuted reason, Duration sinceStart, int writes) {
         log.write(
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
@@ -34,7 +34,7 @@
         this.request = request;
         ExchangeSettings settings = services.settings();
         this.loadWait = new LoadWait(
-                settings.loadWaitLimit(request.timeLimit(), request.route().latencyObjective()),
+                settings.loadWaitLimit(request.remaining(), request.route().latencyObjective()),
                 settings.slowLoadThreshold());
         this.permission = new SendPermission(services.limiter(), services.clock());
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/QuotaStep.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/QuotaStep.java
@@ -38,7 +38,7 @@
                 .admit(
                         request.account().get(),
                         request.quotaUnits(request.account().get()),
-                        request.timeLimit(),
+                        request.remaining(),
                         decision -> onDecision(decision, onAdmitted, onRefused)));
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ReceivedRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ReceivedRequest.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.gateway.request;
 
+import java.time.Duration;
 import java.util.Objects;
 
 import org.geraniumreach.gateway.port.CallerAnswer;
@@ -21,4 +22,9 @@
         Objects.requireNonNull(arrival, "arrival");
         Objects.requireNonNull(answer, "answer");
     }
+
+    /** Gets what is left of a time that began when the request can have come, not positive if nothing is left. */
+    Duration left(Duration limit, long now) {
+        return limit.minus(arrival.age(now));
+    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -41,6 +41,9 @@
     private static final Refusal EXITING =
             Refusal.withRetryAfter(ResultCode.DRAINING, "this entry exits", Duration.ZERO);
 
+    private static final Refusal TIME_UP =
+            Refusal.withRetryAfter(ResultCode.NOT_RUN, "the time is up", Refusal.DEFAULT_RETRY_AFTER);
+
     private static final Refusal FAILED = Refusal.withRetryAfter(
             ResultCode.NOT_RUN, "this entry has failed to handle the request", Refusal.DEFAULT_RETRY_AFTER);
 
@@ -92,7 +95,11 @@
         if (startupQueue.isEnded()) {
             return handle(received);
         }
-        return await(received, next -> startupQueue.hold(request.callerTimeout(), () -> next.accept(handle(received))));
+        return await(
+                received,
+                next -> startupQueue.hold(
+                        received.left(request.callerTimeout(), received.takenAt()),
+                        () -> next.accept(handle(received))));
     }
 
     /**
@@ -214,13 +221,17 @@
     private Cancellable start(ReceivedRequest received, Route route, Optional<Account> account, ServiceChoice choice) {
         GatewayRequest request = received.request();
         Duration timeLimit = route.effectiveTimeout(request.callerTimeout());
+        Duration timeLeft = received.left(timeLimit, services.clock().nanos());
+        if (timeLeft.compareTo(services.settings().minimumRemaining()) < 0) {
+            return refuse(request, received.answer(), TIME_UP);
+        }
         if (!route.retryPolicy().allowsRerun()
                 && !singleRuns.tryBegin(account.map(Account::id), request.id(), timeLimit)) {
             return refuse(request, received.answer(), REPEATED);
         }
         Exchange exchange = new Exchange(services, received, route, choice, account, outputLengths, this::onEnded);
         openExchanges.put(
-                exchange, services.timers().schedule(timeLimit.plus(OVERDUE_MARGIN), () -> onOverdue(exchange)));
+                exchange, services.timers().schedule(timeLeft.plus(OVERDUE_MARGIN), () -> onOverdue(exchange)));
         try {
             exchange.start();
         } catch (RuntimeException failure) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RoutedRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RoutedRequest.java
@@ -85,19 +85,17 @@
     }
 
     long receivedAt() {
-        return takenAt;
-    }
-
-    Duration timeLimit() {
-        return timeLimit;
+        return arrival.readAt();
     }
 
+    /** Gets the time since the request was read. */
     Duration elapsed() {
-        return Duration.ofNanos(clock.nanos() - takenAt);
+        return arrival.sinceRead(clock.nanos());
     }
 
+    /** Gets what is left of the request's time, which runs from when it can have come, not positive if nothing is left. */
     Duration remaining() {
-        return timeLimit.minus(elapsed());
+        return timeLimit.minus(arrival.age(clock.nanos()));
     }
 
     /** Gets the time left until the first part misses the objective, negative if it has. */
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
@@ -16,7 +16,8 @@
  *
  * <p>Each write to a target requires a permission of {@link #decide}, so that this class alone keeps the promise of a route.
  *
- * <p>Invariants: no request is written while an earlier run of it is open, or once it has ended. After a run that may have begun it is
+ * <p>Invariants: no request is written while an earlier run of it is open, or once it has ended, or after its time, however late timers
+ * run. After a run that may have begun it is
  * written again only if its route allows that, and then to no more targets than the route allows. A run may have begun until its own
  * target reports that it has not executed it; a later rejection by the same target does not count for an earlier run. Confined to the
  * event loop.
@@ -112,6 +113,9 @@
         if (ended) {
             return WriteDecision.forbidden(WriteDecision.Result.REQUEST_ENDED);
         }
+        if (request.remaining().isNegative() || request.remaining().isZero()) {
+            return WriteDecision.forbidden(WriteDecision.Result.TIME_UP);
+        }
         Predicate<Run> isEnding = run -> ending.filter(other -> other == run).isPresent();
         if (runs.stream().anyMatch(run -> run.state == RunState.OPEN && !isEnding.test(run))) {
             return WriteDecision.forbidden(WriteDecision.Result.RUN_OPEN);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/WriteDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/WriteDecision.java
@@ -32,7 +32,9 @@
         /** The route allows no run at a further target. */
         TOO_MANY_TARGETS(false),
         /** The request has its final answer. */
-        REQUEST_ENDED(false);
+        REQUEST_ENDED(false),
+        /** The time for the request is up, or its route's timeout has passed. */
+        TIME_UP(false);
 
         private final boolean permitted;
 
--- a/node/src/test/java/org/geraniumreach/node/PausedEntryProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/PausedEntryProcessTest.java
@@ -267,7 +267,7 @@
     /** Guards against an entry that takes requests for older than they are, and ends them before their time. */
     @Test
     void theTimeOfARequestIsNotShortenedWhereNothingStandsStill() throws Exception {
-        Socket caller = connect();
+        Socket caller = connect(true).get(0);
         for (int number = 0; number < CALLERS; number++) {
             Thread.sleep(TIME_TO_ARRIVE.toMillis());
             send(caller, "look", "calm-" + number, 1_000);
