Ask at each write whether the caller is still there

What callers saw: requests that were sent on, and worked on, over half a second after their callers had left.

Cause: a caller's close stands behind its request on the same connection. After a pause both are there to be read; the request is read and handed over first, and the close a selection later, on another thread, when the request has been sent. Nothing asked before the write.

The query looks at the caller's connection itself, without reading: one that is readable and has no bytes has ended.

--- a/gateway/src/main/java/org/geraniumreach/gateway/port/CallerAnswer.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/CallerAnswer.java
@@ -30,6 +30,13 @@
     /** Ends the answer; it is then complete. */
     void end();
 
+    /**
+     * Queries whether the caller has closed its connection, also if that close is still to be read.
+     *
+     * @return whether nobody waits for the answer any more
+     */
+    boolean isCallerGone();
+
     /** Closes the connection, so that the caller cannot take what was sent for a complete answer. */
     void abort();
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -75,7 +75,7 @@
         this.route = route;
         this.answer = received.answer();
         this.onEnd = onEnd;
-        this.history = new RunHistory(services, request);
+        this.history = new RunHistory(services, request, received.answer()::isCallerGone);
         this.terms = new SendTerms(services, request, history);
         this.steps = new SendSteps(services, request, new StepResults());
         choice.requiredVersion().ifPresent(steps.state()::requireVersion);
@@ -188,15 +188,22 @@
 
     /** Ends the request, or leaves it at a silent target, if it may not be written to another one. */
     private void onWriteForbidden(Target target, WriteDecision decision) {
-        if (decision.result() == WriteDecision.Result.TIME_UP) {
-            log.logWriteOmitted(target, decision, request.remaining());
-            onDeadline();
-            return;
+        switch (decision.result()) {
+            case TIME_UP -> {
+                log.logWriteOmitted(target, decision, request.remaining());
+                onDeadline();
+            }
+            case CALLER_GONE -> {
+                log.logWriteOmitted(target, decision, request.remaining());
+                onCallerGone();
+            }
+            default -> {
+                log.logWriteForbidden(target, decision);
+                giveUpUnlessAtTarget(
+                        "the request may not be written again",
+                        () -> giveUp(ResultCode.OUTCOME_UNKNOWN, "the request may not be written again"));
+            }
         }
-        log.logWriteForbidden(target, decision);
-        giveUpUnlessAtTarget(
-                "the request may not be written again",
-                () -> giveUp(ResultCode.OUTCOME_UNKNOWN, "the request may not be written again"));
     }
 
     /** Makes an attempt the current one, and keeps a silent one until the request can be written to the other target. */
@@ -356,7 +363,7 @@
         @Override
         public boolean maySend() {
             attempts.keepOnly(attempt);
-            WriteDecision decision = history.decide(target, Optional.empty());
+            WriteDecision decision = history.decideWrite(target);
             forbidden = Optional.of(decision).filter(result -> !result.isPermitted());
             return decision.isPermitted();
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -14,10 +15,10 @@
 /**
  * Where one request has been sent and may have run, and whether it may be sent and run again after that.
  *
- * <p>Each write to a target requires a permission of {@link #decide}, so that this class alone keeps the promise of a route.
+ * <p>Each write to a target requires a permission of {@link #decideWrite}, so that this class alone keeps the promise of a route.
  *
- * <p>Invariants: no request is written while an earlier run of it is open, or once it has ended, or after its time, however late timers
- * run. After a run that may have begun it is
+ * <p>Invariants: no request is written while an earlier run of it is open, or once it has ended, or after its time, or once its
+ * caller has closed its connection, however late timers and closes are noticed. After a run that may have begun it is
  * written again only if its route allows that, and then to no more targets than the route allows. A run may have begun until its own
  * target reports that it has not executed it; a later rejection by the same target does not count for an earlier run. Confined to the
  * event loop.
@@ -26,6 +27,7 @@
 
     private final ExchangeServices services;
     private final RoutedRequest request;
+    private final BooleanSupplier callerGone;
     private final Route route;
     private final List<Run> runs = new ArrayList<>();
     private Optional<Beginning> beginning = Optional.empty();
@@ -84,8 +86,9 @@
     /** The target that began the stream, and when the request was sent to it. */
     private record Beginning(Target target, long sentAt) {}
 
-    RunHistory(ExchangeServices services, RoutedRequest request) {
+    RunHistory(ExchangeServices services, RoutedRequest request, BooleanSupplier callerGone) {
         this.services = services;
+        this.callerGone = callerGone;
         this.request = request;
         this.route = request.route();
     }
@@ -131,6 +134,18 @@
                         runs.isEmpty() ? WriteDecision.Result.FIRST : WriteDecision.Result.NOT_SENT));
     }
 
+    /**
+     * Decides whether the request is written to a target now, whose connection is open.
+     *
+     * <p>Whether the caller has left is queried last of all before the write, so that no close that is there to be read is overtaken.
+     */
+    WriteDecision decideWrite(Target target) {
+        WriteDecision decision = decide(target, Optional.empty());
+        return decision.isPermitted() && callerGone.getAsBoolean()
+                ? WriteDecision.forbidden(WriteDecision.Result.CALLER_GONE)
+                : decision;
+    }
+
     private WriteDecision decideOnFurtherRun(Target target) {
         if (!route.retryPolicy().allowsRerun()) {
             return WriteDecision.forbidden(WriteDecision.Result.MAY_HAVE_RUN);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/WriteDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/WriteDecision.java
@@ -34,7 +34,9 @@
         /** The request has its final answer. */
         REQUEST_ENDED(false),
         /** The time for the request is up, or its route's timeout has passed. */
-        TIME_UP(false);
+        TIME_UP(false),
+        /** The caller has closed its connection. */
+        CALLER_GONE(false);
 
         private final boolean permitted;
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RecordedAnswer.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RecordedAnswer.java
@@ -15,6 +15,7 @@
     private List<Header> headers = List.of();
     private int endCount;
     private int headCount;
+    private boolean callerGone;
 
     @Override
     public void writeHead(int newStatus, List<Header> newHeaders) {
@@ -33,6 +34,16 @@
         endCount++;
     }
 
+    @Override
+    public boolean isCallerGone() {
+        return callerGone;
+    }
+
+    /** Makes the caller close its connection, which has not been read yet. */
+    public void leaveUnread() {
+        callerGone = true;
+    }
+
     @Override
     public void abort() {
         endCount += ABORT_COUNT;
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -441,6 +441,22 @@
         return receive(answer, key, generation, "request-" + requestCount, OptionalLong.empty(), Optional.empty());
     }
 
+    /** Sends a request that has waited unread, and returns the recorded answer. */
+    public RecordedAnswer sendAfterWait(Duration unread) {
+        RecordedAnswer answer = new RecordedAnswer();
+        requestCount++;
+        Arrival arrival = new Arrival(time.nanos() - unread.toNanos(), time.nanos());
+        receive(
+                answer,
+                arrival,
+                KEY,
+                Optional.empty(),
+                "request-" + requestCount,
+                OptionalLong.empty(),
+                Optional.empty());
+        return answer;
+    }
+
     /** Sends a request under an id, and returns the recorded answer. */
     public RecordedAnswer send(String key, String id) {
         RecordedAnswer answer = new RecordedAnswer();
@@ -469,6 +485,17 @@
             String id,
             OptionalLong lastEvent,
             Optional<String> firstAttempt) {
+        return receive(answer, Arrival.at(time.nanos()), key, generation, id, lastEvent, firstAttempt);
+    }
+
+    private Cancellable receive(
+            RecordedAnswer answer,
+            Arrival arrival,
+            String key,
+            Optional<GatewayRequest.Generation> generation,
+            String id,
+            OptionalLong lastEvent,
+            Optional<String> firstAttempt) {
         return handler.receive(
                 new GatewayRequest(
                         id,
@@ -483,7 +510,7 @@
                         generation,
                         lastEvent,
                         firstAttempt),
-                Arrival.at(time.nanos()),
+                arrival,
                 answer);
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/VirtualTime.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/VirtualTime.java
@@ -69,7 +69,12 @@
 
     /** Advances the time as if the process were suspended: actions that become due run late, at its end. */
     public void suspend(Duration duration) {
-        now += duration.toNanos();
+        stall(duration);
         advance(Duration.ZERO);
     }
+
+    /** Advances the time without running what becomes due, as if other work came before it. */
+    public void stall(Duration duration) {
+        now += duration.toNanos();
+    }
 }
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -54,6 +54,7 @@
     private final Consumer<ConnectionEnd> onClosed;
     private final MonotonicClock clock = MonotonicClock.system();
     private final ReadyConnections ready = new ReadyConnections(clock);
+    private final CloseProbe closeProbe;
     private volatile Optional<SelectorRunner> selectorThread = Optional.empty();
 
     /**
@@ -61,8 +62,10 @@
      *
      * @param accepts decides on each new connection, called on the selector thread; one that is not accepted is closed unread, not null
      * @param onClosed receives the end of each connection, called on any thread, not null
+     * @throws IOException if the operating system has no descriptors left
      */
-    public OpenConnections(BooleanSupplier accepts, Consumer<ConnectionEnd> onClosed) {
+    public OpenConnections(BooleanSupplier accepts, Consumer<ConnectionEnd> onClosed) throws IOException {
+        this.closeProbe = new CloseProbe();
         this.accepts = Objects.requireNonNull(accepts, "accepts");
         this.onClosed = Objects.requireNonNull(onClosed, "onClosed");
     }
@@ -127,6 +130,17 @@
         return find(connection).map(ReceivedBytes::arrivedAt).orElseGet(clock::nanos);
     }
 
+    /**
+     * Queries whether the caller has closed its end of a connection, also if that has not been read yet. A close behind bytes that have not
+     * been read does not show.
+     *
+     * @param connection the connection, not null
+     * @return whether the connection has ended
+     */
+    public boolean isClosedByCaller(Connection<?> connection) {
+        return closeProbe.isClosed((SocketChannel) ((NIOConnection) connection).getChannel());
+    }
+
     /**
      * Records that all that has been received belongs to requests that were read.
      *
--- a/node/src/test/java/org/geraniumreach/node/PausedEntryProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/PausedEntryProcessTest.java
@@ -61,13 +61,17 @@
     enum Departure {
         CLOSE,
         HALF_CLOSE,
-        RESET;
+        RESET,
+        CLOSE_AFTER_FURTHER_REQUEST;
 
         private void leave(Socket caller) throws IOException {
             if (this == HALF_CLOSE) {
                 caller.shutdownOutput();
                 return;
             }
+            if (this == CLOSE_AFTER_FURTHER_REQUEST) {
+                send(caller, "look", "left-ahead", LONG_DEADLINE_MILLIS);
+            }
             if (this == RESET) {
                 caller.setSoLinger(true, 0);
             }
@@ -178,6 +182,8 @@
         "look, HALF_CLOSE, false",
         "look, RESET, false",
         "look, RESET, true",
+        "look, CLOSE_AFTER_FURTHER_REQUEST, false",
+        "look, CLOSE_AFTER_FURTHER_REQUEST, true",
         "book, CLOSE, false",
         "chat, CLOSE, false",
         "chat, CLOSE, true",
