Tell a target the time that is left when its request is written

The deadline that a target is told was computed when its connection was asked for, up to 0.4 s before the write, so that a target could work on after the caller's time. It is taken just before the write now.

headersThatDependOnTheTimeAreTakenWhenTheRequestIsWritten and aTargetIsToldWhatIsLeftWhenTheRequestIsWritten hold both halves; before, the value was fixed when the call was made.

--- a/gateway/src/main/java/org/geraniumreach/gateway/port/TargetPort.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetPort.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.geraniumreach.gateway.adapter.Order;
 import org.geraniumreach.gateway.adapter.OrderResult;
@@ -23,14 +24,14 @@
      * Metadata sent to the target with a request.
      *
      * @param account the name of the client account, empty if the request came without a key
-     * @param remainingTime the time for which the caller will still wait
+     * @param remainingTime gets the time for which the caller will still wait, called when the request is written
      * @param urgency the priority within the target, 0 is the highest
      * @param version the adapter version that must run the request, empty for any
      * @param lastEvent the number of the last event received if a stream is resumed, empty to keep the value sent by the caller
      */
     record RequestMetadata(
             Optional<String> account,
-            Duration remainingTime,
+            Supplier<Duration> remainingTime,
             int urgency,
             OptionalLong version,
             OptionalLong lastEvent) {}
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/SendTerms.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendTerms.java
@@ -36,7 +36,7 @@
                 .orElse(OptionalLong.empty());
         return new TargetPort.RequestMetadata(
                 request.account().map(charged -> charged.id().value()),
-                request.remaining(),
+                request::remaining,
                 request.urgency(),
                 version,
                 resumeAfterNumber);
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeTest.java
@@ -411,7 +411,7 @@
         RecordedAnswer answer = world.send();
         world.time().advance(Duration.ofMillis(500));
         world.configure(RetryPolicy.AT_MOST_ONCE, 1).addTarget("a").start();
-        assertThat(world.targets().lastRequest().metadata().remainingTime())
+        assertThat(world.targets().lastRequest().metadata().remainingTime().get())
                 .isEqualTo(RequestHarness.TIMEOUT.minusMillis(500));
         world.targets().lastRequest().answerHead(200, false);
         world.targets().lastRequest().endAnswer();
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/LateWriteTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/LateWriteTest.java
@@ -42,6 +42,17 @@
         assertThat(world.loggedEvents()).contains("WRITE_OMITTED TIME_UP");
     }
 
+    /** Guards against targets that are told the time that was left when their connection was asked for. */
+    @Test
+    void aTargetIsToldWhatIsLeftWhenTheRequestIsWritten() {
+        sendWhileConnecting(RetryPolicy.IDEMPOTENT);
+        FakeTargets.SentRequest sent = world.targets().lastRequest();
+        Duration connectTime = Duration.ofMillis(300);
+        world.time().stall(connectTime);
+        sent.connect();
+        assertThat(sent.metadata().remainingTime().get()).isEqualTo(RequestHarness.TIMEOUT.minus(connectTime));
+    }
+
     /** Guards against work at targets for callers whose close is still to be read when the connection opens. */
     @ParameterizedTest
     @EnumSource(RetryPolicy.class)
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -177,9 +177,8 @@
                 HttpMethod.valueOf(request.method()),
                 request.uri(),
                 Unpooled.wrappedBuffer(request.body()));
-        for (Header header : request.headers()) {
-            message.headers().add(header.name(), header.value());
-        }
+        request.headers().forEach(header -> message.headers().add(header.name(), header.value()));
+        request.headersAtWrite().get().forEach(header -> message.headers().add(header.name(), header.value()));
         if (!message.headers().contains(HttpHeaderNames.HOST)) {
             message.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         }
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -15,9 +15,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.Future;
+import org.geraniumreach.model.Header;
 import org.geraniumreach.model.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -115,12 +117,27 @@
         accepted.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
     }
 
-    private void readRequest() throws IOException {
+    private String readRequest() throws IOException {
         InputStream input = accepted.getInputStream();
         StringBuilder head = new StringBuilder();
         while (!head.toString().endsWith("\r\n\r\n")) {
             head.append((char) input.read());
         }
+        return head.toString();
+    }
+
+    /** Guards against servers that are told a time as it was before their connection was opened. */
+    @Test
+    void headersThatDependOnTheTimeAreTakenWhenTheRequestIsWritten() throws Exception {
+        AtomicReference<String> moment = new AtomicReference<>("asked");
+        HttpCallRequest request = new HttpCallRequest(
+                "GET", "/x", List.of(), () -> List.of(new Header("X-Moment", moment.get())), new byte[0]);
+        group.next().execute(() -> {
+            send(request);
+            moment.set("connected");
+        });
+        accept();
+        assertThat(readRequest()).containsIgnoringCase("X-Moment: connected");
     }
 
     private void write(String text) throws IOException {
