Answer requests whose time is up before new ones are begun

After a pause the event loop runs what is due in the order in which it was queued, so the timers of deadlines and timeouts come behind all requests that were read meanwhile, and an answer that is late already comes later still by the time that these take. The handler now keeps the open exchanges in the order in which their time ends, and ends those whose time is up before it begins a new one.

aRequestWhoseTimeIsUpIsAnsweredBeforeANewOneIsBegun failed before in 4 of 4 cases: status 0 where 504 is expected.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -526,7 +526,13 @@
                 admitted, history.sends(), request.elapsed(), steps.waits(), relay.lastEventNumber());
     }
 
-    private void onDeadline() {
+    /** Gets the time at which the request's time ends, in nanoseconds of the clock. */
+    long endsAt() {
+        return request.endsAt();
+    }
+
+    /** Ends the request since its time is up. */
+    void onDeadline() {
         if (ended) {
             return;
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -54,6 +54,7 @@
     private final Supplier<Optional<TrafficConfiguration>> configuration;
     private final DoubleSupplier serviceDraw;
     private final Map<Exchange, Cancellable> openExchanges = new HashMap<>();
+    private final ExchangeDeadlines deadlines = new ExchangeDeadlines();
     private final Set<WaitingRequest> waitingRequests = new HashSet<>();
     private final OutputLengths outputLengths = new OutputLengths();
     private final StartupQueue startupQueue;
@@ -90,6 +91,7 @@
      * @return the pending request, cancelled when the caller disconnects, not null
      */
     public Cancellable receive(GatewayRequest request, Arrival arrival, CallerAnswer answer) {
+        endDueExchanges();
         ReceivedRequest received =
                 new ReceivedRequest(request, arrival, answer, services.clock().nanos());
         if (startupQueue.isEnded()) {
@@ -102,6 +104,23 @@
                         () -> next.accept(handle(received))));
     }
 
+    /** Answers the requests whose time is up before a new one is begun, whose timers may be queued behind it. */
+    private void endDueExchanges() {
+        long now = services.clock().nanos();
+        for (Optional<Exchange> due = deadlines.pollDue(now); due.isPresent(); due = deadlines.pollDue(now)) {
+            endDue(due.get());
+        }
+    }
+
+    private void endDue(Exchange exchange) {
+        try {
+            exchange.onDeadline();
+        } catch (RuntimeException failure) {
+            UnexpectedFailure.log(services.log(), exchange.requestId(), failure);
+            abandon(exchange, FAILED);
+        }
+    }
+
     /**
      * Waits until a request can go on.
      *
@@ -232,6 +251,7 @@
         Exchange exchange = new Exchange(services, received, route, choice, account, outputLengths, this::onEnded);
         openExchanges.put(
                 exchange, services.timers().schedule(timeLeft.plus(OVERDUE_MARGIN), () -> onOverdue(exchange)));
+        deadlines.add(exchange);
         try {
             exchange.start();
         } catch (RuntimeException failure) {
@@ -245,6 +265,7 @@
         if (!exchange.mayHaveRun()) {
             singleRuns.onEndedWithoutRun(exchange.accountId(), exchange.requestId());
         }
+        deadlines.remove(exchange);
         Cancellable overdueTimer = openExchanges.remove(exchange);
         if (overdueTimer != null) {
             overdueTimer.cancel();
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RoutedRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RoutedRequest.java
@@ -93,9 +93,14 @@
         return arrival.sinceRead(clock.nanos());
     }
 
+    /** Gets the time at which the request's time ends, in nanoseconds of the clock. */
+    long endsAt() {
+        return arrival.arrivedAt() + timeLimit.toNanos();
+    }
+
     /** Gets what is left of the request's time, which runs from when it can have come, not positive if nothing is left. */
     Duration remaining() {
-        return timeLimit.minus(arrival.age(clock.nanos()));
+        return Duration.ofNanos(endsAt() - clock.nanos());
     }
 
     /** Gets the time left until the first part misses the objective, negative if it has. */
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/LateWriteTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/LateWriteTest.java
@@ -105,6 +105,20 @@
         assertThat(world.openExchanges()).isZero();
     }
 
+    /** Guards against answers that come later still after a pause, since new requests are begun before the timers of those that are over. */
+    @ParameterizedTest
+    @EnumSource(RetryPolicy.class)
+    void aRequestWhoseTimeIsUpIsAnsweredBeforeANewOneIsBegun(RetryPolicy retryPolicy) {
+        world.startWithRoute(retryPolicy, 3).addTarget("a");
+        RecordedAnswer over = world.send();
+        world.time().stall(JUST_LATE);
+        RecordedAnswer next = world.send();
+        assertThat(over.status()).isEqualTo(504);
+        assertThat(over.isComplete()).isTrue();
+        assertThat(next.isEnded()).isFalse();
+        assertThat(world.openExchanges()).isEqualTo(1);
+    }
+
     /** Guards against requests that wait for the start of an entry although their time has passed since they came. */
     @Test
     void aRequestWhoseTimeIsUpDoesNotWaitForTheStart() {
