Leave the end of the listener and failures of accepting to the library

By reading, not seen: the selector asked each ready key for its operations, which throws if another thread has just closed that connection, and passed on a failure of accepting, as at a drain. The library then closes the connection whose key it handled last, whichever that is. Only the listener's own key is looked at now, by its channel, and a failure is left to the library, which meets it again with the right key. A key that was cancelled is no sign of a caller that has left.

--- a/httpserver/src/main/java/org/geraniumreach/httpserver/CloseProbe.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/CloseProbe.java
@@ -38,9 +38,9 @@
                 // Otherwise a close of the channel would wait for the next query.
                 selector.selectNow();
             }
-        } catch (ClosedChannelException | CancelledKeyException closed) {
+        } catch (ClosedChannelException closed) {
             return true;
-        } catch (IOException | ClosedSelectorException unknown) {
+        } catch (IOException | CancelledKeyException | ClosedSelectorException unknown) {
             return !channel.isConnected();
         }
     }
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/ReadyConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/ReadyConnections.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.util.Iterator;
 import java.util.Objects;
@@ -62,24 +63,30 @@
         Set<SelectionKey> ready = super.select(runner);
         for (Iterator<SelectionKey> keys = ready.iterator(); keys.hasNext(); ) {
             SelectionKey key = keys.next();
-            if (key.isValid() && key.isAcceptable() && acceptAll(runner, key)) {
+            // The operations of a key cannot be asked for here, since its channel may be closed by another thread at
+            // any time.
+            if (key.channel() instanceof ServerSocketChannel && acceptAll(runner, key)) {
                 keys.remove();
             }
         }
         return ready;
     }
 
-    /** Accepts all connections that wait; returns whether none is left. */
-    private boolean acceptAll(SelectorRunner runner, SelectionKey key) throws IOException {
+    /** Accepts all connections that wait; returns whether none is left, false if the library has to handle a failure. */
+    private boolean acceptAll(SelectorRunner runner, SelectionKey key) {
         TCPNIOServerConnection server = (TCPNIOServerConnection)
                 runner.getTransport().getSelectionKeyHandler().getConnectionForKey(key);
-        for (int count = 0; count < MAX_ACCEPTED_AT_ONCE; count++) {
-            long before = accepted;
-            server.onAccept();
-            if (accepted == before) {
-                return true;
+        try {
+            for (int count = 0; count < MAX_ACCEPTED_AT_ONCE; count++) {
+                long before = accepted;
+                server.onAccept();
+                if (accepted == before) {
+                    return true;
+                }
             }
+            return false;
+        } catch (IOException failed) {
+            return false;
         }
-        return false;
     }
 }
