Allow the soak of late requests one write for each time that a process is stopped

The check allowed none. So the process was stopped between the query for the caller and the write that follows. A stopped process is not in touch, which the rule asks, and no order of its steps can close that gap. One thread makes these two steps for one request, so at most one request can be in it: each such request must be the only one after its continuation.

--- a/node/src/test/java/org/geraniumreach/node/LateRequestSoakTest.java
+++ b/node/src/test/java/org/geraniumreach/node/LateRequestSoakTest.java
@@ -11,10 +11,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -51,6 +53,7 @@
     private final Map<String, Long> lastArrivals = new ConcurrentHashMap<>();
     private final Map<String, Long> departures = new ConcurrentHashMap<>();
     private final Queue<Wait> waits = new ConcurrentLinkedQueue<>();
+    private final NavigableSet<Long> continuations = new ConcurrentSkipListSet<>();
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private volatile long silentUntil = System.nanoTime();
     private volatile boolean running = true;
@@ -180,9 +183,10 @@
         silentUntil = System.nanoTime() + Duration.ofMillis(millis).toNanos();
     }
 
-    private static void holdUp(EntryProcesses.Entry entry, int millis) throws Exception {
+    private void holdUp(EntryProcesses.Entry entry, int millis) throws Exception {
         entry.signal("STOP");
         Thread.sleep(millis);
+        continuations.add(System.nanoTime());
         entry.signal("CONT");
     }
 
@@ -247,7 +251,11 @@
                 "seed %d: %d requests at targets, %d callers left, %d sent on over 0.5 s later; %d reached the timeout, %d held on%n",
                 seed, lastArrivals.size(), departures.size(), sentOn.size(), reached, heldOn);
         assertThat(departures).isNotEmpty();
-        assertThat(sentOn).isEmpty();
+        assertThat(sentOn).allMatch(id -> continuations.floor(lastArrivals.get(id)) != null);
+        // A process may be stopped between the query for the caller and the write that follows, which one thread does
+        // for one request.
+        assertThat(sentOn.stream().map(id -> continuations.floor(lastArrivals.get(id))))
+                .doesNotHaveDuplicates();
         assertThat(reached >= FEW && 2 * heldOn > reached)
                 .as("%d of %d requests that reached the timeout were held on", heldOn, reached)
                 .isFalse();
