Read the clock of a request's arrival outside the platform's folder

The folder of the platform uses no clock, since nothing in it decides. PlatformBoundaryTest failed from the first lines on how long requests wait on, which the tests run with them did not show. The time at which a request was read is now taken from its connection, where its bytes are received.

--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -130,6 +130,16 @@
         return find(connection).map(ReceivedBytes::arrivedAt).orElseGet(clock::nanos);
     }
 
+    /**
+     * Gets the time at which the request that is being read had been received so far.
+     *
+     * @param connection the connection, not null
+     * @return the time in nanoseconds of the system's monotonic clock, now if the connection has been closed
+     */
+    public long readAt(Connection<?> connection) {
+        return find(connection).map(ReceivedBytes::lastAt).orElseGet(clock::nanos);
+    }
+
     /**
      * Queries whether the caller has closed its end of a connection, also if that has not been read yet. A close behind bytes that have not
      * been read does not show.
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
@@ -59,6 +59,11 @@
         receiving = !refused;
     }
 
+    /** Gets the time at which bytes were received last, in nanoseconds of the clock. */
+    synchronized long lastAt() {
+        return lastAt;
+    }
+
     /** Gets the earliest time at which the request that was received last can have begun to arrive, in nanoseconds of the clock. */
     synchronized long arrivedAt() {
         return arrivedAt;
