--- a/gateway/src/main/java/org/geraniumreach/gateway/port/TargetAnswerListener.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/TargetAnswerListener.java
@@ -1,5 +1,7 @@
 package org.geraniumreach.gateway.port;
 
+import org.geraniumreach.model.ConnectionUse;
+
 /**
  * Receives a target's answer to one request.
  *
@@ -11,9 +13,10 @@
     /**
      * Called just before the request is written to an open connection; before, it cannot have reached the target.
      *
+     * @param use the connection, not null
      * @return whether it may be written; if not, there are no further calls
      */
-    default boolean onSending() {
+    default boolean onSending(ConnectionUse use) {
         return true;
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -13,6 +13,7 @@
 import org.geraniumreach.gateway.retry.FailureCause;
 import org.geraniumreach.gateway.retry.Sending;
 import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.model.ConnectionUse;
 
 /**
  * One attempt to run a request at one target.
@@ -35,6 +36,7 @@
     private Cancellable call = Cancellable.NOOP;
     private Cancellable silenceTimer = Cancellable.NOOP;
     private SilenceLimits silenceLimits = SilenceLimits.NONE;
+    private Optional<ConnectionUse> connection = Optional.empty();
     private boolean prefillEnded;
     private boolean noPromptPending;
     private long sentAt;
@@ -117,6 +119,11 @@
         return run;
     }
 
+    /** Gets the connection that the request was written to, empty if it was not written. */
+    Optional<ConnectionUse> connection() {
+        return connection;
+    }
+
     /** Gets the time since the attempt was started. */
     Duration sinceStart() {
         return Duration.ofNanos(services.clock().nanos() - sentAt);
@@ -220,7 +227,7 @@
     }
 
     @Override
-    public boolean onSending() {
+    public boolean onSending(ConnectionUse use) {
         if (ended) {
             return false;
         }
@@ -232,6 +239,7 @@
             return false;
         }
         sent = true;
+        connection = Optional.of(use);
         run.onWritten();
         return true;
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -222,7 +222,7 @@
     private void onReplaced(Attempt silent) {
         leftTarget = Optional.of(silent.target());
         relay.discardAttempt();
-        log.logAttemptFailed(silent.target(), FailureCause.SILENT, "the target is silent", relay.lastEventNumber());
+        log.logAttemptFailed(silent, FailureCause.SILENT, "the target is silent", relay.lastEventNumber());
     }
 
     /** Allows the silent target again that the request was taken from, since the target that was to take it over has rejected it. */
@@ -394,7 +394,7 @@
 
         @Override
         public void onNotExecuted(NotExecuted reason) {
-            log.logNotExecuted(target, reason, attempt.sinceStart(), history.writesTo(target));
+            log.logNotExecuted(attempt, reason, history.writesTo(target));
             if (reason == NotExecuted.NOT_RESIDENT) {
                 request.adapter()
                         .ifPresent(adapter ->
@@ -480,7 +480,7 @@
         public void onFailed(FailureCause cause, String reason) {
             recordFailure(cause);
             steps.state().exclude(target.id());
-            log.logAttemptFailed(target, cause, reason, relay.lastEventNumber());
+            log.logAttemptFailed(attempt, cause, reason, relay.lastEventNumber());
             if (isAtAnotherTarget(cause)) {
                 return;
             }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -18,6 +18,7 @@
 import org.geraniumreach.gateway.traffic.Account;
 import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.model.AccountId;
+import org.geraniumreach.model.ConnectionUse;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.ResultCode;
@@ -142,26 +143,48 @@
                 Field.of("queuedMillis", queued.toMillis()));
     }
 
-    /** Logs a rejection; one that comes at once after a further write to the same target may be a copy of the one before. */
-    void logNotExecuted(Target target, NotExecuted reason, Duration sinceStart, int writes) {
+    /** Logs a rejection; one on a connection that has carried the request before may be a copy of an earlier one. */
+    void logNotExecuted(Attempt attempt, NotExecuted reason, int writes) {
         log.write(
                 EventCode.ATTEMPT_NOT_EXECUTED,
                 id,
-                Field.of("target", target.id().value()),
-                Field.of("reason", reason),
-                Field.of("afterMillis", sinceStart.toMillis()),
-                Field.of("writesToTarget", writes));
+                withConnection(
+                        attempt,
+                        Field.of("target", attempt.target().id().value()),
+                        Field.of("reason", reason),
+                        Field.of("afterMillis", attempt.sinceStart().toMillis()),
+                        Field.of("writesToTarget", writes)));
+    }
+
+    /** Adds the connection of an attempt, 0 for one that was not written. */
+    private static Field[] withConnection(Attempt attempt, Field... fields) {
+        Optional<ConnectionUse> use = attempt.connection();
+        return Stream.concat(
+                        Arrays.stream(fields),
+                        Stream.of(
+                                Field.of(
+                                        "address",
+                                        attempt.target().description().address().toString()),
+                                Field.of(
+                                        "connection",
+                                        use.map(ConnectionUse::connection).orElse(0L)),
+                                Field.of(
+                                        "earlierCalls",
+                                        use.map(ConnectionUse::earlierCalls).orElse(0))))
+                .toArray(Field[]::new);
     }
 
-    void logAttemptFailed(Target target, FailureCause cause, String reason, long lastEventNumber) {
+    void logAttemptFailed(Attempt attempt, FailureCause cause, String reason, long lastEventNumber) {
         log.write(
                 EventCode.ATTEMPT_FAILED,
                 id,
-                Field.of("target", target.id().value()),
-                Field.of("mayHaveRun", cause.mayHaveRun()),
-                Field.of("cause", cause),
-                Field.of("reason", reason),
-                Field.of("lastEvent", lastEventNumber));
+                withConnection(
+                        attempt,
+                        Field.of("target", attempt.target().id().value()),
+                        Field.of("mayHaveRun", cause.mayHaveRun()),
+                        Field.of("cause", cause),
+                        Field.of("reason", reason),
+                        Field.of("lastEvent", lastEventNumber)));
     }
 
     void logAttemptSilent(Target target, Attempt.Silence silence, Progress progress) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/FakeTargets.java
@@ -15,6 +15,7 @@
 import org.geraniumreach.gateway.port.TargetAnswerListener;
 import org.geraniumreach.gateway.port.TargetLoad;
 import org.geraniumreach.gateway.request.GatewayRequest;
+import org.geraniumreach.model.ConnectionUse;
 import org.geraniumreach.model.Header;
 import org.geraniumreach.model.TargetId;
 
@@ -66,7 +67,7 @@
             if (written || !isOpen()) {
                 return;
             }
-            boolean permitted = listener.onSending();
+            boolean permitted = listener.onSending(new ConnectionUse(sentRequests.indexOf(this) + 1, 0));
             workingBeside = sentRequests.stream()
                     .filter(sent -> sent != this && sent.written && sent.isOpen())
                     .count();
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -31,6 +31,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.geraniumreach.model.ConnectionUse;
 import org.geraniumreach.model.Header;
 
 /**
@@ -57,6 +58,8 @@
     private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private InetSocketAddress address;
+    private long number;
+    private int calls;
     private PendingCall call;
     private PendingCall completedCall;
     private ResponseMatching lastMatching = ResponseMatching.BY_LISTENER;
@@ -126,8 +129,10 @@
         return channel.pipeline().get(HttpConnection.class);
     }
 
-    void setAddress(InetSocketAddress newAddress) {
-        address = newAddress;
+    /** Called once the connection is open, before its first call. */
+    void open(InetSocketAddress serverAddress, long connectionNumber) {
+        address = serverAddress;
+        number = connectionNumber;
     }
 
     InetSocketAddress address() {
@@ -163,11 +168,12 @@
     /** Sends a call, unless its listener does not permit it; then the connection is closed. */
     void send(PendingCall newCall) {
         newCall.setChannel(channel);
-        if (!newCall.startSending()) {
+        if (!newCall.startSending(new ConnectionUse(number, calls))) {
             channel.close();
             return;
         }
         call = newCall;
+        calls++;
         lastMatching = newCall.reuse().matching();
         informationalResponses = 0;
         discardedBytes = 0;
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -83,6 +83,7 @@
             return call;
         }
         openedCount++;
+        long number = openedCount;
         ChannelFuture connectFuture = bootstrap.connect(address);
         call.setChannel(connectFuture.channel());
         connectFuture.addListener(future -> {
@@ -90,7 +91,7 @@
                 connectFuture.channel().close();
             } else if (future.isSuccess()) {
                 HttpConnection connection = HttpConnection.of(connectFuture.channel());
-                connection.setAddress(address);
+                connection.open(address, number);
                 connection.send(call);
             } else {
                 call.fail(CallFailure.NOT_SENT, String.valueOf(future.cause().getMessage()));
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpResponseListener.java
@@ -1,5 +1,7 @@
 package org.geraniumreach.httpclient;
 
+import org.geraniumreach.model.ConnectionUse;
+
 /**
  * Receives the response to a call.
  *
@@ -11,9 +13,10 @@
     /**
      * Called just before the request is written to an open connection.
      *
+     * @param use the connection, not null
      * @return whether it may be written; if not, its connection is closed and there are no further calls
      */
-    default boolean onSending() {
+    default boolean onSending(ConnectionUse use) {
         return true;
     }
 
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import org.geraniumreach.model.ConnectionUse;
 
 /**
  * A call that was sent and has not ended, failed or been cancelled yet.
@@ -52,8 +53,8 @@
     }
 
     /** Queries whether the request may be written now; a call that may not has ended. */
-    boolean startSending() {
-        if (!ended && !listener.onSending()) {
+    boolean startSending(ConnectionUse use) {
+        if (!ended && !listener.onSending(use)) {
             ended = true;
         }
         return !ended;
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -19,6 +19,7 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.Future;
+import org.geraniumreach.model.ConnectionUse;
 import org.geraniumreach.model.Header;
 import org.geraniumreach.model.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
@@ -252,7 +253,7 @@
                     new ConnectionReuse(MAX_IDLE_TIME, () -> maxIdleConnections, ResponseMatching.BY_LISTENER),
                     new OutcomeRecorder() {
                         @Override
-                        public boolean onSending() {
+                        public boolean onSending(ConnectionUse use) {
                             return cancelled;
                         }
                     });
