Refuse requests that may outlast a stopping entry from the signal on

Callers of an entry that was told to stop, in calm, lost answers: it took every request for 2.5 s, however long it might take, and cut off at its exit what had not ended. Streams broke off 7.1 s after the signal, and requests that may run once ended with an unknown outcome.

Cause: a period in which everything is admitted, although the time of the exit is known. The rule was asked at the arrival only, so that a request which waited for a target when the signal came was sent on whatever it took.

Requests that wait are asked when the drain begins, and all again just before they are placed. What is refused has not run and is refused at once with its connection closed, so that the caller goes to another entry; that costs it a new connection, a cut costs it the answer.

DrainRuleTest held the old period (admitted at 0 and 2,400 ms with 15 s to go); these rows now say the opposite. ExitingEntryProcessTest expected 502 for requests whose body ends after the signal; they are now refused as not run, which promises more.

--- /dev/null
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/DrainAdmission.java
@@ -0,0 +1,50 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.traffic.Route;
+import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.ResultCode;
+
+/**
+ * Decides for each request whether this entry, if it is draining, still sends it to a target.
+ *
+ * <p>Invariant: all requests are admitted until the drain starts, and fewer the later it is. Confined to the event loop.
+ */
+final class DrainAdmission {
+
+    static final Refusal REFUSAL =
+            Refusal.withRetryAfter(ResultCode.DRAINING, "this entry ends before the request might", Duration.ZERO);
+
+    private final MonotonicClock clock;
+    private final AnswerTimes answerTimes = new AnswerTimes();
+    private Optional<DrainRule> rule = Optional.empty();
+
+    DrainAdmission(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    AnswerTimes answerTimes() {
+        return answerTimes;
+    }
+
+    /** Applies a rule from now on. */
+    void start(DrainRule newRule) {
+        rule = Optional.of(newRule);
+    }
+
+    /**
+     * Queries whether a request may be sent to a target now.
+     *
+     * @param request the request, not null
+     * @param route its route, not null
+     * @param limit the time after which the request ends in any case, not null
+     * @return true if this entry does not drain, or if the request ends before the exit
+     */
+    boolean admits(GatewayRequest request, Route route, Duration limit) {
+        return rule.filter(
+                        drain -> !drain.admits(answerTimes.longest(route, request.generation(), limit), clock.nanos()))
+                .isEmpty();
+    }
+}
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -39,6 +39,7 @@
     private final Route route;
     private final CallerAnswer answer;
     private final OutputLengths outputLengths;
+    private final DrainAdmission drain;
     private final Consumer<Exchange> onEnd;
     private final RunHistory history;
     private final SendTerms terms;
@@ -61,7 +62,7 @@
             Route route,
             ServiceChoice choice,
             Optional<Account> account,
-            OutputLengths outputLengths,
+            HandlerState state,
             Consumer<Exchange> onEnd) {
         this.services = services;
         this.request = new RoutedRequest(
@@ -69,9 +70,10 @@
                 route,
                 choice.service(),
                 account,
-                outputLengths.expectedTokens(route, received.request().generation()),
+                state.outputLengths().expectedTokens(route, received.request().generation()),
                 services.clock());
-        this.outputLengths = outputLengths;
+        this.outputLengths = state.outputLengths();
+        this.drain = state.drain();
         this.route = route;
         this.answer = received.answer();
         this.onEnd = onEnd;
@@ -137,6 +139,9 @@
     }
 
     private void send(PlacementDecision.Send send) {
+        if (refuseIfDraining()) {
+            return;
+        }
         Target target = send.target();
         if (isSilentToo(target)) {
             steps.place();
@@ -186,6 +191,23 @@
                 terms.metadata(target, relay.resumeAfterNumber()), terms.maximumIdle(target), terms.silenceLimits());
     }
 
+    /** Refuses a request that no target may have begun and that might outlast this process. */
+    private boolean refuseIfDraining() {
+        boolean isAtTarget = attempts.current().isPresent() || history.mayHaveRun();
+        if (isAtTarget || drain.admits(request.request(), route, request.remaining())) {
+            return false;
+        }
+        refuse(DrainAdmission.REFUSAL);
+        return true;
+    }
+
+    /** Called when this entry begins to drain. */
+    void onDrainStarted() {
+        if (!ended) {
+            refuseIfDraining();
+        }
+    }
+
     /** Ends the request, or leaves it at a silent target, if it may not be written to another one. */
     private void onWriteForbidden(Target target, WriteDecision decision) {
         switch (decision.result()) {
@@ -606,6 +628,9 @@
         deadlineTimer.cancel();
         steps.stop();
         relay.release();
+        if (history.sends() > 0) {
+            report.recordTimes(drain.answerTimes());
+        }
         report.report(end, steps.waits());
         onEnd.accept(this);
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeReport.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeReport.java
@@ -36,6 +36,15 @@
         }
     }
 
+    /** Records how long the request took, also if it ended without a complete answer, since that would have taken longer. */
+    void recordTimes(AnswerTimes times) {
+        times.record(
+                request.route(),
+                request.request().generation(),
+                relay.timeToFirstPart(request.receivedAt()),
+                request.elapsed());
+    }
+
     /** Reports the outcome of a request that has ended, with the time that it spent waiting to be sent. */
     void report(FinalAnswer.End end, Waits waits) {
         services.outcomes()
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -56,11 +56,10 @@
     private final Map<Exchange, Cancellable> openExchanges = new HashMap<>();
     private final ExchangeDeadlines deadlines = new ExchangeDeadlines();
     private final Set<WaitingRequest> waitingRequests = new HashSet<>();
-    private final OutputLengths outputLengths = new OutputLengths();
     private final StartupQueue startupQueue;
     private final StreamResumption resumption;
     private final SingleRunRequests singleRuns;
-    private Optional<DrainRule> drainRule = Optional.empty();
+    private final HandlerState state;
 
     /**
      * Creates a handler.
@@ -79,6 +78,7 @@
         this.startupQueue = new StartupQueue(services.timers());
         this.resumption = new StreamResumption(services);
         this.singleRuns = new SingleRunRequests(services.clock());
+        this.state = HandlerState.create(services.clock());
         services.crashes().onRefused(() -> Set.copyOf(openExchanges.keySet()).forEach(Exchange::onRefusalsChanged));
     }
 
@@ -201,17 +201,8 @@
             ResultCode code = request.key().isPresent() ? ResultCode.KEY_REFUSED : ResultCode.KEY_MISSING;
             return refuse(request, answer, Refusal.of(code, "a key of a client account is needed"));
         }
-        if (drainRule.isPresent()
-                && !drainRule
-                        .get()
-                        .admits(
-                                route.get().effectiveTimeout(request.callerTimeout()),
-                                services.clock().nanos())) {
-            return refuse(
-                    request,
-                    answer,
-                    Refusal.withRetryAfter(
-                            ResultCode.DRAINING, "this entry ends before the request might", Duration.ZERO));
+        if (!state.drain().admits(request, route.get(), route.get().effectiveTimeout(request.callerTimeout()))) {
+            return refuse(request, answer, DrainAdmission.REFUSAL);
         }
         return route(received, route.get(), requiresKey ? account : Optional.empty());
     }
@@ -248,7 +239,7 @@
                 && !singleRuns.tryBegin(account.map(Account::id), request.id(), timeLimit)) {
             return refuse(request, received.answer(), REPEATED);
         }
-        Exchange exchange = new Exchange(services, received, route, choice, account, outputLengths, this::onEnded);
+        Exchange exchange = new Exchange(services, received, route, choice, account, state, this::onEnded);
         openExchanges.put(
                 exchange, services.timers().schedule(timeLeft.plus(OVERDUE_MARGIN), () -> onOverdue(exchange)));
         deadlines.add(exchange);
@@ -300,12 +291,13 @@
      * @param drainTime the time from then until the process exits, not null
      */
     public void drain(long startedAt, Duration drainTime) {
-        drainRule = Optional.of(DrainRule.of(startedAt, drainTime));
+        state.drain().start(DrainRule.of(startedAt, drainTime));
+        Set.copyOf(openExchanges.keySet()).forEach(Exchange::onDrainStarted);
     }
 
     /** Refuses all further requests, because the process exits once the admitted ones are answered. */
     public void close() {
-        drainRule = Optional.of(DrainRule.closed(services.clock().nanos()));
+        state.drain().start(DrainRule.closed(services.clock().nanos()));
     }
 
     /**
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/DrainRuleTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/DrainRuleTest.java
@@ -1,9 +1,14 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
+import org.geraniumreach.gateway.port.Cancellable;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
+import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -17,14 +22,16 @@
 
     @ParameterizedTest
     @CsvSource({
-        "0, 15000, true",
-        "2400, 15000, true",
-        "2600, 15000, false",
+        "0, 6800, true",
+        "0, 6801, false",
+        "0, 15000, false",
+        "2400, 15000, false",
+        "2400, 4400, true",
         "2600, 1500, true",
         "5300, 1500, true",
         "5500, 1500, false"
     })
-    void aLateRequestIsAdmittedOnlyIfItMustEndBeforeTheExit(long elapsedMillis, long maximumMillis, boolean admitted) {
+    void aRequestIsAdmittedOnlyIfItMustEndBeforeTheExit(long elapsedMillis, long maximumMillis, boolean admitted) {
         DrainRule rule = DrainRule.of(0, Duration.ofMillis(7_000));
         assertThat(rule.admits(Duration.ofMillis(maximumMillis), elapsedMillis * NANOS_PER_MILLI))
                 .isEqualTo(admitted);
@@ -62,8 +69,35 @@
     void aDrainCountsFromTheSignalAndNotFromWhenTheEventLoopLearnsOfIt() {
         RequestHarness world =
                 new RequestHarness().startWithRoute(RetryPolicy.AT_MOST_ONCE, 1).addTarget("a");
-        world.drain(Duration.ofSeconds(3), Duration.ofMillis(2_600));
+        world.drain(Duration.ofSeconds(7), Duration.ofMillis(6_900));
         assertThat(world.send().status()).isEqualTo(503);
         assertThat(world.targets().sentRequests()).isEmpty();
     }
+
+    /** Guards against a request that waits when the drain begins, and is sent though it may outlast the process. */
+    @Test
+    void aRequestThatWaitsForATargetIsRefusedWhenTheDrainBegins() {
+        RequestHarness world = new RequestHarness()
+                .startWithRoute(RetryPolicy.AT_MOST_ONCE, 1)
+                .addTarget("a", Map.of("base", Map.of("a7", 1L)));
+        world.setTargetAdmission((target, promptTokens, maxDelay, callback) -> Cancellable.NOOP);
+        RecordedAnswer answer = world.send(Optional.of(
+                new GatewayRequest.Generation("base", Optional.of(new AdapterName("base", "a7")), 10, 10, List.of())));
+        assertThat(answer.isEnded()).isFalse();
+        world.drain(Duration.ofSeconds(1));
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(world.openExchanges()).isZero();
+        assertThat(world.targets().sentRequests()).isEmpty();
+    }
+
+    /** Guards against the refusal of a request that a target works on, when the drain begins. */
+    @Test
+    void aRequestThatIsAtATargetGoesOnWhenTheDrainBegins() {
+        RequestHarness world =
+                new RequestHarness().startWithRoute(RetryPolicy.AT_MOST_ONCE, 1).addTarget("a");
+        RecordedAnswer answer = world.send();
+        world.drain(Duration.ofSeconds(1));
+        assertThat(answer.isEnded()).isFalse();
+        assertThat(world.targets().openRequests()).hasSize(1);
+    }
 }
--- a/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
@@ -21,7 +21,7 @@
     private static final long START_TIMEOUT_SECONDS = 60;
     private static final long READINESS_POLL_MILLIS = 100;
 
-    private static final ProcessSettings.RepeatLimits AMPLE_RETRIES =
+    static final ProcessSettings.RepeatLimits AMPLE_RETRIES =
             new ProcessSettings.RepeatLimits(1, 1_000, Duration.ofSeconds(10));
 
     private static final Duration DEFAULT_GRACE = Duration.ofSeconds(2);
--- a/node/src/test/java/org/geraniumreach/node/ExitingEntryProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/ExitingEntryProcessTest.java
@@ -103,12 +103,12 @@
                     entry.awaitExit();
                     assertThat(streamed.join()).startsWith("HTTP/1.1 200").doesNotEndWith("0\r\n\r\n");
                     assertThat(booked.join()).startsWith("HTTP/1.1 502");
-                    assertThat(arrived).startsWith("HTTP/1.1 502");
+                    assertThat(arrived).startsWith("HTTP/1.1 503");
                 }
             }
             assertThat(ends("stream")).singleElement().asString().contains("ANSWER_INTERRUPTED");
             assertThat(ends("booking")).singleElement().asString().contains("\"event\":4003");
-            assertThat(ends("arriving")).singleElement().asString().contains("\"event\":4003");
+            assertThat(ends("arriving")).singleElement().asString().contains("\"event\":4001");
             assertThat(Files.readString(directory.resolve("entry-0.log")))
                     .containsPattern("\"name\":\"DRAINED\",\"id\":\"entry-0\",\"open\":0");
         }
@@ -140,7 +140,7 @@
                     CompletableFuture<String> resumedAnswer = readAll(resumed);
                     entry.awaitExit();
                     assertThat(aheadAnswer.join().split("HTTP/1.1 ", -1)).hasSize(2);
-                    assertThat(resumedAnswer.join()).startsWith("HTTP/1.1 502");
+                    assertThat(resumedAnswer.join()).startsWith("HTTP/1.1 503");
                 }
             }
             assertThat(ends("first")).singleElement().asString().contains("\"event\":4003");
@@ -150,7 +150,7 @@
                     .satisfiesExactlyInAnyOrder(
                             line -> assertThat(line).contains("\"cause\":\"ANSWER\""),
                             line -> assertThat(line).contains("\"cause\":\"EXIT\"", "\"id\":\"stalled\""));
-            assertThat(ends("resumed")).singleElement().asString().contains("\"event\":4003");
+            assertThat(ends("resumed")).singleElement().asString().contains("\"event\":4001");
             assertThat(ends("stalled")).singleElement().asString().contains("\"cause\":\"EXIT\"");
         }
     }
