Test an entry as a process before targets that all send without end

A report tells of a machine that kept what a faulty worker sent without end, ran out of memory and ended with the requests of other callers.

--- a/node/src/test/java/org/geraniumreach/node/EndlessAnswerTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EndlessAnswerTest.java
@@ -69,7 +69,9 @@
 
     /** Guards against a connection that is read for ever, and memory that fills, since a target's answer does not end. */
     @ParameterizedTest
-    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    @EnumSource(
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"NONE", "NUMBERED_EVENTS"})
     void aConnectionOnWhichATargetSendsWithoutEndIsClosed(EndlessTarget.Endless endless) throws Exception {
         check(endless, "/look/x", plain);
     }
--- a/node/src/test/java/org/geraniumreach/node/EndlessTarget.java
+++ b/node/src/test/java/org/geraniumreach/node/EndlessTarget.java
@@ -10,11 +10,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
 /** A target that answers requests with bytes that do not end until its caller closes. Safe for use by several threads. */
 final class EndlessTarget implements AutoCloseable {
@@ -26,11 +29,14 @@
     /** Bytes are sent in pieces of this size, one a millisecond. */
     private static final int PIECE_BYTES = 16_384;
 
+    private static final String DATA = "x".repeat(200);
+
     private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final List<Answered> answered = new CopyOnWriteArrayList<>();
     private final AtomicInteger unended = new AtomicInteger();
-    private volatile Endless endless = Endless.NONE;
+    private volatile Supplier<Endless> choice = () -> Endless.NONE;
+    private volatile Optional<Endless> endlessReports = Optional.empty();
 
     /** What the target sends without end, after its usual beginning. */
     enum Endless {
@@ -51,6 +57,7 @@
         OTHER_REQUEST("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 999999999999\r\n\r\n", "x"),
         BEHIND_ANSWER("HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", "x"),
         EVENT("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x", "x"),
+        NUMBERED_EVENTS("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\n", ""),
         EVENTS("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", ": x\n\n");
 
         private final String beginning;
@@ -74,7 +81,17 @@
     }
 
     void setEndless(Endless newEndless) {
-        endless = newEndless;
+        choose(() -> newEndless);
+    }
+
+    /** Sets what each request is answered with. */
+    void choose(Supplier<Endless> newChoice) {
+        choice = newChoice;
+    }
+
+    /** Sets what reports and orders are answered with, empty for proper answers. */
+    void setEndlessReports(Optional<Endless> newEndless) {
+        endlessReports = newEndless;
     }
 
     /** Returns the endless answers that have ended. */
@@ -118,26 +135,46 @@
     }
 
     private void answer(OutputStream out, String path, String id) throws IOException, InterruptedException {
-        if (path.startsWith("/-/")) {
+        if (path.startsWith("/-/") && endlessReports.isEmpty()) {
             write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + REPORT.length() + "\r\n\r\n" + REPORT);
             return;
         }
+        Endless endless = path.startsWith("/-/") ? endlessReports.get() : choice.get();
         String common = "X-Attempt-Id: " + id + "\r\nX-Server-Seal: seal\r\n";
         if (endless == Endless.NONE) {
             write(out, "HTTP/1.1 200 OK\r\n" + common + "Content-Length: 2\r\n\r\nok");
             return;
         }
         write(out, String.format(endless.beginning, common));
-        repeat(out, endless.repeated);
+        if (endless == Endless.NUMBERED_EVENTS) {
+            AtomicLong number = new AtomicLong();
+            repeat(out, () -> numberedEvents(number));
+            return;
+        }
+        byte[] piece =
+                endless.repeated.repeat(PIECE_BYTES / endless.repeated.length()).getBytes(StandardCharsets.US_ASCII);
+        repeat(out, () -> piece);
+    }
+
+    private static byte[] numberedEvents(AtomicLong number) {
+        StringBuilder events = new StringBuilder();
+        while (events.length() < PIECE_BYTES) {
+            events.append("id: ")
+                    .append(number.incrementAndGet())
+                    .append("\ndata: ")
+                    .append(DATA)
+                    .append("\n\n");
+        }
+        return events.toString().getBytes(StandardCharsets.US_ASCII);
     }
 
-    private void repeat(OutputStream out, String repeated) throws InterruptedException {
-        byte[] piece = repeated.repeat(PIECE_BYTES / repeated.length()).getBytes(StandardCharsets.US_ASCII);
+    private void repeat(OutputStream out, Supplier<byte[]> pieces) throws InterruptedException {
         long begunAt = System.nanoTime();
         long bytes = 0;
         unended.incrementAndGet();
         try {
             while (true) {
+                byte[] piece = pieces.get();
                 out.write(piece);
                 out.flush();
                 bytes += piece.length;
