Log why a draining entry does not send a request, and end the wait for the balancer with the drain

A refusal of a drain did not name what it was decided on: 4034 DRAIN_DECIDED names the expected time of the request, its limit and the time until the exit. At the end of a drain the rule starts anew with nothing left to admit; callers refused then were told to return 2.5 s later, as if the load balancer had just begun to notice. DrainRuleTest holds the time for it.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/DrainAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/DrainAdmission.java
@@ -3,7 +3,10 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.DecisionLog.Field;
 import org.geraniumreach.gateway.traffic.Route;
+import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.model.ResultCode;
 
@@ -18,11 +21,13 @@
     private static final int LONGEST_RETRY_DIVISOR = 3;
 
     private final MonotonicClock clock;
+    private final DecisionLog log;
     private final AnswerTimes answerTimes = new AnswerTimes();
     private Optional<DrainRule> rule = Optional.empty();
 
-    DrainAdmission(MonotonicClock clock) {
+    DrainAdmission(MonotonicClock clock, DecisionLog log) {
         this.clock = clock;
+        this.log = log;
     }
 
     AnswerTimes answerTimes() {
@@ -40,12 +45,24 @@
      * @param request the request, not null
      * @param route its route, not null
      * @param limit the time after which the request ends in any case, not null
-     * @return true if this entry does not drain, or if the request ends before the exit
+     * @return true if this entry does not drain, or if the request is expected to end before the exit; a refusal is logged
      */
     boolean admits(GatewayRequest request, Route route, Duration limit) {
-        return rule.filter(
-                        drain -> !drain.admits(answerTimes.estimate(route, request.generation(), limit), clock.nanos()))
-                .isEmpty();
+        if (rule.isEmpty()) {
+            return true;
+        }
+        Duration expected = answerTimes.estimate(route, request.generation(), limit);
+        if (rule.get().admits(expected, clock.nanos())) {
+            return true;
+        }
+        log.write(
+                EventCode.DRAIN_DECIDED,
+                request.id(),
+                Field.of("route", route.name()),
+                Field.of("expectedMillis", expected.toMillis()),
+                Field.of("limitMillis", limit.toMillis()),
+                Field.of("untilExitMillis", rule.get().untilExit(clock.nanos()).toMillis()));
+        return false;
     }
 
     /**
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/DrainRule.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/DrainRule.java
@@ -20,10 +20,12 @@
 
     private final long startedAt;
     private final Duration drainTime;
+    private final Duration noticeTime;
 
-    private DrainRule(long startedAt, Duration drainTime) {
+    private DrainRule(long startedAt, Duration drainTime, Duration noticeTime) {
         this.startedAt = startedAt;
         this.drainTime = drainTime;
+        this.noticeTime = noticeTime;
     }
 
     /**
@@ -34,17 +36,17 @@
      * @return the rule, not null
      */
     static DrainRule of(long startedAt, Duration drainTime) {
-        return new DrainRule(startedAt, drainTime);
+        return new DrainRule(startedAt, drainTime, NOTICE_TIME);
     }
 
     /**
-     * Creates the rule of an entry that sends no more requests.
+     * Creates the rule of an entry that sends no more requests, at the end of a drain.
      *
-     * @param startedAt the start of the drain, in nanoseconds
+     * @param now the current time, in nanoseconds
      * @return the rule, not null
      */
-    static DrainRule closed(long startedAt) {
-        return new DrainRule(startedAt, Duration.ZERO);
+    static DrainRule closed(long now) {
+        return new DrainRule(now, Duration.ZERO, Duration.ZERO);
     }
 
     /**
@@ -65,8 +67,21 @@
      * @return the time, not negative, not null
      */
     Duration untilNoticed(long now) {
-        Duration left = NOTICE_TIME.minus(elapsed(now));
-        return left.isNegative() ? Duration.ZERO : left;
+        return notNegative(noticeTime.minus(elapsed(now)));
+    }
+
+    /**
+     * Gets the time until the process exits.
+     *
+     * @param now the current time, in nanoseconds
+     * @return the time, not negative, not null
+     */
+    Duration untilExit(long now) {
+        return notNegative(drainTime.minus(elapsed(now)));
+    }
+
+    private static Duration notNegative(Duration duration) {
+        return duration.isNegative() ? Duration.ZERO : duration;
     }
 
     private Duration elapsed(long now) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/HandlerState.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/HandlerState.java
@@ -1,5 +1,6 @@
 package org.geraniumreach.gateway.request;
 
+import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.model.MonotonicClock;
 
 /**
@@ -12,7 +13,7 @@
  */
 record HandlerState(OutputLengths outputLengths, DrainAdmission drain) {
 
-    static HandlerState create(MonotonicClock clock) {
-        return new HandlerState(new OutputLengths(), new DrainAdmission(clock));
+    static HandlerState create(MonotonicClock clock, DecisionLog log) {
+        return new HandlerState(new OutputLengths(), new DrainAdmission(clock, log));
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -78,7 +78,7 @@
         this.startupQueue = new StartupQueue(services.timers());
         this.resumption = new StreamResumption(services);
         this.singleRuns = new SingleRunRequests(services.clock());
-        this.state = HandlerState.create(services.clock());
+        this.state = HandlerState.create(services.clock(), services.log());
         services.crashes().onRefused(() -> Set.copyOf(openExchanges.keySet()).forEach(Exchange::onRefusalsChanged));
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/DrainRuleTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/DrainRuleTest.java
@@ -104,12 +104,22 @@
 
     /** Guards against callers that return before the load balancer has taken this entry out, and are refused by it again. */
     @ParameterizedTest
-    @CsvSource({"0, 12000, 2.50", "1000, 12000, 1.50", "1000, 3000, 1.00", "2600, 12000, 0.10"})
-    void aRefusedCallerReturnsOnceItReachesAnotherEntry(long elapsedMillis, long limitMillis, String retryAfter) {
+    @CsvSource({
+        "0, 12000, false, 2.50",
+        "1000, 12000, false, 1.50",
+        "1000, 3000, false, 1.00",
+        "2600, 12000, false, 0.10",
+        "4000, 12000, true, 0.10"
+    })
+    void aRefusedCallerReturnsOnceItReachesAnotherEntry(
+            long elapsedMillis, long limitMillis, boolean closed, String retryAfter) {
         VirtualTime time = new VirtualTime();
-        DrainAdmission drain = new DrainAdmission(time);
+        DrainAdmission drain = new DrainAdmission(time, (event, subject, fields) -> {});
         drain.start(DrainRule.of(time.nanos(), Duration.ofSeconds(7)));
         time.advance(Duration.ofMillis(elapsedMillis));
+        if (closed) {
+            drain.start(DrainRule.closed(time.nanos()));
+        }
         RecordedAnswer answer = new RecordedAnswer();
         drain.refusal(Duration.ofMillis(limitMillis)).send(answer);
         assertThat(answer.header("Retry-After")).contains(retryAfter);
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -78,6 +78,7 @@
             4032, Level.INFO, "A paused companion has read its fence; its requests go on or are refused."),
     ATTEMPT_RETURNED(
             4033, Level.INFO, "A request that has not run goes back to its silent target; no other may take it."),
+    DRAIN_DECIDED(4034, Level.INFO, "A request is not sent by an entry that drains, since it may outlast it."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
