--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerTimes.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerTimes.java
@@ -9,7 +9,7 @@
 import org.geraniumreach.gateway.traffic.Route;
 
 /**
- * Estimates how long requests may take, from the slow ones of the recent requests of their routes.
+ * Estimates how long requests may take, from a high quantile of what the recent requests of their routes took.
  *
  * <p>Intended for decisions on whether a request ends in time, before it is sent. The time before the first part and the time for each
  * token that a request may generate are estimated apart, since streams of one route differ in length.
@@ -24,7 +24,7 @@
     /** The number of recent requests that count. */
     private static final int WINDOW = 200;
 
-    /** The part of the recent requests that is not slower than what counts. */
+    /** The share of the recent requests that took at most as long as the estimate. */
     private static final double QUANTILE = 0.95;
 
     private final Map<String, RouteTimes> timesByRoute = new HashMap<>();
