--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -100,6 +100,7 @@
     private final TargetHealth health = TargetHealth.create(EjectionRules.standard(), time, new SplittableRandom(1));
     private final SilentTargets silences = new SilentTargets(health, time, time);
     private Optional<TrafficConfiguration> configuration = Optional.empty();
+    private final ExchangeServices services;
     private final RequestHandler handler;
     private final Evacuations evacuations = new Evacuations(Duration.ofSeconds(5), time, (event, id, fields) -> {});
     private final ColdStartLimiter cold = new ColdStartLimiter(
@@ -253,30 +254,28 @@
                 time);
         registry.addListener(silences);
         registry.addListener(streams);
-        this.handler = new RequestHandler(
-                new ExchangeServices(
-                        placement,
-                        registry,
-                        targets,
-                        adapters,
-                        new QuotaAdmission(quotas, (entry, number, account, units) -> false, time, time, new Random(1)),
-                        new ReplaceableAdmission(),
-                        (target, onDecision) -> limiter.admit(target, onDecision),
-                        crashes,
-                        (target, sample) -> paces.add(sample),
-                        streams,
-                        new RetryBudgets(
-                                new ProcessSettings.RepeatLimits(retryRatio, 0, RETRY_WINDOW), (key, limit) -> 0, time),
-                        health,
-                        silences,
-                        time,
-                        time,
-                        this::recordEvent,
-                        outcomes::add,
-                        answerMemory,
-                        ExchangeSettings.defaults()),
-                () -> configuration,
-                () -> 0);
+        this.services = new ExchangeServices(
+                placement,
+                registry,
+                targets,
+                adapters,
+                new QuotaAdmission(quotas, (entry, number, account, units) -> false, time, time, new Random(1)),
+                new ReplaceableAdmission(),
+                (target, onDecision) -> limiter.admit(target, onDecision),
+                crashes,
+                (target, sample) -> paces.add(sample),
+                streams,
+                new RetryBudgets(
+                        new ProcessSettings.RepeatLimits(retryRatio, 0, RETRY_WINDOW), (key, limit) -> 0, time),
+                health,
+                silences,
+                time,
+                time,
+                this::recordEvent,
+                outcomes::add,
+                answerMemory,
+                ExchangeSettings.defaults());
+        this.handler = new RequestHandler(services, () -> configuration, () -> 0);
     }
 
     private void recordEvent(EventCode event, String subject, DecisionLog.Field... fields) {
@@ -292,6 +291,11 @@
                         .collect(Collectors.toMap(DecisionLog.Field::name, DecisionLog.Field::value)));
     }
 
+    /** Returns what the exchanges of the handler share. */
+    public ExchangeServices services() {
+        return services;
+    }
+
     /** Returns the memory that the answers of all requests share. */
     public AnswerMemory answerMemory() {
         return answerMemory;
