Keep recent quantiles in one class

The estimate of a drain had its own ring of recent times with a quantile, beside that of the prefill rate and beside Quantiles. RecentQuantile serves both; it sorts at the first read after an addition, which the prefill rate did at each addition and the estimate at each read. No value changes: AnswerTimesTest and the tests of placement, speeds and requests pass as they were.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PrefillRate.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PrefillRate.java
@@ -1,7 +1,8 @@
 package org.geraniumreach.gateway.placement;
 
 import java.time.Duration;
-import java.util.Arrays;
+
+import org.geraniumreach.gateway.speed.RecentQuantile;
 
 /**
  * Estimates the prefill rate of the targets of one service from the times to the first part.
@@ -22,40 +23,12 @@
     private static final double OVERHEAD_QUANTILE = 0.25;
     private static final double NANOS_PER_MILLI = 1e6;
 
-    private final RecentQuantile observed = new RecentQuantile(RATE_QUANTILE, INITIAL_TOKENS_PER_MILLI);
-    private final RecentQuantile overhead = new RecentQuantile(OVERHEAD_QUANTILE, 0);
-    private final RecentQuantile net = new RecentQuantile(RATE_QUANTILE, INITIAL_TOKENS_PER_MILLI);
-
-    /** A quantile over recent samples, computed on each addition because it is read far more often. */
-    private static final class RecentQuantile {
-        private static final int MAXIMUM_SAMPLES = 64;
-        private static final int MINIMUM_SAMPLES = 8;
-
-        private final double quantile;
-        private final double[] values = new double[MAXIMUM_SAMPLES];
-        private int count;
-        private double current;
+    private static final int MAXIMUM_SAMPLES = 64;
+    private static final int MINIMUM_SAMPLES = 8;
 
-        RecentQuantile(double quantile, double initial) {
-            this.quantile = quantile;
-            this.current = initial;
-        }
-
-        void add(double value) {
-            values[count % MAXIMUM_SAMPLES] = value;
-            count++;
-            if (count < MINIMUM_SAMPLES) {
-                return;
-            }
-            double[] sorted = Arrays.copyOf(values, Math.min(count, MAXIMUM_SAMPLES));
-            Arrays.sort(sorted);
-            current = sorted[(int) ((sorted.length - 1) * quantile)];
-        }
-
-        double get() {
-            return current;
-        }
-    }
+    private final RecentQuantile observed = new RecentQuantile(RATE_QUANTILE, MAXIMUM_SAMPLES);
+    private final RecentQuantile overhead = new RecentQuantile(OVERHEAD_QUANTILE, MAXIMUM_SAMPLES);
+    private final RecentQuantile net = new RecentQuantile(RATE_QUANTILE, MAXIMUM_SAMPLES);
 
     /**
      * Records the time to the first part of a prompt that was sent while none of this entry was pending at the
@@ -71,7 +44,7 @@
             return;
         }
         observed.add(tokens / millis);
-        double prefillMillis = millis - overhead.get();
+        double prefillMillis = millis - valueOr(0, overhead);
         if (prefillMillis > 0) {
             net.add(tokens / prefillMillis);
         }
@@ -79,11 +52,15 @@
 
     /** Gets the tokens per millisecond as observed by requests, including the overhead before the first part. */
     double tokensPerMilli() {
-        return observed.get();
+        return valueOr(INITIAL_TOKENS_PER_MILLI, observed);
     }
 
     /** Gets the tokens per millisecond of the prefill alone, without the overhead that a very short prompt takes. */
     double netTokensPerMilli() {
-        return net.get();
+        return valueOr(INITIAL_TOKENS_PER_MILLI, net);
+    }
+
+    private static double valueOr(double initial, RecentQuantile recent) {
+        return recent.size() < MINIMUM_SAMPLES ? initial : recent.get();
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerTimes.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerTimes.java
@@ -1,11 +1,11 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
+import org.geraniumreach.gateway.speed.RecentQuantile;
 import org.geraniumreach.gateway.traffic.Route;
 
 /**
@@ -31,27 +31,8 @@
 
     /** The times of the recent requests of one route, in nanoseconds. */
     private static final class RouteTimes {
-        private final RecentValues firstPart = new RecentValues();
-        private final RecentValues perToken = new RecentValues();
-    }
-
-    /** The latest values, at most {@link #WINDOW}. */
-    private static final class RecentValues {
-        private final double[] values = new double[WINDOW];
-        private int count;
-        private int next;
-
-        private void add(double value) {
-            values[next] = value;
-            next = (next + 1) % WINDOW;
-            count = Math.min(count + 1, WINDOW);
-        }
-
-        private double quantile() {
-            double[] sorted = Arrays.copyOf(values, count);
-            Arrays.sort(sorted);
-            return sorted[(int) (QUANTILE * (count - 1))];
-        }
+        private final RecentQuantile firstPart = new RecentQuantile(QUANTILE, WINDOW);
+        private final RecentQuantile perToken = new RecentQuantile(QUANTILE, WINDOW);
     }
 
     /**
@@ -80,10 +61,10 @@
      */
     Duration estimate(Route route, Optional<GatewayRequest.Generation> generation, Duration limit) {
         RouteTimes times = timesByRoute.get(route.name());
-        if (times == null || times.firstPart.count < MINIMUM_REQUESTS) {
+        if (times == null || times.firstPart.size() < MINIMUM_REQUESTS) {
             return limit;
         }
-        double nanos = times.firstPart.quantile() + tokens(generation) * times.perToken.quantile();
+        double nanos = times.firstPart.get() + tokens(generation) * times.perToken.get();
         return nanos < limit.toNanos() ? Duration.ofNanos((long) nanos) : limit;
     }
 
