Share what tests of single-run requests and of processes repeat

The new tests wrote again how a request's status is read where its answer may break off, how the peak memory of a process is read, and the checks that no request ran twice or though it was refused. They are one method each now, used by the older tests too. No assertion changes, but that a process whose peak cannot be read fails the endless test, which printed 0.

--- a/node/src/test/java/org/geraniumreach/node/CallerRequests.java
+++ b/node/src/test/java/org/geraniumreach/node/CallerRequests.java
@@ -1,11 +1,14 @@
 package org.geraniumreach.node;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.time.Duration;
 
-/** Builds the requests of callers of a {@link FakePlatform}. Stateless and safe for use by several threads. */
+/** Builds and sends the requests of callers of a {@link FakePlatform}. Stateless and safe for use by several threads. */
 final class CallerRequests {
 
     private static final String GENERATION_PATH = "/chat/";
@@ -26,4 +29,13 @@
                 ? request.header("X-Model", model).header("X-Token-Count", "100,5")
                 : request;
     }
+
+    /** Sends a request and returns the status of its whole answer, 0 if there is none. */
+    static int status(HttpClient client, HttpRequest request) throws InterruptedException {
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+        } catch (IOException broken) {
+            return 0;
+        }
+    }
 }
--- a/node/src/test/java/org/geraniumreach/node/ConcentratedConnectionsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/ConcentratedConnectionsTest.java
@@ -106,14 +106,6 @@
         }
     }
 
-    private static long memoryKilobytes(EntryProcesses.Entry entry) throws IOException {
-        return Files.readAllLines(Path.of("/proc", Long.toString(entry.processId()), "status")).stream()
-                .filter(line -> line.startsWith("VmHWM:"))
-                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
-                .findFirst()
-                .orElseThrow();
-    }
-
     /** Guards against an entry that takes more connections than it can serve, or exhausts its memory or descriptors. */
     @Test
     void anEntryThatGetsMostConnectionsServesWhatItReads() throws Exception {
@@ -131,11 +123,11 @@
             Result concentrated = send(CONCENTRATED_RATE, number -> busy.address());
             System.out.printf(
                     "usual %s, concentrated %s, %d descriptors, %d KB at most%n",
-                    usual, concentrated, descriptors(busy), memoryKilobytes(busy));
+                    usual, concentrated, descriptors(busy), busy.peakMemoryKilobytes());
             assertThat(usual.servedShare()).isGreaterThan(0.9);
             assertThat(concentrated.servedShare()).isGreaterThan(SHARE_TO_KEEP * usual.servedShare());
             assertThat(descriptors(busy)).isLessThan(MAXIMUM_DESCRIPTORS);
-            assertThat(memoryKilobytes(busy)).isLessThan(MAXIMUM_MEMORY_KILOBYTES);
+            assertThat(busy.peakMemoryKilobytes()).isLessThan(MAXIMUM_MEMORY_KILOBYTES);
         }
     }
 }
--- a/node/src/test/java/org/geraniumreach/node/DrainedEntryProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/DrainedEntryProcessTest.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -143,7 +142,7 @@
                     .header("X-Work-Millis", Long.toString(workMillis))
                     .build();
             long sentAt = System.nanoTime();
-            int status = send(request);
+            int status = CallerRequests.status(client, request);
             if (status != CUT || ran.contains(id)) {
                 outcomes.add(new Outcome(id, path, workMillis, sentAt, status));
             }
@@ -152,14 +151,6 @@
         return null;
     }
 
-    private int send(HttpRequest request) throws InterruptedException {
-        try {
-            return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
-        } catch (IOException broken) {
-            return CUT;
-        }
-    }
-
     private void verify(long stoppedAt) {
         List<Outcome> before =
                 outcomes.stream().filter(ended -> ended.sentAt() < stoppedAt).toList();
--- a/node/src/test/java/org/geraniumreach/node/EndlessFleetProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EndlessFleetProcessTest.java
@@ -189,7 +189,7 @@
                 soundAnswers.get(),
                 soundRequests.get(),
                 entry.isAlive() ? "alive" : "gone",
-                entry.isAlive() ? peakKilobytes(entry) : 0);
+                entry.isAlive() ? entry.peakMemoryKilobytes() : 0);
         assertThat(entry.isAlive()).isTrue();
         assertThat(Files.readString(entry.log())).doesNotContain("OutOfMemoryError", "StackOverflowError");
         for (EndlessTarget target : targets) {
@@ -214,12 +214,4 @@
                 .filter(line -> line.contains("\"cause\":\"NOT_ACCEPTED\""))
                 .count();
     }
-
-    private static long peakKilobytes(EntryProcesses.Entry entry) throws IOException {
-        return Files.readAllLines(Path.of("/proc", Long.toString(entry.processId()), "status")).stream()
-                .filter(line -> line.startsWith("VmHWM:"))
-                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
-                .findFirst()
-                .orElse(0);
-    }
 }
--- a/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
@@ -141,6 +141,15 @@
             return process.pid();
         }
 
+        /** Gets the most memory that the process has used, in kilobytes. */
+        long peakMemoryKilobytes() throws IOException {
+            return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                    .filter(line -> line.startsWith("VmHWM:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                    .findFirst()
+                    .orElseThrow();
+        }
+
         void disturb() {
             disturbedAt = System.nanoTime();
         }
--- a/node/src/test/java/org/geraniumreach/node/KeptConnectionProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/KeptConnectionProcessTest.java
@@ -25,7 +25,6 @@
 
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(4);
     private static final Duration LATE_RUNS = Duration.ofMillis(500);
-    private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
     private static final int REQUESTS = 20;
     private static final int MAXIMUM_ARRIVALS = 5;
     private static final long RUN_MILLIS = 50;
@@ -106,7 +105,9 @@
             for (int number = 0; number < REQUESTS; number++) {
                 String id = "again-" + number;
                 int status = 503;
-                for (int arrival = 0; NOT_RUN.contains(status) && arrival < MAXIMUM_ARRIVALS; arrival++) {
+                for (int arrival = 0;
+                        SingleRunAssertions.NOT_RUN.contains(status) && arrival < MAXIMUM_ARRIVALS;
+                        arrival++) {
                     status = send(entries, path, id);
                 }
                 statuses.put(id, status);
@@ -143,14 +144,7 @@
                 copied.get(),
                 Set.copyOf(statuses.values()),
                 runs.values().stream().filter(count -> count > 1).count());
-        assertThat(runs.entrySet())
-                .as("requests that ran twice")
-                .filteredOn(run -> run.getValue() > 1)
-                .isEmpty();
-        assertThat(statuses.entrySet())
-                .as("requests that were refused and ran")
-                .filteredOn(ended -> NOT_RUN.contains(ended.getValue()) && runs.containsKey(ended.getKey()))
-                .isEmpty();
+        SingleRunAssertions.assertNoneRanTwiceOrThoughItWasRefused(runs, statuses);
         assertThat(statuses.values()).contains(200);
     }
 }
--- a/node/src/test/java/org/geraniumreach/node/OddRowsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/OddRowsTest.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.http.HttpClient;
-import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -143,13 +142,10 @@
     private int send(EntryProcesses.Entry entry, String path) {
         String id = "odd-" + requests++;
         try {
-            return client.send(
-                            CallerRequests.post(entry.address(), path, id, CALLER_TIMEOUT, "hi", "base")
-                                    .build(),
-                            HttpResponse.BodyHandlers.ofString())
-                    .statusCode();
-        } catch (IOException closed) {
-            return 0;
+            return CallerRequests.status(
+                    client,
+                    CallerRequests.post(entry.address(), path, id, CALLER_TIMEOUT, "hi", "base")
+                            .build());
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
             return 0;
--- a/node/src/test/java/org/geraniumreach/node/SingleRunSoakTest.java
+++ b/node/src/test/java/org/geraniumreach/node/SingleRunSoakTest.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -44,7 +43,6 @@
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(4);
     private static final Duration LATE_RUNS = Duration.ofSeconds(2);
     private static final int MAXIMUM_REPETITIONS = 3;
-    private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
     private static final String EVENT = "id: 1\ndata: x\n\n";
 
     private final HttpClient client =
@@ -202,13 +200,13 @@
                             "hi",
                             "base/a1")
                     .build();
-            int status = send(request);
-            for (int again = 0; NOT_RUN.contains(status) && again < MAXIMUM_REPETITIONS; again++) {
+            int status = CallerRequests.status(client, request);
+            for (int again = 0; SingleRunAssertions.NOT_RUN.contains(status) && again < MAXIMUM_REPETITIONS; again++) {
                 if (runs.containsKey(id)) {
                     ranThoughRefused.add(id);
                 }
                 Thread.sleep(random.nextInt(30));
-                status = send(request);
+                status = CallerRequests.status(client, request);
             }
             statuses.put(id, status);
             Thread.sleep(random.nextInt(30));
@@ -216,14 +214,6 @@
         return null;
     }
 
-    private int send(HttpRequest request) throws InterruptedException {
-        try {
-            return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
-        } catch (IOException broken) {
-            return 0;
-        }
-    }
-
     private void verify(long seed) {
         System.out.printf(
                 "seed %d: %d requests, %d run, %d answered, %d refused, %d copies of rejections%n",
@@ -231,19 +221,14 @@
                 statuses.size(),
                 runs.size(),
                 statuses.values().stream().filter(status -> status == 200).count(),
-                statuses.values().stream().filter(NOT_RUN::contains).count(),
+                statuses.values().stream()
+                        .filter(SingleRunAssertions.NOT_RUN::contains)
+                        .count(),
                 copyCount.get());
         assertThat(runs).isNotEmpty();
-        assertThat(runs.entrySet())
-                .as("requests that ran twice")
-                .filteredOn(run -> run.getValue() > 1)
-                .isEmpty();
         assertThat(ranThoughRefused)
                 .as("requests that were refused and had run")
                 .isEmpty();
-        assertThat(statuses.entrySet())
-                .as("requests that were refused and ran")
-                .filteredOn(ended -> NOT_RUN.contains(ended.getValue()) && runs.containsKey(ended.getKey()))
-                .isEmpty();
+        SingleRunAssertions.assertNoneRanTwiceOrThoughItWasRefused(runs, statuses);
     }
 }
