Retain the lines of requests that are written more than once while the log is full

In the record of the users no line names the request that ran twice. Lines beyond 8,192 that wait were dropped, whatever they told, so that at load the few lines that matter went with those of ordinary requests.

Rejections, failed attempts, further writes and the ends of requests that were sent more than once have a buffer of their own, bounded as well. The end of a request names each of its writes, with the connection and what is known of the run, so that one line tells what happened.

--- a/gateway/src/main/java/org/geraniumreach/gateway/port/DecisionLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/DecisionLog.java
@@ -5,7 +5,8 @@
 /**
  * Writes a log line for each decision.
  *
- * <p>Contract: never blocks; lines that do not fit into its buffer are dropped and counted. Safe for use by several threads.
+ * <p>Contract: never blocks; lines that do not fit into its buffer are dropped and counted. Retained lines have a buffer of their own,
+ * so that no number of other lines displaces them. Safe for use by several threads.
  */
 @FunctionalInterface
 public interface DecisionLog {
@@ -19,6 +20,17 @@
      */
     void write(EventCode event, String subject, Field... fields);
 
+    /**
+     * Writes a line that is needed to tell what happened to a request that was written more than once.
+     *
+     * @param event the event, not null
+     * @param subject the id of the request concerned, not null
+     * @param fields the grounds and the result of the decision, not null
+     */
+    default void writeRetained(EventCode event, String subject, Field... fields) {
+        write(event, subject, fields);
+    }
+
     /**
      * A named value of a line.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -36,7 +36,6 @@
     private Cancellable call = Cancellable.NOOP;
     private Cancellable silenceTimer = Cancellable.NOOP;
     private SilenceLimits silenceLimits = SilenceLimits.NONE;
-    private Optional<ConnectionUse> connection = Optional.empty();
     private boolean prefillEnded;
     private boolean noPromptPending;
     private long sentAt;
@@ -119,11 +118,6 @@
         return run;
     }
 
-    /** Gets the connection that the request was written to, empty if it was not written. */
-    Optional<ConnectionUse> connection() {
-        return connection;
-    }
-
     /** Gets the time since the attempt was started. */
     Duration sinceStart() {
         return Duration.ofNanos(services.clock().nanos() - sentAt);
@@ -239,8 +233,7 @@
             return false;
         }
         sent = true;
-        connection = Optional.of(use);
-        run.onWritten();
+        run.onWritten(use);
         return true;
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -545,7 +545,12 @@
 
     private ExchangeLog.Progress progress() {
         return new ExchangeLog.Progress(
-                admitted, history.sends(), request.elapsed(), steps.waits(), relay.lastEventNumber());
+                admitted,
+                history.sends(),
+                history.describeWrites(),
+                request.elapsed(),
+                steps.waits(),
+                relay.lastEventNumber());
     }
 
     /** Gets the time at which the request's time ends, in nanoseconds of the clock. */
@@ -615,7 +620,7 @@
             return;
         }
         attempts.cancelAll();
-        log.logCallerGone(history.sends(), request.elapsed());
+        log.logCallerGone(progress());
         finish(new FinalAnswer.End(OutcomeListener.Kind.CALLER_GONE, 0));
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -27,7 +27,8 @@
 /**
  * Writes the decisions of one exchange to the log, with the values that led to them.
  *
- * <p>Immutable; confined to the event loop like the exchange.
+ * <p>Invariant: of a request that is sent more than once, the further writes, all rejections and failures of attempts, and the end are
+ * retained lines; the end names all writes. Immutable; confined to the event loop like the exchange.
  */
 final class ExchangeLog {
 
@@ -46,11 +47,12 @@
      *
      * @param admitted whether it was admitted under its account's rate
      * @param sends the number of times that it was sent to a target
+     * @param writes its writes to targets, and what is known of them
      * @param elapsed the time since it was read
      * @param waits the time spent waiting, by cause
      * @param lastEvent the number of the last event that the caller has, 0 if it has none
      */
-    record Progress(boolean admitted, int sends, Duration elapsed, Waits waits, long lastEvent) {}
+    record Progress(boolean admitted, int sends, String writes, Duration elapsed, Waits waits, long lastEvent) {}
 
     ExchangeLog(DecisionLog log, MonotonicClock clock, RoutedRequest routed) {
         GatewayRequest request = routed.request();
@@ -91,15 +93,23 @@
                 Field.of("waitedMillis", progress.elapsed().toMillis()),
                 Field.of("unreadMillis", unread.toMillis()),
                 Field.of("queuedMillis", queued.toMillis()));
-        log.write(
+        writeRetainedIf(
+                grounds.result() != WriteDecision.Result.FIRST,
                 EventCode.REQUEST_PLACED,
-                id,
                 progress.waits()
                         .appendTo(Stream.of(fields, speedFields(send.speed()), resumptionFields(progress))
                                 .flatMap(Function.identity())
                                 .toArray(Field[]::new)));
     }
 
+    private void writeRetainedIf(boolean retained, EventCode event, Field... fields) {
+        if (retained) {
+            log.writeRetained(event, id, fields);
+        } else {
+            log.write(event, id, fields);
+        }
+    }
+
     private Stream<Field> resumptionFields(Progress progress) {
         return progress.lastEvent() > 0
                 ? Stream.of(Field.of("lastEvent", progress.lastEvent()), Field.of("firstAttempt", firstAttempt))
@@ -125,7 +135,7 @@
     }
 
     void logWriteForbidden(Target target, WriteDecision decision) {
-        log.write(
+        log.writeRetained(
                 EventCode.WRITE_FORBIDDEN,
                 id,
                 Field.of("target", target.id().value()),
@@ -133,7 +143,7 @@
     }
 
     void logWriteOmitted(Target target, WriteDecision decision, Duration remaining) {
-        log.write(
+        log.writeRetained(
                 EventCode.WRITE_OMITTED,
                 id,
                 Field.of("target", target.id().value()),
@@ -145,7 +155,7 @@
 
     /** Logs a rejection; one on a connection that has carried the request before may be a copy of an earlier one. */
     void logNotExecuted(Attempt attempt, NotExecuted reason, int writes) {
-        log.write(
+        log.writeRetained(
                 EventCode.ATTEMPT_NOT_EXECUTED,
                 id,
                 withConnection(
@@ -158,7 +168,7 @@
 
     /** Adds the connection of an attempt, 0 for one that was not written. */
     private static Field[] withConnection(Attempt attempt, Field... fields) {
-        Optional<ConnectionUse> use = attempt.connection();
+        Optional<ConnectionUse> use = attempt.run().connection();
         return Stream.concat(
                         Arrays.stream(fields),
                         Stream.of(
@@ -175,7 +185,7 @@
     }
 
     void logAttemptFailed(Attempt attempt, FailureCause cause, String reason, long lastEventNumber) {
-        log.write(
+        log.writeRetained(
                 EventCode.ATTEMPT_FAILED,
                 id,
                 withConnection(
@@ -239,29 +249,30 @@
     }
 
     void logEnded(EventCode event, ResultCode code, String reason, Progress progress) {
-        log.write(
+        Stream<Field> grounds = Stream.of(
+                Field.of("code", code),
+                Field.of("reason", reason),
+                Field.of("admitted", progress.admitted()),
+                Field.of("account", account),
+                Field.of("service", service),
+                Field.of("adapter", adapter));
+        writeRetainedIf(
+                progress.sends() > 1,
                 event,
-                id,
                 progress.waits()
-                        .appendTo(
-                                Field.of("code", code),
-                                Field.of("reason", reason),
-                                Field.of("admitted", progress.admitted()),
-                                Field.of("account", account),
-                                Field.of("service", service),
-                                Field.of("adapter", adapter),
-                                Field.of("arrivals", progress.sends()),
-                                Field.of("afterMillis", progress.elapsed().toMillis()),
-                                Field.of("unreadMillis", unread.toMillis()),
-                                Field.of("queuedMillis", queued.toMillis())));
+                        .appendTo(Stream.concat(grounds, endFields(progress)).toArray(Field[]::new)));
     }
 
-    void logCallerGone(int sends, Duration elapsed) {
-        log.write(
-                EventCode.CALLER_GONE,
-                id,
-                Field.of("arrivals", sends),
-                Field.of("afterMillis", elapsed.toMillis()),
+    void logCallerGone(Progress progress) {
+        writeRetainedIf(
+                progress.sends() > 1, EventCode.CALLER_GONE, endFields(progress).toArray(Field[]::new));
+    }
+
+    private Stream<Field> endFields(Progress progress) {
+        return Stream.of(
+                Field.of("arrivals", progress.sends()),
+                Field.of("writes", progress.writes()),
+                Field.of("afterMillis", progress.elapsed().toMillis()),
                 Field.of("unreadMillis", unread.toMillis()),
                 Field.of("queuedMillis", queued.toMillis()));
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeListener.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeListener.java
@@ -30,6 +30,7 @@
      * @param kind the kind of outcome
      * @param status the HTTP status sent to the caller, 0 if none was
      * @param sends the number of times that the request was sent to a target
+     * @param writes the writes to targets, and what is known of them
      * @param firstPart the time to the first part of the answer, empty if there was none
      * @param firstPartAfterSend the time from the last send to the first part, empty if there was none
      * @param waits the time spent waiting to be sent, by cause
@@ -43,6 +44,7 @@
             Kind kind,
             int status,
             int sends,
+            String writes,
             Optional<Duration> firstPart,
             Optional<Duration> firstPartAfterSend,
             Waits waits,
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeReport.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeReport.java
@@ -55,6 +55,7 @@
                         end.kind(),
                         end.status(),
                         history.sends(),
+                        history.describeWrites(),
                         relay.timeToFirstPart(request.receivedAt()),
                         timeToFirstPartAfterSend(),
                         waits,
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
@@ -6,10 +6,12 @@
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.traffic.Route;
+import org.geraniumreach.model.ConnectionUse;
 import org.geraniumreach.model.TargetId;
 
 /**
@@ -46,6 +48,7 @@
     static final class Run {
         private final Target target;
         private RunState state = RunState.NOT_WRITTEN;
+        private Optional<ConnectionUse> connection = Optional.empty();
 
         private Run(Target target) {
             this.target = target;
@@ -55,9 +58,15 @@
             return target;
         }
 
+        /** Gets the connection that the request was written to, empty if it was not written. */
+        Optional<ConnectionUse> connection() {
+            return connection;
+        }
+
         /** Called when the request is about to be written. */
-        void onWritten() {
+        void onWritten(ConnectionUse use) {
             state = RunState.OPEN;
+            connection = Optional.of(use);
         }
 
         /** Called if the target has not executed the request and never will, or cannot have received it. */
@@ -74,6 +83,11 @@
             }
         }
 
+        private String describe() {
+            return target.id().value() + "#"
+                    + connection.map(ConnectionUse::connection).orElse(0L) + ":" + state;
+        }
+
         private boolean isWritten() {
             return state != RunState.NOT_WRITTEN;
         }
@@ -165,6 +179,11 @@
                 .count();
     }
 
+    /** Describes each write in order: the target, the number of the connection, and what is known of the run. */
+    String describeWrites() {
+        return runs.stream().filter(Run::isWritten).map(Run::describe).collect(Collectors.joining(" "));
+    }
+
     private Stream<TargetId> possiblyRunTargets() {
         return runs.stream().filter(Run::mayHaveBegun).map(run -> run.target.id());
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/RunHistoryTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/RunHistoryTest.java
@@ -9,6 +9,7 @@
 import org.geraniumreach.gateway.testing.RecordedAnswer;
 import org.geraniumreach.gateway.testing.RequestHarness;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
+import org.geraniumreach.model.ConnectionUse;
 import org.geraniumreach.model.TargetId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -61,7 +62,7 @@
             RetryPolicy policy, int maximumTargets, WriteDecision.Result expected) {
         RunHistory history = history(policy, maximumTargets);
         RunHistory.Run run = history.onSend(target("a"));
-        run.onWritten();
+        run.onWritten(new ConnectionUse(1, 0));
         assertThat(history.decideWrite(target("b")).result()).isEqualTo(WriteDecision.Result.RUN_OPEN);
         run.onEnded();
         assertThat(history.decideWrite(target("b")).result()).isEqualTo(expected);
@@ -72,10 +73,10 @@
     void aRejectionDoesNotHideAnEarlierRun() {
         RunHistory history = history(RetryPolicy.AT_MOST_ONCE, 1);
         RunHistory.Run first = history.onSend(target("a"));
-        first.onWritten();
+        first.onWritten(new ConnectionUse(1, 0));
         first.onEnded();
         RunHistory.Run rejected = history.onSend(target("b"));
-        rejected.onWritten();
+        rejected.onWritten(new ConnectionUse(1, 0));
         rejected.onNotExecuted();
         assertThat(history.decideWrite(target("a")).result()).isEqualTo(WriteDecision.Result.MAY_HAVE_RUN);
         assertThat(history.mayHaveRun()).isTrue();
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -115,6 +115,7 @@
     private final Map<TargetId, Duration> limitWaits = new HashMap<>();
     private RequestLimiter limiter = RequestLimiter.unlimited();
     private final List<String> loggedEvents = new ArrayList<>();
+    private final List<EventCode> retainedEvents = new ArrayList<>();
     private final Map<EventCode, List<Map<String, Object>>> loggedFields = new EnumMap<>(EventCode.class);
     private TargetSpeeds speeds = TargetSpeeds.uniform();
     private final ServiceVersions versions = new ServiceVersions(
@@ -271,13 +272,27 @@
                 silences,
                 time,
                 time,
-                this::recordEvent,
+                new RecordingLog(),
                 outcomes::add,
                 answerMemory,
                 ExchangeSettings.defaults());
         this.handler = new RequestHandler(services, () -> configuration, () -> 0);
     }
 
+    private final class RecordingLog implements DecisionLog {
+
+        @Override
+        public void write(EventCode event, String subject, Field... fields) {
+            recordEvent(event, subject, fields);
+        }
+
+        @Override
+        public void writeRetained(EventCode event, String subject, Field... fields) {
+            retainedEvents.add(event);
+            recordEvent(event, subject, fields);
+        }
+    }
+
     private void recordEvent(EventCode event, String subject, DecisionLog.Field... fields) {
         String result = Arrays.stream(fields)
                 .filter(field -> field.name().equals("result"))
@@ -301,6 +316,11 @@
         return answerMemory;
     }
 
+    /** Returns the events of the retained log lines. */
+    public List<EventCode> retainedEvents() {
+        return retainedEvents;
+    }
+
     /** Returns the fields of each log line of an event. */
     public List<Map<String, Object>> loggedFields(EventCode event) {
         return loggedFields.getOrDefault(event, List.of());
--- a/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
@@ -114,6 +114,12 @@
         log.write(event, subject, fields);
     }
 
+    @Override
+    public void writeRetained(EventCode event, String subject, Field... fields) {
+        count(event, resultLabel(fields));
+        log.writeRetained(event, subject, fields);
+    }
+
     private static String resultLabel(Field... fields) {
         for (Field field : fields) {
             if (RESULT_FIELDS.contains(field.name()) && field.value() instanceof Enum<?> value) {
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -340,37 +340,37 @@
 
     private void onRequestEnded(OutcomeListener.Outcome outcome) {
         metrics.onRequestEnded(outcome);
-        if (outcome.kind() == OutcomeListener.Kind.ANSWERED) {
-            log.write(
-                    EventCode.REQUEST_ANSWERED,
-                    outcome.id(),
-                    outcome.waits()
-                            .appendTo(
-                                    Field.of("route", outcome.route().name()),
-                                    Field.of("status", outcome.status()),
-                                    Field.of("arrivals", outcome.sends()),
-                                    Field.of(
-                                            "firstMillis",
-                                            outcome.firstPart()
-                                                    .map(Duration::toMillis)
-                                                    .orElse(-1L)),
-                                    Field.of(
-                                            "firstAfterSendMillis",
-                                            outcome.firstPartAfterSend()
-                                                    .map(Duration::toMillis)
-                                                    .orElse(-1L)),
-                                    Field.of(
-                                            "account",
-                                            outcome.account()
-                                                    .map(Object::toString)
-                                                    .orElse("")),
-                                    Field.of(
-                                            "longestPauseMillis",
-                                            outcome.maximumPause().toMillis()),
-                                    Field.of("totalMillis", outcome.total().toMillis())));
+        if (outcome.kind() != OutcomeListener.Kind.ANSWERED) {
+            return;
+        }
+        Field[] fields = answeredFields(outcome);
+        if (outcome.sends() > 1) {
+            log.writeRetained(EventCode.REQUEST_ANSWERED, outcome.id(), fields);
+        } else {
+            log.write(EventCode.REQUEST_ANSWERED, outcome.id(), fields);
         }
     }
 
+    private static Field[] answeredFields(OutcomeListener.Outcome outcome) {
+        return outcome.waits()
+                .appendTo(
+                        Field.of("route", outcome.route().name()),
+                        Field.of("status", outcome.status()),
+                        Field.of("arrivals", outcome.sends()),
+                        Field.of("writes", outcome.writes()),
+                        Field.of("firstMillis", millis(outcome.firstPart())),
+                        Field.of("firstAfterSendMillis", millis(outcome.firstPartAfterSend())),
+                        Field.of(
+                                "account",
+                                outcome.account().map(Object::toString).orElse("")),
+                        Field.of("longestPauseMillis", outcome.maximumPause().toMillis()),
+                        Field.of("totalMillis", outcome.total().toMillis()));
+    }
+
+    private static long millis(Optional<Duration> duration) {
+        return duration.map(Duration::toMillis).orElse(-1L);
+    }
+
     private Cancellable receive(GatewayRequest request, Arrival arrival, CallerAnswer answer) {
         metrics.onRequestTaken(arrival, clock.nanos());
         return requests.receive(request, arrival, answer);
--- a/node/src/main/java/org/geraniumreach/node/JsonLog.java
+++ b/node/src/main/java/org/geraniumreach/node/JsonLog.java
@@ -15,12 +15,12 @@
 /**
  * Writes the decision log as JSON, one object per line.
  *
- * <p>Invariants: callers never block on the output; lines beyond {@link #MAX_PENDING_LINES} are dropped, and their number is logged.
- * A dedicated thread writes the pending lines in batches, so that logging costs callers no system call. Safe for use by several threads.
+ * <p>Invariants: callers never block on the output; lines are written in the order of the calls; lines beyond
+ * {@link #MAX_PENDING_LINES} of either kind, retained and others, are dropped, and their numbers are logged. A dedicated thread writes the pending lines in batches, so that logging costs callers no system call. Safe for use by several threads.
  */
 final class JsonLog implements DecisionLog, AutoCloseable {
 
-    /** Four seconds of lines of an entry at peak load, about 2 MB. */
+    /** Four seconds of lines of an entry at peak load, about 2 MB; as many retained lines may wait beside them. */
     static final int MAX_PENDING_LINES = 8_192;
 
     /** Lines are collected for this long and written in one batch. */
@@ -30,10 +30,34 @@
     private final LongSupplier wallClockMillis;
     private final Deque<String> pendingLines = new ArrayDeque<>();
     private final Thread writer = new Thread(this::runWriter, "log");
-    private long droppedSinceFlush;
+    private final Buffer retained = new Buffer();
+    private final Buffer others = new Buffer();
     private long totalDropped;
     private boolean closed;
 
+    /** The counts of one kind of lines since the last flush; guarded by the pending lines. */
+    private static final class Buffer {
+        private int lines;
+        private long dropped;
+
+        private boolean reserve() {
+            if (lines >= MAX_PENDING_LINES) {
+                dropped++;
+                return false;
+            }
+            lines++;
+            return true;
+        }
+
+        /** Starts to count anew, and returns the number of lines dropped. */
+        private long reset() {
+            long previous = dropped;
+            lines = 0;
+            dropped = 0;
+            return previous;
+        }
+    }
+
     private JsonLog(OutputStream output, LongSupplier wallClockMillis) {
         this.output = Objects.requireNonNull(output, "output");
         this.wallClockMillis = Objects.requireNonNull(wallClockMillis, "wallClockMillis");
@@ -53,14 +77,21 @@
 
     @Override
     public void write(EventCode event, String subject, Field... fields) {
-        String line = formatLine(event, subject, fields);
+        add(formatLine(event, subject, fields), others);
+    }
+
+    @Override
+    public void writeRetained(EventCode event, String subject, Field... fields) {
+        add(formatLine(event, subject, fields), retained);
+    }
+
+    private void add(String line, Buffer buffer) {
         synchronized (pendingLines) {
-            if (pendingLines.size() >= MAX_PENDING_LINES) {
-                droppedSinceFlush++;
+            if (buffer.reserve()) {
+                pendingLines.add(line);
+            } else {
                 totalDropped++;
-                return;
             }
-            pendingLines.add(line);
         }
     }
 
@@ -127,9 +158,14 @@
         synchronized (pendingLines) {
             pendingLines.forEach(batch::append);
             pendingLines.clear();
-            if (droppedSinceFlush > 0) {
-                batch.append(formatLine(EventCode.LOG_LINES_DROPPED, "", Field.of("lines", droppedSinceFlush)));
-                droppedSinceFlush = 0;
+            long droppedOthers = others.reset();
+            long droppedRetained = retained.reset();
+            if (droppedOthers + droppedRetained > 0) {
+                batch.append(formatLine(
+                        EventCode.LOG_LINES_DROPPED,
+                        "",
+                        Field.of("lines", droppedOthers),
+                        Field.of("retainedLines", droppedRetained)));
             }
         }
         if (batch.isEmpty()) {
@@ -140,7 +176,7 @@
             output.flush();
         } catch (IOException writeFailed) {
             synchronized (pendingLines) {
-                droppedSinceFlush++;
+                others.dropped++;
                 totalDropped++;
             }
         }
--- a/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
@@ -53,6 +53,7 @@
                 kind,
                 200,
                 2,
+                "",
                 Optional.of(Duration.ofMillis(40)),
                 Optional.of(Duration.ofMillis(15)),
                 new Waits(Duration.ZERO, Duration.ofMillis(250), Duration.ZERO, Duration.ofMillis(90)),
--- a/node/src/test/java/org/geraniumreach/node/JsonLogTest.java
+++ b/node/src/test/java/org/geraniumreach/node/JsonLogTest.java
@@ -47,6 +47,42 @@
         assertThat(output.toString(StandardCharsets.UTF_8)).contains("LOG_LINES_DROPPED");
     }
 
+    /** Guards against the lines of a request that ran twice being displaced by those of others while the log is full. */
+    @Test
+    void noNumberOfOtherLinesDisplacesARetainedOne() {
+        CountDownLatch readable = new CountDownLatch(1);
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        JsonLog log = JsonLog.start(new BlockedOutputStream(output, readable), () -> 5);
+        for (int line = 0; line < 2 * JsonLog.MAX_PENDING_LINES; line++) {
+            log.write(EventCode.CALLER_GONE, "other");
+        }
+        log.writeRetained(EventCode.ATTEMPT_NOT_EXECUTED, "twice");
+        log.writeRetained(EventCode.REQUEST_PLACED, "twice");
+        log.write(EventCode.CALLER_GONE, "other");
+        log.writeRetained(EventCode.REQUEST_ANSWERED, "twice");
+        readable.countDown();
+        log.close();
+        assertThat(output.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains("twice")))
+                .extracting(line -> line.replaceAll(".*\"name\":\"(\\w+)\".*", "$1"))
+                .containsExactly("ATTEMPT_NOT_EXECUTED", "REQUEST_PLACED", "REQUEST_ANSWERED");
+        assertThat(output.toString(StandardCharsets.UTF_8)).containsPattern("\"lines\":\\d+,\"retainedLines\":0");
+    }
+
+    /** Guards against a log that grows without bound if nobody reads it, whatever its lines are. */
+    @Test
+    void retainedLinesAreBoundedToo() {
+        CountDownLatch readable = new CountDownLatch(1);
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        JsonLog log = JsonLog.start(new BlockedOutputStream(output, readable), () -> 5);
+        for (int line = 0; line < 3 * JsonLog.MAX_PENDING_LINES; line++) {
+            log.writeRetained(EventCode.ATTEMPT_NOT_EXECUTED, "r");
+        }
+        assertThat(log.totalDropped()).isPositive();
+        readable.countDown();
+        log.close();
+        assertThat(output.toString(StandardCharsets.UTF_8)).containsPattern("\"retainedLines\":[1-9]");
+    }
+
     private static final class BlockedOutputStream extends OutputStream {
         private final OutputStream delegate;
         private final CountDownLatch readable;
