Log answers that come once more, and raise an alarm if one proves the run of a rejected request

The record of the users has a line "the answer is to another request", which tells neither whose answer it was nor when that request was on the connection. A request that ran twice was found by the users, not by its entry.

4035 names the request that a surplus answer is to, its status, the connection, and how long ago the connection carried the request; the reason of 4010 says the same. If the request counts as rejected and the answer is no rejection, a target has run it: 4036, an alarm, which the events' counter counts. Answers that no call waits for are read up to their head before their connection is closed.

--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HeadDecision.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HeadDecision.java
@@ -28,6 +28,20 @@
         }
     }
 
+    /**
+     * The response is to another call: the call fails as with {@link Reject}.
+     *
+     * @param callId what names the other call
+     * @param reason the reason, for logging
+     */
+    record AnotherCall(String callId, String reason) implements HeadDecision {
+
+        public AnotherCall {
+            Objects.requireNonNull(callId, "callId");
+            Objects.requireNonNull(reason, "reason");
+        }
+    }
+
     /**
      * Obtains the decision to receive the body.
      *
@@ -46,6 +60,17 @@
         return new DiscardBody();
     }
 
+    /**
+     * Obtains the decision that the response is to another call.
+     *
+     * @param callId what names the other call, not null
+     * @param reason the reason, for logging, not null
+     * @return the decision, not null
+     */
+    static HeadDecision anotherCall(String callId, String reason) {
+        return new AnotherCall(callId, reason);
+    }
+
     /**
      * Obtains the decision not to use the response.
      *
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -3,11 +3,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -27,12 +26,10 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 import org.geraniumreach.model.ConnectionUse;
 import org.geraniumreach.model.Header;
 
@@ -53,15 +50,12 @@
     /** The longest body that is discarded so that its connection can be used again. */
     private static final int MAX_DISCARDED_BYTES = 65_536;
 
-    /** A connection that has carried more calls with discarded responses is not reused. */
-    private static final int MAX_DISCARDED_IDS = 64;
-
     private static final Duration MAX_DISCARD_TIME = Duration.ofMillis(500);
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
     private final HttpConnections connections;
     private final ResponseDecoder decoder = new ResponseDecoder();
-    private final Set<String> discardedIds = new HashSet<>();
+    private final EarlierCalls earlierCalls;
     private Channel channel;
     private InetSocketAddress address;
     private long number;
@@ -81,6 +75,7 @@
 
     private HttpConnection(HttpConnections owner) {
         this.connections = owner;
+        this.earlierCalls = new EarlierCalls(owner.clock());
     }
 
     static void install(Channel channel, HttpConnections owner) {
@@ -94,17 +89,16 @@
                         connection);
     }
 
-    /** Closes the connection on bytes that no call is waiting for, which the codec would read as the start of the next response. */
+    /** Closes the connection on bytes that no call is waiting for, once the head of a response has been read from them if they hold one. */
     private final class UnexpectedBytesHandler extends ChannelInboundHandlerAdapter {
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object bytes) {
-            if (call == null) {
-                ReferenceCountUtil.release(bytes);
+            boolean unexpected = call == null;
+            context.fireChannelRead(bytes);
+            if (unexpected) {
                 closeAfterSurplus();
-                return;
             }
-            context.fireChannelRead(bytes);
         }
     }
 
@@ -169,7 +163,7 @@
 
     /** Queries whether the response to an earlier call of the same id was discarded. */
     boolean hasDiscardedResponseTo(ConnectionReuse reuse) {
-        return reuse.callId().filter(discardedIds::contains).isPresent();
+        return reuse.callId().filter(earlierCalls::hasDiscarded).isPresent();
     }
 
     void close() {
@@ -212,7 +206,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (call == null) {
-            closeAfterSurplus();
+            onUnexpected(message);
             return;
         }
         if (message.decoderResult().isFailure()) {
@@ -227,6 +221,18 @@
         }
     }
 
+    private void onUnexpected(HttpObject message) {
+        if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
+            reportSurplus(toHead(response));
+        }
+        closeAfterSurplus();
+    }
+
+    private void reportSurplus(HttpResponseHead head) {
+        connections.reportSurplusResponse(
+                new SurplusResponseListener.SurplusResponse(address, number, head, earlierCalls::find));
+    }
+
     private void onHead(HttpResponse response) {
         if (isInformational(response)) {
             informational = true;
@@ -238,22 +244,41 @@
         }
         keepAlive = HttpUtil.isKeepAlive(response) && isFramed(response);
         keepAliveTimeoutSeconds = keepAliveTimeoutSeconds(response);
-        List<Header> headers = new ArrayList<>(response.headers().size());
-        for (Map.Entry<String, String> header : response.headers()) {
-            headers.add(new Header(header.getKey(), header.getValue()));
+        HttpResponseHead head = toHead(response);
+        Optional<HeadDecision.AnotherCall> other = call.onHead(head);
+        if (other.isPresent()) {
+            onResponseToAnotherCall(head, other.get());
+            return;
         }
-        HttpResponseStatus status = response.status();
-        call.onHead(new HttpResponseHead(status.code(), headers));
         if (call.isRejected()) {
             connections.onSurplusResponse(address);
         }
         if (call.isEnded() && !call.isCancelled()) {
-            call.reuse().callId().ifPresent(discardedIds::add);
+            call.reuse().callId().ifPresent(id -> earlierCalls.add(id, true));
             discardTimeout =
                     channel.eventLoop().schedule(this::close, MAX_DISCARD_TIME.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
+    private static HttpResponseHead toHead(HttpResponse response) {
+        List<Header> headers = new ArrayList<>(response.headers().size());
+        for (Map.Entry<String, String> header : response.headers()) {
+            headers.add(new Header(header.getKey(), header.getValue()));
+        }
+        return new HttpResponseHead(response.status().code(), headers);
+    }
+
+    private void onResponseToAnotherCall(HttpResponseHead head, HeadDecision.AnotherCall other) {
+        connections.onSurplusResponse(address);
+        reportSurplus(head);
+        call.reject(other.reason() + describeAge(earlierCalls.find(other.callId())));
+    }
+
+    private static String describeAge(Optional<EarlierCall> earlier) {
+        return earlier.map(call -> ", answered on this connection " + call.age().toMillis() + " ms before")
+                .orElse(", not known on this connection");
+    }
+
     private static boolean isFramed(HttpResponse response) {
         return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     }
@@ -330,8 +355,11 @@
             return;
         }
         // A server that has answered early may never read the rest of the body, nor a call sent after it.
-        boolean reusable =
-                !ended.isCancelled() && keepAlive && written.isSuccess() && discardedIds.size() <= MAX_DISCARDED_IDS;
+        boolean reusable = !ended.isCancelled() && keepAlive && written.isSuccess() && earlierCalls.mayCarryMore();
+        ended.reuse()
+                .callId()
+                .filter(id -> !earlierCalls.hasDiscarded(id))
+                .ifPresent(id -> earlierCalls.add(id, false));
         if (reusable && !decoder.hasRemainingBytes() && channel.isActive()) {
             connections.onIdle(this, ended.reuse().maxIdleConnections());
         } else {
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -35,6 +35,7 @@
     private static final Duration SURPLUS_MEMORY = Duration.ofMinutes(1);
 
     private final MonotonicClock clock;
+    private final SurplusResponseListener surplusListener;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, IdleConnections> idleConnections = new HashMap<>();
     private final Map<InetSocketAddress, Long> surplusResponseAt = new HashMap<>();
@@ -49,7 +50,21 @@
      * @param connectTimeout the limit for opening a connection, not null
      */
     public HttpConnections(EventLoop loop, MonotonicClock clock, Duration connectTimeout) {
+        this(loop, clock, connectTimeout, response -> {});
+    }
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param loop the event loop on which all connections run, not null
+     * @param clock measures how long a connection has been idle, not null
+     * @param connectTimeout the limit for opening a connection, not null
+     * @param surplusListener receives surplus responses, not null
+     */
+    public HttpConnections(
+            EventLoop loop, MonotonicClock clock, Duration connectTimeout, SurplusResponseListener surplusListener) {
         this.clock = Objects.requireNonNull(clock, "clock");
+        this.surplusListener = Objects.requireNonNull(surplusListener, "surplusListener");
         this.bootstrap = new Bootstrap()
                 .group(Objects.requireNonNull(loop, "loop"))
                 .channel(NioSocketChannel.class)
@@ -125,6 +140,16 @@
         return at != null && clock.nanos() - at < SURPLUS_MEMORY.toNanos();
     }
 
+    MonotonicClock clock() {
+        return clock;
+    }
+
+    /** Reports the head of a surplus response, which is recorded besides. */
+    void reportSurplusResponse(SurplusResponseListener.SurplusResponse response) {
+        surplusListener.onSurplusResponse(response);
+    }
+
+    /** Records that a server has sent a surplus response. */
     void onSurplusResponse(InetSocketAddress address) {
         long now = clock.nanos();
         surplusResponseAt.values().removeIf(at -> now - at >= SURPLUS_MEMORY.toNanos());
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/PendingCall.java
@@ -1,5 +1,7 @@
 package org.geraniumreach.httpclient;
 
+import java.util.Optional;
+
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import org.geraniumreach.model.ConnectionUse;
@@ -60,20 +62,26 @@
         return !ended;
     }
 
-    void onHead(HttpResponseHead head) {
+    /** Passes a head on; returns the other call that the response is to, empty if it is to this one. */
+    Optional<HeadDecision.AnotherCall> onHead(HttpResponseHead head) {
         if (ended) {
-            return;
+            return Optional.empty();
         }
         HeadDecision decision = listener.onHead(head);
+        if (decision instanceof HeadDecision.AnotherCall other) {
+            return Optional.of(other);
+        }
         if (decision instanceof HeadDecision.DiscardBody) {
             ended = true;
         } else if (decision instanceof HeadDecision.Reject reject) {
             rejected = true;
             reject(reject.reason());
         }
+        return Optional.empty();
     }
 
-    private void reject(String reason) {
+    /** Fails the call and resets its connection. */
+    void reject(String reason) {
         reset();
         fail(CallFailure.BROKEN, reason);
     }
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -79,6 +79,9 @@
     ATTEMPT_RETURNED(
             4033, Level.INFO, "A request that has not run goes back to its silent target; no other may take it."),
     DRAIN_DECIDED(4034, Level.INFO, "A request is not sent by an entry that drains, since it may outlast it."),
+    SURPLUS_ANSWER(4035, Level.INFO, "A target has answered a request once more, or one that did not wait for it."),
+    REJECTED_REQUEST_RAN(
+            4036, Level.ERROR, "An answer proves that a target ran a request that had counted as not executed."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -57,6 +57,7 @@
 import org.geraniumreach.gateway.request.GatewayRequest;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.gateway.request.RequestHandler;
+import org.geraniumreach.gateway.request.SurplusAnswerLog;
 import org.geraniumreach.gateway.rest.RestingTargets;
 import org.geraniumreach.gateway.retry.RetryBudgets;
 import org.geraniumreach.gateway.silence.SilentTargets;
@@ -77,6 +78,7 @@
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.platform.Ingress;
 import org.geraniumreach.platform.StoreClient;
+import org.geraniumreach.platform.SurplusAnswerDecoder;
 import org.geraniumreach.platform.TargetClient;
 import org.geraniumreach.serving.retry.EjectionRules;
 import org.geraniumreach.serving.retry.TargetHealth;
@@ -125,7 +127,7 @@
     private final Quotas quotas;
     private final QuotaAdmission quotaAdmission;
     private final AcceptLimiter acceptLimiter;
-    private final HttpConnections connections = new HttpConnections(loop, clock, CONNECT_TIMEOUT);
+    private final HttpConnections connections;
     private final StorePort store;
     private final TargetLimits targetLimits;
     private final LimitAdmission limitAdmission;
@@ -179,6 +181,8 @@
         this.metrics = new EntryMetrics(lines);
         this.log = metrics;
         this.timers = new EventLoopTimers(loop, log);
+        this.connections =
+                new HttpConnections(loop, clock, CONNECT_TIMEOUT, new SurplusAnswerDecoder(new SurplusAnswerLog(log)));
         this.storeAvailability = new StoreAvailability(clock, log, "");
         this.targetRowsAvailability = new StoreAvailability(clock, log, "targets");
         this.unreadableRows = new UnreadableRows(log);
