Read over a repeated answer to an earlier request instead of losing the one behind it

A faulty target may send an answer once more, late, where the next answer on that connection is expected; its own answer to the request that waits there comes behind. That request was given up: 502 with an unknown outcome for one that may run once, although its target was sound and had run it.

So if the connection has carried the request that it is to, the answer is discarded and the next one awaited; it must have a known length and end within 0.5 s and 64 KiB, four of them at most. Anything else still fails the request at once.

--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HeadDecision.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HeadDecision.java
@@ -29,7 +29,8 @@
     }
 
     /**
-     * The response is to another call: the call fails as with {@link Reject}.
+     * The response is to another call. It is discarded and the one to this call awaited if the connection has carried that other call
+     * before; else the call fails as with {@link Reject}.
      *
      * @param callId what names the other call
      * @param reason the reason, for logging
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -50,6 +50,9 @@
     /** The longest body that is discarded so that its connection can be used again. */
     private static final int MAX_DISCARDED_BYTES = 65_536;
 
+    /** More responses to earlier calls than a faulty server sends before the one to a call. */
+    private static final int MAX_SURPLUS_RESPONSES = 4;
+
     private static final Duration MAX_DISCARD_TIME = Duration.ofMillis(500);
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
@@ -68,6 +71,8 @@
     private boolean reset;
     private boolean informational;
     private int informationalResponses;
+    private int surplusResponses;
+    private boolean skipping;
     private int discardedBytes;
     private Future<?> discardTimeout;
     private long idleSinceNanos;
@@ -181,6 +186,7 @@
         calls++;
         lastMatching = newCall.reuse().matching();
         informationalResponses = 0;
+        surplusResponses = 0;
         discardedBytes = 0;
         HttpCallRequest request = newCall.request();
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
@@ -268,10 +274,22 @@
         return new HttpResponseHead(response.status().code(), headers);
     }
 
+    /** Discards a repeated response to an earlier call, behind which the one to the waiting call may come; fails the call otherwise. */
     private void onResponseToAnotherCall(HttpResponseHead head, HeadDecision.AnotherCall other) {
         connections.onSurplusResponse(address);
         reportSurplus(head);
-        call.reject(other.reason() + describeAge(earlierCalls.find(other.callId())));
+        Optional<EarlierCall> earlier = earlierCalls.find(other.callId());
+        if (earlier.isEmpty() || !keepAlive || surplusResponses >= MAX_SURPLUS_RESPONSES) {
+            call.reject(other.reason() + describeAge(earlier));
+            return;
+        }
+        surplusResponses++;
+        skipping = true;
+        discardTimeout = channel.eventLoop()
+                .schedule(
+                        () -> call.reject("a response to another call is not complete"),
+                        MAX_DISCARD_TIME.toMillis(),
+                        TimeUnit.MILLISECONDS);
     }
 
     private static String describeAge(Optional<EarlierCall> earlier) {
@@ -279,6 +297,17 @@
                 .orElse(", not known on this connection");
     }
 
+    /** Discards a part of a response to another call. */
+    private void skip(HttpContent content) {
+        discardedBytes += content.content().readableBytes();
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            call.reject("a response to another call is too long");
+        } else if (content instanceof LastHttpContent) {
+            skipping = false;
+            cancelDiscardTimeout();
+        }
+    }
+
     private static boolean isFramed(HttpResponse response) {
         return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     }
@@ -311,6 +340,10 @@
             informational = !(content instanceof LastHttpContent);
             return;
         }
+        if (skipping) {
+            skip(content);
+            return;
+        }
         if (call.isEnded()) {
             discard(content.content().readableBytes());
         } else if (content.content().isReadable()) {
@@ -355,7 +388,11 @@
             return;
         }
         // A server that has answered early may never read the rest of the body, nor a call sent after it.
-        boolean reusable = !ended.isCancelled() && keepAlive && written.isSuccess() && earlierCalls.mayCarryMore();
+        boolean reusable = !ended.isCancelled()
+                && keepAlive
+                && written.isSuccess()
+                && surplusResponses == 0
+                && earlierCalls.mayCarryMore();
         ended.reuse()
                 .callId()
                 .filter(id -> !earlierCalls.hasDiscarded(id))
@@ -379,6 +416,7 @@
         cancelDiscardTimeout();
         PendingCall failed = call;
         call = null;
+        skipping = false;
         channel.close();
         if (failed != null) {
             failed.fail(CallFailure.BROKEN, reason);
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -25,8 +25,9 @@
  * A pool of connections to any number of addresses.
  *
  * <p>Invariants: a connection carries one call at a time. A connection is not reused if it failed, if the server is about to close
- * it, if it received bytes while no call was waiting for a response, if the response to its last call could be taken for that to
- * the next one, or if it carried a call of the same id whose response was discarded, since a copy of that may follow. No more connections to an address are idle than its last call allows.
+ * it, if it received bytes while no call was waiting for a response, if it received a response to another call than the one that was
+ * waiting, if the response to its last call could be taken for that to the next one, or if it carried a call of the same id whose
+ * response was discarded, since a copy of that may follow. No more connections to an address are idle than its last call allows.
  * Confined to its event loop.
  */
 public final class HttpConnections {
