Send requests that may not be repeated from a draining entry only if their limit ends before the exit

In a planned stop, in calm, requests that were among the slowest of their route were sent after SIGTERM and cut off at the exit: the estimate by which they were admitted leaves out the slowest 5 of 100. For a request that may not be repeated nobody can tell then whether it has run.

Such a request is now sent only if its time limit, which its target keeps too, ends before the exit; it is refused at once otherwise, as not run. Streams that may be resumed and idempotent requests are still sent by the estimate, in which a request that was not completed counts only if it has taken longer than it was estimated to.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerTimes.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AnswerTimes.java
@@ -36,7 +36,7 @@
     }
 
     /**
-     * Records a request that was sent to a target and has ended.
+     * Records a request that a target has completed.
      *
      * @param route the route
      * @param generation what the request generates, empty if nothing
@@ -51,6 +51,22 @@
         times.perToken.add((double) total.minus(before).toNanos() / tokens(generation));
     }
 
+    /**
+     * Records a request that was sent to a target and was not completed, so that it would have taken longer; it counts only if it has
+     * already taken longer than it was estimated to.
+     *
+     * @param route the route
+     * @param generation what the request generates, empty if nothing
+     * @param firstPart the time from the receipt to the first part of the answer, empty if there was none
+     * @param total the time from the receipt to the end
+     */
+    void recordIncomplete(
+            Route route, Optional<GatewayRequest.Generation> generation, Optional<Duration> firstPart, Duration total) {
+        if (total.compareTo(estimate(route, generation, total)) > 0) {
+            record(route, generation, firstPart, total);
+        }
+    }
+
     /**
      * Estimates the time that a request may take.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/DrainAdmission.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/DrainAdmission.java
@@ -42,16 +42,20 @@
     /**
      * Queries whether a request may be sent to a target now.
      *
+     * <p>One that may not be repeated is sent only if its own limit ends before the exit, since nobody could tell whether it has run if it
+     * were cut off; any other one if it is expected to end by then.
+     *
      * @param request the request, not null
      * @param route its route, not null
      * @param limit the time after which the request ends in any case, not null
-     * @return true if this entry does not drain, or if the request is expected to end before the exit; a refusal is logged
+     * @return true if this entry does not drain, or if the request ends before the exit; a refusal is logged
      */
     boolean admits(GatewayRequest request, Route route, Duration limit) {
         if (rule.isEmpty()) {
             return true;
         }
-        Duration expected = answerTimes.estimate(route, request.generation(), limit);
+        Duration expected =
+                route.retryPolicy().allowsRerun() ? answerTimes.estimate(route, request.generation(), limit) : limit;
         if (rule.get().admits(expected, clock.nanos())) {
             return true;
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -634,7 +634,7 @@
         steps.stop();
         relay.release();
         if (history.sends() > 0) {
-            report.recordTimes(drain.answerTimes());
+            report.recordTimes(drain.answerTimes(), end);
         }
         report.report(end, steps.waits());
         onEnd.accept(this);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeReport.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OutcomeReport.java
@@ -36,13 +36,15 @@
         }
     }
 
-    /** Records how long the request took, also if it ended without a complete answer, since that would have taken longer. */
-    void recordTimes(AnswerTimes times) {
-        times.record(
-                request.route(),
-                request.request().generation(),
-                relay.timeToFirstPart(request.receivedAt()),
-                request.elapsed());
+    /** Records how long a request took that was sent to a target. */
+    void recordTimes(AnswerTimes times, FinalAnswer.End end) {
+        Optional<GatewayRequest.Generation> generation = request.request().generation();
+        Optional<Duration> firstPart = relay.timeToFirstPart(request.receivedAt());
+        if (end.kind() == OutcomeListener.Kind.ANSWERED && end.status() < LOWEST_SERVER_ERROR) {
+            times.record(request.route(), generation, firstPart, request.elapsed());
+        } else {
+            times.recordIncomplete(request.route(), generation, firstPart, request.elapsed());
+        }
     }
 
     /** Reports the outcome of a request that has ended, with the time that it spent waiting to be sent. */
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/AnswerTimesTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/AnswerTimesTest.java
@@ -72,6 +72,17 @@
         assertThat(times.estimate(ROUTE, tokens(1), LIMIT)).isEqualTo(Duration.ofMillis(100));
     }
 
+    /** Guards against requests whose callers left early, or that were rejected, and that count as fast. */
+    @ParameterizedTest
+    @CsvSource({"10, 1100", "1100, 1100", "5000, 5000"})
+    void anIncompleteRequestCountsOnlyIfItHasTakenLongerThanEstimated(long millis, long expectedMillis) {
+        record(AnswerTimes.MINIMUM_REQUESTS, 1, 1_100, 1_100);
+        for (int number = 0; number < 200; number++) {
+            times.recordIncomplete(ROUTE, tokens(1), Optional.empty(), Duration.ofMillis(millis));
+        }
+        assertThat(times.estimate(ROUTE, tokens(1), LIMIT)).isEqualTo(Duration.ofMillis(expectedMillis));
+    }
+
     /** Guards against requests that ended without any part of an answer and count as fast. */
     @Test
     void aRequestWithoutAnAnswerCountsWithItsWholeTime() {
