--- a/node/src/test/java/org/geraniumreach/node/SingleRunSoakTest.java
+++ b/node/src/test/java/org/geraniumreach/node/SingleRunSoakTest.java
@@ -30,19 +30,20 @@
  * Runs entries as processes before targets that reject, repeat their rejections late, cut answers off, run late, end, and start again at the same
  * address under another name or for another service, without adapters; callers send refused requests again under their ids to the same entry.
  *
- * <p>A longer run: {@code -Dtest=SingleRunSoakTest -DargLine="-Dsoak.first=100 -Dsoak.seeds=50 -Dsoak.seconds=20"}.
+ * <p>A longer run: {@code -Dtest=SingleRunSoakTest -DargLine="-Dsoak.first=100 -Dsoak.seeds=50 -Dsoak.seconds=20"}; {@code soak.entries},
+ * {@code soak.callers} and {@code soak.repetitions} set the number of entries, of callers, and of times that these send a refused request again.
  */
 class SingleRunSoakTest {
 
     private static final long FIRST_SEED = Long.getLong("soak.first", 1);
     private static final long SEEDS = Long.getLong("soak.seeds", 2);
     private static final Duration LENGTH = Duration.ofSeconds(Long.getLong("soak.seconds", 8));
-    private static final int ENTRIES = 2;
-    private static final int CALLERS = 24;
+    private static final int ENTRIES = Integer.getInteger("soak.entries", 2);
+    private static final int CALLERS = Integer.getInteger("soak.callers", 24);
     private static final int TARGETS_PER_SERVICE = 3;
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(4);
     private static final Duration LATE_RUNS = Duration.ofSeconds(2);
-    private static final int MAXIMUM_REPETITIONS = 3;
+    private static final int MAXIMUM_REPETITIONS = Integer.getInteger("soak.repetitions", 3);
     private static final String EVENT = "id: 1\ndata: x\n\n";
 
     private final HttpClient client =
