--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -228,7 +228,10 @@
     }
 
     private void onUnexpected(HttpObject message) {
-        if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
+        boolean isOpen = address != null;
+        if (isOpen
+                && message instanceof HttpResponse response
+                && response.decoderResult().isSuccess()) {
             reportSurplus(toHead(response));
         }
         closeAfterSurplus();
