--- a/node/src/main/java/org/geraniumreach/node/JsonLog.java
+++ b/node/src/main/java/org/geraniumreach/node/JsonLog.java
@@ -30,13 +30,13 @@
     private final LongSupplier wallClockMillis;
     private final Deque<String> pendingLines = new ArrayDeque<>();
     private final Thread writer = new Thread(this::runWriter, "log");
-    private final Buffer retained = new Buffer();
-    private final Buffer others = new Buffer();
+    private final LineQuota retained = new LineQuota();
+    private final LineQuota others = new LineQuota();
     private long totalDropped;
     private boolean closed;
 
-    /** The counts of one kind of lines since the last flush; guarded by the pending lines. */
-    private static final class Buffer {
+    /** How many lines of one kind may be added until the next flush; guarded by the pending lines. */
+    private static final class LineQuota {
         private int lines;
         private long dropped;
 
@@ -49,7 +49,7 @@
             return true;
         }
 
-        /** Starts to count anew, and returns the number of lines dropped. */
+        /** Allows as many lines again, and returns the number of those dropped. */
         private long reset() {
             long previous = dropped;
             lines = 0;
@@ -85,9 +85,9 @@
         add(formatLine(event, subject, fields), retained);
     }
 
-    private void add(String line, Buffer buffer) {
+    private void add(String line, LineQuota quota) {
         synchronized (pendingLines) {
-            if (buffer.reserve()) {
+            if (quota.reserve()) {
                 pendingLines.add(line);
             } else {
                 totalDropped++;
