--- a/gateway/src/main/java/org/geraniumreach/gateway/port/DecisionLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/port/DecisionLog.java
@@ -31,6 +31,22 @@
         write(event, subject, fields);
     }
 
+    /**
+     * Writes a line that is retained only under a condition.
+     *
+     * @param retained whether it is retained
+     * @param event the event, not null
+     * @param subject the id of the request concerned, not null
+     * @param fields the grounds and the result of the decision, not null
+     */
+    default void writeRetainedIf(boolean retained, EventCode event, String subject, Field... fields) {
+        if (retained) {
+            writeRetained(event, subject, fields);
+        } else {
+            write(event, subject, fields);
+        }
+    }
+
     /**
      * A named value of a line.
      *
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -547,7 +547,7 @@
         return new ExchangeLog.Progress(
                 admitted,
                 history.sends(),
-                history.describeWrites(),
+                history::describeWrites,
                 request.elapsed(),
                 steps.waits(),
                 relay.lastEventNumber());
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import org.geraniumreach.gateway.crash.Verdict;
@@ -47,12 +48,13 @@
      *
      * @param admitted whether it was admitted under its account's rate
      * @param sends the number of times that it was sent to a target
-     * @param writes its writes to targets, and what is known of them
+     * @param writes describes its writes to targets, and what is known of them
      * @param elapsed the time since it was read
      * @param waits the time spent waiting, by cause
      * @param lastEvent the number of the last event that the caller has, 0 if it has none
      */
-    record Progress(boolean admitted, int sends, String writes, Duration elapsed, Waits waits, long lastEvent) {}
+    record Progress(
+            boolean admitted, int sends, Supplier<String> writes, Duration elapsed, Waits waits, long lastEvent) {}
 
     ExchangeLog(DecisionLog log, MonotonicClock clock, RoutedRequest routed) {
         GatewayRequest request = routed.request();
@@ -93,23 +95,16 @@
                 Field.of("waitedMillis", progress.elapsed().toMillis()),
                 Field.of("unreadMillis", unread.toMillis()),
                 Field.of("queuedMillis", queued.toMillis()));
-        writeRetainedIf(
+        log.writeRetainedIf(
                 grounds.result() != WriteDecision.Result.FIRST,
                 EventCode.REQUEST_PLACED,
+                id,
                 progress.waits()
                         .appendTo(Stream.of(fields, speedFields(send.speed()), resumptionFields(progress))
                                 .flatMap(Function.identity())
                                 .toArray(Field[]::new)));
     }
 
-    private void writeRetainedIf(boolean retained, EventCode event, Field... fields) {
-        if (retained) {
-            log.writeRetained(event, id, fields);
-        } else {
-            log.write(event, id, fields);
-        }
-    }
-
     private Stream<Field> resumptionFields(Progress progress) {
         return progress.lastEvent() > 0
                 ? Stream.of(Field.of("lastEvent", progress.lastEvent()), Field.of("firstAttempt", firstAttempt))
@@ -256,22 +251,26 @@
                 Field.of("account", account),
                 Field.of("service", service),
                 Field.of("adapter", adapter));
-        writeRetainedIf(
+        log.writeRetainedIf(
                 progress.sends() > 1,
                 event,
+                id,
                 progress.waits()
                         .appendTo(Stream.concat(grounds, endFields(progress)).toArray(Field[]::new)));
     }
 
     void logCallerGone(Progress progress) {
-        writeRetainedIf(
-                progress.sends() > 1, EventCode.CALLER_GONE, endFields(progress).toArray(Field[]::new));
+        log.writeRetainedIf(
+                progress.sends() > 1,
+                EventCode.CALLER_GONE,
+                id,
+                endFields(progress).toArray(Field[]::new));
     }
 
     private Stream<Field> endFields(Progress progress) {
         return Stream.of(
                 Field.of("arrivals", progress.sends()),
-                Field.of("writes", progress.writes()),
+                Field.of("writes", progress.writes().get()),
                 Field.of("afterMillis", progress.elapsed().toMillis()),
                 Field.of("unreadMillis", unread.toMillis()),
                 Field.of("queuedMillis", queued.toMillis()));
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/EarlierCalls.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/EarlierCalls.java
@@ -12,7 +12,7 @@
 /**
  * The calls that one connection has carried and that their responses name.
  *
- * <p>Invariant: all calls whose responses were discarded are known, of the others the latest ones. Confined to the event loop.
+ * <p>Invariant: the ids of all calls whose responses were discarded are known, and the latest calls of any kind with their times. Confined to the event loop.
  */
 final class EarlierCalls {
 
@@ -43,7 +43,7 @@
         }
     }
 
-    /** Finds the latest call of an id. */
+    /** Finds the latest call of an id, if it is one of the latest calls. */
     Optional<EarlierCall> find(String id) {
         return latest.stream()
                 .filter(call -> call.id().equals(id))
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -347,12 +347,7 @@
         if (outcome.kind() != OutcomeListener.Kind.ANSWERED) {
             return;
         }
-        Field[] fields = answeredFields(outcome);
-        if (outcome.sends() > 1) {
-            log.writeRetained(EventCode.REQUEST_ANSWERED, outcome.id(), fields);
-        } else {
-            log.write(EventCode.REQUEST_ANSWERED, outcome.id(), fields);
-        }
+        log.writeRetainedIf(outcome.sends() > 1, EventCode.REQUEST_ANSWERED, outcome.id(), answeredFields(outcome));
     }
 
     private static Field[] answeredFields(OutcomeListener.Outcome outcome) {
--- a/node/src/main/java/org/geraniumreach/node/JsonLog.java
+++ b/node/src/main/java/org/geraniumreach/node/JsonLog.java
@@ -16,7 +16,8 @@
  * Writes the decision log as JSON, one object per line.
  *
  * <p>Invariants: callers never block on the output; lines are written in the order of the calls; lines beyond
- * {@link #MAX_PENDING_LINES} of either kind, retained and others, are dropped, and their numbers are logged. A dedicated thread writes the pending lines in batches, so that logging costs callers no system call. Safe for use by several threads.
+ * {@link #MAX_PENDING_LINES} of either kind, retained and others, are dropped, and their numbers are logged. A dedicated thread writes
+ * the pending lines in batches, so that logging costs callers no system call. Safe for use by several threads.
  */
 final class JsonLog implements DecisionLog, AutoCloseable {
 
