--- a/node/src/test/java/org/geraniumreach/node/FreeAddresses.java
+++ b/model/src/test/java/org/geraniumreach/model/testing/FreeAddresses.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.node;
+package org.geraniumreach.model.testing;
 
 import java.io.IOException;
 import java.net.BindException;
@@ -9,13 +9,13 @@
 import java.util.List;
 
 /**
- * Gives out addresses on loopback that processes can listen on later.
+ * Gives out addresses on loopback that servers can listen on later, and again after they have been closed.
  *
  * <p>Invariants: no address is given out twice, neither in this process nor in another one that uses this class at the same time, and all ports are
  * below those that operating systems use for outgoing connections, one of which could take an address before it is listened on. Safe for use by
  * several threads.
  */
-final class FreeAddresses {
+public final class FreeAddresses {
 
     private static final int FIRST_PORT = 12_000;
     private static final int BLOCK_PORTS = 500;
@@ -32,7 +32,13 @@
 
     private FreeAddresses() {}
 
-    static synchronized InetSocketAddress next() throws IOException {
+    /**
+     * Gets an address.
+     *
+     * @return the address, not null
+     * @throws IOException if none is free
+     */
+    public static synchronized InetSocketAddress next() throws IOException {
         while (true) {
             if (block.nextPort() == block.endPort()) {
                 block = reserveBlock();
--- a/node/src/test/java/org/geraniumreach/node/FreeAddressesTest.java
+++ b/model/src/test/java/org/geraniumreach/model/testing/FreeAddressesTest.java
@@ -1,4 +1,4 @@
-package org.geraniumreach.node;
+package org.geraniumreach.model.testing;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
--- a/node/src/test/java/org/geraniumreach/node/EntryDrainCallersTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryDrainCallersTest.java
@@ -22,6 +22,7 @@
 import org.geraniumreach.gateway.request.Arrival;
 import org.geraniumreach.gateway.request.GatewayRequest;
 import org.geraniumreach.model.MonotonicClock;
+import org.geraniumreach.model.testing.FreeAddresses;
 import org.geraniumreach.platform.Ingress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
--- a/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryLinksTest.java
@@ -30,6 +30,7 @@
 import org.geraniumreach.messages.TargetSpeedSamples;
 import org.geraniumreach.messages.TargetSpeedUpdate;
 import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.testing.FreeAddresses;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryMetricsTest.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -22,6 +20,7 @@
 import org.geraniumreach.model.AccountId;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.ResultCode;
+import org.geraniumreach.model.testing.FreeAddresses;
 import org.geraniumreach.process.ProcessMeters;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -124,10 +123,7 @@
     @Test
     void serverServesMetricsAsText() throws IOException {
         metrics.gauge("geraniumreach.ready", "1 if callers are wanted.", () -> 1);
-        InetSocketAddress address;
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = (InetSocketAddress) probe.getLocalSocketAddress();
-        }
+        InetSocketAddress address = FreeAddresses.next();
         String url = "http://127.0.0.1:" + address.getPort() + MetricsServer.PATH;
         try (MetricsServer server = MetricsServer.start(address, metrics::scrape);
                 InputStream answer = URI.create(url).toURL().openStream()) {
--- a/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
+++ b/node/src/test/java/org/geraniumreach/node/EntryProcesses.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.geraniumreach.gateway.process.ProcessSettings;
+import org.geraniumreach.model.testing.FreeAddresses;
 
 /** Entries as processes before one {@link FakePlatform}. Safe for use by several threads. */
 final class EntryProcesses implements AutoCloseable {
--- a/node/src/test/java/org/geraniumreach/node/FakeFleet.java
+++ b/node/src/test/java/org/geraniumreach/node/FakeFleet.java
@@ -20,6 +20,7 @@
 import org.geraniumreach.gateway.process.ProcessSettings;
 import org.geraniumreach.gateway.quota.Quotas;
 import org.geraniumreach.model.FailureDomain;
+import org.geraniumreach.model.testing.FreeAddresses;
 
 /** Several entries in this process before one {@link FakePlatform}, and callers that send to all of them in turn. */
 final class FakeFleet {
--- a/node/src/test/java/org/geraniumreach/node/OrderedAdmissionLinksTest.java
+++ b/node/src/test/java/org/geraniumreach/node/OrderedAdmissionLinksTest.java
@@ -49,6 +49,7 @@
 import org.geraniumreach.model.TargetId;
 import org.geraniumreach.model.table.Row;
 import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.model.testing.FreeAddresses;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/node/src/test/java/org/geraniumreach/node/ScriptedTarget.java
+++ b/node/src/test/java/org/geraniumreach/node/ScriptedTarget.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -17,7 +16,14 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A target that answers each request byte by byte as its script tells, and loads its adapter when it is ordered to. Safe for use by several threads. */
+import org.geraniumreach.model.testing.FreeAddresses;
+
+/**
+ * A target that answers each request byte by byte as its script tells, and loads its adapter when it is ordered to.
+ *
+ * <p>Invariant: no outgoing connection can take its port while it is closed, so that a target can start again at its address. Safe for use by
+ * several threads.
+ */
 final class ScriptedTarget implements AutoCloseable {
 
     private static final int BACKLOG = 200;
@@ -58,14 +64,14 @@
     }
 
     ScriptedTarget(Script script) throws IOException {
-        this(0, script);
+        this(FreeAddresses.next(), script);
     }
 
-    /** Starts a target at a port, 0 for any. */
-    ScriptedTarget(int port, Script script) throws IOException {
+    /** Starts a target at the address of one that has been closed. */
+    ScriptedTarget(InetSocketAddress address, Script script) throws IOException {
         this.listener = new ServerSocket();
         listener.setReuseAddress(true);
-        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+        listener.bind(address, BACKLOG);
         this.script = script;
         executor.execute(this::accept);
     }
--- a/node/src/test/java/org/geraniumreach/node/SingleRunSoakTest.java
+++ b/node/src/test/java/org/geraniumreach/node/SingleRunSoakTest.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.node;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.nio.file.Path;
@@ -19,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
 
+import org.geraniumreach.model.testing.FreeAddresses;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -67,13 +69,14 @@
         private final FakePlatform.FakeTarget row;
         private final Map<Integer, String> lateCopies = new ConcurrentHashMap<>();
 
-        private Member(FakePlatform platform, String service, int port) throws IOException {
+        private Member(FakePlatform platform, String service, InetSocketAddress address, boolean loaded)
+                throws IOException {
             this.platform = platform;
             this.service = service;
             this.name = service + "-" + targetCount.incrementAndGet();
-            this.target = new ScriptedTarget(port, this::answer);
+            this.target = new ScriptedTarget(address, this::answer);
             this.row = platform.addTarget(name, service);
-            if (port != 0) {
+            if (!loaded) {
                 target.unload();
             }
             row.reachThrough(target.address());
@@ -81,10 +84,9 @@
 
         /** Ends and starts again at its address, under another name and perhaps for another service; the old row goes later. */
         private Member restart(Random random, String nextService) throws IOException, InterruptedException {
-            int port = target.address().getPort();
             target.close();
             Thread.sleep(random.nextInt(300));
-            Member next = new Member(platform, nextService, port);
+            Member next = new Member(platform, nextService, target.address(), false);
             Thread.sleep(random.nextInt(1_000));
             row.leave();
             return next;
@@ -149,7 +151,7 @@
             List<Member> members = new ArrayList<>();
             for (String service : List.of("engines", "plain")) {
                 for (int number = 0; number < TARGETS_PER_SERVICE; number++) {
-                    members.add(new Member(platform, service, 0));
+                    members.add(new Member(platform, service, FreeAddresses.next(), true));
                 }
             }
             try (EntryProcesses entries = new EntryProcesses(platform, ENTRIES, directory)) {
--- a/standins/src/test/java/org/geraniumreach/standins/StandInsFixture.java
+++ b/standins/src/test/java/org/geraniumreach/standins/StandInsFixture.java
@@ -1,14 +1,13 @@
 package org.geraniumreach.standins;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
 
 import org.geraniumreach.model.table.RowKey;
 import org.geraniumreach.model.table.Transaction;
+import org.geraniumreach.model.testing.FreeAddresses;
 import org.geraniumreach.ports.PlatformException;
 import org.geraniumreach.ports.TableService;
 import org.geraniumreach.standalone.PlatformClients;
@@ -50,9 +49,7 @@
     }
 
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
+        return FreeAddresses.next().getPort();
     }
 
     static URI url(int port) {
