Count requests towards the retries they allow from their arrival, not from when they are read

Cause: an entry that goes on after a suspension of 2 s reads the requests of that time together, and counted them from then on, so that for up to a window afterwards five seconds of requests allowed retries in a window of three: up to 13 retries an entry instead of 8, 52 of all four.

A request counts from the earliest time at which it can have arrived, which the entry knows; one that may have arrived before the window does not count. The window of a service begins with the process, so that what arrived before the first request was read is counted as well.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -82,7 +82,8 @@
         this.steps = new SendSteps(services, request, new StepResults());
         choice.requiredVersion().ifPresent(steps.state()::requireVersion);
         this.attempts = new RunningAttempts(this::onReplaced);
-        this.arrivals = services.retryBudgets().receive(choice.service());
+        this.arrivals = services.retryBudgets()
+                .receive(choice.service(), received.arrival().arrivedAt());
         this.relay = new AnswerRelay(answer, received.request().lastEvent(), services.answerMemory(), services.clock());
         this.log = new ExchangeLog(services.log(), services.clock(), request);
         this.finalAnswer = new FinalAnswer(answer, relay, history, log);
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/RetryBudgets.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/RetryBudgets.java
@@ -55,12 +55,15 @@
     /**
      * Records a caller's request, which allows a fraction of a retry within the window.
      *
+     * <p>It counts from its arrival, since an entry that was suspended reads the requests of that time together.
+     *
      * @param service the service, not null
+     * @param arrivedAt the earliest time at which it can have arrived, in nanoseconds of the clock
      * @return records what is sent of the request, not null
      */
-    public RequestArrivals receive(String service) {
+    public RequestArrivals receive(String service, long arrivedAt) {
         ServiceRetryBudget budget = budgetOf(service);
-        budget.recordRequest();
+        budget.recordRequest(arrivedAt);
         return new RequestArrivals(budget, abandonedSendings);
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/ServiceRetryBudget.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/ServiceRetryBudget.java
@@ -15,9 +15,9 @@
  * once, and for entries that join, leave and restart.
  *
  * <p>Invariants: the retries that may arrive within a window, whenever they were sent, are at most {@link #GIVEN_FRACTION} of the ratio times the
- * requests that this entry received in the window before its last retry, and its share of the fixed retries on top. A share that has grown counts only after it has been known for a window,
- * since the entries that have left may have used theirs. The first window has no share, since the process's former incarnation may have used
- * it. Confined to the event loop.
+ * requests that arrived at this entry in the window before its last retry, and its share of the fixed retries on top. A share that has grown
+ * counts only after it has been known for a window, since the entries that have left may have used theirs. The first window has no share, since
+ * the process's former incarnation may have used it. Confined to the event loop.
  */
 final class ServiceRetryBudget {
 
@@ -55,7 +55,7 @@
         this.shareUsableFrom =
                 processStartedAt + limits.window().plus(DISCOVERY_TIME).toNanos();
         this.clock = Objects.requireNonNull(clock, "clock");
-        this.window = new SlidingWindow(limits.window(), clock.nanos());
+        this.window = new SlidingWindow(limits.window(), processStartedAt);
     }
 
     /** Computes the fixed retries that are divided among all entries. */
@@ -63,9 +63,9 @@
         return (int) (limits.extra() * GIVEN_FRACTION);
     }
 
-    void recordRequest() {
+    void recordRequest(long arrivedAt) {
         long now = clock.nanos();
-        window.addRequest(now);
+        window.addRequest(arrivedAt, now);
         if (!window.hasCurrentShare(now)) {
             window.addShare(share.getAsInt(), now);
         }
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/SlidingWindow.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/SlidingWindow.java
@@ -6,8 +6,8 @@
 /**
  * Counts the requests and retries of a sliding window, and keeps the smallest share of the fixed retries within it.
  *
- * <p>Invariants: requests are counted for at most the window, retries for at least the window and another hundredth of it, since requests take
- * different times to arrive. The memory does not depend on the load. Confined to the event loop.
+ * <p>Invariants: requests are counted for at most the window from their earliest arrival, retries for at least the window and another hundredth
+ * of it, since requests take different times to arrive. The memory does not depend on the load. Confined to the event loop.
  */
 final class SlidingWindow {
 
@@ -33,7 +33,7 @@
     }
 
     private int advance(long now) {
-        long slot = (now - startedAt) / slotNanos;
+        long slot = slot(now);
         long firstNew = Math.max(currentSlot + 1, slot - RETRY_SLOTS + 1);
         for (long reused = firstNew; reused <= slot; reused++) {
             int index = index(reused);
@@ -45,12 +45,26 @@
         return index(currentSlot);
     }
 
+    private long slot(long time) {
+        return Math.floorDiv(time - startedAt, slotNanos);
+    }
+
+    /** Gets the first slot whose requests count. */
+    private long firstCountedSlot() {
+        return Math.max(0, currentSlot - SLOTS_PER_WINDOW + 1);
+    }
+
     private static int index(long slot) {
         return (int) (slot % RETRY_SLOTS);
     }
 
-    void addRequest(long now) {
-        requests[advance(now)]++;
+    /** Adds a request that may have arrived before now; one that may have done so before the window began does not count. */
+    void addRequest(long arrivedAt, long now) {
+        advance(now);
+        long slot = slot(arrivedAt);
+        if (slot >= firstCountedSlot()) {
+            requests[index(slot)]++;
+        }
     }
 
     void addRetries(int count, long now) {
@@ -72,7 +86,7 @@
     int requests(long now) {
         advance(now);
         int sum = 0;
-        for (long slot = Math.max(0, currentSlot - SLOTS_PER_WINDOW + 1); slot <= currentSlot; slot++) {
+        for (long slot = firstCountedSlot(); slot <= currentSlot; slot++) {
             sum += requests[index(slot)];
         }
         return sum;
--- a/gateway/src/test/java/org/geraniumreach/gateway/retry/RequestArrivalsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/retry/RequestArrivalsTest.java
@@ -35,7 +35,7 @@
     private final Target second = harness.registry().findByService(SERVICE).get(1);
 
     RequestArrivalsTest() {
-        budgets.receive(SERVICE);
+        budgets.receive(SERVICE, time.nanos());
         time.advance(WINDOW.plus(ServiceRetryBudget.DISCOVERY_TIME));
     }
 
@@ -66,7 +66,7 @@
     @MethodSource("outcomes")
     void aRetryCountsUntilAWindowAfterTheLastPossibleArrival(
             Consumer<Sending> ofFirst, Consumer<Sending> ofSecond, boolean allowedNow, boolean allowedAfterWindow) {
-        RequestArrivals request = budgets.receive(SERVICE);
+        RequestArrivals request = budgets.receive(SERVICE, time.nanos());
         ofFirst.accept(request.send(first));
         ofSecond.accept(request.send(second));
         assertThat(isRetryAllowed()).isEqualTo(allowedNow);
@@ -78,7 +78,7 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void anAbandonedSendingIsResolvedByALaterAnswerOfItsTargetOrByTime(boolean answered) {
-        RequestArrivals request = budgets.receive(SERVICE);
+        RequestArrivals request = budgets.receive(SERVICE, time.nanos());
         request.send(first).onAbandoned();
         request.send(second).onArrived();
         if (answered) {
@@ -97,7 +97,7 @@
     void answersToEarlierCallsAndOfOtherTargetsResolveNothing() {
         Consumer<TargetSignals> earlierCall = budgets.onCall(first);
         time.advance(Duration.ofMillis(1));
-        RequestArrivals request = budgets.receive(SERVICE);
+        RequestArrivals request = budgets.receive(SERVICE, time.nanos());
         request.send(first).onAbandoned();
         request.send(second).onArrived();
         earlierCall.accept(SIGNALS);
@@ -108,14 +108,14 @@
     /** Guards against a request of a single sending that counts as a retry when its target wakes. */
     @Test
     void aSingleSendingIsNoRetry() {
-        budgets.receive(SERVICE).send(first).onAbandoned();
+        budgets.receive(SERVICE, time.nanos()).send(first).onAbandoned();
         assertThat(isRetryAllowed()).isTrue();
     }
 
     /** Guards against a further retry that counts the ones before it again. */
     @Test
     void eachRetryCountsOnce() {
-        RequestArrivals request = budgets.receive(SERVICE);
+        RequestArrivals request = budgets.receive(SERVICE, time.nanos());
         request.send(first).onArrived();
         request.send(second).onArrived();
         time.advance(WINDOW.plusMillis(300));
@@ -140,11 +140,11 @@
     @ValueSource(booleans = {true, false})
     void aSingleTrialMayFollowAnAbandonedSendingOnceTheTargetHasRun(boolean sign) {
         Runnable run = sign ? this::recordSign : this::readRowWrittenSince;
-        budgets.receive(SERVICE).send(first).onAbandoned();
+        budgets.receive(SERVICE, time.nanos()).send(first).onAbandoned();
         assertThat(budgets.mayAccumulate(first)).isTrue();
         run.run();
         assertThat(budgets.mayAccumulate(first)).isFalse();
-        Sending trial = budgets.receive(SERVICE).send(first);
+        Sending trial = budgets.receive(SERVICE, time.nanos()).send(first);
         assertThat(budgets.mayAccumulate(first)).isTrue();
         run.run();
         assertThat(budgets.mayAccumulate(first)).isTrue();
@@ -152,16 +152,16 @@
         assertThat(budgets.mayAccumulate(first)).isTrue();
         run.run();
         Consumer<TargetSignals> answered = budgets.onCall(first);
-        budgets.receive(SERVICE).send(first).onArrived();
+        budgets.receive(SERVICE, time.nanos()).send(first).onArrived();
         answered.accept(SIGNALS);
-        budgets.receive(SERVICE).send(first);
+        budgets.receive(SERVICE, time.nanos()).send(first);
         assertThat(budgets.mayAccumulate(first)).isFalse();
     }
 
     /** Guards against a row that was written before the target was paused and is read after. */
     @Test
     void aRowThatMayBeOlderThanTheAbandonedSendingAllowsNoTrial() {
-        budgets.receive(SERVICE).send(first).onAbandoned();
+        budgets.receive(SERVICE, time.nanos()).send(first).onAbandoned();
         time.advance(Duration.ofSeconds(1));
         harness.registry().put(first.description());
         assertThat(budgets.mayAccumulate(first)).isTrue();
@@ -170,19 +170,19 @@
     /** Guards against a second trial, where a request that was permitted earlier is sent beside the first one and does not leave. */
     @Test
     void aRequestThatIsNotSentBesideATrialAllowsNoOther() {
-        budgets.receive(SERVICE).send(first).onAbandoned();
+        budgets.receive(SERVICE, time.nanos()).send(first).onAbandoned();
         recordSign();
-        budgets.receive(SERVICE).send(first);
-        budgets.receive(SERVICE).send(first).onNotSent();
+        budgets.receive(SERVICE, time.nanos()).send(first);
+        budgets.receive(SERVICE, time.nanos()).send(first).onNotSent();
         assertThat(budgets.mayAccumulate(first)).isTrue();
     }
 
     /** Guards against a trial at a target of which nothing is known but that a request was to be sent there. */
     @Test
     void aRequestThatIsNotSentIsNoSignOfItsTarget() {
-        budgets.receive(SERVICE).send(first).onAbandoned();
+        budgets.receive(SERVICE, time.nanos()).send(first).onAbandoned();
         time.advance(Duration.ofMillis(1));
-        Sending permitted = budgets.receive(SERVICE).send(first);
+        Sending permitted = budgets.receive(SERVICE, time.nanos()).send(first);
         first.onRequestSent(0, time.nanos());
         permitted.onNotSent();
         first.onRequestEnded();
--- a/gateway/src/test/java/org/geraniumreach/gateway/retry/RetryBudgetsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/retry/RetryBudgetsTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -63,7 +64,11 @@
 
         private RequestArrivals receive() {
             requests.add(time.nanos());
-            RequestArrivals received = budgets.receive(SERVICE);
+            return read(time.nanos());
+        }
+
+        private RequestArrivals read(long arrivedAt) {
+            RequestArrivals received = budgets.receive(SERVICE, arrivedAt);
             received.send(TARGET).onArrived();
             return received;
         }
@@ -311,6 +316,30 @@
         assertThat(entry.retryAtMost(1)).isZero();
     }
 
+    /** Guards against an entry that retries more after a suspension, since it reads the requests of that time together. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 2, 6, 9})
+    void requestsOfASuspensionCountFromTheirArrival(int suspendedSeconds) {
+        Entry entry = new Entry("entry", new HashSet<>());
+        receiveSteadily(entry, 100);
+        long suspendedAt = time.nanos();
+        int unread = suspendedSeconds * 10;
+        time.advance(Duration.ofSeconds(suspendedSeconds));
+        for (int request = 0; request < unread; request++) {
+            entry.read(suspendedAt);
+        }
+        receiveSteadily(entry, 98);
+        assertThat(entry.retryAtMost(Integer.MAX_VALUE)).isBetween(14, 15);
+    }
+
+    /** Receives ten requests a second. */
+    private void receiveSteadily(Entry entry, int count) {
+        for (int request = 0; request < count; request++) {
+            time.advance(Duration.ofMillis(100));
+            entry.receive();
+        }
+    }
+
     /** Guards against requests and retries that count for longer or shorter than the window. */
     @Test
     void requestsAndRetriesCountForTheWindow() {
@@ -334,7 +363,7 @@
     void eachServiceHasABudgetOfItsOwn() {
         RetryBudgets budgets = new RetryBudgets(LIMITS, (key, limit) -> 0, time);
         for (int request = 0; request < 7; request++) {
-            budgets.receive("one");
+            budgets.receive("one", time.nanos());
         }
         assertThat(budgets.decide("one", ENOUGH_TIME, Optional.empty()).result())
                 .isEqualTo(RetryDecision.Result.GRANTED);
--- a/gateway/src/test/java/org/geraniumreach/gateway/retry/RetryFleet.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/retry/RetryFleet.java
@@ -102,7 +102,7 @@
         private CallerRequest(Entry entry, int repeatsLeft) {
             this.entry = entry;
             this.repeatsLeft = repeatsLeft;
-            this.arrivals = entry.budgets.receive(SERVICE);
+            this.arrivals = entry.budgets.receive(SERVICE, time.nanos());
             requests.add(time.nanos());
         }
 
