--- a/node/src/test/java/org/geraniumreach/node/KeptConnectionProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/KeptConnectionProcessTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -35,7 +34,6 @@
     private static final long RUN_MILLIS = 50;
     private static final long SLOW_REJECTION_MILLIS = 700;
     private static final String FIRST = "first-";
-    private static final String EVENT = "id: 1\ndata: x\n\n";
 
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -47,24 +45,18 @@
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     private Path directory;
 
-    private static String ids(ScriptedTarget.Call call, String name) {
-        return "X-Attempt-Id: " + call.id() + "\r\nX-Instance-Id: " + name + "\r\n";
-    }
-
     private void run(ScriptedTarget.Call call, String name) throws IOException, InterruptedException {
         runs.merge(call.id(), 1, Integer::sum);
         Thread.sleep(RUN_MILLIS);
-        call.write("HTTP/1.1 200 OK\r\n" + ids(call, name) + "X-Server-Seal: " + name + "\r\nContent-Type: "
-                + (call.headers().containsKey("X-Model") ? "text/event-stream" : "text/plain")
-                + "\r\nContent-Length: " + EVENT.length() + "\r\n\r\n" + EVENT);
+        call.write(call.wholeAnswer(name));
     }
 
     /** Rejects each request when it comes first, and repeats that if the request comes on the same connection again. */
     private ScriptedTarget.Script rejectingOnce(String name) {
         Map<String, Integer> rejectedOn = new ConcurrentHashMap<>();
         return call -> {
-            String rejection =
-                    "HTTP/1.1 503 Busy\r\n" + ids(call, name) + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            String rejection = "HTTP/1.1 503 Busy\r\n" + call.identityHeaders(name)
+                    + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             int connection = call.id().startsWith(FIRST) ? 0 : rejectedOn.getOrDefault(call.id(), -1);
             if (connection < 0) {
                 rejected.incrementAndGet();
@@ -89,7 +81,8 @@
             }
             rejected.incrementAndGet();
             Thread.sleep(SLOW_REJECTION_MILLIS);
-            call.write("HTTP/1.1 503 Busy\r\n" + ids(call, name) + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            call.write("HTTP/1.1 503 Busy\r\n" + call.identityHeaders(name)
+                    + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         };
     }
 
@@ -120,7 +113,8 @@
 
         /** Rejects a request that is meant for the former name, and repeats that if the request comes on the same connection again. */
         private synchronized void answer(ScriptedTarget.Call call) throws IOException, InterruptedException {
-            String rejection = "HTTP/1.1 421 Misdirected\r\n" + ids(call, name) + "Content-Length: 2\r\n\r\nno";
+            String rejection =
+                    "HTTP/1.1 421 Misdirected\r\n" + call.identityHeaders(name) + "Content-Length: 2\r\n\r\nno";
             if (!name.equals(call.headers().get("X-Expect-Instance"))) {
                 rejected.incrementAndGet();
                 rejectedOn.put(call.id(), call.connection());
@@ -148,13 +142,7 @@
 
     private static FakePlatform platform() throws IOException {
         FakePlatform platform = new FakePlatform();
-        SilenceConfiguration configuration = new SilenceConfiguration();
-        for (String service : List.of("engines", "plain")) {
-            configuration.addService(service);
-        }
-        configuration.addRoute("flow", "/chat/", "engines");
-        configuration.addRoute("book", "/book/", "plain");
-        platform.configure(configuration.text(2));
+        platform.configure(SilenceConfiguration.ofSingleRuns().text(2));
         return platform;
     }
 
--- a/node/src/test/java/org/geraniumreach/node/RepeatedAnswersProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/RepeatedAnswersProcessTest.java
@@ -44,8 +44,6 @@
     /** More than a connection takes before it is read. */
     private static final String LONG_BODY = "x".repeat(8_000_000);
 
-    private static final String EVENT = "id: 1\ndata: x\n\n";
-
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final ExecutorService executor = Executors.newFixedThreadPool(CALLERS);
@@ -142,33 +140,30 @@
                 repeated.incrementAndGet();
                 call.write(before.remove(call.connection()));
             }
-            String ids = "X-Attempt-Id: " + call.id() + "\r\nX-Instance-Id: " + name + "\r\n";
             if (call.id().startsWith(OTHER) || !answeredOnce.add(call.id())) {
-                run(call, ids);
+                run(call);
             } else {
-                answerFirst(call, ids, Case.of(call.id()));
+                answerFirst(call, Case.of(call.id()));
             }
         }
 
-        private void run(ScriptedTarget.Call call, String ids) throws IOException, InterruptedException {
+        private void run(ScriptedTarget.Call call) throws IOException, InterruptedException {
             runs.merge(call.id(), 1, Integer::sum);
             Thread.sleep(RUN_MILLIS);
-            call.write("HTTP/1.1 200 OK\r\n" + ids + "X-Server-Seal: " + name + "\r\nContent-Type: "
-                    + (call.headers().containsKey("X-Model") ? "text/event-stream" : "text/plain")
-                    + "\r\nContent-Length: " + EVENT.length() + "\r\n\r\n" + EVENT);
+            call.write(call.wholeAnswer(name));
             if (behind.containsKey(call.connection())) {
                 repeated.incrementAndGet();
                 call.write(behind.remove(call.connection()));
             }
         }
 
-        private void answerFirst(ScriptedTarget.Call call, String ids, Case wanted)
-                throws IOException, InterruptedException {
+        private void answerFirst(ScriptedTarget.Call call, Case wanted) throws IOException, InterruptedException {
             if (!wanted.first().isRejection()) {
                 runs.merge(call.id(), 1, Integer::sum);
             }
-            String answer = wanted.form().before + "HTTP/1.1 " + wanted.first().status + "\r\n" + ids
-                    + wanted.first().mark + wanted.form().header + "Content-Length: 2\r\n\r\nno";
+            String answer =
+                    wanted.form().before + "HTTP/1.1 " + wanted.first().status + "\r\n" + call.identityHeaders(name)
+                            + wanted.first().mark + wanted.form().header + "Content-Length: 2\r\n\r\nno";
             switch (wanted.repetition()) {
                 case AT_ONCE -> {
                     repeated.incrementAndGet();
@@ -221,9 +216,7 @@
         List<RepeatingTarget> targets = new ArrayList<>();
         try (FakePlatform platform = new FakePlatform()) {
             String service = path.equals("/chat/x") ? "engines" : "plain";
-            SilenceConfiguration configuration = new SilenceConfiguration();
-            configuration.addService(service);
-            configuration.addRoute(service.equals("engines") ? "flow" : "book", path.replace("x", ""), service);
+            SilenceConfiguration configuration = SilenceConfiguration.ofSingleRuns();
             configuration.setMaximumBody(LONG_BODY.length());
             platform.configure(configuration.text(2));
             for (String name : TARGETS) {
--- a/node/src/test/java/org/geraniumreach/node/ScriptedTarget.java
+++ b/node/src/test/java/org/geraniumreach/node/ScriptedTarget.java
@@ -61,6 +61,20 @@
      */
     record Call(String id, Map<String, String> headers, int connection, Socket client) {
 
+        private static final String EVENT = "id: 1\ndata: x\n\n";
+
+        /** Gets the headers that name the request and the target in an answer. */
+        String identityHeaders(String target) {
+            return "X-Attempt-Id: " + id + "\r\nX-Instance-Id: " + target + "\r\n";
+        }
+
+        /** Gets the answer of a target that has run the request. */
+        String wholeAnswer(String target) {
+            return "HTTP/1.1 200 OK\r\n" + identityHeaders(target) + "X-Server-Seal: " + target + "\r\nContent-Type: "
+                    + (headers.containsKey("X-Model") ? "text/event-stream" : "text/plain")
+                    + "\r\nContent-Length: " + EVENT.length() + "\r\n\r\n" + EVENT;
+        }
+
         void write(String text) throws IOException {
             OutputStream out = client.getOutputStream();
             out.write(text.getBytes(StandardCharsets.UTF_8));
--- a/node/src/test/java/org/geraniumreach/node/SilenceConfiguration.java
+++ b/node/src/test/java/org/geraniumreach/node/SilenceConfiguration.java
@@ -17,6 +17,16 @@
     private int accountPriority = 1;
     private String otherKey = "another-key";
 
+    /** Begins a configuration with a service of each kind and requests that may run once only. */
+    static SilenceConfiguration ofSingleRuns() {
+        SilenceConfiguration configuration = new SilenceConfiguration();
+        configuration.addService("engines");
+        configuration.addService("plain");
+        configuration.addRoute("flow", "/chat/", "engines");
+        configuration.addRoute("book", "/book/", "plain");
+        return configuration;
+    }
+
     void setTimeout(int millis) {
         timeoutMillis = millis;
     }
--- a/node/src/test/java/org/geraniumreach/node/SingleRunSoakTest.java
+++ b/node/src/test/java/org/geraniumreach/node/SingleRunSoakTest.java
@@ -46,7 +46,6 @@
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(4);
     private static final Duration LATE_RUNS = Duration.ofSeconds(2);
     private static final int MAXIMUM_REPETITIONS = Integer.getInteger("soak.repetitions", 3);
-    private static final String EVENT = "id: 1\ndata: x\n\n";
 
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -94,7 +93,7 @@
 
         private void answer(ScriptedTarget.Call call) throws IOException, InterruptedException {
             ThreadLocalRandom random = ThreadLocalRandom.current();
-            String id = "X-Attempt-Id: " + call.id() + "\r\nX-Instance-Id: " + name + "\r\n";
+            String id = call.identityHeaders(name);
             Optional<String> late = Optional.ofNullable(lateCopies.remove(call.connection()));
             if (late.isPresent()) {
                 copyCount.incrementAndGet();
@@ -120,9 +119,7 @@
             }
             Thread.sleep(kind < 35 ? random.nextInt(1_500) : random.nextInt(20));
             runs.merge(call.id(), 1, Integer::sum);
-            String whole = "HTTP/1.1 200 OK\r\n" + id + "X-Server-Seal: " + name + "\r\nContent-Type: "
-                    + (call.headers().containsKey("X-Model") ? "text/event-stream" : "text/plain")
-                    + "\r\nContent-Length: " + EVENT.length() + "\r\n\r\n" + EVENT;
+            String whole = call.wholeAnswer(name);
             if (kind < 45) {
                 call.write(whole.substring(0, random.nextInt(whole.length())));
                 call.client().setSoLinger(random.nextBoolean(), 0);
@@ -147,7 +144,7 @@
     void noSingleRunRequestRunsTwiceOrThoughItWasRefused(long seed) throws Exception {
         Random random = new Random(seed);
         try (FakePlatform platform = new FakePlatform()) {
-            platform.configure(configuration());
+            platform.configure(SilenceConfiguration.ofSingleRuns().text(2));
             List<Member> members = new ArrayList<>();
             for (String service : List.of("engines", "plain")) {
                 for (int number = 0; number < TARGETS_PER_SERVICE; number++) {
@@ -182,15 +179,6 @@
         verify(seed);
     }
 
-    private static String configuration() {
-        SilenceConfiguration configuration = new SilenceConfiguration();
-        configuration.addService("engines");
-        configuration.addService("plain");
-        configuration.addRoute("flow", "/chat/", "engines");
-        configuration.addRoute("book", "/book/", "plain");
-        return configuration.text(2);
-    }
-
     private Void callUntil(long end, EntryProcesses entries, String name, Random random) throws InterruptedException {
         for (int number = 0; System.nanoTime() < end; number++) {
             String id = name + "-" + number;
