--- a/node/src/test/java/org/geraniumreach/node/RetryArrivalTest.java
+++ b/node/src/test/java/org/geraniumreach/node/RetryArrivalTest.java
@@ -116,7 +116,7 @@
         assertThat(retryArrivals()).isNotEmpty();
     }
 
-    /** Guards against the same where no target is left to retry at until the silences end. */
+    /** Guards against abandoned requests that arrive together with later retries when all targets wake, none of which was left to retry at. */
     @ParameterizedTest
     @CsvSource({"engines, /chat/x", "plain, /look/x"})
     void retriesThatArriveWhenAllTargetsWakeTogetherStayWithinTheLimit(String service, String path) throws Exception {
