Share the checks that the tests of further writes repeat

Which requests have a long body was asked in two places of RepeatedAnswersProcessTest, and the pattern of an end that names both writes stood in two classes.

--- a/node/src/test/java/org/geraniumreach/node/FullLogProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/FullLogProcessTest.java
@@ -97,8 +97,8 @@
             assertThat(own).anyMatch(line -> line.contains("ATTEMPT_NOT_EXECUTED"));
             assertThat(own).anyMatch(line -> line.contains("REQUEST_PLACED") && line.contains("REJECTED"));
             assertThat(own)
-                    .anyMatch(line -> line.contains("REQUEST_ANSWERED")
-                            && line.matches(".*\"writes\":\"\\w+#\\d+:NOT_EXECUTED \\w+#\\d+:MAY_HAVE_RUN\".*"));
+                    .anyMatch(
+                            line -> line.contains("REQUEST_ANSWERED") && SingleRunAssertions.tellsBothWrites(line, id));
         });
     }
 
--- a/node/src/test/java/org/geraniumreach/node/RepeatedAnswersProcessTest.java
+++ b/node/src/test/java/org/geraniumreach/node/RepeatedAnswersProcessTest.java
@@ -129,9 +129,7 @@
 
         @Override
         public boolean answersBeforeBody(ScriptedTarget.Call call) {
-            return !call.id().startsWith(OTHER)
-                    && !answeredOnce.contains(call.id())
-                    && Case.of(call.id()).form() == Form.BEFORE_BODY;
+            return hasLongBody(call.id()) && !answeredOnce.contains(call.id());
         }
 
         @Override
@@ -192,6 +190,10 @@
         }
     }
 
+    private static boolean hasLongBody(String id) {
+        return !id.startsWith(OTHER) && Case.of(id).form() == Form.BEFORE_BODY;
+    }
+
     @AfterEach
     void stop() {
         executor.shutdownNow();
@@ -265,7 +267,7 @@
     }
 
     private int send(EntryProcesses entries, String path, String id) throws Exception {
-        String body = !id.startsWith(OTHER) && Case.of(id).form() == Form.BEFORE_BODY ? LONG_BODY : "hi";
+        String body = hasLongBody(id) ? LONG_BODY : "hi";
         HttpRequest request = CallerRequests.post(
                         entries.entries().get(0).address(), path, id, CALLER_TIMEOUT, body, "base/a1")
                 .build();
--- a/node/src/test/java/org/geraniumreach/node/SingleRunAssertions.java
+++ b/node/src/test/java/org/geraniumreach/node/SingleRunAssertions.java
@@ -24,4 +24,10 @@
                 .filteredOn(ended -> NOT_RUN.contains(ended.getValue()) && runs.containsKey(ended.getKey()))
                 .isEmpty();
     }
+
+    /** Queries whether a line is the end of a request that names the rejected write and the one that ran. */
+    static boolean tellsBothWrites(String line, String id) {
+        return line.contains("\"id\":\"" + id + "\"")
+                && line.matches(".*\"writes\":\"\\w+#\\d+:NOT_EXECUTED \\w+#\\d+:MAY_HAVE_RUN\".*");
+    }
 }
--- a/node/src/test/java/org/geraniumreach/node/SuspendedBetweenWritesTest.java
+++ b/node/src/test/java/org/geraniumreach/node/SuspendedBetweenWritesTest.java
@@ -117,13 +117,8 @@
         assertThat(runs).containsKeys(statuses.keySet().toArray(String[]::new));
         SingleRunAssertions.assertNoneRanTwiceOrThoughItWasRefused(runs, statuses);
         List<String> log = Files.readAllLines(directory.resolve("entry-0.log"));
-        assertThat(statuses.keySet()).allSatisfy(id -> assertThat(log).anyMatch(line -> tellsBothWrites(line, id)));
-    }
-
-    /** Queries whether a line is the end of a request that names the rejected write and the one that ran. */
-    private static boolean tellsBothWrites(String line, String id) {
-        return line.contains("\"id\":\"" + id + "\"")
-                && line.matches(".*\"writes\":\"\\w+#\\d+:NOT_EXECUTED \\w+#\\d+:MAY_HAVE_RUN\".*");
+        assertThat(statuses.keySet())
+                .allSatisfy(id -> assertThat(log).anyMatch(line -> SingleRunAssertions.tellsBothWrites(line, id)));
     }
 
     private void awaitServed(EntryProcesses entries, String path) throws Exception {
