Log which versions are known at each write, and how old the rows are

A request that began on an outdated version, or that reached a target which had said that it leaves, could not be traced: no line named the version that was expected, since when the newer one had been known, or how old the readings of the targets' and the operator's rows were.

4008 REQUEST_PLACED and 4028 WRITE_OMITTED tell these now, and 4037 WRITE_DELAYED tells them at a write that comes 100 ms or more after the placement. The fields of versions are left out where none was named.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
@@ -90,6 +91,14 @@
      */
     long namedVersion(AdapterName adapter);
 
+    /**
+     * Gets the time at which this entry learnt of the newest named version of an adapter.
+     *
+     * @param adapter the adapter, not null
+     * @return the time of the monotonic clock, in nanoseconds, empty if no version was named
+     */
+    OptionalLong namedAt(AdapterName adapter);
+
     /**
      * Gets the lowest version of an adapter that may be used; shortly after a version was named, that is the previous
      * one.
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -34,6 +34,9 @@
  */
 final class Exchange {
 
+    /** The time from the placement of a request after which its write has a line of its own. */
+    private static final Duration NOTED_WRITE_DELAY = Duration.ofMillis(100);
+
     private final ExchangeServices services;
     private final RoutedRequest request;
     private final Route route;
@@ -168,6 +171,7 @@
         log.logPlaced(
                 send,
                 grounds,
+                KnownState.of(services, request, target),
                 progress(),
                 request.account().map(request::quotaUnits).orElse(0.0));
         request.adapter().ifPresent(adapter -> send.alsoLoad()
@@ -213,11 +217,11 @@
     private void onWriteForbidden(Target target, WriteDecision decision) {
         switch (decision.result()) {
             case TIME_UP -> {
-                log.logWriteOmitted(target, decision, request.remaining());
+                logWriteOmitted(target, decision);
                 onDeadline();
             }
             case CALLER_GONE -> {
-                log.logWriteOmitted(target, decision, request.remaining());
+                logWriteOmitted(target, decision);
                 onCallerGone();
             }
             default -> {
@@ -229,6 +233,10 @@
         }
     }
 
+    private void logWriteOmitted(Target target, WriteDecision decision) {
+        log.logWriteOmitted(target, decision, KnownState.of(services, request, target), request.remaining());
+    }
+
     /** Makes an attempt the current one, and keeps a silent one until the request can be written to the other target. */
     private void addAttempt(Attempt next) {
         Optional<Attempt> silent = attempts.current();
@@ -388,6 +396,9 @@
             attempts.keepOnly(attempt);
             WriteDecision decision = history.decideWrite(target);
             forbidden = Optional.of(decision).filter(result -> !result.isPermitted());
+            if (decision.isPermitted() && attempt.sinceStart().compareTo(NOTED_WRITE_DELAY) >= 0) {
+                log.logWriteDelayed(attempt, KnownState.of(services, request, target));
+            }
             return decision.isPermitted();
         }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeLog.java
@@ -72,7 +72,8 @@
         this.firstAttempt = request.firstAttempt().orElse("");
     }
 
-    void logPlaced(PlacementDecision.Send send, WriteDecision grounds, Progress progress, double units) {
+    void logPlaced(
+            PlacementDecision.Send send, WriteDecision grounds, KnownState known, Progress progress, double units) {
         Target target = send.target();
         Stream<Field> fields = Stream.of(
                 Field.of("target", target.id().value()),
@@ -100,9 +101,10 @@
                 EventCode.REQUEST_PLACED,
                 id,
                 progress.waits()
-                        .appendTo(Stream.of(fields, speedFields(send.speed()), resumptionFields(progress))
-                                .flatMap(Function.identity())
-                                .toArray(Field[]::new)));
+                        .appendTo(
+                                Stream.of(fields, known.fields(), speedFields(send.speed()), resumptionFields(progress))
+                                        .flatMap(Function.identity())
+                                        .toArray(Field[]::new)));
     }
 
     private Stream<Field> resumptionFields(Progress progress) {
@@ -137,15 +139,28 @@
                 Field.of("result", decision.result()));
     }
 
-    void logWriteOmitted(Target target, WriteDecision decision, Duration remaining) {
-        log.writeRetained(
-                EventCode.WRITE_OMITTED,
-                id,
+    void logWriteOmitted(Target target, WriteDecision decision, KnownState known, Duration remaining) {
+        Stream<Field> grounds = Stream.of(
                 Field.of("target", target.id().value()),
                 Field.of("result", decision.result()),
                 Field.of("remainingMillis", remaining.toMillis()),
                 Field.of("unreadMillis", unread.toMillis()),
                 Field.of("queuedMillis", queued.toMillis()));
+        log.writeRetained(
+                EventCode.WRITE_OMITTED,
+                id,
+                Stream.concat(grounds, known.fields()).toArray(Field[]::new));
+    }
+
+    /** Logs what is known at a write that comes long after the placement, whose line tells what was known then. */
+    void logWriteDelayed(Attempt attempt, KnownState known) {
+        Stream<Field> delay = Stream.of(
+                Field.of("target", attempt.target().id().value()),
+                Field.of("delayMillis", attempt.sinceStart().toMillis()));
+        log.write(
+                EventCode.WRITE_DELAYED,
+                id,
+                Stream.concat(delay, known.fields()).toArray(Field[]::new));
     }
 
     /** Logs a rejection; one on a connection that has carried the request before may be a copy of an earlier one. */
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -114,6 +114,7 @@
     private final Map<TargetId, Duration> restTimes = new HashMap<>();
     private final Map<TargetId, Duration> limitWaits = new HashMap<>();
     private RequestLimiter limiter = RequestLimiter.unlimited();
+    private final Map<StorePort.Table, OptionalLong> rowReadAt = new EnumMap<>(StorePort.Table.class);
     private final List<String> loggedEvents = new ArrayList<>();
     private final List<EventCode> retainedEvents = new ArrayList<>();
     private final Map<EventCode, List<Map<String, Object>>> loggedFields = new EnumMap<>(EventCode.class);
@@ -134,6 +135,7 @@
         private final Set<TargetId> declined = new HashSet<>();
         private long namedVersion;
         private long requiredVersion;
+        private long namedAt;
 
         @Override
         public void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate, boolean mayDecline) {
@@ -189,6 +191,11 @@
             return namedVersion;
         }
 
+        @Override
+        public OptionalLong namedAt(AdapterName adapter) {
+            return namedVersion > 0 ? OptionalLong.of(namedAt) : OptionalLong.empty();
+        }
+
         @Override
         public long minimumVersion(AdapterName adapter) {
             return requiredVersion;
@@ -208,6 +215,11 @@
             requiredVersion = newRequiredVersion;
         }
 
+        /** Sets the time at which the named version became known. */
+        public void setNamedAt(long newNamedAt) {
+            namedAt = newNamedAt;
+        }
+
         public void notifyWaiters() {
             List.copyOf(waiters).forEach(Runnable::run);
         }
@@ -258,6 +270,7 @@
         this.services = new ExchangeServices(
                 placement,
                 registry,
+                table -> rowReadAt.getOrDefault(table, OptionalLong.empty()),
                 targets,
                 adapters,
                 new QuotaAdmission(quotas, (entry, number, account, units) -> false, time, time, new Random(1)),
@@ -574,6 +587,11 @@
         limiter = newLimiter;
     }
 
+    /** Sets the time as of which the rows of a table are known. */
+    public void setReadAt(StorePort.Table table, long readAt) {
+        rowReadAt.put(table, OptionalLong.of(readAt));
+    }
+
     /** Sets the time until a target that names a limit takes another request, zero if it takes one now. */
     public void limitTarget(String target, Duration wait) {
         limitWaits.put(TargetId.of(target), wait);
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -82,6 +82,7 @@
     SURPLUS_ANSWER(4035, Level.INFO, "A target has answered a request once more, or one that did not wait for it."),
     REJECTED_REQUEST_RAN(
             4036, Level.ERROR, "An answer proves that a target ran a request that had counted as not executed."),
+    WRITE_DELAYED(4037, Level.INFO, "A request was written to a target some time after it had been placed there."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -458,6 +458,11 @@
         return versions.newestVersion(adapter);
     }
 
+    @Override
+    public OptionalLong namedAt(AdapterName adapter) {
+        return versions.learntAt(adapter);
+    }
+
     @Override
     public long minimumVersion(AdapterName adapter) {
         return versions.requiredVersion(adapter);
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -283,6 +283,7 @@
         return new ExchangeServices(
                 placement,
                 registry,
+                table -> feeds == null ? OptionalLong.empty() : feeds.readAt(table),
                 targets,
                 coordinator,
                 quotaAdmission,
--- a/node/src/main/java/org/geraniumreach/node/NamedVersions.java
+++ b/node/src/main/java/org/geraniumreach/node/NamedVersions.java
@@ -26,8 +26,8 @@
     private final DecisionLog log;
     private final Map<AdapterName, NamedVersion> versions = new HashMap<>();
 
-    /** A version in force, its predecessor, and the time of the last read of the operator's rows that did not have it yet. */
-    private record NamedVersion(long version, long previousVersion, OptionalLong lastReadWithoutAt) {}
+    /** A version in force, its predecessor, when it became known, and when the operator's rows were last read without it. */
+    private record NamedVersion(long version, long previousVersion, long learntAt, OptionalLong lastReadWithoutAt) {}
 
     NamedVersions(MonotonicClock clock, DecisionLog log) {
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -45,7 +45,7 @@
         if (newestVersion(adapter) >= version) {
             return;
         }
-        versions.put(adapter, new NamedVersion(version, newestVersion(adapter), lastReadWithoutAt));
+        versions.put(adapter, new NamedVersion(version, newestVersion(adapter), clock.nanos(), lastReadWithoutAt));
         log.write(EventCode.ADAPTER_VERSION_NAMED, adapter.toString(), Field.of("version", version));
     }
 
@@ -55,6 +55,12 @@
         return named == null ? 0 : named.version();
     }
 
+    /** Gets the time at which the version of an adapter that is in force became known, empty if there is none. */
+    OptionalLong learntAt(AdapterName adapter) {
+        NamedVersion named = versions.get(adapter);
+        return named == null ? OptionalLong.empty() : OptionalLong.of(named.learntAt());
+    }
+
     /** Gets the lowest version that may serve requests: during the grace period, the previous version. */
     long requiredVersion(AdapterName adapter) {
         NamedVersion named = versions.get(adapter);
--- a/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
+++ b/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
@@ -111,6 +111,11 @@
         Optional.ofNullable(readers.get(update.table())).ifPresent(reader -> reader.onUpdate(update));
     }
 
+    /** Gets the time as of which the rows of a table are known; see {@link FeedReader#readAt}. */
+    OptionalLong readAt(StorePort.Table table) {
+        return readers.get(table).readAt();
+    }
+
     /** Gets the time as of which the operator's rows are known; see {@link FeedReader#readAt}. */
     OptionalLong operatorReadAt() {
         return operator.readAt();
