--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -34,6 +34,9 @@
  */
 final class Exchange {
 
+    /** The time from the placement of a request after which its write has a line of its own. */
+    private static final Duration NOTED_WRITE_DELAY = Duration.ofMillis(100);
+
     private final ExchangeServices services;
     private final RoutedRequest request;
     private final Route route;
@@ -43,6 +46,7 @@
     private final Consumer<Exchange> onEnd;
     private final RunHistory history;
     private final SendTerms terms;
+    private final SendConditions conditions;
     private final SendSteps steps;
     private final AnswerRelay relay;
     private final ExchangeLog log;
@@ -79,7 +83,8 @@
         this.onEnd = onEnd;
         this.history = new RunHistory(services, request, received.answer()::isCallerGone);
         this.terms = new SendTerms(services, request, history);
-        this.steps = new SendSteps(services, request, new StepResults());
+        this.conditions = new SendConditions(services.placement(), services.adapters(), request.adapter());
+        this.steps = new SendSteps(services, request, conditions, new StepResults());
         choice.requiredVersion().ifPresent(steps.state()::requireVersion);
         this.attempts = new RunningAttempts(this::onReplaced);
         this.arrivals = services.retryBudgets()
@@ -168,6 +173,7 @@
         log.logPlaced(
                 send,
                 grounds,
+                KnownState.of(services, request, target),
                 progress(),
                 request.account().map(request::quotaUnits).orElse(0.0));
         request.adapter().ifPresent(adapter -> send.alsoLoad()
@@ -213,11 +219,11 @@
     private void onWriteForbidden(Target target, WriteDecision decision) {
         switch (decision.result()) {
             case TIME_UP -> {
-                log.logWriteOmitted(target, decision, request.remaining());
+                logWriteOmitted(target, decision);
                 onDeadline();
             }
             case CALLER_GONE -> {
-                log.logWriteOmitted(target, decision, request.remaining());
+                logWriteOmitted(target, decision);
                 onCallerGone();
             }
             default -> {
@@ -229,6 +235,10 @@
         }
     }
 
+    private void logWriteOmitted(Target target, WriteDecision decision) {
+        log.logWriteOmitted(target, decision, KnownState.of(services, request, target), request.remaining());
+    }
+
     /** Makes an attempt the current one, and keeps a silent one until the request can be written to the other target. */
     private void addAttempt(Attempt next) {
         Optional<Attempt> silent = attempts.current();
@@ -385,16 +395,41 @@
 
         @Override
         public boolean maySend() {
-            attempts.keepOnly(attempt);
-            WriteDecision decision = history.decideWrite(target);
+            WriteDecision decision = decideWrite();
             forbidden = Optional.of(decision).filter(result -> !result.isPermitted());
+            if (decision.isPermitted() && attempt.sinceStart().compareTo(NOTED_WRITE_DELAY) >= 0) {
+                log.logWriteDelayed(attempt, KnownState.of(services, request, target));
+            }
             return decision.isPermitted();
         }
 
+        /** Ends the other attempt only if the target may still be sent the request; otherwise that attempt may go on. */
+        private WriteDecision decideWrite() {
+            Optional<WriteDecision> overtaken = conditions.findObstacle(target).map(WriteDecision::forbidden);
+            if (overtaken.isPresent()) {
+                return overtaken.get();
+            }
+            attempts.keepOnly(attempt);
+            return history.decideWrite(target);
+        }
+
         @Override
         public void onForbidden() {
+            WriteDecision decision = forbidden.orElseThrow();
+            if (decision.isPlacedAgain()) {
+                onOvertaken(decision);
+                return;
+            }
             attempts.remove(attempt);
-            onWriteForbidden(target, forbidden.orElseThrow());
+            onWriteForbidden(target, decision);
+        }
+
+        /** Places the request again, whose target may no longer be sent it; the placement knows what forbids that. */
+        private void onOvertaken(WriteDecision decision) {
+            logWriteOmitted(target, decision);
+            if (!isAtAnotherTarget(FailureCause.NOT_SENT)) {
+                retryOrGiveUp(FailureCause.NOT_SENT, "not written: " + decision.result());
+            }
         }
 
         @Override
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -73,7 +73,9 @@
             "A caller's connection was closed on which a request was arriving or had no whole answer."),
     WRITE_FORBIDDEN(4027, Level.ERROR, "A request was about to be written to a target though it might have run twice."),
     WRITE_OMITTED(
-            4028, Level.INFO, "A request was not written to a target, since its time is up or its caller has left."),
+            4028,
+            Level.INFO,
+            "A request was not written: its time is up, its caller has left, or the target may not get it any more."),
     FENCE_READ_AFTER_PAUSE(
             4032, Level.INFO, "A paused companion has read its fence; its requests go on or are refused."),
     ATTEMPT_RETURNED(
@@ -82,6 +84,7 @@
     SURPLUS_ANSWER(4035, Level.INFO, "A target has answered a request once more, or one that did not wait for it."),
     REJECTED_REQUEST_RAN(
             4036, Level.ERROR, "An answer proves that a target ran a request that had counted as not executed."),
+    WRITE_DELAYED(4037, Level.INFO, "A request was written to a target some time after it had been placed there."),
     ADAPTER_LOADED(5001, Level.DEBUG, "An adapter was loaded."),
     ADAPTER_LOAD_FAILED(5002, Level.WARN, "An adapter could not be loaded."),
     ADAPTER_EVICTED(5003, Level.DEBUG, "An adapter was evicted."),
