Take a response without a status of HTTP for a broken one

A target that ran a request and answered it with status 000 had its answer passed on: callers got an answer of status 0, also of 99, 600, 999, 1000 and 2000. It did not count as a failure of the target, so a request that may run again was not sent to another one.

The codec of the HTTP client accepts any number that is not negative as a status, and nothing behind it asked whether HTTP has such a one. The client now decides on the status as it reads the first line, once for targets, the store, reports and orders: three digits, 100 to 599, but not 101, since no call asks for another protocol. Anything else fails the call as bytes do that are no response: it may have run, and its connection is closed. Interim responses are skipped as before.

--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -107,13 +107,25 @@
         }
     }
 
-    /** Decodes responses, and shows whether bytes are left of which no message has been decoded. */
+    /**
+     * Decodes responses, and shows whether bytes are left of which no message has been decoded. What has no status of HTTP is no
+     * response: neither an answer nor an interim one.
+     */
     private final class ResponseDecoder extends HttpResponseDecoder {
 
         private ResponseDecoder() {
             super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            // The codec would accept any number that is not negative.
+            ResponseStatus.findFault(initialLine[1]).ifPresent(fault -> {
+                throw new IllegalArgumentException(fault);
+            });
+            return super.createMessage(initialLine);
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage response) {
             boolean toHead = call != null && call.request().method().equals(HttpMethod.HEAD.name());
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,7 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.Future;
+import org.assertj.core.api.SoftAssertions;
 import org.geraniumreach.model.ConnectionUse;
 import org.geraniumreach.model.Header;
 import org.geraniumreach.model.MonotonicClock;
@@ -38,6 +40,7 @@
     private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(10);
     private static final long TIMEOUT_SECONDS = 10;
     private static final HttpCallRequest GET = new HttpCallRequest("GET", "/x", List.of(), new byte[0]);
+    private static final String FINAL_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfinal";
     private static final int BYTES_BEYOND_ALL_BUFFERS = 16 * 1024 * 1024;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -559,4 +562,70 @@
                 .hasMessageContaining("reset");
         assertThat(outcomes).isEmpty();
     }
+
+    /** Guards against a response with a status that HTTP does not have, which is taken for the answer to a call or for an interim one. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 2\r\n\r\nok",
+                "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                "Content-Length: 0\r\n\r\n",
+                "Connection: Upgrade\r\nUpgrade: other\r\nContent-Length: 2\r\n\r\nok",
+                "\r\nok"
+            })
+    void onlyStatusesOfHttpAreAnswers(String framingAndBody) throws Exception {
+        SoftAssertions softly = new SoftAssertions();
+        for (int status = 0; status <= 999; status++) {
+            boolean isInterim = status >= 100 && status < 200 && status != 101;
+            String text = String.format(Locale.ROOT, "%03d", status);
+            String outcome = outcomeOf(text + " Odd\r\n" + (isInterim ? "\r\n" + FINAL_RESPONSE : framingAndBody));
+            String body = framingAndBody.contains("ok") && status != 204 && status != 304 ? "ok" : "";
+            String expected = isInterim ? "200 final" : status >= 200 && status < 600 ? status + " " + body : "BROKEN";
+            softly.assertThat(outcome).as(text).isEqualTo(expected);
+            accepted.close();
+        }
+        softly.assertAll();
+    }
+
+    /** Guards against a response whose status is no number of three digits and is read as a number all the same. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "2",
+                "20",
+                "+20",
+                "+200",
+                "-20",
+                "-200",
+                "0200",
+                "2000",
+                "1000",
+                "00200",
+                "2OO",
+                "2e2",
+                "200.",
+                "0xC8",
+                "OK",
+                "\u00b2\u00b2\u00b2",
+                "\u0662\u0660\u0660",
+                "4294967496"
+            })
+    void aStatusThatIsNoNumberOfThreeDigitsIsBroken(String status) throws Exception {
+        assertThat(outcomeOf(status + " OK\r\nContent-Length: 2\r\n\r\nok")).isEqualTo("BROKEN");
+        assertThat(accepted.getInputStream().read()).isEqualTo(-1);
+        assertThat(group.next().submit(connections::idleCount).get()).isZero();
+    }
+
+    /** Gets the outcome of a call on a connection of its own. */
+    private String outcomeOf(String responseAfterVersion) throws Exception {
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 " + responseAfterVersion);
+        accepted.shutdownOutput();
+        String outcome = nextOutcome();
+        group.next().submit(() -> connections.closeIdleTo(address())).get();
+        return outcome;
+    }
 }
