Do not believe what an answer without a status of HTTP states

A service or engine behind a companion that answered with status 600 to 999 and the effect "none" had its call counted as without effect, which was not known. The library refuses statuses below 100 and 101 itself, but takes those above 599. Their effect counts as unknown now.

Before the fix, HttpTransportTest#whatAnAnswerWithoutAStatusOfHttpSaysIsNotBelieved failed for all 400 statuses from 600 to 999; it passes now.

--- a/standalone/src/main/java/org/geraniumreach/standalone/HttpTransport.java
+++ b/standalone/src/main/java/org/geraniumreach/standalone/HttpTransport.java
@@ -46,6 +46,10 @@
     private static final int STATUS_CLIENT_ERROR = 400;
     private static final int STATUS_SERVER_ERROR = 500;
     private static final int STATUS_UNAVAILABLE = 503;
+
+    /** The lowest number that is no status; the library itself refuses those below 100. */
+    private static final int STATUS_END = 600;
+
     private static final long MAXIMUM_RETRY_AFTER_SECONDS = 3_600;
 
     static {
@@ -158,7 +162,8 @@
 
     /**
      * Converts an error response. The effect is the one that the response states; without one, status 4xx means no
-     * effect and any other status an unknown effect.
+     * effect and any other status an unknown effect. What a response with a status that HTTP does not have states is
+     * not believed.
      *
      * @param request the request
      * @param response the response
@@ -169,7 +174,7 @@
         JsonNode answer = readError(response.body());
         boolean rejected = status >= STATUS_CLIENT_ERROR && status < STATUS_SERVER_ERROR;
         String effect = answer.path("effect").asText();
-        boolean noEffect = "none".equals(effect) || rejected && !"unknown".equals(effect);
+        boolean noEffect = status < STATUS_END && ("none".equals(effect) || rejected && !"unknown".equals(effect));
         String message =
                 "status " + status + ", " + answer.path("message").asText("no message") + ": " + describe(request);
         PlatformException failure = new PlatformException(
