Log what takes a target out of use and what brings it back

A target that left could come back into use without a line that told why: rows that say draining, removals that are held because the store was away, and the heartbeats that were taken as proof of life were not logged, so the logs of two entries could not be compared.

Each change writes one line: 5031 with the cause of a departure, 5032 when a removal is held, 5033 at the first heartbeat that is not believed, 5034 with the heartbeats that proved a return and the time that they span.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/DepartedTargets.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/DepartedTargets.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.geraniumreach.model.TargetId;
 
@@ -30,15 +31,22 @@
         }
     };
 
-    private record Departure(long startedAt, int heartbeats) {}
+    private record Departure(long startedAt, HeartbeatSeries heartbeats) {}
 
-    void recordDeparture(TargetDescription last, int heartbeats) {
+    void recordDeparture(TargetDescription last, HeartbeatSeries heartbeats) {
         departures.remove(last.id());
         departures.put(last.id(), new Departure(last.startedAt(), heartbeats));
     }
 
+    /** Gets the heartbeats since the removal of an incarnation's row, empty if this incarnation has not departed. */
+    Optional<HeartbeatSeries> heartbeats(TargetDescription description) {
+        return Optional.ofNullable(departures.get(description.id()))
+                .filter(known -> known.startedAt() == description.startedAt())
+                .map(Departure::heartbeats);
+    }
+
     /** Records a heartbeat and returns whether it confirms that the target is alive. */
-    boolean confirmsAlive(TargetDescription heartbeat) {
+    boolean confirmsAlive(TargetDescription heartbeat, long now) {
         Departure known = departures.get(heartbeat.id());
         if (known == null || heartbeat.startedAt() > known.startedAt()) {
             departures.remove(heartbeat.id());
@@ -47,8 +55,8 @@
         if (heartbeat.startedAt() < known.startedAt()) {
             return false;
         }
-        int heartbeats = known.heartbeats() + 1;
-        if (heartbeats >= CONFIRMING_HEARTBEATS) {
+        HeartbeatSeries heartbeats = known.heartbeats().plus(now);
+        if (heartbeats.count() >= CONFIRMING_HEARTBEATS) {
             departures.remove(heartbeat.id());
             return true;
         }
@@ -58,6 +66,6 @@
 
     /** Resets the heartbeat count of a departed target whose row was removed again. */
     void resetHeartbeats(TargetId id) {
-        departures.computeIfPresent(id, (key, known) -> new Departure(known.startedAt(), 0));
+        departures.computeIfPresent(id, (key, known) -> new Departure(known.startedAt(), HeartbeatSeries.empty()));
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
@@ -45,7 +45,7 @@
     private final MonotonicClock clock;
     private final Map<TargetId, Target> targets = new HashMap<>();
     /** Heartbeats since the row removal, by target, for rows removed during or just after a store outage. */
-    private final Map<TargetId, Integer> lapsedHeartbeats = new HashMap<>();
+    private final Map<TargetId, HeartbeatSeries> lapsedHeartbeats = new HashMap<>();
 
     private final DepartedTargets departedTargets = new DepartedTargets();
     /** Computed on demand, since the first read adds all targets one by one. */
@@ -79,6 +79,37 @@
          * @param target the target, not null
          */
         default void onChanged(Target target) {}
+
+        /**
+         * Called when something shows that an incarnation leaves or has left.
+         *
+         * @param target the incarnation, not null
+         * @param cause what shows it, not null
+         */
+        default void onDeparture(Target target, DepartureCause cause) {}
+
+        /**
+         * Called when the row of a target was removed, but the target is still used since its row may have lapsed.
+         *
+         * @param target the target, not null
+         */
+        default void onRemovalHeld(Target target) {}
+
+        /**
+         * Called at the first heartbeat of a target since its row was removed, if that does not prove that it is alive.
+         *
+         * @param id the name of the target, not null
+         */
+        default void onReturnDoubted(TargetId id) {}
+
+        /**
+         * Called when heartbeats since the removal of its row prove that a target is alive.
+         *
+         * @param target the target, not null
+         * @param heartbeats the number of heartbeats
+         * @param span the time between the first and the latest one, not null
+         */
+        default void onReturned(Target target, int heartbeats, Duration span) {}
     }
 
     /**
@@ -126,28 +157,58 @@
     public void put(TargetDescription description) {
         Target known = targets.get(description.id());
         if (known != null && known.description().isSameIncarnation(description)) {
-            lapsedHeartbeats.computeIfPresent(description.id(), (id, heartbeats) -> nextHeartbeatCount(heartbeats));
+            onLapsedHeartbeat(known);
+            boolean startsDraining = description.draining() && known.acceptsRequests();
             known.update(description, clock.nanos());
             listeners.forEach(listener -> listener.onChanged(known));
+            if (startsDraining) {
+                notifyDeparture(known, DepartureCause.DRAINING_ROW);
+            }
             return;
         }
         if (known != null && known.description().startedAt() > description.startedAt()) {
             return;
         }
         if (known != null) {
-            remove(known);
+            remove(known, DepartureCause.RESTARTED);
         }
-        if (!departedTargets.confirmsAlive(description)) {
+        Optional<HeartbeatSeries> doubted = departedTargets.heartbeats(description);
+        if (!departedTargets.confirmsAlive(description, clock.nanos())) {
+            if (doubted.filter(HeartbeatSeries::isEmpty).isPresent()) {
+                listeners.forEach(listener -> listener.onReturnDoubted(description.id()));
+            }
             return;
         }
         Target target = new Target(description, clock.nanos());
         targets.put(target.id(), target);
         targetsByService.remove(description.service());
         listeners.forEach(listener -> listener.onJoined(target));
+        doubted.ifPresent(heartbeats -> notifyReturn(target, heartbeats.plus(clock.nanos())));
+        if (description.draining()) {
+            notifyDeparture(target, DepartureCause.DRAINING_ROW);
+        }
     }
 
-    private static Integer nextHeartbeatCount(int heartbeats) {
-        return heartbeats + 1 < DepartedTargets.CONFIRMING_HEARTBEATS ? heartbeats + 1 : null;
+    private void onLapsedHeartbeat(Target target) {
+        HeartbeatSeries known = lapsedHeartbeats.get(target.id());
+        if (known == null) {
+            return;
+        }
+        HeartbeatSeries heartbeats = known.plus(clock.nanos());
+        if (heartbeats.count() < DepartedTargets.CONFIRMING_HEARTBEATS) {
+            lapsedHeartbeats.put(target.id(), heartbeats);
+            return;
+        }
+        lapsedHeartbeats.remove(target.id());
+        notifyReturn(target, heartbeats);
+    }
+
+    private void notifyReturn(Target target, HeartbeatSeries heartbeats) {
+        listeners.forEach(listener -> listener.onReturned(target, heartbeats.count(), heartbeats.span()));
+    }
+
+    private void notifyDeparture(Target target, DepartureCause cause) {
+        listeners.forEach(listener -> listener.onDeparture(target, cause));
     }
 
     /**
@@ -162,10 +223,13 @@
             return;
         }
         if (mayRowBeLapsed()) {
-            lapsedHeartbeats.put(id, 0);
+            boolean held = lapsedHeartbeats.put(id, HeartbeatSeries.empty()) != null;
+            if (!held) {
+                listeners.forEach(listener -> listener.onRemovalHeld(target));
+            }
             return;
         }
-        remove(target);
+        remove(target, DepartureCause.ROW_REMOVED);
     }
 
     /**
@@ -197,11 +261,12 @@
         if (lapsedHeartbeats.isEmpty() || storeUnavailable && isOutageLapsing()) {
             return;
         }
-        for (Map.Entry<TargetId, Integer> entry : List.copyOf(lapsedHeartbeats.entrySet())) {
-            Duration limit = entry.getValue() == 0 ? ROW_RETURN_TIMEOUT : SECOND_HEARTBEAT_TIMEOUT;
+        for (Map.Entry<TargetId, HeartbeatSeries> entry : List.copyOf(lapsedHeartbeats.entrySet())) {
+            Duration limit = entry.getValue().isEmpty() ? ROW_RETURN_TIMEOUT : SECOND_HEARTBEAT_TIMEOUT;
             boolean expired = storeRecoveredAt == Long.MIN_VALUE || clock.nanos() - storeRecoveredAt >= limit.toNanos();
             if (expired) {
-                find(entry.getKey()).ifPresent(target -> remove(target, entry.getValue()));
+                find(entry.getKey())
+                        .ifPresent(target -> remove(target, DepartureCause.ROW_NOT_REWRITTEN, entry.getValue()));
             }
         }
     }
@@ -213,21 +278,22 @@
      */
     public void removeEnded(Target target) {
         if (targets.get(target.id()) == target) {
-            remove(target);
+            remove(target, DepartureCause.ENDED);
         }
     }
 
-    private void remove(Target target) {
-        remove(target, 0);
+    private void remove(Target target, DepartureCause cause) {
+        remove(target, cause, HeartbeatSeries.empty());
     }
 
-    private void remove(Target target, int heartbeats) {
+    private void remove(Target target, DepartureCause cause, HeartbeatSeries heartbeats) {
         target.markLeaving();
         departedTargets.recordDeparture(target.description(), heartbeats);
         lapsedHeartbeats.remove(target.id());
         targets.remove(target.id());
         targetsByService.remove(target.description().service());
         listeners.forEach(listener -> listener.onLeft(target));
+        notifyDeparture(target, cause);
     }
 
     private List<Target> sortedTargets(String service) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/TestTargets.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/TestTargets.java
@@ -24,6 +24,15 @@
 
     /** Describes an incarnation of a target of a software version that is ready and holds no models. */
     public static TargetDescription describe(TargetId id, long startedAt, SoftwareVersion version) {
+        return describe(id, startedAt, version, false);
+    }
+
+    /** Describes an incarnation of a target that drains and holds no models. */
+    public static TargetDescription describeDraining(TargetId id, long startedAt) {
+        return describe(id, startedAt, SoftwareVersion.of("v1"), true);
+    }
+
+    private static TargetDescription describe(TargetId id, long startedAt, SoftwareVersion version, boolean draining) {
         return new TargetDescription(
                 id,
                 startedAt,
@@ -32,7 +41,7 @@
                 new InetSocketAddress("127.0.0.1", UNUSED_PORT),
                 FailureDomain.of("here"),
                 SLOTS,
-                false,
+                draining,
                 Optional.empty(),
                 Map.of());
     }
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -110,6 +110,16 @@
     SOFTWARE_VERSIONS_CHANGED(5025, Level.INFO, "The list of a service's software versions has changed."),
     TARGET_ENDED(5026, Level.WARN, "A target has ended while requests had not been answered there."),
     LEASE_RESUMED(5027, Level.INFO, "The lease is renewed after a lapse; what this entry owns is read again."),
+    TARGET_DEPARTED(5031, Level.INFO, "An incarnation of a target leaves or has left; the cause is what shows it."),
+    TARGET_REMOVAL_HELD(
+            5032,
+            Level.INFO,
+            "A target's row has gone in an outage of the store; the target is used for some seconds."),
+    TARGET_RETURN_DOUBTED(
+            5033,
+            Level.INFO,
+            "A target that has left writes its row again; it gets nothing until it proves to be alive."),
+    TARGET_RETURNED(5034, Level.INFO, "Heartbeats since the removal of its row prove that a target is alive."),
     LINK_OPENED(6001, Level.DEBUG, "A link to a peer is open."),
     LINK_LOST(6002, Level.WARN, "A link to a peer was lost or went silent."),
     FRAME_REFUSED(6003, Level.WARN, "A peer sent what is not a frame; the link was closed."),
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -34,6 +34,7 @@
 import org.geraniumreach.gateway.pacing.OwnerAdmission;
 import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.AnnouncedDepartures;
+import org.geraniumreach.gateway.placement.DepartureLog;
 import org.geraniumreach.gateway.placement.EntryContext;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
@@ -495,6 +496,7 @@
                 registry.onStoreAvailable();
             }
         });
+        registry.addListener(new DepartureLog(log));
         registry.addListener(coordinator);
         registry.addListener(new HealthUpdater());
         registry.addListener(silences);
