Take what has left back into use only on proof by time

Callers' requests reached targets that had left: two or three heartbeats that were on their way when a row was removed put it back, and the target was used until the row expired again.

Cause: two heartbeats after a removal proved a live target, however close they were, and a draining row was forgotten with the object of its target, while what an answer had said was kept in another place.

DepartedTargets now remembers what is known of departed incarnations. One that has said that it leaves, in a row or an answer, never returns. Another returns once its heartbeats since the removal span three heartbeat intervals (3.6 s), or once its row has stood for 9.2 s, which without a later write would have expired: rows need not change with each heartbeat. Rows that are merely listed are no heartbeats, and heartbeats from before a removal, a store outage or a pause of the process do not count. A row that lapses in an outage is handled apart, in LapsedRows: its target is used on, and heartbeats that span half an interval confirm it, in place of two.

The cost: a live target that was cut off from the store until its row was removed gets nothing for 3.6 to 5 s after its first heartbeat, before 1.2 s. Targets whose rows lapse in an outage lose nothing.

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/AnnouncedDepartures.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/AnnouncedDepartures.java
@@ -13,20 +13,21 @@
  *
  * <p>Intended for targets whose rows do not show it, or show it only after the store has been reached again.
  *
- * <p>Invariant: an incarnation that has said so gets no new requests, even if its row says that it is ready, or lapses and returns.
- * Confined to the event loop.
+ * <p>Keeps nothing itself; the registry remembers what has been said. Confined to the event loop.
  */
-public final class AnnouncedDepartures implements TargetCallObserver, TargetRegistry.Listener {
+public final class AnnouncedDepartures implements TargetCallObserver {
 
+    private final TargetRegistry registry;
     private final DecisionLog log;
-    private final IncarnationMap<Boolean> leaving = new IncarnationMap<>();
 
     /**
-     * Creates an instance without departures.
+     * Creates an instance.
      *
+     * @param registry records the departures, not null
      * @param log receives the departures, not null
      */
-    public AnnouncedDepartures(DecisionLog log) {
+    public AnnouncedDepartures(TargetRegistry registry, DecisionLog log) {
+        this.registry = Objects.requireNonNull(registry, "registry");
         this.log = Objects.requireNonNull(log, "log");
     }
 
@@ -40,17 +41,8 @@
     }
 
     private void onAnnounced(Target target) {
-        target.markLeaving();
-        if (leaving.get(target).isEmpty()) {
-            leaving.put(target, true);
+        if (registry.announceDeparture(target)) {
             log.write(EventCode.TARGET_LEAVING, target.id().value());
         }
     }
-
-    @Override
-    public void onJoined(Target target) {
-        if (leaving.get(target).isPresent()) {
-            target.markLeaving();
-        }
-    }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/HeartbeatSeries.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/HeartbeatSeries.java
@@ -23,6 +23,10 @@
         return count == 0;
     }
 
+    boolean beganBy(long nanos) {
+        return !isEmpty() && firstAt - nanos <= 0;
+    }
+
     HeartbeatSeries plus(long now) {
         return new HeartbeatSeries(count + 1, isEmpty() ? now : firstAt, now);
     }
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/TargetRegistry.java
@@ -20,41 +20,24 @@
  *
  * <p>Invariants: a restarted target is a new {@link Target} under the same name. A target whose row was removed gets
  * no requests, unless the row expired during a store outage, when rows expire although their targets are alive; such
- * a target is used until the store has been available for {@link #ROW_RETURN_TIMEOUT}. An incarnation whose row was
- * removed returns only on a second heartbeat, and a draining one never gets requests again. Confined to the event
- * loop.
+ * a target is used until the store has been available for {@link LapsedRows#ROW_RETURN_TIMEOUT}. An incarnation whose row was
+ * removed returns only once its heartbeats prove that it is alive, see {@link DepartedTargets}. One that has said that it
+ * leaves, in its row or in an answer, never gets requests again. Confined to the event loop.
  */
 public final class TargetRegistry {
 
-    /** Rows that expired during a store outage are rewritten within about two seconds of its end. */
-    static final Duration ROW_RETURN_TIMEOUT = Duration.ofSeconds(2);
-
-    /**
-     * A single heartbeat after the removal of a row may be the last of a departed target; a live one has written a
-     * second by then. An entry that was cut off from the store must detect departed targets within three seconds of
-     * its return.
-     */
-    static final Duration SECOND_HEARTBEAT_TIMEOUT = Duration.ofMillis(2_800);
-
-    /**
-     * Rows expire after three missed heartbeats of 1.2 s, so a shorter outage expires no row of a live target. If each
-     * failed store call counted as an outage, departed targets would be sent requests for seconds.
-     */
-    static final Duration MINIMUM_LAPSING_OUTAGE = Duration.ofMillis(2_500);
+    /** The registry is used at least as often, unless this process was paused. */
+    static final Duration MAXIMUM_IDLE_TIME = Duration.ofMillis(1_500);
 
     private final MonotonicClock clock;
     private final Map<TargetId, Target> targets = new HashMap<>();
-    /** Heartbeats since the row removal, by target, for rows removed during or just after a store outage. */
-    private final Map<TargetId, HeartbeatSeries> lapsedHeartbeats = new HashMap<>();
-
-    private final DepartedTargets departedTargets = new DepartedTargets();
+    private final LapsedRows lapsedRows;
+    private final DepartedTargets departedTargets;
     /** Computed on demand, since the first read adds all targets one by one. */
     private final Map<String, List<Target>> targetsByService = new HashMap<>();
 
     private final List<Listener> listeners = new ArrayList<>();
-    private long storeRecoveredAt = Long.MIN_VALUE;
-    private boolean storeUnavailable;
-    private long storeUnavailableSince;
+    private long lastUsedAt;
 
     /** Receives changes of the known targets; each method does nothing by default. */
     public interface Listener {
@@ -119,6 +102,9 @@
      */
     public TargetRegistry(MonotonicClock clock) {
         this.clock = Objects.requireNonNull(clock, "clock");
+        this.lapsedRows = new LapsedRows(clock);
+        this.departedTargets = new DepartedTargets(clock);
+        this.lastUsedAt = clock.nanos();
     }
 
     /**
@@ -132,75 +118,126 @@
 
     /** Records that the rows of the targets cannot be read. */
     public void onStoreUnavailable() {
-        if (!storeUnavailable) {
-            storeUnavailable = true;
-            storeUnavailableSince = clock.nanos();
-        }
+        lapsedRows.onStoreUnavailable();
     }
 
     /** Records that the rows of the targets were read successfully. */
     public void onStoreAvailable() {
-        if (storeUnavailable) {
-            boolean mayHaveLapsed = isOutageLapsing();
-            storeUnavailable = false;
-            if (mayHaveLapsed) {
-                storeRecoveredAt = clock.nanos();
-            }
-        }
+        discardOutdatedHeartbeats();
+        lapsedRows.onStoreAvailable();
     }
 
     /**
-     * Adds or updates a target from its row.
+     * Adds or updates a target from a heartbeat, which has written its row.
      *
      * @param description the content of the row, not null
      */
     public void put(TargetDescription description) {
-        Target known = targets.get(description.id());
-        if (known != null && known.description().isSameIncarnation(description)) {
-            onLapsedHeartbeat(known);
-            boolean startsDraining = description.draining() && known.acceptsRequests();
-            known.update(description, clock.nanos());
-            listeners.forEach(listener -> listener.onChanged(known));
-            if (startsDraining) {
-                notifyDeparture(known, DepartureCause.DRAINING_ROW);
-            }
+        discardOutdatedHeartbeats();
+        if (isRegistered(description)) {
+            Target known = targets.get(description.id());
+            lapsedRows.recordHeartbeat(known.id()).ifPresent(heartbeats -> notifyReturn(known, heartbeats));
+            update(known, description);
+            return;
+        }
+        Optional<HeartbeatSeries> earlier = departedTargets.heartbeats(description);
+        departedTargets.recordHeartbeat(description);
+        putUnregistered(description, earlier);
+    }
+
+    /** Adds or updates a target from a row that may have been read before. */
+    private void putListed(TargetDescription description) {
+        if (isRegistered(description)) {
+            lapsedRows.recordPresence(description.id());
+            update(targets.get(description.id()), description);
             return;
         }
-        if (known != null && known.description().startedAt() > description.startedAt()) {
+        Optional<HeartbeatSeries> earlier = departedTargets.heartbeats(description);
+        departedTargets.recordPresence(description);
+        putUnregistered(description, earlier);
+    }
+
+    private boolean isRegistered(TargetDescription description) {
+        Target known = targets.get(description.id());
+        return known != null && known.description().isSameIncarnation(description);
+    }
+
+    private void update(Target target, TargetDescription newer) {
+        target.update(newer, clock.nanos());
+        listeners.forEach(listener -> listener.onChanged(target));
+        if (newer.draining()) {
+            announceDrainingRow(target);
+        }
+    }
+
+    private void putUnregistered(TargetDescription description, Optional<HeartbeatSeries> earlier) {
+        Target known = targets.get(description.id());
+        boolean outdated = known != null && known.description().startedAt() > description.startedAt();
+        if (outdated || departedTargets.isOutdated(description)) {
             return;
         }
         if (known != null) {
             remove(known, DepartureCause.RESTARTED);
         }
-        Optional<HeartbeatSeries> doubted = departedTargets.heartbeats(description);
-        if (!departedTargets.confirmsAlive(description, clock.nanos())) {
-            if (doubted.filter(HeartbeatSeries::isEmpty).isPresent()) {
-                listeners.forEach(listener -> listener.onReturnDoubted(description.id()));
-            }
+        if (departedTargets.heartbeats(description).isEmpty()) {
+            join(description);
             return;
         }
+        if (description.draining()) {
+            departedTargets.announce(description);
+        }
+        if (departedTargets.isProvenAlive(description)) {
+            readmit(description);
+        } else if (earlier.filter(HeartbeatSeries::isEmpty).isPresent()) {
+            listeners.forEach(listener -> listener.onReturnDoubted(description.id()));
+        }
+    }
+
+    private void readmit(TargetDescription description) {
+        HeartbeatSeries heartbeats = departedTargets.heartbeats(description).orElse(HeartbeatSeries.empty());
+        join(description);
+        find(description.id()).ifPresent(target -> notifyReturn(target, heartbeats));
+    }
+
+    private void join(TargetDescription description) {
+        departedTargets.forget(description.id());
         Target target = new Target(description, clock.nanos());
         targets.put(target.id(), target);
         targetsByService.remove(description.service());
         listeners.forEach(listener -> listener.onJoined(target));
-        doubted.ifPresent(heartbeats -> notifyReturn(target, heartbeats.plus(clock.nanos())));
         if (description.draining()) {
+            announceDrainingRow(target);
+        }
+    }
+
+    private void announceDrainingRow(Target target) {
+        if (announceDeparture(target)) {
             notifyDeparture(target, DepartureCause.DRAINING_ROW);
         }
     }
 
-    private void onLapsedHeartbeat(Target target) {
-        HeartbeatSeries known = lapsedHeartbeats.get(target.id());
-        if (known == null) {
-            return;
+    /**
+     * Records that an incarnation has said that it leaves. It gets no more requests, whatever its row says from now on.
+     *
+     * @param target the incarnation, not null
+     * @return false if it was known already
+     */
+    public boolean announceDeparture(Target target) {
+        target.markLeaving();
+        return departedTargets.announce(target.description());
+    }
+
+    /** Discards heartbeats that were read before a store outage or a pause of this process. */
+    private void discardOutdatedHeartbeats() {
+        long now = clock.nanos();
+        if (lapsedRows.isOutage()) {
+            departedTargets.discardHeartbeatsUntil(lapsedRows.outageStart());
+            lapsedRows.discardHeartbeatsUntil(lapsedRows.outageStart());
         }
-        HeartbeatSeries heartbeats = known.plus(clock.nanos());
-        if (heartbeats.count() < DepartedTargets.CONFIRMING_HEARTBEATS) {
-            lapsedHeartbeats.put(target.id(), heartbeats);
-            return;
+        if (now - lastUsedAt > MAXIMUM_IDLE_TIME.toNanos()) {
+            departedTargets.discardHeartbeatsUntil(now);
         }
-        lapsedHeartbeats.remove(target.id());
-        notifyReturn(target, heartbeats);
+        lastUsedAt = now;
     }
 
     private void notifyReturn(Target target, HeartbeatSeries heartbeats) {
@@ -219,12 +256,11 @@
     public void onRowRemoved(TargetId id) {
         Target target = targets.get(id);
         if (target == null) {
-            departedTargets.resetHeartbeats(id);
+            departedTargets.onRowRemoved(id);
             return;
         }
-        if (mayRowBeLapsed()) {
-            boolean held = lapsedHeartbeats.put(id, HeartbeatSeries.empty()) != null;
-            if (!held) {
+        if (lapsedRows.mayRowLapse()) {
+            if (lapsedRows.add(id)) {
                 listeners.forEach(listener -> listener.onRemovalHeld(target));
             }
             return;
@@ -243,32 +279,27 @@
         List<TargetId> missing =
                 targets.keySet().stream().filter(id -> !listed.contains(id)).toList();
         missing.forEach(this::onRowRemoved);
-        rows.forEach(this::put);
-    }
-
-    private boolean mayRowBeLapsed() {
-        return storeUnavailable && isOutageLapsing()
-                || storeRecoveredAt != Long.MIN_VALUE
-                        && clock.nanos() - storeRecoveredAt < ROW_RETURN_TIMEOUT.toNanos();
-    }
-
-    private boolean isOutageLapsing() {
-        return clock.nanos() - storeUnavailableSince >= MINIMUM_LAPSING_OUTAGE.toNanos();
+        departedTargets.retainRows(listed);
+        discardOutdatedHeartbeats();
+        rows.forEach(this::putListed);
     }
 
-    /** Removes targets whose rows have not been rewritten in time after a store outage. */
+    /**
+     * Removes targets whose rows have not been rewritten in time after a store outage, and takes targets into use again whose
+     * rows have stood for long enough.
+     */
     public void expire() {
-        if (lapsedHeartbeats.isEmpty() || storeUnavailable && isOutageLapsing()) {
-            return;
-        }
-        for (Map.Entry<TargetId, HeartbeatSeries> entry : List.copyOf(lapsedHeartbeats.entrySet())) {
-            Duration limit = entry.getValue().isEmpty() ? ROW_RETURN_TIMEOUT : SECOND_HEARTBEAT_TIMEOUT;
-            boolean expired = storeRecoveredAt == Long.MIN_VALUE || clock.nanos() - storeRecoveredAt >= limit.toNanos();
-            if (expired) {
-                find(entry.getKey())
-                        .ifPresent(target -> remove(target, DepartureCause.ROW_NOT_REWRITTEN, entry.getValue()));
-            }
+        discardOutdatedHeartbeats();
+        if (!lapsedRows.isStoreUnavailable()) {
+            departedTargets.provenAlive().forEach(this::readmit);
         }
+        lapsedRows.overdue().forEach((id, heartbeats) -> find(id).ifPresent(
+                        target -> removeLapsed(target, heartbeats)));
+    }
+
+    private void removeLapsed(Target target, HeartbeatSeries heartbeats) {
+        departedTargets.recordRemoval(target.description(), LapsedRows.RETURN_SPAN, heartbeats);
+        unregister(target, DepartureCause.ROW_NOT_REWRITTEN);
     }
 
     /**
@@ -283,13 +314,13 @@
     }
 
     private void remove(Target target, DepartureCause cause) {
-        remove(target, cause, HeartbeatSeries.empty());
+        departedTargets.recordRemoval(target.description(), DepartedTargets.RETURN_SPAN, HeartbeatSeries.empty());
+        unregister(target, cause);
     }
 
-    private void remove(Target target, DepartureCause cause, HeartbeatSeries heartbeats) {
+    private void unregister(Target target, DepartureCause cause) {
         target.markLeaving();
-        departedTargets.recordDeparture(target.description(), heartbeats);
-        lapsedHeartbeats.remove(target.id());
+        lapsedRows.remove(target.id());
         targets.remove(target.id());
         targetsByService.remove(target.description().service());
         listeners.forEach(listener -> listener.onLeft(target));
--- a/gateway/src/test/java/org/geraniumreach/gateway/limit/TargetLimitsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/limit/TargetLimitsTest.java
@@ -102,8 +102,10 @@
         call(LIMITED);
         Target former = target();
         registry.onRowRemoved(former.id());
-        put(1);
-        put(1);
+        for (int heartbeat = 0; heartbeat < 4; heartbeat++) {
+            put(1);
+            time.advance(Duration.ofMillis(1_200));
+        }
         assertThat(target()).isNotSameAs(former);
         assertThat(limits.limit(target())).isEqualTo(TWO);
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/LapsedTargetTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/LapsedTargetTest.java
@@ -47,8 +47,10 @@
         if (!begun) {
             begin(sent, policy);
         }
-        world.time().advance(HEARTBEAT_INTERVAL);
-        returnRow(world);
+        for (int heartbeat = 0; heartbeat < 3; heartbeat++) {
+            world.time().advance(HEARTBEAT_INTERVAL);
+            returnRow(world);
+        }
         assertThat(world.registry().all()).hasSize(1);
         sent.answerPart(SECOND_EVENT);
         sent.endAnswer();
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -195,7 +195,7 @@
         this.store = new StoreClient(connections, settings.storeAddress());
         this.targetLimits = new TargetLimits(clock, log);
         this.restingTargets = new RestingTargets(clock, log);
-        this.announcedDepartures = new AnnouncedDepartures(log);
+        this.announcedDepartures = new AnnouncedDepartures(registry, log);
         this.targetSpeeds = new LearntTargetSpeeds(
                 ownership,
                 registry,
@@ -502,7 +502,6 @@
         registry.addListener(silences);
         registry.addListener(coldStartLimiter);
         registry.addListener(limitAdmission);
-        registry.addListener(announcedDepartures);
         registry.addListener(ownerAdmission);
         registry.addListener(targetSpeeds);
         registry.addListener(streams);
--- a/node/src/test/java/org/geraniumreach/node/FakePlatform.java
+++ b/node/src/test/java/org/geraniumreach/node/FakePlatform.java
@@ -192,6 +192,11 @@
             writeRow("draining");
         }
 
+        /** Removes the target's row; the target still answers. */
+        void removeRow() {
+            store.remove("servers", name);
+        }
+
         /** Removes the target's row and stops answering. */
         void leave() {
             store.remove("servers", name);
