--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -34,6 +34,7 @@
 import org.geraniumreach.gateway.pacing.OwnerAdmission;
 import org.geraniumreach.gateway.pacing.TargetAdmission;
 import org.geraniumreach.gateway.placement.AnnouncedDepartures;
+import org.geraniumreach.gateway.placement.DepartureLog;
 import org.geraniumreach.gateway.placement.EntryContext;
 import org.geraniumreach.gateway.placement.Placement;
 import org.geraniumreach.gateway.placement.PlacementSettings;
@@ -194,7 +195,7 @@
         this.store = new StoreClient(connections, settings.storeAddress());
         this.targetLimits = new TargetLimits(clock, log);
         this.restingTargets = new RestingTargets(clock, log);
-        this.announcedDepartures = new AnnouncedDepartures(log);
+        this.announcedDepartures = new AnnouncedDepartures(registry, log);
         this.targetSpeeds = new LearntTargetSpeeds(
                 ownership,
                 registry,
@@ -496,12 +497,12 @@
                 registry.onStoreAvailable();
             }
         });
+        registry.addListener(new DepartureLog(log));
         registry.addListener(coordinator);
         registry.addListener(new HealthUpdater());
         registry.addListener(silences);
         registry.addListener(coldStartLimiter);
         registry.addListener(limitAdmission);
-        registry.addListener(announcedDepartures);
         registry.addListener(ownerAdmission);
         registry.addListener(targetSpeeds);
         registry.addListener(streams);
