Record the adapter version that a load was ordered for

Requests for a newly named version were sent to a target that did not hold it and got 421: the owner of the target entered the version that was newest at the end of a load as resident, though a version named during the load may not have been fetched. The adapter counted as up to date from then on, so no other load was ordered.

A load that ends now counts as the version that was newest when it was first ordered. If a newer one was named meanwhile, the load request stays queued and the newer version is ordered next. If the target had fetched the newer one after all, that order is answered at once.

The test failed before: the first load, ordered under version 1, was published as version 2.

--- a/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/adapter/AdapterSlots.java
@@ -69,6 +69,10 @@
     private final Map<AdapterName, Long> fetchStartedAt = new HashMap<>();
     private final Map<AdapterName, Long> resident = new HashMap<>();
     private final Map<AdapterName, Long> nextPollAt = new HashMap<>();
+
+    /** The versions that were the newest when the loads in progress were ordered; a target may have fetched no newer ones. */
+    private final Map<AdapterName, Long> orderedVersions = new HashMap<>();
+
     private final Set<AdapterName> unloading = new HashSet<>();
     private Optional<AdapterName> deferredAdapter = Optional.empty();
     private final LoadQueue loadQueue = new LoadQueue();
@@ -352,6 +356,9 @@
     }
 
     private Optional<Call> orderCall(Order.Operation operation, Optional<AdapterName> adapter) {
+        if (operation == Order.Operation.LOAD) {
+            adapter.ifPresent(name -> orderedVersions.computeIfAbsent(name, newestVersion));
+        }
         return Optional.of(new Call.SendOrder(operation, adapter, acceptedOrders.getAsLong()));
     }
 
@@ -461,10 +468,13 @@
         if (startedAt != null) {
             fetchWindow.onFetchEnded(Duration.ofNanos(now - startedAt));
         }
-        long version = newestVersion.apply(adapter);
+        Long orderedVersion = orderedVersions.remove(adapter);
+        long version = orderedVersion != null ? orderedVersion : newestVersion.apply(adapter);
         boolean replaced = repeated && resident.containsKey(adapter);
         resident.put(adapter, version);
-        loadQueue.remove(adapter);
+        if (isLoaded(adapter)) {
+            loadQueue.remove(adapter);
+        }
         frequency.recordUses(adapter, 0, now);
         listener.onAdapterLoaded(adapter, version);
         if (orderCountUncertain && replaced) {
@@ -486,6 +496,7 @@
 
     private void onRefused(Call.SendOrder sent, long now) {
         sent.adapter().ifPresent(loadQueue::remove);
+        sent.adapter().filter(adapter -> !nextPollAt.containsKey(adapter)).ifPresent(orderedVersions::remove);
         earliestCallAt = now + REFUSAL_DELAY.toNanos();
     }
 
@@ -530,6 +541,8 @@
         nextPollAt.clear();
         report.loading()
                 .forEach(adapter -> nextPollAt.put(new AdapterName(model, adapter), now + POLL_INTERVAL.toNanos()));
+        orderedVersions.keySet().retainAll(nextPollAt.keySet());
+        nextPollAt.keySet().forEach(adapter -> orderedVersions.computeIfAbsent(adapter, newestVersion));
         removed.forEach(listener::onAdapterUnavailable);
         loaded.forEach(listener::onAdapterLoaded);
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterSlotsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/adapter/AdapterSlotsTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -40,6 +41,47 @@
         new SimulatedTarget(-4568).run();
     }
 
+    /** Guards against a version that counts as resident though the target was ordered to load the one before. */
+    @Test
+    void aVersionNamedDuringALoadIsOrderedByItself() {
+        AtomicLong newest = new AtomicLong(1);
+        List<Long> loaded = new ArrayList<>();
+        AdapterSlots slots = new AdapterSlots(
+                SLOTS, "base", adapter -> newest.get(), new FetchWindow(), new AdapterSlots.Listener() {
+                    @Override
+                    public void onAdapterLoaded(AdapterName adapter, long version) {
+                        loaded.add(version);
+                    }
+
+                    @Override
+                    public void onAdapterUnavailable(AdapterName adapter) {
+                        throw new AssertionError("not unloaded");
+                    }
+
+                    @Override
+                    public void onModelLoaded() {
+                        throw new AssertionError("loaded before");
+                    }
+                });
+        slots.onReport(new TargetReport(0, Map.of("base", Map.of()), Set.of()), 0);
+        slots.enqueue(name(1), OptionalLong.empty(), 0);
+        slots.onOrderResult(nextOrder(slots, 0), OrderResult.ACCEPTED, 0);
+        newest.set(2);
+        long now = 300 * MILLI;
+        slots.enqueue(name(1), OptionalLong.empty(), now);
+        slots.onOrderResult(nextOrder(slots, now), OrderResult.ALREADY_SO, now);
+        assertThat(loaded).containsExactly(1L);
+        AdapterSlots.Call.SendOrder second = nextOrder(slots, now);
+        assertThat(second.operation()).isEqualTo(Order.Operation.LOAD);
+        slots.onOrderResult(second, OrderResult.ALREADY_SO, now);
+        assertThat(loaded).containsExactly(1L, 2L);
+        assertThat(slots.isBusy()).isFalse();
+    }
+
+    private static AdapterSlots.Call.SendOrder nextOrder(AdapterSlots slots, long now) {
+        return (AdapterSlots.Call.SendOrder) slots.nextCall(now).orElseThrow();
+    }
+
     // A load request whose waiting requests have given up must not take a slot from those that still wait.
     @Test
     void aLoadRequestThatIsNotRenewedExpires() {
