Take back requests that have not begun when their adapter version ends

Requests began at an older version of their adapter up to 1.2 s and more behind the bound of 5 s: they had been written in the grace period, or before this entry knew of the newer version, and waited at their target. Nothing looked at a request again once it had been written.

A named version now starts two timers, and a request none. One second before the bound, targets at which such requests have not begun are asked to load the newer version: a target rejects what it has not begun for the order, which costs nobody anything, and the request may go to the same target once it holds the newer version. 0.3 s before the bound, what has still not begun is ended (4010 with cause OUTDATED). The bound counts from the last reading of the rows without the version, which is no later than the acknowledgement.

What it costs: a stream that may be resumed and an idempotent request are sent again, as a retry of the budget; a stream that runs once ends with an unknown outcome. A plain request that runs once shows nothing of its begin and is left to its target, which the load order alone concerns. A plain idempotent one may have begun and then runs twice. The target is not counted as failing.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/AdapterLoader.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.placement.Target;
 import org.geraniumreach.gateway.port.Cancellable;
@@ -98,4 +100,19 @@
      * @return the version, 0 for any
      */
     long minimumVersion(AdapterName adapter);
+
+    /**
+     * Gets the time after which no request may begin at a version that is older than the newest named one.
+     *
+     * @param adapter the adapter, not null
+     * @return the time, in nanoseconds of the clock, empty if no version was named
+     */
+    OptionalLong olderVersionsEndAt(AdapterName adapter);
+
+    /**
+     * Registers a listener for named versions.
+     *
+     * @param listener receives each adapter once a newer version of it is named, not null
+     */
+    void onVersionNamed(Consumer<AdapterName> listener);
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.geraniumreach.gateway.crash.SentRun;
 import org.geraniumreach.gateway.placement.Target;
@@ -36,6 +37,7 @@
     private Cancellable call = Cancellable.NOOP;
     private Cancellable silenceTimer = Cancellable.NOOP;
     private SilenceLimits silenceLimits = SilenceLimits.NONE;
+    private OptionalLong adapterVersion = OptionalLong.empty();
     private boolean prefillEnded;
     private boolean noPromptPending;
     private long sentAt;
@@ -129,6 +131,7 @@
         lastSignAt = sentAt;
         noPromptPending = target.pendingPromptTokens() == 0;
         target.onRequestSent(promptTokens, sentAt);
+        adapterVersion = adapter().map(target::residentVersion).orElse(OptionalLong.empty());
         adapter().ifPresent(adapter -> services.adapters().onRequestSent(target, adapter));
         call = services.targets().send(target, request, envelope, maximumIdle, this);
         if (!ended) {
@@ -176,6 +179,23 @@
         }
     }
 
+    /** Queries whether the target has not begun the request, as far as is known, and holds an older version of its adapter than the given one. */
+    boolean awaitsOlderVersion(long version) {
+        return sent && !ended && !prefillEnded && isOfOlderVersion(version);
+    }
+
+    /** Queries whether the target held an older version of the request's adapter than the given one. */
+    boolean isOfOlderVersion(long version) {
+        return adapterVersion.isPresent() && adapterVersion.getAsLong() < version;
+    }
+
+    /** Takes the request back from a target that has not begun it in time. */
+    void endAsOutdated() {
+        abandon();
+        listener.onFailed(
+                FailureCause.OUTDATED, "the target has not begun the request while its adapter version may be used");
+    }
+
     private void abandon() {
         call.cancel();
         if (sent) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -1,6 +1,7 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -18,6 +19,7 @@
 import org.geraniumreach.gateway.stream.Recording;
 import org.geraniumreach.gateway.stream.StreamKey;
 import org.geraniumreach.gateway.traffic.Account;
+import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
 import org.geraniumreach.gateway.traffic.Route;
 import org.geraniumreach.model.AccountId;
@@ -422,6 +424,8 @@
                 request.adapter()
                         .ifPresent(adapter ->
                                 target.learnAbsent(adapter, services.clock().nanos()));
+            } else if (isReplacingVersion()) {
+                steps.state().include(target.id());
             } else {
                 steps.state().exclude(target.id());
             }
@@ -434,6 +438,14 @@
             }
         }
 
+        /** Queries whether the target had the request at a version that may no longer be used, and may soon hold the newest one. */
+        private boolean isReplacingVersion() {
+            return request.adapter()
+                    .filter(adapter ->
+                            attempt.isOfOlderVersion(services.adapters().minimumVersion(adapter)))
+                    .isPresent();
+        }
+
         /** Counts a failure; a target that stands still accepts no connection either. */
         private void recordFailure(FailureCause cause) {
             if (cause == FailureCause.NOT_SENT) {
@@ -501,8 +513,12 @@
 
         @Override
         public void onFailed(FailureCause cause, String reason) {
-            recordFailure(cause);
-            steps.state().exclude(target.id());
+            if (cause.isOfTarget()) {
+                recordFailure(cause);
+                steps.state().exclude(target.id());
+            } else {
+                steps.state().include(target.id());
+            }
             log.logAttemptFailed(attempt, cause, reason, relay.lastEventNumber());
             if (isAtAnotherTarget(cause)) {
                 return;
@@ -568,6 +584,21 @@
         finish(finalAnswer.expire(progress()));
     }
 
+    /** Gets the attempts whose targets have not begun the request and hold an older version of an adapter than the given one. */
+    List<Attempt> attemptsAwaiting(AdapterName adapter, long version) {
+        boolean concerned = !ended && request.adapter().filter(adapter::equals).isPresent();
+        return concerned
+                ? attempts.all().stream()
+                        .filter(attempt -> attempt.awaitsOlderVersion(version))
+                        .toList()
+                : List.of();
+    }
+
+    /** Queries whether targets show that they have begun a request, or a further run does no harm. */
+    boolean mayBeTakenBack() {
+        return route.retryPolicy().isStream() || route.retryPolicy().allowsRerun();
+    }
+
     private void abandonAttempt() {
         if (attempts.current().isEmpty()) {
             return;
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -79,6 +79,8 @@
         this.resumption = new StreamResumption(services);
         this.singleRuns = new SingleRunRequests(services.clock());
         this.state = HandlerState.create(services.clock(), services.log());
+        OutdatedAttempts outdated = new OutdatedAttempts(services, () -> Set.copyOf(openExchanges.keySet()));
+        services.adapters().onVersionNamed(outdated::onVersionNamed);
         services.crashes().onRefused(() -> Set.copyOf(openExchanges.keySet()).forEach(Exchange::onRefusalsChanged));
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/retry/FailureCause.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/retry/FailureCause.java
@@ -14,6 +14,8 @@
     SILENT,
     /** The answer or the connection broke off. */
     BROKEN,
+    /** The target had not begun the request when its adapter version could soon no longer be used. */
+    OUTDATED,
     /** The target ran the request and answered with a server error. */
     SERVER_ERROR,
     /** The target is full, is leaving, or is executing an order. */
@@ -56,6 +58,15 @@
      * @return false if the request has not run and will not
      */
     public boolean mayHaveRun() {
-        return this == SILENT || this == BROKEN || this == SERVER_ERROR;
+        return this == SILENT || this == BROKEN || this == OUTDATED || this == SERVER_ERROR;
+    }
+
+    /**
+     * Queries whether the target is to blame.
+     *
+     * @return false if the request was taken back from a target that may work well
+     */
+    public boolean isOfTarget() {
+        return this != OUTDATED;
     }
 }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeRetryTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/ExchangeRetryTest.java
@@ -41,9 +41,11 @@
         }
     }
 
-    /** Guards against retries in the log whose cause cannot be told. */
+    /** Guards against retries in the log whose cause cannot be told; for outdated versions see {@link OutdatedAttemptTest}. */
     @ParameterizedTest
-    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NOT_SENT")
+    @EnumSource(
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"NOT_SENT", "OUTDATED"})
     void aRetryIsLoggedWithTheCauseOfTheFailureBefore(FailureCause cause) {
         world.startWithRoute(RetryPolicy.IDEMPOTENT, 2).addTarget("a").addTarget("b");
         world.send();
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -132,8 +132,10 @@
         private final List<Runnable> waiters = new ArrayList<>();
         private final Set<TargetId> declining = new HashSet<>();
         private final Set<TargetId> declined = new HashSet<>();
+        private final List<Consumer<AdapterName>> versionListeners = new ArrayList<>();
         private long namedVersion;
         private long requiredVersion;
+        private OptionalLong olderVersionsEndAt = OptionalLong.empty();
 
         @Override
         public void enqueue(Target target, AdapterName adapter, Optional<Duration> untilLate, boolean mayDecline) {
@@ -194,6 +196,23 @@
             return requiredVersion;
         }
 
+        @Override
+        public OptionalLong olderVersionsEndAt(AdapterName adapter) {
+            return olderVersionsEndAt;
+        }
+
+        @Override
+        public void onVersionNamed(Consumer<AdapterName> listener) {
+            versionListeners.add(listener);
+        }
+
+        /** Names a version of an adapter, with the previous one still in use, until the given time of the clock at the latest. */
+        public void nameVersion(AdapterName adapter, long version, long newOlderVersionsEndAt) {
+            setVersions(version, namedVersion);
+            olderVersionsEndAt = OptionalLong.of(newOlderVersionsEndAt);
+            versionListeners.forEach(listener -> listener.accept(adapter));
+        }
+
         public List<String> enqueuedLoads() {
             return enqueuedLoads;
         }
--- a/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
+++ b/node/src/main/java/org/geraniumreach/node/AdapterLoadCoordinator.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -463,6 +464,16 @@
         return versions.requiredVersion(adapter);
     }
 
+    @Override
+    public OptionalLong olderVersionsEndAt(AdapterName adapter) {
+        return versions.olderVersionsEndAt(adapter);
+    }
+
+    @Override
+    public void onVersionNamed(Consumer<AdapterName> listener) {
+        versions.addListener(listener);
+    }
+
     /** Gets the adapter versions in force, which the caller updates. */
     NamedVersions versions() {
         return versions;
--- a/node/src/main/java/org/geraniumreach/node/NamedVersions.java
+++ b/node/src/main/java/org/geraniumreach/node/NamedVersions.java
@@ -1,10 +1,13 @@
 package org.geraniumreach.node;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.port.DecisionLog;
 import org.geraniumreach.gateway.port.DecisionLog.Field;
@@ -22,12 +25,24 @@
     /** A new version must be in force within 5 s; a request sent with the previous version after the grace period might start too late. */
     private static final Duration GRACE_PERIOD = Duration.ofMillis(2_500);
 
+    /** The time from the acknowledgement of a version until no request may begin at an older one. */
+    private static final Duration OLDER_VERSIONS_LIMIT = Duration.ofSeconds(5);
+
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final Map<AdapterName, NamedVersion> versions = new HashMap<>();
+    private final List<Consumer<AdapterName>> listeners = new ArrayList<>();
 
     /** A version in force, its predecessor, and the time of the last read of the operator's rows that did not have it yet. */
-    private record NamedVersion(long version, long previousVersion, OptionalLong lastReadWithoutAt) {}
+    private record NamedVersion(long version, long previousVersion, OptionalLong lastReadWithoutAt, long namedAt) {
+
+        /** The version may have been acknowledged right after the last read without it, or long ago if there was none. */
+        private long olderVersionsEndAt() {
+            return lastReadWithoutAt.isPresent()
+                    ? lastReadWithoutAt.getAsLong() + OLDER_VERSIONS_LIMIT.toNanos()
+                    : namedAt;
+        }
+    }
 
     NamedVersions(MonotonicClock clock, DecisionLog log) {
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -45,8 +60,20 @@
         if (newestVersion(adapter) >= version) {
             return;
         }
-        versions.put(adapter, new NamedVersion(version, newestVersion(adapter), lastReadWithoutAt));
+        versions.put(adapter, new NamedVersion(version, newestVersion(adapter), lastReadWithoutAt, clock.nanos()));
         log.write(EventCode.ADAPTER_VERSION_NAMED, adapter.toString(), Field.of("version", version));
+        listeners.forEach(listener -> listener.accept(adapter));
+    }
+
+    /** Registers a listener that receives each adapter once a newer version of it is in force. */
+    void addListener(Consumer<AdapterName> listener) {
+        listeners.add(listener);
+    }
+
+    /** Gets the time after which no request may begin at a version older than the one in force, empty if there is none. */
+    OptionalLong olderVersionsEndAt(AdapterName adapter) {
+        NamedVersion named = versions.get(adapter);
+        return named == null ? OptionalLong.empty() : OptionalLong.of(named.olderVersionsEndAt());
     }
 
     /** Gets the version of an adapter that is in force, 0 if there is none. */
--- a/node/src/test/java/org/geraniumreach/node/AdapterLoadCoordinatorTest.java
+++ b/node/src/test/java/org/geraniumreach/node/AdapterLoadCoordinatorTest.java
@@ -1,6 +1,8 @@
 package org.geraniumreach.node;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
@@ -55,6 +57,24 @@
         assertThat(coordinator.minimumVersion(ADAPTER)).isEqualTo(required);
     }
 
+    /** Guards against time that an older version gains because this entry has read of the newer one late, or never before. */
+    @Test
+    void olderVersionsEndAfterLastReadWithoutNewestVersion() {
+        List<AdapterName> named = new ArrayList<>();
+        coordinator.onVersionNamed(named::add);
+        assertThat(coordinator.olderVersionsEndAt(ADAPTER)).isEmpty();
+        now.addAndGet(Duration.ofSeconds(2).toNanos());
+        coordinator.versions().update(ADAPTER, 2, OptionalLong.of(START_NANOS));
+        assertThat(coordinator.olderVersionsEndAt(ADAPTER))
+                .hasValue(START_NANOS + Duration.ofSeconds(5).toNanos());
+        coordinator.versions().update(ADAPTER, 2, OptionalLong.of(now.get()));
+        assertThat(coordinator.olderVersionsEndAt(ADAPTER))
+                .hasValue(START_NANOS + Duration.ofSeconds(5).toNanos());
+        coordinator.versions().update(ADAPTER, 3, OptionalLong.empty());
+        assertThat(coordinator.olderVersionsEndAt(ADAPTER)).hasValue(now.get());
+        assertThat(named).containsExactly(ADAPTER, ADAPTER);
+    }
+
     @Test
     void olderVersionReadLaterIsIgnored() {
         coordinator.versions().update(ADAPTER, 3, OptionalLong.empty());
