Use an older adapter version only where requests begin in time

In the grace period after a new version was named, requests were placed at targets that hold the older version however long they would wait there, though their wait adds to the grace period: with targets that hold requests for 4 s, 43 began behind the bound.

A target that holds an older version is now chosen only if twice the expected wait there ends before such requests are taken back. Otherwise the request goes to a target with the newer version, or waits for its load, as after the grace period. That costs a wait for the load, and saves a run that would be taken back.

The test failed before: with 1 ms left or none, the older version was used (3 of 4 cases).

--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/Placement.java
@@ -32,6 +32,9 @@
     /** Waits within one bucket count as equal; the session then decides, since a target may still cache its prompt. */
     private static final long WAIT_BUCKET_MILLIS = 40;
 
+    /** Estimates are up to this factor too low while a target is slowed down or replaces an adapter. */
+    private static final int OLDER_VERSION_WAIT_FACTOR = 2;
+
     private final TargetRegistry registry;
     private final TargetConditions conditions;
     private final TargetSpeeds speeds;
@@ -410,7 +413,7 @@
      * Finds the targets that hold the newest version or, if there are none, those that hold an older permitted
      * version.
      */
-    private static List<Target> newestVersionResidents(List<Target> order, PlacementRequest request) {
+    private List<Target> newestVersionResidents(List<Target> order, PlacementRequest request) {
         List<Target> residents =
                 order.stream().filter(target -> isResident(target, request)).toList();
         List<Target> newest = residents.stream()
@@ -419,9 +422,18 @@
         return newest.isEmpty() ? residents : newest;
     }
 
-    private static boolean isResident(Target target, PlacementRequest request) {
+    private boolean isResident(Target target, PlacementRequest request) {
         OptionalLong version = target.residentVersion(request.adapter().get());
-        return version.isPresent() && version.getAsLong() >= request.minimumVersion();
+        return version.isPresent()
+                && version.getAsLong() >= request.minimumVersion()
+                && (version.getAsLong() >= request.newestVersion() || beginsInTime(target, request));
+    }
+
+    /** Returns whether a target begins a request while older versions may be used, even if it takes longer than expected. */
+    private boolean beginsInTime(Target target, PlacementRequest request) {
+        return request.olderVersionsLeft()
+                .filter(left -> expectedWaitMillis(target, request) * OLDER_VERSION_WAIT_FACTOR > left.toMillis())
+                .isEmpty();
     }
 
     private Optional<Target> findFirstNotOverloaded(List<Target> order, PlacementRequest request) {
--- a/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementRequest.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/placement/PlacementRequest.java
@@ -18,6 +18,7 @@
  * @param adapter the adapter, empty for the base model alone
  * @param minimumVersion the lowest adapter version that may be used, 0 for any
  * @param newestVersion the adapter version to load, 0 for any
+ * @param olderVersionsLeft the time in which a request must begin at a version older than the newest, empty for any
  * @param affinityKey the key shared by requests that should go to the same target, empty for none
  * @param promptTokens the tokens of the prompt
  * @param objective the objective for the time to the first part
@@ -35,6 +36,7 @@
         Optional<AdapterName> adapter,
         long minimumVersion,
         long newestVersion,
+        Optional<Duration> olderVersionsLeft,
         String affinityKey,
         long promptTokens,
         Duration objective,
@@ -50,6 +52,7 @@
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(model, "model");
         Objects.requireNonNull(adapter, "adapter");
+        Objects.requireNonNull(olderVersionsLeft, "olderVersionsLeft");
         Objects.requireNonNull(affinityKey, "affinityKey");
         Objects.requireNonNull(objective, "objective");
         loadingTargets = Set.copyOf(loadingTargets);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/PlacementState.java
@@ -1,7 +1,9 @@
 package org.geraniumreach.gateway.request;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -96,6 +98,7 @@
                 adapter,
                 adapter.map(services.adapters()::minimumVersion).orElse(0L),
                 adapter.map(services.adapters()::namedVersion).orElse(0L),
+                adapter.flatMap(required -> olderVersionsLeft(required, now)),
                 request.request().affinityKey(),
                 request.promptTokens(),
                 request.route().latencyObjective(),
@@ -108,6 +111,14 @@
                 permission.target());
     }
 
+    /** Gets the time until requests that have not begun at older versions of an adapter are taken back. */
+    private Optional<Duration> olderVersionsLeft(AdapterName adapter, long now) {
+        OptionalLong endAt = services.adapters().olderVersionsEndAt(adapter);
+        return endAt.isPresent()
+                ? Optional.of(Duration.ofNanos(endAt.getAsLong() - now).minus(OutdatedAttempts.LOAD_MARGIN))
+                : Optional.empty();
+    }
+
     /** A stream may begin only at versions that all entries know; one that goes on has its version already. */
     private Set<SoftwareVersion> heldVersions() {
         boolean mayBegin = requiredVersion.isEmpty() && request.route().retryPolicy() == RetryPolicy.RESUMABLE_STREAM;
--- a/gateway/src/test/java/org/geraniumreach/gateway/pacing/FleetModel.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/pacing/FleetModel.java
@@ -365,6 +365,7 @@
                     Optional.of(adapter),
                     0,
                     0,
+                    Optional.empty(),
                     "session" + stream.arrivedAt(),
                     stream.promptTokens(),
                     OBJECTIVE,
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/PlacementTest.java
@@ -97,6 +97,7 @@
                 Optional.of(adapter),
                 0,
                 0,
+                Optional.empty(),
                 session,
                 PROMPT_TOKENS,
                 OBJECTIVE,
@@ -333,6 +334,7 @@
                 Optional.of(ADAPTER),
                 0,
                 0,
+                Optional.empty(),
                 "s",
                 PROMPT_TOKENS,
                 OBJECTIVE,
@@ -346,6 +348,35 @@
         assertThat(entry.place(request)).isNotInstanceOf(PlacementDecision.Defer.class);
     }
 
+    /** Guards against requests that begin at an older version once it may no longer be used, since they wait long at its target. */
+    @ParameterizedTest
+    @CsvSource({"-1, false", "0, false", "1, false", "60000, true"})
+    void anOlderVersionIsUsedOnlyIfTheRequestBeginsInTime(long leftMillis, boolean used) {
+        Target home = loadTarget(ADAPTER);
+        home.learnResident(ADAPTER, 1, time.nanos());
+        PlacementRequest request = new PlacementRequest(
+                "service",
+                Optional.of(MODEL),
+                Optional.of(ADAPTER),
+                1,
+                2,
+                Optional.of(Duration.ofMillis(leftMillis)),
+                "s",
+                PROMPT_TOKENS,
+                OBJECTIVE,
+                false,
+                Set.of(),
+                Set.of(),
+                Set.of(),
+                Set.of(),
+                VersionRule.ANY,
+                Optional.empty());
+        assertThat(entry.expectedWaitMillis(home, request)).isPositive();
+        assertThat(entry.place(request) instanceof PlacementDecision.Send).isEqualTo(used);
+        home.learnResident(ADAPTER, 2, time.nanos());
+        assertThat(entry.place(request)).isInstanceOf(PlacementDecision.Send.class);
+    }
+
     /** Guards against sending the full load to a target that is warming up. */
     @Test
     void aColdTargetAtItsRequestLimitIsPassedOver() {
--- a/gateway/src/test/java/org/geraniumreach/gateway/placement/UnevenTargetsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/placement/UnevenTargetsTest.java
@@ -86,6 +86,7 @@
                 adapter,
                 0,
                 0,
+                Optional.empty(),
                 affinityKey,
                 promptTokens,
                 OBJECTIVE,
