Log and measure the age of the rows by which requests are placed

Nothing told how old what an entry knew was when it placed a request: an overloaded entry logged the end of a target 1.37 s after the first other entry and sent it a request 1.18 s after that, and its log did not say whether it had read the rows late.

geraniumreach_row_age_seconds is a histogram of the age of the rows of targets and of the operator each time a request is placed. Event 7007 ROWS_OUTDATED tells once for each period that they were older than 1.5 s although the latest call to the store had not failed; 2 s are allowed from the store's acknowledgement.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -14,6 +14,7 @@
 import org.geraniumreach.gateway.retry.RetryBudgets;
 import org.geraniumreach.gateway.silence.SilentTargets;
 import org.geraniumreach.gateway.speed.PaceObserver;
+import org.geraniumreach.gateway.store.RowFreshness;
 import org.geraniumreach.gateway.stream.ResumableStreams;
 import org.geraniumreach.model.MonotonicClock;
 import org.geraniumreach.serving.retry.TargetHealth;
@@ -23,6 +24,7 @@
  *
  * @param placement selects targets for requests
  * @param registry the known targets
+ * @param rows decides whether what is known of the store's rows may be acted on
  * @param targets sends requests to targets
  * @param adapters orders adapter loads
  * @param quotas admits requests under the rates of client accounts
@@ -44,6 +46,7 @@
 public record ExchangeServices(
         Placement placement,
         TargetRegistry registry,
+        RowFreshness rows,
         TargetPort targets,
         AdapterLoader adapters,
         QuotaAdmission quotas,
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
@@ -133,6 +133,7 @@
         if (request.remaining().compareTo(services.settings().minimumRemaining()) < 0) {
             return;
         }
+        services.rows().timeUntilNextCheck();
         suspicionStep.run(this::placeUnsuspected, listener::onSuspected, placeAgain());
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
@@ -31,7 +31,7 @@
  *
  * @param <T> the type of decoded rows
  */
-public final class FeedReader<T> {
+public final class FeedReader<T> implements FeedFreshness.Feed {
 
     private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(120);
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(500);
@@ -54,6 +54,7 @@
     private Cancellable timer = Cancellable.NOOP;
     private Duration retryDelay = INITIAL_RETRY_DELAY;
     private boolean callInFlight;
+    private boolean failed;
 
     /**
      * The intervals and timeouts of a feed reader.
@@ -183,10 +184,17 @@
      *
      * @return the time by this process's steady clock, in nanoseconds, empty before the first reading
      */
+    @Override
     public OptionalLong readAt() {
         return readAt;
     }
 
+    /** {@inheritDoc} An update of another entry counts as a call that has succeeded. */
+    @Override
+    public boolean hasFailed() {
+        return failed;
+    }
+
     private void onReply(StoreReply<StorePort.Page> reply) {
         timer.cancel();
         callInFlight = false;
@@ -200,6 +208,7 @@
             schedule(Duration.ZERO);
             return;
         }
+        failed = true;
         publishFailure(reply);
         schedule(retryDelay);
         retryDelay = retryDelay.multipliedBy(2).compareTo(MAX_RETRY_DELAY) > 0
@@ -208,6 +217,7 @@
     }
 
     private void onPage(StorePort.Page page) {
+        failed = false;
         retryDelay = INITIAL_RETRY_DELAY;
         publish(page);
         boolean changed = applyPage(page);
@@ -312,6 +322,7 @@
         }
         applyPage(changes.page());
         if (isFresh(timing.maxReadingAge())) {
+            failed = false;
             availability.record(new StoreReply.Value<>(changes.page()));
         }
         if (!callInFlight && !context.relay().isReader()) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/testing/RequestHarness.java
@@ -53,6 +53,7 @@
 import org.geraniumreach.gateway.silence.SilentTargets;
 import org.geraniumreach.gateway.speed.PaceSample;
 import org.geraniumreach.gateway.speed.TargetSpeeds;
+import org.geraniumreach.gateway.store.RowFreshness;
 import org.geraniumreach.gateway.stream.ResumableStreams;
 import org.geraniumreach.gateway.stream.ServiceVersions;
 import org.geraniumreach.gateway.traffic.Account;
@@ -114,6 +115,7 @@
     private final Map<TargetId, Duration> restTimes = new HashMap<>();
     private final Map<TargetId, Duration> limitWaits = new HashMap<>();
     private RequestLimiter limiter = RequestLimiter.unlimited();
+    private RowFreshness rows = RowFreshness.always();
     private final List<String> loggedEvents = new ArrayList<>();
     private final List<EventCode> retainedEvents = new ArrayList<>();
     private final Map<EventCode, List<Map<String, Object>>> loggedFields = new EnumMap<>(EventCode.class);
@@ -258,6 +260,7 @@
         this.services = new ExchangeServices(
                 placement,
                 registry,
+                () -> rows.timeUntilNextCheck(),
                 targets,
                 adapters,
                 new QuotaAdmission(quotas, (entry, number, account, units) -> false, time, time, new Random(1)),
@@ -569,6 +572,11 @@
         admission = newAdmission;
     }
 
+    /** Sets whether what is known of the store's rows may be acted on. */
+    public void setRows(RowFreshness newRows) {
+        rows = newRows;
+    }
+
     /** Sets the decisions on requests to targets that name a limit. */
     public void setLimiter(RequestLimiter newLimiter) {
         limiter = newLimiter;
--- a/model/src/main/java/org/geraniumreach/model/EventCode.java
+++ b/model/src/main/java/org/geraniumreach/model/EventCode.java
@@ -117,6 +117,8 @@
     PLATFORM_REACHABLE(7002, Level.INFO, "The table service, object store or instance list answers again."),
     WRITE_SETTLED(7003, Level.INFO, "A write whose answer was lost was settled by reading."),
     ROW_UNREADABLE(7006, Level.WARN, "A row of the store cannot be read, and is left out."),
+    ROWS_OUTDATED(
+            7007, Level.WARN, "Rows are older than allowed when a request needs them, and the store is not away."),
     LOG_LINES_DROPPED(9003, Level.WARN, "The log was full; lines were dropped."),
     UNEXPECTED_FAILURE(9001, Level.ERROR, "A fault of the system."),
     LIBRARY_MESSAGE(9002, Level.WARN, "A library reports something out of the ordinary.");
--- a/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryMetrics.java
@@ -13,6 +13,7 @@
 import io.micrometer.core.instrument.Timer;
 import org.geraniumreach.gateway.admission.AdmissionResult;
 import org.geraniumreach.gateway.port.DecisionLog;
+import org.geraniumreach.gateway.port.StorePort;
 import org.geraniumreach.gateway.request.Arrival;
 import org.geraniumreach.gateway.request.OutcomeListener;
 import org.geraniumreach.model.EventCode;
@@ -57,6 +58,8 @@
     private final Timer loopWait =
             timer("geraniumreach.loop.wait", "Wait of a request that was read for the event loop.");
 
+    private final Map<StorePort.Table, Timer> rowAges = new EnumMap<>(StorePort.Table.class);
+
     /** The meters of one client account's requests. */
     private static final class RequestMeters {
         private final Timer firstPart;
@@ -143,6 +146,16 @@
         loopWait.record(arrival.sinceRead(now));
     }
 
+    /** Records the age of a table's rows when a request needs them. */
+    synchronized void onRowsUsed(StorePort.Table table, Duration age) {
+        rowAges.computeIfAbsent(table, missing -> Timer.builder("geraniumreach.row.age")
+                        .description("Time since the latest reading of a table when a request needs its rows.")
+                        .tag("table", table.name())
+                        .serviceLevelObjectives(BUCKET_BOUNDS)
+                        .register(meters.registry()))
+                .record(age);
+    }
+
     /** Records the outcome and the times of a request. */
     synchronized void onRequestEnded(OutcomeListener.Outcome outcome) {
         String account =
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -283,6 +283,7 @@
         return new ExchangeServices(
                 placement,
                 registry,
+                () -> feeds == null ? Optional.empty() : feeds.freshness().timeUntilNextCheck(),
                 targets,
                 coordinator,
                 quotaAdmission,
@@ -583,7 +584,8 @@
                 targetRowsAvailability,
                 this::onOperatorUpdate,
                 this::onTargetUpdate,
-                this::onFleetUpdate);
+                this::onFleetUpdate,
+                metrics::onRowsUsed);
         ownership.term().setTableVersion(feeds::fleetVersion);
         quotas.term().setTableVersion(feeds::fleetVersion);
         links.onFeedUpdate(feeds::onUpdate);
--- a/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
+++ b/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.geraniumreach.gateway.adapter.TargetOwnership;
@@ -12,8 +13,10 @@
 import org.geraniumreach.gateway.port.StorePort.RowChange;
 import org.geraniumreach.gateway.port.StorePort.TableUpdate;
 import org.geraniumreach.gateway.port.StorePort.TargetItem;
+import org.geraniumreach.gateway.store.FeedFreshness;
 import org.geraniumreach.gateway.store.FeedReader;
 import org.geraniumreach.gateway.store.FeedUpdate;
+import org.geraniumreach.gateway.store.RowFreshness;
 import org.geraniumreach.gateway.store.StoreAvailability;
 import org.geraniumreach.platform.StoredRows;
 
@@ -40,6 +43,7 @@
     private final FeedReader<TargetItem> targets;
     private final FeedReader<RowChange> fleet;
     private final Map<StorePort.Table, FeedReader<?>> readers;
+    private final RowFreshness freshness;
 
     /**
      * Creates the feeds without starting them.
@@ -50,6 +54,7 @@
      * @param operatorChanged called with updates of the operator's table
      * @param targetsChanged called with updates of the table of targets
      * @param fleetChanged called with updates of the entries' table
+     * @param rowAges receives the age of a table's rows each time a request needs them
      */
     StoreFeeds(
             FeedReader.Context context,
@@ -57,7 +62,8 @@
             StoreAvailability targetAvailability,
             Consumer<TableUpdate<OperatorItem>> operatorChanged,
             Consumer<TableUpdate<TargetItem>> targetsChanged,
-            Consumer<TableUpdate<RowChange>> fleetChanged) {
+            Consumer<TableUpdate<RowChange>> fleetChanged,
+            BiConsumer<StorePort.Table, Duration> rowAges) {
         operator = new FeedReader<>(
                 StorePort.Table.OPERATOR,
                 StoredRows::operatorItem,
@@ -83,6 +89,14 @@
                 StorePort.Table.OPERATOR, operator,
                 StorePort.Table.TARGETS, targets,
                 StorePort.Table.FLEET, fleet);
+        freshness = freshness(StorePort.Table.TARGETS, context, rowAges)
+                .and(freshness(StorePort.Table.OPERATOR, context, rowAges));
+    }
+
+    private RowFreshness freshness(
+            StorePort.Table table, FeedReader.Context context, BiConsumer<StorePort.Table, Duration> rowAges) {
+        return new FeedFreshness(
+                table, readers.get(table), age -> rowAges.accept(table, age), context.clock(), context.log());
     }
 
     void start() {
@@ -111,6 +125,11 @@
         Optional.ofNullable(readers.get(update.table())).ifPresent(reader -> reader.onUpdate(update));
     }
 
+    /** Gets whether the rows of targets and of the operator may be acted on. */
+    RowFreshness freshness() {
+        return freshness;
+    }
+
     /** Gets the time as of which the operator's rows are known; see {@link FeedReader#readAt}. */
     OptionalLong operatorReadAt() {
         return operator.readAt();
