Hold requests back while the rows they need are out of date

One cause: nothing looked at the age of what an entry knows. Between two readings of the targets' rows lay 0.8 s, a long poll of up to 1.2 s and 0.5 s until a stalled connection was noticed; every timer and answer waited for its turn in a loop that runs queued requests first, so that an entry whose loop was up to 0.58 s late logged the end of a target 1.37 s after the first other entry.

FeedReader: a long poll ends before the latest reading is 1.2 s old, and the interval counts from the reading, so a late timer shortens what follows. A call that is not answered when the reading is 1.35 s old is repeated beside it on another connection; the first answer counts, a failure only once both have failed. Others ask for themselves at the same age, without a long poll (before: 1.5 and 1.6 s, with one). A timeout counts only once a further timer of 20 ms has been on time, at most two that are late, since a loop that has stood still runs timers before what it has received; else a backlog is taken for an outage. FeedFreshness: rows older than 1.5 s whose latest call has not failed hold requests at their take-up and at each placement until the call ends, at most for 1 s of running time. Once the call has failed, callers are served by what is known.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RequestHandler.java
@@ -95,7 +95,7 @@
         ReceivedRequest received =
                 new ReceivedRequest(request, arrival, answer, services.clock().nanos());
         if (startupQueue.isEnded()) {
-            return handle(received);
+            return handleByFreshRows(received);
         }
         return await(
                 received,
@@ -171,6 +171,23 @@
         startupQueue.end();
     }
 
+    /** Handles a request once the configuration is fresh, by which it is decided for as long as it lasts. */
+    private Cancellable handleByFreshRows(ReceivedRequest received) {
+        Optional<Duration> untilRowsAreFresh = services.rows().timeUntilNextCheck();
+        if (untilRowsAreFresh.isEmpty()) {
+            return handle(received);
+        }
+        Duration limit = received.left(received.request().callerTimeout(), received.takenAt());
+        return await(
+                received,
+                next -> FreshRowsWait.start(
+                        services.rows(),
+                        services.timers(),
+                        untilRowsAreFresh.get(),
+                        limit,
+                        () -> next.accept(handle(received))));
+    }
+
     private Cancellable handle(ReceivedRequest received) {
         try {
             return admit(received);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/SendSteps.java
@@ -9,7 +9,7 @@
 import org.geraniumreach.model.ResultCode;
 
 /**
- * The steps that a request passes before it is sent: its account's rate, whether targets have ended under it, the placement, and what the selected target
+ * The steps that a request passes before it is sent: its account's rate, whether what is known of the targets is fresh, whether targets have ended under it, the placement, and what the selected target
  * requires, which is the adapter's load or the prompt's turn, and a permission if it names a limit.
  *
  * <p>Invariant: nothing is reported unless the request is being placed, so at most once for each call of {@link #start}
@@ -133,7 +133,12 @@
         if (request.remaining().compareTo(services.settings().minimumRemaining()) < 0) {
             return;
         }
-        services.rows().timeUntilNextCheck();
+        Optional<Duration> untilRowsAreFresh = services.rows().timeUntilNextCheck();
+        if (untilRowsAreFresh.isPresent()) {
+            waits.start(WaitCause.READING);
+            waits.schedule(untilRowsAreFresh.get(), placeAgain());
+            return;
+        }
         suspicionStep.run(this::placeUnsuspected, listener::onSuspected, placeAgain());
     }
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/WaitCause.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/WaitCause.java
@@ -4,6 +4,8 @@
 enum WaitCause {
     /** Quota units of its client account's rate. */
     RATE,
+    /** A reading of the store's rows that are older than allowed. */
+    READING,
     /** The load of its adapter. */
     ADAPTER,
     /** What becomes of a request that may end targets, or of a target that may have ended. */
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/WaitClock.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/WaitClock.java
@@ -34,6 +34,7 @@
     Waits snapshot(long now) {
         return new Waits(
                 total(WaitCause.RATE, now),
+                total(WaitCause.READING, now),
                 total(WaitCause.ADAPTER, now),
                 total(WaitCause.SUSPICION, now),
                 total(WaitCause.PREFILL_CAPACITY, now));
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedFreshness.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedFreshness.java
@@ -13,22 +13,43 @@
 import org.geraniumreach.model.MonotonicClock;
 
 /**
- * Observes how old the rows of one table are when they are acted on.
+ * Lets the rows of one table be acted on while they are fresh, or as long as the store is away.
  *
- * <p>Invariant: each period in which the rows are older than {@link #MAXIMUM_AGE} is logged at most once. Confined to the event
- * loop.
+ * <p>Rows that are older than {@link #MAXIMUM_AGE} may not be acted on while a call to the store is still to be answered.
+ * Invariants: this lasts until the call has succeeded or failed, at most for {@link #MAXIMUM_HOLD} of the time in which the process runs,
+ * and each such period is logged once when it begins, and once if rows are acted on in it. Confined to the event loop.
  */
 public final class FeedFreshness implements RowFreshness {
 
     /** Leaves 0.5 s of the 2 s in which a change must be in force for what follows the decision, up to the write. */
     static final Duration MAXIMUM_AGE = Duration.ofMillis(1_500);
 
+    /** A call fails sooner, unless it is answered in many parts. */
+    static final Duration MAXIMUM_HOLD = Duration.ofSeconds(1);
+
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
+
+    /** Time between two checks that is longer does not count as a hold, since the process stood still or nothing was held. */
+    private static final Duration MAXIMUM_CHECK_GAP = Duration.ofMillis(200);
+
     private final StorePort.Table table;
     private final Feed feed;
     private final Consumer<Duration> ages;
     private final MonotonicClock clock;
     private final DecisionLog log;
-    private boolean outdated;
+    private State state = State.FRESH;
+    private long checkedAt;
+    private Duration held = Duration.ZERO;
+
+    /** Whether the rows may be acted on, as of the latest check; the result in the log. */
+    enum State {
+        /** The rows are fresh, or the store is away. */
+        FRESH,
+        /** Requests wait for a reading. */
+        HELD,
+        /** Requests have waited for too long, and old rows are acted on. */
+        ACTED
+    }
 
     /** The feed whose rows are observed. */
     public interface Feed {
@@ -46,6 +67,9 @@
          * @return true if it has failed
          */
         boolean hasFailed();
+
+        /** Reads the rows now, unless a call is in flight. */
+        void requestReading();
     }
 
     /**
@@ -74,12 +98,33 @@
         }
         Duration age = Duration.ofNanos(clock.nanos() - readAt.getAsLong());
         ages.accept(age);
-        if (age.compareTo(MAXIMUM_AGE) <= 0) {
-            outdated = false;
-        } else if (!feed.hasFailed() && !outdated) {
-            outdated = true;
-            log.write(EventCode.ROWS_OUTDATED, table.name(), Field.of("ageMillis", age.toMillis()));
+        if (age.compareTo(MAXIMUM_AGE) <= 0 || feed.hasFailed()) {
+            state = State.FRESH;
+            return Optional.empty();
+        }
+        feed.requestReading();
+        hold(age);
+        return state == State.HELD ? Optional.of(CHECK_INTERVAL) : Optional.empty();
+    }
+
+    private void hold(Duration age) {
+        long now = clock.nanos();
+        Duration sinceCheck = Duration.ofNanos(now - checkedAt);
+        checkedAt = now;
+        if (state == State.FRESH) {
+            held = Duration.ZERO;
+            enter(State.HELD, age);
+        } else if (state == State.HELD) {
+            held = sinceCheck.compareTo(MAXIMUM_CHECK_GAP) > 0 ? held : held.plus(sinceCheck);
+            if (held.compareTo(MAXIMUM_HOLD) >= 0) {
+                enter(State.ACTED, age);
+            }
         }
-        return Optional.empty();
+    }
+
+    private void enter(State next, Duration age) {
+        state = next;
+        log.write(
+                EventCode.ROWS_OUTDATED, table.name(), Field.of("result", next), Field.of("ageMillis", age.toMillis()));
     }
 }
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
@@ -24,10 +24,14 @@
  * the store and publish what they find. The other entries read only while the latest reading is older than
  * {@link Timing#maxReadingAge}.
  *
- * <p>Invariants: at most one call is in flight. Each row version is delivered once and in order of versions, whichever entry
+ * <p>The wait of a long poll ends before the latest reading is that old, and a call that has not been answered by then is repeated
+ * beside it over another connection, so that a stalled connection or a reader that sends nothing does not hide a change for
+ * longer.
+ *
+ * <p>Invariants: at most one call is in flight, and one that repeats it. Each row version is delivered once and in order of versions, whichever entry
  * has read it. An update that leaves a gap after the known version is not applied; the store is read instead. After a loss of
- * history the whole table is read again. A call without an answer is cancelled and repeated on another connection, since one
- * connection may stall while new ones work. Confined to the event loop.
+ * history the whole table is read again. A timer that has run late is no proof that an answer is missing, since the answer may wait
+ * behind it. Confined to the event loop.
  *
  * @param <T> the type of decoded rows
  */
@@ -39,6 +43,17 @@
     /** While the latest reading is younger, a reader's failure is ignored: the store may refuse one reader and answer another. */
     private static final Duration MIN_AGE_TO_TRUST_FAILURE = Duration.ofSeconds(1);
 
+    /** The time that the store's answer takes if nothing is wrong, with a margin. */
+    private static final Duration ANSWER_TIME = Duration.ofMillis(150);
+
+    /** Bounds the rate of calls if the store's clock makes all readings look old. */
+    private static final Duration MAX_TIME_IN_TRANSIT = Duration.ofMillis(800);
+
+    private static final Duration CONFIRMATION_TIME = Duration.ofMillis(20);
+
+    /** Bounds the delay of a timeout in an event loop that is always late. */
+    private static final int MAX_LATE_CONFIRMATIONS = 2;
+
     private final StorePort.Table table;
     private final Function<StorePort.StoredRow, Optional<T>> decoder;
     private final Consumer<StorePort.TableUpdate<T>> listener;
@@ -50,7 +65,10 @@
     private long requiredVersion = Long.MIN_VALUE;
     private Runnable onRequiredVersionRead = () -> {};
     private OptionalLong readAt = OptionalLong.empty();
+    private long receivedAt;
     private Cancellable call = Cancellable.NOOP;
+    private Cancellable secondCall = Cancellable.NOOP;
+    private Cancellable secondCallTimer = Cancellable.NOOP;
     private Cancellable timer = Cancellable.NOOP;
     private Duration retryDelay = INITIAL_RETRY_DELAY;
     private boolean callInFlight;
@@ -62,7 +80,8 @@
      * @param longPollWait how long the store may delay an answer while there are no changes
      * @param minimumInterval the time between an answer with changes and the next call
      * @param timeout the time allowed between parts of an answer; for the first part, in addition to the long poll
-     * @param maxReadingAge the age of the latest reading at which an entry that is not a reader reads the store itself
+     * @param maxReadingAge the age of the latest reading at which an entry that is not a reader reads the store itself, and at which a
+     *     call that has not been answered is repeated
      */
     public record Timing(Duration longPollWait, Duration minimumInterval, Duration timeout, Duration maxReadingAge) {
 
@@ -134,9 +153,122 @@
     public void read() {
         timer.cancel();
         callInFlight = true;
-        requestedAfter = position.version();
-        restartTimeout(position.longPollWait().plus(timing.timeout()));
-        call = context.store().read(table, position, () -> restartTimeout(timing.timeout()), this::onReply);
+        Duration wait = longPollWait();
+        restartTimeout(wait.plus(timing.timeout()));
+        scheduleSecondCall(wait);
+        call = call(wait, () -> call = Cancellable.NOOP);
+    }
+
+    private Cancellable call(Duration wait, Runnable onEnded) {
+        Optional<Long> after = position.version();
+        return context.store().read(table, new StorePort.Position(after, wait), this::onProgress, reply -> {
+            onEnded.run();
+            requestedAfter = after;
+            onCallEnded(reply);
+        });
+    }
+
+    /** {@inheritDoc} Has no effect while a call is in flight. */
+    @Override
+    public void requestReading() {
+        if (!callInFlight) {
+            read();
+        }
+    }
+
+    private Duration longPollWait() {
+        return readAt.isEmpty()
+                ? position.longPollWait()
+                : shorter(
+                        position.longPollWait(),
+                        notNegative(timing.maxReadingAge().minus(ANSWER_TIME).minus(boundedAge())));
+    }
+
+    /** Repeats only a call for changes, since a whole table may take long. */
+    private void scheduleSecondCall(Duration wait) {
+        secondCallTimer.cancel();
+        if (readAt.isEmpty() || position.version().isEmpty() || failed) {
+            return;
+        }
+        Duration untilTooOld = timing.maxReadingAge().minus(boundedAge());
+        Duration untilOverdue = wait.plus(ANSWER_TIME);
+        secondCallTimer = scheduleBehindAnswers(
+                untilTooOld.compareTo(untilOverdue) > 0 ? untilTooOld : untilOverdue, this::repeatCall);
+    }
+
+    private void repeatCall() {
+        restartTimeout(timing.timeout().minus(ANSWER_TIME));
+        secondCall = call(Duration.ZERO, () -> secondCall = Cancellable.NOOP);
+    }
+
+    /** Schedules an action; answers that have come before its time are handled first, also if the event loop runs late. */
+    private Cancellable scheduleBehindAnswers(Duration delay, Runnable action) {
+        return new ConfirmedTimer(delay, action);
+    }
+
+    /**
+     * A timer that runs its action only after a short further timer has been on time, as an event loop that has stood still may run timers
+     * before what it has received meanwhile.
+     */
+    private final class ConfirmedTimer implements Cancellable {
+        private final Runnable action;
+        private Cancellable current;
+        private int lateConfirmations;
+
+        private ConfirmedTimer(Duration delay, Runnable action) {
+            this.action = action;
+            current = context.timers().schedule(notNegative(delay.minus(CONFIRMATION_TIME)), this::confirm);
+        }
+
+        private void confirm() {
+            long due = context.clock().nanos() + CONFIRMATION_TIME.toNanos();
+            current = context.timers().schedule(CONFIRMATION_TIME, () -> {
+                boolean late = context.clock().nanos() - due >= CONFIRMATION_TIME.toNanos();
+                if (late && lateConfirmations < MAX_LATE_CONFIRMATIONS) {
+                    lateConfirmations++;
+                    confirm();
+                } else {
+                    action.run();
+                }
+            });
+        }
+
+        @Override
+        public void cancel() {
+            current.cancel();
+        }
+    }
+
+    private void onProgress() {
+        secondCallTimer.cancel();
+        restartTimeout(timing.timeout());
+    }
+
+    /** Ignores a failure while the other call may still be answered. */
+    private void onCallEnded(StoreReply<StorePort.Page> reply) {
+        boolean answered = reply instanceof StoreReply.Value<StorePort.Page>
+                || reply instanceof StoreReply.HistoryLost<StorePort.Page>;
+        boolean isOtherInFlight = call != Cancellable.NOOP || secondCall != Cancellable.NOOP;
+        if (answered || !isOtherInFlight) {
+            cancelCalls();
+            onReply(reply);
+        }
+    }
+
+    private void cancelCalls() {
+        secondCallTimer.cancel();
+        call.cancel();
+        secondCall.cancel();
+        call = Cancellable.NOOP;
+        secondCall = Cancellable.NOOP;
+    }
+
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
+    private static Duration notNegative(Duration duration) {
+        return duration.isNegative() ? Duration.ZERO : duration;
     }
 
     /**
@@ -155,7 +287,7 @@
         boolean inLongPoll = callInFlight && !position.longPollWait().isZero();
         position = new StorePort.Position(position.version(), Duration.ZERO);
         if (inLongPoll || !callInFlight) {
-            call.cancel();
+            cancelCalls();
             read();
         }
     }
@@ -172,8 +304,8 @@
     /** Each part restarts the timeout: with one for the whole answer, a large table could never be read over a slow link. */
     private void restartTimeout(Duration limit) {
         timer.cancel();
-        timer = context.timers().schedule(limit, () -> {
-            call.cancel();
+        timer = scheduleBehindAnswers(limit, () -> {
+            cancelCalls();
             onReply(new StoreReply.Unknown<>("nothing of an answer for " + limit.toMillis() + " ms"));
         });
     }
@@ -286,6 +418,7 @@
         }
         long readingTime = context.storeClock().toLocalNanos(page.storeMillis());
         readAt = OptionalLong.of(Math.max(readingTime, readAt.orElse(readingTime)));
+        receivedAt = context.clock().nanos();
         if (required) {
             requiredVersion = Long.MIN_VALUE;
             Runnable onRead = onRequiredVersionRead;
@@ -345,6 +478,12 @@
         }
     }
 
+    /** Gets the age of the latest reading, of which the time until it was received counts in part only. */
+    private Duration boundedAge() {
+        long from = Math.max(readAt.orElse(Long.MIN_VALUE), receivedAt - MAX_TIME_IN_TRANSIT.toNanos());
+        return Duration.ofNanos(context.clock().nanos() - from);
+    }
+
     private boolean isFresh(Duration limit) {
         return readAt.isPresent() && context.clock().nanos() - readAt.getAsLong() < limit.toNanos();
     }
@@ -355,7 +494,7 @@
             return;
         }
         if (context.relay().isReader() || !isFresh(timing.maxReadingAge())) {
-            schedule(delay);
+            schedule(notNegative(delay.minus(boundedAge())));
             return;
         }
         long age = context.clock().nanos() - readAt.getAsLong();
--- a/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
+++ b/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
@@ -29,11 +29,11 @@
 
     /** A change must be in force within 2 s, even if the connection to the store or the reading entry has stopped responding. */
     private static final FeedReader.Timing OPERATOR_TIMING = new FeedReader.Timing(
-            Duration.ofMillis(1_200), Duration.ZERO, Duration.ofMillis(500), Duration.ofMillis(1_600));
+            Duration.ofMillis(1_200), Duration.ZERO, Duration.ofMillis(500), Duration.ofMillis(1_350));
 
     /** Limits how long a target that leaves is still used; see docs/CAPACITY.md for the cost of shorter intervals. */
     private static final FeedReader.Timing TARGET_TIMING = new FeedReader.Timing(
-            Duration.ofMillis(1_200), Duration.ofMillis(800), Duration.ofMillis(500), Duration.ofMillis(1_500));
+            Duration.ofMillis(1_200), Duration.ofMillis(800), Duration.ofMillis(500), Duration.ofMillis(1_350));
 
     /** Relaxed, as changes of shares wake every reader, and an entry applies its own changes at once. */
     private static final FeedReader.Timing FLEET_TIMING = new FeedReader.Timing(
