--- a/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/ExchangeServices.java
@@ -14,6 +14,7 @@
 import org.geraniumreach.gateway.retry.RetryBudgets;
 import org.geraniumreach.gateway.silence.SilentTargets;
 import org.geraniumreach.gateway.speed.PaceObserver;
+import org.geraniumreach.gateway.store.RowFreshness;
 import org.geraniumreach.gateway.store.RowReadings;
 import org.geraniumreach.gateway.stream.ResumableStreams;
 import org.geraniumreach.model.MonotonicClock;
@@ -25,6 +26,7 @@
  * @param placement selects targets for requests
  * @param registry the known targets
  * @param rowReadings tells as of when the rows of the store are known
+ * @param rows decides whether what is known of the store's rows may be acted on
  * @param targets sends requests to targets
  * @param adapters orders adapter loads
  * @param quotas admits requests under the rates of client accounts
@@ -47,6 +49,7 @@
         Placement placement,
         TargetRegistry registry,
         RowReadings rowReadings,
+        RowFreshness rows,
         TargetPort targets,
         AdapterLoader adapters,
         QuotaAdmission quotas,
--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -285,6 +285,7 @@
                 placement,
                 registry,
                 table -> feeds == null ? OptionalLong.empty() : feeds.readAt(table),
+                () -> feeds == null ? Optional.empty() : feeds.freshness().timeUntilNextCheck(),
                 targets,
                 coordinator,
                 quotaAdmission,
@@ -585,7 +586,8 @@
                 targetRowsAvailability,
                 this::onOperatorUpdate,
                 this::onTargetUpdate,
-                this::onFleetUpdate);
+                this::onFleetUpdate,
+                metrics::onRowsUsed);
         ownership.term().setTableVersion(feeds::fleetVersion);
         quotas.term().setTableVersion(feeds::fleetVersion);
         links.onFeedUpdate(feeds::onUpdate);
