Do not write a request by rows that have become outdated since its placement

Requests reached a target over 2 s after it had said that it drains: they had been placed by rows that were fresh then, and their process was stopped before the write.

The guard of each write asks for the age too, and so do the steps after each wait. The request is placed again (4028 WRITE_OMITTED with ROWS_OUTDATED), which holds it until the rows have been read, as any other.

OvertakenPlacementTest.aRequestIsNotWrittenUntilWhatIsKnownIsFreshAgain failed before in 4 of 4 cases, with the new condition taken out.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -85,7 +85,8 @@
         this.onEnd = onEnd;
         this.history = new RunHistory(services, request, received.answer()::isCallerGone);
         this.terms = new SendTerms(services, request, history);
-        this.conditions = new SendConditions(services.placement(), services.adapters(), request.adapter());
+        this.conditions =
+                new SendConditions(services.placement(), services.adapters(), services.rows(), request.adapter());
         this.steps = new SendSteps(services, request, conditions, new StepResults());
         choice.requiredVersion().ifPresent(steps.state()::requireVersion);
         this.attempts = new RunningAttempts(this::onReplaced);
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/WriteDecision.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/WriteDecision.java
@@ -49,7 +49,9 @@
         /** The target holds a version of the adapter that may not be used any more. */
         VERSION_OUTDATED(Consequence.PLACED_AGAIN),
         /** The target does not hold the adapter any more. */
-        ADAPTER_ABSENT(Consequence.PLACED_AGAIN);
+        ADAPTER_ABSENT(Consequence.PLACED_AGAIN),
+        /** What is known of the targets and the versions is older than allowed. */
+        ROWS_OUTDATED(Consequence.PLACED_AGAIN);
 
         private final Consequence consequence;
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/OvertakenPlacementTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/OvertakenPlacementTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 
@@ -38,6 +39,7 @@
     private static final int MAXIMUM_TARGETS = 3;
     private static final long OLDER = 3;
     private static final long NEWER = 4;
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
     private static final Duration WAIT = Duration.ofMillis(300);
     private static final AdapterName ADAPTER = new AdapterName("base", "a7");
     private static final Optional<GatewayRequest.Generation> GENERATION =
@@ -148,6 +150,21 @@
                 .hasValue(NEWER));
     }
 
+    /** Guards against a write by rows that were fresh when the request was placed, and are outdated when it is written. */
+    @ParameterizedTest
+    @EnumSource(Wait.class)
+    void aRequestIsNotWrittenUntilWhatIsKnownIsFreshAgain(Wait wait) {
+        sendAndWait(wait, RetryPolicy.AT_MOST_ONCE, "a");
+        AtomicBoolean fresh = new AtomicBoolean();
+        world.setRows(() -> fresh.get() ? Optional.empty() : Optional.of(CHECK_INTERVAL));
+        end(wait);
+        assertThat(written()).isEmpty();
+        fresh.set(true);
+        world.time().advance(CHECK_INTERVAL);
+        end(wait);
+        assertThat(written()).hasSize(1);
+    }
+
     /** Guards against writes of which nobody can tell why they were not made. */
     @ParameterizedTest
     @CsvSource({
