--- a/node/src/main/java/org/geraniumreach/node/EntryProcess.java
+++ b/node/src/main/java/org/geraniumreach/node/EntryProcess.java
@@ -224,11 +224,7 @@
         this.coldStartLimiter =
                 new ColdStartLimiter(this::findService, settings.coldTolerance(), equalDivision, clock, log);
         this.versions = new ServiceVersions(
-                registry,
-                () -> feeds == null ? OptionalLong.empty() : feeds.targetsReadAt(),
-                clock,
-                System::currentTimeMillis,
-                log);
+                registry, () -> rowsReadAt(StorePort.Table.TARGETS), clock, System::currentTimeMillis, log);
         this.streams = new ResumableStreams(versions, timers, clock, log);
         this.crashes = new CrashGuard(targets, timers, clock, random::nextDouble, log);
         this.limitAdmission = new LimitAdmission(
@@ -284,7 +280,7 @@
         return new ExchangeServices(
                 placement,
                 registry,
-                table -> feeds == null ? OptionalLong.empty() : feeds.readAt(table),
+                this::rowsReadAt,
                 () -> feeds == null ? Optional.empty() : feeds.freshness().timeUntilNextCheck(),
                 targets,
                 coordinator,
@@ -571,6 +567,10 @@
         }
     }
 
+    private OptionalLong rowsReadAt(StorePort.Table table) {
+        return feeds == null ? OptionalLong.empty() : feeds.readAt(table);
+    }
+
     private void startFeeds() {
         FeedReader.Context context = new FeedReader.Context(
                 store,
@@ -596,12 +596,12 @@
 
     /** Applies evacuations first, because a configuration may release requests that wait for it. */
     private void onOperatorUpdate(StorePort.TableUpdate<StorePort.OperatorItem> update) {
-        evacuations.onOperatorItems(update, feeds.operatorReadAt());
+        evacuations.onOperatorItems(update, rowsReadAt(StorePort.Table.OPERATOR));
         for (StorePort.OperatorItem item : update.items()) {
             if (item instanceof StorePort.OperatorItem.Configuration newer) {
                 applyConfiguration(newer.configuration());
             } else if (item instanceof StorePort.OperatorItem.AdapterVersion named) {
-                coordinator.versions().update(named.adapter(), named.version(), feeds.operatorReadAt());
+                coordinator.versions().update(named.adapter(), named.version(), rowsReadAt(StorePort.Table.OPERATOR));
             } else if (item instanceof StorePort.OperatorItem.Unreadable unreadable) {
                 unreadableRows.record(StorePort.Table.OPERATOR, unreadable.key(), unreadable.reason());
             }
--- a/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
+++ b/node/src/main/java/org/geraniumreach/node/StoreFeeds.java
@@ -134,14 +134,4 @@
     RowFreshness freshness() {
         return freshness;
     }
-
-    /** Gets the time as of which the operator's rows are known; see {@link FeedReader#readAt}. */
-    OptionalLong operatorReadAt() {
-        return operator.readAt();
-    }
-
-    /** Gets the time as of which the targets' rows are known; see {@link FeedReader#readAt}. */
-    OptionalLong targetsReadAt() {
-        return targets.readAt();
-    }
 }
