Follow a store that answers slowly, and hold requests for less long

The first call keeps the whole timeout, and only its repetition looks at the age. Rows may be 1.8 s old, since the age is asked for at the write, and a hold of one table lasts for at most 0.5 s.

The look at the rows when a request is taken up had no test; OutdatedRowsTest.aRequestIsRoutedByTheConfigurationThatTheReadingBrings is it.

--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedFreshness.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedFreshness.java
@@ -21,11 +21,11 @@
  */
 public final class FeedFreshness implements RowFreshness {
 
-    /** Leaves 0.5 s of the 2 s in which a change must be in force for what follows the decision, up to the write. */
-    static final Duration MAXIMUM_AGE = Duration.ofMillis(1_500);
+    /** Leaves 0.2 s of the 2 s in which a change must be in force for the way to the target, as the age is asked at the write. */
+    static final Duration MAXIMUM_AGE = Duration.ofMillis(1_800);
 
-    /** A call fails sooner, unless it is answered in many parts. */
-    static final Duration MAXIMUM_HOLD = Duration.ofSeconds(1);
+    /** Several times what an answer takes over another connection; a store that takes longer must not delay all requests. */
+    static final Duration MAXIMUM_HOLD = Duration.ofMillis(500);
 
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
 
--- a/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/store/FeedReader.java
@@ -154,7 +154,7 @@
         timer.cancel();
         callInFlight = true;
         Duration wait = longPollWait();
-        restartTimeout(wait.plus(timing.timeout()));
+        restartTimeout(position.longPollWait().plus(timing.timeout()));
         scheduleSecondCall(wait);
         call = call(wait, () -> call = Cancellable.NOOP);
     }
@@ -197,7 +197,6 @@
     }
 
     private void repeatCall() {
-        restartTimeout(timing.timeout().minus(ANSWER_TIME));
         secondCall = call(Duration.ZERO, () -> secondCall = Cancellable.NOOP);
     }
 
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/OutdatedRowsTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/OutdatedRowsTest.java
@@ -52,6 +52,17 @@
         assertThat(world.targets().sentRequests()).hasSize(2);
     }
 
+    /** Guards against a request that is decided by a configuration whose successor has been acknowledged long ago. */
+    @Test
+    void aRequestIsRoutedByTheConfigurationThatTheReadingBrings() {
+        send(RetryPolicy.AT_MOST_ONCE);
+        world.configure(RetryPolicy.IDEMPOTENT, 3);
+        outdated = false;
+        world.time().advance(CHECK_INTERVAL);
+        world.targets().lastRequest().fail(true);
+        assertThat(world.targets().sentRequests()).hasSize(2);
+    }
+
     /** Guards against a request without an answer at the end of its time. */
     @ParameterizedTest
     @EnumSource(RetryPolicy.class)
