Do not count a write that was omitted as a send

Found in the review: a request that was never written was refused as overloaded after four writes that had been omitted, since targets had come to leave or rows had become outdated while its connections were opened. UnhinderedRequestTest.omittedWritesUseUpNoSends and oldRowsUseUpNoSends failed before. Up to 20 omitted writes of a request do not count now.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -430,6 +430,7 @@
         /** Places the request again, whose target may no longer be sent it; the placement knows what forbids that. */
         private void onOvertaken(WriteDecision decision) {
             logWriteOmitted(target, decision);
+            history.onOmitted(attempt.run());
             if (!isAtAnotherTarget(FailureCause.NOT_SENT)) {
                 retryOrGiveUp(FailureCause.NOT_SENT, "not written: " + decision.result());
             }
--- a/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/RunHistory.java
@@ -27,6 +27,9 @@
  */
 final class RunHistory {
 
+    /** Further omitted writes count as sends, so that a request is not placed without end. */
+    private static final int MAXIMUM_OMITTED_WRITES = 20;
+
     private final ExchangeServices services;
     private final RoutedRequest request;
     private final BooleanSupplier callerGone;
@@ -34,6 +37,7 @@
     private final List<Run> runs = new ArrayList<>();
     private Optional<Beginning> beginning = Optional.empty();
     private OptionalLong lastSentAt = OptionalLong.empty();
+    private int omittedWrites;
     private boolean ended;
 
     /** What is known of a run. */
@@ -115,6 +119,14 @@
         return run;
     }
 
+    /** Called if the request was not written since what the placement relied on no longer held; that does not count as a send. */
+    void onOmitted(Run run) {
+        if (omittedWrites < MAXIMUM_OMITTED_WRITES) {
+            omittedWrites++;
+            runs.remove(run);
+        }
+    }
+
     /** Called when the request has its final answer. */
     void onEnded() {
         ended = true;
--- /dev/null
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/UnhinderedRequestTest.java
@@ -0,0 +1,81 @@
+package org.geraniumreach.gateway.request;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
+import org.geraniumreach.gateway.testing.FakeTargets.SentRequest;
+import org.geraniumreach.gateway.testing.RecordedAnswer;
+import org.geraniumreach.gateway.testing.RequestHarness;
+import org.geraniumreach.gateway.traffic.AdapterName;
+import org.geraniumreach.gateway.traffic.RetryPolicy;
+import org.geraniumreach.model.SoftwareVersion;
+import org.geraniumreach.model.TargetId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Requests that the guard of each write and the end of older adapter versions must not hinder. */
+class UnhinderedRequestTest {
+    private static final AdapterName ADAPTER = new AdapterName("base", "a7");
+    private static final Duration LIMIT = Duration.ofSeconds(5);
+    private final RequestHarness world = new RequestHarness();
+
+    private void start(RetryPolicy policy, String... names) {
+        world.startWithRoute(policy, 3);
+        for (String name : names) {
+            world.addTarget(name, SoftwareVersion.of("v1"), Map.of("base", Map.of("a7", 1L)));
+        }
+    }
+
+    private RecordedAnswer send() {
+        return world.send(Optional.of(new GatewayRequest.Generation(
+                "base", Optional.of(ADAPTER), 100, 50, List.of(new GatewayRequest.PromptPart("p", 100)))));
+    }
+
+    private void load(String name, long version) {
+        world.registry()
+                .find(TargetId.of(name))
+                .orElseThrow()
+                .learnResident(ADAPTER, version, world.time().nanos());
+        world.adapters().notifyWaiters();
+    }
+
+    private SentRequest last() {
+        return world.targets().lastRequest();
+    }
+
+    /** Guards against a refusal of a request that was never written, since writes that were omitted count as sends. */
+    @Test
+    void omittedWritesUseUpNoSends() {
+        start(RetryPolicy.AT_MOST_ONCE, "a", "b", "c", "d", "e", "f");
+        world.targets().setConnecting(false);
+        RecordedAnswer answer = send();
+        for (int left = 0; left < 4; left++) {
+            SentRequest current = last();
+            current.target().markLeaving();
+            current.connect();
+        }
+        assertThat(answer.isEnded()).isFalse();
+    }
+
+    /** Guards against a refusal of a request that was never written, since rows were old four times while its connection was opened. */
+    @Test
+    void oldRowsUseUpNoSends() {
+        start(RetryPolicy.AT_MOST_ONCE, "a", "b");
+        boolean[] outdated = {false};
+        world.setRows(() -> outdated[0] ? Optional.of(Duration.ofMillis(20)) : Optional.empty());
+        world.targets().setConnecting(false);
+        RecordedAnswer answer = send();
+        for (int period = 0; period < 4; period++) {
+            outdated[0] = true;
+            last().connect();
+            world.time().advance(Duration.ofMillis(30));
+            outdated[0] = false;
+            world.time().advance(Duration.ofMillis(30));
+        }
+        assertThat(answer.isEnded()).isFalse();
+    }
+}
