Take the version of an attempt at its write

Found in the review: what an attempt runs on was noted when it was started, though its target is told the version of the write. A request that was written for the newer version was taken back at the bound of the older one, and a stream that runs once was lost. UnhinderedRequestTest.aRequestThatWasWrittenForTheNewerVersionGoesOn failed before.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Attempt.java
@@ -131,7 +131,6 @@
         lastSignAt = sentAt;
         noPromptPending = target.pendingPromptTokens() == 0;
         target.onRequestSent(promptTokens, sentAt);
-        adapterVersion = adapter().map(target::residentVersion).orElse(OptionalLong.empty());
         adapter().ifPresent(adapter -> services.adapters().onRequestSent(target, adapter));
         call = services.targets().send(target, request, envelope, maximumIdle, this);
         if (!ended) {
@@ -184,7 +183,16 @@
         return sent && !ended && !prefillEnded && isOfOlderVersion(version);
     }
 
-    /** Queries whether the target held an older version of the request's adapter than the given one. */
+    /** Queries whether the target is still taken to hold the version of the request's adapter that it held at the write. */
+    boolean isOfResidentVersion() {
+        return residentVersion().equals(adapterVersion);
+    }
+
+    private OptionalLong residentVersion() {
+        return adapter().map(target::residentVersion).orElse(OptionalLong.empty());
+    }
+
+    /** Queries whether the target held an older version of the request's adapter at the write than the given one. */
     boolean isOfOlderVersion(long version) {
         return adapterVersion.isPresent() && adapterVersion.getAsLong() < version;
     }
@@ -253,6 +261,7 @@
             return false;
         }
         sent = true;
+        adapterVersion = residentVersion();
         run.onWritten(use);
         return true;
     }
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/UnhinderedRequestTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/UnhinderedRequestTest.java
@@ -47,6 +47,22 @@
         return world.targets().lastRequest();
     }
 
+    /** Guards against taking back a request that was written for the version in force, though it was placed before that was loaded. */
+    @Test
+    void aRequestThatWasWrittenForTheNewerVersionGoesOn() {
+        start(RetryPolicy.AT_MOST_ONCE_STREAM, "a");
+        world.targets().setConnecting(false);
+        send();
+        SentRequest placed = last();
+        world.adapters().nameVersion(ADAPTER, 2, world.time().nanos() + LIMIT.toNanos());
+        load("a", 2);
+        assertThat(placed.metadata().version().get()).hasValue(2);
+        placed.connect();
+        assertThat(placed.isWritten()).isTrue();
+        world.time().advance(LIMIT);
+        assertThat(placed.isCancelled()).isFalse();
+    }
+
     /** Guards against a refusal of a request that was never written, since writes that were omitted count as sends. */
     @Test
     void omittedWritesUseUpNoSends() {
