Learn nothing of a newer version from the rejection of an older one

Found in the review: a target that held version 2 and rejected a request for version 1 counted as without the adapter, and the guard omitted the writes of all requests for version 2 until its owner told otherwise.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/Exchange.java
@@ -459,6 +459,7 @@
             log.logNotExecuted(attempt, reason, history.writesTo(target));
             if (reason == NotExecuted.NOT_RESIDENT) {
                 request.adapter()
+                        .filter(adapter -> attempt.isOfResidentVersion())
                         .ifPresent(adapter ->
                                 target.learnAbsent(adapter, services.clock().nanos()));
             } else if (isReplacingVersion()) {
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/UnhinderedRequestTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/UnhinderedRequestTest.java
@@ -47,6 +47,22 @@
         return world.targets().lastRequest();
     }
 
+    /** Guards against writes that are omitted at a target that holds the version in force, since it has rejected the older one. */
+    @Test
+    void aRejectionOfTheOlderVersionSaysNothingOfTheNewerOne() {
+        start(RetryPolicy.AT_MOST_ONCE, "a");
+        send();
+        SentRequest older = last();
+        load("a", 2);
+        world.adapters().setVersions(2, 2);
+        world.targets().setConnecting(false);
+        send();
+        SentRequest newer = last();
+        older.answerNotExecuted(NotExecuted.NOT_RESIDENT);
+        newer.connect();
+        assertThat(newer.isWritten()).isTrue();
+    }
+
     /** Guards against taking back a request that was written for the version in force, though it was placed before that was loaded. */
     @Test
     void aRequestThatWasWrittenForTheNewerVersionGoesOn() {
