Ask targets to replace a version before requests are taken back behind an outage

Found in the review, by reading: if the rows had last been read long before a version was, all that had not begun was ended at once, without the order upon which targets hand it back. UnhinderedRequestTest.targetsAreAskedBeforeRequestsAreTakenBackIfTheLimitHasPassed.

--- a/gateway/src/main/java/org/geraniumreach/gateway/request/OutdatedAttempts.java
+++ b/gateway/src/main/java/org/geraniumreach/gateway/request/OutdatedAttempts.java
@@ -43,7 +43,9 @@
     /** Called when a newer version of an adapter has been named. */
     void onVersionNamed(AdapterName adapter) {
         long version = services.adapters().namedVersion(adapter);
-        services.adapters().olderVersionsEndAt(adapter).ifPresent(endAt -> {
+        services.adapters().olderVersionsEndAt(adapter).ifPresent(limit -> {
+            // After a store outage the version may have been named long ago; the targets are asked first even so.
+            long endAt = Math.max(limit, services.clock().nanos() + LOAD_MARGIN.toNanos());
             schedule(endAt - LOAD_MARGIN.toNanos(), () -> replaceOlderVersions(adapter, version));
             schedule(endAt - END_MARGIN.toNanos(), () -> endAttempts(adapter, version));
         });
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/UnhinderedRequestTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/UnhinderedRequestTest.java
@@ -93,6 +93,22 @@
         assertThat(answer.isEnded()).isFalse();
     }
 
+    /** Guards against taking everything back at once behind an outage, in which the version may have been named long ago. */
+    @Test
+    void targetsAreAskedBeforeRequestsAreTakenBackIfTheLimitHasPassed() {
+        start(RetryPolicy.AT_MOST_ONCE_STREAM, "a");
+        send();
+        world.adapters().nameVersion(ADAPTER, 2, world.time().nanos() - LIMIT.toNanos());
+        world.time()
+                .advance(OutdatedAttempts.LOAD_MARGIN
+                        .minus(OutdatedAttempts.END_MARGIN)
+                        .minusMillis(1));
+        assertThat(world.adapters().enqueuedLoads()).contains("a a7");
+        assertThat(last().isCancelled()).isFalse();
+        world.time().advance(Duration.ofMillis(1));
+        assertThat(last().isCancelled()).isTrue();
+    }
+
     /** Guards against a refusal of a request that was never written, since rows were old four times while its connection was opened. */
     @Test
     void oldRowsUseUpNoSends() {
