--- a/gateway/src/test/java/org/geraniumreach/gateway/request/OutdatedAttemptTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/OutdatedAttemptTest.java
@@ -1,19 +1,13 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.retry.FailureCause;
 import org.geraniumreach.gateway.testing.FakeTargets;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
-import org.geraniumreach.gateway.testing.RequestHarness;
-import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
 import org.geraniumreach.model.EventCode;
-import org.geraniumreach.model.SoftwareVersion;
 import org.geraniumreach.model.TargetId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,28 +17,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Requests that wait at targets for an adapter version that may no longer be used when they would begin. */
-class OutdatedAttemptTest {
+class OutdatedAttemptTest extends AdapterVersionTestCase {
 
-    private static final AdapterName ADAPTER = new AdapterName("base", "a7");
-    private static final Duration LIMIT = Duration.ofSeconds(5);
     private static final Duration UNTIL_LOAD = LIMIT.minus(OutdatedAttempts.LOAD_MARGIN);
     private static final Duration UNTIL_END = LIMIT.minus(OutdatedAttempts.END_MARGIN);
     private static final Duration INSTANT = Duration.ofMillis(1);
 
-    private final RequestHarness world = new RequestHarness();
-
-    private void start(RetryPolicy retryPolicy, String... targets) {
-        world.startWithRoute(retryPolicy, 3);
-        for (String target : targets) {
-            world.addTarget(target, SoftwareVersion.of("v1"), Map.of("base", Map.of("a7", 1L)));
-        }
-    }
-
-    private RecordedAnswer send() {
-        return world.send(Optional.of(new GatewayRequest.Generation(
-                "base", Optional.of(ADAPTER), 100, 50, List.of(new GatewayRequest.PromptPart("p", 100)))));
-    }
-
     private void nameVersion(long version) {
         world.adapters().nameVersion(ADAPTER, version, world.time().nanos() + LIMIT.toNanos());
     }
@@ -53,18 +31,6 @@
         world.adapters().setVersions(version, version);
     }
 
-    private void load(String target, long version) {
-        world.registry()
-                .find(TargetId.of(target))
-                .orElseThrow()
-                .learnResident(ADAPTER, version, world.time().nanos());
-        world.adapters().notifyWaiters();
-    }
-
-    private FakeTargets.SentRequest last() {
-        return world.targets().lastRequest();
-    }
-
     /** Guards against a stream that begins on the older version behind the bound, since nothing looks at it again once it is written. */
     @ParameterizedTest
     @ValueSource(longs = {-800, 0, 1_000, 2_400})
--- a/gateway/src/test/java/org/geraniumreach/gateway/request/UnhinderedRequestTest.java
+++ b/gateway/src/test/java/org/geraniumreach/gateway/request/UnhinderedRequestTest.java
@@ -1,51 +1,18 @@
 package org.geraniumreach.gateway.request;
 
 import java.time.Duration;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.geraniumreach.gateway.port.TargetAnswerListener.NotExecuted;
 import org.geraniumreach.gateway.testing.FakeTargets.SentRequest;
 import org.geraniumreach.gateway.testing.RecordedAnswer;
-import org.geraniumreach.gateway.testing.RequestHarness;
-import org.geraniumreach.gateway.traffic.AdapterName;
 import org.geraniumreach.gateway.traffic.RetryPolicy;
-import org.geraniumreach.model.SoftwareVersion;
-import org.geraniumreach.model.TargetId;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Requests that the guard of each write and the end of older adapter versions must not hinder. */
-class UnhinderedRequestTest {
-    private static final AdapterName ADAPTER = new AdapterName("base", "a7");
-    private static final Duration LIMIT = Duration.ofSeconds(5);
-    private final RequestHarness world = new RequestHarness();
-
-    private void start(RetryPolicy policy, String... names) {
-        world.startWithRoute(policy, 3);
-        for (String name : names) {
-            world.addTarget(name, SoftwareVersion.of("v1"), Map.of("base", Map.of("a7", 1L)));
-        }
-    }
-
-    private RecordedAnswer send() {
-        return world.send(Optional.of(new GatewayRequest.Generation(
-                "base", Optional.of(ADAPTER), 100, 50, List.of(new GatewayRequest.PromptPart("p", 100)))));
-    }
-
-    private void load(String name, long version) {
-        world.registry()
-                .find(TargetId.of(name))
-                .orElseThrow()
-                .learnResident(ADAPTER, version, world.time().nanos());
-        world.adapters().notifyWaiters();
-    }
-
-    private SentRequest last() {
-        return world.targets().lastRequest();
-    }
+class UnhinderedRequestTest extends AdapterVersionTestCase {
 
     /** Guards against writes that are omitted at a target that holds the version in force, since it has rejected the older one. */
     @Test
