--- a/review/standins-2/StandInWorker.java
+++ b/review/standins-2/StandInWorker.java
@@ -33,7 +33,7 @@
     /** A request that began to run. */
     static final class Run {
         final String requestId;
-        final StandInHttp.Message request;
+        volatile StandInHttp.Message request;
         final long begunAt = System.nanoTime();
         volatile boolean atWork = true;
         volatile String end = "running";
@@ -42,6 +42,11 @@
             this.requestId = requestId;
             this.request = request;
         }
+
+        /** Keeps the head alone, so that many runs take little memory. */
+        void forgetBody() {
+            request = new StandInHttp.Message(request.startLine(), request.fields(), new byte[0], request.whole());
+        }
     }
 
     /** Answers a request that has begun to run. */
