Let one thread decode and resume a connection of a caller

Cause: an answer was ended on the event loop. The library finishes the response, so that the caller sends its next request, and then goes on with the connection on that thread: it decodes what the selector thread has just stored of the next request. Both decode one body. Beside that, what arrived while an answer was awaited was decoded as more of the request that was being answered, and lost.

Change: RequestGate has responses resumed on the selector thread of their connection, and holds what arrives until then. BodyCollector takes the body before the request is passed on, so that the library does not decode the next request while one is read; BodyReader is gone. The collected part is replaced by an empty one, since the library releases its memory with the request, in which the next one may lie. The standalone daemon's listeners use both, and are read by their selector threads, as many as its setting says.

Why it works: only one thread decodes, so nothing can be stored by one and taken by another; the decoder is given nothing of a request before the answer to the one before it has ended.

--- a/daemon/src/main/java/org/geraniumreach/daemon/http/Call.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/Call.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.geraniumreach.daemon.event.EventLog;
 import org.geraniumreach.httpserver.CallerWatch;
+import org.geraniumreach.httpserver.RequestGate;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
@@ -34,15 +35,23 @@
     private final Response response;
     private final byte[] body;
     private final List<String> parameters;
+    private final RequestGate gate;
     private final Runnable onFinished;
     private final AtomicBoolean answered = new AtomicBoolean();
     private final List<CallerWatch> callerWatches = new CopyOnWriteArrayList<>();
 
-    Call(Request request, Response response, byte[] body, List<String> parameters, Runnable onFinished) {
+    Call(
+            Request request,
+            Response response,
+            byte[] body,
+            List<String> parameters,
+            RequestGate gate,
+            Runnable onFinished) {
         this.request = request;
         this.response = response;
         this.body = body;
         this.parameters = List.copyOf(parameters);
+        this.gate = gate;
         this.onFinished = onFinished;
     }
 
@@ -203,9 +212,14 @@
 
     private void finish() {
         callerWatches.forEach(CallerWatch::stop);
-        if (response.isSuspended()) {
-            response.resume();
-        }
-        onFinished.run();
+        gate.resume(request.getRequest().getConnection(), () -> {
+            try {
+                if (response.isSuspended()) {
+                    response.resume();
+                }
+            } finally {
+                onFinished.run();
+            }
+        });
     }
 }
--- a/daemon/src/main/java/org/geraniumreach/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/HttpListener.java
@@ -5,24 +5,32 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.geraniumreach.daemon.event.EventLog;
-import org.geraniumreach.httpserver.BodyReader;
+import org.geraniumreach.httpserver.BodyCollector;
+import org.geraniumreach.httpserver.RequestBody;
+import org.geraniumreach.httpserver.RequestGate;
 import org.geraniumreach.httpserver.UpgradeIgnoringFilter;
 import org.geraniumreach.model.EventCode;
 import org.geraniumreach.model.ExecutionStatus;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.CloseType;
+import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 
 /**
  * An HTTP server on one address, with its routes.
@@ -38,6 +46,8 @@
     private final NetworkListener listener;
     private final Executor executor;
     private final AtomicInteger openCalls = new AtomicInteger();
+    private final Set<Connection<?>> partialCalls = ConcurrentHashMap.newKeySet();
+    private final RequestGate gate;
     private volatile boolean draining;
 
     private HttpListener(String name, HttpLimits limits, InetSocketAddress address, Executor executor) {
@@ -46,6 +56,9 @@
         this.executor = executor;
         this.listener = new NetworkListener(name, address.getAddress().getHostAddress(), address.getPort());
         this.server = new HttpServer();
+        this.gate = new RequestGate(
+                connection -> {},
+                failure -> EventLog.write(EventCode.UNEXPECTED_FAILURE, failure, "{} response", name));
     }
 
     /**
@@ -75,13 +88,15 @@
         listener.getKeepAlive().setMaxRequestsCount(-1);
         listener.getTransport().setTcpNoDelay(true);
         listener.getTransport().setReuseAddress(true);
-        listener.getTransport().setSelectorRunnersCount(Math.max(1, limits.workers() / 4));
-        listener.getTransport()
-                .setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
-                        .setPoolName(name)
-                        .setCorePoolSize(limits.workers())
-                        .setMaxPoolSize(limits.workers()));
+        listener.getTransport().setSelectorRunnersCount(limits.workers());
+        listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
+        listener.getTransport().setWorkerThreadPoolConfig(null);
         listener.registerAddOn(new UpgradeIgnoringFilter());
+        listener.registerAddOn(gate);
+        listener.registerAddOn(
+                new BodyCollector(limits.body()::bytes, request -> Optional.empty(), (connection, request) -> {
+                    onPartialCall(connection);
+                }));
         server.addListener(listener);
         server.getServerConfiguration().setName(name);
         server.getServerConfiguration().setHttpServerName("geraniumreach");
@@ -90,6 +105,13 @@
         server.getServerConfiguration().addHttpHandler(new Handler(routes), "/");
     }
 
+    @SuppressWarnings("deprecation") // Grizzly itself requires the deprecated interface as a type bound.
+    private void onPartialCall(Connection<?> connection) {
+        partialCalls.add(connection);
+        connection.addCloseListener(
+                (CloseListener<Closeable, CloseType>) (closed, type) -> partialCalls.remove(connection));
+    }
+
     private final class Handler extends HttpHandler {
 
         private final Routes routes;
@@ -104,17 +126,17 @@
             List<String> parameters = match.map(Routes.Match::parameters).orElse(List.of());
             Endpoint endpoint = match.map(Routes.Match::endpoint).orElse(HttpListener::refuseUnknownPath);
             openCalls.incrementAndGet();
+            Connection<?> connection = request.getRequest().getConnection();
+            partialCalls.remove(connection);
+            RequestBody body = BodyCollector.bodyOf(request);
+            gate.onRequest(request.getRequest(), body);
             response.suspend();
             if (draining) {
+                gate.onLastAnswer(connection);
                 response.setHeader("Connection", "close");
             }
-            BodyReader.read(
-                    request,
-                    limits.body().bytes(),
-                    body -> dispatch(
-                            endpoint, new Call(request, response, body, parameters, openCalls::decrementAndGet)),
-                    failure -> refuse(
-                            new Call(request, response, new byte[0], parameters, openCalls::decrementAndGet), failure));
+            Call call = new Call(request, response, body.bytes(), parameters, gate, openCalls::decrementAndGet);
+            body.fault().ifPresentOrElse(fault -> refuse(call, fault), () -> dispatch(endpoint, call));
         }
 
         private void refuse(Call call, ServingException failure) {
@@ -162,7 +184,7 @@
      * @return the number
      */
     public int openCalls() {
-        return openCalls.get();
+        return openCalls.get() + partialCalls.size();
     }
 
     /** Adds {@code Connection: close} to the responses of all further calls. */
--- a/daemon/src/test/java/org/geraniumreach/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/http/HttpListenerTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -32,6 +33,7 @@
 class HttpListenerTest {
 
     private static final int TIMEOUT_MILLIS = 30_000;
+    private static final int REQUESTS_SENT_AHEAD = 9;
 
     private final CountDownLatch callerGone = new CountDownLatch(1);
     private HttpListener listener;
@@ -180,6 +182,52 @@
         return socket;
     }
 
+    /** Guards against requests sent ahead that are read with another body, answered in another order, or not answered. */
+    @ParameterizedTest
+    @CsvSource({"4096, 0", "40, 0", "40, 3", "7, 1", "300, 5"})
+    void requestsSentAheadAreAnsweredInOrder(int pieceBytes, int pauseMillis) throws Exception {
+        StringBuilder requests = new StringBuilder();
+        for (int number = 0; number < REQUESTS_SENT_AHEAD; number++) {
+            String body = "body of " + number;
+            requests.append(
+                    switch (number % 3) {
+                        case 0 -> "GET /later/a" + number + " HTTP/1.1\r\nHost: a\r\n\r\n";
+                        case 1 -> post("/echo/a", body).replace("Connection: close\r\n", "");
+                        default -> "POST /echo/a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n"
+                                + body.substring(0, 4) + "\r\n" + (body.length() - 4) + "\r\n" + body.substring(4)
+                                + "\r\n0\r\n\r\n";
+                    });
+        }
+        try (Socket socket = connect()) {
+            byte[] bytes = requests.toString().getBytes(StandardCharsets.US_ASCII);
+            CompletableFuture<Void> sent =
+                    CompletableFuture.runAsync(() -> send(socket, bytes, pieceBytes, pauseMillis));
+            InputStream input = socket.getInputStream();
+            StringBuilder answers = new StringBuilder();
+            for (int number = 0; number < REQUESTS_SENT_AHEAD; number++) {
+                String expected = number % 3 == 0 ? "a" + number : "body of " + number;
+                while (!answers.toString().endsWith("\r\n\r\n" + expected)) {
+                    int next = input.read();
+                    assertThat(next).as("closed after: " + answers).isNotNegative();
+                    answers.append((char) next);
+                }
+                answers.setLength(0);
+            }
+            sent.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static void send(Socket socket, byte[] bytes, int pieceBytes, int pauseMillis) {
+        try {
+            for (int at = 0; at < bytes.length; at += pieceBytes) {
+                socket.getOutputStream().write(bytes, at, Math.min(pieceBytes, bytes.length - at));
+                Thread.sleep(pauseMillis);
+            }
+        } catch (IOException | InterruptedException failed) {
+            throw new IllegalStateException(failed);
+        }
+    }
+
     private String exchange(String request) throws IOException {
         return exchange(true, request);
     }
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/OpenConnections.java
@@ -55,6 +55,7 @@
     private final MonotonicClock clock = MonotonicClock.system();
     private final ReadyConnections ready = new ReadyConnections(clock);
     private final CloseProbe closeProbe;
+    private final RequestGate gate;
     private volatile Optional<SelectorRunner> selectorThread = Optional.empty();
 
     /**
@@ -62,10 +63,14 @@
      *
      * @param accepts decides on each new connection, called on the selector thread; one that is not accepted is closed unread, not null
      * @param onClosed receives the end of each connection, called on any thread, not null
+     * @param onFailure receives the failure of a resumed response, called on the selector thread, not null
      * @throws IOException if the operating system has no descriptors left
      */
-    public OpenConnections(BooleanSupplier accepts, Consumer<ConnectionEnd> onClosed) throws IOException {
+    public OpenConnections(
+            BooleanSupplier accepts, Consumer<ConnectionEnd> onClosed, Consumer<RuntimeException> onFailure)
+            throws IOException {
         this.closeProbe = new CloseProbe();
+        this.gate = new RequestGate(this::onReleased, onFailure);
         this.accepts = Objects.requireNonNull(accepts, "accepts");
         this.onClosed = Objects.requireNonNull(onClosed, "onClosed");
     }
@@ -73,6 +78,7 @@
     /** Adds the filter before those that parse requests, so that it sees all bytes that are received. */
     @Override
     public void setup(NetworkListener listener, FilterChainBuilder filters) {
+        gate.setup(listener, filters);
         filters.add(filters.indexOfType(TransportFilter.class) + 1, this);
         listener.getTransport().setSelectorHandler(ready);
     }
@@ -99,6 +105,10 @@
         Buffer bytes = context.getMessage();
         Connection<?> connection = context.getConnection();
         Optional<ReceivedBytes> known = find(connection);
+        if (gate.isHolding(connection)) {
+            known.ifPresent(received -> received.onBytesAhead(bytes.remaining(), ready.readySince()));
+            return context.getInvokeAction();
+        }
         known.ifPresent(received -> received.onBytes(bytes.remaining(), ready.readySince(), ready.selections()));
         if (known.filter(received -> received.isRefusedFor(MAX_REFUSED_READ_TIME))
                 .isPresent()) {
@@ -140,6 +150,19 @@
         return find(connection).map(ReceivedBytes::lastAt).orElseGet(clock::nanos);
     }
 
+    private void onReleased(Connection<?> connection) {
+        find(connection).ifPresent(ReceivedBytes::onReleased);
+    }
+
+    /**
+     * Gets the gate that lets each connection carry one request at a time.
+     *
+     * @return the gate, not null
+     */
+    public RequestGate gate() {
+        return gate;
+    }
+
     /**
      * Queries whether the caller has closed its end of a connection, also if that has not been read yet. A close behind bytes that have not
      * been read does not show.
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/ReceivedBytes.java
@@ -24,6 +24,8 @@
     private long total;
     private long lastAt;
     private boolean receiving;
+    private boolean ahead;
+    private long aheadSince;
     private boolean refused;
     private long refusedAt;
     private Optional<CloseCause> cause = Optional.empty();
@@ -59,6 +61,30 @@
         receiving = !refused;
     }
 
+    /**
+     * Records bytes that were received while a request is being answered; they belong to the requests behind it.
+     *
+     * @param count the number of bytes
+     * @param readySince the earliest time at which they can have arrived
+     */
+    synchronized void onBytesAhead(int count, long readySince) {
+        if (!ahead) {
+            ahead = true;
+            aheadSince = readySince;
+        }
+        total += count;
+        lastAt = clock.nanos();
+    }
+
+    /** Records that the bytes that were received ahead are being decoded. */
+    synchronized void onReleased() {
+        if (!receiving) {
+            arrivedAt = aheadSince;
+        }
+        ahead = false;
+        receiving = !refused;
+    }
+
     /** Gets the time at which bytes were received last, in nanoseconds of the clock. */
     synchronized long lastAt() {
         return lastAt;
@@ -92,11 +118,15 @@
 
     /** Queries whether a request is being received whose last byte came within the given time. */
     synchronized boolean isReceivingWithin(Duration time) {
-        return receiving && clock.nanos() - lastAt < time.toNanos();
+        return isReceiving() && clock.nanos() - lastAt < time.toNanos();
     }
 
     synchronized ConnectionEnd end(Connection<?> connection, CloseType type) {
         CloseCause known = cause.orElse(type == CloseType.REMOTELY ? CloseCause.CALLER : CloseCause.LIBRARY);
-        return new ConnectionEnd(connection, known, receiving, total, Duration.ofNanos(clock.nanos() - lastAt));
+        return new ConnectionEnd(connection, known, isReceiving(), total, Duration.ofNanos(clock.nanos() - lastAt));
+    }
+
+    private boolean isReceiving() {
+        return receiving || ahead && !refused;
     }
 }
