Take an answer without a length for whole only if its server has ended it

Callers saw (users, other systems): a worker answers a long upload at once with a 200 without a length, sends a part and resets the connection while the upload is being written; the part arrives as a complete answer.

Cause: the write of the upload meets the reset before a read does. The library closes the connection itself, without a failure of a read, and the codec takes any close for the end of such a body.

Change: the server may end its side alone, which shows as such. A body that ends with its connection is whole if the server has ended it and the rest of the request has been written; any other end fails the call as one that may have run. A connection whose server has ended its side is closed, as before.

The known failure of an early 503 with a length is unchanged.

--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -17,6 +17,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -68,6 +69,9 @@
     private ResponseMatching lastMatching = ResponseMatching.BY_LISTENER;
     private ChannelFuture written;
     private boolean keepAlive;
+    private boolean inputEnded;
+    private boolean inputClosed;
+    private boolean delimitedByClose;
     private boolean reset;
     private boolean informational;
     private int informationalResponses;
@@ -87,15 +91,29 @@
         HttpConnection connection = new HttpConnection(owner);
         connection.channel = channel;
         channel.pipeline()
-                .addLast(
-                        connection.new UnexpectedBytesHandler(),
-                        connection.decoder,
-                        new HttpRequestEncoder(),
-                        connection);
+                .addLast(connection.new InputHandler(), connection.decoder, new HttpRequestEncoder(), connection);
     }
 
-    /** Closes the connection on bytes that no call is waiting for, once the head of a response has been read from them if they hold one. */
-    private final class UnexpectedBytesHandler extends ChannelInboundHandlerAdapter {
+    /**
+     * Closes the connection on bytes that no call is waiting for, once the head of a response has been read from them if they hold one. Tells
+     * an end that the server has sent from a close by this process, which the codec both takes for the end of a body without a length.
+     */
+    private final class InputHandler extends ChannelInboundHandlerAdapter {
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                inputEnded = true;
+                inputClosed = true;
+            }
+            context.fireUserEventTriggered(event);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            inputClosed = true;
+            context.fireChannelInactive();
+        }
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object bytes) {
@@ -365,6 +383,7 @@
             call.onPart(ByteBufUtil.getBytes(content.content()));
         }
         if (content instanceof LastHttpContent && call != null) {
+            delimitedByClose = inputClosed;
             completedCall = call;
             call = null;
         }
@@ -395,11 +414,16 @@
     }
 
     private void complete() {
+        if (delimitedByClose && inputEnded && !written.isDone()) {
+            awaitWritten();
+            return;
+        }
         PendingCall ended = completedCall;
         completedCall = null;
         cancelDiscardTimeout();
-        if (reset) {
-            ended.fail(CallFailure.BROKEN, "reset");
+        if (reset || isCutOff()) {
+            channel.close();
+            ended.fail(CallFailure.BROKEN, reset ? "reset" : "closed within a body without a length");
             return;
         }
         // A server that has answered early may never read the rest of the body, nor a call sent after it.
@@ -420,6 +444,24 @@
         ended.complete();
     }
 
+    /** Queries whether a body that ends with its connection was ended by this process, or by a reset that a write has met. */
+    private boolean isCutOff() {
+        return delimitedByClose && !(inputEnded && written.isSuccess());
+    }
+
+    /** Waits until the rest of the request is written: a server that resets the connection over it may not have sent its body whole. */
+    private void awaitWritten() {
+        if (discardTimeout == null) {
+            discardTimeout =
+                    channel.eventLoop().schedule(this::close, MAX_DISCARD_TIME.toMillis(), TimeUnit.MILLISECONDS);
+            written.addListener(done -> {
+                if (completedCall != null) {
+                    complete();
+                }
+            });
+        }
+    }
+
     private void cancelDiscardTimeout() {
         if (discardTimeout != null) {
             discardTimeout.cancel(false);
@@ -445,6 +487,14 @@
         failCall(String.valueOf(cause.getMessage()));
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && completedCall == null) {
+            channel.close();
+        }
+        context.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         if (completedCall != null) {
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -70,6 +70,7 @@
                 .group(Objects.requireNonNull(loop, "loop"))
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
                 .handler(new ChannelInitializer<>() {
                     @Override
--- a/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
+++ b/httpclient/src/test/java/org/geraniumreach/httpclient/HttpConnectionsTest.java
@@ -42,6 +42,7 @@
     private static final HttpCallRequest GET = new HttpCallRequest("GET", "/x", List.of(), new byte[0]);
     private static final String FINAL_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfinal";
     private static final int BYTES_BEYOND_ALL_BUFFERS = 16 * 1024 * 1024;
+    private static final int PAUSE_BEFORE_RESET_MILLIS = 50;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final HttpConnections connections =
@@ -391,6 +392,81 @@
         assertThat(outcomes).isEmpty();
     }
 
+    /** How a server ends its connection while the request is still being written. */
+    enum EarlyEnd {
+        RESET("BROKEN"),
+        CLOSE_BEFORE_UNREAD_BYTES("BROKEN"),
+        ORDERLY_THEN_RESET("BROKEN"),
+        ORDERLY_WITHOUT_READING_ON("BROKEN"),
+        ORDERLY_THEN_READING_ON("200 part");
+
+        private final String outcome;
+
+        EarlyEnd(String outcome) {
+            this.outcome = outcome;
+        }
+
+        private void perform(Socket socket) throws IOException, InterruptedException {
+            switch (this) {
+                case RESET -> {
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                }
+                case CLOSE_BEFORE_UNREAD_BYTES -> socket.close();
+                case ORDERLY_THEN_RESET -> {
+                    socket.shutdownOutput();
+                    TimeUnit.MILLISECONDS.sleep(PAUSE_BEFORE_RESET_MILLIS);
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                }
+                case ORDERLY_THEN_READING_ON -> {
+                    socket.shutdownOutput();
+                    socket.getInputStream().skipNBytes(BYTES_BEYOND_ALL_BUFFERS);
+                }
+                default -> socket.shutdownOutput();
+            }
+        }
+    }
+
+    /** Guards against a part of an answer without a length that is taken for all of it, since a write has met the reset first. */
+    @ParameterizedTest
+    @CsvSource({
+        "RESET, 0",
+        "RESET, 20",
+        "RESET, 200",
+        "CLOSE_BEFORE_UNREAD_BYTES, 0",
+        "CLOSE_BEFORE_UNREAD_BYTES, 20",
+        "ORDERLY_THEN_RESET, 0",
+        "ORDERLY_THEN_RESET, 20",
+        "ORDERLY_WITHOUT_READING_ON, 0",
+        "ORDERLY_THEN_READING_ON, 0",
+        "ORDERLY_THEN_READING_ON, 20"
+    })
+    void anAnswerWithoutALengthIsWholeOnlyIfItsRequestIsWrittenAndItsServerEndsIt(EarlyEnd end, int pauseMillis)
+            throws Exception {
+        callWithBodyBeyondAllBuffers();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\n\r\npart");
+        TimeUnit.MILLISECONDS.sleep(pauseMillis);
+        end.perform(accepted);
+        assertThat(nextOutcome()).isEqualTo(end.outcome);
+        assertThat(outcomes).isEmpty();
+    }
+
+    /** Guards against a connection that its server has closed and that a call is sent on. */
+    @Test
+    void aConnectionThatItsServerClosesWhileIdleIsNotReused() throws Exception {
+        call();
+        accept();
+        readRequest();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(nextOutcome()).isEqualTo("200 ok");
+        accepted.shutdownOutput();
+        assertThat(accepted.getInputStream().read()).isEqualTo(-1);
+        assertThat(connections.idleCount()).isZero();
+    }
+
     /** Guards against an answer that is lost since its server closes the connection without reading the rest of the body. */
     @Test
     void anAnswerBeforeTheBodyIsWrittenIsReceivedThoughTheServerCloses() throws Exception {
