Read an answer that comes before its request is written, though the server stops reading

Callers saw: a target that refuses a long upload at once with 503, with a length, and closes: the call counts as broken, so that a request that was refused has an unknown outcome.

Change: a failed write does not close the connection; what the server has sent is read, up to its end or for 0.5 s. An answer without a length is not whole then.

--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnection.java
@@ -233,6 +233,18 @@
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         }
         written = channel.writeAndFlush(message);
+        written.addListener(done -> {
+            if (!done.isSuccess()) {
+                onWriteFailed();
+            }
+        });
+    }
+
+    /** Reads what the server has sent before it stopped reading: that may be a whole answer. */
+    private void onWriteFailed() {
+        if (channel.isOpen()) {
+            channel.eventLoop().schedule(this::close, MAX_DISCARD_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        }
     }
 
     private static boolean isBodiless(String method) {
--- a/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
+++ b/httpclient/src/main/java/org/geraniumreach/httpclient/HttpConnections.java
@@ -71,6 +71,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.AUTO_CLOSE, false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
                 .handler(new ChannelInitializer<>() {
                     @Override
