Refuse requests whose end another reader may see elsewhere

Cause: the library reads no body of TRACE and CONNECT and answers TRACE itself; it keeps a header under a malformed name, and our check looked for exact names.

Change: RequestFraming, for callers and the standalone daemon alike, refuses these methods and malformed names before the body; what lies behind the last answer of a connection is dropped, also where it came in one piece with it.

--- a/daemon/src/main/java/org/geraniumreach/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/HttpListener.java
@@ -94,13 +94,13 @@
         listener.registerAddOn(new UpgradeIgnoringFilter());
         listener.registerAddOn(gate);
         listener.registerAddOn(
-                new BodyCollector(limits.body()::bytes, request -> Optional.empty(), (connection, request) -> {
-                    onPartialCall(connection);
-                }));
+                new BodyCollector(limits.body()::bytes, (connection, request) -> onPartialCall(connection)));
         server.addListener(listener);
         server.getServerConfiguration().setName(name);
         server.getServerConfiguration().setHttpServerName("geraniumreach");
         server.getServerConfiguration().setJmxEnabled(false);
+        // The library would answer TRACE itself, and take its body for the next request.
+        server.getServerConfiguration().setPassTraceRequest(true);
         server.getServerConfiguration().setDefaultErrorPageGenerator(new PlainErrorPage());
         server.getServerConfiguration().addHttpHandler(new Handler(routes), "/");
     }
@@ -122,24 +122,28 @@
 
         @Override
         public void service(Request request, Response response) {
+            response.suspend();
+            Connection<?> connection = request.getRequest().getConnection();
+            if (gate.isBehindLastAnswer(connection)) {
+                return;
+            }
             Optional<Routes.Match> match = routes.find(request.getMethod().getMethodString(), request.getRequestURI());
             List<String> parameters = match.map(Routes.Match::parameters).orElse(List.of());
             Endpoint endpoint = match.map(Routes.Match::endpoint).orElse(HttpListener::refuseUnknownPath);
             openCalls.incrementAndGet();
-            Connection<?> connection = request.getRequest().getConnection();
             partialCalls.remove(connection);
             RequestBody body = BodyCollector.bodyOf(request);
             gate.onRequest(request.getRequest(), body);
-            response.suspend();
             if (draining) {
                 gate.onLastAnswer(connection);
                 response.setHeader("Connection", "close");
             }
             Call call = new Call(request, response, body.bytes(), parameters, gate, openCalls::decrementAndGet);
-            body.fault().ifPresentOrElse(fault -> refuse(call, fault), () -> dispatch(endpoint, call));
+            body.fault().ifPresentOrElse(fault -> refuse(connection, call, fault), () -> dispatch(endpoint, call));
         }
 
-        private void refuse(Call call, ServingException failure) {
+        private void refuse(Connection<?> connection, Call call, ServingException failure) {
+            gate.onLastAnswer(connection);
             call.setHeader("Connection", "close");
             call.fail(failure);
         }
--- a/daemon/src/test/java/org/geraniumreach/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/http/HttpListenerTest.java
@@ -217,6 +217,15 @@
         }
     }
 
+    /** Guards against a body that is taken for a request, since its length stands under another name or its method has none. */
+    @ParameterizedTest
+    @ValueSource(strings = {"TRACE / HTTP/1.1\r\nContent-Length:", "POST /echo/a HTTP/1.1\r\nContent-Length :"})
+    void aBodyIsNeverTakenForARequest(String head) throws IOException {
+        String inner = post("/echo/a", "inner");
+        String answers = exchange(false, head + " " + inner.length() + "\r\nHost: a\r\n\r\n" + inner);
+        assertThat(answers).startsWith("HTTP/1.1 400").doesNotContain("inner");
+    }
+
     private static void send(Socket socket, byte[] bytes, int pieceBytes, int pauseMillis) {
         try {
             for (int at = 0; at < bytes.length; at += pieceBytes) {
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/BodyCollector.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/BodyCollector.java
@@ -4,7 +4,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BiConsumer;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 import org.geraniumreach.model.ResultCode;
@@ -43,7 +42,6 @@
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(BodyCollector.class.getName());
 
     private final LongSupplier maxBytes;
-    private final Function<HttpRequestPacket, Optional<ServingException>> check;
     private final BiConsumer<Connection<?>, HttpRequestPacket> onPartial;
 
     /** What has been received of the body of one request. */
@@ -56,15 +54,10 @@
      * Creates a collector.
      *
      * @param maxBytes supplies the maximum size of a body, in bytes, not null
-     * @param check finds out from its head why a request has to be refused, not null
      * @param onPartial receives the requests whose heads are passed on later, since a part of their bodies is missing, not null
      */
-    public BodyCollector(
-            LongSupplier maxBytes,
-            Function<HttpRequestPacket, Optional<ServingException>> check,
-            BiConsumer<Connection<?>, HttpRequestPacket> onPartial) {
+    public BodyCollector(LongSupplier maxBytes, BiConsumer<Connection<?>, HttpRequestPacket> onPartial) {
         this.maxBytes = Objects.requireNonNull(maxBytes, "maxBytes");
-        this.check = Objects.requireNonNull(check, "check");
         this.onPartial = Objects.requireNonNull(onPartial, "onPartial");
     }
 
@@ -130,7 +123,10 @@
         if (HttpContent.isBroken(part)) {
             return Optional.of(ServingException.notRun(ResultCode.MALFORMED_REQUEST, "the body broke off"));
         }
-        Optional<ServingException> refusal = first ? check.apply(request) : Optional.empty();
+        Optional<ServingException> refusal = Optional.of(request)
+                .filter(head -> first)
+                .flatMap(RequestFraming::findFault)
+                .map(fault -> ServingException.notRun(ResultCode.MALFORMED_REQUEST, fault));
         long limit = maxBytes.getAsLong();
         long received = (long) body.content.size() + part.getContent().remaining();
         return refusal.or(() -> Optional.of(limit)
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/RequestGate.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/RequestGate.java
@@ -88,6 +88,17 @@
         setReading(request.getConnection(), false);
     }
 
+    /**
+     * Queries whether what arrives belongs to no request. Called on the selector thread of the connection.
+     *
+     * @param connection the connection, not null
+     * @return whether the last answer of the connection has ended
+     */
+    public boolean isBehindLastAnswer(Connection<?> connection) {
+        Passage passage = PASSAGES.get(connection);
+        return passage.last && !passage.answering;
+    }
+
     /**
      * Drops what arrives behind the current request, whose answer is the last one of its connection.
      *
