Watch the connections of partial calls once, and copy short bodies once

A kept connection got one more close listener for each call whose body arrived in parts, in the standalone daemon only. A body in one part was copied twice.

--- a/daemon/src/main/java/org/geraniumreach/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/geraniumreach/daemon/http/HttpListener.java
@@ -4,8 +4,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -14,6 +14,7 @@
 
 import org.geraniumreach.daemon.event.EventLog;
 import org.geraniumreach.httpserver.BodyCollector;
+import org.geraniumreach.httpserver.CallerWatch;
 import org.geraniumreach.httpserver.RequestBody;
 import org.geraniumreach.httpserver.RequestGate;
 import org.geraniumreach.httpserver.UpgradeIgnoringFilter;
@@ -21,9 +22,6 @@
 import org.geraniumreach.model.ExecutionStatus;
 import org.geraniumreach.model.ResultCode;
 import org.geraniumreach.model.ServingException;
-import org.glassfish.grizzly.CloseListener;
-import org.glassfish.grizzly.CloseType;
-import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
@@ -46,7 +44,9 @@
     private final NetworkListener listener;
     private final Executor executor;
     private final AtomicInteger openCalls = new AtomicInteger();
-    private final Set<Connection<?>> partialCalls = ConcurrentHashMap.newKeySet();
+    /** The connections on which the body of a call is being received. */
+    private final Map<Connection<?>, CallerWatch> partialCalls = new ConcurrentHashMap<>();
+
     private final RequestGate gate;
     private volatile boolean draining;
 
@@ -105,11 +105,11 @@
         server.getServerConfiguration().addHttpHandler(new Handler(routes), "/");
     }
 
-    @SuppressWarnings("deprecation") // Grizzly itself requires the deprecated interface as a type bound.
     private void onPartialCall(Connection<?> connection) {
-        partialCalls.add(connection);
-        connection.addCloseListener(
-                (CloseListener<Closeable, CloseType>) (closed, type) -> partialCalls.remove(connection));
+        partialCalls.put(connection, CallerWatch.start(connection, () -> partialCalls.remove(connection)));
+        if (!connection.isOpen()) {
+            Optional.ofNullable(partialCalls.remove(connection)).ifPresent(CallerWatch::stop);
+        }
     }
 
     private final class Handler extends HttpHandler {
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/BodyCollector.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/BodyCollector.java
@@ -48,6 +48,14 @@
     private static final class PartialBody {
         private final ByteArrayOutputStream content = new ByteArrayOutputStream();
         private boolean passedOn;
+
+        private byte[] plus(byte[] last) {
+            if (content.size() == 0) {
+                return last;
+            }
+            content.writeBytes(last);
+            return content.toByteArray();
+        }
     }
 
     /**
@@ -94,12 +102,13 @@
         if (fault.isPresent()) {
             return passOn(context, request, body, RequestBody.faulty(fault.get()));
         }
-        append(body, part.getContent());
+        byte[] bytes = copy(part.getContent());
         if (part.isLast()) {
             // The library releases the memory of a part behind the handler, though what follows it may lie there too.
             context.setMessage(HttpContent.builder(request).last(true).build());
-            return passOn(context, request, body, RequestBody.whole(body.content.toByteArray()));
+            return passOn(context, request, body, RequestBody.whole(body.plus(bytes)));
         }
+        body.content.writeBytes(bytes);
         if (known.isEmpty()) {
             PARTIAL_BODIES.set(connection, body);
             onPartial.accept(connection, request);
@@ -123,22 +132,23 @@
         if (HttpContent.isBroken(part)) {
             return Optional.of(ServingException.notRun(ResultCode.MALFORMED_REQUEST, "the body broke off"));
         }
-        Optional<ServingException> refusal = Optional.of(request)
-                .filter(head -> first)
-                .flatMap(RequestFraming::findFault)
-                .map(fault -> ServingException.notRun(ResultCode.MALFORMED_REQUEST, fault));
+        Optional<String> framingFault = first ? RequestFraming.findFault(request) : Optional.empty();
+        if (framingFault.isPresent()) {
+            return Optional.of(ServingException.notRun(ResultCode.MALFORMED_REQUEST, framingFault.get()));
+        }
         long limit = maxBytes.getAsLong();
         long received = (long) body.content.size() + part.getContent().remaining();
-        return refusal.or(() -> Optional.of(limit)
-                .filter(limitBytes -> received > limitBytes || request.getContentLength() > limitBytes)
-                .map(limitBytes -> ServingException.notRun(
-                        ResultCode.BODY_TOO_LARGE, "the body is above " + limitBytes + " bytes")));
+        if (received > limit || request.getContentLength() > limit) {
+            return Optional.of(
+                    ServingException.notRun(ResultCode.BODY_TOO_LARGE, "the body is above " + limit + " bytes"));
+        }
+        return Optional.empty();
     }
 
-    private static void append(PartialBody body, Buffer bytes) {
+    private static byte[] copy(Buffer bytes) {
         byte[] copy = new byte[bytes.remaining()];
         bytes.get(copy);
-        body.content.writeBytes(copy);
+        return copy;
     }
 
     /** Asks a caller that waits for that to send the body. */
