--- a/daemon/src/test/java/org/geraniumreach/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/org/geraniumreach/daemon/http/HttpListenerTest.java
@@ -13,6 +13,8 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ForkJoinPool;
@@ -34,6 +36,11 @@
 
     private static final int TIMEOUT_MILLIS = 30_000;
     private static final int REQUESTS_SENT_AHEAD = 9;
+    private static final int SLOW_CALLERS = 4;
+    private static final int BYTES_BEYOND_ALL_BUFFERS = 32 * 1024 * 1024;
+    private static final int EVENT_BYTES = 1024 * 1024;
+    private static final int PAUSE_MILLIS = 500;
+    private static final int LONGEST_DELAY_MILLIS = 5_000;
 
     private final CountDownLatch callerGone = new CountDownLatch(1);
     private HttpListener listener;
@@ -56,6 +63,15 @@
                     CompletableFuture.delayedExecutor(word.length() * 50L, TimeUnit.MILLISECONDS)
                             .execute(() -> call.reply(200, "text/plain", word.getBytes(StandardCharsets.UTF_8)));
                 })
+                .plus("GET", "/large", call -> call.reply(200, "text/plain", new byte[BYTES_BEYOND_ALL_BUFFERS]))
+                .plus("GET", "/stream", call -> {
+                    EventStream stream = call.stream().orElseThrow();
+                    boolean open = true;
+                    for (int event = 0; open && event < BYTES_BEYOND_ALL_BUFFERS / EVENT_BYTES; event++) {
+                        open = stream.writeEvent(new byte[EVENT_BYTES]);
+                    }
+                    stream.end();
+                })
                 .plus("GET", "/forever", call -> {
                     call.onCallerGone(callerGone::countDown);
                     call.stream().orElseThrow().writeEvent("1".getBytes(StandardCharsets.UTF_8));
@@ -182,6 +198,33 @@
         return socket;
     }
 
+    /** Guards against a caller that does not read its answer and delays all others of the thread that reads its calls. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/large", "/stream"})
+    void aCallerThatDoesNotReadItsAnswerDelaysNoOther(String path) throws Exception {
+        List<Socket> slow = new ArrayList<>();
+        try {
+            for (int caller = 0; caller < SLOW_CALLERS; caller++) {
+                Socket socket = connect();
+                slow.add(socket);
+                socket.getOutputStream()
+                        .write(("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            }
+            Thread.sleep(PAUSE_MILLIS);
+            for (int call = 0; call < SLOW_CALLERS; call++) {
+                try (Socket socket = connect()) {
+                    socket.setSoTimeout(LONGEST_DELAY_MILLIS);
+                    socket.getOutputStream().write(post("/echo/a", "quick").getBytes(StandardCharsets.US_ASCII));
+                    assertThat(readAll(socket.getInputStream())).endsWith("quick");
+                }
+            }
+        } finally {
+            for (Socket socket : slow) {
+                socket.close();
+            }
+        }
+    }
+
     /** Guards against requests sent ahead that are read with another body, answered in another order, or not answered. */
     @ParameterizedTest
     @CsvSource({"4096, 0", "40, 0", "40, 3", "7, 1", "300, 5"})
--- a/httpserver/src/main/java/org/geraniumreach/httpserver/RequestGate.java
+++ b/httpserver/src/main/java/org/geraniumreach/httpserver/RequestGate.java
@@ -45,7 +45,10 @@
     private final Consumer<Connection<?>> onReleased;
     private final Consumer<RuntimeException> onFailure;
 
-    /** The state of one connection. */
+    /**
+     * The state of one connection: the bytes that are held; whether a request is being answered, and whether its body was received whole; and
+     * whether its answer, or the one that has just ended, is the last one of the connection.
+     */
     private static final class Passage {
         private final Deque<FilterChainContext> held = new ArrayDeque<>();
         private int heldBytes;
